--- /dev/null
+++ b/source/wire/link.c
@@ -0,0 +1,169 @@
+#include "bilberrytray/wire/link.h"
+
+#include <errno.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "bilberrytray/base/random.h"
+#include "link_private.h"
+
+bt_link_t *
+bt_new_link (bt_link_loop_t *loop, int fd, bool dialled)
+{
+  bt_link_t *link = bt_calloc (loop->ctx, 1, sizeof *link);
+
+  atomic_init (&link->references, 2);
+  link->loop = loop;
+  link->id = atomic_fetch_add (&loop->next_id, 1) + 1;
+  link->fd = fd;
+  link->dialled = dialled;
+  link->state = dialled ? BT_LINK_CONNECTING : BT_LINK_AWAIT_HELLO;
+  link->opened_ms = bt_now_ms (loop->ctx);
+  link->heard_ms = link->opened_ms;
+  bt_fill_secure_random (link->nonce, sizeof link->nonce);
+  pthread_mutex_init (&link->lock, NULL);
+  atomic_fetch_add (&loop->link_count, 1);
+  return link;
+}
+
+bt_link_t *
+bt_keep_link (bt_link_t *link)
+{
+  if (link != NULL)
+    atomic_fetch_add (&link->references, 1);
+  return link;
+}
+
+void
+bt_drop_link (bt_context_t *ctx, bt_link_t *link)
+{
+  if (link == NULL || atomic_fetch_sub (&link->references, 1) != 1)
+    return;
+  if (link->fd >= 0)
+    close (link->fd);
+  bt_clear_buffer (ctx, &link->received);
+  bt_clear_buffer (ctx, &link->unsent);
+  pthread_mutex_destroy (&link->lock);
+  bt_free (ctx, link);
+}
+
+static void
+want_writable (bt_link_t *link, bool wanted)
+{
+  struct epoll_event event = { .events = EPOLLIN, .data.ptr = link };
+
+  if (link->writable_wanted == wanted)
+    return;
+  link->writable_wanted = wanted;
+  if (wanted)
+    event.events |= EPOLLOUT;
+  epoll_ctl (link->loop->epoll_fd, EPOLL_CTL_MOD, link->fd, &event);
+}
+
+static bool
+flush_locked (bt_link_t *link)
+{
+  while (bt_count_buffer (&link->unsent) > 0)
+    {
+      ssize_t sent = send (link->fd, link->unsent.data + link->unsent.start,
+                           bt_count_buffer (&link->unsent), MSG_NOSIGNAL | MSG_DONTWAIT);
+
+      if (sent < 0 && errno == EINTR)
+        continue;
+      if (sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+        {
+          want_writable (link, true);
+          return true;
+        }
+      if (sent < 0)
+        return false;
+      bt_take_buffer (&link->unsent, (size_t)sent);
+    }
+  want_writable (link, false);
+  return true;
+}
+
+bool
+bt_flush_link (bt_context_t *ctx, bt_link_t *link)
+{
+  bool sent;
+
+  pthread_mutex_lock (&link->lock);
+  sent = link->fd >= 0 && flush_locked (link);
+  pthread_mutex_unlock (&link->lock);
+  return sent;
+}
+
+bool
+bt_send_link (bt_context_t *ctx, bt_link_t *link, const bt_frame_t *frame)
+{
+  bool sent = false;
+
+  if (atomic_load (&link->closing))
+    return false;
+  pthread_mutex_lock (&link->lock);
+  if (link->fd >= 0)
+    {
+      bt_encode_frame (ctx, &link->unsent, frame);
+      /* A peer that has stopped reading would fill this process's memory. Cutting it off frees it,
+       * and what was in flight is asked for again by key, like after any dead link. */
+      sent = bt_count_buffer (&link->unsent) <= link->loop->options.max_unsent_bytes
+             && flush_locked (link);
+    }
+  pthread_mutex_unlock (&link->lock);
+  if (!sent)
+    bt_close_link (link);
+  return sent;
+}
+
+bool
+bt_send_frame (bt_context_t *ctx, bt_link_t *link, const bt_frame_t *frame)
+{
+  return bt_send_link (ctx, link, frame);
+}
+
+void
+bt_close_link (bt_link_t *link)
+{
+  if (atomic_exchange (&link->closing, true))
+    return;
+  bt_wake_link_loop (link->loop);
+}
+
+bool
+bt_is_link_closed (const bt_link_t *link)
+{
+  return atomic_load (&link->closed);
+}
+
+const char *
+bt_get_link_instance (const bt_link_t *link)
+{
+  return link->instance;
+}
+
+uint64_t
+bt_get_link_incarnation (const bt_link_t *link)
+{
+  return link->incarnation;
+}
+
+const char *
+bt_get_link_role (const bt_link_t *link)
+{
+  return link->role;
+}
+
+const char *
+bt_get_link_failure_domain (const bt_link_t *link)
+{
+  return link->failure_domain;
+}
+
+uint64_t
+bt_get_link_id (const bt_link_t *link)
+{
+  return link->id;
+}
--- /dev/null
+++ b/source/wire/link_loop.c
@@ -0,0 +1,460 @@
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "bilberrytray/base/counters.h"
+#include "bilberrytray/base/log.h"
+#include "link_private.h"
+
+enum
+{
+  EVENTS_AT_ONCE = 64,
+  TICK_MS = 20,
+  RECEIVE_BYTES = 65536,
+  LISTEN_BACKLOG = 256,
+  BASE_TEN = 10,
+};
+
+static bool
+parse_address (const char *text, struct sockaddr_in *address)
+{
+  char host[BT_ADDRESS_BYTES];
+  const char *colon = strrchr (text, ':');
+
+  memset (address, 0, sizeof *address);
+  if (colon == NULL || (size_t)(colon - text) >= sizeof host)
+    return false;
+  memcpy (host, text, (size_t)(colon - text));
+  host[colon - text] = '\0';
+  address->sin_family = AF_INET;
+  address->sin_port = htons ((uint16_t)strtoul (colon + 1, NULL, BASE_TEN));
+  return inet_pton (AF_INET, host, &address->sin_addr) == 1;
+}
+
+void
+bt_wake_link_loop (bt_link_loop_t *loop)
+{
+  uint64_t one = 1;
+
+  if (write (loop->wake_fd, &one, sizeof one) < 0)
+    return;
+}
+
+static void
+add_link (bt_link_loop_t *loop, bt_link_t *link)
+{
+  pthread_mutex_lock (&loop->lock);
+  link->next = loop->added;
+  loop->added = link;
+  pthread_mutex_unlock (&loop->lock);
+}
+
+static bool
+register_link (bt_link_loop_t *loop, bt_link_t *link)
+{
+  struct epoll_event event = { .events = EPOLLIN, .data.ptr = link };
+
+  if (link->dialled)
+    {
+      event.events |= EPOLLOUT;
+      link->writable_wanted = true;
+    }
+  return epoll_ctl (loop->epoll_fd, EPOLL_CTL_ADD, link->fd, &event) == 0;
+}
+
+static void
+set_low_delay (int fd)
+{
+  int one = 1;
+
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+}
+
+bt_link_t *
+bt_dial_link (bt_context_t *ctx,
+              bt_link_loop_t *loop,
+              const char *address,
+              const char *instance,
+              bt_error_t *error)
+{
+  struct sockaddr_in target;
+  bt_link_t *link;
+  int fd;
+
+  if (!parse_address (address, &target))
+    {
+      bt_set_error (error, BT_ERROR_FORMAT, "\"%s\" is not of the form IP:PORT.", address);
+      return NULL;
+    }
+  if (atomic_load (&loop->link_count) >= loop->options.max_links)
+    {
+      bt_set_error (error, BT_ERROR_TOO_LARGE, "There are %d links already.",
+                    loop->options.max_links);
+      return NULL;
+    }
+  fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0
+      || (connect (fd, (struct sockaddr *)&target, sizeof target) < 0 && errno != EINPROGRESS))
+    {
+      bt_set_error (error, BT_ERROR_SYSTEM, "Can't dial %s: %s.", address, strerror (errno));
+      if (fd >= 0)
+        close (fd);
+      return NULL;
+    }
+  set_low_delay (fd);
+  link = bt_new_link (loop, fd, true);
+  bt_copy_name (link->target, instance);
+  add_link (loop, link);
+  bt_wake_link_loop (loop);
+  return link;
+}
+
+int32_t
+bt_listen_links (bt_context_t *ctx, bt_link_loop_t *loop, const char *address, bt_error_t *error)
+{
+  struct sockaddr_in target;
+  socklen_t bytes = sizeof target;
+  struct epoll_event event = { .events = EPOLLIN, .data.ptr = &loop->listen_fd };
+  int one = 1;
+  int fd;
+
+  if (!parse_address (address, &target))
+    {
+      bt_set_error (error, BT_ERROR_FORMAT, "\"%s\" is not of the form IP:PORT.", address);
+      return -1;
+    }
+  fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd >= 0)
+    setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+  if (fd < 0 || bind (fd, (struct sockaddr *)&target, sizeof target) < 0
+      || listen (fd, LISTEN_BACKLOG) < 0 || getsockname (fd, (struct sockaddr *)&target, &bytes) < 0
+      || epoll_ctl (loop->epoll_fd, EPOLL_CTL_ADD, fd, &event) < 0)
+    {
+      bt_set_error (error, BT_ERROR_SYSTEM, "Can't listen on %s: %s.", address, strerror (errno));
+      if (fd >= 0)
+        close (fd);
+      return -1;
+    }
+  loop->listen_fd = fd;
+  return ntohs (target.sin_port);
+}
+
+static void
+accept_links (bt_link_loop_t *loop)
+{
+  int fd;
+
+  while ((fd = accept4 (loop->listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0)
+    {
+      bt_link_t *link;
+
+      if (atomic_load (&loop->link_count) >= loop->options.max_links)
+        {
+          close (fd);
+          continue;
+        }
+      set_low_delay (fd);
+      link = bt_new_link (loop, fd, false);
+      add_link (loop, link);
+      bt_drop_link (loop->ctx, link);
+    }
+}
+
+static void
+fail_link (bt_link_t *link, const bt_error_t *error)
+{
+  bt_context_t *ctx = link->loop->ctx;
+
+  bt_log (ctx, BT_LOG_WARNING, BT_PART_LINK, "Closing the link to %s: %s",
+          link->instance[0] == '\0' ? "an unnamed peer" : link->instance, error->message);
+  bt_add_counter (bt_find_counter (ctx, BT_COUNTER, "bilberry_link_errors_total",
+                                   "Links closed for a fault of the peer.", "code",
+                                   bt_name_error_code (error->code)),
+                  1);
+  atomic_store (&link->closing, true);
+}
+
+static void
+take_frame (bt_link_t *link, const bt_frame_t *frame)
+{
+  bt_link_handler_t *handler = link->loop->options.handler;
+  bt_error_t error = { 0 };
+
+  link->heard_ms = bt_now_ms (link->loop->ctx);
+  if (link->state == BT_LINK_UP)
+    {
+      handler->vtable->on_frame (handler, link, frame);
+      return;
+    }
+  if (!bt_take_opening_frame (link, frame, &error))
+    {
+      fail_link (link, &error);
+      return;
+    }
+  if (link->state == BT_LINK_UP)
+    {
+      bt_log (link->loop->ctx, BT_LOG_DEBUG, BT_PART_LINK, "The link to %s is up.", link->instance);
+      handler->vtable->on_up (handler, link);
+    }
+}
+
+static void
+take_frames (bt_link_t *link)
+{
+  bt_error_t error = { 0 };
+  bt_frame_t *frame;
+
+  while (!atomic_load (&link->closing))
+    {
+      size_t limit =
+          link->state == BT_LINK_UP ? link->loop->options.max_frame_bytes : BT_OPENING_FRAME_BYTES;
+
+      frame = bt_decode_frame (&link->received, limit, &error);
+      if (frame == NULL)
+        break;
+      take_frame (link, frame);
+      bt_drop_frame (frame);
+    }
+  if (error.code != BT_ERROR_NONE)
+    fail_link (link, &error);
+}
+
+static void
+receive_link (bt_link_t *link)
+{
+  bt_context_t *ctx = link->loop->ctx;
+  ssize_t received;
+
+  do
+    {
+      uint8_t *at = bt_reserve_buffer (ctx, &link->received, RECEIVE_BYTES);
+
+      received = recv (link->fd, at, RECEIVE_BYTES, MSG_DONTWAIT);
+      if (received > 0)
+        {
+          link->received.end += (size_t)received;
+          take_frames (link);
+        }
+    }
+  while (received == RECEIVE_BYTES && !atomic_load (&link->closing));
+  if (received == 0 || (received < 0 && errno != EAGAIN && errno != EINTR))
+    atomic_store (&link->closing, true);
+}
+
+static void
+finish_connect (bt_link_t *link)
+{
+  int failure = 0;
+  socklen_t bytes = sizeof failure;
+
+  if (getsockopt (link->fd, SOL_SOCKET, SO_ERROR, &failure, &bytes) < 0 || failure != 0)
+    {
+      atomic_store (&link->closing, true);
+      return;
+    }
+  link->state = BT_LINK_AWAIT_CHALLENGE;
+}
+
+static void
+serve_event (bt_link_t *link, uint32_t events)
+{
+  if ((events & EPOLLOUT) != 0)
+    {
+      if (link->state == BT_LINK_CONNECTING)
+        finish_connect (link);
+      if (!atomic_load (&link->closing) && !bt_flush_link (link->loop->ctx, link))
+        atomic_store (&link->closing, true);
+    }
+  if ((events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0 && !atomic_load (&link->closing))
+    receive_link (link);
+}
+
+static void
+admit_added (bt_link_loop_t *loop)
+{
+  bt_link_t *added;
+
+  pthread_mutex_lock (&loop->lock);
+  added = loop->added;
+  loop->added = NULL;
+  pthread_mutex_unlock (&loop->lock);
+  while (added != NULL)
+    {
+      bt_link_t *link = added;
+
+      added = link->next;
+      link->next = loop->links;
+      loop->links = link;
+      if (!register_link (loop, link))
+        atomic_store (&link->closing, true);
+      else if (!link->dialled)
+        bt_send_challenge (link);
+    }
+}
+
+static void
+check_times (bt_link_t *link, int64_t now_ms)
+{
+  const bt_link_options_t *options = &link->loop->options;
+  bt_error_t error = { 0 };
+
+  if (link->state != BT_LINK_UP)
+    {
+      if (now_ms - link->opened_ms > options->opening_ms)
+        {
+          bt_set_error (&error, BT_ERROR_TIMEOUT, "The opening took too long.");
+          fail_link (link, &error);
+        }
+      return;
+    }
+  /* An open connection can go silent for good while new ones work. The peer sends heartbeats, so
+   * silence for the idle limit means that nothing arrives any more, whatever the socket says. */
+  if (now_ms - link->heard_ms > options->idle_ms)
+    {
+      bt_set_error (&error, BT_ERROR_TIMEOUT, "No frame came for %lld ms.",
+                    (long long)(now_ms - link->heard_ms));
+      fail_link (link, &error);
+      return;
+    }
+  if (now_ms - link->beat_ms >= options->beat_ms)
+    {
+      link->beat_ms = now_ms;
+      options->handler->vtable->on_beat (options->handler, link);
+    }
+}
+
+static void
+retire_link (bt_link_loop_t *loop, bt_link_t *link)
+{
+  bool was_up = link->state == BT_LINK_UP;
+
+  link->state = BT_LINK_DOWN;
+  atomic_store (&link->closing, true);
+  epoll_ctl (loop->epoll_fd, EPOLL_CTL_DEL, link->fd, NULL);
+  pthread_mutex_lock (&link->lock);
+  close (link->fd);
+  link->fd = -1;
+  pthread_mutex_unlock (&link->lock);
+  atomic_store (&link->closed, true);
+  if (was_up)
+    loop->options.handler->vtable->on_down (loop->options.handler, link);
+  atomic_fetch_sub (&loop->link_count, 1);
+  bt_drop_link (loop->ctx, link);
+}
+
+static void
+sweep_links (bt_link_loop_t *loop, bool all)
+{
+  bt_link_t **place = &loop->links;
+  int64_t now_ms = bt_now_ms (loop->ctx);
+
+  while (*place != NULL)
+    {
+      bt_link_t *link = *place;
+
+      if (!all && !atomic_load (&link->closing))
+        check_times (link, now_ms);
+      if (all || atomic_load (&link->closing))
+        {
+          *place = link->next;
+          retire_link (loop, link);
+        }
+      else
+        place = &link->next;
+    }
+}
+
+static void
+drain_wake (bt_link_loop_t *loop)
+{
+  uint64_t count;
+
+  if (read (loop->wake_fd, &count, sizeof count) < 0)
+    return;
+}
+
+static void *
+run_loop (void *argument)
+{
+  bt_link_loop_t *loop = argument;
+  struct epoll_event events[EVENTS_AT_ONCE];
+  int64_t swept_ms = 0;
+
+  while (!atomic_load (&loop->stopping))
+    {
+      bool closing = false;
+      int count = epoll_wait (loop->epoll_fd, events, EVENTS_AT_ONCE, TICK_MS);
+
+      for (int i = 0; i < count; i++)
+        {
+          if (events[i].data.ptr == &loop->wake_fd)
+            {
+              drain_wake (loop);
+              closing = true;
+            }
+          else if (events[i].data.ptr == &loop->listen_fd)
+            accept_links (loop);
+          else
+            {
+              serve_event (events[i].data.ptr, events[i].events);
+              closing |= atomic_load (&((bt_link_t *)events[i].data.ptr)->closing);
+            }
+        }
+      admit_added (loop);
+      if (closing || bt_now_ms (loop->ctx) - swept_ms >= TICK_MS)
+        {
+          swept_ms = bt_now_ms (loop->ctx);
+          sweep_links (loop, false);
+        }
+    }
+  admit_added (loop);
+  sweep_links (loop, true);
+  return NULL;
+}
+
+bt_link_loop_t *
+bt_new_link_loop (bt_context_t *ctx, const bt_link_options_t *options, bt_error_t *error)
+{
+  bt_link_loop_t *loop = bt_calloc (ctx, 1, sizeof *loop);
+  struct epoll_event event = { .events = EPOLLIN, .data.ptr = &loop->wake_fd };
+
+  loop->ctx = ctx;
+  loop->options = *options;
+  loop->listen_fd = -1;
+  loop->epoll_fd = epoll_create1 (EPOLL_CLOEXEC);
+  loop->wake_fd = eventfd (0, EFD_NONBLOCK | EFD_CLOEXEC);
+  pthread_mutex_init (&loop->lock, NULL);
+  epoll_ctl (loop->epoll_fd, EPOLL_CTL_ADD, loop->wake_fd, &event);
+  if (pthread_create (&loop->thread, NULL, run_loop, loop) != 0)
+    {
+      bt_set_error (error, BT_ERROR_SYSTEM, "Can't start a thread: %s.", strerror (errno));
+      bt_free (ctx, loop);
+      return NULL;
+    }
+  return loop;
+}
+
+void
+bt_drop_link_loop (bt_context_t *ctx, bt_link_loop_t *loop)
+{
+  if (loop == NULL)
+    return;
+  atomic_store (&loop->stopping, true);
+  bt_wake_link_loop (loop);
+  pthread_join (loop->thread, NULL);
+  if (loop->listen_fd >= 0)
+    close (loop->listen_fd);
+  close (loop->wake_fd);
+  close (loop->epoll_fd);
+  pthread_mutex_destroy (&loop->lock);
+  bt_free (ctx, loop);
+}
