--- /dev/null
+++ b/include/bilberrytray/core/declarations.h
@@ -0,0 +1,181 @@
+#ifndef BILBERRYTRAY_CORE_DECLARATIONS_H
+#define BILBERRYTRAY_CORE_DECLARATIONS_H
+
+/** @file
+ * The operators' declarations: client accounts, apps (models and plain services), endpoints and the
+ * ordered rules. Four JSON documents, checked whole; see docs/RULES.md.
+ */
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "bilberrytray/base/findings.h"
+#include "bilberrytray/core/identity.h"
+
+/** The documents, each one key in the key-value service. */
+typedef enum bt_document_kind
+{
+  BT_DOCUMENT_ACCOUNTS = 0,
+  BT_DOCUMENT_APPS,
+  BT_DOCUMENT_ENDPOINTS,
+  BT_DOCUMENT_RULES,
+  BT_DOCUMENT_COUNT,
+} bt_document_kind_t;
+
+/** Size of the SHA-256 of a bearer token, in bytes. */
+#define BT_TOKEN_HASH_BYTES 32
+
+typedef enum bt_priority
+{
+  BT_PRIORITY_LOW = 0,
+  BT_PRIORITY_NORMAL,
+  BT_PRIORITY_HIGH,
+  BT_PRIORITY_COUNT,
+} bt_priority_t;
+
+/** A client account. */
+typedef struct bt_account
+{
+  char name[BT_NAME_BYTES];
+  uint8_t (*token_hashes)[BT_TOKEN_HASH_BYTES];
+  int32_t token_count;
+  int32_t share; /**< Weight in fair sharing, from 1 up. */
+} bt_account_t;
+
+typedef enum bt_app_kind
+{
+  BT_APP_MODEL = 0, /**< Served by model engines, answered as a stream of events. */
+  BT_APP_SERVICE,   /**< A plain HTTP service. */
+} bt_app_kind_t;
+
+/** A model or a plain service. */
+typedef struct bt_app
+{
+  char name[BT_NAME_BYTES];
+  bt_app_kind_t kind;
+  int64_t deadline_ms; /**< For requests whose rule sets none. */
+} bt_app_t;
+
+/** One endpoint of an app. */
+typedef struct bt_endpoint
+{
+  char name[BT_NAME_BYTES];
+  int32_t app;        /**< Index into the apps. */
+  int32_t slots;      /**< Requests that run at a time. */
+  int32_t queue;      /**< Requests that may wait before it. */
+  bool checks_orders; /**< It refuses an order that carries an old fencing number. */
+} bt_endpoint_t;
+
+/** Which values of a header satisfy a rule. */
+typedef struct bt_header_condition
+{
+  char *name;
+  char **values;
+  int32_t value_count; /**< 0: present with any value. */
+} bt_header_condition_t;
+
+/** When a rule holds; an absent part always holds. */
+typedef struct bt_rule_when
+{
+  char **accounts;
+  int32_t account_count;
+  char **apps;
+  int32_t app_count;
+  char **methods;
+  int32_t method_count;
+  char *path; /**< NULL: any. A closing '*' stands for any rest. */
+  bt_header_condition_t *headers;
+  int32_t header_count;
+  int32_t idempotent; /**< -1: either; 0 or 1. */
+  int64_t min_body_bytes;
+  int64_t max_body_bytes;
+  uint32_t priorities; /**< One bit for each bt_priority_t; 0: any. */
+} bt_rule_when_t;
+
+typedef enum bt_rule_action
+{
+  BT_ACTION_ROUTE = 0,
+  BT_ACTION_REFUSE,
+} bt_rule_action_t;
+
+/** What a rule has done with a request. */
+typedef struct bt_rule_then
+{
+  bt_rule_action_t action;
+  int32_t app;           /**< Index into the apps; -1: the app the request names. */
+  int32_t priority;      /**< A bt_priority_t; -1: the request's own. */
+  int64_t deadline_ms;   /**< 0: the app's. */
+  int32_t idempotent;    /**< -1: as the request says; 0 or 1. */
+  bool key_required;     /**< Refuse a non-idempotent request without a key of ours. */
+  int64_t limit_per_s;   /**< 0: none. */
+  int64_t limit_burst;   /**< Requests at once; 0 with no limit. */
+  int32_t retries;       /**< Further attempts at most. */
+  char *affinity_header; /**< Requests with the same value go together; NULL: none. */
+  int64_t affinity_prefix_bytes;
+  char *message; /**< Told to a refused caller; NULL: none. */
+  int64_t retry_after_ms;
+} bt_rule_then_t;
+
+typedef struct bt_rule
+{
+  char name[BT_NAME_BYTES];
+  bt_rule_when_t when;
+  bt_rule_then_t then;
+} bt_rule_t;
+
+/** All declarations in force at one time; never changed once made, so any thread may read. */
+typedef struct bt_declarations
+{
+  bt_account_t *accounts;
+  int32_t account_count;
+  bt_app_t *apps;
+  int32_t app_count;
+  bt_endpoint_t *endpoints;
+  int32_t endpoint_count;
+  bt_rule_t *rules;
+  int32_t rule_count;
+  int64_t revision; /**< Highest revision of the documents, from the service; 0 from files. */
+} bt_declarations_t;
+
+/** The text of one document. */
+typedef struct bt_document_text
+{
+  const char *file; /**< Named in findings. */
+  const char *data;
+  size_t bytes;
+} bt_document_text_t;
+
+/** The name of a document, which is its file name without ".json" and the end of its key. */
+const char *bt_name_document (bt_document_kind_t kind);
+
+/** Reads the four documents, in the order of bt_document_kind_t. Returns declarations with one
+ * reference; or NULL, with every fault of every document added to @p findings. */
+bt_declarations_t *bt_new_declarations (bt_context_t *ctx,
+                                        const bt_document_text_t texts[BT_DOCUMENT_COUNT],
+                                        bt_findings_t *findings);
+
+bt_declarations_t *bt_keep_declarations (bt_declarations_t *declarations);
+
+/** Drops a reference. NULL is accepted. */
+void bt_drop_declarations (bt_context_t *ctx, bt_declarations_t *declarations);
+
+/** The index of an app, or -1. */
+int32_t bt_find_app (const bt_declarations_t *declarations, const char *name);
+
+/** The index of an account by its name, or -1. */
+int32_t bt_find_account (const bt_declarations_t *declarations, const char *name);
+
+/** The index of the account that a bearer token belongs to, or -1. Every hash is compared, so that the
+ * time taken tells nothing. */
+int32_t bt_find_token (const bt_declarations_t *declarations, const char *token);
+
+/** The index of an endpoint, or -1. */
+int32_t bt_find_endpoint (const bt_declarations_t *declarations, const char *name);
+
+const char *bt_name_priority (bt_priority_t priority);
+
+/** Reads "low", "normal" or "high"; false when it is none of them. */
+bool bt_parse_priority (const char *text, bt_priority_t *priority);
+
+#endif
--- /dev/null
+++ b/source/agent/upstream.c
@@ -0,0 +1,518 @@
+#include "upstream.h"
+
+#include <curl/curl.h>
+#include <errno.h>
+#include <jansson.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "bilberrytray/base/log.h"
+#include "bilberrytray/base/queue.h"
+#include "bilberrytray/wire/frame.h"
+
+enum
+{
+  URL_BYTES = 512,
+  HEADER_BYTES = 4096,
+  RUN_ID_BYTES = 80,
+  QUEUE_CAPACITY = 4096,
+  POLL_MS = 20,
+  MAX_LOAD_BYTES = 65536,
+  MAX_EVENT_BYTES = 1 << 20,
+  CONTENT_TYPE_BYTES = 128,
+  CONNECTION_CACHE = 256,
+  HTTP_OK = 200,
+};
+
+static const char *const event_end = "\n\n";
+static const char *const done_event = "data: [DONE]";
+
+/** One run at the endpoint; of the upstream's thread alone once it is taken from the queue. */
+typedef struct transfer
+{
+  bt_upstream_t *upstream;
+  uint64_t run;
+  char run_id[RUN_ID_BYTES];
+  CURL *easy;
+  struct curl_slist *headers;
+  char *body;
+  size_t body_bytes;
+  char method[16];
+  char url[URL_BYTES];
+  char content_type[CONTENT_TYPE_BYTES];
+  bt_buffer_t received; /**< Bytes behind the last whole event. */
+  bool head_given;
+  bool streams; /**< The answer is a stream of events. */
+  bool done;    /**< The closing event was seen. */
+  bool is_load;
+  bool overflow;
+  int64_t events; /**< Whole events passed on. */
+  int64_t heard_ms;
+  int32_t resumes;
+  struct transfer *next;
+} transfer_t;
+
+/** What other threads ask of the upstream's thread. */
+typedef struct command
+{
+  transfer_t *start; /**< NULL: cancel the run. */
+  uint64_t run;
+} command_t;
+
+struct bt_upstream
+{
+  bt_context_t *ctx;
+  bt_upstream_options_t options;
+  CURLM *multi;
+  bt_queue_t *commands;
+  transfer_t *transfers;
+  int64_t load_asked_ms;
+  bool load_running;
+  pthread_t thread;
+  atomic_bool stopping;
+};
+
+static void
+drop_transfer (bt_context_t *ctx, transfer_t *transfer)
+{
+  if (transfer->easy != NULL)
+    curl_easy_cleanup (transfer->easy);
+  curl_slist_free_all (transfer->headers);
+  bt_clear_buffer (ctx, &transfer->received);
+  bt_free (ctx, transfer->body);
+  bt_free (ctx, transfer);
+}
+
+static void
+give_head (transfer_t *transfer)
+{
+  bt_upstream_handler_t *handler = transfer->upstream->options.handler;
+  long status = 0;
+  char *type = NULL;
+
+  if (transfer->head_given)
+    return;
+  curl_easy_getinfo (transfer->easy, CURLINFO_RESPONSE_CODE, &status);
+  curl_easy_getinfo (transfer->easy, CURLINFO_CONTENT_TYPE, &type);
+  snprintf (transfer->content_type, sizeof transfer->content_type, "%s",
+            type == NULL ? "application/octet-stream" : type);
+  transfer->streams = transfer->upstream->options.model && status == HTTP_OK
+                      && strncmp (transfer->content_type, "text/event-stream",
+                                  strlen ("text/event-stream"))
+                             == 0;
+  transfer->head_given = true;
+  handler->vtable->on_head (handler, transfer->run, (int32_t)status, transfer->content_type);
+}
+
+static void
+give_piece (transfer_t *transfer, const void *data, size_t bytes)
+{
+  bt_upstream_handler_t *handler = transfer->upstream->options.handler;
+
+  handler->vtable->on_piece (handler, transfer->run, data, bytes);
+}
+
+/* Passes on whole events only, so that a resumed stream joins on an event's edge and no half event is
+ * ever followed by the start of another. */
+static void
+give_events (transfer_t *transfer)
+{
+  for (;;)
+    {
+      const char *start = (const char *)transfer->received.data + transfer->received.start;
+      size_t held = bt_count_buffer (&transfer->received);
+      const char *end = held == 0 ? NULL : memmem (start, held, event_end, strlen (event_end));
+      size_t bytes;
+
+      if (end == NULL)
+        return;
+      bytes = (size_t)(end - start) + strlen (event_end);
+      if (strncmp (start, done_event, strlen (done_event)) == 0)
+        transfer->done = true;
+      else
+        transfer->events++;
+      give_piece (transfer, start, bytes);
+      bt_take_buffer (&transfer->received, bytes);
+    }
+}
+
+static size_t
+take_body (char *data, size_t size, size_t count, void *argument)
+{
+  transfer_t *transfer = argument;
+  bt_context_t *ctx = transfer->upstream->ctx;
+  size_t bytes = size * count;
+
+  transfer->heard_ms = bt_now_ms (ctx);
+  if (transfer->is_load)
+    {
+      if (bt_count_buffer (&transfer->received) + bytes > MAX_LOAD_BYTES)
+        return 0;
+      bt_append_buffer (ctx, &transfer->received, data, bytes);
+      return bytes;
+    }
+  give_head (transfer);
+  if (!transfer->streams)
+    {
+      give_piece (transfer, data, bytes);
+      return bytes;
+    }
+  if (bt_count_buffer (&transfer->received) + bytes > MAX_EVENT_BYTES)
+    return 0;
+  bt_append_buffer (ctx, &transfer->received, data, bytes);
+  give_events (transfer);
+  return bytes;
+}
+
+static void
+prepare_easy (transfer_t *transfer, const char *url)
+{
+  const bt_upstream_options_t *options = &transfer->upstream->options;
+  CURL *easy = curl_easy_init ();
+
+  transfer->easy = easy;
+  transfer->heard_ms = bt_now_ms (transfer->upstream->ctx);
+  curl_easy_setopt (easy, CURLOPT_URL, url);
+  curl_easy_setopt (easy, CURLOPT_PRIVATE, transfer);
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long)options->connect_ms);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, take_body);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, transfer);
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, transfer->headers);
+  curl_easy_setopt (easy, CURLOPT_TCP_NODELAY, 1L);
+}
+
+static void
+prepare_run (transfer_t *transfer)
+{
+  prepare_easy (transfer, transfer->url);
+  if (transfer->body_bytes > 0 || strcmp (transfer->method, "POST") == 0)
+    {
+      curl_easy_setopt (transfer->easy, CURLOPT_POSTFIELDS,
+                        transfer->body == NULL ? "" : transfer->body);
+      curl_easy_setopt (transfer->easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                        (curl_off_t)transfer->body_bytes);
+    }
+  curl_easy_setopt (transfer->easy, CURLOPT_CUSTOMREQUEST, transfer->method);
+  /* A kept connection may have been forgotten by something on the way: a request sent on it could
+   * vanish, and libcurl would send it a second time on a new one when the first is closed under it.
+   * That would start a run twice, so each run has a connection of its own. */
+  curl_easy_setopt (transfer->easy, CURLOPT_FRESH_CONNECT, 1L);
+  curl_easy_setopt (transfer->easy, CURLOPT_FORBID_REUSE, 1L);
+}
+
+static void
+add_transfer (bt_upstream_t *upstream, transfer_t *transfer)
+{
+  transfer->next = upstream->transfers;
+  upstream->transfers = transfer;
+  curl_multi_add_handle (upstream->multi, transfer->easy);
+}
+
+static void
+remove_transfer (bt_upstream_t *upstream, transfer_t *transfer)
+{
+  transfer_t **place = &upstream->transfers;
+
+  while (*place != transfer)
+    place = &(*place)->next;
+  *place = transfer->next;
+  curl_multi_remove_handle (upstream->multi, transfer->easy);
+}
+
+static void
+end_transfer (bt_upstream_t *upstream, transfer_t *transfer, bt_upstream_result_t result)
+{
+  bt_upstream_handler_t *handler = upstream->options.handler;
+  uint64_t run = transfer->run;
+
+  remove_transfer (upstream, transfer);
+  drop_transfer (upstream->ctx, transfer);
+  handler->vtable->on_end (handler, run, result);
+}
+
+/* Joins the run's stream again behind the last whole event. This asks for the rest of the same run; it
+ * never starts one. */
+static bool
+resume_transfer (bt_upstream_t *upstream, transfer_t *transfer)
+{
+  char url[URL_BYTES];
+
+  if (!transfer->streams || transfer->resumes >= upstream->options.resumes)
+    return false;
+  transfer->resumes++;
+  curl_multi_remove_handle (upstream->multi, transfer->easy);
+  curl_easy_cleanup (transfer->easy);
+  bt_clear_buffer (upstream->ctx, &transfer->received);
+  snprintf (url, sizeof url, "%s/v1/runs/%s/stream?from=%lld", upstream->options.url,
+            transfer->run_id, (long long)transfer->events);
+  prepare_easy (transfer, url);
+  curl_easy_setopt (transfer->easy, CURLOPT_FRESH_CONNECT, 1L);
+  curl_easy_setopt (transfer->easy, CURLOPT_FORBID_REUSE, 1L);
+  curl_multi_add_handle (upstream->multi, transfer->easy);
+  bt_log (upstream->ctx, BT_LOG_INFO, BT_PART_ENGINE, "Resuming run %s behind event %lld.",
+          transfer->run_id, (long long)transfer->events);
+  return true;
+}
+
+static void
+finish_load (bt_upstream_t *upstream, transfer_t *transfer, CURLcode code)
+{
+  bt_upstream_handler_t *handler = upstream->options.handler;
+  bt_upstream_load_t load = { 0 };
+  json_t *body = json_loadb ((const char *)transfer->received.data + transfer->received.start,
+                             bt_count_buffer (&transfer->received), 0, NULL);
+
+  upstream->load_running = false;
+  if (code == CURLE_OK && json_is_object (body))
+    {
+      load.running = (int32_t)json_integer_value (json_object_get (body, "running"));
+      load.queued = (int32_t)json_integer_value (json_object_get (body, "queued"));
+      load.capacity = (int32_t)json_integer_value (json_object_get (body, "capacity"));
+      load.step_us = (int32_t)json_integer_value (json_object_get (body, "step_us"));
+      load.read_ms = bt_now_ms (upstream->ctx);
+      handler->vtable->on_load (handler, &load);
+    }
+  json_decref (body);
+  remove_transfer (upstream, transfer);
+  drop_transfer (upstream->ctx, transfer);
+}
+
+static void
+finish_transfer (bt_upstream_t *upstream, transfer_t *transfer, CURLcode code)
+{
+  curl_off_t sent = 0;
+  bool never_connected;
+
+  if (transfer->is_load)
+    {
+      finish_load (upstream, transfer, code);
+      return;
+    }
+  curl_easy_getinfo (transfer->easy, CURLINFO_SIZE_UPLOAD_T, &sent);
+  never_connected = code == CURLE_COULDNT_CONNECT && transfer->resumes == 0;
+  if (never_connected)
+    {
+      end_transfer (upstream, transfer, BT_UPSTREAM_NOT_SENT);
+      return;
+    }
+  if (code == CURLE_OK)
+    give_head (transfer);
+  /* A stream without its closing event was cut, even if the connection ended cleanly. */
+  if (code == CURLE_OK && (!transfer->streams || transfer->done))
+    end_transfer (upstream, transfer, BT_UPSTREAM_WHOLE);
+  else if (!resume_transfer (upstream, transfer))
+    end_transfer (upstream, transfer, BT_UPSTREAM_FAILED);
+}
+
+static void
+finish_transfers (bt_upstream_t *upstream)
+{
+  CURLMsg *message;
+  int left;
+
+  while ((message = curl_multi_info_read (upstream->multi, &left)) != NULL)
+    {
+      transfer_t *transfer = NULL;
+      CURLcode code = message->data.result;
+
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, (char **)&transfer);
+      finish_transfer (upstream, transfer, code);
+    }
+}
+
+static void
+check_silence (bt_upstream_t *upstream)
+{
+  int64_t now_ms = bt_now_ms (upstream->ctx);
+  transfer_t *next;
+
+  for (transfer_t *transfer = upstream->transfers; transfer != NULL; transfer = next)
+    {
+      next = transfer->next;
+      if (now_ms - transfer->heard_ms <= upstream->options.idle_ms)
+        continue;
+      if (transfer->is_load)
+        finish_load (upstream, transfer, CURLE_OPERATION_TIMEDOUT);
+      else if (!resume_transfer (upstream, transfer))
+        end_transfer (upstream, transfer, BT_UPSTREAM_SILENT);
+    }
+}
+
+static void
+ask_load (bt_upstream_t *upstream)
+{
+  int64_t now_ms = bt_now_ms (upstream->ctx);
+  transfer_t *transfer;
+  char url[URL_BYTES];
+
+  if (upstream->load_running || now_ms - upstream->load_asked_ms < upstream->options.load_ms)
+    return;
+  upstream->load_running = true;
+  upstream->load_asked_ms = now_ms;
+  transfer = bt_calloc (upstream->ctx, 1, sizeof *transfer);
+  transfer->upstream = upstream;
+  transfer->is_load = true;
+  snprintf (url, sizeof url, "%s/load", upstream->options.url);
+  prepare_easy (transfer, url);
+  add_transfer (upstream, transfer);
+}
+
+static void
+cancel_run (bt_upstream_t *upstream, uint64_t run)
+{
+  for (transfer_t *transfer = upstream->transfers; transfer != NULL; transfer = transfer->next)
+    if (!transfer->is_load && transfer->run == run)
+      {
+        /* Closing the connection lets an engine stop the run; what it made so far may stand. */
+        end_transfer (upstream, transfer, BT_UPSTREAM_CANCELLED);
+        return;
+      }
+}
+
+static void
+take_commands (bt_upstream_t *upstream)
+{
+  command_t *command;
+
+  while ((command = bt_pop_queue (upstream->commands)) != NULL)
+    {
+      if (command->start == NULL)
+        cancel_run (upstream, command->run);
+      else
+        {
+          prepare_run (command->start);
+          add_transfer (upstream, command->start);
+        }
+      bt_free (upstream->ctx, command);
+    }
+}
+
+static void *
+run_upstream (void *argument)
+{
+  bt_upstream_t *upstream = argument;
+  int running;
+
+  while (!atomic_load (&upstream->stopping))
+    {
+      take_commands (upstream);
+      ask_load (upstream);
+      curl_multi_perform (upstream->multi, &running);
+      finish_transfers (upstream);
+      check_silence (upstream);
+      curl_multi_poll (upstream->multi, NULL, 0, POLL_MS, NULL);
+    }
+  return NULL;
+}
+
+bt_upstream_t *
+bt_new_upstream (bt_context_t *ctx, const bt_upstream_options_t *options, bt_error_t *error)
+{
+  bt_upstream_t *upstream = bt_calloc (ctx, 1, sizeof *upstream);
+
+  upstream->ctx = ctx;
+  upstream->options = *options;
+  upstream->multi = curl_multi_init ();
+  upstream->commands = bt_new_queue (ctx, QUEUE_CAPACITY);
+  curl_multi_setopt (upstream->multi, CURLMOPT_MAXCONNECTS, (long)CONNECTION_CACHE);
+  if (pthread_create (&upstream->thread, NULL, run_upstream, upstream) != 0)
+    {
+      bt_set_error (error, BT_ERROR_SYSTEM, "Can't start a thread: %s.", strerror (errno));
+      curl_multi_cleanup (upstream->multi);
+      bt_drop_queue (ctx, upstream->commands);
+      bt_free (ctx, upstream);
+      return NULL;
+    }
+  return upstream;
+}
+
+void
+bt_drop_upstream (bt_context_t *ctx, bt_upstream_t *upstream)
+{
+  command_t *command;
+
+  if (upstream == NULL)
+    return;
+  atomic_store (&upstream->stopping, true);
+  curl_multi_wakeup (upstream->multi);
+  pthread_join (upstream->thread, NULL);
+  while ((command = bt_pop_queue (upstream->commands)) != NULL)
+    {
+      if (command->start != NULL)
+        drop_transfer (ctx, command->start);
+      bt_free (ctx, command);
+    }
+  while (upstream->transfers != NULL)
+    {
+      transfer_t *transfer = upstream->transfers;
+
+      remove_transfer (upstream, transfer);
+      drop_transfer (ctx, transfer);
+    }
+  curl_multi_cleanup (upstream->multi);
+  bt_drop_queue (ctx, upstream->commands);
+  bt_free (ctx, upstream);
+}
+
+static void
+add_header (transfer_t *transfer, const char *name, const char *value)
+{
+  char line[HEADER_BYTES];
+
+  if ((size_t)snprintf (line, sizeof line, "%s: %s", name, value) < sizeof line)
+    transfer->headers = curl_slist_append (transfer->headers, line);
+}
+
+static bool
+push_command (bt_context_t *ctx, bt_upstream_t *upstream, transfer_t *start, uint64_t run)
+{
+  command_t *command = bt_calloc (ctx, 1, sizeof *command);
+
+  command->start = start;
+  command->run = run;
+  if (!bt_push_queue (upstream->commands, command))
+    {
+      bt_free (ctx, command);
+      return false;
+    }
+  curl_multi_wakeup (upstream->multi);
+  return true;
+}
+
+bool
+bt_start_upstream (bt_context_t *ctx, bt_upstream_t *upstream,
+                   const bt_upstream_request_t *request)
+{
+  static const char *const priorities[] = { "low", "normal", "high" };
+  transfer_t *transfer = bt_calloc (ctx, 1, sizeof *transfer);
+
+  transfer->upstream = upstream;
+  transfer->run = request->run;
+  snprintf (transfer->run_id, sizeof transfer->run_id, "%s", request->run_id);
+  snprintf (transfer->method, sizeof transfer->method, "%s", request->method);
+  snprintf (transfer->url, sizeof transfer->url, "%s%s", upstream->options.url, request->path);
+  transfer->body = bt_memdup (ctx, request->body, request->body_bytes);
+  transfer->body_bytes = request->body_bytes;
+  for (int32_t i = 0; i < request->header_count; i++)
+    add_header (transfer, request->headers[i].name, request->headers[i].value);
+  add_header (transfer, "Bilberry-Run", request->run_id);
+  add_header (transfer, "Bilberry-Priority", priorities[request->priority]);
+  /* Without this line libcurl would wait for "100 Continue" before each larger body. */
+  add_header (transfer, "Expect", "");
+  if (push_command (ctx, upstream, transfer, request->run))
+    return true;
+  drop_transfer (ctx, transfer);
+  return false;
+}
+
+void
+bt_cancel_upstream (bt_context_t *ctx, bt_upstream_t *upstream, uint64_t run)
+{
+  push_command (ctx, upstream, NULL, run);
+}
--- /dev/null
+++ b/source/agent/upstream_clear.c
@@ -0,0 +1,106 @@
+#include <curl/curl.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "bilberrytray/wire/frame.h"
+#include "upstream.h"
+
+enum
+{
+  URL_BYTES = 512,
+  MAX_LIST_BYTES = 16 << 20,
+};
+
+/** A body that is being read. */
+typedef struct answer
+{
+  bt_context_t *ctx;
+  bt_buffer_t body;
+} answer_t;
+
+static size_t
+take_body (char *data, size_t size, size_t count, void *argument)
+{
+  answer_t *answer = argument;
+
+  if (bt_count_buffer (&answer->body) + size * count > MAX_LIST_BYTES)
+    return 0;
+  bt_append_buffer (answer->ctx, &answer->body, data, size * count);
+  return size * count;
+}
+
+static json_t *
+call (bt_context_t *ctx, const bt_upstream_options_t *options, const char *url, bool post,
+      bt_error_t *error)
+{
+  answer_t answer = { ctx, { 0 } };
+  CURL *easy = curl_easy_init ();
+  CURLcode code;
+  json_t *body;
+
+  curl_easy_setopt (easy, CURLOPT_URL, url);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)options->idle_ms);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, take_body);
+  curl_easy_setopt (easy, CURLOPT_WRITEDATA, &answer);
+  if (post)
+    curl_easy_setopt (easy, CURLOPT_POSTFIELDS, "");
+  code = curl_easy_perform (easy);
+  curl_easy_cleanup (easy);
+  body = json_loadb ((const char *)answer.body.data + answer.body.start,
+                     bt_count_buffer (&answer.body), 0, NULL);
+  bt_clear_buffer (ctx, &answer.body);
+  if (code != CURLE_OK || !json_is_object (body))
+    {
+      bt_set_error (error, BT_ERROR_CLOSED, "%s: %s.", url,
+                    code == CURLE_OK ? "the answer is no JSON object" : curl_easy_strerror (code));
+      json_decref (body);
+      return NULL;
+    }
+  return body;
+}
+
+static bool
+cancel_one (bt_context_t *ctx, const bt_upstream_options_t *options, const char *run,
+            bt_error_t *error)
+{
+  char url[URL_BYTES];
+  json_t *body;
+
+  snprintf (url, sizeof url, "%s/v1/runs/%s/cancel", options->url, run);
+  body = call (ctx, options, url, true, error);
+  json_decref (body);
+  return body != NULL;
+}
+
+bool
+bt_clear_upstream_runs (bt_context_t *ctx, const bt_upstream_options_t *options,
+                        int32_t *cancelled, bt_error_t *error)
+{
+  char url[URL_BYTES];
+  json_t *body;
+  json_t *run;
+  size_t index;
+  bool cleared = true;
+
+  *cancelled = 0;
+  if (!options->model)
+    return true;
+  snprintf (url, sizeof url, "%s/v1/runs", options->url);
+  body = call (ctx, options, url, false, error);
+  if (body == NULL)
+    return false;
+  json_array_foreach (json_object_get (body, "runs"), index, run)
+    {
+      const char *id = json_string_value (json_object_get (run, "run"));
+
+      if (id == NULL || id[0] == '\0' || json_is_true (json_object_get (run, "ended")))
+        continue;
+      cleared = cleared && cancel_one (ctx, options, id, error);
+      (*cancelled)++;
+    }
+  json_decref (body);
+  return cleared;
+}
--- /dev/null
+++ b/source/core/declarations_private.h
@@ -0,0 +1,21 @@
+#ifndef BILBERRYTRAY_SOURCE_CORE_DECLARATIONS_PRIVATE_H
+#define BILBERRYTRAY_SOURCE_CORE_DECLARATIONS_PRIVATE_H
+
+/** @file
+ * The readers of the single documents, which declarations.c puts together.
+ */
+
+#include "json_reader.h"
+
+void bt_read_accounts (bt_json_reader_t *reader, bt_declarations_t *declarations);
+void bt_read_apps (bt_json_reader_t *reader, bt_declarations_t *declarations);
+
+/** Needs the apps. */
+void bt_read_endpoints (bt_json_reader_t *reader, bt_declarations_t *declarations);
+
+/** Needs the accounts and the apps. */
+void bt_read_rules (bt_json_reader_t *reader, bt_declarations_t *declarations);
+
+void bt_clear_rule (bt_context_t *ctx, bt_rule_t *rule);
+
+#endif
