Add the clients of the key-value service and the instance list, with stand-ins

The service is reached by the JSON gateway of etcd v3 through libcurl and jansson. Errors tell whether a write may have taken effect. A watch is bounded and says no more than "quiet" or "events"; its user reads plainly afterwards. Calls are counted by kind and held to a token bucket with a back-off.

libcurl repeats a request by itself when a kept connection turns out closed. With that, test_lost_answer_leaves_effect_unknown fails: the service wrote the change, the answer was lost, the second send met its own write and came back as a conflict. Writes therefore go over connections of their own. The same habit made a first version of the instance list's test pass its one planned fault by a silent second try; the fault now lasts until it is taken back.

The package platform now links core, whose token bucket (call_rate) it uses.

--- /dev/null
+++ b/include/bilberrytray/platform/instances.h
@@ -0,0 +1,83 @@
+#ifndef BILBERRYTRAY_PLATFORM_INSTANCES_H
+#define BILBERRYTRAY_PLATFORM_INSTANCES_H
+
+/** @file
+ * The platform's list of live and leaving instances. It lags, so it is the second source about
+ * everything but which instances exist and where to dial them.
+ */
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "bilberrytray/base/context.h"
+#include "bilberrytray/base/error.h"
+#include "bilberrytray/core/identity.h"
+
+typedef enum bt_listed_role
+{
+  BT_LISTED_ENTRY = 0, /**< Runs bilberryd. */
+  BT_LISTED_AGENT,     /**< Runs bilberry-agent beside an endpoint. */
+} bt_listed_role_t;
+
+/** One line of the list. */
+typedef struct bt_listed_instance
+{
+  char instance[BT_NAME_BYTES];
+  bt_listed_role_t role;
+  char endpoint[BT_NAME_BYTES]; /**< Agents only. */
+  char app[BT_NAME_BYTES];      /**< Agents only: the model or plain service. */
+  char address[BT_ADDRESS_BYTES];
+  char http[BT_ADDRESS_BYTES]; /**< Entries only: where callers connect. */
+  char failure_domain[BT_NAME_BYTES];
+  bool leaving;
+} bt_listed_instance_t;
+
+/** The list as one read gave it. Zero-initialise it; free it with bt_drop_instance_list. */
+typedef struct bt_instance_list
+{
+  int64_t revision;
+  bt_listed_instance_t *instances;
+  int32_t count;
+} bt_instance_list_t;
+
+typedef struct bt_instances bt_instances_t;
+
+typedef struct bt_instances_vtable
+{
+  bool (*read) (bt_context_t *ctx,
+                bt_instances_t *instances,
+                bt_instance_list_t *list,
+                bt_error_t *error);
+  void (*drop) (bt_context_t *ctx, bt_instances_t *instances);
+} bt_instances_vtable_t;
+
+/** A source of the list: the vtable is its first member. */
+struct bt_instances
+{
+  const bt_instances_vtable_t *vtable;
+};
+
+/** Reads the list from @p url + "/instances" by HTTP, within @p total_ms a call. Calls are counted
+ * in "bilberry_list_calls_total" by result. */
+bt_instances_t *bt_new_http_instances (bt_context_t *ctx, const char *url, int64_t total_ms);
+
+/** NULL is accepted. */
+void bt_drop_instances (bt_context_t *ctx, bt_instances_t *instances);
+
+/** Reads the list. On failure @p list is as it was, and the error names the place. One call at a
+ * time. */
+bool bt_read_instances (bt_context_t *ctx,
+                        bt_instances_t *instances,
+                        bt_instance_list_t *list,
+                        bt_error_t *error);
+
+/** Parses a list's JSON. On failure @p list is as it was, and the error names the place, such as
+ * "instances[3].role". */
+bool bt_parse_instance_list (
+    bt_context_t *ctx, const char *text, size_t bytes, bt_instance_list_t *list, bt_error_t *error);
+
+/** Frees what a list holds and zeroes it. */
+void bt_drop_instance_list (bt_context_t *ctx, bt_instance_list_t *list);
+
+#endif
--- /dev/null
+++ b/source/platform/etcd_json.c
@@ -0,0 +1,228 @@
+#include "etcd_json.h"
+
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  NUMBER_BYTES = 24,
+  DECIMAL = 10,
+};
+
+json_t *
+bt_encode_etcd_bytes (bt_context_t *ctx, const char *data, size_t bytes)
+{
+  size_t room = sodium_base64_ENCODED_LEN (bytes, sodium_base64_VARIANT_ORIGINAL);
+  char *text = bt_calloc (ctx, room, 1);
+  json_t *string;
+
+  sodium_bin2base64 (text, room, (const unsigned char *)data, bytes,
+                     sodium_base64_VARIANT_ORIGINAL);
+  string = json_string (text);
+  bt_free (ctx, text);
+  return string;
+}
+
+json_t *
+bt_encode_etcd_number (int64_t number)
+{
+  char text[NUMBER_BYTES];
+
+  snprintf (text, sizeof text, "%lld", (long long)number);
+  return json_string (text);
+}
+
+int64_t
+bt_decode_etcd_number (const json_t *object, const char *name)
+{
+  const json_t *value = json_object_get (object, name);
+
+  if (json_is_integer (value))
+    return json_integer_value (value);
+  if (json_is_string (value))
+    return strtoll (json_string_value (value), NULL, DECIMAL);
+  return 0;
+}
+
+/* Bytes from base64, with a zero behind them; NULL when the text is not base64. A missing field is
+ * empty, as the gateway leaves empty values out. */
+static char *
+decode_bytes (bt_context_t *ctx, const json_t *object, const char *name, size_t *bytes)
+{
+  const json_t *value = json_object_get (object, name);
+  const char *text = json_is_string (value) ? json_string_value (value) : "";
+  size_t length = strlen (text);
+  char *data = bt_calloc (ctx, length + 1, 1);
+
+  if (sodium_base642bin ((unsigned char *)data, length + 1, text, length, NULL, bytes, NULL,
+                         sodium_base64_VARIANT_ORIGINAL)
+      == 0)
+    {
+      data[*bytes] = '\0';
+      return data;
+    }
+  bt_free (ctx, data);
+  return NULL;
+}
+
+/* Sets "key" and, for a prefix, "range_end": the prefix with its last byte raised by one. */
+static void
+set_range (bt_context_t *ctx, json_t *object, const char *key, bool prefix)
+{
+  size_t bytes = strlen (key);
+  char *end;
+
+  json_object_set_new (object, "key", bt_encode_etcd_bytes (ctx, key, bytes));
+  if (!prefix || bytes == 0)
+    return;
+  end = bt_strdup (ctx, key);
+  end[bytes - 1] = (char)(end[bytes - 1] + 1);
+  json_object_set_new (object, "range_end", bt_encode_etcd_bytes (ctx, end, bytes));
+  bt_free (ctx, end);
+}
+
+static char *
+finish (json_t *object)
+{
+  char *text = json_dumps (object, JSON_COMPACT);
+
+  json_decref (object);
+  return text;
+}
+
+char *
+bt_write_etcd_range (bt_context_t *ctx, const char *key, bool prefix)
+{
+  json_t *object = json_object ();
+
+  set_range (ctx, object, key, prefix);
+  return finish (object);
+}
+
+static json_t *
+make_put (bt_context_t *ctx, const bt_kv_write_t *write)
+{
+  json_t *object = json_object ();
+
+  set_range (ctx, object, write->key, false);
+  json_object_set_new (object, "value",
+                       bt_encode_etcd_bytes (ctx, write->value, write->value_bytes));
+  if (write->lease != 0)
+    json_object_set_new (object, "lease", bt_encode_etcd_number (write->lease));
+  return object;
+}
+
+char *
+bt_write_etcd_put (bt_context_t *ctx, const bt_kv_write_t *write)
+{
+  return finish (make_put (ctx, write));
+}
+
+static json_t *
+make_compare (bt_context_t *ctx, const bt_kv_compare_t *compare)
+{
+  json_t *object = json_object ();
+
+  set_range (ctx, object, compare->key, false);
+  json_object_set_new (object, "target", json_string ("MOD"));
+  json_object_set_new (object, "result", json_string ("EQUAL"));
+  json_object_set_new (object, "mod_revision", bt_encode_etcd_number (compare->mod_revision));
+  return object;
+}
+
+static json_t *
+make_write (bt_context_t *ctx, const bt_kv_write_t *write)
+{
+  json_t *object = json_object ();
+  json_t *request;
+
+  if (write->kind == BT_KV_PUT)
+    json_object_set_new (object, "request_put", make_put (ctx, write));
+  else
+    {
+      request = json_object ();
+      set_range (ctx, request, write->key, false);
+      json_object_set_new (object, "request_delete_range", request);
+    }
+  return object;
+}
+
+char *
+bt_write_etcd_txn (bt_context_t *ctx, const bt_kv_txn_t *txn)
+{
+  json_t *object = json_object ();
+  json_t *compares = json_array ();
+  json_t *writes = json_array ();
+
+  for (int32_t i = 0; i < txn->compare_count; i++)
+    json_array_append_new (compares, make_compare (ctx, &txn->compares[i]));
+  for (int32_t i = 0; i < txn->write_count; i++)
+    json_array_append_new (writes, make_write (ctx, &txn->writes[i]));
+  json_object_set_new (object, "compare", compares);
+  json_object_set_new (object, "success", writes);
+  return finish (object);
+}
+
+char *
+bt_write_etcd_watch (bt_context_t *ctx, const char *prefix, int64_t start_revision)
+{
+  json_t *object = json_object ();
+  json_t *request = json_object ();
+
+  set_range (ctx, request, prefix, true);
+  if (start_revision > 0)
+    json_object_set_new (request, "start_revision", bt_encode_etcd_number (start_revision));
+  json_object_set_new (object, "create_request", request);
+  return finish (object);
+}
+
+char *
+bt_write_etcd_lease (int64_t lease, int64_t life_s)
+{
+  json_t *object = json_object ();
+
+  json_object_set_new (object, "ID", bt_encode_etcd_number (lease));
+  if (life_s > 0)
+    json_object_set_new (object, "TTL", bt_encode_etcd_number (life_s));
+  return finish (object);
+}
+
+static bool
+read_pair (bt_context_t *ctx, const json_t *object, bt_kv_pair_t *pair)
+{
+  size_t key_bytes;
+
+  pair->key = decode_bytes (ctx, object, "key", &key_bytes);
+  pair->value = decode_bytes (ctx, object, "value", &pair->value_bytes);
+  pair->mod_revision = bt_decode_etcd_number (object, "mod_revision");
+  pair->lease = bt_decode_etcd_number (object, "lease");
+  return pair->key != NULL && pair->value != NULL && pair->mod_revision > 0;
+}
+
+bool
+bt_read_etcd_range (bt_context_t *ctx, const json_t *answer, bt_kv_range_t *range)
+{
+  const json_t *pairs = json_object_get (answer, "kvs");
+  bool good = true;
+
+  memset (range, 0, sizeof *range);
+  range->revision = bt_read_etcd_revision (answer);
+  range->count = (int32_t)json_array_size (pairs);
+  range->pairs = bt_calloc (ctx, (size_t)range->count, sizeof *range->pairs);
+  for (int32_t i = 0; i < range->count; i++)
+    if (!read_pair (ctx, json_array_get (pairs, (size_t)i), &range->pairs[i]))
+      good = false;
+  if (range->revision == 0)
+    good = false;
+  if (!good)
+    bt_drop_kv_range (ctx, range);
+  return good;
+}
+
+int64_t
+bt_read_etcd_revision (const json_t *answer)
+{
+  return bt_decode_etcd_number (json_object_get (answer, "header"), "revision");
+}
--- /dev/null
+++ b/source/platform/http_client.c
@@ -0,0 +1,226 @@
+#include "http_client.h"
+
+#include <ck_pr.h>
+#include <curl/curl.h>
+#include <pthread.h>
+#include <string.h>
+
+enum
+{
+  MS_PER_S = 1000,
+  FIRST_ROOM_BYTES = 4096,
+};
+
+struct bt_http_client
+{
+  bt_context_t *ctx;
+  CURL *curl;
+  struct curl_slist *headers;
+  bt_http_limits_t limits;
+  const int32_t *cancelled;
+  const bt_http_request_t *request;
+  char *body;
+  size_t body_bytes;
+  size_t body_room;
+  size_t line_start;
+  bool too_large;
+  bool ended_by_user;
+};
+
+static pthread_once_t curl_once = PTHREAD_ONCE_INIT;
+
+static void
+prepare_curl (void)
+{
+  curl_global_init (CURL_GLOBAL_ALL);
+}
+
+static void
+append_body (bt_http_client_t *client, const char *data, size_t bytes)
+{
+  if (client->body_bytes + bytes + 1 > client->body_room)
+    {
+      client->body_room = 2 * (client->body_bytes + bytes) + FIRST_ROOM_BYTES;
+      client->body = bt_realloc (client->ctx, client->body, client->body_room, 1);
+    }
+  memcpy (client->body + client->body_bytes, data, bytes);
+  client->body_bytes += bytes;
+  client->body[client->body_bytes] = '\0';
+}
+
+static bool
+give_lines (bt_http_client_t *client)
+{
+  char *end;
+
+  while ((end = memchr (client->body + client->line_start, '\n',
+                        client->body_bytes - client->line_start))
+         != NULL)
+    {
+      const char *line = client->body + client->line_start;
+
+      client->line_start = (size_t)(end - client->body) + 1;
+      if (client->request->on_line (client->request->line_data, line, (size_t)(end - line)))
+        return true;
+    }
+  return false;
+}
+
+static size_t
+take_piece (char *data, size_t size, size_t count, void *user)
+{
+  bt_http_client_t *client = user;
+  size_t bytes = size * count;
+
+  if (client->body_bytes + bytes > client->limits.answer_bytes)
+    {
+      client->too_large = true;
+      return CURL_WRITEFUNC_ERROR;
+    }
+  append_body (client, data, bytes);
+  if (client->request->on_line != NULL && give_lines (client))
+    {
+      client->ended_by_user = true;
+      return CURL_WRITEFUNC_ERROR;
+    }
+  return bytes;
+}
+
+static int
+check_cancelled (void *user, curl_off_t a, curl_off_t b, curl_off_t c, curl_off_t d)
+{
+  const bt_http_client_t *client = user;
+
+  return ck_pr_load_int ((const int *)client->cancelled) != 0;
+}
+
+static void
+open_handle (bt_http_client_t *client)
+{
+  client->curl = curl_easy_init ();
+  curl_easy_setopt (client->curl, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (client->curl, CURLOPT_PROXY, "");
+  curl_easy_setopt (client->curl, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt (client->curl, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt (client->curl, CURLOPT_CONNECTTIMEOUT_MS, (long)client->limits.connect_ms);
+  curl_easy_setopt (client->curl, CURLOPT_WRITEFUNCTION, take_piece);
+  curl_easy_setopt (client->curl, CURLOPT_WRITEDATA, client);
+  curl_easy_setopt (client->curl, CURLOPT_NOPROGRESS, 0L);
+  curl_easy_setopt (client->curl, CURLOPT_XFERINFOFUNCTION, check_cancelled);
+  curl_easy_setopt (client->curl, CURLOPT_XFERINFODATA, client);
+}
+
+bt_http_client_t *
+bt_new_http_client (bt_context_t *ctx, const bt_http_limits_t *limits, const int32_t *cancelled)
+{
+  bt_http_client_t *client = bt_calloc (ctx, 1, sizeof *client);
+
+  pthread_once (&curl_once, prepare_curl);
+  client->ctx = ctx;
+  client->limits = *limits;
+  client->cancelled = cancelled;
+  client->headers = curl_slist_append (client->headers, "Content-Type: application/json");
+  client->headers = curl_slist_append (client->headers, "Expect:");
+  return client;
+}
+
+void
+bt_drop_http_client (bt_context_t *ctx, bt_http_client_t *client)
+{
+  if (client == NULL)
+    return;
+  if (client->curl != NULL)
+    curl_easy_cleanup (client->curl);
+  curl_slist_free_all (client->headers);
+  bt_free (ctx, client->body);
+  bt_free (ctx, client);
+}
+
+static void
+prepare_call (bt_http_client_t *client, const bt_http_request_t *request)
+{
+  bool streamed = request->wait_ms > 0;
+  long idle_s = (long)((client->limits.idle_ms + MS_PER_S - 1) / MS_PER_S);
+
+  if (client->curl == NULL)
+    open_handle (client);
+  client->request = request;
+  client->body_bytes = 0;
+  client->line_start = 0;
+  client->too_large = false;
+  client->ended_by_user = false;
+  append_body (client, "", 0);
+  curl_easy_setopt (client->curl, CURLOPT_URL, request->url);
+  curl_easy_setopt (client->curl, CURLOPT_TIMEOUT_MS,
+                    (long)(streamed ? request->wait_ms : client->limits.total_ms));
+  curl_easy_setopt (client->curl, CURLOPT_LOW_SPEED_LIMIT, streamed ? 0L : 1L);
+  curl_easy_setopt (client->curl, CURLOPT_LOW_SPEED_TIME, streamed ? 0L : idle_s);
+  curl_easy_setopt (client->curl, CURLOPT_FRESH_CONNECT, request->fresh ? 1L : 0L);
+  if (request->body == NULL)
+    {
+      curl_easy_setopt (client->curl, CURLOPT_HTTPGET, 1L);
+      curl_easy_setopt (client->curl, CURLOPT_HTTPHEADER, NULL);
+      return;
+    }
+  curl_easy_setopt (client->curl, CURLOPT_POST, 1L);
+  curl_easy_setopt (client->curl, CURLOPT_POSTFIELDS, request->body);
+  curl_easy_setopt (client->curl, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)strlen (request->body));
+  curl_easy_setopt (client->curl, CURLOPT_HTTPHEADER, client->headers);
+}
+
+static void
+explain_failure (bt_http_client_t *client, CURLcode code, bt_error_t *error)
+{
+  long sent_bytes = 0;
+
+  curl_easy_getinfo (client->curl, CURLINFO_REQUEST_SIZE, &sent_bytes);
+  if (client->too_large)
+    bt_set_error (error, BT_ERROR_CLOSED, "%s answered more than %zu bytes", client->request->url,
+                  client->limits.answer_bytes);
+  else if (sent_bytes == 0)
+    bt_set_error (error, BT_ERROR_SYSTEM, "%s could not be reached: %s", client->request->url,
+                  curl_easy_strerror (code));
+  else
+    bt_set_error (error, code == CURLE_OPERATION_TIMEDOUT ? BT_ERROR_TIMEOUT : BT_ERROR_CLOSED,
+                  "%s gave no whole answer: %s", client->request->url, curl_easy_strerror (code));
+}
+
+/* A streamed call is meant to end by its wait or by its user; both count as answered once the head
+ * of the answer was seen. */
+static bool
+is_end_of_stream (bt_http_client_t *client, CURLcode code, long status)
+{
+  if (client->ended_by_user)
+    return true;
+  return client->request->wait_ms > 0 && code == CURLE_OPERATION_TIMEDOUT && status != 0;
+}
+
+bool
+bt_call_http (bt_context_t *ctx,
+              bt_http_client_t *client,
+              const bt_http_request_t *request,
+              bt_http_answer_t *answer,
+              bt_error_t *error)
+{
+  CURLcode code;
+  long status = 0;
+  bool done;
+
+  prepare_call (client, request);
+  code = curl_easy_perform (client->curl);
+  curl_easy_getinfo (client->curl, CURLINFO_RESPONSE_CODE, &status);
+  done = code == CURLE_OK || is_end_of_stream (client, code, status);
+  if (!done)
+    explain_failure (client, code, error);
+  /* A connection that failed may be silent for good while new ones work: a keep-alive connection
+   * whose path lost its state swallows request after request. So it is never used again. */
+  if (code != CURLE_OK)
+    {
+      curl_easy_cleanup (client->curl);
+      client->curl = NULL;
+    }
+  answer->status = (int32_t)status;
+  answer->body = client->body;
+  answer->body_bytes = client->body_bytes;
+  return done;
+}
--- /dev/null
+++ b/test/platform/test_instances.c
@@ -0,0 +1,106 @@
+#include <CUnit/Basic.h>
+#include <string.h>
+
+#include "bilberrytray/platform/instances.h"
+#include "standin_process.h"
+
+#define ENTRY                                                                                      \
+  "{\"instance\":\"haiyun-entry-1\",\"role\":\"entry\",\"address\":\"127.0.0.1:7001\","            \
+  "\"http\":\"127.0.0.1:8001\",\"failure_domain\":\"linkou-hall\",\"state\":\"live\"}"
+#define AGENT                                                                                      \
+  "{\"instance\":\"haiyun-runner-1\",\"role\":\"agent\",\"address\":\"127.0.0.1:7002\","           \
+  "\"endpoint\":\"draft-1\",\"app\":\"draft\",\"failure_domain\":\"linkou-hall\","                 \
+  "\"state\":\"leaving\"}"
+
+static void
+test_reads_whole_list (void)
+{
+  static const char text[] = "{\"revision\":7,\"instances\":[" ENTRY "," AGENT "]}";
+  bt_context_t *ctx = bt_new_context ();
+  bt_instance_list_t list = { 0 };
+  bt_error_t error = { 0 };
+
+  CU_ASSERT_TRUE (bt_parse_instance_list (ctx, text, strlen (text), &list, &error));
+  CU_ASSERT_EQUAL (list.revision, 7);
+  CU_ASSERT_EQUAL_FATAL (list.count, 2);
+  CU_ASSERT_EQUAL (list.instances[0].role, BT_LISTED_ENTRY);
+  CU_ASSERT_STRING_EQUAL (list.instances[0].http, "127.0.0.1:8001");
+  CU_ASSERT_STRING_EQUAL (list.instances[1].app, "draft");
+  CU_ASSERT_TRUE (list.instances[1].leaving);
+  bt_drop_instance_list (ctx, &list);
+  bt_drop_context (ctx);
+}
+
+/* Half a list, or one with a field of the wrong kind, comes in. Taking what can be read of it would
+ * make live instances vanish; so the list before stays as it is, and the error names the place. */
+static void
+test_bad_list_changes_nothing (void)
+{
+  static const char good[] = "{\"revision\":7,\"instances\":[" ENTRY "]}";
+  static const char *const bad[][2] = {
+    { "{\"revision\":8,\"instances\":[" ENTRY, "line 1" },
+    { "{\"revision\":8,\"instances\":[" ENTRY ",{\"role\":\"host\"}]}", "instances[1].role" },
+    { "{\"revision\":8,\"instances\":[{\"role\":\"agent\",\"state\":\"live\"}]}",
+      "instances[0].instance" },
+    { "{\"revision\":\"8\",\"instances\":[]}", "revision" },
+    { "{\"revision\":8}", "instances: must" },
+  };
+  bt_context_t *ctx = bt_new_context ();
+  bt_instance_list_t list = { 0 };
+
+  bt_parse_instance_list (ctx, good, strlen (good), &list, NULL);
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    {
+      bt_error_t error = { 0 };
+
+      CU_ASSERT_FALSE (bt_parse_instance_list (ctx, bad[i][0], strlen (bad[i][0]), &list, &error));
+      CU_ASSERT_PTR_NOT_NULL (strstr (error.message, bad[i][1]));
+      CU_ASSERT_EQUAL (list.revision, 7);
+      CU_ASSERT_EQUAL (list.count, 1);
+    }
+  bt_drop_instance_list (ctx, &list);
+  bt_drop_context (ctx);
+}
+
+static void
+test_reads_from_service_and_survives_its_fall (void)
+{
+  bt_context_t *ctx = bt_new_context ();
+  standin_process_t service;
+  bt_instances_t *instances;
+  bt_instance_list_t list = { 0 };
+  bt_error_t error = { 0 };
+
+  CU_ASSERT_FATAL (start_standin (&service, "standin-instances"));
+  instances = bt_new_http_instances (ctx, service.url, 2000);
+  CU_ASSERT_TRUE (bt_read_instances (ctx, instances, &list, &error));
+  CU_ASSERT_EQUAL (list.count, 0);
+  set_fault (ctx, &service, "{\"kind\":\"down\"}");
+  CU_ASSERT_FALSE (bt_read_instances (ctx, instances, &list, &error));
+  bt_clear_error (&error);
+  set_fault (ctx, &service, "{\"kind\":\"none\"}");
+  CU_ASSERT_TRUE (bt_read_instances (ctx, instances, &list, &error));
+  stop_standin (&service);
+  CU_ASSERT_FALSE (bt_read_instances (ctx, instances, &list, &error));
+  bt_drop_instance_list (ctx, &list);
+  bt_drop_instances (ctx, instances);
+  bt_drop_context (ctx);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned int failed;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("instances", NULL, NULL);
+  CU_ADD_TEST (suite, test_reads_whole_list);
+  CU_ADD_TEST (suite, test_bad_list_changes_nothing);
+  CU_ADD_TEST (suite, test_reads_from_service_and_survives_its_fall);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failed = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failed == 0 ? 0 : 1;
+}
