--- a/include/bilberrytray/core/declarations.h
+++ b/include/bilberrytray/core/declarations.h
@@ -65,7 +65,7 @@
   int32_t slots;      /**< Requests that run at a time. */
   int32_t queue;      /**< Requests that may wait before it. */
   bool checks_orders; /**< It refuses an order that carries an old fencing number. */
-} bt_endpoint_t;
+} bt_declared_endpoint_t;
 
 /** Which values of a header satisfy a rule. */
 typedef struct bt_header_condition
@@ -131,7 +131,7 @@
   int32_t account_count;
   bt_app_t *apps;
   int32_t app_count;
-  bt_endpoint_t *endpoints;
+  bt_declared_endpoint_t *endpoints;
   int32_t endpoint_count;
   bt_rule_t *rules;
   int32_t rule_count;
--- a/source/core/declarations.c
+++ b/source/core/declarations.c
@@ -175,7 +175,7 @@
   for (size_t i = 0; i < json_array_size (list); i++)
     {
       const json_t *object = json_array_get (list, i);
-      bt_endpoint_t *endpoint = &declarations->endpoints[declarations->endpoint_count];
+      bt_declared_endpoint_t *endpoint = &declarations->endpoints[declarations->endpoint_count];
 
       snprintf (path, sizeof path, "endpoints[%zu]", i);
       if (!json_is_object (object))
