--- /dev/null
+++ b/source/core/admission.c
@@ -0,0 +1,357 @@
+#include "bilberrytray/core/admission.h"
+
+#include <string.h>
+
+#include "bilberrytray/base/random.h"
+#include "demand.h"
+#include "fair_queue.h"
+
+enum
+{
+  SECOND_MS = 1000,
+  DEFAULT_QUEUE_LIMIT = 1024,
+  DEFAULT_DEMAND_WINDOW_MS = 2000,
+  DEFAULT_SPREAD_MS = 1000,
+  DEFAULT_MAX_RETRY_AFTER_MS = 300000,
+  DEFAULT_NO_ENDPOINT_WAIT_MS = 1000,
+};
+
+/* Requests a second that are counted on at least, so that no estimate divides by zero. */
+static const double least_rate = 0.01;
+
+/* What is kept for one app. */
+typedef struct app
+{
+  char name[BT_NAME_BYTES];
+  bt_fair_queue_t *waiting;
+  bt_demand_t demand;
+  int64_t usable_ms; /* last time an endpoint was usable */
+} app_t;
+
+/* The token bucket of one rule. */
+typedef struct limit
+{
+  char rule[BT_NAME_BYTES];
+  double tokens;
+  int64_t updated_ms;
+} limit_t;
+
+struct bt_admission
+{
+  bt_admission_options_t options;
+  bt_router_t *router;
+  app_t *apps;
+  int32_t app_count;
+  limit_t *limits;
+  int32_t limit_count;
+  int32_t next_app; /* whose turn it is in bt_next_admission */
+};
+
+void
+bt_default_admission_options (bt_admission_options_t *options)
+{
+  options->queue_limit = DEFAULT_QUEUE_LIMIT;
+  options->demand_window_ms = DEFAULT_DEMAND_WINDOW_MS;
+  options->spread_ms = DEFAULT_SPREAD_MS;
+  options->max_retry_after_ms = DEFAULT_MAX_RETRY_AFTER_MS;
+  options->no_endpoint_wait_ms = DEFAULT_NO_ENDPOINT_WAIT_MS;
+}
+
+bt_admission_t *
+bt_new_admission (bt_context_t *ctx, bt_router_t *router, const bt_admission_options_t *options)
+{
+  bt_admission_t *admission = bt_calloc (ctx, 1, sizeof *admission);
+
+  admission->options = *options;
+  admission->router = router;
+  return admission;
+}
+
+void
+bt_drop_admission (bt_context_t *ctx, bt_admission_t *admission)
+{
+  if (admission == NULL)
+    return;
+  for (int32_t i = 0; i < admission->app_count; i++)
+    {
+      bt_drop_fair_queue (ctx, admission->apps[i].waiting);
+      bt_clear_demand (ctx, &admission->apps[i].demand);
+    }
+  bt_free (ctx, admission->apps);
+  bt_free (ctx, admission->limits);
+  bt_free (ctx, admission);
+}
+
+static app_t *
+find_app (const bt_admission_t *admission, const char *name)
+{
+  for (int32_t i = 0; i < admission->app_count; i++)
+    if (strcmp (admission->apps[i].name, name) == 0)
+      return &admission->apps[i];
+  return NULL;
+}
+
+static app_t *
+make_app (bt_context_t *ctx, bt_admission_t *admission, const char *name, int64_t now_ms)
+{
+  app_t *app = find_app (admission, name);
+
+  if (app != NULL)
+    return app;
+  admission->apps =
+      bt_realloc (ctx, admission->apps, (size_t)admission->app_count + 1, sizeof *admission->apps);
+  app = &admission->apps[admission->app_count++];
+  memset (app, 0, sizeof *app);
+  bt_copy_name (app->name, name);
+  app->waiting = bt_new_fair_queue (ctx, admission->options.queue_limit);
+  app->demand.window_ms = admission->options.demand_window_ms;
+  app->usable_ms = now_ms;
+  return app;
+}
+
+static double
+get_rule_burst (const bt_admission_request_t *request)
+{
+  return request->rule_burst > 0 ? request->rule_burst : request->rule_per_second;
+}
+
+static limit_t *
+make_limit (bt_context_t *ctx,
+            bt_admission_t *admission,
+            const bt_admission_request_t *request,
+            int64_t now_ms)
+{
+  limit_t *limit;
+
+  for (int32_t i = 0; i < admission->limit_count; i++)
+    if (strcmp (admission->limits[i].rule, request->rule) == 0)
+      return &admission->limits[i];
+  admission->limits = bt_realloc (ctx, admission->limits, (size_t)admission->limit_count + 1,
+                                  sizeof *admission->limits);
+  limit = &admission->limits[admission->limit_count++];
+  bt_copy_name (limit->rule, request->rule);
+  limit->tokens = get_rule_burst (request);
+  limit->updated_ms = now_ms;
+  return limit;
+}
+
+/* Takes a token of the request's rule; otherwise tells when the next one is there. */
+static bool
+take_token (bt_context_t *ctx,
+            bt_admission_t *admission,
+            const bt_admission_request_t *request,
+            int64_t now_ms,
+            int64_t *wait_ms)
+{
+  limit_t *limit;
+
+  if (request->rule == NULL || request->rule_per_second <= 0 || request->again)
+    return true;
+  limit = make_limit (ctx, admission, request, now_ms);
+  limit->tokens +=
+      (double)(now_ms - limit->updated_ms) * request->rule_per_second / (double)SECOND_MS;
+  limit->updated_ms = now_ms;
+  if (limit->tokens > get_rule_burst (request))
+    limit->tokens = get_rule_burst (request);
+  if (limit->tokens >= 1)
+    {
+      limit->tokens -= 1;
+      return true;
+    }
+  *wait_ms = (int64_t)((1 - limit->tokens) * SECOND_MS / request->rule_per_second) + 1;
+  return false;
+}
+
+/* Refuses, with a come-back time of @p base_ms and a random part. All who are refused in a burst
+ * would else come back in one moment, as the next burst. */
+static void
+refuse (const bt_admission_t *admission,
+        bt_admission_decision_t *decision,
+        bt_reason_t reason,
+        int64_t base_ms,
+        uint64_t seed)
+{
+  const int64_t spread_ms =
+      base_ms > admission->options.spread_ms ? base_ms : admission->options.spread_ms;
+  bt_random_t random;
+  int64_t after_ms;
+
+  bt_seed_random (&random, seed);
+  after_ms = base_ms + (int64_t)(bt_random_unit (&random) * (double)spread_ms);
+  if (after_ms > admission->options.max_retry_after_ms)
+    after_ms = admission->options.max_retry_after_ms;
+  decision->action = BT_ADMISSION_REFUSE;
+  decision->reason = reason;
+  decision->retry_after_ms = after_ms;
+}
+
+/* True when one more request may go out: an endpoint has room, or this entry holds less than its
+ * equal part of the endpoints. Without the second, an entry that comes late to full endpoints
+ * would never get a place, since those that hold places refill them at once. */
+static bool
+has_room (const bt_capacity_t *capacity)
+{
+  if (capacity->endpoints == 0)
+    return false;
+  return capacity->room > 0 || capacity->in_flight < (int32_t)capacity->equal_part;
+}
+
+/* How long a request of this account would wait. The queue's order tells it if nobody else comes;
+ * the account's fair rate tells it if the others go on as they did. The longer one counts. */
+static int64_t
+estimate_wait_ms (const app_t *app,
+                  const bt_admission_request_t *request,
+                  double account_rate,
+                  double rate)
+{
+  const int32_t ahead = bt_count_fair_ahead (app->waiting, request->account, request->priority) + 1;
+  const int32_t own = bt_count_fair_account (app->waiting, request->account) + 1;
+  const double by_order = ahead * SECOND_MS / rate;
+  const double by_share = own * SECOND_MS / account_rate;
+
+  return (int64_t)(by_order > by_share ? by_order : by_share);
+}
+
+/* Requests a second that this entry can count on. */
+static double
+get_capacity_rate (const bt_capacity_t *capacity)
+{
+  const double rate = capacity->own_slots * SECOND_MS
+                      / (double)(capacity->service_ms > 0 ? capacity->service_ms : 1);
+
+  return rate > least_rate ? rate : least_rate;
+}
+
+/* Decides about a request that can't go out now. */
+static void
+queue_or_refuse (bt_context_t *ctx,
+                 bt_admission_t *admission,
+                 app_t *app,
+                 const bt_admission_request_t *request,
+                 const bt_capacity_t *capacity,
+                 int64_t now_ms,
+                 bt_admission_decision_t *decision)
+{
+  const bt_account_demand_t *account = bt_find_demand (ctx, &app->demand, request->account, now_ms);
+  const double rate = get_capacity_rate (capacity);
+  const double account_rate = bt_get_fair_rate (&app->demand, account, rate, now_ms);
+  const int64_t wait_ms = estimate_wait_ms (app, request, account_rate, rate);
+  const int64_t late_ms = wait_ms + capacity->service_ms - request->deadline_left_ms;
+  const bool over_share =
+      account_rate < rate / 2 && bt_count_fair_account (app->waiting, request->account) > 0
+      && bt_count_fair (app->waiting) > bt_count_fair_account (app->waiting, request->account);
+  const bt_fair_item_t item = {
+    .id = request->id,
+    .priority = request->priority,
+    .give_up_ms = now_ms + request->deadline_left_ms - capacity->service_ms,
+    .queued_ms = now_ms,
+  };
+
+  if (late_ms > 0)
+    refuse (admission, decision,
+            over_share ? BT_REASON_ACCOUNT_SHARE : BT_REASON_DEADLINE_UNREACHABLE, late_ms,
+            request->seed);
+  else if (bt_push_fair (ctx, app->waiting, request->account, &item))
+    decision->action = BT_ADMISSION_QUEUE;
+  else
+    refuse (admission, decision, BT_REASON_QUEUE_FULL, wait_ms, request->seed);
+}
+
+void
+bt_decide_admission (bt_context_t *ctx,
+                     bt_admission_t *admission,
+                     const bt_admission_request_t *request,
+                     int64_t now_ms,
+                     bt_admission_decision_t *decision)
+{
+  app_t *app = make_app (ctx, admission, request->app, now_ms);
+  bt_capacity_t capacity;
+  int64_t wait_ms = 0;
+
+  memset (decision, 0, sizeof *decision);
+  decision->id = request->id;
+  if (!take_token (ctx, admission, request, now_ms, &wait_ms))
+    {
+      refuse (admission, decision, BT_REASON_RULE_LIMIT, wait_ms, request->seed);
+      return;
+    }
+  if (!request->again)
+    bt_add_demand (ctx, &app->demand, request->account, now_ms);
+  bt_get_capacity (admission->router, request->app, now_ms, &capacity);
+  if (capacity.endpoints > 0)
+    app->usable_ms = now_ms;
+  if (capacity.endpoints == 0)
+    refuse (admission, decision, BT_REASON_NO_ENDPOINT, admission->options.spread_ms,
+            request->seed);
+  else if (capacity.service_ms > request->deadline_left_ms)
+    refuse (admission, decision, BT_REASON_DEADLINE_UNREACHABLE, 0, request->seed);
+  else if (has_room (&capacity) && bt_count_fair (app->waiting) == 0)
+    decision->action = BT_ADMISSION_ADMIT;
+  else
+    queue_or_refuse (ctx, admission, app, request, &capacity, now_ms, decision);
+}
+
+/* The next decision for one app. */
+static bool
+next_of_app (bt_admission_t *admission,
+             app_t *app,
+             int64_t now_ms,
+             bt_admission_decision_t *decision)
+{
+  bt_capacity_t capacity;
+  bt_fair_item_t item;
+
+  if (bt_count_fair (app->waiting) == 0)
+    return false;
+  bt_get_capacity (admission->router, app->name, now_ms, &capacity);
+  if (capacity.endpoints > 0)
+    app->usable_ms = now_ms;
+  if (bt_expire_fair (app->waiting, now_ms, &item))
+    {
+      decision->id = item.id;
+      refuse (admission, decision, BT_REASON_DEADLINE_UNREACHABLE, 0, item.id);
+      return true;
+    }
+  if (now_ms - app->usable_ms > admission->options.no_endpoint_wait_ms
+      && bt_pop_fair (app->waiting, &item))
+    {
+      decision->id = item.id;
+      refuse (admission, decision, BT_REASON_NO_ENDPOINT, admission->options.spread_ms, item.id);
+      return true;
+    }
+  if (!has_room (&capacity) || !bt_pop_fair (app->waiting, &item))
+    return false;
+  decision->id = item.id;
+  decision->action = BT_ADMISSION_ADMIT;
+  return true;
+}
+
+bool
+bt_next_admission (bt_admission_t *admission, int64_t now_ms, bt_admission_decision_t *decision)
+{
+  memset (decision, 0, sizeof *decision);
+  for (int32_t i = 0; i < admission->app_count; i++)
+    {
+      admission->next_app = (admission->next_app + 1) % admission->app_count;
+      if (next_of_app (admission, &admission->apps[admission->next_app], now_ms, decision))
+        return true;
+    }
+  return false;
+}
+
+bool
+bt_cancel_admission (bt_admission_t *admission, uint64_t id)
+{
+  for (int32_t i = 0; i < admission->app_count; i++)
+    if (bt_remove_fair (admission->apps[i].waiting, id))
+      return true;
+  return false;
+}
+
+int32_t
+bt_count_waiting (const bt_admission_t *admission, const char *name)
+{
+  const app_t *app = find_app (admission, name);
+
+  return app == NULL ? 0 : bt_count_fair (app->waiting);
+}
--- /dev/null
+++ b/source/core/endpoint_state.h
@@ -0,0 +1,70 @@
+#ifndef BILBERRYTRAY_SOURCE_CORE_ENDPOINT_STATE_H
+#define BILBERRYTRAY_SOURCE_CORE_ENDPOINT_STATE_H
+
+/** @file
+ * What an entry knows of one endpoint: own counts, reported load, cached prefixes, outlier record.
+ */
+
+#include "bilberrytray/core/router.h"
+
+enum
+{
+  BT_PREFIX_SLOTS = 16,  /**< Prefixes remembered for an endpoint. */
+  BT_HISTORY_SLOTS = 64, /**< Changes of the own count remembered for an endpoint. */
+};
+
+/** A prefix that an endpoint is thought to hold. */
+typedef struct bt_cached_prefix
+{
+  uint64_t prefix; /**< 0: free. */
+  int64_t used_ms;
+} bt_cached_prefix_t;
+
+/** One endpoint's state. */
+typedef struct bt_endpoint_state
+{
+  bt_endpoint_t endpoint;
+  uint64_t link_number;
+  bool linked;
+  bool leaving;
+  bool reported; /**< A load report came since the link came up. */
+  bt_load_t load;
+  int32_t own;       /**< In flight from this entry. */
+  int32_t others;    /**< In flight from others, by the last report. */
+  double service_ms; /**< Mean of own measurements; 0 before the first. */
+  bt_outlier_t outlier;
+  bt_cached_prefix_t prefixes[BT_PREFIX_SLOTS];
+} bt_endpoint_state_t;
+
+/** Slots that may be used now, fewer while the endpoint returns from being an outlier; at least 1
+ * unless it is out. */
+int32_t bt_get_endpoint_slots (const bt_endpoint_state_t *state,
+                               const bt_router_options_t *options);
+
+/** Requests thought to be running or waiting there. */
+int32_t bt_get_endpoint_load (const bt_endpoint_state_t *state);
+
+/** Mean time of one run there, ms. */
+int64_t bt_get_endpoint_service_ms (const bt_endpoint_state_t *state,
+                                    const bt_router_options_t *options);
+
+/** Time until a slot is free for one more request, ms. */
+int64_t bt_get_endpoint_wait_ms (const bt_endpoint_state_t *state,
+                                 const bt_router_options_t *options);
+
+/** Takes in a load report. */
+void bt_take_endpoint_load (bt_endpoint_state_t *state, const bt_load_t *load, int64_t now_ms);
+
+/** Adds to the own count. */
+void bt_add_endpoint_own (bt_endpoint_state_t *state, int32_t change, int64_t now_ms);
+
+/** Takes in the time that an answer took, ms. */
+void bt_take_endpoint_time (bt_endpoint_state_t *state, int64_t took_ms);
+
+bool bt_has_endpoint_prefix (const bt_endpoint_state_t *state, uint64_t prefix);
+
+/** Remembers or forgets a prefix; the one that was longest unused makes place. */
+void
+bt_set_endpoint_prefix (bt_endpoint_state_t *state, uint64_t prefix, bool cached, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/source/core/fair_queue.c
@@ -0,0 +1,324 @@
+#include "fair_queue.h"
+
+#include <string.h>
+
+enum
+{
+  NONE = -1,
+  FIRST_ACCOUNTS = 16,
+};
+
+/* A place of the queue, linked with the others of its account. */
+typedef struct node
+{
+  bt_fair_item_t item;
+  int32_t account; /* NONE while the place is free */
+  int32_t next;    /* of the account, or of the free places */
+} node_t;
+
+/* An account's items, by priority and then arrival. */
+typedef struct account
+{
+  char name[BT_NAME_BYTES];
+  int32_t head;
+  int32_t count;
+  uint64_t turn; /* its next item's start in virtual time */
+} account_t;
+
+struct bt_fair_queue
+{
+  node_t *nodes;
+  int32_t limit;
+  int32_t count;
+  int32_t free;
+  account_t *accounts;
+  int32_t account_count;
+  int32_t account_capacity;
+  uint64_t turn;           /* virtual time: the turn of the item served last */
+  int64_t next_give_up_ms; /* no item is to be given up before */
+};
+
+bt_fair_queue_t *
+bt_new_fair_queue (bt_context_t *ctx, int32_t limit)
+{
+  bt_fair_queue_t *queue = bt_calloc (ctx, 1, sizeof *queue);
+
+  queue->limit = limit;
+  queue->nodes = bt_calloc (ctx, (size_t)limit + 1, sizeof *queue->nodes);
+  queue->free = limit > 0 ? 0 : NONE;
+  for (int32_t i = 0; i < limit; i++)
+    {
+      queue->nodes[i].account = NONE;
+      queue->nodes[i].next = i + 1 < limit ? i + 1 : NONE;
+    }
+  queue->next_give_up_ms = INT64_MAX;
+  return queue;
+}
+
+void
+bt_drop_fair_queue (bt_context_t *ctx, bt_fair_queue_t *queue)
+{
+  if (queue == NULL)
+    return;
+  bt_free (ctx, queue->nodes);
+  bt_free (ctx, queue->accounts);
+  bt_free (ctx, queue);
+}
+
+static int32_t
+find_account (const bt_fair_queue_t *queue, const char *name)
+{
+  for (int32_t i = 0; i < queue->account_count; i++)
+    if (strcmp (queue->accounts[i].name, name) == 0)
+      return i;
+  return NONE;
+}
+
+/* An account with nothing waiting and no turn ahead of the others can be forgotten, so that names
+ * seen once don't fill the table. */
+static int32_t
+find_forgotten (const bt_fair_queue_t *queue)
+{
+  for (int32_t i = 0; i < queue->account_count; i++)
+    if (queue->accounts[i].count == 0 && queue->accounts[i].turn <= queue->turn)
+      return i;
+  return NONE;
+}
+
+static int32_t
+make_account (bt_context_t *ctx, bt_fair_queue_t *queue, const char *name)
+{
+  int32_t index = find_account (queue, name);
+
+  if (index != NONE)
+    return index;
+  index = find_forgotten (queue);
+  if (index == NONE && queue->account_count == queue->account_capacity)
+    {
+      queue->account_capacity =
+          queue->account_capacity == 0 ? FIRST_ACCOUNTS : 2 * queue->account_capacity;
+      queue->accounts = bt_realloc (ctx, queue->accounts, (size_t)queue->account_capacity,
+                                    sizeof *queue->accounts);
+    }
+  if (index == NONE)
+    index = queue->account_count++;
+  memset (&queue->accounts[index], 0, sizeof queue->accounts[index]);
+  bt_copy_name (queue->accounts[index].name, name);
+  queue->accounts[index].head = NONE;
+  return index;
+}
+
+bool
+bt_push_fair (bt_context_t *ctx,
+              bt_fair_queue_t *queue,
+              const char *name,
+              const bt_fair_item_t *item)
+{
+  int32_t at = queue->free;
+  account_t *account;
+  int32_t *link;
+  int32_t index;
+
+  if (at == NONE)
+    return false;
+  index = make_account (ctx, queue, name);
+  account = &queue->accounts[index];
+  queue->free = queue->nodes[at].next;
+  if (account->count == 0 && account->turn < queue->turn)
+    account->turn = queue->turn;
+  link = &account->head;
+  while (*link != NONE && queue->nodes[*link].item.priority >= item->priority)
+    link = &queue->nodes[*link].next;
+  queue->nodes[at].item = *item;
+  queue->nodes[at].account = index;
+  queue->nodes[at].next = *link;
+  *link = at;
+  account->count++;
+  queue->count++;
+  if (item->give_up_ms < queue->next_give_up_ms)
+    queue->next_give_up_ms = item->give_up_ms;
+  return true;
+}
+
+/* Unlinks a place from its account and frees it. */
+static void
+take_node (bt_fair_queue_t *queue, int32_t at, bt_fair_item_t *item)
+{
+  account_t *account = &queue->accounts[queue->nodes[at].account];
+  int32_t *link = &account->head;
+
+  while (*link != at)
+    link = &queue->nodes[*link].next;
+  *link = queue->nodes[at].next;
+  account->count--;
+  queue->count--;
+  if (item != NULL)
+    *item = queue->nodes[at].item;
+  queue->nodes[at].account = NONE;
+  queue->nodes[at].next = queue->free;
+  queue->free = at;
+}
+
+/* True when the account on the left goes before the one on the right; both have items. */
+static bool
+goes_before (const bt_fair_queue_t *queue, const account_t *left, const account_t *right)
+{
+  const int32_t left_priority = queue->nodes[left->head].item.priority;
+  const int32_t right_priority = queue->nodes[right->head].item.priority;
+
+  if (left_priority != right_priority)
+    return left_priority > right_priority;
+  if (left->turn != right->turn)
+    return left->turn < right->turn;
+  return queue->nodes[left->head].item.queued_ms < queue->nodes[right->head].item.queued_ms;
+}
+
+bool
+bt_pop_fair (bt_fair_queue_t *queue, bt_fair_item_t *item)
+{
+  account_t *next = NULL;
+
+  for (int32_t i = 0; i < queue->account_count; i++)
+    {
+      account_t *account = &queue->accounts[i];
+
+      if (account->count > 0 && (next == NULL || goes_before (queue, account, next)))
+        next = account;
+    }
+  if (next == NULL)
+    return false;
+  if (next->turn > queue->turn)
+    queue->turn = next->turn;
+  next->turn++;
+  take_node (queue, next->head, item);
+  return true;
+}
+
+bool
+bt_expire_fair (bt_fair_queue_t *queue, int64_t now_ms, bt_fair_item_t *item)
+{
+  int64_t next_ms = INT64_MAX;
+
+  if (queue->count == 0 || now_ms < queue->next_give_up_ms)
+    return false;
+  for (int32_t i = 0; i < queue->limit; i++)
+    {
+      const node_t *node = &queue->nodes[i];
+
+      if (node->account == NONE)
+        continue;
+      if (node->item.give_up_ms <= now_ms)
+        {
+          take_node (queue, i, item);
+          return true;
+        }
+      if (node->item.give_up_ms < next_ms)
+        next_ms = node->item.give_up_ms;
+    }
+  queue->next_give_up_ms = next_ms;
+  return false;
+}
+
+bool
+bt_remove_fair (bt_fair_queue_t *queue, uint64_t id)
+{
+  for (int32_t i = 0; i < queue->limit; i++)
+    if (queue->nodes[i].account != NONE && queue->nodes[i].item.id == id)
+      {
+        take_node (queue, i, NULL);
+        return true;
+      }
+  return false;
+}
+
+static int32_t
+find_last (const bt_fair_queue_t *queue, const account_t *account)
+{
+  int32_t at = account->head;
+
+  while (at != NONE && queue->nodes[at].next != NONE)
+    at = queue->nodes[at].next;
+  return at;
+}
+
+bool
+bt_push_out_fair (bt_fair_queue_t *queue, const char *name, int32_t priority, bt_fair_item_t *item)
+{
+  const int32_t own = bt_count_fair_account (queue, name);
+  const account_t *longest = NULL;
+  int32_t victim = NONE;
+
+  for (int32_t i = 0; i < queue->account_count; i++)
+    {
+      const account_t *account = &queue->accounts[i];
+      int32_t last;
+
+      if (account->count == 0)
+        continue;
+      last = find_last (queue, account);
+      if (queue->nodes[last].item.priority > priority)
+        continue;
+      if (queue->nodes[last].item.priority == priority && account->count <= own + 1)
+        continue;
+      if (longest != NULL && account->count <= longest->count)
+        continue;
+      longest = account;
+      victim = last;
+    }
+  if (victim == NONE)
+    return false;
+  take_node (queue, victim, item);
+  return true;
+}
+
+int32_t
+bt_count_fair (const bt_fair_queue_t *queue)
+{
+  return queue->count;
+}
+
+int32_t
+bt_count_fair_account (const bt_fair_queue_t *queue, const char *name)
+{
+  const int32_t index = find_account (queue, name);
+
+  return index == NONE ? 0 : queue->accounts[index].count;
+}
+
+/* Items of an account that have at least this priority (or more than it). */
+static int32_t
+count_priority (const bt_fair_queue_t *queue, const account_t *account, int32_t priority)
+{
+  int32_t count = 0;
+
+  for (int32_t at = account->head; at != NONE; at = queue->nodes[at].next)
+    {
+      if (queue->nodes[at].item.priority < priority)
+        break;
+      count++;
+    }
+  return count;
+}
+
+int32_t
+bt_count_fair_ahead (const bt_fair_queue_t *queue, const char *name, int32_t priority)
+{
+  const int32_t own_index = find_account (queue, name);
+  int32_t own = 0;
+  int32_t ahead;
+
+  if (own_index != NONE)
+    own = count_priority (queue, &queue->accounts[own_index], priority);
+  ahead = own;
+  for (int32_t i = 0; i < queue->account_count; i++)
+    {
+      const account_t *account = &queue->accounts[i];
+      const int32_t above = count_priority (queue, account, priority + 1);
+      const int32_t equal = count_priority (queue, account, priority) - above;
+
+      if (i == own_index)
+        continue;
+      ahead += above + (equal <= own + 1 ? equal : own + 1);
+    }
+  return ahead;
+}
--- /dev/null
+++ b/source/core/router.c
@@ -0,0 +1,453 @@
+#include "bilberrytray/core/router.h"
+
+#include <string.h>
+
+#include "bilberrytray/base/random.h"
+#include "endpoint_state.h"
+
+enum
+{
+  WHOLE_PERCENT = 100,
+  DEFAULT_SLOTS = 8,
+  DEFAULT_QUEUE_DEPTH = 2,
+  DEFAULT_SERVICE_MS = 500,
+  DEFAULT_REMOTE_MS = 2,
+  DEFAULT_PREFIX_MS = 50,
+  /* When to come back if nothing can be chosen: endpoints return within about a second. */
+  NO_ENDPOINT_RETRY_MS = 1000,
+};
+
+struct bt_router
+{
+  bt_router_options_t options;
+  int32_t entries;
+  uint64_t last_link_number;
+  bt_endpoint_state_t **endpoints;
+  int32_t count;
+  int32_t capacity;
+};
+
+void
+bt_default_router_options (bt_router_options_t *options)
+{
+  memset (options, 0, sizeof *options);
+  options->choices = 2;
+  options->default_slots = DEFAULT_SLOTS;
+  options->queue_depth = DEFAULT_QUEUE_DEPTH;
+  options->default_service_ms = DEFAULT_SERVICE_MS;
+  options->remote_ms = DEFAULT_REMOTE_MS;
+  options->prefix_ms = DEFAULT_PREFIX_MS;
+  bt_default_outlier_options (&options->outlier);
+}
+
+bt_router_t *
+bt_new_router (bt_context_t *ctx, const bt_router_options_t *options)
+{
+  bt_router_t *router = bt_calloc (ctx, 1, sizeof *router);
+
+  router->options = *options;
+  router->entries = 1;
+  return router;
+}
+
+void
+bt_drop_router (bt_context_t *ctx, bt_router_t *router)
+{
+  if (router == NULL)
+    return;
+  for (int32_t i = 0; i < router->count; i++)
+    bt_free (ctx, router->endpoints[i]);
+  bt_free (ctx, router->endpoints);
+  bt_free (ctx, router);
+}
+
+void
+bt_set_router_entries (bt_router_t *router, int32_t entries)
+{
+  router->entries = entries > 0 ? entries : 1;
+}
+
+static bt_endpoint_state_t *
+find_endpoint (bt_router_t *router, const bt_identity_t *identity)
+{
+  for (int32_t i = 0; i < router->count; i++)
+    if (bt_same_identity (&router->endpoints[i]->endpoint.identity, identity))
+      return router->endpoints[i];
+  return NULL;
+}
+
+/* The endpoint of a route, unless its link has died since. A late end of a forgotten attempt would
+ * else make a busy endpoint look idle. */
+static bt_endpoint_state_t *
+find_route (bt_router_t *router, const bt_route_t *route)
+{
+  bt_endpoint_state_t *state = find_endpoint (router, &route->identity);
+
+  return state != NULL && state->linked && state->link_number == route->link_number ? state : NULL;
+}
+
+static void
+remove_at (bt_context_t *ctx, bt_router_t *router, int32_t index)
+{
+  bt_free (ctx, router->endpoints[index]);
+  router->endpoints[index] = router->endpoints[--router->count];
+}
+
+static void
+remove_older_starts (bt_context_t *ctx, bt_router_t *router, const bt_identity_t *identity)
+{
+  for (int32_t i = router->count - 1; i >= 0; i--)
+    if (strcmp (router->endpoints[i]->endpoint.identity.instance, identity->instance) == 0)
+      remove_at (ctx, router, i);
+}
+
+void
+bt_put_endpoint (bt_context_t *ctx,
+                 bt_router_t *router,
+                 const bt_endpoint_t *endpoint,
+                 int64_t now_ms)
+{
+  bt_endpoint_state_t *state = find_endpoint (router, &endpoint->identity);
+
+  (void)now_ms;
+  if (state != NULL)
+    {
+      state->endpoint = *endpoint;
+      return;
+    }
+  remove_older_starts (ctx, router, &endpoint->identity);
+  if (router->count == router->capacity)
+    {
+      router->capacity = router->capacity == 0 ? 16 : router->capacity * 2;
+      router->endpoints = bt_realloc (ctx, router->endpoints, (size_t)router->capacity,
+                                      sizeof (bt_endpoint_state_t *));
+    }
+  state = bt_calloc (ctx, 1, sizeof *state);
+  state->endpoint = *endpoint;
+  state->linked = true;
+  state->link_number = ++router->last_link_number;
+  router->endpoints[router->count++] = state;
+}
+
+bool
+bt_remove_endpoint (bt_context_t *ctx, bt_router_t *router, const bt_identity_t *identity)
+{
+  for (int32_t i = 0; i < router->count; i++)
+    if (bt_same_identity (&router->endpoints[i]->endpoint.identity, identity))
+      {
+        remove_at (ctx, router, i);
+        return true;
+      }
+  return false;
+}
+
+bool
+bt_set_endpoint_leaving (bt_router_t *router, const bt_identity_t *identity, bool leaving)
+{
+  bt_endpoint_state_t *state = find_endpoint (router, identity);
+
+  if (state == NULL)
+    return false;
+  state->leaving = leaving;
+  return true;
+}
+
+bool
+bt_record_load (bt_router_t *router,
+                const bt_identity_t *identity,
+                const bt_load_t *load,
+                int64_t now_ms)
+{
+  bt_endpoint_state_t *state = find_endpoint (router, identity);
+
+  if (state == NULL || !state->linked)
+    return false;
+  bt_take_endpoint_load (state, load, now_ms);
+  return true;
+}
+
+bool
+bt_record_prefix (bt_router_t *router,
+                  const bt_identity_t *identity,
+                  uint64_t prefix,
+                  bool cached,
+                  int64_t now_ms)
+{
+  bt_endpoint_state_t *state = find_endpoint (router, identity);
+
+  if (state == NULL)
+    return false;
+  bt_set_endpoint_prefix (state, prefix, cached, now_ms);
+  return true;
+}
+
+static bool
+is_usable (bt_router_t *router, bt_endpoint_state_t *state, const char *app, int64_t now_ms)
+{
+  return state->linked && !state->leaving && strcmp (state->endpoint.app, app) == 0
+         && !bt_is_outlier (&state->outlier, &router->options.outlier, now_ms);
+}
+
+static bool
+is_excluded (const bt_endpoint_state_t *state, const bt_route_request_t *request)
+{
+  for (int32_t i = 0; i < request->excluded_count; i++)
+    if (bt_same_identity (&state->endpoint.identity, &request->excluded[i]))
+      return true;
+  return false;
+}
+
+/* What sending a request there costs its caller, in ms. A cached prefix counts for no more than the
+ * prefill it saves: beyond that, affinity would only make a straggler. */
+static int64_t
+get_cost_ms (const bt_router_t *router,
+             const bt_endpoint_state_t *state,
+             const bt_route_request_t *request)
+{
+  const bt_router_options_t *options = &router->options;
+  const int64_t service_ms = bt_get_endpoint_service_ms (state, options);
+  const int32_t slots = bt_get_endpoint_slots (state, options);
+  int64_t cost_ms = service_ms + bt_get_endpoint_wait_ms (state, options);
+
+  cost_ms += service_ms * bt_get_endpoint_load (state) / (slots > 0 ? slots : 1) / 2;
+  if (options->failure_domain[0] != 0
+      && strcmp (options->failure_domain, state->endpoint.failure_domain) != 0)
+    cost_ms += options->remote_ms;
+  if (bt_has_endpoint_prefix (state, request->prefix))
+    cost_ms -= options->prefix_ms;
+  return cost_ms;
+}
+
+/* Draws the sample of d endpoints by reservoir, and keeps its cheapest; ties go to the first drawn,
+ * which is random. */
+static bt_endpoint_state_t *
+choose_cheapest (bt_router_t *router,
+                 bt_endpoint_state_t **usable,
+                 int32_t count,
+                 const bt_route_request_t *request)
+{
+  const int32_t choices = router->options.choices > 0 ? router->options.choices : count;
+  bt_endpoint_state_t *best = NULL;
+  int64_t best_ms = 0;
+  bt_random_t random;
+
+  bt_seed_random (&random, request->seed);
+  for (int32_t i = 0; i < choices && i < count; i++)
+    {
+      const int32_t at = i + (int32_t)bt_random_below (&random, (uint64_t)(count - i));
+      bt_endpoint_state_t *state = usable[at];
+      int64_t cost_ms;
+
+      usable[at] = usable[i];
+      usable[i] = state;
+      cost_ms = get_cost_ms (router, state, request);
+      if (best == NULL || cost_ms < best_ms)
+        {
+          best = state;
+          best_ms = cost_ms;
+        }
+    }
+  return best;
+}
+
+bt_reason_t
+bt_choose_endpoint (bt_router_t *router,
+                    const bt_route_request_t *request,
+                    int64_t now_ms,
+                    bt_route_t *route,
+                    int64_t *retry_after_ms)
+{
+  bt_endpoint_state_t *usable[router->count + 1];
+  bt_endpoint_state_t *best;
+  int32_t count = 0;
+
+  for (int32_t i = 0; i < router->count; i++)
+    {
+      bt_endpoint_state_t *state = router->endpoints[i];
+
+      if (is_usable (router, state, request->app, now_ms) && !is_excluded (state, request))
+        usable[count++] = state;
+    }
+  *retry_after_ms = 0;
+  best = choose_cheapest (router, usable, count, request);
+  if (best == NULL)
+    {
+      *retry_after_ms = NO_ENDPOINT_RETRY_MS;
+      return BT_REASON_NO_ENDPOINT;
+    }
+  route->identity = best->endpoint.identity;
+  route->link_number = best->link_number;
+  return BT_REASON_NONE;
+}
+
+void
+bt_record_dispatch (bt_router_t *router, const bt_route_t *route, uint64_t prefix, int64_t now_ms)
+{
+  bt_endpoint_state_t *state = find_route (router, route);
+
+  if (state == NULL)
+    return;
+  bt_add_endpoint_own (state, 1, now_ms);
+  bt_set_endpoint_prefix (state, prefix, true, now_ms);
+}
+
+/* The mean time of a run at the other usable endpoints of the same app, or 0. */
+static int64_t
+get_peers_ms (bt_router_t *router, const bt_endpoint_state_t *state)
+{
+  int64_t sum_ms = 0;
+  int64_t count = 0;
+
+  for (int32_t i = 0; i < router->count; i++)
+    {
+      const bt_endpoint_state_t *peer = router->endpoints[i];
+
+      if (peer == state || peer->service_ms == 0 || peer->outlier.out_until_ms > 0
+          || strcmp (peer->endpoint.app, state->endpoint.app) != 0)
+        continue;
+      sum_ms += (int64_t)peer->service_ms;
+      count++;
+    }
+  return count > 0 ? sum_ms / count : 0;
+}
+
+int32_t
+bt_count_outliers (bt_router_t *router, const char *app, int64_t now_ms)
+{
+  int32_t out = 0;
+
+  for (int32_t i = 0; i < router->count; i++)
+    {
+      bt_endpoint_state_t *state = router->endpoints[i];
+
+      if (strcmp (state->endpoint.app, app) == 0
+          && bt_is_outlier (&state->outlier, &router->options.outlier, now_ms))
+        out++;
+    }
+  return out;
+}
+
+static int32_t
+count_endpoints (const bt_router_t *router, const char *app)
+{
+  int32_t count = 0;
+
+  for (int32_t i = 0; i < router->count; i++)
+    if (strcmp (router->endpoints[i]->endpoint.app, app) == 0)
+      count++;
+  return count;
+}
+
+/* Takes an endpoint out unless too many of its app are: when most look bad, the cause is likelier
+ * to be shared (or here) than theirs, and the rest would drown in the work. */
+static void
+take_out (bt_router_t *router, bt_endpoint_state_t *state, int64_t now_ms)
+{
+  const char *app = state->endpoint.app;
+  const int32_t out = bt_count_outliers (router, app, now_ms);
+
+  if (bt_allow_outlier (&router->options.outlier, out, count_endpoints (router, app)))
+    bt_take_out_outlier (&state->outlier, &router->options.outlier, now_ms);
+}
+
+void
+bt_record_attempt_end (bt_router_t *router,
+                       const bt_route_t *route,
+                       bt_attempt_end_t end,
+                       int64_t took_ms,
+                       int64_t now_ms)
+{
+  bt_endpoint_state_t *state = find_route (router, route);
+  const bt_outlier_options_t *options = &router->options.outlier;
+  bt_outlier_event_t event = BT_OUTLIER_NONE;
+
+  if (state == NULL)
+    return;
+  bt_add_endpoint_own (state, -1, now_ms);
+  if (end == BT_ATTEMPT_ANSWERED)
+    {
+      bt_take_endpoint_time (state, took_ms);
+      event = bt_record_outlier_answer (&state->outlier, options, took_ms,
+                                        get_peers_ms (router, state));
+    }
+  else if (end == BT_ATTEMPT_FAILED)
+    event = bt_record_outlier_failure (&state->outlier, options);
+  if (event == BT_OUTLIER_OUT)
+    take_out (router, state, now_ms);
+}
+
+void
+bt_record_link_down (bt_router_t *router, const bt_identity_t *identity, int64_t now_ms)
+{
+  bt_endpoint_state_t *state = find_endpoint (router, identity);
+
+  if (state == NULL || !state->linked)
+    return;
+  if (state->own > 0
+      && bt_record_outlier_failure (&state->outlier, &router->options.outlier) == BT_OUTLIER_OUT)
+    take_out (router, state, now_ms);
+  state->linked = false;
+  state->reported = false;
+  state->own = 0;
+  state->others = 0;
+}
+
+void
+bt_record_link_up (bt_router_t *router, const bt_identity_t *identity, int64_t now_ms)
+{
+  bt_endpoint_state_t *state = find_endpoint (router, identity);
+
+  (void)now_ms;
+  if (state == NULL || state->linked)
+    return;
+  state->linked = true;
+  state->link_number = ++router->last_link_number;
+}
+
+/* The part of an endpoint's slots that this entry holds or can get: in proportion to its own work
+ * there when it is full, and its equal part of what is free otherwise. */
+static double
+get_own_slots (const bt_router_t *router, const bt_endpoint_state_t *state, int32_t slots)
+{
+  const int32_t load = bt_get_endpoint_load (state);
+  const double equal = (double)slots / router->entries;
+  double own;
+
+  if (load >= slots)
+    own = load > 0 ? (double)slots * state->own / load : 0;
+  else
+    own = state->own + (double)(slots - load) / router->entries;
+  return own > equal ? own : equal;
+}
+
+void
+bt_get_capacity (bt_router_t *router, const char *app, int64_t now_ms, bt_capacity_t *capacity)
+{
+  const bt_router_options_t *options = &router->options;
+  int64_t service_ms = 0;
+
+  memset (capacity, 0, sizeof *capacity);
+  for (int32_t i = 0; i < router->count; i++)
+    {
+      bt_endpoint_state_t *state = router->endpoints[i];
+      int32_t slots;
+      int32_t room;
+
+      if (strcmp (state->endpoint.app, app) == 0)
+        capacity->in_flight += state->own;
+      if (!is_usable (router, state, app, now_ms))
+        continue;
+      slots = bt_get_endpoint_slots (state, options);
+      room = slots + options->queue_depth - bt_get_endpoint_load (state);
+      capacity->endpoints++;
+      capacity->slots += slots;
+      capacity->own_slots += get_own_slots (router, state, slots);
+      capacity->room += room > 0 ? room : 0;
+      capacity->equal_part += (double)(slots + options->queue_depth) / router->entries;
+      service_ms += bt_get_endpoint_service_ms (state, options);
+    }
+  if (capacity->endpoints > 0)
+    capacity->service_ms = service_ms / capacity->endpoints;
+  else
+    capacity->service_ms = options->default_service_ms;
+}
