--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 
 # The generated code is committed, so that a build needs no generator.
 proto:
-	protoc-c --proto_path=source/wire --c_out=source/wire source/wire/bilberry.proto
+	protoc-c --proto_path=source/wire --c_out=source/wire/generated source/wire/bilberry.proto
 
 format:
 	./tools/format.sh -i
--- a/include/bilberrytray/base/clock.h
+++ b/include/bilberrytray/base/clock.h
@@ -44,4 +44,7 @@
 /** Monotonic microseconds, for measurements only. */
 int64_t bt_read_monotonic_us (void);
 
+/** Sleeps, for loops that look again at fixed times; no decision waits on it. */
+void bt_sleep_ms (int64_t wait_ms);
+
 #endif
--- a/include/bilberrytray/core/declarations.h
+++ b/include/bilberrytray/core/declarations.h
@@ -58,7 +58,7 @@
 } bt_app_t;
 
 /** One endpoint of an app. */
-typedef struct bt_endpoint
+typedef struct bt_declared_endpoint
 {
   char name[BT_NAME_BYTES];
   int32_t app;        /**< Index into the apps. */
@@ -166,8 +166,8 @@
 /** The index of an account by its name, or -1. */
 int32_t bt_find_account (const bt_declarations_t *declarations, const char *name);
 
-/** The index of the account that a bearer token belongs to, or -1. Every hash is compared, so that the
- * time taken tells nothing. */
+/** The index of the account that a bearer token belongs to, or -1. Every hash is compared, so that
+ * the time taken tells nothing. */
 int32_t bt_find_token (const bt_declarations_t *declarations, const char *token);
 
 /** The index of an endpoint, or -1. */
--- a/include/bilberrytray/core/rule.h
+++ b/include/bilberrytray/core/rule.h
@@ -53,7 +53,8 @@
 const char *bt_name_rule_part (bt_rule_part_t part);
 
 /** Prints why each rule up to the deciding one did not match, and what the deciding one does. */
-void bt_explain_rules (const bt_declarations_t *declarations, const bt_request_facts_t *facts,
+void bt_explain_rules (const bt_declarations_t *declarations,
+                       const bt_request_facts_t *facts,
                        FILE *out);
 
 /** True when every request that @p later matches is matched by @p earlier too, so that @p later can
--- a/include/bilberrytray/page/page.h
+++ b/include/bilberrytray/page/page.h
@@ -14,12 +14,16 @@
 
 typedef struct bt_page bt_page_t;
 
-/** Answers a path of the program's own; NULL when there is no such path. The text is freed by free. */
+/** Answers a path of the program's own; NULL when there is no such path. The text is freed by free.
+ */
 typedef char *(*bt_page_route_t) (void *argument, const char *method, const char *path);
 
 /** Serves the page at "IP:PORT" on a thread of its own. @p route may be NULL. */
-bt_page_t *bt_new_page (bt_context_t *ctx, const char *address, bt_page_route_t route,
-                        void *argument, bt_error_t *error);
+bt_page_t *bt_new_page (bt_context_t *ctx,
+                        const char *address,
+                        bt_page_route_t route,
+                        void *argument,
+                        bt_error_t *error);
 
 /** The port it listens on. */
 int32_t bt_get_page_port (const bt_page_t *page);
--- a/source/agent/agent.c
+++ b/source/agent/agent.c
@@ -9,6 +9,7 @@
 #include "bilberrytray/base/counters.h"
 #include "bilberrytray/base/log.h"
 #include "bilberrytray/base/random.h"
+#include "bilberrytray/core/run_queue.h"
 #include "bilberrytray/page/page.h"
 #include "bilberrytray/wire/link.h"
 #include "upstream.h"
@@ -29,6 +30,8 @@
   bt_call_id_t id;
   uint64_t pieces;
   uint64_t total_bytes;
+  bt_upstream_run_t *waiting; /**< Until it has a slot. */
+  int64_t started_ms;         /**< 0 while it waits. */
   struct run *next;
 } run_t;
 
@@ -44,10 +47,11 @@
   bt_page_t *page;
   int32_t port;
 
-  pthread_mutex_t lock; /**< Guards what stands below. May be held while calling links or upstream. */
+  pthread_mutex_t
+      lock; /**< Guards what stands below. May be held while calling links or upstream. */
   bool leaving;
   run_t *runs;
-  int32_t run_count;
+  bt_run_queue_t *queue;
   uint64_t next_run;
   bt_upstream_load_t load;
 };
@@ -75,7 +79,7 @@
   while (*place != run)
     place = &(*place)->next;
   *place = run->next;
-  agent->run_count--;
+  bt_drop_upstream_run (agent->ctx, run->waiting);
   bt_drop_link (agent->ctx, run->link);
   bt_free (agent->ctx, run);
 }
@@ -85,6 +89,7 @@
 {
   Bilberry__Heartbeat heartbeat = BILBERRY__HEARTBEAT__INIT;
   Bilberry__Load load = BILBERRY__LOAD__INIT;
+  bt_load_t own;
   bt_frame_t frame = BILBERRY__FRAME__INIT;
 
   pthread_mutex_lock (&agent->lock);
@@ -92,9 +97,12 @@
   heartbeat.leaving = agent->leaving;
   heartbeat.endpoint = (char *)agent->settings.endpoint;
   heartbeat.app = (char *)agent->settings.app;
-  load.running = (uint32_t)agent->run_count;
-  load.capacity = (uint32_t)agent->settings.slots;
-  load.queue_limit = (uint32_t)agent->settings.queue;
+  bt_get_run_load (agent->queue, &own);
+  load.running = (uint32_t)own.running;
+  load.queued = (uint32_t)own.queued;
+  load.capacity = (uint32_t)own.slots;
+  load.queue_limit = (uint32_t)own.queue_limit;
+  load.service_ms = (uint32_t)own.service_ms;
   load.step_us = (uint32_t)agent->load.step_us;
   heartbeat.load = &load;
   pthread_mutex_unlock (&agent->lock);
@@ -104,7 +112,52 @@
 }
 
 static void
-start_run_locked (bt_agent_t *agent, bt_link_t *link, const Bilberry__Dispatch *dispatch)
+refuse_run_locked (bt_agent_t *agent, run_t *run, bt_reason_t reason, int64_t retry_after_ms)
+{
+  bt_count_refusal (agent->ctx, reason);
+  bt_send_refused (agent->ctx, run->link, run->id, reason, bt_get_reason_outcome (reason),
+                   retry_after_ms);
+  remove_run (agent, run);
+}
+
+static void
+start_run_locked (bt_agent_t *agent, run_t *run)
+{
+  run->started_ms = bt_now_ms (agent->ctx);
+  if (bt_start_upstream_run (agent->ctx, agent->upstream, run->waiting))
+    {
+      run->waiting = NULL;
+      return;
+    }
+  bt_end_run (agent->queue, 0);
+  refuse_run_locked (agent, run, BT_REASON_ENDPOINT_FULL, 0);
+}
+
+static void
+apply_run_decision_locked (bt_agent_t *agent, run_t *run, const bt_run_decision_t *decision)
+{
+  if (decision->action == BT_RUN_START)
+    start_run_locked (agent, run);
+  else if (decision->action == BT_RUN_REFUSED)
+    refuse_run_locked (agent, run, decision->reason, decision->retry_after_ms);
+}
+
+static void
+start_waiting_locked (bt_agent_t *agent)
+{
+  bt_run_decision_t decision;
+
+  while (bt_next_run (agent->queue, bt_now_ms (agent->ctx), &decision))
+    {
+      run_t *run = find_run (agent, decision.id);
+
+      if (run != NULL)
+        apply_run_decision_locked (agent, run, &decision);
+    }
+}
+
+static run_t *
+add_run_locked (bt_agent_t *agent, bt_link_t *link, const Bilberry__Dispatch *dispatch)
 {
   bt_header_t headers[MAX_HEADERS];
   char run_id[RUN_ID_BYTES];
@@ -117,7 +170,6 @@
   run->id.attempt = dispatch->attempt;
   run->next = agent->runs;
   agent->runs = run;
-  agent->run_count++;
   snprintf (run_id, sizeof run_id, "%016llx-%llu", (unsigned long long)agent->incarnation,
             (unsigned long long)run->number);
   for (size_t i = 0; i < dispatch->n_headers && i < MAX_HEADERS; i++)
@@ -134,41 +186,55 @@
   request.body = dispatch->body.data;
   request.body_bytes = dispatch->body.len;
   request.priority = dispatch->priority;
-  bt_send_accepted (agent->ctx, link, run->id, false);
-  bt_start_upstream (agent->ctx, agent->upstream, &request);
+  run->waiting = bt_new_upstream_run (agent->ctx, agent->upstream, &request);
+  return run;
 }
 
 static void
 take_dispatch (bt_agent_t *agent, bt_link_t *link, const Bilberry__Dispatch *dispatch)
 {
-  bt_call_id_t id = { dispatch->call, dispatch->attempt };
-  bt_reason_t reason = BT_REASON_NONE;
+  bt_run_request_t request = { 0 };
+  bt_run_decision_t decision = { 0 };
+  run_t *run;
 
   pthread_mutex_lock (&agent->lock);
+  run = add_run_locked (agent, link, dispatch);
   if (strcmp (dispatch->target_instance, agent->settings.instance) != 0
       || dispatch->target_incarnation != agent->incarnation)
-    reason = BT_REASON_WRONG_INSTANCE;
-  else if (agent->leaving)
-    reason = BT_REASON_ENDPOINT_LEAVING;
-  else if (agent->run_count >= agent->settings.slots + agent->settings.queue)
-    reason = BT_REASON_ENDPOINT_FULL;
-  if (reason == BT_REASON_NONE)
-    start_run_locked (agent, link, dispatch);
+    refuse_run_locked (agent, run, BT_REASON_WRONG_INSTANCE, 0);
   else
     {
-      bt_count_refusal (agent->ctx, reason);
-      bt_send_refused (agent->ctx, link, id, reason, BT_OUTCOME_NOT_RUN, 0);
+      request.id = run->number;
+      request.account = dispatch->account;
+      request.priority = dispatch->priority;
+      request.deadline_left_ms = dispatch->deadline_left_ms;
+      bt_send_accepted (agent->ctx, link, run->id, false);
+      bt_offer_run (agent->ctx, agent->queue, &request, bt_now_ms (agent->ctx), &decision);
+      apply_run_decision_locked (agent, run, &decision);
+      start_waiting_locked (agent);
     }
   pthread_mutex_unlock (&agent->lock);
 }
 
+static void
+cancel_run_locked (bt_agent_t *agent, run_t *run)
+{
+  if (bt_cancel_run (agent->queue, run->number))
+    remove_run (agent, run);
+  else
+    bt_cancel_upstream (agent->ctx, agent->upstream, run->number);
+}
+
 static void
 take_cancel (bt_agent_t *agent, bt_link_t *link, const Bilberry__Cancel *cancel)
 {
   pthread_mutex_lock (&agent->lock);
   for (run_t *run = agent->runs; run != NULL; run = run->next)
     if (run->link == link && run->id.call == cancel->call && run->id.attempt == cancel->attempt)
-      bt_cancel_upstream (agent->ctx, agent->upstream, run->number);
+      {
+        cancel_run_locked (agent, run);
+        break;
+      }
   pthread_mutex_unlock (&agent->lock);
 }
 
@@ -201,14 +267,21 @@
 static void
 on_link_beat (bt_link_handler_t *handler, bt_link_t *link)
 {
-  send_heartbeat ((bt_agent_t *)handler, link);
+  bt_agent_t *agent = (bt_agent_t *)handler;
+
+  pthread_mutex_lock (&agent->lock);
+  start_waiting_locked (agent);
+  pthread_mutex_unlock (&agent->lock);
+  send_heartbeat (agent, link);
 }
 
-static const bt_link_handler_vtable_t link_vtable
-    = { on_link_up, on_link_frame, on_link_down, on_link_beat };
+static const bt_link_handler_vtable_t link_vtable = { on_link_up, on_link_frame, on_link_down,
+                                                      on_link_beat };
 
 static void
-on_run_head (bt_upstream_handler_t *handler, uint64_t number, int32_t status,
+on_run_head (bt_upstream_handler_t *handler,
+             uint64_t number,
+             int32_t status,
              const char *content_type)
 {
   bt_agent_t *agent = agent_of_upstream (handler);
@@ -268,8 +341,11 @@
   run = find_run (agent, number);
   if (run != NULL)
     {
+      bt_end_run (agent->queue,
+                  result == BT_UPSTREAM_CANCELLED ? 0 : bt_now_ms (agent->ctx) - run->started_ms);
       end_run_locked (agent, run, result);
       remove_run (agent, run);
+      start_waiting_locked (agent);
     }
   pthread_mutex_unlock (&agent->lock);
 }
@@ -284,8 +360,8 @@
   pthread_mutex_unlock (&agent->lock);
 }
 
-static const bt_upstream_handler_vtable_t upstream_vtable
-    = { on_run_head, on_run_piece, on_run_end, on_load };
+static const bt_upstream_handler_vtable_t upstream_vtable = { on_run_head, on_run_piece, on_run_end,
+                                                              on_load };
 
 static void
 fill_upstream_options (bt_agent_t *agent, bt_upstream_options_t *options)
@@ -356,6 +432,7 @@
 bt_new_agent (bt_context_t *ctx, const bt_agent_settings_t *settings, bt_error_t *error)
 {
   bt_agent_t *agent = bt_calloc (ctx, 1, sizeof *agent);
+  bt_run_queue_options_t options;
 
   agent->links_base.vtable = &link_vtable;
   agent->upstream_base.vtable = &upstream_vtable;
@@ -364,6 +441,10 @@
   bt_fill_secure_random (&agent->incarnation, sizeof agent->incarnation);
   pthread_mutex_init (&agent->lock, NULL);
   bt_prepare_outcome_counters (ctx);
+  bt_default_run_queue_options (&options);
+  options.slots = (int32_t)settings->slots;
+  options.queue_limit = (int32_t)settings->queue;
+  agent->queue = bt_new_run_queue (ctx, &options);
   if (start_agent (agent, error))
     return agent;
   bt_drop_agent (ctx, agent);
@@ -381,6 +462,7 @@
 {
   pthread_mutex_lock (&agent->lock);
   agent->leaving = true;
+  bt_set_run_queue_leaving (agent->queue, true);
   pthread_mutex_unlock (&agent->lock);
   bt_log (ctx, BT_LOG_INFO, BT_PART_MAIN, "Leaving: no new work is taken.");
 }
@@ -406,6 +488,7 @@
   while (agent->runs != NULL)
     remove_run (agent, agent->runs);
   bt_drop_link_loop (ctx, agent->loop);
+  bt_drop_run_queue (ctx, agent->queue);
   pthread_mutex_destroy (&agent->lock);
   bt_free (ctx, agent);
 }
--- a/source/agent/agent.h
+++ b/source/agent/agent.h
@@ -40,8 +40,8 @@
 } bt_agent_settings_t;
 
 /** Starts links, upstream and page. NULL with @p error when one can't start. */
-bt_agent_t *bt_new_agent (bt_context_t *ctx, const bt_agent_settings_t *settings,
-                          bt_error_t *error);
+bt_agent_t *
+bt_new_agent (bt_context_t *ctx, const bt_agent_settings_t *settings, bt_error_t *error);
 
 /** The port on which links are accepted. */
 int32_t bt_get_agent_port (const bt_agent_t *agent);
--- a/source/agent/answers.c
+++ b/source/agent/answers.c
@@ -15,8 +15,12 @@
 }
 
 void
-bt_send_refused (bt_context_t *ctx, bt_link_t *link, bt_call_id_t id, bt_reason_t reason,
-                 bt_outcome_t outcome, int64_t retry_after_ms)
+bt_send_refused (bt_context_t *ctx,
+                 bt_link_t *link,
+                 bt_call_id_t id,
+                 bt_reason_t reason,
+                 bt_outcome_t outcome,
+                 int64_t retry_after_ms)
 {
   Bilberry__Refused refused = BILBERRY__REFUSED__INIT;
   bt_frame_t frame = BILBERRY__FRAME__INIT;
@@ -32,8 +36,8 @@
 }
 
 void
-bt_send_head (bt_context_t *ctx, bt_link_t *link, bt_call_id_t id, int32_t status,
-              const char *content_type)
+bt_send_head (
+    bt_context_t *ctx, bt_link_t *link, bt_call_id_t id, int32_t status, const char *content_type)
 {
   Bilberry__AnswerHead head = BILBERRY__ANSWER_HEAD__INIT;
   Bilberry__Header type = BILBERRY__HEADER__INIT;
@@ -53,8 +57,12 @@
 }
 
 void
-bt_send_piece (bt_context_t *ctx, bt_link_t *link, bt_call_id_t id, uint64_t sequence,
-               const void *data, size_t bytes)
+bt_send_piece (bt_context_t *ctx,
+               bt_link_t *link,
+               bt_call_id_t id,
+               uint64_t sequence,
+               const void *data,
+               size_t bytes)
 {
   Bilberry__AnswerPiece piece = BILBERRY__ANSWER_PIECE__INIT;
   bt_frame_t frame = BILBERRY__FRAME__INIT;
@@ -70,8 +78,8 @@
 }
 
 void
-bt_send_end (bt_context_t *ctx, bt_link_t *link, bt_call_id_t id, uint64_t pieces,
-             uint64_t total_bytes)
+bt_send_end (
+    bt_context_t *ctx, bt_link_t *link, bt_call_id_t id, uint64_t pieces, uint64_t total_bytes)
 {
   Bilberry__AnswerEnd end = BILBERRY__ANSWER_END__INIT;
   bt_frame_t frame = BILBERRY__FRAME__INIT;
--- a/source/agent/main.c
+++ b/source/agent/main.c
@@ -2,7 +2,6 @@
 #include <stddef.h>
 #include <stdio.h>
 #include <stdlib.h>
-#include <time.h>
 
 #include <curl/curl.h>
 
@@ -13,7 +12,6 @@
 {
   EXIT_USAGE = 2,
   IDLE_CHECK_MS = 50,
-  NS_PER_MS = 1000000,
 };
 
 #define FIELD(name) offsetof (bt_agent_settings_t, name)
@@ -28,7 +26,8 @@
     "Secret that all processes of the deployment share; better set by its variable." },
   { "endpoint", BT_SETTING_TEXT, FIELD (endpoint), NULL, 0, 0, "Name of the endpoint." },
   { "app", BT_SETTING_TEXT, FIELD (app), NULL, 0, 0, "App that the endpoint serves." },
-  { "endpoint-url", BT_SETTING_URL, FIELD (endpoint_url), NULL, 0, 0, "Where the endpoint answers." },
+  { "endpoint-url", BT_SETTING_URL, FIELD (endpoint_url), NULL, 0, 0,
+    "Where the endpoint answers." },
   { "log-level", BT_SETTING_TEXT, FIELD (log_level), "info", 0, 0,
     "error, warning, info or debug." },
   { "plain", BT_SETTING_FLAG, FIELD (plain), "false", 0, 0,
@@ -71,10 +70,9 @@
 wait_idle (bt_context_t *ctx, bt_agent_t *agent, int64_t drain_ms)
 {
   int64_t limit_ms = bt_now_ms (ctx) + drain_ms;
-  struct timespec pause = { 0, IDLE_CHECK_MS * NS_PER_MS };
 
   while (!bt_is_agent_idle (ctx, agent) && bt_now_ms (ctx) < limit_ms)
-    nanosleep (&pause, NULL);
+    bt_sleep_ms (IDLE_CHECK_MS);
 }
 
 static int
@@ -116,8 +114,8 @@
   bt_findings_t *findings = bt_new_findings (ctx);
   bt_agent_settings_t settings = { 0 };
   bt_log_level_t level = BT_LOG_INFO;
-  bt_settings_result_t result
-      = bt_parse_settings (ctx, settings_table, SETTING_COUNT, argc, argv, &settings, NULL, findings);
+  bt_settings_result_t result =
+      bt_parse_settings (ctx, settings_table, SETTING_COUNT, argc, argv, &settings, NULL, findings);
   int status = EXIT_USAGE;
 
   if (result == BT_SETTINGS_OK && !bt_parse_log_level (settings.log_level, &level))
--- a/source/agent/upstream.c
+++ b/source/agent/upstream.c
@@ -30,7 +30,7 @@
 static const char *const done_event = "data: [DONE]";
 
 /** One run at the endpoint; of the upstream's thread alone once it is taken from the queue. */
-typedef struct transfer
+struct bt_upstream_run
 {
   bt_upstream_t *upstream;
   uint64_t run;
@@ -51,8 +51,10 @@
   int64_t events; /**< Whole events passed on. */
   int64_t heard_ms;
   int32_t resumes;
-  struct transfer *next;
-} transfer_t;
+  struct bt_upstream_run *next;
+};
+
+typedef struct bt_upstream_run transfer_t;
 
 /** What other threads ask of the upstream's thread. */
 typedef struct command
@@ -98,10 +100,9 @@
   curl_easy_getinfo (transfer->easy, CURLINFO_CONTENT_TYPE, &type);
   snprintf (transfer->content_type, sizeof transfer->content_type, "%s",
             type == NULL ? "application/octet-stream" : type);
-  transfer->streams = transfer->upstream->options.model && status == HTTP_OK
-                      && strncmp (transfer->content_type, "text/event-stream",
-                                  strlen ("text/event-stream"))
-                             == 0;
+  transfer->streams =
+      transfer->upstream->options.model && status == HTTP_OK
+      && strncmp (transfer->content_type, "text/event-stream", strlen ("text/event-stream")) == 0;
   transfer->head_given = true;
   handler->vtable->on_head (handler, transfer->run, (int32_t)status, transfer->content_type);
 }
@@ -114,8 +115,8 @@
   handler->vtable->on_piece (handler, transfer->run, data, bytes);
 }
 
-/* Passes on whole events only, so that a resumed stream joins on an event's edge and no half event is
- * ever followed by the start of another. */
+/* Passes on whole events only, so that a resumed stream joins on an event's edge and no half event
+ * is ever followed by the start of another. */
 static void
 give_events (transfer_t *transfer)
 {
@@ -234,8 +235,8 @@
   handler->vtable->on_end (handler, run, result);
 }
 
-/* Joins the run's stream again behind the last whole event. This asks for the rest of the same run; it
- * never starts one. */
+/* Joins the run's stream again behind the last whole event. This asks for the rest of the same run;
+ * it never starts one. */
 static bool
 resume_transfer (bt_upstream_t *upstream, transfer_t *transfer)
 {
@@ -485,9 +486,10 @@
   return true;
 }
 
-bool
-bt_start_upstream (bt_context_t *ctx, bt_upstream_t *upstream,
-                   const bt_upstream_request_t *request)
+bt_upstream_run_t *
+bt_new_upstream_run (bt_context_t *ctx,
+                     bt_upstream_t *upstream,
+                     const bt_upstream_request_t *request)
 {
   static const char *const priorities[] = { "low", "normal", "high" };
   transfer_t *transfer = bt_calloc (ctx, 1, sizeof *transfer);
@@ -505,10 +507,20 @@
   add_header (transfer, "Bilberry-Priority", priorities[request->priority]);
   /* Without this line libcurl would wait for "100 Continue" before each larger body. */
   add_header (transfer, "Expect", "");
-  if (push_command (ctx, upstream, transfer, request->run))
-    return true;
-  drop_transfer (ctx, transfer);
-  return false;
+  return transfer;
+}
+
+void
+bt_drop_upstream_run (bt_context_t *ctx, bt_upstream_run_t *run)
+{
+  if (run != NULL)
+    drop_transfer (ctx, run);
+}
+
+bool
+bt_start_upstream_run (bt_context_t *ctx, bt_upstream_t *upstream, bt_upstream_run_t *run)
+{
+  return push_command (ctx, upstream, run, run->run);
 }
 
 void
--- a/source/agent/upstream.h
+++ b/source/agent/upstream.h
@@ -4,9 +4,9 @@
 /** @file
  * Calls to the one endpoint beside the agent: a model engine or a plain service, over HTTP.
  *
- * A model engine's answer is passed on in whole server-sent events. When its stream goes silent or is
- * cut, the same run is resumed on a fresh connection behind the last whole event; the run itself is
- * never started again here.
+ * A model engine's answer is passed on in whole server-sent events. When its stream goes silent or
+ * is cut, the same run is resumed on a fresh connection behind the last whole event; the run itself
+ * is never started again here.
  */
 
 #include <stdbool.h>
@@ -18,6 +18,7 @@
 
 typedef struct bt_upstream bt_upstream_t;
 typedef struct bt_upstream_handler bt_upstream_handler_t;
+typedef struct bt_upstream_run bt_upstream_run_t;
 
 /** How a run ended at the endpoint. */
 typedef enum bt_upstream_result
@@ -42,7 +43,9 @@
 /** Called on the upstream's thread, without any lock of it held. */
 typedef struct bt_upstream_handler_vtable
 {
-  void (*on_head) (bt_upstream_handler_t *handler, uint64_t run, int32_t status,
+  void (*on_head) (bt_upstream_handler_t *handler,
+                   uint64_t run,
+                   int32_t status,
                    const char *content_type);
   void (*on_piece) (bt_upstream_handler_t *handler, uint64_t run, const void *data, size_t bytes);
   void (*on_end) (bt_upstream_handler_t *handler, uint64_t run, bt_upstream_result_t result);
@@ -69,8 +72,8 @@
 /** One run. Everything is copied. */
 typedef struct bt_upstream_request
 {
-  uint64_t run;        /**< Names the run in the calls above. */
-  const char *run_id;  /**< Names it to the endpoint, in the header Bilberry-Run. */
+  uint64_t run;       /**< Names the run in the calls above. */
+  const char *run_id; /**< Names it to the endpoint, in the header Bilberry-Run. */
   const char *method;
   const char *path;
   const bt_header_t *headers;
@@ -80,22 +83,32 @@
   int32_t priority;
 } bt_upstream_request_t;
 
-bt_upstream_t *bt_new_upstream (bt_context_t *ctx, const bt_upstream_options_t *options,
-                                bt_error_t *error);
+bt_upstream_t *
+bt_new_upstream (bt_context_t *ctx, const bt_upstream_options_t *options, bt_error_t *error);
 
 /** Ends the thread; runs under way end without a further call. NULL is accepted. */
 void bt_drop_upstream (bt_context_t *ctx, bt_upstream_t *upstream);
 
-/** Starts a run, from any thread. False when too many wait to be started. */
-bool bt_start_upstream (bt_context_t *ctx, bt_upstream_t *upstream,
-                        const bt_upstream_request_t *request);
+/** Copies a request, so that it may wait for a slot and be started later. */
+bt_upstream_run_t *bt_new_upstream_run (bt_context_t *ctx,
+                                        bt_upstream_t *upstream,
+                                        const bt_upstream_request_t *request);
+
+/** Frees a run that was not started. NULL is accepted. */
+void bt_drop_upstream_run (bt_context_t *ctx, bt_upstream_run_t *run);
+
+/** Starts a run and owns it from now on, from any thread. False, and the run is still the caller's,
+ * when too many wait to be started. */
+bool bt_start_upstream_run (bt_context_t *ctx, bt_upstream_t *upstream, bt_upstream_run_t *run);
 
 /** Cancels a run, from any thread; on_end follows unless it has ended already. */
 void bt_cancel_upstream (bt_context_t *ctx, bt_upstream_t *upstream, uint64_t run);
 
 /** Cancels what a model engine still runs from before this agent's start, and waits for the answer.
  * A plain service has nothing to list, so nothing is done for it. */
-bool bt_clear_upstream_runs (bt_context_t *ctx, const bt_upstream_options_t *options,
-                             int32_t *cancelled, bt_error_t *error);
+bool bt_clear_upstream_runs (bt_context_t *ctx,
+                             const bt_upstream_options_t *options,
+                             int32_t *cancelled,
+                             bt_error_t *error);
 
 #endif
--- a/source/agent/upstream_clear.c
+++ b/source/agent/upstream_clear.c
@@ -31,7 +31,10 @@
 }
 
 static json_t *
-call (bt_context_t *ctx, const bt_upstream_options_t *options, const char *url, bool post,
+call (bt_context_t *ctx,
+      const bt_upstream_options_t *options,
+      const char *url,
+      bool post,
       bt_error_t *error)
 {
   answer_t answer = { ctx, { 0 } };
@@ -63,7 +66,9 @@
 }
 
 static bool
-cancel_one (bt_context_t *ctx, const bt_upstream_options_t *options, const char *run,
+cancel_one (bt_context_t *ctx,
+            const bt_upstream_options_t *options,
+            const char *run,
             bt_error_t *error)
 {
   char url[URL_BYTES];
@@ -76,8 +81,10 @@
 }
 
 bool
-bt_clear_upstream_runs (bt_context_t *ctx, const bt_upstream_options_t *options,
-                        int32_t *cancelled, bt_error_t *error)
+bt_clear_upstream_runs (bt_context_t *ctx,
+                        const bt_upstream_options_t *options,
+                        int32_t *cancelled,
+                        bt_error_t *error)
 {
   char url[URL_BYTES];
   json_t *body;
@@ -93,14 +100,14 @@
   if (body == NULL)
     return false;
   json_array_foreach (json_object_get (body, "runs"), index, run)
-    {
-      const char *id = json_string_value (json_object_get (run, "run"));
+  {
+    const char *id = json_string_value (json_object_get (run, "run"));
 
-      if (id == NULL || id[0] == '\0' || json_is_true (json_object_get (run, "ended")))
-        continue;
-      cleared = cleared && cancel_one (ctx, options, id, error);
-      (*cancelled)++;
-    }
+    if (id == NULL || id[0] == '\0' || json_is_true (json_object_get (run, "ended")))
+      continue;
+    cleared = cleared && cancel_one (ctx, options, id, error);
+    (*cancelled)++;
+  }
   json_decref (body);
   return cleared;
 }
--- a/source/base/clock.c
+++ b/source/base/clock.c
@@ -66,3 +66,11 @@
   clock_gettime (CLOCK_MONOTONIC, &now);
   return (int64_t)now.tv_sec * US_PER_S + now.tv_nsec / NS_PER_US;
 }
+
+void
+bt_sleep_ms (int64_t wait_ms)
+{
+  struct timespec pause = { wait_ms / MS_PER_S, wait_ms % MS_PER_S * NS_PER_MS };
+
+  nanosleep (&pause, NULL);
+}
--- a/source/core/declarations.c
+++ b/source/core/declarations.c
@@ -52,7 +52,9 @@
 }
 
 static void
-read_token_hashes (bt_json_reader_t *reader, const json_t *object, const char *path,
+read_token_hashes (bt_json_reader_t *reader,
+                   const json_t *object,
+                   const char *path,
                    bt_account_t *account)
 {
   int32_t count;
@@ -62,7 +64,10 @@
   bt_join_json_path (joined, path, "token_sha256");
   account->token_hashes = bt_calloc (reader->ctx, (size_t)count, BT_TOKEN_HASH_BYTES);
   if (texts == NULL)
-    bt_report_json (reader, joined, "This field is required.");
+    {
+      bt_report_json (reader, joined, "This field is required.");
+      return;
+    }
   for (int32_t i = 0; i < count; i++)
     {
       size_t bytes = 0;
@@ -86,8 +91,8 @@
   const json_t *list = bt_get_json_array (reader, "accounts");
   char path[BT_JSON_PATH_BYTES];
 
-  declarations->accounts
-      = bt_calloc (reader->ctx, json_array_size (list), sizeof *declarations->accounts);
+  declarations->accounts =
+      bt_calloc (reader->ctx, json_array_size (list), sizeof *declarations->accounts);
   for (size_t i = 0; i < json_array_size (list); i++)
     {
       const json_t *object = json_array_get (list, i);
@@ -104,8 +109,8 @@
           && bt_find_account (declarations, account->name) >= 0)
         bt_report_json (reader, path, "The account \"%s\" stands twice.", account->name);
       read_token_hashes (reader, object, path, account);
-      account->share
-          = (int32_t)bt_read_json_integer (reader, object, path, "share", 1, MAX_SHARE, 1);
+      account->share =
+          (int32_t)bt_read_json_integer (reader, object, path, "share", 1, MAX_SHARE, 1);
       declarations->account_count++;
     }
 }
@@ -118,8 +123,7 @@
   const json_t *list = bt_get_json_array (reader, "apps");
   char path[BT_JSON_PATH_BYTES];
 
-  declarations->apps
-      = bt_calloc (reader->ctx, json_array_size (list), sizeof *declarations->apps);
+  declarations->apps = bt_calloc (reader->ctx, json_array_size (list), sizeof *declarations->apps);
   for (size_t i = 0; i < json_array_size (list); i++)
     {
       const json_t *object = json_array_get (list, i);
@@ -135,8 +139,8 @@
       if (bt_read_json_name (reader, object, path, "name", app->name)
           && bt_find_app (declarations, app->name) >= 0)
         bt_report_json (reader, path, "The app \"%s\" stands twice.", app->name);
-      app->kind = (bt_app_kind_t)bt_read_json_word (reader, object, path, "kind", kinds, 2,
-                                                    BT_APP_MODEL);
+      app->kind =
+          (bt_app_kind_t)bt_read_json_word (reader, object, path, "kind", kinds, 2, BT_APP_MODEL);
       app->deadline_ms = bt_read_json_integer (reader, object, path, "deadline_ms", 1,
                                                MAX_DEADLINE_MS, DEFAULT_DEADLINE_MS);
       declarations->app_count++;
@@ -144,7 +148,9 @@
 }
 
 static int32_t
-read_app (bt_json_reader_t *reader, const json_t *object, const char *path,
+read_app (bt_json_reader_t *reader,
+          const json_t *object,
+          const char *path,
           const bt_declarations_t *declarations)
 {
   char name[BT_NAME_BYTES];
@@ -165,13 +171,12 @@
 void
 bt_read_endpoints (bt_json_reader_t *reader, bt_declarations_t *declarations)
 {
-  static const char *const fields[]
-      = { "name", "app", "slots", "queue", "checks_orders", NULL };
+  static const char *const fields[] = { "name", "app", "slots", "queue", "checks_orders", NULL };
   const json_t *list = bt_get_json_array (reader, "endpoints");
   char path[BT_JSON_PATH_BYTES];
 
-  declarations->endpoints
-      = bt_calloc (reader->ctx, json_array_size (list), sizeof *declarations->endpoints);
+  declarations->endpoints =
+      bt_calloc (reader->ctx, json_array_size (list), sizeof *declarations->endpoints);
   for (size_t i = 0; i < json_array_size (list); i++)
     {
       const json_t *object = json_array_get (list, i);
@@ -188,22 +193,23 @@
           && bt_find_endpoint (declarations, endpoint->name) >= 0)
         bt_report_json (reader, path, "The endpoint \"%s\" stands twice.", endpoint->name);
       endpoint->app = read_app (reader, object, path, declarations);
-      endpoint->slots = (int32_t)bt_read_json_integer (reader, object, path, "slots", 1,
-                                                       MAX_SLOTS, DEFAULT_SLOTS);
-      endpoint->queue = (int32_t)bt_read_json_integer (reader, object, path, "queue", 0,
-                                                       MAX_SLOTS, DEFAULT_QUEUE);
+      endpoint->slots = (int32_t)bt_read_json_integer (reader, object, path, "slots", 1, MAX_SLOTS,
+                                                       DEFAULT_SLOTS);
+      endpoint->queue = (int32_t)bt_read_json_integer (reader, object, path, "queue", 0, MAX_SLOTS,
+                                                       DEFAULT_QUEUE);
       endpoint->checks_orders = bt_read_json_bool (reader, object, path, "checks_orders") == 1;
       declarations->endpoint_count++;
     }
 }
 
 bt_declarations_t *
-bt_new_declarations (bt_context_t *ctx, const bt_document_text_t texts[BT_DOCUMENT_COUNT],
+bt_new_declarations (bt_context_t *ctx,
+                     const bt_document_text_t texts[BT_DOCUMENT_COUNT],
                      bt_findings_t *findings)
 {
   typedef void (*document_reader_t) (bt_json_reader_t *, bt_declarations_t *);
-  static const document_reader_t readers[]
-      = { bt_read_accounts, bt_read_apps, bt_read_endpoints, bt_read_rules };
+  static const document_reader_t readers[] = { bt_read_accounts, bt_read_apps, bt_read_endpoints,
+                                               bt_read_rules };
   counted_declarations_t *counted = bt_calloc (ctx, 1, sizeof *counted);
   int32_t before = bt_count_findings (findings);
 
--- a/source/core/declarations_rules.c
+++ b/source/core/declarations_rules.c
@@ -15,7 +15,9 @@
 };
 
 static void
-check_accounts (bt_json_reader_t *reader, const char *path, const bt_rule_when_t *when,
+check_accounts (bt_json_reader_t *reader,
+                const char *path,
+                const bt_rule_when_t *when,
                 const bt_declarations_t *declarations)
 {
   char joined[BT_JSON_PATH_BYTES];
@@ -27,7 +29,9 @@
 }
 
 static void
-check_apps (bt_json_reader_t *reader, const char *path, const bt_rule_when_t *when,
+check_apps (bt_json_reader_t *reader,
+            const char *path,
+            const bt_rule_when_t *when,
             const bt_declarations_t *declarations)
 {
   char joined[BT_JSON_PATH_BYTES];
@@ -56,7 +60,9 @@
 }
 
 static void
-read_headers (bt_json_reader_t *reader, const json_t *object, const char *path,
+read_headers (bt_json_reader_t *reader,
+              const json_t *object,
+              const char *path,
               bt_rule_when_t *when)
 {
   const json_t *headers = bt_get_json_object (reader, object, path, "headers");
@@ -69,18 +75,20 @@
   bt_join_json_path (joined, path, "headers");
   when->headers = bt_calloc (reader->ctx, json_object_size (headers), sizeof *when->headers);
   json_object_foreach ((json_t *)headers, name, value)
-    {
-      bt_header_condition_t *condition = &when->headers[when->header_count++];
-
-      condition->name = bt_strdup (reader->ctx, name);
-      if (!json_is_true (value))
-        condition->values
-            = bt_read_json_texts (reader, headers, joined, name, &condition->value_count);
-    }
+  {
+    bt_header_condition_t *condition = &when->headers[when->header_count++];
+
+    condition->name = bt_strdup (reader->ctx, name);
+    if (!json_is_true (value))
+      condition->values =
+          bt_read_json_texts (reader, headers, joined, name, &condition->value_count);
+  }
 }
 
 static void
-read_body_bytes (bt_json_reader_t *reader, const json_t *object, const char *path,
+read_body_bytes (bt_json_reader_t *reader,
+                 const json_t *object,
+                 const char *path,
                  bt_rule_when_t *when)
 {
   static const char *const fields[] = { "min", "max", NULL };
@@ -93,14 +101,16 @@
   bt_join_json_path (joined, path, "body_bytes");
   bt_check_json_fields (reader, range, joined, fields);
   when->min_body_bytes = bt_read_json_integer (reader, range, joined, "min", 0, MAX_BODY_BYTES, 0);
-  when->max_body_bytes
-      = bt_read_json_integer (reader, range, joined, "max", 0, MAX_BODY_BYTES, MAX_BODY_BYTES);
+  when->max_body_bytes =
+      bt_read_json_integer (reader, range, joined, "max", 0, MAX_BODY_BYTES, MAX_BODY_BYTES);
   if (when->min_body_bytes > when->max_body_bytes)
     bt_report_json (reader, joined, "The rule can never match: min is above max.");
 }
 
 static void
-read_priorities (bt_json_reader_t *reader, const json_t *object, const char *path,
+read_priorities (bt_json_reader_t *reader,
+                 const json_t *object,
+                 const char *path,
                  bt_rule_when_t *when)
 {
   int32_t count;
@@ -121,12 +131,14 @@
 }
 
 static void
-read_when (bt_json_reader_t *reader, const json_t *object, const char *path, bt_rule_when_t *when,
+read_when (bt_json_reader_t *reader,
+           const json_t *object,
+           const char *path,
+           bt_rule_when_t *when,
            const bt_declarations_t *declarations)
 {
-  static const char *const fields[]
-      = { "account",    "app",        "method",   "path", "headers",
-          "idempotent", "body_bytes", "priority", NULL };
+  static const char *const fields[] = { "account",    "app",        "method",   "path", "headers",
+                                        "idempotent", "body_bytes", "priority", NULL };
 
   when->idempotent = -1;
   when->max_body_bytes = MAX_BODY_BYTES;
@@ -157,14 +169,16 @@
   bt_join_json_path (joined, path, "limit");
   bt_check_json_fields (reader, limit, joined, fields);
   then->limit_per_s = bt_read_json_integer (reader, limit, joined, "per_s", 1, MAX_PER_S, 0);
-  then->limit_burst
-      = bt_read_json_integer (reader, limit, joined, "burst", 1, MAX_PER_S, then->limit_per_s);
+  then->limit_burst =
+      bt_read_json_integer (reader, limit, joined, "burst", 1, MAX_PER_S, then->limit_per_s);
   if (then->limit_per_s == 0)
     bt_report_json (reader, joined, "A limit needs per_s.");
 }
 
 static void
-read_affinity (bt_json_reader_t *reader, const json_t *object, const char *path,
+read_affinity (bt_json_reader_t *reader,
+               const json_t *object,
+               const char *path,
                bt_rule_then_t *then)
 {
   static const char *const fields[] = { "header", "prefix_bytes", NULL };
@@ -176,12 +190,15 @@
   bt_join_json_path (joined, path, "affinity");
   bt_check_json_fields (reader, affinity, joined, fields);
   then->affinity_header = bt_read_json_text (reader, affinity, joined, "header");
-  then->affinity_prefix_bytes
-      = bt_read_json_integer (reader, affinity, joined, "prefix_bytes", 1, MAX_PREFIX_BYTES, 0);
+  then->affinity_prefix_bytes =
+      bt_read_json_integer (reader, affinity, joined, "prefix_bytes", 1, MAX_PREFIX_BYTES, 0);
 }
 
 static void
-read_route (bt_json_reader_t *reader, const json_t *object, const char *path, bt_rule_then_t *then,
+read_route (bt_json_reader_t *reader,
+            const json_t *object,
+            const char *path,
+            bt_rule_then_t *then,
             const bt_declarations_t *declarations)
 {
   static const char *const priorities[] = { "low", "normal", "high" };
@@ -194,10 +211,10 @@
   if (app != NULL && then->app < 0)
     bt_report_json (reader, joined, "There is no app \"%s\".", app);
   bt_free (reader->ctx, app);
-  then->priority = bt_read_json_word (reader, object, path, "priority", priorities,
-                                      BT_PRIORITY_COUNT, -1);
-  then->deadline_ms
-      = bt_read_json_integer (reader, object, path, "deadline_ms", 1, MAX_DEADLINE_MS, 0);
+  then->priority =
+      bt_read_json_word (reader, object, path, "priority", priorities, BT_PRIORITY_COUNT, -1);
+  then->deadline_ms =
+      bt_read_json_integer (reader, object, path, "deadline_ms", 1, MAX_DEADLINE_MS, 0);
   then->idempotent = bt_read_json_bool (reader, object, path, "idempotent");
   then->key_required = bt_read_json_word (reader, object, path, "key", keys, 2, 0) == 1;
   then->retries = (int32_t)bt_read_json_integer (reader, object, path, "retries", 0, MAX_RETRIES,
@@ -207,12 +224,15 @@
 }
 
 static void
-read_then (bt_json_reader_t *reader, const json_t *object, const char *path, bt_rule_then_t *then,
+read_then (bt_json_reader_t *reader,
+           const json_t *object,
+           const char *path,
+           bt_rule_then_t *then,
            const bt_declarations_t *declarations)
 {
-  static const char *const route_fields[]
-      = { "action", "app",     "priority", "deadline_ms", "idempotent",
-          "key",    "retries", "limit",    "affinity",    NULL };
+  static const char *const route_fields[] = { "action",     "app", "priority", "deadline_ms",
+                                              "idempotent", "key", "retries",  "limit",
+                                              "affinity",   NULL };
   static const char *const refuse_fields[] = { "action", "message", "retry_after_ms", NULL };
   static const char *const actions[] = { "route", "refuse" };
 
@@ -229,12 +249,14 @@
       return;
     }
   then->message = bt_read_json_text (reader, object, path, "message");
-  then->retry_after_ms
-      = bt_read_json_integer (reader, object, path, "retry_after_ms", 0, MAX_DEADLINE_MS, 0);
+  then->retry_after_ms =
+      bt_read_json_integer (reader, object, path, "retry_after_ms", 0, MAX_DEADLINE_MS, 0);
 }
 
 static void
-check_reachable (bt_json_reader_t *reader, const char *path, const bt_declarations_t *declarations,
+check_reachable (bt_json_reader_t *reader,
+                 const char *path,
+                 const bt_declarations_t *declarations,
                  const bt_rule_t *rule)
 {
   for (int32_t i = 0; i < declarations->rule_count; i++)
@@ -254,7 +276,9 @@
 }
 
 static void
-read_rule (bt_json_reader_t *reader, const json_t *object, const char *path,
+read_rule (bt_json_reader_t *reader,
+           const json_t *object,
+           const char *path,
            bt_declarations_t *declarations)
 {
   static const char *const fields[] = { "name", "when", "then", NULL };
@@ -286,8 +310,8 @@
   const json_t *list = bt_get_json_array (reader, "rules");
   char path[BT_JSON_PATH_BYTES];
 
-  declarations->rules
-      = bt_calloc (reader->ctx, json_array_size (list), sizeof *declarations->rules);
+  declarations->rules =
+      bt_calloc (reader->ctx, json_array_size (list), sizeof *declarations->rules);
   for (size_t i = 0; i < json_array_size (list); i++)
     {
       const json_t *object = json_array_get (list, i);
--- a/source/core/json_lines.c
+++ b/source/core/json_lines.c
@@ -45,8 +45,8 @@
   if (lines->count == lines->capacity)
     {
       lines->capacity = lines->capacity * 2 + 32;
-      lines->places = bt_realloc (scanner->ctx, lines->places, (size_t)lines->capacity,
-                                  sizeof *lines->places);
+      lines->places =
+          bt_realloc (scanner->ctx, lines->places, (size_t)lines->capacity, sizeof *lines->places);
     }
   lines->places[lines->count].path = bt_strdup (scanner->ctx, scanner->path);
   lines->places[lines->count].line = scanner->line;
--- a/source/core/json_lines.h
+++ b/source/core/json_lines.h
@@ -16,7 +16,8 @@
 
 void bt_drop_json_lines (bt_context_t *ctx, bt_json_lines_t *lines);
 
-/** The line, from 1, of the value at a path such as "rules[2].when.path"; 1 when it is not there. */
+/** The line, from 1, of the value at a path such as "rules[2].when.path"; 1 when it is not there.
+ */
 int32_t bt_find_json_line (const bt_json_lines_t *lines, const char *path);
 
 #endif
--- a/source/core/json_reader.c
+++ b/source/core/json_reader.c
@@ -11,7 +11,9 @@
 };
 
 void
-bt_open_json_reader (bt_context_t *ctx, bt_json_reader_t *reader, const bt_document_text_t *text,
+bt_open_json_reader (bt_context_t *ctx,
+                     bt_json_reader_t *reader,
+                     const bt_document_text_t *text,
                      bt_findings_t *findings)
 {
   json_error_t error;
@@ -75,21 +77,23 @@
 }
 
 void
-bt_check_json_fields (bt_json_reader_t *reader, const json_t *object, const char *path,
+bt_check_json_fields (bt_json_reader_t *reader,
+                      const json_t *object,
+                      const char *path,
                       const char *const *names)
 {
   const char *field;
   json_t *value;
 
   json_object_foreach ((json_t *)object, field, value)
-    {
-      int32_t i = 0;
-
-      while (names[i] != NULL && strcmp (names[i], field) != 0)
-        i++;
-      if (names[i] == NULL)
-        report_field (reader, path, field, "There is no such field.");
-    }
+  {
+    int32_t i = 0;
+
+    while (names[i] != NULL && strcmp (names[i], field) != 0)
+      i++;
+    if (names[i] == NULL)
+      report_field (reader, path, field, "There is no such field.");
+  }
 }
 
 static bool
@@ -106,8 +110,8 @@
 }
 
 bool
-bt_read_json_name (bt_json_reader_t *reader, const json_t *object, const char *path,
-                   const char *field, char *name)
+bt_read_json_name (
+    bt_json_reader_t *reader, const json_t *object, const char *path, const char *field, char *name)
 {
   const json_t *value = json_object_get (object, field);
 
@@ -126,7 +130,9 @@
 }
 
 char *
-bt_read_json_text (bt_json_reader_t *reader, const json_t *object, const char *path,
+bt_read_json_text (bt_json_reader_t *reader,
+                   const json_t *object,
+                   const char *path,
                    const char *field)
 {
   const json_t *value = json_object_get (object, field);
@@ -142,8 +148,13 @@
 }
 
 int64_t
-bt_read_json_integer (bt_json_reader_t *reader, const json_t *object, const char *path,
-                      const char *field, int64_t min, int64_t max, int64_t otherwise)
+bt_read_json_integer (bt_json_reader_t *reader,
+                      const json_t *object,
+                      const char *path,
+                      const char *field,
+                      int64_t min,
+                      int64_t max,
+                      int64_t otherwise)
 {
   const json_t *value = json_object_get (object, field);
   char joined[BT_JSON_PATH_BYTES];
@@ -160,7 +171,9 @@
 }
 
 int32_t
-bt_read_json_bool (bt_json_reader_t *reader, const json_t *object, const char *path,
+bt_read_json_bool (bt_json_reader_t *reader,
+                   const json_t *object,
+                   const char *path,
                    const char *field)
 {
   const json_t *value = json_object_get (object, field);
@@ -174,8 +187,13 @@
 }
 
 int32_t
-bt_read_json_word (bt_json_reader_t *reader, const json_t *object, const char *path,
-                   const char *field, const char *const *words, int32_t count, int32_t otherwise)
+bt_read_json_word (bt_json_reader_t *reader,
+                   const json_t *object,
+                   const char *path,
+                   const char *field,
+                   const char *const *words,
+                   int32_t count,
+                   int32_t otherwise)
 {
   const json_t *value = json_object_get (object, field);
   char message[MESSAGE_BYTES] = "Expected one of";
@@ -198,8 +216,11 @@
 }
 
 char **
-bt_read_json_texts (bt_json_reader_t *reader, const json_t *object, const char *path,
-                    const char *field, int32_t *count)
+bt_read_json_texts (bt_json_reader_t *reader,
+                    const json_t *object,
+                    const char *path,
+                    const char *field,
+                    int32_t *count)
 {
   const json_t *value = json_object_get (object, field);
   char **texts;
@@ -232,13 +253,14 @@
   value = json_object_get (reader->root, field);
   if (json_is_array (value))
     return value;
-  report_field (reader, "", field,
-                value == NULL ? "This field is required." : "Expected a list.");
+  report_field (reader, "", field, value == NULL ? "This field is required." : "Expected a list.");
   return NULL;
 }
 
 const json_t *
-bt_get_json_object (bt_json_reader_t *reader, const json_t *object, const char *path,
+bt_get_json_object (bt_json_reader_t *reader,
+                    const json_t *object,
+                    const char *path,
                     const char *field)
 {
   const json_t *value = json_object_get (object, field);
--- a/source/core/json_reader.h
+++ b/source/core/json_reader.h
@@ -28,8 +28,10 @@
 };
 
 /** Opens a document; adds a finding when it is no JSON object. */
-void bt_open_json_reader (bt_context_t *ctx, bt_json_reader_t *reader,
-                          const bt_document_text_t *text, bt_findings_t *findings);
+void bt_open_json_reader (bt_context_t *ctx,
+                          bt_json_reader_t *reader,
+                          const bt_document_text_t *text,
+                          bt_findings_t *findings);
 
 void bt_close_json_reader (bt_json_reader_t *reader);
 
@@ -41,39 +43,62 @@
 void bt_join_json_path (char *joined, const char *path, const char *name);
 
 /** Adds a finding for each field of @p object that is not in the list, which NULL ends. */
-void bt_check_json_fields (bt_json_reader_t *reader, const json_t *object, const char *path,
+void bt_check_json_fields (bt_json_reader_t *reader,
+                           const json_t *object,
+                           const char *path,
                            const char *const *names);
 
 /** Reads a name of 1 to BT_NAME_BYTES - 1 letters, digits, '.', '_' and '-' into @p name. */
-bool bt_read_json_name (bt_json_reader_t *reader, const json_t *object, const char *path,
-                        const char *field, char *name);
+bool bt_read_json_name (bt_json_reader_t *reader,
+                        const json_t *object,
+                        const char *path,
+                        const char *field,
+                        char *name);
 
 /** Reads text; NULL when the field is absent or wrong. The caller frees it. */
-char *bt_read_json_text (bt_json_reader_t *reader, const json_t *object, const char *path,
+char *bt_read_json_text (bt_json_reader_t *reader,
+                         const json_t *object,
+                         const char *path,
                          const char *field);
 
 /** Reads a whole number, @p otherwise when the field is absent or wrong. */
-int64_t bt_read_json_integer (bt_json_reader_t *reader, const json_t *object, const char *path,
-                              const char *field, int64_t min, int64_t max, int64_t otherwise);
+int64_t bt_read_json_integer (bt_json_reader_t *reader,
+                              const json_t *object,
+                              const char *path,
+                              const char *field,
+                              int64_t min,
+                              int64_t max,
+                              int64_t otherwise);
 
 /** Reads true or false as 1 or 0; -1 when the field is absent or wrong. */
-int32_t bt_read_json_bool (bt_json_reader_t *reader, const json_t *object, const char *path,
+int32_t bt_read_json_bool (bt_json_reader_t *reader,
+                           const json_t *object,
+                           const char *path,
                            const char *field);
 
 /** Reads one word of a list; its index, or @p otherwise when the field is absent or wrong. */
-int32_t bt_read_json_word (bt_json_reader_t *reader, const json_t *object, const char *path,
-                           const char *field, const char *const *words, int32_t count,
+int32_t bt_read_json_word (bt_json_reader_t *reader,
+                           const json_t *object,
+                           const char *path,
+                           const char *field,
+                           const char *const *words,
+                           int32_t count,
                            int32_t otherwise);
 
 /** Reads a text or a list of texts; the caller frees each and the list. */
-char **bt_read_json_texts (bt_json_reader_t *reader, const json_t *object, const char *path,
-                           const char *field, int32_t *count);
+char **bt_read_json_texts (bt_json_reader_t *reader,
+                           const json_t *object,
+                           const char *path,
+                           const char *field,
+                           int32_t *count);
 
 /** The array at @p field of the document; NULL, with a finding, when it is missing or no array. */
 const json_t *bt_get_json_array (bt_json_reader_t *reader, const char *field);
 
 /** The object at @p field, or NULL: with a finding when it is of another type. */
-const json_t *bt_get_json_object (bt_json_reader_t *reader, const json_t *object, const char *path,
+const json_t *bt_get_json_object (bt_json_reader_t *reader,
+                                  const json_t *object,
+                                  const char *path,
                                   const char *field);
 
 #endif
--- a/source/core/rule.c
+++ b/source/core/rule.c
@@ -149,11 +149,9 @@
   const bt_rule_when_t *wide = &earlier->when;
   const bt_rule_when_t *narrow = &later->when;
 
-  return covers_texts (wide->accounts, wide->account_count, narrow->accounts,
-                       narrow->account_count)
+  return covers_texts (wide->accounts, wide->account_count, narrow->accounts, narrow->account_count)
          && covers_texts (wide->apps, wide->app_count, narrow->apps, narrow->app_count)
-         && covers_texts (wide->methods, wide->method_count, narrow->methods,
-                          narrow->method_count)
+         && covers_texts (wide->methods, wide->method_count, narrow->methods, narrow->method_count)
          && covers_path (wide->path, narrow->path) && covers_headers (wide, narrow)
          && (wide->idempotent < 0 || wide->idempotent == narrow->idempotent)
          && wide->min_body_bytes <= narrow->min_body_bytes
@@ -163,8 +161,10 @@
 }
 
 static void
-explain_route (const bt_declarations_t *declarations, const bt_rule_then_t *then,
-               const bt_request_facts_t *facts, FILE *out)
+explain_route (const bt_declarations_t *declarations,
+               const bt_rule_then_t *then,
+               const bt_request_facts_t *facts,
+               FILE *out)
 {
   int32_t app = then->app >= 0 ? then->app : bt_find_app (declarations, facts->app);
   bool idempotent = then->idempotent >= 0 ? then->idempotent == 1 : facts->idempotent;
@@ -176,12 +176,12 @@
                facts->app);
       return;
     }
-  fprintf (out, "  route to %s, priority %s, deadline %lld ms, retries %d, %s%s\n",
-           declarations->apps[app].name, bt_name_priority ((bt_priority_t)priority),
-           (long long)(then->deadline_ms > 0 ? then->deadline_ms
-                                             : declarations->apps[app].deadline_ms),
-           then->retries, idempotent ? "idempotent" : "not idempotent",
-           then->key_required && !idempotent ? ", key required" : "");
+  fprintf (
+      out, "  route to %s, priority %s, deadline %lld ms, retries %d, %s%s\n",
+      declarations->apps[app].name, bt_name_priority ((bt_priority_t)priority),
+      (long long)(then->deadline_ms > 0 ? then->deadline_ms : declarations->apps[app].deadline_ms),
+      then->retries, idempotent ? "idempotent" : "not idempotent",
+      then->key_required && !idempotent ? ", key required" : "");
   if (then->limit_per_s > 0)
     fprintf (out, "  limit %lld requests a second, %lld at once\n", (long long)then->limit_per_s,
              (long long)then->limit_burst);
@@ -193,8 +193,7 @@
 }
 
 void
-bt_explain_rules (const bt_declarations_t *declarations, const bt_request_facts_t *facts,
-                  FILE *out)
+bt_explain_rules (const bt_declarations_t *declarations, const bt_request_facts_t *facts, FILE *out)
 {
   for (int32_t i = 0; i < declarations->rule_count; i++)
     {
--- a/source/entry/caller.c
+++ b/source/entry/caller.c
@@ -50,7 +50,9 @@
 };
 
 bt_caller_t *
-bt_new_caller (bt_context_t *ctx, struct MHD_Connection *connection, const char *method,
+bt_new_caller (bt_context_t *ctx,
+               struct MHD_Connection *connection,
+               const char *method,
                const char *path)
 {
   bt_caller_t *caller = bt_calloc (ctx, 1, sizeof *caller);
@@ -90,8 +92,8 @@
 }
 
 bool
-bt_append_caller_body (bt_context_t *ctx, bt_caller_t *caller, const char *data, size_t bytes,
-                       size_t max_bytes)
+bt_append_caller_body (
+    bt_context_t *ctx, bt_caller_t *caller, const char *data, size_t bytes, size_t max_bytes)
 {
   bt_caller_request_t *request = &caller->request;
 
@@ -193,8 +195,12 @@
 }
 
 void
-bt_refuse_caller (bt_context_t *ctx, bt_caller_t *caller, bt_outcome_t outcome, bt_reason_t reason,
-                  int64_t retry_after_ms, const char *message)
+bt_refuse_caller (bt_context_t *ctx,
+                  bt_caller_t *caller,
+                  bt_outcome_t outcome,
+                  bt_reason_t reason,
+                  int64_t retry_after_ms,
+                  const char *message)
 {
   char body[BODY_BYTES];
 
@@ -208,8 +214,7 @@
   else if (caller->state == ANSWER_NONE)
     {
       snprintf (body, sizeof body, "{\"outcome\":\"%s\",\"reason\":\"%s\",\"message\":\"%s\"}\n",
-                bt_name_outcome (outcome), bt_name_reason (reason),
-                message == NULL ? "" : message);
+                bt_name_outcome (outcome), bt_name_reason (reason), message == NULL ? "" : message);
       bt_append_buffer (ctx, &caller->pending, body, strlen (body));
       caller->state = ANSWER_WHOLE;
       caller->status = bt_get_reason_status (reason);
@@ -224,8 +229,11 @@
 }
 
 void
-bt_answer_caller (bt_context_t *ctx, bt_caller_t *caller, int32_t status,
-                  const char *content_type, const char *text)
+bt_answer_caller (bt_context_t *ctx,
+                  bt_caller_t *caller,
+                  int32_t status,
+                  const char *content_type,
+                  const char *text)
 {
   bt_begin_answer (ctx, caller, status, content_type);
   bt_add_answer (ctx, caller, text, strlen (text));
@@ -304,11 +312,10 @@
 {
   /* An answer that is already whole goes out with its length; a longer one in chunks, whose last
    * chunk is the caller's proof that nothing is missing. */
-  uint64_t length
-      = caller->state == ANSWER_WHOLE ? bt_count_buffer (&caller->pending) : MHD_SIZE_UNKNOWN;
-  struct MHD_Response *response
-      = MHD_create_response_from_callback (length, READ_BLOCK_BYTES, read_answer,
-                                           bt_keep_caller (caller), free_reader);
+  uint64_t length =
+      caller->state == ANSWER_WHOLE ? bt_count_buffer (&caller->pending) : MHD_SIZE_UNKNOWN;
+  struct MHD_Response *response = MHD_create_response_from_callback (
+      length, READ_BLOCK_BYTES, read_answer, bt_keep_caller (caller), free_reader);
   enum MHD_Result result;
 
   add_outcome_headers (caller, response);
--- a/source/entry/caller.h
+++ b/source/entry/caller.h
@@ -4,7 +4,8 @@
 /** @file
  * One caller's HTTP request and the answer that is being given to it.
  *
- * Lock order: the entry's lock, then a caller's. A caller never calls the entry while its lock is held.
+ * Lock order: the entry's lock, then a caller's. A caller never calls the entry while its lock is
+ * held.
  */
 
 #include <microhttpd.h>
@@ -35,16 +36,18 @@
 } bt_caller_request_t;
 
 /** Makes a caller with one reference. */
-bt_caller_t *bt_new_caller (bt_context_t *ctx, struct MHD_Connection *connection,
-                            const char *method, const char *path);
+bt_caller_t *bt_new_caller (bt_context_t *ctx,
+                            struct MHD_Connection *connection,
+                            const char *method,
+                            const char *path);
 bt_caller_t *bt_keep_caller (bt_caller_t *caller);
 
 /** Drops a reference. NULL is accepted. */
 void bt_drop_caller (bt_context_t *ctx, bt_caller_t *caller);
 
 /** Adds to the body. False when it would be longer than @p max_bytes. */
-bool bt_append_caller_body (bt_context_t *ctx, bt_caller_t *caller, const char *data,
-                            size_t bytes, size_t max_bytes);
+bool bt_append_caller_body (
+    bt_context_t *ctx, bt_caller_t *caller, const char *data, size_t bytes, size_t max_bytes);
 
 const bt_caller_request_t *bt_get_caller_request (const bt_caller_t *caller);
 
@@ -52,8 +55,8 @@
 const char *bt_find_caller_header (const bt_caller_t *caller, const char *name);
 
 /** Begins the answer. */
-void bt_begin_answer (bt_context_t *ctx, bt_caller_t *caller, int32_t status,
-                      const char *content_type);
+void
+bt_begin_answer (bt_context_t *ctx, bt_caller_t *caller, int32_t status, const char *content_type);
 
 /** Adds to the answer. False when the caller reads so slowly that the answer was cut instead. */
 bool bt_add_answer (bt_context_t *ctx, bt_caller_t *caller, const void *data, size_t bytes);
@@ -66,12 +69,19 @@
 
 /** Refuses, at once. Cuts the answer instead when it has begun. This is the one way to refuse a
  * caller; it counts the reason and the outcome. */
-void bt_refuse_caller (bt_context_t *ctx, bt_caller_t *caller, bt_outcome_t outcome,
-                       bt_reason_t reason, int64_t retry_after_ms, const char *message);
+void bt_refuse_caller (bt_context_t *ctx,
+                       bt_caller_t *caller,
+                       bt_outcome_t outcome,
+                       bt_reason_t reason,
+                       int64_t retry_after_ms,
+                       const char *message);
 
 /** Answers whole with a body at once. */
-void bt_answer_caller (bt_context_t *ctx, bt_caller_t *caller, int32_t status,
-                       const char *content_type, const char *text);
+void bt_answer_caller (bt_context_t *ctx,
+                       bt_caller_t *caller,
+                       int32_t status,
+                       const char *content_type,
+                       const char *text);
 
 /** True once an answer has begun or a refusal is decided. */
 bool bt_is_caller_answered (bt_caller_t *caller);
--- /dev/null
+++ b/source/entry/command_serve.c
@@ -0,0 +1,147 @@
+#include <curl/curl.h>
+#include <signal.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "bilberrytray/page/page.h"
+#include "commands.h"
+#include "entry.h"
+#include "platform_reader.h"
+
+enum
+{
+  IDLE_CHECK_MS = 20,
+};
+
+#define FIELD(name) offsetof (bt_entry_settings_t, name)
+
+static const bt_setting_t serve_settings[] = {
+  { "instance", BT_SETTING_TEXT, FIELD (instance), NULL, 0, 0, "Name of this instance." },
+  { "failure-domain", BT_SETTING_TEXT, FIELD (failure_domain), NULL, 0, 0,
+    "Failure domain of this instance." },
+  { "listen", BT_SETTING_ADDRESS, FIELD (listen), NULL, 0, 0, "Where callers are served." },
+  { "advertise", BT_SETTING_ADDRESS, FIELD (advertise), "", 0, 0,
+    "Address told to callers, if not that of --listen." },
+  { "link-listen", BT_SETTING_ADDRESS, FIELD (link_listen), NULL, 0, 0,
+    "Where links of other instances are accepted." },
+  { "page", BT_SETTING_ADDRESS, FIELD (page), "", 0, 0, "Where the operators' page is served." },
+  { "secret", BT_SETTING_TEXT, FIELD (secret), NULL, 0, 0,
+    "Secret that all processes of the deployment share; better set by its variable." },
+  { "store-url", BT_SETTING_URL, FIELD (store_url), NULL, 0, 0, "The key-value service." },
+  { "store-prefix", BT_SETTING_TEXT, FIELD (store_prefix), "bilberrytray/", 0, 0,
+    "What the keys of the configuration begin with." },
+  { "instances-url", BT_SETTING_URL, FIELD (instances_url), NULL, 0, 0, "The instance list." },
+  { "log-level", BT_SETTING_TEXT, FIELD (log_level), "info", 0, 0,
+    "error, warning, info or debug." },
+  { "workers", BT_SETTING_INTEGER, FIELD (workers), "4", 2, 64, "Threads that serve callers." },
+  { "max-body-bytes", BT_SETTING_INTEGER, FIELD (max_body_bytes), "1048576", 1024, 33554432,
+    "Longest body of a request, bytes." },
+  { "max-connections", BT_SETTING_INTEGER, FIELD (max_connections), "4096", 8, 60000,
+    "Callers' connections at a time." },
+  { "caller-idle-ms", BT_SETTING_INTEGER, FIELD (caller_idle_ms), "30000", 1000, 3600000,
+    "A caller's connection without a byte is closed after this, ms." },
+  { "beat-ms", BT_SETTING_INTEGER, FIELD (beat_ms), "250", 10, 60000, "Between heartbeats, ms." },
+  { "link-idle-ms", BT_SETTING_INTEGER, FIELD (link_idle_ms), "1500", 50, 600000,
+    "A link without any frame is dead after this, ms." },
+  { "max-frame-bytes", BT_SETTING_INTEGER, FIELD (max_frame_bytes), "2097152", 4096, 67108864,
+    "Longest frame on a link, bytes." },
+  { "max-links", BT_SETTING_INTEGER, FIELD (max_links), "1024", 1, 60000, "Links at a time." },
+  { "instances-ms", BT_SETTING_INTEGER, FIELD (instances_ms), "1000", 20, 600000,
+    "Between readings of the instance list, ms." },
+  { "store-poll-ms", BT_SETTING_INTEGER, FIELD (store_poll_ms), "1000", 20, 600000,
+    "Between readings of the configuration, ms." },
+  { "address-life-ms", BT_SETTING_INTEGER, FIELD (address_life_ms), "30000", 100, 3600000,
+    "How long callers may keep an answer with addresses, ms." },
+  { "drain-ms", BT_SETTING_INTEGER, FIELD (drain_ms), "120000", 0, 3600000,
+    "Longest wait for requests under way after SIGTERM, ms." },
+};
+
+/* A leaving entry serves callers that still hold its address: it waits out the life of the last
+ * answer that named it, and then until nothing is under way. */
+static void
+wait_drained (bt_context_t *ctx, bt_entry_t *entry, const bt_entry_settings_t *settings)
+{
+  int64_t started_ms = bt_now_ms (ctx);
+  int64_t waited_ms = 0;
+
+  while (
+      waited_ms < settings->address_life_ms
+      || (!bt_is_entry_idle (entry) && waited_ms < settings->address_life_ms + settings->drain_ms))
+    {
+      bt_sleep_ms (IDLE_CHECK_MS);
+      waited_ms = bt_now_ms (ctx) - started_ms;
+    }
+}
+
+static int
+serve_until_signal (bt_context_t *ctx, const bt_entry_settings_t *settings, sigset_t *signals)
+{
+  bt_error_t error = { 0 };
+  bt_entry_t *entry = bt_new_entry (ctx, settings, &error);
+  bt_platform_reader_t *reader = NULL;
+  bt_page_t *page = NULL;
+  int status = BT_EXIT_FAILED;
+  int received;
+
+  if (entry != NULL && settings->page[0] != '\0')
+    page = bt_new_page (ctx, settings->page, NULL, NULL, &error);
+  if (entry != NULL && error.code == BT_ERROR_NONE)
+    reader = bt_new_platform_reader (ctx, entry, settings, &error);
+  if (reader == NULL)
+    bt_log (ctx, BT_LOG_ERROR, BT_PART_MAIN, "Can't start: %s", error.message);
+  else
+    {
+      bt_log (ctx, BT_LOG_INFO, BT_PART_MAIN, "Version %s serves callers on port %d.", BT_VERSION,
+              bt_get_entry_http_port (entry));
+      sigwait (signals, &received);
+      bt_leave_entry (ctx, entry);
+      wait_drained (ctx, entry, settings);
+      bt_log (ctx, BT_LOG_INFO, BT_PART_MAIN, "Stopped.");
+      status = BT_EXIT_DONE;
+    }
+  bt_drop_platform_reader (ctx, reader);
+  bt_drop_page (ctx, page);
+  bt_drop_entry (ctx, entry);
+  return status;
+}
+
+static int
+run_serve (bt_context_t *ctx, const void *values, int operand_count, char **operands)
+{
+  bt_entry_settings_t settings = *(const bt_entry_settings_t *)values;
+  bt_log_level_t level;
+  sigset_t signals;
+  int status;
+
+  if (operand_count > 0 || !bt_parse_log_level (settings.log_level, &level))
+    {
+      fprintf (stderr, "%s\n",
+               operand_count > 0 ? "serve: Nothing is expected behind the flags."
+                                 : "log-level: There is no such level.");
+      return BT_EXIT_USAGE;
+    }
+  if (settings.advertise[0] == '\0')
+    settings.advertise = settings.listen;
+  bt_set_log_level (ctx, (int32_t)level);
+  bt_set_log_name (ctx, settings.instance);
+  sigemptyset (&signals);
+  sigaddset (&signals, SIGTERM);
+  sigaddset (&signals, SIGINT);
+  pthread_sigmask (SIG_BLOCK, &signals, NULL);
+  signal (SIGPIPE, SIG_IGN);
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  status = serve_until_signal (ctx, &settings, &signals);
+  curl_global_cleanup ();
+  return status;
+}
+
+const bt_command_t bt_serve_command = {
+  "serve",
+  "Serve callers on this entry instance until SIGTERM.",
+  "",
+  serve_settings,
+  sizeof serve_settings / sizeof serve_settings[0],
+  sizeof (bt_entry_settings_t),
+  run_serve,
+};
--- /dev/null
+++ b/source/entry/commands.h
@@ -0,0 +1,43 @@
+#ifndef BILBERRYTRAY_SOURCE_ENTRY_COMMANDS_H
+#define BILBERRYTRAY_SOURCE_ENTRY_COMMANDS_H
+
+/** @file
+ * The subcommands of bilberryd. Each takes the arguments from its own name on and returns the exit
+ * code: 0 done, 1 failed, 2 wrong settings or findings.
+ */
+
+#include "bilberrytray/base.h"
+#include "bilberrytray/core/declarations.h"
+
+enum
+{
+  BT_EXIT_DONE = 0,
+  BT_EXIT_FAILED = 1,
+  BT_EXIT_USAGE = 2,
+};
+
+/** A subcommand. */
+typedef struct bt_command
+{
+  const char *name;
+  const char *help;     /**< One line. */
+  const char *operands; /**< What follows the flags, "" for nothing. */
+  const bt_setting_t *settings;
+  int32_t setting_count;
+  size_t values_bytes; /**< Size of the settings struct. */
+  int (*run) (bt_context_t *ctx, const void *values, int operand_count, char **operands);
+} bt_command_t;
+
+extern const bt_command_t bt_serve_command;
+extern const bt_command_t bt_check_command;
+extern const bt_command_t bt_explain_command;
+
+/** Reads the four documents of a folder. NULL with findings when one is missing or wrong. */
+bt_declarations_t *
+bt_load_declarations (bt_context_t *ctx, const char *folder, bt_findings_t *findings);
+
+/** The text of a file, to be freed with bt_free; NULL with a finding when it can't be read. */
+char *bt_read_file (
+    bt_context_t *ctx, const char *path, size_t max_bytes, size_t *bytes, bt_findings_t *findings);
+
+#endif
--- /dev/null
+++ b/source/entry/entry.c
@@ -0,0 +1,189 @@
+#include "entry.h"
+
+#include <errno.h>
+#include <string.h>
+
+#include "bilberrytray/base/log.h"
+#include "bilberrytray/base/random.h"
+#include "entry_private.h"
+
+enum
+{
+  TICK_MS = 10,
+  OPENING_MS = 2000,
+  MAX_UNSENT_BYTES = 16 << 20,
+};
+
+static void *
+run_ticker (void *argument)
+{
+  bt_entry_t *entry = argument;
+
+  while (!atomic_load (&entry->stopping))
+    {
+      int64_t now_ms = bt_now_ms (entry->ctx);
+
+      pthread_mutex_lock (&entry->lock);
+      bt_expire_calls (entry, now_ms);
+      bt_place_waiting_calls (entry);
+      bt_dial_peers (entry, now_ms);
+      pthread_mutex_unlock (&entry->lock);
+      bt_sleep_ms (TICK_MS);
+    }
+  return NULL;
+}
+
+static bool
+start_links (bt_entry_t *entry, bt_error_t *error)
+{
+  const bt_entry_settings_t *settings = &entry->settings;
+  bt_link_options_t options = { 0 };
+
+  options.role = "entry";
+  options.instance = settings->instance;
+  options.incarnation = entry->incarnation;
+  options.failure_domain = settings->failure_domain;
+  options.address = settings->link_listen;
+  options.secret = settings->secret;
+  options.beat_ms = settings->beat_ms;
+  options.idle_ms = settings->link_idle_ms;
+  options.opening_ms = OPENING_MS;
+  options.max_frame_bytes = (size_t)settings->max_frame_bytes;
+  options.max_unsent_bytes = MAX_UNSENT_BYTES;
+  options.max_links = (int32_t)settings->max_links;
+  options.handler = &entry->links_base;
+  entry->loop = bt_new_link_loop (entry->ctx, &options, error);
+  return entry->loop != NULL
+         && bt_listen_links (entry->ctx, entry->loop, settings->link_listen, error) >= 0;
+}
+
+static bool
+start_entry (bt_entry_t *entry, bt_error_t *error)
+{
+  if (!start_links (entry, error))
+    return false;
+  entry->http = bt_new_http_server (entry->ctx, entry, &entry->settings, error);
+  if (entry->http == NULL)
+    return false;
+  if (pthread_create (&entry->ticker, NULL, run_ticker, entry) != 0)
+    return bt_set_error (error, BT_ERROR_SYSTEM, "Can't start a thread: %s.", strerror (errno));
+  entry->ticking = true;
+  return true;
+}
+
+bt_entry_t *
+bt_new_entry (bt_context_t *ctx, const bt_entry_settings_t *settings, bt_error_t *error)
+{
+  bt_entry_t *entry = bt_calloc (ctx, 1, sizeof *entry);
+  bt_router_options_t options;
+  bt_admission_options_t admission;
+  bt_retry_budget_options_t budget;
+
+  entry->links_base.vtable = &bt_entry_link_vtable;
+  entry->ctx = ctx;
+  entry->settings = *settings;
+  bt_fill_secure_random (&entry->incarnation, sizeof entry->incarnation);
+  bt_fill_secure_random (&entry->seed, sizeof entry->seed);
+  pthread_mutex_init (&entry->lock, NULL);
+  bt_default_router_options (&options);
+  bt_copy_name (options.failure_domain, settings->failure_domain);
+  entry->router = bt_new_router (ctx, &options);
+  bt_default_admission_options (&admission);
+  entry->admission = bt_new_admission (ctx, entry->router, &admission);
+  bt_default_retry_budget_options (&budget);
+  entry->budget = bt_new_retry_budget (ctx, &budget);
+  bt_prepare_outcome_counters (ctx);
+  if (start_entry (entry, error))
+    return entry;
+  bt_drop_entry (ctx, entry);
+  return NULL;
+}
+
+int32_t
+bt_get_entry_http_port (const bt_entry_t *entry)
+{
+  return bt_get_http_server_port (entry->http);
+}
+
+void
+bt_set_entry_declarations (bt_context_t *ctx, bt_entry_t *entry, bt_declarations_t *declarations)
+{
+  bt_declarations_t *old = NULL;
+
+  pthread_mutex_lock (&entry->lock);
+  if (entry->declarations == NULL || entry->declarations->revision < declarations->revision)
+    {
+      old = entry->declarations;
+      entry->declarations = bt_keep_declarations (declarations);
+      bt_log (ctx, BT_LOG_INFO, BT_PART_CONFIG, "Revision %lld is in force.",
+              (long long)declarations->revision);
+    }
+  pthread_mutex_unlock (&entry->lock);
+  bt_drop_declarations (ctx, old);
+}
+
+bt_declarations_t *
+bt_get_entry_declarations (bt_entry_t *entry)
+{
+  bt_declarations_t *declarations;
+
+  pthread_mutex_lock (&entry->lock);
+  declarations = bt_keep_declarations (entry->declarations);
+  pthread_mutex_unlock (&entry->lock);
+  return declarations;
+}
+
+void
+bt_leave_entry (bt_context_t *ctx, bt_entry_t *entry)
+{
+  pthread_mutex_lock (&entry->lock);
+  entry->leaving = true;
+  pthread_mutex_unlock (&entry->lock);
+  bt_log (ctx, BT_LOG_INFO, BT_PART_MAIN, "Leaving: no caller is sent here any more.");
+}
+
+bool
+bt_is_entry_idle (bt_entry_t *entry)
+{
+  bool idle;
+
+  pthread_mutex_lock (&entry->lock);
+  idle = entry->call_count == 0;
+  pthread_mutex_unlock (&entry->lock);
+  return idle;
+}
+
+static void
+drop_peers (bt_entry_t *entry)
+{
+  while (entry->peers != NULL)
+    {
+      bt_peer_t *peer = entry->peers;
+
+      entry->peers = peer->next;
+      bt_drop_link (entry->ctx, peer->link);
+      bt_free (entry->ctx, peer);
+    }
+}
+
+void
+bt_drop_entry (bt_context_t *ctx, bt_entry_t *entry)
+{
+  if (entry == NULL)
+    return;
+  atomic_store (&entry->stopping, true);
+  if (entry->ticking)
+    pthread_join (entry->ticker, NULL);
+  pthread_mutex_lock (&entry->lock);
+  bt_cut_calls (entry);
+  pthread_mutex_unlock (&entry->lock);
+  bt_drop_http_server (ctx, entry->http);
+  bt_drop_link_loop (ctx, entry->loop);
+  drop_peers (entry);
+  bt_drop_admission (ctx, entry->admission);
+  bt_drop_retry_budget (ctx, entry->budget);
+  bt_drop_router (ctx, entry->router);
+  bt_drop_declarations (ctx, entry->declarations);
+  pthread_mutex_destroy (&entry->lock);
+  bt_free (ctx, entry);
+}
--- a/source/entry/entry.h
+++ b/source/entry/entry.h
@@ -55,20 +55,22 @@
   bool leaving;
 } bt_entry_peer_t;
 
-bt_entry_t *bt_new_entry (bt_context_t *ctx, const bt_entry_settings_t *settings,
-                          bt_error_t *error);
+bt_entry_t *
+bt_new_entry (bt_context_t *ctx, const bt_entry_settings_t *settings, bt_error_t *error);
 
 int32_t bt_get_entry_http_port (const bt_entry_t *entry);
 
 /** Puts declarations in force; keeps a reference. Older ones are dropped. */
-void bt_set_entry_declarations (bt_context_t *ctx, bt_entry_t *entry,
-                                bt_declarations_t *declarations);
+void
+bt_set_entry_declarations (bt_context_t *ctx, bt_entry_t *entry, bt_declarations_t *declarations);
 
 /** The declarations in force, with a reference for the caller; NULL when there are none yet. */
 bt_declarations_t *bt_get_entry_declarations (bt_entry_t *entry);
 
 /** Takes a new reading of the instance list: dials who is new, and forgets who is gone. */
-void bt_set_entry_peers (bt_context_t *ctx, bt_entry_t *entry, const bt_entry_peer_t *peers,
+void bt_set_entry_peers (bt_context_t *ctx,
+                         bt_entry_t *entry,
+                         const bt_entry_peer_t *peers,
                          int32_t count);
 
 /** Serves a request whose body is whole. Called by the HTTP server without any lock. */
@@ -78,7 +80,7 @@
 void bt_answer_addresses (bt_context_t *ctx, bt_entry_t *entry, bt_caller_t *caller);
 
 /** The caller's connection is gone. */
-void bt_abandon_entry_call (bt_context_t *ctx, bt_entry_t *entry, uint64_t call);
+void bt_abandon_entry_call (bt_context_t *ctx, bt_entry_t *entry, uint64_t id);
 
 /** No longer named in address answers; still serves. */
 void bt_leave_entry (bt_context_t *ctx, bt_entry_t *entry);
--- /dev/null
+++ b/source/entry/entry_links.c
@@ -0,0 +1,264 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "bilberrytray/base/log.h"
+#include "entry_private.h"
+
+enum
+{
+  FIRST_DIAL_WAIT_MS = 50,
+  MAX_DIAL_WAIT_MS = 2000,
+};
+
+static bt_peer_t *
+find_peer (bt_entry_t *entry, const char *instance)
+{
+  for (bt_peer_t *peer = entry->peers; peer != NULL; peer = peer->next)
+    if (strcmp (peer->instance, instance) == 0)
+      return peer;
+  return NULL;
+}
+
+static bt_peer_t *
+find_peer_link (bt_entry_t *entry, const bt_link_t *link)
+{
+  for (bt_peer_t *peer = entry->peers; peer != NULL; peer = peer->next)
+    if (peer->link == link)
+      return peer;
+  return NULL;
+}
+
+bt_peer_t *
+bt_find_peer_identity (bt_entry_t *entry, const bt_identity_t *identity)
+{
+  for (bt_peer_t *peer = entry->peers; peer != NULL; peer = peer->next)
+    if (peer->up && bt_same_identity (&peer->identity, identity))
+      return peer;
+  return NULL;
+}
+
+/* Of two entry instances the one whose name sorts first dials, so that there is one link, not two.
+ */
+static bool
+dials_peer (const bt_entry_t *entry, const bt_peer_t *peer)
+{
+  return peer->agent || strcmp (entry->settings.instance, peer->instance) < 0;
+}
+
+static void
+dial_peer (bt_entry_t *entry, bt_peer_t *peer, int64_t now_ms)
+{
+  bt_error_t error = { 0 };
+
+  if (peer->link != NULL && bt_is_link_closed (peer->link))
+    {
+      bt_drop_link (entry->ctx, peer->link);
+      peer->link = NULL;
+      peer->up = false;
+    }
+  if (peer->link != NULL || now_ms < peer->dial_ms)
+    return;
+  peer->dial_wait_ms = peer->dial_wait_ms == 0 ? FIRST_DIAL_WAIT_MS : peer->dial_wait_ms * 2;
+  if (peer->dial_wait_ms > MAX_DIAL_WAIT_MS)
+    peer->dial_wait_ms = MAX_DIAL_WAIT_MS;
+  peer->dial_ms = now_ms + peer->dial_wait_ms;
+  peer->link = bt_dial_link (entry->ctx, entry->loop, peer->address, peer->instance, &error);
+  if (peer->link == NULL)
+    bt_log (entry->ctx, BT_LOG_WARNING, BT_PART_LINK, "%s", error.message);
+}
+
+void
+bt_dial_peers (bt_entry_t *entry, int64_t now_ms)
+{
+  for (bt_peer_t *peer = entry->peers; peer != NULL; peer = peer->next)
+    if (peer->listed && dials_peer (entry, peer))
+      dial_peer (entry, peer, now_ms);
+}
+
+static void
+take_peer (bt_entry_t *entry, const bt_entry_peer_t *listed)
+{
+  bt_peer_t *peer = find_peer (entry, listed->instance);
+
+  if (strcmp (listed->instance, entry->settings.instance) == 0)
+    return;
+  if (peer == NULL)
+    {
+      peer = bt_calloc (entry->ctx, 1, sizeof *peer);
+      bt_copy_name (peer->instance, listed->instance);
+      peer->next = entry->peers;
+      entry->peers = peer;
+    }
+  snprintf (peer->address, sizeof peer->address, "%s", listed->address);
+  snprintf (peer->http, sizeof peer->http, "%s", listed->http);
+  peer->agent = listed->agent;
+  peer->listed = true;
+  peer->listed_leaving = listed->leaving;
+}
+
+static void
+forget_unlisted (bt_entry_t *entry)
+{
+  bt_peer_t **place = &entry->peers;
+
+  while (*place != NULL)
+    {
+      bt_peer_t *peer = *place;
+
+      /* The list lags: an instance that it no longer names but whose link lives is still there. */
+      if (peer->listed || peer->up)
+        {
+          place = &peer->next;
+          continue;
+        }
+      *place = peer->next;
+      if (peer->link != NULL)
+        bt_close_link (peer->link);
+      bt_drop_link (entry->ctx, peer->link);
+      bt_free (entry->ctx, peer);
+    }
+}
+
+void
+bt_set_entry_peers (bt_context_t *ctx,
+                    bt_entry_t *entry,
+                    const bt_entry_peer_t *peers,
+                    int32_t count)
+{
+  pthread_mutex_lock (&entry->lock);
+  for (bt_peer_t *peer = entry->peers; peer != NULL; peer = peer->next)
+    peer->listed = false;
+  for (int32_t i = 0; i < count; i++)
+    take_peer (entry, &peers[i]);
+  forget_unlisted (entry);
+  bt_dial_peers (entry, bt_now_ms (ctx));
+  pthread_mutex_unlock (&entry->lock);
+}
+
+static void
+send_heartbeat (bt_entry_t *entry, bt_link_t *link)
+{
+  Bilberry__Heartbeat heartbeat = BILBERRY__HEARTBEAT__INIT;
+  bt_frame_t frame = BILBERRY__FRAME__INIT;
+
+  heartbeat.now_ms = bt_now_ms (entry->ctx);
+  heartbeat.endpoint = "";
+  heartbeat.app = "";
+  pthread_mutex_lock (&entry->lock);
+  heartbeat.leaving = entry->leaving;
+  heartbeat.max_revision = entry->declarations == NULL ? 0 : entry->declarations->revision;
+  pthread_mutex_unlock (&entry->lock);
+  frame.body_case = BILBERRY__FRAME__BODY_HEARTBEAT;
+  frame.heartbeat = &heartbeat;
+  bt_send_frame (entry->ctx, link, &frame);
+}
+
+static void
+on_up (bt_link_handler_t *handler, bt_link_t *link)
+{
+  bt_entry_t *entry = (bt_entry_t *)handler;
+  bt_peer_t *peer;
+
+  pthread_mutex_lock (&entry->lock);
+  peer = find_peer (entry, bt_get_link_instance (link));
+  if (peer != NULL && (peer->link == NULL || peer->link == link))
+    {
+      if (peer->link == NULL)
+        peer->link = bt_keep_link (link);
+      peer->up = true;
+      peer->dial_wait_ms = 0;
+      bt_copy_name (peer->identity.instance, bt_get_link_instance (link));
+      peer->identity.incarnation = bt_get_link_incarnation (link);
+    }
+  pthread_mutex_unlock (&entry->lock);
+  send_heartbeat (entry, link);
+}
+
+static void
+record_endpoint (bt_entry_t *entry,
+                 bt_peer_t *peer,
+                 const Bilberry__Heartbeat *heartbeat,
+                 int64_t now_ms)
+{
+  bt_endpoint_t endpoint = { 0 };
+  bt_load_t load = { 0 };
+
+  endpoint.identity = peer->identity;
+  bt_copy_name (endpoint.name, heartbeat->endpoint);
+  bt_copy_name (endpoint.app, heartbeat->app);
+  bt_copy_name (endpoint.failure_domain, bt_get_link_failure_domain (peer->link));
+  bt_put_endpoint (entry->ctx, entry->router, &endpoint, now_ms);
+  bt_set_endpoint_leaving (entry->router, &peer->identity,
+                           peer->link_leaving || peer->listed_leaving);
+  if (heartbeat->load == NULL)
+    return;
+  load.running = (int32_t)heartbeat->load->running;
+  load.queued = (int32_t)heartbeat->load->queued;
+  load.slots = (int32_t)heartbeat->load->capacity;
+  load.queue_limit = (int32_t)heartbeat->load->queue_limit;
+  load.service_ms = (int32_t)heartbeat->load->service_ms;
+  load.age_ms = heartbeat->load->report_age_ms;
+  bt_record_load (entry->router, &peer->identity, &load, now_ms);
+}
+
+static void
+take_heartbeat (bt_entry_t *entry, bt_link_t *link, const Bilberry__Heartbeat *heartbeat)
+{
+  bt_peer_t *peer = find_peer_link (entry, link);
+
+  if (peer == NULL)
+    return;
+  peer->link_leaving = heartbeat->leaving;
+  peer->peer_now_ms = heartbeat->now_ms;
+  if (!peer->agent)
+    return;
+  record_endpoint (entry, peer, heartbeat, bt_now_ms (entry->ctx));
+  bt_place_waiting_calls (entry);
+}
+
+static void
+on_frame (bt_link_handler_t *handler, bt_link_t *link, const bt_frame_t *frame)
+{
+  bt_entry_t *entry = (bt_entry_t *)handler;
+
+  pthread_mutex_lock (&entry->lock);
+  if (frame->body_case == BILBERRY__FRAME__BODY_HEARTBEAT)
+    take_heartbeat (entry, link, frame->heartbeat);
+  else if (frame->body_case == BILBERRY__FRAME__BODY_CONFIG_PUSH
+           || frame->body_case == BILBERRY__FRAME__BODY_CONFIG_PULL
+           || frame->body_case == BILBERRY__FRAME__BODY_CONFIG_IN_FORCE)
+    bt_take_config_frame (entry, link, frame);
+  else
+    bt_take_answer_frame (entry, link, frame);
+  pthread_mutex_unlock (&entry->lock);
+}
+
+static void
+on_down (bt_link_handler_t *handler, bt_link_t *link)
+{
+  bt_entry_t *entry = (bt_entry_t *)handler;
+  bt_peer_t *peer;
+
+  pthread_mutex_lock (&entry->lock);
+  peer = find_peer_link (entry, link);
+  if (peer != NULL)
+    {
+      if (peer->agent)
+        bt_record_link_down (entry->router, &peer->identity, bt_now_ms (entry->ctx));
+      peer->up = false;
+      bt_drop_link (entry->ctx, peer->link);
+      peer->link = NULL;
+    }
+  bt_fail_link_calls (entry, link);
+  pthread_mutex_unlock (&entry->lock);
+  bt_log (entry->ctx, BT_LOG_INFO, BT_PART_LINK, "The link to %s is down.",
+          bt_get_link_instance (link));
+}
+
+static void
+on_beat (bt_link_handler_t *handler, bt_link_t *link)
+{
+  send_heartbeat ((bt_entry_t *)handler, link);
+}
+
+const bt_link_handler_vtable_t bt_entry_link_vtable = { on_up, on_frame, on_down, on_beat };
--- a/source/entry/http_server.c
+++ b/source/entry/http_server.c
@@ -28,9 +28,10 @@
 static bool
 is_own_header (const char *name)
 {
-  static const char *const own[]
-      = { "Connection", "Keep-Alive",     "Transfer-Encoding", "TE",   "Upgrade", "Trailer",
-          "Expect",     "Content-Length", "Authorization",     "Host", NULL };
+  static const char *const own[] = {
+    "Connection", "Keep-Alive",     "Transfer-Encoding", "TE",   "Upgrade", "Trailer",
+    "Expect",     "Content-Length", "Authorization",     "Host", NULL
+  };
 
   for (int32_t i = 0; own[i] != NULL; i++)
     if (strcasecmp (name, own[i]) == 0)
@@ -60,8 +61,7 @@
       return MHD_NO;
     }
   request->headers[request->header_count].name = bt_strdup (copy->ctx, name);
-  request->headers[request->header_count].value
-      = bt_strdup (copy->ctx, value == NULL ? "" : value);
+  request->headers[request->header_count].value = bt_strdup (copy->ctx, value == NULL ? "" : value);
   request->header_count++;
   return MHD_YES;
 }
@@ -69,8 +69,7 @@
 static bool
 check_token (bt_http_server_t *server, struct MHD_Connection *connection, bt_caller_t *caller)
 {
-  const char *header
-      = MHD_lookup_connection_value (connection, MHD_HEADER_KIND, "Authorization");
+  const char *header = MHD_lookup_connection_value (connection, MHD_HEADER_KIND, "Authorization");
   bt_declarations_t *declarations = bt_get_entry_declarations (server->entry);
   bt_reason_t reason = BT_REASON_NONE;
   int32_t account = -1;
@@ -97,8 +96,7 @@
 static bool
 check_length (bt_http_server_t *server, struct MHD_Connection *connection, bt_caller_t *caller)
 {
-  const char *header
-      = MHD_lookup_connection_value (connection, MHD_HEADER_KIND, "Content-Length");
+  const char *header = MHD_lookup_connection_value (connection, MHD_HEADER_KIND, "Content-Length");
 
   if (header == NULL || strtoull (header, NULL, BASE_TEN) <= server->max_body_bytes)
     return true;
@@ -107,12 +105,14 @@
 }
 
 static bt_caller_t *
-begin_request (bt_http_server_t *server, struct MHD_Connection *connection, const char *url,
+begin_request (bt_http_server_t *server,
+               struct MHD_Connection *connection,
+               const char *url,
                const char *method)
 {
   bt_caller_t *caller = bt_new_caller (server->ctx, connection, method, url);
-  header_copy_t copy
-      = { server->ctx, (bt_caller_request_t *)bt_get_caller_request (caller), false };
+  header_copy_t copy = { server->ctx, (bt_caller_request_t *)bt_get_caller_request (caller),
+                         false };
 
   MHD_get_connection_values (connection, MHD_HEADER_KIND, copy_header, &copy);
   if (copy.overflow)
@@ -135,8 +135,14 @@
 }
 
 static enum MHD_Result
-handle (void *argument, struct MHD_Connection *connection, const char *url, const char *method,
-        const char *version, const char *data, size_t *bytes, void **state)
+handle (void *argument,
+        struct MHD_Connection *connection,
+        const char *url,
+        const char *method,
+        const char *version,
+        const char *data,
+        size_t *bytes,
+        void **state)
 {
   bt_http_server_t *server = argument;
   bt_caller_t *caller = *state;
@@ -165,7 +171,9 @@
 }
 
 static void
-complete_request (void *argument, struct MHD_Connection *connection, void **state,
+complete_request (void *argument,
+                  struct MHD_Connection *connection,
+                  void **state,
                   enum MHD_RequestTerminationCode code)
 {
   bt_http_server_t *server = argument;
@@ -181,7 +189,9 @@
 }
 
 bt_http_server_t *
-bt_new_http_server (bt_context_t *ctx, bt_entry_t *entry, const bt_entry_settings_t *settings,
+bt_new_http_server (bt_context_t *ctx,
+                    bt_entry_t *entry,
+                    const bt_entry_settings_t *settings,
                     bt_error_t *error)
 {
   bt_http_server_t *server = bt_calloc (ctx, 1, sizeof *server);
--- a/source/entry/http_server.h
+++ b/source/entry/http_server.h
@@ -9,8 +9,10 @@
 
 typedef struct bt_http_server bt_http_server_t;
 
-bt_http_server_t *bt_new_http_server (bt_context_t *ctx, bt_entry_t *entry,
-                                      const bt_entry_settings_t *settings, bt_error_t *error);
+bt_http_server_t *bt_new_http_server (bt_context_t *ctx,
+                                      bt_entry_t *entry,
+                                      const bt_entry_settings_t *settings,
+                                      bt_error_t *error);
 
 int32_t bt_get_http_server_port (const bt_http_server_t *server);
 
--- a/source/entry/placeholder.c
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "bilberrytray/base.h"
--- /dev/null
+++ b/source/entry/placement.c
@@ -0,0 +1,61 @@
+#include "bilberrytray/base/log.h"
+#include "entry_private.h"
+
+/* Where admission is asked: whether a call goes out now, waits, or is refused at once. */
+
+static void
+fill_request (bt_entry_t *entry,
+              const bt_call_t *call,
+              bool again,
+              int64_t now_ms,
+              bt_admission_request_t *request)
+{
+  const bt_rule_t *rule = &call->declarations->rules[call->rule];
+
+  request->id = call->id;
+  request->app = call->declarations->apps[call->app].name;
+  request->account = bt_get_caller_account (call->caller);
+  request->priority = call->priority;
+  request->deadline_left_ms = call->deadline_ms - now_ms;
+  request->rule = rule->name;
+  request->rule_per_second = (int32_t)rule->then.limit_per_s;
+  request->rule_burst = (int32_t)rule->then.limit_burst;
+  request->again = again;
+  request->seed = entry->seed++;
+}
+
+static void
+apply_decision (bt_entry_t *entry, bt_call_t *call, const bt_admission_decision_t *decision)
+{
+  if (decision->action == BT_ADMISSION_ADMIT)
+    bt_dispatch_call (entry, call);
+  else if (decision->action == BT_ADMISSION_REFUSE)
+    bt_refuse_call (entry, call, BT_OUTCOME_NOT_RUN, decision->reason, decision->retry_after_ms);
+}
+
+void
+bt_place_call (bt_entry_t *entry, bt_call_t *call, bool again)
+{
+  int64_t now_ms = bt_now_ms (entry->ctx);
+  bt_admission_request_t request = { 0 };
+  bt_admission_decision_t decision = { 0 };
+
+  fill_request (entry, call, again, now_ms, &request);
+  bt_decide_admission (entry->ctx, entry->admission, &request, now_ms, &decision);
+  apply_decision (entry, call, &decision);
+}
+
+void
+bt_place_waiting_calls (bt_entry_t *entry)
+{
+  int64_t now_ms = bt_now_ms (entry->ctx);
+  bt_admission_decision_t decision = { 0 };
+
+  while (bt_next_admission (entry->admission, now_ms, &decision))
+    {
+      bt_call_t *call = bt_find_call (entry, decision.id);
+
+      if (call != NULL)
+        apply_decision (entry, call, &decision);
+    }
+}
--- /dev/null
+++ b/source/entry/tickets.c
@@ -0,0 +1,6 @@
+#include "tickets.h"
+
+void
+bt_add_tickets (bt_context_t *ctx, bt_entry_t *entry, bt_caller_t *caller, json_t *answer)
+{
+}
--- a/source/page/page.c
+++ b/source/page/page.c
@@ -71,8 +71,14 @@
 }
 
 static enum MHD_Result
-handle (void *argument, struct MHD_Connection *connection, const char *url, const char *method,
-        const char *version, const char *data, size_t *bytes, void **state)
+handle (void *argument,
+        struct MHD_Connection *connection,
+        const char *url,
+        const char *method,
+        const char *version,
+        const char *data,
+        size_t *bytes,
+        void **state)
 {
   bt_page_t *page = argument;
   struct MHD_Response *response;
@@ -104,7 +110,10 @@
 }
 
 bt_page_t *
-bt_new_page (bt_context_t *ctx, const char *address, bt_page_route_t route, void *argument,
+bt_new_page (bt_context_t *ctx,
+             const char *address,
+             bt_page_route_t route,
+             void *argument,
              bt_error_t *error)
 {
   struct sockaddr_in target;
--- a/tools/format.sh
+++ b/tools/format.sh
@@ -2,4 +2,4 @@
 # Runs clang-format with the given options over every C file but the generated ones.
 set -eu
 cd "$(dirname "$0")/.."
-git ls-files -co --exclude-standard '*.c' '*.h' | grep -v '\.pb-c\.[ch]$' | xargs -r clang-format "$@"
+git ls-files -co --exclude-standard '*.c' '*.h' | grep -v '\.pb-c\.[ch]$' | xargs -r ls -d 2>/dev/null | xargs -r clang-format "$@"
