--- a/source/entry/entry.c
+++ b/source/entry/entry.c
@@ -93,6 +93,8 @@
   bt_default_retry_budget_options (&budget);
   entry->budget = bt_new_retry_budget (ctx, &budget);
   bt_prepare_outcome_counters (ctx);
+  entry->endpoints_up = bt_find_counter (ctx, BT_GAUGE, "bilberry_endpoints_up",
+                                         "Endpoints with a live link.", NULL, NULL);
   if (start_entry (entry, error))
     return entry;
   bt_drop_entry (ctx, entry);
--- a/source/entry/entry_links.c
+++ b/source/entry/entry_links.c
@@ -1,6 +1,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "bilberrytray/base/counters.h"
 #include "bilberrytray/base/log.h"
 #include "entry_private.h"
 
@@ -201,6 +202,16 @@
   bt_record_load (entry->router, &peer->identity, &load, now_ms);
 }
 
+static void
+count_endpoints (bt_entry_t *entry)
+{
+  int64_t up = 0;
+
+  for (const bt_peer_t *peer = entry->peers; peer != NULL; peer = peer->next)
+    up += peer->agent && peer->up && peer->heard;
+  bt_set_gauge (entry->endpoints_up, up);
+}
+
 static void
 take_heartbeat (bt_entry_t *entry, bt_link_t *link, const Bilberry__Heartbeat *heartbeat)
 {
@@ -212,6 +223,8 @@
   peer->peer_now_ms = heartbeat->now_ms;
   if (!peer->agent)
     return;
+  peer->heard = true;
+  count_endpoints (entry);
   record_endpoint (entry, peer, heartbeat, bt_now_ms (entry->ctx));
   bt_place_waiting_calls (entry);
 }
@@ -245,9 +258,10 @@
     {
       if (peer->agent)
         bt_record_link_down (entry->router, &peer->identity, bt_now_ms (entry->ctx));
-      peer->up = false;
+      peer->up = peer->heard = false;
       bt_drop_link (entry->ctx, peer->link);
       peer->link = NULL;
+      count_endpoints (entry);
     }
   bt_fail_link_calls (entry, link);
   pthread_mutex_unlock (&entry->lock);
--- a/source/entry/entry_private.h
+++ b/source/entry/entry_private.h
@@ -10,6 +10,7 @@
 #include <pthread.h>
 #include <stdatomic.h>
 
+#include "bilberrytray/base/counters.h"
 #include "bilberrytray/core/admission.h"
 #include "bilberrytray/core/retry_budget.h"
 #include "bilberrytray/core/router.h"
@@ -35,6 +36,7 @@
   bool link_leaving;   /**< Its own heartbeat says so; goes before the list. */
   bt_link_t *link;     /**< NULL: none. */
   bool up;
+  bool heard;             /**< A heartbeat came on this link. */
   bt_identity_t identity; /**< While the link is up. */
   int64_t dial_ms;        /**< Not dialled again before this. */
   int64_t dial_wait_ms;
@@ -69,6 +71,7 @@
   uint64_t incarnation;
   bt_link_loop_t *loop;
   bt_http_server_t *http;
+  bt_counter_t *endpoints_up;
   pthread_t ticker;
   bool ticking;
   atomic_bool stopping;
