--- a/Makefile
+++ b/Makefile
@@ -49,7 +49,7 @@
 	./tools/demo.sh $(BUILD)/release
 
 bench: build
-	$(BUILD)/release/bench_path $(BUILD)/release
+	BT_BUILD_DIR=$(BUILD)/release $(BUILD)/release/bench_path
 
 bench-maps: build
 	$(BUILD)/release/bench_maps
--- /dev/null
+++ b/bench/bench_path.c
@@ -0,0 +1,288 @@
+/** @file
+ * What the path adds: the same load straight to a stand-in and through the system, in one run.
+ *
+ *   bench_path [--rate N] [--seconds N] [--clients N]
+ *
+ * Starts its own deployment on loopback (two entries, two model engines, one plain service). For each
+ * kind of endpoint it sends N requests a second from keep-alive clients, first straight, then through
+ * the entries, and prints the time to the first byte and the processor time used.
+ */
+
+#include <curl/curl.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "bilberrytray/base/clock.h"
+#include "harness.h"
+
+enum
+{
+  DEFAULT_RATE = 2000,
+  DEFAULT_SECONDS = 5,
+  DEFAULT_CLIENTS = 16,
+  MAX_CLIENTS = 64,
+  URL_BYTES = 128,
+  US_PER_S = 1000000,
+  US_PER_MS = 1000,
+  BASE_TEN = 10,
+  STAT_BYTES = 1024,
+  STAT_SKIP = 11,
+  WARM_UP_REQUESTS = 20,
+};
+
+static const char *const rules
+    = "{\"rules\":["
+      "{\"name\":\"lookups\",\"when\":{\"path\":\"/lookup/*\"},"
+      "\"then\":{\"action\":\"route\",\"app\":\"lookup\",\"idempotent\":true}},"
+      "{\"name\":\"drafts\",\"when\":{\"path\":\"/v1/completions\"},"
+      "\"then\":{\"action\":\"route\",\"app\":\"drafts\"}}]}";
+
+/** One client thread's part of a load. */
+typedef struct client
+{
+  pthread_t thread;
+  char url[URL_BYTES];
+  const char *body;
+  int64_t requests;
+  int64_t interval_us; /**< 0: as fast as answers come. */
+  int64_t start_us;
+  int64_t *first_us; /**< Times to the first byte. */
+  int64_t done;
+  int64_t failed;
+} client_t;
+
+/** What one load came to. */
+typedef struct result
+{
+  int64_t done;
+  int64_t failed;
+  double seconds;
+  int64_t p50_us;
+  int64_t p99_us;
+  int64_t max_us;
+  double cpu_seconds; /**< Of the entries and agents. */
+} result_t;
+
+static size_t
+ignore_bytes (char *data, size_t size, size_t count, void *argument)
+{
+  return size * count;
+}
+
+static void
+wait_until_us (int64_t due_us)
+{
+  int64_t left_us = due_us - bt_read_monotonic_us ();
+
+  if (left_us > 0)
+    usleep ((useconds_t)left_us);
+}
+
+static void *
+run_client (void *argument)
+{
+  client_t *client = argument;
+  CURL *easy = curl_easy_init ();
+  struct curl_slist *lines = curl_slist_append (NULL, "Authorization: Bearer token-small");
+
+  curl_easy_setopt (easy, CURLOPT_URL, client->url);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, lines);
+  curl_easy_setopt (easy, CURLOPT_POSTFIELDS, client->body);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, ignore_bytes);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT, 10L);
+  for (int64_t i = 0; i < client->requests; i++)
+    {
+      curl_off_t first_us = 0;
+      long status = 0;
+      CURLcode code;
+
+      wait_until_us (client->start_us + i * client->interval_us);
+      code = curl_easy_perform (easy);
+      curl_easy_getinfo (easy, CURLINFO_STARTTRANSFER_TIME_T, &first_us);
+      curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &status);
+      if (code != CURLE_OK || status != 200)
+        client->failed++;
+      else
+        client->first_us[client->done++] = first_us;
+    }
+  curl_slist_free_all (lines);
+  curl_easy_cleanup (easy);
+  return NULL;
+}
+
+static int
+compare_times (const void *left, const void *right)
+{
+  int64_t a = *(const int64_t *)left;
+  int64_t b = *(const int64_t *)right;
+
+  return a < b ? -1 : a > b;
+}
+
+static double
+read_cpu_seconds (const bt_stage_t *stage)
+{
+  double ticks = 0;
+
+  for (int32_t i = 0; i < stage->process_count; i++)
+    {
+      const bt_process_t *process = &stage->processes[i];
+      char path[URL_BYTES];
+      char text[STAT_BYTES];
+      char *at;
+      FILE *file;
+
+      if (strncmp (process->name, "entry", 5) != 0 && strncmp (process->name, "agent", 5) != 0)
+        continue;
+      snprintf (path, sizeof path, "/proc/%d/stat", (int)process->pid);
+      file = fopen (path, "r");
+      if (file == NULL)
+        continue;
+      at = fgets (text, sizeof text, file) == NULL ? NULL : strrchr (text, ')');
+      fclose (file);
+      for (int32_t field = 0; at != NULL && field <= STAT_SKIP; field++)
+        at = strchr (at + 1, ' ');
+      if (at != NULL)
+        ticks += (double)strtoull (at, &at, BASE_TEN) + (double)strtoull (at, NULL, BASE_TEN);
+    }
+  return ticks / (double)sysconf (_SC_CLK_TCK);
+}
+
+static void
+collect (client_t *clients, int32_t count, result_t *result)
+{
+  int64_t *times;
+  int64_t used = 0;
+
+  for (int32_t i = 0; i < count; i++)
+    {
+      result->done += clients[i].done;
+      result->failed += clients[i].failed;
+    }
+  times = calloc ((size_t)result->done + 1, sizeof *times);
+  for (int32_t i = 0; i < count; i++)
+    {
+      memcpy (times + used, clients[i].first_us, (size_t)clients[i].done * sizeof *times);
+      used += clients[i].done;
+      free (clients[i].first_us);
+    }
+  qsort (times, (size_t)used, sizeof *times, compare_times);
+  if (used > 0)
+    {
+      result->p50_us = times[used / 2];
+      result->p99_us = times[used * 99 / 100];
+      result->max_us = times[used - 1];
+    }
+  free (times);
+}
+
+static void
+run_load (const bt_stage_t *stage, const char *const *targets, int32_t target_count,
+          const char *path, const char *body, int64_t rate, int64_t requests, int32_t client_count,
+          result_t *result)
+{
+  client_t clients[MAX_CLIENTS] = { 0 };
+  int64_t start_us = bt_read_monotonic_us () + US_PER_MS;
+  double cpu_before = read_cpu_seconds (stage);
+
+  memset (result, 0, sizeof *result);
+  for (int32_t i = 0; i < client_count; i++)
+    {
+      client_t *client = &clients[i];
+
+      snprintf (client->url, sizeof client->url, "http://127.0.0.1:%d%s",
+                bt_get_stage_port (stage, targets[i % target_count]), path);
+      client->body = body;
+      client->requests = requests / client_count;
+      client->interval_us = rate == 0 ? 0 : (int64_t)US_PER_S * client_count / rate;
+      client->start_us = start_us + (rate == 0 ? 0 : i * (int64_t)US_PER_S / rate);
+      client->first_us = calloc ((size_t)client->requests + 1, sizeof *client->first_us);
+      pthread_create (&client->thread, NULL, run_client, client);
+    }
+  for (int32_t i = 0; i < client_count; i++)
+    pthread_join (clients[i].thread, NULL);
+  result->seconds = (double)(bt_read_monotonic_us () - start_us) / US_PER_S;
+  result->cpu_seconds = read_cpu_seconds (stage) - cpu_before;
+  collect (clients, client_count, result);
+}
+
+static void
+print_row (const char *name, const result_t *result)
+{
+  printf ("| %-26s | %8lld | %6lld | %8.0f | %8.3f | %8.3f | %8.3f | %10.0f |\n", name,
+          (long long)result->done, (long long)result->failed, (double)result->done / result->seconds,
+          (double)result->p50_us / US_PER_MS, (double)result->p99_us / US_PER_MS,
+          (double)result->max_us / US_PER_MS,
+          result->cpu_seconds > 0 ? (double)result->done / result->cpu_seconds : 0.0);
+}
+
+static void
+run_pair (const bt_stage_t *stage, const char *name, const char *standin, const char *path,
+          const char *body, int64_t rate, int64_t requests, int32_t clients)
+{
+  static const char *const entries[] = { "entry-0", "entry-1" };
+  const char *direct[] = { standin };
+  char label[URL_BYTES];
+  result_t straight;
+  result_t through;
+
+  run_load (stage, direct, 1, path, body, 0, WARM_UP_REQUESTS * clients, clients, &straight);
+  run_load (stage, entries, 2, path, body, 0, WARM_UP_REQUESTS * clients, clients, &through);
+  run_load (stage, direct, 1, path, body, rate, requests, clients, &straight);
+  run_load (stage, entries, 2, path, body, rate, requests, clients, &through);
+  straight.cpu_seconds = 0;
+  snprintf (label, sizeof label, "%s, straight", name);
+  print_row (label, &straight);
+  snprintf (label, sizeof label, "%s, through", name);
+  print_row (label, &through);
+  printf ("| %-26s | %8s | %6s | %8s | %8.3f | %8.3f | %8s | %10s |\n", "  added", "", "", "",
+          (double)(through.p50_us - straight.p50_us) / US_PER_MS,
+          (double)(through.p99_us - straight.p99_us) / US_PER_MS, "", "");
+}
+
+static int64_t
+read_option (int argc, char **argv, const char *name, int64_t otherwise)
+{
+  for (int i = 1; i + 1 < argc; i++)
+    if (strcmp (argv[i], name) == 0)
+      return strtoll (argv[i + 1], NULL, BASE_TEN);
+  return otherwise;
+}
+
+int
+main (int argc, char **argv)
+{
+  int64_t rate = read_option (argc, argv, "--rate", DEFAULT_RATE);
+  int64_t seconds = read_option (argc, argv, "--seconds", DEFAULT_SECONDS);
+  int32_t clients = (int32_t)read_option (argc, argv, "--clients", DEFAULT_CLIENTS);
+  static const char *const agent_arguments[] = { "--slots", "256", "--queue", "256", NULL };
+  bt_stage_t *stage;
+
+  if (clients < 1 || clients > MAX_CLIENTS || rate < 1 || seconds < 1)
+    {
+      fprintf (stderr, "bench_path: rate and seconds from 1, clients from 1 to %d\n", MAX_CLIENTS);
+      return 2;
+    }
+  bt_set_stage_arguments (NULL, agent_arguments);
+  stage = bt_new_stage (2, 2, 1, 0, rules);
+  if (stage == NULL)
+    return 1;
+  printf ("%lld requests a second for %lld s, %d keep-alive clients; times to the first byte\n\n",
+          (long long)rate, (long long)seconds, clients);
+  printf ("| %-26s | %8s | %6s | %8s | %8s | %8s | %8s | %10s |\n", "load", "answers", "failed",
+          "per s", "p50 ms", "p99 ms", "max ms", "per core-s");
+  printf ("|---|---|---|---|---|---|---|---|\n");
+  run_pair (stage, "plain service", "plain-0", "/lookup/x", "stock of shrimp?", rate,
+            rate * seconds, clients);
+  run_pair (stage, "model, 4 tokens", "engine-0", "/v1/completions",
+            "{\"prompt\":\"ten kilos\",\"max_tokens\":4}", rate, rate * seconds, clients);
+  run_pair (stage, "plain service, unpaced", "plain-0", "/lookup/x", "stock of shrimp?", 0,
+            rate * seconds, clients);
+  bt_drop_stage (stage, false);
+  return 0;
+}
