--- a/bench/bench_path.c
+++ b/bench/bench_path.c
@@ -3,9 +3,9 @@
  *
  *   bench_path [--rate N] [--seconds N] [--clients N]
  *
- * Starts its own deployment on loopback (two entries, two model engines, one plain service). For each
- * kind of endpoint it sends N requests a second from keep-alive clients, first straight, then through
- * the entries, and prints the time to the first byte and the processor time used.
+ * Starts its own deployment on loopback (two entries, two model engines, one plain service). For
+ * each kind of endpoint it sends N requests a second from keep-alive clients, first straight, then
+ * through the entries, and prints the time to the first byte and the processor time used.
  */
 
 #include <curl/curl.h>
@@ -33,12 +33,12 @@
   WARM_UP_REQUESTS = 20,
 };
 
-static const char *const rules
-    = "{\"rules\":["
-      "{\"name\":\"lookups\",\"when\":{\"path\":\"/lookup/*\"},"
-      "\"then\":{\"action\":\"route\",\"app\":\"lookup\",\"idempotent\":true}},"
-      "{\"name\":\"drafts\",\"when\":{\"path\":\"/v1/completions\"},"
-      "\"then\":{\"action\":\"route\",\"app\":\"drafts\"}}]}";
+static const char *const rules =
+    "{\"rules\":["
+    "{\"name\":\"lookups\",\"when\":{\"path\":\"/lookup/*\"},"
+    "\"then\":{\"action\":\"route\",\"app\":\"lookup\",\"idempotent\":true}},"
+    "{\"name\":\"drafts\",\"when\":{\"path\":\"/v1/completions\"},"
+    "\"then\":{\"action\":\"route\",\"app\":\"drafts\"}}]}";
 
 /** One client thread's part of a load. */
 typedef struct client
@@ -182,8 +182,14 @@
 }
 
 static void
-run_load (const bt_stage_t *stage, const char *const *targets, int32_t target_count,
-          const char *path, const char *body, int64_t rate, int64_t requests, int32_t client_count,
+run_load (const bt_stage_t *stage,
+          const char *const *targets,
+          int32_t target_count,
+          const char *path,
+          const char *body,
+          int64_t rate,
+          int64_t requests,
+          int32_t client_count,
           result_t *result)
 {
   client_t clients[MAX_CLIENTS] = { 0 };
@@ -215,15 +221,21 @@
 print_row (const char *name, const result_t *result)
 {
   printf ("| %-26s | %8lld | %6lld | %8.0f | %8.3f | %8.3f | %8.3f | %10.0f |\n", name,
-          (long long)result->done, (long long)result->failed, (double)result->done / result->seconds,
-          (double)result->p50_us / US_PER_MS, (double)result->p99_us / US_PER_MS,
-          (double)result->max_us / US_PER_MS,
+          (long long)result->done, (long long)result->failed,
+          (double)result->done / result->seconds, (double)result->p50_us / US_PER_MS,
+          (double)result->p99_us / US_PER_MS, (double)result->max_us / US_PER_MS,
           result->cpu_seconds > 0 ? (double)result->done / result->cpu_seconds : 0.0);
 }
 
 static void
-run_pair (const bt_stage_t *stage, const char *name, const char *standin, const char *path,
-          const char *body, int64_t rate, int64_t requests, int32_t clients)
+run_pair (const bt_stage_t *stage,
+          const char *name,
+          const char *standin,
+          const char *path,
+          const char *body,
+          int64_t rate,
+          int64_t requests,
+          int32_t clients)
 {
   static const char *const entries[] = { "entry-0", "entry-1" };
   const char *direct[] = { standin };
--- /dev/null
+++ b/test/wire/test_link.c
@@ -0,0 +1,299 @@
+#include <CUnit/Basic.h>
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "bilberrytray/base.h"
+#include "bilberrytray/wire/link.h"
+
+enum
+{
+  WAIT_MS = 20000,
+  POLL_MS = 5,
+  IDLE_MS = 200,
+  GARBAGE_ROUNDS = 50,
+  ADDRESS_TEXT_BYTES = 32,
+};
+
+/** One end that counts what happens to its links. */
+typedef struct end
+{
+  bt_link_handler_t base;
+  bt_context_t *ctx;
+  bt_link_loop_t *loop;
+  int32_t port;
+  bool silent; /**< Sends no heartbeats. */
+  atomic_int ups;
+  atomic_int downs;
+  atomic_int frames;
+} end_t;
+
+static void
+on_up (bt_link_handler_t *handler, bt_link_t *link)
+{
+  atomic_fetch_add (&((end_t *)handler)->ups, 1);
+}
+
+static void
+on_frame (bt_link_handler_t *handler, bt_link_t *link, const bt_frame_t *frame)
+{
+  atomic_fetch_add (&((end_t *)handler)->frames, 1);
+}
+
+static void
+on_down (bt_link_handler_t *handler, bt_link_t *link)
+{
+  atomic_fetch_add (&((end_t *)handler)->downs, 1);
+}
+
+static void
+on_beat (bt_link_handler_t *handler, bt_link_t *link)
+{
+  end_t *end = (end_t *)handler;
+  Bilberry__Heartbeat heartbeat = BILBERRY__HEARTBEAT__INIT;
+  bt_frame_t frame = BILBERRY__FRAME__INIT;
+
+  if (end->silent)
+    return;
+  frame.body_case = BILBERRY__FRAME__BODY_HEARTBEAT;
+  frame.heartbeat = &heartbeat;
+  bt_send_frame (end->ctx, link, &frame);
+}
+
+static const bt_link_handler_vtable_t vtable = { on_up, on_frame, on_down, on_beat };
+
+static void
+start_end (end_t *end, const char *instance, const char *secret, bool silent)
+{
+  bt_link_options_t options = { 0 };
+  bt_error_t error = { 0 };
+
+  memset (end, 0, sizeof *end);
+  end->base.vtable = &vtable;
+  end->ctx = bt_new_context ();
+  end->silent = silent;
+  bt_set_log_level (end->ctx, -1);
+  options.role = "entry";
+  options.instance = instance;
+  options.incarnation = 42;
+  options.failure_domain = "hall";
+  options.address = "";
+  options.secret = secret;
+  options.beat_ms = IDLE_MS / 8;
+  options.idle_ms = IDLE_MS;
+  options.opening_ms = IDLE_MS;
+  options.max_frame_bytes = 65536;
+  options.max_unsent_bytes = 1 << 20;
+  options.max_links = 16;
+  options.handler = &end->base;
+  end->loop = bt_new_link_loop (end->ctx, &options, &error);
+  end->port = bt_listen_links (end->ctx, end->loop, "127.0.0.1:0", &error);
+  CU_ASSERT_TRUE (end->port > 0);
+}
+
+static void
+stop_end (end_t *end)
+{
+  bt_drop_link_loop (end->ctx, end->loop);
+  bt_drop_context (end->ctx);
+}
+
+static bt_link_t *
+dial (end_t *from, const end_t *to, const char *instance)
+{
+  char address[ADDRESS_TEXT_BYTES];
+  bt_error_t error = { 0 };
+
+  snprintf (address, sizeof address, "127.0.0.1:%d", to->port);
+  return bt_dial_link (from->ctx, from->loop, address, instance, &error);
+}
+
+static bool
+wait_count (atomic_int *count, int32_t wanted)
+{
+  for (int32_t waited_ms = 0; waited_ms < WAIT_MS; waited_ms += POLL_MS)
+    {
+      if (atomic_load (count) >= wanted)
+        return true;
+      bt_sleep_ms (POLL_MS);
+    }
+  return false;
+}
+
+static bool
+wait_closed (const bt_link_t *link)
+{
+  for (int32_t waited_ms = 0; waited_ms < WAIT_MS; waited_ms += POLL_MS)
+    {
+      if (bt_is_link_closed (link))
+        return true;
+      bt_sleep_ms (POLL_MS);
+    }
+  return false;
+}
+
+static void
+test_two_ends_prove_themselves (void)
+{
+  end_t left;
+  end_t right;
+  bt_link_t *link;
+
+  start_end (&left, "left", "secret", false);
+  start_end (&right, "right", "secret", false);
+  link = dial (&left, &right, "right");
+  CU_ASSERT_TRUE (wait_count (&left.ups, 1));
+  CU_ASSERT_TRUE (wait_count (&right.ups, 1));
+  CU_ASSERT_STRING_EQUAL (bt_get_link_instance (link), "right");
+  CU_ASSERT_EQUAL (bt_get_link_incarnation (link), 42);
+  CU_ASSERT_TRUE (wait_count (&left.frames, 3));
+  CU_ASSERT_TRUE (wait_count (&right.frames, 3));
+  bt_drop_link (left.ctx, link);
+  stop_end (&left);
+  CU_ASSERT_TRUE (wait_count (&right.downs, 1));
+  stop_end (&right);
+}
+
+/* An instance was replaced and another process now listens at its address. The dialling end wants
+ * the old one: without the check of names its dispatches would run at the wrong endpoint. */
+static void
+test_reused_address_is_noticed (void)
+{
+  end_t left;
+  end_t right;
+  bt_link_t *link;
+
+  start_end (&left, "left", "secret", false);
+  start_end (&right, "newcomer", "secret", false);
+  link = dial (&left, &right, "right");
+  CU_ASSERT_TRUE (wait_closed (link));
+  CU_ASSERT_EQUAL (atomic_load (&left.ups), 0);
+  CU_ASSERT_EQUAL (atomic_load (&right.ups), 0);
+  bt_drop_link (left.ctx, link);
+  stop_end (&left);
+  stop_end (&right);
+}
+
+static void
+test_wrong_secret_is_refused (void)
+{
+  end_t left;
+  end_t right;
+  bt_link_t *link;
+
+  start_end (&left, "left", "guess", false);
+  start_end (&right, "right", "secret", false);
+  link = dial (&left, &right, "right");
+  CU_ASSERT_TRUE (wait_closed (link));
+  CU_ASSERT_EQUAL (atomic_load (&left.ups), 0);
+  CU_ASSERT_EQUAL (atomic_load (&right.ups), 0);
+  bt_drop_link (left.ctx, link);
+  stop_end (&left);
+  stop_end (&right);
+}
+
+/* Something between the two ends forgets the connection: it stays open and silent. The end that
+ * hears nothing for its idle limit gives it up, whatever the socket says. */
+static void
+test_silent_link_is_given_up (void)
+{
+  end_t left;
+  end_t right;
+  bt_link_t *link;
+
+  start_end (&left, "left", "secret", false);
+  start_end (&right, "right", "secret", true);
+  link = dial (&left, &right, "right");
+  CU_ASSERT_TRUE (wait_count (&left.downs, 1));
+  CU_ASSERT_TRUE (bt_is_link_closed (link));
+  bt_drop_link (left.ctx, link);
+  stop_end (&left);
+  stop_end (&right);
+}
+
+static int
+connect_raw (int32_t port)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  address.sin_port = htons ((uint16_t)port);
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  if (connect (fd, (struct sockaddr *)&address, sizeof address) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
+static bool
+reads_end (int fd)
+{
+  char bytes[4096];
+  ssize_t got;
+
+  do
+    got = recv (fd, bytes, sizeof bytes, 0);
+  while (got > 0);
+  return got == 0 || got < 0;
+}
+
+/* A stranger sends noise, or nothing at all, to the port for links. Each such connection is closed,
+ * and a proper peer still gets its link. */
+static void
+test_noise_is_closed_and_does_no_harm (void)
+{
+  end_t left;
+  end_t right;
+  bt_link_t *link;
+  bt_random_t random;
+
+  bt_seed_random (&random, 11);
+  start_end (&left, "left", "secret", false);
+  start_end (&right, "right", "secret", false);
+  for (int32_t round = 0; round < GARBAGE_ROUNDS; round++)
+    {
+      uint8_t noise[256];
+      int fd = connect_raw (right.port);
+
+      CU_ASSERT_TRUE (fd >= 0);
+      for (size_t i = 0; i < sizeof noise; i++)
+        noise[i] = (uint8_t)bt_next_random (&random);
+      /* A zero length first, so that some of the noise is taken for short frames. */
+      if (round % 2 == 0)
+        memset (noise, 0, 3);
+      if (round % 10 != 9)
+        CU_ASSERT_TRUE (send (fd, noise, sizeof noise, MSG_NOSIGNAL) >= 0);
+      CU_ASSERT_TRUE (reads_end (fd));
+      close (fd);
+    }
+  CU_ASSERT_EQUAL (atomic_load (&right.ups), 0);
+  link = dial (&left, &right, "right");
+  CU_ASSERT_TRUE (wait_count (&right.ups, 1));
+  bt_drop_link (left.ctx, link);
+  stop_end (&left);
+  stop_end (&right);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned int failed;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("link", NULL, NULL);
+  CU_ADD_TEST (suite, test_two_ends_prove_themselves);
+  CU_ADD_TEST (suite, test_reused_address_is_noticed);
+  CU_ADD_TEST (suite, test_wrong_secret_is_refused);
+  CU_ADD_TEST (suite, test_silent_link_is_given_up);
+  CU_ADD_TEST (suite, test_noise_is_closed_and_does_no_harm);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failed = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failed == 0 ? 0 : 1;
+}
