--- a/bench/bench_path.c
+++ b/bench/bench_path.c
@@ -243,8 +243,10 @@
   result_t straight;
   result_t through;
 
-  run_load (stage, direct, 1, path, body, 0, WARM_UP_REQUESTS * clients, clients, &straight);
-  run_load (stage, entries, 2, path, body, 0, WARM_UP_REQUESTS * clients, clients, &through);
+  run_load (stage, direct, 1, path, body, 0, (int64_t)WARM_UP_REQUESTS * clients, clients,
+            &straight);
+  run_load (stage, entries, 2, path, body, 0, (int64_t)WARM_UP_REQUESTS * clients, clients,
+            &through);
   run_load (stage, direct, 1, path, body, rate, requests, clients, &straight);
   run_load (stage, entries, 2, path, body, rate, requests, clients, &through);
   straight.cpu_seconds = 0;
@@ -272,6 +274,7 @@
   int64_t rate = read_option (argc, argv, "--rate", DEFAULT_RATE);
   int64_t seconds = read_option (argc, argv, "--seconds", DEFAULT_SECONDS);
   int32_t clients = (int32_t)read_option (argc, argv, "--clients", DEFAULT_CLIENTS);
+  int64_t requests = rate * seconds;
   static const char *const agent_arguments[] = { "--slots", "256", "--queue", "256", NULL };
   bt_stage_t *stage;
 
@@ -289,12 +292,12 @@
   printf ("| %-26s | %8s | %6s | %8s | %8s | %8s | %8s | %10s |\n", "load", "answers", "failed",
           "per s", "p50 ms", "p99 ms", "max ms", "per core-s");
   printf ("|---|---|---|---|---|---|---|---|\n");
-  run_pair (stage, "plain service", "plain-0", "/lookup/x", "stock of shrimp?", rate,
-            rate * seconds, clients);
+  run_pair (stage, "plain service", "plain-0", "/lookup/x", "stock of shrimp?", rate, requests,
+            clients);
   run_pair (stage, "model, 4 tokens", "engine-0", "/v1/completions",
-            "{\"prompt\":\"ten kilos\",\"max_tokens\":4}", rate, rate * seconds, clients);
+            "{\"prompt\":\"ten kilos\",\"max_tokens\":4}", rate, requests, clients);
   run_pair (stage, "plain service, unpaced", "plain-0", "/lookup/x", "stock of shrimp?", 0,
-            rate * seconds, clients);
+            requests, clients);
   bt_drop_stage (stage, false);
   return 0;
 }
