Mend two findings of ThreadSanitizer and a clash of ports between tests

- accept could run before the listening socket's number was stored: stored first now.
- a caller's lock was held while its response was queued, and the library calls back for the answer's bytes with the response locked: the response is made without the caller's lock now.
- two test programs at a time could choose the same range of ports (seen: Address already in use): each holds the first port of its range.

--- a/source/entry/caller.c
+++ b/source/entry/caller.c
@@ -289,37 +289,73 @@
   bt_drop_caller (caller->ctx, caller);
 }
 
+/** What a response is made from, read under the lock. */
+typedef struct answer_head
+{
+  bool ready;
+  uint64_t length;
+  int32_t status;
+  bt_outcome_t outcome;
+  bt_reason_t reason;
+  int64_t retry_after_ms;
+} answer_head_t;
+
+static answer_head_t
+read_head_or_suspend (bt_caller_t *caller)
+{
+  answer_head_t head = { 0 };
+
+  pthread_mutex_lock (&caller->lock);
+  head.ready = caller->state != ANSWER_NONE;
+  /* An answer that is already whole goes out with its length; a longer one in chunks, whose last
+   * chunk is the caller's proof that nothing is missing. */
+  head.length =
+      caller->state == ANSWER_WHOLE ? bt_count_buffer (&caller->pending) : MHD_SIZE_UNKNOWN;
+  head.status = caller->status;
+  head.outcome = caller->outcome;
+  head.reason = caller->reason;
+  head.retry_after_ms = caller->retry_after_ms;
+  if (!head.ready)
+    {
+      caller->suspended = true;
+      MHD_suspend_connection (caller->connection);
+    }
+  pthread_mutex_unlock (&caller->lock);
+  return head;
+}
+
 static void
-add_outcome_headers (bt_caller_t *caller, struct MHD_Response *response)
+add_outcome_headers (const bt_caller_t *caller,
+                     const answer_head_t *head,
+                     struct MHD_Response *response)
 {
-  char seconds[NUMBER_BYTES];
+  char number[NUMBER_BYTES];
 
   MHD_add_response_header (response, "Content-Type", caller->content_type);
-  MHD_add_response_header (response, "Bilberry-Outcome", bt_name_outcome (caller->outcome));
-  if (caller->reason != BT_REASON_NONE)
-    MHD_add_response_header (response, "Bilberry-Reason", bt_name_reason (caller->reason));
-  if (caller->retry_after_ms <= 0)
+  MHD_add_response_header (response, "Bilberry-Outcome", bt_name_outcome (head->outcome));
+  if (head->reason != BT_REASON_NONE)
+    MHD_add_response_header (response, "Bilberry-Reason", bt_name_reason (head->reason));
+  if (head->retry_after_ms <= 0)
     return;
-  snprintf (seconds, sizeof seconds, "%lld",
-            (long long)((caller->retry_after_ms + MS_PER_S - 1) / MS_PER_S));
-  MHD_add_response_header (response, "Retry-After", seconds);
-  snprintf (seconds, sizeof seconds, "%lld", (long long)caller->retry_after_ms);
-  MHD_add_response_header (response, "Bilberry-Retry-After-Ms", seconds);
+  snprintf (number, sizeof number, "%lld",
+            (long long)((head->retry_after_ms + MS_PER_S - 1) / MS_PER_S));
+  MHD_add_response_header (response, "Retry-After", number);
+  snprintf (number, sizeof number, "%lld", (long long)head->retry_after_ms);
+  MHD_add_response_header (response, "Bilberry-Retry-After-Ms", number);
 }
 
+/* Called without the lock: the library locks a response while it calls read_answer, which takes the
+ * caller's lock, so the two are never taken the other way round. What was read stays true, since
+ * only a caller without an answer gets another head. */
 static enum MHD_Result
-queue_locked (bt_caller_t *caller)
+queue_answer (bt_caller_t *caller, const answer_head_t *head)
 {
-  /* An answer that is already whole goes out with its length; a longer one in chunks, whose last
-   * chunk is the caller's proof that nothing is missing. */
-  uint64_t length =
-      caller->state == ANSWER_WHOLE ? bt_count_buffer (&caller->pending) : MHD_SIZE_UNKNOWN;
   struct MHD_Response *response = MHD_create_response_from_callback (
-      length, READ_BLOCK_BYTES, read_answer, bt_keep_caller (caller), free_reader);
+      head->length, READ_BLOCK_BYTES, read_answer, bt_keep_caller (caller), free_reader);
   enum MHD_Result result;
 
-  add_outcome_headers (caller, response);
-  result = MHD_queue_response (caller->connection, (unsigned int)caller->status, response);
+  add_outcome_headers (caller, head, response);
+  result = MHD_queue_response (caller->connection, (unsigned int)head->status, response);
   MHD_destroy_response (response);
   return result;
 }
@@ -327,18 +363,9 @@
 enum MHD_Result
 bt_serve_caller (bt_context_t *ctx, bt_caller_t *caller)
 {
-  enum MHD_Result result = MHD_YES;
+  answer_head_t head = read_head_or_suspend (caller);
 
-  pthread_mutex_lock (&caller->lock);
-  if (caller->state != ANSWER_NONE)
-    result = queue_locked (caller);
-  else
-    {
-      caller->suspended = true;
-      MHD_suspend_connection (caller->connection);
-    }
-  pthread_mutex_unlock (&caller->lock);
-  return result;
+  return head.ready ? queue_answer (caller, &head) : MHD_YES;
 }
 
 void
--- a/source/wire/link_loop.c
+++ b/source/wire/link_loop.c
@@ -136,16 +136,21 @@
   if (fd >= 0)
     setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
   if (fd < 0 || bind (fd, (struct sockaddr *)&target, sizeof target) < 0
-      || listen (fd, LISTEN_BACKLOG) < 0 || getsockname (fd, (struct sockaddr *)&target, &bytes) < 0
-      || epoll_ctl (loop->epoll_fd, EPOLL_CTL_ADD, fd, &event) < 0)
+      || listen (fd, LISTEN_BACKLOG) < 0
+      || getsockname (fd, (struct sockaddr *)&target, &bytes) < 0)
     {
       bt_set_error (error, BT_ERROR_SYSTEM, "Can't listen on %s: %s.", address, strerror (errno));
       if (fd >= 0)
         close (fd);
       return -1;
     }
+  /* Stored before the loop's thread can hear of it. */
   loop->listen_fd = fd;
-  return ntohs (target.sin_port);
+  if (epoll_ctl (loop->epoll_fd, EPOLL_CTL_ADD, fd, &event) == 0)
+    return ntohs (target.sin_port);
+  bt_set_error (error, BT_ERROR_SYSTEM, "Can't wait for links on %s: %s.", address,
+                strerror (errno));
+  return -1;
 }
 
 static void
--- a/test/process/harness.c
+++ b/test/process/harness.c
@@ -1,8 +1,10 @@
 #include "harness.h"
 
+#include <arpa/inet.h>
 #include <curl/curl.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <netinet/in.h>
 #include <signal.h>
 #include <sodium.h>
 #include <spawn.h>
@@ -11,6 +13,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -641,6 +644,35 @@
   return true;
 }
 
+static int
+hold_port (int32_t port)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  address.sin_port = htons ((uint16_t)port);
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  if (fd >= 0 && bind (fd, (struct sockaddr *)&address, sizeof address) == 0 && listen (fd, 1) == 0)
+    return fd;
+  if (fd >= 0)
+    close (fd);
+  return -1;
+}
+
+/* Tests of several work trees may run at the same time: each holds the first port of its range. */
+static bool
+take_port_slot (bt_stage_t *stage)
+{
+  for (int32_t i = 0; i < PORT_SLOTS; i++)
+    {
+      stage->base_port = FIRST_PORT + (getpid () + i) % PORT_SLOTS * PORT_SPAN;
+      stage->slot_fd = hold_port (stage->base_port);
+      if (stage->slot_fd >= 0)
+        return true;
+    }
+  return false;
+}
+
 bt_stage_t *
 bt_new_stage (int32_t entries,
               int32_t engines,
@@ -648,7 +680,6 @@
               int32_t engine_step_us,
               const char *rules_json)
 {
-  static int32_t stages;
   bt_stage_t *stage = calloc (1, sizeof *stage);
 
   if (stage == NULL)
@@ -657,7 +688,12 @@
   curl_global_init (CURL_GLOBAL_DEFAULT);
   setenv ("BILBERRY_SECRET", "secret-of-the-tests", 1);
   snprintf (stage->folder, sizeof stage->folder, "/tmp/bilberry-test-XXXXXX");
-  stage->base_port = FIRST_PORT + (getpid () + stages++) % PORT_SLOTS * PORT_SPAN;
+  if (!take_port_slot (stage))
+    {
+      fprintf (stderr, "no range of ports is free\n");
+      free (stage);
+      return NULL;
+    }
   stage->kv_port = stage->base_port + OFFSET_KV;
   stage->list_port = stage->base_port + OFFSET_LIST;
   stage->entries = entries;
@@ -705,6 +741,7 @@
       unlink (stage->processes[i].log_path);
     }
   rmdir (stage->folder);
+  close (stage->slot_fd);
   curl_global_cleanup ();
   free (stage);
 }
--- a/test/process/harness.h
+++ b/test/process/harness.h
@@ -32,6 +32,7 @@
   int32_t process_count;
   char folder[64];
   int32_t base_port;
+  int slot_fd; /**< Listens on base_port, so that no other test takes the same ports. */
   int32_t kv_port;
   int32_t list_port;
   int32_t entries;
