Add the request protocol's decisions: arbiter, records and call

The arbiter answers for the keys of one agent: it runs a key at most once, or grants it to one other agent and moves the grant only after that agent's tombstone. The call drives one request at an entry and says not-run only after home's tombstone, also for a refusal of the entry's own, since the same key may run through another entry.

--- /dev/null
+++ b/include/bilberrytray/core/call.h
@@ -0,0 +1,140 @@
+#ifndef BILBERRYTRAY_CORE_CALL_H
+#define BILBERRYTRAY_CORE_CALL_H
+
+/** @file
+ * The entry's side of one request: from its admission to its final answer. Events and a time go in,
+ * actions come out. Not thread-safe.
+ *
+ * After each BT_CALL_SEND_* action the shell reports BT_CALL_SENT before any other event.
+ */
+
+#include "bilberrytray/base/context.h"
+#include "bilberrytray/core/request.h"
+
+typedef struct bt_call bt_call_t;
+
+typedef struct bt_call_options
+{
+  uint64_t call;      /**< Unique in this entry's incarnation. */
+  bool has_ticket;    /**< The request has a key. */
+  bt_ticket_t ticket; /**< Its verified ticket. */
+  bool idempotent;    /**< May be run more than once. */
+  uint64_t body_digest;
+  int64_t deadline_ms;        /**< In this process's clock, as all times here. */
+  int64_t give_up_margin_ms;  /**< What is left of the deadline when not-run must be proved. */
+  int64_t reply_limit_ms;     /**< How long one message may stay unanswered. */
+  int64_t reconnect_limit_ms; /**< How long a lost agent is waited for. */
+  int64_t retry_after_ms;     /**< Told where the refusal itself names no time. */
+  int32_t max_resends;        /**< Unanswered messages sent again, and streams resumed. */
+  int32_t max_hops;           /**< Grants of other entries that are followed. */
+  uint32_t faults;            /**< Bits of bt_fault_t; 0 outside tests. */
+} bt_call_options_t;
+
+typedef enum bt_call_event_kind
+{
+  BT_CALL_SUBMIT = 0,      /**< The request was admitted. */
+  BT_CALL_CANDIDATE,       /**< identity, grant_expires_ms: the policy's choice. */
+  BT_CALL_NO_CANDIDATE,    /**< reason, retry_after_ms */
+  BT_CALL_BUDGET,          /**< allowed: whether a further attempt may be made. */
+  BT_CALL_SENT,            /**< path.link: the connection used, 0 when there is none. */
+  BT_CALL_LINK_UP,         /**< identity: a connection to it is open. */
+  BT_CALL_LINK_DOWN,       /**< path.link */
+  BT_CALL_ACCEPTED,        /**< path */
+  BT_CALL_REFUSED,         /**< path, reason, outcome, retry_after_ms, has_grant, grant */
+  BT_CALL_GRANT_REPLY,     /**< path, granted, grant, home_runs; else reason, outcome */
+  BT_CALL_TOMBSTONE_REPLY, /**< path, tombstoned; else state, has_grant, grant */
+  BT_CALL_HEAD,            /**< path, status, data */
+  BT_CALL_PIECE,           /**< path, sequence, data */
+  BT_CALL_END,             /**< path, pieces, total_bytes */
+  BT_CALL_CALLER_GONE,     /**< The caller closed its connection. */
+  BT_CALL_REFUSE,          /**< reason, retry_after_ms: the shell gives the request up. */
+  BT_CALL_TICK,            /**< Time has passed. */
+} bt_call_event_kind_t;
+
+typedef struct bt_call_event
+{
+  bt_call_event_kind_t kind;
+  bt_reply_path_t path;
+  bt_identity_t identity;
+  int64_t grant_expires_ms; /**< In the candidate's clock. */
+  bool allowed;
+  bt_reason_t reason;
+  bt_outcome_t outcome;
+  int64_t retry_after_ms;
+  bool has_grant;
+  bt_grant_t grant;
+  bool granted;
+  bool home_runs;
+  bool tombstoned;
+  bt_record_state_t state;
+  uint32_t status;
+  const void *data;
+  uint64_t data_bytes;
+  uint64_t sequence;
+  uint64_t pieces;
+  uint64_t total_bytes;
+} bt_call_event_t;
+
+typedef enum bt_call_action_kind
+{
+  BT_CALL_ASK_CANDIDATE = 0, /**< excluded, excluded_count: agents already tried. */
+  BT_CALL_ASK_BUDGET,        /**< retry: why a further attempt is wanted. */
+  BT_CALL_SEND_DISPATCH,     /**< identity, dispatch (path.link, deadline left to the shell) */
+  BT_CALL_SEND_GRANT,        /**< identity, grant_request */
+  BT_CALL_SEND_TOMBSTONE,    /**< identity, tombstone_request */
+  BT_CALL_SEND_CANCEL,       /**< path */
+  BT_CALL_GIVE_HEAD,         /**< status, data */
+  BT_CALL_GIVE_PIECE,        /**< data */
+  BT_CALL_FINISH_WHOLE,      /**< The answer is complete. */
+  BT_CALL_FINISH_REFUSED,    /**< reason, outcome, retry_after_ms; nothing was given before. */
+  BT_CALL_CUT,               /**< reason: an answer was begun and must be visibly cut. */
+} bt_call_action_kind_t;
+
+typedef struct bt_call_action
+{
+  bt_call_action_kind_t kind;
+  bt_identity_t identity;
+  const bt_identity_t *excluded; /**< Valid until the next event. */
+  int32_t excluded_count;
+  bt_retry_t retry;
+  bt_dispatch_t dispatch;
+  bt_grant_request_t grant_request;
+  bt_tombstone_request_t tombstone_request;
+  bt_reply_path_t path;
+  bt_reason_t reason;
+  bt_outcome_t outcome;
+  int64_t retry_after_ms;
+  uint32_t status;
+  const void *data; /**< Valid until the call or the event's memory is used again. */
+  uint64_t data_bytes;
+} bt_call_action_t;
+
+/** A growable list of actions; zero-initialise it. */
+typedef struct bt_call_actions
+{
+  bt_call_action_t *items;
+  int32_t count;
+  int32_t room;
+} bt_call_actions_t;
+
+/** Frees what a list holds. */
+void bt_free_call_actions (bt_context_t *ctx, bt_call_actions_t *actions);
+
+bt_call_t *bt_new_call (bt_context_t *ctx, const bt_call_options_t *options);
+void bt_drop_call (bt_context_t *ctx, bt_call_t *call);
+
+/** Takes one event. Events that belong to earlier attempts, other links or other calls, and all
+ * events after the final answer, are ignored. */
+void bt_step_call (bt_context_t *ctx,
+                   bt_call_t *call,
+                   const bt_call_event_t *event,
+                   int64_t now_ms,
+                   bt_call_actions_t *actions);
+
+/** True after one of the three final actions. */
+bool bt_is_call_finished (const bt_call_t *call);
+
+/** True when a link to the instance of @p identity is waited for. */
+bool bt_is_call_waiting_for (const bt_call_t *call, const bt_identity_t *identity);
+
+#endif
--- a/include/bilberrytray/core/outcome.h
+++ b/include/bilberrytray/core/outcome.h
@@ -56,7 +56,9 @@
   X (ENGINE_SILENT, "engine-silent", 504, UNKNOWN)                                                 \
   X (ENGINE_UNREACHABLE, "engine-unreachable", 503, NOT_RUN)                                       \
   X (ANSWER_DROPPED, "answer-dropped", 502, UNKNOWN)                                               \
-  X (CANCELLED, "cancelled", 504, UNKNOWN)
+  X (CANCELLED, "cancelled", 504, UNKNOWN)                                                         \
+  X (AGENT_RESTARTED, "agent-restarted", 502, UNKNOWN)                                             \
+  X (NO_RUN, "no-run", 503, NOT_RUN)
 
 typedef enum bt_reason
 {
--- /dev/null
+++ b/source/core/arbiter_keys.c
@@ -0,0 +1,444 @@
+/* How an arbiter answers the three messages of entries: dispatch, grant and tombstone requests. */
+
+#include "arbiter_private.h"
+
+/* Judged by this agent's own clock: that same clock tells when the record is dropped, so a message
+ * that outlived its record is always seen to be too late. */
+static bool
+is_dispatch_past (const bt_arbiter_t *arbiter, const bt_dispatch_t *dispatch, int64_t now_ms)
+{
+  int64_t expires_ms =
+      dispatch->has_grant ? dispatch->grant.expires_ms : dispatch->ticket.expires_ms;
+
+  if ((arbiter->options.faults & BT_FAULT_FOREIGN_CLOCK) != 0)
+    now_ms = dispatch->sender_now_ms;
+  return bt_is_past (expires_ms, now_ms);
+}
+
+static void
+start_run (bt_context_t *ctx,
+           bt_arbiter_t *arbiter,
+           bt_record_t *record,
+           const bt_dispatch_t *dispatch,
+           bt_arbiter_actions_t *actions)
+{
+  bt_watcher_t watcher = { dispatch->path, dispatch->from_sequence };
+  bt_arbiter_action_t *action;
+
+  record->state = BT_RECORD_RUNNING;
+  record->run = ++arbiter->last_run;
+  record->resumes = 0;
+  record->has_digest = true;
+  record->body_digest = dispatch->body_digest;
+  arbiter->runs++;
+  bt_begin_answer (ctx, arbiter->table, record);
+  bt_set_record_active (arbiter->table, record, true);
+  bt_add_watcher (ctx, record, &watcher);
+  bt_add_arbiter_action (ctx, actions, BT_ARBITER_REPLY_ACCEPTED, &dispatch->path);
+  action = bt_add_arbiter_action (ctx, actions, BT_ARBITER_START_RUN, &dispatch->path);
+  action->run = record->run;
+  action->dispatch = dispatch;
+}
+
+/* Why a new run is refused, BT_REASON_NONE when it may start. */
+static bt_reason_t
+check_admission (const bt_arbiter_t *arbiter, const bt_dispatch_t *dispatch, int64_t now_ms)
+{
+  if (dispatch->attach_only)
+    return BT_REASON_NO_RUN;
+  if (arbiter->leaving)
+    return BT_REASON_ENDPOINT_LEAVING;
+  if (bt_is_past (dispatch->deadline_ms, now_ms))
+    return BT_REASON_DEADLINE_UNREACHABLE;
+  return dispatch->admission;
+}
+
+static void
+refuse_run (bt_context_t *ctx,
+            const bt_dispatch_t *dispatch,
+            bt_reason_t reason,
+            bt_arbiter_actions_t *actions)
+{
+  bt_arbiter_action_t *action = bt_add_refusal (ctx, actions, &dispatch->path, reason);
+
+  action->outcome = BT_OUTCOME_NOT_RUN;
+  action->retry_after_ms = dispatch->admission_retry_ms;
+}
+
+static bool
+has_transient (const bt_arbiter_t *arbiter, const bt_reply_path_t *path)
+{
+  const bt_record_t *record = bt_first_active_record (arbiter->table);
+
+  for (; record != NULL; record = record->next_active)
+    if (!record->keyed && record->watchers[0].path.link == path->link
+        && record->watchers[0].path.call == path->call
+        && record->watchers[0].path.attempt == path->attempt)
+      return true;
+  return false;
+}
+
+static void
+dispatch_unkeyed (bt_context_t *ctx,
+                  bt_arbiter_t *arbiter,
+                  const bt_dispatch_t *dispatch,
+                  int64_t now_ms,
+                  bt_arbiter_actions_t *actions)
+{
+  bt_reason_t reason = check_admission (arbiter, dispatch, now_ms);
+
+  if (has_transient (arbiter, &dispatch->path))
+    return;
+  if (reason != BT_REASON_NONE)
+    refuse_run (ctx, dispatch, reason, actions);
+  else
+    start_run (ctx, arbiter, bt_add_unkeyed_record (ctx, arbiter->table), dispatch, actions);
+}
+
+static void
+attach (bt_context_t *ctx,
+        bt_arbiter_t *arbiter,
+        bt_record_t *record,
+        const bt_dispatch_t *dispatch,
+        bt_arbiter_actions_t *actions)
+{
+  bt_watcher_t watcher = { dispatch->path, dispatch->from_sequence };
+
+  if (record->state == BT_RECORD_RUNNING && !bt_add_watcher (ctx, record, &watcher))
+    return;
+  bt_add_arbiter_action (ctx, actions, BT_ARBITER_REPLY_ACCEPTED, &dispatch->path)->attached = true;
+  if (!bt_replay_answer (ctx, record, &watcher, actions) && record->state == BT_RECORD_RUNNING)
+    bt_remove_watcher (record, record->watcher_count - 1);
+}
+
+static void
+refuse_with_grant (bt_context_t *ctx,
+                   const bt_record_t *record,
+                   const bt_reply_path_t *path,
+                   bt_arbiter_actions_t *actions)
+{
+  bt_arbiter_action_t *action = bt_add_refusal (ctx, actions, path, BT_REASON_WRONG_INSTANCE);
+
+  action->has_grant = true;
+  action->grant = *record->grant;
+}
+
+/* True when the dispatch carries the live grant of a key that its home granted to itself. */
+static bool
+is_granted_here (const bt_arbiter_t *arbiter,
+                 const bt_record_t *record,
+                 const bt_dispatch_t *dispatch)
+{
+  return bt_is_arbiter (arbiter, &record->grant->agent) && dispatch->has_grant
+         && dispatch->grant.number == record->grant->number;
+}
+
+static void
+run_open_key (bt_context_t *ctx,
+              bt_arbiter_t *arbiter,
+              bt_record_t *record,
+              const bt_dispatch_t *dispatch,
+              int64_t now_ms,
+              bt_arbiter_actions_t *actions)
+{
+  bt_reason_t reason = check_admission (arbiter, dispatch, now_ms);
+  int64_t expires_ms =
+      dispatch->has_grant ? dispatch->grant.expires_ms : dispatch->ticket.expires_ms;
+
+  if (reason != BT_REASON_NONE)
+    {
+      refuse_run (ctx, dispatch, reason, actions);
+      return;
+    }
+  if (record == NULL)
+    record = bt_add_record (ctx, arbiter->table, &dispatch->ticket.key, expires_ms, false);
+  if (record == NULL)
+    {
+      bt_add_refusal (ctx, actions, &dispatch->path, BT_REASON_RECORDS_FULL)->retry_after_ms =
+          arbiter->options.retry_after_ms;
+      return;
+    }
+  if (record->expires_ms < expires_ms)
+    record->expires_ms = expires_ms;
+  bt_set_record_grant (ctx, arbiter->table, record, NULL);
+  start_run (ctx, arbiter, record, dispatch, actions);
+}
+
+static void
+dispatch_recorded (bt_context_t *ctx,
+                   bt_arbiter_t *arbiter,
+                   bt_record_t *record,
+                   const bt_dispatch_t *dispatch,
+                   int64_t now_ms,
+                   bt_arbiter_actions_t *actions)
+{
+  if (record->has_digest && record->body_digest != dispatch->body_digest)
+    {
+      bt_add_refusal (ctx, actions, &dispatch->path, BT_REASON_KEY_REUSED);
+      return;
+    }
+  switch (record->state)
+    {
+    case BT_RECORD_RUNNING:
+    case BT_RECORD_DONE:
+      attach (ctx, arbiter, record, dispatch, actions);
+      break;
+    case BT_RECORD_GRANTED:
+      if (is_granted_here (arbiter, record, dispatch))
+        run_open_key (ctx, arbiter, record, dispatch, now_ms, actions);
+      else
+        refuse_with_grant (ctx, record, &dispatch->path, actions);
+      break;
+    case BT_RECORD_FAILED:
+      bt_add_refusal (ctx, actions, &dispatch->path, record->reason)->outcome = BT_OUTCOME_UNKNOWN;
+      break;
+    case BT_RECORD_TOMBSTONED:
+      bt_add_refusal (ctx, actions, &dispatch->path, BT_REASON_KEY_TOMBSTONED);
+      break;
+    default:
+      run_open_key (ctx, arbiter, record, dispatch, now_ms, actions);
+      break;
+    }
+}
+
+static bt_reason_t
+check_keyed_dispatch (const bt_arbiter_t *arbiter, const bt_dispatch_t *dispatch)
+{
+  bt_reason_t reason = bt_check_addressee (arbiter, &dispatch->target, BT_REASON_AGENT_RESTARTED);
+
+  if (reason != BT_REASON_NONE)
+    return reason;
+  if (!dispatch->has_grant)
+    return bt_check_addressee (arbiter, &dispatch->ticket.home, BT_REASON_HOME_RESTARTED);
+  return bt_check_addressee (arbiter, &dispatch->grant.agent, BT_REASON_AGENT_RESTARTED);
+}
+
+void
+bt_handle_dispatch (bt_context_t *ctx,
+                    bt_arbiter_t *arbiter,
+                    const bt_dispatch_t *dispatch,
+                    int64_t now_ms,
+                    bt_arbiter_actions_t *actions)
+{
+  bt_record_t *record;
+  bt_reason_t reason;
+
+  if (!dispatch->has_ticket)
+    {
+      /* Without a key nothing else can have run it, so a wrong addressee proves not-run. */
+      if (bt_is_arbiter (arbiter, &dispatch->target))
+        dispatch_unkeyed (ctx, arbiter, dispatch, now_ms, actions);
+      else
+        bt_add_refusal (ctx, actions, &dispatch->path, BT_REASON_WRONG_INSTANCE);
+      return;
+    }
+  reason = check_keyed_dispatch (arbiter, dispatch);
+  if (reason != BT_REASON_NONE)
+    {
+      bt_add_refusal (ctx, actions, &dispatch->path, reason);
+      return;
+    }
+  record = bt_find_record (arbiter->table, &dispatch->ticket.key);
+  if (record != NULL && (record->state == BT_RECORD_RUNNING || record->state == BT_RECORD_DONE))
+    dispatch_recorded (ctx, arbiter, record, dispatch, now_ms, actions);
+  else if (is_dispatch_past (arbiter, dispatch, now_ms))
+    bt_add_refusal (ctx, actions, &dispatch->path, BT_REASON_KEY_EXPIRED);
+  else if (record != NULL)
+    dispatch_recorded (ctx, arbiter, record, dispatch, now_ms, actions);
+  else
+    run_open_key (ctx, arbiter, NULL, dispatch, now_ms, actions);
+}
+
+static void
+refuse_grant (bt_context_t *ctx,
+              const bt_reply_path_t *path,
+              bt_reason_t reason,
+              int64_t retry_after_ms,
+              bt_arbiter_actions_t *actions)
+{
+  bt_arbiter_action_t *action = bt_add_arbiter_action (ctx, actions, BT_ARBITER_REPLY_GRANT, path);
+
+  action->reason = reason;
+  action->outcome = bt_get_reason_outcome (reason);
+  action->retry_after_ms = retry_after_ms;
+}
+
+static void
+reply_grant (bt_context_t *ctx,
+             const bt_reply_path_t *path,
+             const bt_grant_t *grant,
+             bt_arbiter_actions_t *actions)
+{
+  bt_arbiter_action_t *action = bt_add_arbiter_action (ctx, actions, BT_ARBITER_REPLY_GRANT, path);
+
+  action->granted = true;
+  action->grant = *grant;
+}
+
+/* The grant is on record before the reply leaves. So whichever entry asks next, and however often,
+ * it is sent to this one agent, until that agent has promised never to run the key. */
+static void
+grant_key (bt_context_t *ctx,
+           bt_arbiter_t *arbiter,
+           bt_record_t *record,
+           const bt_grant_request_t *request,
+           bt_arbiter_actions_t *actions)
+{
+  bt_grant_t grant = request->proposal;
+
+  if (record != NULL && (arbiter->options.faults & BT_FAULT_NO_GRANT_RECORD) != 0)
+    {
+      grant.number = ++record->grant_number;
+      reply_grant (ctx, &request->path, &grant, actions);
+      return;
+    }
+  if (record == NULL)
+    record = bt_add_record (ctx, arbiter->table, &request->ticket.key, request->ticket.expires_ms,
+                            false);
+  if (record == NULL)
+    {
+      refuse_grant (ctx, &request->path, BT_REASON_RECORDS_FULL, arbiter->options.retry_after_ms,
+                    actions);
+      return;
+    }
+  grant.number = ++record->grant_number;
+  record->state = BT_RECORD_GRANTED;
+  bt_set_record_grant (ctx, arbiter->table, record, &grant);
+  reply_grant (ctx, &request->path, &grant, actions);
+}
+
+static void
+grant_recorded (bt_context_t *ctx,
+                bt_arbiter_t *arbiter,
+                bt_record_t *record,
+                const bt_grant_request_t *request,
+                bt_arbiter_actions_t *actions)
+{
+  bool forgets = (arbiter->options.faults & BT_FAULT_NO_GRANT_RECORD) != 0;
+
+  switch (record->state)
+    {
+    case BT_RECORD_OPEN:
+      grant_key (ctx, arbiter, record, request, actions);
+      break;
+    case BT_RECORD_GRANTED:
+      if (request->after_number == record->grant_number || forgets)
+        grant_key (ctx, arbiter, record, request, actions);
+      else
+        reply_grant (ctx, &request->path, record->grant, actions);
+      break;
+    case BT_RECORD_TOMBSTONED:
+      refuse_grant (ctx, &request->path, BT_REASON_KEY_TOMBSTONED, 0, actions);
+      break;
+    default:
+      bt_add_arbiter_action (ctx, actions, BT_ARBITER_REPLY_GRANT, &request->path)->home_runs =
+          true;
+      break;
+    }
+}
+
+void
+bt_handle_grant_request (bt_context_t *ctx,
+                         bt_arbiter_t *arbiter,
+                         const bt_grant_request_t *request,
+                         int64_t now_ms,
+                         bt_arbiter_actions_t *actions)
+{
+  bt_reason_t reason =
+      bt_check_addressee (arbiter, &request->ticket.home, BT_REASON_HOME_RESTARTED);
+  bt_record_t *record;
+
+  if (reason == BT_REASON_NONE && bt_is_past (request->ticket.expires_ms, now_ms))
+    reason = BT_REASON_KEY_EXPIRED;
+  if (reason != BT_REASON_NONE)
+    {
+      refuse_grant (ctx, &request->path, reason, 0, actions);
+      return;
+    }
+  record = bt_find_record (arbiter->table, &request->ticket.key);
+  if (record == NULL)
+    grant_key (ctx, arbiter, NULL, request, actions);
+  else
+    grant_recorded (ctx, arbiter, record, request, actions);
+}
+
+static bt_record_state_t
+to_foreign_state (bt_reason_t reason)
+{
+  return reason == BT_REASON_NONE ? BT_RECORD_UNSEEN : BT_RECORD_FOREIGN;
+}
+
+/* What a tombstone would be set over, or why it can't be set. */
+static bt_record_state_t
+judge_tombstone (const bt_arbiter_t *arbiter,
+                 const bt_record_t *record,
+                 const bt_tombstone_request_t *request,
+                 bool is_home)
+{
+  if (record == NULL)
+    return BT_RECORD_UNSEEN;
+  if (record->state != BT_RECORD_GRANTED)
+    return record->state;
+  if (bt_is_arbiter (arbiter, &record->grant->agent))
+    return BT_RECORD_OPEN;
+  if (is_home && request->has_grant && request->grant.number == record->grant_number)
+    return BT_RECORD_OPEN;
+  return BT_RECORD_GRANTED;
+}
+
+/* The promise "never ran here and never will" is on record before the reply leaves, so a dispatch
+ * that arrives later, however late, meets it or its own expiry. False when there is no room. */
+static bool
+set_tombstone (bt_context_t *ctx,
+               bt_arbiter_t *arbiter,
+               bt_record_t *record,
+               const bt_tombstone_request_t *request,
+               int64_t expires_ms)
+{
+  if ((arbiter->options.faults & BT_FAULT_NO_TOMBSTONE) != 0)
+    return true;
+  if (record == NULL)
+    record = bt_add_record (ctx, arbiter->table, &request->ticket.key, expires_ms, true);
+  if (record == NULL)
+    return false;
+  if (record->expires_ms < expires_ms)
+    record->expires_ms = expires_ms;
+  record->state = BT_RECORD_TOMBSTONED;
+  bt_set_record_grant (ctx, arbiter->table, record, NULL);
+  return true;
+}
+
+void
+bt_handle_tombstone_request (bt_context_t *ctx,
+                             bt_arbiter_t *arbiter,
+                             const bt_tombstone_request_t *request,
+                             int64_t now_ms,
+                             bt_arbiter_actions_t *actions)
+{
+  bt_arbiter_action_t *action =
+      bt_add_arbiter_action (ctx, actions, BT_ARBITER_REPLY_TOMBSTONE, &request->path);
+  bool is_home = bt_is_arbiter (arbiter, &request->ticket.home);
+  const bt_identity_t *role =
+      is_home || !request->has_grant ? &request->ticket.home : &request->grant.agent;
+  int64_t expires_ms = is_home ? request->ticket.expires_ms : request->grant.expires_ms;
+  bt_record_t *record = bt_find_record (arbiter->table, &request->ticket.key);
+
+  action->state =
+      to_foreign_state (bt_check_addressee (arbiter, &request->target, BT_REASON_AGENT_RESTARTED));
+  if (action->state == BT_RECORD_UNSEEN)
+    action->state = to_foreign_state (bt_check_addressee (arbiter, role, BT_REASON_HOME_RESTARTED));
+  if (action->state == BT_RECORD_FOREIGN)
+    return;
+  action->state = judge_tombstone (arbiter, record, request, is_home);
+  if (action->state == BT_RECORD_UNSEEN && bt_is_past (expires_ms, now_ms))
+    action->state = BT_RECORD_EXPIRED;
+  if (action->state == BT_RECORD_UNSEEN || action->state == BT_RECORD_OPEN)
+    action->tombstoned = set_tombstone (ctx, arbiter, record, request, expires_ms);
+  else
+    action->tombstoned = action->state == BT_RECORD_TOMBSTONED;
+  if (action->state == BT_RECORD_GRANTED)
+    {
+      action->has_grant = true;
+      action->grant = *record->grant;
+    }
+}
