--- a/include/bilberrytray/core/arbiter.h
+++ b/include/bilberrytray/core/arbiter.h
@@ -29,41 +29,20 @@
 
 typedef enum bt_arbiter_action_kind
 {
-  BT_ARBITER_START_RUN = 0,   /**< run, dispatch: hand it to the endpoint. */
-  BT_ARBITER_RESUME_RUN,      /**< run, total_bytes: fetch the rest of the stream from there. */
-  BT_ARBITER_CANCEL_RUN,      /**< run: stop it, its events are no longer wanted. */
-  BT_ARBITER_REPLY_ACCEPTED,  /**< attached */
-  BT_ARBITER_REPLY_REFUSED,   /**< reason, outcome, retry_after_ms, has_grant, grant */
-  BT_ARBITER_REPLY_HEAD,      /**< status, data */
-  BT_ARBITER_REPLY_PIECE,     /**< sequence, data */
-  BT_ARBITER_REPLY_END,       /**< pieces, total_bytes */
-  BT_ARBITER_REPLY_GRANT,     /**< granted, grant, home_runs; else reason, outcome */
-  BT_ARBITER_REPLY_TOMBSTONE, /**< tombstoned; else state, has_grant, grant */
+  BT_ARBITER_START_RUN = 0, /**< run, dispatch: hand it to the endpoint. */
+  BT_ARBITER_RESUME_RUN,    /**< run, from_bytes: fetch the rest of the stream from there. */
+  BT_ARBITER_CANCEL_RUN,    /**< run: stop it, its events are no longer wanted. */
+  BT_ARBITER_REPLY,         /**< reply: send it over the link that its path names. */
 } bt_arbiter_action_kind_t;
 
-/** One thing to do. Replies go to path; which other fields count stands beside each kind. */
+/** One thing to do. */
 typedef struct bt_arbiter_action
 {
   bt_arbiter_action_kind_t kind;
-  bt_reply_path_t path;
   uint64_t run;
   const bt_dispatch_t *dispatch; /**< The one handed in, so valid as long as that. */
-  bool attached;
-  bt_reason_t reason;
-  bt_outcome_t outcome;
-  int64_t retry_after_ms;
-  bool has_grant;
-  bt_grant_t grant;
-  bool granted;
-  bool home_runs;
-  bool tombstoned;
-  bt_record_state_t state;
-  uint32_t status;
-  const void *data; /**< Valid until the arbiter or the event's memory is used again. */
-  uint64_t data_bytes;
-  uint64_t sequence;
-  uint64_t pieces;
-  uint64_t total_bytes;
+  uint64_t from_bytes;
+  bt_reply_t reply; /**< Its data is valid until the arbiter or the event's memory is used again. */
 } bt_arbiter_action_t;
 
 /** A growable list of actions; zero-initialise it. */
--- a/include/bilberrytray/core/call.h
+++ b/include/bilberrytray/core/call.h
@@ -32,47 +32,29 @@
 
 typedef enum bt_call_event_kind
 {
-  BT_CALL_SUBMIT = 0,      /**< The request was admitted. */
-  BT_CALL_CANDIDATE,       /**< identity, grant_expires_ms: the policy's choice. */
-  BT_CALL_NO_CANDIDATE,    /**< reason, retry_after_ms */
-  BT_CALL_BUDGET,          /**< allowed: whether a further attempt may be made. */
-  BT_CALL_SENT,            /**< path.link: the connection used, 0 when there is none. */
-  BT_CALL_LINK_UP,         /**< identity: a connection to it is open. */
-  BT_CALL_LINK_DOWN,       /**< path.link */
-  BT_CALL_ACCEPTED,        /**< path */
-  BT_CALL_REFUSED,         /**< path, reason, outcome, retry_after_ms, has_grant, grant */
-  BT_CALL_GRANT_REPLY,     /**< path, granted, grant, home_runs; else reason, outcome */
-  BT_CALL_TOMBSTONE_REPLY, /**< path, tombstoned; else state, has_grant, grant */
-  BT_CALL_HEAD,            /**< path, status, data */
-  BT_CALL_PIECE,           /**< path, sequence, data */
-  BT_CALL_END,             /**< path, pieces, total_bytes */
-  BT_CALL_CALLER_GONE,     /**< The caller closed its connection. */
-  BT_CALL_REFUSE,          /**< reason, retry_after_ms: the shell gives the request up. */
-  BT_CALL_TICK,            /**< Time has passed. */
+  BT_CALL_SUBMIT = 0,   /**< The request was admitted. */
+  BT_CALL_CANDIDATE,    /**< identity, grant_expires_ms: the policy's choice. */
+  BT_CALL_NO_CANDIDATE, /**< reason, retry_after_ms */
+  BT_CALL_BUDGET,       /**< allowed: whether a further attempt may be made. */
+  BT_CALL_SENT,         /**< link: the connection used, 0 when there is none. */
+  BT_CALL_LINK_UP,      /**< identity: a connection to it is open. */
+  BT_CALL_LINK_DOWN,    /**< link */
+  BT_CALL_REPLY,        /**< reply: from an agent. */
+  BT_CALL_CALLER_GONE,  /**< The caller closed its connection. */
+  BT_CALL_REFUSE,       /**< reason, retry_after_ms: the shell gives the request up. */
+  BT_CALL_TICK,         /**< Time has passed. */
 } bt_call_event_kind_t;
 
 typedef struct bt_call_event
 {
   bt_call_event_kind_t kind;
-  bt_reply_path_t path;
   bt_identity_t identity;
   int64_t grant_expires_ms; /**< In the candidate's clock. */
   bool allowed;
+  uint64_t link;
   bt_reason_t reason;
-  bt_outcome_t outcome;
   int64_t retry_after_ms;
-  bool has_grant;
-  bt_grant_t grant;
-  bool granted;
-  bool home_runs;
-  bool tombstoned;
-  bt_record_state_t state;
-  uint32_t status;
-  const void *data;
-  uint64_t data_bytes;
-  uint64_t sequence;
-  uint64_t pieces;
-  uint64_t total_bytes;
+  const bt_reply_t *reply;
 } bt_call_event_t;
 
 typedef enum bt_call_action_kind
--- a/include/bilberrytray/core/request.h
+++ b/include/bilberrytray/core/request.h
@@ -81,6 +81,40 @@
   bt_grant_t grant; /**< See has_grant. */
 } bt_tombstone_request_t;
 
+typedef enum bt_reply_kind
+{
+  BT_REPLY_ACCEPTED = 0, /**< attached */
+  BT_REPLY_REFUSED,      /**< reason, outcome, retry_after_ms; has_grant, grant: to be followed */
+  BT_REPLY_GRANT,        /**< granted, grant, or home_runs; else reason, outcome, retry_after_ms */
+  BT_REPLY_TOMBSTONE,    /**< tombstoned; else state, has_grant, grant */
+  BT_REPLY_HEAD,         /**< status, data */
+  BT_REPLY_PIECE,        /**< sequence, data */
+  BT_REPLY_END,          /**< pieces, total_bytes */
+} bt_reply_kind_t;
+
+/** Agent to entry. Which fields count stands beside each kind. */
+typedef struct bt_reply
+{
+  bt_reply_kind_t kind;
+  bt_reply_path_t path;
+  bool attached;
+  bt_reason_t reason;
+  bt_outcome_t outcome;
+  int64_t retry_after_ms;
+  bool has_grant;
+  bt_grant_t grant;
+  bool granted;
+  bool home_runs; /**< The home itself runs or ran the key: attach there. */
+  bool tombstoned;
+  bt_record_state_t state;
+  uint32_t status;
+  const void *data; /**< Belongs to whoever hands the reply on, until the next event. */
+  uint64_t data_bytes;
+  uint64_t sequence; /**< Of a piece, from 0. */
+  uint64_t pieces;
+  uint64_t total_bytes;
+} bt_reply_t;
+
 /** Guards that a test can take out, to see that its schedules find what the guard prevents. Never
  * set outside tests. */
 typedef enum bt_fault
--- a/source/core/arbiter.c
+++ b/source/core/arbiter.c
@@ -37,8 +37,7 @@
 bt_arbiter_action_t *
 bt_add_arbiter_action (bt_context_t *ctx,
                        bt_arbiter_actions_t *actions,
-                       bt_arbiter_action_kind_t kind,
-                       const bt_reply_path_t *path)
+                       bt_arbiter_action_kind_t kind)
 {
   bt_arbiter_action_t *action;
 
@@ -51,11 +50,22 @@
   action = &actions->items[actions->count++];
   memset (action, 0, sizeof *action);
   action->kind = kind;
-  if (path != NULL)
-    action->path = *path;
   return action;
 }
 
+bt_reply_t *
+bt_add_reply (bt_context_t *ctx,
+              bt_arbiter_actions_t *actions,
+              bt_reply_kind_t kind,
+              const bt_reply_path_t *path)
+{
+  bt_reply_t *reply = &bt_add_arbiter_action (ctx, actions, BT_ARBITER_REPLY)->reply;
+
+  reply->kind = kind;
+  reply->path = *path;
+  return reply;
+}
+
 void
 bt_free_arbiter_actions (bt_context_t *ctx, bt_arbiter_actions_t *actions)
 {
@@ -63,18 +73,17 @@
   memset (actions, 0, sizeof *actions);
 }
 
-bt_arbiter_action_t *
+bt_reply_t *
 bt_add_refusal (bt_context_t *ctx,
                 bt_arbiter_actions_t *actions,
                 const bt_reply_path_t *path,
                 bt_reason_t reason)
 {
-  bt_arbiter_action_t *action =
-      bt_add_arbiter_action (ctx, actions, BT_ARBITER_REPLY_REFUSED, path);
+  bt_reply_t *reply = bt_add_reply (ctx, actions, BT_REPLY_REFUSED, path);
 
-  action->reason = reason;
-  action->outcome = bt_get_reason_outcome (reason);
-  return action;
+  reply->reason = reason;
+  reply->outcome = bt_get_reason_outcome (reason);
+  return reply;
 }
 
 bool
@@ -110,11 +119,11 @@
             const bt_reply_path_t *path,
             bt_arbiter_actions_t *actions)
 {
-  bt_arbiter_action_t *action = bt_add_arbiter_action (ctx, actions, BT_ARBITER_REPLY_HEAD, path);
+  bt_reply_t *reply = bt_add_reply (ctx, actions, BT_REPLY_HEAD, path);
 
-  action->status = answer->status;
-  action->data = answer->head;
-  action->data_bytes = answer->head_bytes;
+  reply->status = answer->status;
+  reply->data = answer->head;
+  reply->data_bytes = answer->head_bytes;
 }
 
 static void
@@ -123,10 +132,10 @@
            const bt_reply_path_t *path,
            bt_arbiter_actions_t *actions)
 {
-  bt_arbiter_action_t *action = bt_add_arbiter_action (ctx, actions, BT_ARBITER_REPLY_END, path);
+  bt_reply_t *reply = bt_add_reply (ctx, actions, BT_REPLY_END, path);
 
-  action->pieces = answer->pieces;
-  action->total_bytes = answer->bytes;
+  reply->pieces = answer->pieces;
+  reply->total_bytes = answer->bytes;
 }
 
 static void
@@ -138,12 +147,11 @@
   for (uint64_t i = watcher->next_sequence; i < answer->pieces; i++)
     {
       uint64_t start = i == 0 ? 0 : answer->piece_ends[i - 1];
-      bt_arbiter_action_t *action =
-          bt_add_arbiter_action (ctx, actions, BT_ARBITER_REPLY_PIECE, &watcher->path);
+      bt_reply_t *reply = bt_add_reply (ctx, actions, BT_REPLY_PIECE, &watcher->path);
 
-      action->sequence = i;
-      action->data = answer->data + start;
-      action->data_bytes = answer->piece_ends[i] - start;
+      reply->sequence = i;
+      reply->data = answer->data + start;
+      reply->data_bytes = answer->piece_ends[i] - start;
     }
 }
 
@@ -176,7 +184,7 @@
             bt_record_t *record,
             bt_arbiter_actions_t *actions)
 {
-  bt_add_arbiter_action (ctx, actions, BT_ARBITER_CANCEL_RUN, NULL)->run = record->run;
+  bt_add_arbiter_action (ctx, actions, BT_ARBITER_CANCEL_RUN)->run = record->run;
   arbiter->runs--;
   bt_remove_record (ctx, arbiter->table, record);
 }
@@ -255,14 +263,14 @@
   for (int32_t i = 0; i < record->watcher_count; i++)
     {
       bt_watcher_t *watcher = &record->watchers[i];
-      bt_arbiter_action_t *action;
+      bt_reply_t *reply;
 
       if (sequence < watcher->next_sequence)
         continue;
-      action = bt_add_arbiter_action (ctx, actions, BT_ARBITER_REPLY_PIECE, &watcher->path);
-      action->sequence = sequence;
-      action->data = data;
-      action->data_bytes = bytes;
+      reply = bt_add_reply (ctx, actions, BT_REPLY_PIECE, &watcher->path);
+      reply->sequence = sequence;
+      reply->data = data;
+      reply->data_bytes = bytes;
     }
 }
 
@@ -316,9 +324,9 @@
       return;
     }
   record->resumes++;
-  action = bt_add_arbiter_action (ctx, actions, BT_ARBITER_RESUME_RUN, NULL);
+  action = bt_add_arbiter_action (ctx, actions, BT_ARBITER_RESUME_RUN);
   action->run = record->run;
-  action->total_bytes = record->answer->bytes;
+  action->from_bytes = record->answer->bytes;
 }
 
 static void
--- a/source/core/arbiter_keys.c
+++ b/source/core/arbiter_keys.c
@@ -34,8 +34,8 @@
   bt_begin_answer (ctx, arbiter->table, record);
   bt_set_record_active (arbiter->table, record, true);
   bt_add_watcher (ctx, record, &watcher);
-  bt_add_arbiter_action (ctx, actions, BT_ARBITER_REPLY_ACCEPTED, &dispatch->path);
-  action = bt_add_arbiter_action (ctx, actions, BT_ARBITER_START_RUN, &dispatch->path);
+  bt_add_reply (ctx, actions, BT_REPLY_ACCEPTED, &dispatch->path);
+  action = bt_add_arbiter_action (ctx, actions, BT_ARBITER_START_RUN);
   action->run = record->run;
   action->dispatch = dispatch;
 }
@@ -59,10 +59,10 @@
             bt_reason_t reason,
             bt_arbiter_actions_t *actions)
 {
-  bt_arbiter_action_t *action = bt_add_refusal (ctx, actions, &dispatch->path, reason);
+  bt_reply_t *reply = bt_add_refusal (ctx, actions, &dispatch->path, reason);
 
-  action->outcome = BT_OUTCOME_NOT_RUN;
-  action->retry_after_ms = dispatch->admission_retry_ms;
+  reply->outcome = BT_OUTCOME_NOT_RUN;
+  reply->retry_after_ms = dispatch->admission_retry_ms;
 }
 
 static bool
@@ -106,7 +106,7 @@
 
   if (record->state == BT_RECORD_RUNNING && !bt_add_watcher (ctx, record, &watcher))
     return;
-  bt_add_arbiter_action (ctx, actions, BT_ARBITER_REPLY_ACCEPTED, &dispatch->path)->attached = true;
+  bt_add_reply (ctx, actions, BT_REPLY_ACCEPTED, &dispatch->path)->attached = true;
   if (!bt_replay_answer (ctx, record, &watcher, actions) && record->state == BT_RECORD_RUNNING)
     bt_remove_watcher (record, record->watcher_count - 1);
 }
@@ -117,10 +117,10 @@
                    const bt_reply_path_t *path,
                    bt_arbiter_actions_t *actions)
 {
-  bt_arbiter_action_t *action = bt_add_refusal (ctx, actions, path, BT_REASON_WRONG_INSTANCE);
+  bt_reply_t *reply = bt_add_refusal (ctx, actions, path, BT_REASON_WRONG_INSTANCE);
 
-  action->has_grant = true;
-  action->grant = *record->grant;
+  reply->has_grant = true;
+  reply->grant = *record->grant;
 }
 
 /* True when the dispatch carries the live grant of a key that its home granted to itself. */
@@ -256,11 +256,11 @@
               int64_t retry_after_ms,
               bt_arbiter_actions_t *actions)
 {
-  bt_arbiter_action_t *action = bt_add_arbiter_action (ctx, actions, BT_ARBITER_REPLY_GRANT, path);
+  bt_reply_t *reply = bt_add_reply (ctx, actions, BT_REPLY_GRANT, path);
 
-  action->reason = reason;
-  action->outcome = bt_get_reason_outcome (reason);
-  action->retry_after_ms = retry_after_ms;
+  reply->reason = reason;
+  reply->outcome = bt_get_reason_outcome (reason);
+  reply->retry_after_ms = retry_after_ms;
 }
 
 static void
@@ -269,10 +269,10 @@
              const bt_grant_t *grant,
              bt_arbiter_actions_t *actions)
 {
-  bt_arbiter_action_t *action = bt_add_arbiter_action (ctx, actions, BT_ARBITER_REPLY_GRANT, path);
+  bt_reply_t *reply = bt_add_reply (ctx, actions, BT_REPLY_GRANT, path);
 
-  action->granted = true;
-  action->grant = *grant;
+  reply->granted = true;
+  reply->grant = *grant;
 }
 
 /* The grant is on record before the reply leaves. So whichever entry asks next, and however often,
@@ -331,8 +331,7 @@
       refuse_grant (ctx, &request->path, BT_REASON_KEY_TOMBSTONED, 0, actions);
       break;
     default:
-      bt_add_arbiter_action (ctx, actions, BT_ARBITER_REPLY_GRANT, &request->path)->home_runs =
-          true;
+      bt_add_reply (ctx, actions, BT_REPLY_GRANT, &request->path)->home_runs = true;
       break;
     }
 }
@@ -415,30 +414,29 @@
                              int64_t now_ms,
                              bt_arbiter_actions_t *actions)
 {
-  bt_arbiter_action_t *action =
-      bt_add_arbiter_action (ctx, actions, BT_ARBITER_REPLY_TOMBSTONE, &request->path);
+  bt_reply_t *reply = bt_add_reply (ctx, actions, BT_REPLY_TOMBSTONE, &request->path);
   bool is_home = bt_is_arbiter (arbiter, &request->ticket.home);
   const bt_identity_t *role =
       is_home || !request->has_grant ? &request->ticket.home : &request->grant.agent;
   int64_t expires_ms = is_home ? request->ticket.expires_ms : request->grant.expires_ms;
   bt_record_t *record = bt_find_record (arbiter->table, &request->ticket.key);
 
-  action->state =
+  reply->state =
       to_foreign_state (bt_check_addressee (arbiter, &request->target, BT_REASON_AGENT_RESTARTED));
-  if (action->state == BT_RECORD_UNSEEN)
-    action->state = to_foreign_state (bt_check_addressee (arbiter, role, BT_REASON_HOME_RESTARTED));
-  if (action->state == BT_RECORD_FOREIGN)
+  if (reply->state == BT_RECORD_UNSEEN)
+    reply->state = to_foreign_state (bt_check_addressee (arbiter, role, BT_REASON_HOME_RESTARTED));
+  if (reply->state == BT_RECORD_FOREIGN)
     return;
-  action->state = judge_tombstone (arbiter, record, request, is_home);
-  if (action->state == BT_RECORD_UNSEEN && bt_is_past (expires_ms, now_ms))
-    action->state = BT_RECORD_EXPIRED;
-  if (action->state == BT_RECORD_UNSEEN || action->state == BT_RECORD_OPEN)
-    action->tombstoned = set_tombstone (ctx, arbiter, record, request, expires_ms);
+  reply->state = judge_tombstone (arbiter, record, request, is_home);
+  if (reply->state == BT_RECORD_UNSEEN && bt_is_past (expires_ms, now_ms))
+    reply->state = BT_RECORD_EXPIRED;
+  if (reply->state == BT_RECORD_UNSEEN || reply->state == BT_RECORD_OPEN)
+    reply->tombstoned = set_tombstone (ctx, arbiter, record, request, expires_ms);
   else
-    action->tombstoned = action->state == BT_RECORD_TOMBSTONED;
-  if (action->state == BT_RECORD_GRANTED)
+    reply->tombstoned = reply->state == BT_RECORD_TOMBSTONED;
+  if (reply->state == BT_RECORD_GRANTED)
     {
-      action->has_grant = true;
-      action->grant = *record->grant;
+      reply->has_grant = true;
+      reply->grant = *record->grant;
     }
 }
--- a/source/core/arbiter_private.h
+++ b/source/core/arbiter_private.h
@@ -21,14 +21,19 @@
 /** Adds an empty action. */
 bt_arbiter_action_t *bt_add_arbiter_action (bt_context_t *ctx,
                                             bt_arbiter_actions_t *actions,
-                                            bt_arbiter_action_kind_t kind,
-                                            const bt_reply_path_t *path);
+                                            bt_arbiter_action_kind_t kind);
+
+/** Adds an empty reply. */
+bt_reply_t *bt_add_reply (bt_context_t *ctx,
+                          bt_arbiter_actions_t *actions,
+                          bt_reply_kind_t kind,
+                          const bt_reply_path_t *path);
 
 /** Refuses with the outcome that the reason alone supports. */
-bt_arbiter_action_t *bt_add_refusal (bt_context_t *ctx,
-                                     bt_arbiter_actions_t *actions,
-                                     const bt_reply_path_t *path,
-                                     bt_reason_t reason);
+bt_reply_t *bt_add_refusal (bt_context_t *ctx,
+                            bt_arbiter_actions_t *actions,
+                            const bt_reply_path_t *path,
+                            bt_reason_t reason);
 
 /** True when @p identity is this agent and this start of it. */
 bool bt_is_arbiter (const bt_arbiter_t *arbiter, const bt_identity_t *identity);
--- a/source/core/call.c
+++ b/source/core/call.c
@@ -359,8 +359,8 @@
            int64_t now_ms,
            bt_call_actions_t *actions)
 {
-  call->path.link = event->path.link;
-  if (event->path.link == 0)
+  call->path.link = event->link;
+  if (event->link == 0)
     bt_lose_message (ctx, call, false, now_ms, actions);
   else if (!call->options.has_ticket)
     call->unsettled++;
@@ -412,12 +412,12 @@
 }
 
 static bool
-is_matched (const bt_call_t *call, const bt_call_event_t *event)
+is_matched (const bt_call_t *call, const bt_reply_path_t *path)
 {
   if ((call->options.faults & BT_FAULT_NO_MATCH) != 0)
     return true;
-  return event->path.call == call->path.call && event->path.attempt == call->path.attempt
-         && event->path.link == call->path.link;
+  return path->call == call->path.call && path->attempt == call->path.attempt
+         && path->link == call->path.link;
 }
 
 /* Answers reach only the message that asked for them: a late one, or one of a dead link, would give
@@ -425,18 +425,18 @@
 static void
 take_matched (bt_context_t *ctx,
               bt_call_t *call,
-              const bt_call_event_t *event,
+              const bt_reply_t *reply,
               int64_t now_ms,
               bt_call_actions_t *actions)
 {
-  if (!is_matched (call, event))
+  if (!is_matched (call, &reply->path))
     return;
   if (call->phase != BT_PHASE_ASKING && call->phase != BT_PHASE_RUNNING)
     return;
-  if (event->kind == BT_CALL_HEAD || event->kind == BT_CALL_PIECE || event->kind == BT_CALL_END)
-    bt_take_answer (ctx, call, event, now_ms, actions);
+  if (reply->kind >= BT_REPLY_HEAD)
+    bt_take_answer (ctx, call, reply, now_ms, actions);
   else
-    bt_take_reply (ctx, call, event, now_ms, actions);
+    bt_take_reply (ctx, call, reply, now_ms, actions);
 }
 
 static void
@@ -448,7 +448,7 @@
 {
   bool waits_on_it = call->phase == BT_PHASE_ASKING || call->phase == BT_PHASE_RUNNING;
 
-  if (waits_on_it && call->path.link != 0 && call->path.link == event->path.link)
+  if (waits_on_it && call->path.link != 0 && call->path.link == event->link)
     bt_lose_message (ctx, call, false, now_ms, actions);
 }
 
@@ -496,8 +496,8 @@
     case BT_CALL_TICK:
       take_tick (ctx, call, now_ms, actions);
       break;
-    default:
-      take_matched (ctx, call, event, now_ms, actions);
+    case BT_CALL_REPLY:
+      take_matched (ctx, call, event->reply, now_ms, actions);
       break;
     }
 }
--- a/source/core/call_private.h
+++ b/source/core/call_private.h
@@ -114,14 +114,14 @@
 /** Takes head, piece or end of the answer. */
 void bt_take_answer (bt_context_t *ctx,
                      bt_call_t *call,
-                     const bt_call_event_t *event,
+                     const bt_reply_t *reply,
                      int64_t now_ms,
                      bt_call_actions_t *actions);
 
 /** Takes a reply to a dispatch, a grant or a tombstone request. */
 void bt_take_reply (bt_context_t *ctx,
                     bt_call_t *call,
-                    const bt_call_event_t *event,
+                    const bt_reply_t *reply,
                     int64_t now_ms,
                     bt_call_actions_t *actions);
 
--- a/source/core/call_replies.c
+++ b/source/core/call_replies.c
@@ -55,100 +55,100 @@
 static void
 take_keyed_refusal (bt_context_t *ctx,
                     bt_call_t *call,
-                    const bt_call_event_t *event,
+                    const bt_reply_t *reply,
                     int64_t now_ms,
                     bt_call_actions_t *actions)
 {
-  if (event->has_grant)
+  if (reply->has_grant)
     {
-      follow_grant (ctx, call, &event->grant, now_ms, actions);
+      follow_grant (ctx, call, &reply->grant, now_ms, actions);
       return;
     }
-  if (event->outcome == BT_OUTCOME_UNKNOWN || call->begun)
+  if (reply->outcome == BT_OUTCOME_UNKNOWN || call->begun)
     {
-      bt_end_call_unknown (ctx, call, event->reason, actions);
+      bt_end_call_unknown (ctx, call, reply->reason, actions);
       return;
     }
-  if (event->reason == BT_REASON_KEY_REUSED
-      || (event->reason == BT_REASON_KEY_TOMBSTONED && is_at_home (call)))
+  if (reply->reason == BT_REASON_KEY_REUSED
+      || (reply->reason == BT_REASON_KEY_TOMBSTONED && is_at_home (call)))
     {
-      bt_end_call (ctx, call, event->reason, BT_OUTCOME_NOT_RUN, 0, actions);
+      bt_end_call (ctx, call, reply->reason, BT_OUTCOME_NOT_RUN, 0, actions);
       return;
     }
-  if (event->reason == BT_REASON_KEY_TOMBSTONED)
+  if (reply->reason == BT_REASON_KEY_TOMBSTONED)
     call->grant_buried = true;
-  if (call->giving_up || event->reason == BT_REASON_NO_RUN)
-    bt_give_up_call (ctx, call, event->reason, event->retry_after_ms, now_ms, actions);
+  if (call->giving_up || reply->reason == BT_REASON_NO_RUN)
+    bt_give_up_call (ctx, call, reply->reason, reply->retry_after_ms, now_ms, actions);
   else
-    bt_ask_budget (ctx, call, to_retry (event->reason), actions);
+    bt_ask_budget (ctx, call, to_retry (reply->reason), actions);
 }
 
 static void
 take_unkeyed_refusal (bt_context_t *ctx,
                       bt_call_t *call,
-                      const bt_call_event_t *event,
+                      const bt_reply_t *reply,
                       bt_call_actions_t *actions)
 {
-  bool may_rerun = event->outcome == BT_OUTCOME_NOT_RUN || call->options.idempotent;
+  bool may_rerun = reply->outcome == BT_OUTCOME_NOT_RUN || call->options.idempotent;
 
-  if (event->outcome == BT_OUTCOME_NOT_RUN && call->unsettled > 0)
+  if (reply->outcome == BT_OUTCOME_NOT_RUN && call->unsettled > 0)
     call->unsettled--;
   call->path.link = 0;
   if (call->begun || !may_rerun)
     {
-      bt_end_call_unknown (ctx, call, event->reason, actions);
+      bt_end_call_unknown (ctx, call, reply->reason, actions);
       return;
     }
   bt_reset_answer (ctx, call);
-  bt_ask_budget (ctx, call, to_retry (event->reason), actions);
+  bt_ask_budget (ctx, call, to_retry (reply->reason), actions);
 }
 
 static void
 take_refusal (bt_context_t *ctx,
               bt_call_t *call,
-              const bt_call_event_t *event,
+              const bt_reply_t *reply,
               int64_t now_ms,
               bt_call_actions_t *actions)
 {
   if (call->options.has_ticket)
-    take_keyed_refusal (ctx, call, event, now_ms, actions);
+    take_keyed_refusal (ctx, call, reply, now_ms, actions);
   else
-    take_unkeyed_refusal (ctx, call, event, actions);
+    take_unkeyed_refusal (ctx, call, reply, actions);
 }
 
 static void
 take_grant_reply (bt_context_t *ctx,
                   bt_call_t *call,
-                  const bt_call_event_t *event,
+                  const bt_reply_t *reply,
                   int64_t now_ms,
                   bt_call_actions_t *actions)
 {
-  if (event->granted)
-    follow_grant (ctx, call, &event->grant, now_ms, actions);
-  else if (event->home_runs)
+  if (reply->granted)
+    follow_grant (ctx, call, &reply->grant, now_ms, actions);
+  else if (reply->home_runs)
     {
       call->has_grant = false;
       bt_dispatch_call (ctx, call, &call->options.ticket.home, now_ms, actions);
     }
-  else if (event->outcome == BT_OUTCOME_UNKNOWN)
-    bt_end_call_unknown (ctx, call, event->reason, actions);
-  else if (event->reason == BT_REASON_KEY_TOMBSTONED)
-    bt_end_call (ctx, call, event->reason, BT_OUTCOME_NOT_RUN, 0, actions);
+  else if (reply->outcome == BT_OUTCOME_UNKNOWN)
+    bt_end_call_unknown (ctx, call, reply->reason, actions);
+  else if (reply->reason == BT_REASON_KEY_TOMBSTONED)
+    bt_end_call (ctx, call, reply->reason, BT_OUTCOME_NOT_RUN, 0, actions);
   else
-    bt_give_up_call (ctx, call, event->reason, event->retry_after_ms, now_ms, actions);
+    bt_give_up_call (ctx, call, reply->reason, reply->retry_after_ms, now_ms, actions);
 }
 
 /* A tombstone that can't be set, by what stands in its way. */
 static void
 take_tombstone_denial (bt_context_t *ctx,
                        bt_call_t *call,
-                       const bt_call_event_t *event,
+                       const bt_reply_t *reply,
                        int64_t now_ms,
                        bt_call_actions_t *actions)
 {
   bool at_home = call->message == BT_MESSAGE_TOMBSTONE_HOME;
 
-  switch (event->state)
+  switch (reply->state)
     {
     case BT_RECORD_RUNNING:
     case BT_RECORD_DONE:
@@ -158,7 +158,7 @@
       bt_dispatch_call (ctx, call, &call->target, now_ms, actions);
       break;
     case BT_RECORD_GRANTED:
-      follow_grant (ctx, call, &event->grant, now_ms, actions);
+      follow_grant (ctx, call, &reply->grant, now_ms, actions);
       break;
     case BT_RECORD_FOREIGN:
       bt_end_call_unknown (ctx, call,
@@ -176,12 +176,12 @@
 static void
 take_tombstone_reply (bt_context_t *ctx,
                       bt_call_t *call,
-                      const bt_call_event_t *event,
+                      const bt_reply_t *reply,
                       int64_t now_ms,
                       bt_call_actions_t *actions)
 {
-  if (!event->tombstoned)
-    take_tombstone_denial (ctx, call, event, now_ms, actions);
+  if (!reply->tombstoned)
+    take_tombstone_denial (ctx, call, reply, now_ms, actions);
   else if (call->message == BT_MESSAGE_TOMBSTONE_HOME)
     bt_end_call (ctx, call, call->reason, BT_OUTCOME_NOT_RUN, call->retry_after_ms, actions);
   else
@@ -197,33 +197,33 @@
 void
 bt_take_reply (bt_context_t *ctx,
                bt_call_t *call,
-               const bt_call_event_t *event,
+               const bt_reply_t *reply,
                int64_t now_ms,
                bt_call_actions_t *actions)
 {
   bool dispatched = call->message == BT_MESSAGE_DISPATCH;
   bool asking = call->phase == BT_PHASE_ASKING;
 
-  if (event->kind == BT_CALL_ACCEPTED && dispatched)
+  if (reply->kind == BT_REPLY_ACCEPTED && dispatched)
     call->phase = BT_PHASE_RUNNING;
-  else if (event->kind == BT_CALL_REFUSED && dispatched)
-    take_refusal (ctx, call, event, now_ms, actions);
-  else if (event->kind == BT_CALL_GRANT_REPLY && asking && call->message == BT_MESSAGE_GRANT)
-    take_grant_reply (ctx, call, event, now_ms, actions);
-  else if (event->kind == BT_CALL_TOMBSTONE_REPLY && asking
+  else if (reply->kind == BT_REPLY_REFUSED && dispatched)
+    take_refusal (ctx, call, reply, now_ms, actions);
+  else if (reply->kind == BT_REPLY_GRANT && asking && call->message == BT_MESSAGE_GRANT)
+    take_grant_reply (ctx, call, reply, now_ms, actions);
+  else if (reply->kind == BT_REPLY_TOMBSTONE && asking
            && call->message >= BT_MESSAGE_TOMBSTONE_GRANTEE)
-    take_tombstone_reply (ctx, call, event, now_ms, actions);
+    take_tombstone_reply (ctx, call, reply, now_ms, actions);
 }
 
 static void
-hold_head (bt_context_t *ctx, bt_call_t *call, const bt_call_event_t *event)
+hold_head (bt_context_t *ctx, bt_call_t *call, const bt_reply_t *reply)
 {
   if (call->has_head)
     return;
   call->has_head = true;
-  call->status = event->status;
-  call->head = bt_memdup (ctx, event->data, event->data_bytes);
-  call->head_bytes = event->data_bytes;
+  call->status = reply->status;
+  call->head = bt_memdup (ctx, reply->data, reply->data_bytes);
+  call->head_bytes = reply->data_bytes;
 }
 
 static void
@@ -254,40 +254,40 @@
 static void
 take_piece (bt_context_t *ctx,
             bt_call_t *call,
-            const bt_call_event_t *event,
+            const bt_reply_t *reply,
             int64_t now_ms,
             bt_call_actions_t *actions)
 {
   bt_call_action_t *action;
 
-  if (event->sequence < call->next_sequence)
+  if (reply->sequence < call->next_sequence)
     return;
-  if (event->sequence > call->next_sequence || !call->has_head)
+  if (reply->sequence > call->next_sequence || !call->has_head)
     {
       mend_gap (ctx, call, now_ms, actions);
       return;
     }
   give_head (ctx, call, actions);
   action = bt_add_call_action (ctx, actions, BT_CALL_GIVE_PIECE);
-  action->data = event->data;
-  action->data_bytes = event->data_bytes;
+  action->data = reply->data;
+  action->data_bytes = reply->data_bytes;
   call->next_sequence++;
-  call->bytes += event->data_bytes;
+  call->bytes += reply->data_bytes;
 }
 
 static void
 take_end (bt_context_t *ctx,
           bt_call_t *call,
-          const bt_call_event_t *event,
+          const bt_reply_t *reply,
           int64_t now_ms,
           bt_call_actions_t *actions)
 {
-  if (event->pieces > call->next_sequence || !call->has_head)
+  if (reply->pieces > call->next_sequence || !call->has_head)
     {
       mend_gap (ctx, call, now_ms, actions);
       return;
     }
-  if (event->pieces < call->next_sequence || event->total_bytes != call->bytes)
+  if (reply->pieces < call->next_sequence || reply->total_bytes != call->bytes)
     {
       bt_end_call_unknown (ctx, call, BT_REASON_ANSWER_DROPPED, actions);
       return;
@@ -300,17 +300,17 @@
 void
 bt_take_answer (bt_context_t *ctx,
                 bt_call_t *call,
-                const bt_call_event_t *event,
+                const bt_reply_t *reply,
                 int64_t now_ms,
                 bt_call_actions_t *actions)
 {
   if (call->message != BT_MESSAGE_DISPATCH)
     return;
   call->phase = BT_PHASE_RUNNING;
-  if (event->kind == BT_CALL_HEAD)
-    hold_head (ctx, call, event);
-  else if (event->kind == BT_CALL_PIECE)
-    take_piece (ctx, call, event, now_ms, actions);
+  if (reply->kind == BT_REPLY_HEAD)
+    hold_head (ctx, call, reply);
+  else if (reply->kind == BT_REPLY_PIECE)
+    take_piece (ctx, call, reply, now_ms, actions);
   else
-    take_end (ctx, call, event, now_ms, actions);
+    take_end (ctx, call, reply, now_ms, actions);
 }
--- a/test/core/request_world.h
+++ b/test/core/request_world.h
@@ -59,7 +59,7 @@
   bt_dispatch_t dispatch;
   bt_grant_request_t grant_request;
   bt_tombstone_request_t tombstone;
-  bt_call_event_t reply;
+  bt_reply_t reply;
   bt_run_event_t run_event;
   char data[PIECE_TEXT];
 } event_t;
--- a/test/core/test_arbiter.c
+++ b/test/core/test_arbiter.c
@@ -76,14 +76,26 @@
 }
 
 static const bt_arbiter_action_t *
-last (const bench_t *bench)
+last_action (const bench_t *bench)
 {
   static const bt_arbiter_action_t none = { .kind = BT_ARBITER_CANCEL_RUN };
 
   return bench->actions.count == 0 ? &none : &bench->actions.items[bench->actions.count - 1];
 }
 
-static const bt_arbiter_action_t *
+static const bt_reply_t *
+last (const bench_t *bench)
+{
+  return &last_action (bench)->reply;
+}
+
+static const bt_reply_t *
+first_reply (const bench_t *bench)
+{
+  return &bench->actions.items[0].reply;
+}
+
+static const bt_reply_t *
 dispatch (bench_t *bench, const bt_dispatch_t *message)
 {
   bench->actions.count = 0;
@@ -91,7 +103,14 @@
   return last (bench);
 }
 
-static const bt_arbiter_action_t *
+static bool
+starts_run (bench_t *bench, const bt_dispatch_t *message)
+{
+  dispatch (bench, message);
+  return last_action (bench)->kind == BT_ARBITER_START_RUN;
+}
+
+static const bt_reply_t *
 ask_grant (bench_t *bench, uint8_t key, const bt_identity_t *agent, uint32_t after)
 {
   bt_grant_request_t request = { .path = { 1, 50, 1 },
@@ -104,7 +123,7 @@
   return last (bench);
 }
 
-static const bt_arbiter_action_t *
+static const bt_reply_t *
 bury (bench_t *bench, const bt_identity_t *target, uint8_t key, const bt_grant_t *grant)
 {
   bt_tombstone_request_t request = { .path = { 1, 60, 1 },
@@ -177,24 +196,24 @@
   bt_dispatch_t second = make_dispatch (&home, 1, 2);
   bt_dispatch_t third = make_dispatch (&home, 1, 3);
 
-  CU_ASSERT_EQUAL (dispatch (&bench, &first)->kind, BT_ARBITER_START_RUN);
-  CU_ASSERT_EQUAL (bench.actions.items[0].kind, BT_ARBITER_REPLY_ACCEPTED);
+  CU_ASSERT_TRUE (starts_run (&bench, &first));
+  CU_ASSERT_EQUAL (first_reply (&bench)->kind, BT_REPLY_ACCEPTED);
   dispatch (&bench, &first);
   CU_ASSERT_EQUAL (bench.actions.count, 0);
   feed_head (&bench, 1);
   feed_piece (&bench, 1, 0, "one,");
   CU_ASSERT_EQUAL (bench.actions.count, 1);
-  CU_ASSERT_EQUAL (dispatch (&bench, &second)->kind, BT_ARBITER_REPLY_PIECE);
-  CU_ASSERT_TRUE (bench.actions.items[0].attached);
+  CU_ASSERT_EQUAL (dispatch (&bench, &second)->kind, BT_REPLY_PIECE);
+  CU_ASSERT_TRUE (first_reply (&bench)->attached);
   feed_piece (&bench, 1, 2, "e,two");
   CU_ASSERT_EQUAL (bench.actions.count, 2);
   CU_ASSERT_EQUAL (last (&bench)->data_bytes, 3);
   CU_ASSERT_EQUAL (last (&bench)->sequence, 1);
   feed_end (&bench, 1, 7);
   CU_ASSERT_EQUAL (bench.actions.count, 2);
-  CU_ASSERT_EQUAL (last (&bench)->kind, BT_ARBITER_REPLY_END);
+  CU_ASSERT_EQUAL (last (&bench)->kind, BT_REPLY_END);
   third.from_sequence = 1;
-  CU_ASSERT_EQUAL (dispatch (&bench, &third)->kind, BT_ARBITER_REPLY_END);
+  CU_ASSERT_EQUAL (dispatch (&bench, &third)->kind, BT_REPLY_END);
   CU_ASSERT_EQUAL (bench.actions.count, 4);
   CU_ASSERT_EQUAL (last (&bench)->pieces, 2);
   CU_ASSERT_EQUAL (last (&bench)->total_bytes, 7);
@@ -242,7 +261,7 @@
   to_home.grant.number = 1;
   CU_ASSERT_TRUE (dispatch (&bench, &to_home)->has_grant);
   to_home.grant.number = 2;
-  CU_ASSERT_EQUAL (dispatch (&bench, &to_home)->kind, BT_ARBITER_START_RUN);
+  CU_ASSERT_TRUE (starts_run (&bench, &to_home));
   CU_ASSERT_TRUE (ask_grant (&bench, 1, &other, 2)->home_runs);
   close_bench (&bench);
 }
@@ -324,7 +343,7 @@
   for (uint8_t key = 1; key <= 2; key++)
     {
       message = make_dispatch (&home, key, key);
-      CU_ASSERT_EQUAL (dispatch (&bench, &message)->kind, BT_ARBITER_START_RUN);
+      CU_ASSERT_TRUE (starts_run (&bench, &message));
       feed_head (&bench, key);
       feed_piece (&bench, key, 0, "answer");
       feed_end (&bench, key, 6);
@@ -364,7 +383,7 @@
   CU_ASSERT_EQUAL (bench.actions.count, 1);
   feed_end (&bench, 1, ANSWER_LIMIT + 2);
   CU_ASSERT_EQUAL (bench.actions.count, 1);
-  CU_ASSERT_EQUAL (last (&bench)->kind, BT_ARBITER_REPLY_END);
+  CU_ASSERT_EQUAL (last (&bench)->kind, BT_REPLY_END);
   close_bench (&bench);
 }
 
@@ -381,8 +400,8 @@
   feed_head (&bench, 1);
   feed_piece (&bench, 1, 0, "half");
   feed (&bench, &silent);
-  CU_ASSERT_EQUAL (last (&bench)->kind, BT_ARBITER_RESUME_RUN);
-  CU_ASSERT_EQUAL (last (&bench)->total_bytes, 4);
+  CU_ASSERT_EQUAL (last_action (&bench)->kind, BT_ARBITER_RESUME_RUN);
+  CU_ASSERT_EQUAL (last_action (&bench)->from_bytes, 4);
   feed (&bench, &silent);
   CU_ASSERT_EQUAL (last (&bench)->reason, BT_REASON_ENGINE_SILENT);
   CU_ASSERT_EQUAL (last (&bench)->outcome, BT_OUTCOME_UNKNOWN);
@@ -404,7 +423,7 @@
   dispatch (&bench, &message);
   feed (&bench, &failed);
   CU_ASSERT_EQUAL (last (&bench)->outcome, BT_OUTCOME_NOT_RUN);
-  CU_ASSERT_EQUAL (dispatch (&bench, &message)->kind, BT_ARBITER_START_RUN);
+  CU_ASSERT_TRUE (starts_run (&bench, &message));
   failed.run = 2;
   feed (&bench, &failed);
   CU_ASSERT_TRUE (ask_grant (&bench, 1, &other, 0)->granted);
@@ -443,13 +462,13 @@
   bt_dispatch_t unkeyed = { .path = { 1, 2, 1 }, .target = home, .deadline_ms = NOW_MS + LIFE_MS };
 
   dispatch (&bench, &keyed);
-  CU_ASSERT_EQUAL (dispatch (&bench, &unkeyed)->kind, BT_ARBITER_START_RUN);
+  CU_ASSERT_TRUE (starts_run (&bench, &unkeyed));
   dispatch (&bench, &unkeyed);
   CU_ASSERT_EQUAL (bench.actions.count, 0);
   bt_handle_link_down (bench.ctx, bench.arbiter, 1, &bench.actions);
   CU_ASSERT_EQUAL (bench.actions.count, 1);
-  CU_ASSERT_EQUAL (last (&bench)->kind, BT_ARBITER_CANCEL_RUN);
-  CU_ASSERT_EQUAL (last (&bench)->run, 2);
+  CU_ASSERT_EQUAL (last_action (&bench)->kind, BT_ARBITER_CANCEL_RUN);
+  CU_ASSERT_EQUAL (last_action (&bench)->run, 2);
   CU_ASSERT_EQUAL (bt_count_arbiter_runs (bench.arbiter), 1);
   unkeyed.target.incarnation++;
   CU_ASSERT_EQUAL (dispatch (&bench, &unkeyed)->outcome, BT_OUTCOME_NOT_RUN);
--- a/test/core/test_call.c
+++ b/test/core/test_call.c
@@ -83,7 +83,7 @@
                 : action->kind == BT_CALL_SEND_GRANT  ? action->grant_request.path
                                                       : action->tombstone_request.path;
   bench->path.link = link;
-  step (bench, (bt_call_event_t){ .kind = BT_CALL_SENT, .path.link = link });
+  step (bench, (bt_call_event_t){ .kind = BT_CALL_SENT, .link = link });
 }
 
 static const bt_call_action_t *
@@ -92,13 +92,20 @@
   return step (bench, (bt_call_event_t){ .kind = BT_CALL_CANDIDATE, .identity = *agent });
 }
 
+static const bt_call_action_t *
+reply_to (bench_t *bench, bt_reply_path_t path, bt_reply_t reply)
+{
+  reply.path = path;
+  return step (bench, (bt_call_event_t){ .kind = BT_CALL_REPLY, .reply = &reply });
+}
+
 static const bt_call_action_t *
 refuse (bench_t *bench, bt_reason_t reason)
 {
-  return step (bench, (bt_call_event_t){ .kind = BT_CALL_REFUSED,
-                                         .path = bench->path,
-                                         .reason = reason,
-                                         .outcome = bt_get_reason_outcome (reason) });
+  return reply_to (bench, bench->path,
+                   (bt_reply_t){ .kind = BT_REPLY_REFUSED,
+                                 .reason = reason,
+                                 .outcome = bt_get_reason_outcome (reason) });
 }
 
 static const bt_call_action_t *
@@ -110,44 +117,44 @@
 static const bt_call_action_t *
 grant (bench_t *bench, const bt_identity_t *agent, uint32_t number)
 {
-  return step (bench, (bt_call_event_t){ .kind = BT_CALL_GRANT_REPLY,
-                                         .path = bench->path,
-                                         .granted = true,
-                                         .grant = { *agent, 0, number } });
+  return reply_to (
+      bench, bench->path,
+      (bt_reply_t){ .kind = BT_REPLY_GRANT, .granted = true, .grant = { *agent, 0, number } });
 }
 
 static const bt_call_action_t *
 tombstone (bench_t *bench, bool tombstoned, bt_record_state_t state)
 {
-  return step (bench, (bt_call_event_t){ .kind = BT_CALL_TOMBSTONE_REPLY,
-                                         .path = bench->path,
-                                         .tombstoned = tombstoned,
-                                         .state = state });
+  return reply_to (
+      bench, bench->path,
+      (bt_reply_t){ .kind = BT_REPLY_TOMBSTONE, .tombstoned = tombstoned, .state = state });
 }
 
 static const bt_call_action_t *
 head (bench_t *bench)
 {
-  return step (bench, (bt_call_event_t){ .kind = BT_CALL_HEAD, .path = bench->path });
+  return reply_to (bench, bench->path, (bt_reply_t){ .kind = BT_REPLY_HEAD });
 }
 
 static const bt_call_action_t *
 piece (bench_t *bench, uint64_t sequence)
 {
-  return step (bench, (bt_call_event_t){ .kind = BT_CALL_PIECE,
-                                         .path = bench->path,
-                                         .sequence = sequence,
-                                         .data = "abc",
-                                         .data_bytes = 3 });
+  return reply_to (
+      bench, bench->path,
+      (bt_reply_t){ .kind = BT_REPLY_PIECE, .sequence = sequence, .data = "abc", .data_bytes = 3 });
 }
 
 static const bt_call_action_t *
 end (bench_t *bench, uint64_t pieces, uint64_t bytes)
 {
-  return step (bench, (bt_call_event_t){ .kind = BT_CALL_END,
-                                         .path = bench->path,
-                                         .pieces = pieces,
-                                         .total_bytes = bytes });
+  return reply_to (bench, bench->path,
+                   (bt_reply_t){ .kind = BT_REPLY_END, .pieces = pieces, .total_bytes = bytes });
+}
+
+static void
+take_acceptance (bench_t *bench)
+{
+  reply_to (bench, bench->path, (bt_reply_t){ .kind = BT_REPLY_ACCEPTED });
 }
 
 /* Submits a call and dispatches it to its first candidate over link 1. */
@@ -165,7 +172,7 @@
   bench_t bench = open_bench (true, false);
 
   begin (&bench, &home);
-  step (&bench, (bt_call_event_t){ .kind = BT_CALL_ACCEPTED, .path = bench.path });
+  take_acceptance (&bench);
   head (&bench);
   CU_ASSERT_EQUAL (bench.actions.count, 0);
   CU_ASSERT_EQUAL (piece (&bench, 0)->kind, BT_CALL_GIVE_PIECE);
@@ -256,8 +263,8 @@
       bt_identity_t back = home;
 
       begin (&bench, &home);
-      step (&bench, (bt_call_event_t){ .kind = BT_CALL_ACCEPTED, .path = bench.path });
-      step (&bench, (bt_call_event_t){ .kind = BT_CALL_LINK_DOWN, .path.link = 1 });
+      take_acceptance (&bench);
+      step (&bench, (bt_call_event_t){ .kind = BT_CALL_LINK_DOWN, .link = 1 });
       CU_ASSERT_TRUE (bt_is_call_waiting_for (bench.call, &home));
       if (way == 2)
         {
@@ -337,7 +344,7 @@
   budget (&bench, true);
   choose (&bench, &other);
   sent (&bench, 2);
-  step (&bench, (bt_call_event_t){ .kind = BT_CALL_LINK_DOWN, .path.link = 2 });
+  step (&bench, (bt_call_event_t){ .kind = BT_CALL_LINK_DOWN, .link = 2 });
   CU_ASSERT_EQUAL (last (&bench)->reason, BT_REASON_LINK_LOST);
   CU_ASSERT_EQUAL (last (&bench)->outcome, BT_OUTCOME_UNKNOWN);
   close_bench (&bench);
--- a/test/core/test_request_schedules.c
+++ b/test/core/test_request_schedules.c
@@ -204,18 +204,18 @@
         step (world, submission, &up);
       return;
     }
-  sent.path.link = entry->links[agent];
+  sent.link = entry->links[agent];
   event = add_event (world, (event_kind_t)(action->kind - BT_CALL_SEND_DISPATCH), 0);
   event->agent = agent;
   event->entry = submission->entry;
-  event->link = sent.path.link;
+  event->link = sent.link;
   event->dispatch = action->dispatch;
-  event->dispatch.path.link = sent.path.link;
+  event->dispatch.path.link = sent.link;
   event->dispatch.sender_now_ms = entry_now (world, submission->entry);
   event->grant_request = action->grant_request;
-  event->grant_request.path.link = sent.path.link;
+  event->grant_request.path.link = sent.link;
   event->tombstone = action->tombstone_request;
-  event->tombstone.path.link = sent.path.link;
+  event->tombstone.path.link = sent.link;
   post (world, event, world->requests[submission->request].keyed);
   step (world, submission, &sent);
 }
@@ -419,42 +419,15 @@
 }
 
 static void
-post_reply (world_t *world, int32_t agent, const bt_arbiter_action_t *action)
+post_reply (world_t *world, int32_t agent, const bt_reply_t *reply)
 {
-  static const bt_call_event_kind_t kinds[] = {
-    [BT_ARBITER_REPLY_ACCEPTED] = BT_CALL_ACCEPTED,
-    [BT_ARBITER_REPLY_REFUSED] = BT_CALL_REFUSED,
-    [BT_ARBITER_REPLY_HEAD] = BT_CALL_HEAD,
-    [BT_ARBITER_REPLY_PIECE] = BT_CALL_PIECE,
-    [BT_ARBITER_REPLY_END] = BT_CALL_END,
-    [BT_ARBITER_REPLY_GRANT] = BT_CALL_GRANT_REPLY,
-    [BT_ARBITER_REPLY_TOMBSTONE] = BT_CALL_TOMBSTONE_REPLY,
-  };
   event_t *event = add_event (world, TO_ENTRY, 0);
 
-  event->link = action->path.link;
   event->agent = agent;
-  event->entry = (int32_t)(action->path.link % ENTRIES);
-  event->reply = (bt_call_event_t){
-    .kind = kinds[action->kind],
-    .path = action->path,
-    .reason = action->reason,
-    .outcome = action->outcome,
-    .retry_after_ms = action->retry_after_ms,
-    .has_grant = action->has_grant,
-    .grant = action->grant,
-    .granted = action->granted,
-    .home_runs = action->home_runs,
-    .tombstoned = action->tombstoned,
-    .state = action->state,
-    .status = action->status,
-    .data_bytes = action->data_bytes,
-    .sequence = action->sequence,
-    .pieces = action->pieces,
-    .total_bytes = action->total_bytes,
-  };
-  if (action->data_bytes > 0)
-    memcpy (event->data, action->data, action->data_bytes);
+  event->entry = (int32_t)(reply->path.link % ENTRIES);
+  event->reply = *reply;
+  if (reply->data_bytes > 0)
+    memcpy (event->data, reply->data, reply->data_bytes);
   post (world, event, true);
 }
 
@@ -466,18 +439,18 @@
       const bt_arbiter_action_t *action = &actions->items[i];
 
       if (world->trace)
-        printf ("%5d agent %d action %d call %d attempt %d reason %s\n", (int)world->now, agent,
-                action->kind, (int)action->path.call, (int)action->path.attempt,
-                bt_name_reason (action->reason));
+        printf ("%5d agent %d action %d reply %d call %d attempt %d %s\n", (int)world->now, agent,
+                action->kind, action->reply.kind, (int)action->reply.path.call,
+                (int)action->reply.path.attempt, bt_name_reason (action->reply.reason));
       if (action->kind == BT_ARBITER_START_RUN)
         start_run (world, agent, action);
       else if (action->kind == BT_ARBITER_RESUME_RUN)
         stream_answer (world, (int32_t)(find_world_run (world, agent, action->run) - world->runs),
-                       action->total_bytes);
+                       action->from_bytes);
       else if (action->kind == BT_ARBITER_CANCEL_RUN)
         find_world_run (world, agent, action->run)->cancelled = true;
       else
-        post_reply (world, agent, action);
+        post_reply (world, agent, &action->reply);
     }
   bt_free_arbiter_actions (world->ctx, actions);
 }
@@ -518,11 +491,13 @@
 static void
 feed_entry (world_t *world, event_t *event)
 {
+  bt_call_event_t event_of_call = { .kind = BT_CALL_REPLY, .reply = &event->reply };
+
   event->reply.data = event->data;
   for (int32_t i = 0; i < world->submission_count; i++)
     if (world->submissions[i].entry == event->entry
         && world->submissions[i].call_id == event->reply.path.call)
-      step (world, &world->submissions[i], &event->reply);
+      step (world, &world->submissions[i], &event_of_call);
 }
 
 static void
@@ -553,7 +528,7 @@
 static void
 lose_link (world_t *world, const event_t *cause)
 {
-  bt_call_event_t down = { .kind = BT_CALL_LINK_DOWN, .path.link = cause->link };
+  bt_call_event_t down = { .kind = BT_CALL_LINK_DOWN, .link = cause->link };
   event_t *event;
 
   if (world->entries[cause->entry].links[cause->agent] != cause->link)
