--- a/source/core/arbiter_keys.c
+++ b/source/core/arbiter_keys.c
@@ -2,17 +2,35 @@
 
 #include "arbiter_private.h"
 
+/* At home the ticket alone tells, also for a grant to home itself: home keeps its record by the
+ * ticket, so a longer grant would let a late copy run after the tombstone was dropped. */
+static int64_t
+get_dispatch_expiry (const bt_arbiter_t *arbiter, const bt_dispatch_t *dispatch)
+{
+  if (dispatch->has_grant && !bt_is_arbiter (arbiter, &dispatch->ticket.home))
+    return dispatch->grant.expires_ms;
+  return dispatch->ticket.expires_ms;
+}
+
 /* Judged by this agent's own clock: that same clock tells when the record is dropped, so a message
  * that outlived its record is always seen to be too late. */
 static bool
 is_dispatch_past (const bt_arbiter_t *arbiter, const bt_dispatch_t *dispatch, int64_t now_ms)
 {
-  int64_t expires_ms =
-      dispatch->has_grant ? dispatch->grant.expires_ms : dispatch->ticket.expires_ms;
 
   if ((arbiter->options.faults & BT_FAULT_FOREIGN_CLOCK) != 0)
     now_ms = dispatch->sender_now_ms;
-  return bt_is_past (expires_ms, now_ms);
+  return bt_is_past (get_dispatch_expiry (arbiter, dispatch), now_ms);
+}
+
+/* A record must outlive every message that it has answered: a tombstone set under one grant also
+ * speaks for a later grant to the same agent, whose late copy would else arrive after the record
+ * was dropped and before that grant expires, and run. */
+static void
+extend_record (bt_record_t *record, int64_t expires_ms)
+{
+  if (record != NULL && record->expires_ms < expires_ms)
+    record->expires_ms = expires_ms;
 }
 
 static void
@@ -142,8 +160,6 @@
               bt_arbiter_actions_t *actions)
 {
   bt_reason_t reason = check_admission (arbiter, dispatch, now_ms);
-  int64_t expires_ms =
-      dispatch->has_grant ? dispatch->grant.expires_ms : dispatch->ticket.expires_ms;
 
   if (reason != BT_REASON_NONE)
     {
@@ -151,15 +167,14 @@
       return;
     }
   if (record == NULL)
-    record = bt_add_record (ctx, arbiter->table, &dispatch->ticket.key, expires_ms, false);
+    record = bt_add_record (ctx, arbiter->table, &dispatch->ticket.key,
+                            get_dispatch_expiry (arbiter, dispatch), false);
   if (record == NULL)
     {
       bt_add_refusal (ctx, actions, &dispatch->path, BT_REASON_RECORDS_FULL)->retry_after_ms =
           arbiter->options.retry_after_ms;
       return;
     }
-  if (record->expires_ms < expires_ms)
-    record->expires_ms = expires_ms;
   bt_set_record_grant (ctx, arbiter->table, record, NULL);
   start_run (ctx, arbiter, record, dispatch, actions);
 }
@@ -239,6 +254,7 @@
       return;
     }
   record = bt_find_record (arbiter->table, &dispatch->ticket.key);
+  extend_record (record, get_dispatch_expiry (arbiter, dispatch));
   if (record != NULL && (record->state == BT_RECORD_RUNNING || record->state == BT_RECORD_DONE))
     dispatch_recorded (ctx, arbiter, record, dispatch, now_ms, actions);
   else if (is_dispatch_past (arbiter, dispatch, now_ms))
@@ -400,8 +416,6 @@
     record = bt_add_record (ctx, arbiter->table, &request->ticket.key, expires_ms, true);
   if (record == NULL)
     return false;
-  if (record->expires_ms < expires_ms)
-    record->expires_ms = expires_ms;
   record->state = BT_RECORD_TOMBSTONED;
   bt_set_record_grant (ctx, arbiter->table, record, NULL);
   return true;
@@ -427,6 +441,7 @@
     reply->state = to_foreign_state (bt_check_addressee (arbiter, role, BT_REASON_HOME_RESTARTED));
   if (reply->state == BT_RECORD_FOREIGN)
     return;
+  extend_record (record, expires_ms);
   reply->state = judge_tombstone (arbiter, record, request, is_home);
   if (reply->state == BT_RECORD_UNSEEN && bt_is_past (expires_ms, now_ms))
     reply->state = BT_RECORD_EXPIRED;
--- a/test/core/test_arbiter.c
+++ b/test/core/test_arbiter.c
@@ -292,6 +292,42 @@
   close_bench (&bench);
 }
 
+/* A key came back to an agent that had tombstoned it under an earlier grant. The old tombstone was
+ * dropped at the end of the earlier grant, and a late copy under the later one ran, after the
+ * caller had been told not-run. */
+static void
+test_a_tombstone_outlives_each_grant_it_answered (void)
+{
+  bench_t bench = open_bench (&other, 10);
+  bt_grant_t early = { other, NOW_MS + 10, 1 };
+  bt_dispatch_t late = make_dispatch (&other, 1, 1);
+
+  late.has_grant = true;
+  late.grant = (bt_grant_t){ other, NOW_MS + LIFE_MS, 3 };
+  bury (&bench, &other, 1, &early);
+  CU_ASSERT_EQUAL (dispatch (&bench, &late)->reason, BT_REASON_KEY_TOMBSTONED);
+  sweep (&bench, NOW_MS + LIFE_MS - 1);
+  CU_ASSERT_EQUAL (dispatch (&bench, &late)->reason, BT_REASON_KEY_TOMBSTONED);
+  close_bench (&bench);
+}
+
+/* Home granted a key to itself for longer than its ticket lives, then tombstoned it. A copy under
+ * that grant arrived after the tombstone had gone with the ticket, and ran. */
+static void
+test_no_grant_outlives_the_ticket_at_home (void)
+{
+  bench_t bench = open_bench (&home, 10);
+  bt_dispatch_t late = make_dispatch (&home, 1, 1);
+
+  late.has_grant = true;
+  late.grant = ask_grant (&bench, 1, &home, 0)->grant;
+  late.grant.expires_ms = NOW_MS + 2 * LIFE_MS;
+  CU_ASSERT_TRUE (bury (&bench, &home, 1, NULL)->tombstoned);
+  sweep (&bench, NOW_MS + LIFE_MS + GRACE_MS);
+  CU_ASSERT_EQUAL (dispatch (&bench, &late)->reason, BT_REASON_KEY_EXPIRED);
+  close_bench (&bench);
+}
+
 /* The agent restarts after its endpoint took the order, and a copy arrives. It remembers nothing,
  * so it may neither run the copy nor say that the order did not run. */
 static void
@@ -487,6 +523,8 @@
   CU_ADD_TEST (suite, test_a_grant_moves_only_after_a_tombstone);
   CU_ADD_TEST (suite, test_home_may_grant_to_itself);
   CU_ADD_TEST (suite, test_a_tombstone_stops_late_copies);
+  CU_ADD_TEST (suite, test_a_tombstone_outlives_each_grant_it_answered);
+  CU_ADD_TEST (suite, test_no_grant_outlives_the_ticket_at_home);
   CU_ADD_TEST (suite, test_an_earlier_start_makes_it_unknown);
   CU_ADD_TEST (suite, test_a_key_belongs_to_one_body);
   CU_ADD_TEST (suite, test_full_records_refuse_new_keys_only);
--- a/test/core/test_call.c
+++ b/test/core/test_call.c
@@ -326,8 +326,7 @@
   sent (&bench, 2);
   CU_ASSERT_EQUAL (last (&bench)->kind, BT_CALL_FINISH_WHOLE); /* nothing done */
   head (&bench);
-  step (&bench,
-        (bt_call_event_t){ .kind = BT_CALL_PIECE, .path = old, .data = "old", .data_bytes = 3 });
+  reply_to (&bench, old, (bt_reply_t){ .kind = BT_REPLY_PIECE, .data = "old", .data_bytes = 3 });
   CU_ASSERT_EQUAL (bench.actions.count, 0);
   CU_ASSERT_EQUAL (piece (&bench, 0)->kind, BT_CALL_GIVE_PIECE);
   CU_ASSERT_EQUAL (refuse (&bench, BT_REASON_ENGINE_FAILED)->kind, BT_CALL_CUT);
--- a/test/core/test_request_schedules.c
+++ b/test/core/test_request_schedules.c
@@ -3,7 +3,155 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "request_world.h"
+#include "bilberrytray/base.h"
+#include "bilberrytray/core/arbiter.h"
+#include "bilberrytray/core/call.h"
+
+/* A world of entries, agents, endpoints and callers in one thread, driven by a seed: messages are
+ * lost, delayed, doubled and reordered, links die, processes restart and pause. What endpoints ran
+ * is logged by request and compared with what callers were told. */
+
+enum
+{
+  ENTRIES = 2,
+  AGENTS = 3,
+  MAX_REQUESTS = 6,
+  MAX_SUBMISSIONS = 12,
+  MAX_RUNS = 128,
+  MAX_MESSAGES = 4096,
+  MAX_TEXT = 256,
+  PIECE_TEXT = 24,
+};
+
+typedef enum event_kind
+{
+  TO_AGENT_DISPATCH = 0,
+  TO_AGENT_GRANT,
+  TO_AGENT_TOMBSTONE,
+  TO_AGENT_CANCEL,
+  TO_ENTRY,
+  RUN_BEGINS,
+  RUN_EVENT,
+  LINK_OPENS,
+  LINK_DIES_AT_ENTRY,
+  LINK_DIES_AT_AGENT,
+  SUBMISSION,
+  CALLER_LEAVES,
+  ENTRY_RESTARTS,
+  ENTRY_PAUSES,
+  AGENT_RESTARTS,
+  AGENT_PAUSES,
+  AGENT_LEAVES,
+  TICK,
+} event_kind_t;
+
+typedef struct event
+{
+  int64_t at;
+  uint64_t order;
+  event_kind_t kind;
+  int32_t entry;
+  int32_t agent;
+  int32_t item; /* submission or run */
+  uint64_t link;
+  uint64_t incarnation; /* of the agent that started a run */
+  bt_reply_path_t path;
+  bt_dispatch_t dispatch;
+  bt_grant_request_t grant_request;
+  bt_tombstone_request_t tombstone;
+  bt_reply_t reply;
+  bt_run_event_t run_event;
+  char data[PIECE_TEXT];
+} event_t;
+
+typedef struct agent
+{
+  bt_identity_t self;
+  bt_arbiter_t *arbiter;
+  int64_t clock_offset;
+  int64_t paused_until;
+} agent_t;
+
+typedef struct entry
+{
+  uint64_t links[AGENTS];        /* 0: down */
+  uint64_t incarnations[AGENTS]; /* what the hello of the link named */
+  int64_t clock_offset;
+  int64_t paused_until;
+  uint64_t last_call;
+} entry_t;
+
+typedef struct request
+{
+  bool keyed;
+  bool idempotent;
+  bt_ticket_t ticket;
+  int32_t runs; /* what the endpoints' log says */
+  int32_t pieces;
+} request_t;
+
+typedef struct submission
+{
+  int32_t request;
+  int32_t entry;
+  uint64_t call_id;
+  bt_call_t *call; /* NULL: not yet, or lost with its entry */
+  int32_t retries;
+  bool finished;
+  bool whole;
+  bool cut;
+  bt_outcome_t outcome;
+  bt_reason_t reason;
+  char text[MAX_TEXT]; /* what the caller received */
+} submission_t;
+
+typedef struct run
+{
+  int32_t agent;
+  uint64_t incarnation;
+  uint64_t id;
+  int32_t request;
+  int32_t generation; /* 0: has not begun */
+  bool cancelled;
+} run_t;
+
+typedef struct world
+{
+  bt_context_t *ctx;
+  bt_random_t random;
+  uint32_t faults;
+  int64_t now;
+  uint64_t last_order;
+  uint64_t last_link;
+  uint64_t last_incarnation;
+  agent_t agents[AGENTS];
+  entry_t entries[ENTRIES];
+  request_t requests[MAX_REQUESTS];
+  int32_t request_count;
+  submission_t submissions[MAX_SUBMISSIONS];
+  int32_t submission_count;
+  run_t runs[MAX_RUNS];
+  int32_t run_count;
+  event_t *events[MAX_MESSAGES];
+  int32_t event_count;
+  bool shuffles;
+  uint64_t loss_percent;
+  uint64_t slow_percent;
+  int64_t last_to_entry[ENTRIES][AGENTS];
+  int64_t last_to_agent[ENTRIES][AGENTS];
+  char violation[MAX_TEXT];
+} world_t;
+
+/** What many schedules came to. */
+typedef struct tally
+{
+  uint64_t submissions;
+  uint64_t outcomes[3];
+  uint64_t cut;
+  uint64_t orphaned; /* lost with their entry */
+  uint64_t runs;
+  uint64_t reasons[BT_REASON_COUNT];
+} tally_t;
 
 enum
 {
@@ -289,19 +437,15 @@
     return;
   bt_step_call (world->ctx, submission->call, event, entry_now (world, submission->entry),
                 &actions);
-  if (world->trace)
-    for (int32_t i = 0; i < actions.count; i++)
-      printf ("%5d sub %d event %d -> action %d\n", (int)world->now,
-              (int)(submission - world->submissions), event->kind, actions.items[i].kind);
   for (int32_t i = 0; i < actions.count; i++)
     do_call_action (world, submission, &actions.items[i]);
   bt_free_call_actions (world->ctx, &actions);
 }
 
 static void
-submit (world_t *world, int32_t index)
+submit (world_t *world, event_t *cause)
 {
-  submission_t *submission = &world->submissions[index];
+  submission_t *submission = &world->submissions[cause->item];
   request_t *request = &world->requests[submission->request];
   bt_call_event_t event = { .kind = BT_CALL_SUBMIT };
   bt_call_options_t options = {
@@ -375,14 +519,14 @@
 }
 
 static void
-begin_run (world_t *world, int32_t index)
+begin_run (world_t *world, event_t *event)
 {
-  run_t *run = &world->runs[index];
+  run_t *run = &world->runs[event->item];
 
   if (run->cancelled)
     return;
   run->generation = ++world->requests[run->request].runs;
-  stream_answer (world, index, 0);
+  stream_answer (world, event->item, 0);
 }
 
 static void
@@ -438,10 +582,6 @@
     {
       const bt_arbiter_action_t *action = &actions->items[i];
 
-      if (world->trace)
-        printf ("%5d agent %d action %d reply %d call %d attempt %d %s\n", (int)world->now, agent,
-                action->kind, action->reply.kind, (int)action->reply.path.call,
-                (int)action->reply.path.attempt, bt_name_reason (action->reply.reason));
       if (action->kind == BT_ARBITER_START_RUN)
         start_run (world, agent, action);
       else if (action->kind == BT_ARBITER_RESUME_RUN)
@@ -526,7 +666,7 @@
 }
 
 static void
-lose_link (world_t *world, const event_t *cause)
+lose_link (world_t *world, event_t *cause)
 {
   bt_call_event_t down = { .kind = BT_CALL_LINK_DOWN, .link = cause->link };
   event_t *event;
@@ -541,7 +681,7 @@
 }
 
 static void
-gain_link (world_t *world, const event_t *cause)
+gain_link (world_t *world, event_t *cause)
 {
   bt_call_event_t up = { .kind = BT_CALL_LINK_UP };
 
@@ -554,8 +694,10 @@
 
 /* Its callers' connections break, so they are told nothing; the new one counts calls from 0. */
 static void
-restart_entry (world_t *world, int32_t entry)
+restart_entry (world_t *world, event_t *event)
 {
+  int32_t entry = event->entry;
+
   for (int32_t i = 0; i < world->submission_count; i++)
     if (world->submissions[i].entry == entry && !world->submissions[i].finished)
       {
@@ -575,15 +717,15 @@
 }
 
 static void
-restart_agent (world_t *world, int32_t agent)
+restart_agent (world_t *world, event_t *event)
 {
-  start_agent (world, agent);
+  start_agent (world, event->agent);
   for (int32_t i = 0; i < ENTRIES; i++)
-    kill_link (world, i, agent);
+    kill_link (world, i, event->agent);
 }
 
 static void
-tick (world_t *world)
+tick (world_t *world, event_t *cause)
 {
   bt_call_event_t event = { .kind = BT_CALL_TICK };
 
@@ -597,72 +739,73 @@
       step_entry (world, i, &event);
 }
 
-/* Whether a stopped process makes this event wait; if so, until when. */
-static int64_t
-held_until (const world_t *world, const event_t *event)
+static void
+hold_entry (world_t *world, event_t *event)
 {
-  switch (event->kind)
-    {
-    case TO_AGENT_DISPATCH:
-    case TO_AGENT_GRANT:
-    case TO_AGENT_TOMBSTONE:
-    case TO_AGENT_CANCEL:
-    case LINK_DIES_AT_AGENT:
-      return world->agents[event->agent].paused_until;
-    case RUN_EVENT:
-      return world->agents[world->runs[event->item].agent].paused_until;
-    case TO_ENTRY:
-    case LINK_DIES_AT_ENTRY:
-    case LINK_OPENS:
-      return world->entries[event->entry].paused_until;
-    default:
-      return 0;
-    }
+  world->entries[event->entry].paused_until = world->now + pick (world, 1500);
+}
+
+static void
+hold_agent (world_t *world, event_t *event)
+{
+  world->agents[event->agent].paused_until = world->now + pick (world, 2500);
 }
 
 static void
-happen (world_t *world, event_t *event)
+lose_caller (world_t *world, event_t *event)
 {
   bt_call_event_t gone = { .kind = BT_CALL_CALLER_GONE };
 
-  switch (event->kind)
+  step (world, &world->submissions[event->item], &gone);
+}
+
+/* What an event does, and which stopped process makes it wait. */
+typedef struct handler
+{
+  void (*happen) (world_t *world, event_t *event);
+  enum
+  {
+    WAITS_FOR_NOBODY,
+    WAITS_FOR_ENTRY,
+    WAITS_FOR_AGENT,
+    WAITS_FOR_AGENT_OF_RUN,
+  } waits;
+} handler_t;
+
+static const handler_t handlers[] = {
+  [TO_AGENT_DISPATCH] = { feed_agent, WAITS_FOR_AGENT },
+  [TO_AGENT_GRANT] = { feed_agent, WAITS_FOR_AGENT },
+  [TO_AGENT_TOMBSTONE] = { feed_agent, WAITS_FOR_AGENT },
+  [TO_AGENT_CANCEL] = { feed_agent, WAITS_FOR_AGENT },
+  [TO_ENTRY] = { feed_entry, WAITS_FOR_ENTRY },
+  [RUN_BEGINS] = { begin_run, WAITS_FOR_NOBODY },
+  [RUN_EVENT] = { feed_agent, WAITS_FOR_AGENT_OF_RUN },
+  [LINK_OPENS] = { gain_link, WAITS_FOR_ENTRY },
+  [LINK_DIES_AT_ENTRY] = { lose_link, WAITS_FOR_ENTRY },
+  [LINK_DIES_AT_AGENT] = { feed_agent, WAITS_FOR_AGENT },
+  [SUBMISSION] = { submit, WAITS_FOR_NOBODY },
+  [CALLER_LEAVES] = { lose_caller, WAITS_FOR_NOBODY },
+  [ENTRY_RESTARTS] = { restart_entry, WAITS_FOR_NOBODY },
+  [ENTRY_PAUSES] = { hold_entry, WAITS_FOR_NOBODY },
+  [AGENT_RESTARTS] = { restart_agent, WAITS_FOR_NOBODY },
+  [AGENT_PAUSES] = { hold_agent, WAITS_FOR_NOBODY },
+  [AGENT_LEAVES] = { feed_agent, WAITS_FOR_NOBODY },
+  [TICK] = { tick, WAITS_FOR_NOBODY },
+};
+
+static int64_t
+held_until (const world_t *world, const event_t *event)
+{
+  switch (handlers[event->kind].waits)
     {
-    case TO_ENTRY:
-      feed_entry (world, event);
-      break;
-    case RUN_BEGINS:
-      begin_run (world, event->item);
-      break;
-    case LINK_OPENS:
-      gain_link (world, event);
-      break;
-    case LINK_DIES_AT_ENTRY:
-      lose_link (world, event);
-      break;
-    case SUBMISSION:
-      submit (world, event->item);
-      break;
-    case CALLER_LEAVES:
-      step (world, &world->submissions[event->item], &gone);
-      break;
-    case ENTRY_RESTARTS:
-      restart_entry (world, event->entry);
-      break;
-    case ENTRY_PAUSES:
-      world->entries[event->entry].paused_until = world->now + pick (world, 1500);
-      break;
-    case AGENT_RESTARTS:
-      restart_agent (world, event->agent);
-      break;
-    case AGENT_PAUSES:
-      world->agents[event->agent].paused_until = world->now + pick (world, 2500);
-      break;
-    case TICK:
-      tick (world);
-      break;
+    case WAITS_FOR_AGENT:
+      return world->agents[event->agent].paused_until;
+    case WAITS_FOR_AGENT_OF_RUN:
+      return world->agents[world->runs[event->item].agent].paused_until;
+    case WAITS_FOR_ENTRY:
+      return world->entries[event->entry].paused_until;
     default:
-      feed_agent (world, event);
-      break;
+      return 0;
     }
 }
 
@@ -814,19 +957,16 @@
       if (event->at <= SCHEDULE_MS)
         {
           world->now = event->at;
-          happen (world, event);
+          handlers[event->kind].happen (world, event);
         }
       bt_free (world->ctx, event);
     }
 }
 
-bool
+static bool
 run_schedule (world_t *world, uint64_t seed, uint32_t faults, tally_t *tally)
 {
-  bool trace = world->trace;
-
   memset (world, 0, sizeof *world);
-  world->trace = trace;
   world->ctx = bt_new_context ();
   world->faults = faults;
   bt_seed_random (&world->random, seed);
@@ -885,6 +1025,19 @@
   CU_ASSERT_TRUE (tally.outcomes[BT_OUTCOME_ANSWERED] > tally.submissions / 4);
 }
 
+/* Late copies that arrived after a tombstone was dropped: 27844 and 109416 under a later grant to
+ * the agent that tombstoned an earlier one, 49565 under home's grant to itself, which outlived the
+ * ticket. The caller had been told not-run, and it ran. */
+static void
+test_seeds_that_showed_faults (void)
+{
+  static const uint64_t seeds[] = { 27844, 49565, 109416 };
+  tally_t tally = { 0 };
+
+  for (size_t i = 0; i < sizeof seeds / sizeof seeds[0]; i++)
+    CU_ASSERT_TRUE (run_schedule (&world, seeds[i], 0, &tally));
+}
+
 static void
 demand_violation (const char *name, uint32_t fault)
 {
@@ -914,25 +1067,15 @@
 }
 
 int
-main (int argc, char **argv)
+main (void)
 {
   CU_pSuite suite;
   unsigned int failed;
 
-  if (argc > 1)
-    {
-      tally_t tally = { 0 };
-      bool kept;
-
-      world.trace = true;
-      kept = run_schedule (&world, strtoull (argv[1], NULL, 10),
-                           argc > 2 ? (uint32_t)strtoul (argv[2], NULL, 10) : 0, &tally);
-      printf ("%s\n", kept ? "kept" : world.violation);
-      return kept ? 0 : 1;
-    }
   CU_initialize_registry ();
   suite = CU_add_suite ("request schedules", NULL, NULL);
   CU_ADD_TEST (suite, test_guarded_schedules_keep_every_promise);
+  CU_ADD_TEST (suite, test_seeds_that_showed_faults);
   CU_ADD_TEST (suite, test_each_guard_is_needed);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
