--- /dev/null
+++ b/source/entry/caller.c
@@ -0,0 +1,387 @@
+#include "caller.h"
+
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <string.h>
+#include <strings.h>
+
+#include "bilberrytray/wire/frame.h"
+
+enum
+{
+  MAX_PENDING_BYTES = 4 << 20,
+  READ_BLOCK_BYTES = 16384,
+  CONTENT_TYPE_BYTES = 128,
+  MESSAGE_BYTES = 256,
+  BODY_BYTES = 512,
+  NUMBER_BYTES = 24,
+  MS_PER_S = 1000,
+};
+
+typedef enum answer_state
+{
+  ANSWER_NONE = 0,
+  ANSWER_BEGUN,
+  ANSWER_WHOLE,
+  ANSWER_CUT,
+} answer_state_t;
+
+struct bt_caller
+{
+  atomic_int references;
+  bt_context_t *ctx;
+  bt_caller_request_t request;
+  size_t body_capacity;
+  atomic_ullong call;
+  char account[BT_NAME_BYTES];
+  bool submitted;
+
+  pthread_mutex_t lock; /**< Guards what stands below. */
+  struct MHD_Connection *connection;
+  bool suspended;
+  answer_state_t state;
+  int32_t status;
+  char content_type[CONTENT_TYPE_BYTES];
+  bt_outcome_t outcome;
+  bt_reason_t reason;
+  int64_t retry_after_ms;
+  bt_buffer_t pending;
+};
+
+bt_caller_t *
+bt_new_caller (bt_context_t *ctx,
+               struct MHD_Connection *connection,
+               const char *method,
+               const char *path)
+{
+  bt_caller_t *caller = bt_calloc (ctx, 1, sizeof *caller);
+
+  atomic_init (&caller->references, 1);
+  caller->ctx = ctx;
+  caller->connection = connection;
+  caller->request.method = bt_strdup (ctx, method);
+  caller->request.path = bt_strdup (ctx, path);
+  pthread_mutex_init (&caller->lock, NULL);
+  return caller;
+}
+
+bt_caller_t *
+bt_keep_caller (bt_caller_t *caller)
+{
+  atomic_fetch_add (&caller->references, 1);
+  return caller;
+}
+
+void
+bt_drop_caller (bt_context_t *ctx, bt_caller_t *caller)
+{
+  if (caller == NULL || atomic_fetch_sub (&caller->references, 1) != 1)
+    return;
+  for (int32_t i = 0; i < caller->request.header_count; i++)
+    {
+      bt_free (ctx, (void *)caller->request.headers[i].name);
+      bt_free (ctx, (void *)caller->request.headers[i].value);
+    }
+  bt_free (ctx, caller->request.method);
+  bt_free (ctx, caller->request.path);
+  bt_free (ctx, caller->request.body);
+  bt_clear_buffer (ctx, &caller->pending);
+  pthread_mutex_destroy (&caller->lock);
+  bt_free (ctx, caller);
+}
+
+bool
+bt_append_caller_body (
+    bt_context_t *ctx, bt_caller_t *caller, const char *data, size_t bytes, size_t max_bytes)
+{
+  bt_caller_request_t *request = &caller->request;
+
+  if (request->body_bytes + bytes > max_bytes)
+    return false;
+  if (request->body_bytes + bytes > caller->body_capacity)
+    {
+      caller->body_capacity = (request->body_bytes + bytes) * 2;
+      request->body = bt_realloc (ctx, request->body, caller->body_capacity, 1);
+    }
+  memcpy (request->body + request->body_bytes, data, bytes);
+  request->body_bytes += bytes;
+  return true;
+}
+
+const bt_caller_request_t *
+bt_get_caller_request (const bt_caller_t *caller)
+{
+  return &caller->request;
+}
+
+const char *
+bt_find_caller_header (const bt_caller_t *caller, const char *name)
+{
+  for (int32_t i = 0; i < caller->request.header_count; i++)
+    if (strcasecmp (caller->request.headers[i].name, name) == 0)
+      return caller->request.headers[i].value;
+  return NULL;
+}
+
+static void
+resume_locked (bt_caller_t *caller)
+{
+  if (!caller->suspended || caller->connection == NULL)
+    return;
+  caller->suspended = false;
+  MHD_resume_connection (caller->connection);
+}
+
+void
+bt_begin_answer (bt_context_t *ctx, bt_caller_t *caller, int32_t status, const char *content_type)
+{
+  pthread_mutex_lock (&caller->lock);
+  if (caller->state == ANSWER_NONE)
+    {
+      caller->state = ANSWER_BEGUN;
+      caller->status = status;
+      snprintf (caller->content_type, sizeof caller->content_type, "%s", content_type);
+      resume_locked (caller);
+    }
+  pthread_mutex_unlock (&caller->lock);
+}
+
+bool
+bt_add_answer (bt_context_t *ctx, bt_caller_t *caller, const void *data, size_t bytes)
+{
+  bool added = false;
+
+  pthread_mutex_lock (&caller->lock);
+  if (caller->state == ANSWER_BEGUN)
+    {
+      if (bt_count_buffer (&caller->pending) + bytes <= MAX_PENDING_BYTES)
+        {
+          bt_append_buffer (ctx, &caller->pending, data, bytes);
+          added = true;
+        }
+      else
+        caller->state = ANSWER_CUT;
+      resume_locked (caller);
+    }
+  pthread_mutex_unlock (&caller->lock);
+  return added;
+}
+
+static void
+end_answer (bt_caller_t *caller, answer_state_t state)
+{
+  pthread_mutex_lock (&caller->lock);
+  if (caller->state == ANSWER_BEGUN)
+    {
+      caller->state = state;
+      resume_locked (caller);
+    }
+  pthread_mutex_unlock (&caller->lock);
+}
+
+void
+bt_end_answer (bt_context_t *ctx, bt_caller_t *caller)
+{
+  bt_count_outcome (ctx, BT_OUTCOME_ANSWERED);
+  end_answer (caller, ANSWER_WHOLE);
+}
+
+void
+bt_cut_answer (bt_context_t *ctx, bt_caller_t *caller)
+{
+  bt_count_outcome (ctx, BT_OUTCOME_UNKNOWN);
+  end_answer (caller, ANSWER_CUT);
+}
+
+void
+bt_refuse_caller (bt_context_t *ctx,
+                  bt_caller_t *caller,
+                  bt_outcome_t outcome,
+                  bt_reason_t reason,
+                  int64_t retry_after_ms,
+                  const char *message)
+{
+  char body[BODY_BYTES];
+
+  bt_count_refusal (ctx, reason);
+  pthread_mutex_lock (&caller->lock);
+  if (caller->state == ANSWER_BEGUN)
+    {
+      caller->state = ANSWER_CUT;
+      outcome = BT_OUTCOME_UNKNOWN;
+    }
+  else if (caller->state == ANSWER_NONE)
+    {
+      snprintf (body, sizeof body, "{\"outcome\":\"%s\",\"reason\":\"%s\",\"message\":\"%s\"}\n",
+                bt_name_outcome (outcome), bt_name_reason (reason), message == NULL ? "" : message);
+      bt_append_buffer (ctx, &caller->pending, body, strlen (body));
+      caller->state = ANSWER_WHOLE;
+      caller->status = bt_get_reason_status (reason);
+      caller->outcome = outcome;
+      caller->reason = reason;
+      caller->retry_after_ms = retry_after_ms;
+      snprintf (caller->content_type, sizeof caller->content_type, "application/json");
+    }
+  resume_locked (caller);
+  pthread_mutex_unlock (&caller->lock);
+  bt_count_outcome (ctx, outcome);
+}
+
+void
+bt_answer_caller (bt_context_t *ctx,
+                  bt_caller_t *caller,
+                  int32_t status,
+                  const char *content_type,
+                  const char *text)
+{
+  bt_begin_answer (ctx, caller, status, content_type);
+  bt_add_answer (ctx, caller, text, strlen (text));
+  end_answer (caller, ANSWER_WHOLE);
+}
+
+bool
+bt_is_caller_answered (bt_caller_t *caller)
+{
+  bool answered;
+
+  pthread_mutex_lock (&caller->lock);
+  answered = caller->state != ANSWER_NONE;
+  pthread_mutex_unlock (&caller->lock);
+  return answered;
+}
+
+static ssize_t
+read_answer (void *argument, uint64_t position, char *buffer, size_t max)
+{
+  bt_caller_t *caller = argument;
+  size_t bytes;
+  ssize_t result;
+
+  pthread_mutex_lock (&caller->lock);
+  bytes = bt_count_buffer (&caller->pending);
+  if (bytes > 0)
+    {
+      bytes = bytes < max ? bytes : max;
+      memcpy (buffer, caller->pending.data + caller->pending.start, bytes);
+      bt_take_buffer (&caller->pending, bytes);
+      result = (ssize_t)bytes;
+    }
+  else if (caller->state == ANSWER_WHOLE)
+    result = MHD_CONTENT_READER_END_OF_STREAM;
+  else if (caller->state == ANSWER_CUT)
+    result = MHD_CONTENT_READER_END_WITH_ERROR;
+  else
+    {
+      caller->suspended = true;
+      MHD_suspend_connection (caller->connection);
+      result = 0;
+    }
+  pthread_mutex_unlock (&caller->lock);
+  return result;
+}
+
+static void
+free_reader (void *argument)
+{
+  bt_caller_t *caller = argument;
+
+  bt_drop_caller (caller->ctx, caller);
+}
+
+static void
+add_outcome_headers (bt_caller_t *caller, struct MHD_Response *response)
+{
+  char seconds[NUMBER_BYTES];
+
+  MHD_add_response_header (response, "Content-Type", caller->content_type);
+  MHD_add_response_header (response, "Bilberry-Outcome", bt_name_outcome (caller->outcome));
+  if (caller->reason != BT_REASON_NONE)
+    MHD_add_response_header (response, "Bilberry-Reason", bt_name_reason (caller->reason));
+  if (caller->retry_after_ms <= 0)
+    return;
+  snprintf (seconds, sizeof seconds, "%lld",
+            (long long)((caller->retry_after_ms + MS_PER_S - 1) / MS_PER_S));
+  MHD_add_response_header (response, "Retry-After", seconds);
+  snprintf (seconds, sizeof seconds, "%lld", (long long)caller->retry_after_ms);
+  MHD_add_response_header (response, "Bilberry-Retry-After-Ms", seconds);
+}
+
+static enum MHD_Result
+queue_locked (bt_caller_t *caller)
+{
+  /* An answer that is already whole goes out with its length; a longer one in chunks, whose last
+   * chunk is the caller's proof that nothing is missing. */
+  uint64_t length =
+      caller->state == ANSWER_WHOLE ? bt_count_buffer (&caller->pending) : MHD_SIZE_UNKNOWN;
+  struct MHD_Response *response = MHD_create_response_from_callback (
+      length, READ_BLOCK_BYTES, read_answer, bt_keep_caller (caller), free_reader);
+  enum MHD_Result result;
+
+  add_outcome_headers (caller, response);
+  result = MHD_queue_response (caller->connection, (unsigned int)caller->status, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+enum MHD_Result
+bt_serve_caller (bt_context_t *ctx, bt_caller_t *caller)
+{
+  enum MHD_Result result = MHD_YES;
+
+  pthread_mutex_lock (&caller->lock);
+  if (caller->state != ANSWER_NONE)
+    result = queue_locked (caller);
+  else
+    {
+      caller->suspended = true;
+      MHD_suspend_connection (caller->connection);
+    }
+  pthread_mutex_unlock (&caller->lock);
+  return result;
+}
+
+void
+bt_detach_caller (bt_caller_t *caller)
+{
+  pthread_mutex_lock (&caller->lock);
+  caller->connection = NULL;
+  caller->suspended = false;
+  pthread_mutex_unlock (&caller->lock);
+}
+
+void
+bt_set_caller_call (bt_caller_t *caller, uint64_t call)
+{
+  atomic_store (&caller->call, call);
+}
+
+uint64_t
+bt_get_caller_call (bt_caller_t *caller)
+{
+  return atomic_load (&caller->call);
+}
+
+void
+bt_set_caller_account (bt_caller_t *caller, const char *account)
+{
+  bt_copy_name (caller->account, account);
+}
+
+const char *
+bt_get_caller_account (const bt_caller_t *caller)
+{
+  return caller->account;
+}
+
+void
+bt_set_caller_submitted (bt_caller_t *caller)
+{
+  caller->submitted = true;
+}
+
+bool
+bt_is_caller_submitted (const bt_caller_t *caller)
+{
+  return caller->submitted;
+}
--- /dev/null
+++ b/source/entry/http_server.c
@@ -0,0 +1,233 @@
+#include "http_server.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "bilberrytray/base/log.h"
+#include "bilberrytray/page/page.h"
+
+enum
+{
+  MAX_HEAD_BYTES = 32768,
+  MS_PER_S = 1000,
+  BASE_TEN = 10,
+};
+
+static const char *const addresses_path = "/v1/addresses";
+static const char *const bearer_prefix = "Bearer ";
+
+struct bt_http_server
+{
+  bt_context_t *ctx;
+  bt_entry_t *entry;
+  struct MHD_Daemon *daemon;
+  size_t max_body_bytes;
+};
+
+/** Which headers are not passed on: those of one connection, and the caller's secret. */
+static bool
+is_own_header (const char *name)
+{
+  static const char *const own[] = {
+    "Connection", "Keep-Alive",     "Transfer-Encoding", "TE",   "Upgrade", "Trailer",
+    "Expect",     "Content-Length", "Authorization",     "Host", NULL
+  };
+
+  for (int32_t i = 0; own[i] != NULL; i++)
+    if (strcasecmp (name, own[i]) == 0)
+      return true;
+  return false;
+}
+
+/** Who copies headers, and where to. */
+typedef struct header_copy
+{
+  bt_context_t *ctx;
+  bt_caller_request_t *request;
+  bool overflow;
+} header_copy_t;
+
+static enum MHD_Result
+copy_header (void *argument, enum MHD_ValueKind kind, const char *name, const char *value)
+{
+  header_copy_t *copy = argument;
+  bt_caller_request_t *request = copy->request;
+
+  if (is_own_header (name))
+    return MHD_YES;
+  if (request->header_count == BT_MAX_CALLER_HEADERS)
+    {
+      copy->overflow = true;
+      return MHD_NO;
+    }
+  request->headers[request->header_count].name = bt_strdup (copy->ctx, name);
+  request->headers[request->header_count].value = bt_strdup (copy->ctx, value == NULL ? "" : value);
+  request->header_count++;
+  return MHD_YES;
+}
+
+static bool
+check_token (bt_http_server_t *server, struct MHD_Connection *connection, bt_caller_t *caller)
+{
+  const char *header = MHD_lookup_connection_value (connection, MHD_HEADER_KIND, "Authorization");
+  bt_declarations_t *declarations = bt_get_entry_declarations (server->entry);
+  bt_reason_t reason = BT_REASON_NONE;
+  int32_t account = -1;
+
+  if (declarations == NULL)
+    reason = BT_REASON_NOT_READY;
+  else if (header == NULL || strncmp (header, bearer_prefix, strlen (bearer_prefix)) != 0)
+    reason = BT_REASON_NO_TOKEN;
+  else
+    {
+      account = bt_find_token (declarations, header + strlen (bearer_prefix));
+      if (account < 0)
+        reason = BT_REASON_BAD_TOKEN;
+      else
+        bt_set_caller_account (caller, declarations->accounts[account].name);
+    }
+  bt_drop_declarations (server->ctx, declarations);
+  if (reason == BT_REASON_NONE)
+    return true;
+  bt_refuse_caller (server->ctx, caller, BT_OUTCOME_NOT_RUN, reason, 0, NULL);
+  return false;
+}
+
+static bool
+check_length (bt_http_server_t *server, struct MHD_Connection *connection, bt_caller_t *caller)
+{
+  const char *header = MHD_lookup_connection_value (connection, MHD_HEADER_KIND, "Content-Length");
+
+  if (header == NULL || strtoull (header, NULL, BASE_TEN) <= server->max_body_bytes)
+    return true;
+  bt_refuse_caller (server->ctx, caller, BT_OUTCOME_NOT_RUN, BT_REASON_BODY_TOO_LARGE, 0, NULL);
+  return false;
+}
+
+static bt_caller_t *
+begin_request (bt_http_server_t *server,
+               struct MHD_Connection *connection,
+               const char *url,
+               const char *method)
+{
+  bt_caller_t *caller = bt_new_caller (server->ctx, connection, method, url);
+  header_copy_t copy = { server->ctx, (bt_caller_request_t *)bt_get_caller_request (caller),
+                         false };
+
+  MHD_get_connection_values (connection, MHD_HEADER_KIND, copy_header, &copy);
+  if (copy.overflow)
+    bt_refuse_caller (server->ctx, caller, BT_OUTCOME_NOT_RUN, BT_REASON_BAD_REQUEST, 0,
+                      "too many headers");
+  else if (check_token (server, connection, caller))
+    check_length (server, connection, caller);
+  return caller;
+}
+
+static void
+finish_request (bt_http_server_t *server, bt_caller_t *caller)
+{
+  const bt_caller_request_t *request = bt_get_caller_request (caller);
+
+  if (strcmp (request->path, addresses_path) == 0 && strcmp (request->method, "GET") == 0)
+    bt_answer_addresses (server->ctx, server->entry, caller);
+  else
+    bt_submit_entry (server->ctx, server->entry, caller);
+}
+
+static enum MHD_Result
+handle (void *argument,
+        struct MHD_Connection *connection,
+        const char *url,
+        const char *method,
+        const char *version,
+        const char *data,
+        size_t *bytes,
+        void **state)
+{
+  bt_http_server_t *server = argument;
+  bt_caller_t *caller = *state;
+
+  if (caller == NULL)
+    {
+      *state = caller = begin_request (server, connection, url, method);
+      /* A refusal that needs no body goes out before the body is read. */
+      return bt_is_caller_answered (caller) ? bt_serve_caller (server->ctx, caller) : MHD_YES;
+    }
+  if (*bytes > 0)
+    {
+      if (!bt_append_caller_body (server->ctx, caller, data, *bytes, server->max_body_bytes)
+          && !bt_is_caller_answered (caller))
+        bt_refuse_caller (server->ctx, caller, BT_OUTCOME_NOT_RUN, BT_REASON_BODY_TOO_LARGE, 0,
+                          NULL);
+      *bytes = 0;
+      return MHD_YES;
+    }
+  if (!bt_is_caller_submitted (caller) && !bt_is_caller_answered (caller))
+    {
+      bt_set_caller_submitted (caller);
+      finish_request (server, caller);
+    }
+  return bt_serve_caller (server->ctx, caller);
+}
+
+static void
+complete_request (void *argument,
+                  struct MHD_Connection *connection,
+                  void **state,
+                  enum MHD_RequestTerminationCode code)
+{
+  bt_http_server_t *server = argument;
+  bt_caller_t *caller = *state;
+
+  if (caller == NULL)
+    return;
+  *state = NULL;
+  bt_detach_caller (caller);
+  if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK)
+    bt_abandon_entry_call (server->ctx, server->entry, bt_get_caller_call (caller));
+  bt_drop_caller (server->ctx, caller);
+}
+
+bt_http_server_t *
+bt_new_http_server (bt_context_t *ctx,
+                    bt_entry_t *entry,
+                    const bt_entry_settings_t *settings,
+                    bt_error_t *error)
+{
+  bt_http_server_t *server = bt_calloc (ctx, 1, sizeof *server);
+  struct sockaddr_in address;
+
+  server->ctx = ctx;
+  server->entry = entry;
+  server->max_body_bytes = (size_t)settings->max_body_bytes;
+  bt_parse_socket_address (settings->listen, &address);
+  server->daemon = MHD_start_daemon (
+      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, handle, server,
+      MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&address, MHD_OPTION_THREAD_POOL_SIZE,
+      (unsigned int)settings->workers, MHD_OPTION_NOTIFY_COMPLETED, complete_request, server,
+      MHD_OPTION_CONNECTION_LIMIT, (unsigned int)settings->max_connections,
+      MHD_OPTION_CONNECTION_TIMEOUT,
+      (unsigned int)((settings->caller_idle_ms + MS_PER_S - 1) / MS_PER_S),
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)MAX_HEAD_BYTES,
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+  if (server->daemon != NULL)
+    return server;
+  bt_set_error (error, BT_ERROR_SYSTEM, "Can't serve callers on %s.", settings->listen);
+  bt_free (ctx, server);
+  return NULL;
+}
+
+int32_t
+bt_get_http_server_port (const bt_http_server_t *server)
+{
+  return MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+}
+
+void
+bt_drop_http_server (bt_context_t *ctx, bt_http_server_t *server)
+{
+  if (server == NULL)
+    return;
+  MHD_stop_daemon (server->daemon);
+  bt_free (ctx, server);
+}
