--- a/include/bilberrytray/core/arbiter.h
+++ b/include/bilberrytray/core/arbiter.h
@@ -8,7 +8,7 @@
  */
 
 #include "bilberrytray/base/context.h"
-#include "bilberrytray/core/request.h"
+#include "bilberrytray/core/protocol.h"
 
 typedef struct bt_arbiter bt_arbiter_t;
 
--- a/include/bilberrytray/core/request.h
+++ b/include/bilberrytray/core/protocol.h
@@ -1,5 +1,5 @@
-#ifndef BILBERRYTRAY_CORE_REQUEST_H
-#define BILBERRYTRAY_CORE_REQUEST_H
+#ifndef BILBERRYTRAY_CORE_PROTOCOL_H
+#define BILBERRYTRAY_CORE_PROTOCOL_H
 
 /** @file
  * Messages of the request protocol between an entry and an agent, as the decisions see them. The
--- /dev/null
+++ b/source/core/delivery_replies.c
@@ -0,0 +1,322 @@
+/* How a delivery takes the replies and the answers of agents. */
+
+#include "delivery_private.h"
+
+static bool
+is_at_home (const bt_delivery_t *delivery)
+{
+  return bt_same_identity (&delivery->target, &delivery->options.ticket.home);
+}
+
+/* Someone else's grant is the live one: whoever it names is the only one that may run the key. */
+static void
+follow_grant (bt_context_t *ctx,
+              bt_delivery_t *delivery,
+              const bt_grant_t *grant,
+              int64_t now_ms,
+              bt_delivery_actions_t *actions)
+{
+  if (++delivery->hops > delivery->options.max_hops)
+    {
+      bt_end_delivery_unknown (ctx, delivery, BT_REASON_RETRY_BUDGET, actions);
+      return;
+    }
+  delivery->has_grant = true;
+  delivery->grant_buried = false;
+  delivery->grant = *grant;
+  if (delivery->giving_up)
+    bt_give_up_delivery (ctx, delivery, delivery->reason, delivery->retry_after_ms, now_ms,
+                         actions);
+  else
+    bt_dispatch_delivery (ctx, delivery, &grant->agent, now_ms, actions);
+}
+
+static bt_retry_t
+to_retry (bt_reason_t reason)
+{
+  switch (reason)
+    {
+    case BT_REASON_ENDPOINT_FULL:
+    case BT_REASON_QUEUE_FULL:
+    case BT_REASON_RECORDS_FULL:
+      return BT_RETRY_ENDPOINT_FULL;
+    case BT_REASON_ENDPOINT_LEAVING:
+      return BT_RETRY_ENDPOINT_LEAVING;
+    case BT_REASON_WRONG_INSTANCE:
+      return BT_RETRY_WRONG_INSTANCE;
+    case BT_REASON_KEY_TOMBSTONED:
+      return BT_RETRY_REGRANT;
+    case BT_REASON_ENGINE_SILENT:
+      return BT_RETRY_ENGINE_SILENT;
+    default:
+      return BT_RETRY_ENGINE_FAILED;
+    }
+}
+
+static void
+take_keyed_refusal (bt_context_t *ctx,
+                    bt_delivery_t *delivery,
+                    const bt_reply_t *reply,
+                    int64_t now_ms,
+                    bt_delivery_actions_t *actions)
+{
+  if (reply->has_grant)
+    {
+      follow_grant (ctx, delivery, &reply->grant, now_ms, actions);
+      return;
+    }
+  if (reply->outcome == BT_OUTCOME_UNKNOWN || delivery->begun)
+    {
+      bt_end_delivery_unknown (ctx, delivery, reply->reason, actions);
+      return;
+    }
+  if (reply->reason == BT_REASON_KEY_REUSED
+      || (reply->reason == BT_REASON_KEY_TOMBSTONED && is_at_home (delivery)))
+    {
+      bt_end_delivery (ctx, delivery, reply->reason, BT_OUTCOME_NOT_RUN, 0, actions);
+      return;
+    }
+  if (reply->reason == BT_REASON_KEY_TOMBSTONED)
+    delivery->grant_buried = true;
+  if (delivery->giving_up || reply->reason == BT_REASON_NO_RUN)
+    bt_give_up_delivery (ctx, delivery, reply->reason, reply->retry_after_ms, now_ms, actions);
+  else
+    bt_ask_budget (ctx, delivery, to_retry (reply->reason), actions);
+}
+
+static void
+take_unkeyed_refusal (bt_context_t *ctx,
+                      bt_delivery_t *delivery,
+                      const bt_reply_t *reply,
+                      bt_delivery_actions_t *actions)
+{
+  bool may_rerun = reply->outcome == BT_OUTCOME_NOT_RUN || delivery->options.idempotent;
+
+  if (reply->outcome == BT_OUTCOME_NOT_RUN && delivery->unsettled > 0)
+    delivery->unsettled--;
+  delivery->path.link = 0;
+  if (delivery->begun || !may_rerun)
+    {
+      bt_end_delivery_unknown (ctx, delivery, reply->reason, actions);
+      return;
+    }
+  bt_reset_answer (ctx, delivery);
+  bt_ask_budget (ctx, delivery, to_retry (reply->reason), actions);
+}
+
+static void
+take_refusal (bt_context_t *ctx,
+              bt_delivery_t *delivery,
+              const bt_reply_t *reply,
+              int64_t now_ms,
+              bt_delivery_actions_t *actions)
+{
+  if (delivery->options.has_ticket)
+    take_keyed_refusal (ctx, delivery, reply, now_ms, actions);
+  else
+    take_unkeyed_refusal (ctx, delivery, reply, actions);
+}
+
+static void
+take_grant_reply (bt_context_t *ctx,
+                  bt_delivery_t *delivery,
+                  const bt_reply_t *reply,
+                  int64_t now_ms,
+                  bt_delivery_actions_t *actions)
+{
+  if (reply->granted)
+    follow_grant (ctx, delivery, &reply->grant, now_ms, actions);
+  else if (reply->home_runs)
+    {
+      delivery->has_grant = false;
+      bt_dispatch_delivery (ctx, delivery, &delivery->options.ticket.home, now_ms, actions);
+    }
+  else if (reply->outcome == BT_OUTCOME_UNKNOWN)
+    bt_end_delivery_unknown (ctx, delivery, reply->reason, actions);
+  else if (reply->reason == BT_REASON_KEY_TOMBSTONED)
+    bt_end_delivery (ctx, delivery, reply->reason, BT_OUTCOME_NOT_RUN, 0, actions);
+  else
+    bt_give_up_delivery (ctx, delivery, reply->reason, reply->retry_after_ms, now_ms, actions);
+}
+
+/* A tombstone that can't be set, by what stands in its way. */
+static void
+take_tombstone_denial (bt_context_t *ctx,
+                       bt_delivery_t *delivery,
+                       const bt_reply_t *reply,
+                       int64_t now_ms,
+                       bt_delivery_actions_t *actions)
+{
+  bool at_home = delivery->message == BT_MESSAGE_TOMBSTONE_HOME;
+
+  switch (reply->state)
+    {
+    case BT_RECORD_RUNNING:
+    case BT_RECORD_DONE:
+    case BT_RECORD_FAILED:
+      if (at_home)
+        delivery->has_grant = false;
+      bt_dispatch_delivery (ctx, delivery, &delivery->target, now_ms, actions);
+      break;
+    case BT_RECORD_GRANTED:
+      follow_grant (ctx, delivery, &reply->grant, now_ms, actions);
+      break;
+    case BT_RECORD_FOREIGN:
+      bt_end_delivery_unknown (
+          ctx, delivery, at_home ? BT_REASON_HOME_RESTARTED : BT_REASON_AGENT_RESTARTED, actions);
+      break;
+    case BT_RECORD_EXPIRED:
+      bt_end_delivery_unknown (ctx, delivery, BT_REASON_KEY_EXPIRED, actions);
+      break;
+    default:
+      bt_end_delivery_unknown (ctx, delivery, BT_REASON_RECORDS_FULL, actions);
+      break;
+    }
+}
+
+static void
+take_tombstone_reply (bt_context_t *ctx,
+                      bt_delivery_t *delivery,
+                      const bt_reply_t *reply,
+                      int64_t now_ms,
+                      bt_delivery_actions_t *actions)
+{
+  if (!reply->tombstoned)
+    take_tombstone_denial (ctx, delivery, reply, now_ms, actions);
+  else if (delivery->message == BT_MESSAGE_TOMBSTONE_HOME)
+    bt_end_delivery (ctx, delivery, delivery->reason, BT_OUTCOME_NOT_RUN, delivery->retry_after_ms,
+                     actions);
+  else
+    {
+      delivery->grant_buried = true;
+      if (delivery->giving_up)
+        bt_give_up_delivery (ctx, delivery, delivery->reason, delivery->retry_after_ms, now_ms,
+                             actions);
+      else
+        bt_ask_candidate (ctx, delivery, now_ms, actions);
+    }
+}
+
+void
+bt_take_reply (bt_context_t *ctx,
+               bt_delivery_t *delivery,
+               const bt_reply_t *reply,
+               int64_t now_ms,
+               bt_delivery_actions_t *actions)
+{
+  bool dispatched = delivery->message == BT_MESSAGE_DISPATCH;
+  bool asking = delivery->phase == BT_PHASE_ASKING;
+
+  if (reply->kind == BT_REPLY_ACCEPTED && dispatched)
+    delivery->phase = BT_PHASE_RUNNING;
+  else if (reply->kind == BT_REPLY_REFUSED && dispatched)
+    take_refusal (ctx, delivery, reply, now_ms, actions);
+  else if (reply->kind == BT_REPLY_GRANT && asking && delivery->message == BT_MESSAGE_GRANT)
+    take_grant_reply (ctx, delivery, reply, now_ms, actions);
+  else if (reply->kind == BT_REPLY_TOMBSTONE && asking
+           && delivery->message >= BT_MESSAGE_TOMBSTONE_GRANTEE)
+    take_tombstone_reply (ctx, delivery, reply, now_ms, actions);
+}
+
+static void
+hold_head (bt_context_t *ctx, bt_delivery_t *delivery, const bt_reply_t *reply)
+{
+  if (delivery->has_head)
+    return;
+  delivery->has_head = true;
+  delivery->status = reply->status;
+  delivery->head = bt_memdup (ctx, reply->data, reply->data_bytes);
+  delivery->head_bytes = reply->data_bytes;
+}
+
+static void
+give_head (bt_context_t *ctx, bt_delivery_t *delivery, bt_delivery_actions_t *actions)
+{
+  bt_delivery_action_t *action;
+
+  if (delivery->begun)
+    return;
+  delivery->begun = true;
+  action = bt_add_delivery_action (ctx, actions, BT_DELIVERY_GIVE_HEAD);
+  action->status = delivery->status;
+  action->data = delivery->head;
+  action->data_bytes = delivery->head_bytes;
+}
+
+/* Something of the stream is missing. Only the same run may fill the gap, so what was given and
+ * what comes are parts of one answer; where that can't be had the answer is cut. */
+static void
+mend_gap (bt_context_t *ctx,
+          bt_delivery_t *delivery,
+          int64_t now_ms,
+          bt_delivery_actions_t *actions)
+{
+  if (delivery->options.has_ticket && delivery->resends >= delivery->options.max_resends)
+    bt_end_delivery_unknown (ctx, delivery, BT_REASON_ANSWER_DROPPED, actions);
+  else
+    bt_lose_message (ctx, delivery, true, now_ms, actions);
+}
+
+static void
+take_piece (bt_context_t *ctx,
+            bt_delivery_t *delivery,
+            const bt_reply_t *reply,
+            int64_t now_ms,
+            bt_delivery_actions_t *actions)
+{
+  bt_delivery_action_t *action;
+
+  if (reply->sequence < delivery->next_sequence)
+    return;
+  if (reply->sequence > delivery->next_sequence || !delivery->has_head)
+    {
+      mend_gap (ctx, delivery, now_ms, actions);
+      return;
+    }
+  give_head (ctx, delivery, actions);
+  action = bt_add_delivery_action (ctx, actions, BT_DELIVERY_GIVE_PIECE);
+  action->data = reply->data;
+  action->data_bytes = reply->data_bytes;
+  delivery->next_sequence++;
+  delivery->bytes += reply->data_bytes;
+}
+
+static void
+take_end (bt_context_t *ctx,
+          bt_delivery_t *delivery,
+          const bt_reply_t *reply,
+          int64_t now_ms,
+          bt_delivery_actions_t *actions)
+{
+  if (reply->pieces > delivery->next_sequence || !delivery->has_head)
+    {
+      mend_gap (ctx, delivery, now_ms, actions);
+      return;
+    }
+  if (reply->pieces < delivery->next_sequence || reply->total_bytes != delivery->bytes)
+    {
+      bt_end_delivery_unknown (ctx, delivery, BT_REASON_ANSWER_DROPPED, actions);
+      return;
+    }
+  give_head (ctx, delivery, actions);
+  bt_add_delivery_action (ctx, actions, BT_DELIVERY_FINISH_WHOLE);
+  delivery->phase = BT_PHASE_FINISHED;
+}
+
+void
+bt_take_answer (bt_context_t *ctx,
+                bt_delivery_t *delivery,
+                const bt_reply_t *reply,
+                int64_t now_ms,
+                bt_delivery_actions_t *actions)
+{
+  if (delivery->message != BT_MESSAGE_DISPATCH)
+    return;
+  delivery->phase = BT_PHASE_RUNNING;
+  if (reply->kind == BT_REPLY_HEAD)
+    hold_head (ctx, delivery, reply);
+  else if (reply->kind == BT_REPLY_PIECE)
+    take_piece (ctx, delivery, reply, now_ms, actions);
+  else
+    take_end (ctx, delivery, reply, now_ms, actions);
+}
--- a/source/core/record.h
+++ b/source/core/record.h
@@ -5,7 +5,7 @@
  * The agent's records of keys and of what runs, bounded in number and bytes.
  */
 
-#include "bilberrytray/core/request.h"
+#include "bilberrytray/core/protocol.h"
 
 /** The answer of one run, kept as far as the bounds allow. */
 typedef struct bt_answer
--- a/test/core/test_request_schedules.c
+++ b/test/core/test_request_schedules.c
@@ -5,7 +5,7 @@
 
 #include "bilberrytray/base.h"
 #include "bilberrytray/core/arbiter.h"
-#include "bilberrytray/core/call.h"
+#include "bilberrytray/core/delivery.h"
 
 /* A world of entries, agents, endpoints and callers in one thread, driven by a seed: messages are
  * lost, delayed, doubled and reordered, links die, processes restart and pause. What endpoints ran
@@ -95,7 +95,7 @@
   int32_t request;
   int32_t entry;
   uint64_t call_id;
-  bt_call_t *call; /* NULL: not yet, or lost with its entry */
+  bt_delivery_t *call; /* NULL: not yet, or lost with its entry */
   int32_t retries;
   bool finished;
   bool whole;
@@ -301,12 +301,12 @@
   it->incarnations[agent] = world->agents[agent].self.incarnation;
 }
 
-static void step (world_t *world, submission_t *submission, const bt_call_event_t *event);
+static void step (world_t *world, submission_t *submission, const bt_delivery_event_t *event);
 
 static void
-answer_candidate (world_t *world, submission_t *submission, const bt_call_action_t *action)
+answer_candidate (world_t *world, submission_t *submission, const bt_delivery_action_t *action)
 {
-  bt_call_event_t event = { .kind = BT_CALL_NO_CANDIDATE, .reason = BT_REASON_NO_ENDPOINT };
+  bt_delivery_event_t event = { .kind = BT_DELIVERY_NO_CANDIDATE, .reason = BT_REASON_NO_ENDPOINT };
   int32_t first = pick (world, AGENTS);
 
   for (int32_t i = 0; i < AGENTS && !chance (world, 5); i++)
@@ -320,7 +320,7 @@
         excluded = excluded || bt_same_identity (&action->excluded[k], &event.identity);
       if (excluded)
         continue;
-      event.kind = BT_CALL_CANDIDATE;
+      event.kind = BT_DELIVERY_CANDIDATE;
       event.grant_expires_ms = agent_now (world, agent) + TICKET_LIFE_MS - pick (world, 500);
       break;
     }
@@ -334,12 +334,12 @@
 }
 
 static void
-send_action (world_t *world, submission_t *submission, const bt_call_action_t *action)
+send_action (world_t *world, submission_t *submission, const bt_delivery_action_t *action)
 {
   entry_t *entry = &world->entries[submission->entry];
   int32_t agent = find_agent (&action->identity);
-  bt_call_event_t sent = { .kind = BT_CALL_SENT };
-  bt_call_event_t up = { .kind = BT_CALL_LINK_UP, .identity = action->identity };
+  bt_delivery_event_t sent = { .kind = BT_DELIVERY_SENT };
+  bt_delivery_event_t up = { .kind = BT_DELIVERY_LINK_UP, .identity = action->identity };
   bool same = entry->incarnations[agent] == action->identity.incarnation
               || (world->faults & BT_FAULT_NO_INCARNATION) != 0;
   event_t *event;
@@ -353,7 +353,7 @@
       return;
     }
   sent.link = entry->links[agent];
-  event = add_event (world, (event_kind_t)(action->kind - BT_CALL_SEND_DISPATCH), 0);
+  event = add_event (world, (event_kind_t)(action->kind - BT_DELIVERY_SEND_DISPATCH), 0);
   event->agent = agent;
   event->entry = submission->entry;
   event->link = sent.link;
@@ -369,14 +369,14 @@
 }
 
 static void
-finish (world_t *world, submission_t *submission, const bt_call_action_t *action)
+finish (world_t *world, submission_t *submission, const bt_delivery_action_t *action)
 {
   submission->finished = true;
-  submission->whole = action->kind == BT_CALL_FINISH_WHOLE;
-  submission->cut = action->kind == BT_CALL_CUT;
+  submission->whole = action->kind == BT_DELIVERY_FINISH_WHOLE;
+  submission->cut = action->kind == BT_DELIVERY_CUT;
   submission->outcome = submission->whole ? BT_OUTCOME_ANSWERED : action->outcome;
   submission->reason = action->reason;
-  if (action->kind == BT_CALL_FINISH_REFUSED
+  if (action->kind == BT_DELIVERY_FINISH_REFUSED
       && (action->reason == BT_REASON_NONE || action->outcome == BT_OUTCOME_ANSWERED))
     snprintf (world->violation, sizeof world->violation, "a refusal without a reason");
   if (action->outcome == BT_OUTCOME_NOT_RUN
@@ -386,26 +386,26 @@
 }
 
 static void
-do_call_action (world_t *world, submission_t *submission, const bt_call_action_t *action)
+do_call_action (world_t *world, submission_t *submission, const bt_delivery_action_t *action)
 {
-  bt_call_event_t event = { .kind = BT_CALL_BUDGET };
+  bt_delivery_event_t event = { .kind = BT_DELIVERY_BUDGET };
   size_t used = strlen (submission->text);
 
   switch (action->kind)
     {
-    case BT_CALL_ASK_CANDIDATE:
+    case BT_DELIVERY_ASK_CANDIDATE:
       answer_candidate (world, submission, action);
       break;
-    case BT_CALL_ASK_BUDGET:
+    case BT_DELIVERY_ASK_BUDGET:
       event.allowed = submission->retries++ < MAX_BUDGET;
       step (world, submission, &event);
       break;
-    case BT_CALL_SEND_DISPATCH:
-    case BT_CALL_SEND_GRANT:
-    case BT_CALL_SEND_TOMBSTONE:
+    case BT_DELIVERY_SEND_DISPATCH:
+    case BT_DELIVERY_SEND_GRANT:
+    case BT_DELIVERY_SEND_TOMBSTONE:
       send_action (world, submission, action);
       break;
-    case BT_CALL_SEND_CANCEL:
+    case BT_DELIVERY_SEND_CANCEL:
       for (int32_t i = 0; i < AGENTS; i++)
         if (world->entries[submission->entry].links[i] == action->path.link)
           {
@@ -417,8 +417,8 @@
             post (world, cancel, true);
           }
       break;
-    case BT_CALL_GIVE_HEAD:
-    case BT_CALL_GIVE_PIECE:
+    case BT_DELIVERY_GIVE_HEAD:
+    case BT_DELIVERY_GIVE_PIECE:
       snprintf (submission->text + used, MAX_TEXT - used, "%.*s", (int)action->data_bytes,
                 (const char *)action->data);
       break;
@@ -429,17 +429,17 @@
 }
 
 static void
-step (world_t *world, submission_t *submission, const bt_call_event_t *event)
+step (world_t *world, submission_t *submission, const bt_delivery_event_t *event)
 {
-  bt_call_actions_t actions = { 0 };
+  bt_delivery_actions_t actions = { 0 };
 
   if (submission->call == NULL)
     return;
-  bt_step_call (world->ctx, submission->call, event, entry_now (world, submission->entry),
-                &actions);
+  bt_step_delivery (world->ctx, submission->call, event, entry_now (world, submission->entry),
+                    &actions);
   for (int32_t i = 0; i < actions.count; i++)
     do_call_action (world, submission, &actions.items[i]);
-  bt_free_call_actions (world->ctx, &actions);
+  bt_free_delivery_actions (world->ctx, &actions);
 }
 
 static void
@@ -447,8 +447,8 @@
 {
   submission_t *submission = &world->submissions[cause->item];
   request_t *request = &world->requests[submission->request];
-  bt_call_event_t event = { .kind = BT_CALL_SUBMIT };
-  bt_call_options_t options = {
+  bt_delivery_event_t event = { .kind = BT_DELIVERY_SUBMIT };
+  bt_delivery_options_t options = {
     .call = ++world->entries[submission->entry].last_call,
     .has_ticket = request->keyed,
     .ticket = request->ticket,
@@ -465,7 +465,7 @@
   };
 
   submission->call_id = options.call;
-  submission->call = bt_new_call (world->ctx, &options);
+  submission->call = bt_new_delivery (world->ctx, &options);
   step (world, submission, &event);
 }
 
@@ -631,7 +631,7 @@
 static void
 feed_entry (world_t *world, event_t *event)
 {
-  bt_call_event_t event_of_call = { .kind = BT_CALL_REPLY, .reply = &event->reply };
+  bt_delivery_event_t event_of_call = { .kind = BT_DELIVERY_REPLY, .reply = &event->reply };
 
   event->reply.data = event->data;
   for (int32_t i = 0; i < world->submission_count; i++)
@@ -641,7 +641,7 @@
 }
 
 static void
-step_entry (world_t *world, int32_t entry, const bt_call_event_t *event)
+step_entry (world_t *world, int32_t entry, const bt_delivery_event_t *event)
 {
   for (int32_t i = 0; i < world->submission_count; i++)
     if (world->submissions[i].entry == entry && !world->submissions[i].finished)
@@ -668,7 +668,7 @@
 static void
 lose_link (world_t *world, event_t *cause)
 {
-  bt_call_event_t down = { .kind = BT_CALL_LINK_DOWN, .link = cause->link };
+  bt_delivery_event_t down = { .kind = BT_DELIVERY_LINK_DOWN, .link = cause->link };
   event_t *event;
 
   if (world->entries[cause->entry].links[cause->agent] != cause->link)
@@ -683,7 +683,7 @@
 static void
 gain_link (world_t *world, event_t *cause)
 {
-  bt_call_event_t up = { .kind = BT_CALL_LINK_UP };
+  bt_delivery_event_t up = { .kind = BT_DELIVERY_LINK_UP };
 
   if (world->entries[cause->entry].links[cause->agent] != 0)
     return;
@@ -701,7 +701,7 @@
   for (int32_t i = 0; i < world->submission_count; i++)
     if (world->submissions[i].entry == entry && !world->submissions[i].finished)
       {
-        bt_drop_call (world->ctx, world->submissions[i].call);
+        bt_drop_delivery (world->ctx, world->submissions[i].call);
         world->submissions[i].call = NULL;
       }
   world->entries[entry].last_call = 0;
@@ -727,7 +727,7 @@
 static void
 tick (world_t *world, event_t *cause)
 {
-  bt_call_event_t event = { .kind = BT_CALL_TICK };
+  bt_delivery_event_t event = { .kind = BT_DELIVERY_TICK };
 
   if (world->now + TICK_MS < SCHEDULE_MS)
     add_event (world, TICK, TICK_MS);
@@ -754,7 +754,7 @@
 static void
 lose_caller (world_t *world, event_t *event)
 {
-  bt_call_event_t gone = { .kind = BT_CALL_CALLER_GONE };
+  bt_delivery_event_t gone = { .kind = BT_DELIVERY_CALLER_GONE };
 
   step (world, &world->submissions[event->item], &gone);
 }
@@ -986,7 +986,7 @@
   play (world);
   judge_world (world, tally);
   for (int32_t i = 0; i < world->submission_count; i++)
-    bt_drop_call (world->ctx, world->submissions[i].call);
+    bt_drop_delivery (world->ctx, world->submissions[i].call);
   for (int32_t i = 0; i < AGENTS; i++)
     bt_drop_arbiter (world->ctx, world->agents[i].arbiter);
   bt_drop_context (world->ctx);
