Give the agent its arbiter: keys, grants, tombstones and kept answers

The run queue keeps the last word before a run starts: a run it refuses is told to the arbiter as one that the endpoint can't have seen.

--- a/include/bilberrytray/core/arbiter.h
+++ b/include/bilberrytray/core/arbiter.h
@@ -61,7 +61,7 @@
   BT_RUN_HEAD = 0, /**< status, data */
   BT_RUN_PIECE,    /**< offset_bytes, data */
   BT_RUN_END,      /**< total_bytes: the endpoint marked the end of its answer. */
-  BT_RUN_FAILED,   /**< may_have_run, reason */
+  BT_RUN_FAILED,   /**< may_have_run, reason, retry_after_ms */
   BT_RUN_SILENT,   /**< The stream went silent or was cut; the endpoint may go on. */
 } bt_run_event_kind_t;
 
@@ -78,6 +78,7 @@
   bool may_have_run; /**< False only when the endpoint can't have seen the request. */
   bool resumable;    /**< The endpoint can give the rest of a silent stream. */
   bt_reason_t reason;
+  int64_t retry_after_ms;
 } bt_run_event_t;
 
 bt_arbiter_t *bt_new_arbiter (bt_context_t *ctx, const bt_arbiter_options_t *options);
--- a/include/bilberrytray/core/ticket.h
+++ b/include/bilberrytray/core/ticket.h
@@ -43,6 +43,9 @@
                         const uint8_t secret[BT_TICKET_SECRET_BYTES],
                         bt_error_t *error);
 
+/** Adds the key that follows from the deployment's secret, so that all its processes share one. */
+void bt_derive_ticket_key (bt_ticket_ring_t *ring, const char *secret);
+
 /** Writes the signed text of @p ticket, with a closing zero, into BT_TICKET_TEXT_BYTES of @p text.
  * BT_ERROR_NOT_FOUND when the ring is empty. */
 bool bt_sign_ticket (const bt_ticket_ring_t *ring,
--- a/source/agent/agent.c
+++ b/source/agent/agent.c
@@ -1,89 +1,21 @@
 #include "agent.h"
 
-#include <pthread.h>
-#include <stdatomic.h>
 #include <stdio.h>
 #include <string.h>
 
-#include "answers.h"
+#include "agent_private.h"
 #include "bilberrytray/base/counters.h"
 #include "bilberrytray/base/log.h"
 #include "bilberrytray/base/random.h"
-#include "bilberrytray/core/run_queue.h"
-#include "bilberrytray/page/page.h"
-#include "bilberrytray/wire/link.h"
-#include "upstream.h"
+#include "messages.h"
 
 enum
 {
   OPENING_MS = 2000,
   MAX_UNSENT_BYTES = 16 << 20,
-  MAX_HEADERS = 64,
-  RUN_ID_BYTES = 64,
+  RECORD_GRACE_MS = 1000,
 };
 
-/** One run under way. */
-typedef struct run
-{
-  uint64_t number;
-  bt_link_t *link;
-  bt_call_id_t id;
-  uint64_t pieces;
-  uint64_t total_bytes;
-  bt_upstream_run_t *waiting; /**< Until it has a slot. */
-  int64_t started_ms;         /**< 0 while it waits. */
-  struct run *next;
-} run_t;
-
-struct bt_agent
-{
-  bt_link_handler_t links_base; /**< First, so that a handler is its agent. */
-  bt_upstream_handler_t upstream_base;
-  bt_context_t *ctx;
-  bt_agent_settings_t settings;
-  uint64_t incarnation;
-  bt_link_loop_t *loop;
-  bt_upstream_t *upstream;
-  bt_page_t *page;
-  int32_t port;
-
-  pthread_mutex_t
-      lock; /**< Guards what stands below. May be held while calling links or upstream. */
-  bool leaving;
-  run_t *runs;
-  bt_run_queue_t *queue;
-  uint64_t next_run;
-  bt_upstream_load_t load;
-};
-
-static bt_agent_t *
-agent_of_upstream (bt_upstream_handler_t *handler)
-{
-  return (bt_agent_t *)((char *)handler - offsetof (bt_agent_t, upstream_base));
-}
-
-static run_t *
-find_run (bt_agent_t *agent, uint64_t number)
-{
-  for (run_t *run = agent->runs; run != NULL; run = run->next)
-    if (run->number == number)
-      return run;
-  return NULL;
-}
-
-static void
-remove_run (bt_agent_t *agent, run_t *run)
-{
-  run_t **place = &agent->runs;
-
-  while (*place != run)
-    place = &(*place)->next;
-  *place = run->next;
-  bt_drop_upstream_run (agent->ctx, run->waiting);
-  bt_drop_link (agent->ctx, run->link);
-  bt_free (agent->ctx, run);
-}
-
 static void
 send_heartbeat (bt_agent_t *agent, bt_link_t *link)
 {
@@ -105,6 +37,8 @@
   load.service_ms = (uint32_t)own.service_ms;
   load.step_us = (uint32_t)agent->load.step_us;
   heartbeat.load = &load;
+  heartbeat.records = bt_count_arbiter_records (agent->arbiter);
+  heartbeat.record_room = bt_count_arbiter_room (agent->arbiter);
   pthread_mutex_unlock (&agent->lock);
   frame.body_case = BILBERRY__FRAME__BODY_HEARTBEAT;
   frame.heartbeat = &heartbeat;
@@ -112,136 +46,100 @@
 }
 
 static void
-refuse_run_locked (bt_agent_t *agent, run_t *run, bt_reason_t reason, int64_t retry_after_ms)
+take_dispatch (bt_agent_t *agent, bt_link_t *link, const Bilberry__Dispatch *frame)
 {
-  bt_count_refusal (agent->ctx, reason);
-  bt_send_refused (agent->ctx, run->link, run->id, reason, bt_get_reason_outcome (reason),
-                   retry_after_ms);
-  remove_run (agent, run);
-}
+  int64_t now_ms = bt_now_ms (agent->ctx);
+  bt_arbiter_actions_t actions = { 0 };
+  bt_dispatch_t dispatch = { 0 };
 
-static void
-start_run_locked (bt_agent_t *agent, run_t *run)
-{
-  run->started_ms = bt_now_ms (agent->ctx);
-  if (bt_start_upstream_run (agent->ctx, agent->upstream, run->waiting))
+  pthread_mutex_lock (&agent->lock);
+  if (bt_read_dispatch (agent->ctx, agent->ring, link, frame, now_ms, &dispatch))
     {
-      run->waiting = NULL;
-      return;
+      bt_handle_dispatch (agent->ctx, agent->arbiter, &dispatch, now_ms, &actions);
+      bt_do_arbiter_actions (agent, &actions, frame);
     }
-  bt_end_run (agent->queue, 0);
-  refuse_run_locked (agent, run, BT_REASON_ENDPOINT_FULL, 0);
-}
-
-static void
-apply_run_decision_locked (bt_agent_t *agent, run_t *run, const bt_run_decision_t *decision)
-{
-  if (decision->action == BT_RUN_START)
-    start_run_locked (agent, run);
-  else if (decision->action == BT_RUN_REFUSED)
-    refuse_run_locked (agent, run, decision->reason, decision->retry_after_ms);
+  pthread_mutex_unlock (&agent->lock);
 }
 
 static void
-start_waiting_locked (bt_agent_t *agent)
+take_grant_request (bt_agent_t *agent, bt_link_t *link, const Bilberry__GrantRequest *frame)
 {
-  bt_run_decision_t decision;
+  bt_arbiter_actions_t actions = { 0 };
+  bt_grant_request_t request = { 0 };
 
-  while (bt_next_run (agent->queue, bt_now_ms (agent->ctx), &decision))
+  pthread_mutex_lock (&agent->lock);
+  if (bt_read_grant_request (agent->ctx, agent->ring, link, frame, &request))
     {
-      run_t *run = find_run (agent, decision.id);
-
-      if (run != NULL)
-        apply_run_decision_locked (agent, run, &decision);
+      bt_handle_grant_request (agent->ctx, agent->arbiter, &request, bt_now_ms (agent->ctx),
+                               &actions);
+      bt_do_arbiter_actions (agent, &actions, NULL);
     }
+  pthread_mutex_unlock (&agent->lock);
 }
 
-static run_t *
-add_run_locked (bt_agent_t *agent, bt_link_t *link, const Bilberry__Dispatch *dispatch)
+static void
+take_tombstone_request (bt_agent_t *agent, bt_link_t *link, const Bilberry__TombstoneRequest *frame)
 {
-  bt_header_t headers[MAX_HEADERS];
-  char run_id[RUN_ID_BYTES];
-  bt_upstream_request_t request = { 0 };
-  run_t *run = bt_calloc (agent->ctx, 1, sizeof *run);
-
-  run->number = ++agent->next_run;
-  run->link = bt_keep_link (link);
-  run->id.call = dispatch->call;
-  run->id.attempt = dispatch->attempt;
-  run->next = agent->runs;
-  agent->runs = run;
-  snprintf (run_id, sizeof run_id, "%016llx-%llu", (unsigned long long)agent->incarnation,
-            (unsigned long long)run->number);
-  for (size_t i = 0; i < dispatch->n_headers && i < MAX_HEADERS; i++)
+  bt_arbiter_actions_t actions = { 0 };
+  bt_tombstone_request_t request = { 0 };
+
+  pthread_mutex_lock (&agent->lock);
+  if (bt_read_tombstone_request (agent->ctx, agent->ring, link, frame, &request))
     {
-      headers[i].name = dispatch->headers[i]->name;
-      headers[i].value = dispatch->headers[i]->value;
-      request.header_count++;
+      bt_handle_tombstone_request (agent->ctx, agent->arbiter, &request, bt_now_ms (agent->ctx),
+                                   &actions);
+      bt_do_arbiter_actions (agent, &actions, NULL);
     }
-  request.run = run->number;
-  request.run_id = run_id;
-  request.method = dispatch->method;
-  request.path = dispatch->path;
-  request.headers = headers;
-  request.body = dispatch->body.data;
-  request.body_bytes = dispatch->body.len;
-  request.priority = dispatch->priority;
-  run->waiting = bt_new_upstream_run (agent->ctx, agent->upstream, &request);
-  return run;
+  pthread_mutex_unlock (&agent->lock);
 }
 
 static void
-take_dispatch (bt_agent_t *agent, bt_link_t *link, const Bilberry__Dispatch *dispatch)
+take_cancel (bt_agent_t *agent, bt_link_t *link, const Bilberry__Cancel *cancel)
 {
-  bt_run_request_t request = { 0 };
-  bt_run_decision_t decision = { 0 };
-  run_t *run;
+  bt_arbiter_actions_t actions = { 0 };
+  bt_reply_path_t path = { bt_get_link_id (link), cancel->call, cancel->attempt };
 
   pthread_mutex_lock (&agent->lock);
-  run = add_run_locked (agent, link, dispatch);
-  if (strcmp (dispatch->target_instance, agent->settings.instance) != 0
-      || dispatch->target_incarnation != agent->incarnation)
-    refuse_run_locked (agent, run, BT_REASON_WRONG_INSTANCE, 0);
-  else
-    {
-      request.id = run->number;
-      request.account = dispatch->account;
-      request.priority = dispatch->priority;
-      request.deadline_left_ms = dispatch->deadline_left_ms;
-      bt_send_accepted (agent->ctx, link, run->id, false);
-      bt_offer_run (agent->ctx, agent->queue, &request, bt_now_ms (agent->ctx), &decision);
-      apply_run_decision_locked (agent, run, &decision);
-      start_waiting_locked (agent);
-    }
+  bt_handle_cancel (agent->ctx, agent->arbiter, &path, &actions);
+  bt_do_arbiter_actions (agent, &actions, NULL);
   pthread_mutex_unlock (&agent->lock);
 }
 
 static void
-cancel_run_locked (bt_agent_t *agent, run_t *run)
+add_link (bt_agent_t *agent, bt_link_t *link)
 {
-  if (bt_cancel_run (agent->queue, run->number))
-    remove_run (agent, run);
-  else
-    bt_cancel_upstream (agent->ctx, agent->upstream, run->number);
+  bt_agent_link_t *added = bt_calloc (agent->ctx, 1, sizeof *added);
+
+  added->link = bt_keep_link (link);
+  added->next = agent->links;
+  agent->links = added;
 }
 
 static void
-take_cancel (bt_agent_t *agent, bt_link_t *link, const Bilberry__Cancel *cancel)
+remove_link (bt_agent_t *agent, const bt_link_t *link)
 {
-  pthread_mutex_lock (&agent->lock);
-  for (run_t *run = agent->runs; run != NULL; run = run->next)
-    if (run->link == link && run->id.call == cancel->call && run->id.attempt == cancel->attempt)
-      {
-        cancel_run_locked (agent, run);
-        break;
-      }
-  pthread_mutex_unlock (&agent->lock);
+  bt_agent_link_t **place = &agent->links;
+  bt_agent_link_t *found;
+
+  while (*place != NULL && (*place)->link != link)
+    place = &(*place)->next;
+  found = *place;
+  if (found == NULL)
+    return;
+  *place = found->next;
+  bt_drop_link (agent->ctx, found->link);
+  bt_free (agent->ctx, found);
 }
 
 static void
 on_link_up (bt_link_handler_t *handler, bt_link_t *link)
 {
-  send_heartbeat ((bt_agent_t *)handler, link);
+  bt_agent_t *agent = (bt_agent_t *)handler;
+
+  pthread_mutex_lock (&agent->lock);
+  add_link (agent, link);
+  pthread_mutex_unlock (&agent->lock);
+  send_heartbeat (agent, link);
 }
 
 static void
@@ -253,13 +151,23 @@
     take_dispatch (agent, link, frame->dispatch);
   else if (frame->body_case == BILBERRY__FRAME__BODY_CANCEL)
     take_cancel (agent, link, frame->cancel);
+  else if (frame->body_case == BILBERRY__FRAME__BODY_GRANT_REQUEST)
+    take_grant_request (agent, link, frame->grant_request);
+  else if (frame->body_case == BILBERRY__FRAME__BODY_TOMBSTONE_REQUEST)
+    take_tombstone_request (agent, link, frame->tombstone_request);
 }
 
 static void
 on_link_down (bt_link_handler_t *handler, bt_link_t *link)
 {
   bt_agent_t *agent = (bt_agent_t *)handler;
+  bt_arbiter_actions_t actions = { 0 };
 
+  pthread_mutex_lock (&agent->lock);
+  remove_link (agent, link);
+  bt_handle_link_down (agent->ctx, agent->arbiter, bt_get_link_id (link), &actions);
+  bt_do_arbiter_actions (agent, &actions, NULL);
+  pthread_mutex_unlock (&agent->lock);
   bt_log (agent->ctx, BT_LOG_INFO, BT_PART_LINK, "The link to %s is down.",
           bt_get_link_instance (link));
 }
@@ -270,7 +178,8 @@
   bt_agent_t *agent = (bt_agent_t *)handler;
 
   pthread_mutex_lock (&agent->lock);
-  start_waiting_locked (agent);
+  bt_start_waiting_runs (agent);
+  bt_tick_arbiter (agent->ctx, agent->arbiter, bt_now_ms (agent->ctx));
   pthread_mutex_unlock (&agent->lock);
   send_heartbeat (agent, link);
 }
@@ -278,91 +187,6 @@
 static const bt_link_handler_vtable_t link_vtable = { on_link_up, on_link_frame, on_link_down,
                                                       on_link_beat };
 
-static void
-on_run_head (bt_upstream_handler_t *handler,
-             uint64_t number,
-             int32_t status,
-             const char *content_type)
-{
-  bt_agent_t *agent = agent_of_upstream (handler);
-  run_t *run;
-
-  pthread_mutex_lock (&agent->lock);
-  run = find_run (agent, number);
-  if (run != NULL)
-    bt_send_head (agent->ctx, run->link, run->id, status, content_type);
-  pthread_mutex_unlock (&agent->lock);
-}
-
-static void
-on_run_piece (bt_upstream_handler_t *handler, uint64_t number, const void *data, size_t bytes)
-{
-  bt_agent_t *agent = agent_of_upstream (handler);
-  run_t *run;
-
-  pthread_mutex_lock (&agent->lock);
-  run = find_run (agent, number);
-  if (run != NULL)
-    {
-      bt_send_piece (agent->ctx, run->link, run->id, run->pieces, data, bytes);
-      run->pieces++;
-      run->total_bytes += bytes;
-    }
-  pthread_mutex_unlock (&agent->lock);
-}
-
-static void
-end_run_locked (bt_agent_t *agent, run_t *run, bt_upstream_result_t result)
-{
-  bt_reason_t reason = BT_REASON_ENGINE_FAILED;
-
-  if (result == BT_UPSTREAM_WHOLE)
-    {
-      bt_send_end (agent->ctx, run->link, run->id, run->pieces, run->total_bytes);
-      return;
-    }
-  if (result == BT_UPSTREAM_NOT_SENT)
-    reason = BT_REASON_ENGINE_UNREACHABLE;
-  else if (result == BT_UPSTREAM_SILENT)
-    reason = BT_REASON_ENGINE_SILENT;
-  else if (result == BT_UPSTREAM_CANCELLED)
-    reason = BT_REASON_CANCELLED;
-  bt_count_refusal (agent->ctx, reason);
-  bt_send_refused (agent->ctx, run->link, run->id, reason, bt_get_reason_outcome (reason), 0);
-}
-
-static void
-on_run_end (bt_upstream_handler_t *handler, uint64_t number, bt_upstream_result_t result)
-{
-  bt_agent_t *agent = agent_of_upstream (handler);
-  run_t *run;
-
-  pthread_mutex_lock (&agent->lock);
-  run = find_run (agent, number);
-  if (run != NULL)
-    {
-      bt_end_run (agent->queue,
-                  result == BT_UPSTREAM_CANCELLED ? 0 : bt_now_ms (agent->ctx) - run->started_ms);
-      end_run_locked (agent, run, result);
-      remove_run (agent, run);
-      start_waiting_locked (agent);
-    }
-  pthread_mutex_unlock (&agent->lock);
-}
-
-static void
-on_load (bt_upstream_handler_t *handler, const bt_upstream_load_t *load)
-{
-  bt_agent_t *agent = agent_of_upstream (handler);
-
-  pthread_mutex_lock (&agent->lock);
-  agent->load = *load;
-  pthread_mutex_unlock (&agent->lock);
-}
-
-static const bt_upstream_handler_vtable_t upstream_vtable = { on_run_head, on_run_piece, on_run_end,
-                                                              on_load };
-
 static void
 fill_upstream_options (bt_agent_t *agent, bt_upstream_options_t *options)
 {
@@ -428,6 +252,27 @@
   return agent->page != NULL;
 }
 
+static void
+make_arbiter (bt_agent_t *agent)
+{
+  const bt_agent_settings_t *settings = &agent->settings;
+  bt_arbiter_options_t options = { 0 };
+
+  bt_copy_name (options.self.instance, settings->instance);
+  options.self.incarnation = agent->incarnation;
+  options.max_records = (uint64_t)settings->max_records;
+  options.tombstone_reserve = (uint64_t)settings->max_records;
+  options.max_bytes = (uint64_t)settings->max_record_bytes;
+  options.max_answer_bytes = (uint64_t)settings->max_answer_bytes;
+  options.keep_answer_ms = settings->keep_answer_ms;
+  options.grace_ms = RECORD_GRACE_MS;
+  options.ticket_life_ms = settings->ticket_life_ms;
+  options.retry_after_ms = settings->ticket_life_ms;
+  agent->arbiter = bt_new_arbiter (agent->ctx, &options);
+  agent->ring = bt_new_ticket_ring (agent->ctx);
+  bt_derive_ticket_key (agent->ring, settings->secret);
+}
+
 bt_agent_t *
 bt_new_agent (bt_context_t *ctx, const bt_agent_settings_t *settings, bt_error_t *error)
 {
@@ -435,12 +280,13 @@
   bt_run_queue_options_t options;
 
   agent->links_base.vtable = &link_vtable;
-  agent->upstream_base.vtable = &upstream_vtable;
+  agent->upstream_base.vtable = &bt_agent_upstream_vtable;
   agent->ctx = ctx;
   agent->settings = *settings;
   bt_fill_secure_random (&agent->incarnation, sizeof agent->incarnation);
   pthread_mutex_init (&agent->lock, NULL);
   bt_prepare_outcome_counters (ctx);
+  make_arbiter (agent);
   bt_default_run_queue_options (&options);
   options.slots = (int32_t)settings->slots;
   options.queue_limit = (int32_t)settings->queue;
@@ -463,8 +309,10 @@
   pthread_mutex_lock (&agent->lock);
   agent->leaving = true;
   bt_set_run_queue_leaving (agent->queue, true);
+  bt_set_arbiter_leaving (agent->arbiter, bt_now_ms (ctx));
   pthread_mutex_unlock (&agent->lock);
-  bt_log (ctx, BT_LOG_INFO, BT_PART_MAIN, "Leaving: no new work is taken.");
+  bt_log (ctx, BT_LOG_INFO, BT_PART_MAIN,
+          "Leaving: no new work is taken; keys are arbitrated until their tickets have expired.");
 }
 
 bool
@@ -473,7 +321,7 @@
   bool idle;
 
   pthread_mutex_lock (&agent->lock);
-  idle = agent->runs == NULL;
+  idle = agent->runs == NULL && bt_can_arbiter_exit (agent->arbiter, bt_now_ms (ctx));
   pthread_mutex_unlock (&agent->lock);
   return idle;
 }
@@ -485,10 +333,13 @@
     return;
   bt_drop_page (ctx, agent->page);
   bt_drop_upstream (ctx, agent->upstream);
-  while (agent->runs != NULL)
-    remove_run (agent, agent->runs);
+  bt_drop_agent_runs (agent);
   bt_drop_link_loop (ctx, agent->loop);
+  while (agent->links != NULL)
+    remove_link (agent, agent->links->link);
   bt_drop_run_queue (ctx, agent->queue);
+  bt_drop_arbiter (ctx, agent->arbiter);
+  bt_drop_ticket_ring (ctx, agent->ring);
   pthread_mutex_destroy (&agent->lock);
   bt_free (ctx, agent);
 }
--- a/source/agent/agent.h
+++ b/source/agent/agent.h
@@ -37,6 +37,11 @@
   int64_t max_frame_bytes;
   int64_t max_links;
   int64_t drain_ms;
+  int64_t ticket_life_ms;
+  int64_t max_records;
+  int64_t max_record_bytes;
+  int64_t max_answer_bytes;
+  int64_t keep_answer_ms;
 } bt_agent_settings_t;
 
 /** Starts links, upstream and page. NULL with @p error when one can't start. */
--- a/source/agent/main.c
+++ b/source/agent/main.c
@@ -49,7 +49,17 @@
     "Longest frame on a link, bytes." },
   { "max-links", BT_SETTING_INTEGER, FIELD (max_links), "64", 1, 10000, "Links at a time." },
   { "drain-ms", BT_SETTING_INTEGER, FIELD (drain_ms), "60000", 0, 3600000,
-    "Longest wait for running requests after SIGTERM, ms." },
+    "Longest wait for running requests and tickets after SIGTERM, ms." },
+  { "ticket-life-ms", BT_SETTING_INTEGER, FIELD (ticket_life_ms), "30000", 100, 3600000,
+    "Longest life of a ticket, the same at all entries and agents, ms." },
+  { "max-records", BT_SETTING_INTEGER, FIELD (max_records), "100000", 1, 10000000,
+    "Keys on record at a time; as many tombstones again." },
+  { "max-record-bytes", BT_SETTING_INTEGER, FIELD (max_record_bytes), "268435456", 65536,
+    17179869184, "Memory for records and kept answers, bytes." },
+  { "max-answer-bytes", BT_SETTING_INTEGER, FIELD (max_answer_bytes), "1048576", 0, 67108864,
+    "Longest answer that is kept for a resend, bytes." },
+  { "keep-answer-ms", BT_SETTING_INTEGER, FIELD (keep_answer_ms), "30000", 0, 3600000,
+    "How long a whole answer is kept, ms." },
 };
 
 enum
--- a/source/core/arbiter.c
+++ b/source/core/arbiter.c
@@ -274,16 +274,26 @@
     }
 }
 
+/* An open key that was never granted is as good as unseen, so a burst of refusals keeps no records.
+ */
+static bool
+is_worth_keeping (const bt_arbiter_t *arbiter, const bt_record_t *record)
+{
+  if (!record->keyed || (arbiter->options.faults & BT_FAULT_NO_RECORD) != 0)
+    return false;
+  return record->state != BT_RECORD_OPEN || record->grant_number > 0;
+}
+
 static void
 end_run (bt_context_t *ctx, bt_arbiter_t *arbiter, bt_record_t *record, int64_t now_ms)
 {
   arbiter->runs--;
   record->ended_ms = now_ms;
   record->watcher_count = 0;
-  if (!record->keyed || (arbiter->options.faults & BT_FAULT_NO_RECORD) != 0)
-    bt_remove_record (ctx, arbiter->table, record);
-  else
+  if (is_worth_keeping (arbiter, record))
     bt_set_record_active (arbiter->table, record, false);
+  else
+    bt_remove_record (ctx, arbiter->table, record);
 }
 
 /* A run that the endpoint can't have seen leaves the key open, so that it may be tried or
@@ -292,16 +302,19 @@
 fail_run (bt_context_t *ctx,
           bt_arbiter_t *arbiter,
           bt_record_t *record,
-          bt_reason_t reason,
-          bool may_have_run,
+          const bt_run_event_t *failure,
           int64_t now_ms,
           bt_arbiter_actions_t *actions)
 {
   for (int32_t i = 0; i < record->watcher_count; i++)
-    bt_add_refusal (ctx, actions, &record->watchers[i].path, reason)->outcome =
-        may_have_run ? BT_OUTCOME_UNKNOWN : BT_OUTCOME_NOT_RUN;
-  record->state = may_have_run ? BT_RECORD_FAILED : BT_RECORD_OPEN;
-  record->reason = reason;
+    {
+      bt_reply_t *reply = bt_add_refusal (ctx, actions, &record->watchers[i].path, failure->reason);
+
+      reply->outcome = failure->may_have_run ? BT_OUTCOME_UNKNOWN : BT_OUTCOME_NOT_RUN;
+      reply->retry_after_ms = failure->retry_after_ms;
+    }
+  record->state = failure->may_have_run ? BT_RECORD_FAILED : BT_RECORD_OPEN;
+  record->reason = failure->reason;
   bt_drop_answer (ctx, arbiter->table, record);
   end_run (ctx, arbiter, record, now_ms);
 }
@@ -316,11 +329,12 @@
             int64_t now_ms,
             bt_arbiter_actions_t *actions)
 {
+  static const bt_run_event_t silence = { .may_have_run = true, .reason = BT_REASON_ENGINE_SILENT };
   bt_arbiter_action_t *action;
 
   if (!resumable || record->resumes >= arbiter->options.max_resumes)
     {
-      fail_run (ctx, arbiter, record, BT_REASON_ENGINE_SILENT, true, now_ms, actions);
+      fail_run (ctx, arbiter, record, &silence, now_ms, actions);
       return;
     }
   record->resumes++;
@@ -394,7 +408,7 @@
       take_end (ctx, arbiter, record, event, now_ms, actions);
       break;
     case BT_RUN_FAILED:
-      fail_run (ctx, arbiter, record, event->reason, event->may_have_run, now_ms, actions);
+      fail_run (ctx, arbiter, record, event, now_ms, actions);
       break;
     case BT_RUN_SILENT:
       resume_run (ctx, arbiter, record, event->resumable, now_ms, actions);
--- a/source/core/ticket.c
+++ b/source/core/ticket.c
@@ -8,6 +8,7 @@
 enum
 {
   TICKET_VERSION = 1,
+  DERIVED_KEY_ID = 1,
   VERSION_AT = 0,
   SIGNER_AT = 1,
   EXPIRES_AT = 5,
@@ -87,6 +88,18 @@
   return true;
 }
 
+void
+bt_derive_ticket_key (bt_ticket_ring_t *ring, const char *secret)
+{
+  static const char purpose[] = "bilberrytray ticket";
+  uint8_t key[BT_TICKET_SECRET_BYTES];
+
+  crypto_generichash (key, sizeof key, (const uint8_t *)purpose, sizeof purpose - 1,
+                      (const uint8_t *)secret, strnlen (secret, crypto_generichash_KEYBYTES_MAX));
+  bt_add_ticket_key (ring, DERIVED_KEY_ID, key, NULL);
+  sodium_memzero (key, sizeof key);
+}
+
 static void
 put_number (uint8_t *at, uint64_t value, int32_t bytes)
 {
