Drive each request at the entry by its delivery, and mint tickets

A key goes first to its home, which needs no further message. An expired call now cancels its dispatch.

--- a/include/bilberrytray/core/delivery.h
+++ b/include/bilberrytray/core/delivery.h
@@ -116,6 +116,9 @@
 /** True after one of the three final actions. */
 bool bt_is_delivery_finished (const bt_delivery_t *delivery);
 
+/** The agents already tried; valid until the next event. */
+const bt_identity_t *bt_get_delivery_excluded (const bt_delivery_t *delivery, int32_t *count);
+
 /** True when a link to the instance of @p identity is waited for. */
 bool bt_is_delivery_waiting_for (const bt_delivery_t *delivery, const bt_identity_t *identity);
 
--- a/source/core/delivery.c
+++ b/source/core/delivery.c
@@ -59,6 +59,13 @@
   return delivery->phase == BT_PHASE_FINISHED;
 }
 
+const bt_identity_t *
+bt_get_delivery_excluded (const bt_delivery_t *delivery, int32_t *count)
+{
+  *count = delivery->excluded_count;
+  return delivery->excluded;
+}
+
 bool
 bt_is_delivery_waiting_for (const bt_delivery_t *delivery, const bt_identity_t *identity)
 {
@@ -417,7 +424,7 @@
   int64_t left_ms = delivery->options.deadline_ms - now_ms;
   int64_t phase_ms = now_ms - delivery->since_ms;
   bool unanswered = delivery->phase == BT_PHASE_ASKING || delivery->phase == BT_PHASE_CHOOSING
-                    || delivery->phase == BT_PHASE_BUDGETING;
+                    || delivery->phase == BT_PHASE_BUDGETING || delivery->phase == BT_PHASE_NEW;
 
   if (left_ms <= 0 && !delivery->options.has_ticket && delivery->unsettled == 0)
     bt_end_delivery (ctx, delivery, BT_REASON_DEADLINE_UNREACHABLE, BT_OUTCOME_NOT_RUN, 0, actions);
--- a/source/entry/command_serve.c
+++ b/source/entry/command_serve.c
@@ -53,6 +53,8 @@
     "Between readings of the configuration, ms." },
   { "address-life-ms", BT_SETTING_INTEGER, FIELD (address_life_ms), "30000", 100, 3600000,
     "How long callers may keep an answer with addresses, ms." },
+  { "ticket-life-ms", BT_SETTING_INTEGER, FIELD (ticket_life_ms), "30000", 100, 3600000,
+    "Life of the tickets given to callers, at most that of the agents, ms." },
   { "drain-ms", BT_SETTING_INTEGER, FIELD (drain_ms), "120000", 0, 3600000,
     "Longest wait for requests under way after SIGTERM, ms." },
 };
--- /dev/null
+++ b/source/entry/deliveries.c
@@ -0,0 +1,384 @@
+#include <string.h>
+
+#include "bilberrytray/base/log.h"
+#include "entry_private.h"
+#include "messages.h"
+
+/* Where a call's delivery is driven: its actions become frames, questions to the policy and answers
+ * to the caller. */
+
+enum
+{
+  GIVE_UP_PART = 8,     /* of the time to the deadline is kept for proving not-run, */
+  MAX_GIVE_UP_MS = 500, /* but no more than this. */
+  REPLY_LIMIT_MS = 1000,
+  RECONNECT_LIMIT_MS = 3000,
+  RETRY_AFTER_MS = 1000,
+  MAX_RESENDS = 3,
+  MAX_HOPS = 4,
+  MAX_FOLLOWING = 8, /* Events that one step's actions can lead to. */
+  MAX_OTHERS = 256,
+};
+
+/* Events that follow from actions, in order; each is given after the step that led to it. */
+typedef struct following
+{
+  bt_delivery_event_t events[MAX_FOLLOWING];
+  int32_t first;
+  int32_t count;
+} following_t;
+
+static bt_delivery_event_t *
+add_following (following_t *following, bt_delivery_event_kind_t kind)
+{
+  bt_delivery_event_t *event =
+      &following->events[(following->first + following->count++) % MAX_FOLLOWING];
+
+  memset (event, 0, sizeof *event);
+  event->kind = kind;
+  return event;
+}
+
+static uint64_t
+digest_request (const bt_caller_request_t *request)
+{
+  uint64_t digest = bt_hash_bytes (request->method, strlen (request->method), 0);
+
+  digest = bt_hash_bytes (request->path, strlen (request->path), digest);
+  return bt_hash_bytes (request->body, request->body_bytes, digest);
+}
+
+void
+bt_prepare_delivery (bt_entry_t *entry, bt_call_t *call, const bt_ticket_t *ticket)
+{
+  int64_t left_ms = call->deadline_ms - bt_now_ms (entry->ctx);
+  bt_delivery_options_t options = {
+    .call = call->id,
+    .has_ticket = ticket != NULL,
+    .idempotent = call->idempotent,
+    .body_digest = digest_request (bt_get_caller_request (call->caller)),
+    .deadline_ms = call->deadline_ms,
+    .give_up_margin_ms = left_ms / GIVE_UP_PART,
+    .reply_limit_ms = REPLY_LIMIT_MS,
+    .reconnect_limit_ms = RECONNECT_LIMIT_MS,
+    .retry_after_ms = RETRY_AFTER_MS,
+    .max_resends = MAX_RESENDS,
+    .max_hops = MAX_HOPS,
+  };
+
+  if (options.give_up_margin_ms > MAX_GIVE_UP_MS)
+    options.give_up_margin_ms = MAX_GIVE_UP_MS;
+  if (ticket != NULL)
+    options.ticket = *ticket;
+  call->delivery = bt_new_delivery (entry->ctx, &options);
+}
+
+static void
+end_attempt (bt_entry_t *entry, bt_call_t *call, bt_attempt_end_t end)
+{
+  int64_t now_ms = bt_now_ms (entry->ctx);
+
+  if (!call->routed)
+    return;
+  call->routed = false;
+  bt_record_attempt_end (entry->router, &call->route, end, now_ms - call->dispatched_ms, now_ms);
+}
+
+static void
+begin_attempt (bt_entry_t *entry, bt_call_t *call, const bt_identity_t *target)
+{
+  int64_t now_ms = bt_now_ms (entry->ctx);
+
+  end_attempt (entry, call, BT_ATTEMPT_CANCELLED);
+  if (!bt_same_identity (&call->route.identity, target))
+    return;
+  call->routed = true;
+  call->dispatched_ms = now_ms;
+  bt_record_dispatch (entry->router, &call->route, 0, now_ms);
+}
+
+/* A key runs at its home without any further message, so home goes first: all other agents are
+ * excluded. Once anything was tried the choice is open. */
+static bt_reason_t
+choose_home (bt_entry_t *entry, bt_call_t *call, bt_route_request_t *request, int64_t now_ms)
+{
+  bt_identity_t others[MAX_OTHERS];
+  int64_t retry_after_ms;
+  int32_t tried_count;
+  int32_t count = 0;
+
+  bt_get_delivery_excluded (call->delivery, &tried_count);
+  if (!call->keyed || tried_count > 0)
+    return BT_REASON_NO_ENDPOINT;
+  for (const bt_peer_t *peer = entry->peers; peer != NULL && count < MAX_OTHERS; peer = peer->next)
+    if (peer->agent && peer->up && !bt_same_identity (&peer->identity, &call->home))
+      others[count++] = peer->identity;
+  request->excluded = others;
+  request->excluded_count = count;
+  return bt_choose_endpoint (entry->router, request, now_ms, &call->route, &retry_after_ms);
+}
+
+static void
+choose (bt_entry_t *entry, bt_call_t *call, following_t *following)
+{
+  bt_route_request_t request = { 0 };
+  int64_t now_ms = bt_now_ms (entry->ctx);
+  int64_t retry_after_ms = 0;
+  bt_delivery_event_t *event;
+  bt_reason_t reason;
+  bt_peer_t *peer;
+
+  request.app = call->declarations->apps[call->app].name;
+  request.account = bt_get_caller_account (call->caller);
+  request.priority = call->priority;
+  request.deadline_left_ms = call->deadline_ms - now_ms;
+  request.seed = entry->seed++;
+  reason = choose_home (entry, call, &request, now_ms);
+  if (reason != BT_REASON_NONE || !bt_same_identity (&call->route.identity, &call->home))
+    {
+      request.excluded = bt_get_delivery_excluded (call->delivery, &request.excluded_count);
+      reason = bt_choose_endpoint (entry->router, &request, now_ms, &call->route, &retry_after_ms);
+    }
+  peer = reason == BT_REASON_NONE ? bt_find_peer_identity (entry, &call->route.identity) : NULL;
+  if (peer == NULL)
+    {
+      event = add_following (following, BT_DELIVERY_NO_CANDIDATE);
+      event->reason = reason == BT_REASON_NONE ? BT_REASON_NO_ENDPOINT : reason;
+      event->retry_after_ms = retry_after_ms;
+      return;
+    }
+  event = add_following (following, BT_DELIVERY_CANDIDATE);
+  event->identity = call->route.identity;
+  /* By that agent's own clock, as it last told it: lag only makes the grant shorter. */
+  event->grant_expires_ms = peer->peer_now_ms + entry->settings.ticket_life_ms;
+}
+
+static bool
+send_dispatch (bt_entry_t *entry,
+               bt_call_t *call,
+               bt_link_t *link,
+               const bt_dispatch_t *dispatch,
+               const char *ticket)
+{
+  const bt_caller_request_t *request = bt_get_caller_request (call->caller);
+  Bilberry__Dispatch message = BILBERRY__DISPATCH__INIT;
+  Bilberry__Header headers[BT_MAX_CALLER_HEADERS];
+  Bilberry__Header *header_list[BT_MAX_CALLER_HEADERS];
+  Bilberry__Grant grant;
+  bt_frame_t frame = BILBERRY__FRAME__INIT;
+
+  for (int32_t i = 0; i < request->header_count; i++)
+    {
+      bilberry__header__init (&headers[i]);
+      headers[i].name = (char *)request->headers[i].name;
+      headers[i].value = (char *)request->headers[i].value;
+      header_list[i] = &headers[i];
+    }
+  bt_fill_dispatch (&message, dispatch, &grant);
+  message.ticket = (char *)ticket;
+  message.account = (char *)bt_get_caller_account (call->caller);
+  message.app = call->declarations->apps[call->app].name;
+  message.method = request->method;
+  message.path = request->path;
+  message.n_headers = (size_t)request->header_count;
+  message.headers = header_list;
+  message.body.data = request->body;
+  message.body.len = request->body_bytes;
+  message.priority = call->priority;
+  message.deadline_left_ms = call->deadline_ms - bt_now_ms (entry->ctx);
+  message.revision = call->declarations->revision;
+  frame.body_case = BILBERRY__FRAME__BODY_DISPATCH;
+  frame.dispatch = &message;
+  begin_attempt (entry, call, &dispatch->target);
+  return bt_send_frame (entry->ctx, link, &frame);
+}
+
+static bt_peer_t *
+find_instance (bt_entry_t *entry, const char *instance)
+{
+  for (bt_peer_t *peer = entry->peers; peer != NULL; peer = peer->next)
+    if (peer->up && strcmp (peer->identity.instance, instance) == 0)
+      return peer;
+  return NULL;
+}
+
+static bool
+send_by_kind (bt_entry_t *entry,
+              bt_call_t *call,
+              const bt_delivery_action_t *action,
+              bt_link_t *link)
+{
+  const char *key = bt_find_caller_header (call->caller, "Idempotency-Key");
+  const char *ticket = call->keyed ? key : "";
+
+  if (action->kind == BT_DELIVERY_SEND_GRANT)
+    return bt_send_grant_request (entry->ctx, link, &action->grant_request, ticket);
+  if (action->kind == BT_DELIVERY_SEND_TOMBSTONE)
+    return bt_send_tombstone_request (entry->ctx, link, &action->tombstone_request, ticket);
+  return send_dispatch (entry, call, link, &action->dispatch, ticket);
+}
+
+/* Without a link to that very start of the agent nothing leaves. When another start of it is there
+ * already, the delivery is told so at once and needs not wait. */
+static void
+send_message (bt_entry_t *entry,
+              bt_call_t *call,
+              const bt_delivery_action_t *action,
+              following_t *following)
+{
+  bt_peer_t *peer = bt_find_peer_identity (entry, &action->identity);
+  bt_peer_t *other = find_instance (entry, action->identity.instance);
+  uint64_t link = peer == NULL ? 0 : bt_get_link_id (peer->link);
+  bool sent = peer != NULL && send_by_kind (entry, call, action, peer->link);
+
+  add_following (following, BT_DELIVERY_SENT)->link = link;
+  if (peer == NULL && other != NULL)
+    add_following (following, BT_DELIVERY_LINK_UP)->identity = other->identity;
+  if (peer != NULL && !sent)
+    add_following (following, BT_DELIVERY_LINK_DOWN)->link = link;
+}
+
+static void
+send_cancel (bt_entry_t *entry, bt_call_t *call, const bt_reply_path_t *path)
+{
+  for (bt_peer_t *peer = entry->peers; peer != NULL; peer = peer->next)
+    if (peer->up && bt_get_link_id (peer->link) == path->link)
+      bt_send_cancel (entry->ctx, peer->link, path);
+  end_attempt (entry, call, call->ending);
+}
+
+static void
+ask_budget (bt_entry_t *entry, bt_call_t *call, bt_retry_t retry, following_t *following)
+{
+  const bt_rule_then_t *then = &call->declarations->rules[call->rule].then;
+  bool allowed = call->retries < then->retries && bt_take_retry (entry->ctx, entry->budget, retry);
+
+  call->retries++;
+  end_attempt (entry, call, call->ending);
+  add_following (following, BT_DELIVERY_BUDGET)->allowed = allowed;
+}
+
+static void
+refuse (bt_entry_t *entry, bt_call_t *call, const bt_delivery_action_t *action)
+{
+  bool failed = action->outcome == BT_OUTCOME_UNKNOWN && action->reason != BT_REASON_CANCELLED;
+
+  end_attempt (entry, call, failed ? BT_ATTEMPT_FAILED : BT_ATTEMPT_CANCELLED);
+  bt_refuse_caller (entry->ctx, call->caller, action->outcome, action->reason,
+                    action->retry_after_ms, NULL);
+  call->finished = true;
+}
+
+static void
+do_action (bt_entry_t *entry,
+           bt_call_t *call,
+           const bt_delivery_action_t *action,
+           following_t *following)
+{
+  switch (action->kind)
+    {
+    case BT_DELIVERY_ASK_CANDIDATE:
+      if (call->submitted)
+        call->place_again = true;
+      else
+        choose (entry, call, following);
+      call->submitted = true;
+      break;
+    case BT_DELIVERY_ASK_BUDGET:
+      ask_budget (entry, call, action->retry, following);
+      break;
+    case BT_DELIVERY_SEND_DISPATCH:
+    case BT_DELIVERY_SEND_GRANT:
+    case BT_DELIVERY_SEND_TOMBSTONE:
+      send_message (entry, call, action, following);
+      break;
+    case BT_DELIVERY_SEND_CANCEL:
+      send_cancel (entry, call, &action->path);
+      break;
+    case BT_DELIVERY_GIVE_HEAD:
+      bt_begin_answer (entry->ctx, call->caller, (int32_t)action->status, action->data);
+      break;
+    case BT_DELIVERY_GIVE_PIECE:
+      if (!bt_add_answer (entry->ctx, call->caller, action->data, action->data_bytes))
+        add_following (following, BT_DELIVERY_CALLER_GONE);
+      break;
+    case BT_DELIVERY_FINISH_WHOLE:
+      end_attempt (entry, call, BT_ATTEMPT_ANSWERED);
+      bt_end_answer (entry->ctx, call->caller);
+      call->finished = true;
+      break;
+    default:
+      refuse (entry, call, action);
+      break;
+    }
+}
+
+static void
+judge_reply (bt_call_t *call, const bt_delivery_event_t *event)
+{
+  call->ending = BT_ATTEMPT_FAILED;
+  if (event->kind == BT_DELIVERY_CALLER_GONE)
+    call->ending = BT_ATTEMPT_CANCELLED;
+  else if (event->kind == BT_DELIVERY_REPLY && event->reply->kind == BT_REPLY_REFUSED
+           && event->reply->outcome == BT_OUTCOME_NOT_RUN)
+    call->ending = BT_ATTEMPT_REFUSED;
+}
+
+void
+bt_drive_call (bt_entry_t *entry, bt_call_t *call, const bt_delivery_event_t *event)
+{
+  following_t following = { 0 };
+  bt_delivery_actions_t actions = { 0 };
+
+  judge_reply (call, event);
+  following.events[following.count++] = *event;
+  while (following.count > 0 && !call->finished)
+    {
+      bt_delivery_event_t next = following.events[following.first];
+
+      following.first = (following.first + 1) % MAX_FOLLOWING;
+      following.count--;
+      actions.count = 0;
+      bt_step_delivery (entry->ctx, call->delivery, &next, bt_now_ms (entry->ctx), &actions);
+      for (int32_t i = 0; i < actions.count && !call->finished; i++)
+        do_action (entry, call, &actions.items[i], &following);
+    }
+  bt_free_delivery_actions (entry->ctx, &actions);
+  if (call->finished)
+    bt_remove_call (entry, call);
+  else if (call->place_again)
+    {
+      call->place_again = false;
+      bt_place_call (entry, call, true);
+    }
+}
+
+void
+bt_dispatch_call (bt_entry_t *entry, bt_call_t *call)
+{
+  bt_delivery_event_t submit = { .kind = BT_DELIVERY_SUBMIT };
+  following_t following = { 0 };
+
+  if (!call->submitted)
+    {
+      bt_record_attempt (entry->budget);
+      bt_drive_call (entry, call, &submit);
+      return;
+    }
+  choose (entry, call, &following);
+  bt_drive_call (entry, call, &following.events[0]);
+}
+
+void
+bt_refuse_call (bt_entry_t *entry,
+                bt_call_t *call,
+                bt_outcome_t outcome,
+                bt_reason_t reason,
+                int64_t retry_after_ms)
+{
+  bt_delivery_event_t event = { .kind = BT_DELIVERY_REFUSE,
+                                .reason = reason,
+                                .retry_after_ms = retry_after_ms };
+
+  bt_drive_call (entry, call, &event);
+}
--- a/source/entry/entry.c
+++ b/source/entry/entry.c
@@ -85,6 +85,8 @@
   bt_fill_secure_random (&entry->incarnation, sizeof entry->incarnation);
   bt_fill_secure_random (&entry->seed, sizeof entry->seed);
   pthread_mutex_init (&entry->lock, NULL);
+  entry->ring = bt_new_ticket_ring (ctx);
+  bt_derive_ticket_key (entry->ring, settings->secret);
   bt_default_router_options (&options);
   bt_copy_name (options.failure_domain, settings->failure_domain);
   entry->router = bt_new_router (ctx, &options);
@@ -186,6 +188,7 @@
   bt_drop_retry_budget (ctx, entry->budget);
   bt_drop_router (ctx, entry->router);
   bt_drop_declarations (ctx, entry->declarations);
+  bt_drop_ticket_ring (ctx, entry->ring);
   pthread_mutex_destroy (&entry->lock);
   bt_free (ctx, entry);
 }
--- a/source/entry/entry.h
+++ b/source/entry/entry.h
@@ -41,6 +41,7 @@
   int64_t store_poll_ms;
   int64_t address_life_ms;
   int64_t drain_ms;
+  int64_t ticket_life_ms;
 } bt_entry_settings_t;
 
 /** An instance that the instance list names. */
--- a/source/entry/entry_links.c
+++ b/source/entry/entry_links.c
@@ -170,6 +170,7 @@
       peer->dial_wait_ms = 0;
       bt_copy_name (peer->identity.instance, bt_get_link_instance (link));
       peer->identity.incarnation = bt_get_link_incarnation (link);
+      bt_resume_calls (entry, &peer->identity);
     }
   pthread_mutex_unlock (&entry->lock);
   send_heartbeat (entry, link);
--- a/source/entry/entry_private.h
+++ b/source/entry/entry_private.h
@@ -12,6 +12,7 @@
 
 #include "bilberrytray/base/counters.h"
 #include "bilberrytray/core/admission.h"
+#include "bilberrytray/core/delivery.h"
 #include "bilberrytray/core/retry_budget.h"
 #include "bilberrytray/core/router.h"
 #include "bilberrytray/wire/link.h"
@@ -50,16 +51,22 @@
   uint64_t id;
   bt_caller_t *caller;
   bt_declarations_t *declarations; /**< In force when it was matched; judged by them to its end. */
+  bt_delivery_t *delivery;
   int32_t rule;
   int32_t app;
-  uint32_t attempt;
-  bt_route_t route;
-  bt_link_t *link; /**< On which the attempt went out; NULL: none. */
-  int64_t dispatched_ms;
-  int64_t deadline_ms;
-  uint64_t next_sequence;
   int32_t priority; /**< A bt_priority_t, from its rule or the request. */
-  bool begun;
+  int64_t deadline_ms;
+  bool submitted;   /**< The delivery has begun: admission let it through. */
+  bool place_again; /**< A further attempt waits for admission. */
+  bool finished;    /**< The caller has its final answer. */
+  bool keyed;
+  bool idempotent;
+  bt_identity_t home; /**< Of its ticket, when keyed. */
+  int32_t retries;
+  bool routed;             /**< An attempt on route is under way. */
+  bt_route_t route;        /**< The last that was chosen. */
+  int64_t dispatched_ms;   /**< When the attempt on it went out. */
+  bt_attempt_end_t ending; /**< How the attempt under way is judged if it ends now. */
   struct bt_call *next;
 } bt_call_t;
 
@@ -69,6 +76,7 @@
   bt_context_t *ctx;
   bt_entry_settings_t settings;
   uint64_t incarnation;
+  bt_ticket_ring_t *ring;
   bt_link_loop_t *loop;
   bt_http_server_t *http;
   bt_counter_t *endpoints_up;
@@ -127,10 +135,23 @@
 /** Takes a frame about the configuration. With the lock held. */
 void bt_take_config_frame (bt_entry_t *entry, bt_link_t *link, const bt_frame_t *frame);
 
-/** Ends the calls whose deadline has passed. With the lock held. */
+/** Tells every call that time has passed. With the lock held. */
 void bt_expire_calls (bt_entry_t *entry, int64_t now_ms);
 
 /** Ends every call, for a stop. With the lock held. */
 void bt_cut_calls (bt_entry_t *entry);
 
+/** Tells the calls that wait for this agent that its link is up. With the lock held. */
+void bt_resume_calls (bt_entry_t *entry, const bt_identity_t *identity);
+
+/** Gives an event to a call's delivery and does what follows. The call may be gone behind it. With
+ * the lock held. */
+void bt_drive_call (bt_entry_t *entry, bt_call_t *call, const bt_delivery_event_t *event);
+
+/** Takes a call out of the table and frees it. With the lock held. */
+void bt_remove_call (bt_entry_t *entry, bt_call_t *call);
+
+/** Makes the delivery of a new call; @p ticket is NULL for a request without a key. */
+void bt_prepare_delivery (bt_entry_t *entry, bt_call_t *call, const bt_ticket_t *ticket);
+
 #endif
