Route on own counts mirrored over the other entries

Cause: eight entries that read the same late report all fill the endpoint that looked free. The load of an endpoint is now the report, plus own changes since the moment it speaks of, plus the same change once for each other entry; what others had fades towards the mean with the report's age; run times within 25% count as equal; ties go to the endpoint that was longest without a request. Queue depth behind the slots 2 -> 4.

Left: p99 time to a refusal is still seconds, since the queue's estimate is too hopeful.

--- a/include/bilberrytray/core/router.h
+++ b/include/bilberrytray/core/router.h
@@ -20,7 +20,7 @@
   int32_t default_slots;              /**< Slots of an endpoint that has reported none. */
   int32_t queue_depth;        /**< Requests put behind an endpoint's slots, to hide delay. */
   int64_t default_service_ms; /**< Time of one run before any was measured. */
-  int64_t remote_ms;          /**< Cost of another failure domain, ms. */
+  int64_t remote_ms;          /**< Cost of another failure domain, ms; 0: no preference. */
   int64_t prefix_ms;          /**< Most that a cached prefix may cost in wait, ms. */
   bt_outlier_options_t outlier;
 } bt_router_options_t;
@@ -86,7 +86,7 @@
   int64_t service_ms; /**< Mean time of one run. */
 } bt_capacity_t;
 
-/** Compares 2 endpoints, puts 2 behind the slots, prefix worth 50 ms; outliers by default. */
+/** Compares all endpoints, puts 4 behind the slots, prefix worth 50 ms; outliers by default. */
 void bt_default_router_options (bt_router_options_t *options);
 
 bt_router_t *bt_new_router (bt_context_t *ctx, const bt_router_options_t *options);
--- /dev/null
+++ b/source/core/choice.c
@@ -0,0 +1,120 @@
+#include "choice.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "bilberrytray/base/random.h"
+
+/* An emptier endpoint is a little better even when both have free slots: its steps are shorter, and
+ * in a group that steps together the fullest rank sets the pace. */
+static const double crowding = 0.5;
+
+/* Run times within this part of their mean count as equal. They differ by the load of the moment;
+ * following such a difference sends every entry to the endpoint that was idle when it was taken. */
+static const double same_time = 0.25;
+
+/* What the endpoints have in common. */
+typedef struct field
+{
+  double others;     /* mean count of other entries' requests on an endpoint */
+  double service_ms; /* mean time of one run */
+  int32_t entries;
+  int64_t now_ms;
+} field_t;
+
+static void
+measure_field (const bt_router_options_t *options,
+               bt_endpoint_state_t *const *states,
+               int32_t count,
+               field_t *field)
+{
+  for (int32_t i = 0; i < count; i++)
+    {
+      field->others += (double)(states[i]->total_then - states[i]->own_then) / count;
+      field->service_ms += (double)bt_get_endpoint_service_ms (states[i], options) / count;
+    }
+}
+
+/* The load that is expected now: own requests, those of others by the report, and as much growth
+ * since as this entry has caused, once for each other entry. What others had there fades towards
+ * the mean with the age of the report: after the time of one run little of it is left, and
+ * believing it would send every entry to the endpoint that looked free a second ago. */
+static double
+expect_load (const field_t *field, const bt_endpoint_state_t *state)
+{
+  const double others = state->total_then - state->own_then;
+  const double age_ms = (double)(field->now_ms - state->load_at_ms);
+  const double trust = state->reported ? exp (-age_ms / field->service_ms) : 0;
+  const double alike = (double)(field->entries - 1) * (state->own - state->own_then);
+
+  return state->own + field->others + (others - field->others) * trust + alike;
+}
+
+static double
+get_service_ms (const field_t *field,
+                const bt_router_options_t *options,
+                const bt_endpoint_state_t *state)
+{
+  const double service_ms = (double)bt_get_endpoint_service_ms (state, options);
+
+  if (fabs (service_ms - field->service_ms) < field->service_ms * same_time)
+    return field->service_ms;
+  return service_ms;
+}
+
+/* What sending a request there costs its caller, in ms. A cached prefix counts for no more than the
+ * prefill it saves: beyond that, affinity would only make a straggler. */
+static double
+get_cost_ms (const field_t *field,
+             const bt_router_options_t *options,
+             const bt_endpoint_state_t *state,
+             const bt_route_request_t *request)
+{
+  const double service_ms = get_service_ms (field, options, state);
+  const int32_t slots = bt_get_endpoint_slots (state, options);
+  const double load = expect_load (field, state);
+  const double ahead = load + 1 > slots ? load + 1 - slots : 0;
+  double cost_ms = service_ms * (1 + (ahead + load * crowding) / (slots > 0 ? slots : 1));
+
+  if (options->failure_domain[0] != 0
+      && strcmp (options->failure_domain, state->endpoint.failure_domain) != 0)
+    cost_ms += (double)options->remote_ms;
+  if (bt_has_endpoint_prefix (state, request->prefix))
+    cost_ms -= (double)options->prefix_ms;
+  return cost_ms;
+}
+
+bt_endpoint_state_t *
+bt_choose_state (const bt_router_options_t *options,
+                 int32_t entries,
+                 bt_endpoint_state_t **states,
+                 int32_t count,
+                 const bt_route_request_t *request,
+                 int64_t now_ms)
+{
+  const int32_t choices = options->choices > 0 ? options->choices : count;
+  field_t field = { .entries = entries, .now_ms = now_ms };
+  bt_endpoint_state_t *best = NULL;
+  double best_ms = 0;
+  bt_random_t random;
+
+  measure_field (options, states, count, &field);
+  bt_seed_random (&random, request->seed);
+  for (int32_t i = 0; i < choices && i < count; i++)
+    {
+      const int32_t at = i + (int32_t)bt_random_below (&random, (uint64_t)(count - i));
+      bt_endpoint_state_t *state = states[at];
+      double cost_ms;
+
+      states[at] = states[i];
+      states[i] = state;
+      cost_ms = get_cost_ms (&field, options, state, request);
+      if (best != NULL
+          && (cost_ms > best_ms
+              || (cost_ms == best_ms && state->last_dispatch >= best->last_dispatch)))
+        continue;
+      best = state;
+      best_ms = cost_ms;
+    }
+  return best;
+}
--- a/source/core/endpoint_state.c
+++ b/source/core/endpoint_state.c
@@ -20,7 +20,22 @@
 int32_t
 bt_get_endpoint_load (const bt_endpoint_state_t *state)
 {
-  return state->others + state->own;
+  const int32_t load = state->total_then + state->own - state->own_then;
+
+  return load > state->own ? load : state->own;
+}
+
+int32_t
+bt_get_endpoint_commitment (const bt_endpoint_state_t *state, int32_t entries)
+{
+  const int32_t grown = state->own - state->own_then;
+  int32_t alike = entries;
+
+  if (grown <= 0)
+    return bt_get_endpoint_load (state);
+  if (state->own_then > 0 && state->total_then / state->own_then < entries)
+    alike = state->total_then > state->own_then ? state->total_then / state->own_then : 1;
+  return state->total_then + grown * alike;
 }
 
 int64_t
@@ -42,24 +57,55 @@
   return bt_get_endpoint_service_ms (state, options) * ahead / slots;
 }
 
+/* The own count at a moment in the past, as far as the history reaches. */
+static int32_t
+get_own_at (const bt_endpoint_state_t *state, int64_t at_ms)
+{
+  const uint32_t kept = state->changes < BT_HISTORY_SLOTS ? state->changes : BT_HISTORY_SLOTS;
+
+  for (uint32_t i = 1; i <= kept; i++)
+    {
+      const bt_own_change_t *change = &state->history[(state->changes - i) % BT_HISTORY_SLOTS];
+
+      if (change->at_ms <= at_ms)
+        return change->own;
+    }
+  return kept < BT_HISTORY_SLOTS ? 0 : state->history[state->changes % BT_HISTORY_SLOTS].own;
+}
+
 void
 bt_take_endpoint_load (bt_endpoint_state_t *state, const bt_load_t *load, int64_t now_ms)
 {
-  const int32_t total = load->running + load->queued;
-
-  (void)now_ms;
   state->load = *load;
+  state->load_at_ms = now_ms - load->age_ms;
   state->reported = true;
-  state->others = total > state->own ? total - state->own : 0;
+  state->total_then = load->running + load->queued;
+  /* A report lags: what was sent or ended since is no part of it. Taking the count of now would
+   * make an endpoint that was just given work look as if others had left it idle. */
+  state->own_then = get_own_at (state, state->load_at_ms);
+}
+
+void
+bt_forget_endpoint_load (bt_endpoint_state_t *state)
+{
+  state->reported = false;
+  state->own = 0;
+  state->own_then = 0;
+  state->total_then = 0;
+  state->changes = 0;
 }
 
 void
 bt_add_endpoint_own (bt_endpoint_state_t *state, int32_t change, int64_t now_ms)
 {
-  (void)now_ms;
+  bt_own_change_t *latest = &state->history[state->changes % BT_HISTORY_SLOTS];
+
   state->own += change;
   if (state->own < 0)
     state->own = 0;
+  latest->at_ms = now_ms;
+  latest->own = state->own;
+  state->changes++;
 }
 
 void
--- a/source/core/endpoint_state.h
+++ b/source/core/endpoint_state.h
@@ -20,6 +20,13 @@
   int64_t used_ms;
 } bt_cached_prefix_t;
 
+/** The own count from a moment on. */
+typedef struct bt_own_change
+{
+  int64_t at_ms;
+  int32_t own;
+} bt_own_change_t;
+
 /** One endpoint's state. */
 typedef struct bt_endpoint_state
 {
@@ -29,9 +36,14 @@
   bool leaving;
   bool reported; /**< A load report came since the link came up. */
   bt_load_t load;
-  int32_t own;       /**< In flight from this entry. */
-  int32_t others;    /**< In flight from others, by the last report. */
-  double service_ms; /**< Mean of own measurements; 0 before the first. */
+  int64_t load_at_ms; /**< The moment that the load speaks of. */
+  int32_t own;        /**< In flight from this entry. */
+  int32_t own_then;   /**< The same at the moment that the last report speaks of. */
+  int32_t total_then; /**< In flight from all entries at that moment. */
+  bt_own_change_t history[BT_HISTORY_SLOTS];
+  uint32_t changes;       /**< Changes of the own count since the link came up. */
+  uint64_t last_dispatch; /**< The router's number of the last dispatch here. */
+  double service_ms;      /**< Mean of own measurements; 0 before the first. */
   bt_outlier_t outlier;
   bt_cached_prefix_t prefixes[BT_PREFIX_SLOTS];
 } bt_endpoint_state_t;
@@ -41,9 +53,14 @@
 int32_t bt_get_endpoint_slots (const bt_endpoint_state_t *state,
                                const bt_router_options_t *options);
 
-/** Requests thought to be running or waiting there. */
+/** Requests thought to be running or waiting there: reported ones, corrected by what this entry
+ * sent and saw end since the moment of the report. */
 int32_t bt_get_endpoint_load (const bt_endpoint_state_t *state);
 
+/** The same if the other entries have sent as this one has since then, each by its share. Eight
+ * entries that see one old report of a free endpoint would else all fill it. */
+int32_t bt_get_endpoint_commitment (const bt_endpoint_state_t *state, int32_t entries);
+
 /** Mean time of one run there, ms. */
 int64_t bt_get_endpoint_service_ms (const bt_endpoint_state_t *state,
                                     const bt_router_options_t *options);
@@ -55,6 +72,9 @@
 /** Takes in a load report. */
 void bt_take_endpoint_load (bt_endpoint_state_t *state, const bt_load_t *load, int64_t now_ms);
 
+/** Forgets counts and load, since the link died. */
+void bt_forget_endpoint_load (bt_endpoint_state_t *state);
+
 /** Adds to the own count. */
 void bt_add_endpoint_own (bt_endpoint_state_t *state, int32_t change, int64_t now_ms);
 
--- a/source/core/router.c
+++ b/source/core/router.c
@@ -2,16 +2,14 @@
 
 #include <string.h>
 
-#include "bilberrytray/base/random.h"
-#include "endpoint_state.h"
+#include "choice.h"
 
 enum
 {
-  WHOLE_PERCENT = 100,
   DEFAULT_SLOTS = 8,
-  DEFAULT_QUEUE_DEPTH = 2,
+  DEFAULT_QUEUE_DEPTH = 4,
   DEFAULT_SERVICE_MS = 500,
-  DEFAULT_REMOTE_MS = 2,
+  DEFAULT_REMOTE_MS = 0,
   DEFAULT_PREFIX_MS = 50,
   /* When to come back if nothing can be chosen: endpoints return within about a second. */
   NO_ENDPOINT_RETRY_MS = 1000,
@@ -22,6 +20,7 @@
   bt_router_options_t options;
   int32_t entries;
   uint64_t last_link_number;
+  uint64_t last_dispatch;
   bt_endpoint_state_t **endpoints;
   int32_t count;
   int32_t capacity;
@@ -31,7 +30,7 @@
 bt_default_router_options (bt_router_options_t *options)
 {
   memset (options, 0, sizeof *options);
-  options->choices = 2;
+  options->choices = 0;
   options->default_slots = DEFAULT_SLOTS;
   options->queue_depth = DEFAULT_QUEUE_DEPTH;
   options->default_service_ms = DEFAULT_SERVICE_MS;
@@ -46,6 +45,7 @@
   bt_router_t *router = bt_calloc (ctx, 1, sizeof *router);
 
   router->options = *options;
+
   router->entries = 1;
   return router;
 }
@@ -197,59 +197,6 @@
   return false;
 }
 
-/* What sending a request there costs its caller, in ms. A cached prefix counts for no more than the
- * prefill it saves: beyond that, affinity would only make a straggler. */
-static int64_t
-get_cost_ms (const bt_router_t *router,
-             const bt_endpoint_state_t *state,
-             const bt_route_request_t *request)
-{
-  const bt_router_options_t *options = &router->options;
-  const int64_t service_ms = bt_get_endpoint_service_ms (state, options);
-  const int32_t slots = bt_get_endpoint_slots (state, options);
-  int64_t cost_ms = service_ms + bt_get_endpoint_wait_ms (state, options);
-
-  cost_ms += service_ms * bt_get_endpoint_load (state) / (slots > 0 ? slots : 1) / 2;
-  if (options->failure_domain[0] != 0
-      && strcmp (options->failure_domain, state->endpoint.failure_domain) != 0)
-    cost_ms += options->remote_ms;
-  if (bt_has_endpoint_prefix (state, request->prefix))
-    cost_ms -= options->prefix_ms;
-  return cost_ms;
-}
-
-/* Draws the sample of d endpoints by reservoir, and keeps its cheapest; ties go to the first drawn,
- * which is random. */
-static bt_endpoint_state_t *
-choose_cheapest (bt_router_t *router,
-                 bt_endpoint_state_t **usable,
-                 int32_t count,
-                 const bt_route_request_t *request)
-{
-  const int32_t choices = router->options.choices > 0 ? router->options.choices : count;
-  bt_endpoint_state_t *best = NULL;
-  int64_t best_ms = 0;
-  bt_random_t random;
-
-  bt_seed_random (&random, request->seed);
-  for (int32_t i = 0; i < choices && i < count; i++)
-    {
-      const int32_t at = i + (int32_t)bt_random_below (&random, (uint64_t)(count - i));
-      bt_endpoint_state_t *state = usable[at];
-      int64_t cost_ms;
-
-      usable[at] = usable[i];
-      usable[i] = state;
-      cost_ms = get_cost_ms (router, state, request);
-      if (best == NULL || cost_ms < best_ms)
-        {
-          best = state;
-          best_ms = cost_ms;
-        }
-    }
-  return best;
-}
-
 bt_reason_t
 bt_choose_endpoint (bt_router_t *router,
                     const bt_route_request_t *request,
@@ -269,7 +216,7 @@
         usable[count++] = state;
     }
   *retry_after_ms = 0;
-  best = choose_cheapest (router, usable, count, request);
+  best = bt_choose_state (&router->options, router->entries, usable, count, request, now_ms);
   if (best == NULL)
     {
       *retry_after_ms = NO_ENDPOINT_RETRY_MS;
@@ -288,6 +235,7 @@
   if (state == NULL)
     return;
   bt_add_endpoint_own (state, 1, now_ms);
+  state->last_dispatch = ++router->last_dispatch;
   bt_set_endpoint_prefix (state, prefix, true, now_ms);
 }
 
@@ -387,9 +335,7 @@
       && bt_record_outlier_failure (&state->outlier, &router->options.outlier) == BT_OUTLIER_OUT)
     take_out (router, state, now_ms);
   state->linked = false;
-  state->reported = false;
-  state->own = 0;
-  state->others = 0;
+  bt_forget_endpoint_load (state);
 }
 
 void
@@ -438,7 +384,7 @@
       if (!is_usable (router, state, app, now_ms))
         continue;
       slots = bt_get_endpoint_slots (state, options);
-      room = slots + options->queue_depth - bt_get_endpoint_load (state);
+      room = slots + options->queue_depth - bt_get_endpoint_commitment (state, router->entries);
       capacity->endpoints++;
       capacity->slots += slots;
       capacity->own_slots += get_own_slots (router, state, slots);
