--- a/include/bilberrytray/core/router.h
+++ b/include/bilberrytray/core/router.h
@@ -96,8 +96,8 @@
 /** Tells how many entries share the endpoints, this one included; from membership, at least 1. */
 void bt_set_router_entries (bt_router_t *router, int32_t entries);
 
-/** Adds an endpoint, or updates the one of the same identity. An older incarnation of the same
- * instance is removed. */
+/** Adds an endpoint, or updates the one of the same identity; its link is up. An older incarnation
+ * of the same instance is removed, and what had no link for ten minutes. */
 void bt_put_endpoint (bt_context_t *ctx,
                       bt_router_t *router,
                       const bt_endpoint_t *endpoint,
@@ -143,10 +143,10 @@
                             int64_t now_ms);
 
 /** Records that the link to an agent died: it gets no work, and this entry's own counts on it are
- * forgotten, until bt_record_link_up. */
+ * forgotten, until bt_record_link_up or bt_put_endpoint. */
 void bt_record_link_down (bt_router_t *router, const bt_identity_t *identity, int64_t now_ms);
 
-/** Records that the link to an agent is there again. bt_put_endpoint implies it for a new one. */
+/** Records that the link to an agent is there again. bt_put_endpoint implies it. */
 void bt_record_link_up (bt_router_t *router, const bt_identity_t *identity, int64_t now_ms);
 
 /** Sums up what the endpoints of an app can take. */
--- /dev/null
+++ b/source/agent/agent.h
@@ -0,0 +1,58 @@
+#ifndef BILBERRYTRAY_SOURCE_AGENT_AGENT_H
+#define BILBERRYTRAY_SOURCE_AGENT_AGENT_H
+
+/** @file
+ * The process beside one endpoint: the last gate before it.
+ */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "bilberrytray/base/context.h"
+#include "bilberrytray/base/error.h"
+
+typedef struct bt_agent bt_agent_t;
+
+/** All settings of bilberry-agent; see its --help for what each means. */
+typedef struct bt_agent_settings
+{
+  const char *instance;
+  const char *failure_domain;
+  const char *listen;
+  const char *page;
+  const char *secret;
+  const char *endpoint;
+  const char *app;
+  const char *endpoint_url;
+  const char *log_level;
+  bool plain;
+  int64_t slots;
+  int64_t queue;
+  int64_t beat_ms;
+  int64_t link_idle_ms;
+  int64_t connect_ms;
+  int64_t endpoint_idle_ms;
+  int64_t resumes;
+  int64_t load_ms;
+  int64_t max_frame_bytes;
+  int64_t max_links;
+  int64_t drain_ms;
+} bt_agent_settings_t;
+
+/** Starts links, upstream and page. NULL with @p error when one can't start. */
+bt_agent_t *
+bt_new_agent (bt_context_t *ctx, const bt_agent_settings_t *settings, bt_error_t *error);
+
+/** The port on which links are accepted. */
+int32_t bt_get_agent_port (const bt_agent_t *agent);
+
+/** Takes no new work from now on, and tells every link. */
+void bt_leave_agent (bt_context_t *ctx, bt_agent_t *agent);
+
+/** True when nothing runs any more and no duty of this agent is left. */
+bool bt_is_agent_idle (bt_context_t *ctx, bt_agent_t *agent);
+
+/** Stops all threads and frees the agent. NULL is accepted. */
+void bt_drop_agent (bt_context_t *ctx, bt_agent_t *agent);
+
+#endif
--- a/source/core/endpoint_state.h
+++ b/source/core/endpoint_state.h
@@ -33,6 +33,7 @@
   bt_endpoint_t endpoint;
   uint64_t link_number;
   bool linked;
+  int64_t down_ms; /**< When the link died last. */
   bool leaving;
   bool reported; /**< A load report came since the link came up. */
   bt_load_t load;
--- a/source/core/router.c
+++ b/source/core/router.c
@@ -13,6 +13,9 @@
   DEFAULT_PREFIX_MS = 50,
   /* When to come back if nothing can be chosen: endpoints return within about a second. */
   NO_ENDPOINT_RETRY_MS = 1000,
+  /* An endpoint without a link is forgotten after this. */
+  FORGET_MS = 600000,
+  FIRST_ENDPOINTS = 16,
 };
 
 struct bt_router
@@ -93,12 +96,35 @@
   router->endpoints[index] = router->endpoints[--router->count];
 }
 
-static void
-remove_older_starts (bt_context_t *ctx, bt_router_t *router, const bt_identity_t *identity)
+/* Removes other starts of the same instance, and what has been without a link for so long that its
+ * instance was replaced: each day brings new instances, and their names never come back. Returns
+ * the record of the earlier start, so that an endpoint that fails, restarts and fails again can't
+ * shed its record by restarting. */
+static bt_outlier_t
+remove_stale (bt_context_t *ctx, bt_router_t *router, const bt_identity_t *identity, int64_t now_ms)
 {
+  bt_outlier_t outlier = { 0 };
+
   for (int32_t i = router->count - 1; i >= 0; i--)
-    if (strcmp (router->endpoints[i]->endpoint.identity.instance, identity->instance) == 0)
-      remove_at (ctx, router, i);
+    {
+      const bt_endpoint_state_t *state = router->endpoints[i];
+      const bool same = strcmp (state->endpoint.identity.instance, identity->instance) == 0;
+
+      if (same)
+        outlier = state->outlier;
+      if (same || (!state->linked && now_ms - state->down_ms > FORGET_MS))
+        remove_at (ctx, router, i);
+    }
+  return outlier;
+}
+
+static void
+connect_endpoint (bt_router_t *router, bt_endpoint_state_t *state)
+{
+  if (state->linked)
+    return;
+  state->linked = true;
+  state->link_number = ++router->last_link_number;
 }
 
 void
@@ -108,24 +134,25 @@
                  int64_t now_ms)
 {
   bt_endpoint_state_t *state = find_endpoint (router, &endpoint->identity);
+  bt_outlier_t outlier;
 
-  (void)now_ms;
   if (state != NULL)
     {
       state->endpoint = *endpoint;
+      connect_endpoint (router, state);
       return;
     }
-  remove_older_starts (ctx, router, &endpoint->identity);
+  outlier = remove_stale (ctx, router, &endpoint->identity, now_ms);
   if (router->count == router->capacity)
     {
-      router->capacity = router->capacity == 0 ? 16 : router->capacity * 2;
+      router->capacity = router->capacity == 0 ? FIRST_ENDPOINTS : router->capacity * 2;
       router->endpoints = bt_realloc (ctx, router->endpoints, (size_t)router->capacity,
                                       sizeof (bt_endpoint_state_t *));
     }
   state = bt_calloc (ctx, 1, sizeof *state);
   state->endpoint = *endpoint;
-  state->linked = true;
-  state->link_number = ++router->last_link_number;
+  state->outlier = outlier;
+  connect_endpoint (router, state);
   router->endpoints[router->count++] = state;
 }
 
@@ -335,6 +362,7 @@
       && bt_record_outlier_failure (&state->outlier, &router->options.outlier) == BT_OUTLIER_OUT)
     take_out (router, state, now_ms);
   state->linked = false;
+  state->down_ms = now_ms;
   bt_forget_endpoint_load (state);
 }
 
@@ -344,10 +372,8 @@
   bt_endpoint_state_t *state = find_endpoint (router, identity);
 
   (void)now_ms;
-  if (state == NULL || state->linked)
-    return;
-  state->linked = true;
-  state->link_number = ++router->last_link_number;
+  if (state != NULL)
+    connect_endpoint (router, state);
 }
 
 void
--- /dev/null
+++ b/test/core/test_admission.c
@@ -0,0 +1,325 @@
+#include <CUnit/Basic.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "bilberrytray/core/admission.h"
+
+enum
+{
+  SERVICE_MS = 100,
+  SLOTS = 4,
+  LONG_MS = 100000,
+  QUEUE_LIMIT = 6,
+};
+
+static bt_context_t *ctx;
+static bt_router_t *router;
+static bt_admission_t *admission;
+static uint64_t seed;
+
+static void
+start (int32_t queue_limit)
+{
+  bt_router_options_t routing;
+  bt_admission_options_t options;
+  bt_endpoint_t endpoint;
+
+  memset (&endpoint, 0, sizeof endpoint);
+  bt_copy_name (endpoint.identity.instance, "agent-0");
+  bt_copy_name (endpoint.app, "drafts");
+  ctx = bt_new_context ();
+  bt_default_router_options (&routing);
+  routing.default_slots = SLOTS;
+  routing.default_service_ms = SERVICE_MS;
+  routing.queue_depth = 0;
+  router = bt_new_router (ctx, &routing);
+  bt_put_endpoint (ctx, router, &endpoint, 0);
+  bt_default_admission_options (&options);
+  options.queue_limit = queue_limit;
+  admission = bt_new_admission (ctx, router, &options);
+}
+
+static void
+stop (void)
+{
+  bt_drop_admission (ctx, admission);
+  bt_drop_router (ctx, router);
+  bt_drop_context (ctx);
+}
+
+/* What a shell does after ADMIT. */
+static bt_route_t
+send_out (int64_t now_ms)
+{
+  const bt_route_request_t request = { .app = "drafts", .seed = seed++ };
+  bt_route_t route;
+  int64_t retry_after_ms;
+
+  CU_ASSERT_EQUAL (bt_choose_endpoint (router, &request, now_ms, &route, &retry_after_ms),
+                   BT_REASON_NONE);
+  bt_record_dispatch (router, &route, 0, now_ms);
+  return route;
+}
+
+static bt_admission_decision_t
+decide (bt_admission_request_t request, int64_t now_ms)
+{
+  bt_admission_decision_t decision;
+
+  request.app = "drafts";
+  request.account = request.account == NULL ? "a" : request.account;
+  request.deadline_left_ms = request.deadline_left_ms == 0 ? LONG_MS : request.deadline_left_ms;
+  request.seed = seed++;
+  bt_decide_admission (ctx, admission, &request, now_ms, &decision);
+  if (decision.action == BT_ADMISSION_ADMIT)
+    send_out (now_ms);
+  return decision;
+}
+
+static void
+fill_endpoint (void)
+{
+  for (uint64_t i = 0; i < SLOTS; i++)
+    CU_ASSERT_EQUAL (decide ((bt_admission_request_t){ .id = 1000 + i }, 0).action,
+                     BT_ADMISSION_ADMIT);
+}
+
+/* Frees a slot and returns the number of the request that goes out for it; 0 for none. */
+static uint64_t
+free_slot (int64_t now_ms)
+{
+  bt_route_t route = send_out (now_ms);
+  bt_admission_decision_t decision;
+
+  bt_record_attempt_end (router, &route, BT_ATTEMPT_CANCELLED, 0, now_ms);
+  bt_record_attempt_end (router, &route, BT_ATTEMPT_ANSWERED, SERVICE_MS, now_ms);
+  if (!bt_next_admission (admission, now_ms, &decision))
+    return 0;
+  CU_ASSERT_EQUAL (decision.action, BT_ADMISSION_ADMIT);
+  send_out (now_ms);
+  return decision.id;
+}
+
+/* A chef's draft would wait longer than the chef can. He would learn so only at the cutoff, when it
+ * is too late to order elsewhere. Cause: a queue that takes what it can't serve in time. */
+static void
+test_unreachable_deadline_is_refused_at_once (void)
+{
+  bt_admission_decision_t decision;
+
+  start (100);
+  fill_endpoint ();
+  CU_ASSERT_EQUAL (decide ((bt_admission_request_t){ .id = 1, .deadline_left_ms = 50 }, 0).reason,
+                   BT_REASON_DEADLINE_UNREACHABLE);
+  for (uint64_t i = 2; i < 22; i++)
+    CU_ASSERT_EQUAL (decide ((bt_admission_request_t){ .id = i }, 0).action, BT_ADMISSION_QUEUE);
+  decision = decide ((bt_admission_request_t){ .id = 30, .deadline_left_ms = 400 }, 0);
+  CU_ASSERT_EQUAL (decision.action, BT_ADMISSION_REFUSE);
+  CU_ASSERT_EQUAL (decision.reason, BT_REASON_DEADLINE_UNREACHABLE);
+  CU_ASSERT (decision.retry_after_ms > 0);
+  CU_ASSERT_EQUAL (bt_count_waiting (admission, "drafts"), 20);
+  stop ();
+}
+
+static void
+test_rule_limit_lets_its_burst_through_and_names_the_wait (void)
+{
+  const bt_admission_request_t request = { .id = 1, .rule = "r", .rule_per_second = 2 };
+  bt_admission_request_t again = request;
+  bt_admission_decision_t decision;
+
+  start (100);
+  CU_ASSERT_EQUAL (decide (request, 0).action, BT_ADMISSION_ADMIT);
+  CU_ASSERT_EQUAL (decide (request, 0).action, BT_ADMISSION_ADMIT);
+  decision = decide (request, 0);
+  CU_ASSERT_EQUAL (decision.reason, BT_REASON_RULE_LIMIT);
+  CU_ASSERT (decision.retry_after_ms >= 500);
+  again.again = true;
+  CU_ASSERT_EQUAL (decide (again, 0).action, BT_ADMISSION_ADMIT);
+  CU_ASSERT_EQUAL (decide (request, 500).action, BT_ADMISSION_ADMIT);
+  CU_ASSERT_EQUAL (decide (request, 500).reason, BT_REASON_RULE_LIMIT);
+  stop ();
+}
+
+static void
+test_full_queue_refuses (void)
+{
+  start (QUEUE_LIMIT);
+  fill_endpoint ();
+  for (uint64_t i = 1; i <= QUEUE_LIMIT; i++)
+    CU_ASSERT_EQUAL (decide ((bt_admission_request_t){ .id = i }, 0).action, BT_ADMISSION_QUEUE);
+  CU_ASSERT_EQUAL (decide ((bt_admission_request_t){ .id = 99 }, 0).reason, BT_REASON_QUEUE_FULL);
+  CU_ASSERT_TRUE (bt_cancel_admission (admission, 3));
+  CU_ASSERT_FALSE (bt_cancel_admission (admission, 3));
+  CU_ASSERT_EQUAL (decide ((bt_admission_request_t){ .id = 99 }, 0).action, BT_ADMISSION_QUEUE);
+  stop ();
+}
+
+/* Two large accounts send ten times what fits, a small one a request now and then. The small one's
+ * customers would stand behind the large ones' backlog. Cause: one queue in order of arrival. */
+static void
+test_large_account_waits_for_its_share_and_small_one_does_not (void)
+{
+  int32_t refused = 0;
+
+  start (1000);
+  fill_endpoint ();
+  for (uint64_t i = 1; i <= 200; i++)
+    {
+      const char *account = i % 2 == 0 ? "large-1" : "large-2";
+      const bt_admission_request_t request = { .id = i,
+                                               .account = account,
+                                               .deadline_left_ms = 1000 };
+
+      refused += decide (request, (int64_t)i).action == BT_ADMISSION_REFUSE ? 1 : 0;
+    }
+  CU_ASSERT (refused > 150);
+  CU_ASSERT_EQUAL (
+      decide ((bt_admission_request_t){ .id = 500, .account = "small", .deadline_left_ms = 250 },
+              200)
+          .action,
+      BT_ADMISSION_QUEUE);
+  CU_ASSERT (free_slot (200) == 500 || free_slot (200) == 500 || free_slot (200) == 500);
+  stop ();
+}
+
+/* One of two accounts has its share of the queue, the other little. The first is refused for its
+ * share, not for the load, so that its people know whom to ask. */
+static void
+test_share_is_named_as_the_reason (void)
+{
+  bt_admission_decision_t decision = { 0 };
+
+  start (1000);
+  fill_endpoint ();
+  for (uint64_t i = 1; i <= 300 && decision.action != BT_ADMISSION_REFUSE; i++)
+    {
+      decide ((bt_admission_request_t){ .id = 2 * i, .account = "other", .deadline_left_ms = 200 },
+              (int64_t)i);
+      decision = decide (
+          (bt_admission_request_t){ .id = 2 * i + 1, .account = "large", .deadline_left_ms = 2000 },
+          (int64_t)i);
+    }
+  CU_ASSERT_EQUAL (decision.reason, BT_REASON_ACCOUNT_SHARE);
+  CU_ASSERT (decision.retry_after_ms > 0);
+  stop ();
+}
+
+static void
+test_priority_and_further_attempts_go_first (void)
+{
+  start (100);
+  fill_endpoint ();
+  decide ((bt_admission_request_t){ .id = 1 }, 0);
+  decide ((bt_admission_request_t){ .id = 2 }, 0);
+  decide ((bt_admission_request_t){ .id = 3, .again = true }, 0);
+  decide ((bt_admission_request_t){ .id = 4, .priority = 1 }, 0);
+  CU_ASSERT_EQUAL (free_slot (0), 4);
+  CU_ASSERT_EQUAL (free_slot (0), 3);
+  CU_ASSERT_EQUAL (free_slot (0), 1);
+  CU_ASSERT_EQUAL (free_slot (0), 2);
+  CU_ASSERT_EQUAL (free_slot (0), 0);
+  stop ();
+}
+
+/* The last link goes while requests wait. A link that is dialled again within a second must find
+ * them; if none comes, they must not be held until their deadlines. */
+static void
+test_queue_outlives_its_endpoint_for_a_moment_only (void)
+{
+  bt_identity_t identity = { .instance = "agent-0" };
+  bt_admission_decision_t decision;
+
+  start (100);
+  fill_endpoint ();
+  decide ((bt_admission_request_t){ .id = 1 }, 0);
+  bt_record_link_down (router, &identity, 0);
+  CU_ASSERT_EQUAL (decide ((bt_admission_request_t){ .id = 2 }, 0).reason, BT_REASON_NO_ENDPOINT);
+  CU_ASSERT_FALSE (bt_next_admission (admission, 900, &decision));
+  CU_ASSERT_TRUE (bt_next_admission (admission, 1100, &decision));
+  CU_ASSERT_EQUAL (decision.id, 1);
+  CU_ASSERT_EQUAL (decision.reason, BT_REASON_NO_ENDPOINT);
+  stop ();
+}
+
+static void
+test_overdue_requests_are_given_up_at_once (void)
+{
+  bt_admission_decision_t decision;
+
+  start (100);
+  fill_endpoint ();
+  decide ((bt_admission_request_t){ .id = 1, .deadline_left_ms = 500 }, 0);
+  CU_ASSERT_FALSE (bt_next_admission (admission, 500 - SERVICE_MS - 1, &decision));
+  CU_ASSERT_TRUE (bt_next_admission (admission, 500 - SERVICE_MS, &decision));
+  CU_ASSERT_EQUAL (decision.id, 1);
+  CU_ASSERT_EQUAL (decision.reason, BT_REASON_DEADLINE_UNREACHABLE);
+  stop ();
+}
+
+/* A thousand callers are refused within one second and told the same time. They come back as one,
+ * and are refused again. */
+static void
+test_come_back_times_are_spread (void)
+{
+  int32_t seconds[10] = { 0 };
+
+  start (1);
+  fill_endpoint ();
+  decide ((bt_admission_request_t){ .id = 1 }, 0);
+  for (uint64_t i = 0; i < 1000; i++)
+    {
+      const int64_t after_ms =
+          decide ((bt_admission_request_t){ .id = 2 + i }, 0).retry_after_ms / 200;
+
+      CU_ASSERT (after_ms >= 0 && after_ms < 10);
+      seconds[after_ms]++;
+    }
+  for (int32_t i = 0; i < 10; i++)
+    CU_ASSERT (seconds[i] <= 300);
+  stop ();
+}
+
+/* Seven entries have filled every endpoint and refill each slot that falls free. An eighth, whose
+ * callers came a moment later, would never see room. It may always hold its equal part. */
+static void
+test_late_entry_gets_its_equal_part (void)
+{
+  const bt_identity_t identity = { .instance = "agent-0" };
+  const bt_load_t full = {
+    .running = SLOTS, .queued = 4, .slots = SLOTS, .service_ms = SERVICE_MS
+  };
+
+  start (100);
+  bt_set_router_entries (router, 2);
+  bt_record_load (router, &identity, &full, 0);
+  CU_ASSERT_EQUAL (decide ((bt_admission_request_t){ .id = 1 }, 0).action, BT_ADMISSION_ADMIT);
+  CU_ASSERT_EQUAL (decide ((bt_admission_request_t){ .id = 2 }, 0).action, BT_ADMISSION_ADMIT);
+  CU_ASSERT_EQUAL (decide ((bt_admission_request_t){ .id = 3 }, 0).action, BT_ADMISSION_QUEUE);
+  stop ();
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned int failed;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("admission", NULL, NULL);
+  CU_ADD_TEST (suite, test_unreachable_deadline_is_refused_at_once);
+  CU_ADD_TEST (suite, test_rule_limit_lets_its_burst_through_and_names_the_wait);
+  CU_ADD_TEST (suite, test_full_queue_refuses);
+  CU_ADD_TEST (suite, test_large_account_waits_for_its_share_and_small_one_does_not);
+  CU_ADD_TEST (suite, test_share_is_named_as_the_reason);
+  CU_ADD_TEST (suite, test_priority_and_further_attempts_go_first);
+  CU_ADD_TEST (suite, test_queue_outlives_its_endpoint_for_a_moment_only);
+  CU_ADD_TEST (suite, test_overdue_requests_are_given_up_at_once);
+  CU_ADD_TEST (suite, test_come_back_times_are_spread);
+  CU_ADD_TEST (suite, test_late_entry_gets_its_equal_part);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failed = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/test/core/test_router.c
@@ -0,0 +1,355 @@
+#include <CUnit/Basic.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "bilberrytray/core/router.h"
+
+enum
+{
+  SERVICE_MS = 100,
+  SLOTS = 8,
+  ENTRIES = 8,
+  PREFIX = 77,
+};
+
+static bt_context_t *ctx;
+static bt_router_t *router;
+static uint64_t seed;
+
+static bt_endpoint_t
+make_endpoint (int32_t number, uint64_t incarnation)
+{
+  bt_endpoint_t endpoint;
+
+  memset (&endpoint, 0, sizeof endpoint);
+  snprintf (endpoint.identity.instance, sizeof endpoint.identity.instance, "agent-%d", number);
+  endpoint.identity.incarnation = incarnation;
+  bt_copy_name (endpoint.app, "drafts");
+  return endpoint;
+}
+
+static bt_identity_t
+identify (int32_t number)
+{
+  return make_endpoint (number, 1).identity;
+}
+
+static void
+start (int32_t endpoints)
+{
+  bt_router_options_t options;
+
+  ctx = bt_new_context ();
+  bt_default_router_options (&options);
+  options.default_slots = SLOTS;
+  options.default_service_ms = SERVICE_MS;
+  router = bt_new_router (ctx, &options);
+  for (int32_t i = 0; i < endpoints; i++)
+    {
+      const bt_endpoint_t endpoint = make_endpoint (i, 1);
+
+      bt_put_endpoint (ctx, router, &endpoint, 0);
+    }
+}
+
+static void
+stop (void)
+{
+  bt_drop_router (ctx, router);
+  bt_drop_context (ctx);
+}
+
+/* Chooses for a request; the endpoint's number, or -1 with the reason. */
+static int32_t
+choose (int64_t now_ms, uint64_t prefix, int32_t excluded, bt_route_t *route)
+{
+  const bt_identity_t identity = identify (excluded);
+  const bt_route_request_t request = { .app = "drafts",
+                                       .prefix = prefix,
+                                       .excluded = &identity,
+                                       .excluded_count = excluded >= 0 ? 1 : 0,
+                                       .seed = seed++ };
+  int64_t retry_after_ms = 0;
+  int32_t number = -1;
+
+  if (bt_choose_endpoint (router, &request, now_ms, route, &retry_after_ms) == BT_REASON_NONE)
+    {
+      CU_ASSERT_EQUAL (sscanf (route->identity.instance, "agent-%d", &number), 1); /* NOLINT */
+      return number;
+    }
+  CU_ASSERT (retry_after_ms > 0);
+  return -1;
+}
+
+static int32_t
+dispatch (int64_t now_ms)
+{
+  bt_route_t route;
+  const int32_t number = choose (now_ms, 0, -1, &route);
+
+  if (number >= 0)
+    bt_record_dispatch (router, &route, 0, now_ms);
+  return number;
+}
+
+static void
+report (int32_t number, int32_t total, int64_t age_ms, int64_t now_ms)
+{
+  const bt_identity_t identity = identify (number);
+  const bt_load_t load = {
+    .running = total, .slots = SLOTS, .service_ms = SERVICE_MS, .age_ms = age_ms
+  };
+
+  bt_record_load (router, &identity, &load, now_ms);
+}
+
+static int32_t
+get_room (int64_t now_ms)
+{
+  bt_capacity_t capacity;
+
+  bt_get_capacity (router, "drafts", now_ms, &capacity);
+  return capacity.room;
+}
+
+static int32_t
+get_in_flight (void)
+{
+  bt_capacity_t capacity;
+
+  bt_get_capacity (router, "drafts", 0, &capacity);
+  return capacity.in_flight;
+}
+
+static void
+test_unusable_endpoints_are_never_chosen (void)
+{
+  const bt_identity_t leaving = identify (0);
+  const bt_identity_t dead = identify (1);
+  bt_route_t route;
+
+  start (4);
+  bt_set_endpoint_leaving (router, &leaving, true);
+  bt_record_link_down (router, &dead, 0);
+  for (int32_t i = 0; i < 100; i++)
+    CU_ASSERT_EQUAL (choose (0, 0, 2, &route), 3);
+  bt_remove_endpoint (ctx, router, &route.identity);
+  CU_ASSERT_EQUAL (choose (0, 0, 2, &route), -1);
+  CU_ASSERT_EQUAL (choose (0, 0, 0, &route), 2);
+  stop ();
+}
+
+/* A link dies with eight requests on it, and the agent is dialled again. Late ends of the eight
+ * arrive from the sweep of old calls. If they were counted, the endpoint would look idle (or less)
+ * while it is busy with new work. */
+static void
+test_dead_links_take_their_counts_along (void)
+{
+  const bt_identity_t identity = identify (0);
+  bt_route_t old;
+  bt_route_t fresh;
+
+  start (1);
+  choose (0, 0, -1, &old);
+  for (int32_t i = 0; i < SLOTS; i++)
+    bt_record_dispatch (router, &old, 0, 0);
+  bt_record_link_down (router, &identity, 10);
+  CU_ASSERT_EQUAL (get_in_flight (), 0);
+  bt_record_link_up (router, &identity, 20);
+  CU_ASSERT_EQUAL (choose (20, 0, -1, &fresh), 0);
+  bt_record_dispatch (router, &fresh, 0, 20);
+  for (int32_t i = 0; i < SLOTS; i++)
+    bt_record_attempt_end (router, &old, BT_ATTEMPT_FAILED, 10, 30);
+  CU_ASSERT_EQUAL (get_in_flight (), 1);
+  stop ();
+}
+
+/* Something between the two ends loses a connection; the entry dials again and hears heartbeats of
+ * the same start of the agent. Without taking it back, the healthy endpoint would stay unused until
+ * its process is replaced. */
+static void
+test_heartbeats_on_a_new_link_bring_an_endpoint_back (void)
+{
+  const bt_endpoint_t endpoint = make_endpoint (0, 1);
+
+  start (1);
+  bt_record_link_down (router, &endpoint.identity, 0);
+  CU_ASSERT_EQUAL (dispatch (10), -1);
+  bt_put_endpoint (ctx, router, &endpoint, 20);
+  CU_ASSERT_EQUAL (dispatch (20), 0);
+  stop ();
+}
+
+/* A report says "three" but speaks of a moment before this entry filled the endpoint. Taking own
+ * work of now out of a count of then would make the endpoint look free for as long as reports lag,
+ * and it would be sent twice what it holds. */
+static void
+test_late_reports_are_corrected_by_own_work (void)
+{
+  bt_route_t route;
+
+  start (2);
+  report (0, 0, 0, 0);
+  report (1, 4, 0, 0);
+  CU_ASSERT_EQUAL (choose (100, 0, 1, &route), 0);
+  for (int32_t i = 0; i < 4; i++)
+    bt_record_dispatch (router, &route, 0, 100);
+  report (0, 3, 500, 550);
+  report (1, 4, 500, 550);
+  CU_ASSERT_EQUAL (get_room (550), 2 * (SLOTS + 4) - 7 - 4);
+  report (0, 7, 100, 700);
+  CU_ASSERT_EQUAL (get_room (700), 2 * (SLOTS + 4) - 7 - 4);
+  stop ();
+}
+
+/* A burst reaches eight entries that all hold the same old report of idle endpoints. Each sees room
+ * for everything, together they send eight times what fits, and most of it comes back as refused.
+ * Cause: an entry doesn't see the others' work; so it takes theirs to grow as its own. */
+static void
+test_entries_share_the_room_of_an_old_report (void)
+{
+  start (4);
+  bt_set_router_entries (router, ENTRIES);
+  for (int32_t i = 0; i < 4; i++)
+    report (i, 0, 1000, 1000);
+  for (int32_t sent = 0; sent < 100 && get_room (1000) > 0; sent++)
+    CU_ASSERT (dispatch (1000) >= 0);
+  CU_ASSERT (get_in_flight () * ENTRIES >= 4 * SLOTS);
+  CU_ASSERT (get_in_flight () * ENTRIES <= 4 * (SLOTS + 4 + ENTRIES));
+  stop ();
+}
+
+static void
+test_work_spreads_evenly_without_reports (void)
+{
+  int32_t counts[5] = { 0 };
+
+  start (5);
+  for (int32_t i = 0; i < 50; i++)
+    {
+      bt_route_t route;
+      const int32_t number = choose (i, 0, -1, &route);
+
+      counts[number]++;
+      bt_record_dispatch (router, &route, 0, i);
+      if (i % 2 == 0)
+        bt_record_attempt_end (router, &route, BT_ATTEMPT_CANCELLED, 0, i);
+    }
+  for (int32_t i = 0; i < 5; i++)
+    CU_ASSERT_EQUAL (counts[i], 10);
+  stop ();
+}
+
+static void
+test_slow_endpoints_get_less (void)
+{
+  bt_load_t slow = { .slots = SLOTS, .service_ms = 5 * SERVICE_MS };
+  const bt_identity_t identity = identify (0);
+  int32_t sent = 0;
+
+  start (4);
+  bt_record_load (router, &identity, &slow, 0);
+  for (int32_t i = 1; i < 4; i++)
+    report (i, 0, 0, 0);
+  for (int32_t i = 0; i < 3 * SLOTS; i++)
+    sent += dispatch (0) == 0 ? 1 : 0;
+  CU_ASSERT_EQUAL (sent, 0);
+  stop ();
+}
+
+static void
+test_a_cached_prefix_is_followed_only_while_it_pays (void)
+{
+  const bt_identity_t identity = identify (2);
+  bt_route_t route;
+
+  start (4);
+  bt_record_prefix (router, &identity, PREFIX, true, 0);
+  CU_ASSERT_EQUAL (choose (0, PREFIX, -1, &route), 2);
+  for (int32_t i = 0; i < 2 * SLOTS; i++)
+    bt_record_dispatch (router, &route, 0, 0);
+  CU_ASSERT_NOT_EQUAL (choose (0, PREFIX, -1, &route), 2);
+  bt_record_prefix (router, &identity, PREFIX, false, 1);
+  stop ();
+}
+
+/* An endpoint fails, its process is restarted and fails again, every second. With each start a new
+ * incarnation comes, and with a fresh record each would cost callers three failures. */
+static void
+test_restarts_do_not_clear_the_record (void)
+{
+  start (4);
+  for (uint64_t incarnation = 2; incarnation < 6; incarnation++)
+    {
+      const bt_endpoint_t endpoint = make_endpoint (0, incarnation);
+      const int64_t now_ms = (int64_t)incarnation * 10;
+      bt_route_t route = { .identity = endpoint.identity };
+      int32_t tries = 0;
+
+      bt_put_endpoint (ctx, router, &endpoint, now_ms);
+      for (; tries < 20 && choose (now_ms, 0, -1, &route) != 0; tries++)
+        continue;
+      if (tries < 20)
+        bt_record_dispatch (router, &route, 0, now_ms);
+      bt_record_link_down (router, &endpoint.identity, now_ms + 1);
+    }
+  CU_ASSERT_EQUAL (bt_count_outliers (router, "drafts", 70), 1);
+  stop ();
+}
+
+/* A switch fails and every endpoint looks bad. If all were taken out, the app would be gone, though
+ * each still answers some requests. */
+static void
+test_some_endpoints_always_stay_in (void)
+{
+  start (4);
+  for (int32_t i = 0; i < 200; i++)
+    {
+      bt_route_t route;
+
+      CU_ASSERT (choose (0, 0, -1, &route) >= 0);
+      bt_record_dispatch (router, &route, 0, 0);
+      bt_record_attempt_end (router, &route, BT_ATTEMPT_FAILED, 10, 0);
+    }
+  CU_ASSERT_EQUAL (bt_count_outliers (router, "drafts", 0), 2);
+  stop ();
+}
+
+static void
+test_replaced_instances_are_forgotten (void)
+{
+  const bt_endpoint_t other = make_endpoint (9, 1);
+  const bt_identity_t identity = identify (0);
+
+  start (2);
+  bt_record_link_down (router, &identity, 0);
+  bt_put_endpoint (ctx, router, &other, 3600000);
+  CU_ASSERT_FALSE (bt_remove_endpoint (ctx, router, &identity));
+  stop ();
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned int failed;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("router", NULL, NULL);
+  CU_ADD_TEST (suite, test_unusable_endpoints_are_never_chosen);
+  CU_ADD_TEST (suite, test_dead_links_take_their_counts_along);
+  CU_ADD_TEST (suite, test_heartbeats_on_a_new_link_bring_an_endpoint_back);
+  CU_ADD_TEST (suite, test_late_reports_are_corrected_by_own_work);
+  CU_ADD_TEST (suite, test_entries_share_the_room_of_an_old_report);
+  CU_ADD_TEST (suite, test_work_spreads_evenly_without_reports);
+  CU_ADD_TEST (suite, test_slow_endpoints_get_less);
+  CU_ADD_TEST (suite, test_a_cached_prefix_is_followed_only_while_it_pays);
+  CU_ADD_TEST (suite, test_restarts_do_not_clear_the_record);
+  CU_ADD_TEST (suite, test_some_endpoints_always_stay_in);
+  CU_ADD_TEST (suite, test_replaced_instances_are_forgotten);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failed = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failed == 0 ? 0 : 1;
+}
