--- a/source/core/router.c
+++ b/source/core/router.c
@@ -2,19 +2,20 @@
 
 #include <string.h>
 
-#include "bilberrytray/base/random.h"
-#include "endpoint_state.h"
+#include "choice.h"
 
 enum
 {
-  WHOLE_PERCENT = 100,
   DEFAULT_SLOTS = 8,
-  DEFAULT_QUEUE_DEPTH = 2,
+  DEFAULT_QUEUE_DEPTH = 4,
   DEFAULT_SERVICE_MS = 500,
-  DEFAULT_REMOTE_MS = 2,
+  DEFAULT_REMOTE_MS = 0,
   DEFAULT_PREFIX_MS = 50,
   /* When to come back if nothing can be chosen: endpoints return within about a second. */
   NO_ENDPOINT_RETRY_MS = 1000,
+  /* An endpoint without a link is forgotten after this. */
+  FORGET_MS = 600000,
+  FIRST_ENDPOINTS = 16,
 };
 
 struct bt_router
@@ -22,6 +23,7 @@
   bt_router_options_t options;
   int32_t entries;
   uint64_t last_link_number;
+  uint64_t last_dispatch;
   bt_endpoint_state_t **endpoints;
   int32_t count;
   int32_t capacity;
@@ -31,7 +33,7 @@
 bt_default_router_options (bt_router_options_t *options)
 {
   memset (options, 0, sizeof *options);
-  options->choices = 2;
+  options->choices = 0;
   options->default_slots = DEFAULT_SLOTS;
   options->queue_depth = DEFAULT_QUEUE_DEPTH;
   options->default_service_ms = DEFAULT_SERVICE_MS;
@@ -46,6 +48,7 @@
   bt_router_t *router = bt_calloc (ctx, 1, sizeof *router);
 
   router->options = *options;
+
   router->entries = 1;
   return router;
 }
@@ -93,12 +96,35 @@
   router->endpoints[index] = router->endpoints[--router->count];
 }
 
-static void
-remove_older_starts (bt_context_t *ctx, bt_router_t *router, const bt_identity_t *identity)
+/* Removes other starts of the same instance, and what has been without a link for so long that its
+ * instance was replaced: each day brings new instances, and their names never come back. Returns
+ * the record of the earlier start, so that an endpoint that fails, restarts and fails again can't
+ * shed its record by restarting. */
+static bt_outlier_t
+remove_stale (bt_context_t *ctx, bt_router_t *router, const bt_identity_t *identity, int64_t now_ms)
 {
+  bt_outlier_t outlier = { 0 };
+
   for (int32_t i = router->count - 1; i >= 0; i--)
-    if (strcmp (router->endpoints[i]->endpoint.identity.instance, identity->instance) == 0)
-      remove_at (ctx, router, i);
+    {
+      const bt_endpoint_state_t *state = router->endpoints[i];
+      const bool same = strcmp (state->endpoint.identity.instance, identity->instance) == 0;
+
+      if (same)
+        outlier = state->outlier;
+      if (same || (!state->linked && now_ms - state->down_ms > FORGET_MS))
+        remove_at (ctx, router, i);
+    }
+  return outlier;
+}
+
+static void
+connect_endpoint (bt_router_t *router, bt_endpoint_state_t *state)
+{
+  if (state->linked)
+    return;
+  state->linked = true;
+  state->link_number = ++router->last_link_number;
 }
 
 void
@@ -108,24 +134,25 @@
                  int64_t now_ms)
 {
   bt_endpoint_state_t *state = find_endpoint (router, &endpoint->identity);
+  bt_outlier_t outlier;
 
-  (void)now_ms;
   if (state != NULL)
     {
       state->endpoint = *endpoint;
+      connect_endpoint (router, state);
       return;
     }
-  remove_older_starts (ctx, router, &endpoint->identity);
+  outlier = remove_stale (ctx, router, &endpoint->identity, now_ms);
   if (router->count == router->capacity)
     {
-      router->capacity = router->capacity == 0 ? 16 : router->capacity * 2;
+      router->capacity = router->capacity == 0 ? FIRST_ENDPOINTS : router->capacity * 2;
       router->endpoints = bt_realloc (ctx, router->endpoints, (size_t)router->capacity,
                                       sizeof (bt_endpoint_state_t *));
     }
   state = bt_calloc (ctx, 1, sizeof *state);
   state->endpoint = *endpoint;
-  state->linked = true;
-  state->link_number = ++router->last_link_number;
+  state->outlier = outlier;
+  connect_endpoint (router, state);
   router->endpoints[router->count++] = state;
 }
 
@@ -197,59 +224,6 @@
   return false;
 }
 
-/* What sending a request there costs its caller, in ms. A cached prefix counts for no more than the
- * prefill it saves: beyond that, affinity would only make a straggler. */
-static int64_t
-get_cost_ms (const bt_router_t *router,
-             const bt_endpoint_state_t *state,
-             const bt_route_request_t *request)
-{
-  const bt_router_options_t *options = &router->options;
-  const int64_t service_ms = bt_get_endpoint_service_ms (state, options);
-  const int32_t slots = bt_get_endpoint_slots (state, options);
-  int64_t cost_ms = service_ms + bt_get_endpoint_wait_ms (state, options);
-
-  cost_ms += service_ms * bt_get_endpoint_load (state) / (slots > 0 ? slots : 1) / 2;
-  if (options->failure_domain[0] != 0
-      && strcmp (options->failure_domain, state->endpoint.failure_domain) != 0)
-    cost_ms += options->remote_ms;
-  if (bt_has_endpoint_prefix (state, request->prefix))
-    cost_ms -= options->prefix_ms;
-  return cost_ms;
-}
-
-/* Draws the sample of d endpoints by reservoir, and keeps its cheapest; ties go to the first drawn,
- * which is random. */
-static bt_endpoint_state_t *
-choose_cheapest (bt_router_t *router,
-                 bt_endpoint_state_t **usable,
-                 int32_t count,
-                 const bt_route_request_t *request)
-{
-  const int32_t choices = router->options.choices > 0 ? router->options.choices : count;
-  bt_endpoint_state_t *best = NULL;
-  int64_t best_ms = 0;
-  bt_random_t random;
-
-  bt_seed_random (&random, request->seed);
-  for (int32_t i = 0; i < choices && i < count; i++)
-    {
-      const int32_t at = i + (int32_t)bt_random_below (&random, (uint64_t)(count - i));
-      bt_endpoint_state_t *state = usable[at];
-      int64_t cost_ms;
-
-      usable[at] = usable[i];
-      usable[i] = state;
-      cost_ms = get_cost_ms (router, state, request);
-      if (best == NULL || cost_ms < best_ms)
-        {
-          best = state;
-          best_ms = cost_ms;
-        }
-    }
-  return best;
-}
-
 bt_reason_t
 bt_choose_endpoint (bt_router_t *router,
                     const bt_route_request_t *request,
@@ -269,7 +243,7 @@
         usable[count++] = state;
     }
   *retry_after_ms = 0;
-  best = choose_cheapest (router, usable, count, request);
+  best = bt_choose_state (&router->options, router->entries, usable, count, request, now_ms);
   if (best == NULL)
     {
       *retry_after_ms = NO_ENDPOINT_RETRY_MS;
@@ -288,6 +262,7 @@
   if (state == NULL)
     return;
   bt_add_endpoint_own (state, 1, now_ms);
+  state->last_dispatch = ++router->last_dispatch;
   bt_set_endpoint_prefix (state, prefix, true, now_ms);
 }
 
@@ -387,9 +362,8 @@
       && bt_record_outlier_failure (&state->outlier, &router->options.outlier) == BT_OUTLIER_OUT)
     take_out (router, state, now_ms);
   state->linked = false;
-  state->reported = false;
-  state->own = 0;
-  state->others = 0;
+  state->down_ms = now_ms;
+  bt_forget_endpoint_load (state);
 }
 
 void
@@ -398,26 +372,8 @@
   bt_endpoint_state_t *state = find_endpoint (router, identity);
 
   (void)now_ms;
-  if (state == NULL || state->linked)
-    return;
-  state->linked = true;
-  state->link_number = ++router->last_link_number;
-}
-
-/* The part of an endpoint's slots that this entry holds or can get: in proportion to its own work
- * there when it is full, and its equal part of what is free otherwise. */
-static double
-get_own_slots (const bt_router_t *router, const bt_endpoint_state_t *state, int32_t slots)
-{
-  const int32_t load = bt_get_endpoint_load (state);
-  const double equal = (double)slots / router->entries;
-  double own;
-
-  if (load >= slots)
-    own = load > 0 ? (double)slots * state->own / load : 0;
-  else
-    own = state->own + (double)(slots - load) / router->entries;
-  return own > equal ? own : equal;
+  if (state != NULL)
+    connect_endpoint (router, state);
 }
 
 void
@@ -438,16 +394,22 @@
       if (!is_usable (router, state, app, now_ms))
         continue;
       slots = bt_get_endpoint_slots (state, options);
-      room = slots + options->queue_depth - bt_get_endpoint_load (state);
+      room = slots + options->queue_depth - bt_get_endpoint_commitment (state, router->entries);
       capacity->endpoints++;
       capacity->slots += slots;
-      capacity->own_slots += get_own_slots (router, state, slots);
+      /* Others that hold more than their equal part give it back under load. */
+      capacity->own_slots += slots - (bt_get_endpoint_load (state) - state->own);
       capacity->room += room > 0 ? room : 0;
       capacity->equal_part += (double)(slots + options->queue_depth) / router->entries;
       service_ms += bt_get_endpoint_service_ms (state, options);
     }
+  if (capacity->own_slots < capacity->slots / router->entries)
+    capacity->own_slots = capacity->slots / router->entries;
+  capacity->service_ms = options->default_service_ms;
   if (capacity->endpoints > 0)
     capacity->service_ms = service_ms / capacity->endpoints;
-  else
-    capacity->service_ms = options->default_service_ms;
+  capacity->full_ms = capacity->service_ms;
+  if (capacity->slots > 0)
+    capacity->full_ms += (int64_t)((double)(capacity->service_ms * options->queue_depth)
+                                   * capacity->endpoints / capacity->slots);
 }
--- a/source/entry/placement.c
+++ b/source/entry/placement.c
@@ -45,12 +45,24 @@
   apply_decision (entry, call, &decision);
 }
 
+/* Tells the router how many entries send to the same endpoints. */
+static void
+count_entries (bt_entry_t *entry)
+{
+  int32_t entries = 1;
+
+  for (const bt_peer_t *peer = entry->peers; peer != NULL; peer = peer->next)
+    entries += !peer->agent && peer->listed && !peer->listed_leaving;
+  bt_set_router_entries (entry->router, entries);
+}
+
 void
 bt_place_waiting_calls (bt_entry_t *entry)
 {
   int64_t now_ms = bt_now_ms (entry->ctx);
   bt_admission_decision_t decision = { 0 };
 
+  count_entries (entry);
   while (bt_next_admission (entry->admission, now_ms, &decision))
     {
       bt_call_t *call = bt_find_call (entry, decision.id);
--- /dev/null
+++ b/test/core/test_policy_invariants.c
@@ -0,0 +1,262 @@
+#include <CUnit/Basic.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "bilberrytray/base/random.h"
+#include "bilberrytray/core/admission.h"
+#include "bilberrytray/core/run_queue.h"
+
+enum
+{
+  SEEDS = 30,
+  STEPS = 3000,
+  SLOTS = 4,
+  QUEUE_LIMIT = 12,
+  ACCOUNTS = 5,
+  SERVICE_MS = 50,
+  ENDPOINTS = 3,
+  LEFT_MS = 2000,
+};
+
+/* What a random run over an agent's queue has seen. */
+typedef struct watch
+{
+  int32_t running;
+  int32_t waiting;
+  int32_t asked[ACCOUNTS];
+  int32_t started[ACCOUNTS];
+} watch_t;
+
+static void
+name_account (char *name, int32_t account)
+{
+  snprintf (name, BT_NAME_BYTES, "account-%d", account);
+}
+
+/* Requests are numbered so that their account can be read off. */
+static void
+take_decision (watch_t *watch, const bt_run_decision_t *decision, bool waited)
+{
+  watch->waiting -= waited ? 1 : 0;
+  if (decision->action == BT_RUN_START)
+    {
+      watch->running++;
+      watch->started[decision->id % ACCOUNTS]++;
+    }
+  else if (decision->action == BT_RUN_QUEUED)
+    watch->waiting++;
+  else
+    CU_ASSERT_NOT_EQUAL (decision->reason, BT_REASON_NONE);
+}
+
+static void
+check_agent (const bt_run_queue_t *queue, const watch_t *watch)
+{
+  bt_load_t load;
+
+  bt_get_run_load (queue, &load);
+  CU_ASSERT_EQUAL (load.running, watch->running);
+  CU_ASSERT_EQUAL (load.queued, watch->waiting);
+  CU_ASSERT (load.running <= SLOTS);
+  CU_ASSERT (load.queued <= QUEUE_LIMIT);
+  CU_ASSERT (load.queued == 0 || load.running == SLOTS);
+}
+
+static void
+offer_random (
+    bt_context_t *ctx, bt_run_queue_t *queue, bt_random_t *random, uint64_t step, watch_t *watch)
+{
+  /* Account 0 asks as much as all others together. */
+  const int32_t drawn = (int32_t)bt_random_below (random, (uint64_t)2 * ACCOUNTS);
+  const int32_t account = drawn < ACCOUNTS ? drawn : 0;
+  bt_run_decision_t decision;
+  bt_run_request_t request = { .id = step * ACCOUNTS + (uint64_t)account };
+  char name[BT_NAME_BYTES];
+
+  name_account (name, account);
+  request.account = name;
+  request.deadline_left_ms = (int64_t)bt_random_below (random, LEFT_MS);
+  watch->asked[account]++;
+  bt_offer_run (ctx, queue, &request, (int64_t)step, &decision);
+  take_decision (watch, &decision, false);
+}
+
+static void
+run_agent (uint64_t seed)
+{
+  const bt_run_queue_options_t options = { .slots = SLOTS,
+                                           .queue_limit = QUEUE_LIMIT,
+                                           .default_service_ms = SERVICE_MS };
+  bt_context_t *ctx = bt_new_context ();
+  bt_run_queue_t *queue = bt_new_run_queue (ctx, &options);
+  bt_run_decision_t decision;
+  watch_t watch = { 0 };
+  bt_random_t random;
+
+  bt_seed_random (&random, seed);
+  for (uint64_t step = 1; step <= STEPS; step++)
+    {
+      if (bt_random_below (&random, 3) > 0)
+        offer_random (ctx, queue, &random, step, &watch);
+      else if (watch.running > 0)
+        {
+          watch.running--;
+          bt_end_run (queue, 1 + (int64_t)bt_random_below (&random, SERVICE_MS));
+        }
+      while (bt_next_run (queue, (int64_t)step, &decision))
+        take_decision (&watch, &decision, true);
+      check_agent (queue, &watch);
+    }
+  /* Accounts 1 to 4 ask for a tenth each, under their fifth; some of it can't be served in time. */
+  for (int32_t i = 1; i < ACCOUNTS; i++)
+    CU_ASSERT (watch.started[i] * 100 >= watch.asked[i] * 72);
+  bt_drop_run_queue (ctx, queue);
+  bt_drop_context (ctx);
+}
+
+/* Whatever comes in whatever order: no request waits while a slot is free, the queue stays within
+ * its bound, counts agree, and no account that asks for less than its part is starved. */
+static void
+test_agent_queue_invariants (void)
+{
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    run_agent (seed);
+}
+
+/* One entry's state in a random run. */
+typedef struct entry_run
+{
+  bt_context_t *ctx;
+  bt_router_t *router;
+  bt_admission_t *admission;
+  bt_random_t random;
+  bt_route_t routes[ENDPOINTS * SLOTS];
+  int32_t out;
+  int32_t waiting;
+} entry_run_t;
+
+static void
+start_entry_run (entry_run_t *run, uint64_t seed)
+{
+  bt_router_options_t routing;
+  bt_admission_options_t options;
+
+  memset (run, 0, sizeof *run);
+  run->ctx = bt_new_context ();
+  bt_seed_random (&run->random, seed);
+  bt_default_router_options (&routing);
+  routing.default_slots = SLOTS;
+  routing.default_service_ms = SERVICE_MS;
+  routing.queue_depth = 0;
+  run->router = bt_new_router (run->ctx, &routing);
+  bt_default_admission_options (&options);
+  options.queue_limit = QUEUE_LIMIT;
+  run->admission = bt_new_admission (run->ctx, run->router, &options);
+  for (int32_t i = 0; i < ENDPOINTS; i++)
+    {
+      bt_endpoint_t endpoint;
+
+      memset (&endpoint, 0, sizeof endpoint);
+      snprintf (endpoint.identity.instance, sizeof endpoint.identity.instance, "agent-%d", i);
+      bt_copy_name (endpoint.app, "drafts");
+      bt_put_endpoint (run->ctx, run->router, &endpoint, 0);
+    }
+}
+
+static void
+send_out (entry_run_t *run, int64_t now_ms)
+{
+  const bt_route_request_t request = { .app = "drafts", .seed = bt_next_random (&run->random) };
+  int64_t retry_after_ms;
+
+  CU_ASSERT_FATAL (run->out < ENDPOINTS * SLOTS);
+  CU_ASSERT_EQUAL (
+      bt_choose_endpoint (run->router, &request, now_ms, &run->routes[run->out], &retry_after_ms),
+      BT_REASON_NONE);
+  bt_record_dispatch (run->router, &run->routes[run->out], 0, now_ms);
+  run->out++;
+}
+
+static void
+ask_random (entry_run_t *run, uint64_t id, int64_t now_ms)
+{
+  bt_admission_request_t request = { .id = id, .app = "drafts", .seed = id };
+  bt_admission_decision_t decision;
+  char name[BT_NAME_BYTES];
+
+  name_account (name, (int32_t)bt_random_below (&run->random, ACCOUNTS));
+  request.account = name;
+  request.deadline_left_ms = (int64_t)bt_random_below (&run->random, LEFT_MS);
+  bt_decide_admission (run->ctx, run->admission, &request, now_ms, &decision);
+  if (decision.action == BT_ADMISSION_ADMIT)
+    send_out (run, now_ms);
+  else if (decision.action == BT_ADMISSION_QUEUE)
+    run->waiting++;
+  else
+    {
+      CU_ASSERT_NOT_EQUAL (decision.reason, BT_REASON_NONE);
+      CU_ASSERT (decision.retry_after_ms >= 0);
+    }
+}
+
+static void
+run_entry (uint64_t seed)
+{
+  entry_run_t run;
+  bt_admission_decision_t decision;
+
+  start_entry_run (&run, seed);
+  for (uint64_t step = 1; step <= STEPS; step++)
+    {
+      const int64_t now_ms = (int64_t)step * 4;
+
+      if (bt_random_below (&run.random, 3) > 0)
+        ask_random (&run, step, now_ms);
+      else if (run.out > 0)
+        {
+          const uint64_t at = bt_random_below (&run.random, (uint64_t)run.out);
+
+          bt_record_attempt_end (run.router, &run.routes[at], BT_ATTEMPT_ANSWERED, SERVICE_MS,
+                                 now_ms);
+          run.routes[at] = run.routes[--run.out];
+        }
+      while (bt_next_admission (run.admission, now_ms, &decision))
+        {
+          run.waiting--;
+          if (decision.action == BT_ADMISSION_ADMIT)
+            send_out (&run, now_ms);
+        }
+      CU_ASSERT_EQUAL (bt_count_waiting (run.admission, "drafts"), run.waiting);
+      CU_ASSERT (run.waiting <= QUEUE_LIMIT);
+      CU_ASSERT (run.waiting == 0 || run.out == ENDPOINTS * SLOTS);
+    }
+  bt_drop_admission (run.ctx, run.admission);
+  bt_drop_router (run.ctx, run.router);
+  bt_drop_context (run.ctx);
+}
+
+/* The same at an entry that has the endpoints to itself: it sends no more than fits, and keeps
+ * nothing waiting while an endpoint has a free slot. */
+static void
+test_entry_queue_invariants (void)
+{
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    run_entry (seed);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned int failed;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("policy invariants", NULL, NULL);
+  CU_ADD_TEST (suite, test_agent_queue_invariants);
+  CU_ADD_TEST (suite, test_entry_queue_invariants);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failed = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/test/core/test_retry_budget.c
@@ -0,0 +1,96 @@
+#include <CUnit/Basic.h>
+
+#include "bilberrytray/base/counters.h"
+#include "bilberrytray/core/retry_budget.h"
+
+/* A third of the endpoints dies and every request on them is tried again. Without a bound the rest
+ * would get half as much work again just when they are fewest, fail by their deadlines, and cause
+ * more tries. Cause: tries are counted against nothing. */
+static void
+test_retries_stay_within_their_share (void)
+{
+  bt_context_t *ctx = bt_new_context ();
+  bt_retry_budget_options_t options;
+  bt_retry_budget_t *budget;
+  int32_t taken = 0;
+
+  bt_default_retry_budget_options (&options);
+  budget = bt_new_retry_budget (ctx, &options);
+  for (int32_t i = 0; i < 10000; i++)
+    {
+      bt_record_attempt (budget);
+      taken += bt_take_retry (ctx, budget, BT_RETRY_LINK_LOST) ? 1 : 0;
+    }
+  CU_ASSERT (taken <= 1000 + options.reserve);
+  CU_ASSERT (taken >= 1000);
+  bt_drop_retry_budget (ctx, budget);
+  bt_drop_context (ctx);
+}
+
+static void
+test_quiet_time_saves_no_more_than_the_reserve (void)
+{
+  bt_context_t *ctx = bt_new_context ();
+  bt_retry_budget_options_t options = { .share_percent = 10, .reserve = 3 };
+  bt_retry_budget_t *budget = bt_new_retry_budget (ctx, &options);
+
+  for (int32_t i = 0; i < 1000; i++)
+    bt_record_attempt (budget);
+  CU_ASSERT_EQUAL (bt_count_retries_left (budget), 3);
+  for (int32_t i = 0; i < 3; i++)
+    CU_ASSERT_TRUE (bt_take_retry (ctx, budget, BT_RETRY_HEDGE));
+  CU_ASSERT_FALSE (bt_take_retry (ctx, budget, BT_RETRY_HEDGE));
+  bt_drop_retry_budget (ctx, budget);
+  bt_drop_context (ctx);
+}
+
+static void
+test_each_reason_is_counted_only_when_taken (void)
+{
+  bt_context_t *ctx = bt_new_context ();
+  bt_retry_budget_options_t options = { .share_percent = 10, .reserve = BT_RETRY_COUNT };
+  bt_retry_budget_t *budget = bt_new_retry_budget (ctx, &options);
+
+  for (int32_t round = 0; round < 2; round++)
+    for (int32_t i = 0; i < BT_RETRY_COUNT; i++)
+      CU_ASSERT_EQUAL (bt_take_retry (ctx, budget, (bt_retry_t)i), round == 0);
+  for (int32_t i = 0; i < BT_RETRY_COUNT; i++)
+    CU_ASSERT_EQUAL (
+        bt_read_counter (bt_find_counter (ctx, BT_COUNTER, "bilberry_retries_total", "", "reason",
+                                          bt_name_retry ((bt_retry_t)i))),
+        1);
+  bt_drop_retry_budget (ctx, budget);
+  bt_drop_context (ctx);
+}
+
+static void
+test_a_share_of_nothing_forbids_all (void)
+{
+  bt_context_t *ctx = bt_new_context ();
+  bt_retry_budget_options_t options = { .share_percent = 0, .reserve = 10 };
+  bt_retry_budget_t *budget = bt_new_retry_budget (ctx, &options);
+
+  bt_record_attempt (budget);
+  CU_ASSERT_FALSE (bt_take_retry (ctx, budget, BT_RETRY_ENDPOINT_FULL));
+  bt_drop_retry_budget (ctx, budget);
+  bt_drop_context (ctx);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned int failed;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("retry budget", NULL, NULL);
+  CU_ADD_TEST (suite, test_retries_stay_within_their_share);
+  CU_ADD_TEST (suite, test_quiet_time_saves_no_more_than_the_reserve);
+  CU_ADD_TEST (suite, test_each_reason_is_counted_only_when_taken);
+  CU_ADD_TEST (suite, test_a_share_of_nothing_forbids_all);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failed = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failed == 0 ? 0 : 1;
+}
