--- a/include/bilberrytray/platform/instances.h
+++ b/include/bilberrytray/platform/instances.h
@@ -12,26 +12,7 @@
 
 #include "bilberrytray/base/context.h"
 #include "bilberrytray/base/error.h"
-#include "bilberrytray/core/identity.h"
-
-typedef enum bt_listed_role
-{
-  BT_LISTED_ENTRY = 0, /**< Runs bilberryd. */
-  BT_LISTED_AGENT,     /**< Runs bilberry-agent beside an endpoint. */
-} bt_listed_role_t;
-
-/** One line of the list. */
-typedef struct bt_listed_instance
-{
-  char instance[BT_NAME_BYTES];
-  bt_listed_role_t role;
-  char endpoint[BT_NAME_BYTES]; /**< Agents only. */
-  char app[BT_NAME_BYTES];      /**< Agents only: the model or plain service. */
-  char address[BT_ADDRESS_BYTES];
-  char http[BT_ADDRESS_BYTES]; /**< Entries only: where callers connect. */
-  char failure_domain[BT_NAME_BYTES];
-  bool leaving;
-} bt_listed_instance_t;
+#include "bilberrytray/core/membership.h"
 
 /** The list as one read gave it. Zero-initialise it; free it with bt_drop_instance_list. */
 typedef struct bt_instance_list
--- /dev/null
+++ b/source/core/config_table.c
@@ -0,0 +1,168 @@
+#include "bilberrytray/core/config_table.h"
+
+#include <string.h>
+
+enum
+{
+  FIRST_ROOM = 16,
+};
+
+struct bt_config_table
+{
+  uint32_t guards_off;
+  bt_document_t **documents; /**< In order of their names. */
+  int32_t count;
+  int32_t room;
+  int64_t revision;
+  uint64_t digest; /**< Sum of the documents' own, so that one can be exchanged alone. */
+  uint64_t offers[BT_OFFER_COUNT];
+};
+
+bt_config_table_t *
+bt_new_config_table (bt_context_t *ctx, uint32_t guards_off)
+{
+  bt_config_table_t *table = bt_calloc (ctx, 1, sizeof *table);
+
+  table->guards_off = guards_off;
+  return table;
+}
+
+void
+bt_drop_config_table (bt_context_t *ctx, bt_config_table_t *table)
+{
+  if (table == NULL)
+    return;
+  for (int32_t i = 0; i < table->count; i++)
+    bt_drop_document (ctx, table->documents[i]);
+  bt_free (ctx, table->documents);
+  bt_free (ctx, table);
+}
+
+/* The index of a name, or where it would stand. */
+static int32_t
+find_index (const bt_config_table_t *table, const char *name, bool *found)
+{
+  int32_t low = 0;
+  int32_t high = table->count;
+
+  while (low < high)
+    {
+      int32_t middle = low + (high - low) / 2;
+
+      if (strcmp (table->documents[middle]->name, name) < 0)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  *found = low < table->count && strcmp (table->documents[low]->name, name) == 0;
+  return low;
+}
+
+static uint64_t
+hash_state (const bt_document_t *document)
+{
+  return bt_hash_bytes (&document->revision, sizeof document->revision, document->digest);
+}
+
+static void
+insert_document (bt_context_t *ctx, bt_config_table_t *table, int32_t index)
+{
+  if (table->count == table->room)
+    {
+      table->room = table->room * 2 + FIRST_ROOM;
+      table->documents =
+          bt_realloc (ctx, table->documents, (size_t)table->room, sizeof (bt_document_t *));
+    }
+  memmove (table->documents + index + 1, table->documents + index,
+           (size_t)(table->count - index) * sizeof (bt_document_t *));
+  table->count++;
+}
+
+static bt_offer_t
+judge_offer (const bt_config_table_t *table, const bt_document_t *old, const bt_document_t *offered)
+{
+  if (offered->revision > old->revision)
+    return BT_OFFER_TAKEN;
+  if (offered->revision == old->revision)
+    return offered->digest == old->digest ? BT_OFFER_SAME : BT_OFFER_DIFFERENT;
+  /* An accepted change would vanish again if a read of a lagging replica, a late push or a peer
+   * that was away could put an older document in force. The service gives every write a higher
+   * revision, so comparing revisions keeps all of them out, whatever way they came. */
+  return (table->guards_off & BT_TABLE_TAKE_OLDER) != 0 ? BT_OFFER_TAKEN : BT_OFFER_OLDER;
+}
+
+bt_offer_t
+bt_offer_document (bt_context_t *ctx, bt_config_table_t *table, bt_document_t *document)
+{
+  bool found;
+  int32_t index = find_index (table, document->name, &found);
+  bt_offer_t offer = BT_OFFER_TAKEN;
+
+  if (found)
+    offer = judge_offer (table, table->documents[index], document);
+  table->offers[offer]++;
+  if (offer != BT_OFFER_TAKEN)
+    return offer;
+  if (found)
+    {
+      table->digest -= hash_state (table->documents[index]);
+      bt_drop_document (ctx, table->documents[index]);
+    }
+  else
+    insert_document (ctx, table, index);
+  table->documents[index] = bt_keep_document (document);
+  table->digest += hash_state (document);
+  if (document->revision > table->revision)
+    table->revision = document->revision;
+  return offer;
+}
+
+uint64_t
+bt_count_offers (const bt_config_table_t *table, bt_offer_t offer)
+{
+  return table->offers[offer];
+}
+
+bt_document_t *
+bt_find_document (const bt_config_table_t *table, const char *name)
+{
+  bool found;
+  int32_t index = find_index (table, name, &found);
+
+  return found ? table->documents[index] : NULL;
+}
+
+int32_t
+bt_count_documents (const bt_config_table_t *table)
+{
+  return table->count;
+}
+
+bt_document_t *
+bt_get_document (const bt_config_table_t *table, int32_t index)
+{
+  return table->documents[index];
+}
+
+void
+bt_list_documents_above (bt_context_t *ctx,
+                         const bt_config_table_t *table,
+                         int64_t revision,
+                         bt_document_list_t *list)
+{
+  for (int32_t i = 0; i < table->count; i++)
+    if (table->documents[i]->revision > revision)
+      bt_add_document (ctx, list, table->documents[i]);
+}
+
+int64_t
+bt_get_table_revision (const bt_config_table_t *table)
+{
+  return table->revision;
+}
+
+uint64_t
+bt_get_table_digest (const bt_config_table_t *table)
+{
+  return table->digest;
+}
--- /dev/null
+++ b/source/core/membership.c
@@ -0,0 +1,386 @@
+#include "bilberrytray/core/membership.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "bilberrytray/base/random.h"
+#include "bilberrytray/core/subset.h"
+
+enum
+{
+  FIRST_ROOM = 16,
+};
+
+#define NEVER_MS INT64_MIN
+
+struct bt_membership
+{
+  bt_identity_t self;
+  bt_listed_role_t role;
+  bt_membership_settings_t settings;
+  bt_member_t *members;
+  int32_t count;
+  int32_t room;
+  int64_t list_revision;
+  int64_t list_ms;    /**< When that revision was last seen. */
+  int64_t leaving_ms; /**< NEVER_MS while this instance stays. */
+};
+
+bt_membership_settings_t
+bt_get_default_membership_settings (void)
+{
+  bt_membership_settings_t settings = { .link_idle_ms = 3000,
+                                        .answer_life_ms = 10000,
+                                        .list_stale_ms = 60000 };
+
+  return settings;
+}
+
+bt_membership_t *
+bt_new_membership (bt_context_t *ctx,
+                   const bt_identity_t *self,
+                   bt_listed_role_t role,
+                   const bt_membership_settings_t *settings)
+{
+  bt_membership_t *membership = bt_calloc (ctx, 1, sizeof *membership);
+
+  membership->self = *self;
+  membership->role = role;
+  membership->settings = *settings;
+  membership->list_ms = NEVER_MS;
+  membership->leaving_ms = NEVER_MS;
+  return membership;
+}
+
+void
+bt_drop_membership (bt_context_t *ctx, bt_membership_t *membership)
+{
+  if (membership == NULL)
+    return;
+  bt_free (ctx, membership->members);
+  bt_free (ctx, membership);
+}
+
+static bt_member_t *
+find_member (const bt_membership_t *membership, const char *instance)
+{
+  for (int32_t i = 0; i < membership->count; i++)
+    if (strcmp (membership->members[i].listed.instance, instance) == 0)
+      return &membership->members[i];
+  return NULL;
+}
+
+static bt_member_t *
+make_member (bt_context_t *ctx, bt_membership_t *membership, const char *instance)
+{
+  bt_member_t *member = find_member (membership, instance);
+
+  if (member != NULL)
+    return member;
+  if (membership->count == membership->room)
+    {
+      membership->room = membership->room * 2 + FIRST_ROOM;
+      membership->members =
+          bt_realloc (ctx, membership->members, (size_t)membership->room, sizeof *member);
+    }
+  member = &membership->members[membership->count++];
+  memset (member, 0, sizeof *member);
+  bt_copy_name (member->listed.instance, instance);
+  return member;
+}
+
+static void
+forget_members (bt_membership_t *membership)
+{
+  int32_t kept = 0;
+
+  for (int32_t i = 0; i < membership->count; i++)
+    if (membership->members[i].is_listed || membership->members[i].linked)
+      membership->members[kept++] = membership->members[i];
+  membership->count = kept;
+}
+
+/* A replica of the list that lags may bring back instances that are gone. Should revisions start
+ * anew, because the platform's list was rebuilt, that is believed after a while. */
+static bool
+is_stale_list (const bt_membership_t *membership, int64_t revision, int64_t now_ms)
+{
+  return revision < membership->list_revision
+         && now_ms - membership->list_ms < membership->settings.list_stale_ms;
+}
+
+bool
+bt_take_member_list (bt_context_t *ctx,
+                     bt_membership_t *membership,
+                     int64_t revision,
+                     const bt_listed_instance_t *listed,
+                     int32_t count,
+                     int64_t now_ms)
+{
+  if (is_stale_list (membership, revision, now_ms))
+    return false;
+  membership->list_revision = revision;
+  membership->list_ms = now_ms;
+  for (int32_t i = 0; i < membership->count; i++)
+    membership->members[i].is_listed = false;
+  for (int32_t i = 0; i < count; i++)
+    {
+      bt_member_t *member = make_member (ctx, membership, listed[i].instance);
+
+      /* At a new address it may be a new machine: it gets its chance again. */
+      if (strcmp (member->listed.address, listed[i].address) != 0)
+        member->lost = false;
+      member->listed = listed[i];
+      member->is_listed = true;
+    }
+  forget_members (membership);
+  return true;
+}
+
+bt_link_verdict_t
+bt_open_member_link (bt_context_t *ctx,
+                     bt_membership_t *membership,
+                     const bt_member_hello_t *hello,
+                     int64_t now_ms,
+                     uint64_t *replaced)
+{
+  bt_member_t *member = make_member (ctx, membership, hello->identity.instance);
+  bool restarted = member->incarnation != 0 && member->incarnation != hello->identity.incarnation;
+
+  /* A process that was cut off while its replacement took over comes back and dials: its records
+   * and promises are those of the past, and it must not take the place of the live one. */
+  if (restarted && member->retired == hello->identity.incarnation)
+    return BT_LINK_REFUSED;
+  if (restarted)
+    member->retired = member->incarnation;
+  *replaced = member->retired;
+  member->incarnation = hello->identity.incarnation;
+  member->linked = true;
+  member->lost = false;
+  member->link_leaving = false;
+  member->heard_ms = now_ms;
+  if (!member->is_listed)
+    {
+      member->listed.role = hello->role;
+      snprintf (member->listed.address, BT_ADDRESS_BYTES, "%s", hello->address);
+      bt_copy_name (member->listed.failure_domain, hello->failure_domain);
+    }
+  return restarted ? BT_LINK_REPLACES : BT_LINK_NEW;
+}
+
+void
+bt_close_member_link (bt_context_t *ctx, bt_membership_t *membership, const bt_identity_t *identity)
+{
+  bt_member_t *member = find_member (membership, identity->instance);
+
+  if (member == NULL || member->incarnation != identity->incarnation)
+    return;
+  member->linked = false;
+  member->lost = true;
+  forget_members (membership);
+}
+
+void
+bt_note_wrong_instance (bt_membership_t *membership, const char *instance)
+{
+  bt_member_t *member = find_member (membership, instance);
+
+  if (member != NULL && !member->linked)
+    member->lost = true;
+}
+
+void
+bt_take_member_heartbeat (bt_membership_t *membership,
+                          const bt_identity_t *identity,
+                          bool leaving,
+                          int64_t now_ms)
+{
+  bt_member_t *member = find_member (membership, identity->instance);
+
+  if (member == NULL || !member->linked || member->incarnation != identity->incarnation)
+    return;
+  member->heard_ms = now_ms;
+  /* Leaving is for good: a heartbeat that was overtaken must not call it back. */
+  if (leaving)
+    member->link_leaving = true;
+}
+
+void
+bt_set_self_leaving (bt_membership_t *membership, int64_t now_ms)
+{
+  if (membership->leaving_ms == NEVER_MS)
+    membership->leaving_ms = now_ms;
+}
+
+bool
+bt_are_answers_expired (const bt_membership_t *membership, int64_t now_ms)
+{
+  /* Peers hear of the leaving by the next heartbeat, or find the link dead by its idle limit. */
+  return membership->leaving_ms != NEVER_MS
+         && now_ms - membership->leaving_ms
+                >= membership->settings.answer_life_ms + membership->settings.link_idle_ms;
+}
+
+int32_t
+bt_count_members (const bt_membership_t *membership)
+{
+  return membership->count;
+}
+
+const bt_member_t *
+bt_get_member (const bt_membership_t *membership, int32_t index)
+{
+  return &membership->members[index];
+}
+
+const bt_member_t *
+bt_find_member (const bt_membership_t *membership, const char *instance)
+{
+  return find_member (membership, instance);
+}
+
+static bool
+is_self (const bt_membership_t *membership, const bt_member_t *member)
+{
+  return strcmp (member->listed.instance, membership->self.instance) == 0;
+}
+
+static bool
+is_leaving (const bt_membership_t *membership, const bt_member_t *member)
+{
+  if (is_self (membership, member) && membership->leaving_ms != NEVER_MS)
+    return true;
+  return member->link_leaving || (member->is_listed && member->listed.leaving);
+}
+
+bool
+bt_is_member_live (const bt_membership_t *membership, const bt_member_t *member, int64_t now_ms)
+{
+  if (membership->settings.trust_list)
+    return member->is_listed && !member->listed.leaving;
+  /* The list still names, for a while, an instance that died or is leaving; callers sent there
+   * would wait for an answer that never comes. The link knows first. */
+  if (is_leaving (membership, member))
+    return false;
+  if (is_self (membership, member))
+    return true;
+  if (member->linked)
+    return now_ms - member->heard_ms <= membership->settings.link_idle_ms;
+  return member->is_listed && !member->lost;
+}
+
+static void
+shuffle (const bt_member_t **members, int32_t count, uint64_t seed)
+{
+  bt_random_t random;
+
+  bt_seed_random (&random, seed);
+  for (int32_t i = count - 1; i > 0; i--)
+    {
+      int32_t other = (int32_t)bt_random_below (&random, (uint64_t)i + 1);
+      const bt_member_t *moved = members[i];
+
+      members[i] = members[other];
+      members[other] = moved;
+    }
+}
+
+int32_t
+bt_choose_addresses (bt_context_t *ctx,
+                     const bt_membership_t *membership,
+                     uint64_t seed,
+                     int64_t now_ms,
+                     int32_t wanted,
+                     const bt_member_t **chosen)
+{
+  const bt_member_t **live = bt_calloc (ctx, (size_t)membership->count, sizeof (bt_member_t *));
+  int32_t count = 0;
+
+  for (int32_t i = 0; i < membership->count; i++)
+    {
+      const bt_member_t *member = &membership->members[i];
+
+      if (member->listed.role == BT_LISTED_ENTRY && member->listed.http[0] != '\0'
+          && bt_is_member_live (membership, member, now_ms))
+        live[count++] = member;
+    }
+  shuffle (live, count, seed);
+  if (count > wanted)
+    count = wanted;
+  memcpy (chosen, live, (size_t)count * sizeof (bt_member_t *));
+  bt_free (ctx, live);
+  return count;
+}
+
+/* Entry instances that may be linked to, but this one. */
+static int32_t
+list_candidates (bt_context_t *ctx,
+                 const bt_membership_t *membership,
+                 bt_subset_candidate_t **candidates,
+                 const bt_member_t ***members)
+{
+  int32_t count = 0;
+
+  *candidates = bt_calloc (ctx, (size_t)membership->count, sizeof **candidates);
+  *members = bt_calloc (ctx, (size_t)membership->count, sizeof (bt_member_t *));
+  for (int32_t i = 0; i < membership->count; i++)
+    {
+      const bt_member_t *member = &membership->members[i];
+
+      if (member->listed.role != BT_LISTED_ENTRY || member->listed.address[0] == '\0'
+          || is_self (membership, member) || is_leaving (membership, member))
+        continue;
+      bt_copy_name ((*candidates)[count].instance, member->listed.instance);
+      bt_copy_name ((*candidates)[count].failure_domain, member->listed.failure_domain);
+      (*members)[count++] = member;
+    }
+  return count;
+}
+
+int32_t
+bt_choose_dials (bt_context_t *ctx,
+                 const bt_membership_t *membership,
+                 int32_t room,
+                 const bt_member_t **chosen)
+{
+  int32_t wanted = membership->role == BT_LISTED_AGENT ? BT_AGENT_LINKS : BT_PEER_LINKS;
+  bt_subset_candidate_t *candidates;
+  const bt_member_t **members;
+  int32_t count = list_candidates (ctx, membership, &candidates, &members);
+  int32_t *indexes = bt_calloc (ctx, (size_t)wanted, sizeof *indexes);
+
+  if (wanted > room)
+    wanted = room;
+  count = bt_choose_subset (ctx, membership->self.instance, candidates, count, wanted, indexes);
+  for (int32_t i = 0; i < count; i++)
+    chosen[i] = members[indexes[i]];
+  bt_free (ctx, indexes);
+  bt_free (ctx, candidates);
+  bt_free (ctx, members);
+  return count;
+}
+
+bt_spread_member_t *
+bt_list_spread_members (bt_context_t *ctx, const bt_membership_t *membership, int32_t *count)
+{
+  const bt_member_t *dials[BT_PEER_LINKS];
+  int32_t dial_count = bt_choose_dials (ctx, membership, BT_PEER_LINKS, dials);
+  bt_spread_member_t *entries = bt_calloc (ctx, (size_t)membership->count, sizeof *entries);
+
+  *count = 0;
+  for (int32_t i = 0; i < membership->count; i++)
+    {
+      const bt_member_t *member = &membership->members[i];
+      bt_spread_member_t *entry = &entries[*count];
+
+      if (member->listed.role != BT_LISTED_ENTRY || is_leaving (membership, member))
+        continue;
+      bt_copy_name (entry->instance, member->listed.instance);
+      bt_copy_name (entry->failure_domain, member->listed.failure_domain);
+      entry->near = member->linked;
+      for (int32_t j = 0; j < dial_count; j++)
+        entry->near = entry->near || dials[j] == member;
+      (*count)++;
+    }
+  return entries;
+}
--- /dev/null
+++ b/source/core/publisher.c
@@ -0,0 +1,653 @@
+#include "bilberrytray/core/publisher.h"
+
+#include <string.h>
+
+enum
+{
+  FIRST_ROOM = 8,
+};
+
+#define NEVER_MS INT64_MIN
+
+typedef enum step
+{
+  STEP_READ_BASE = 0,
+  STEP_COMMIT,
+  STEP_READ_BACK,
+  STEP_HAND_OVER,
+  STEP_DONE,
+} step_t;
+
+/* What is known of the transaction. */
+typedef enum commit_state
+{
+  COMMIT_NOT_SENT = 0,
+  COMMIT_UNKNOWN, /**< An answer was lost. */
+  COMMIT_REFUSED, /**< A comparison failed. */
+  COMMIT_SUCCEEDED,
+} commit_state_t;
+
+/* One document that the operator wants in force. */
+typedef struct wanted
+{
+  bt_document_t *document; /**< Revision 0. */
+  int64_t base_revision;   /**< As the operator gave it. */
+} wanted_t;
+
+typedef struct entry
+{
+  bt_publish_entry_t seen;
+  int64_t *revisions; /**< In force there, one for each change. */
+  int64_t next_ms;    /**< When to hand over again. */
+} entry_t;
+
+struct bt_publisher
+{
+  bt_publish_settings_t settings;
+  char change[BT_CHANGE_BYTES];
+  wanted_t *wanted;
+  int32_t wanted_count;
+  bt_document_list_t changes;
+  int64_t *compares; /**< Base revision of each change. */
+  step_t step;
+  commit_state_t commit;
+  bool was_unknown; /**< Some answer to the transaction was lost. */
+  bool waiting;     /**< Nothing is in flight: the step begins again at retry_ms. */
+  int64_t retry_ms;
+  int64_t write_until_ms;
+  int64_t spread_until_ms;
+  int64_t majority_ms; /**< When more than half had it; NEVER_MS before. */
+  int64_t revision;
+  bt_publish_result_t result;
+  bt_publish_conflict_t *conflicts;
+  int32_t conflict_count;
+  entry_t *entries;
+  int32_t entry_count;
+};
+
+bt_publish_settings_t
+bt_get_default_publish_settings (void)
+{
+  bt_publish_settings_t settings = {
+    .retry_ms = 500, .write_limit_ms = 15000, .spread_limit_ms = 30000, .isolation_ms = 10000
+  };
+
+  return settings;
+}
+
+const char *
+bt_name_publish_result (bt_publish_result_t result)
+{
+  static const char *const names[] = { "going",    "accepted",    "written",
+                                       "conflict", "not-written", "unknown" };
+
+  return names[result];
+}
+
+void
+bt_clear_publish_actions (bt_context_t *ctx, bt_publish_actions_t *actions)
+{
+  bt_free (ctx, actions->items);
+  memset (actions, 0, sizeof *actions);
+}
+
+static void
+add_action (bt_context_t *ctx,
+            bt_publish_actions_t *actions,
+            bt_publish_action_kind_t kind,
+            const char *instance)
+{
+  bt_publish_action_t *action;
+
+  if (actions->count == actions->room)
+    {
+      actions->room = actions->room * 2 + FIRST_ROOM;
+      actions->items =
+          bt_realloc (ctx, actions->items, (size_t)actions->room, sizeof *actions->items);
+    }
+  action = &actions->items[actions->count++];
+  action->kind = kind;
+  bt_copy_name (action->instance, instance);
+}
+
+bt_publisher_t *
+bt_new_publisher (bt_context_t *ctx,
+                  const bt_publish_settings_t *settings,
+                  const char *change,
+                  const bt_publish_document_t *documents,
+                  int32_t count)
+{
+  bt_publisher_t *publisher = bt_calloc (ctx, 1, sizeof *publisher);
+
+  publisher->settings = *settings;
+  strncpy (publisher->change, change, BT_CHANGE_BYTES - 1);
+  publisher->wanted = bt_calloc (ctx, (size_t)count, sizeof *publisher->wanted);
+  publisher->wanted_count = count;
+  publisher->compares = bt_calloc (ctx, (size_t)count, sizeof (int64_t));
+  publisher->conflicts = bt_calloc (ctx, (size_t)count, sizeof *publisher->conflicts);
+  publisher->majority_ms = NEVER_MS;
+  for (int32_t i = 0; i < count; i++)
+    {
+      bt_document_fields_t fields = { .name = documents[i].name,
+                                      .change = change,
+                                      .deleted = documents[i].deleted,
+                                      .data = documents[i].data,
+                                      .data_bytes = documents[i].data_bytes };
+
+      publisher->wanted[i].document = bt_new_document (ctx, &fields);
+      publisher->wanted[i].base_revision = documents[i].base_revision;
+    }
+  return publisher;
+}
+
+void
+bt_drop_publisher (bt_context_t *ctx, bt_publisher_t *publisher)
+{
+  if (publisher == NULL)
+    return;
+  for (int32_t i = 0; i < publisher->wanted_count; i++)
+    bt_drop_document (ctx, publisher->wanted[i].document);
+  for (int32_t i = 0; i < publisher->entry_count; i++)
+    bt_free (ctx, publisher->entries[i].revisions);
+  bt_clear_documents (ctx, &publisher->changes);
+  bt_free (ctx, publisher->wanted);
+  bt_free (ctx, publisher->compares);
+  bt_free (ctx, publisher->conflicts);
+  bt_free (ctx, publisher->entries);
+  bt_free (ctx, publisher);
+}
+
+static entry_t *
+find_entry (const bt_publisher_t *publisher, const char *instance)
+{
+  for (int32_t i = 0; i < publisher->entry_count; i++)
+    if (strcmp (publisher->entries[i].seen.instance, instance) == 0)
+      return &publisher->entries[i];
+  return NULL;
+}
+
+void
+bt_set_publish_entries (bt_context_t *ctx,
+                        bt_publisher_t *publisher,
+                        const char *const *instances,
+                        int32_t count)
+{
+  entry_t *entries = bt_calloc (ctx, (size_t)count, sizeof *entries);
+
+  for (int32_t i = 0; i < count; i++)
+    {
+      entry_t *old = find_entry (publisher, instances[i]);
+
+      if (old != NULL)
+        {
+          entries[i] = *old;
+          old->revisions = NULL;
+          continue;
+        }
+      bt_copy_name (entries[i].seen.instance, instances[i]);
+      entries[i].next_ms = NEVER_MS;
+      entries[i].revisions = bt_calloc (ctx, (size_t)publisher->wanted_count, sizeof (int64_t));
+    }
+  for (int32_t i = 0; i < publisher->entry_count; i++)
+    bt_free (ctx, publisher->entries[i].revisions);
+  bt_free (ctx, publisher->entries);
+  publisher->entries = entries;
+  publisher->entry_count = count;
+}
+
+static void
+finish (bt_context_t *ctx,
+        bt_publisher_t *publisher,
+        bt_publish_result_t result,
+        bt_publish_actions_t *actions)
+{
+  publisher->step = STEP_DONE;
+  publisher->result = result;
+  add_action (ctx, actions, BT_PUBLISH_FINISH, "");
+}
+
+/* How a publish ends that can go on no further with the service. */
+static bt_publish_result_t
+get_result_without_service (const bt_publisher_t *publisher)
+{
+  if (publisher->commit == COMMIT_SUCCEEDED)
+    return BT_PUBLISH_WRITTEN;
+  return publisher->was_unknown ? BT_PUBLISH_UNKNOWN : BT_PUBLISH_NOT_WRITTEN;
+}
+
+static void
+begin_step (bt_context_t *ctx,
+            bt_publisher_t *publisher,
+            step_t step,
+            bt_publish_actions_t *actions)
+{
+  publisher->step = step;
+  publisher->waiting = false;
+  add_action (ctx, actions, step == STEP_COMMIT ? BT_PUBLISH_COMMIT : BT_PUBLISH_READ, "");
+}
+
+static void
+wait_for_step (bt_publisher_t *publisher, step_t step, int64_t now_ms)
+{
+  publisher->step = step;
+  publisher->waiting = true;
+  publisher->retry_ms = now_ms + publisher->settings.retry_ms;
+}
+
+void
+bt_start_publisher (bt_context_t *ctx,
+                    bt_publisher_t *publisher,
+                    int64_t now_ms,
+                    bt_publish_actions_t *actions)
+{
+  publisher->write_until_ms = now_ms + publisher->settings.write_limit_ms;
+  begin_step (ctx, publisher, STEP_READ_BASE, actions);
+}
+
+static void
+check_entries (bt_context_t *ctx,
+               bt_publisher_t *publisher,
+               int64_t now_ms,
+               bt_publish_actions_t *actions)
+{
+  int32_t count = 0;
+  bool accepted;
+
+  for (int32_t i = 0; i < publisher->entry_count; i++)
+    count += publisher->entries[i].seen.in_force ? 1 : 0;
+  if (2 * count > publisher->entry_count && publisher->majority_ms == NEVER_MS)
+    publisher->majority_ms = now_ms;
+  accepted = count > 0 && count == publisher->entry_count;
+  /* An entry that does not answer may be alive, cut off and admitting by the old rules. More than
+   * half have the change, so it meets one of them and learns, or it is isolated after the limit. */
+  if (publisher->majority_ms != NEVER_MS
+      && now_ms - publisher->majority_ms >= publisher->settings.isolation_ms)
+    accepted = true;
+  if ((publisher->settings.guards_off & BT_PUBLISH_ANY_ENTRY) != 0 && count > 0)
+    accepted = true;
+  if ((publisher->settings.guards_off & BT_PUBLISH_NO_HAND_OVER) != 0)
+    accepted = true;
+  if (accepted)
+    finish (ctx, publisher, BT_PUBLISH_ACCEPTED, actions);
+  else if (now_ms >= publisher->spread_until_ms)
+    finish (ctx, publisher, BT_PUBLISH_WRITTEN, actions);
+}
+
+static void
+hand_over (bt_context_t *ctx,
+           bt_publisher_t *publisher,
+           int64_t now_ms,
+           bt_publish_actions_t *actions)
+{
+  bool skip = (publisher->settings.guards_off & BT_PUBLISH_NO_HAND_OVER) != 0;
+
+  for (int32_t i = 0; i < publisher->entry_count && !skip; i++)
+    {
+      entry_t *entry = &publisher->entries[i];
+
+      if (entry->seen.in_force || now_ms < entry->next_ms)
+        continue;
+      entry->next_ms = now_ms + publisher->settings.retry_ms;
+      add_action (ctx, actions, BT_PUBLISH_HAND_OVER, entry->seen.instance);
+    }
+  check_entries (ctx, publisher, now_ms, actions);
+}
+
+/* Puts the documents as the service holds them, at revisions of ours or later, for the hand-over.
+ */
+static void
+begin_hand_over (bt_context_t *ctx,
+                 bt_publisher_t *publisher,
+                 const bt_document_list_t *found,
+                 int64_t now_ms,
+                 bt_publish_actions_t *actions)
+{
+  bt_document_list_t documents = { 0 };
+
+  for (int32_t i = 0; i < publisher->changes.count; i++)
+    {
+      bt_document_t *document = bt_find_listed_document (found, publisher->changes.items[i]->name);
+
+      bt_add_document (ctx, &documents, document);
+      if (document->revision > publisher->revision)
+        publisher->revision = document->revision;
+    }
+  bt_clear_documents (ctx, &publisher->changes);
+  publisher->changes = documents;
+  publisher->step = STEP_HAND_OVER;
+  publisher->waiting = false;
+  publisher->spread_until_ms = now_ms + publisher->settings.spread_limit_ms;
+  hand_over (ctx, publisher, now_ms, actions);
+}
+
+static void
+add_conflict (bt_publisher_t *publisher,
+              const char *name,
+              int64_t base_revision,
+              const bt_document_t *found)
+{
+  bt_publish_conflict_t *conflict = &publisher->conflicts[publisher->conflict_count++];
+
+  bt_copy_name (conflict->name, name);
+  conflict->base_revision = base_revision;
+  if (found == NULL)
+    return;
+  conflict->revision = found->revision;
+  memcpy (conflict->change, found->change, BT_CHANGE_BYTES);
+}
+
+static bool
+same_content (const bt_document_t *left, const bt_document_t *right)
+{
+  return left->deleted == right->deleted && left->data_bytes == right->data_bytes
+         && memcmp (left->data, right->data, left->data_bytes) == 0;
+}
+
+/* Notes a document to write, unless it is there already. */
+static void
+plan_change (bt_context_t *ctx,
+             bt_publisher_t *publisher,
+             const wanted_t *wanted,
+             const bt_document_t *found)
+{
+  const bt_document_t *document = wanted->document;
+  bt_document_fields_t fields = { .name = document->name,
+                                  .change = publisher->change,
+                                  .after = found == NULL ? "" : found->change,
+                                  .deleted = document->deleted,
+                                  .data = document->data,
+                                  .data_bytes = document->data_bytes };
+  bt_document_t *planned;
+
+  if (found == NULL ? document->deleted : same_content (found, document))
+    return;
+  publisher->compares[publisher->changes.count] = found == NULL ? 0 : found->revision;
+  planned = bt_new_document (ctx, &fields);
+  bt_add_document (ctx, &publisher->changes, planned);
+  bt_drop_document (ctx, planned);
+}
+
+/* Nothing differs from what the service has: hand that over, so that `accepted` still means what
+ * it says. */
+static void
+confirm_unchanged (bt_context_t *ctx,
+                   bt_publisher_t *publisher,
+                   const bt_document_list_t *found,
+                   int64_t now_ms,
+                   bt_publish_actions_t *actions)
+{
+  for (int32_t i = 0; i < found->count; i++)
+    bt_add_document (ctx, &publisher->changes, found->items[i]);
+  if (found->count == 0)
+    {
+      finish (ctx, publisher, BT_PUBLISH_ACCEPTED, actions);
+      return;
+    }
+  begin_hand_over (ctx, publisher, found, now_ms, actions);
+}
+
+static void
+take_base (bt_context_t *ctx,
+           bt_publisher_t *publisher,
+           const bt_document_list_t *found,
+           int64_t now_ms,
+           bt_publish_actions_t *actions)
+{
+  for (int32_t i = 0; i < publisher->wanted_count; i++)
+    {
+      const wanted_t *wanted = &publisher->wanted[i];
+      const bt_document_t *document = bt_find_listed_document (found, wanted->document->name);
+      int64_t revision = document == NULL ? 0 : document->revision;
+
+      /* Two operators edit the same revision. The second one's file lacks the first one's edit, and
+       * writing it would undo that edit without anyone having decided so. */
+      if (wanted->base_revision != BT_BASE_AS_READ && wanted->base_revision != revision
+          && (publisher->settings.guards_off & BT_PUBLISH_NO_COMPARE) == 0)
+        add_conflict (publisher, wanted->document->name, wanted->base_revision, document);
+      plan_change (ctx, publisher, wanted, document);
+    }
+  if (publisher->conflict_count > 0)
+    finish (ctx, publisher, BT_PUBLISH_CONFLICT, actions);
+  else if (publisher->changes.count == 0)
+    confirm_unchanged (ctx, publisher, found, now_ms, actions);
+  else
+    begin_step (ctx, publisher, STEP_COMMIT, actions);
+}
+
+/* What a read-back tells of the transaction, which wrote all documents or none. */
+typedef struct read_back
+{
+  bool ours;        /**< Some document carries our change id, or directly replaced ours. */
+  bool all_at_base; /**< All are as they were before. */
+  bool all_there;
+} read_back_t;
+
+static read_back_t
+judge_read_back (const bt_publisher_t *publisher, const bt_document_list_t *found)
+{
+  read_back_t judged = { .all_at_base = true, .all_there = true };
+
+  for (int32_t i = 0; i < publisher->changes.count; i++)
+    {
+      const bt_document_t *document =
+          bt_find_listed_document (found, publisher->changes.items[i]->name);
+      int64_t revision = document == NULL ? 0 : document->revision;
+
+      if (revision != publisher->compares[i])
+        judged.all_at_base = false;
+      if (document == NULL)
+        judged.all_there = false;
+      else if (strcmp (document->change, publisher->change) == 0
+               || strcmp (document->after, publisher->change) == 0)
+        judged.ours = true;
+    }
+  return judged;
+}
+
+static void
+report_conflicts (bt_context_t *ctx,
+                  bt_publisher_t *publisher,
+                  const bt_document_list_t *found,
+                  bt_publish_actions_t *actions)
+{
+  for (int32_t i = 0; i < publisher->changes.count; i++)
+    {
+      const char *name = publisher->changes.items[i]->name;
+      const bt_document_t *document = bt_find_listed_document (found, name);
+
+      if ((document == NULL ? 0 : document->revision) != publisher->compares[i])
+        add_conflict (publisher, name, publisher->compares[i], document);
+    }
+  /* Ours may have been written, its answer lost, and been replaced more than once since. */
+  finish (ctx, publisher, publisher->was_unknown ? BT_PUBLISH_UNKNOWN : BT_PUBLISH_CONFLICT,
+          actions);
+}
+
+/* A transaction whose answer was lost may have taken effect: said to have failed, the operator
+ * would repeat it over someone's newer edit, or believe that the old rules still hold. The change
+ * id in the value tells. Where it is not there, the same transaction is sent again: it compares the
+ * same revisions, so it cannot happen twice. */
+static void
+take_read_back (bt_context_t *ctx,
+                bt_publisher_t *publisher,
+                const bt_document_list_t *found,
+                int64_t now_ms,
+                bt_publish_actions_t *actions)
+{
+  read_back_t judged = judge_read_back (publisher, found);
+
+  if (judged.all_there
+      && (judged.ours || (publisher->commit == COMMIT_SUCCEEDED && !judged.all_at_base)))
+    begin_hand_over (ctx, publisher, found, now_ms, actions);
+  else if (!judged.all_at_base && publisher->commit != COMMIT_SUCCEEDED)
+    report_conflicts (ctx, publisher, found, actions);
+  else if (publisher->commit == COMMIT_UNKNOWN)
+    begin_step (ctx, publisher, STEP_COMMIT, actions);
+  else
+    /* The read is older than the transaction: a replica that lags. */
+    wait_for_step (publisher, STEP_READ_BACK, now_ms);
+}
+
+void
+bt_take_publish_read (bt_context_t *ctx,
+                      bt_publisher_t *publisher,
+                      const bt_document_list_t *found,
+                      int64_t now_ms,
+                      bt_publish_actions_t *actions)
+{
+  if (publisher->waiting)
+    return;
+  if (publisher->step == STEP_READ_BASE)
+    take_base (ctx, publisher, found, now_ms, actions);
+  else if (publisher->step == STEP_READ_BACK)
+    take_read_back (ctx, publisher, found, now_ms, actions);
+}
+
+void
+bt_take_publish_commit (bt_context_t *ctx,
+                        bt_publisher_t *publisher,
+                        bool succeeded,
+                        int64_t revision,
+                        int64_t now_ms,
+                        bt_publish_actions_t *actions)
+{
+  if (publisher->step != STEP_COMMIT || publisher->waiting)
+    return;
+  publisher->commit = succeeded ? COMMIT_SUCCEEDED : COMMIT_REFUSED;
+  if (succeeded)
+    publisher->revision = revision;
+  begin_step (ctx, publisher, STEP_READ_BACK, actions);
+}
+
+void
+bt_take_publish_failure (bt_context_t *ctx,
+                         bt_publisher_t *publisher,
+                         bool unknown,
+                         int64_t now_ms,
+                         bt_publish_actions_t *actions)
+{
+  bool committing = publisher->step == STEP_COMMIT;
+
+  if (publisher->waiting || publisher->step >= STEP_HAND_OVER)
+    return;
+  if (committing && unknown)
+    {
+      publisher->commit = COMMIT_UNKNOWN;
+      publisher->was_unknown = true;
+    }
+  if (committing && unknown && (publisher->settings.guards_off & BT_PUBLISH_NO_READ_BACK) != 0)
+    {
+      finish (ctx, publisher, BT_PUBLISH_NOT_WRITTEN, actions);
+      return;
+    }
+  if (now_ms >= publisher->write_until_ms)
+    finish (ctx, publisher, get_result_without_service (publisher), actions);
+  else
+    wait_for_step (publisher, committing && unknown ? STEP_READ_BACK : publisher->step, now_ms);
+}
+
+void
+bt_take_publish_in_force (bt_context_t *ctx,
+                          bt_publisher_t *publisher,
+                          const char *instance,
+                          const char *name,
+                          int64_t revision,
+                          int64_t now_ms,
+                          bt_publish_actions_t *actions)
+{
+  entry_t *entry = find_entry (publisher, instance);
+
+  if (entry == NULL || publisher->step != STEP_HAND_OVER)
+    return;
+  entry->seen.in_force = true;
+  entry->seen.revision = INT64_MAX;
+  for (int32_t i = 0; i < publisher->changes.count; i++)
+    {
+      if (strcmp (publisher->changes.items[i]->name, name) == 0)
+        entry->revisions[i] = revision;
+      if (entry->revisions[i] < publisher->changes.items[i]->revision)
+        entry->seen.in_force = false;
+      if (entry->revisions[i] < entry->seen.revision)
+        entry->seen.revision = entry->revisions[i];
+    }
+  check_entries (ctx, publisher, now_ms, actions);
+}
+
+void
+bt_tick_publisher (bt_context_t *ctx,
+                   bt_publisher_t *publisher,
+                   int64_t now_ms,
+                   bt_publish_actions_t *actions)
+{
+  if (publisher->step == STEP_HAND_OVER)
+    hand_over (ctx, publisher, now_ms, actions);
+  else if (publisher->waiting && publisher->step != STEP_DONE && now_ms >= publisher->retry_ms)
+    {
+      if (now_ms >= publisher->write_until_ms)
+        finish (ctx, publisher, get_result_without_service (publisher), actions);
+      else
+        begin_step (ctx, publisher, publisher->step, actions);
+    }
+}
+
+int32_t
+bt_count_publish_documents (const bt_publisher_t *publisher)
+{
+  return publisher->wanted_count;
+}
+
+const char *
+bt_get_publish_name (const bt_publisher_t *publisher, int32_t index)
+{
+  return publisher->wanted[index].document->name;
+}
+
+const bt_document_list_t *
+bt_get_publish_changes (const bt_publisher_t *publisher)
+{
+  return &publisher->changes;
+}
+
+int64_t
+bt_get_publish_compare (const bt_publisher_t *publisher, int32_t index)
+{
+  if ((publisher->settings.guards_off & BT_PUBLISH_NO_COMPARE) != 0)
+    return -1;
+  return publisher->compares[index];
+}
+
+bt_publish_result_t
+bt_get_publish_result (const bt_publisher_t *publisher)
+{
+  return publisher->result;
+}
+
+int64_t
+bt_get_publish_revision (const bt_publisher_t *publisher)
+{
+  return publisher->revision;
+}
+
+int32_t
+bt_count_publish_conflicts (const bt_publisher_t *publisher)
+{
+  return publisher->conflict_count;
+}
+
+const bt_publish_conflict_t *
+bt_get_publish_conflict (const bt_publisher_t *publisher, int32_t index)
+{
+  return &publisher->conflicts[index];
+}
+
+int32_t
+bt_count_publish_entries (const bt_publisher_t *publisher)
+{
+  return publisher->entry_count;
+}
+
+const bt_publish_entry_t *
+bt_get_publish_entry (const bt_publisher_t *publisher, int32_t index)
+{
+  return &publisher->entries[index].seen;
+}
--- /dev/null
+++ b/test/core/test_membership.c
@@ -0,0 +1,220 @@
+#include <CUnit/Basic.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "bilberrytray/core/membership.h"
+
+enum
+{
+  ENTRIES = 4,
+  LATER_MS = 20000,
+};
+
+typedef struct fixture
+{
+  bt_context_t *ctx;
+  bt_membership_t *membership;
+  bt_listed_instance_t listed[ENTRIES];
+} fixture_t;
+
+static void
+open_fixture (fixture_t *fixture, bool trust_list)
+{
+  bt_membership_settings_t settings = bt_get_default_membership_settings ();
+  bt_identity_t self = { "entry-0", 1 };
+
+  settings.trust_list = trust_list;
+  memset (fixture, 0, sizeof *fixture);
+  fixture->ctx = bt_new_context ();
+  fixture->membership = bt_new_membership (fixture->ctx, &self, BT_LISTED_ENTRY, &settings);
+  for (int32_t i = 0; i < ENTRIES; i++)
+    {
+      bt_listed_instance_t *listed = &fixture->listed[i];
+
+      snprintf (listed->instance, BT_NAME_BYTES, "entry-%d", (int)i);
+      snprintf (listed->address, BT_ADDRESS_BYTES, "127.0.0.1:%d", 7000 + (int)i);
+      snprintf (listed->http, BT_ADDRESS_BYTES, "127.0.0.1:%d", 8000 + (int)i);
+      snprintf (listed->failure_domain, BT_NAME_BYTES, "hall-%d", (int)(i % 3));
+    }
+  bt_take_member_list (fixture->ctx, fixture->membership, 5, fixture->listed, ENTRIES, 0);
+}
+
+static void
+close_fixture (fixture_t *fixture)
+{
+  bt_drop_membership (fixture->ctx, fixture->membership);
+  bt_drop_context (fixture->ctx);
+}
+
+static bt_link_verdict_t
+open_link (fixture_t *fixture, const char *instance, uint64_t incarnation, int64_t now_ms)
+{
+  bt_member_hello_t hello = { .role = BT_LISTED_ENTRY, .address = "", .failure_domain = "hall-0" };
+  uint64_t replaced;
+
+  bt_copy_name (hello.identity.instance, instance);
+  hello.identity.incarnation = incarnation;
+  return bt_open_member_link (fixture->ctx, fixture->membership, &hello, now_ms, &replaced);
+}
+
+static bool
+is_given (const fixture_t *fixture, const char *instance, int64_t now_ms)
+{
+  const bt_member_t *chosen[ENTRIES];
+  int32_t count =
+      bt_choose_addresses (fixture->ctx, fixture->membership, 7, now_ms, ENTRIES, chosen);
+
+  for (int32_t i = 0; i < count; i++)
+    if (strcmp (chosen[i]->listed.instance, instance) == 0)
+      return true;
+  return false;
+}
+
+static void
+run_dead_entry (fixture_t *fixture, bool trust_list)
+{
+  bt_identity_t peer = { "entry-1", 9 };
+
+  open_fixture (fixture, trust_list);
+  open_link (fixture, "entry-1", 9, 0);
+  CU_ASSERT_TRUE (is_given (fixture, "entry-1", 100));
+  bt_close_member_link (fixture->ctx, fixture->membership, &peer);
+  bt_take_member_list (fixture->ctx, fixture->membership, 6, fixture->listed, ENTRIES, 200);
+}
+
+/* An entry dies. The list goes on naming it for a while, and callers that are sent there wait for
+ * nothing; the link knew at once. When it comes back, it is given again. */
+static void
+test_link_goes_before_list_for_life (void)
+{
+  fixture_t fixture;
+
+  run_dead_entry (&fixture, false);
+  CU_ASSERT_FALSE (is_given (&fixture, "entry-1", 300));
+  CU_ASSERT_TRUE (is_given (&fixture, "entry-2", 300));
+  open_link (&fixture, "entry-1", 10, 400);
+  CU_ASSERT_TRUE (is_given (&fixture, "entry-1", 500));
+  CU_ASSERT_FALSE (is_given (&fixture, "entry-1", LATER_MS));
+  close_fixture (&fixture);
+  run_dead_entry (&fixture, true);
+  CU_ASSERT_TRUE (is_given (&fixture, "entry-1", 300));
+  close_fixture (&fixture);
+}
+
+/* An entry says that it leaves; the list shows it as live for a while yet. It must get no more
+ * callers, also when an earlier heartbeat arrives late; a new process under its name does. */
+static void
+test_leaving_entry_is_not_given (void)
+{
+  bt_identity_t peer = { "entry-1", 9 };
+  fixture_t fixture;
+
+  open_fixture (&fixture, false);
+  open_link (&fixture, "entry-1", 9, 0);
+  bt_take_member_heartbeat (fixture.membership, &peer, true, 100);
+  bt_take_member_heartbeat (fixture.membership, &peer, false, 200);
+  CU_ASSERT_FALSE (is_given (&fixture, "entry-1", 300));
+  CU_ASSERT_EQUAL (open_link (&fixture, "entry-1", 10, 400), BT_LINK_REPLACES);
+  CU_ASSERT_TRUE (is_given (&fixture, "entry-1", 500));
+  fixture.listed[2].leaving = true;
+  bt_take_member_list (fixture.ctx, fixture.membership, 7, fixture.listed, ENTRIES, 600);
+  CU_ASSERT_FALSE (is_given (&fixture, "entry-2", 700));
+  bt_set_self_leaving (fixture.membership, 800);
+  CU_ASSERT_FALSE (is_given (&fixture, "entry-0", 900));
+  CU_ASSERT_FALSE (bt_are_answers_expired (fixture.membership, 900));
+  CU_ASSERT_TRUE (bt_are_answers_expired (fixture.membership, LATER_MS));
+  close_fixture (&fixture);
+}
+
+/* A process that was cut off is replaced under its name; then it comes back and dials. Taken for
+ * the live one, it would get requests and speak for records that it does not hold. */
+static void
+test_replaced_incarnation_is_refused (void)
+{
+  bt_identity_t old = { "entry-1", 9 };
+  fixture_t fixture;
+
+  open_fixture (&fixture, false);
+  CU_ASSERT_EQUAL (open_link (&fixture, "entry-1", 9, 0), BT_LINK_NEW);
+  CU_ASSERT_EQUAL (open_link (&fixture, "entry-1", 10, 100), BT_LINK_REPLACES);
+  CU_ASSERT_EQUAL (open_link (&fixture, "entry-1", 9, 200), BT_LINK_REFUSED);
+  bt_close_member_link (fixture.ctx, fixture.membership, &old);
+  CU_ASSERT_TRUE (bt_find_member (fixture.membership, "entry-1")->linked);
+  close_fixture (&fixture);
+}
+
+/* An instance was replaced, its address given to another one. Dialling the old name meets the new
+ * one; the old name must not be given to callers, who would reach someone else. */
+static void
+test_address_is_reused (void)
+{
+  fixture_t fixture;
+
+  open_fixture (&fixture, false);
+  bt_note_wrong_instance (fixture.membership, "entry-3");
+  CU_ASSERT_FALSE (is_given (&fixture, "entry-3", 100));
+  snprintf (fixture.listed[3].address, BT_ADDRESS_BYTES, "127.0.0.1:7100");
+  bt_take_member_list (fixture.ctx, fixture.membership, 6, fixture.listed, ENTRIES, 200);
+  CU_ASSERT_TRUE (is_given (&fixture, "entry-3", 300));
+  close_fixture (&fixture);
+}
+
+/* The list is read from a replica that lags, and an instance that is gone would come back to life.
+ * Should the list's revisions really start anew, they are believed after a while. */
+static void
+test_older_list_is_dropped (void)
+{
+  fixture_t fixture;
+
+  open_fixture (&fixture, false);
+  CU_ASSERT_TRUE (
+      bt_take_member_list (fixture.ctx, fixture.membership, 8, fixture.listed, ENTRIES - 1, 100));
+  CU_ASSERT_FALSE (
+      bt_take_member_list (fixture.ctx, fixture.membership, 7, fixture.listed, ENTRIES, 200));
+  CU_ASSERT_PTR_NULL (bt_find_member (fixture.membership, "entry-3"));
+  CU_ASSERT_TRUE (bt_take_member_list (fixture.ctx, fixture.membership, 1, fixture.listed, ENTRIES,
+                                       (int64_t)5 * LATER_MS));
+  close_fixture (&fixture);
+}
+
+/* Callers that ask in the same moment are not all sent to the same entry first. */
+static void
+test_answers_are_spread (void)
+{
+  int32_t first[ENTRIES] = { 0 };
+  fixture_t fixture;
+
+  open_fixture (&fixture, false);
+  for (uint64_t seed = 0; seed < 400; seed++)
+    {
+      const bt_member_t *chosen[2];
+
+      CU_ASSERT_EQUAL (bt_choose_addresses (fixture.ctx, fixture.membership, seed, 100, 2, chosen),
+                       2);
+      first[chosen[0]->listed.instance[6] - '0']++;
+    }
+  for (int32_t i = 0; i < ENTRIES; i++)
+    CU_ASSERT_TRUE (first[i] > 50 && first[i] < 200);
+  close_fixture (&fixture);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned int failed;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("membership", NULL, NULL);
+  CU_ADD_TEST (suite, test_link_goes_before_list_for_life);
+  CU_ADD_TEST (suite, test_leaving_entry_is_not_given);
+  CU_ADD_TEST (suite, test_replaced_incarnation_is_refused);
+  CU_ADD_TEST (suite, test_address_is_reused);
+  CU_ADD_TEST (suite, test_older_list_is_dropped);
+  CU_ADD_TEST (suite, test_answers_are_spread);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failed = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failed == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/test/core/test_publisher.c
@@ -0,0 +1,247 @@
+#include <CUnit/Basic.h>
+
+#include "config_world.h"
+
+enum
+{
+  SETTLE_MS = 5000,
+  LONG_MS = 60000,
+};
+
+static void
+run_lost_answer (world_t *world, uint32_t guards_off)
+{
+  world_open (world, 3, 7, 0, guards_off);
+  world_run (world, SETTLE_MS);
+  world->lose_commit_answers = 1;
+  world_publish (world, 0, NULL);
+  world_finish (world, 0);
+  world_run (world, LONG_MS);
+}
+
+/* The service writes a change and the answer is lost. Told that it failed, the operator would
+ * write again over whatever came since, or believe in the old rules, while the new ones rule. */
+static void
+test_lost_answer_is_read_back (void)
+{
+  world_t world;
+
+  run_lost_answer (&world, 0);
+  CU_ASSERT_STRING_EQUAL (world.violation, "");
+  CU_ASSERT_EQUAL (world_result (&world, 0), BT_PUBLISH_ACCEPTED);
+  CU_ASSERT_EQUAL (world.service_revision, 11);
+  world_close (&world);
+  run_lost_answer (&world, BT_PUBLISH_NO_READ_BACK);
+  CU_ASSERT_STRING_NOT_EQUAL (world.violation, "");
+  world_close (&world);
+}
+
+static void
+run_race (world_t *world, uint32_t guards_off)
+{
+  bt_document_t *base;
+
+  world_open (world, 3, 7, 0, guards_off);
+  world_run (world, SETTLE_MS);
+  world_publish (world, 0, NULL);
+  world_finish (world, 0);
+  base = bt_keep_document (world->rules);
+  world_publish (world, 1, base);
+  world_finish (world, 1);
+  world_publish (world, 2, base);
+  world_finish (world, 2);
+  bt_drop_document (world->ctx, base);
+  world_run (world, LONG_MS);
+}
+
+/* Two operators edit the same revision. The second publish would undo the first one's accepted edit
+ * without anyone having decided so; it must fail and name what was changed meanwhile. */
+static void
+test_second_of_two_operators_meets_conflict (void)
+{
+  const bt_publish_conflict_t *conflict;
+  world_t world;
+
+  run_race (&world, 0);
+  CU_ASSERT_STRING_EQUAL (world.violation, "");
+  CU_ASSERT_EQUAL (world_result (&world, 2), BT_PUBLISH_CONFLICT);
+  CU_ASSERT_EQUAL_FATAL (bt_count_publish_conflicts (world.operators[2].publisher), 1);
+  conflict = bt_get_publish_conflict (world.operators[2].publisher, 0);
+  CU_ASSERT_STRING_EQUAL (conflict->name, "rules");
+  CU_ASSERT_EQUAL (conflict->base_revision, 11);
+  CU_ASSERT_EQUAL (conflict->revision, 12);
+  CU_ASSERT_STRING_EQUAL (conflict->change, world.rules->change);
+  world_close (&world);
+  run_race (&world, BT_PUBLISH_NO_COMPARE);
+  CU_ASSERT_STRING_NOT_EQUAL (world.violation, "");
+  world_close (&world);
+}
+
+/* Both operators read the base before either writes: only the comparison in the transaction itself
+ * can tell them apart. */
+static void
+test_race_at_commit (void)
+{
+  world_t world;
+  bt_publish_result_t first;
+  bt_publish_result_t second;
+
+  world_open (&world, 3, 7, 0, 0);
+  world_run (&world, SETTLE_MS);
+  world_publish (&world, 0, NULL);
+  world_publish (&world, 1, NULL);
+  first = world_finish (&world, 0);
+  second = world_finish (&world, 1);
+  CU_ASSERT_EQUAL ((first == BT_PUBLISH_ACCEPTED) + (second == BT_PUBLISH_ACCEPTED), 1);
+  CU_ASSERT_EQUAL ((first == BT_PUBLISH_CONFLICT) + (second == BT_PUBLISH_CONFLICT), 1);
+  CU_ASSERT_STRING_EQUAL (world.violation, "");
+  world_close (&world);
+}
+
+static void
+run_outage_after_acceptance (world_t *world, uint32_t guards_off)
+{
+  world_open (world, 3, 7, 0, guards_off);
+  world_run (world, SETTLE_MS);
+  for (int32_t i = 0; i < 3; i++)
+    world->entries[i].cut_from_service = true;
+  world_publish (world, 0, NULL);
+  world_finish (world, 0);
+  world->down = true;
+  for (int32_t i = 0; i < 3; i++)
+    world->cut[WORLD_ENTRIES][i] = true;
+  world_replace (world, 1);
+  world_run (world, LONG_MS);
+}
+
+/* The operator reads "accepted"; the service goes down the next moment and an entry is replaced.
+ * Had acceptance meant no more than that the service had it, no entry would know the change, and
+ * all would go on by the old rules for as long as the outage lasts. */
+static void
+test_accepted_change_survives_outage (void)
+{
+  world_t world;
+
+  run_outage_after_acceptance (&world, 0);
+  CU_ASSERT_STRING_EQUAL (world.violation, "");
+  CU_ASSERT_EQUAL (world_get_revision (&world, 1), 11);
+  CU_ASSERT_TRUE (world_admits (&world, 1));
+  world_close (&world);
+  run_outage_after_acceptance (&world, BT_PUBLISH_NO_HAND_OVER);
+  CU_ASSERT_STRING_NOT_EQUAL (world.violation, "");
+  world_close (&world);
+}
+
+static void
+run_silent_entries (world_t *world, uint32_t guards_off)
+{
+  world_open (world, 3, 7, 0, guards_off);
+  world_run (world, SETTLE_MS);
+  for (int32_t i = 0; i < 3; i++)
+    world->entries[i].cut_from_service = true;
+  world->cut[WORLD_ENTRIES][1] = world->cut[WORLD_ENTRIES][2] = true;
+  world_cut (world, 0, true);
+  world->cut[WORLD_ENTRIES][0] = world->cut[0][WORLD_ENTRIES] = false;
+  world_publish (world, 0, NULL);
+  world_finish (world, 0);
+  world_run (world, LONG_MS);
+}
+
+/* Only one entry of three answers the operator. The other two hear each other and go on, rightly if
+ * the service were down for all; accepted must not be said, as they would serve old rules for long.
+ */
+static void
+test_minority_is_not_acceptance (void)
+{
+  world_t world;
+
+  run_silent_entries (&world, 0);
+  CU_ASSERT_STRING_EQUAL (world.violation, "");
+  CU_ASSERT_EQUAL (world_result (&world, 0), BT_PUBLISH_WRITTEN);
+  CU_ASSERT_TRUE (bt_get_publish_entry (world.operators[0].publisher, 0)->in_force);
+  CU_ASSERT_FALSE (bt_get_publish_entry (world.operators[0].publisher, 1)->in_force);
+  world_close (&world);
+  run_silent_entries (&world, BT_PUBLISH_ANY_ENTRY);
+  CU_ASSERT_STRING_NOT_EQUAL (world.violation, "");
+  world_close (&world);
+}
+
+/* The service is out of reach from the first call on: the operator is told so, for certain. */
+static void
+test_unreachable_service_is_reported (void)
+{
+  world_t world;
+
+  world_open (&world, 3, 7, 0, 0);
+  world.down = true;
+  world_publish (&world, 0, NULL);
+  CU_ASSERT_EQUAL (world_finish (&world, 0), BT_PUBLISH_NOT_WRITTEN);
+  world.down = false;
+  world_run (&world, LONG_MS);
+  CU_ASSERT_STRING_EQUAL (world.violation, "");
+  world_close (&world);
+}
+
+static bt_document_t *
+make_found (bt_context_t *ctx, const char *name, int64_t revision, const char *data)
+{
+  bt_document_fields_t fields = { name, revision, "", "", false, data, strlen (data) };
+
+  return bt_new_document (ctx, &fields);
+}
+
+/* Of two documents only the one that differs is written, in one transaction with its comparison. */
+static void
+test_unchanged_document_is_left_out (void)
+{
+  bt_context_t *ctx = bt_new_context ();
+  bt_publish_settings_t settings = bt_get_default_publish_settings ();
+  bt_publish_document_t wanted[] = {
+    { "accounts", "a", 1, false, BT_BASE_AS_READ },
+    { "rules", "new", 3, false, BT_BASE_AS_READ },
+  };
+  bt_publisher_t *publisher =
+      bt_new_publisher (ctx, &settings, "00000000000000000000000000000001", wanted, 2);
+  bt_document_t *accounts = make_found (ctx, "accounts", 4, "a");
+  bt_document_t *rules = make_found (ctx, "rules", 6, "old");
+  bt_document_list_t found = { 0 };
+  bt_publish_actions_t actions = { 0 };
+
+  bt_add_document (ctx, &found, accounts);
+  bt_add_document (ctx, &found, rules);
+  bt_start_publisher (ctx, publisher, 0, &actions);
+  bt_take_publish_read (ctx, publisher, &found, 0, &actions);
+  CU_ASSERT_EQUAL_FATAL (actions.count, 2);
+  CU_ASSERT_EQUAL (actions.items[1].kind, BT_PUBLISH_COMMIT);
+  CU_ASSERT_EQUAL_FATAL (bt_get_publish_changes (publisher)->count, 1);
+  CU_ASSERT_STRING_EQUAL (bt_get_publish_changes (publisher)->items[0]->name, "rules");
+  CU_ASSERT_EQUAL (bt_get_publish_compare (publisher, 0), 6);
+  bt_clear_publish_actions (ctx, &actions);
+  bt_clear_documents (ctx, &found);
+  bt_drop_document (ctx, accounts);
+  bt_drop_document (ctx, rules);
+  bt_drop_publisher (ctx, publisher);
+  bt_drop_context (ctx);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned int failed;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("publisher", NULL, NULL);
+  CU_ADD_TEST (suite, test_lost_answer_is_read_back);
+  CU_ADD_TEST (suite, test_second_of_two_operators_meets_conflict);
+  CU_ADD_TEST (suite, test_race_at_commit);
+  CU_ADD_TEST (suite, test_accepted_change_survives_outage);
+  CU_ADD_TEST (suite, test_minority_is_not_acceptance);
+  CU_ADD_TEST (suite, test_unreachable_service_is_reported);
+  CU_ADD_TEST (suite, test_unchanged_document_is_left_out);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failed = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failed == 0 ? 0 : 1;
+}
