--- a/source/agent/main.c
+++ b/source/agent/main.c
@@ -1,10 +1,144 @@
+#include <signal.h>
+#include <stddef.h>
 #include <stdio.h>
+#include <stdlib.h>
 
+#include <curl/curl.h>
+
+#include "agent.h"
 #include "bilberrytray/base.h"
 
+enum
+{
+  EXIT_USAGE = 2,
+  IDLE_CHECK_MS = 50,
+};
+
+#define FIELD(name) offsetof (bt_agent_settings_t, name)
+
+static const bt_setting_t settings_table[] = {
+  { "instance", BT_SETTING_TEXT, FIELD (instance), NULL, 0, 0, "Name of this instance." },
+  { "failure-domain", BT_SETTING_TEXT, FIELD (failure_domain), NULL, 0, 0,
+    "Failure domain of this instance." },
+  { "listen", BT_SETTING_ADDRESS, FIELD (listen), NULL, 0, 0, "Where links are accepted." },
+  { "page", BT_SETTING_ADDRESS, FIELD (page), "", 0, 0, "Where the operators' page is served." },
+  { "secret", BT_SETTING_TEXT, FIELD (secret), NULL, 0, 0,
+    "Secret that all processes of the deployment share; better set by its variable." },
+  { "endpoint", BT_SETTING_TEXT, FIELD (endpoint), NULL, 0, 0, "Name of the endpoint." },
+  { "app", BT_SETTING_TEXT, FIELD (app), NULL, 0, 0, "App that the endpoint serves." },
+  { "endpoint-url", BT_SETTING_URL, FIELD (endpoint_url), NULL, 0, 0,
+    "Where the endpoint answers." },
+  { "log-level", BT_SETTING_TEXT, FIELD (log_level), "info", 0, 0,
+    "error, warning, info or debug." },
+  { "plain", BT_SETTING_FLAG, FIELD (plain), "false", 0, 0,
+    "The endpoint is a plain service, not a model engine." },
+  { "slots", BT_SETTING_INTEGER, FIELD (slots), "16", 1, 100000, "Requests that run at a time." },
+  { "queue", BT_SETTING_INTEGER, FIELD (queue), "32", 0, 100000, "Requests that may wait." },
+  { "beat-ms", BT_SETTING_INTEGER, FIELD (beat_ms), "250", 10, 60000, "Between heartbeats, ms." },
+  { "link-idle-ms", BT_SETTING_INTEGER, FIELD (link_idle_ms), "1500", 50, 600000,
+    "A link without any frame is dead after this, ms." },
+  { "connect-ms", BT_SETTING_INTEGER, FIELD (connect_ms), "500", 10, 60000,
+    "Limit for connecting to the endpoint, ms." },
+  { "endpoint-idle-ms", BT_SETTING_INTEGER, FIELD (endpoint_idle_ms), "5000", 50, 600000,
+    "A stream without a byte is silent after this, ms." },
+  { "resumes", BT_SETTING_INTEGER, FIELD (resumes), "2", 0, 10,
+    "Further connections for one run whose stream broke off." },
+  { "load-ms", BT_SETTING_INTEGER, FIELD (load_ms), "250", 10, 60000,
+    "Between reads of the endpoint's load, ms." },
+  { "max-frame-bytes", BT_SETTING_INTEGER, FIELD (max_frame_bytes), "2097152", 4096, 67108864,
+    "Longest frame on a link, bytes." },
+  { "max-links", BT_SETTING_INTEGER, FIELD (max_links), "64", 1, 10000, "Links at a time." },
+  { "drain-ms", BT_SETTING_INTEGER, FIELD (drain_ms), "60000", 0, 3600000,
+    "Longest wait for running requests after SIGTERM, ms." },
+};
+
+enum
+{
+  SETTING_COUNT = sizeof settings_table / sizeof settings_table[0],
+};
+
+static void
+print_help (void)
+{
+  printf ("Usage: bilberry-agent [FLAGS]\n\n"
+          "Runs beside one endpoint and passes it the requests that bilberryd sends.\n"
+          "SIGTERM lets it take no new work, end what runs, and exit.\n\n");
+  bt_print_settings (settings_table, SETTING_COUNT, stdout);
+}
+
+static void
+wait_idle (bt_context_t *ctx, bt_agent_t *agent, int64_t drain_ms)
+{
+  int64_t limit_ms = bt_now_ms (ctx) + drain_ms;
+
+  while (!bt_is_agent_idle (ctx, agent) && bt_now_ms (ctx) < limit_ms)
+    bt_sleep_ms (IDLE_CHECK_MS);
+}
+
+static int
+run_agent (bt_context_t *ctx, const bt_agent_settings_t *settings)
+{
+  bt_error_t error = { 0 };
+  sigset_t signals;
+  bt_agent_t *agent;
+  int received;
+
+  sigemptyset (&signals);
+  sigaddset (&signals, SIGTERM);
+  sigaddset (&signals, SIGINT);
+  pthread_sigmask (SIG_BLOCK, &signals, NULL);
+  signal (SIGPIPE, SIG_IGN);
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  agent = bt_new_agent (ctx, settings, &error);
+  if (agent == NULL)
+    {
+      bt_log (ctx, BT_LOG_ERROR, BT_PART_MAIN, "Can't start: %s", error.message);
+      curl_global_cleanup ();
+      return EXIT_FAILURE;
+    }
+  bt_log (ctx, BT_LOG_INFO, BT_PART_MAIN, "Version %s serves %s on port %d.", BT_VERSION,
+          settings->endpoint, bt_get_agent_port (agent));
+  sigwait (&signals, &received);
+  bt_leave_agent (ctx, agent);
+  wait_idle (ctx, agent, settings->drain_ms);
+  bt_drop_agent (ctx, agent);
+  bt_log (ctx, BT_LOG_INFO, BT_PART_MAIN, "Stopped.");
+  curl_global_cleanup ();
+  return EXIT_SUCCESS;
+}
+
 int
 main (int argc, char **argv)
 {
-  printf ("bilberry-agent %s\n", BT_VERSION);
-  return 0;
+  bt_context_t *ctx = bt_new_context ();
+  bt_findings_t *findings = bt_new_findings (ctx);
+  bt_agent_settings_t settings = { 0 };
+  bt_log_level_t level = BT_LOG_INFO;
+  bt_settings_result_t result =
+      bt_parse_settings (ctx, settings_table, SETTING_COUNT, argc, argv, &settings, NULL, findings);
+  int status = EXIT_USAGE;
+
+  if (result == BT_SETTINGS_OK && !bt_parse_log_level (settings.log_level, &level))
+    {
+      bt_add_finding (ctx, findings, "log-level", 0, NULL, "There is no level \"%s\".",
+                      settings.log_level);
+      result = BT_SETTINGS_BAD;
+    }
+  if (result == BT_SETTINGS_HELP)
+    print_help ();
+  else if (result == BT_SETTINGS_VERSION)
+    printf ("bilberry-agent %s\n", BT_VERSION);
+  else if (result == BT_SETTINGS_BAD)
+    bt_print_findings (findings, stderr);
+  else
+    {
+      bt_set_log_level (ctx, (int32_t)level);
+      bt_set_log_name (ctx, settings.instance);
+      status = run_agent (ctx, &settings);
+    }
+  if (result == BT_SETTINGS_HELP || result == BT_SETTINGS_VERSION)
+    status = EXIT_SUCCESS;
+  bt_drop_findings (ctx, findings);
+  bt_drop_context (ctx);
+  return status;
 }
