--- /dev/null
+++ b/include/bilberrytray/core/expert_load.h
@@ -0,0 +1,29 @@
+#ifndef BILBERRYTRAY_CORE_EXPERT_LOAD_H
+#define BILBERRYTRAY_CORE_EXPERT_LOAD_H
+
+/** @file
+ * How busy each expert has been of late: tokens with exponential decay, per layer.
+ */
+
+#include <stdint.h>
+
+#include "bilberrytray/base/context.h"
+
+typedef struct bt_expert_load bt_expert_load_t;
+
+/** Makes a table of zero loads whose past counts half after @p half_life_ms. */
+bt_expert_load_t *
+bt_new_expert_load (bt_context_t *ctx, int32_t layers, int32_t experts, int64_t half_life_ms);
+
+void bt_drop_expert_load (bt_context_t *ctx, bt_expert_load_t *load);
+
+/** Decays all loads to @p now_ms; a time before the last one changes nothing. */
+void bt_decay_expert_load (bt_expert_load_t *load, int64_t now_ms);
+
+/** Adds tokens that an expert was given since the last decay. */
+void bt_add_expert_load (bt_expert_load_t *load, int32_t layer, int32_t expert, double tokens);
+
+/** The decayed load of an expert, in tokens. */
+double bt_get_expert_load (const bt_expert_load_t *load, int32_t layer, int32_t expert);
+
+#endif
