Add the map planner, its two baselines and the bench over drifting popularity

The planner relieves the busiest rank of each layer again and again, follows the whole chain of changes and keeps the prefix that pays best, since with several equally busy ranks no single change pays. Ruled out: taking changes one at a time while each pays; the first of two equal ranks never moves then.

--- /dev/null
+++ b/bench/bench_maps.c
@@ -0,0 +1,316 @@
+/** @file
+ * What each planner makes of drifting expert popularity: step-time skew and the cost of moving.
+ * Seeded; the table is the same on every machine but for the plan times.
+ */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bilberrytray/base.h"
+#include "bilberrytray/core/map_planner.h"
+#include "drift.h"
+
+enum
+{
+  SEED = 20260601,
+  RUN_MS = 1800000,
+  TICK_MS = 1000,
+  TICKS = RUN_MS / TICK_MS,
+  INTERVAL_MS = 30000,
+  STEP_MS = 6,
+  STEPS_A_TICK = TICK_MS / STEP_MS,
+  TOKENS_A_RANK = 128,
+  EXPERTS_A_TOKEN = 8,
+  STORE_MB_A_S = 2000,
+  MOVE_US_PER_MB = 50,
+  KB_PER_MB = 1000,
+  PLAN_LAYERS = 60,
+};
+
+static const double expert_share = 0.6;
+static const double median = 0.5;
+static const double tail = 0.99;
+
+/** A group to simulate. */
+typedef struct group
+{
+  const char *name;
+  bt_map_shape_t shape;
+  int32_t slots;
+  int64_t expert_bytes;
+} group_t;
+
+static const group_t groups[] = {
+  { "16 ranks, 128 experts, 24 layers", { 24, 128, 16 }, 10, 9437184 },
+  { "32 ranks, 256 experts, 16 layers", { 16, 256, 32 }, 10, 44040192 },
+};
+
+enum
+{
+  GROUPS = sizeof groups / sizeof groups[0],
+};
+
+/** A way to plan. */
+typedef struct way
+{
+  const char *name;
+  const bt_map_planner_t *planner;
+  bt_map_weights_t weights;
+  int64_t half_life_ms;
+  bool instant; /**< Weights need no time to arrive: a bound, not a system. */
+} way_t;
+
+/** What a run came to. */
+typedef struct result
+{
+  double skew[TICKS];
+  double skew_sum;
+  int64_t moved_bytes;
+  int32_t changes;
+  int32_t held_steps;
+  double extra_ms;
+  int64_t slowest_plan_us;
+} result_t;
+
+/** A run under way. */
+typedef struct run
+{
+  bt_context_t *ctx;
+  const group_t *group;
+  const way_t *way;
+  drift_t *drift;
+  bt_random_t noise;
+  bt_expert_map_t *map;
+  bt_expert_map_t *staged; /**< NULL while no map is on its way. */
+  int64_t ready_ms;
+  bt_expert_load_t *load;
+  bt_map_history_t *history;
+  result_t *result;
+} run_t;
+
+static bt_map_limits_t
+get_limits (const group_t *group)
+{
+  return (bt_map_limits_t){ group->slots, group->expert_bytes, MOVE_US_PER_MB, expert_share, 0 };
+}
+
+/* Where every run starts: packed for the popularity at the start. */
+static bt_expert_map_t *
+pack_first_map (run_t *run)
+{
+  const group_t *group = run->group;
+  bt_expert_load_t *load =
+      bt_new_expert_load (run->ctx, group->shape.layers, group->shape.experts, 1);
+  bt_map_input_t input = { 0 };
+  bt_map_plan_t *plan;
+  bt_expert_map_t *map;
+
+  for (int32_t layer = 0; layer < group->shape.layers; layer++)
+    for (int32_t expert = 0; expert < group->shape.experts; expert++)
+      bt_add_expert_load (load, layer, expert, get_drift_share (run->drift, layer, expert));
+  input.current = bt_new_block_expert_map (run->ctx, group->shape, NULL);
+  input.load = load;
+  input.limits = get_limits (group);
+  plan = bt_plan_map (run->ctx, bt_full_map_planner (), &input);
+  map = bt_copy_expert_map (run->ctx, plan->next);
+  bt_drop_map_plan (run->ctx, plan);
+  bt_drop_expert_map (run->ctx, (bt_expert_map_t *)input.current);
+  bt_drop_expert_load (run->ctx, load);
+  return map;
+}
+
+static void
+start_run (run_t *run)
+{
+  const group_t *group = run->group;
+
+  bt_seed_random (&run->noise, SEED + 1);
+  run->map = pack_first_map (run);
+  run->load = bt_new_expert_load (run->ctx, group->shape.layers, group->shape.experts,
+                                  run->way->half_life_ms);
+  run->history = bt_new_map_history (run->ctx, group->shape);
+}
+
+static void
+end_run (run_t *run)
+{
+  bt_drop_expert_map (run->ctx, run->map);
+  bt_drop_expert_map (run->ctx, run->staged);
+  bt_drop_expert_load (run->ctx, run->load);
+  bt_drop_map_history (run->ctx, run->history);
+}
+
+/* One step's skew: the tokens of one step are drawn, so even a perfect map has some. */
+static double
+sample_step (run_t *run)
+{
+  bt_map_shape_t shape = run->group->shape;
+  double tokens = (double)shape.ranks * TOKENS_A_RANK * EXPERTS_A_TOKEN;
+  double busiest_sum = 0;
+  double total = 0;
+
+  for (int32_t layer = 0; layer < shape.layers; layer++)
+    {
+      double load[BT_MAP_MAX_RANKS] = { 0 };
+      double busiest = 0;
+
+      for (int32_t expert = 0; expert < shape.experts; expert++)
+        {
+          uint64_t ranks = bt_get_map_ranks (run->map, layer, expert);
+          double share =
+              draw_count (&run->noise, tokens * get_drift_share (run->drift, layer, expert))
+              / __builtin_popcountll (ranks);
+
+          for (; ranks != 0; ranks &= ranks - 1)
+            load[__builtin_ctzll (ranks)] += share;
+        }
+      for (int32_t rank = 0; rank < shape.ranks; rank++)
+        {
+          total += load[rank];
+          busiest = load[rank] > busiest ? load[rank] : busiest;
+        }
+      busiest_sum += busiest;
+    }
+  return busiest_sum * shape.ranks / total;
+}
+
+/* What the ranks report for one second's steps. */
+static void
+report_loads (run_t *run, int64_t now_ms)
+{
+  bt_map_shape_t shape = run->group->shape;
+  double tokens = (double)shape.ranks * TOKENS_A_RANK * EXPERTS_A_TOKEN * STEPS_A_TICK;
+
+  bt_decay_expert_load (run->load, now_ms);
+  for (int32_t layer = 0; layer < shape.layers; layer++)
+    for (int32_t expert = 0; expert < shape.experts; expert++)
+      bt_add_expert_load (
+          run->load, layer, expert,
+          draw_count (&run->noise, tokens * get_drift_share (run->drift, layer, expert)));
+}
+
+static void
+plan_next (run_t *run, int64_t now_ms)
+{
+  result_t *result = run->result;
+  bt_map_input_t input = {
+    run->map, run->load, run->history, run->way->weights, get_limits (run->group), now_ms
+  };
+  int64_t start_us = bt_read_monotonic_us ();
+  bt_map_plan_t *plan = bt_plan_map (run->ctx, run->way->planner, &input);
+  int64_t plan_us = bt_read_monotonic_us () - start_us;
+
+  if (plan_us > result->slowest_plan_us)
+    result->slowest_plan_us = plan_us;
+  if (plan->move_count > 0)
+    {
+      run->staged = bt_copy_expert_map (run->ctx, plan->next);
+      run->ready_ms = now_ms;
+      if (!run->way->instant)
+        run->ready_ms += plan->moved_bytes / ((int64_t)STORE_MB_A_S * KB_PER_MB);
+      result->moved_bytes += plan->moved_bytes;
+      result->extra_ms += plan->cost_ms;
+    }
+  bt_drop_map_plan (run->ctx, plan);
+}
+
+static void
+switch_map (run_t *run, int64_t now_ms)
+{
+  bt_record_map_change (run->history, run->map, run->staged, now_ms);
+  bt_drop_expert_map (run->ctx, run->map);
+  run->map = run->staged;
+  run->staged = NULL;
+  run->result->changes++;
+}
+
+static void
+play (
+    bt_context_t *ctx, const group_t *group, drift_kind_t kind, const way_t *way, result_t *result)
+{
+  run_t run = { ctx, group, way };
+
+  memset (result, 0, sizeof *result);
+  run.result = result;
+  run.drift = new_drift (ctx, group->shape, kind, RUN_MS, SEED);
+  start_run (&run);
+  for (int32_t tick = 0; tick < TICKS; tick++)
+    {
+      int64_t now_ms = (int64_t)tick * TICK_MS;
+
+      move_drift (run.drift, now_ms);
+      if (run.staged != NULL && now_ms >= run.ready_ms)
+        switch_map (&run, now_ms);
+      result->skew[tick] = sample_step (&run);
+      result->skew_sum += result->skew[tick];
+      report_loads (&run, now_ms);
+      if (tick > 0 && now_ms % INTERVAL_MS == 0 && run.staged == NULL)
+        plan_next (&run, now_ms);
+    }
+  end_run (&run);
+  drop_drift (ctx, run.drift);
+}
+
+static int
+compare_doubles (const void *left, const void *right)
+{
+  double a = *(const double *)left;
+  double b = *(const double *)right;
+
+  return (a > b) - (a < b);
+}
+
+static double
+quantile (double *values, int32_t count, double at)
+{
+  qsort (values, (size_t)count, sizeof *values, compare_doubles);
+  return values[(int32_t)(at * (count - 1))];
+}
+
+/* Lost to skew: how much longer than balanced the run's steps took, in seconds. */
+static void
+print_result (const char *name, result_t *result)
+{
+  double lost_s = (result->skew_sum - TICKS) * expert_share * TICK_MS / 1000.0;
+
+  printf ("| %-18s | %5.3f | %5.3f | %8.1f | %4d | %4d | %7.1f | %7.1f | %6.1f |\n", name,
+          quantile (result->skew, TICKS, median), quantile (result->skew, TICKS, tail),
+          (double)result->moved_bytes / 1e9, result->changes, result->held_steps, lost_s,
+          result->extra_ms / 1000.0, (double)result->slowest_plan_us / 1000.0);
+}
+
+/* Weights of the two deployments; the same are the defaults of the settings. */
+static const bt_map_weights_t haiyun = { 1.0, 0.5, 120000, 6, 1.5, 60000 };
+static const bt_map_weights_t association = { 0.5, 1.0, 120000, 6, 2.0, 120000 };
+static const bt_map_weights_t no_weights = { 1.0, 1.0, 1, 0, 1.0, 0 };
+
+int
+main (void)
+{
+  bt_context_t *ctx = bt_new_context ();
+  way_t ways[] = {
+    { "static", bt_static_map_planner (), no_weights, 30000, false },
+    { "full", bt_full_map_planner (), no_weights, 30000, false },
+    { "full, no staging", bt_full_map_planner (), no_weights, 30000, true },
+    { "paying, Haiyun", bt_paying_map_planner (), haiyun, 30000, false },
+    { "paying, assoc.", bt_paying_map_planner (), association, 30000, false },
+  };
+  static result_t result;
+
+  for (int32_t g = 0; g < GROUPS; g++)
+    for (int32_t kind = 0; kind < DRIFT_COUNT; kind++)
+      {
+        printf ("\n%s; %s\n\n", groups[g].name, name_drift (kind));
+        printf (
+            "| planner            |   p50 |   p99 | moved GB | maps | held | skew, s | moving, s "
+            "| plan, ms |\n|---|---|---|---|---|---|---|---|---|\n");
+        for (size_t w = 0; w < sizeof ways / sizeof ways[0]; w++)
+          {
+            play (ctx, &groups[g], kind, &ways[w], &result);
+            print_result (ways[w].name, &result);
+          }
+      }
+  bt_drop_context (ctx);
+  return 0;
+}
--- /dev/null
+++ b/source/core/map_planner.c
@@ -0,0 +1,251 @@
+#include "bilberrytray/core/map_planner.h"
+
+#include "map_layer.h"
+
+enum
+{
+  FIRST_MOVES = 64,
+};
+
+struct bt_map_history
+{
+  bt_map_shape_t shape;
+  int64_t changed_ms[];
+};
+
+static size_t
+index_cell (bt_map_shape_t shape, int32_t layer, int32_t expert)
+{
+  return (size_t)layer * (size_t)shape.experts + (size_t)expert;
+}
+
+bt_map_history_t *
+bt_new_map_history (bt_context_t *ctx, bt_map_shape_t shape)
+{
+  size_t cells = index_cell (shape, shape.layers, 0);
+  bt_map_history_t *history = bt_calloc (ctx, 1, sizeof *history + cells * sizeof (int64_t));
+
+  history->shape = shape;
+  for (size_t i = 0; i < cells; i++)
+    history->changed_ms[i] = INT64_MIN;
+  return history;
+}
+
+void
+bt_drop_map_history (bt_context_t *ctx, bt_map_history_t *history)
+{
+  bt_free (ctx, history);
+}
+
+void
+bt_record_map_change (bt_map_history_t *history,
+                      const bt_expert_map_t *current,
+                      const bt_expert_map_t *next,
+                      int64_t now_ms)
+{
+  for (int32_t layer = 0; layer < history->shape.layers; layer++)
+    for (int32_t expert = 0; expert < history->shape.experts; expert++)
+      if (bt_get_map_ranks (current, layer, expert) != bt_get_map_ranks (next, layer, expert))
+        history->changed_ms[index_cell (history->shape, layer, expert)] = now_ms;
+}
+
+static double
+sum_means (const bt_map_input_t *input)
+{
+  bt_map_shape_t shape = bt_get_map_shape (input->current);
+  double sum = 0;
+
+  for (int32_t layer = 0; layer < shape.layers; layer++)
+    for (int32_t expert = 0; expert < shape.experts; expert++)
+      sum += bt_get_expert_load (input->load, layer, expert);
+  return sum / shape.ranks;
+}
+
+double
+bt_predict_map_skew (const bt_expert_map_t *map, const bt_expert_load_t *load)
+{
+  bt_map_shape_t shape = bt_get_map_shape (map);
+  double busiest = 0;
+  double total = 0;
+
+  for (int32_t layer = 0; layer < shape.layers; layer++)
+    {
+      bt_map_layer_t state;
+
+      bt_read_map_layer (&state, map, load, layer);
+      busiest += state.load[bt_find_busiest_rank (&state)];
+      for (int32_t rank = 0; rank < shape.ranks; rank++)
+        total += state.load[rank];
+    }
+  return total > 0 ? busiest * shape.ranks / total : 1.0;
+}
+
+static void
+add_move (bt_context_t *ctx, bt_map_plan_t *plan, bt_map_move_t move)
+{
+  if (plan->move_count == plan->move_capacity)
+    {
+      plan->move_capacity = plan->move_capacity == 0 ? FIRST_MOVES : plan->move_capacity * 2;
+      plan->moves = bt_realloc (ctx, plan->moves, (size_t)plan->move_capacity, sizeof *plan->moves);
+    }
+  plan->moves[plan->move_count++] = move;
+}
+
+static void
+list_cell_moves (bt_context_t *ctx,
+                 bt_map_plan_t *plan,
+                 int32_t layer,
+                 int32_t expert,
+                 uint64_t before,
+                 uint64_t after)
+{
+  for (uint64_t left = before ^ after; left != 0; left &= left - 1)
+    {
+      int32_t rank = __builtin_ctzll (left);
+
+      add_move (ctx, plan, (bt_map_move_t){ layer, expert, rank, (after >> rank & 1) != 0 });
+    }
+}
+
+/* Fills in what follows from the current and the next map. */
+static void
+complete_plan (bt_context_t *ctx, const bt_map_input_t *input, bt_map_plan_t *plan)
+{
+  bt_map_shape_t shape = bt_get_map_shape (input->current);
+  int64_t transfers = bt_count_map_moves (input->current, plan->next);
+
+  for (int32_t layer = 0; layer < shape.layers; layer++)
+    for (int32_t expert = 0; expert < shape.experts; expert++)
+      list_cell_moves (ctx, plan, layer, expert, bt_get_map_ranks (input->current, layer, expert),
+                       bt_get_map_ranks (plan->next, layer, expert));
+  plan->skew_before = bt_predict_map_skew (input->current, input->load);
+  plan->skew_after = bt_predict_map_skew (plan->next, input->load);
+  plan->moved_bytes = transfers * input->limits.expert_bytes;
+  plan->gain_ms = (plan->skew_before - plan->skew_after) * bt_price_skew_ms (input);
+  plan->cost_ms = (double)transfers * bt_price_transfer_ms (input);
+  if (plan->move_count > 0)
+    plan->cost_ms += input->limits.held_steps_a_round * (double)input->weights.held_step_cost_ms;
+}
+
+static bt_map_plan_t *
+start_plan (bt_context_t *ctx, const bt_map_input_t *input)
+{
+  bt_map_plan_t *plan = bt_calloc (ctx, 1, sizeof *plan);
+
+  plan->next = bt_copy_expert_map (ctx, input->current);
+  return plan;
+}
+
+static bt_map_plan_t *
+plan_static (bt_context_t *ctx, const bt_map_input_t *input)
+{
+  return start_plan (ctx, input);
+}
+
+static bt_map_plan_t *
+plan_full (bt_context_t *ctx, const bt_map_input_t *input)
+{
+  bt_map_plan_t *plan = start_plan (ctx, input);
+  bt_map_shape_t shape = bt_get_map_shape (input->current);
+
+  for (int32_t layer = 0; layer < shape.layers; layer++)
+    bt_pack_map_layer (plan->next, input, layer);
+  return plan;
+}
+
+static void
+mark_pinned (const bt_map_input_t *input, int32_t layer, bool *pinned)
+{
+  bt_map_shape_t shape = bt_get_map_shape (input->current);
+
+  for (int32_t expert = 0; expert < shape.experts; expert++)
+    {
+      int64_t changed_ms = INT64_MIN;
+
+      if (input->history != NULL)
+        changed_ms = input->history->changed_ms[index_cell (shape, layer, expert)];
+      pinned[expert] =
+          changed_ms != INT64_MIN && input->now_ms - changed_ms < input->weights.min_stay_ms;
+    }
+}
+
+/* A round as a whole has a price too: where rounds hold steps, a plan must pay for them. */
+static bool
+is_round_paid (const bt_map_input_t *input, const bt_map_plan_t *plan)
+{
+  double gain = input->weights.skew_weight * plan->gain_ms;
+  double cost = input->weights.cost_weight * plan->cost_ms;
+
+  return gain > cost * input->weights.pay_ratio;
+}
+
+static bt_map_plan_t *
+plan_paying (bt_context_t *ctx, const bt_map_input_t *input)
+{
+  bt_map_plan_t *plan = start_plan (ctx, input);
+  bt_map_shape_t shape = bt_get_map_shape (input->current);
+  bt_map_prices_t prices = { 0 };
+  double mean = sum_means (input);
+  bool pinned[BT_MAP_MAX_EXPERTS];
+
+  if (mean <= 0)
+    return plan;
+  prices.load = input->weights.skew_weight * bt_price_skew_ms (input) / mean;
+  prices.transfer =
+      input->weights.cost_weight * input->weights.pay_ratio * bt_price_transfer_ms (input);
+  for (int32_t layer = 0; layer < shape.layers; layer++)
+    {
+      mark_pinned (input, layer, pinned);
+      bt_improve_map_layer (plan->next, input, layer, &prices, pinned);
+    }
+  return plan;
+}
+
+static const bt_map_planner_vtable_t paying_vtable = { "paying", plan_paying };
+static const bt_map_planner_vtable_t static_vtable = { "static", plan_static };
+static const bt_map_planner_vtable_t full_vtable = { "full", plan_full };
+static const bt_map_planner_t paying_planner = { &paying_vtable };
+static const bt_map_planner_t static_planner = { &static_vtable };
+static const bt_map_planner_t full_planner = { &full_vtable };
+
+const bt_map_planner_t *
+bt_paying_map_planner (void)
+{
+  return &paying_planner;
+}
+
+const bt_map_planner_t *
+bt_static_map_planner (void)
+{
+  return &static_planner;
+}
+
+const bt_map_planner_t *
+bt_full_map_planner (void)
+{
+  return &full_planner;
+}
+
+bt_map_plan_t *
+bt_plan_map (bt_context_t *ctx, const bt_map_planner_t *planner, const bt_map_input_t *input)
+{
+  bt_map_plan_t *plan = planner->vtable->plan (ctx, input);
+
+  complete_plan (ctx, input, plan);
+  if (planner != &paying_planner || plan->move_count == 0 || is_round_paid (input, plan))
+    return plan;
+  bt_drop_map_plan (ctx, plan);
+  plan = start_plan (ctx, input);
+  complete_plan (ctx, input, plan);
+  return plan;
+}
+
+void
+bt_drop_map_plan (bt_context_t *ctx, bt_map_plan_t *plan)
+{
+  if (plan == NULL)
+    return;
+  bt_drop_expert_map (ctx, plan->next);
+  bt_free (ctx, plan->moves);
+  bt_free (ctx, plan);
+}
