--- a/bench/bench_maps.c
+++ b/bench/bench_maps.c
@@ -58,6 +58,7 @@
   const bt_map_planner_t *planner;
   bt_map_weights_t weights;
   int64_t half_life_ms;
+  int64_t interval_ms;
   bool instant; /**< Weights need no time to arrive: a bound, not a system. */
 } way_t;
 
@@ -245,7 +246,7 @@
       result->skew[tick] = sample_step (&run);
       result->skew_sum += result->skew[tick];
       report_loads (&run, now_ms);
-      if (tick > 0 && now_ms % INTERVAL_MS == 0 && run.staged == NULL)
+      if (tick > 0 && now_ms % way->interval_ms == 0 && run.staged == NULL)
         plan_next (&run, now_ms);
     }
   end_run (&run);
@@ -290,11 +291,11 @@
 {
   bt_context_t *ctx = bt_new_context ();
   way_t ways[] = {
-    { "static", bt_static_map_planner (), no_weights, 30000, false },
-    { "full", bt_full_map_planner (), no_weights, 30000, false },
-    { "full, no staging", bt_full_map_planner (), no_weights, 30000, true },
-    { "paying, Haiyun", bt_paying_map_planner (), haiyun, 30000, false },
-    { "paying, assoc.", bt_paying_map_planner (), association, 30000, false },
+    { "static", bt_static_map_planner (), no_weights, 30000, INTERVAL_MS, false },
+    { "full", bt_full_map_planner (), no_weights, 30000, INTERVAL_MS, false },
+    { "full, no staging", bt_full_map_planner (), no_weights, 30000, INTERVAL_MS, true },
+    { "paying, Haiyun", bt_paying_map_planner (), haiyun, 30000, INTERVAL_MS, false },
+    { "paying, assoc.", bt_paying_map_planner (), association, 30000, INTERVAL_MS, false },
   };
   static result_t result;
 
--- a/source/core/map_layer.c
+++ b/source/core/map_layer.c
@@ -303,16 +303,13 @@
 {
   bt_map_layer_t layer;
   change_t changes[MAX_CHANGES];
-  search_t search;
+  search_t search = { &layer, pinned, input->limits.slots };
   double start;
   double spent = 0;
   double best_worth = 0;
   int32_t paying = 0;
 
   bt_read_map_layer (&layer, map, input->load, index);
-  search.layer = &layer;
-  search.pinned = pinned;
-  search.slots = input->limits.slots;
   start = layer.load[bt_find_busiest_rank (&layer)];
   search.transfer_price = prices->transfer;
   search.load_price = prices->load;
