--- /dev/null
+++ b/model/run.sh
@@ -0,0 +1,179 @@
+#!/usr/bin/env bash
+# Runs the Spin models listed in CASES and compares each result with its expectation.
+#
+#   run.sh                 run all cases
+#   run.sh NAME...         run only the named cases
+#   run.sh --self-test     check that a wrong expectation or an incomplete search is reported
+#   run.sh --cases FILE    take the cases from FILE
+#
+# A case that must pass needs a complete search with no error. A case that must fail needs one error,
+# a trail file, and the violated assertion or claim that its line names.
+# Environment: PAN_DEPTH (search depth), PAN_JOBS (parallel cases).
+
+set -u
+
+MODEL_DIR=$(cd "$(dirname "$0")" && pwd)
+OUT_DIR=${MODEL_OUT:-$MODEL_DIR/out}
+CASES_FILE=$MODEL_DIR/CASES
+DEPTH=${PAN_DEPTH:-2000000}
+JOBS=${PAN_JOBS:-4}
+MEMORY_LIMIT_MB=1900
+TIME_LIMIT_S=200
+TABLE_FORMAT='%-34s %-6s %-7s %10s %8s  %s\n'
+
+trim ()
+{
+  local text=$1
+  text=${text#"${text%%[![:space:]]*}"}
+  text=${text%"${text##*[![:space:]]}"}
+  printf '%s' "$text"
+}
+
+# Text of the violated assertion, or the name of the violated claim.
+violation ()
+{
+  local log=$1 text
+  text=$(sed -n 's/^pan:1: assertion violated \(.*\) (at depth.*/\1/p' "$log" | head -n 1)
+  if [ -z "$text" ] && grep -q '^pan:1: acceptance cycle' "$log"; then
+    text="acceptance cycle $(sed -n 's/^.*never claim.*(\(.*\)).*/\1/p' "$log" | head -n 1)"
+  fi
+  if [ -z "$text" ]; then
+    text=$(sed -n 's/^pan:1: \(.*\) (at depth.*/\1/p' "$log" | head -n 1)
+  fi
+  printf '%s' "$text"
+}
+
+# Limits that make a search worthless as a proof.
+incomplete ()
+{
+  grep -q -e 'max search depth too small' -e 'out of memory' -e 'reached -DMEMLIM' \
+    -e 'VECTORSZ' -e 'BITSTATE' -e 'hash compact' "$1"
+}
+
+# A search that stopped before its end; expected only where an error stopped it.
+stopped_early ()
+{
+  grep -qi 'search not completed' "$1"
+}
+
+judge ()
+{
+  local expect=$1 claim=$2 log=$3 trail=$4 errors
+  errors=$(sed -n 's/^State-vector.*errors: \([0-9]*\).*/\1/p' "$log")
+  if [ -z "$errors" ] || incomplete "$log"; then
+    echo error
+  elif [ "$expect" = pass ] && [ "$errors" = 0 ] && ! stopped_early "$log"; then
+    echo pass
+  elif [ "$expect" = pass ] && [ "$errors" = 0 ]; then
+    echo error
+  elif [ "$errors" = 0 ]; then
+    echo pass
+  elif [ ! -s "$trail" ]; then
+    echo error
+  elif [ "$expect" = fail ] && [[ "$(violation "$log")" != *"$claim"* ]]; then
+    echo other
+  else
+    echo fail
+  fi
+}
+
+run_case ()
+{
+  local name=$1 file=$2 defines=$3 expect=$4 kind=$5 claim=$6
+  local dir=$OUT_DIR/$name compile_flags run_flags result states seconds start
+  rm -rf "$dir"
+  mkdir -p "$dir"
+  start=$(date +%s.%N)
+  case $expect-$kind in
+    pass-safety) compile_flags='-DSAFETY'; run_flags="-m$DEPTH" ;;
+    fail-safety) compile_flags='-DSAFETY -DBFS'; run_flags="-m$DEPTH" ;;
+    pass-liveness | fail-liveness) compile_flags='-DNFAIR=3'; run_flags="-a -f -m$DEPTH" ;;
+    *) echo "bad expectation or kind: $expect $kind" > "$dir/log"; compile_flags= ;;
+  esac
+  # shellcheck disable=SC2086
+  if [ -n "$compile_flags" ]; then
+    ( cd "$dir" &&
+      spin -a $defines "$MODEL_DIR/$file" &&
+      gcc -O2 -w -DMEMLIM=$MEMORY_LIMIT_MB $compile_flags -o pan pan.c &&
+      timeout $TIME_LIMIT_S ./pan $run_flags
+    ) > "$dir/log" 2>&1
+  fi
+  result=$(judge "$expect" "$claim" "$dir/log" "$dir/$file.trail")
+  states=$(sed -n 's/^ *\([0-9.e+]*\) states, stored.*/\1/p' "$dir/log" | head -n 1)
+  seconds=$(awk -v a="$start" -v b="$(date +%s.%N)" 'BEGIN { printf "%.1f", b - a }')
+  # shellcheck disable=SC2059
+  printf "$TABLE_FORMAT" "$name" "$expect" "$result" "${states:--}" "$seconds" \
+    "$(violation "$dir/log")" > "$dir/row"
+  if [ "$result" = "$expect" ]; then touch "$dir/ok"; fi
+}
+
+run_all ()
+{
+  local names=" $* " name file defines expect kind claim story running=0 passed=0 failed=0
+  local started=()
+  mkdir -p "$OUT_DIR"
+  while IFS='|' read -r name file defines expect kind claim story; do
+    name=$(trim "$name")
+    case $name in '' | '#'*) continue ;; esac
+    if [ "$names" != '  ' ] && [[ "$names" != *" $name "* ]]; then continue; fi
+    if [ "$running" -ge "$JOBS" ]; then
+      wait -n
+      running=$((running - 1))
+    fi
+    run_case "$name" "$(trim "$file")" "$(trim "$defines")" "$(trim "$expect")" \
+      "$(trim "$kind")" "$(trim "$claim")" &
+    running=$((running + 1))
+    started+=("$name")
+  done < "$CASES_FILE"
+  wait
+
+  # shellcheck disable=SC2059
+  printf "$TABLE_FORMAT" case expect result states seconds violated
+  for name in "${started[@]}"; do
+    if [ -s "$OUT_DIR/$name/row" ]; then cat "$OUT_DIR/$name/row"; else echo "$name: no result"; fi
+    if [ -e "$OUT_DIR/$name/ok" ]; then passed=$((passed + 1)); else failed=$((failed + 1)); fi
+  done
+  echo "$passed passed, $failed failed"
+  [ "$failed" -eq 0 ] && [ "$passed" -gt 0 ]
+}
+
+# Runs one line that must be reported as a deviation.
+expect_deviation ()
+{
+  local title=$1 line=$2 depth=$3 dir
+  dir=$OUT_DIR/self-test
+  mkdir -p "$dir"
+  echo "$line" > "$dir/CASES"
+  if PAN_DEPTH=$depth MODEL_OUT=$dir "$MODEL_DIR/run.sh" --cases "$dir/CASES" > "$dir/output"; then
+    echo "self-test: $title was not reported"
+    return 1
+  fi
+  echo "self-test: $title is reported"
+}
+
+self_test ()
+{
+  local failed=0
+  expect_deviation 'a guarded model expected to fail' \
+    'wrong-fail|request.pml|-DARBITER|fail|safety|runs|' "$DEPTH" || failed=1
+  expect_deviation 'an unguarded model expected to pass' \
+    'wrong-pass|request.pml|-DARBITER -DNO_HOME|pass|safety||' "$DEPTH" || failed=1
+  expect_deviation 'a violation of another assertion' \
+    'wrong-claim|request.pml|-DARBITER -DNO_HOME|fail|safety|no such assertion|' "$DEPTH" || failed=1
+  expect_deviation 'an incomplete search' \
+    'short|request.pml|-DARBITER|pass|safety||' 5 || failed=1
+  expect_deviation 'a model that does not compile' \
+    'missing|absent.pml||fail|safety||' "$DEPTH" || failed=1
+  expect_deviation 'an empty list' '# nothing' "$DEPTH" || failed=1
+  return $failed
+}
+
+if [ "${1:-}" = --cases ]; then
+  CASES_FILE=$2
+  shift 2
+fi
+if [ "${1:-}" = --self-test ]; then
+  self_test
+else
+  run_all "$@"
+fi
