--- a/test/process/harness.c
+++ b/test/process/harness.c
@@ -43,6 +43,7 @@
   OFFSET_PLAIN = 130,
   BASE_TEN = 10,
   REPLY_WAIT_S = 60,
+  COMMAND_BYTES = 2048,
 };
 
 static const char *const *extra_entry;
@@ -442,6 +443,28 @@
   return value;
 }
 
+int32_t
+bt_run_program (const char *line, char **output)
+{
+  const char *build = getenv ("BT_BUILD_DIR");
+  char command[COMMAND_BYTES];
+  bt_reply_t printed = { 0 };
+  char block[URL_BYTES];
+  size_t got;
+  FILE *pipe;
+  int status;
+
+  snprintf (command, sizeof command, "%s/%s 2>&1", build == NULL ? "build/asan" : build, line);
+  pipe = popen (command, "r");
+  if (pipe == NULL)
+    return -1;
+  while ((got = fread (block, 1, sizeof block, pipe)) > 0)
+    take_bytes (block, 1, got, &printed);
+  status = pclose (pipe);
+  *output = printed.body == NULL ? strdup ("") : printed.body;
+  return WIFEXITED (status) ? WEXITSTATUS (status) : -1;
+}
+
 bool
 bt_wait_until (bool (*test) (void *argument), void *argument)
 {
--- a/test/process/harness.h
+++ b/test/process/harness.h
@@ -107,6 +107,10 @@
 json_t *
 bt_call_standin (const bt_stage_t *stage, const char *name, const char *path, const char *body);
 
+/** Runs a built program to its end by a shell line such as "bilberryd check examples/haiyun";
+ * returns its exit code and gives what it printed on both streams, to be freed. */
+int32_t bt_run_program (const char *line, char **output);
+
 /** Sends the instance list again, after a change of listed_leaving. */
 bool bt_put_stage_list (bt_stage_t *stage);
 
