--- /dev/null
+++ b/test/process/harness_requests.c
@@ -0,0 +1,190 @@
+#include "harness_requests.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  BODY_BYTES = 256,
+  LINE_BYTES = 128,
+  HEADER_BYTES = 320,
+  NAME_BYTES = 32,
+};
+
+/* A ticket that is wanted. */
+typedef struct ticket_wait
+{
+  const bt_stage_t *stage;
+  const char *entry;
+  char *key;
+} ticket_wait_t;
+
+static bool
+gets_ticket (void *argument)
+{
+  static const char *const headers[] = { "Bilberry-App: drafts", "Bilberry-Tickets: 1", NULL };
+  const ticket_wait_t *wait = argument;
+  bt_reply_t reply;
+  json_t *answer;
+  const char *text;
+
+  bt_ask (wait->stage, wait->entry, "small", "/v1/addresses", headers, NULL, &reply);
+  answer = reply.body == NULL ? NULL : json_loadb (reply.body, reply.body_bytes, 0, NULL);
+  text = json_string_value (json_array_get (json_object_get (answer, "tickets"), 0));
+  snprintf (wait->key, BT_KEY_TEXT_BYTES, "%s", text == NULL ? "" : text);
+  json_decref (answer);
+  bt_clear_reply (&reply);
+  return wait->key[0] != '\0';
+}
+
+bool
+bt_take_ticket (const bt_stage_t *stage, const char *entry, char key[BT_KEY_TEXT_BYTES])
+{
+  ticket_wait_t wait = { stage, entry, key };
+
+  return bt_wait_until (gets_ticket, &wait);
+}
+
+void
+bt_send_draft (bt_draft_t *draft)
+{
+  char body[BODY_BYTES];
+  char key[HEADER_BYTES];
+  const char *headers[] = { draft->key == NULL ? NULL : key, NULL };
+
+  snprintf (key, sizeof key, "Idempotency-Key: %s", draft->key == NULL ? "" : draft->key);
+  snprintf (body, sizeof body, "{\"prompt\":\"%s\",\"max_tokens\":%d}", draft->prompt,
+            draft->tokens);
+  bt_ask (draft->stage, draft->entry, "small", "/v1/completions", headers, body, &draft->reply);
+}
+
+static void *
+run_draft (void *argument)
+{
+  bt_send_draft (argument);
+  return NULL;
+}
+
+void
+bt_start_draft (bt_draft_t *draft)
+{
+  if (pthread_create (&draft->thread, NULL, run_draft, draft) != 0)
+    abort ();
+}
+
+void
+bt_join_draft (bt_draft_t *draft)
+{
+  pthread_join (draft->thread, NULL);
+}
+
+static uint64_t
+hash_prompt (const char *text)
+{
+  uint64_t hash = 14695981039346656037U;
+
+  for (; *text != '\0'; text++)
+    hash = (hash ^ (uint8_t)*text) * 1099511628211U;
+  return hash;
+}
+
+bool
+bt_is_draft_whole (const bt_draft_t *draft)
+{
+  const char *at = bt_get_reply_text (&draft->reply);
+  unsigned int hash = (unsigned int)(hash_prompt (draft->prompt) & 0xffffU);
+  char line[LINE_BYTES];
+
+  if (draft->reply.curl_code != 0 || draft->reply.status != 200)
+    return false;
+  for (int32_t i = 0; i < draft->tokens; i++)
+    {
+      snprintf (line, sizeof line, "data: {\"index\":%d,\"text\":\"%04x-%d \"}\n\n", i, hash, i);
+      if (strncmp (at, line, strlen (line)) != 0)
+        return false;
+      at += strlen (line);
+    }
+  return strcmp (at, "data: [DONE]\n\n") == 0;
+}
+
+bool
+bt_was_draft_told (const bt_draft_t *draft, const char *outcome)
+{
+  if (draft->reply.curl_code != 0)
+    return strcmp (outcome, "unknown") == 0;
+  return strcmp (draft->reply.outcome, outcome) == 0;
+}
+
+int32_t
+bt_count_draft_runs (const bt_draft_t *draft)
+{
+  int32_t count = 0;
+  char name[NAME_BYTES];
+  size_t index;
+  json_t *run;
+
+  for (int32_t i = 0; i < draft->stage->engines; i++)
+    {
+      json_t *log;
+
+      snprintf (name, sizeof name, "engine-%d", i);
+      log = bt_call_standin (draft->stage, name, "/v1/runs", NULL);
+      json_array_foreach (json_object_get (log, "runs"), index, run)
+      {
+        const char *prompt = json_string_value (json_object_get (run, "prompt"));
+
+        count += prompt != NULL && strcmp (prompt, draft->prompt) == 0;
+      }
+      json_decref (log);
+    }
+  return count;
+}
+
+bool
+bt_is_draft_truthful (const bt_draft_t *draft)
+{
+  int32_t runs = bt_count_draft_runs (draft);
+
+  if (bt_is_draft_whole (draft))
+    return runs == 1;
+  if (bt_was_draft_told (draft, "not-run"))
+    return runs == 0;
+  return bt_was_draft_told (draft, "unknown") && runs <= 1;
+}
+
+static bool
+has_runs (void *argument)
+{
+  return bt_count_draft_runs (argument) > 0;
+}
+
+bool
+bt_wait_draft_runs (bt_draft_t *draft)
+{
+  return bt_wait_until (has_runs, draft);
+}
+
+/* Which endpoints an entry is to have. */
+typedef struct endpoints_wait
+{
+  const bt_stage_t *stage;
+  const char *entry;
+  int32_t count;
+} endpoints_wait_t;
+
+static bool
+has_endpoints (void *argument)
+{
+  const endpoints_wait_t *wait = argument;
+
+  return bt_read_stage_counter (wait->stage, wait->entry, "bilberry_endpoints_up") == wait->count;
+}
+
+bool
+bt_wait_endpoints (const bt_stage_t *stage, const char *entry, int32_t count)
+{
+  endpoints_wait_t wait = { stage, entry, count };
+
+  return bt_wait_until (has_endpoints, &wait);
+}
--- /dev/null
+++ b/test/process/harness_requests.h
@@ -0,0 +1,62 @@
+#ifndef BILBERRYTRAY_TEST_PROCESS_HARNESS_REQUESTS_H
+#define BILBERRYTRAY_TEST_PROCESS_HARNESS_REQUESTS_H
+
+/** @file
+ * Drafts sent by callers of their own, and the comparison of what they were told with the run logs
+ * of the model engines.
+ */
+
+#include <pthread.h>
+
+#include "harness.h"
+
+enum
+{
+  BT_KEY_TEXT_BYTES = 256,
+};
+
+/** One caller's request. Set the first five before it is started. */
+typedef struct bt_draft
+{
+  const bt_stage_t *stage;
+  const char *entry;
+  const char *key;    /**< NULL: a request without a key. */
+  const char *prompt; /**< Shorter than 60 bytes and unlike all others of the stage. */
+  int32_t tokens;
+  pthread_t thread;
+  bt_reply_t reply;
+} bt_draft_t;
+
+/** Takes a ticket for drafts from an entry; waits until the entry has one to give. */
+bool bt_take_ticket (const bt_stage_t *stage, const char *entry, char key[BT_KEY_TEXT_BYTES]);
+
+/** Sends a draft on a thread of its own. */
+void bt_start_draft (bt_draft_t *draft);
+
+/** Waits for its answer; free it with bt_clear_reply. */
+void bt_join_draft (bt_draft_t *draft);
+
+/** Sends a draft and waits for its answer. */
+void bt_send_draft (bt_draft_t *draft);
+
+/** True when the caller got the whole and the very answer to its own draft. */
+bool bt_is_draft_whole (const bt_draft_t *draft);
+
+/** True when the caller was refused with this outcome, or its answer was visibly cut, which says
+ * "unknown". */
+bool bt_was_draft_told (const bt_draft_t *draft, const char *outcome);
+
+/** How often the engines ran a draft, by their logs. */
+int32_t bt_count_draft_runs (const bt_draft_t *draft);
+
+/** True when what the caller was told agrees with the engines' logs: answered whole means run once,
+ * not-run means not run, unknown means run at most once. */
+bool bt_is_draft_truthful (const bt_draft_t *draft);
+
+/** Waits until an engine has begun the draft. */
+bool bt_wait_draft_runs (bt_draft_t *draft);
+
+/** Waits until an agent serves links again, at every entry that runs: as many endpoints up. */
+bool bt_wait_endpoints (const bt_stage_t *stage, const char *entry, int32_t count);
+
+#endif
--- /dev/null
+++ b/test/process/test_request_faults.c
@@ -0,0 +1,188 @@
+#include <CUnit/Basic.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "bilberrytray/base/clock.h"
+#include "harness_requests.h"
+
+enum
+{
+  STEP_US = 20000,
+  LONG_TOKENS = 60,
+  BEYOND_LIMITS_MS = 6000, /* Longer than any limit of a link or a message. */
+};
+
+static const char *const rules =
+    "{\"rules\":[{\"name\":\"drafts\",\"when\":{\"path\":\"/v1/completions\"},"
+    "\"then\":{\"action\":\"route\",\"app\":\"drafts\",\"retries\":2}}]}";
+
+static bt_stage_t *stage;
+
+static int
+start_suite (void)
+{
+  stage = bt_new_stage (2, 2, 0, STEP_US, rules);
+  return stage == NULL ? 1 : 0;
+}
+
+static int
+end_suite (void)
+{
+  bt_drop_stage (stage, CU_get_number_of_failures () > 0);
+  return 0;
+}
+
+/* A buyer's draft is streaming when its entry dies. The buyer sends it again, with the same key,
+ * through the other entry. The run went on at the agent: the buyer gets its whole answer, and the
+ * draft ran once. Without a key at its home it would run, and be ordered, twice. */
+static void
+test_entry_killed_resend_elsewhere (void)
+{
+  char key[BT_KEY_TEXT_BYTES];
+  bt_draft_t draft = { stage, "entry-0", key, "entry killed", LONG_TOKENS };
+  bt_draft_t again = { stage, "entry-1", key, "entry killed", LONG_TOKENS };
+
+  CU_ASSERT_TRUE_FATAL (bt_take_ticket (stage, "entry-0", key));
+  bt_start_draft (&draft);
+  CU_ASSERT_TRUE (bt_wait_draft_runs (&draft));
+  CU_ASSERT_TRUE (bt_signal_process (stage, "entry-0", SIGKILL));
+  bt_join_draft (&draft);
+  CU_ASSERT_TRUE (bt_was_draft_told (&draft, "unknown"));
+  bt_send_draft (&again);
+  CU_ASSERT_TRUE (bt_is_draft_whole (&again));
+  CU_ASSERT_EQUAL (bt_count_draft_runs (&again), 1);
+  bt_clear_reply (&draft.reply);
+  bt_clear_reply (&again.reply);
+  CU_ASSERT_TRUE (bt_start_process (stage, "entry-0"));
+  CU_ASSERT_TRUE (bt_wait_endpoints (stage, "entry-0", 2));
+}
+
+/* Two copies of one draft race through two entries, as when a buyer's app gives up too early. Both
+ * meet at the key's home: the draft runs once and both get its whole answer. */
+static void
+test_two_copies_race (void)
+{
+  for (int32_t round = 0; round < 5; round++)
+    {
+      char key[BT_KEY_TEXT_BYTES];
+      char prompt[32];
+      bt_draft_t one = { stage, "entry-0", key, prompt, 5 };
+      bt_draft_t two = { stage, "entry-1", key, prompt, 5 };
+
+      snprintf (prompt, sizeof prompt, "race %d", round);
+      CU_ASSERT_TRUE_FATAL (bt_take_ticket (stage, "entry-1", key));
+      bt_start_draft (&one);
+      bt_start_draft (&two);
+      bt_join_draft (&one);
+      bt_join_draft (&two);
+      CU_ASSERT_TRUE (bt_is_draft_whole (&one));
+      CU_ASSERT_TRUE (bt_is_draft_whole (&two));
+      CU_ASSERT_EQUAL (bt_count_draft_runs (&one), 1);
+      bt_clear_reply (&one.reply);
+      bt_clear_reply (&two.reply);
+    }
+}
+
+/* The engine's stream goes silent half-way on a connection that looks alive. The agent takes the
+ * same run up where it broke off; the buyer gets one whole answer of one run. */
+static void
+test_engine_stream_goes_silent (void)
+{
+  char key[BT_KEY_TEXT_BYTES];
+  bt_draft_t draft = { stage, "entry-0", key, "silent stream", 20 };
+
+  for (int32_t i = 0; i < 2; i++)
+    json_decref (bt_call_standin (stage, i == 0 ? "engine-0" : "engine-1", "/fault",
+                                  "{\"kind\":\"silent\",\"count\":1,\"after\":7}"));
+  CU_ASSERT_TRUE_FATAL (bt_take_ticket (stage, "entry-0", key));
+  bt_send_draft (&draft);
+  CU_ASSERT_TRUE (bt_is_draft_whole (&draft));
+  CU_ASSERT_EQUAL (bt_count_draft_runs (&draft), 1);
+  bt_clear_reply (&draft.reply);
+  for (int32_t i = 0; i < 2; i++)
+    json_decref (bt_call_standin (stage, i == 0 ? "engine-0" : "engine-1", "/fault",
+                                  "{\"kind\":\"silent\",\"count\":0,\"after\":0}"));
+}
+
+/* Which agent's process the draft's run names is not known here, so both are hit alike. */
+static void
+signal_agents (int signal_number)
+{
+  CU_ASSERT_TRUE (bt_signal_process (stage, "agent-0", signal_number));
+  CU_ASSERT_TRUE (bt_signal_process (stage, "agent-1", signal_number));
+}
+
+/* The agent freezes with the link's buffer open; the entry sends a draft into it. Nobody answers,
+ * so the buyer is told "unknown" at once. When the agent wakes it may find the draft in its buffer
+ * and run it: had the buyer been told "not run" and ordered again, the draft would come twice. Sent
+ * again with its key it is answered by that one run, or runs now for the first time. */
+static void
+test_agent_frozen_with_the_dispatch_in_its_buffer (void)
+{
+  char key[BT_KEY_TEXT_BYTES];
+  bt_draft_t draft = { stage, "entry-0", key, "frozen agent", 5 };
+  bt_draft_t again = { stage, "entry-1", key, "frozen agent", 5 };
+
+  CU_ASSERT_TRUE_FATAL (bt_take_ticket (stage, "entry-0", key));
+  signal_agents (SIGSTOP);
+  bt_send_draft (&draft);
+  CU_ASSERT_TRUE (bt_was_draft_told (&draft, "unknown"));
+  CU_ASSERT_EQUAL (bt_count_draft_runs (&draft), 0);
+  bt_sleep_ms (BEYOND_LIMITS_MS);
+  signal_agents (SIGCONT);
+  CU_ASSERT_TRUE (bt_wait_endpoints (stage, "entry-1", 2));
+  bt_send_draft (&again);
+  CU_ASSERT_TRUE (bt_is_draft_truthful (&draft));
+  CU_ASSERT_TRUE (bt_is_draft_truthful (&again));
+  bt_clear_reply (&draft.reply);
+  bt_clear_reply (&again.reply);
+  CU_ASSERT_TRUE (bt_wait_endpoints (stage, "entry-0", 2));
+}
+
+/* The agent dies after its engine took the draft. Nothing remembers whether it ran, so the buyer is
+ * told "unknown", now and on each resend; the restarted agent must not run it a second time. */
+static void
+test_agent_killed_after_the_engine_took_it (void)
+{
+  char key[BT_KEY_TEXT_BYTES];
+  bt_draft_t draft = { stage, "entry-0", key, "agent killed", LONG_TOKENS };
+  bt_draft_t again = { stage, "entry-1", key, "agent killed", LONG_TOKENS };
+
+  CU_ASSERT_TRUE_FATAL (bt_take_ticket (stage, "entry-0", key));
+  bt_start_draft (&draft);
+  CU_ASSERT_TRUE (bt_wait_draft_runs (&draft));
+  signal_agents (SIGKILL);
+  CU_ASSERT_TRUE (bt_start_process (stage, "agent-0"));
+  CU_ASSERT_TRUE (bt_start_process (stage, "agent-1"));
+  bt_join_draft (&draft);
+  CU_ASSERT_TRUE (bt_was_draft_told (&draft, "unknown"));
+  CU_ASSERT_TRUE (bt_wait_endpoints (stage, "entry-1", 2));
+  bt_send_draft (&again);
+  CU_ASSERT_TRUE (bt_was_draft_told (&again, "unknown"));
+  CU_ASSERT_STRING_EQUAL (again.reply.reason, "home-restarted");
+  CU_ASSERT_EQUAL (bt_count_draft_runs (&again), 1);
+  bt_clear_reply (&draft.reply);
+  bt_clear_reply (&again.reply);
+  CU_ASSERT_TRUE (bt_wait_endpoints (stage, "entry-0", 2));
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned int failed;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("request faults", start_suite, end_suite);
+  CU_ADD_TEST (suite, test_entry_killed_resend_elsewhere);
+  CU_ADD_TEST (suite, test_two_copies_race);
+  CU_ADD_TEST (suite, test_engine_stream_goes_silent);
+  CU_ADD_TEST (suite, test_agent_frozen_with_the_dispatch_in_its_buffer);
+  CU_ADD_TEST (suite, test_agent_killed_after_the_engine_took_it);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failed = CU_get_number_of_failures () + CU_get_number_of_suites_failed ();
+  CU_cleanup_registry ();
+  return failed == 0 ? 0 : 1;
+}
--- a/test/standin/engine/engine.c
+++ b/test/standin/engine/engine.c
@@ -96,14 +96,15 @@
 }
 
 engine_run_t *
-engine_start (engine_t *engine, const char *id, uint64_t prompt_hash, int32_t tokens)
+engine_start (engine_t *engine, const char *id, const char *prompt, int32_t tokens)
 {
   engine_run_t *run = calloc (1, sizeof *run);
 
   if (run == NULL)
     abort ();
   snprintf (run->id, sizeof run->id, "%s", id);
-  run->prompt_hash = prompt_hash;
+  snprintf (run->prompt, sizeof run->prompt, "%s", prompt);
+  run->prompt_hash = engine_hash (prompt, strlen (prompt));
   run->tokens_wanted = tokens;
   pthread_mutex_lock (&engine->lock);
   run->next = engine->runs;
--- a/test/standin/engine/engine.h
+++ b/test/standin/engine/engine.h
@@ -13,12 +13,14 @@
 {
   ENGINE_ID_BYTES = 80,
   ENGINE_TEXT_BYTES = 256,
+  ENGINE_PROMPT_BYTES = 64,
 };
 
 /** One run as the log keeps it; never freed while the stand-in lives. */
 typedef struct engine_run
 {
   char id[ENGINE_ID_BYTES];
+  char prompt[ENGINE_PROMPT_BYTES]; /**< Its beginning, by which tests know their requests. */
   uint64_t prompt_hash;
   int32_t tokens_wanted;
   int32_t tokens_made;
@@ -60,7 +62,7 @@
 void *engine_step_loop (void *argument);
 
 /** Starts a run; the caller does not hold the lock. */
-engine_run_t *engine_start (engine_t *engine, const char *id, uint64_t prompt_hash, int32_t tokens);
+engine_run_t *engine_start (engine_t *engine, const char *id, const char *prompt, int32_t tokens);
 
 /** Finds the newest run of an id; the caller holds the lock. */
 engine_run_t *engine_find (engine_t *engine, const char *id);
--- a/test/standin/engine/main.c
+++ b/test/standin/engine/main.c
@@ -181,7 +181,7 @@
       return send_json (connection, MHD_HTTP_INTERNAL_SERVER_ERROR,
                         json_pack ("{s:s}", "error", "asked to fail"));
     }
-  run = engine_start (&engine, id == NULL ? "" : id, engine_hash (prompt, strlen (prompt)),
+  run = engine_start (&engine, id == NULL ? "" : id, prompt,
                       json_is_integer (tokens) ? (int32_t)json_integer_value (tokens)
                                                : DEFAULT_TOKENS);
   json_decref (body);
@@ -195,9 +195,10 @@
 
   pthread_mutex_lock (&engine.lock);
   for (engine_run_t *run = engine.runs; run != NULL; run = run->next)
-    json_array_append_new (runs, json_pack ("{s:s,s:i,s:i,s:b,s:b}", "run", run->id, "tokens",
-                                            run->tokens_made, "wanted", run->tokens_wanted, "ended",
-                                            run->ended, "cancelled", run->cancelled));
+    json_array_append_new (runs, json_pack ("{s:s,s:s,s:i,s:i,s:b,s:b}", "run", run->id, "prompt",
+                                            run->prompt, "tokens", run->tokens_made, "wanted",
+                                            run->tokens_wanted, "ended", run->ended, "cancelled",
+                                            run->cancelled));
   pthread_mutex_unlock (&engine.lock);
   return send_json (connection, MHD_HTTP_OK, json_pack ("{s:o}", "runs", runs));
 }
