--- a/source/entry/entry_links.c
+++ b/source/entry/entry_links.c
@@ -190,6 +190,9 @@
   bt_copy_name (endpoint.app, heartbeat->app);
   bt_copy_name (endpoint.failure_domain, bt_get_link_failure_domain (peer->link));
   bt_put_endpoint (entry->ctx, entry->router, &endpoint, now_ms);
+  /* An agent whose link broke and came back, as after a freeze, is the same start of it: without
+   * this it would never get work again. */
+  bt_record_link_up (entry->router, &peer->identity, now_ms);
   bt_set_endpoint_leaving (entry->router, &peer->identity,
                            peer->link_leaving || peer->listed_leaving);
   if (heartbeat->load == NULL)
