Weigh a cached prefix by how scarce slots are

A hit is now worth two runs' time when all slots are taken, in proportion to how full the endpoints are, up to twice that.

--- a/bench/harness_scenarios.c
+++ b/bench/harness_scenarios.c
@@ -136,6 +136,7 @@
   LAG_BURST,
   DIALECTS,
   DIALECTS_LOSS,
+  DIALECTS_BURST,
   SLOW,
   DEAD,
   SILENT,
@@ -157,6 +158,7 @@
   [LAG_BURST] = "burst, reports 3 s late",
   [DIALECTS] = "24 prefixes, load 0.8",
   [DIALECTS_LOSS] = "the same, half the cache events lost",
+  [DIALECTS_BURST] = "24 prefixes in the burst",
   [SLOW] = "one rank slowed 5x",
   [DEAD] = "one endpoint dead",
   [SILENT] = "one endpoint silent",
@@ -200,6 +202,10 @@
     case DIALECTS_LOSS:
       set_dialects (scenario, 50);
       break;
+    case DIALECTS_BURST:
+      set_dialects (scenario, 0);
+      set_burst (scenario);
+      break;
     case SLOW:
       set_fault (scenario, FAULT_SLOW, 5, 1);
       break;
--- a/include/bilberrytray/core/router.h
+++ b/include/bilberrytray/core/router.h
@@ -21,7 +21,8 @@
   int32_t queue_depth;        /**< Requests put behind an endpoint's slots, to hide delay. */
   int64_t default_service_ms; /**< Time of one run before any was measured. */
   int64_t remote_ms;          /**< Cost of another failure domain, ms; 0: no preference. */
-  int64_t prefix_ms;          /**< Most that a cached prefix may cost in wait, ms. */
+  int32_t
+      prefix_percent; /**< Worth of a cached prefix when all slots are taken, of a run's time. */
   bt_outlier_options_t outlier;
 } bt_router_options_t;
 
@@ -87,7 +88,8 @@
   int64_t full_ms;    /**< Wait at an endpoint that is filled to its queue depth, and one run. */
 } bt_capacity_t;
 
-/** Compares all endpoints, puts 4 behind the slots, prefix worth 50 ms; outliers by default. */
+/** Compares all endpoints, puts 4 behind the slots, a prefix is worth two runs; outliers by
+ * default. */
 void bt_default_router_options (bt_router_options_t *options);
 
 bt_router_t *bt_new_router (bt_context_t *ctx, const bt_router_options_t *options);
@@ -123,7 +125,7 @@
                        int64_t now_ms);
 
 /** Chooses the endpoint for an attempt. BT_REASON_NONE: @p route is set. Otherwise the reason is
- * NO_ENDPOINT or DEADLINE_UNREACHABLE, and @p retry_after_ms tells when to come back. */
+ * NO_ENDPOINT, and @p retry_after_ms tells when to come back. */
 bt_reason_t bt_choose_endpoint (bt_router_t *router,
                                 const bt_route_request_t *request,
                                 int64_t now_ms,
--- a/source/core/choice.c
+++ b/source/core/choice.c
@@ -5,6 +5,11 @@
 
 #include "bilberrytray/base/random.h"
 
+enum
+{
+  WHOLE_PERCENT = 100,
+};
+
 /* An emptier endpoint is a little better even when both have free slots: its steps are shorter, and
  * in a group that steps together the fullest rank sets the pace. */
 static const double crowding = 0.5;
@@ -13,11 +18,15 @@
  * following such a difference sends every entry to the endpoint that was idle when it was taken. */
 static const double same_time = 0.25;
 
+/* Above this many requests for each slot, endpoints count as no fuller. */
+static const double most_fullness = 2;
+
 /* What the endpoints have in common. */
 typedef struct field
 {
   double others;     /* mean count of other entries' requests on an endpoint */
   double service_ms; /* mean time of one run */
+  double fullness;   /* requests for each slot, at most most_fullness */
   int32_t entries;
   int64_t now_ms;
 } field_t;
@@ -28,11 +37,17 @@
                int32_t count,
                field_t *field)
 {
+  double load = 0;
+  double slots = 0;
+
   for (int32_t i = 0; i < count; i++)
     {
+      load += bt_get_endpoint_load (states[i]);
+      slots += bt_get_endpoint_slots (states[i], options);
       field->others += (double)(states[i]->total_then - states[i]->own_then) / count;
       field->service_ms += (double)bt_get_endpoint_service_ms (states[i], options) / count;
     }
+  field->fullness = slots > 0 ? fmin (load / slots, most_fullness) : 0;
 }
 
 /* The load that is expected now: own requests, those of others by the report, and as much growth
@@ -62,8 +77,16 @@
   return service_ms;
 }
 
-/* What sending a request there costs its caller, in ms. A cached prefix counts for no more than the
- * prefill it saves: beyond that, affinity would only make a straggler. */
+/* What a cached prefix is worth, in ms. The time that it saves is time of a slot: with slots to
+ * spare it is worth little, and following it would only make a straggler; when all are taken, it is
+ * work that others can have, and each miss drops a prefix that the next ones would have found. */
+static double
+get_prefix_ms (const field_t *field, const bt_router_options_t *options)
+{
+  return field->service_ms * field->fullness * options->prefix_percent / WHOLE_PERCENT;
+}
+
+/* What sending a request there costs its caller, in ms. */
 static double
 get_cost_ms (const field_t *field,
              const bt_router_options_t *options,
@@ -80,7 +103,7 @@
       && strcmp (options->failure_domain, state->endpoint.failure_domain) != 0)
     cost_ms += (double)options->remote_ms;
   if (bt_has_endpoint_prefix (state, request->prefix))
-    cost_ms -= (double)options->prefix_ms;
+    cost_ms -= get_prefix_ms (field, options);
   return cost_ms;
 }
 
--- a/source/core/router.c
+++ b/source/core/router.c
@@ -10,7 +10,7 @@
   DEFAULT_QUEUE_DEPTH = 4,
   DEFAULT_SERVICE_MS = 500,
   DEFAULT_REMOTE_MS = 0,
-  DEFAULT_PREFIX_MS = 50,
+  DEFAULT_PREFIX_PERCENT = 200,
   /* When to come back if nothing can be chosen: endpoints return within about a second. */
   NO_ENDPOINT_RETRY_MS = 1000,
   /* An endpoint without a link is forgotten after this. */
@@ -38,7 +38,7 @@
   options->queue_depth = DEFAULT_QUEUE_DEPTH;
   options->default_service_ms = DEFAULT_SERVICE_MS;
   options->remote_ms = DEFAULT_REMOTE_MS;
-  options->prefix_ms = DEFAULT_PREFIX_MS;
+  options->prefix_percent = DEFAULT_PREFIX_PERCENT;
   bt_default_outlier_options (&options->outlier);
 }
 
