Weigh accounts by their shares, spread the homes of tickets, name a call's prefix

Cause: the declarations have a share for each account and an affinity for each rule, but nothing used them. Queue turns and the max-min level are weighted by the share, which the entry passes on; the agent sees no share and stays equal. bt_get_call_prefix gives the hash that a rule's affinity asks for. Tickets took the least loaded endpoint of the moment; since minting sends no work, all tickets of a burst would have named one home. bt_choose_home goes round by slots.

--- a/include/bilberrytray/core/admission.h
+++ b/include/bilberrytray/core/admission.h
@@ -27,6 +27,7 @@
   uint64_t id; /**< The shell's number for it, unique among those waiting. */
   const char *app;
   const char *account;
+  int32_t share;    /**< Weight of the account in fair sharing; 0 counts as 1. */
   int32_t priority; /**< Higher goes first. */
   int64_t deadline_left_ms;
   const char *rule;        /**< Name of the rule that matched; NULL for none. */
--- a/include/bilberrytray/core/router.h
+++ b/include/bilberrytray/core/router.h
@@ -132,6 +132,12 @@
                                 bt_route_t *route,
                                 int64_t *retry_after_ms);
 
+/** Chooses the home agent of a ticket: usable endpoints in turn, by their slots. Tickets are used
+ * later, when the load of now says nothing; by load, all tickets of a moment would name one home.
+ */
+bt_reason_t
+bt_choose_home (bt_router_t *router, const char *app, int64_t now_ms, bt_identity_t *home);
+
 /** Records that an attempt went out on a route; @p prefix as in the request. */
 void
 bt_record_dispatch (bt_router_t *router, const bt_route_t *route, uint64_t prefix, int64_t now_ms);
--- a/source/core/admission.c
+++ b/source/core/admission.c
@@ -207,7 +207,8 @@
                   double account_rate,
                   double rate)
 {
-  const int32_t ahead = bt_count_fair_ahead (app->waiting, request->account, request->priority) + 1;
+  const int32_t ahead =
+      bt_count_fair_ahead (app->waiting, request->account, request->share, request->priority) + 1;
   const int32_t own = bt_count_fair_account (app->waiting, request->account) + 1;
   const double by_order = ahead * SECOND_MS / rate;
   const double by_share = own * SECOND_MS / account_rate;
@@ -273,6 +274,7 @@
     .priority = request->priority,
     .give_up_ms = now_ms + request->deadline_left_ms - capacity->full_ms,
     .queued_ms = now_ms,
+    .share = request->share,
     .first = request->again,
   };
 
@@ -304,7 +306,7 @@
       return;
     }
   if (!request->again)
-    bt_add_demand (ctx, &app->demand, request->account, now_ms);
+    bt_add_demand (ctx, &app->demand, request->account, request->share, now_ms);
   bt_get_capacity (admission->router, request->app, now_ms, &capacity);
   if (capacity.endpoints > 0)
     app->usable_ms = now_ms;
--- a/source/core/demand.c
+++ b/source/core/demand.c
@@ -62,16 +62,19 @@
   account = make_place (ctx, demand, now_ms);
   memset (account, 0, sizeof *account);
   bt_copy_name (account->account, name);
+  account->share = 1;
   account->updated_ms = now_ms;
   return account;
 }
 
 bt_account_demand_t *
-bt_add_demand (bt_context_t *ctx, bt_demand_t *demand, const char *name, int64_t now_ms)
+bt_add_demand (
+    bt_context_t *ctx, bt_demand_t *demand, const char *name, int32_t share, int64_t now_ms)
 {
   bt_account_demand_t *account = bt_find_demand (ctx, demand, name, now_ms);
 
   fade_account (demand, account, now_ms);
+  account->share = share > 0 ? share : 1;
   account->weight += 1;
   account->burst += 1;
   return account;
@@ -89,30 +92,31 @@
   return weight * SECOND_MS / (double)demand->window_ms;
 }
 
-/* The max-min level: no account gets more than it unless all are satisfied. Accounts below the
- * level keep their demand, and what they leave raises it for the others. */
+/* The max-min level for a share of 1: no account gets more than its share of it unless all are
+ * satisfied. Accounts below keep their demand, and what they leave raises it for the others. */
 static double
 get_level (const bt_demand_t *demand, double per_second)
 {
-  double level = per_second / (demand->count > 0 ? demand->count : 1);
+  double level = 0;
 
-  for (int32_t round = 0; round < demand->count; round++)
+  for (int32_t round = 0; round <= demand->count; round++)
     {
       double left = per_second;
-      int32_t above = 0;
+      double shares = 0;
 
       for (int32_t i = 0; i < demand->count; i++)
         {
-          const double rate = get_rate (demand, &demand->accounts[i]);
+          const bt_account_demand_t *account = &demand->accounts[i];
+          const double rate = get_rate (demand, account);
 
-          if (rate <= level)
+          if (rate <= level * account->share)
             left -= rate;
           else
-            above++;
+            shares += account->share;
         }
-      if (above == 0 || left / above <= level)
+      if (shares <= 0 || left / shares <= level)
         break;
-      level = left / above;
+      level = left / shares;
     }
   return level;
 }
@@ -134,7 +138,7 @@
       const double rate = get_rate (demand, &demand->accounts[i]);
 
       if (&demand->accounts[i] != account)
-        left -= rate < level ? rate : level;
+        left -= fmin (rate, level * demand->accounts[i].share);
     }
-  return left > level ? left : level;
+  return fmax (left, level * account->share);
 }
--- a/source/core/endpoint_state.h
+++ b/source/core/endpoint_state.h
@@ -43,6 +43,7 @@
   int32_t total_then; /**< In flight from all entries at that moment. */
   bt_own_change_t history[BT_HISTORY_SLOTS];
   uint32_t changes;       /**< Changes of the own count since the link came up. */
+  double home_turn;       /**< Its next turn as the home of a ticket. */
   uint64_t last_dispatch; /**< The router's number of the last dispatch here. */
   double service_ms;      /**< Mean of own measurements; 0 before the first. */
   bt_outlier_t outlier;
--- a/source/core/fair_queue.c
+++ b/source/core/fair_queue.c
@@ -6,6 +6,8 @@
 {
   NONE = -1,
   FIRST_ACCOUNTS = 16,
+  /* Virtual time that one item of an account with share 1 takes. */
+  TURN = 1 << 20,
 };
 
 /* A place of the queue, linked with the others of its account. */
@@ -22,6 +24,7 @@
   char name[BT_NAME_BYTES];
   int32_t head;
   int32_t count;
+  int32_t share;
   uint64_t turn; /* its next item's start in virtual time */
 } account_t;
 
@@ -130,6 +133,7 @@
   while (*link != NONE && queue->nodes[*link].item.priority >= item->priority
          && !(item->first && queue->nodes[*link].item.priority == item->priority))
     link = &queue->nodes[*link].next;
+  account->share = item->share > 0 ? item->share : 1;
   queue->nodes[at].item = *item;
   queue->nodes[at].account = index;
   queue->nodes[at].next = *link;
@@ -190,7 +194,7 @@
     return false;
   if (next->turn > queue->turn)
     queue->turn = next->turn;
-  next->turn++;
+  next->turn += (uint64_t)(TURN / next->share);
   take_node (queue, next->head, item);
   return true;
 }
@@ -302,12 +306,18 @@
 }
 
 int32_t
-bt_count_fair_ahead (const bt_fair_queue_t *queue, const char *name, int32_t priority)
+bt_count_fair_ahead (const bt_fair_queue_t *queue,
+                     const char *name,
+                     int32_t share,
+                     int32_t priority)
 {
   const int32_t own_index = find_account (queue, name);
   int32_t own = 0;
   int32_t ahead;
 
+  if (share <= 0)
+    share = 1;
+
   if (own_index != NONE)
     own = count_priority (queue, &queue->accounts[own_index], priority);
   ahead = own;
@@ -316,10 +326,11 @@
       const account_t *account = &queue->accounts[i];
       const int32_t above = count_priority (queue, account, priority + 1);
       const int32_t equal = count_priority (queue, account, priority) - above;
+      const int32_t turns = ((own + 1) * account->share + share - 1) / share;
 
       if (i == own_index)
         continue;
-      ahead += above + (equal <= own + 1 ? equal : own + 1);
+      ahead += above + (equal <= turns ? equal : turns);
     }
   return ahead;
 }
--- a/source/core/fair_queue.h
+++ b/source/core/fair_queue.h
@@ -3,7 +3,7 @@
 
 /** @file
  * A bounded queue that serves the highest priority first and, within a priority, client accounts in
- * fair turns (start-time fair queueing). Entry and agent each hold one.
+ * fair turns by their shares (start-time fair queueing). Entry and agent each hold one.
  */
 
 #include "bilberrytray/base/context.h"
@@ -18,7 +18,8 @@
   int32_t priority;   /**< Higher goes first. */
   int64_t give_up_ms; /**< Time from which starting it is of no use. */
   int64_t queued_ms;
-  bool first; /**< Goes before its account's others of the same priority. */
+  int32_t share; /**< Weight of its account, from 1 up; 0 counts as 1. */
+  bool first;    /**< Goes before its account's others of the same priority. */
 } bt_fair_item_t;
 
 bt_fair_queue_t *bt_new_fair_queue (bt_context_t *ctx, int32_t limit);
@@ -47,8 +48,11 @@
 
 int32_t bt_count_fair (const bt_fair_queue_t *queue);
 
-/** Items that would be served before a new one of this account and priority. */
-int32_t bt_count_fair_ahead (const bt_fair_queue_t *queue, const char *name, int32_t priority);
+/** Items that would be served before a new one of this account, share and priority. */
+int32_t bt_count_fair_ahead (const bt_fair_queue_t *queue,
+                             const char *name,
+                             int32_t share,
+                             int32_t priority);
 
 /** Items of one account. */
 int32_t bt_count_fair_account (const bt_fair_queue_t *queue, const char *name);
--- a/source/core/router.c
+++ b/source/core/router.c
@@ -24,6 +24,7 @@
   int32_t entries;
   uint64_t last_link_number;
   uint64_t last_dispatch;
+  double home_turn; /* the turn of the last home */
   bt_endpoint_state_t **endpoints;
   int32_t count;
   int32_t capacity;
@@ -254,6 +255,31 @@
   return BT_REASON_NONE;
 }
 
+bt_reason_t
+bt_choose_home (bt_router_t *router, const char *app, int64_t now_ms, bt_identity_t *home)
+{
+  bt_endpoint_state_t *best = NULL;
+
+  for (int32_t i = 0; i < router->count; i++)
+    {
+      bt_endpoint_state_t *state = router->endpoints[i];
+
+      if (!is_usable (router, state, app, now_ms))
+        continue;
+      if (best == NULL || state->home_turn < best->home_turn)
+        best = state;
+    }
+  if (best == NULL)
+    return BT_REASON_NO_ENDPOINT;
+  /* One that joins or returns starts where the others are; it has nothing to catch up. */
+  if (best->home_turn < router->home_turn)
+    best->home_turn = router->home_turn;
+  router->home_turn = best->home_turn;
+  best->home_turn += 1.0 / bt_get_endpoint_slots (best, &router->options);
+  *home = best->endpoint.identity;
+  return BT_REASON_NONE;
+}
+
 void
 bt_record_dispatch (bt_router_t *router, const bt_route_t *route, uint64_t prefix, int64_t now_ms)
 {
--- a/source/core/run_queue.c
+++ b/source/core/run_queue.c
@@ -131,8 +131,8 @@
       decision->action = BT_RUN_START;
       return;
     }
-  wait_ms = get_wait_ms (queue,
-                         bt_count_fair_ahead (queue->waiting, request->account, request->priority));
+  wait_ms = get_wait_ms (
+      queue, bt_count_fair_ahead (queue->waiting, request->account, 1, request->priority));
   late_ms = wait_ms + (int64_t)queue->service_ms - request->deadline_left_ms;
   if (late_ms > 0)
     refuse (decision, BT_REASON_DEADLINE_UNREACHABLE, late_ms);
--- a/source/entry/placement.c
+++ b/source/entry/placement.c
@@ -1,8 +1,38 @@
-#include "bilberrytray/base/log.h"
-#include "entry_private.h"
+#include "placement.h"
+
+#include <string.h>
 
 /* Where admission is asked: whether a call goes out now, waits, or is refused at once. */
 
+uint64_t
+bt_get_call_prefix (const bt_call_t *call)
+{
+  const bt_rule_then_t *then = &call->declarations->rules[call->rule].then;
+  const bt_caller_request_t *request = bt_get_caller_request (call->caller);
+  uint64_t bytes = (uint64_t)then->affinity_prefix_bytes;
+  const char *value;
+
+  if (then->affinity_header != NULL)
+    {
+      value = bt_find_caller_header (call->caller, then->affinity_header);
+      return value == NULL ? 0 : bt_hash_bytes (value, strlen (value), (uint64_t)call->app);
+    }
+  if (bytes == 0 || request->body_bytes == 0)
+    return 0;
+  if (bytes > request->body_bytes)
+    bytes = request->body_bytes;
+  return bt_hash_bytes (request->body, bytes, (uint64_t)call->app);
+}
+
+static int32_t
+find_share (const bt_declarations_t *declarations, const char *name)
+{
+  for (int32_t i = 0; i < declarations->account_count; i++)
+    if (strcmp (declarations->accounts[i].name, name) == 0)
+      return declarations->accounts[i].share;
+  return 1;
+}
+
 static void
 fill_request (bt_entry_t *entry,
               const bt_call_t *call,
@@ -15,6 +45,7 @@
   request->id = call->id;
   request->app = call->declarations->apps[call->app].name;
   request->account = bt_get_caller_account (call->caller);
+  request->share = find_share (call->declarations, request->account);
   request->priority = call->priority;
   request->deadline_left_ms = call->deadline_ms - now_ms;
   request->rule = rule->name;
--- a/test/core/test_admission.c
+++ b/test/core/test_admission.c
@@ -205,6 +205,24 @@
   stop ();
 }
 
+static void
+test_shares_are_weighted (void)
+{
+  int32_t heavy = 0;
+
+  start (1000);
+  fill_endpoint ();
+  for (uint64_t i = 0; i < 40; i++)
+    {
+      decide ((bt_admission_request_t){ .id = 100 + i, .account = "light" }, 0);
+      decide ((bt_admission_request_t){ .id = 200 + i, .account = "heavy", .share = 3 }, 0);
+    }
+  for (int32_t i = 0; i < 40; i++)
+    heavy += free_slot (0) >= 200 ? 1 : 0;
+  CU_ASSERT (heavy >= 29 && heavy <= 31);
+  stop ();
+}
+
 static void
 test_priority_and_further_attempts_go_first (void)
 {
@@ -312,6 +330,7 @@
   CU_ADD_TEST (suite, test_full_queue_refuses);
   CU_ADD_TEST (suite, test_large_account_waits_for_its_share_and_small_one_does_not);
   CU_ADD_TEST (suite, test_share_is_named_as_the_reason);
+  CU_ADD_TEST (suite, test_shares_are_weighted);
   CU_ADD_TEST (suite, test_priority_and_further_attempts_go_first);
   CU_ADD_TEST (suite, test_queue_outlives_its_endpoint_for_a_moment_only);
   CU_ADD_TEST (suite, test_overdue_requests_are_given_up_at_once);
--- a/test/core/test_router.c
+++ b/test/core/test_router.c
@@ -240,6 +240,34 @@
   stop ();
 }
 
+/* Thousands of callers fetch tickets within a second, before any of them is used. If each named the
+ * endpoint that is least loaded now, all would meet at one home. */
+static void
+test_homes_of_tickets_go_round (void)
+{
+  const bt_identity_t gone = identify (2);
+  int32_t counts[3] = { 0 };
+  bt_identity_t home;
+
+  start (3);
+  report (0, SLOTS, 0, 0);
+  for (int32_t i = 0; i < 60; i++)
+    {
+      CU_ASSERT_EQUAL (bt_choose_home (router, "drafts", 0, &home), BT_REASON_NONE);
+      counts[home.instance[strlen ("agent-")] - '0']++;
+    }
+  for (int32_t i = 0; i < 3; i++)
+    CU_ASSERT_EQUAL (counts[i], 20);
+  bt_set_endpoint_leaving (router, &gone, true);
+  for (int32_t i = 0; i < 10; i++)
+    {
+      bt_choose_home (router, "drafts", 0, &home);
+      CU_ASSERT_FALSE (bt_same_identity (&home, &gone));
+    }
+  CU_ASSERT_EQUAL (bt_choose_home (router, "other", 0, &home), BT_REASON_NO_ENDPOINT);
+  stop ();
+}
+
 static void
 test_slow_endpoints_get_less (void)
 {
@@ -345,6 +373,7 @@
   CU_ADD_TEST (suite, test_late_reports_are_corrected_by_own_work);
   CU_ADD_TEST (suite, test_entries_share_the_room_of_an_old_report);
   CU_ADD_TEST (suite, test_work_spreads_evenly_without_reports);
+  CU_ADD_TEST (suite, test_homes_of_tickets_go_round);
   CU_ADD_TEST (suite, test_slow_endpoints_get_less);
   CU_ADD_TEST (suite, test_a_cached_prefix_is_followed_only_while_it_pays);
   CU_ADD_TEST (suite, test_restarts_do_not_clear_the_record);
