Put configuration in force through the spread, publish and status

bilberryd serve no longer polls: the driver carries out what the core's spread decides, on links and on the service, reads new documents into declarations outside the lock, and answers an operator only once they are in force. Requests are refused as not-ready or isolated by one look at the spread per request. publish checks a folder, compares and swaps, reads back, hands over and waits; status asks every entry. Address answers and links now come from membership, with subsets above eight entries. Deletions are documents, so that a read of what changed above the floor misses none.

Found on the way: a link that came up before the list named its instance was never taken, and both ends waited for good; it is adopted at its next heartbeat. A document that fills a gap below the highest revision was dropped by declarations of an equal revision; equal ones now replace.

--- a/include/bilberrytray/core/membership.h
+++ b/include/bilberrytray/core/membership.h
@@ -69,6 +69,7 @@
   bool is_listed;
   bool linked;
   bool link_leaving;
+  bool near;            /**< One end chose the other: a link between them is kept up. */
   bool lost;            /**< Its link went silent or met another instance, and did not return. */
   uint64_t incarnation; /**< Of the latest link; 0 before. */
   uint64_t retired;     /**< The incarnation before; 0 if none. */
@@ -139,13 +140,6 @@
                              int32_t wanted,
                              const bt_member_t **chosen);
 
-/** Instances to hold links to by dialling: for an agent its subset of entries, for an entry its
- * peers. Linked ones are among them. @p chosen has room for @p room. */
-int32_t bt_choose_dials (bt_context_t *ctx,
-                         const bt_membership_t *membership,
-                         int32_t room,
-                         const bt_member_t **chosen);
-
 /** The entries as configuration needs them: listed or linked, not leaving; silent ones too, since
  * they may be alive elsewhere. The caller frees the array with bt_free. */
 bt_spread_member_t *
--- a/include/bilberrytray/core/router.h
+++ b/include/bilberrytray/core/router.h
@@ -20,7 +20,7 @@
   int32_t default_slots;              /**< Slots of an endpoint that has reported none. */
   int32_t queue_depth;        /**< Requests put behind an endpoint's slots, to hide delay. */
   int64_t default_service_ms; /**< Time of one run before any was measured. */
-  int64_t remote_ms;          /**< Cost of another failure domain, ms. */
+  int64_t remote_ms;          /**< Cost of another failure domain, ms; 0: no preference. */
   int64_t prefix_ms;          /**< Most that a cached prefix may cost in wait, ms. */
   bt_outlier_options_t outlier;
 } bt_router_options_t;
@@ -81,12 +81,13 @@
   int32_t room;       /**< Requests that can be sent without making any endpoint's queue long. */
   int32_t in_flight;  /**< This entry's own. */
   double slots;       /**< All slots of those endpoints. */
-  double own_slots;   /**< The part of the slots that this entry has or can get. */
+  double own_slots;   /**< What others leave of them, at least this entry's equal part. */
   double equal_part;  /**< Requests in flight that each entry may always have. */
   int64_t service_ms; /**< Mean time of one run. */
+  int64_t full_ms;    /**< Wait at an endpoint that is filled to its queue depth, and one run. */
 } bt_capacity_t;
 
-/** Compares 2 endpoints, puts 2 behind the slots, prefix worth 50 ms; outliers by default. */
+/** Compares all endpoints, puts 4 behind the slots, prefix worth 50 ms; outliers by default. */
 void bt_default_router_options (bt_router_options_t *options);
 
 bt_router_t *bt_new_router (bt_context_t *ctx, const bt_router_options_t *options);
@@ -95,8 +96,8 @@
 /** Tells how many entries share the endpoints, this one included; from membership, at least 1. */
 void bt_set_router_entries (bt_router_t *router, int32_t entries);
 
-/** Adds an endpoint, or updates the one of the same identity. An older incarnation of the same
- * instance is removed. */
+/** Adds an endpoint, or updates the one of the same identity; its link is up. An older incarnation
+ * of the same instance is removed, and what had no link for ten minutes. */
 void bt_put_endpoint (bt_context_t *ctx,
                       bt_router_t *router,
                       const bt_endpoint_t *endpoint,
@@ -142,10 +143,10 @@
                             int64_t now_ms);
 
 /** Records that the link to an agent died: it gets no work, and this entry's own counts on it are
- * forgotten, until bt_record_link_up. */
+ * forgotten, until bt_record_link_up or bt_put_endpoint. */
 void bt_record_link_down (bt_router_t *router, const bt_identity_t *identity, int64_t now_ms);
 
-/** Records that the link to an agent is there again. bt_put_endpoint implies it for a new one. */
+/** Records that the link to an agent is there again. bt_put_endpoint implies it. */
 void bt_record_link_up (bt_router_t *router, const bt_identity_t *identity, int64_t now_ms);
 
 /** Sums up what the endpoints of an app can take. */
--- a/include/bilberrytray/platform/kv.h
+++ b/include/bilberrytray/platform/kv.h
@@ -92,6 +92,7 @@
                       bt_kv_t *kv,
                       const char *key,
                       bool prefix,
+                      int64_t min_revision,
                       bt_kv_range_t *range,
                       bt_error_t *error);
   bool (*put) (bt_context_t *ctx,
@@ -160,6 +161,15 @@
                  bt_kv_range_t *range,
                  bt_error_t *error);
 
+/** Reads the keys that begin with @p prefix and were last changed at @p min_revision or later. A
+ * key that was deleted meanwhile is not told of. */
+bool bt_read_kv_changes (bt_context_t *ctx,
+                         bt_kv_t *kv,
+                         const char *prefix,
+                         int64_t min_revision,
+                         bt_kv_range_t *range,
+                         bt_error_t *error);
+
 /** Frees what a range holds and zeroes it. */
 void bt_drop_kv_range (bt_context_t *ctx, bt_kv_range_t *range);
 
--- a/source/core/document.c
+++ b/source/core/document.c
@@ -91,6 +91,17 @@
   return strcmp (text, "-") == 0 || (digits == CHANGE_DIGITS && text[digits] == '\0');
 }
 
+/* Reads the header line, without its end, of a value that begins with one. */
+static bool
+read_header (const char *line,
+             char change[BT_CHANGE_BYTES],
+             char after[BT_CHANGE_BYTES],
+             int *deleted)
+{
+  return sscanf (line, "#bilberry change=%32s after=%32s deleted=%d", change, after, deleted) == 3
+         && is_change (change) && is_change (after);
+}
+
 bt_document_t *
 bt_decode_document (bt_context_t *ctx,
                     const char *name,
@@ -100,30 +111,27 @@
                     bt_error_t *error)
 {
   const char *end = memchr (value, '\n', bytes);
-  char header[HEADER_BYTES];
-  char change[BT_CHANGE_BYTES];
-  char after[BT_CHANGE_BYTES];
-  bt_document_fields_t fields = { .name = name, .revision = revision };
-  int deleted;
+  char header[HEADER_BYTES] = "";
+  char change[BT_CHANGE_BYTES] = "-";
+  char after[BT_CHANGE_BYTES] = "-";
+  int deleted = 0;
+  bt_document_fields_t fields = { name, revision, NULL, NULL, false, value, bytes };
 
-  if (end == NULL || (size_t)(end - value) >= sizeof header || strlen (name) >= BT_NAME_BYTES)
-    {
-      bt_set_error (error, BT_ERROR_FORMAT, "%s: the name or the header line is malformed.", name);
-      return NULL;
-    }
-  memcpy (header, value, (size_t)(end - value));
-  header[end - value] = '\0';
-  if (sscanf (header, "#bilberry change=%32s after=%32s deleted=%d", change, after, &deleted) != 3
-      || !is_change (change) || !is_change (after))
+  if (bytes > 0 && value[0] == '#')
     {
-      bt_set_error (error, BT_ERROR_FORMAT, "%s: the header line is malformed.", name);
-      return NULL;
+      if (end != NULL && (size_t)(end - value) < sizeof header)
+        memcpy (header, value, (size_t)(end - value));
+      if (!read_header (header, change, after, &deleted))
+        {
+          bt_set_error (error, BT_ERROR_FORMAT, "%s: the header line is malformed.", name);
+          return NULL;
+        }
+      fields.data = end + 1;
+      fields.data_bytes = bytes - (size_t)(end + 1 - value);
     }
   fields.change = strcmp (change, "-") == 0 ? "" : change;
   fields.after = strcmp (after, "-") == 0 ? "" : after;
   fields.deleted = deleted != 0;
-  fields.data = end + 1;
-  fields.data_bytes = bytes - (size_t)(end + 1 - value);
   return bt_new_document (ctx, &fields);
 }
 
--- a/source/core/membership.c
+++ b/source/core/membership.c
@@ -109,6 +109,62 @@
          && now_ms - membership->list_ms < membership->settings.list_stale_ms;
 }
 
+static int32_t
+list_entries (const bt_membership_t *membership, bt_subset_candidate_t *candidates)
+{
+  int32_t count = 0;
+
+  for (int32_t i = 0; i < membership->count; i++)
+    if (membership->members[i].is_listed && membership->members[i].listed.role == BT_LISTED_ENTRY)
+      {
+        bt_copy_name (candidates[count].instance, membership->members[i].listed.instance);
+        bt_copy_name (candidates[count].failure_domain,
+                      membership->members[i].listed.failure_domain);
+        count++;
+      }
+  return count;
+}
+
+/* Does @p chooser choose @p wanted, by the same reckoning that it makes itself? */
+static bool
+chooses (bt_context_t *ctx,
+         const char *chooser,
+         const char *wanted,
+         const bt_subset_candidate_t *candidates,
+         int32_t count)
+{
+  int32_t chosen[BT_AGENT_LINKS];
+  int32_t given = bt_choose_subset (ctx, chooser, candidates, count, BT_AGENT_LINKS, chosen);
+
+  for (int32_t i = 0; i < given; i++)
+    if (strcmp (candidates[chosen[i]].instance, wanted) == 0)
+      return true;
+  return false;
+}
+
+/* Says with whom links are kept up. All to all would be millions of links at a large size; both
+ * ends reckon alike, so neither has to be asked. An entry that chose itself has one link less. */
+static void
+mark_near (bt_context_t *ctx, bt_membership_t *membership)
+{
+  const char *self = membership->self.instance;
+  bt_subset_candidate_t *candidates =
+      bt_calloc (ctx, (size_t)membership->count, sizeof *candidates);
+  int32_t count = list_entries (membership, candidates);
+
+  for (int32_t i = 0; i < membership->count; i++)
+    {
+      bt_member_t *member = &membership->members[i];
+      const char *other = member->listed.instance;
+      bool agent = member->listed.role == BT_LISTED_AGENT;
+
+      member->near =
+          count <= BT_AGENT_LINKS || (!agent && chooses (ctx, self, other, candidates, count))
+          || (membership->role == BT_LISTED_ENTRY && chooses (ctx, other, self, candidates, count));
+    }
+  bt_free (ctx, candidates);
+}
+
 bool
 bt_take_member_list (bt_context_t *ctx,
                      bt_membership_t *membership,
@@ -134,6 +190,7 @@
       member->is_listed = true;
     }
   forget_members (membership);
+  mark_near (ctx, membership);
   return true;
 }
 
@@ -266,7 +323,7 @@
     return true;
   if (member->linked)
     return now_ms - member->heard_ms <= membership->settings.link_idle_ms;
-  return member->is_listed && !member->lost;
+  return member->is_listed && !member->near && !member->lost;
 }
 
 static void
@@ -312,59 +369,9 @@
   return count;
 }
 
-/* Entry instances that may be linked to, but this one. */
-static int32_t
-list_candidates (bt_context_t *ctx,
-                 const bt_membership_t *membership,
-                 bt_subset_candidate_t **candidates,
-                 const bt_member_t ***members)
-{
-  int32_t count = 0;
-
-  *candidates = bt_calloc (ctx, (size_t)membership->count, sizeof **candidates);
-  *members = bt_calloc (ctx, (size_t)membership->count, sizeof (bt_member_t *));
-  for (int32_t i = 0; i < membership->count; i++)
-    {
-      const bt_member_t *member = &membership->members[i];
-
-      if (member->listed.role != BT_LISTED_ENTRY || member->listed.address[0] == '\0'
-          || is_self (membership, member) || is_leaving (membership, member))
-        continue;
-      bt_copy_name ((*candidates)[count].instance, member->listed.instance);
-      bt_copy_name ((*candidates)[count].failure_domain, member->listed.failure_domain);
-      (*members)[count++] = member;
-    }
-  return count;
-}
-
-int32_t
-bt_choose_dials (bt_context_t *ctx,
-                 const bt_membership_t *membership,
-                 int32_t room,
-                 const bt_member_t **chosen)
-{
-  int32_t wanted = membership->role == BT_LISTED_AGENT ? BT_AGENT_LINKS : BT_PEER_LINKS;
-  bt_subset_candidate_t *candidates;
-  const bt_member_t **members;
-  int32_t count = list_candidates (ctx, membership, &candidates, &members);
-  int32_t *indexes = bt_calloc (ctx, (size_t)wanted, sizeof *indexes);
-
-  if (wanted > room)
-    wanted = room;
-  count = bt_choose_subset (ctx, membership->self.instance, candidates, count, wanted, indexes);
-  for (int32_t i = 0; i < count; i++)
-    chosen[i] = members[indexes[i]];
-  bt_free (ctx, indexes);
-  bt_free (ctx, candidates);
-  bt_free (ctx, members);
-  return count;
-}
-
 bt_spread_member_t *
 bt_list_spread_members (bt_context_t *ctx, const bt_membership_t *membership, int32_t *count)
 {
-  const bt_member_t *dials[BT_PEER_LINKS];
-  int32_t dial_count = bt_choose_dials (ctx, membership, BT_PEER_LINKS, dials);
   bt_spread_member_t *entries = bt_calloc (ctx, (size_t)membership->count, sizeof *entries);
 
   *count = 0;
@@ -377,9 +384,7 @@
         continue;
       bt_copy_name (entry->instance, member->listed.instance);
       bt_copy_name (entry->failure_domain, member->listed.failure_domain);
-      entry->near = member->linked;
-      for (int32_t j = 0; j < dial_count; j++)
-        entry->near = entry->near || dials[j] == member;
+      entry->near = member->near;
       (*count)++;
     }
   return entries;
--- a/source/entry/commands.h
+++ b/source/entry/commands.h
@@ -31,6 +31,8 @@
 extern const bt_command_t bt_serve_command;
 extern const bt_command_t bt_check_command;
 extern const bt_command_t bt_explain_command;
+extern const bt_command_t bt_publish_command;
+extern const bt_command_t bt_status_command;
 
 /** Reads the four documents of a folder. NULL with findings when one is missing or wrong. */
 bt_declarations_t *
--- /dev/null
+++ b/source/entry/config_driver_private.h
@@ -0,0 +1,72 @@
+#ifndef BILBERRYTRAY_SOURCE_ENTRY_CONFIG_DRIVER_PRIVATE_H
+#define BILBERRYTRAY_SOURCE_ENTRY_CONFIG_DRIVER_PRIVATE_H
+
+/** @file
+ * What the driver of the configuration and its frames share.
+ */
+
+#include <pthread.h>
+#include <stdatomic.h>
+
+#include "config_documents.h"
+#include "config_driver.h"
+#include "entry_private.h"
+
+/** Values on the operators' page. */
+enum
+{
+  BT_CONFIG_GAUGE_REVISION = 0,
+  BT_CONFIG_GAUGE_FRESH_AGE,
+  BT_CONFIG_GAUGE_WATCHER,
+  BT_CONFIG_GAUGE_STATE,
+  BT_CONFIG_GAUGE_OLDER,
+  BT_CONFIG_GAUGE_STALE_READS,
+  BT_CONFIG_GAUGE_PULLS,
+  BT_CONFIG_GAUGE_PUSHES,
+  BT_CONFIG_GAUGE_COUNT,
+};
+
+/** An answer to an operator that waits until what it asks about is in force or found wrong. */
+typedef struct bt_config_reply
+{
+  bt_link_t *link;
+  uint64_t request;
+  struct bt_config_reply *next;
+} bt_config_reply_t;
+
+struct bt_config_driver
+{
+  bt_context_t *ctx;
+  bt_entry_t *entry;
+  bt_kv_t *kv;
+  pthread_t threads[2];
+  int32_t thread_count;
+  atomic_bool stopping;
+  bt_counter_t *gauges[BT_CONFIG_GAUGE_COUNT];
+
+  /* Under the entry's lock. */
+  bt_config_spread_t *spread;
+  bool store_wanted;
+  bt_spread_action_kind_t store_kind;
+  int64_t store_since;
+  int64_t store_wait_ms;
+  bool apply_wanted;
+  bt_document_list_t applied; /**< What the declarations in force were read from. */
+  bt_config_reply_t *replies;
+};
+
+/** Carries out actions. @p source is the link that the event came from; NULL: none. */
+void
+bt_run_config_actions (bt_config_driver_t *driver, bt_spread_actions_t *actions, bt_link_t *source);
+
+/** Sends a push or a pull, or notes an answer about what is in force. */
+void bt_send_config_action (bt_config_driver_t *driver,
+                            const bt_spread_action_t *action,
+                            bt_link_t *source);
+
+/** Sends the answers that wait. */
+void bt_send_config_replies (bt_config_driver_t *driver);
+
+void bt_drop_config_replies (bt_config_driver_t *driver);
+
+#endif
--- a/source/entry/entry.c
+++ b/source/entry/entry.c
@@ -71,6 +71,18 @@
   return true;
 }
 
+static bt_membership_t *
+make_membership (const bt_entry_t *entry)
+{
+  bt_membership_settings_t settings = bt_get_default_membership_settings ();
+  bt_identity_t self = { .incarnation = entry->incarnation };
+
+  bt_copy_name (self.instance, entry->settings.instance);
+  settings.link_idle_ms = entry->settings.link_idle_ms;
+  settings.answer_life_ms = entry->settings.address_life_ms;
+  return bt_new_membership (entry->ctx, &self, BT_LISTED_ENTRY, &settings);
+}
+
 bt_entry_t *
 bt_new_entry (bt_context_t *ctx, const bt_entry_settings_t *settings, bt_error_t *error)
 {
@@ -85,6 +97,9 @@
   bt_fill_secure_random (&entry->incarnation, sizeof entry->incarnation);
   bt_fill_secure_random (&entry->seed, sizeof entry->seed);
   pthread_mutex_init (&entry->lock, NULL);
+  entry->membership = make_membership (entry);
+  entry->ring = bt_new_ticket_ring (ctx);
+  bt_derive_ticket_key (entry->ring, settings->secret);
   bt_default_router_options (&options);
   bt_copy_name (options.failure_domain, settings->failure_domain);
   entry->router = bt_new_router (ctx, &options);
@@ -113,7 +128,7 @@
   bt_declarations_t *old = NULL;
 
   pthread_mutex_lock (&entry->lock);
-  if (entry->declarations == NULL || entry->declarations->revision < declarations->revision)
+  if (entry->declarations == NULL || entry->declarations->revision <= declarations->revision)
     {
       old = entry->declarations;
       entry->declarations = bt_keep_declarations (declarations);
@@ -140,6 +155,7 @@
 {
   pthread_mutex_lock (&entry->lock);
   entry->leaving = true;
+  bt_set_self_leaving (entry->membership, bt_now_ms (ctx));
   pthread_mutex_unlock (&entry->lock);
   bt_log (ctx, BT_LOG_INFO, BT_PART_MAIN, "Leaving: no caller is sent here any more.");
 }
@@ -185,7 +201,9 @@
   bt_drop_admission (ctx, entry->admission);
   bt_drop_retry_budget (ctx, entry->budget);
   bt_drop_router (ctx, entry->router);
+  bt_drop_membership (ctx, entry->membership);
   bt_drop_declarations (ctx, entry->declarations);
+  bt_drop_ticket_ring (ctx, entry->ring);
   pthread_mutex_destroy (&entry->lock);
   bt_free (ctx, entry);
 }
--- a/source/entry/entry_links.c
+++ b/source/entry/entry_links.c
@@ -53,6 +53,8 @@
 
   if (peer->link != NULL && bt_is_link_closed (peer->link))
     {
+      if (!peer->up)
+        bt_note_wrong_instance (entry->membership, peer->instance);
       bt_drop_link (entry->ctx, peer->link);
       peer->link = NULL;
       peer->up = false;
@@ -72,7 +74,7 @@
 bt_dial_peers (bt_entry_t *entry, int64_t now_ms)
 {
   for (bt_peer_t *peer = entry->peers; peer != NULL; peer = peer->next)
-    if (peer->listed && dials_peer (entry, peer))
+    if (peer->listed && peer->near && dials_peer (entry, peer))
       dial_peer (entry, peer, now_ms);
 }
 
@@ -80,6 +82,7 @@
 take_peer (bt_entry_t *entry, const bt_entry_peer_t *listed)
 {
   bt_peer_t *peer = find_peer (entry, listed->instance);
+  const bt_member_t *member;
 
   if (strcmp (listed->instance, entry->settings.instance) == 0)
     return;
@@ -95,6 +98,8 @@
   peer->agent = listed->agent;
   peer->listed = true;
   peer->listed_leaving = listed->leaving;
+  member = bt_find_member (entry->membership, listed->instance);
+  peer->near = member != NULL && member->near;
 }
 
 static void
@@ -132,6 +137,7 @@
   for (int32_t i = 0; i < count; i++)
     take_peer (entry, &peers[i]);
   forget_unlisted (entry);
+  bt_update_config_members (entry);
   bt_dial_peers (entry, bt_now_ms (ctx));
   pthread_mutex_unlock (&entry->lock);
 }
@@ -141,6 +147,7 @@
 {
   Bilberry__Heartbeat heartbeat = BILBERRY__HEARTBEAT__INIT;
   bt_frame_t frame = BILBERRY__FRAME__INIT;
+  const bt_peer_t *peer;
 
   heartbeat.now_ms = bt_now_ms (entry->ctx);
   heartbeat.endpoint = "";
@@ -148,12 +155,51 @@
   pthread_mutex_lock (&entry->lock);
   heartbeat.leaving = entry->leaving;
   heartbeat.max_revision = entry->declarations == NULL ? 0 : entry->declarations->revision;
+  peer = find_peer_link (entry, link);
+  if (peer != NULL && peer->up && !peer->agent)
+    bt_fill_config_heartbeat (entry, &peer->identity, &heartbeat);
   pthread_mutex_unlock (&entry->lock);
   frame.body_case = BILBERRY__FRAME__BODY_HEARTBEAT;
   frame.heartbeat = &heartbeat;
   bt_send_frame (entry->ctx, link, &frame);
 }
 
+static bt_link_verdict_t
+open_member (bt_entry_t *entry, const bt_link_t *link)
+{
+  bool agent = strcmp (bt_get_link_role (link), "agent") == 0;
+  bt_member_hello_t hello = { .role = agent ? BT_LISTED_AGENT : BT_LISTED_ENTRY,
+                              .address = "",
+                              .failure_domain = bt_get_link_failure_domain (link) };
+  uint64_t replaced;
+
+  bt_copy_name (hello.identity.instance, bt_get_link_instance (link));
+  hello.identity.incarnation = bt_get_link_incarnation (link);
+  return bt_open_member_link (entry->ctx, entry->membership, &hello, bt_now_ms (entry->ctx),
+                              &replaced);
+}
+
+static void
+open_peer (bt_entry_t *entry, bt_peer_t *peer, bt_link_t *link)
+{
+  if (open_member (entry, link) == BT_LINK_REFUSED)
+    {
+      bt_log (entry->ctx, BT_LOG_WARNING, BT_PART_MEMBERS,
+              "%s dialled as an incarnation that was replaced.", peer->instance);
+      bt_close_link (link);
+      return;
+    }
+  if (peer->link == NULL)
+    peer->link = bt_keep_link (link);
+  peer->up = true;
+  peer->dial_wait_ms = 0;
+  bt_copy_name (peer->identity.instance, bt_get_link_instance (link));
+  peer->identity.incarnation = bt_get_link_incarnation (link);
+  if (!peer->agent)
+    bt_open_config_link (entry, &peer->identity);
+  bt_resume_calls (entry, &peer->identity);
+}
+
 static void
 on_up (bt_link_handler_t *handler, bt_link_t *link)
 {
@@ -163,14 +209,7 @@
   pthread_mutex_lock (&entry->lock);
   peer = find_peer (entry, bt_get_link_instance (link));
   if (peer != NULL && (peer->link == NULL || peer->link == link))
-    {
-      if (peer->link == NULL)
-        peer->link = bt_keep_link (link);
-      peer->up = true;
-      peer->dial_wait_ms = 0;
-      bt_copy_name (peer->identity.instance, bt_get_link_instance (link));
-      peer->identity.incarnation = bt_get_link_incarnation (link);
-    }
+    open_peer (entry, peer, link);
   pthread_mutex_unlock (&entry->lock);
   send_heartbeat (entry, link);
 }
@@ -212,17 +251,37 @@
   bt_set_gauge (entry->endpoints_up, up);
 }
 
+/* The list lags: an instance may dial before the list names it. Its link is taken as soon as it is
+ * named; otherwise each side would wait for good, one for heartbeats, the other for a link. */
+static bt_peer_t *
+adopt_link (bt_entry_t *entry, bt_link_t *link)
+{
+  bt_peer_t *peer = find_peer (entry, bt_get_link_instance (link));
+
+  if (peer == NULL || peer->link != NULL)
+    return NULL;
+  open_peer (entry, peer, link);
+  return peer->up ? peer : NULL;
+}
+
 static void
 take_heartbeat (bt_entry_t *entry, bt_link_t *link, const Bilberry__Heartbeat *heartbeat)
 {
   bt_peer_t *peer = find_peer_link (entry, link);
 
+  if (peer == NULL)
+    peer = adopt_link (entry, link);
   if (peer == NULL)
     return;
   peer->link_leaving = heartbeat->leaving;
   peer->peer_now_ms = heartbeat->now_ms;
+  bt_take_member_heartbeat (entry->membership, &peer->identity, heartbeat->leaving,
+                            bt_now_ms (entry->ctx));
   if (!peer->agent)
-    return;
+    {
+      bt_take_config_heartbeat (entry, &peer->identity, heartbeat);
+      return;
+    }
   peer->heard = true;
   count_endpoints (entry);
   record_endpoint (entry, peer, heartbeat, bt_now_ms (entry->ctx));
@@ -258,6 +317,9 @@
     {
       if (peer->agent)
         bt_record_link_down (entry->router, &peer->identity, bt_now_ms (entry->ctx));
+      bt_close_member_link (entry->ctx, entry->membership, &peer->identity);
+      if (!peer->agent)
+        bt_close_config_link (entry, &peer->identity);
       peer->up = peer->heard = false;
       bt_drop_link (entry->ctx, peer->link);
       peer->link = NULL;
--- a/source/platform/etcd_json.h
+++ b/source/platform/etcd_json.h
@@ -20,7 +20,7 @@
 int64_t bt_decode_etcd_number (const json_t *object, const char *name);
 
 /** Bodies of requests; the caller frees them with free. */
-char *bt_write_etcd_range (bt_context_t *ctx, const char *key, bool prefix);
+char *bt_write_etcd_range (bt_context_t *ctx, const char *key, bool prefix, int64_t min_revision);
 char *bt_write_etcd_put (bt_context_t *ctx, const bt_kv_write_t *write);
 char *bt_write_etcd_txn (bt_context_t *ctx, const bt_kv_txn_t *txn);
 char *bt_write_etcd_watch (bt_context_t *ctx, const char *prefix, int64_t start_revision);
--- a/source/platform/kv.c
+++ b/source/platform/kv.c
@@ -23,7 +23,18 @@
             bt_kv_range_t *range,
             bt_error_t *error)
 {
-  return kv->vtable->read_range (ctx, kv, key, prefix, range, error);
+  return kv->vtable->read_range (ctx, kv, key, prefix, 0, range, error);
+}
+
+bool
+bt_read_kv_changes (bt_context_t *ctx,
+                    bt_kv_t *kv,
+                    const char *prefix,
+                    int64_t min_revision,
+                    bt_kv_range_t *range,
+                    bt_error_t *error)
+{
+  return kv->vtable->read_range (ctx, kv, prefix, true, min_revision, range, error);
 }
 
 void
--- a/source/platform/kv_etcd.c
+++ b/source/platform/kv_etcd.c
@@ -197,10 +197,11 @@
                  bt_kv_t *base,
                  const char *key,
                  bool prefix,
+                 int64_t min_revision,
                  bt_kv_range_t *range,
                  bt_error_t *error)
 {
-  char *body = bt_write_etcd_range (ctx, key, prefix);
+  char *body = bt_write_etcd_range (ctx, key, prefix, min_revision);
   json_t *answer;
   bool good;
 
