--- a/include/bilberrytray/core/document.h
+++ b/include/bilberrytray/core/document.h
@@ -57,7 +57,8 @@
  * frees it with bt_free. */
 char *bt_encode_document (bt_context_t *ctx, const bt_document_t *document, size_t *bytes);
 
-/** Reads a value of the service. NULL with BT_ERROR_FORMAT when it has no good header line. */
+/** Reads a value of the service. One without a header line was written by other means than
+ * `publish` and is all data. NULL with BT_ERROR_FORMAT when its header line is malformed. */
 bt_document_t *bt_decode_document (bt_context_t *ctx,
                                    const char *name,
                                    int64_t revision,
--- a/include/bilberrytray/core/publisher.h
+++ b/include/bilberrytray/core/publisher.h
@@ -44,7 +44,7 @@
   const char *data;
   size_t data_bytes;
   bool deleted;
-  int64_t base_revision; /**< What the edit was made from; 0: it did not exist. */
+  int64_t base_revision; /**< Newest that the edit has seen; one that is newer is a conflict. */
 } bt_publish_document_t;
 
 /** How a publish ended. */
--- a/include/bilberrytray/core/subset.h
+++ b/include/bilberrytray/core/subset.h
@@ -11,12 +11,9 @@
 #include "bilberrytray/base/context.h"
 #include "bilberrytray/core/identity.h"
 
-/** How many entry instances an agent is linked to. */
+/** How many entry instances an agent, or an entry by itself, chooses for its links. */
 #define BT_AGENT_LINKS 8
 
-/** How many peers an entry instance links to by itself; others add as many from their side. */
-#define BT_PEER_LINKS 8
-
 typedef struct bt_subset_candidate
 {
   char instance[BT_NAME_BYTES];
--- a/source/core/publisher.c
+++ b/source/core/publisher.c
@@ -63,6 +63,7 @@
   int32_t conflict_count;
   entry_t *entries;
   int32_t entry_count;
+  bool entries_known;
 };
 
 bt_publish_settings_t
@@ -193,6 +194,7 @@
   bt_free (ctx, publisher->entries);
   publisher->entries = entries;
   publisher->entry_count = count;
+  publisher->entries_known = true;
 }
 
 static void
@@ -269,7 +271,8 @@
     accepted = true;
   if (accepted)
     finish (ctx, publisher, BT_PUBLISH_ACCEPTED, actions);
-  else if (now_ms >= publisher->spread_until_ms)
+  else if (now_ms >= publisher->spread_until_ms
+           || (publisher->entries_known && publisher->entry_count == 0))
     finish (ctx, publisher, BT_PUBLISH_WRITTEN, actions);
 }
 
@@ -401,7 +404,7 @@
 
       /* Two operators edit the same revision. The second one's file lacks the first one's edit, and
        * writing it would undo that edit without anyone having decided so. */
-      if (wanted->base_revision != BT_BASE_AS_READ && wanted->base_revision != revision
+      if (wanted->base_revision != BT_BASE_AS_READ && revision > wanted->base_revision
           && (publisher->settings.guards_off & BT_PUBLISH_NO_COMPARE) == 0)
         add_conflict (publisher, wanted->document->name, wanted->base_revision, document);
       plan_change (ctx, publisher, wanted, document);
--- a/source/entry/addresses.c
+++ b/source/entry/addresses.c
@@ -4,6 +4,27 @@
 #include "entry_private.h"
 #include "tickets.h"
 
+enum
+{
+  MAX_ADDRESSES = 8,
+};
+
+/* Live entries in an order of their own for each caller, so that callers who ask together do not
+ * all begin with the same one. Until the list names this instance, it names itself. */
+static void
+add_addresses (bt_entry_t *entry, json_t *addresses)
+{
+  const bt_member_t *chosen[MAX_ADDRESSES];
+  const bt_member_t *self = bt_find_member (entry->membership, entry->settings.instance);
+  int32_t count = bt_choose_addresses (entry->ctx, entry->membership, entry->seed++,
+                                       bt_now_ms (entry->ctx), MAX_ADDRESSES, chosen);
+
+  for (int32_t i = 0; i < count; i++)
+    json_array_append_new (addresses, json_string (chosen[i]->listed.http));
+  if (!entry->leaving && (self == NULL || !self->is_listed))
+    json_array_append_new (addresses, json_string (entry->settings.advertise));
+}
+
 void
 bt_answer_addresses (bt_context_t *ctx, bt_entry_t *entry, bt_caller_t *caller)
 {
@@ -12,11 +33,7 @@
   char *text;
 
   pthread_mutex_lock (&entry->lock);
-  if (!entry->leaving)
-    json_array_append_new (addresses, json_string (entry->settings.advertise));
-  for (bt_peer_t *peer = entry->peers; peer != NULL; peer = peer->next)
-    if (!peer->agent && peer->up && !peer->link_leaving && !peer->listed_leaving)
-      json_array_append_new (addresses, json_string (peer->http));
+  add_addresses (entry, addresses);
   pthread_mutex_unlock (&entry->lock);
   answer = json_pack ("{s:o,s:I}", "addresses", addresses, "life_ms",
                       (json_int_t)entry->settings.address_life_ms);
--- a/source/entry/calls.c
+++ b/source/entry/calls.c
@@ -169,16 +169,33 @@
   pthread_mutex_unlock (&entry->lock);
 }
 
+static bt_reason_t
+get_config_refusal (bt_entry_t *entry, const bt_declarations_t *declarations)
+{
+  bt_reason_t refusal;
+
+  pthread_mutex_lock (&entry->lock);
+  refusal = bt_get_config_refusal (entry, bt_now_ms (entry->ctx));
+  pthread_mutex_unlock (&entry->lock);
+  return refusal == BT_REASON_NONE && declarations == NULL ? BT_REASON_NOT_READY : refusal;
+}
+
 void
 bt_submit_entry (bt_context_t *ctx, bt_entry_t *entry, bt_caller_t *caller)
 {
   bt_declarations_t *declarations = bt_get_entry_declarations (entry);
   const bt_rule_then_t *then;
   bt_call_t facts = { .declarations = declarations };
+  bt_reason_t refusal = get_config_refusal (entry, declarations);
 
-  if (declarations == NULL)
+  if (refusal != BT_REASON_NONE)
     {
-      bt_refuse_caller (ctx, caller, BT_OUTCOME_NOT_RUN, BT_REASON_NOT_READY, 0, NULL);
+      /* Sent again under its key, the request may have run through another entry instance. */
+      bool keyed = bt_find_caller_header (caller, "Idempotency-Key") != NULL;
+
+      bt_refuse_caller (ctx, caller, keyed ? BT_OUTCOME_UNKNOWN : BT_OUTCOME_NOT_RUN, refusal, 0,
+                        NULL);
+      bt_drop_declarations (ctx, declarations);
       return;
     }
   facts.rule = match_caller (entry, caller, declarations, &facts.app, &facts.priority);
--- /dev/null
+++ b/source/entry/config_driver.c
@@ -0,0 +1,324 @@
+#include "config_driver.h"
+
+#include <errno.h>
+#include <string.h>
+
+#include "bilberrytray/base/log.h"
+#include "bilberrytray/base/random.h"
+#include "config_driver_private.h"
+
+enum
+{
+  TICK_MS = 20,
+  STORE_PAUSE_MS = 5,
+};
+
+/* Notes the one call on the service that is wanted; its thread picks it up. */
+static void
+want_store_call (bt_config_driver_t *driver, const bt_spread_action_t *action)
+{
+  driver->store_wanted = true;
+  driver->store_kind = action->kind;
+  driver->store_since = action->since;
+  driver->store_wait_ms = action->wait_ms;
+}
+
+void
+bt_run_config_actions (bt_config_driver_t *driver, bt_spread_actions_t *actions, bt_link_t *source)
+{
+  for (int32_t i = 0; i < actions->count; i++)
+    {
+      const bt_spread_action_t *action = &actions->items[i];
+
+      if (action->kind == BT_SPREAD_READ || action->kind == BT_SPREAD_WATCH)
+        want_store_call (driver, action);
+      else if (action->kind == BT_SPREAD_APPLY)
+        driver->apply_wanted = true;
+      else
+        bt_send_config_action (driver, action, source);
+    }
+  bt_clear_spread_actions (driver->ctx, actions);
+}
+
+static void
+count_status (bt_config_driver_t *driver, int64_t now_ms)
+{
+  const bt_config_table_t *table = bt_get_spread_table (driver->spread);
+  bt_spread_status_t status;
+
+  bt_get_spread_status (driver->spread, now_ms, &status);
+  bt_set_gauge (driver->gauges[BT_CONFIG_GAUGE_REVISION], status.revision);
+  bt_set_gauge (driver->gauges[BT_CONFIG_GAUGE_FRESH_AGE], status.fresh_age_ms);
+  bt_set_gauge (driver->gauges[BT_CONFIG_GAUGE_WATCHER], status.watcher);
+  bt_set_gauge (driver->gauges[BT_CONFIG_GAUGE_STATE],
+                (int64_t)bt_get_spread_state (driver->spread, now_ms));
+  bt_set_gauge (driver->gauges[BT_CONFIG_GAUGE_OLDER],
+                (int64_t)bt_count_offers (table, BT_OFFER_OLDER));
+  bt_set_gauge (driver->gauges[BT_CONFIG_GAUGE_STALE_READS], (int64_t)status.stale_reads);
+  bt_set_gauge (driver->gauges[BT_CONFIG_GAUGE_PULLS], (int64_t)status.pulls);
+  bt_set_gauge (driver->gauges[BT_CONFIG_GAUGE_PUSHES], (int64_t)status.pushes);
+}
+
+/* Reads what the table holds into declarations, outside the lock, and puts them in force. What is
+ * wrong stays out of force, and is not reported as in force to anyone. */
+static void
+apply_documents (bt_config_driver_t *driver, bt_document_list_t *documents)
+{
+  bt_context_t *ctx = driver->ctx;
+  bt_findings_t *findings = bt_new_findings (ctx);
+  bt_declarations_t *declarations = bt_read_declarations (ctx, documents, findings);
+
+  if (bt_count_findings (findings) > 0)
+    bt_log (ctx, BT_LOG_ERROR, BT_PART_CONFIG, "What the service holds is wrong: %s: %s",
+            bt_get_finding (findings, 0)->path, bt_get_finding (findings, 0)->message);
+  if (declarations != NULL)
+    {
+      bt_set_entry_declarations (ctx, driver->entry, declarations);
+      pthread_mutex_lock (&driver->entry->lock);
+      bt_clear_documents (ctx, &driver->applied);
+      driver->applied = *documents;
+      memset (documents, 0, sizeof *documents);
+      pthread_mutex_unlock (&driver->entry->lock);
+    }
+  bt_drop_declarations (ctx, declarations);
+  bt_drop_findings (ctx, findings);
+}
+
+static void
+tick_driver (bt_config_driver_t *driver)
+{
+  bt_entry_t *entry = driver->entry;
+  bt_document_list_t documents = { 0 };
+  bt_spread_actions_t actions = { 0 };
+  int64_t now_ms = bt_now_ms (driver->ctx);
+  bool apply;
+
+  pthread_mutex_lock (&entry->lock);
+  bt_tick_config_spread (driver->ctx, driver->spread, now_ms, &actions);
+  bt_run_config_actions (driver, &actions, NULL);
+  count_status (driver, now_ms);
+  apply = driver->apply_wanted;
+  driver->apply_wanted = false;
+  if (apply)
+    bt_list_documents_above (driver->ctx, bt_get_spread_table (driver->spread), 0, &documents);
+  pthread_mutex_unlock (&entry->lock);
+  if (apply)
+    apply_documents (driver, &documents);
+  bt_clear_documents (driver->ctx, &documents);
+  pthread_mutex_lock (&entry->lock);
+  if (!driver->apply_wanted)
+    bt_send_config_replies (driver);
+  pthread_mutex_unlock (&entry->lock);
+}
+
+static void *
+run_ticker (void *argument)
+{
+  bt_config_driver_t *driver = argument;
+
+  while (!atomic_load (&driver->stopping))
+    {
+      tick_driver (driver);
+      bt_sleep_ms (TICK_MS);
+    }
+  return NULL;
+}
+
+static void
+give_read (bt_config_driver_t *driver,
+           int64_t revision,
+           const bt_document_list_t *documents,
+           const bt_error_t *error)
+{
+  bt_spread_actions_t actions = { 0 };
+  int64_t now_ms = bt_now_ms (driver->ctx);
+
+  pthread_mutex_lock (&driver->entry->lock);
+  if (error->code == BT_ERROR_NONE)
+    bt_take_store_read (driver->ctx, driver->spread, revision, documents, now_ms, &actions);
+  else
+    bt_take_store_failure (driver->ctx, driver->spread, now_ms);
+  bt_run_config_actions (driver, &actions, NULL);
+  pthread_mutex_unlock (&driver->entry->lock);
+}
+
+static void
+read_store (bt_config_driver_t *driver, int64_t since, bt_error_t *error)
+{
+  const char *prefix = driver->entry->settings.store_prefix;
+  bt_document_list_t documents = { 0 };
+  bt_kv_range_t range = { 0 };
+  int64_t revision;
+
+  bt_read_kv_changes (driver->ctx, driver->kv, prefix, since + 1, &range, error);
+  bt_add_range_documents (driver->ctx, &range, prefix, &documents);
+  revision = range.revision;
+  bt_drop_kv_range (driver->ctx, &range);
+  give_read (driver, revision, &documents, error);
+  bt_clear_documents (driver->ctx, &documents);
+}
+
+static void
+watch_store (bt_config_driver_t *driver, int64_t since, int64_t wait_ms, bt_error_t *error)
+{
+  bt_kv_watch_result_t result = BT_KV_WATCH_QUIET;
+  bt_spread_actions_t actions = { 0 };
+  int64_t now_ms;
+
+  bt_watch_kv (driver->ctx, driver->kv, driver->entry->settings.store_prefix, since + 1, wait_ms,
+               &result, error);
+  now_ms = bt_now_ms (driver->ctx);
+  pthread_mutex_lock (&driver->entry->lock);
+  if (error->code == BT_ERROR_NONE)
+    bt_take_store_watch (driver->ctx, driver->spread, result != BT_KV_WATCH_QUIET, now_ms,
+                         &actions);
+  else
+    bt_take_store_failure (driver->ctx, driver->spread, now_ms);
+  bt_run_config_actions (driver, &actions, NULL);
+  pthread_mutex_unlock (&driver->entry->lock);
+}
+
+static void *
+run_store (void *argument)
+{
+  bt_config_driver_t *driver = argument;
+
+  while (!atomic_load (&driver->stopping))
+    {
+      bt_error_t error = { 0 };
+      bt_spread_action_kind_t kind;
+      int64_t since;
+      int64_t wait_ms;
+      bool wanted;
+
+      pthread_mutex_lock (&driver->entry->lock);
+      wanted = driver->store_wanted;
+      driver->store_wanted = false;
+      kind = driver->store_kind;
+      since = driver->store_since;
+      wait_ms = driver->store_wait_ms;
+      pthread_mutex_unlock (&driver->entry->lock);
+      if (!wanted)
+        bt_sleep_ms (STORE_PAUSE_MS);
+      else if (kind == BT_SPREAD_READ)
+        read_store (driver, since, &error);
+      else
+        watch_store (driver, since, wait_ms, &error);
+      if (error.code != BT_ERROR_NONE && !atomic_load (&driver->stopping))
+        bt_log (driver->ctx, BT_LOG_WARNING, BT_PART_STORE, "Can't read the configuration: %s",
+                error.message);
+    }
+  return NULL;
+}
+
+static void
+find_gauges (bt_config_driver_t *driver)
+{
+  static const char *const names[][2] = {
+    { "bilberry_config_revision", "Highest revision known on this instance." },
+    { "bilberry_config_fresh_age_ms", "Age of the freshest news of the service; -1 none." },
+    { "bilberry_config_watcher", "1 while this instance watches the service." },
+    { "bilberry_config_state", "0 ready, 1 not ready, 2 isolated." },
+    { "bilberry_config_older_dropped", "Older documents dropped so far." },
+    { "bilberry_config_stale_reads", "Stale answers of the service dropped so far." },
+    { "bilberry_config_pulls", "Pulls sent to peers so far." },
+    { "bilberry_config_pushes", "Pushes sent to peers so far." },
+  };
+
+  for (int32_t i = 0; i < BT_CONFIG_GAUGE_COUNT; i++)
+    driver->gauges[i] =
+        bt_find_counter (driver->ctx, BT_GAUGE, names[i][0], names[i][1], NULL, NULL);
+}
+
+static bool
+start_thread (bt_config_driver_t *driver, void *(*body) (void *), bt_error_t *error)
+{
+  if (pthread_create (&driver->threads[driver->thread_count], NULL, body, driver) != 0)
+    return bt_set_error (error, BT_ERROR_SYSTEM, "Can't start a thread: %s.", strerror (errno));
+  driver->thread_count++;
+  return true;
+}
+
+static void
+open_links (bt_entry_t *entry)
+{
+  for (bt_peer_t *peer = entry->peers; peer != NULL; peer = peer->next)
+    if (peer->up && !peer->agent)
+      bt_open_config_link (entry, &peer->identity);
+}
+
+bt_config_driver_t *
+bt_new_config_driver (bt_context_t *ctx, bt_entry_t *entry, bt_kv_t *kv, bt_error_t *error)
+{
+  bt_config_driver_t *driver = bt_calloc (ctx, 1, sizeof *driver);
+  bt_spread_settings_t settings = bt_get_default_spread_settings ();
+  bt_identity_t self = { .incarnation = entry->incarnation };
+  uint64_t seed;
+
+  bt_copy_name (self.instance, entry->settings.instance);
+  bt_fill_secure_random (&seed, sizeof seed);
+  settings.isolation_ms = entry->settings.isolation_ms;
+  settings.fallback_ms = entry->settings.isolation_ms * 6 / 10;
+  settings.watch_wait_ms = entry->settings.watch_wait_ms;
+  settings.watchers = (int32_t)entry->settings.watchers;
+  driver->ctx = ctx;
+  driver->entry = entry;
+  driver->kv = kv;
+  driver->spread = bt_new_config_spread (ctx, &self, &settings, seed, bt_now_ms (ctx));
+  find_gauges (driver);
+  pthread_mutex_lock (&entry->lock);
+  entry->config = driver;
+  bt_update_config_members (entry);
+  open_links (entry);
+  pthread_mutex_unlock (&entry->lock);
+  if (start_thread (driver, run_ticker, error) && start_thread (driver, run_store, error))
+    return driver;
+  bt_drop_config_driver (ctx, driver);
+  return NULL;
+}
+
+void
+bt_drop_config_driver (bt_context_t *ctx, bt_config_driver_t *driver)
+{
+  if (driver == NULL)
+    return;
+  atomic_store (&driver->stopping, true);
+  for (int32_t i = 0; i < driver->thread_count; i++)
+    pthread_join (driver->threads[i], NULL);
+  pthread_mutex_lock (&driver->entry->lock);
+  driver->entry->config = NULL;
+  bt_drop_config_replies (driver);
+  pthread_mutex_unlock (&driver->entry->lock);
+  bt_clear_documents (ctx, &driver->applied);
+  bt_drop_config_spread (ctx, driver->spread);
+  bt_free (ctx, driver);
+}
+
+void
+bt_update_config_members (bt_entry_t *entry)
+{
+  bt_spread_member_t *members;
+  int32_t count;
+
+  if (entry->config == NULL)
+    return;
+  members = bt_list_spread_members (entry->ctx, entry->membership, &count);
+  bt_set_spread_members (entry->ctx, entry->config->spread, members, count);
+  bt_free (entry->ctx, members);
+}
+
+bt_reason_t
+bt_get_config_refusal (const bt_entry_t *entry, int64_t now_ms)
+{
+  if (entry->config == NULL)
+    return BT_REASON_NOT_READY;
+  switch (bt_get_spread_state (entry->config->spread, now_ms))
+    {
+    case BT_SPREAD_NOT_READY:
+      return BT_REASON_NOT_READY;
+    case BT_SPREAD_ISOLATED:
+      return BT_REASON_ISOLATED;
+    default:
+      return BT_REASON_NONE;
+    }
+}
--- a/source/entry/entry.h
+++ b/source/entry/entry.h
@@ -38,7 +38,9 @@
   int64_t max_frame_bytes;
   int64_t max_links;
   int64_t instances_ms;
-  int64_t store_poll_ms;
+  int64_t isolation_ms;
+  int64_t watch_wait_ms;
+  int64_t watchers;
   int64_t address_life_ms;
   int64_t drain_ms;
   int64_t ticket_life_ms;
--- a/source/entry/entry_private.h
+++ b/source/entry/entry_private.h
@@ -13,9 +13,11 @@
 #include "bilberrytray/base/counters.h"
 #include "bilberrytray/core/admission.h"
 #include "bilberrytray/core/delivery.h"
+#include "bilberrytray/core/membership.h"
 #include "bilberrytray/core/retry_budget.h"
 #include "bilberrytray/core/router.h"
 #include "bilberrytray/wire/link.h"
+#include "config_driver.h"
 #include "entry.h"
 #include "http_server.h"
 
@@ -34,6 +36,7 @@
   bool agent;
   bool listed;         /**< The last reading of the list names it. */
   bool listed_leaving; /**< The list says that it leaves. */
+  bool near;           /**< A link to it is kept up. */
   bool link_leaving;   /**< Its own heartbeat says so; goes before the list. */
   bt_link_t *link;     /**< NULL: none. */
   bool up;
@@ -90,6 +93,8 @@
   bt_router_t *router;
   bt_admission_t *admission;
   bt_retry_budget_t *budget;
+  bt_membership_t *membership;
+  bt_config_driver_t *config; /**< NULL until the platform is read. */
   bt_peer_t *peers;
   bt_call_t *calls[BT_CALL_BUCKETS];
   int32_t call_count;
--- a/source/platform/etcd_json.c
+++ b/source/platform/etcd_json.c
@@ -93,11 +93,13 @@
 }
 
 char *
-bt_write_etcd_range (bt_context_t *ctx, const char *key, bool prefix)
+bt_write_etcd_range (bt_context_t *ctx, const char *key, bool prefix, int64_t min_revision)
 {
   json_t *object = json_object ();
 
   set_range (ctx, object, key, prefix);
+  if (min_revision > 0)
+    json_object_set_new (object, "min_mod_revision", bt_encode_etcd_number (min_revision));
   return finish (object);
 }
 
--- a/test/platform/test_kv.c
+++ b/test/platform/test_kv.c
@@ -101,6 +101,11 @@
   CU_ASSERT_EQUAL (range.count, 2);
   CU_ASSERT_EQUAL (range.revision, revision + 2);
   bt_drop_kv_range (fixture.ctx, &range);
+  CU_ASSERT_TRUE (
+      bt_read_kv_changes (fixture.ctx, fixture.kv, "config/", revision + 1, &range, &error));
+  CU_ASSERT_EQUAL_FATAL (range.count, 1);
+  CU_ASSERT_STRING_EQUAL (range.pairs[0].key, "config/models");
+  bt_drop_kv_range (fixture.ctx, &range);
   CU_ASSERT_TRUE (swap_text (&fixture, "config/rules", revision, "two", &result, &error));
   CU_ASSERT_TRUE (result.succeeded);
   CU_ASSERT_TRUE (swap_text (&fixture, "config/rules", revision, "three", &result, &error));
--- a/test/standin/kv/store.c
+++ b/test/standin/kv/store.c
@@ -219,7 +219,8 @@
   answer = make_answer (stale ? store->old_revision : store->revision);
   json_object_foreach (stale ? store->old_keys : store->keys, key, pair)
   {
-    if (is_in_range (request, key))
+    if (is_in_range (request, key)
+        && get_number (pair, "mod_revision") >= get_number (request, "min_mod_revision"))
       json_array_append (found, pair);
   }
   json_object_set_new (answer, "count", make_number ((int64_t)json_array_size (found)));
