--- /dev/null
+++ b/test/core/test_map_rank.c
@@ -0,0 +1,286 @@
+#include <CUnit/Basic.h>
+#include <string.h>
+
+#include "bilberrytray/base.h"
+#include "bilberrytray/core/map_rank.h"
+#include "lockstep.h"
+
+enum
+{
+  AGENT = 77,
+  SETTLE_MS = 100,
+  GIVE_UP_MS = 1000,
+};
+
+/** An agent beside one engine. */
+typedef struct fixture
+{
+  bt_context_t *ctx;
+  int32_t index;
+  int64_t now_ms;
+  lockstep_t group;
+  bt_map_rank_t *rank;
+  bt_map_actions_t actions;
+  bt_map_report_t report;
+  uint64_t ids;
+} fixture_t;
+
+static void
+start_agent (fixture_t *fixture)
+{
+  bt_map_rank_settings_t settings = { fixture->index, AGENT, SETTLE_MS, 500, 50, GIVE_UP_MS, 0 };
+
+  bt_drop_map_rank (fixture->ctx, fixture->rank);
+  fixture->rank = bt_new_map_rank (fixture->ctx, &settings, fixture->now_ms);
+}
+
+static fixture_t
+start (int32_t index, bool ignore_fences)
+{
+  fixture_t fixture = { bt_new_context (), index };
+
+  lockstep_start (&fixture.group, 2, ignore_fences);
+  start_agent (&fixture);
+  return fixture;
+}
+
+static void
+finish (fixture_t *fixture)
+{
+  bt_drop_map_rank (fixture->ctx, fixture->rank);
+  bt_clear_map_actions (fixture->ctx, &fixture->actions);
+  bt_drop_context (fixture->ctx);
+}
+
+/* Lets the engine answer all calls; keeps the last report and what else the agent wants sent. */
+static void
+settle (fixture_t *fixture)
+{
+  for (int32_t i = 0; i < fixture->actions.count; i++)
+    {
+      bt_map_action_t action = fixture->actions.items[i];
+      bool accepted = true;
+
+      if (action.kind == BT_MAP_REPORT)
+        fixture->report = action.report;
+      if (action.kind != BT_MAP_ENGINE_ORDER)
+        continue;
+      if (action.order.kind != BT_MAP_QUERY || action.order.fence != 0)
+        accepted = lockstep_order (&fixture->group, fixture->index, &action.order);
+      bt_take_engine_answer (fixture->ctx, fixture->rank, action.call, accepted,
+                             &fixture->group.ranks[fixture->index].state, fixture->now_ms,
+                             &fixture->actions);
+    }
+}
+
+static void
+wait_ms (fixture_t *fixture, int64_t ms)
+{
+  fixture->now_ms += ms;
+  fixture->actions.count = 0;
+  bt_tick_map_rank (fixture->ctx, fixture->rank, fixture->now_ms, &fixture->actions);
+  settle (fixture);
+}
+
+static void
+get_ready (fixture_t *fixture, uint64_t floor)
+{
+  bt_take_map_floor (fixture->rank, floor);
+  wait_ms (fixture, SETTLE_MS);
+}
+
+/* Sends an order and says what became of it. */
+static bt_map_refusal_t
+give (fixture_t *fixture, bt_map_order_kind_t kind, uint64_t fence, uint64_t sequence, bool apply)
+{
+  bt_map_order_t order = { kind, fixture->index, fence, ++fixture->ids };
+
+  order.incarnation = fixture->group.ranks[fixture->index].state.incarnation;
+  order.round = (bt_round_id_t){ fence, sequence };
+  order.step = kind == BT_MAP_JOIN ? 0 : 10;
+  order.digest = sequence;
+  order.apply = apply;
+  fixture->actions.count = 0;
+  bt_take_map_order (fixture->ctx, fixture->rank, &order, fixture->now_ms, &fixture->actions);
+  settle (fixture);
+  return fixture->report.refusal;
+}
+
+static const bt_map_action_t *
+find_action (const fixture_t *fixture, bt_map_action_kind_t kind)
+{
+  for (int32_t i = 0; i < fixture->actions.count; i++)
+    if (fixture->actions.items[i].kind == kind)
+      return &fixture->actions.items[i];
+  return NULL;
+}
+
+static void
+arm (fixture_t *fixture)
+{
+  get_ready (fixture, 5);
+  CU_ASSERT_EQUAL (give (fixture, BT_MAP_JOIN, 5, 0, false), BT_MAP_ACCEPTED);
+  CU_ASSERT_EQUAL (give (fixture, BT_MAP_STAGE, 5, 1, false), BT_MAP_ACCEPTED);
+  CU_ASSERT_EQUAL (give (fixture, BT_MAP_ARM, 5, 1, false), BT_MAP_ACCEPTED);
+}
+
+/* A rank changes its map twice in a second, the second time to an old one. The agent restarts, its
+ * engine ignores fences, and an order of a controller long replaced arrives late. */
+static void
+test_restarted_agent_keeps_its_floor (void)
+{
+  fixture_t fixture = start (1, true);
+
+  CU_ASSERT_EQUAL (give (&fixture, BT_MAP_QUERY, 9, 0, false), BT_MAP_STARTING);
+  arm (&fixture);
+  CU_ASSERT_EQUAL (give (&fixture, BT_MAP_LOAD_MODEL, 4, 0, false), BT_MAP_FENCED);
+  CU_ASSERT_EQUAL (give (&fixture, BT_MAP_SET_ROLE, 6, 0, false), BT_MAP_ACCEPTED);
+  start_agent (&fixture);
+  wait_ms (&fixture, SETTLE_MS);
+  CU_ASSERT_FALSE (bt_is_map_rank_ready (fixture.rank));
+  CU_ASSERT_PTR_NOT_NULL (find_action (&fixture, BT_MAP_READ_FLOOR));
+  CU_ASSERT_EQUAL (give (&fixture, BT_MAP_QUERY, 9, 0, false), BT_MAP_STARTING);
+  bt_take_map_floor (fixture.rank, 6);
+  CU_ASSERT_EQUAL (give (&fixture, BT_MAP_LEARN, 5, 1, false), BT_MAP_FENCED);
+  CU_ASSERT_EQUAL (give (&fixture, BT_MAP_SET_VERSION, 5, 0, false), BT_MAP_FENCED);
+  CU_ASSERT_EQUAL (give (&fixture, BT_MAP_STAGE, 6, 1, false), BT_MAP_ARMED_OTHER);
+  CU_ASSERT_STRING_EQUAL (fixture.group.violation, "");
+  finish (&fixture);
+}
+
+/* Two ranks end a round differently. Rank 0 takes the map, the report is lost, the controller gives
+ * the round up. The first decision stands, also behind an engine that would take another, and a
+ * restarted agent finds it there. */
+static void
+test_first_decision_stands (void)
+{
+  fixture_t fixture = start (0, true);
+
+  arm (&fixture);
+  CU_ASSERT_EQUAL (give (&fixture, BT_MAP_DECIDE, 5, 1, true), BT_MAP_ACCEPTED);
+  CU_ASSERT_EQUAL (give (&fixture, BT_MAP_DECIDE, 5, 1, false), BT_MAP_OLD_ROUND);
+  CU_ASSERT_TRUE (fixture.report.engine.decided_apply);
+  start_agent (&fixture);
+  get_ready (&fixture, 5);
+  CU_ASSERT_EQUAL (give (&fixture, BT_MAP_DECIDE, 6, 9, false), BT_MAP_ARMED_OTHER);
+  CU_ASSERT_EQUAL (give (&fixture, BT_MAP_DECIDE, 5, 1, false), BT_MAP_FENCED);
+  CU_ASSERT_TRUE (fixture.group.ranks[0].state.decided_apply);
+  finish (&fixture);
+}
+
+static void
+test_only_rank_0_decides (void)
+{
+  fixture_t fixture = start (1, false);
+
+  arm (&fixture);
+  CU_ASSERT_EQUAL (give (&fixture, BT_MAP_DECIDE, 5, 1, true), BT_MAP_NOT_DECIDER);
+  CU_ASSERT_EQUAL (give (&fixture, BT_MAP_CANCEL, 5, 1, false), BT_MAP_ARMED_OTHER);
+  CU_ASSERT_EQUAL (give (&fixture, BT_MAP_JOIN, 5, 0, false), BT_MAP_ALREADY_JOINED);
+  CU_ASSERT_EQUAL (give (&fixture, BT_MAP_LEARN, 5, 1, true), BT_MAP_ACCEPTED);
+  CU_ASSERT_EQUAL (give (&fixture, BT_MAP_LEARN, 5, 1, false), BT_MAP_OLD_ROUND);
+  finish (&fixture);
+}
+
+/* The group holds because rank 1 never heard the decision. It asks rank 0 by itself. */
+static void
+test_undecided_rank_asks (void)
+{
+  fixture_t fixture = start (1, false);
+  bt_map_tell_t tell = { 0 };
+
+  arm (&fixture);
+  wait_ms (&fixture, 60);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (find_action (&fixture, BT_MAP_ASK));
+  tell.ask = find_action (&fixture, BT_MAP_ASK)->ask;
+  tell.apply = true;
+  bt_take_map_tell (fixture.ctx, fixture.rank, &tell, fixture.now_ms, &fixture.actions);
+  settle (&fixture);
+  CU_ASSERT_TRUE (fixture.group.ranks[1].state.decided_apply);
+  finish (&fixture);
+}
+
+/* Rank 0 is replaced; a controller finds that no rank knows a decision and drops the round, while
+ * an answer of the old rank 0 is still on its way to rank 1. What a controller has read here makes
+ * earlier questions void; so does a restart. */
+static void
+test_late_answer_is_void (void)
+{
+  fixture_t fixture = start (1, false);
+  bt_map_tell_t tell = { 0 };
+
+  arm (&fixture);
+  wait_ms (&fixture, 60);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (find_action (&fixture, BT_MAP_ASK));
+  tell.ask = find_action (&fixture, BT_MAP_ASK)->ask;
+  tell.apply = true;
+  CU_ASSERT_EQUAL (give (&fixture, BT_MAP_QUERY, 6, 0, false), BT_MAP_ACCEPTED);
+  bt_take_map_tell (fixture.ctx, fixture.rank, &tell, fixture.now_ms, &fixture.actions);
+  settle (&fixture);
+  CU_ASSERT_TRUE (bt_is_undecided (&fixture.group.ranks[1].state));
+  finish (&fixture);
+}
+
+/* The controller is gone and the service down. Rank 0 drops the round that others ask about, once
+ * they have asked for long enough, and tells them. */
+static void
+test_rank_0_drops_abandoned_round (void)
+{
+  fixture_t fixture = start (0, false);
+  bt_map_ask_t ask = { 1, 88, 1, { 5, 1 } };
+
+  arm (&fixture);
+  for (int32_t i = 0; i < 2; i++)
+    {
+      fixture.actions.count = 0;
+      bt_take_map_ask (fixture.ctx, fixture.rank, &ask, fixture.now_ms, &fixture.actions);
+      settle (&fixture);
+      CU_ASSERT_PTR_NULL (find_action (&fixture, BT_MAP_TELL));
+      fixture.now_ms += GIVE_UP_MS;
+    }
+  CU_ASSERT_EQUAL (bt_compare_rounds (fixture.group.ranks[0].state.decided, ask.round), 0);
+  CU_ASSERT_FALSE (fixture.group.ranks[0].state.decided_apply);
+  bt_take_map_ask (fixture.ctx, fixture.rank, &ask, fixture.now_ms, &fixture.actions);
+  settle (&fixture);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (find_action (&fixture, BT_MAP_TELL));
+  CU_ASSERT_FALSE (find_action (&fixture, BT_MAP_TELL)->tell.apply);
+  finish (&fixture);
+}
+
+/* An engine is replaced while an order for the old one is on its way. */
+static void
+test_orders_for_a_replaced_engine (void)
+{
+  fixture_t fixture = start (1, false);
+  bt_map_order_t order = { BT_MAP_STAGE, 1, 5, 1 };
+
+  arm (&fixture);
+  order.incarnation = fixture.group.ranks[1].state.incarnation + 1;
+  order.round = (bt_round_id_t){ 5, 2 };
+  bt_take_map_order (fixture.ctx, fixture.rank, &order, fixture.now_ms, &fixture.actions);
+  settle (&fixture);
+  CU_ASSERT_EQUAL (fixture.report.refusal, BT_MAP_WRONG_ENGINE);
+  finish (&fixture);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned int failed;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("map rank", NULL, NULL);
+  CU_ADD_TEST (suite, test_restarted_agent_keeps_its_floor);
+  CU_ADD_TEST (suite, test_first_decision_stands);
+  CU_ADD_TEST (suite, test_only_rank_0_decides);
+  CU_ADD_TEST (suite, test_undecided_rank_asks);
+  CU_ADD_TEST (suite, test_late_answer_is_void);
+  CU_ADD_TEST (suite, test_rank_0_drops_abandoned_round);
+  CU_ADD_TEST (suite, test_orders_for_a_replaced_engine);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failed = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failed == 0 ? 0 : 1;
+}
