--- /dev/null
+++ b/source/core/endpoint_state.c
@@ -0,0 +1,152 @@
+#include "endpoint_state.h"
+
+enum
+{
+  WHOLE_PERCENT = 100,
+  /* A new measurement counts for 1 / MEAN_WEIGHT of the mean. */
+  MEAN_WEIGHT = 8,
+};
+
+int32_t
+bt_get_endpoint_slots (const bt_endpoint_state_t *state, const bt_router_options_t *options)
+{
+  const int32_t slots = state->load.slots > 0 ? state->load.slots : options->default_slots;
+  const int32_t share = bt_get_outlier_share (&state->outlier);
+  const int32_t part = slots * share / WHOLE_PERCENT;
+
+  return share > 0 && part == 0 ? 1 : part;
+}
+
+int32_t
+bt_get_endpoint_load (const bt_endpoint_state_t *state)
+{
+  const int32_t load = state->total_then + state->own - state->own_then;
+
+  return load > state->own ? load : state->own;
+}
+
+int32_t
+bt_get_endpoint_commitment (const bt_endpoint_state_t *state, int32_t entries)
+{
+  const int32_t grown = state->own - state->own_then;
+  int32_t alike = entries;
+
+  if (grown <= 0)
+    return bt_get_endpoint_load (state);
+  if (state->own_then > 0 && state->total_then / state->own_then < entries)
+    alike = state->total_then > state->own_then ? state->total_then / state->own_then : 1;
+  return state->total_then + grown * alike;
+}
+
+int64_t
+bt_get_endpoint_service_ms (const bt_endpoint_state_t *state, const bt_router_options_t *options)
+{
+  if (state->load.service_ms > 0)
+    return state->load.service_ms;
+  return state->service_ms > 0 ? (int64_t)state->service_ms : options->default_service_ms;
+}
+
+int64_t
+bt_get_endpoint_wait_ms (const bt_endpoint_state_t *state, const bt_router_options_t *options)
+{
+  const int32_t slots = bt_get_endpoint_slots (state, options);
+  const int32_t ahead = bt_get_endpoint_load (state) + 1 - slots;
+
+  if (ahead <= 0 || slots == 0)
+    return 0;
+  return bt_get_endpoint_service_ms (state, options) * ahead / slots;
+}
+
+/* The own count at a moment in the past, as far as the history reaches. */
+static int32_t
+get_own_at (const bt_endpoint_state_t *state, int64_t at_ms)
+{
+  const uint32_t kept = state->changes < BT_HISTORY_SLOTS ? state->changes : BT_HISTORY_SLOTS;
+
+  for (uint32_t i = 1; i <= kept; i++)
+    {
+      const bt_own_change_t *change = &state->history[(state->changes - i) % BT_HISTORY_SLOTS];
+
+      if (change->at_ms <= at_ms)
+        return change->own;
+    }
+  return kept < BT_HISTORY_SLOTS ? 0 : state->history[state->changes % BT_HISTORY_SLOTS].own;
+}
+
+void
+bt_take_endpoint_load (bt_endpoint_state_t *state, const bt_load_t *load, int64_t now_ms)
+{
+  state->load = *load;
+  state->load_at_ms = now_ms - load->age_ms;
+  state->reported = true;
+  state->total_then = load->running + load->queued;
+  /* A report lags: what was sent or ended since is no part of it. Taking the count of now would
+   * make an endpoint that was just given work look as if others had left it idle. */
+  state->own_then = get_own_at (state, state->load_at_ms);
+}
+
+void
+bt_forget_endpoint_load (bt_endpoint_state_t *state)
+{
+  state->reported = false;
+  state->own = 0;
+  state->own_then = 0;
+  state->total_then = 0;
+  state->changes = 0;
+}
+
+void
+bt_add_endpoint_own (bt_endpoint_state_t *state, int32_t change, int64_t now_ms)
+{
+  bt_own_change_t *latest = &state->history[state->changes % BT_HISTORY_SLOTS];
+
+  state->own += change;
+  if (state->own < 0)
+    state->own = 0;
+  latest->at_ms = now_ms;
+  latest->own = state->own;
+  state->changes++;
+}
+
+void
+bt_take_endpoint_time (bt_endpoint_state_t *state, int64_t took_ms)
+{
+  if (state->service_ms == 0)
+    state->service_ms = took_ms > 0 ? (double)took_ms : 1;
+  else
+    state->service_ms += ((double)took_ms - state->service_ms) / MEAN_WEIGHT;
+}
+
+bool
+bt_has_endpoint_prefix (const bt_endpoint_state_t *state, uint64_t prefix)
+{
+  for (int32_t i = 0; prefix != 0 && i < BT_PREFIX_SLOTS; i++)
+    if (state->prefixes[i].prefix == prefix)
+      return true;
+  return false;
+}
+
+void
+bt_set_endpoint_prefix (bt_endpoint_state_t *state, uint64_t prefix, bool cached, int64_t now_ms)
+{
+  bt_cached_prefix_t *place = &state->prefixes[0];
+
+  if (prefix == 0)
+    return;
+  for (int32_t i = 0; i < BT_PREFIX_SLOTS; i++)
+    {
+      bt_cached_prefix_t *cell = &state->prefixes[i];
+
+      if (cell->prefix == prefix)
+        {
+          place = cell;
+          break;
+        }
+      if (cell->used_ms < place->used_ms)
+        place = cell;
+    }
+  if (!cached && place->prefix != prefix)
+    return;
+  place->prefix = cached ? prefix : 0;
+  place->used_ms = cached ? now_ms : 0;
+}
--- /dev/null
+++ b/source/entry/calls.c
@@ -0,0 +1,275 @@
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bilberrytray/base/log.h"
+#include "entry_private.h"
+#include "messages.h"
+
+static const char *const json_content = "application/json";
+
+static bt_call_t **
+find_place (bt_entry_t *entry, uint64_t id)
+{
+  bt_call_t **place = &entry->calls[id % BT_CALL_BUCKETS];
+
+  while (*place != NULL && (*place)->id != id)
+    place = &(*place)->next;
+  return place;
+}
+
+void
+bt_remove_call (bt_entry_t *entry, bt_call_t *call)
+{
+  bt_cancel_admission (entry->admission, call->id);
+  *find_place (entry, call->id) = call->next;
+  entry->call_count--;
+  bt_drop_delivery (entry->ctx, call->delivery);
+  bt_drop_declarations (entry->ctx, call->declarations);
+  bt_drop_caller (entry->ctx, call->caller);
+  bt_free (entry->ctx, call);
+}
+
+bt_call_t *
+bt_find_call (bt_entry_t *entry, uint64_t id)
+{
+  return *find_place (entry, id);
+}
+
+/* The app that a request names: by header, or by the field "model" of a JSON body. */
+static char *
+read_app (bt_entry_t *entry, bt_caller_t *caller)
+{
+  const bt_caller_request_t *request = bt_get_caller_request (caller);
+  const char *header = bt_find_caller_header (caller, "Bilberry-App");
+  const char *type = bt_find_caller_header (caller, "Content-Type");
+  const char *model;
+  json_t *body;
+  char *app;
+
+  if (header != NULL)
+    return bt_strdup (entry->ctx, header);
+  if (type == NULL || strncmp (type, json_content, strlen (json_content)) != 0)
+    return bt_strdup (entry->ctx, "");
+  body = json_loadb ((const char *)request->body, request->body_bytes, 0, NULL);
+  model = json_string_value (json_object_get (body, "model"));
+  app = bt_strdup (entry->ctx, model == NULL ? "" : model);
+  json_decref (body);
+  return app;
+}
+
+static bool
+is_idempotent (bt_caller_t *caller)
+{
+  const char *method = bt_get_caller_request (caller)->method;
+  const char *header = bt_find_caller_header (caller, "Bilberry-Idempotent");
+
+  if (bt_find_caller_header (caller, "Idempotency-Key") != NULL)
+    return false;
+  if (header != NULL)
+    return strcmp (header, "true") == 0;
+  return strcmp (method, "GET") == 0 || strcmp (method, "HEAD") == 0;
+}
+
+static int32_t
+match_caller (bt_entry_t *entry,
+              bt_caller_t *caller,
+              const bt_declarations_t *declarations,
+              int32_t *app,
+              int32_t *wanted_priority)
+{
+  const bt_caller_request_t *request = bt_get_caller_request (caller);
+  const char *priority = bt_find_caller_header (caller, "Bilberry-Priority");
+  char *named = read_app (entry, caller);
+  bt_request_facts_t facts = { 0 };
+  int32_t rule;
+
+  facts.account = bt_get_caller_account (caller);
+  facts.app = named;
+  facts.method = request->method;
+  facts.path = request->path;
+  facts.headers = request->headers;
+  facts.header_count = request->header_count;
+  facts.idempotent = is_idempotent (caller);
+  facts.body_bytes = (int64_t)request->body_bytes;
+  facts.priority = BT_PRIORITY_NORMAL;
+  if (priority != NULL)
+    bt_parse_priority (priority, &facts.priority);
+  rule = bt_match_rules (declarations, &facts);
+  *wanted_priority = rule >= 0 && declarations->rules[rule].then.priority >= 0
+                         ? declarations->rules[rule].then.priority
+                         : (int32_t)facts.priority;
+  *app = rule >= 0 && declarations->rules[rule].then.app >= 0 ? declarations->rules[rule].then.app
+                                                              : bt_find_app (declarations, named);
+  bt_free (entry->ctx, named);
+  return rule;
+}
+
+/* What a request's key comes to. A request that may be repeated needs none, so a foreign one is
+ * passed over there. */
+static bt_reason_t
+read_key (bt_entry_t *entry,
+          bt_caller_t *caller,
+          const bt_rule_then_t *then,
+          bool idempotent,
+          bt_ticket_t *ticket,
+          bool *keyed)
+{
+  const char *text = bt_find_caller_header (caller, "Idempotency-Key");
+
+  *keyed = text != NULL && bt_parse_ticket (entry->ring, text, ticket, NULL);
+  if (*keyed || idempotent)
+    return BT_REASON_NONE;
+  if (text != NULL)
+    return BT_REASON_KEY_NOT_MINTED;
+  return then->key_required ? BT_REASON_KEY_REQUIRED : BT_REASON_NONE;
+}
+
+static bt_call_t *
+add_call (bt_entry_t *entry, bt_caller_t *caller, const bt_call_t *facts)
+{
+  bt_call_t *call = bt_calloc (entry->ctx, 1, sizeof *call);
+  const bt_rule_then_t *then = &facts->declarations->rules[facts->rule].then;
+
+  *call = *facts;
+  call->id = ++entry->next_call;
+  call->caller = bt_keep_caller (caller);
+  bt_keep_declarations (call->declarations);
+  call->deadline_ms = bt_now_ms (entry->ctx)
+                      + (then->deadline_ms > 0 ? then->deadline_ms
+                                               : call->declarations->apps[call->app].deadline_ms);
+  call->next = entry->calls[call->id % BT_CALL_BUCKETS];
+  entry->calls[call->id % BT_CALL_BUCKETS] = call;
+  entry->call_count++;
+  bt_set_caller_call (caller, call->id);
+  return call;
+}
+
+static void
+admit_call (bt_entry_t *entry, bt_caller_t *caller, bt_call_t *facts)
+{
+  const bt_rule_then_t *then = &facts->declarations->rules[facts->rule].then;
+  bool idempotent = then->idempotent >= 0 ? then->idempotent == 1 : is_idempotent (caller);
+  bt_ticket_t ticket = { 0 };
+  bt_reason_t reason = read_key (entry, caller, then, idempotent, &ticket, &facts->keyed);
+  bt_call_t *call;
+
+  if (reason != BT_REASON_NONE)
+    {
+      bt_refuse_caller (entry->ctx, caller, BT_OUTCOME_NOT_RUN, reason, 0,
+                        "take a ticket from /v1/addresses as Idempotency-Key");
+      return;
+    }
+  facts->home = ticket.home;
+  facts->idempotent = idempotent;
+  pthread_mutex_lock (&entry->lock);
+  call = add_call (entry, caller, facts);
+  bt_prepare_delivery (entry, call, call->keyed ? &ticket : NULL);
+  bt_place_call (entry, call, false);
+  pthread_mutex_unlock (&entry->lock);
+}
+
+void
+bt_submit_entry (bt_context_t *ctx, bt_entry_t *entry, bt_caller_t *caller)
+{
+  bt_declarations_t *declarations = bt_get_entry_declarations (entry);
+  const bt_rule_then_t *then;
+  bt_call_t facts = { .declarations = declarations };
+
+  if (declarations == NULL)
+    {
+      bt_refuse_caller (ctx, caller, BT_OUTCOME_NOT_RUN, BT_REASON_NOT_READY, 0, NULL);
+      return;
+    }
+  facts.rule = match_caller (entry, caller, declarations, &facts.app, &facts.priority);
+  then = facts.rule < 0 ? NULL : &declarations->rules[facts.rule].then;
+  if (then == NULL)
+    bt_refuse_caller (ctx, caller, BT_OUTCOME_NOT_RUN, BT_REASON_NO_RULE, 0, NULL);
+  else if (then->action == BT_ACTION_REFUSE)
+    bt_refuse_caller (ctx, caller, BT_OUTCOME_NOT_RUN, BT_REASON_RULE_REFUSED, then->retry_after_ms,
+                      then->message);
+  else if (facts.app < 0)
+    bt_refuse_caller (ctx, caller, BT_OUTCOME_NOT_RUN, BT_REASON_NO_ENDPOINT, 0, NULL);
+  else
+    admit_call (entry, caller, &facts);
+  bt_drop_declarations (ctx, declarations);
+}
+
+void
+bt_take_answer_frame (bt_entry_t *entry, bt_link_t *link, const bt_frame_t *frame)
+{
+  bt_reply_t reply = { 0 };
+  bt_delivery_event_t event = { .kind = BT_DELIVERY_REPLY, .reply = &reply };
+  bt_call_t *call;
+
+  if (!bt_read_reply (link, frame, &reply))
+    return;
+  call = bt_find_call (entry, reply.path.call);
+  if (call != NULL)
+    bt_drive_call (entry, call, &event);
+  bt_place_waiting_calls (entry);
+}
+
+static void
+drive_all (bt_entry_t *entry, const bt_delivery_event_t *event)
+{
+  for (int32_t i = 0; i < BT_CALL_BUCKETS && entry->call_count > 0; i++)
+    {
+      bt_call_t *next;
+
+      for (bt_call_t *call = entry->calls[i]; call != NULL; call = next)
+        {
+          next = call->next;
+          bt_drive_call (entry, call, event);
+        }
+    }
+}
+
+void
+bt_fail_link_calls (bt_entry_t *entry, bt_link_t *link)
+{
+  bt_delivery_event_t event = { .kind = BT_DELIVERY_LINK_DOWN, .link = bt_get_link_id (link) };
+
+  drive_all (entry, &event);
+}
+
+void
+bt_resume_calls (bt_entry_t *entry, const bt_identity_t *identity)
+{
+  bt_delivery_event_t event = { .kind = BT_DELIVERY_LINK_UP, .identity = *identity };
+
+  drive_all (entry, &event);
+}
+
+void
+bt_expire_calls (bt_entry_t *entry, int64_t now_ms)
+{
+  bt_delivery_event_t event = { .kind = BT_DELIVERY_TICK };
+
+  drive_all (entry, &event);
+}
+
+void
+bt_cut_calls (bt_entry_t *entry)
+{
+  for (int32_t i = 0; i < BT_CALL_BUCKETS; i++)
+    while (entry->calls[i] != NULL)
+      {
+        bt_refuse_caller (entry->ctx, entry->calls[i]->caller, BT_OUTCOME_UNKNOWN,
+                          BT_REASON_STOPPING, 0, NULL);
+        bt_remove_call (entry, entry->calls[i]);
+      }
+}
+
+void
+bt_abandon_entry_call (bt_context_t *ctx, bt_entry_t *entry, uint64_t id)
+{
+  bt_delivery_event_t event = { .kind = BT_DELIVERY_CALLER_GONE };
+  bt_call_t *call;
+
+  pthread_mutex_lock (&entry->lock);
+  call = *find_place (entry, id);
+  if (id != 0 && call != NULL)
+    bt_drive_call (entry, call, &event);
+  pthread_mutex_unlock (&entry->lock);
+}
