--- a/model/request.pml
+++ b/model/request.pml
@@ -6,7 +6,8 @@
  * Each process handles one message a step and may be arbitrarily slow.
  *
  * Configurations: ARBITER (at most one run, truthful not-run), MATCH (an answer reaches its own
- * request), STREAM (pieces of one answer between engine, agent and entry).
+ * request), STREAM (pieces of one answer between engine, agent and entry), LEAVE (a home agent leaves
+ * while entries still mint tickets for it).
  */
 
 bool witness_reached;           /* set by the REACH_ switches only */
@@ -695,3 +696,114 @@
 }
 
 #endif /* STREAM */
+
+#ifdef LEAVE
+
+/*
+ * A home agent leaves. An entry mints tickets from the reading of the home agent's clock in the last
+ * heartbeat; heartbeats arrive late, and each tells whether its sender was leaving. While a ticket is
+ * valid a resend must find the arbiter. One tick is one unit of the home agent's clock.
+ */
+
+#define LIFE 2                  /* ticks for which a ticket is valid after the reading */
+#define LAST_TICK 8
+
+byte now;
+byte reading;                   /* the home agent's clock in the last heartbeat */
+bool knows_leaving;             /* that heartbeat said leaving */
+bool leaving;
+byte leaving_at;
+byte last_expiry;               /* highest expiry of a ticket minted */
+bool minted;
+bool running;
+bool ran;
+bool exited;
+
+#define EXPIRED(x) (now > (x))
+
+proctype clock ()
+{
+end:
+  do
+  :: atomic { now < LAST_TICK -> now++ }
+  od
+}
+
+proctype entry ()
+{
+  byte sent;
+end:
+  do
+     /* A heartbeat sent at an earlier or the present time arrives. */
+  :: atomic {
+       !exited ->
+       select (sent : 0 .. LAST_TICK);
+       if
+       :: sent >= reading && sent <= now && (!leaving || sent <= leaving_at) && !knows_leaving -> reading = sent
+       :: sent >= reading && sent <= now && leaving && sent >= leaving_at -> reading = sent; knows_leaving = true
+       :: else
+       fi;
+       sent = 0
+     }
+#ifdef EXTRAPOLATE
+  :: atomic { reading < now -> reading = now }
+#endif
+  :: atomic {
+#ifndef MINT_WHILE_LEAVING
+       !knows_leaving ->
+#else
+       true ->
+#endif
+       minted = true;
+       if
+       :: reading + LIFE > last_expiry -> last_expiry = reading + LIFE
+       :: else
+       fi;
+       assert (!exited || EXPIRED (reading + LIFE))
+     }
+  od
+}
+
+proctype home ()
+{
+end:
+  do
+  :: atomic { !leaving -> leaving = true; leaving_at = now }
+  :: atomic { minted && !leaving && !ran && !EXPIRED (last_expiry) -> running = true; ran = true }
+  :: atomic { running -> running = false }
+  :: atomic {
+       leaving && !exited &&
+#ifndef EXIT_EARLY
+         EXPIRED (leaving_at + LIFE) &&
+#endif
+#ifndef EXIT_RUNNING
+         !running &&
+#endif
+         true ->
+       exited = true;
+       assert (!running);
+       assert (!minted || EXPIRED (last_expiry))
+     }
+  od
+}
+
+#ifdef REACH_EXIT
+#define WITNESS (exited && ran && last_expiry > leaving_at)
+#endif
+
+init
+{
+  atomic {
+    run clock ();
+    run entry ();
+    run home ()
+  }
+#ifdef WITNESS
+end:
+  do
+  :: atomic { WITNESS -> witness_reached = true; assert (!witness_reached) }
+  od
+#endif
+}
+
+#endif /* LEAVE */
