--- a/source/agent/agent.c
+++ b/source/agent/agent.c
@@ -17,14 +17,13 @@
 };
 
 static void
-send_heartbeat (bt_agent_t *agent, bt_link_t *link)
+send_heartbeat_locked (bt_agent_t *agent, bt_link_t *link)
 {
   Bilberry__Heartbeat heartbeat = BILBERRY__HEARTBEAT__INIT;
   Bilberry__Load load = BILBERRY__LOAD__INIT;
   bt_load_t own;
   bt_frame_t frame = BILBERRY__FRAME__INIT;
 
-  pthread_mutex_lock (&agent->lock);
   heartbeat.now_ms = bt_now_ms (agent->ctx);
   heartbeat.leaving = agent->leaving;
   heartbeat.endpoint = (char *)agent->settings.endpoint;
@@ -39,12 +38,19 @@
   heartbeat.load = &load;
   heartbeat.records = bt_count_arbiter_records (agent->arbiter);
   heartbeat.record_room = bt_count_arbiter_room (agent->arbiter);
-  pthread_mutex_unlock (&agent->lock);
   frame.body_case = BILBERRY__FRAME__BODY_HEARTBEAT;
   frame.heartbeat = &heartbeat;
   bt_send_frame (agent->ctx, link, &frame);
 }
 
+static void
+send_heartbeat (bt_agent_t *agent, bt_link_t *link)
+{
+  pthread_mutex_lock (&agent->lock);
+  send_heartbeat_locked (agent, link);
+  pthread_mutex_unlock (&agent->lock);
+}
+
 static void
 take_dispatch (bt_agent_t *agent, bt_link_t *link, const Bilberry__Dispatch *frame)
 {
@@ -310,6 +316,8 @@
   agent->leaving = true;
   bt_set_run_queue_leaving (agent->queue, true);
   bt_set_arbiter_leaving (agent->arbiter, bt_now_ms (ctx));
+  for (bt_agent_link_t *at = agent->links; at != NULL; at = at->next)
+    send_heartbeat_locked (agent, at->link);
   pthread_mutex_unlock (&agent->lock);
   bt_log (ctx, BT_LOG_INFO, BT_PART_MAIN,
           "Leaving: no new work is taken; keys are arbitrated until their tickets have expired.");
--- a/source/agent/runs.c
+++ b/source/agent/runs.c
@@ -187,7 +187,8 @@
       switch (action->kind)
         {
         case BT_ARBITER_START_RUN:
-          offer_run (agent, action->run, frame);
+          if (frame != NULL) /* Only a dispatch starts a run. */
+            offer_run (agent, action->run, frame);
           break;
         case BT_ARBITER_CANCEL_RUN:
           cancel_run (agent, action->run);
--- a/source/agent/upstream.c
+++ b/source/agent/upstream.c
@@ -29,6 +29,14 @@
 static const char *const event_end = "\n\n";
 static const char *const done_event = "data: [DONE]";
 
+/** What a transfer is for. */
+typedef enum transfer_kind
+{
+  TRANSFER_RUN = 0,
+  TRANSFER_LOAD,   /**< A load report is read. */
+  TRANSFER_CANCEL, /**< A run that was given up is cancelled at the engine. */
+} transfer_kind_t;
+
 /** One run at the endpoint; of the upstream's thread alone once it is taken from the queue. */
 struct bt_upstream_run
 {
@@ -46,7 +54,7 @@
   bool head_given;
   bool streams; /**< The answer is a stream of events. */
   bool done;    /**< The closing event was seen. */
-  bool is_load;
+  transfer_kind_t kind;
   bool overflow;
   int64_t events; /**< Whole events passed on. */
   int64_t heard_ms;
@@ -147,7 +155,7 @@
   size_t bytes = size * count;
 
   transfer->heard_ms = bt_now_ms (ctx);
-  if (transfer->is_load)
+  if (transfer->kind != TRANSFER_RUN)
     {
       if (bt_count_buffer (&transfer->received) + bytes > MAX_LOAD_BYTES)
         return 0;
@@ -224,12 +232,33 @@
   curl_multi_remove_handle (upstream->multi, transfer->easy);
 }
 
+/* An engine goes on with a run whose stream nobody reads. One that was given up must be told to
+ * stop, or it holds a slot that the agent believes free. What it made so far may stand. */
+static void
+cancel_at_engine (bt_upstream_t *upstream, const transfer_t *given_up)
+{
+  transfer_t *transfer;
+  char url[URL_BYTES];
+
+  if (!upstream->options.model)
+    return;
+  transfer = bt_calloc (upstream->ctx, 1, sizeof *transfer);
+  transfer->upstream = upstream;
+  transfer->kind = TRANSFER_CANCEL;
+  snprintf (url, sizeof url, "%s/v1/runs/%s/cancel", upstream->options.url, given_up->run_id);
+  prepare_easy (transfer, url);
+  curl_easy_setopt (transfer->easy, CURLOPT_POSTFIELDS, "");
+  add_transfer (upstream, transfer);
+}
+
 static void
 end_transfer (bt_upstream_t *upstream, transfer_t *transfer, bt_upstream_result_t result)
 {
   bt_upstream_handler_t *handler = upstream->options.handler;
   uint64_t run = transfer->run;
 
+  if (result != BT_UPSTREAM_WHOLE && result != BT_UPSTREAM_NOT_SENT)
+    cancel_at_engine (upstream, transfer);
   remove_transfer (upstream, transfer);
   drop_transfer (upstream->ctx, transfer);
   handler->vtable->on_end (handler, run, result);
@@ -282,15 +311,27 @@
   drop_transfer (upstream->ctx, transfer);
 }
 
+static void
+finish_side (bt_upstream_t *upstream, transfer_t *transfer, CURLcode code)
+{
+  if (transfer->kind == TRANSFER_LOAD)
+    {
+      finish_load (upstream, transfer, code);
+      return;
+    }
+  remove_transfer (upstream, transfer);
+  drop_transfer (upstream->ctx, transfer);
+}
+
 static void
 finish_transfer (bt_upstream_t *upstream, transfer_t *transfer, CURLcode code)
 {
   curl_off_t sent = 0;
   bool never_connected;
 
-  if (transfer->is_load)
+  if (transfer->kind != TRANSFER_RUN)
     {
-      finish_load (upstream, transfer, code);
+      finish_side (upstream, transfer, code);
       return;
     }
   curl_easy_getinfo (transfer->easy, CURLINFO_SIZE_UPLOAD_T, &sent);
@@ -338,8 +379,8 @@
       next = transfer->next;
       if (now_ms - transfer->heard_ms <= upstream->options.idle_ms)
         continue;
-      if (transfer->is_load)
-        finish_load (upstream, transfer, CURLE_OPERATION_TIMEDOUT);
+      if (transfer->kind != TRANSFER_RUN)
+        finish_side (upstream, transfer, CURLE_OPERATION_TIMEDOUT);
       else if (!resume_transfer (upstream, transfer))
         end_transfer (upstream, transfer, BT_UPSTREAM_SILENT);
     }
@@ -358,7 +399,7 @@
   upstream->load_asked_ms = now_ms;
   transfer = bt_calloc (upstream->ctx, 1, sizeof *transfer);
   transfer->upstream = upstream;
-  transfer->is_load = true;
+  transfer->kind = TRANSFER_LOAD;
   snprintf (url, sizeof url, "%s/load", upstream->options.url);
   prepare_easy (transfer, url);
   add_transfer (upstream, transfer);
@@ -368,9 +409,8 @@
 cancel_run (bt_upstream_t *upstream, uint64_t run)
 {
   for (transfer_t *transfer = upstream->transfers; transfer != NULL; transfer = transfer->next)
-    if (!transfer->is_load && transfer->run == run)
+    if (transfer->kind == TRANSFER_RUN && transfer->run == run)
       {
-        /* Closing the connection lets an engine stop the run; what it made so far may stand. */
         end_transfer (upstream, transfer, BT_UPSTREAM_CANCELLED);
         return;
       }
--- a/source/entry/caller.c
+++ b/source/entry/caller.c
@@ -228,6 +228,19 @@
   bt_count_outcome (ctx, outcome);
 }
 
+void
+bt_refuse_unread_caller (bt_context_t *ctx,
+                         bt_caller_t *caller,
+                         bt_reason_t reason,
+                         int64_t retry_after_ms,
+                         const char *message)
+{
+  bool keyed = bt_find_caller_header (caller, "Idempotency-Key") != NULL;
+
+  bt_refuse_caller (ctx, caller, keyed ? BT_OUTCOME_UNKNOWN : BT_OUTCOME_NOT_RUN, reason,
+                    retry_after_ms, message);
+}
+
 void
 bt_answer_caller (bt_context_t *ctx,
                   bt_caller_t *caller,
--- a/source/entry/caller.h
+++ b/source/entry/caller.h
@@ -76,6 +76,14 @@
                        int64_t retry_after_ms,
                        const char *message);
 
+/** Refuses a request that nobody looked into. "Not run" is claimed only for one without a key: with
+ * a key, another copy may be running through another instance. */
+void bt_refuse_unread_caller (bt_context_t *ctx,
+                              bt_caller_t *caller,
+                              bt_reason_t reason,
+                              int64_t retry_after_ms,
+                              const char *message);
+
 /** Answers whole with a body at once. */
 void bt_answer_caller (bt_context_t *ctx,
                        bt_caller_t *caller,
--- a/source/entry/calls.c
+++ b/source/entry/calls.c
@@ -190,23 +190,19 @@
 
   if (refusal != BT_REASON_NONE)
     {
-      /* Sent again under its key, the request may have run through another entry instance. */
-      bool keyed = bt_find_caller_header (caller, "Idempotency-Key") != NULL;
-
-      bt_refuse_caller (ctx, caller, keyed ? BT_OUTCOME_UNKNOWN : BT_OUTCOME_NOT_RUN, refusal, 0,
-                        NULL);
+      bt_refuse_unread_caller (ctx, caller, refusal, 0, NULL);
       bt_drop_declarations (ctx, declarations);
       return;
     }
   facts.rule = match_caller (entry, caller, declarations, &facts.app, &facts.priority);
   then = facts.rule < 0 ? NULL : &declarations->rules[facts.rule].then;
   if (then == NULL)
-    bt_refuse_caller (ctx, caller, BT_OUTCOME_NOT_RUN, BT_REASON_NO_RULE, 0, NULL);
+    bt_refuse_unread_caller (ctx, caller, BT_REASON_NO_RULE, 0, NULL);
   else if (then->action == BT_ACTION_REFUSE)
-    bt_refuse_caller (ctx, caller, BT_OUTCOME_NOT_RUN, BT_REASON_RULE_REFUSED, then->retry_after_ms,
-                      then->message);
+    bt_refuse_unread_caller (ctx, caller, BT_REASON_RULE_REFUSED, then->retry_after_ms,
+                             then->message);
   else if (facts.app < 0)
-    bt_refuse_caller (ctx, caller, BT_OUTCOME_NOT_RUN, BT_REASON_NO_ENDPOINT, 0, NULL);
+    bt_refuse_unread_caller (ctx, caller, BT_REASON_NO_ENDPOINT, 0, NULL);
   else
     admit_call (entry, caller, &facts);
   bt_drop_declarations (ctx, declarations);
--- a/source/entry/deliveries.c
+++ b/source/entry/deliveries.c
@@ -247,11 +247,23 @@
   end_attempt (entry, call, call->ending);
 }
 
+/* An endpoint that leaves refuses what it never began, however many callers that meets at once: no
+ * fault that retries could multiply, so they are bounded by the rule alone. */
+static bool
+may_retry (bt_entry_t *entry, const bt_call_t *call, bt_retry_t retry)
+{
+  if (call->retries >= call->declarations->rules[call->rule].then.retries)
+    return false;
+  if (retry != BT_RETRY_ENDPOINT_LEAVING)
+    return bt_take_retry (entry->ctx, entry->budget, retry);
+  bt_count_retry (entry->ctx, retry);
+  return true;
+}
+
 static void
 ask_budget (bt_entry_t *entry, bt_call_t *call, bt_retry_t retry, following_t *following)
 {
-  const bt_rule_then_t *then = &call->declarations->rules[call->rule].then;
-  bool allowed = call->retries < then->retries && bt_take_retry (entry->ctx, entry->budget, retry);
+  bool allowed = may_retry (entry, call, retry);
 
   call->retries++;
   end_attempt (entry, call, call->ending);
--- a/source/entry/http_server.c
+++ b/source/entry/http_server.c
@@ -89,7 +89,7 @@
   bt_drop_declarations (server->ctx, declarations);
   if (reason == BT_REASON_NONE)
     return true;
-  bt_refuse_caller (server->ctx, caller, BT_OUTCOME_NOT_RUN, reason, 0, NULL);
+  bt_refuse_unread_caller (server->ctx, caller, reason, 0, NULL);
   return false;
 }
 
@@ -100,7 +100,7 @@
 
   if (header == NULL || strtoull (header, NULL, BASE_TEN) <= server->max_body_bytes)
     return true;
-  bt_refuse_caller (server->ctx, caller, BT_OUTCOME_NOT_RUN, BT_REASON_BODY_TOO_LARGE, 0, NULL);
+  bt_refuse_unread_caller (server->ctx, caller, BT_REASON_BODY_TOO_LARGE, 0, NULL);
   return false;
 }
 
@@ -116,8 +116,7 @@
 
   MHD_get_connection_values (connection, MHD_HEADER_KIND, copy_header, &copy);
   if (copy.overflow)
-    bt_refuse_caller (server->ctx, caller, BT_OUTCOME_NOT_RUN, BT_REASON_BAD_REQUEST, 0,
-                      "too many headers");
+    bt_refuse_unread_caller (server->ctx, caller, BT_REASON_BAD_REQUEST, 0, "too many headers");
   else if (check_token (server, connection, caller))
     check_length (server, connection, caller);
   return caller;
@@ -157,8 +156,7 @@
     {
       if (!bt_append_caller_body (server->ctx, caller, data, *bytes, server->max_body_bytes)
           && !bt_is_caller_answered (caller))
-        bt_refuse_caller (server->ctx, caller, BT_OUTCOME_NOT_RUN, BT_REASON_BODY_TOO_LARGE, 0,
-                          NULL);
+        bt_refuse_unread_caller (server->ctx, caller, BT_REASON_BODY_TOO_LARGE, 0, NULL);
       *bytes = 0;
       return MHD_YES;
     }
--- a/test/process/harness_requests.c
+++ b/test/process/harness_requests.c
@@ -1,5 +1,6 @@
 #include "harness_requests.h"
 
+#include <curl/curl.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -46,6 +47,37 @@
   return bt_wait_until (gets_ticket, &wait);
 }
 
+static size_t
+pass_over (char *data, size_t size, size_t count, void *argument)
+{
+  return size * count;
+}
+
+/* Sends a request and closes the connection before it is answered. */
+static void
+send_and_leave (bt_draft_t *draft, const char *const *headers, const char *body)
+{
+  char url[BODY_BYTES];
+  CURL *easy = curl_easy_init ();
+  struct curl_slist *lines = curl_slist_append (NULL, "Authorization: Bearer token-small");
+
+  for (int32_t i = 0; headers[i] != NULL; i++)
+    lines = curl_slist_append (lines, headers[i]);
+  snprintf (url, sizeof url, "http://127.0.0.1:%d/v1/completions",
+            bt_get_stage_port (draft->stage, draft->entry));
+  memset (&draft->reply, 0, sizeof draft->reply);
+  curl_easy_setopt (easy, CURLOPT_URL, url);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)draft->patience_ms);
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, lines);
+  curl_easy_setopt (easy, CURLOPT_POSTFIELDS, body);
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, pass_over);
+  draft->reply.curl_code = (int32_t)curl_easy_perform (easy);
+  curl_easy_cleanup (easy);
+  curl_slist_free_all (lines);
+}
+
 void
 bt_send_draft (bt_draft_t *draft)
 {
@@ -56,7 +88,13 @@
   snprintf (key, sizeof key, "Idempotency-Key: %s", draft->key == NULL ? "" : draft->key);
   snprintf (body, sizeof body, "{\"prompt\":\"%s\",\"max_tokens\":%d}", draft->prompt,
             draft->tokens);
-  bt_ask (draft->stage, draft->entry, "small", "/v1/completions", headers, body, &draft->reply);
+  if (draft->patience_ms > 0)
+    {
+      send_and_leave (draft, headers, body);
+      return;
+    }
+  bt_ask (draft->stage, draft->entry, draft->account == NULL ? "small" : draft->account,
+          "/v1/completions", headers, body, &draft->reply);
 }
 
 static void *
@@ -89,15 +127,13 @@
   return hash;
 }
 
-bool
-bt_is_draft_whole (const bt_draft_t *draft)
+static bool
+has_whole_body (const bt_draft_t *draft)
 {
   const char *at = bt_get_reply_text (&draft->reply);
   unsigned int hash = (unsigned int)(hash_prompt (draft->prompt) & 0xffffU);
   char line[LINE_BYTES];
 
-  if (draft->reply.curl_code != 0 || draft->reply.status != 200)
-    return false;
   for (int32_t i = 0; i < draft->tokens; i++)
     {
       snprintf (line, sizeof line, "data: {\"index\":%d,\"text\":\"%04x-%d \"}\n\n", i, hash, i);
@@ -108,6 +144,19 @@
   return strcmp (at, "data: [DONE]\n\n") == 0;
 }
 
+bool
+bt_is_draft_whole (const bt_draft_t *draft)
+{
+  const bt_reply_t *reply = &draft->reply;
+
+  if (reply->curl_code == 0 && reply->status == 200 && has_whole_body (draft))
+    return true;
+  fprintf (stderr, "\"%s\" by %s: curl %d, status %d, outcome %s, reason %s, %d bytes\n",
+           draft->prompt, draft->entry, reply->curl_code, reply->status, reply->outcome,
+           reply->reason, (int)reply->body_bytes);
+  return false;
+}
+
 bool
 bt_was_draft_told (const bt_draft_t *draft, const char *outcome)
 {
@@ -146,8 +195,8 @@
 {
   int32_t runs = bt_count_draft_runs (draft);
 
-  if (bt_is_draft_whole (draft))
-    return runs == 1;
+  if (draft->reply.curl_code == 0 && draft->reply.status == 200)
+    return runs == 1 && bt_is_draft_whole (draft);
   if (bt_was_draft_told (draft, "not-run"))
     return runs == 0;
   return bt_was_draft_told (draft, "unknown") && runs <= 1;
@@ -177,7 +226,11 @@
 has_endpoints (void *argument)
 {
   const endpoints_wait_t *wait = argument;
+  char key[BT_KEY_TEXT_BYTES];
+  ticket_wait_t ticket = { wait->stage, wait->entry, key };
 
+  if (!gets_ticket (&ticket))
+    return false;
   return bt_read_stage_counter (wait->stage, wait->entry, "bilberry_endpoints_up") == wait->count;
 }
 
--- a/test/process/harness_requests.h
+++ b/test/process/harness_requests.h
@@ -23,6 +23,8 @@
   const char *key;    /**< NULL: a request without a key. */
   const char *prompt; /**< Shorter than 60 bytes and unlike all others of the stage. */
   int32_t tokens;
+  const char *account; /**< NULL: "small". */
+  int64_t patience_ms; /**< The caller goes away after this; 0: it stays. */
   pthread_t thread;
   bt_reply_t reply;
 } bt_draft_t;
@@ -56,7 +58,7 @@
 /** Waits until an engine has begun the draft. */
 bool bt_wait_draft_runs (bt_draft_t *draft);
 
-/** Waits until an agent serves links again, at every entry that runs: as many endpoints up. */
+/** Waits until an entry serves callers and has links to so many agents. */
 bool bt_wait_endpoints (const bt_stage_t *stage, const char *entry, int32_t count);
 
 #endif
--- a/test/process/test_request_faults.c
+++ b/test/process/test_request_faults.c
@@ -10,11 +10,14 @@
 {
   STEP_US = 20000,
   LONG_TOKENS = 60,
+  SHORT_FREEZE_MS = 300,   /* Beyond the hurried deadline, within the links' limit. */
   BEYOND_LIMITS_MS = 6000, /* Longer than any limit of a link or a message. */
 };
 
 static const char *const rules =
-    "{\"rules\":[{\"name\":\"drafts\",\"when\":{\"path\":\"/v1/completions\"},"
+    "{\"rules\":[{\"name\":\"hurried\",\"when\":{\"account\":\"large\"},"
+    "\"then\":{\"action\":\"route\",\"app\":\"drafts\",\"deadline_ms\":800,\"retries\":2}},"
+    "{\"name\":\"drafts\",\"when\":{\"path\":\"/v1/completions\"},"
     "\"then\":{\"action\":\"route\",\"app\":\"drafts\",\"retries\":2}}]}";
 
 static bt_stage_t *stage;
@@ -58,8 +61,9 @@
   CU_ASSERT_TRUE (bt_wait_endpoints (stage, "entry-0", 2));
 }
 
-/* Two copies of one draft race through two entries, as when a buyer's app gives up too early. Both
- * meet at the key's home: the draft runs once and both get its whole answer. */
+/* Two copies of one draft race through two entries, as when a buyer's app gives up too early, and a
+ * third follows when all is over. They meet at the key's home: the draft runs once, and all three
+ * get its whole answer. */
 static void
 test_two_copies_race (void)
 {
@@ -69,6 +73,7 @@
       char prompt[32];
       bt_draft_t one = { stage, "entry-0", key, prompt, 5 };
       bt_draft_t two = { stage, "entry-1", key, prompt, 5 };
+      bt_draft_t late = { stage, "entry-0", key, prompt, 5 };
 
       snprintf (prompt, sizeof prompt, "race %d", round);
       CU_ASSERT_TRUE_FATAL (bt_take_ticket (stage, "entry-1", key));
@@ -76,11 +81,14 @@
       bt_start_draft (&two);
       bt_join_draft (&one);
       bt_join_draft (&two);
+      bt_send_draft (&late);
       CU_ASSERT_TRUE (bt_is_draft_whole (&one));
       CU_ASSERT_TRUE (bt_is_draft_whole (&two));
+      CU_ASSERT_TRUE (bt_is_draft_whole (&late));
       CU_ASSERT_EQUAL (bt_count_draft_runs (&one), 1);
       bt_clear_reply (&one.reply);
       bt_clear_reply (&two.reply);
+      bt_clear_reply (&late.reply);
     }
 }
 
@@ -113,6 +121,26 @@
   CU_ASSERT_TRUE (bt_signal_process (stage, "agent-1", signal_number));
 }
 
+/* The agent freezes for less than its links' limit while a hurried draft waits in its buffer. The
+ * deadline passes; the buyer must not be told "not run", since on waking the agent runs the draft
+ * before it reads that nobody wants it any more. */
+static void
+test_short_freeze_at_the_deadline (void)
+{
+  char key[BT_KEY_TEXT_BYTES];
+  bt_draft_t draft = { stage, "entry-0", key, "short freeze", 5, "large" };
+
+  CU_ASSERT_TRUE_FATAL (bt_take_ticket (stage, "entry-0", key));
+  signal_agents (SIGSTOP);
+  bt_send_draft (&draft);
+  bt_sleep_ms (SHORT_FREEZE_MS);
+  signal_agents (SIGCONT);
+  CU_ASSERT_TRUE (bt_was_draft_told (&draft, "unknown"));
+  CU_ASSERT_TRUE (bt_wait_draft_runs (&draft));
+  CU_ASSERT_TRUE (bt_is_draft_truthful (&draft));
+  bt_clear_reply (&draft.reply);
+}
+
 /* The agent freezes with the link's buffer open; the entry sends a draft into it. Nobody answers,
  * so the buyer is told "unknown" at once. When the agent wakes it may find the draft in its buffer
  * and run it: had the buyer been told "not run" and ordered again, the draft would come twice. Sent
@@ -178,6 +206,7 @@
   CU_ADD_TEST (suite, test_entry_killed_resend_elsewhere);
   CU_ADD_TEST (suite, test_two_copies_race);
   CU_ADD_TEST (suite, test_engine_stream_goes_silent);
+  CU_ADD_TEST (suite, test_short_freeze_at_the_deadline);
   CU_ADD_TEST (suite, test_agent_frozen_with_the_dispatch_in_its_buffer);
   CU_ADD_TEST (suite, test_agent_killed_after_the_engine_took_it);
   CU_basic_set_mode (CU_BRM_VERBOSE);
