--- a/source/agent/runs.c
+++ b/source/agent/runs.c
@@ -187,7 +187,9 @@
       switch (action->kind)
         {
         case BT_ARBITER_START_RUN:
-          offer_run (agent, action->run, frame);
+          /* Only a dispatch has a run start, and then its frame is here. */
+          if (frame != NULL)
+            offer_run (agent, action->run, frame);
           break;
         case BT_ARBITER_CANCEL_RUN:
           cancel_run (agent, action->run);
--- a/source/entry/deliveries.c
+++ b/source/entry/deliveries.c
@@ -100,8 +100,9 @@
 /* A key runs at its home without any further message, so home goes first: all other agents are
  * excluded. Once anything was tried the choice is open. */
 static bt_reason_t
-choose_home (bt_entry_t *entry, bt_call_t *call, bt_route_request_t *request, int64_t now_ms)
+choose_home (bt_entry_t *entry, bt_call_t *call, const bt_route_request_t *request, int64_t now_ms)
 {
+  bt_route_request_t at_home = *request;
   bt_identity_t others[MAX_OTHERS];
   int64_t retry_after_ms;
   int32_t tried_count;
@@ -113,9 +114,9 @@
   for (const bt_peer_t *peer = entry->peers; peer != NULL && count < MAX_OTHERS; peer = peer->next)
     if (peer->agent && peer->up && !bt_same_identity (&peer->identity, &call->home))
       others[count++] = peer->identity;
-  request->excluded = others;
-  request->excluded_count = count;
-  return bt_choose_endpoint (entry->router, request, now_ms, &call->route, &retry_after_ms);
+  at_home.excluded = others;
+  at_home.excluded_count = count;
+  return bt_choose_endpoint (entry->router, &at_home, now_ms, &call->route, &retry_after_ms);
 }
 
 static void
