--- a/include/bilberrytray/core/router.h
+++ b/include/bilberrytray/core/router.h
@@ -72,7 +72,8 @@
   BT_ATTEMPT_ANSWERED = 0, /**< A whole answer. */
   BT_ATTEMPT_REFUSED,      /**< The agent refused it as not-run; no fault of the endpoint. */
   BT_ATTEMPT_FAILED,       /**< Broken, silent or timed out. */
-  BT_ATTEMPT_CANCELLED,    /**< The caller left or another attempt won; no judgement. */
+  BT_ATTEMPT_CANCELLED, /**< Given up by the caller, its deadline or another attempt; judged only if
+                           long. */
 } bt_attempt_end_t;
 
 /** What the endpoints of one app can take from this entry, as far as it knows. */
--- a/source/core/endpoint_state.c
+++ b/source/core/endpoint_state.c
@@ -41,9 +41,13 @@
 int64_t
 bt_get_endpoint_service_ms (const bt_endpoint_state_t *state, const bt_router_options_t *options)
 {
+  int64_t service_ms = options->default_service_ms;
+
   if (state->load.service_ms > 0)
-    return state->load.service_ms;
-  return state->service_ms > 0 ? (int64_t)state->service_ms : options->default_service_ms;
+    service_ms = state->load.service_ms;
+  else if (state->service_ms > 0)
+    service_ms = (int64_t)state->service_ms;
+  return state->stalled_ms > service_ms ? state->stalled_ms : service_ms;
 }
 
 int64_t
@@ -108,9 +112,19 @@
   state->changes++;
 }
 
+void
+bt_take_endpoint_stall (bt_endpoint_state_t *state, int64_t took_ms)
+{
+  /* An endpoint so slow that every caller gives up first never ends a run, so its mean time stays
+   * what it was when it was well. That a request got no answer for so long is all that shows. */
+  if (took_ms > state->stalled_ms)
+    state->stalled_ms = took_ms;
+}
+
 void
 bt_take_endpoint_time (bt_endpoint_state_t *state, int64_t took_ms)
 {
+  state->stalled_ms = 0;
   if (state->service_ms == 0)
     state->service_ms = took_ms > 0 ? (double)took_ms : 1;
   else
--- a/source/core/endpoint_state.h
+++ b/source/core/endpoint_state.h
@@ -46,6 +46,7 @@
   double home_turn;       /**< Its next turn as the home of a ticket. */
   uint64_t last_dispatch; /**< The router's number of the last dispatch here. */
   double service_ms;      /**< Mean of own measurements; 0 before the first. */
+  int64_t stalled_ms;     /**< Longest that a request got no answer since the last one; 0: none. */
   bt_outlier_t outlier;
   bt_cached_prefix_t prefixes[BT_PREFIX_SLOTS];
 } bt_endpoint_state_t;
@@ -80,6 +81,9 @@
 /** Adds to the own count. */
 void bt_add_endpoint_own (bt_endpoint_state_t *state, int32_t change, int64_t now_ms);
 
+/** Takes in that a request was given up after a time without an answer, ms. */
+void bt_take_endpoint_stall (bt_endpoint_state_t *state, int64_t took_ms);
+
 /** Takes in the time that an answer took, ms. */
 void bt_take_endpoint_time (bt_endpoint_state_t *state, int64_t took_ms);
 
--- a/source/core/router.c
+++ b/source/core/router.c
@@ -6,6 +6,7 @@
 
 enum
 {
+  WHOLE_PERCENT = 100,
   DEFAULT_SLOTS = 8,
   DEFAULT_QUEUE_DEPTH = 4,
   DEFAULT_SERVICE_MS = 500,
@@ -351,6 +352,20 @@
     bt_take_out_outlier (&state->outlier, &router->options.outlier, now_ms);
 }
 
+/* A cancelled attempt says nothing if it was short; if it had no answer for far longer than one
+ * takes at the peers, it counts as a slow answer. */
+static bt_outlier_event_t
+judge_stall (bt_router_t *router, bt_endpoint_state_t *state, int64_t took_ms)
+{
+  const bt_outlier_options_t *options = &router->options.outlier;
+  const int64_t peers_ms = get_peers_ms (router, state);
+
+  bt_take_endpoint_stall (state, took_ms);
+  if (peers_ms == 0 || took_ms * WHOLE_PERCENT <= peers_ms * options->slow_percent)
+    return BT_OUTLIER_NONE;
+  return bt_record_outlier_answer (&state->outlier, options, took_ms, peers_ms);
+}
+
 void
 bt_record_attempt_end (bt_router_t *router,
                        const bt_route_t *route,
@@ -373,6 +388,8 @@
     }
   else if (end == BT_ATTEMPT_FAILED)
     event = bt_record_outlier_failure (&state->outlier, options);
+  else if (end == BT_ATTEMPT_CANCELLED)
+    event = judge_stall (router, state, took_ms);
   if (event == BT_OUTLIER_OUT)
     take_out (router, state, now_ms);
 }
--- a/test/core/test_router.c
+++ b/test/core/test_router.c
@@ -285,6 +285,29 @@
   stop ();
 }
 
+/* An engine becomes so slow that every caller's time passes before its answer. No run ends, so its
+ * mean time stays that of better days, and half of all requests go on being sent into the hole. */
+static void
+test_an_endpoint_that_never_ends_a_run_in_time_is_found (void)
+{
+  int32_t sent = 0;
+
+  start (2);
+  for (int64_t now_ms = 0; now_ms < 100; now_ms++)
+    {
+      bt_route_t route;
+      const int32_t number = choose (now_ms, 0, -1, &route);
+      const bool slow = number == 0 && now_ms >= 20;
+
+      bt_record_dispatch (router, &route, 0, now_ms);
+      bt_record_attempt_end (router, &route, slow ? BT_ATTEMPT_CANCELLED : BT_ATTEMPT_ANSWERED,
+                             slow ? 10 * SERVICE_MS : SERVICE_MS, now_ms);
+      sent += slow ? 1 : 0;
+    }
+  CU_ASSERT (sent <= 5);
+  stop ();
+}
+
 static void
 test_a_cached_prefix_is_followed_only_while_it_pays (void)
 {
@@ -375,6 +398,7 @@
   CU_ADD_TEST (suite, test_work_spreads_evenly_without_reports);
   CU_ADD_TEST (suite, test_homes_of_tickets_go_round);
   CU_ADD_TEST (suite, test_slow_endpoints_get_less);
+  CU_ADD_TEST (suite, test_an_endpoint_that_never_ends_a_run_in_time_is_found);
   CU_ADD_TEST (suite, test_a_cached_prefix_is_followed_only_while_it_pays);
   CU_ADD_TEST (suite, test_restarts_do_not_clear_the_record);
   CU_ADD_TEST (suite, test_some_endpoints_always_stay_in);
