Let a replaced decider join on reports that may be out of date

The successor of rank 0 read the other ranks at the moment it joined; a real one has only what they reported before. The reports are now stored.

--- a/model/map.pml
+++ b/model/map.pml
@@ -375,13 +375,42 @@
 
 #if REPLACE == 0
 
-/* The round that the other ranks know to be committed. */
-#define KNOWN_COMMIT(n) ((armed[1] == n && decided[1]) || (armed[2] == n && decided[2]) || (map[1] == n && armed[2] == n) || (map[2] == n && armed[1] == n))
-#define AHEAD(q) (step[q] > step[DECIDER])
+/* What a rank reported to the new decider; the rank may have gone on since. */
+byte seen_step[N_RANKS];
+byte seen_map[N_RANKS];
+byte seen_armed[N_RANKS];
+bool seen_decided[N_RANKS];
+bool reported[N_RANKS];
+
+/* The round that the other ranks are known to have committed. */
+#define KNOWS_COMMIT(q, n) (seen_armed[q] == n && seen_decided[q])
+#define LEARNS_COMMIT(q, x, n) (seen_map[q] == n && seen_armed[x] == n)
+#define KNOWN_COMMIT(n) (KNOWS_COMMIT (1, n) || KNOWS_COMMIT (2, n) || LEARNS_COMMIT (1, 2, n) || LEARNS_COMMIT (2, 1, n))
+#define AHEAD(q) (seen_step[q] > step[DECIDER])
+
+inline report (q)
+{
+  seen_step[q] = step[q];
+  seen_map[q] = map[q];
+  seen_armed[q] = armed[q];
+  seen_decided[q] = decided[q];
+  reported[q] = true;
+#ifndef NO_FREEZE
+  decider_seen[q] = true
+#endif
+}
+
+inline forget_report (q)
+{
+  seen_step[q] = 0;
+  seen_map[q] = 0;
+  seen_armed[q] = NO_ROUND;
+  seen_decided[q] = false
+}
 
 /*
- * The decider itself is replaced. Its successor first has every other rank promise to heed no decision of
- * the old one, then takes over what they know, then joins.
+ * The decider itself is replaced. Its successor first has every other rank report what it knows and
+ * promise to heed no decision of the old one, then takes over what they know, then joins.
  */
 proctype replace ()
 {
@@ -395,25 +424,22 @@
        commit_sent[2] = false;
        member = 255
      }
-#ifndef NO_FREEZE
-  :: atomic { decider && !alive[DECIDER] && !decider_seen[1] -> decider_seen[1] = true }
-  :: atomic { decider && !alive[DECIDER] && !decider_seen[2] -> decider_seen[2] = true }
+  :: atomic { decider && !alive[DECIDER] && !reported[1] -> report (1) }
+  :: atomic { decider && !alive[DECIDER] && !reported[2] -> report (2) }
   :: atomic {
-       decider && !alive[DECIDER] && decider_seen[1] && decider_seen[2] ->
-#else
-  :: atomic {
-       decider && !alive[DECIDER] ->
-#endif
+       decider && !alive[DECIDER] && reported[1] && reported[2] ->
        if
-       :: AHEAD (1) -> map[DECIDER] = map[1]
-       :: !AHEAD (1) && AHEAD (2) -> map[DECIDER] = map[2]
-       :: else -> map[DECIDER] = map[1]
+       :: AHEAD (1) -> map[DECIDER] = seen_map[1]
+       :: !AHEAD (1) && AHEAD (2) -> map[DECIDER] = seen_map[2]
+       :: else -> map[DECIDER] = seen_map[1]
        fi;
        if
        :: KNOWN_COMMIT (1) && map[DECIDER] < 1 -> armed[DECIDER] = 1; decided[DECIDER] = true
        :: KNOWN_COMMIT (2) && map[DECIDER] < 2 -> armed[DECIDER] = 2; decided[DECIDER] = true
        :: else
        fi;
+       forget_report (1);
+       forget_report (2);
        alive[DECIDER] = true
      }
   od
