Model engines that take a commit order without checking that the round is armed

Some engines ignore fences. Where such an engine takes a commit late, an abort after it splits the group (126,673 states; 870,143 if the decider restarted in between).

--- a/model/map.pml
+++ b/model/map.pml
@@ -9,7 +9,8 @@
  * Options: RESTART=r (the agent of rank r restarts once beside its engine), REPLACE=r (rank r is replaced
  * once, engine and agent), ROUND1_STEP and ROUND2_STEP (the step a round is armed for), CRASH (the
  * controllers may die), LATE_ARM (the order to arm may reach the engine late, and the engine does not
- * look at fences), ONE_ROUND (round 1 only), LIVENESS (the claim go_on).
+ * look at fences), UNCHECKED_COMMIT (the engine of rank 0 takes a commit order at any time before its step,
+ * also of a round that is not armed), ONE_ROUND (round 1 only), LIVENESS (the claim go_on).
  */
 
 #define N_RANKS 3
@@ -233,6 +234,22 @@
 
 #define COMMITTED(n) ((armed[DECIDER] == n && decided[DECIDER]) || map[DECIDER] == n)
 
+/*
+ * A commit order once sent may be taken late. Where the engine does not check that the round is still
+ * armed, the agent must not abort after it; a restarted agent, which cannot know, must commit a round that
+ * all ranks have armed.
+ */
+#ifdef ABORT_AFTER_RESTART
+#define RESTARTED_MAY_ABORT(n) true
+#else
+#define RESTARTED_MAY_ABORT(n) (!(armed[DECIDER] == n && ALL_ARMED (n)))
+#endif
+#if defined(UNCHECKED_COMMIT) && !defined(ABORT_AFTER_COMMIT)
+#define MAY_ABORT(n) (inc[DECIDER] == 0 -> !commit_sent[n] : RESTARTED_MAY_ABORT (n))
+#else
+#define MAY_ABORT(n) true
+#endif
+
 /* The part of the agent of rank 0 that decides round n. */
 proctype decide (byte n)
 {
@@ -246,6 +263,13 @@
 #endif
      }
      /* The engine takes the order, perhaps late. */
+#ifdef UNCHECKED_COMMIT
+  :: atomic {
+       alive[DECIDER] && commit_sent[n] && step[DECIDER] < STEP_OF (n) && !COMMITTED (n) ->
+       armed[DECIDER] = n;
+       decided[DECIDER] = true
+     }
+#endif
 #ifdef NO_COMMIT_MATCH
   :: atomic { alive[DECIDER] && commit_sent[n] && armed[DECIDER] != NO_ROUND && !decided[DECIDER] -> decided[DECIDER] = true }
 #else
@@ -259,7 +283,8 @@
 #ifndef NO_ABORT
      /* A rank asks, or the decision is overdue. */
   :: atomic {
-       alive[DECIDER] && ANY_ARMED (n) && !told_abort[TOLD (decider, n)] && map[DECIDER] < n && !COMMITTED (n) ->
+       alive[DECIDER] && ANY_ARMED (n) && !told_abort[TOLD (decider, n)] && map[DECIDER] < n && !COMMITTED (n) &&
+         MAY_ABORT (n) ->
        abort_round (n)
      }
 #endif
@@ -447,6 +472,12 @@
 
 #else
 
+#ifdef UNCHECKED_COMMIT
+#define MAY_JOIN (armed[DECIDER] == NO_ROUND || decided[DECIDER] || MAY_ABORT (armed[DECIDER]))
+#else
+#define MAY_JOIN true
+#endif
+
 /* A rank is replaced; rank 0 lets the successor join. */
 proctype replace ()
 {
@@ -454,7 +485,7 @@
   do
   :: atomic { inc[REPLACE] == 0 && alive[REPLACE] -> die () }
   :: atomic {
-       !alive[REPLACE] && !join_ready ->
+       !alive[REPLACE] && !join_ready && MAY_JOIN ->
 #ifndef NO_JOIN_DECIDE
        /* An ack of the dead rank counts for nothing: a round without a decision is aborted. */
        if
