--- a/source/agent/runs.c
+++ b/source/agent/runs.c
@@ -187,7 +187,8 @@
       switch (action->kind)
         {
         case BT_ARBITER_START_RUN:
-          if (frame != NULL) /* Only a dispatch starts a run. */
+          /* Only a dispatch has a run start, and then its frame is here. */
+          if (frame != NULL)
             offer_run (agent, action->run, frame);
           break;
         case BT_ARBITER_CANCEL_RUN:
