--- /dev/null
+++ b/test/core/request_world.h
@@ -0,0 +1,275 @@
+#ifndef BT_TEST_CORE_REQUEST_WORLD_H
+#define BT_TEST_CORE_REQUEST_WORLD_H
+
+/** @file
+ * The world of the request schedules: what is in it, and its network.
+ */
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bilberrytray/base.h"
+#include "bilberrytray/core/arbiter.h"
+#include "bilberrytray/core/delivery.h"
+
+/* A world of entries, agents, endpoints and callers in one thread, driven by a seed: messages are
+ * lost, delayed, doubled and reordered, links die, processes restart and pause. What endpoints ran
+ * is logged by request and compared with what callers were told. */
+
+enum
+{
+  ENTRIES = 2,
+  AGENTS = 3,
+  MAX_REQUESTS = 6,
+  MAX_SUBMISSIONS = 12,
+  MAX_RUNS = 128,
+  MAX_MESSAGES = 4096,
+  MAX_TEXT = 256,
+  PIECE_TEXT = 24,
+};
+
+typedef enum event_kind
+{
+  TO_AGENT_DISPATCH = 0,
+  TO_AGENT_GRANT,
+  TO_AGENT_TOMBSTONE,
+  TO_AGENT_CANCEL,
+  TO_ENTRY,
+  RUN_BEGINS,
+  RUN_EVENT,
+  LINK_OPENS,
+  LINK_DIES_AT_ENTRY,
+  LINK_DIES_AT_AGENT,
+  SUBMISSION,
+  CALLER_LEAVES,
+  ENTRY_RESTARTS,
+  ENTRY_PAUSES,
+  AGENT_RESTARTS,
+  AGENT_PAUSES,
+  AGENT_LEAVES,
+  TICK,
+} event_kind_t;
+
+typedef struct event
+{
+  int64_t at;
+  uint64_t order;
+  event_kind_t kind;
+  int32_t entry;
+  int32_t agent;
+  int32_t item; /* submission or run */
+  uint64_t link;
+  uint64_t incarnation; /* of the agent that started a run */
+  bt_reply_path_t path;
+  bt_dispatch_t dispatch;
+  bt_grant_request_t grant_request;
+  bt_tombstone_request_t tombstone;
+  bt_reply_t reply;
+  bt_run_event_t run_event;
+  char data[PIECE_TEXT];
+} event_t;
+
+typedef struct agent
+{
+  bt_identity_t self;
+  bt_arbiter_t *arbiter;
+  int64_t clock_offset;
+  int64_t paused_until;
+} agent_t;
+
+typedef struct entry
+{
+  uint64_t links[AGENTS];        /* 0: down */
+  uint64_t incarnations[AGENTS]; /* what the hello of the link named */
+  int64_t clock_offset;
+  int64_t paused_until;
+  uint64_t last_call;
+} entry_t;
+
+typedef struct request
+{
+  bool keyed;
+  bool idempotent;
+  bt_ticket_t ticket;
+  int32_t runs; /* what the endpoints' log says */
+  int32_t pieces;
+} request_t;
+
+typedef struct submission
+{
+  int32_t request;
+  int32_t entry;
+  uint64_t call_id;
+  bt_delivery_t *call; /* NULL: not yet, or lost with its entry */
+  int32_t retries;
+  bool finished;
+  bool whole;
+  bool cut;
+  bt_outcome_t outcome;
+  bt_reason_t reason;
+  char text[MAX_TEXT]; /* what the caller received */
+} submission_t;
+
+typedef struct run
+{
+  int32_t agent;
+  uint64_t incarnation;
+  uint64_t id;
+  int32_t request;
+  int32_t generation; /* 0: has not begun */
+  bool cancelled;
+} run_t;
+
+typedef struct world
+{
+  bt_context_t *ctx;
+  bt_random_t random;
+  uint32_t faults;
+  int64_t now;
+  uint64_t last_order;
+  uint64_t last_link;
+  uint64_t last_incarnation;
+  agent_t agents[AGENTS];
+  entry_t entries[ENTRIES];
+  request_t requests[MAX_REQUESTS];
+  int32_t request_count;
+  submission_t submissions[MAX_SUBMISSIONS];
+  int32_t submission_count;
+  run_t runs[MAX_RUNS];
+  int32_t run_count;
+  event_t *events[MAX_MESSAGES];
+  int32_t event_count;
+  bool shuffles;
+  uint64_t loss_percent;
+  uint64_t slow_percent;
+  int64_t last_to_entry[ENTRIES][AGENTS];
+  int64_t last_to_agent[ENTRIES][AGENTS];
+  char violation[MAX_TEXT];
+} world_t;
+
+/** What many schedules came to. */
+typedef struct tally
+{
+  uint64_t submissions;
+  uint64_t outcomes[3];
+  uint64_t cut;
+  uint64_t orphaned; /* lost with their entry */
+  uint64_t runs;
+  uint64_t reasons[BT_REASON_COUNT];
+} tally_t;
+
+enum
+{
+  TICK_MS = 20,
+  SCHEDULE_MS = 6000,
+  NEVER_MS = 60000,
+  SPREAD_MS = 3000,
+  TICKET_LIFE_MS = 1500,
+  CLOCK_SPREAD_MS = 20000,
+  DEADLINE_MS = 900,
+  PERCENT = 100,
+  GUARDED_SEEDS = 3000,
+  FAULT_SEEDS = 2000,
+  MAX_BUDGET = 3,
+};
+
+static bool
+chance (world_t *world, uint64_t percent)
+{
+  return bt_random_below (&world->random, PERCENT) < percent;
+}
+
+static int32_t
+pick (world_t *world, int32_t bound)
+{
+  return (int32_t)bt_random_below (&world->random, (uint64_t)bound);
+}
+
+static event_t *
+add_event (world_t *world, event_kind_t kind, int64_t delay_ms)
+{
+  event_t *event;
+
+  if (world->event_count == MAX_MESSAGES)
+    abort ();
+  event = bt_calloc (world->ctx, 1, sizeof *event);
+  event->kind = kind;
+  event->at = world->now + delay_ms;
+  event->order = ++world->last_order;
+  world->events[world->event_count++] = event;
+  return event;
+}
+
+static event_t *
+take_next_event (world_t *world)
+{
+  int32_t best = 0;
+  event_t *event;
+
+  for (int32_t i = 1; i < world->event_count; i++)
+    if (world->events[i]->at < world->events[best]->at
+        || (world->events[i]->at == world->events[best]->at
+            && world->events[i]->order < world->events[best]->order))
+      best = i;
+  event = world->events[best];
+  world->events[best] = world->events[--world->event_count];
+  return event;
+}
+
+/* Most messages are quick; some are held up longer than any limit of the protocol. */
+static int64_t
+draw_delay (world_t *world)
+{
+  if (chance (world, world->slow_percent))
+    return 100 + pick (world, 3000);
+  return 1 + pick (world, chance (world, 15) ? 120 : 6);
+}
+
+/* Most schedules keep the order of a connection, as connections do; some keep no order at all. */
+static void
+keep_order (world_t *world, event_t *event)
+{
+  int64_t *last = event->kind == TO_ENTRY ? &world->last_to_entry[event->entry][event->agent]
+                                          : &world->last_to_agent[event->entry][event->agent];
+
+  if (world->shuffles)
+    return;
+  if (event->at < *last)
+    event->at = *last;
+  *last = event->at;
+}
+
+/* Delivers, loses or doubles a message. A request without a key is never doubled: a connection
+ * doesn't deliver twice, and without a key nothing is ever sent again. */
+static void
+post (world_t *world, event_t *event, bool may_double)
+{
+  event_t *copy;
+
+  event->at = world->now + draw_delay (world);
+  if (chance (world, world->loss_percent))
+    event->at = NEVER_MS;
+  else
+    keep_order (world, event);
+  if (!may_double || !chance (world, 5))
+    return;
+  copy = add_event (world, event->kind, 0);
+  *copy = *event;
+  copy->order = ++world->last_order;
+  copy->at = world->now + draw_delay (world);
+}
+
+static int64_t
+agent_now (const world_t *world, int32_t agent)
+{
+  return world->now + world->agents[agent].clock_offset;
+}
+
+static int64_t
+entry_now (const world_t *world, int32_t entry)
+{
+  return world->now + world->entries[entry].clock_offset;
+}
+
+#endif
