--- /dev/null
+++ b/test/process/test_request_silence.c
@@ -0,0 +1,138 @@
+#include <CUnit/Basic.h>
+#include <curl/curl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "harness_proxy.h"
+#include "harness_requests.h"
+
+enum
+{
+  STEP_US = 20000,
+  LONG_TOKENS = 200, /* At 20 ms each: longer than a silent link needs to be found dead. */
+  AGENT_PORT_OFFSET = 70,
+  URL_BYTES = 64,
+  LIST_BYTES = 512,
+};
+
+static const char *const rules =
+    "{\"rules\":[{\"name\":\"drafts\",\"when\":{\"path\":\"/v1/completions\"},"
+    "\"then\":{\"action\":\"route\",\"app\":\"drafts\",\"retries\":2}}]}";
+
+static bt_stage_t *stage;
+static bt_proxy_t *proxy;
+
+static size_t
+pass_over (char *data, size_t size, size_t count, void *argument)
+{
+  return size * count;
+}
+
+/* Names the hop's address as the agent's. */
+static bool
+put_list (void)
+{
+  char url[URL_BYTES];
+  char list[LIST_BYTES];
+  CURL *easy = curl_easy_init ();
+  CURLcode code;
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%d/instances", stage->list_port);
+  snprintf (list, sizeof list,
+            "{\"revision\":2,\"instances\":[{\"instance\":\"agent-0\",\"role\":\"agent\","
+            "\"endpoint\":\"endpoint-0\",\"app\":\"drafts\",\"address\":\"127.0.0.1:%d\","
+            "\"failure_domain\":\"hall\",\"state\":\"live\"}]}",
+            bt_get_proxy_port (proxy));
+  curl_easy_setopt (easy, CURLOPT_URL, url);
+  curl_easy_setopt (easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_POSTFIELDS, list);
+  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, "PUT");
+  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, pass_over);
+  code = curl_easy_perform (easy);
+  curl_easy_cleanup (easy);
+  return code == CURLE_OK;
+}
+
+static bool
+is_carried (void *argument)
+{
+  return bt_count_proxy_connections (proxy) > 0 && bt_wait_endpoints (stage, "entry-0", 1);
+}
+
+/* The agent is restarted until the entry has dialled it through the hop. */
+static int
+start_suite (void)
+{
+  stage = bt_new_stage (1, 1, 0, STEP_US, rules);
+  if (stage == NULL)
+    return 1;
+  proxy = bt_new_proxy (stage->base_port + AGENT_PORT_OFFSET);
+  if (proxy == NULL || !put_list () || !bt_signal_process (stage, "agent-0", SIGKILL))
+    return 1;
+  return bt_start_process (stage, "agent-0") && bt_wait_until (is_carried, NULL) ? 0 : 1;
+}
+
+static int
+end_suite (void)
+{
+  bt_drop_proxy (proxy);
+  bt_drop_stage (stage, CU_get_number_of_failures () > 0);
+  return 0;
+}
+
+/* A draft streams when something between entry and agent forgets their connection: both ends keep
+ * it open and nothing passes. New connections work. The entry finds the silence, dials again and
+ * asks the same run for the rest; the buyer gets one whole answer of one run. */
+static void
+test_link_goes_silent_under_an_answer (void)
+{
+  char key[BT_KEY_TEXT_BYTES];
+  bt_draft_t draft = { stage, "entry-0", key, "silent link", LONG_TOKENS };
+  int32_t connections = bt_count_proxy_connections (proxy);
+
+  CU_ASSERT_TRUE_FATAL (bt_take_ticket (stage, "entry-0", key));
+  bt_start_draft (&draft);
+  CU_ASSERT_TRUE (bt_wait_draft_runs (&draft));
+  bt_silence_proxy (proxy);
+  bt_join_draft (&draft);
+  CU_ASSERT_TRUE (bt_is_draft_whole (&draft));
+  CU_ASSERT_EQUAL (bt_count_draft_runs (&draft), 1);
+  CU_ASSERT_TRUE (bt_count_proxy_connections (proxy) > connections);
+  bt_clear_reply (&draft.reply);
+}
+
+/* The same to a draft without a key: its run can't be asked for again, so the caller sees a cut
+ * answer, and the run is stopped rather than finished for nobody. */
+static void
+test_link_goes_silent_without_a_key (void)
+{
+  bt_draft_t draft = { stage, "entry-0", NULL, "silent, no key", LONG_TOKENS };
+
+  CU_ASSERT_TRUE (bt_wait_endpoints (stage, "entry-0", 1));
+  bt_start_draft (&draft);
+  CU_ASSERT_TRUE (bt_wait_draft_runs (&draft));
+  bt_silence_proxy (proxy);
+  bt_join_draft (&draft);
+  CU_ASSERT_NOT_EQUAL (draft.reply.curl_code, 0);
+  CU_ASSERT_EQUAL (bt_count_draft_runs (&draft), 1);
+  bt_clear_reply (&draft.reply);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned int failed;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("request silence", start_suite, end_suite);
+  CU_ADD_TEST (suite, test_link_goes_silent_under_an_answer);
+  CU_ADD_TEST (suite, test_link_goes_silent_without_a_key);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failed = CU_get_number_of_failures () + CU_get_number_of_suites_failed ();
+  CU_cleanup_registry ();
+  return failed == 0 ? 0 : 1;
+}
