--- a/model/map.pml
+++ b/model/map.pml
@@ -44,6 +44,7 @@
 bool decider_seen[N_RANKS];     /* decisions of an older decider are refused */
 byte member = 255;              /* rank 0: incarnation of the replaced rank that it let join */
 bool forgot_decision;
+bool sent_by_self[3];           /* UNCHECKED_COMMIT, rank 0: this incarnation sent the commit order */
 bool accepted[9];               /* LATE_ARM: this incarnation accepted the order to arm */
 bool arm_sent[9];               /* LATE_ARM: an order to arm is under way to the engine */
 
@@ -245,7 +246,7 @@
 #define RESTARTED_MAY_ABORT(n) (!(armed[DECIDER] == n && ALL_ARMED (n)))
 #endif
 #if defined(UNCHECKED_COMMIT) && !defined(ABORT_AFTER_COMMIT)
-#define MAY_ABORT(n) (inc[DECIDER] == 0 -> !commit_sent[n] : RESTARTED_MAY_ABORT (n))
+#define MAY_ABORT(n) (!sent_by_self[n] && (inc[DECIDER] == 0 || RESTARTED_MAY_ABORT (n)))
 #else
 #define MAY_ABORT(n) true
 #endif
@@ -258,6 +259,9 @@
   :: atomic {
        alive[DECIDER] && armed[DECIDER] == n && !decided[DECIDER] && !commit_sent[n] && ALL_ARMED (n) ->
        commit_sent[n] = true;
+#ifdef UNCHECKED_COMMIT
+       sent_by_self[n] = true;
+#endif
 #ifdef TELL_BEFORE_ACK
        told_commit[TOLD (decider, n)] = true
 #endif
@@ -345,6 +349,8 @@
        if
        :: RESTART == DECIDER ->
           member = 255;
+          sent_by_self[1] = false;
+          sent_by_self[2] = false;
 #ifdef NO_DECISION_IN_ENGINE
           forgot_decision = true
 #endif
