Wait in process tests until an entry admits, and show that as a gauge

Cause: two copies of a draft raced through an entry that had just been restarted; it had its links but not yet its configuration, and answered not-ready, which is right.

--- a/source/entry/entry.c
+++ b/source/entry/entry.c
@@ -5,6 +5,7 @@
 
 #include "bilberrytray/base/log.h"
 #include "bilberrytray/base/random.h"
+#include "config_driver.h"
 #include "entry_private.h"
 
 enum
@@ -27,6 +28,9 @@
       bt_expire_calls (entry, now_ms);
       bt_place_waiting_calls (entry);
       bt_dial_peers (entry, now_ms);
+      bt_set_gauge (entry->admitting,
+                    entry->declarations != NULL
+                        && bt_get_config_refusal (entry, now_ms) == BT_REASON_NONE);
       pthread_mutex_unlock (&entry->lock);
       bt_sleep_ms (TICK_MS);
     }
@@ -110,6 +114,9 @@
   bt_prepare_outcome_counters (ctx);
   entry->endpoints_up = bt_find_counter (ctx, BT_GAUGE, "bilberry_endpoints_up",
                                          "Endpoints with a live link.", NULL, NULL);
+  entry->admitting =
+      bt_find_counter (ctx, BT_GAUGE, "bilberry_admitting",
+                       "1 while requests are admitted, 0 while not ready or isolated.", NULL, NULL);
   if (start_entry (entry, error))
     return entry;
   bt_drop_entry (ctx, entry);
--- a/source/entry/entry_private.h
+++ b/source/entry/entry_private.h
@@ -84,6 +84,7 @@
   bt_link_loop_t *loop;
   bt_http_server_t *http;
   bt_counter_t *endpoints_up;
+  bt_counter_t *admitting;
   pthread_t ticker;
   bool ticking;
   atomic_bool stopping;
--- a/test/process/harness.c
+++ b/test/process/harness.c
@@ -612,20 +612,19 @@
   return answer != NULL;
 }
 
-/** An entry is ready when it has declarations and a link to every agent. */
+bool
+bt_is_entry_ready (const bt_stage_t *stage, const char *entry, int32_t endpoints)
+{
+  return bt_read_stage_counter (stage, entry, "bilberry_admitting") == 1
+         && bt_read_stage_counter (stage, entry, "bilberry_endpoints_up") == endpoints;
+}
+
 static bool
 is_entry_ready (void *argument)
 {
   const port_wait_t *wait = argument;
-  bt_reply_t reply;
-  bool ready;
 
-  bt_ask (wait->stage, wait->name, "small", "/v1/addresses", NULL, NULL, &reply);
-  ready = reply.status == 200
-          && bt_read_stage_counter (wait->stage, wait->name, "bilberry_endpoints_up")
-                 == wait->stage->engines + wait->stage->plains;
-  bt_clear_reply (&reply);
-  return ready;
+  return bt_is_entry_ready (wait->stage, wait->name, wait->stage->engines + wait->stage->plains);
 }
 
 static bool
--- a/test/process/harness.h
+++ b/test/process/harness.h
@@ -88,6 +88,9 @@
  * "bilberry_refusals_total{reason=\"no-rule\"}"; -1 when it is not there. */
 int64_t bt_read_stage_counter (const bt_stage_t *stage, const char *name, const char *counter);
 
+/** True when an entry admits requests and has this many endpoints. */
+bool bt_is_entry_ready (const bt_stage_t *stage, const char *entry, int32_t endpoints);
+
 /** Sends a request to an entry. @p headers are "Name: value" lines, NULL-ended or NULL. The token
  * is "token-ACCOUNT". */
 void bt_ask (const bt_stage_t *stage,
--- a/test/process/harness_requests.c
+++ b/test/process/harness_requests.c
@@ -42,8 +42,9 @@
 bool
 bt_take_ticket (const bt_stage_t *stage, const char *entry, char key[BT_KEY_TEXT_BYTES])
 {
-  ticket_wait_t wait = { stage, entry, key };
+  ticket_wait_t wait = { stage, entry, NULL };
 
+  wait.key = key;
   return bt_wait_until (gets_ticket, &wait);
 }
 
@@ -231,7 +232,7 @@
 
   if (!gets_ticket (&ticket))
     return false;
-  return bt_read_stage_counter (wait->stage, wait->entry, "bilberry_endpoints_up") == wait->count;
+  return bt_is_entry_ready (wait->stage, wait->entry, wait->count);
 }
 
 bool
