--- a/model/map.pml
+++ b/model/map.pml
@@ -352,7 +352,7 @@
           sent_by_self[1] = false;
           sent_by_self[2] = false;
 #ifdef NO_DECISION_IN_ENGINE
-          forgot_decision = true
+          forgot_decision = decided[DECIDER]
 #endif
        :: else
        fi
--- a/model/request.pml
+++ b/model/request.pml
@@ -7,7 +7,7 @@
  *
  * Configurations: ARBITER (at most one run, truthful not-run), MATCH (an answer reaches its own
  * request), STREAM (pieces of one answer between engine, agent and entry), LEAVE (a home agent leaves
- * while entries still mint tickets for it).
+ * while entries still mint tickets for it), KEYLESS (a request without a key, retried by its entry).
  */
 
 bool witness_reached;           /* set by the REACH_ switches only */
@@ -807,3 +807,103 @@
 }
 
 #endif /* LEAVE */
+
+#ifdef KEYLESS
+
+/*
+ * A request without a key, not idempotent: its entry is the only one that knows it, and may try agent 1
+ * after agent 0. A dispatch may be held up in a link that went silent; the entry dials again and asks
+ * for the attempt by its number. Either agent may restart once.
+ */
+
+#define N_AGENTS 2
+#define A_NONE 0
+#define A_RAN 1
+#define A_TOMBSTONE 2
+
+byte runs;
+bool told_not_run;
+bool told;
+bool dispatched[N_AGENTS];      /* a dispatch names the incarnation 0 of its agent */
+bool asked[N_AGENTS];           /* the entry asks for the attempt on a new link */
+bool refused[N_AGENTS];         /* the agent has said: never run, and never will */
+bool incarnation[N_AGENTS];
+byte record[N_AGENTS];
+
+#ifdef NO_INCARNATION
+#define NAMED(a) true
+#else
+#define NAMED(a) (incarnation[a] == 0)
+#endif
+
+inline refuse (a)
+{
+#ifndef NO_TOMBSTONE
+  record[a] = A_TOMBSTONE;
+#endif
+  refused[a] = true
+}
+
+proctype agent (byte a)
+{
+end:
+  do
+  :: atomic {
+       dispatched[a] && NAMED (a) && record[a] == A_NONE ->
+       record[a] = A_RAN;
+       runs++;
+       assert (runs <= 1);
+       assert (!told_not_run)
+     }
+     /* Full or leaving. */
+  :: atomic { dispatched[a] && NAMED (a) && record[a] == A_NONE -> refuse (a) }
+     /* Asked for an attempt that has not arrived. */
+  :: atomic { asked[a] && NAMED (a) && record[a] == A_NONE -> refuse (a) }
+#ifdef GONE_IS_REFUSED
+  :: atomic { asked[a] && incarnation[a] == 1 -> refused[a] = true }
+#endif
+  :: atomic { incarnation[a] == 0 -> incarnation[a] = 1; record[a] = A_NONE }
+  od
+}
+
+proctype entry ()
+{
+end:
+  do
+  :: atomic { !told && !dispatched[0] -> dispatched[0] = true }
+  :: atomic { !told && dispatched[0] && !asked[0] -> asked[0] = true }
+  :: atomic { !told && refused[0] && !dispatched[1] -> dispatched[1] = true }
+#ifdef RETRY_ON_TIMEOUT
+  :: atomic { !told && dispatched[0] && !dispatched[1] -> dispatched[1] = true }
+#endif
+  :: atomic { !told && dispatched[1] && !asked[1] -> asked[1] = true }
+  :: atomic {
+       !told && (!dispatched[0] || refused[0]) && (!dispatched[1] || refused[1]) ->
+       assert (runs == 0);
+       told = true;
+       told_not_run = true
+     }
+  :: atomic { !told -> told = true }
+  od
+}
+
+#ifdef REACH_RETRY
+#define WITNESS (runs == 1 && record[1] == A_RAN && asked[0])
+#endif
+
+init
+{
+  atomic {
+    run agent (0);
+    run agent (1);
+    run entry ()
+  }
+#ifdef WITNESS
+end:
+  do
+  :: atomic { WITNESS -> witness_reached = true; assert (!witness_reached) }
+  od
+#endif
+}
+
+#endif /* KEYLESS */
