Add the capacity bench, wake the driver instead of polling, and remember links

make capacity measures over four sizes or more: bytes and processor time of the spread, of entries and agents as processes, memory of kept things, time from the write to in force with faults and against polling, calls on the service in an outage and after.

It showed that reckoning the links anew for each reading of the list costs 98 us an instance at 8000, nearly a core at one reading a second: what was reckoned now holds until the entries change. The driver's two threads slept 5 and 20 ms; test_request_faults met an entry that had its links but not yet its rules in 3 of 4 runs under ASan. The harness still takes links for readiness.

--- /dev/null
+++ b/bench/bench_capacity.c
@@ -0,0 +1,544 @@
+/* Measures the slopes that docs/CAPACITY.md reckons with, each over at least four sizes, and prints
+ * its tables. Usage: bench_capacity BUILD_DIR */
+#include <dirent.h>
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "bilberrytray/base.h"
+#include "bilberrytray/wire/frame.h"
+#include "config_documents.h"
+#include "harness_config.h"
+#include "harness_kept.h"
+#include "harness_spread.h"
+
+enum
+{
+  SIZES = 4,
+  TCP_IP_BYTES = 40,
+  SMALL_DOCUMENT_BYTES = 300,
+  CHANGES = 40,
+  CHANGE_GAP_MS = 2107, /* 41,000 changes a day. */
+  SITE_LATENCY_MS = 2,  /* One and a half, in whole milliseconds. */
+  BEAT_MS = 250,
+  POLLS = 20000,
+  PERCENT = 100,
+  IDLE_S = 8,
+  PROCESS_CHANGES = 50,
+  PROCESS_GAP_US = 100000,
+  PUBLISHES = 10,
+  US_PER_S = 1000000,
+  MS_PER_S = 1000,
+  NS_PER_US = 1000,
+  KB = 1024,
+};
+
+typedef struct line
+{
+  double slope;
+  double base;
+} line_t;
+
+/* The straight line nearest to the points, by least squares. */
+static line_t
+fit_line (const double *x, const double *y, int32_t count)
+{
+  double sum_x = 0;
+  double sum_y = 0;
+  double sum_xx = 0;
+  double sum_xy = 0;
+  line_t line;
+
+  for (int32_t i = 0; i < count; i++)
+    {
+      sum_x += x[i];
+      sum_y += y[i];
+      sum_xx += x[i] * x[i];
+      sum_xy += x[i] * y[i];
+    }
+  line.slope = (count * sum_xy - sum_x * sum_y) / (count * sum_xx - sum_x * sum_x);
+  line.base = (sum_y - line.slope * sum_x) / count;
+  return line;
+}
+
+static double
+read_cpu_us (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_PROCESS_CPUTIME_ID, &now);
+  return (double)now.tv_sec * US_PER_S + (double)now.tv_nsec / NS_PER_US;
+}
+
+static int64_t
+count_frame (const bt_frame_t *frame)
+{
+  return (int64_t)bilberry__frame__get_packed_size (frame) + BT_FRAME_PREFIX_BYTES + TCP_IP_BYTES;
+}
+
+static int64_t
+count_heartbeat (const bt_spread_heartbeat_t *said)
+{
+  Bilberry__Heartbeat heartbeat = BILBERRY__HEARTBEAT__INIT;
+  bt_frame_t frame = BILBERRY__FRAME__INIT;
+
+  heartbeat.now_ms = said->now_ms;
+  heartbeat.echo_ms = said->echo_ms < 0 ? 0 : said->echo_ms;
+  heartbeat.config_floor = said->floor;
+  heartbeat.config_fresh_age_ms = said->fresh_age_ms;
+  heartbeat.config_digest = said->digest;
+  heartbeat.max_revision = said->revision;
+  frame.body_case = BILBERRY__FRAME__BODY_HEARTBEAT;
+  frame.heartbeat = &heartbeat;
+  return count_frame (&frame);
+}
+
+static int64_t
+count_bytes (void *data,
+             bt_trial_frame_t kind,
+             const bt_spread_heartbeat_t *heartbeat,
+             const bt_document_list_t *documents)
+{
+  bt_push_frame_t push = { 0 };
+  bt_context_t *ctx = data;
+  int64_t bytes;
+
+  if (kind == BT_TRIAL_HEARTBEAT)
+    return count_heartbeat (heartbeat);
+  if (kind != BT_TRIAL_PUSH)
+    return TCP_IP_BYTES + BT_FRAME_PREFIX_BYTES + (int64_t)sizeof (Bilberry__DocumentState) / 2;
+  bt_make_push_frame (ctx, &push, documents);
+  push.push.store_revision = 1 << 20;
+  push.push.from_revision = 1 << 20;
+  bytes = count_frame (&push.frame);
+  bt_clear_push_frame (ctx, &push);
+  return bytes;
+}
+
+static bt_spread_trial_t
+make_trial (bt_context_t *ctx, int32_t entries, int32_t document_bytes, bt_trial_fault_t fault)
+{
+  bt_spread_trial_t trial = { .entries = entries,
+                              .documents = 40,
+                              .document_bytes = document_bytes,
+                              .changes = CHANGES,
+                              .gap_ms = CHANGE_GAP_MS,
+                              .latency_ms = SITE_LATENCY_MS,
+                              .beat_ms = BEAT_MS,
+                              .fault = fault,
+                              .count_bytes = count_bytes,
+                              .count_data = ctx };
+
+  return trial;
+}
+
+static void
+bench_spread (bt_context_t *ctx)
+{
+  static const int32_t sizes[] = { 8, 16, 32, 64, 128 };
+  double peers[5];
+  double idle_bytes[5];
+  double idle_cpu[5];
+
+  printf ("\n## Configuration between entries (core, frames as packed, beat %d ms)\n\n", BEAT_MS);
+  printf (
+      "| entries | peers | idle sent B/s | idle us/s | calls/s of all | a change: B sent | us | "
+      "calls of all | calls/s in an outage | calls in the busiest second after "
+      "|\n|--:|--:|--:|--:|--:|--:|--:|--:|--:|--:|\n");
+  for (int32_t i = 0; i < 5; i++)
+    {
+      bt_spread_trial_t trial = make_trial (ctx, sizes[i], SMALL_DOCUMENT_BYTES, BT_TRIAL_NO_FAULT);
+      bt_spread_figures_t figures;
+
+      bt_run_spread_trial (ctx, &trial, &figures);
+      printf ("| %d | %.1f | %.0f | %.0f | %.2f | %.0f | %.0f | %.1f | %.1f | %.0f |\n",
+              (int)sizes[i], figures.peers, figures.idle_bytes_s, figures.idle_cpu_us_s,
+              figures.idle_calls_s, figures.change_bytes, figures.change_cpu_us,
+              figures.change_calls, figures.outage_calls_s, figures.after_calls);
+      peers[i] = figures.peers;
+      idle_bytes[i] = figures.idle_bytes_s;
+      idle_cpu[i] = figures.idle_cpu_us_s;
+    }
+  printf ("\nslope: %.1f B/s and %.2f us/s a peer\n", fit_line (peers, idle_bytes, 5).slope,
+          fit_line (peers, idle_cpu, 5).slope);
+}
+
+static void
+bench_document_size (bt_context_t *ctx)
+{
+  static const int32_t sizes[] = { 300, 1200, 4800, 19200 };
+  double x[SIZES];
+  double y[SIZES];
+
+  printf ("\n## A change by the size of its document (8 entries)\n\n"
+          "| bytes | sent by an entry, B | us |\n|--:|--:|--:|\n");
+  for (int32_t i = 0; i < SIZES; i++)
+    {
+      bt_spread_trial_t trial = make_trial (ctx, 8, sizes[i], BT_TRIAL_NO_FAULT);
+      bt_spread_figures_t figures;
+
+      bt_run_spread_trial (ctx, &trial, &figures);
+      printf ("| %d | %.0f | %.0f |\n", (int)sizes[i], figures.change_bytes, figures.change_cpu_us);
+      x[i] = sizes[i];
+      y[i] = figures.change_bytes;
+    }
+  printf ("\nslope: %.2f B sent a byte of the document\n", fit_line (x, y, SIZES).slope);
+}
+
+static int
+compare_times (const void *left, const void *right)
+{
+  double a = *(const double *)left;
+  double b = *(const double *)right;
+
+  return (a > b) - (a < b);
+}
+
+/* The simplest way: each entry reads the service every so often, with a phase of its own. */
+static void
+print_polling (bt_context_t *ctx, int32_t entries, double period_ms)
+{
+  double *times = bt_calloc (ctx, POLLS, sizeof *times);
+  bt_random_t random;
+
+  bt_seed_random (&random, (uint64_t)entries);
+  for (int32_t i = 0; i < POLLS; i++)
+    for (int32_t j = 0; j < entries; j++)
+      {
+        double wait_ms = bt_random_unit (&random) * period_ms + 2.0 * SITE_LATENCY_MS;
+
+        if (wait_ms > times[i])
+          times[i] = wait_ms;
+      }
+  qsort (times, POLLS, sizeof *times, compare_times);
+  printf ("| polling each %.0f ms | %d | %.0f | %.0f | %.0f | %.1f |\n", period_ms, (int)entries,
+          times[POLLS / 2], times[POLLS * 99 / PERCENT], times[POLLS - 1],
+          entries * MS_PER_S / period_ms);
+  bt_free (ctx, times);
+}
+
+static void
+bench_in_force (bt_context_t *ctx)
+{
+  static const char *const names[] = { "no fault", "1 frame in 20 lost", "an entry dies each time",
+                                       "no hand-over", "and every watch silent" };
+
+  printf ("\n## From the write to in force on the last entry\n\n"
+          "| way | entries | p50 ms | p99 ms | worst ms | calls/s |\n|---|--:|--:|--:|--:|--:|\n");
+  for (int32_t size = 8; size <= 64; size *= 8)
+    {
+      for (int32_t fault = 0; fault < BT_TRIAL_FAULT_COUNT; fault++)
+        {
+          bt_spread_trial_t trial =
+              make_trial (ctx, size, SMALL_DOCUMENT_BYTES, (bt_trial_fault_t)fault);
+          bt_spread_figures_t figures;
+
+          trial.changes = 5 * CHANGES;
+          bt_run_spread_trial (ctx, &trial, &figures);
+          printf ("| %s | %d | %lld | %lld | %lld | %.1f |\n", names[fault], (int)size,
+                  (long long)figures.p50_ms, (long long)figures.p99_ms, (long long)figures.worst_ms,
+                  figures.idle_calls_s + figures.change_calls * MS_PER_S / CHANGE_GAP_MS);
+        }
+      print_polling (ctx, size, MS_PER_S);
+      print_polling (ctx, size, 4.0 * MS_PER_S);
+    }
+}
+
+static void
+bench_memory (bt_context_t *ctx)
+{
+  static const int32_t sizes[] = { 1000, 2000, 4000, 8000 };
+
+  printf (
+      "\n## Memory and time of kept things\n\n"
+      "| thing | bytes each at 1000 / 2000 / 4000 / 8000 | slope, B | us each to make at 1000 / "
+      "8000 |\n|---|---|--:|---|\n");
+  for (int32_t i = 0; i < BT_KEPT_COUNT; i++)
+    {
+      double x[SIZES];
+      double bytes[SIZES];
+      double cpu_us[SIZES];
+
+      for (int32_t j = 0; j < SIZES; j++)
+        {
+          struct mallinfo2 before = mallinfo2 ();
+          double begun_us = read_cpu_us ();
+          void *made = bt_kept_cases[i].make (ctx, sizes[j]);
+          struct mallinfo2 after = mallinfo2 ();
+
+          cpu_us[j] = (read_cpu_us () - begun_us) / sizes[j];
+          x[j] = sizes[j];
+          bytes[j] =
+              (double)(after.uordblks + after.hblkhd) - (double)(before.uordblks + before.hblkhd);
+          bt_kept_cases[i].drop (ctx, made);
+        }
+      printf ("| %s | %.0f / %.0f / %.0f / %.0f | %.0f | %.1f / %.1f |\n", bt_kept_cases[i].what,
+              bytes[0] / x[0], bytes[1] / x[1], bytes[2] / x[2], bytes[3] / x[3],
+              fit_line (x, bytes, SIZES).slope, cpu_us[0], cpu_us[3]);
+    }
+}
+
+static void
+bench_frames (void)
+{
+  Bilberry__Heartbeat beat = BILBERRY__HEARTBEAT__INIT;
+  Bilberry__Load load = BILBERRY__LOAD__INIT;
+  bt_frame_t frame = BILBERRY__FRAME__INIT;
+  bt_spread_heartbeat_t said = { 86400000, 86400000, 1 << 20, 3000, 1 << 20, UINT64_MAX };
+  int64_t to_agent;
+
+  frame.body_case = BILBERRY__FRAME__BODY_HEARTBEAT;
+  frame.heartbeat = &beat;
+  beat.now_ms = 86400000;
+  beat.max_revision = 1 << 20;
+  to_agent = count_frame (&frame);
+  beat.max_revision = 0;
+  beat.endpoint = "tw-north-draft-1234";
+  beat.app = "order-drafting";
+  load.running = load.queued = 20;
+  load.capacity = load.queue_limit = 32;
+  load.service_ms = 900;
+  load.step_us = 6000;
+  beat.load = &load;
+  printf (
+      "\n## Heartbeats, with %d B of TCP and IP\n\nentry to agent %lld B, agent to entry %lld B, "
+      "entry to entry %lld B\n",
+      TCP_IP_BYTES, (long long)to_agent, (long long)count_frame (&frame),
+      (long long)count_heartbeat (&said));
+}
+
+static pid_t
+find_pid (const bt_stage_t *stage, const char *name)
+{
+  for (int32_t i = 0; i < stage->process_count; i++)
+    if (strcmp (stage->processes[i].name, name) == 0)
+      return stage->processes[i].pid;
+  return 0;
+}
+
+/* Processor time of all threads of a process, in microseconds, as the scheduler counts it. */
+static double
+read_process_cpu_us (pid_t pid)
+{
+  char path[320];
+  double ns = 0;
+  struct dirent *thread;
+  DIR *threads;
+
+  snprintf (path, sizeof path, "/proc/%d/task", (int)pid);
+  threads = opendir (path);
+  while (threads != NULL && (thread = readdir (threads)) != NULL)
+    {
+      unsigned long long ran_ns = 0;
+      FILE *file;
+
+      if (thread->d_name[0] == '.')
+        continue;
+      snprintf (path, sizeof path, "/proc/%d/task/%s/schedstat", (int)pid, thread->d_name);
+      file = fopen (path, "r");
+      if (file == NULL)
+        continue;
+      if (fscanf (file, "%llu", &ran_ns) == 1)
+        ns += (double)ran_ns;
+      fclose (file);
+    }
+  if (threads != NULL)
+    closedir (threads);
+  return ns / NS_PER_US;
+}
+
+static double
+read_process_kb (pid_t pid)
+{
+  char path[64];
+  long pages = 0;
+  FILE *file;
+
+  snprintf (path, sizeof path, "/proc/%d/statm", (int)pid);
+  file = fopen (path, "r");
+  if (file == NULL)
+    return 0;
+  if (fscanf (file, "%*d %ld", &pages) != 1)
+    pages = 0;
+  fclose (file);
+  return (double)pages * (double)sysconf (_SC_PAGESIZE) / KB;
+}
+
+typedef struct process_figures
+{
+  double idle_cpu_us_s;
+  double memory_kb;
+  double calls_s;
+  double change_cpu_us;
+  double change_calls;
+} process_figures_t;
+
+static double
+count_calls (const bt_stage_t *stage)
+{
+  return (double)(bt_count_store_calls (stage, "range") + bt_count_store_calls (stage, "watch"));
+}
+
+static void
+measure_idle (const bt_stage_t *stage, const char *name, process_figures_t *figures)
+{
+  pid_t pid = find_pid (stage, name);
+  double calls = count_calls (stage);
+  double begun_us = read_process_cpu_us (pid);
+
+  sleep (IDLE_S);
+  figures->idle_cpu_us_s = (read_process_cpu_us (pid) - begun_us) / IDLE_S;
+  figures->calls_s = (count_calls (stage) - calls) / IDLE_S;
+  figures->memory_kb = read_process_kb (pid);
+}
+
+/* Rules are written straight into the service, in ten changes a second: a day's in 70 minutes. */
+static void
+measure_changes (const bt_stage_t *stage, const char *name, process_figures_t *figures)
+{
+  pid_t pid = find_pid (stage, name);
+  double calls = count_calls (stage);
+  double begun_us = read_process_cpu_us (pid);
+  int64_t started_us = bt_read_monotonic_us ();
+  double seconds;
+
+  for (int32_t i = 0; i < PROCESS_CHANGES; i++)
+    {
+      char version[16];
+
+      snprintf (version, sizeof version, "v%d", (int)i);
+      bt_put_version (stage, version);
+      usleep (PROCESS_GAP_US);
+    }
+  seconds = (double)(bt_read_monotonic_us () - started_us) / US_PER_S;
+  figures->change_cpu_us =
+      (read_process_cpu_us (pid) - begun_us - figures->idle_cpu_us_s * seconds) / PROCESS_CHANGES;
+  figures->change_calls =
+      (count_calls (stage) - calls - figures->calls_s * seconds) / PROCESS_CHANGES;
+}
+
+static void
+bench_entry_processes (void)
+{
+  /* Above eight entries, not every entry is linked to every agent, as a stage waits for. */
+  static const int32_t sizes[] = { 2, 4, 6, 8 };
+  char *rules = bt_make_version_rules ("start");
+  double x[SIZES];
+  double cpu[SIZES];
+  double memory[SIZES];
+
+  printf (
+      "\n## Entries as processes (1 agent, beat %d ms; /proc)\n\n"
+      "| entries | idle us/s of one | kB | calls/s of all | a change: us of one | calls of all |"
+      "\n|--:|--:|--:|--:|--:|--:|\n",
+      BEAT_MS);
+  for (int32_t i = 0; i < SIZES; i++)
+    {
+      bt_stage_t *stage = bt_new_stage (sizes[i], 0, 1, 1000, rules);
+      process_figures_t figures = { 0 };
+
+      if (stage == NULL)
+        continue;
+      measure_idle (stage, "entry-1", &figures);
+      measure_changes (stage, "entry-1", &figures);
+      bt_drop_stage (stage, false);
+      printf ("| %d | %.0f | %.0f | %.2f | %.0f | %.1f |\n", (int)sizes[i], figures.idle_cpu_us_s,
+              figures.memory_kb, figures.calls_s, figures.change_cpu_us, figures.change_calls);
+      fflush (stdout);
+      x[i] = sizes[i] - 1;
+      cpu[i] = figures.idle_cpu_us_s;
+      memory[i] = figures.memory_kb;
+    }
+  free (rules);
+  printf ("\nslope: %.0f us/s and %.0f kB a peer, above %.0f us/s and %.0f kB\n",
+          fit_line (x, cpu, SIZES).slope, fit_line (x, memory, SIZES).slope,
+          fit_line (x, cpu, SIZES).base, fit_line (x, memory, SIZES).base);
+}
+
+static void
+bench_agent_processes (void)
+{
+  static const int32_t sizes[] = { 2, 5, 9, 13 };
+  char *rules = bt_make_version_rules ("start");
+  double x[SIZES];
+  double cpu[SIZES];
+  double memory[SIZES];
+
+  printf ("\n## Agents as processes (1 entry, beat %d ms)\n\n"
+          "| agents | entry idle us/s | entry kB | an agent us/s | agent kB |\n"
+          "|--:|--:|--:|--:|--:|\n",
+          BEAT_MS);
+  for (int32_t i = 0; i < SIZES; i++)
+    {
+      bt_stage_t *stage = bt_new_stage (1, 0, sizes[i], 1000, rules);
+      process_figures_t entry = { 0 };
+      process_figures_t agent = { 0 };
+
+      if (stage == NULL)
+        continue;
+      measure_idle (stage, "entry-0", &entry);
+      measure_idle (stage, "agent-0", &agent);
+      bt_drop_stage (stage, false);
+      printf ("| %d | %.0f | %.0f | %.0f | %.0f |\n", (int)sizes[i], entry.idle_cpu_us_s,
+              entry.memory_kb, agent.idle_cpu_us_s, agent.memory_kb);
+      fflush (stdout);
+      x[i] = sizes[i];
+      cpu[i] = entry.idle_cpu_us_s;
+      memory[i] = entry.memory_kb;
+    }
+  free (rules);
+  printf ("\nslope: %.0f us/s and %.0f kB an agent's link, above %.0f us/s and %.0f kB\n",
+          fit_line (x, cpu, SIZES).slope, fit_line (x, memory, SIZES).slope,
+          fit_line (x, cpu, SIZES).base, fit_line (x, memory, SIZES).base);
+}
+
+static void
+bench_publish (void)
+{
+  char *rules = bt_make_version_rules ("start");
+  bt_stage_t *stage = bt_new_stage (8, 0, 1, 1000, rules);
+  double times[PUBLISHES];
+  int32_t accepted = 0;
+
+  free (rules);
+  if (stage == NULL)
+    return;
+  for (int32_t i = 0; i < PUBLISHES; i++)
+    {
+      char output[BT_OUTPUT_BYTES];
+      char version[16];
+      int64_t begun_us;
+
+      snprintf (version, sizeof version, "p%d", (int)i);
+      begun_us = bt_read_monotonic_us ();
+      accepted += bt_publish_version (stage, version, NULL, output) == 0 ? 1 : 0;
+      times[i] = (double)(bt_read_monotonic_us () - begun_us) / MS_PER_S;
+    }
+  bt_drop_stage (stage, false);
+  qsort (times, PUBLISHES, sizeof times[0], compare_times);
+  printf ("\n## `publish` from start to accepted, in force on 8 entry processes\n\n"
+          "%d of %d accepted; p50 %.0f ms, worst %.0f ms\n",
+          (int)accepted, PUBLISHES, times[PUBLISHES / 2], times[PUBLISHES - 1]);
+}
+
+int
+main (int argc, char **argv)
+{
+  bt_context_t *ctx = bt_new_context ();
+
+  setenv ("BT_BUILD_DIR", argc > 1 ? argv[1] : "build/release", 0);
+  setvbuf (stdout, NULL, _IOLBF, 0);
+  bench_frames ();
+  bench_memory (ctx);
+  bench_spread (ctx);
+  bench_document_size (ctx);
+  bench_in_force (ctx);
+  bench_entry_processes ();
+  bench_agent_processes ();
+  bench_publish ();
+  bt_drop_context (ctx);
+  return 0;
+}
--- a/include/bilberrytray/core/membership.h
+++ b/include/bilberrytray/core/membership.h
@@ -69,7 +69,8 @@
   bool is_listed;
   bool linked;
   bool link_leaving;
-  bool near;            /**< One end chose the other: a link between them is kept up. */
+  bool near; /**< One end chose the other: a link between them is kept up. */
+  bool near_known;
   bool lost;            /**< Its link went silent or met another instance, and did not return. */
   uint64_t incarnation; /**< Of the latest link; 0 before. */
   uint64_t retired;     /**< The incarnation before; 0 if none. */
--- a/source/core/membership.c
+++ b/source/core/membership.c
@@ -22,8 +22,9 @@
   int32_t count;
   int32_t room;
   int64_t list_revision;
-  int64_t list_ms;    /**< When that revision was last seen. */
-  int64_t leaving_ms; /**< NEVER_MS while this instance stays. */
+  int64_t list_ms;         /**< When that revision was last seen. */
+  int64_t leaving_ms;      /**< NEVER_MS while this instance stays. */
+  uint64_t entries_digest; /**< Of the entries that near was reckoned for. */
 };
 
 bt_membership_settings_t
@@ -152,16 +153,23 @@
       bt_calloc (ctx, (size_t)membership->count, sizeof *candidates);
   int32_t count = list_entries (membership, candidates);
 
+  uint64_t digest = bt_hash_bytes (candidates, (uint64_t)count * sizeof *candidates, 0);
+
+  /* The list is read every second and seldom changes: what was reckoned for these entries holds. */
   for (int32_t i = 0; i < membership->count; i++)
     {
       bt_member_t *member = &membership->members[i];
       const char *other = member->listed.instance;
       bool agent = member->listed.role == BT_LISTED_AGENT;
 
+      if (member->near_known && digest == membership->entries_digest)
+        continue;
+      member->near_known = true;
       member->near =
           count <= BT_AGENT_LINKS || (!agent && chooses (ctx, self, other, candidates, count))
           || (membership->role == BT_LISTED_ENTRY && chooses (ctx, other, self, candidates, count));
     }
+  membership->entries_digest = digest;
   bt_free (ctx, candidates);
 }
 
--- a/source/entry/config_driver.c
+++ b/source/entry/config_driver.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <string.h>
+#include <time.h>
 
 #include "bilberrytray/base/log.h"
 #include "bilberrytray/base/random.h"
@@ -9,8 +10,9 @@
 
 enum
 {
-  TICK_MS = 20,
-  STORE_PAUSE_MS = 5,
+  TICK_MS = 100,
+  MS_PER_S = 1000,
+  NS_PER_MS = 1000000,
 };
 
 /* Notes the one call on the service that is wanted; its thread picks it up. */
@@ -21,6 +23,20 @@
   driver->store_kind = action->kind;
   driver->store_since = action->since;
   driver->store_wait_ms = action->wait_ms;
+  pthread_cond_broadcast (&driver->wake);
+}
+
+/* Waits, with the entry's lock, until something is wanted or a tick has passed. */
+static void
+wait_for_work (bt_config_driver_t *driver)
+{
+  struct timespec until;
+
+  clock_gettime (CLOCK_MONOTONIC, &until);
+  until.tv_nsec += (long)TICK_MS * NS_PER_MS;
+  until.tv_sec += until.tv_nsec / ((long)MS_PER_S * NS_PER_MS);
+  until.tv_nsec %= (long)MS_PER_S * NS_PER_MS;
+  pthread_cond_timedwait (&driver->wake, &driver->entry->lock, &until);
 }
 
 void
@@ -33,7 +49,10 @@
       if (action->kind == BT_SPREAD_READ || action->kind == BT_SPREAD_WATCH)
         want_store_call (driver, action);
       else if (action->kind == BT_SPREAD_APPLY)
-        driver->apply_wanted = true;
+        {
+          driver->apply_wanted = true;
+          pthread_cond_broadcast (&driver->wake);
+        }
       else
         bt_send_config_action (driver, action, source);
     }
@@ -119,7 +138,10 @@
   while (!atomic_load (&driver->stopping))
     {
       tick_driver (driver);
-      bt_sleep_ms (TICK_MS);
+      pthread_mutex_lock (&driver->entry->lock);
+      if (!driver->apply_wanted && driver->replies == NULL)
+        wait_for_work (driver);
+      pthread_mutex_unlock (&driver->entry->lock);
     }
   return NULL;
 }
@@ -192,6 +214,8 @@
       bool wanted;
 
       pthread_mutex_lock (&driver->entry->lock);
+      if (!driver->store_wanted)
+        wait_for_work (driver);
       wanted = driver->store_wanted;
       driver->store_wanted = false;
       kind = driver->store_kind;
@@ -199,8 +223,8 @@
       wait_ms = driver->store_wait_ms;
       pthread_mutex_unlock (&driver->entry->lock);
       if (!wanted)
-        bt_sleep_ms (STORE_PAUSE_MS);
-      else if (kind == BT_SPREAD_READ)
+        continue;
+      if (kind == BT_SPREAD_READ)
         read_store (driver, since, &error);
       else
         watch_store (driver, since, wait_ms, &error);
@@ -230,6 +254,17 @@
         bt_find_counter (driver->ctx, BT_GAUGE, names[i][0], names[i][1], NULL, NULL);
 }
 
+static void
+init_wake (bt_config_driver_t *driver)
+{
+  pthread_condattr_t attributes;
+
+  pthread_condattr_init (&attributes);
+  pthread_condattr_setclock (&attributes, CLOCK_MONOTONIC);
+  pthread_cond_init (&driver->wake, &attributes);
+  pthread_condattr_destroy (&attributes);
+}
+
 static bool
 start_thread (bt_config_driver_t *driver, void *(*body) (void *), bt_error_t *error)
 {
@@ -266,6 +301,7 @@
   driver->kv = kv;
   driver->spread = bt_new_config_spread (ctx, &self, &settings, seed, bt_now_ms (ctx));
   find_gauges (driver);
+  init_wake (driver);
   pthread_mutex_lock (&entry->lock);
   entry->config = driver;
   bt_update_config_members (entry);
@@ -289,6 +325,7 @@
   driver->entry->config = NULL;
   bt_drop_config_replies (driver);
   pthread_mutex_unlock (&driver->entry->lock);
+  pthread_cond_destroy (&driver->wake);
   bt_clear_documents (ctx, &driver->applied);
   bt_drop_config_spread (ctx, driver->spread);
   bt_free (ctx, driver);
--- a/source/entry/config_driver_private.h
+++ b/source/entry/config_driver_private.h
@@ -45,6 +45,7 @@
   bt_counter_t *gauges[BT_CONFIG_GAUGE_COUNT];
 
   /* Under the entry's lock. */
+  pthread_cond_t wake; /**< A call on the service or a reading of documents is wanted. */
   bt_config_spread_t *spread;
   bool store_wanted;
   bt_spread_action_kind_t store_kind;
--- a/source/entry/config_frames.c
+++ b/source/entry/config_frames.c
@@ -38,6 +38,7 @@
   reply->request = action->request;
   reply->next = driver->replies;
   driver->replies = reply;
+  pthread_cond_broadcast (&driver->wake);
 }
 
 void
