--- a/model/map.pml
+++ b/model/map.pml
@@ -9,7 +9,8 @@
  * Options: RESTART=r (the agent of rank r restarts once beside its engine), REPLACE=r (rank r is replaced
  * once, engine and agent), ROUND1_STEP and ROUND2_STEP (the step a round is armed for), CRASH (the
  * controllers may die), LATE_ARM (the order to arm may reach the engine late, and the engine does not
- * look at fences), ONE_ROUND (round 1 only), LIVENESS (the claim go_on).
+ * look at fences), UNCHECKED_COMMIT (the engine of rank 0 takes a commit order at any time before its step,
+ * also of a round that is not armed), ONE_ROUND (round 1 only), LIVENESS (the claim go_on).
  */
 
 #define N_RANKS 3
@@ -233,6 +234,22 @@
 
 #define COMMITTED(n) ((armed[DECIDER] == n && decided[DECIDER]) || map[DECIDER] == n)
 
+/*
+ * A commit order once sent may be taken late. Where the engine does not check that the round is still
+ * armed, the agent must not abort after it; a restarted agent, which cannot know, must commit a round that
+ * all ranks have armed.
+ */
+#ifdef ABORT_AFTER_RESTART
+#define RESTARTED_MAY_ABORT(n) true
+#else
+#define RESTARTED_MAY_ABORT(n) (!(armed[DECIDER] == n && ALL_ARMED (n)))
+#endif
+#if defined(UNCHECKED_COMMIT) && !defined(ABORT_AFTER_COMMIT)
+#define MAY_ABORT(n) (inc[DECIDER] == 0 -> !commit_sent[n] : RESTARTED_MAY_ABORT (n))
+#else
+#define MAY_ABORT(n) true
+#endif
+
 /* The part of the agent of rank 0 that decides round n. */
 proctype decide (byte n)
 {
@@ -246,6 +263,13 @@
 #endif
      }
      /* The engine takes the order, perhaps late. */
+#ifdef UNCHECKED_COMMIT
+  :: atomic {
+       alive[DECIDER] && commit_sent[n] && step[DECIDER] < STEP_OF (n) && !COMMITTED (n) ->
+       armed[DECIDER] = n;
+       decided[DECIDER] = true
+     }
+#endif
 #ifdef NO_COMMIT_MATCH
   :: atomic { alive[DECIDER] && commit_sent[n] && armed[DECIDER] != NO_ROUND && !decided[DECIDER] -> decided[DECIDER] = true }
 #else
@@ -259,7 +283,8 @@
 #ifndef NO_ABORT
      /* A rank asks, or the decision is overdue. */
   :: atomic {
-       alive[DECIDER] && ANY_ARMED (n) && !told_abort[TOLD (decider, n)] && map[DECIDER] < n && !COMMITTED (n) ->
+       alive[DECIDER] && ANY_ARMED (n) && !told_abort[TOLD (decider, n)] && map[DECIDER] < n && !COMMITTED (n) &&
+         MAY_ABORT (n) ->
        abort_round (n)
      }
 #endif
@@ -375,13 +400,42 @@
 
 #if REPLACE == 0
 
-/* The round that the other ranks know to be committed. */
-#define KNOWN_COMMIT(n) ((armed[1] == n && decided[1]) || (armed[2] == n && decided[2]) || (map[1] == n && armed[2] == n) || (map[2] == n && armed[1] == n))
-#define AHEAD(q) (step[q] > step[DECIDER])
+/* What a rank reported to the new decider; the rank may have gone on since. */
+byte seen_step[N_RANKS];
+byte seen_map[N_RANKS];
+byte seen_armed[N_RANKS];
+bool seen_decided[N_RANKS];
+bool reported[N_RANKS];
+
+/* The round that the other ranks are known to have committed. */
+#define KNOWS_COMMIT(q, n) (seen_armed[q] == n && seen_decided[q])
+#define LEARNS_COMMIT(q, x, n) (seen_map[q] == n && seen_armed[x] == n)
+#define KNOWN_COMMIT(n) (KNOWS_COMMIT (1, n) || KNOWS_COMMIT (2, n) || LEARNS_COMMIT (1, 2, n) || LEARNS_COMMIT (2, 1, n))
+#define AHEAD(q) (seen_step[q] > step[DECIDER])
+
+inline report (q)
+{
+  seen_step[q] = step[q];
+  seen_map[q] = map[q];
+  seen_armed[q] = armed[q];
+  seen_decided[q] = decided[q];
+  reported[q] = true;
+#ifndef NO_FREEZE
+  decider_seen[q] = true
+#endif
+}
+
+inline forget_report (q)
+{
+  seen_step[q] = 0;
+  seen_map[q] = 0;
+  seen_armed[q] = NO_ROUND;
+  seen_decided[q] = false
+}
 
 /*
- * The decider itself is replaced. Its successor first has every other rank promise to heed no decision of
- * the old one, then takes over what they know, then joins.
+ * The decider itself is replaced. Its successor first has every other rank report what it knows and
+ * promise to heed no decision of the old one, then takes over what they know, then joins.
  */
 proctype replace ()
 {
@@ -395,25 +449,22 @@
        commit_sent[2] = false;
        member = 255
      }
-#ifndef NO_FREEZE
-  :: atomic { decider && !alive[DECIDER] && !decider_seen[1] -> decider_seen[1] = true }
-  :: atomic { decider && !alive[DECIDER] && !decider_seen[2] -> decider_seen[2] = true }
+  :: atomic { decider && !alive[DECIDER] && !reported[1] -> report (1) }
+  :: atomic { decider && !alive[DECIDER] && !reported[2] -> report (2) }
   :: atomic {
-       decider && !alive[DECIDER] && decider_seen[1] && decider_seen[2] ->
-#else
-  :: atomic {
-       decider && !alive[DECIDER] ->
-#endif
+       decider && !alive[DECIDER] && reported[1] && reported[2] ->
        if
-       :: AHEAD (1) -> map[DECIDER] = map[1]
-       :: !AHEAD (1) && AHEAD (2) -> map[DECIDER] = map[2]
-       :: else -> map[DECIDER] = map[1]
+       :: AHEAD (1) -> map[DECIDER] = seen_map[1]
+       :: !AHEAD (1) && AHEAD (2) -> map[DECIDER] = seen_map[2]
+       :: else -> map[DECIDER] = seen_map[1]
        fi;
        if
        :: KNOWN_COMMIT (1) && map[DECIDER] < 1 -> armed[DECIDER] = 1; decided[DECIDER] = true
        :: KNOWN_COMMIT (2) && map[DECIDER] < 2 -> armed[DECIDER] = 2; decided[DECIDER] = true
        :: else
        fi;
+       forget_report (1);
+       forget_report (2);
        alive[DECIDER] = true
      }
   od
@@ -421,6 +472,12 @@
 
 #else
 
+#ifdef UNCHECKED_COMMIT
+#define MAY_JOIN (armed[DECIDER] == NO_ROUND || decided[DECIDER] || MAY_ABORT (armed[DECIDER]))
+#else
+#define MAY_JOIN true
+#endif
+
 /* A rank is replaced; rank 0 lets the successor join. */
 proctype replace ()
 {
@@ -428,7 +485,7 @@
   do
   :: atomic { inc[REPLACE] == 0 && alive[REPLACE] -> die () }
   :: atomic {
-       !alive[REPLACE] && !join_ready ->
+       !alive[REPLACE] && !join_ready && MAY_JOIN ->
 #ifndef NO_JOIN_DECIDE
        /* An ack of the dead rank counts for nothing: a round without a decision is aborted. */
        if
