Send callers only to entries that may act on their configuration

An entry that has just started, or is cut off, is alive and linked, and refuses everyone; other entries went on giving its address. Heartbeats now say whether the sender admits, and address answers leave out those that do not, unless all do not. test_entry_without_configuration_is_not_given failed before.

The capacity bench also measures declarations and publish over four sizes.

--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -496,16 +496,11 @@
 }
 
 static void
-bench_publish (void)
+publish_often (const bt_stage_t *stage, int32_t entries)
 {
-  char *rules = bt_make_version_rules ("start");
-  bt_stage_t *stage = bt_new_stage (8, 0, 1, 1000, rules);
   double times[PUBLISHES];
   int32_t accepted = 0;
 
-  free (rules);
-  if (stage == NULL)
-    return;
   for (int32_t i = 0; i < PUBLISHES; i++)
     {
       char output[BT_OUTPUT_BYTES];
@@ -517,11 +512,29 @@
       accepted += bt_publish_version (stage, version, NULL, output) == 0 ? 1 : 0;
       times[i] = (double)(bt_read_monotonic_us () - begun_us) / MS_PER_S;
     }
-  bt_drop_stage (stage, false);
   qsort (times, PUBLISHES, sizeof times[0], compare_times);
-  printf ("\n## `publish` from start to accepted, in force on 8 entry processes\n\n"
-          "%d of %d accepted; p50 %.0f ms, worst %.0f ms\n",
-          (int)accepted, PUBLISHES, times[PUBLISHES / 2], times[PUBLISHES - 1]);
+  printf ("| %d | %d of %d | %.0f | %.0f |\n", (int)entries, (int)accepted, PUBLISHES,
+          times[PUBLISHES / 2], times[PUBLISHES - 1]);
+}
+
+static void
+bench_publish (void)
+{
+  static const int32_t sizes[] = { 2, 4, 6, 8 };
+  char *rules = bt_make_version_rules ("start");
+
+  printf ("\n## `publish` from start to accepted, by processes\n\n"
+          "| entries | accepted | p50 ms | worst ms |\n|--:|--:|--:|--:|\n");
+  for (int32_t i = 0; i < SIZES; i++)
+    {
+      bt_stage_t *stage = bt_new_stage (sizes[i], 0, 1, 1000, rules);
+
+      if (stage == NULL)
+        continue;
+      publish_often (stage, sizes[i]);
+      bt_drop_stage (stage, false);
+    }
+  free (rules);
 }
 
 int
--- a/bench/harness_kept.c
+++ b/bench/harness_kept.c
@@ -1,10 +1,12 @@
 #include "harness_kept.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "bilberrytray/core/arbiter.h"
 #include "bilberrytray/core/config_table.h"
+#include "bilberrytray/core/declarations.h"
 #include "bilberrytray/core/membership.h"
 #include "bilberrytray/core/router.h"
 
@@ -130,9 +132,74 @@
   bt_drop_arbiter (ctx, made);
 }
 
+/* Declarations with as many of one kind as said, and one of each other. */
+static void *
+make_declarations (bt_context_t *ctx, int32_t accounts, int32_t endpoints)
+{
+  static const char *const apps = "{\"apps\":[{\"name\":\"drafts\",\"kind\":\"model\"}]}";
+  bt_findings_t *findings = bt_new_findings (ctx);
+  bt_document_text_t texts[BT_DOCUMENT_COUNT] = { 0 };
+  char *account_text = NULL;
+  char *endpoint_text = NULL;
+  size_t bytes;
+  FILE *out = open_memstream (&account_text, &bytes);
+  void *declarations;
+
+  fprintf (out, "{\"accounts\":[");
+  for (int32_t i = 0; i < accounts; i++)
+    fprintf (out, "%s{\"name\":\"account-%d\",\"token_sha256\":[\"%064x\"],\"share\":4}",
+             i == 0 ? "" : ",", (int)i, (unsigned int)i);
+  fprintf (out, "]}");
+  fclose (out);
+  out = open_memstream (&endpoint_text, &bytes);
+  fprintf (out, "{\"endpoints\":[");
+  for (int32_t i = 0; i < endpoints; i++)
+    fprintf (out, "%s{\"name\":\"draft-%d\",\"app\":\"drafts\",\"slots\":16,\"queue\":32}",
+             i == 0 ? "" : ",", (int)i);
+  fprintf (out, "]}");
+  fclose (out);
+  texts[BT_DOCUMENT_ACCOUNTS].data = account_text;
+  texts[BT_DOCUMENT_APPS].data = apps;
+  texts[BT_DOCUMENT_ENDPOINTS].data = endpoint_text;
+  texts[BT_DOCUMENT_RULES].data =
+      "{\"rules\":[{\"name\":\"all\",\"then\":{\"action\":\"refuse\"}}]}";
+  for (int32_t i = 0; i < BT_DOCUMENT_COUNT; i++)
+    {
+      texts[i].file = bt_name_document ((bt_document_kind_t)i);
+      texts[i].bytes = strlen (texts[i].data);
+    }
+  declarations = bt_new_declarations (ctx, texts, findings);
+  if (declarations == NULL)
+    bt_print_findings (findings, stderr);
+  bt_drop_findings (ctx, findings);
+  free (account_text);
+  free (endpoint_text);
+  return declarations;
+}
+
+static void *
+make_endpoint_declarations (bt_context_t *ctx, int32_t count)
+{
+  return make_declarations (ctx, 1, count);
+}
+
+static void *
+make_account_declarations (bt_context_t *ctx, int32_t count)
+{
+  return make_declarations (ctx, count, 1);
+}
+
+static void
+drop_declarations (bt_context_t *ctx, void *made)
+{
+  bt_drop_declarations (ctx, made);
+}
+
 const bt_kept_case_t bt_kept_cases[BT_KEPT_COUNT] = {
   { "document of 300 B in force", make_documents, drop_documents },
   { "listed instance (1 entry to 19 agents)", make_members, drop_members },
   { "endpoint in the router", make_endpoints, drop_endpoints },
   { "key on record at its home", make_records, drop_records },
+  { "declared endpoint, read from its document", make_endpoint_declarations, drop_declarations },
+  { "client account, read from its document", make_account_declarations, drop_declarations },
 };
--- a/bench/harness_kept.h
+++ b/bench/harness_kept.h
@@ -9,7 +9,7 @@
 
 enum
 {
-  BT_KEPT_COUNT = 4,
+  BT_KEPT_COUNT = 6,
 };
 
 typedef struct bt_kept_case
--- a/include/bilberrytray/core/membership.h
+++ b/include/bilberrytray/core/membership.h
@@ -69,7 +69,8 @@
   bool is_listed;
   bool linked;
   bool link_leaving;
-  bool near; /**< One end chose the other: a link between them is kept up. */
+  bool admitting; /**< It says that it may act on its configuration; entries only. */
+  bool near;      /**< One end chose the other: a link between them is kept up. */
   bool near_known;
   bool lost;            /**< Its link went silent or met another instance, and did not return. */
   uint64_t incarnation; /**< Of the latest link; 0 before. */
@@ -113,8 +114,12 @@
 void bt_take_member_heartbeat (bt_membership_t *membership,
                                const bt_identity_t *identity,
                                bool leaving,
+                               bool admitting,
                                int64_t now_ms);
 
+/** Whether this instance itself may act on its configuration; false at the start. */
+void bt_set_self_admitting (bt_membership_t *membership, bool admitting);
+
 /** This instance leaves. */
 void bt_set_self_leaving (bt_membership_t *membership, int64_t now_ms);
 
@@ -132,7 +137,8 @@
 bt_is_member_live (const bt_membership_t *membership, const bt_member_t *member, int64_t now_ms);
 
 /** Entry instances to give to a caller: live ones, not leaving, this one among them, in an order
- * drawn from @p seed. Their members go to @p chosen, which has room for @p wanted; returns how
+ * drawn from @p seed. Those that would refuse for want of configuration are left out, unless all
+ * would. Their members go to @p chosen, which has room for @p wanted; returns how
  * many. The answer lives for answer_life_ms. */
 int32_t bt_choose_addresses (bt_context_t *ctx,
                              const bt_membership_t *membership,
--- a/source/core/membership.c
+++ b/source/core/membership.c
@@ -22,7 +22,8 @@
   int32_t count;
   int32_t room;
   int64_t list_revision;
-  int64_t list_ms;         /**< When that revision was last seen. */
+  int64_t list_ms; /**< When that revision was last seen. */
+  bool admitting;
   int64_t leaving_ms;      /**< NEVER_MS while this instance stays. */
   uint64_t entries_digest; /**< Of the entries that near was reckoned for. */
 };
@@ -223,6 +224,7 @@
   member->linked = true;
   member->lost = false;
   member->link_leaving = false;
+  member->admitting = false;
   member->heard_ms = now_ms;
   if (!member->is_listed)
     {
@@ -258,6 +260,7 @@
 bt_take_member_heartbeat (bt_membership_t *membership,
                           const bt_identity_t *identity,
                           bool leaving,
+                          bool admitting,
                           int64_t now_ms)
 {
   bt_member_t *member = find_member (membership, identity->instance);
@@ -265,11 +268,18 @@
   if (member == NULL || !member->linked || member->incarnation != identity->incarnation)
     return;
   member->heard_ms = now_ms;
+  member->admitting = admitting;
   /* Leaving is for good: a heartbeat that was overtaken must not call it back. */
   if (leaving)
     member->link_leaving = true;
 }
 
+void
+bt_set_self_admitting (bt_membership_t *membership, bool admitting)
+{
+  membership->admitting = admitting;
+}
+
 void
 bt_set_self_leaving (bt_membership_t *membership, int64_t now_ms)
 {
@@ -350,15 +360,21 @@
     }
 }
 
-int32_t
-bt_choose_addresses (bt_context_t *ctx,
-                     const bt_membership_t *membership,
-                     uint64_t seed,
-                     int64_t now_ms,
-                     int32_t wanted,
-                     const bt_member_t **chosen)
+/* An entry that has just started, or is cut off, is alive and linked, and refuses everyone. */
+static bool
+is_admitting (const bt_membership_t *membership, const bt_member_t *member)
+{
+  if (is_self (membership, member))
+    return membership->admitting;
+  return !member->linked || member->admitting;
+}
+
+static int32_t
+list_live (const bt_membership_t *membership,
+           int64_t now_ms,
+           bool admitting_only,
+           const bt_member_t **live)
 {
-  const bt_member_t **live = bt_calloc (ctx, (size_t)membership->count, sizeof (bt_member_t *));
   int32_t count = 0;
 
   for (int32_t i = 0; i < membership->count; i++)
@@ -366,9 +382,26 @@
       const bt_member_t *member = &membership->members[i];
 
       if (member->listed.role == BT_LISTED_ENTRY && member->listed.http[0] != '\0'
-          && bt_is_member_live (membership, member, now_ms))
+          && bt_is_member_live (membership, member, now_ms)
+          && (!admitting_only || is_admitting (membership, member)))
         live[count++] = member;
     }
+  return count;
+}
+
+int32_t
+bt_choose_addresses (bt_context_t *ctx,
+                     const bt_membership_t *membership,
+                     uint64_t seed,
+                     int64_t now_ms,
+                     int32_t wanted,
+                     const bt_member_t **chosen)
+{
+  const bt_member_t **live = bt_calloc (ctx, (size_t)membership->count, sizeof (bt_member_t *));
+  int32_t count = list_live (membership, now_ms, true, live);
+
+  if (count == 0)
+    count = list_live (membership, now_ms, false, live);
   shuffle (live, count, seed);
   if (count > wanted)
     count = wanted;
--- a/source/entry/addresses.c
+++ b/source/entry/addresses.c
@@ -15,9 +15,14 @@
 add_addresses (bt_entry_t *entry, json_t *addresses)
 {
   const bt_member_t *chosen[MAX_ADDRESSES];
+  int64_t now_ms = bt_now_ms (entry->ctx);
   const bt_member_t *self = bt_find_member (entry->membership, entry->settings.instance);
-  int32_t count = bt_choose_addresses (entry->ctx, entry->membership, entry->seed++,
-                                       bt_now_ms (entry->ctx), MAX_ADDRESSES, chosen);
+  int32_t count;
+
+  bt_set_self_admitting (entry->membership,
+                         bt_get_config_refusal (entry, now_ms) == BT_REASON_NONE);
+  count = bt_choose_addresses (entry->ctx, entry->membership, entry->seed++, now_ms, MAX_ADDRESSES,
+                               chosen);
 
   for (int32_t i = 0; i < count; i++)
     json_array_append_new (addresses, json_string (chosen[i]->listed.http));
--- a/source/entry/config_driver.c
+++ b/source/entry/config_driver.c
@@ -347,7 +347,7 @@
 bt_reason_t
 bt_get_config_refusal (const bt_entry_t *entry, int64_t now_ms)
 {
-  if (entry->config == NULL)
+  if (entry->config == NULL || entry->declarations == NULL)
     return BT_REASON_NOT_READY;
   switch (bt_get_spread_state (entry->config->spread, now_ms))
     {
--- a/source/entry/config_frames.c
+++ b/source/entry/config_frames.c
@@ -192,6 +192,7 @@
   heartbeat->config_fresh_age_ms = said.fresh_age_ms;
   heartbeat->config_digest = said.digest;
   heartbeat->max_revision = said.revision;
+  heartbeat->admitting = bt_get_config_refusal (entry, heartbeat->now_ms) == BT_REASON_NONE;
 }
 
 void
--- a/source/entry/entry_links.c
+++ b/source/entry/entry_links.c
@@ -279,7 +279,7 @@
   peer->link_leaving = heartbeat->leaving;
   peer->peer_now_ms = heartbeat->now_ms;
   bt_take_member_heartbeat (entry->membership, &peer->identity, heartbeat->leaving,
-                            bt_now_ms (entry->ctx));
+                            heartbeat->admitting, bt_now_ms (entry->ctx));
   if (!peer->agent)
     {
       bt_take_config_heartbeat (entry, &peer->identity, heartbeat);
--- a/test/core/test_membership.c
+++ b/test/core/test_membership.c
@@ -21,11 +21,14 @@
 open_link (fixture_t *fixture, const char *instance, uint64_t incarnation, int64_t now_ms)
 {
   bt_member_hello_t hello = { .role = BT_LISTED_ENTRY, .address = "", .failure_domain = "hall-0" };
+  bt_link_verdict_t verdict;
   uint64_t replaced;
 
   bt_copy_name (hello.identity.instance, instance);
   hello.identity.incarnation = incarnation;
-  return bt_open_member_link (fixture->ctx, fixture->membership, &hello, now_ms, &replaced);
+  verdict = bt_open_member_link (fixture->ctx, fixture->membership, &hello, now_ms, &replaced);
+  bt_take_member_heartbeat (fixture->membership, &hello.identity, false, true, now_ms);
+  return verdict;
 }
 
 static void
@@ -48,6 +51,7 @@
       snprintf (listed->failure_domain, BT_NAME_BYTES, "hall-%d", (int)(i % 3));
     }
   bt_take_member_list (fixture->ctx, fixture->membership, 5, fixture->listed, ENTRIES, 0);
+  bt_set_self_admitting (fixture->membership, true);
   open_link (fixture, "entry-2", 7, 0);
   open_link (fixture, "entry-3", 8, 0);
 }
@@ -113,8 +117,8 @@
 
   open_fixture (&fixture, false);
   open_link (&fixture, "entry-1", 9, 0);
-  bt_take_member_heartbeat (fixture.membership, &peer, true, 100);
-  bt_take_member_heartbeat (fixture.membership, &peer, false, 200);
+  bt_take_member_heartbeat (fixture.membership, &peer, true, true, 100);
+  bt_take_member_heartbeat (fixture.membership, &peer, false, true, 200);
   CU_ASSERT_FALSE (is_given (&fixture, "entry-1", 300));
   CU_ASSERT_EQUAL (open_link (&fixture, "entry-1", 10, 400), BT_LINK_REPLACES);
   CU_ASSERT_TRUE (is_given (&fixture, "entry-1", 500));
@@ -204,6 +208,26 @@
   close_fixture (&fixture);
 }
 
+/* An entry was started during an outage and has no rules yet, or one was cut off: it is alive, its
+ * links are up, and it refuses everyone. Callers must be sent to the others, while there are any.
+ */
+static void
+test_entry_without_configuration_is_not_given (void)
+{
+  bt_identity_t peer = { "entry-2", 7 };
+  bt_identity_t other = { "entry-3", 8 };
+  fixture_t fixture;
+
+  open_fixture (&fixture, false);
+  bt_take_member_heartbeat (fixture.membership, &peer, false, false, 100);
+  CU_ASSERT_FALSE (is_given (&fixture, "entry-2", 200));
+  CU_ASSERT_TRUE (is_given (&fixture, "entry-3", 200));
+  bt_take_member_heartbeat (fixture.membership, &other, false, false, 300);
+  bt_set_self_admitting (fixture.membership, false);
+  CU_ASSERT_TRUE (is_given (&fixture, "entry-2", 400));
+  close_fixture (&fixture);
+}
+
 /* Callers that ask in the same moment are not all sent to the same entry first. */
 static void
 test_answers_are_spread (void)
@@ -239,6 +263,7 @@
   CU_ADD_TEST (suite, test_replaced_incarnation_is_refused);
   CU_ADD_TEST (suite, test_address_is_reused);
   CU_ADD_TEST (suite, test_older_list_is_dropped);
+  CU_ADD_TEST (suite, test_entry_without_configuration_is_not_given);
   CU_ADD_TEST (suite, test_answers_are_spread);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
