--- a/bench/bench_maps.c
+++ b/bench/bench_maps.c
@@ -32,6 +32,7 @@
 };
 
 static const double expert_share = 0.6;
+static const int64_t round_bytes = 10000000000;
 static const double median = 0.5;
 static const double tail = 0.99;
 
@@ -95,7 +96,8 @@
 static bt_map_limits_t
 get_limits (const group_t *group)
 {
-  return (bt_map_limits_t){ group->slots, group->expert_bytes, MOVE_US_PER_MB, expert_share, 0 };
+  return (bt_map_limits_t){ group->slots, group->expert_bytes, MOVE_US_PER_MB,
+                            round_bytes,  expert_share,        0 };
 }
 
 /* Where every run starts: packed for the popularity at the start. */
--- a/include/bilberrytray/core/map_planner.h
+++ b/include/bilberrytray/core/map_planner.h
@@ -31,6 +31,7 @@
   int32_t slots;             /**< Replicas that fit a rank in each layer. */
   int64_t expert_bytes;      /**< Size of one expert of one layer. */
   int64_t move_us_per_mb;    /**< Step time lost to each megabyte moved, in microseconds. */
+  int64_t round_bytes;       /**< Most bytes that one round stages; 0: no bound. */
   double expert_share;       /**< Share of a balanced step that the experts take, 0 to 1. */
   double held_steps_a_round; /**< Held steps that past rounds came to; 0 without faults. */
 } bt_map_limits_t;
--- a/source/core/map_layer.c
+++ b/source/core/map_layer.c
@@ -294,7 +294,7 @@
     bt_set_map_ranks (map, index, change->other, change->other_holders);
 }
 
-void
+bt_layer_gain_t
 bt_improve_map_layer (bt_expert_map_t *map,
                       const bt_map_input_t *input,
                       int32_t index,
@@ -306,7 +306,8 @@
   search_t search = { &layer, pinned, input->limits.slots };
   double start;
   double spent = 0;
-  double best_worth = 0;
+  bt_layer_gain_t gain = { index };
+  int64_t transfers = 0;
   int32_t paying = 0;
 
   bt_read_map_layer (&layer, map, input->load, index);
@@ -321,15 +322,18 @@
 
       apply_change (&layer, &search.best);
       changes[count++] = search.best;
+      transfers += search.best.transfers;
       spent += search.best.transfers * prices->transfer;
       worth = (start - layer.load[bt_find_busiest_rank (&layer)]) * prices->load - spent;
-      if (worth <= best_worth)
+      if (worth <= gain.worth)
         continue;
-      best_worth = worth;
+      gain.worth = worth;
+      gain.transfers = transfers;
       paying = count;
     }
   for (int32_t i = 0; i < paying; i++)
     keep_change (map, index, &changes[i]);
+  return gain;
 }
 
 /* A replica to be packed. */
--- a/source/core/map_layer.h
+++ b/source/core/map_layer.h
@@ -42,12 +42,20 @@
  * first, to the least loaded rank with a free slot. A layer that cannot fit is left alone. */
 void bt_pack_map_layer (bt_expert_map_t *map, const bt_map_input_t *input, int32_t index);
 
+/** What a layer's changes come to. */
+typedef struct bt_layer_gain
+{
+  int32_t layer;
+  double worth; /**< Weighted, less the price of the transfers. */
+  int64_t transfers;
+} bt_layer_gain_t;
+
 /** Relieves the busiest rank again and again, and keeps the changes up to where they pay best.
  * Replicas of @p pinned experts stay where they are. */
-void bt_improve_map_layer (bt_expert_map_t *map,
-                           const bt_map_input_t *input,
-                           int32_t index,
-                           const bt_map_prices_t *prices,
-                           const bool *pinned);
+bt_layer_gain_t bt_improve_map_layer (bt_expert_map_t *map,
+                                      const bt_map_input_t *input,
+                                      int32_t index,
+                                      const bt_map_prices_t *prices,
+                                      const bool *pinned);
 
 #endif
--- a/source/core/map_planner.c
+++ b/source/core/map_planner.c
@@ -1,5 +1,7 @@
 #include "bilberrytray/core/map_planner.h"
 
+#include <stdlib.h>
+
 #include "map_layer.h"
 
 enum
@@ -179,6 +181,50 @@
   return gain > cost * input->weights.pay_ratio;
 }
 
+static int
+compare_gains (const void *left, const void *right)
+{
+  const bt_layer_gain_t *a = left;
+  const bt_layer_gain_t *b = right;
+  double a_worth = a->worth * (double)b->transfers;
+  double b_worth = b->worth * (double)a->transfers;
+
+  if (a_worth != b_worth)
+    return a_worth < b_worth ? 1 : -1;
+  return (a->layer > b->layer) - (a->layer < b->layer);
+}
+
+static void
+restore_layer (const bt_map_input_t *input, bt_map_plan_t *plan, int32_t layer)
+{
+  bt_map_shape_t shape = bt_get_map_shape (input->current);
+
+  for (int32_t expert = 0; expert < shape.experts; expert++)
+    bt_set_map_ranks (plan->next, layer, expert, bt_get_map_ranks (input->current, layer, expert));
+}
+
+/* Relief that is all staged before any of it counts comes late. Where a round is bounded, the
+ * layers that gain most for their bytes go first; the others follow with the next plan. */
+static void
+bound_round (const bt_map_input_t *input, bt_map_plan_t *plan, bt_layer_gain_t *gains)
+{
+  int32_t layers = bt_get_map_shape (input->current).layers;
+  int64_t bytes = 0;
+
+  if (input->limits.round_bytes == 0)
+    return;
+  qsort (gains, (size_t)layers, sizeof *gains, compare_gains);
+  for (int32_t i = 0; i < layers; i++)
+    {
+      int64_t more = gains[i].transfers * input->limits.expert_bytes;
+
+      if (bytes > 0 && bytes + more > input->limits.round_bytes)
+        restore_layer (input, plan, gains[i].layer);
+      else
+        bytes += more;
+    }
+}
+
 static bt_map_plan_t *
 plan_paying (bt_context_t *ctx, const bt_map_input_t *input)
 {
@@ -187,6 +233,7 @@
   bt_map_prices_t prices = { 0 };
   double mean = sum_means (input);
   bool pinned[BT_MAP_MAX_EXPERTS];
+  bt_layer_gain_t gains[BT_MAP_MAX_LAYERS];
 
   if (mean <= 0)
     return plan;
@@ -196,8 +243,9 @@
   for (int32_t layer = 0; layer < shape.layers; layer++)
     {
       mark_pinned (input, layer, pinned);
-      bt_improve_map_layer (plan->next, input, layer, &prices, pinned);
+      gains[layer] = bt_improve_map_layer (plan->next, input, layer, &prices, pinned);
     }
+  bound_round (input, plan, gains);
   return plan;
 }
 
--- a/test/core/test_map_planner.c
+++ b/test/core/test_map_planner.c
@@ -40,7 +40,7 @@
                                     fixture.load,
                                     fixture.history,
                                     { 1.0, 1.0, 60000, 6, 1.5, 30000 },
-                                    { SLOTS, 10000000, 50, 0.6, 0 },
+                                    { SLOTS, 10000000, 50, 0, 0.6, 0 },
                                     NOW_MS };
   return fixture;
 }
@@ -104,6 +104,22 @@
   finish (&fixture);
 }
 
+static void
+test_round_is_bounded (void)
+{
+  fixture_t fixture = start (400);
+  bt_map_plan_t *plan;
+
+  bt_add_expert_load (fixture.load, 1, 9, 900);
+  fixture.input.limits.round_bytes = fixture.input.limits.expert_bytes;
+  plan = bt_plan_map (fixture.ctx, bt_paying_map_planner (), &fixture.input);
+  CU_ASSERT_TRUE (plan->move_count > 0);
+  for (int32_t i = 1; i < plan->move_count; i++)
+    CU_ASSERT_EQUAL (plan->moves[i].layer, plan->moves[0].layer);
+  bt_drop_map_plan (fixture.ctx, plan);
+  finish (&fixture);
+}
+
 /* Operators would see two maps alternate for as long as the load hovers. An expert moves away and,
  * with the next report, back. A minimum stay keeps what has just moved where it is. */
 static void
@@ -171,6 +187,7 @@
   suite = CU_add_suite ("map planner", NULL, NULL);
   CU_ADD_TEST (suite, test_hot_expert_is_replicated);
   CU_ADD_TEST (suite, test_nothing_moves_unless_it_pays);
+  CU_ADD_TEST (suite, test_round_is_bounded);
   CU_ADD_TEST (suite, test_recent_moves_stay);
   CU_ADD_TEST (suite, test_baselines);
   CU_ADD_TEST (suite, test_no_load_and_no_room);
