Put the map rounds into bilberryd and bilberry-agent, with a test of the processes

bilberryd holds a group's lease and its fencing number (the revision of the transaction that took the lease) in the key-value service, gives the orders, and passes the ranks' questions on. The agent gives its engine orders by HTTP, reads the fencing number once before it takes orders, and reports to all entries. The process test stops the controller in the middle of a round and wakes it, loses the decision to one rank, kills rank 0's agent before and after it decided, takes the service down and replaces rank 0; standin-group ignores fences and would abort. Not joined up yet: expert loads in the reports and the planner; the map to use is the digest in the key GROUP/wanted.

--- a/source/agent/agent.c
+++ b/source/agent/agent.c
@@ -155,6 +155,8 @@
     take_grant_request (agent, link, frame->grant_request);
   else if (frame->body_case == BILBERRY__FRAME__BODY_TOMBSTONE_REQUEST)
     take_tombstone_request (agent, link, frame->tombstone_request);
+  else
+    bt_take_map_agent_frame (agent->maps, link, frame);
 }
 
 static void
@@ -182,6 +184,7 @@
   bt_tick_arbiter (agent->ctx, agent->arbiter, bt_now_ms (agent->ctx));
   pthread_mutex_unlock (&agent->lock);
   send_heartbeat (agent, link);
+  bt_announce_map_agent (agent->maps, link);
 }
 
 static const bt_link_handler_vtable_t link_vtable = { on_link_up, on_link_frame, on_link_down,
@@ -227,6 +230,28 @@
   return agent->port >= 0;
 }
 
+static bool
+start_maps (bt_agent_t *agent, bt_error_t *error)
+{
+  const bt_agent_settings_t *settings = &agent->settings;
+  bt_map_agent_settings_t maps = { 0 };
+
+  if (settings->group[0] == '\0')
+    return true;
+  if (settings->rank_url[0] == '\0' || settings->store_url[0] == '\0')
+    return bt_set_error (error, BT_ERROR_USAGE, "--group needs --rank-url and --store-url.");
+  maps.group = settings->group;
+  maps.rank = settings->rank;
+  maps.rank_url = settings->rank_url;
+  maps.store_url = settings->store_url;
+  maps.store_prefix = settings->map_prefix;
+  maps.call_ms = settings->map_call_ms;
+  maps.ask_ms = settings->map_ask_ms;
+  maps.give_up_ms = settings->map_give_up_ms;
+  agent->maps = bt_new_map_agent (agent->ctx, &maps, agent->incarnation, error);
+  return agent->maps != NULL;
+}
+
 static bool
 start_agent (bt_agent_t *agent, bt_error_t *error)
 {
@@ -244,7 +269,7 @@
     bt_log (agent->ctx, BT_LOG_INFO, BT_PART_ENGINE, "Cancelled %d runs of an earlier agent.",
             cancelled);
   agent->upstream = bt_new_upstream (agent->ctx, &options, error);
-  if (agent->upstream == NULL || !start_links (agent, error))
+  if (agent->upstream == NULL || !start_maps (agent, error) || !start_links (agent, error))
     return false;
   if (agent->settings.page[0] == '\0')
     return true;
@@ -335,6 +360,7 @@
   bt_drop_upstream (ctx, agent->upstream);
   bt_drop_agent_runs (agent);
   bt_drop_link_loop (ctx, agent->loop);
+  bt_drop_map_agent (ctx, agent->maps);
   while (agent->links != NULL)
     remove_link (agent, agent->links->link);
   bt_drop_run_queue (ctx, agent->queue);
--- a/source/agent/agent.h
+++ b/source/agent/agent.h
@@ -42,6 +42,14 @@
   int64_t max_record_bytes;
   int64_t max_answer_bytes;
   int64_t keep_answer_ms;
+  const char *group;
+  const char *rank_url;
+  const char *store_url;
+  const char *map_prefix;
+  int64_t rank;
+  int64_t map_call_ms;
+  int64_t map_ask_ms;
+  int64_t map_give_up_ms;
 } bt_agent_settings_t;
 
 /** Starts links, upstream and page. NULL with @p error when one can't start. */
--- a/source/agent/agent_private.h
+++ b/source/agent/agent_private.h
@@ -15,6 +15,7 @@
 #include "bilberrytray/core/run_queue.h"
 #include "bilberrytray/page/page.h"
 #include "bilberrytray/wire/link.h"
+#include "map_agent.h"
 #include "upstream.h"
 
 /** One run that the arbiter started. */
@@ -45,6 +46,7 @@
   bt_link_loop_t *loop;
   bt_upstream_t *upstream;
   bt_page_t *page;
+  bt_map_agent_t *maps; /**< NULL where the endpoint is no rank of a group. */
   int32_t port;
 
   pthread_mutex_t lock; /**< Guards what stands below. */
--- a/source/agent/main.c
+++ b/source/agent/main.c
@@ -60,6 +60,21 @@
     "Longest answer that is kept for a resend, bytes." },
   { "keep-answer-ms", BT_SETTING_INTEGER, FIELD (keep_answer_ms), "30000", 0, 3600000,
     "How long a whole answer is kept, ms." },
+  { "group", BT_SETTING_TEXT, FIELD (group), "", 0, 0,
+    "Rank group that the endpoint belongs to; empty for none." },
+  { "rank", BT_SETTING_INTEGER, FIELD (rank), "0", 0, 63, "The endpoint's rank in its group." },
+  { "rank-url", BT_SETTING_TEXT, FIELD (rank_url), "", 0, 0,
+    "Where the rank's engine takes orders." },
+  { "store-url", BT_SETTING_TEXT, FIELD (store_url), "", 0, 0,
+    "The key-value service; needed with --group." },
+  { "map-prefix", BT_SETTING_TEXT, FIELD (map_prefix), "bilberrytray-maps/", 0, 0,
+    "What the keys about groups begin with." },
+  { "map-call-ms", BT_SETTING_INTEGER, FIELD (map_call_ms), "500", 10, 60000,
+    "Limit of one order to the rank's engine, ms." },
+  { "map-ask-ms", BT_SETTING_INTEGER, FIELD (map_ask_ms), "250", 10, 60000,
+    "Between two questions to rank 0 about an undecided round, ms." },
+  { "map-give-up-ms", BT_SETTING_INTEGER, FIELD (map_give_up_ms), "5000", 100, 600000,
+    "Rank 0 drops a round that others have asked about for so long, ms." },
 };
 
 enum
--- /dev/null
+++ b/source/agent/map_agent.c
@@ -0,0 +1,312 @@
+#include "map_agent.h"
+
+#include <ck_pr.h>
+#include <errno.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "bilberrytray/base/counters.h"
+#include "bilberrytray/base/log.h"
+#include "bilberrytray/core/map_rank.h"
+#include "bilberrytray/platform/kv.h"
+#include "map_engine.h"
+#include "map_messages.h"
+
+enum
+{
+  TICK_MS = 10,
+  MAX_LINKS = 64,
+  KEY_BYTES = 256,
+  SETTLE_SPARE_MS = 100,
+};
+
+struct bt_map_agent
+{
+  bt_context_t *ctx;
+  bt_map_agent_settings_t settings;
+  bt_map_engine_t *engine;
+  bt_kv_t *kv;
+  pthread_t thread;
+  bool started;
+  int32_t stopping; /* read while a call waits */
+
+  pthread_mutex_t lock; /* guards what stands below; links are called with it held */
+  bt_map_rank_t *rank;
+  bt_map_actions_t actions;
+  bt_map_action_t call; /* for the engine, while calling is set */
+  bool calling;
+  bool read_floor;
+  bt_link_t *links[MAX_LINKS];
+  int32_t link_count;
+};
+
+static void
+count_refusal (bt_map_agent_t *agent, bt_map_refusal_t refusal)
+{
+  if (refusal == BT_MAP_ACCEPTED)
+    return;
+  bt_add_counter (bt_find_counter (agent->ctx, BT_COUNTER, "bilberry_map_refusals_total",
+                                   "Orders about maps that this agent refused.", "reason",
+                                   bt_name_map_refusal (refusal)),
+                  1);
+}
+
+/* Reports go to every entry: the one that holds the lease knows its own orders' numbers. */
+static void
+send_action (bt_map_agent_t *agent, const bt_map_action_t *action)
+{
+  const char *group = agent->settings.group;
+
+  for (int32_t i = 0; i < agent->link_count; i++)
+    {
+      if (action->kind == BT_MAP_REPORT)
+        bt_send_map_report (agent->ctx, agent->links[i], group, &action->report);
+      else if (action->kind == BT_MAP_ASK)
+        bt_send_map_ask (agent->ctx, agent->links[i], group, &action->ask);
+      else if (action->kind == BT_MAP_TELL)
+        bt_send_map_tell (agent->ctx, agent->links[i], group, &action->tell);
+    }
+}
+
+/* With the lock held. */
+static void
+carry_out (bt_map_agent_t *agent)
+{
+  for (int32_t i = 0; i < agent->actions.count; i++)
+    {
+      const bt_map_action_t *action = &agent->actions.items[i];
+
+      if (action->kind == BT_MAP_ENGINE_ORDER)
+        {
+          agent->call = *action;
+          agent->calling = true;
+        }
+      else if (action->kind == BT_MAP_READ_FLOOR)
+        agent->read_floor = true;
+      else
+        send_action (agent, action);
+      if (action->kind == BT_MAP_REPORT)
+        count_refusal (agent, action->report.refusal);
+    }
+  agent->actions.count = 0;
+}
+
+static void
+forget_closed_links (bt_map_agent_t *agent)
+{
+  for (int32_t i = 0; i < agent->link_count; i++)
+    if (bt_is_link_closed (agent->links[i]))
+      {
+        bt_drop_link (agent->ctx, agent->links[i]);
+        agent->links[i--] = agent->links[--agent->link_count];
+      }
+}
+
+static void
+add_link (bt_map_agent_t *agent, bt_link_t *link)
+{
+  forget_closed_links (agent);
+  for (int32_t i = 0; i < agent->link_count; i++)
+    if (agent->links[i] == link)
+      return;
+  if (agent->link_count < MAX_LINKS)
+    agent->links[agent->link_count++] = bt_keep_link (link);
+}
+
+void
+bt_announce_map_agent (bt_map_agent_t *agent, bt_link_t *link)
+{
+  bt_map_report_t report = { 0 };
+
+  if (agent == NULL)
+    return;
+  pthread_mutex_lock (&agent->lock);
+  add_link (agent, link);
+  report.rank = (int32_t)agent->settings.rank;
+  report.engine = *bt_get_map_rank_engine (agent->rank);
+  bt_send_map_report (agent->ctx, link, agent->settings.group, &report);
+  pthread_mutex_unlock (&agent->lock);
+}
+
+static bool
+is_for_us (const bt_map_agent_t *agent, const bt_frame_t *frame)
+{
+  const char *group = agent->settings.group;
+
+  switch (frame->body_case)
+    {
+    case BILBERRY__FRAME__BODY_MAP_ORDER:
+      return strcmp (frame->map_order->group, group) == 0
+             && frame->map_order->rank == (uint64_t)agent->settings.rank;
+    case BILBERRY__FRAME__BODY_MAP_ASK:
+      return strcmp (frame->map_ask->group, group) == 0;
+    case BILBERRY__FRAME__BODY_MAP_TELL:
+      return frame->map_tell->ask != NULL && strcmp (frame->map_tell->ask->group, group) == 0;
+    default:
+      return false;
+    }
+}
+
+static void
+take_frame (bt_map_agent_t *agent, const bt_frame_t *frame)
+{
+  int64_t now_ms = bt_now_ms (agent->ctx);
+  bt_map_order_t order = { 0 };
+  bt_map_ask_t ask = { 0 };
+  bt_map_tell_t tell = { 0 };
+
+  if (frame->body_case == BILBERRY__FRAME__BODY_MAP_ASK)
+    {
+      bt_read_map_ask (frame->map_ask, &ask);
+      bt_take_map_ask (agent->ctx, agent->rank, &ask, now_ms, &agent->actions);
+    }
+  else if (frame->body_case == BILBERRY__FRAME__BODY_MAP_TELL)
+    {
+      bt_read_map_tell (frame->map_tell, &tell);
+      bt_take_map_tell (agent->ctx, agent->rank, &tell, now_ms, &agent->actions);
+    }
+  else if (bt_read_map_order (frame->map_order, &order))
+    bt_take_map_order (agent->ctx, agent->rank, &order, now_ms, &agent->actions);
+}
+
+void
+bt_take_map_agent_frame (bt_map_agent_t *agent, bt_link_t *link, const bt_frame_t *frame)
+{
+  if (agent == NULL || !is_for_us (agent, frame))
+    return;
+  pthread_mutex_lock (&agent->lock);
+  add_link (agent, link);
+  take_frame (agent, frame);
+  carry_out (agent);
+  pthread_mutex_unlock (&agent->lock);
+}
+
+static void
+call_engine (bt_map_agent_t *agent, const bt_map_action_t *call)
+{
+  bt_engine_state_t state = { 0 };
+  bt_error_t error = { 0 };
+  bool accepted = false;
+  bool answered =
+      bt_call_map_engine (agent->ctx, agent->engine, &call->order, &accepted, &state, &error);
+
+  if (!answered)
+    bt_log (agent->ctx, BT_LOG_WARNING, BT_PART_MAPS, "Order %s had no answer: %s",
+            bt_name_map_order (call->order.kind), error.message);
+  pthread_mutex_lock (&agent->lock);
+  bt_take_engine_answer (agent->ctx, agent->rank, call->call, accepted, answered ? &state : NULL,
+                         bt_now_ms (agent->ctx), &agent->actions);
+  carry_out (agent);
+  pthread_mutex_unlock (&agent->lock);
+}
+
+/* The newest controller's fencing number is the revision at which it took its lease. */
+static void
+read_floor (bt_map_agent_t *agent)
+{
+  bt_kv_range_t range = { 0 };
+  bt_error_t error = { 0 };
+  char key[KEY_BYTES];
+
+  snprintf (key, sizeof key, "%s%s/fence", agent->settings.store_prefix, agent->settings.group);
+  if (!bt_read_kv (agent->ctx, agent->kv, key, false, &range, &error))
+    {
+      bt_log (agent->ctx, BT_LOG_WARNING, BT_PART_MAPS, "Can't read the fencing number yet: %s",
+              error.message);
+      return;
+    }
+  pthread_mutex_lock (&agent->lock);
+  bt_take_map_floor (agent->rank, range.count > 0 ? (uint64_t)range.pairs[0].mod_revision : 0);
+  pthread_mutex_unlock (&agent->lock);
+  bt_drop_kv_range (agent->ctx, &range);
+}
+
+static void *
+run_map_agent (void *data)
+{
+  bt_map_agent_t *agent = data;
+
+  while (ck_pr_load_int (&agent->stopping) == 0)
+    {
+      bt_map_action_t call;
+      bool calling;
+      bool reading;
+
+      pthread_mutex_lock (&agent->lock);
+      bt_tick_map_rank (agent->ctx, agent->rank, bt_now_ms (agent->ctx), &agent->actions);
+      carry_out (agent);
+      call = agent->call;
+      calling = agent->calling;
+      reading = agent->read_floor;
+      agent->calling = agent->read_floor = false;
+      pthread_mutex_unlock (&agent->lock);
+      if (calling)
+        call_engine (agent, &call);
+      if (reading)
+        read_floor (agent);
+      if (!calling)
+        bt_sleep_ms (TICK_MS);
+    }
+  return NULL;
+}
+
+static bt_map_rank_t *
+make_rank (bt_map_agent_t *agent, uint64_t incarnation)
+{
+  const bt_map_agent_settings_t *settings = &agent->settings;
+  bt_map_rank_settings_t rank = { 0 };
+
+  rank.rank = (int32_t)settings->rank;
+  rank.incarnation = incarnation;
+  rank.settle_ms = settings->call_ms + SETTLE_SPARE_MS;
+  /* The thread gives up a call before the decisions do, so that none is with the engine then. */
+  rank.call_limit_ms = settings->call_ms * 2;
+  rank.ask_ms = settings->ask_ms;
+  rank.give_up_ms = settings->give_up_ms;
+  return bt_new_map_rank (agent->ctx, &rank, bt_now_ms (agent->ctx));
+}
+
+bt_map_agent_t *
+bt_new_map_agent (bt_context_t *ctx,
+                  const bt_map_agent_settings_t *settings,
+                  uint64_t incarnation,
+                  bt_error_t *error)
+{
+  bt_map_agent_t *agent = bt_calloc (ctx, 1, sizeof *agent);
+  bt_kv_settings_t kv = bt_get_default_kv_settings (settings->store_url);
+
+  agent->ctx = ctx;
+  agent->settings = *settings;
+  kv.seed = incarnation;
+  kv.total_ms = settings->call_ms;
+  pthread_mutex_init (&agent->lock, NULL);
+  agent->kv = bt_new_etcd_kv (ctx, &kv);
+  agent->engine = bt_new_map_engine (ctx, settings->rank_url, settings->call_ms, &agent->stopping);
+  agent->rank = make_rank (agent, incarnation);
+  agent->started = pthread_create (&agent->thread, NULL, run_map_agent, agent) == 0;
+  if (agent->started)
+    return agent;
+  bt_set_error (error, BT_ERROR_SYSTEM, "Can't start a thread: %s.", strerror (errno));
+  bt_drop_map_agent (ctx, agent);
+  return NULL;
+}
+
+void
+bt_drop_map_agent (bt_context_t *ctx, bt_map_agent_t *agent)
+{
+  if (agent == NULL)
+    return;
+  ck_pr_store_int (&agent->stopping, 1);
+  bt_cancel_kv (ctx, agent->kv);
+  if (agent->started)
+    pthread_join (agent->thread, NULL);
+  for (int32_t i = 0; i < agent->link_count; i++)
+    bt_drop_link (ctx, agent->links[i]);
+  bt_drop_map_engine (ctx, agent->engine);
+  bt_drop_kv (ctx, agent->kv);
+  bt_drop_map_rank (ctx, agent->rank);
+  bt_clear_map_actions (ctx, &agent->actions);
+  pthread_mutex_destroy (&agent->lock);
+  bt_free (ctx, agent);
+}
--- /dev/null
+++ b/source/agent/map_engine.c
@@ -0,0 +1,131 @@
+#include "map_engine.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "http_client.h"
+
+enum
+{
+  URL_BYTES = 256,
+  HEX_BYTES = 20,
+  HTTP_OK = 200,
+  ANSWER_BYTES = 1 << 16,
+  BASE_HEX = 16,
+};
+
+struct bt_map_engine
+{
+  bt_http_client_t *client;
+  char orders_url[URL_BYTES];
+  char state_url[URL_BYTES];
+};
+
+bt_map_engine_t *
+bt_new_map_engine (bt_context_t *ctx, const char *url, int64_t limit_ms, const int32_t *cancelled)
+{
+  bt_map_engine_t *engine = bt_calloc (ctx, 1, sizeof *engine);
+  bt_http_limits_t limits = { limit_ms, limit_ms, limit_ms, ANSWER_BYTES };
+
+  snprintf (engine->orders_url, sizeof engine->orders_url, "%s/orders", url);
+  snprintf (engine->state_url, sizeof engine->state_url, "%s/state", url);
+  engine->client = bt_new_http_client (ctx, &limits, cancelled);
+  return engine;
+}
+
+void
+bt_drop_map_engine (bt_context_t *ctx, bt_map_engine_t *engine)
+{
+  if (engine == NULL)
+    return;
+  bt_drop_http_client (ctx, engine->client);
+  bt_free (ctx, engine);
+}
+
+/* Numbers of 64 bits travel as hexadecimal text: JSON's are signed or inexact. */
+static uint64_t
+read_hex (const json_t *body, const char *name)
+{
+  const char *text = json_string_value (json_object_get (body, name));
+
+  return text == NULL ? 0 : strtoull (text, NULL, BASE_HEX);
+}
+
+static bt_round_id_t
+read_round (const json_t *body, const char *name)
+{
+  const json_t *pair = json_object_get (body, name);
+
+  return (bt_round_id_t){ (uint64_t)json_integer_value (json_array_get (pair, 0)),
+                          (uint64_t)json_integer_value (json_array_get (pair, 1)) };
+}
+
+static void
+read_state (const json_t *body, bt_engine_state_t *state)
+{
+  state->incarnation = read_hex (body, "incarnation");
+  state->joined = json_is_true (json_object_get (body, "joined"));
+  state->next_step = (uint64_t)json_integer_value (json_object_get (body, "next_step"));
+  state->in_use = read_round (body, "in_use");
+  state->in_use_digest = read_hex (body, "in_use_digest");
+  state->staged = read_round (body, "staged");
+  state->staged_digest = read_hex (body, "staged_digest");
+  state->armed = read_round (body, "armed");
+  state->armed_step = (uint64_t)json_integer_value (json_object_get (body, "armed_step"));
+  state->decided = read_round (body, "decided");
+  state->decided_apply = json_is_true (json_object_get (body, "decided_apply"));
+}
+
+static char *
+write_order (const bt_map_order_t *order)
+{
+  char digest[HEX_BYTES];
+  json_t *body;
+  char *text;
+
+  snprintf (digest, sizeof digest, "%llx", (unsigned long long)order->digest);
+  body = json_pack ("{s:s,s:I,s:[I,I],s:I,s:s,s:b,s:b,s:s}", "kind",
+                    bt_name_map_order (order->kind), "fence", (json_int_t)order->fence, "round",
+                    (json_int_t)order->round.fence, (json_int_t)order->round.sequence, "step",
+                    (json_int_t)order->step, "digest", digest, "apply", (int)order->apply, "hold",
+                    (int)order->hold, "argument", order->argument);
+  text = json_dumps (body, JSON_COMPACT);
+  json_decref (body);
+  return text;
+}
+
+static bool
+read_answer (const bt_http_answer_t *answer, json_t **body, bt_error_t *error)
+{
+  *body = json_loadb (answer->body, answer->body_bytes, 0, NULL);
+  if (answer->status == HTTP_OK && json_is_object (*body))
+    return true;
+  json_decref (*body);
+  return bt_set_error (error, BT_ERROR_FORMAT, "The engine answered an order with status %d.",
+                       answer->status);
+}
+
+bool
+bt_call_map_engine (bt_context_t *ctx,
+                    bt_map_engine_t *engine,
+                    const bt_map_order_t *order,
+                    bool *accepted,
+                    bt_engine_state_t *state,
+                    bt_error_t *error)
+{
+  bool query = order->kind == BT_MAP_QUERY;
+  char *text = query ? NULL : write_order (order);
+  bt_http_request_t request = { query ? engine->state_url : engine->orders_url, text };
+  bt_http_answer_t answer = { 0 };
+  json_t *body = NULL;
+  bool called = bt_call_http (ctx, engine->client, &request, &answer, error);
+
+  free (text);
+  if (!called || !read_answer (&answer, &body, error))
+    return false;
+  *accepted = query || json_is_true (json_object_get (body, "accepted"));
+  read_state (query ? body : json_object_get (body, "state"), state);
+  json_decref (body);
+  return true;
+}
--- /dev/null
+++ b/source/agent/map_engine.h
@@ -0,0 +1,30 @@
+#ifndef BILBERRYTRAY_SOURCE_AGENT_MAP_ENGINE_H
+#define BILBERRYTRAY_SOURCE_AGENT_MAP_ENGINE_H
+
+/** @file
+ * Orders to one engine of a rank group, by HTTP: GET URL/state and POST URL/orders.
+ */
+
+#include "bilberrytray/base/error.h"
+#include "bilberrytray/core/map_round.h"
+
+typedef struct bt_map_engine bt_map_engine_t;
+
+/** @p url is the rank's, such as "http://10.0.0.5:9000/ranks/3". No call takes longer than
+ * @p limit_ms; @p cancelled, when set, ends it at once. */
+bt_map_engine_t *
+bt_new_map_engine (bt_context_t *ctx, const char *url, int64_t limit_ms, const int32_t *cancelled);
+
+/** NULL is accepted. */
+void bt_drop_map_engine (bt_context_t *ctx, bt_map_engine_t *engine);
+
+/** Gives an order and reads the engine's state after it; a query only reads. False when no whole
+ * answer came: the order may have taken effect. */
+bool bt_call_map_engine (bt_context_t *ctx,
+                         bt_map_engine_t *engine,
+                         const bt_map_order_t *order,
+                         bool *accepted,
+                         bt_engine_state_t *state,
+                         bt_error_t *error);
+
+#endif
--- /dev/null
+++ b/source/agent/map_messages.h
@@ -0,0 +1,26 @@
+#ifndef BILBERRYTRAY_SOURCE_AGENT_MAP_MESSAGES_H
+#define BILBERRYTRAY_SOURCE_AGENT_MAP_MESSAGES_H
+
+/** @file
+ * Between the frames about expert maps and the messages of the agent's decisions.
+ */
+
+#include "bilberrytray/core/map_round.h"
+#include "bilberrytray/wire/link.h"
+
+/** Reads an order; false when its kind or rank is none. */
+bool bt_read_map_order (const Bilberry__MapOrder *frame, bt_map_order_t *order);
+
+void bt_read_map_ask (const Bilberry__MapAsk *frame, bt_map_ask_t *ask);
+void bt_read_map_tell (const Bilberry__MapTell *frame, bt_map_tell_t *tell);
+
+void bt_send_map_report (bt_context_t *ctx,
+                         bt_link_t *link,
+                         const char *group,
+                         const bt_map_report_t *report);
+void
+bt_send_map_ask (bt_context_t *ctx, bt_link_t *link, const char *group, const bt_map_ask_t *ask);
+void
+bt_send_map_tell (bt_context_t *ctx, bt_link_t *link, const char *group, const bt_map_tell_t *tell);
+
+#endif
--- a/source/entry/command_serve.c
+++ b/source/entry/command_serve.c
@@ -61,6 +61,17 @@
     "Life of the tickets given to callers, at most that of the agents, ms." },
   { "drain-ms", BT_SETTING_INTEGER, FIELD (drain_ms), "120000", 0, 3600000,
     "Longest wait for requests under way after SIGTERM, ms." },
+  { "group", BT_SETTING_TEXT, FIELD (group), "", 0, 0,
+    "Rank group whose expert map this instance may control; empty for none." },
+  { "ranks", BT_SETTING_INTEGER, FIELD (ranks), "16", 1, 64, "Ranks of the group." },
+  { "map-prefix", BT_SETTING_TEXT, FIELD (map_prefix), "bilberrytray-maps/", 0, 0,
+    "What the keys about groups begin with." },
+  { "map-lease-s", BT_SETTING_INTEGER, FIELD (map_lease_s), "5", 1, 600,
+    "Life of the controller's lease, s." },
+  { "arm-steps", BT_SETTING_INTEGER, FIELD (arm_steps), "100", 2, 100000,
+    "Steps ahead for which a round is armed." },
+  { "stage-limit-ms", BT_SETTING_INTEGER, FIELD (stage_limit_ms), "120000", 100, 3600000,
+    "A round whose weights are not staged by then is dropped, ms." },
 };
 
 /* A leaving entry serves callers that still hold its address: it waits out the life of the last
--- a/source/entry/entry.c
+++ b/source/entry/entry.c
@@ -57,10 +57,30 @@
          && bt_listen_links (entry->ctx, entry->loop, settings->link_listen, error) >= 0;
 }
 
+static bool
+start_maps (bt_entry_t *entry, bt_error_t *error)
+{
+  const bt_entry_settings_t *settings = &entry->settings;
+  bt_map_control_settings_t maps = { 0 };
+
+  if (settings->group[0] == '\0')
+    return true;
+  maps.instance = settings->instance;
+  maps.group = settings->group;
+  maps.ranks = settings->ranks;
+  maps.store_url = settings->store_url;
+  maps.store_prefix = settings->map_prefix;
+  maps.lease_s = settings->map_lease_s;
+  maps.arm_steps = settings->arm_steps;
+  maps.stage_limit_ms = settings->stage_limit_ms;
+  entry->maps = bt_new_map_control (entry->ctx, &maps, error);
+  return entry->maps != NULL;
+}
+
 static bool
 start_entry (bt_entry_t *entry, bt_error_t *error)
 {
-  if (!start_links (entry, error))
+  if (!start_maps (entry, error) || !start_links (entry, error))
     return false;
   entry->http = bt_new_http_server (entry->ctx, entry, &entry->settings, error);
   if (entry->http == NULL)
@@ -197,6 +217,7 @@
   pthread_mutex_unlock (&entry->lock);
   bt_drop_http_server (ctx, entry->http);
   bt_drop_link_loop (ctx, entry->loop);
+  bt_drop_map_control (ctx, entry->maps);
   drop_peers (entry);
   bt_drop_admission (ctx, entry->admission);
   bt_drop_retry_budget (ctx, entry->budget);
--- a/source/entry/entry.h
+++ b/source/entry/entry.h
@@ -44,6 +44,12 @@
   int64_t address_life_ms;
   int64_t drain_ms;
   int64_t ticket_life_ms;
+  const char *group;
+  const char *map_prefix;
+  int64_t ranks;
+  int64_t map_lease_s;
+  int64_t arm_steps;
+  int64_t stage_limit_ms;
 } bt_entry_settings_t;
 
 /** An instance that the instance list names. */
--- a/source/entry/entry_links.c
+++ b/source/entry/entry_links.c
@@ -296,6 +296,8 @@
 {
   bt_entry_t *entry = (bt_entry_t *)handler;
 
+  if (bt_take_map_control_frame (entry->maps, link, frame))
+    return;
   pthread_mutex_lock (&entry->lock);
   if (frame->body_case == BILBERRY__FRAME__BODY_HEARTBEAT)
     take_heartbeat (entry, link, frame->heartbeat);
--- a/source/entry/entry_private.h
+++ b/source/entry/entry_private.h
@@ -20,6 +20,7 @@
 #include "config_driver.h"
 #include "entry.h"
 #include "http_server.h"
+#include "map_control.h"
 
 /** Buckets of the table of calls. */
 enum
@@ -82,6 +83,7 @@
   bt_ticket_ring_t *ring;
   bt_link_loop_t *loop;
   bt_http_server_t *http;
+  bt_map_control_t *maps; /**< NULL where no group is set. */
   bt_counter_t *endpoints_up;
   pthread_t ticker;
   bool ticking;
--- /dev/null
+++ b/source/entry/map_control.c
@@ -0,0 +1,323 @@
+#include "map_control.h"
+
+#include <errno.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bilberrytray/base/counters.h"
+#include "bilberrytray/base/log.h"
+#include "bilberrytray/base/random.h"
+#include "bilberrytray/core/expert_map.h"
+#include "bilberrytray/core/map_controller.h"
+#include "map_lease.h"
+#include "map_messages.h"
+
+enum
+{
+  TICK_MS = 10,
+  LEASE_PAUSE_MS = 500,
+  PAUSE_SLICE_MS = 20,
+  RESEND_MS = 250,
+  LOOK_MS = 1000,
+  ARM_LIMIT_MS = 2000,
+  MS_PER_S = 1000,
+  MARGIN_PART = 5, /* of the lease: stop so much of it early */
+  KEY_BYTES = 256,
+  BASE_HEX = 16,
+};
+
+struct bt_map_control
+{
+  bt_context_t *ctx;
+  bt_map_control_settings_t settings;
+  bt_kv_t *kv;
+  bt_map_lease_t *lease;
+  pthread_t threads[2];
+  int32_t thread_count;
+  atomic_bool stopping;
+
+  pthread_mutex_t lock; /* guards what stands below; links are called with it held */
+  bt_map_controller_t *controller;
+  bt_map_actions_t actions;
+  bt_link_t *links[BT_MAP_MAX_RANKS];
+  uint64_t wanted; /* digest; 0: none */
+  bt_round_phase_t phase;
+  bt_counter_t *controls; /* gauge */
+  bt_counter_t *held;     /* gauge: ranks that wait for a decision */
+};
+
+static void
+count_round (bt_map_control_t *control)
+{
+  static const char *const names[] = { "none", "applied", "dropped", "unknown" };
+  const char *name = names[bt_get_round_result (control->controller)];
+
+  bt_add_counter (bt_find_counter (control->ctx, BT_COUNTER, "bilberry_map_rounds_total",
+                                   "Rounds of this controller by how they ended.", "result", name),
+                  1);
+  bt_log (control->ctx, BT_LOG_INFO, BT_PART_MAPS, "The round of group %s ended: %s.",
+          control->settings.group, name);
+}
+
+static void
+set_link (bt_map_control_t *control, int32_t rank, bt_link_t *link)
+{
+  if (control->links[rank] == link)
+    return;
+  bt_drop_link (control->ctx, control->links[rank]);
+  control->links[rank] = bt_keep_link (link);
+}
+
+static void
+take_report (bt_map_control_t *control, bt_link_t *link, const Bilberry__MapReport *frame)
+{
+  bt_map_report_t report = { 0 };
+
+  if (!bt_read_map_report (frame, &report) || report.rank >= control->settings.ranks)
+    return;
+  set_link (control, report.rank, link);
+  bt_take_map_report (control->controller, &report, bt_now_ms (control->ctx));
+}
+
+/* Agents have no links to each other; an entry passes a question to rank 0 and an answer to the
+ * rank that asked. Lost ones are asked again, and repeated ones are void. */
+static void
+pass_on (bt_map_control_t *control, const bt_frame_t *frame)
+{
+  uint32_t rank = 0;
+
+  if (frame->body_case == BILBERRY__FRAME__BODY_MAP_TELL)
+    rank = frame->map_tell->ask->rank;
+  if (rank < (uint64_t)control->settings.ranks && control->links[rank] != NULL)
+    bt_send_frame (control->ctx, control->links[rank], frame);
+}
+
+static const char *
+find_group (const bt_frame_t *frame)
+{
+  switch (frame->body_case)
+    {
+    case BILBERRY__FRAME__BODY_MAP_REPORT:
+      return frame->map_report->group;
+    case BILBERRY__FRAME__BODY_MAP_ASK:
+      return frame->map_ask->group;
+    case BILBERRY__FRAME__BODY_MAP_TELL:
+      return frame->map_tell->ask == NULL ? "" : frame->map_tell->ask->group;
+    default:
+      return NULL;
+    }
+}
+
+bool
+bt_take_map_control_frame (bt_map_control_t *control, bt_link_t *link, const bt_frame_t *frame)
+{
+  const char *group = find_group (frame);
+
+  if (group == NULL)
+    return false;
+  if (control == NULL || strcmp (group, control->settings.group) != 0)
+    return true;
+  pthread_mutex_lock (&control->lock);
+  if (frame->body_case == BILBERRY__FRAME__BODY_MAP_REPORT)
+    take_report (control, link, frame->map_report);
+  else
+    pass_on (control, frame);
+  pthread_mutex_unlock (&control->lock);
+  return true;
+}
+
+static void
+begin_wanted_round (bt_map_control_t *control, int64_t now_ms)
+{
+  const bt_engine_state_t *engine = bt_get_reported_engine (control->controller, 0);
+
+  if (control->wanted != 0 && engine != NULL && engine->in_use_digest != control->wanted)
+    bt_begin_map_round (control->controller, control->wanted, now_ms);
+}
+
+static void
+set_gauges (bt_map_control_t *control, int64_t now_ms)
+{
+  int64_t undecided = 0;
+
+  for (int32_t rank = 0; rank < control->settings.ranks; rank++)
+    {
+      const bt_engine_state_t *engine = bt_get_reported_engine (control->controller, rank);
+
+      undecided += engine != NULL && bt_is_undecided (engine);
+    }
+  bt_set_gauge (control->controls, bt_holds_map_lease (control->controller, now_ms));
+  bt_set_gauge (control->held, undecided);
+}
+
+static void
+tick (bt_map_control_t *control)
+{
+  int64_t now_ms = bt_now_ms (control->ctx);
+  bt_round_phase_t phase;
+
+  begin_wanted_round (control, now_ms);
+  bt_tick_map_controller (control->ctx, control->controller, now_ms, &control->actions);
+  for (int32_t i = 0; i < control->actions.count; i++)
+    {
+      const bt_map_order_t *order = &control->actions.items[i].order;
+
+      /* A process can be stopped anywhere, here too; what it sends after it wakes is refused by the
+       * agents. Looking once more only makes that rarer. */
+      if (control->links[order->rank] != NULL
+          && bt_holds_map_lease (control->controller, bt_now_ms (control->ctx)))
+        bt_send_map_order (control->ctx, control->links[order->rank], control->settings.group,
+                           order);
+    }
+  control->actions.count = 0;
+  phase = bt_get_round_phase (control->controller);
+  if (phase == BT_ROUND_NONE && control->phase != BT_ROUND_NONE)
+    count_round (control);
+  control->phase = phase;
+  set_gauges (control, now_ms);
+}
+
+static void *
+run_ticks (void *data)
+{
+  bt_map_control_t *control = data;
+
+  while (!atomic_load (&control->stopping))
+    {
+      pthread_mutex_lock (&control->lock);
+      tick (control);
+      pthread_mutex_unlock (&control->lock);
+      bt_sleep_ms (TICK_MS);
+    }
+  return NULL;
+}
+
+static void
+read_wanted (bt_map_control_t *control)
+{
+  bt_kv_range_t range = { 0 };
+  bt_error_t error = { 0 };
+  char key[KEY_BYTES];
+
+  snprintf (key, sizeof key, "%s%s/wanted", control->settings.store_prefix,
+            control->settings.group);
+  if (!bt_read_kv (control->ctx, control->kv, key, false, &range, &error))
+    return;
+  pthread_mutex_lock (&control->lock);
+  control->wanted = range.count > 0 ? strtoull (range.pairs[0].value, NULL, BASE_HEX) : 0;
+  pthread_mutex_unlock (&control->lock);
+  bt_drop_kv_range (control->ctx, &range);
+}
+
+static void
+hold_lease (bt_map_control_t *control)
+{
+  int64_t sent_ms = bt_now_ms (control->ctx);
+  int64_t lease_ms = control->settings.lease_s * MS_PER_S;
+  uint64_t fence = 0;
+  bt_map_lease_result_t result = bt_hold_map_lease (control->ctx, control->lease, &fence);
+  bool held;
+
+  pthread_mutex_lock (&control->lock);
+  if (result == BT_MAP_LEASE_GRANTED)
+    bt_grant_map_lease (control->controller, fence, sent_ms, lease_ms);
+  else if (result == BT_MAP_LEASE_RENEWED)
+    bt_renew_map_lease (control->controller, sent_ms, lease_ms, bt_now_ms (control->ctx));
+  held = bt_holds_map_lease (control->controller, bt_now_ms (control->ctx));
+  pthread_mutex_unlock (&control->lock);
+  if (result == BT_MAP_LEASE_GRANTED)
+    bt_log (control->ctx, BT_LOG_INFO, BT_PART_MAPS, "Controls group %s with fencing number %llu.",
+            control->settings.group, (unsigned long long)fence);
+  /* The service may still have the lease of a controller that stopped early; it is not renewed, so
+   * that it lapses and a new number is drawn. */
+  if (!held)
+    bt_forget_map_lease (control->lease);
+}
+
+static void *
+run_lease (void *data)
+{
+  bt_map_control_t *control = data;
+
+  while (!atomic_load (&control->stopping))
+    {
+      hold_lease (control);
+      read_wanted (control);
+      for (int32_t waited = 0; waited < LEASE_PAUSE_MS && !atomic_load (&control->stopping);
+           waited += PAUSE_SLICE_MS)
+        bt_sleep_ms (PAUSE_SLICE_MS);
+    }
+  return NULL;
+}
+
+static bool
+start_thread (bt_map_control_t *control, void *(*body) (void *), bt_error_t *error)
+{
+  if (pthread_create (&control->threads[control->thread_count], NULL, body, control) != 0)
+    return bt_set_error (error, BT_ERROR_SYSTEM, "Can't start a thread: %s.", strerror (errno));
+  control->thread_count++;
+  return true;
+}
+
+static bt_map_controller_t *
+make_controller (bt_context_t *ctx, const bt_map_control_settings_t *settings)
+{
+  bt_map_controller_settings_t controller = { 0 };
+
+  controller.ranks = (int32_t)settings->ranks;
+  controller.lease_margin_ms = settings->lease_s * MS_PER_S / MARGIN_PART;
+  controller.resend_ms = RESEND_MS;
+  controller.look_ms = LOOK_MS;
+  controller.arm_limit_ms = ARM_LIMIT_MS;
+  controller.stage_limit_ms = settings->stage_limit_ms;
+  controller.arm_steps = (uint64_t)settings->arm_steps;
+  controller.first_digest = 1;
+  return bt_new_map_controller (ctx, &controller);
+}
+
+bt_map_control_t *
+bt_new_map_control (bt_context_t *ctx, const bt_map_control_settings_t *settings, bt_error_t *error)
+{
+  bt_map_control_t *control = bt_calloc (ctx, 1, sizeof *control);
+  bt_kv_settings_t kv = bt_get_default_kv_settings (settings->store_url);
+
+  control->ctx = ctx;
+  control->settings = *settings;
+  bt_fill_secure_random (&kv.seed, sizeof kv.seed);
+  kv.total_ms = settings->lease_s * MS_PER_S / MARGIN_PART;
+  pthread_mutex_init (&control->lock, NULL);
+  control->kv = bt_new_etcd_kv (ctx, &kv);
+  control->lease = bt_new_map_lease (ctx, control->kv, settings->store_prefix, settings->group,
+                                     settings->instance, settings->lease_s);
+  control->controller = make_controller (ctx, settings);
+  control->controls = bt_find_counter (ctx, BT_GAUGE, "bilberry_map_controller",
+                                       "1 on the entry that controls the group.", NULL, NULL);
+  control->held = bt_find_counter (ctx, BT_GAUGE, "bilberry_map_undecided_ranks",
+                                   "Ranks armed for a round and without its decision.", NULL, NULL);
+  if (start_thread (control, run_ticks, error) && start_thread (control, run_lease, error))
+    return control;
+  bt_drop_map_control (ctx, control);
+  return NULL;
+}
+
+void
+bt_drop_map_control (bt_context_t *ctx, bt_map_control_t *control)
+{
+  if (control == NULL)
+    return;
+  atomic_store (&control->stopping, true);
+  bt_cancel_kv (ctx, control->kv);
+  for (int32_t i = 0; i < control->thread_count; i++)
+    pthread_join (control->threads[i], NULL);
+  for (int32_t rank = 0; rank < BT_MAP_MAX_RANKS; rank++)
+    bt_drop_link (ctx, control->links[rank]);
+  bt_drop_map_controller (ctx, control->controller);
+  bt_clear_map_actions (ctx, &control->actions);
+  bt_drop_map_lease (ctx, control->lease);
+  bt_drop_kv (ctx, control->kv);
+  pthread_mutex_destroy (&control->lock);
+  bt_free (ctx, control);
+}
--- /dev/null
+++ b/test/process/test_map_group.c
@@ -0,0 +1,386 @@
+#include <CUnit/Basic.h>
+#include <curl/curl.h>
+#include <signal.h>
+#include <spawn.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "harness.h"
+
+extern char **environ;
+
+enum
+{
+  RANKS = 3,
+  ENTRIES = 2,
+  TEXT_BYTES = 256,
+  PAGE_BYTES = 4096,
+  CALL_MS = 10000,
+};
+
+static const char *const rules = "{\"rules\":[]}";
+
+static const char *const entry_arguments[] = {
+  "--group", "drafts", "--ranks", "3", "--map-lease-s", "2", "--arm-steps", "60", NULL
+};
+
+static bt_stage_t *stage;
+static pid_t group_pid;
+static int group_port;
+static int64_t last_map = 1;
+
+static bool
+start_group (void)
+{
+  const char *build = getenv ("BT_BUILD_DIR");
+  char program[TEXT_BYTES];
+  char line[TEXT_BYTES] = "";
+  char *arguments[] = { program, "--ranks", "3", "--life-s", "200", "--ignore-fences", NULL };
+  posix_spawn_file_actions_t files;
+  int pipes[2];
+  FILE *output;
+
+  snprintf (program, sizeof program, "%s/standin-group", build == NULL ? "build/asan" : build);
+  if (pipe (pipes) != 0)
+    return false;
+  posix_spawn_file_actions_init (&files);
+  posix_spawn_file_actions_adddup2 (&files, pipes[1], STDOUT_FILENO);
+  if (posix_spawn (&group_pid, program, &files, NULL, arguments, environ) != 0)
+    return false;
+  posix_spawn_file_actions_destroy (&files);
+  close (pipes[1]);
+  output = fdopen (pipes[0], "r");
+  if (fgets (line, sizeof line, output) == NULL || strncmp (line, "listening ", 10) != 0)
+    return false;
+  group_port = (int)strtol (line + 10, NULL, 10);
+  fclose (output);
+  return true;
+}
+
+static bool
+start_agent (int32_t rank)
+{
+  char text[TEXT_BYTES];
+
+  snprintf (text, sizeof text, "%d", rank);
+  setenv ("BILBERRY_RANK", text, 1);
+  snprintf (text, sizeof text, "http://127.0.0.1:%d/ranks/%d", group_port, rank);
+  setenv ("BILBERRY_RANK_URL", text, 1);
+  snprintf (text, sizeof text, "http://127.0.0.1:%d", stage->kv_port);
+  setenv ("BILBERRY_STORE_URL", text, 1);
+  setenv ("BILBERRY_GROUP", "drafts", 1);
+  setenv ("BILBERRY_MAP_GIVE_UP_MS", "1500", 1);
+  snprintf (text, sizeof text, "agent-%d", rank);
+  return bt_start_process (stage, text);
+}
+
+static bool
+kill_agent (int32_t rank)
+{
+  char name[TEXT_BYTES];
+
+  snprintf (name, sizeof name, "agent-%d", rank);
+  return bt_signal_process (stage, name, SIGKILL);
+}
+
+/* The harness starts agents that know of no group; they are started again with it. */
+static int
+start_suite (void)
+{
+  bt_set_stage_arguments (entry_arguments, NULL);
+  if (!start_group ())
+    return 1;
+  stage = bt_new_stage (ENTRIES, RANKS, 0, 1000, rules);
+  if (stage == NULL)
+    return 1;
+  for (int32_t rank = 0; rank < RANKS; rank++)
+    if (!kill_agent (rank) || !start_agent (rank))
+      return 1;
+  return 0;
+}
+
+static int
+end_suite (void)
+{
+  bt_drop_stage (stage, CU_get_number_of_failures () > 0);
+  kill (group_pid, SIGTERM);
+  waitpid (group_pid, NULL, 0);
+  return 0;
+}
+
+static size_t
+take_bytes (char *data, size_t size, size_t count, void *argument)
+{
+  char *text = argument;
+
+  if (strlen (text) + size * count >= PAGE_BYTES)
+    return 0;
+  strncat (text, data, size * count);
+  return size * count;
+}
+
+/* The group's page, or a rank's; NULL once it has aborted. The answer is the caller's. */
+static json_t *
+call_group (const char *path, const char *body)
+{
+  CURL *curl = curl_easy_init ();
+  char text[PAGE_BYTES] = "";
+  char url[TEXT_BYTES];
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%d%s", group_port, path);
+  curl_easy_setopt (curl, CURLOPT_URL, url);
+  curl_easy_setopt (curl, CURLOPT_TIMEOUT_MS, (long)CALL_MS);
+  curl_easy_setopt (curl, CURLOPT_WRITEFUNCTION, take_bytes);
+  curl_easy_setopt (curl, CURLOPT_WRITEDATA, text);
+  if (body != NULL)
+    curl_easy_setopt (curl, CURLOPT_POSTFIELDS, body);
+  curl_easy_perform (curl);
+  curl_easy_cleanup (curl);
+  return json_loads (text, 0, NULL);
+}
+
+static int64_t
+read_steps (void)
+{
+  json_t *page = call_group ("/group", NULL);
+  int64_t steps = page == NULL ? -1 : json_integer_value (json_object_get (page, "steps"));
+
+  json_decref (page);
+  return steps;
+}
+
+static bool
+uses_map (int32_t rank, int64_t map)
+{
+  char path[TEXT_BYTES];
+  json_t *page;
+  const char *digest;
+  bool uses;
+
+  snprintf (path, sizeof path, "/ranks/%d/state", rank);
+  page = call_group (path, NULL);
+  digest = json_string_value (json_object_get (page, "in_use_digest"));
+  uses = digest != NULL && strtoll (digest, NULL, 16) == map;
+  json_decref (page);
+  return uses;
+}
+
+static bool
+use_map (void *argument)
+{
+  for (int32_t rank = 0; rank < RANKS; rank++)
+    if (!uses_map (rank, *(int64_t *)argument))
+      return false;
+  return true;
+}
+
+static bool
+has_stepped (void *argument)
+{
+  return read_steps () > *(int64_t *)argument;
+}
+
+/* Steps go on, under the map that is wanted. */
+static void
+check_group (void)
+{
+  int64_t steps = read_steps ();
+
+  CU_ASSERT_TRUE (bt_wait_until (use_map, &last_map));
+  CU_ASSERT_TRUE (steps >= 0);
+  CU_ASSERT_TRUE (bt_wait_until (has_stepped, &steps));
+  CU_ASSERT_EQUAL (waitpid (group_pid, NULL, WNOHANG), 0);
+}
+
+static void
+fail (const char *body)
+{
+  json_decref (call_group ("/fault", body));
+}
+
+static void
+want_next_map (void)
+{
+  char body[TEXT_BYTES];
+  /* "bilberrytray-maps/drafts/wanted" in base 64 */
+  const char *key = "YmlsYmVycnl0cmF5LW1hcHMvZHJhZnRzL3dhbnRlZA==";
+  static const char *const values[] = { "MA==", "MQ==", "Mg==", "Mw==", "NA==",
+                                        "NQ==", "Ng==", "Nw==", "OA==", "OQ==" };
+
+  last_map++;
+  snprintf (body, sizeof body, "{\"key\":\"%s\",\"value\":\"%s\"}", key, values[last_map]);
+  json_decref (bt_call_standin (stage, "kv", "/v3/kv/put", body));
+}
+
+/* A stopped entry is not asked: its page would not answer. */
+static int32_t
+find_running_controller (int32_t stopped)
+{
+  char name[TEXT_BYTES];
+
+  for (int32_t i = 0; i < ENTRIES; i++)
+    {
+      if (i == stopped)
+        continue;
+      snprintf (name, sizeof name, "entry-%d", i);
+      if (bt_read_stage_counter (stage, name, "bilberry_map_controller") == 1)
+        return i;
+    }
+  return -1;
+}
+
+static bool
+has_controller (void *argument)
+{
+  *(int32_t *)argument = find_running_controller (-1);
+  return *(int32_t *)argument >= 0;
+}
+
+static bool
+is_rank_undecided (void *argument)
+{
+  char path[TEXT_BYTES];
+  json_t *page;
+  json_t *armed;
+  bool undecided;
+
+  snprintf (path, sizeof path, "/ranks/%d/state", *(int32_t *)argument);
+  page = call_group (path, NULL);
+  armed = json_object_get (page, "armed");
+  undecided = json_integer_value (json_array_get (armed, 0)) > 0
+              && json_equal (armed, json_object_get (page, "decided")) == 0;
+  json_decref (page);
+  return undecided;
+}
+
+static bool
+is_rank_0_taken (void *argument)
+{
+  json_t *page = call_group ("/ranks/0/state", NULL);
+  json_t *decided = json_object_get (page, "decided");
+  bool taken = json_is_true (json_object_get (page, "decided_apply"))
+               && !json_equal (decided, argument)
+               && json_integer_value (json_array_get (decided, 0)) > 0;
+
+  json_decref (page);
+  return taken;
+}
+
+static void
+test_group_forms_and_changes_its_map (void)
+{
+  check_group ();
+  want_next_map ();
+  check_group ();
+}
+
+/* One rank steps with the old map or the group stands still for good: the decision of a round never
+ * reaches rank 1 from the controller, three times over. */
+static void
+test_decision_is_lost_to_one_rank (void)
+{
+  fail ("{\"kind\":\"down\",\"count\":3,\"match\":\"1/learn\"}");
+  want_next_map ();
+  check_group ();
+}
+
+/* A group with two maps. The entry that controls it is stopped in the middle of a round; another
+ * takes over; the first wakes and goes on where it was. Its orders are refused. */
+static void
+test_controller_is_frozen_and_woken (void)
+{
+  int32_t frozen = -1;
+  int32_t rank = 1;
+  char name[TEXT_BYTES];
+
+  CU_ASSERT_TRUE_FATAL (bt_wait_until (has_controller, &frozen));
+  snprintf (name, sizeof name, "entry-%d", frozen);
+  fail ("{\"kind\":\"down\",\"count\":-1,\"match\":\"0/decide\"}");
+  want_next_map ();
+  CU_ASSERT_TRUE (bt_wait_until (is_rank_undecided, &rank));
+  CU_ASSERT_TRUE (bt_signal_process (stage, name, SIGSTOP));
+  fail ("{\"kind\":\"none\"}");
+  check_group ();
+  CU_ASSERT_NOT_EQUAL (find_running_controller (frozen), frozen);
+  CU_ASSERT_TRUE (bt_signal_process (stage, name, SIGCONT));
+  want_next_map ();
+  check_group ();
+}
+
+/* Rank 0's engine has taken the map, its agent dies before it can say so. The restarted agent asks
+ * its engine, and the others learn the same decision. */
+static void
+test_agent_of_rank_0_dies_after_deciding (void)
+{
+  json_t *page = call_group ("/ranks/0/state", NULL);
+
+  fail ("{\"kind\":\"lost-answer\",\"count\":1,\"match\":\"0/decide\"}");
+  want_next_map ();
+  CU_ASSERT_TRUE (bt_wait_until (is_rank_0_taken, json_object_get (page, "decided")));
+  CU_ASSERT_TRUE (kill_agent (0));
+  json_decref (page);
+  CU_ASSERT_TRUE (start_agent (0));
+  check_group ();
+}
+
+/* The same with the decision lost on its way to the engine. */
+static void
+test_agent_of_rank_0_dies_before_deciding (void)
+{
+  int32_t rank = 0;
+
+  fail ("{\"kind\":\"down\",\"count\":1,\"match\":\"0/decide\"}");
+  want_next_map ();
+  CU_ASSERT_TRUE (bt_wait_until (is_rank_undecided, &rank));
+  CU_ASSERT_TRUE (kill_agent (0));
+  CU_ASSERT_TRUE (start_agent (0));
+  check_group ();
+}
+
+/* The service is down, and the group's steps go on; a map that is wanted comes into use once it is
+ * back. */
+static void
+test_service_is_down (void)
+{
+  int64_t steps;
+
+  json_decref (bt_call_standin (stage, "kv", "/fault", "{\"kind\":\"down\",\"count\":-1}"));
+  steps = read_steps ();
+  CU_ASSERT_TRUE (bt_wait_until (has_stepped, &steps));
+  json_decref (bt_call_standin (stage, "kv", "/fault", "{\"kind\":\"none\"}"));
+  want_next_map ();
+  check_group ();
+}
+
+/* A replaced engine gets the group's map before it joins. */
+static void
+test_rank_0_is_replaced (void)
+{
+  fail ("{\"kind\":\"replace-0\"}");
+  check_group ();
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned int failed;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("map group", start_suite, end_suite);
+  CU_ADD_TEST (suite, test_group_forms_and_changes_its_map);
+  CU_ADD_TEST (suite, test_decision_is_lost_to_one_rank);
+  CU_ADD_TEST (suite, test_controller_is_frozen_and_woken);
+  CU_ADD_TEST (suite, test_agent_of_rank_0_dies_after_deciding);
+  CU_ADD_TEST (suite, test_agent_of_rank_0_dies_before_deciding);
+  CU_ADD_TEST (suite, test_service_is_down);
+  CU_ADD_TEST (suite, test_rank_0_is_replaced);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failed = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failed == 0 ? 0 : 1;
+}
