--- a/source/entry/config_frames.c
+++ b/source/entry/config_frames.c
@@ -38,6 +38,7 @@
   reply->request = action->request;
   reply->next = driver->replies;
   driver->replies = reply;
+  pthread_cond_broadcast (&driver->wake);
 }
 
 void
@@ -191,6 +192,7 @@
   heartbeat->config_fresh_age_ms = said.fresh_age_ms;
   heartbeat->config_digest = said.digest;
   heartbeat->max_revision = said.revision;
+  heartbeat->admitting = bt_get_config_refusal (entry, heartbeat->now_ms) == BT_REASON_NONE;
 }
 
 void
--- a/source/entry/entry_links.c
+++ b/source/entry/entry_links.c
@@ -279,7 +279,7 @@
   peer->link_leaving = heartbeat->leaving;
   peer->peer_now_ms = heartbeat->now_ms;
   bt_take_member_heartbeat (entry->membership, &peer->identity, heartbeat->leaving,
-                            bt_now_ms (entry->ctx));
+                            heartbeat->admitting, bt_now_ms (entry->ctx));
   if (!peer->agent)
     {
       bt_take_config_heartbeat (entry, &peer->identity, heartbeat);
@@ -296,6 +296,8 @@
 {
   bt_entry_t *entry = (bt_entry_t *)handler;
 
+  if (bt_take_map_control_frame (entry->maps, link, frame))
+    return;
   pthread_mutex_lock (&entry->lock);
   if (frame->body_case == BILBERRY__FRAME__BODY_HEARTBEAT)
     take_heartbeat (entry, link, frame->heartbeat);
