Hold the models' points on requests: a floor for full records, and time that never goes back

A tombstone request that met a full reserve was denied, so its caller was told unknown in a burst; now one floor over expiries stands for all such tombstones. A copy judged by an older reading of the clock could run after its tombstone was dropped; the latest time judged by is kept now.

--- a/include/bilberrytray/core/arbiter.h
+++ b/include/bilberrytray/core/arbiter.h
@@ -16,7 +16,8 @@
 {
   bt_identity_t self;
   uint64_t max_records;       /**< Keys of runs and grants kept at once. */
-  uint64_t tombstone_reserve; /**< Tombstones that fit beside them, so that refusals stay true. */
+  uint64_t tombstone_reserve; /**< Tombstones that fit beside them; then one floor stands for
+                                   all, which refuses other unused tickets too. */
   uint64_t max_bytes;         /**< Of records and kept answers. */
   uint64_t max_answer_bytes;  /**< A longer answer is not kept. */
   int64_t keep_answer_ms;     /**< How long a whole answer is kept after its end. */
--- a/source/agent/agent.c
+++ b/source/agent/agent.c
@@ -54,11 +54,12 @@
 static void
 take_dispatch (bt_agent_t *agent, bt_link_t *link, const Bilberry__Dispatch *frame)
 {
-  int64_t now_ms = bt_now_ms (agent->ctx);
   bt_arbiter_actions_t actions = { 0 };
   bt_dispatch_t dispatch = { 0 };
+  int64_t now_ms;
 
   pthread_mutex_lock (&agent->lock);
+  now_ms = bt_now_ms (agent->ctx);
   if (bt_read_dispatch (agent->ctx, agent->ring, link, frame, now_ms, &dispatch))
     {
       bt_handle_dispatch (agent->ctx, agent->arbiter, &dispatch, now_ms, &actions);
--- a/source/core/arbiter.c
+++ b/source/core/arbiter.c
@@ -21,6 +21,7 @@
   };
 
   arbiter->options = *options;
+  arbiter->now_ms = arbiter->home_floor_ms = arbiter->grant_floor_ms = INT64_MIN;
   arbiter->table = bt_new_record_table (ctx, &limits);
   return arbiter;
 }
@@ -107,6 +108,14 @@
   return BT_REASON_WRONG_INSTANCE;
 }
 
+int64_t
+bt_advance_arbiter (bt_arbiter_t *arbiter, int64_t now_ms)
+{
+  if (now_ms > arbiter->now_ms)
+    arbiter->now_ms = now_ms;
+  return arbiter->now_ms;
+}
+
 bool
 bt_is_past (int64_t expires_ms, int64_t now_ms)
 {
@@ -428,7 +437,7 @@
 void
 bt_tick_arbiter (bt_context_t *ctx, bt_arbiter_t *arbiter, int64_t now_ms)
 {
-  bt_sweep_records (ctx, arbiter->table, now_ms);
+  bt_sweep_records (ctx, arbiter->table, bt_advance_arbiter (arbiter, now_ms));
 }
 
 bool
--- a/source/core/arbiter_keys.c
+++ b/source/core/arbiter_keys.c
@@ -33,6 +33,16 @@
     record->expires_ms = expires_ms;
 }
 
+/* When there is no room left for tombstones, one floor stands for all: it refuses other keys as
+ * well that have no record yet and expire no later, and their callers take new tickets. Without it
+ * a refusal in a full table could not be proved, or a late copy would run once there is room. */
+static int64_t *
+find_floor (bt_arbiter_t *arbiter, const bt_ticket_t *ticket)
+{
+  return bt_is_arbiter (arbiter, &ticket->home) ? &arbiter->home_floor_ms
+                                                : &arbiter->grant_floor_ms;
+}
+
 static void
 start_run (bt_context_t *ctx,
            bt_arbiter_t *arbiter,
@@ -238,6 +248,7 @@
   bt_record_t *record;
   bt_reason_t reason;
 
+  now_ms = bt_advance_arbiter (arbiter, now_ms);
   if (!dispatch->has_ticket)
     {
       /* Without a key nothing else can have run it, so a wrong addressee proves not-run. */
@@ -261,6 +272,8 @@
     bt_add_refusal (ctx, actions, &dispatch->path, BT_REASON_KEY_EXPIRED);
   else if (record != NULL)
     dispatch_recorded (ctx, arbiter, record, dispatch, now_ms, actions);
+  else if (get_dispatch_expiry (arbiter, dispatch) <= *find_floor (arbiter, &dispatch->ticket))
+    bt_add_refusal (ctx, actions, &dispatch->path, BT_REASON_KEY_TOMBSTONED);
   else
     run_open_key (ctx, arbiter, NULL, dispatch, now_ms, actions);
 }
@@ -363,6 +376,7 @@
       bt_check_addressee (arbiter, &request->ticket.home, BT_REASON_HOME_RESTARTED);
   bt_record_t *record;
 
+  now_ms = bt_advance_arbiter (arbiter, now_ms);
   if (reason == BT_REASON_NONE && bt_is_past (request->ticket.expires_ms, now_ms))
     reason = BT_REASON_KEY_EXPIRED;
   if (reason != BT_REASON_NONE)
@@ -371,7 +385,9 @@
       return;
     }
   record = bt_find_record (arbiter->table, &request->ticket.key);
-  if (record == NULL)
+  if (record == NULL && request->ticket.expires_ms <= arbiter->home_floor_ms)
+    refuse_grant (ctx, &request->path, BT_REASON_KEY_TOMBSTONED, 0, actions);
+  else if (record == NULL)
     grant_key (ctx, arbiter, NULL, request, actions);
   else
     grant_recorded (ctx, arbiter, record, request, actions);
@@ -402,8 +418,8 @@
 }
 
 /* The promise "never ran here and never will" is on record before the reply leaves, so a dispatch
- * that arrives later, however late, meets it or its own expiry. False when there is no room. */
-static bool
+ * that arrives later, however late, meets it, the floor or its own expiry. */
+static void
 set_tombstone (bt_context_t *ctx,
                bt_arbiter_t *arbiter,
                bt_record_t *record,
@@ -411,14 +427,19 @@
                int64_t expires_ms)
 {
   if ((arbiter->options.faults & BT_FAULT_NO_TOMBSTONE) != 0)
-    return true;
+    return;
   if (record == NULL)
     record = bt_add_record (ctx, arbiter->table, &request->ticket.key, expires_ms, true);
   if (record == NULL)
-    return false;
+    {
+      int64_t *floor_ms = find_floor (arbiter, &request->ticket);
+
+      if (*floor_ms < expires_ms)
+        *floor_ms = expires_ms;
+      return;
+    }
   record->state = BT_RECORD_TOMBSTONED;
   bt_set_record_grant (ctx, arbiter->table, record, NULL);
-  return true;
 }
 
 void
@@ -435,6 +456,7 @@
   int64_t expires_ms = is_home ? request->ticket.expires_ms : request->grant.expires_ms;
   bt_record_t *record = bt_find_record (arbiter->table, &request->ticket.key);
 
+  now_ms = bt_advance_arbiter (arbiter, now_ms);
   reply->state =
       to_foreign_state (bt_check_addressee (arbiter, &request->target, BT_REASON_AGENT_RESTARTED));
   if (reply->state == BT_RECORD_UNSEEN)
@@ -446,7 +468,10 @@
   if (reply->state == BT_RECORD_UNSEEN && bt_is_past (expires_ms, now_ms))
     reply->state = BT_RECORD_EXPIRED;
   if (reply->state == BT_RECORD_UNSEEN || reply->state == BT_RECORD_OPEN)
-    reply->tombstoned = set_tombstone (ctx, arbiter, record, request, expires_ms);
+    {
+      set_tombstone (ctx, arbiter, record, request, expires_ms);
+      reply->tombstoned = true;
+    }
   else
     reply->tombstoned = reply->state == BT_RECORD_TOMBSTONED;
   if (reply->state == BT_RECORD_GRANTED)
--- a/source/core/arbiter_private.h
+++ b/source/core/arbiter_private.h
@@ -16,6 +16,9 @@
   uint64_t runs;
   bool leaving;
   int64_t leaving_ms;
+  int64_t now_ms;         /* The latest time that was seen. */
+  int64_t home_floor_ms;  /* Keys without a record whose ticket expires no later are tombstoned. */
+  int64_t grant_floor_ms; /* The same by grants, for keys of other homes. */
 };
 
 /** Adds an empty action. */
@@ -44,6 +47,9 @@
                                 const bt_identity_t *identity,
                                 bt_reason_t restarted);
 
+/** The time to judge by: never earlier than one already judged by. */
+int64_t bt_advance_arbiter (bt_arbiter_t *arbiter, int64_t now_ms);
+
 /** True when the time @p expires_ms has come by this agent's own clock. */
 bool bt_is_past (int64_t expires_ms, int64_t now_ms);
 
