--- a/source/agent/agent.c
+++ b/source/agent/agent.c
@@ -17,14 +17,13 @@
 };
 
 static void
-send_heartbeat (bt_agent_t *agent, bt_link_t *link)
+send_heartbeat_locked (bt_agent_t *agent, bt_link_t *link)
 {
   Bilberry__Heartbeat heartbeat = BILBERRY__HEARTBEAT__INIT;
   Bilberry__Load load = BILBERRY__LOAD__INIT;
   bt_load_t own;
   bt_frame_t frame = BILBERRY__FRAME__INIT;
 
-  pthread_mutex_lock (&agent->lock);
   heartbeat.now_ms = bt_now_ms (agent->ctx);
   heartbeat.leaving = agent->leaving;
   heartbeat.endpoint = (char *)agent->settings.endpoint;
@@ -39,12 +38,19 @@
   heartbeat.load = &load;
   heartbeat.records = bt_count_arbiter_records (agent->arbiter);
   heartbeat.record_room = bt_count_arbiter_room (agent->arbiter);
-  pthread_mutex_unlock (&agent->lock);
   frame.body_case = BILBERRY__FRAME__BODY_HEARTBEAT;
   frame.heartbeat = &heartbeat;
   bt_send_frame (agent->ctx, link, &frame);
 }
 
+static void
+send_heartbeat (bt_agent_t *agent, bt_link_t *link)
+{
+  pthread_mutex_lock (&agent->lock);
+  send_heartbeat_locked (agent, link);
+  pthread_mutex_unlock (&agent->lock);
+}
+
 static void
 take_dispatch (bt_agent_t *agent, bt_link_t *link, const Bilberry__Dispatch *frame)
 {
@@ -155,6 +161,8 @@
     take_grant_request (agent, link, frame->grant_request);
   else if (frame->body_case == BILBERRY__FRAME__BODY_TOMBSTONE_REQUEST)
     take_tombstone_request (agent, link, frame->tombstone_request);
+  else
+    bt_take_map_agent_frame (agent->maps, link, frame);
 }
 
 static void
@@ -182,6 +190,7 @@
   bt_tick_arbiter (agent->ctx, agent->arbiter, bt_now_ms (agent->ctx));
   pthread_mutex_unlock (&agent->lock);
   send_heartbeat (agent, link);
+  bt_announce_map_agent (agent->maps, link);
 }
 
 static const bt_link_handler_vtable_t link_vtable = { on_link_up, on_link_frame, on_link_down,
@@ -227,6 +236,28 @@
   return agent->port >= 0;
 }
 
+static bool
+start_maps (bt_agent_t *agent, bt_error_t *error)
+{
+  const bt_agent_settings_t *settings = &agent->settings;
+  bt_map_agent_settings_t maps = { 0 };
+
+  if (settings->group[0] == '\0')
+    return true;
+  if (settings->rank_url[0] == '\0' || settings->store_url[0] == '\0')
+    return bt_set_error (error, BT_ERROR_USAGE, "--group needs --rank-url and --store-url.");
+  maps.group = settings->group;
+  maps.rank = settings->rank;
+  maps.rank_url = settings->rank_url;
+  maps.store_url = settings->store_url;
+  maps.store_prefix = settings->map_prefix;
+  maps.call_ms = settings->map_call_ms;
+  maps.ask_ms = settings->map_ask_ms;
+  maps.give_up_ms = settings->map_give_up_ms;
+  agent->maps = bt_new_map_agent (agent->ctx, &maps, agent->incarnation, error);
+  return agent->maps != NULL;
+}
+
 static bool
 start_agent (bt_agent_t *agent, bt_error_t *error)
 {
@@ -244,7 +275,7 @@
     bt_log (agent->ctx, BT_LOG_INFO, BT_PART_ENGINE, "Cancelled %d runs of an earlier agent.",
             cancelled);
   agent->upstream = bt_new_upstream (agent->ctx, &options, error);
-  if (agent->upstream == NULL || !start_links (agent, error))
+  if (agent->upstream == NULL || !start_maps (agent, error) || !start_links (agent, error))
     return false;
   if (agent->settings.page[0] == '\0')
     return true;
@@ -310,6 +341,8 @@
   agent->leaving = true;
   bt_set_run_queue_leaving (agent->queue, true);
   bt_set_arbiter_leaving (agent->arbiter, bt_now_ms (ctx));
+  for (bt_agent_link_t *at = agent->links; at != NULL; at = at->next)
+    send_heartbeat_locked (agent, at->link);
   pthread_mutex_unlock (&agent->lock);
   bt_log (ctx, BT_LOG_INFO, BT_PART_MAIN,
           "Leaving: no new work is taken; keys are arbitrated until their tickets have expired.");
@@ -335,6 +368,7 @@
   bt_drop_upstream (ctx, agent->upstream);
   bt_drop_agent_runs (agent);
   bt_drop_link_loop (ctx, agent->loop);
+  bt_drop_map_agent (ctx, agent->maps);
   while (agent->links != NULL)
     remove_link (agent, agent->links->link);
   bt_drop_run_queue (ctx, agent->queue);
--- a/source/entry/entry.c
+++ b/source/entry/entry.c
@@ -5,6 +5,7 @@
 
 #include "bilberrytray/base/log.h"
 #include "bilberrytray/base/random.h"
+#include "config_driver.h"
 #include "entry_private.h"
 
 enum
@@ -27,6 +28,9 @@
       bt_expire_calls (entry, now_ms);
       bt_place_waiting_calls (entry);
       bt_dial_peers (entry, now_ms);
+      bt_set_gauge (entry->admitting,
+                    entry->declarations != NULL
+                        && bt_get_config_refusal (entry, now_ms) == BT_REASON_NONE);
       pthread_mutex_unlock (&entry->lock);
       bt_sleep_ms (TICK_MS);
     }
@@ -57,10 +61,30 @@
          && bt_listen_links (entry->ctx, entry->loop, settings->link_listen, error) >= 0;
 }
 
+static bool
+start_maps (bt_entry_t *entry, bt_error_t *error)
+{
+  const bt_entry_settings_t *settings = &entry->settings;
+  bt_map_control_settings_t maps = { 0 };
+
+  if (settings->group[0] == '\0')
+    return true;
+  maps.instance = settings->instance;
+  maps.group = settings->group;
+  maps.ranks = settings->ranks;
+  maps.store_url = settings->store_url;
+  maps.store_prefix = settings->map_prefix;
+  maps.lease_s = settings->map_lease_s;
+  maps.arm_steps = settings->arm_steps;
+  maps.stage_limit_ms = settings->stage_limit_ms;
+  entry->maps = bt_new_map_control (entry->ctx, &maps, error);
+  return entry->maps != NULL;
+}
+
 static bool
 start_entry (bt_entry_t *entry, bt_error_t *error)
 {
-  if (!start_links (entry, error))
+  if (!start_maps (entry, error) || !start_links (entry, error))
     return false;
   entry->http = bt_new_http_server (entry->ctx, entry, &entry->settings, error);
   if (entry->http == NULL)
@@ -110,6 +134,9 @@
   bt_prepare_outcome_counters (ctx);
   entry->endpoints_up = bt_find_counter (ctx, BT_GAUGE, "bilberry_endpoints_up",
                                          "Endpoints with a live link.", NULL, NULL);
+  entry->admitting =
+      bt_find_counter (ctx, BT_GAUGE, "bilberry_admitting",
+                       "1 while requests are admitted, 0 while not ready or isolated.", NULL, NULL);
   if (start_entry (entry, error))
     return entry;
   bt_drop_entry (ctx, entry);
@@ -197,6 +224,7 @@
   pthread_mutex_unlock (&entry->lock);
   bt_drop_http_server (ctx, entry->http);
   bt_drop_link_loop (ctx, entry->loop);
+  bt_drop_map_control (ctx, entry->maps);
   drop_peers (entry);
   bt_drop_admission (ctx, entry->admission);
   bt_drop_retry_budget (ctx, entry->budget);
