Plan maps in bilberryd from the loads that the ranks report

Agents read their engine's loads each second and report them; the entry that holds the lease plans, stores the map's bytes in the key-value service and begins the round; orders to stage and to join carry the bytes, which the agent checks against the digest. Process test: a hot expert in each layer leads to a new map that stays; a new controller finds the bytes of a map that it did not plan.

--- a/source/agent/map_agent.c
+++ b/source/agent/map_agent.c
@@ -16,6 +16,7 @@
 enum
 {
   TICK_MS = 10,
+  LOADS_MS = 1000,
   MAX_LINKS = 64,
   KEY_BYTES = 256,
   SETTLE_SPARE_MS = 100,
@@ -39,6 +40,8 @@
   bool read_floor;
   bt_link_t *links[MAX_LINKS];
   int32_t link_count;
+  uint64_t map_digest; /* of the bytes that came with the last order */
+  bt_map_bytes_t map;
 };
 
 static void
@@ -148,6 +151,28 @@
     }
 }
 
+/* Keeps the bytes that a map is staged or joined with. An order whose bytes are not the map that it
+ * names is damaged, and not taken at all. */
+static bool
+keep_map (bt_map_agent_t *agent, const bt_map_order_t *order, const Bilberry__MapOrder *frame)
+{
+  bt_expert_map_t *map;
+  bool same;
+
+  if (frame->map.len == 0)
+    return true;
+  map = bt_decode_expert_map (agent->ctx, frame->map.data, (uint32_t)frame->map.len, NULL);
+  same = map != NULL && bt_digest_expert_map (agent->ctx, map) == order->digest;
+  bt_drop_expert_map (agent->ctx, map);
+  if (!same)
+    return false;
+  bt_free (agent->ctx, agent->map.data);
+  agent->map.data = bt_memdup (agent->ctx, frame->map.data, frame->map.len);
+  agent->map.bytes = (uint32_t)frame->map.len;
+  agent->map_digest = order->digest;
+  return true;
+}
+
 static void
 take_frame (bt_map_agent_t *agent, const bt_frame_t *frame)
 {
@@ -166,7 +191,8 @@
       bt_read_map_tell (frame->map_tell, &tell);
       bt_take_map_tell (agent->ctx, agent->rank, &tell, now_ms, &agent->actions);
     }
-  else if (bt_read_map_order (frame->map_order, &order))
+  else if (bt_read_map_order (frame->map_order, &order)
+           && keep_map (agent, &order, frame->map_order))
     bt_take_map_order (agent->ctx, agent->rank, &order, now_ms, &agent->actions);
 }
 
@@ -183,13 +209,13 @@
 }
 
 static void
-call_engine (bt_map_agent_t *agent, const bt_map_action_t *call)
+call_engine (bt_map_agent_t *agent, const bt_map_action_t *call, const bt_map_bytes_t *map)
 {
   bt_engine_state_t state = { 0 };
   bt_error_t error = { 0 };
   bool accepted = false;
   bool answered =
-      bt_call_map_engine (agent->ctx, agent->engine, &call->order, &accepted, &state, &error);
+      bt_call_map_engine (agent->ctx, agent->engine, &call->order, map, &accepted, &state, &error);
 
   if (!answered)
     bt_log (agent->ctx, BT_LOG_WARNING, BT_PART_MAPS, "Order %s had no answer: %s",
@@ -222,14 +248,44 @@
   bt_drop_kv_range (agent->ctx, &range);
 }
 
+/* Loads are for planning only: one reading lost is one reading late. */
+static void
+report_loads (bt_map_agent_t *agent)
+{
+  bt_map_loads_t loads = { 0 };
+
+  if (!bt_read_map_loads (agent->ctx, agent->engine, &loads))
+    return;
+  pthread_mutex_lock (&agent->lock);
+  forget_closed_links (agent);
+  for (int32_t i = 0; i < agent->link_count; i++)
+    bt_send_map_loads (agent->ctx, agent->links[i], agent->settings.group, agent->settings.rank,
+                       &loads);
+  pthread_mutex_unlock (&agent->lock);
+  bt_free (agent->ctx, loads.tokens);
+}
+
+/* Copies the bytes that belong to the order under way. With the lock held. */
+static void
+copy_map (const bt_map_agent_t *agent, const bt_map_order_t *order, bt_map_bytes_t *map)
+{
+  if ((order->kind != BT_MAP_STAGE && order->kind != BT_MAP_JOIN)
+      || agent->map_digest != order->digest || agent->map.bytes == 0)
+    return;
+  map->bytes = agent->map.bytes;
+  map->data = bt_memdup (agent->ctx, agent->map.data, agent->map.bytes);
+}
+
 static void *
 run_map_agent (void *data)
 {
   bt_map_agent_t *agent = data;
+  int64_t loads_ms = 0;
 
   while (ck_pr_load_int (&agent->stopping) == 0)
     {
       bt_map_action_t call;
+      bt_map_bytes_t map = { 0 };
       bool calling;
       bool reading;
 
@@ -240,11 +296,19 @@
       calling = agent->calling;
       reading = agent->read_floor;
       agent->calling = agent->read_floor = false;
+      if (calling)
+        copy_map (agent, &call.order, &map);
       pthread_mutex_unlock (&agent->lock);
       if (calling)
-        call_engine (agent, &call);
+        call_engine (agent, &call, &map);
+      bt_free (agent->ctx, map.data);
       if (reading)
         read_floor (agent);
+      if (!calling && bt_now_ms (agent->ctx) >= loads_ms)
+        {
+          loads_ms = bt_now_ms (agent->ctx) + LOADS_MS;
+          report_loads (agent);
+        }
       if (!calling)
         bt_sleep_ms (TICK_MS);
     }
@@ -303,6 +367,7 @@
     pthread_join (agent->thread, NULL);
   for (int32_t i = 0; i < agent->link_count; i++)
     bt_drop_link (ctx, agent->links[i]);
+  bt_free (ctx, agent->map.data);
   bt_drop_map_engine (ctx, agent->engine);
   bt_drop_kv (ctx, agent->kv);
   bt_drop_map_rank (ctx, agent->rank);
--- a/source/agent/map_engine.c
+++ b/source/agent/map_engine.c
@@ -11,7 +11,8 @@
   URL_BYTES = 256,
   HEX_BYTES = 20,
   HTTP_OK = 200,
-  ANSWER_BYTES = 1 << 16,
+  ANSWER_BYTES = 4 << 20,
+  HEX_A_BYTE = 2,
   BASE_HEX = 16,
 };
 
@@ -20,6 +21,7 @@
   bt_http_client_t *client;
   char orders_url[URL_BYTES];
   char state_url[URL_BYTES];
+  char loads_url[URL_BYTES];
 };
 
 bt_map_engine_t *
@@ -30,6 +32,7 @@
 
   snprintf (engine->orders_url, sizeof engine->orders_url, "%s/orders", url);
   snprintf (engine->state_url, sizeof engine->state_url, "%s/state", url);
+  snprintf (engine->loads_url, sizeof engine->loads_url, "%s/loads", url);
   engine->client = bt_new_http_client (ctx, &limits, cancelled);
   return engine;
 }
@@ -77,19 +80,32 @@
   state->decided_apply = json_is_true (json_object_get (body, "decided_apply"));
 }
 
+/* Freed by the caller. */
 static char *
-write_order (const bt_map_order_t *order)
+write_hex (bt_context_t *ctx, const bt_map_bytes_t *map)
 {
+  char *text = bt_calloc (ctx, (size_t)map->bytes * HEX_A_BYTE + 1, 1);
+
+  for (uint32_t i = 0; i < map->bytes; i++)
+    snprintf (text + (size_t)i * HEX_A_BYTE, HEX_A_BYTE + 1, "%02x", map->data[i]);
+  return text;
+}
+
+static char *
+write_order (bt_context_t *ctx, const bt_map_order_t *order, const bt_map_bytes_t *map)
+{
+  char *hex = write_hex (ctx, map);
   char digest[HEX_BYTES];
   json_t *body;
   char *text;
 
   snprintf (digest, sizeof digest, "%llx", (unsigned long long)order->digest);
-  body = json_pack ("{s:s,s:I,s:[I,I],s:I,s:s,s:b,s:b,s:s}", "kind",
+  body = json_pack ("{s:s,s:I,s:[I,I],s:I,s:s,s:b,s:b,s:s,s:s}", "kind",
                     bt_name_map_order (order->kind), "fence", (json_int_t)order->fence, "round",
                     (json_int_t)order->round.fence, (json_int_t)order->round.sequence, "step",
                     (json_int_t)order->step, "digest", digest, "apply", (int)order->apply, "hold",
-                    (int)order->hold, "argument", order->argument);
+                    (int)order->hold, "argument", order->argument, "map", hex);
+  bt_free (ctx, hex);
   text = json_dumps (body, JSON_COMPACT);
   json_decref (body);
   return text;
@@ -110,12 +126,13 @@
 bt_call_map_engine (bt_context_t *ctx,
                     bt_map_engine_t *engine,
                     const bt_map_order_t *order,
+                    const bt_map_bytes_t *map,
                     bool *accepted,
                     bt_engine_state_t *state,
                     bt_error_t *error)
 {
   bool query = order->kind == BT_MAP_QUERY;
-  char *text = query ? NULL : write_order (order);
+  char *text = query ? NULL : write_order (ctx, order, map);
   bt_http_request_t request = { query ? engine->state_url : engine->orders_url, text };
   bt_http_answer_t answer = { 0 };
   json_t *body = NULL;
@@ -129,3 +146,32 @@
   json_decref (body);
   return true;
 }
+
+bool
+bt_read_map_loads (bt_context_t *ctx, bt_map_engine_t *engine, bt_map_loads_t *loads)
+{
+  bt_http_request_t request = { engine->loads_url };
+  bt_http_answer_t answer = { 0 };
+  bt_error_t error = { 0 };
+  json_t *body = NULL;
+  const json_t *tokens;
+
+  if (!bt_call_http (ctx, engine->client, &request, &answer, &error)
+      || !read_answer (&answer, &body, &error))
+    return false;
+  loads->layers = (int32_t)json_integer_value (json_object_get (body, "layers"));
+  loads->experts = (int32_t)json_integer_value (json_object_get (body, "experts"));
+  tokens = json_object_get (body, "tokens");
+  if (loads->layers < 1 || loads->layers > BT_MAP_MAX_LAYERS || loads->experts < 1
+      || loads->experts > BT_MAP_MAX_EXPERTS
+      || json_array_size (tokens) != (size_t)loads->layers * (size_t)loads->experts)
+    {
+      json_decref (body);
+      return false;
+    }
+  loads->tokens = bt_calloc (ctx, json_array_size (tokens), sizeof *loads->tokens);
+  for (size_t i = 0; i < json_array_size (tokens); i++)
+    loads->tokens[i] = (uint32_t)json_integer_value (json_array_get (tokens, i));
+  json_decref (body);
+  return true;
+}
--- a/source/agent/map_engine.h
+++ b/source/agent/map_engine.h
@@ -6,6 +6,7 @@
  */
 
 #include "bilberrytray/base/error.h"
+#include "bilberrytray/core/expert_map.h"
 #include "bilberrytray/core/map_round.h"
 
 typedef struct bt_map_engine bt_map_engine_t;
@@ -18,11 +19,24 @@
 /** NULL is accepted. */
 void bt_drop_map_engine (bt_context_t *ctx, bt_map_engine_t *engine);
 
-/** Gives an order and reads the engine's state after it; a query only reads. False when no whole
+/** The tokens that experts of the rank were given since the last reading. */
+typedef struct bt_map_loads
+{
+  int32_t layers;
+  int32_t experts;
+  uint32_t *tokens; /**< Layer by layer; free it with bt_free. */
+} bt_map_loads_t;
+
+/** Reads GET URL/loads; false when the engine has none or did not answer. */
+bool bt_read_map_loads (bt_context_t *ctx, bt_map_engine_t *engine, bt_map_loads_t *loads);
+
+/** Gives an order and reads the engine's state after it; a query only reads. @p map, the
+ * bytes of the map that is staged or joined with, may be empty. False when no whole
  * answer came: the order may have taken effect. */
 bool bt_call_map_engine (bt_context_t *ctx,
                          bt_map_engine_t *engine,
                          const bt_map_order_t *order,
+                         const bt_map_bytes_t *map,
                          bool *accepted,
                          bt_engine_state_t *state,
                          bt_error_t *error);
--- a/source/agent/map_messages.c
+++ b/source/agent/map_messages.c
@@ -116,6 +116,27 @@
   bt_send_frame (ctx, link, &frame);
 }
 
+void
+bt_send_map_loads (bt_context_t *ctx,
+                   bt_link_t *link,
+                   const char *group,
+                   int64_t rank,
+                   const bt_map_loads_t *loads)
+{
+  Bilberry__MapReport message = BILBERRY__MAP_REPORT__INIT;
+  bt_frame_t frame = BILBERRY__FRAME__INIT;
+
+  message.group = (char *)group;
+  message.rank = (uint32_t)rank;
+  message.layers = (uint32_t)loads->layers;
+  message.experts = (uint32_t)loads->experts;
+  message.n_expert_load = (size_t)loads->layers * (size_t)loads->experts;
+  message.expert_load = loads->tokens;
+  frame.body_case = BILBERRY__FRAME__BODY_MAP_REPORT;
+  frame.map_report = &message;
+  bt_send_frame (ctx, link, &frame);
+}
+
 static void
 fill_ask (Bilberry__MapAsk *message,
           Bilberry__MapRound *round,
--- a/source/agent/map_messages.h
+++ b/source/agent/map_messages.h
@@ -7,6 +7,7 @@
 
 #include "bilberrytray/core/map_round.h"
 #include "bilberrytray/wire/link.h"
+#include "map_engine.h"
 
 /** Reads an order; false when its kind or rank is none. */
 bool bt_read_map_order (const Bilberry__MapOrder *frame, bt_map_order_t *order);
@@ -18,6 +19,12 @@
                          bt_link_t *link,
                          const char *group,
                          const bt_map_report_t *report);
+/** A report without an order, which carries loads. */
+void bt_send_map_loads (bt_context_t *ctx,
+                        bt_link_t *link,
+                        const char *group,
+                        int64_t rank,
+                        const bt_map_loads_t *loads);
 void
 bt_send_map_ask (bt_context_t *ctx, bt_link_t *link, const char *group, const bt_map_ask_t *ask);
 void
--- a/source/entry/entry.c
+++ b/source/entry/entry.c
@@ -57,11 +57,37 @@
          && bt_listen_links (entry->ctx, entry->loop, settings->link_listen, error) >= 0;
 }
 
+static const double percent = 100.0;
+static const int64_t bytes_per_mb = 1000000;
+
+static void
+fill_planning (const bt_entry_settings_t *settings, bt_map_planning_settings_t *planning)
+{
+  planning->group = settings->group;
+  planning->store_prefix = settings->map_prefix;
+  planning->shape.layers = (int32_t)settings->layers;
+  planning->shape.experts = (int32_t)settings->experts;
+  planning->shape.ranks = (int32_t)settings->ranks;
+  planning->weights.skew_weight = (double)settings->skew_weight / percent;
+  planning->weights.cost_weight = (double)settings->cost_weight / percent;
+  planning->weights.pay_ratio = (double)settings->pay_percent / percent;
+  planning->weights.horizon_ms = settings->horizon_ms;
+  planning->weights.min_stay_ms = settings->min_stay_ms;
+  planning->limits.slots = (int32_t)settings->expert_slots;
+  planning->limits.expert_bytes = settings->expert_bytes;
+  planning->limits.move_us_per_mb = settings->move_us_per_mb;
+  planning->limits.round_bytes = settings->round_mb * bytes_per_mb;
+  planning->limits.expert_share = (double)settings->expert_percent / percent;
+  planning->half_life_ms = settings->half_life_ms;
+  planning->interval_ms = settings->plan_ms;
+}
+
 static bool
 start_maps (bt_entry_t *entry, bt_error_t *error)
 {
   const bt_entry_settings_t *settings = &entry->settings;
   bt_map_control_settings_t maps = { 0 };
+  bt_map_planning_settings_t planning = { 0 };
 
   if (settings->group[0] == '\0')
     return true;
@@ -73,6 +99,11 @@
   maps.lease_s = settings->map_lease_s;
   maps.arm_steps = settings->arm_steps;
   maps.stage_limit_ms = settings->stage_limit_ms;
+  if (settings->layers > 0)
+    {
+      fill_planning (settings, &planning);
+      maps.planning = &planning;
+    }
   entry->maps = bt_new_map_control (entry->ctx, &maps, error);
   return entry->maps != NULL;
 }
--- a/source/entry/entry.h
+++ b/source/entry/entry.h
@@ -50,6 +50,20 @@
   int64_t map_lease_s;
   int64_t arm_steps;
   int64_t stage_limit_ms;
+  int64_t layers;
+  int64_t experts;
+  int64_t expert_slots;
+  int64_t expert_bytes;
+  int64_t skew_weight;
+  int64_t cost_weight;
+  int64_t pay_percent;
+  int64_t horizon_ms;
+  int64_t min_stay_ms;
+  int64_t move_us_per_mb;
+  int64_t round_mb;
+  int64_t expert_percent;
+  int64_t half_life_ms;
+  int64_t plan_ms;
 } bt_entry_settings_t;
 
 /** An instance that the instance list names. */
--- a/source/entry/map_control.c
+++ b/source/entry/map_control.c
@@ -35,6 +35,7 @@
   bt_map_control_settings_t settings;
   bt_kv_t *kv;
   bt_map_lease_t *lease;
+  bt_map_planning_t *planning; /* NULL: none */
   pthread_t threads[2];
   int32_t thread_count;
   atomic_bool stopping;
@@ -43,7 +44,8 @@
   bt_map_controller_t *controller;
   bt_map_actions_t actions;
   bt_link_t *links[BT_MAP_MAX_RANKS];
-  uint64_t wanted; /* digest; 0: none */
+  uint64_t wanted;  /* digest; 0: none */
+  uint64_t planned; /* digest; 0: none */
   bt_round_phase_t phase;
   bt_counter_t *controls; /* gauge */
   bt_counter_t *held;     /* gauge: ranks that wait for a decision */
@@ -76,6 +78,8 @@
 {
   bt_map_report_t report = { 0 };
 
+  if (control->planning != NULL && frame->n_expert_load > 0)
+    bt_take_map_loads (control->planning, frame, bt_now_ms (control->ctx));
   if (!bt_read_map_report (frame, &report) || report.rank >= control->settings.ranks)
     return;
   set_link (control, report.rank, link);
@@ -134,8 +138,29 @@
 {
   const bt_engine_state_t *engine = bt_get_reported_engine (control->controller, 0);
 
-  if (control->wanted != 0 && engine != NULL && engine->in_use_digest != control->wanted)
-    bt_begin_map_round (control->controller, control->wanted, now_ms);
+  uint64_t digest = control->wanted != 0 ? control->wanted : control->planned;
+
+  if (digest == 0 || engine == NULL)
+    return;
+  if (engine->in_use_digest != digest && !bt_begin_map_round (control->controller, digest, now_ms))
+    return;
+  control->planned = 0;
+}
+
+/* A rank can't stage or join with a map whose bytes are not at hand yet; the order is sent again.
+ */
+static void
+send_order (bt_map_control_t *control, const bt_map_order_t *order)
+{
+  bt_map_bytes_t map = { 0 };
+  bool carries_map = order->kind == BT_MAP_STAGE || order->kind == BT_MAP_JOIN;
+
+  if (control->planning != NULL && carries_map
+      && !bt_copy_map_bytes (control->planning, order->digest, &map))
+    return;
+  bt_send_map_order (control->ctx, control->links[order->rank], control->settings.group, order,
+                     &map);
+  bt_free (control->ctx, map.data);
 }
 
 static void
@@ -169,8 +194,7 @@
        * agents. Looking once more only makes that rarer. */
       if (control->links[order->rank] != NULL
           && bt_holds_map_lease (control->controller, bt_now_ms (control->ctx)))
-        bt_send_map_order (control->ctx, control->links[order->rank], control->settings.group,
-                           order);
+        send_order (control, order);
     }
   control->actions.count = 0;
   phase = bt_get_round_phase (control->controller);
@@ -237,6 +261,56 @@
     bt_forget_map_lease (control->lease);
 }
 
+/* The digests that the ranks stand at, so that a new controller has the bytes to go on with. */
+static int32_t
+list_reported_maps (bt_map_control_t *control, uint64_t *digests, uint64_t *in_use)
+{
+  const bt_engine_state_t *decider;
+  int32_t count = 0;
+
+  pthread_mutex_lock (&control->lock);
+  decider = bt_get_reported_engine (control->controller, 0);
+  *in_use = 0;
+  if (bt_holds_map_lease (control->controller, bt_now_ms (control->ctx)) && decider != NULL
+      && bt_is_map_group_whole (control->controller)
+      && bt_get_round_phase (control->controller) == BT_ROUND_NONE)
+    *in_use = decider->in_use_digest;
+  digests[count++] = control->wanted;
+  for (int32_t rank = 0; rank < control->settings.ranks; rank++)
+    {
+      const bt_engine_state_t *engine = bt_get_reported_engine (control->controller, rank);
+
+      if (engine == NULL)
+        continue;
+      digests[count++] = engine->in_use_digest;
+      digests[count++] = engine->staged_digest;
+    }
+  pthread_mutex_unlock (&control->lock);
+  return count;
+}
+
+static void
+plan_maps (bt_map_control_t *control)
+{
+  uint64_t digests[2 * BT_MAP_MAX_RANKS + 1];
+  uint64_t in_use;
+  uint64_t planned;
+  int32_t count;
+
+  if (control->planning == NULL)
+    return;
+  count = list_reported_maps (control, digests, &in_use);
+  for (int32_t i = 0; i < count; i++)
+    bt_fetch_map (control->planning, control->kv, digests[i]);
+  if (in_use == 0)
+    return;
+  planned = bt_plan_next_map (control->planning, control->kv, in_use, bt_now_ms (control->ctx));
+  pthread_mutex_lock (&control->lock);
+  if (planned != 0)
+    control->planned = planned;
+  pthread_mutex_unlock (&control->lock);
+}
+
 static void *
 run_lease (void *data)
 {
@@ -246,6 +320,7 @@
     {
       hold_lease (control);
       read_wanted (control);
+      plan_maps (control);
       for (int32_t waited = 0; waited < LEASE_PAUSE_MS && !atomic_load (&control->stopping);
            waited += PAUSE_SLICE_MS)
         bt_sleep_ms (PAUSE_SLICE_MS);
@@ -263,7 +338,9 @@
 }
 
 static bt_map_controller_t *
-make_controller (bt_context_t *ctx, const bt_map_control_settings_t *settings)
+make_controller (bt_context_t *ctx,
+                 const bt_map_control_settings_t *settings,
+                 const bt_map_planning_t *planning)
 {
   bt_map_controller_settings_t controller = { 0 };
 
@@ -274,7 +351,7 @@
   controller.arm_limit_ms = ARM_LIMIT_MS;
   controller.stage_limit_ms = settings->stage_limit_ms;
   controller.arm_steps = (uint64_t)settings->arm_steps;
-  controller.first_digest = 1;
+  controller.first_digest = planning == NULL ? 1 : bt_get_first_map (planning);
   return bt_new_map_controller (ctx, &controller);
 }
 
@@ -292,7 +369,9 @@
   control->kv = bt_new_etcd_kv (ctx, &kv);
   control->lease = bt_new_map_lease (ctx, control->kv, settings->store_prefix, settings->group,
                                      settings->instance, settings->lease_s);
-  control->controller = make_controller (ctx, settings);
+  if (settings->planning != NULL)
+    control->planning = bt_new_map_planning (ctx, settings->planning);
+  control->controller = make_controller (ctx, settings, control->planning);
   control->controls = bt_find_counter (ctx, BT_GAUGE, "bilberry_map_controller",
                                        "1 on the entry that controls the group.", NULL, NULL);
   control->held = bt_find_counter (ctx, BT_GAUGE, "bilberry_map_undecided_ranks",
@@ -317,6 +396,7 @@
   bt_drop_map_controller (ctx, control->controller);
   bt_clear_map_actions (ctx, &control->actions);
   bt_drop_map_lease (ctx, control->lease);
+  bt_drop_map_planning (ctx, control->planning);
   bt_drop_kv (ctx, control->kv);
   pthread_mutex_destroy (&control->lock);
   bt_free (ctx, control);
--- a/source/entry/map_control.h
+++ b/source/entry/map_control.h
@@ -6,11 +6,13 @@
  * their threads, the lease, and the ranks' links. Every entry passes the ranks' questions on; the
  * one that holds the lease gives orders.
  *
- * The map to bring into use is the digest in the key PREFIX GROUP /wanted.
+ * The map to bring into use is the digest in the key PREFIX GROUP /wanted; without it, one that the
+ * planner finds to pay.
  */
 
 #include "bilberrytray/base/error.h"
 #include "bilberrytray/wire/link.h"
+#include "map_planning.h"
 
 typedef struct bt_map_control bt_map_control_t;
 
@@ -25,6 +27,7 @@
   int64_t lease_s;
   int64_t arm_steps;
   int64_t stage_limit_ms;
+  const bt_map_planning_settings_t *planning; /**< Copied; NULL: only wanted maps are used. */
 } bt_map_control_settings_t;
 
 bt_map_control_t *bt_new_map_control (bt_context_t *ctx,
--- a/source/entry/map_messages.c
+++ b/source/entry/map_messages.c
@@ -1,7 +1,5 @@
 #include "map_messages.h"
 
-#include "bilberrytray/core/expert_map.h"
-
 static const Bilberry__MapOrder__Kind kinds[] = {
   [BT_MAP_STAGE] = BILBERRY__MAP_ORDER__KIND__STAGE,
   [BT_MAP_ARM] = BILBERRY__MAP_ORDER__KIND__ARM,
@@ -20,7 +18,8 @@
 bt_send_map_order (bt_context_t *ctx,
                    bt_link_t *link,
                    const char *group,
-                   const bt_map_order_t *order)
+                   const bt_map_order_t *order,
+                   const bt_map_bytes_t *map)
 {
   Bilberry__MapOrder message = BILBERRY__MAP_ORDER__INIT;
   bt_frame_t frame = BILBERRY__FRAME__INIT;
@@ -37,6 +36,8 @@
   message.digest = order->digest;
   message.apply = order->apply;
   message.argument = (char *)order->argument;
+  message.map.data = map->data;
+  message.map.len = map->bytes;
   frame.body_case = BILBERRY__FRAME__BODY_MAP_ORDER;
   frame.map_order = &message;
   bt_send_frame (ctx, link, &frame);
--- /dev/null
+++ b/source/entry/map_planning.c
@@ -0,0 +1,303 @@
+#include "map_planning.h"
+
+#include <pthread.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "bilberrytray/base/counters.h"
+#include "bilberrytray/base/log.h"
+
+enum
+{
+  KEPT_MAPS = 4,
+  KEY_BYTES = 256,
+  PERCENT = 100,
+};
+
+/** A map at hand. */
+typedef struct kept_map
+{
+  uint64_t digest;
+  bt_expert_map_t *map;
+  bt_map_bytes_t bytes;
+} kept_map_t;
+
+struct bt_map_planning
+{
+  bt_context_t *ctx;
+  bt_map_planning_settings_t settings;
+  uint64_t first_digest;
+  bt_map_history_t *history;
+  uint64_t in_use; /* when history was last told */
+  int64_t plan_ms; /* next plan */
+  bt_counter_t *skew;
+  bt_counter_t *moved;
+
+  pthread_mutex_t lock; /* guards what stands below */
+  bt_expert_load_t *load;
+  bool loaded;
+  kept_map_t maps[KEPT_MAPS];
+  int32_t next_map; /* to be overwritten */
+};
+
+/* Takes over the map. With the lock held. */
+static uint64_t
+keep_map (bt_map_planning_t *planning, bt_expert_map_t *map)
+{
+  kept_map_t *kept = &planning->maps[planning->next_map];
+
+  /* Plans that are dropped must not push out the map in use. */
+  if (kept->map != NULL && kept->digest == planning->in_use)
+    {
+      planning->next_map = (planning->next_map + 1) % KEPT_MAPS;
+      kept = &planning->maps[planning->next_map];
+    }
+  bt_drop_expert_map (planning->ctx, kept->map);
+  bt_free (planning->ctx, kept->bytes.data);
+  memset (kept, 0, sizeof *kept);
+  kept->map = map;
+  kept->digest = bt_digest_expert_map (planning->ctx, map);
+  bt_encode_expert_map (planning->ctx, map, &kept->bytes, NULL);
+  planning->next_map = (planning->next_map + 1) % KEPT_MAPS;
+  return kept->digest;
+}
+
+static const kept_map_t *
+find_map (const bt_map_planning_t *planning, uint64_t digest)
+{
+  for (int32_t i = 0; i < KEPT_MAPS; i++)
+    if (planning->maps[i].map != NULL && planning->maps[i].digest == digest)
+      return &planning->maps[i];
+  return NULL;
+}
+
+bt_map_planning_t *
+bt_new_map_planning (bt_context_t *ctx, const bt_map_planning_settings_t *settings)
+{
+  bt_map_planning_t *planning = bt_calloc (ctx, 1, sizeof *planning);
+  bt_map_shape_t shape = settings->shape;
+
+  planning->ctx = ctx;
+  planning->settings = *settings;
+  pthread_mutex_init (&planning->lock, NULL);
+  planning->load = bt_new_expert_load (ctx, shape.layers, shape.experts, settings->half_life_ms);
+  planning->history = bt_new_map_history (ctx, shape);
+  planning->first_digest = keep_map (planning, bt_new_block_expert_map (ctx, shape, NULL));
+  planning->skew = bt_find_counter (ctx, BT_GAUGE, "bilberry_map_skew_percent",
+                                    "Predicted step-time skew of the map in use.", NULL, NULL);
+  planning->moved = bt_find_counter (ctx, BT_COUNTER, "bilberry_map_planned_bytes_total",
+                                     "Bytes of the moves that were planned.", NULL, NULL);
+  return planning;
+}
+
+void
+bt_drop_map_planning (bt_context_t *ctx, bt_map_planning_t *planning)
+{
+  if (planning == NULL)
+    return;
+  for (int32_t i = 0; i < KEPT_MAPS; i++)
+    {
+      bt_drop_expert_map (ctx, planning->maps[i].map);
+      bt_free (ctx, planning->maps[i].bytes.data);
+    }
+  bt_drop_expert_load (ctx, planning->load);
+  bt_drop_map_history (ctx, planning->history);
+  pthread_mutex_destroy (&planning->lock);
+  bt_free (ctx, planning);
+}
+
+uint64_t
+bt_get_first_map (const bt_map_planning_t *planning)
+{
+  return planning->first_digest;
+}
+
+void
+bt_take_map_loads (bt_map_planning_t *planning, const Bilberry__MapReport *frame, int64_t now_ms)
+{
+  bt_map_shape_t shape = planning->settings.shape;
+
+  if (frame->layers != (uint32_t)shape.layers || frame->experts != (uint32_t)shape.experts
+      || frame->n_expert_load != (size_t)shape.layers * (size_t)shape.experts)
+    return;
+  pthread_mutex_lock (&planning->lock);
+  bt_decay_expert_load (planning->load, now_ms);
+  for (int32_t layer = 0; layer < shape.layers; layer++)
+    for (int32_t expert = 0; expert < shape.experts; expert++)
+      bt_add_expert_load (planning->load, layer, expert,
+                          frame->expert_load[layer * shape.experts + expert]);
+  planning->loaded = true;
+  pthread_mutex_unlock (&planning->lock);
+}
+
+bool
+bt_copy_map_bytes (bt_map_planning_t *planning, uint64_t digest, bt_map_bytes_t *bytes)
+{
+  const kept_map_t *kept;
+
+  pthread_mutex_lock (&planning->lock);
+  kept = find_map (planning, digest);
+  if (kept != NULL)
+    {
+      bytes->bytes = kept->bytes.bytes;
+      bytes->data = bt_memdup (planning->ctx, kept->bytes.data, kept->bytes.bytes);
+    }
+  pthread_mutex_unlock (&planning->lock);
+  return kept != NULL;
+}
+
+static void
+name_map (const bt_map_planning_t *planning, uint64_t digest, char *key)
+{
+  snprintf (key, KEY_BYTES, "%s%s/map/%llx", planning->settings.store_prefix,
+            planning->settings.group, (unsigned long long)digest);
+}
+
+static bool
+has_map (bt_map_planning_t *planning, uint64_t digest)
+{
+  bool has;
+
+  pthread_mutex_lock (&planning->lock);
+  has = find_map (planning, digest) != NULL;
+  pthread_mutex_unlock (&planning->lock);
+  return has;
+}
+
+/* A stored map is used only if it is whole, of the group's shape and the one that was asked for. */
+static void
+keep_stored_map (bt_map_planning_t *planning, const bt_kv_pair_t *pair, uint64_t digest)
+{
+  bt_error_t error = { 0 };
+  bt_expert_map_t *map = bt_decode_expert_map (planning->ctx, (const uint8_t *)pair->value,
+                                               (uint32_t)pair->value_bytes, &error);
+  bt_map_shape_t shape;
+
+  if (map == NULL)
+    {
+      bt_log (planning->ctx, BT_LOG_ERROR, BT_PART_MAPS, "A stored map can't be read: %s",
+              error.message);
+      return;
+    }
+  shape = bt_get_map_shape (map);
+  if (memcmp (&shape, &planning->settings.shape, sizeof shape) != 0
+      || bt_digest_expert_map (planning->ctx, map) != digest)
+    {
+      bt_drop_expert_map (planning->ctx, map);
+      return;
+    }
+  pthread_mutex_lock (&planning->lock);
+  keep_map (planning, map);
+  pthread_mutex_unlock (&planning->lock);
+}
+
+void
+bt_fetch_map (bt_map_planning_t *planning, bt_kv_t *kv, uint64_t digest)
+{
+  bt_kv_range_t range = { 0 };
+  bt_error_t error = { 0 };
+  char key[KEY_BYTES];
+
+  if (digest == 0 || has_map (planning, digest))
+    return;
+  name_map (planning, digest, key);
+  if (bt_read_kv (planning->ctx, kv, key, false, &range, &error) && range.count == 1)
+    keep_stored_map (planning, &range.pairs[0], digest);
+  bt_drop_kv_range (planning->ctx, &range);
+}
+
+/* The next plan's base: a copy of the map in use, and its changes noted for the minimum stay. */
+static bt_expert_map_t *
+copy_map_in_use (bt_map_planning_t *planning, uint64_t in_use, int64_t now_ms)
+{
+  const kept_map_t *kept;
+  const kept_map_t *before;
+  bt_expert_map_t *map = NULL;
+
+  pthread_mutex_lock (&planning->lock);
+  kept = find_map (planning, in_use);
+  before = find_map (planning, planning->in_use);
+  if (kept != NULL && before != NULL && kept != before)
+    bt_record_map_change (planning->history, before->map, kept->map, now_ms);
+  if (kept != NULL && planning->loaded)
+    map = bt_copy_expert_map (planning->ctx, kept->map);
+  planning->in_use = in_use;
+  pthread_mutex_unlock (&planning->lock);
+  return map;
+}
+
+static bool
+store_map (bt_map_planning_t *planning, bt_kv_t *kv, const bt_expert_map_t *map, uint64_t digest)
+{
+  bt_map_bytes_t bytes = { 0 };
+  bt_error_t error = { 0 };
+  char key[KEY_BYTES];
+  bt_kv_write_t write = { BT_KV_PUT, key };
+  bool stored;
+
+  name_map (planning, digest, key);
+  if (!bt_encode_expert_map (planning->ctx, map, &bytes, &error))
+    return false;
+  write.value = (const char *)bytes.data;
+  write.value_bytes = bytes.bytes;
+  stored = bt_put_kv (planning->ctx, kv, &write, NULL, &error);
+  bt_free (planning->ctx, bytes.data);
+  return stored;
+}
+
+/* The plan is made from copied loads, so that reports need not wait for it. */
+static bt_map_plan_t *
+make_plan (bt_map_planning_t *planning, const bt_expert_map_t *map, int64_t now_ms)
+{
+  bt_map_shape_t shape = planning->settings.shape;
+  bt_expert_load_t *load = bt_new_expert_load (planning->ctx, shape.layers, shape.experts, 1);
+  bt_map_input_t input = { map, load, planning->history };
+  bt_map_plan_t *plan;
+
+  pthread_mutex_lock (&planning->lock);
+  bt_decay_expert_load (planning->load, now_ms);
+  for (int32_t layer = 0; layer < shape.layers; layer++)
+    for (int32_t expert = 0; expert < shape.experts; expert++)
+      bt_add_expert_load (load, layer, expert, bt_get_expert_load (planning->load, layer, expert));
+  pthread_mutex_unlock (&planning->lock);
+  input.weights = planning->settings.weights;
+  input.limits = planning->settings.limits;
+  input.now_ms = now_ms;
+  plan = bt_plan_map (planning->ctx, bt_paying_map_planner (), &input);
+  bt_drop_expert_load (planning->ctx, load);
+  return plan;
+}
+
+uint64_t
+bt_plan_next_map (bt_map_planning_t *planning, bt_kv_t *kv, uint64_t in_use, int64_t now_ms)
+{
+  bt_expert_map_t *map;
+  bt_map_plan_t *plan;
+  uint64_t digest = 0;
+
+  if (now_ms < planning->plan_ms)
+    return 0;
+  map = copy_map_in_use (planning, in_use, now_ms);
+  if (map == NULL)
+    return 0;
+  planning->plan_ms = now_ms + planning->settings.interval_ms;
+  plan = make_plan (planning, map, now_ms);
+  bt_set_gauge (planning->skew, (int64_t)(plan->skew_before * PERCENT));
+  if (plan->move_count > 0)
+    digest = bt_digest_expert_map (planning->ctx, plan->next);
+  if (digest != 0 && store_map (planning, kv, plan->next, digest))
+    {
+      bt_add_counter (planning->moved, plan->moved_bytes);
+      pthread_mutex_lock (&planning->lock);
+      keep_map (planning, bt_copy_expert_map (planning->ctx, plan->next));
+      pthread_mutex_unlock (&planning->lock);
+      bt_log (planning->ctx, BT_LOG_INFO, BT_PART_MAPS,
+              "Planned map %llx: skew %.3f to %.3f for %lld bytes.", (unsigned long long)digest,
+              plan->skew_before, plan->skew_after, (long long)plan->moved_bytes);
+    }
+  else
+    digest = 0;
+  bt_drop_map_plan (planning->ctx, plan);
+  bt_drop_expert_map (planning->ctx, map);
+  return digest;
+}
--- a/test/process/test_map_group.c
+++ b/test/process/test_map_group.c
@@ -8,6 +8,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "bilberrytray/base/clock.h"
 #include "harness.h"
 
 extern char **environ;
@@ -27,6 +28,12 @@
   "--group", "drafts", "--ranks", "3", "--map-lease-s", "2", "--arm-steps", "60", NULL
 };
 
+static const char *const planning_arguments[] = { "--group",        "drafts",  "--ranks",     "3",
+                                                  "--map-lease-s",  "2",       "--arm-steps", "60",
+                                                  "--layers",       "4",       "--experts",   "12",
+                                                  "--expert-slots", "5",       "--plan-ms",   "500",
+                                                  "--expert-bytes", "1000000", NULL };
+
 static bt_stage_t *stage;
 static pid_t group_pid;
 static int group_port;
@@ -88,9 +95,10 @@
 
 /* The harness starts agents that know of no group; they are started again with it. */
 static int
-start_suite (void)
+start_with (const char *const *arguments)
 {
-  bt_set_stage_arguments (entry_arguments, NULL);
+  unsetenv ("BILBERRY_GROUP");
+  bt_set_stage_arguments (arguments, NULL);
   if (!start_group ())
     return 1;
   stage = bt_new_stage (ENTRIES, RANKS, 0, 1000, rules);
@@ -102,6 +110,18 @@
   return 0;
 }
 
+static int
+start_suite (void)
+{
+  return start_with (entry_arguments);
+}
+
+static int
+start_planned_suite (void)
+{
+  return start_with (planning_arguments);
+}
+
 static int
 end_suite (void)
 {
@@ -363,6 +383,79 @@
   check_group ();
 }
 
+/* The digest that a rank uses, 0 for none. */
+static uint64_t
+read_map (int32_t rank)
+{
+  char path[TEXT_BYTES];
+  json_t *page;
+  const char *digest;
+  uint64_t map;
+
+  snprintf (path, sizeof path, "/ranks/%d/state", rank);
+  page = call_group (path, NULL);
+  digest = json_string_value (json_object_get (page, "in_use_digest"));
+  map = digest == NULL ? 0 : strtoull (digest, NULL, 16);
+  json_decref (page);
+  return map;
+}
+
+static bool
+has_first_map (void *argument)
+{
+  *(uint64_t *)argument = read_map (0);
+  return *(uint64_t *)argument != 0;
+}
+
+static bool
+has_other_map (void *argument)
+{
+  uint64_t map = read_map (1);
+
+  return map != 0 && map != *(uint64_t *)argument && read_map (2) == map && read_map (0) == map;
+}
+
+static bool
+has_same_map (void *argument)
+{
+  return read_map (0) == *(uint64_t *)argument;
+}
+
+/* One expert in each layer is hot and slows every step. The planner's map comes into use by itself,
+ * and stays: a second plan finds nothing that pays. */
+static void
+test_planned_map_comes_into_use (void)
+{
+  uint64_t first = 0;
+  uint64_t planned;
+
+  CU_ASSERT_TRUE (bt_wait_until (has_first_map, &first));
+  CU_ASSERT_TRUE (bt_wait_until (has_other_map, &first));
+  planned = read_map (0);
+  bt_sleep_ms (2000);
+  CU_ASSERT_EQUAL (read_map (0), planned);
+  CU_ASSERT_EQUAL (waitpid (group_pid, NULL, WNOHANG), 0);
+}
+
+/* A rank would join with the first map, or never. The controller dies and a rank is replaced; the
+ * new controller did not make the map in use, and finds its bytes in the service. */
+static void
+test_new_controller_finds_the_planned_map (void)
+{
+  uint64_t planned = read_map (1);
+  int32_t controller = -1;
+  char name[TEXT_BYTES];
+  int64_t steps = read_steps ();
+
+  CU_ASSERT_TRUE_FATAL (bt_wait_until (has_controller, &controller));
+  snprintf (name, sizeof name, "entry-%d", controller);
+  CU_ASSERT_TRUE (bt_signal_process (stage, name, SIGKILL));
+  fail ("{\"kind\":\"replace-0\"}");
+  CU_ASSERT_TRUE (bt_wait_until (has_same_map, &planned));
+  CU_ASSERT_TRUE (bt_wait_until (has_stepped, &steps));
+  CU_ASSERT_EQUAL (waitpid (group_pid, NULL, WNOHANG), 0);
+}
+
 int
 main (void)
 {
@@ -378,6 +471,9 @@
   CU_ADD_TEST (suite, test_agent_of_rank_0_dies_before_deciding);
   CU_ADD_TEST (suite, test_service_is_down);
   CU_ADD_TEST (suite, test_rank_0_is_replaced);
+  suite = CU_add_suite ("planned maps", start_planned_suite, end_suite);
+  CU_ADD_TEST (suite, test_planned_map_comes_into_use);
+  CU_ADD_TEST (suite, test_new_controller_finds_the_planned_map);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   failed = CU_get_number_of_failures ();
--- a/test/standin/group/main.c
+++ b/test/standin/group/main.c
@@ -4,12 +4,13 @@
  *   GET  /ranks/R/state   the engine's state
  *   POST /ranks/R/orders  {"kind","fence","round":[F,S],"step","digest","apply","hold"}; the answer
  *                         is {"accepted":B,"state":{...}}
+ *   GET  /ranks/R/loads   {"layers","experts","tokens":[...]}: in each layer one expert is hot
  *   GET  /group           {"steps","held","violation"}
  *   POST /fault           "down" and "lost-answer" match "R/KIND"; also "stall-R", "run-R" and
  *                         "replace-R"
  *
  * It aborts, naming step and rank, the moment two ranks use different maps in one step. Flags:
- * --ranks N, --step-ms N, --ignore-fences, --port N, --life-s N.
+ * --ranks N, --step-ms N, --layers N, --experts N, --ignore-fences, --port N, --life-s N.
  */
 
 #include <jansson.h>
@@ -26,6 +27,11 @@
 {
   DEFAULT_RANKS = 3,
   DEFAULT_STEP_MS = 6,
+  DEFAULT_LAYERS = 4,
+  DEFAULT_EXPERTS = 12,
+  COOL_TOKENS = 100,
+  HOT_TOKENS = 1500,
+  HOT_STRIDE = 5,
   NS_PER_MS = 1000000,
   MS_PER_S = 1000,
   BASE_TEN = 10,
@@ -40,6 +46,8 @@
   pthread_mutex_t lock; /**< Guards the group. */
   lockstep_t group;
   int64_t step_ms;
+  int64_t layers;
+  int64_t experts;
 } pace_t;
 
 /* The core's function is not linked here; the stand-in shares no decision with it. */
@@ -201,6 +209,23 @@
   json_decref (body);
 }
 
+static void
+show_loads (const pace_t *pace, bt_standin_answer_t *answer)
+{
+  json_t *tokens = json_array ();
+  json_t *body;
+
+  for (int64_t layer = 0; layer < pace->layers; layer++)
+    for (int64_t expert = 0; expert < pace->experts; expert++)
+      json_array_append_new (
+          tokens,
+          json_integer (expert == layer * HOT_STRIDE % pace->experts ? HOT_TOKENS : COOL_TOKENS));
+  body = json_pack ("{s:I,s:I,s:o}", "layers", (json_int_t)pace->layers, "experts",
+                    (json_int_t)pace->experts, "tokens", tokens);
+  answer->body = json_dumps (body, JSON_COMPACT);
+  json_decref (body);
+}
+
 static void
 answer_request (void *data,
                 bt_standin_t *standin,
@@ -222,6 +247,8 @@
     answer->status = MHD_HTTP_NOT_FOUND;
   else if (strcmp (rest, "/state") == 0)
     show_rank (pace, (int32_t)rank, answer);
+  else if (strcmp (rest, "/loads") == 0)
+    show_loads (pace, answer);
   else if (strcmp (rest, "/orders") == 0 && strcmp (request->method, "POST") == 0)
     take_order (pace, standin, (int32_t)rank, request, answer);
   else
@@ -288,6 +315,8 @@
   if (ranks < 1 || ranks > LOCKSTEP_MAX_RANKS)
     return 1;
   pace.step_ms = read_number (argc, argv, "--step-ms", DEFAULT_STEP_MS);
+  pace.layers = read_number (argc, argv, "--layers", DEFAULT_LAYERS);
+  pace.experts = read_number (argc, argv, "--experts", DEFAULT_EXPERTS);
   lockstep_start (&pace.group, (int32_t)ranks, ignore_fences);
   if (pthread_create (&thread, NULL, make_steps, &pace) != 0)
     return 1;
