Delete maps that no rank can need from the service; split the map controller

A plan each 10 s would have left every map in the service for good. The transaction that stores a map deletes those before the one in use, if the fencing number is still the writer's: a paused controller must not delete a map that its successor has brought into use. The first map can be made at any time, so a group that has lost all ranks starts again.

--- a/source/core/map_controller.c
+++ b/source/core/map_controller.c
@@ -1,48 +1,12 @@
-#include "bilberrytray/core/map_controller.h"
+#include "map_controller_private.h"
 
 #include <string.h>
 
-#include "bilberrytray/core/expert_map.h"
-
 enum
 {
   MAX_WIDENED = 4,
 };
 
-/** What the controller knows of one rank. */
-typedef struct view
-{
-  bool known;
-  uint64_t id;       /* of the order that the latest report answers */
-  uint64_t fresh_id; /* of the latest order that was carried out */
-  bt_engine_state_t engine;
-  int64_t send_ms; /* the same kind is not sent again before */
-  int64_t seen_ms;
-  bt_map_order_kind_t sent;
-} view_t;
-
-struct bt_map_controller
-{
-  bt_map_controller_settings_t settings;
-  uint64_t fence;
-  int64_t stop_ms; /* no order is sent from then on */
-  bool granted;
-  uint64_t ids;
-  uint64_t fresh_id; /* reports on older orders are too old to rebuild a group from */
-  view_t views[BT_MAP_MAX_RANKS];
-
-  uint64_t sequence;
-  bt_round_id_t round;
-  uint64_t digest;
-  uint64_t step;
-  bt_round_id_t taken; /* the last round known to be taken: reports may arrive out of order */
-  int32_t widened;     /* doublings of the steps to arm ahead */
-  bool looked;         /* reports were asked for after staging */
-  bt_round_phase_t phase;
-  bt_round_result_t result;
-  int64_t limit_ms;
-};
-
 bt_map_controller_t *
 bt_new_map_controller (bt_context_t *ctx, const bt_map_controller_settings_t *settings)
 {
@@ -139,30 +103,6 @@
   return bt_compare_rounds (engine->armed, round) == 0;
 }
 
-static bool
-has_decided (const bt_engine_state_t *engine, bt_round_id_t round)
-{
-  return bt_compare_rounds (engine->decided, round) >= 0;
-}
-
-/* True when an engine can no longer be armed for a round, nor is waiting for its decision: it holds
- * that decision or a newer one, or it has gone on to a newer round. */
-static bool
-is_past_round (const bt_engine_state_t *engine, bt_round_id_t round)
-{
-  return has_decided (engine, round) || bt_compare_rounds (engine->in_use, round) >= 0
-         || bt_compare_rounds (engine->armed, round) > 0
-         || bt_compare_rounds (engine->staged, round) > 0;
-}
-
-/* True when an engine holds that the round's map is to be used, or uses it. */
-static bool
-has_taken (const bt_engine_state_t *engine, bt_round_id_t round)
-{
-  return bt_compare_rounds (engine->in_use, round) == 0
-         || (bt_compare_rounds (engine->decided, round) == 0 && engine->decided_apply);
-}
-
 static bool
 is_anyone_outside (const bt_map_controller_t *controller)
 {
@@ -175,7 +115,7 @@
 bool
 bt_is_map_group_whole (const bt_map_controller_t *controller)
 {
-  const view_t *views = controller->views;
+  const bt_rank_view_t *views = controller->views;
 
   for (int32_t rank = 0; rank < controller->settings.ranks; rank++)
     if (!views[rank].known || !views[rank].engine.joined
@@ -204,7 +144,7 @@
 void
 bt_take_map_report (bt_map_controller_t *controller, const bt_map_report_t *report, int64_t now_ms)
 {
-  view_t *view;
+  bt_rank_view_t *view;
 
   if (!bt_holds_map_lease (controller, now_ms) || report->fence != controller->fence
       || report->rank < 0 || report->rank >= controller->settings.ranks)
@@ -236,15 +176,15 @@
   view->send_ms = 0;
 }
 
-static void
-send_order (bt_context_t *ctx,
-            bt_map_controller_t *controller,
-            int32_t rank,
-            bt_map_order_t order,
-            int64_t now_ms,
-            bt_map_actions_t *actions)
+void
+bt_send_controller_order (bt_context_t *ctx,
+                          bt_map_controller_t *controller,
+                          int32_t rank,
+                          bt_map_order_t order,
+                          int64_t now_ms,
+                          bt_map_actions_t *actions)
 {
-  view_t *view = &controller->views[rank];
+  bt_rank_view_t *view = &controller->views[rank];
 
   if (view->sent == order.kind && now_ms < view->send_ms)
     return;
@@ -264,7 +204,8 @@
             int64_t now_ms,
             bt_map_actions_t *actions)
 {
-  send_order (ctx, controller, rank, (bt_map_order_t){ BT_MAP_QUERY }, now_ms, actions);
+  bt_send_controller_order (ctx, controller, rank, (bt_map_order_t){ BT_MAP_QUERY }, now_ms,
+                            actions);
 }
 
 /* Asks the ranks whose reports are missing or too old; false while there are any. */
@@ -278,7 +219,7 @@
 
   for (int32_t rank = 0; rank < controller->settings.ranks; rank++)
     {
-      const view_t *view = &controller->views[rank];
+      const bt_rank_view_t *view = &controller->views[rank];
 
       if (view->known && view->fresh_id >= controller->fresh_id)
         continue;
@@ -288,131 +229,6 @@
   return fresh;
 }
 
-/* The oldest round that some rank is armed for, its step and its map; none when all are over. A
- * rank armed for an old round refuses newer ones, so the oldest is ended first. */
-static bt_map_order_t
-find_open_round (const bt_map_controller_t *controller)
-{
-  bt_map_order_t open = { BT_MAP_LEARN };
-
-  for (int32_t rank = 0; rank < controller->settings.ranks; rank++)
-    {
-      const bt_engine_state_t *engine = &controller->views[rank].engine;
-
-      if (bt_is_no_round (engine->armed)
-          || (!bt_is_no_round (open.round) && bt_compare_rounds (engine->armed, open.round) >= 0))
-        continue;
-      open.round = engine->armed;
-      open.step = engine->armed_step;
-      open.digest = engine->staged_digest;
-    }
-  return open;
-}
-
-/* Keeps what rank 0 has decided. A later look may find an older report, or rank 0 replaced, while
- * orders to take the map are still on their way to other ranks. */
-static bool
-note_decision (bt_map_controller_t *controller, bt_round_id_t round)
-{
-  if (has_taken (&controller->views[0].engine, round))
-    controller->taken = round;
-  return bt_compare_rounds (controller->taken, round) == 0;
-}
-
-/* The decision for a round while rank 0 is outside the group: no rank can learn another any more,
- * since each has reported after rank 0's engine was gone and no longer heeds earlier answers. If
- * one knows that the map was taken, it was; if none does, no step used it, and it is dropped. */
-static bool
-find_learned_decision (const bt_map_controller_t *controller, bt_round_id_t round)
-{
-  const bt_engine_state_t *decider = &controller->views[0].engine;
-
-  if (bt_compare_rounds (controller->taken, round) == 0)
-    return true;
-  if (bt_compare_rounds (decider->decided, round) == 0)
-    return decider->decided_apply;
-  for (int32_t rank = 1; rank < controller->settings.ranks; rank++)
-    {
-      const bt_engine_state_t *engine = &controller->views[rank].engine;
-
-      if (engine->joined && has_taken (engine, round))
-        return true;
-    }
-  return false;
-}
-
-/* Gets the decision of an open round from rank 0, or has it dropped there; false while the decision
- * is not recorded there. */
-static bool
-settle_decider (bt_context_t *ctx,
-                bt_map_controller_t *controller,
-                bt_map_order_t *open,
-                int64_t now_ms,
-                bt_map_actions_t *actions)
-{
-  const bt_engine_state_t *decider = &controller->views[0].engine;
-  bool recorded = has_decided (decider, open->round);
-
-  if (decider->joined && is_past_round (decider, open->round))
-    {
-      open->apply = note_decision (controller, open->round);
-      return true;
-    }
-  if (decider->joined)
-    {
-      bt_map_order_t drop = *open;
-
-      drop.kind = BT_MAP_DECIDE;
-      drop.apply = false;
-      send_order (ctx, controller, 0, drop, now_ms, actions);
-      return false;
-    }
-  open->apply = find_learned_decision (controller, open->round);
-  if (recorded)
-    return true;
-  if (open->apply && bt_compare_rounds (decider->staged, open->round) != 0)
-    open->kind = BT_MAP_STAGE;
-  send_order (ctx, controller, 0, *open, now_ms, actions);
-  return false;
-}
-
-/* Passes a decision on to the ranks that lack it; false while there are any. */
-static bool
-spread_decision (bt_context_t *ctx,
-                 bt_map_controller_t *controller,
-                 const bt_map_order_t *open,
-                 int64_t now_ms,
-                 bt_map_actions_t *actions)
-{
-  bool spread = true;
-
-  for (int32_t rank = 1; rank < controller->settings.ranks; rank++)
-    {
-      const bt_engine_state_t *engine = &controller->views[rank].engine;
-      bt_map_order_t order = *open;
-
-      if (is_past_round (engine, open->round))
-        continue;
-      spread = false;
-      if (!engine->joined && open->apply && bt_compare_rounds (engine->staged, open->round) != 0)
-        order.kind = BT_MAP_STAGE;
-      send_order (ctx, controller, rank, order, now_ms, actions);
-    }
-  return spread;
-}
-
-/* Ends a round that this controller does not drive, or no longer can. */
-static bool
-settle_round (bt_context_t *ctx,
-              bt_map_controller_t *controller,
-              bt_map_order_t open,
-              int64_t now_ms,
-              bt_map_actions_t *actions)
-{
-  return settle_decider (ctx, controller, &open, now_ms, actions)
-         && spread_decision (ctx, controller, &open, now_ms, actions);
-}
-
 /* The state of any rank in the group; NULL when the group has never run. */
 static const bt_engine_state_t *
 find_member (const bt_map_controller_t *controller)
@@ -444,7 +260,7 @@
     }
   for (int32_t rank = 0; rank < controller->settings.ranks; rank++)
     if (!controller->views[rank].engine.joined)
-      send_order (ctx, controller, rank, order, now_ms, actions);
+      bt_send_controller_order (ctx, controller, rank, order, now_ms, actions);
 }
 
 static bt_map_order_t
@@ -487,8 +303,8 @@
   for (int32_t rank = 0; rank < controller->settings.ranks; rank++)
     if (bt_compare_rounds (controller->views[rank].engine.staged, controller->round) != 0)
       {
-        send_order (ctx, controller, rank, describe_round (controller, BT_MAP_STAGE), now_ms,
-                    actions);
+        bt_send_controller_order (ctx, controller, rank, describe_round (controller, BT_MAP_STAGE),
+                                  now_ms, actions);
         staged = false;
       }
   if (!staged)
@@ -521,8 +337,8 @@
   for (int32_t rank = 0; rank < controller->settings.ranks; rank++)
     if (!is_armed_for (&controller->views[rank].engine, controller->round))
       {
-        send_order (ctx, controller, rank, describe_round (controller, BT_MAP_ARM), now_ms,
-                    actions);
+        bt_send_controller_order (ctx, controller, rank, describe_round (controller, BT_MAP_ARM),
+                                  now_ms, actions);
         armed = false;
         late = late || controller->views[rank].engine.next_step >= controller->step;
       }
@@ -548,14 +364,14 @@
 {
   bt_map_order_t order = describe_round (controller, BT_MAP_DECIDE);
 
-  if (has_decided (&controller->views[0].engine, controller->round))
+  if (bt_has_decided_round (&controller->views[0].engine, controller->round))
     {
-      note_decision (controller, controller->round);
+      bt_note_decision (controller, controller->round);
       controller->phase = BT_ROUND_SETTLED;
       return;
     }
   order.apply = controller->phase == BT_ROUND_DECIDING;
-  send_order (ctx, controller, 0, order, now_ms, actions);
+  bt_send_controller_order (ctx, controller, 0, order, now_ms, actions);
 }
 
 /* Sees a decided round through: all learn it, and a taken map comes into use at its step. */
@@ -569,7 +385,7 @@
   bool in_use = true;
 
   order.apply = bt_compare_rounds (controller->taken, controller->round) == 0;
-  if (!spread_decision (ctx, controller, &order, now_ms, actions))
+  if (!bt_spread_decision (ctx, controller, &order, now_ms, actions))
     return;
   if (!order.apply)
     {
@@ -622,7 +438,7 @@
             int64_t now_ms,
             bt_map_actions_t *actions)
 {
-  bt_map_order_t open = find_open_round (controller);
+  bt_map_order_t open = bt_find_open_round (controller);
   bool outside = is_anyone_outside (controller);
   bool own =
       controller->phase != BT_ROUND_NONE
@@ -635,7 +451,7 @@
       open = describe_round (controller, BT_MAP_LEARN);
       drop_round (controller);
     }
-  if (!bt_is_no_round (open.round) && !settle_round (ctx, controller, open, now_ms, actions))
+  if (!bt_is_no_round (open.round) && !bt_settle_round (ctx, controller, open, now_ms, actions))
     return true;
   if (!outside)
     return controller->phase == BT_ROUND_NONE && !bt_is_no_round (open.round);
--- /dev/null
+++ b/source/core/map_settle.c
@@ -0,0 +1,144 @@
+#include "map_controller_private.h"
+
+bool
+bt_has_decided_round (const bt_engine_state_t *engine, bt_round_id_t round)
+{
+  return bt_compare_rounds (engine->decided, round) >= 0;
+}
+
+/* True when an engine can no longer be armed for a round, nor is waiting for its decision: it holds
+ * that decision or a newer one, or it has gone on to a newer round. */
+static bool
+is_past_round (const bt_engine_state_t *engine, bt_round_id_t round)
+{
+  return bt_has_decided_round (engine, round) || bt_compare_rounds (engine->in_use, round) >= 0
+         || bt_compare_rounds (engine->armed, round) > 0
+         || bt_compare_rounds (engine->staged, round) > 0;
+}
+
+/* True when an engine holds that the round's map is to be used, or uses it. */
+static bool
+has_taken (const bt_engine_state_t *engine, bt_round_id_t round)
+{
+  return bt_compare_rounds (engine->in_use, round) == 0
+         || (bt_compare_rounds (engine->decided, round) == 0 && engine->decided_apply);
+}
+
+bt_map_order_t
+bt_find_open_round (const bt_map_controller_t *controller)
+{
+  bt_map_order_t open = { BT_MAP_LEARN };
+
+  for (int32_t rank = 0; rank < controller->settings.ranks; rank++)
+    {
+      const bt_engine_state_t *engine = &controller->views[rank].engine;
+
+      if (bt_is_no_round (engine->armed)
+          || (!bt_is_no_round (open.round) && bt_compare_rounds (engine->armed, open.round) >= 0))
+        continue;
+      open.round = engine->armed;
+      open.step = engine->armed_step;
+      open.digest = engine->staged_digest;
+    }
+  return open;
+}
+
+bool
+bt_note_decision (bt_map_controller_t *controller, bt_round_id_t round)
+{
+  if (has_taken (&controller->views[0].engine, round))
+    controller->taken = round;
+  return bt_compare_rounds (controller->taken, round) == 0;
+}
+
+/* The decision for a round while rank 0 is outside the group: no rank can learn another any more,
+ * since each has reported after rank 0's engine was gone and no longer heeds earlier answers. If
+ * one knows that the map was taken, it was; if none does, no step used it, and it is dropped. */
+static bool
+find_learned_decision (const bt_map_controller_t *controller, bt_round_id_t round)
+{
+  const bt_engine_state_t *decider = &controller->views[0].engine;
+
+  if (bt_compare_rounds (controller->taken, round) == 0)
+    return true;
+  if (bt_compare_rounds (decider->decided, round) == 0)
+    return decider->decided_apply;
+  for (int32_t rank = 1; rank < controller->settings.ranks; rank++)
+    {
+      const bt_engine_state_t *engine = &controller->views[rank].engine;
+
+      if (engine->joined && has_taken (engine, round))
+        return true;
+    }
+  return false;
+}
+
+/* Gets the decision of an open round from rank 0, or has it dropped there; false while the decision
+ * is not recorded there. */
+static bool
+settle_decider (bt_context_t *ctx,
+                bt_map_controller_t *controller,
+                bt_map_order_t *open,
+                int64_t now_ms,
+                bt_map_actions_t *actions)
+{
+  const bt_engine_state_t *decider = &controller->views[0].engine;
+  bool recorded = bt_has_decided_round (decider, open->round);
+
+  if (decider->joined && is_past_round (decider, open->round))
+    {
+      open->apply = bt_note_decision (controller, open->round);
+      return true;
+    }
+  if (decider->joined)
+    {
+      bt_map_order_t drop = *open;
+
+      drop.kind = BT_MAP_DECIDE;
+      drop.apply = false;
+      bt_send_controller_order (ctx, controller, 0, drop, now_ms, actions);
+      return false;
+    }
+  open->apply = find_learned_decision (controller, open->round);
+  if (recorded)
+    return true;
+  if (open->apply && bt_compare_rounds (decider->staged, open->round) != 0)
+    open->kind = BT_MAP_STAGE;
+  bt_send_controller_order (ctx, controller, 0, *open, now_ms, actions);
+  return false;
+}
+
+bool
+bt_spread_decision (bt_context_t *ctx,
+                    bt_map_controller_t *controller,
+                    const bt_map_order_t *open,
+                    int64_t now_ms,
+                    bt_map_actions_t *actions)
+{
+  bool spread = true;
+
+  for (int32_t rank = 1; rank < controller->settings.ranks; rank++)
+    {
+      const bt_engine_state_t *engine = &controller->views[rank].engine;
+      bt_map_order_t order = *open;
+
+      if (is_past_round (engine, open->round))
+        continue;
+      spread = false;
+      if (!engine->joined && open->apply && bt_compare_rounds (engine->staged, open->round) != 0)
+        order.kind = BT_MAP_STAGE;
+      bt_send_controller_order (ctx, controller, rank, order, now_ms, actions);
+    }
+  return spread;
+}
+
+bool
+bt_settle_round (bt_context_t *ctx,
+                 bt_map_controller_t *controller,
+                 bt_map_order_t open,
+                 int64_t now_ms,
+                 bt_map_actions_t *actions)
+{
+  return settle_decider (ctx, controller, &open, now_ms, actions)
+         && bt_spread_decision (ctx, controller, &open, now_ms, actions);
+}
--- a/source/entry/map_control.c
+++ b/source/entry/map_control.c
@@ -263,7 +263,7 @@
 
 /* The digests that the ranks stand at, so that a new controller has the bytes to go on with. */
 static int32_t
-list_reported_maps (bt_map_control_t *control, uint64_t *digests, uint64_t *in_use)
+list_reported_maps (bt_map_control_t *control, uint64_t *digests, uint64_t *in_use, uint64_t *fence)
 {
   const bt_engine_state_t *decider;
   int32_t count = 0;
@@ -271,6 +271,7 @@
   pthread_mutex_lock (&control->lock);
   decider = bt_get_reported_engine (control->controller, 0);
   *in_use = 0;
+  *fence = bt_get_map_fence (control->controller);
   if (bt_holds_map_lease (control->controller, bt_now_ms (control->ctx)) && decider != NULL
       && bt_is_map_group_whole (control->controller)
       && bt_get_round_phase (control->controller) == BT_ROUND_NONE)
@@ -294,17 +295,21 @@
 {
   uint64_t digests[2 * BT_MAP_MAX_RANKS + 1];
   uint64_t in_use;
+  uint64_t fence;
   uint64_t planned;
   int32_t count;
 
   if (control->planning == NULL)
     return;
-  count = list_reported_maps (control, digests, &in_use);
+  count = list_reported_maps (control, digests, &in_use, &fence);
+  /* A group that has lost every rank starts anew with the first map. */
+  bt_fetch_map (control->planning, control->kv, bt_get_first_map (control->planning));
   for (int32_t i = 0; i < count; i++)
     bt_fetch_map (control->planning, control->kv, digests[i]);
   if (in_use == 0)
     return;
-  planned = bt_plan_next_map (control->planning, control->kv, in_use, bt_now_ms (control->ctx));
+  planned =
+      bt_plan_next_map (control->planning, control->kv, fence, in_use, bt_now_ms (control->ctx));
   pthread_mutex_lock (&control->lock);
   if (planned != 0)
     control->planned = planned;
--- a/source/entry/map_planning.c
+++ b/source/entry/map_planning.c
@@ -9,7 +9,8 @@
 
 enum
 {
-  KEPT_MAPS = 4,
+  KEPT_MAPS = 6,
+  MAX_STORED = 8,
   KEY_BYTES = 256,
   PERCENT = 100,
 };
@@ -32,6 +33,8 @@
   int64_t plan_ms; /* next plan */
   bt_counter_t *skew;
   bt_counter_t *moved;
+  uint64_t stored[MAX_STORED]; /* maps in the service that this controller knows of */
+  int32_t stored_count;
 
   pthread_mutex_t lock; /* guards what stands below */
   bt_expert_load_t *load;
@@ -200,6 +203,13 @@
 
   if (digest == 0 || has_map (planning, digest))
     return;
+  if (digest == planning->first_digest)
+    {
+      pthread_mutex_lock (&planning->lock);
+      keep_map (planning, bt_new_block_expert_map (planning->ctx, planning->settings.shape, NULL));
+      pthread_mutex_unlock (&planning->lock);
+      return;
+    }
   name_map (planning, digest, key);
   if (bt_read_kv (planning->ctx, kv, key, false, &range, &error) && range.count == 1)
     keep_stored_map (planning, &range.pairs[0], digest);
@@ -226,23 +236,55 @@
   return map;
 }
 
+static void
+note_stored (bt_map_planning_t *planning, uint64_t digest)
+{
+  for (int32_t i = 0; i < planning->stored_count; i++)
+    if (planning->stored[i] == digest)
+      return;
+  if (planning->stored_count < MAX_STORED)
+    planning->stored[planning->stored_count++] = digest;
+}
+
+/* Stores a map and deletes those before the one in use. A controller that was paused in between
+ * would delete a map that its successor has brought into use, and a replaced rank could not join;
+ * the fencing number is compared in the same transaction. */
 static bool
-store_map (bt_map_planning_t *planning, bt_kv_t *kv, const bt_expert_map_t *map, uint64_t digest)
+store_map (bt_map_planning_t *planning,
+           bt_kv_t *kv,
+           uint64_t fence,
+           uint64_t in_use,
+           const kept_map_t *next)
 {
-  bt_map_bytes_t bytes = { 0 };
+  char fence_key[KEY_BYTES];
+  char keys[MAX_STORED + 1][KEY_BYTES];
+  bt_kv_write_t writes[MAX_STORED + 1] = { { BT_KV_PUT, keys[0] } };
+  bt_kv_compare_t compare = { fence_key, (int64_t)fence };
+  bt_kv_txn_t txn = { &compare, 1, writes, 1 };
+  bt_kv_txn_result_t result = { 0 };
   bt_error_t error = { 0 };
-  char key[KEY_BYTES];
-  bt_kv_write_t write = { BT_KV_PUT, key };
-  bool stored;
 
-  name_map (planning, digest, key);
-  if (!bt_encode_expert_map (planning->ctx, map, &bytes, &error))
-    return false;
-  write.value = (const char *)bytes.data;
-  write.value_bytes = bytes.bytes;
-  stored = bt_put_kv (planning->ctx, kv, &write, NULL, &error);
-  bt_free (planning->ctx, bytes.data);
-  return stored;
+  snprintf (fence_key, sizeof fence_key, "%s%s/fence", planning->settings.store_prefix,
+            planning->settings.group);
+  name_map (planning, next->digest, keys[0]);
+  writes[0].value = (const char *)next->bytes.data;
+  writes[0].value_bytes = next->bytes.bytes;
+  for (int32_t i = 0; i < planning->stored_count; i++)
+    if (planning->stored[i] != in_use && planning->stored[i] != next->digest)
+      {
+        name_map (planning, planning->stored[i], keys[txn.write_count]);
+        writes[txn.write_count] = (bt_kv_write_t){ BT_KV_DELETE, keys[txn.write_count] };
+        txn.write_count++;
+      }
+  if (!bt_commit_kv (planning->ctx, kv, &txn, &result, &error) || !result.succeeded)
+    {
+      note_stored (planning, next->digest); /* it may have been stored */
+      return false;
+    }
+  planning->stored_count = 0;
+  note_stored (planning, in_use);
+  note_stored (planning, next->digest);
+  return true;
 }
 
 /* The plan is made from copied loads, so that reports need not wait for it. */
@@ -268,8 +310,34 @@
   return plan;
 }
 
+/* Stores a plan's map and keeps it at hand; 0 when it could not be stored. */
+static uint64_t
+put_plan (bt_map_planning_t *planning,
+          bt_kv_t *kv,
+          uint64_t fence,
+          uint64_t in_use,
+          const bt_map_plan_t *plan)
+{
+  kept_map_t next = { bt_digest_expert_map (planning->ctx, plan->next), plan->next };
+  bool stored = bt_encode_expert_map (planning->ctx, plan->next, &next.bytes, NULL)
+                && store_map (planning, kv, fence, in_use, &next);
+
+  bt_free (planning->ctx, next.bytes.data);
+  if (!stored)
+    return 0;
+  bt_add_counter (planning->moved, plan->moved_bytes);
+  pthread_mutex_lock (&planning->lock);
+  keep_map (planning, bt_copy_expert_map (planning->ctx, plan->next));
+  pthread_mutex_unlock (&planning->lock);
+  bt_log (planning->ctx, BT_LOG_INFO, BT_PART_MAPS,
+          "Planned map %llx: skew %.3f to %.3f for %lld bytes.", (unsigned long long)next.digest,
+          plan->skew_before, plan->skew_after, (long long)plan->moved_bytes);
+  return next.digest;
+}
+
 uint64_t
-bt_plan_next_map (bt_map_planning_t *planning, bt_kv_t *kv, uint64_t in_use, int64_t now_ms)
+bt_plan_next_map (
+    bt_map_planning_t *planning, bt_kv_t *kv, uint64_t fence, uint64_t in_use, int64_t now_ms)
 {
   bt_expert_map_t *map;
   bt_map_plan_t *plan;
@@ -281,22 +349,11 @@
   if (map == NULL)
     return 0;
   planning->plan_ms = now_ms + planning->settings.interval_ms;
+  note_stored (planning, in_use);
   plan = make_plan (planning, map, now_ms);
   bt_set_gauge (planning->skew, (int64_t)(plan->skew_before * PERCENT));
   if (plan->move_count > 0)
-    digest = bt_digest_expert_map (planning->ctx, plan->next);
-  if (digest != 0 && store_map (planning, kv, plan->next, digest))
-    {
-      bt_add_counter (planning->moved, plan->moved_bytes);
-      pthread_mutex_lock (&planning->lock);
-      keep_map (planning, bt_copy_expert_map (planning->ctx, plan->next));
-      pthread_mutex_unlock (&planning->lock);
-      bt_log (planning->ctx, BT_LOG_INFO, BT_PART_MAPS,
-              "Planned map %llx: skew %.3f to %.3f for %lld bytes.", (unsigned long long)digest,
-              plan->skew_before, plan->skew_after, (long long)plan->moved_bytes);
-    }
-  else
-    digest = 0;
+    digest = put_plan (planning, kv, fence, in_use, plan);
   bt_drop_map_plan (planning->ctx, plan);
   bt_drop_expert_map (planning->ctx, map);
   return digest;
--- a/source/entry/map_planning.h
+++ b/source/entry/map_planning.h
@@ -38,10 +38,11 @@
 void
 bt_take_map_loads (bt_map_planning_t *planning, const Bilberry__MapReport *frame, int64_t now_ms);
 
-/** Plans once an interval when @p in_use is known; returns the digest of a map that pays, stored in
- * the service already, or 0. Blocks on the service; from one thread. */
-uint64_t
-bt_plan_next_map (bt_map_planning_t *planning, bt_kv_t *kv, uint64_t in_use, int64_t now_ms);
+/** Plans once an interval when @p in_use is known; returns the digest of a map that pays, or 0. The
+ * map is in the service then, and those that no rank can need any more are gone from it. Nothing is
+ * written unless @p fence is still the newest. Blocks on the service; from one thread. */
+uint64_t bt_plan_next_map (
+    bt_map_planning_t *planning, bt_kv_t *kv, uint64_t fence, uint64_t in_use, int64_t now_ms);
 
 /** Makes sure that a map's bytes are at hand, reading them from the service. Blocks; from one
  * thread. */
