Forget a taken round with the lease under which it was seen

A controller remembered that rank 0 had taken a round, lost its lease, rank 0 was replaced, another controller dropped the round, and the first, elected again under a new number, told the others to take it. Ruled out: orders of its earlier lease still under way, which the first look under the new number fences off.

--- a/source/core/map_controller.c
+++ b/source/core/map_controller.c
@@ -50,6 +50,9 @@
   controller->ids = 0;
   controller->fresh_id = 1;
   controller->sequence = 0;
+  /* Another controller may have dropped that round since, after rank 0 was replaced. Orders of the
+   * earlier lease that are still under way are fenced off by the first look at the ranks. */
+  controller->taken = (bt_round_id_t){ 0 };
   memset (controller->views, 0, sizeof controller->views);
 }
 
--- a/test/core/test_map_schedules.c
+++ b/test/core/test_map_schedules.c
@@ -412,11 +412,12 @@
 /* Seeds that once showed a fault. A report of an older order, or of an agent that refused from
  * memory, came last; the controller sent the opposite of what was decided, or joined a replaced
  * rank at a step long past, or forgot a taken round of which orders were under way when rank 0 was
- * replaced. The last one: rounds were armed too near, again and again. */
+ * replaced, or remembered it beyond its lease, when another had dropped it since. 312518: rounds
+ * were armed too near, again and again. */
 static void
 test_seeds_that_showed_a_fault (void)
 {
-  static const uint64_t seeds[] = { 13299, 36992, 125333, 201708, 312518 };
+  static const uint64_t seeds[] = { 13299, 36992, 125333, 201708, 312518, 594514, 688310 };
 
   for (size_t i = 0; i < sizeof seeds / sizeof seeds[0]; i++)
     CU_ASSERT_EQUAL (find_violation (0, seeds[i], 1, true), 0);
