--- a/source/entry/entry_private.h
+++ b/source/entry/entry_private.h
@@ -86,6 +86,7 @@
   bt_http_server_t *http;
   bt_map_control_t *maps; /**< NULL where no group is set. */
   bt_counter_t *endpoints_up;
+  bt_counter_t *admitting;
   pthread_t ticker;
   bool ticking;
   atomic_bool stopping;
