Avoid endpoints that go quiet, probe those that return, and note the measurements

Cause: with one engine slowed so that every run passes its deadline, nothing ends and no mean can tell. Found too: agents reported their default run time as if it were measured, so an endpoint that had ended nothing looked fast; and a returning outlier with a bad record would have got no work to clear it. Now: twice a run's time without an answer counts as that slow; an unmeasured time is reported as 0 and taken as the peers' mean; a failure after a long time counts as that long; a returning endpoint with nothing in flight gets one probe. Waits are taken at 150%, since the new rule costs some order in the burst.

The bench now starts the programs beside it.

--- a/bench/bench_policy_path.c
+++ b/bench/bench_policy_path.c
@@ -4,12 +4,13 @@
  *
  *   bench_policy_path [SECONDS]
  *
- * Starts its own deployment on loopback: three entries, two engines of 64 slots. First a load of
- * three times the capacity, nine tenths of it by a large account; then a load of 0.4 with one
- * engine slowed five times. A caller gives up at its deadline.
+ * Starts its own deployment on loopback from the folder that it stands in: three entries, two
+ * engines of 64 slots. First a load of three times the capacity, nine tenths of it by a large
+ * account; then a load of 0.4 with one engine slowed five times. A caller gives up at its deadline.
  */
 
 #include <curl/curl.h>
+#include <libgen.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -310,7 +311,11 @@
 {
   static const char *const agent_arguments[] = { "--slots", "64", "--queue", "128", NULL };
   const int64_t seconds = argc > 1 ? strtoll (argv[1], NULL, BASE_TEN) : DEFAULT_SECONDS;
+  char *folder = strdup (argv[0]);
 
+  /* The harness would start the programs of another build, whose figures mean nothing here. */
+  setenv ("BT_BUILD_DIR", dirname (folder), 1);
+  free (folder);
   bt_set_stage_arguments (NULL, agent_arguments);
   if (!run_ways ("Three times the capacity", 3, seconds, NULL))
     return 1;
--- a/include/bilberrytray/core/admission.h
+++ b/include/bilberrytray/core/admission.h
@@ -55,7 +55,7 @@
   int64_t retry_after_ms; /**< Of a refusal: when to come back. */
 } bt_admission_decision_t;
 
-/** 4096 waiting, waits taken at 130%, demand over 2 s, come-back times over 1 s up to 5 min. */
+/** 4096 waiting, waits taken at 150%, demand over 2 s, come-back times over 1 s up to 5 min. */
 void bt_default_admission_options (bt_admission_options_t *options);
 
 /** Makes an admission that reads capacity from @p router, which must outlive it. */
--- a/source/core/choice.c
+++ b/source/core/choice.c
@@ -21,6 +21,9 @@
 /* Above this many requests for each slot, endpoints count as no fuller. */
 static const double most_fullness = 2;
 
+/* Quiet for this many times a run's time is more than a queue before it explains. */
+static const double quiet_factor = 2;
+
 /* What the endpoints have in common. */
 typedef struct field
 {
@@ -39,14 +42,19 @@
 {
   double load = 0;
   double slots = 0;
+  int32_t known = 0;
 
   for (int32_t i = 0; i < count; i++)
     {
       load += bt_get_endpoint_load (states[i]);
       slots += bt_get_endpoint_slots (states[i], options);
       field->others += (double)(states[i]->total_then - states[i]->own_then) / count;
-      field->service_ms += (double)bt_get_endpoint_service_ms (states[i], options) / count;
+      if (!bt_knows_endpoint_service (states[i]) || states[i]->stalled_ms > 0)
+        continue;
+      field->service_ms += (double)bt_get_endpoint_service_ms (states[i], options);
+      known++;
     }
+  field->service_ms = known > 0 ? field->service_ms / known : (double)options->default_service_ms;
   field->fullness = slots > 0 ? fmin (load / slots, most_fullness) : 0;
 }
 
@@ -65,12 +73,19 @@
   return state->own + field->others + (others - field->others) * trust + alike;
 }
 
+/* The time of a run on an endpoint. One that has gone slow or silent ends nothing: its mean stays
+ * that of better days until the first deadline passes. How long it has been quiet with work in
+ * flight shows sooner. */
 static double
 get_service_ms (const field_t *field,
                 const bt_router_options_t *options,
                 const bt_endpoint_state_t *state)
 {
-  const double service_ms = (double)bt_get_endpoint_service_ms (state, options);
+  const double quiet_ms = (double)bt_get_endpoint_quiet_ms (state, field->now_ms);
+  const double mean_ms = bt_knows_endpoint_service (state)
+                             ? (double)bt_get_endpoint_service_ms (state, options)
+                             : field->service_ms;
+  const double service_ms = quiet_ms > mean_ms * quiet_factor ? quiet_ms : mean_ms;
 
   if (fabs (service_ms - field->service_ms) < field->service_ms * same_time)
     return field->service_ms;
@@ -86,6 +101,14 @@
   return field->service_ms * field->fullness * options->prefix_percent / WHOLE_PERCENT;
 }
 
+/* True when an endpoint that returns from being an outlier has nothing of this entry's in flight.
+ * Its record makes it the dearest, and without work it could never show that it is well again. */
+static bool
+is_probe_due (const bt_endpoint_state_t *state)
+{
+  return state->own == 0 && bt_get_outlier_share (&state->outlier) < WHOLE_PERCENT;
+}
+
 /* What sending a request there costs its caller, in ms. */
 static double
 get_cost_ms (const field_t *field,
@@ -132,6 +155,8 @@
       states[at] = states[i];
       states[i] = state;
       cost_ms = get_cost_ms (&field, options, state, request);
+      if (is_probe_due (state))
+        return state;
       if (best != NULL
           && (cost_ms > best_ms
               || (cost_ms == best_ms && state->last_dispatch >= best->last_dispatch)))
--- a/source/core/endpoint_state.c
+++ b/source/core/endpoint_state.c
@@ -38,6 +38,12 @@
   return state->total_then + grown * alike;
 }
 
+bool
+bt_knows_endpoint_service (const bt_endpoint_state_t *state)
+{
+  return state->load.service_ms > 0 || state->service_ms > 0 || state->stalled_ms > 0;
+}
+
 int64_t
 bt_get_endpoint_service_ms (const bt_endpoint_state_t *state, const bt_router_options_t *options)
 {
@@ -51,14 +57,9 @@
 }
 
 int64_t
-bt_get_endpoint_wait_ms (const bt_endpoint_state_t *state, const bt_router_options_t *options)
+bt_get_endpoint_quiet_ms (const bt_endpoint_state_t *state, int64_t now_ms)
 {
-  const int32_t slots = bt_get_endpoint_slots (state, options);
-  const int32_t ahead = bt_get_endpoint_load (state) + 1 - slots;
-
-  if (ahead <= 0 || slots == 0)
-    return 0;
-  return bt_get_endpoint_service_ms (state, options) * ahead / slots;
+  return state->own > 0 ? now_ms - state->quiet_since_ms : 0;
 }
 
 /* The own count at a moment in the past, as far as the history reaches. */
@@ -104,6 +105,8 @@
 {
   bt_own_change_t *latest = &state->history[state->changes % BT_HISTORY_SLOTS];
 
+  if (state->own == 0)
+    state->quiet_since_ms = now_ms;
   state->own += change;
   if (state->own < 0)
     state->own = 0;
@@ -122,8 +125,9 @@
 }
 
 void
-bt_take_endpoint_time (bt_endpoint_state_t *state, int64_t took_ms)
+bt_take_endpoint_time (bt_endpoint_state_t *state, int64_t took_ms, int64_t now_ms)
 {
+  state->quiet_since_ms = now_ms;
   state->stalled_ms = 0;
   if (state->service_ms == 0)
     state->service_ms = took_ms > 0 ? (double)took_ms : 1;
--- a/source/core/endpoint_state.h
+++ b/source/core/endpoint_state.h
@@ -46,6 +46,7 @@
   double home_turn;       /**< Its next turn as the home of a ticket. */
   uint64_t last_dispatch; /**< The router's number of the last dispatch here. */
   double service_ms;      /**< Mean of own measurements; 0 before the first. */
+  int64_t quiet_since_ms; /**< No answer came since, while work was in flight. */
   int64_t stalled_ms;     /**< Longest that a request got no answer since the last one; 0: none. */
   bt_outlier_t outlier;
   bt_cached_prefix_t prefixes[BT_PREFIX_SLOTS];
@@ -64,13 +65,15 @@
  * entries that see one old report of a free endpoint would else all fill it. */
 int32_t bt_get_endpoint_commitment (const bt_endpoint_state_t *state, int32_t entries);
 
-/** Mean time of one run there, ms. */
+/** True when the time of a run there was measured, by the agent or by this entry. */
+bool bt_knows_endpoint_service (const bt_endpoint_state_t *state);
+
+/** Mean time of one run there, or the default, ms. */
 int64_t bt_get_endpoint_service_ms (const bt_endpoint_state_t *state,
                                     const bt_router_options_t *options);
 
-/** Time until a slot is free for one more request, ms. */
-int64_t bt_get_endpoint_wait_ms (const bt_endpoint_state_t *state,
-                                 const bt_router_options_t *options);
+/** How long work of this entry has been there without any answer, ms. */
+int64_t bt_get_endpoint_quiet_ms (const bt_endpoint_state_t *state, int64_t now_ms);
 
 /** Takes in a load report. */
 void bt_take_endpoint_load (bt_endpoint_state_t *state, const bt_load_t *load, int64_t now_ms);
@@ -85,7 +88,7 @@
 void bt_take_endpoint_stall (bt_endpoint_state_t *state, int64_t took_ms);
 
 /** Takes in the time that an answer took, ms. */
-void bt_take_endpoint_time (bt_endpoint_state_t *state, int64_t took_ms);
+void bt_take_endpoint_time (bt_endpoint_state_t *state, int64_t took_ms, int64_t now_ms);
 
 bool bt_has_endpoint_prefix (const bt_endpoint_state_t *state, uint64_t prefix);
 
--- a/source/core/router.c
+++ b/source/core/router.c
@@ -382,12 +382,15 @@
   bt_add_endpoint_own (state, -1, now_ms);
   if (end == BT_ATTEMPT_ANSWERED)
     {
-      bt_take_endpoint_time (state, took_ms);
+      bt_take_endpoint_time (state, took_ms, now_ms);
       event = bt_record_outlier_answer (&state->outlier, options, took_ms,
                                         get_peers_ms (router, state));
     }
   else if (end == BT_ATTEMPT_FAILED)
-    event = bt_record_outlier_failure (&state->outlier, options);
+    {
+      bt_take_endpoint_stall (state, took_ms);
+      event = bt_record_outlier_failure (&state->outlier, options);
+    }
   else if (end == BT_ATTEMPT_CANCELLED)
     event = judge_stall (router, state, took_ms);
   if (event == BT_OUTLIER_OUT)
--- a/source/core/run_queue.c
+++ b/source/core/run_queue.c
@@ -20,6 +20,7 @@
   bt_fair_queue_t *waiting;
   int32_t running;
   double service_ms;
+  bool measured; /* a run has ended */
   bool leaving;
   bt_fair_item_t *pushed_out; /* lost their place, not yet told */
   int32_t pushed_out_count;
@@ -175,8 +176,10 @@
 {
   if (queue->running > 0)
     queue->running--;
-  if (service_ms > 0)
-    queue->service_ms += ((double)service_ms - queue->service_ms) / MEAN_WEIGHT;
+  if (service_ms <= 0)
+    return;
+  queue->measured = true;
+  queue->service_ms += ((double)service_ms - queue->service_ms) / MEAN_WEIGHT;
 }
 
 bool
@@ -211,5 +214,7 @@
   load->queued = bt_count_fair (queue->waiting);
   load->slots = queue->options.slots;
   load->queue_limit = queue->options.queue_limit;
-  load->service_ms = queue->service_ms < 1 ? 1 : (int32_t)lround (queue->service_ms);
+  /* The default is no measurement: an endpoint that has ended nothing would look fast by it. */
+  if (queue->measured)
+    load->service_ms = queue->service_ms < 1 ? 1 : (int32_t)lround (queue->service_ms);
 }
