Let ThreadSanitizer see the order of what is handed through a queue

Cause: the ring orders items in assembly; the library's own accesses are suppressed, but not those to the items themselves, so an agent under TSan was ended by a false race in some runs (seen in test_request_stops: the entries then saw home-unreachable, and once the test hung to its limit). Ruled out: a real race; the ring publishes an item after its contents. A pair of C atomics states the order. test_queue shows the report without them, and none with them.

--- a/source/base/queue.c
+++ b/source/base/queue.c
@@ -1,11 +1,15 @@
 #include "bilberrytray/base/queue.h"
 
 #include <ck_ring.h>
+#include <stdatomic.h>
 
 struct bt_queue
 {
   ck_ring_t ring;
   ck_ring_buffer_t *slots;
+  /* Counts pushes. The ring orders its items by itself, but in assembly, where ThreadSanitizer does
+   * not see it and calls each access to an item a race. This pair of atomics says the same in C. */
+  atomic_ullong pushes;
 };
 
 bt_queue_t *
@@ -30,6 +34,7 @@
 bool
 bt_push_queue (bt_queue_t *queue, void *item)
 {
+  atomic_fetch_add_explicit (&queue->pushes, 1, memory_order_release);
   return ck_ring_enqueue_mpmc (&queue->ring, queue->slots, item);
 }
 
@@ -38,5 +43,8 @@
 {
   void *item = NULL;
 
-  return ck_ring_dequeue_mpmc (&queue->ring, queue->slots, &item) ? item : NULL;
+  if (!ck_ring_dequeue_mpmc (&queue->ring, queue->slots, &item))
+    return NULL;
+  atomic_load_explicit (&queue->pushes, memory_order_acquire);
+  return item;
 }
