--- a/include/bilberrytray/core/publisher.h
+++ b/include/bilberrytray/core/publisher.h
@@ -17,10 +17,11 @@
 /** Bits that take guards out, for tests that show what each guard is for. */
 enum
 {
-  BT_PUBLISH_NO_READ_BACK = 1, /**< A lost answer counts as a failure. */
-  BT_PUBLISH_NO_COMPARE = 2,   /**< Writes whatever was changed meanwhile. */
-  BT_PUBLISH_NO_HAND_OVER = 4, /**< Accepted as soon as the service has it. */
-  BT_PUBLISH_ANY_ENTRY = 8,    /**< Accepted with one entry, at once. */
+  BT_PUBLISH_NO_READ_BACK = 1,    /**< A lost answer counts as a failure. */
+  BT_PUBLISH_NO_COMPARE = 2,      /**< Writes whatever was changed meanwhile. */
+  BT_PUBLISH_NO_HAND_OVER = 4,    /**< Accepted as soon as the service has it. */
+  BT_PUBLISH_ANY_ENTRY = 8,       /**< Accepted with one entry, at once. */
+  BT_PUBLISH_KEEP_CONFIRMED = 16, /**< What a replaced entry confirmed still counts. */
 };
 
 typedef struct bt_publish_settings
@@ -145,6 +146,10 @@
                               int64_t now_ms,
                               bt_publish_actions_t *actions);
 
+/** Which start of an entry is linked now; 0: none. What an earlier one confirmed counts no more. */
+void
+bt_set_publish_incarnation (bt_publisher_t *publisher, const char *instance, uint64_t incarnation);
+
 /** An entry told the revision in force of one document; 0 if it has none. */
 void bt_take_publish_in_force (bt_context_t *ctx,
                                bt_publisher_t *publisher,
--- a/source/core/publisher.c
+++ b/source/core/publisher.c
@@ -37,6 +37,7 @@
 typedef struct entry
 {
   bt_publish_entry_t seen;
+  uint64_t incarnation;
   int64_t *revisions; /**< In force there, one for each change. */
   int64_t next_ms;    /**< When to hand over again. */
 } entry_t;
@@ -257,7 +258,9 @@
 
   for (int32_t i = 0; i < publisher->entry_count; i++)
     count += publisher->entries[i].seen.in_force ? 1 : 0;
-  if (2 * count > publisher->entry_count && publisher->majority_ms == NEVER_MS)
+  if (2 * count <= publisher->entry_count)
+    publisher->majority_ms = NEVER_MS;
+  else if (publisher->majority_ms == NEVER_MS)
     publisher->majority_ms = now_ms;
   accepted = count > 0 && count == publisher->entry_count;
   /* An entry that does not answer may be alive, cut off and admitting by the old rules. More than
@@ -549,6 +552,23 @@
     wait_for_step (publisher, committing && unknown ? STEP_READ_BACK : publisher->step, now_ms);
 }
 
+void
+bt_set_publish_incarnation (bt_publisher_t *publisher, const char *instance, uint64_t incarnation)
+{
+  entry_t *entry = find_entry (publisher, instance);
+
+  if (entry == NULL || entry->incarnation == incarnation)
+    return;
+  entry->incarnation = incarnation;
+  /* An entry confirms and is replaced while others are waited for. The new process may have started
+   * from peers that lack the change; counted, it would make up a majority that does not exist. */
+  if ((publisher->settings.guards_off & BT_PUBLISH_KEEP_CONFIRMED) != 0)
+    return;
+  entry->seen.in_force = false;
+  entry->next_ms = NEVER_MS;
+  memset (entry->revisions, 0, (size_t)publisher->wanted_count * sizeof (int64_t));
+}
+
 void
 bt_take_publish_in_force (bt_context_t *ctx,
                           bt_publisher_t *publisher,
--- a/source/entry/command_publish.c
+++ b/source/entry/command_publish.c
@@ -174,6 +174,7 @@
       bt_told_t told;
 
       bt_get_told (publish->links, i, &told);
+      bt_set_publish_incarnation (publish->publisher, told.instance, told.incarnation);
       for (int32_t j = 0; told.news && j < told.state_count; j++)
         bt_take_publish_in_force (publish->ctx, publish->publisher, told.instance,
                                   told.states[j].name, told.states[j].revision,
--- a/source/entry/operator_links.c
+++ b/source/entry/operator_links.c
@@ -55,7 +55,11 @@
   pthread_mutex_lock (&links->lock);
   peer = find_peer (links, bt_get_link_instance (link));
   if (peer != NULL && peer->link == link)
-    peer->told.up = up;
+    {
+      peer->told.up = up;
+      peer->told.incarnation = up ? bt_get_link_incarnation (link) : 0;
+      peer->told.news = false;
+    }
   pthread_mutex_unlock (&links->lock);
 }
 
@@ -179,6 +183,7 @@
     return;
   bt_drop_link (links->ctx, peer->link);
   peer->told.up = false;
+  peer->told.incarnation = 0;
   peer->link = bt_dial_link (links->ctx, links->loop, peer->address, peer->told.instance, &error);
 }
 
--- a/source/entry/operator_links.h
+++ b/source/entry/operator_links.h
@@ -29,9 +29,10 @@
 {
   char instance[BT_NAME_BYTES];
   char failure_domain[BT_NAME_BYTES];
-  bool up;       /**< The link is up. */
-  bool answered; /**< It told what is in force. */
-  bool news;     /**< It did so since this was last looked at. */
+  bool up;              /**< The link is up. */
+  uint64_t incarnation; /**< Of the start that is linked; 0: none. */
+  bool answered;        /**< It told what is in force. */
+  bool news;            /**< It did so since this was last looked at. */
   uint32_t spread_state;
   int64_t fresh_age_ms;
   bt_told_state_t states[BT_MAX_STATES];
--- a/test/core/config_world.h
+++ b/test/core/config_world.h
@@ -705,6 +705,10 @@
   for (int32_t i = 0; i < WORLD_OPERATORS; i++)
     if (world->operators[i].publisher != NULL && !world->operators[i].told)
       {
+        for (int32_t j = 0; j < world->entry_count; j++)
+          bt_set_publish_incarnation (
+              world->operators[i].publisher, world->entries[j].identity.instance,
+              world->entries[j].alive ? world->entries[j].identity.incarnation : 0);
         bt_tick_publisher (world->ctx, world->operators[i].publisher, world->now_ms, &publish);
         world_run_publish (world, i, &publish);
       }
--- a/test/core/test_publisher.c
+++ b/test/core/test_publisher.c
@@ -190,6 +190,51 @@
   return bt_new_document (ctx, &fields);
 }
 
+static bool
+is_accepted_with_replaced (uint32_t guards_off)
+{
+  static const char *const names[] = { "entry-0", "entry-1", "entry-2" };
+  bt_context_t *ctx = bt_new_context ();
+  bt_publish_settings_t settings = bt_get_default_publish_settings ();
+  bt_publish_document_t wanted = { "rules", "r", 1, false, BT_BASE_AS_READ };
+  bt_publisher_t *publisher;
+  bt_document_t *rules = make_found (ctx, "rules", 6, "r");
+  bt_document_list_t found = { 0 };
+  bt_publish_actions_t actions = { 0 };
+  bool accepted;
+
+  settings.guards_off = guards_off;
+  publisher = bt_new_publisher (ctx, &settings, "00000000000000000000000000000001", &wanted, 1);
+  bt_add_document (ctx, &found, rules);
+  bt_set_publish_entries (ctx, publisher, names, 3);
+  bt_start_publisher (ctx, publisher, 0, &actions);
+  bt_take_publish_read (ctx, publisher, &found, 0, &actions);
+  for (int32_t i = 0; i < 2; i++)
+    {
+      bt_set_publish_incarnation (publisher, names[i], 1);
+      bt_take_publish_in_force (ctx, publisher, names[i], "rules", 6, 100, &actions);
+    }
+  bt_set_publish_incarnation (publisher, names[1], 2);
+  for (int64_t now_ms = 200; now_ms < settings.isolation_ms + 1000; now_ms += 100)
+    bt_tick_publisher (ctx, publisher, now_ms, &actions);
+  accepted = bt_get_publish_result (publisher) == BT_PUBLISH_ACCEPTED;
+  bt_clear_publish_actions (ctx, &actions);
+  bt_clear_documents (ctx, &found);
+  bt_drop_document (ctx, rules);
+  bt_drop_publisher (ctx, publisher);
+  bt_drop_context (ctx);
+  return accepted;
+}
+
+/* Two of three entries confirm; the second is replaced while the third is waited for. Its new
+ * process has not confirmed, and with the first alone there is no majority: accepted must wait. */
+static void
+test_replaced_entry_has_not_confirmed (void)
+{
+  CU_ASSERT_FALSE (is_accepted_with_replaced (0));
+  CU_ASSERT_TRUE (is_accepted_with_replaced (BT_PUBLISH_KEEP_CONFIRMED));
+}
+
 /* Of two documents only the one that differs is written, in one transaction with its comparison. */
 static void
 test_unchanged_document_is_left_out (void)
@@ -237,6 +282,7 @@
   CU_ADD_TEST (suite, test_race_at_commit);
   CU_ADD_TEST (suite, test_accepted_change_survives_outage);
   CU_ADD_TEST (suite, test_minority_is_not_acceptance);
+  CU_ADD_TEST (suite, test_replaced_entry_has_not_confirmed);
   CU_ADD_TEST (suite, test_unreachable_service_is_reported);
   CU_ADD_TEST (suite, test_unchanged_document_is_left_out);
   CU_basic_set_mode (CU_BRM_VERBOSE);
