Spread the homes of tickets, pass a call's prefix to the router, judge no run by its failure

- tickets of one moment could all name the endpoint that was least loaded then; homes go round now.
- a run that failed fast made its endpoint look fast.
- a key's home is asked for by name (route request 'only') in place of a list of all others, whose length was bounded.

--- a/include/bilberrytray/core/router.h
+++ b/include/bilberrytray/core/router.h
@@ -56,7 +56,8 @@
   uint64_t prefix;               /**< Hash of the prompt's shared prefix; 0 for none. */
   const bt_identity_t *excluded; /**< Agents already tried; may be NULL. */
   int32_t excluded_count;
-  uint64_t seed; /**< Random: ties and samples are drawn from it. */
+  const bt_identity_t *only; /**< The one agent that may be chosen; NULL: any. */
+  uint64_t seed;             /**< Random: ties and samples are drawn from it. */
 } bt_route_request_t;
 
 /** Where an attempt goes. The number tells a link from the next one to the same agent. */
--- a/source/agent/runs.c
+++ b/source/agent/runs.c
@@ -271,8 +271,10 @@
   run = find_run (agent, number);
   if (run != NULL)
     {
+      /* A run that failed says nothing about how long one takes: one that fails fast would make the
+       * endpoint look fast. */
       bt_end_run (agent->queue,
-                  result == BT_UPSTREAM_CANCELLED ? 0 : bt_now_ms (agent->ctx) - run->started_ms);
+                  result == BT_UPSTREAM_WHOLE ? bt_now_ms (agent->ctx) - run->started_ms : 0);
       fill_end (&event, result);
       event.total_bytes = run->total_bytes;
       remove_run (agent, run);
--- a/source/core/router.c
+++ b/source/core/router.c
@@ -220,6 +220,8 @@
 static bool
 is_excluded (const bt_endpoint_state_t *state, const bt_route_request_t *request)
 {
+  if (request->only != NULL && !bt_same_identity (&state->endpoint.identity, request->only))
+    return true;
   for (int32_t i = 0; i < request->excluded_count; i++)
     if (bt_same_identity (&state->endpoint.identity, &request->excluded[i]))
       return true;
--- a/source/entry/deliveries.c
+++ b/source/entry/deliveries.c
@@ -3,6 +3,7 @@
 #include "bilberrytray/base/log.h"
 #include "entry_private.h"
 #include "messages.h"
+#include "placement.h"
 
 /* Where a call's delivery is driven: its actions become frames, questions to the policy and answers
  * to the caller. */
@@ -17,7 +18,6 @@
   MAX_RESENDS = 3,
   MAX_HOPS = 4,
   MAX_FOLLOWING = 8, /* Events that one step's actions can lead to. */
-  MAX_OTHERS = 256,
 };
 
 /* Events that follow from actions, in order; each is given after the step that led to it. */
@@ -94,28 +94,22 @@
     return;
   call->routed = true;
   call->dispatched_ms = now_ms;
-  bt_record_dispatch (entry->router, &call->route, 0, now_ms);
+  bt_record_dispatch (entry->router, &call->route, bt_get_call_prefix (call), now_ms);
 }
 
-/* A key runs at its home without any further message, so home goes first: all other agents are
- * excluded. Once anything was tried the choice is open. */
+/* A key runs at its home without any further message, so home goes first. Once anything was tried
+ * the choice is open. */
 static bt_reason_t
 choose_home (bt_entry_t *entry, bt_call_t *call, const bt_route_request_t *request, int64_t now_ms)
 {
   bt_route_request_t at_home = *request;
-  bt_identity_t others[MAX_OTHERS];
   int64_t retry_after_ms;
   int32_t tried_count;
-  int32_t count = 0;
 
   bt_get_delivery_excluded (call->delivery, &tried_count);
   if (!call->keyed || tried_count > 0)
     return BT_REASON_NO_ENDPOINT;
-  for (const bt_peer_t *peer = entry->peers; peer != NULL && count < MAX_OTHERS; peer = peer->next)
-    if (peer->agent && peer->up && !bt_same_identity (&peer->identity, &call->home))
-      others[count++] = peer->identity;
-  at_home.excluded = others;
-  at_home.excluded_count = count;
+  at_home.only = &call->home;
   return bt_choose_endpoint (entry->router, &at_home, now_ms, &call->route, &retry_after_ms);
 }
 
@@ -133,9 +127,10 @@
   request.account = bt_get_caller_account (call->caller);
   request.priority = call->priority;
   request.deadline_left_ms = call->deadline_ms - now_ms;
+  request.prefix = bt_get_call_prefix (call);
   request.seed = entry->seed++;
   reason = choose_home (entry, call, &request, now_ms);
-  if (reason != BT_REASON_NONE || !bt_same_identity (&call->route.identity, &call->home))
+  if (reason != BT_REASON_NONE)
     {
       request.excluded = bt_get_delivery_excluded (call->delivery, &request.excluded_count);
       reason = bt_choose_endpoint (entry->router, &request, now_ms, &call->route, &retry_after_ms);
--- a/source/entry/tickets.c
+++ b/source/entry/tickets.c
@@ -12,26 +12,18 @@
   BASE_TEN = 10,
 };
 
-/* One ticket at an agent that serves the app. Homes are drawn like endpoints, so they spread over
- * the agents by load, and none is minted for one that leaves. */
+/* One ticket at an agent that serves the app; none for an agent that leaves. */
 static bool
-mint_ticket (bt_entry_t *entry, const char *app, const char *account, char *text)
+mint_ticket (bt_entry_t *entry, const char *app, char *text)
 {
-  bt_route_request_t request = { .app = app, .account = account };
   bt_ticket_t ticket = { 0 };
-  int64_t retry_after_ms;
-  bt_route_t route;
   bt_peer_t *peer;
 
-  request.deadline_left_ms = entry->settings.ticket_life_ms;
-  request.seed = entry->seed++;
-  if (bt_choose_endpoint (entry->router, &request, bt_now_ms (entry->ctx), &route, &retry_after_ms)
-      != BT_REASON_NONE)
+  if (bt_choose_home (entry->router, app, bt_now_ms (entry->ctx), &ticket.home) != BT_REASON_NONE)
     return false;
-  peer = bt_find_peer_identity (entry, &route.identity);
+  peer = bt_find_peer_identity (entry, &ticket.home);
   if (peer == NULL || !peer->heard)
     return false;
-  ticket.home = route.identity;
   /* By the home's own clock, as it last told it: lag only makes the life shorter. */
   ticket.expires_ms = peer->peer_now_ms + entry->settings.ticket_life_ms;
   bt_fill_secure_random (ticket.key.bytes, sizeof ticket.key.bytes);
@@ -51,7 +43,7 @@
     count = MAX_TICKETS;
   pthread_mutex_lock (&entry->lock);
   for (int64_t i = 0; app != NULL && i < count; i++)
-    if (mint_ticket (entry, app, bt_get_caller_account (caller), text))
+    if (mint_ticket (entry, app, text))
       json_array_append_new (tickets, json_string (text));
   pthread_mutex_unlock (&entry->lock);
   json_object_set_new (answer, "tickets", tickets);
--- a/test/core/test_router.c
+++ b/test/core/test_router.c
@@ -431,6 +431,32 @@
   stop ();
 }
 
+/* A key's home is asked for by name: whatever the loads, no other endpoint is chosen in its place.
+ */
+static void
+test_only_the_named_endpoint_is_chosen (void)
+{
+  const bt_identity_t named = identify (2);
+  const bt_identity_t unknown = make_endpoint (2, 9).identity;
+  bt_route_request_t request = { .app = "drafts", .only = &named };
+  int64_t retry_after_ms = 0;
+  bt_route_t route;
+
+  start (4);
+  for (int32_t i = 0; i < 20; i++)
+    {
+      request.seed = seed++;
+      CU_ASSERT_EQUAL (bt_choose_endpoint (router, &request, 0, &route, &retry_after_ms),
+                       BT_REASON_NONE);
+      CU_ASSERT (bt_same_identity (&route.identity, &named));
+      bt_record_dispatch (router, &route, 0, 0);
+    }
+  request.only = &unknown;
+  CU_ASSERT_EQUAL (bt_choose_endpoint (router, &request, 0, &route, &retry_after_ms),
+                   BT_REASON_NO_ENDPOINT);
+  stop ();
+}
+
 int
 main (void)
 {
@@ -440,6 +466,7 @@
   CU_initialize_registry ();
   suite = CU_add_suite ("router", NULL, NULL);
   CU_ADD_TEST (suite, test_unusable_endpoints_are_never_chosen);
+  CU_ADD_TEST (suite, test_only_the_named_endpoint_is_chosen);
   CU_ADD_TEST (suite, test_dead_links_take_their_counts_along);
   CU_ADD_TEST (suite, test_heartbeats_on_a_new_link_bring_an_endpoint_back);
   CU_ADD_TEST (suite, test_late_reports_are_corrected_by_own_work);
