End a test's processes with the test

Cause: a test program that was killed at its time limit left its entries and stand-ins running, and the next test on the same ports failed to start (seen: Address already in use on ports whose owner was an orphan). Ruled out: two live tests on one range, which the held port prevents. Children now ask the kernel to be ended with their parent.

--- a/test/process/harness.c
+++ b/test/process/harness.c
@@ -7,12 +7,12 @@
 #include <netinet/in.h>
 #include <signal.h>
 #include <sodium.h>
-#include <spawn.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -20,8 +20,6 @@
 
 #include "bilberrytray/base/clock.h"
 
-extern char **environ;
-
 enum
 {
   MAX_ARGUMENTS = 64,
@@ -42,6 +40,7 @@
   OFFSET_ENGINE = 110,
   OFFSET_PLAIN = 130,
   BASE_TEN = 10,
+  EXIT_NO_PROGRAM = 127,
   REPLY_WAIT_S = 60,
   COMMAND_BYTES = 2048,
 };
@@ -213,15 +212,28 @@
   return process;
 }
 
+/* In the child. A test that is killed at its time limit would leave its processes behind, with
+ * their ports: so they end with it. */
+static void
+run_program (const char *program, char **list, const char *log_path)
+{
+  int silent = open ("/dev/null", O_WRONLY);
+  int log = open (log_path, O_WRONLY | O_CREAT | O_APPEND, S_IRUSR | S_IWUSR);
+
+  prctl (PR_SET_PDEATHSIG, SIGKILL);
+  dup2 (silent, STDOUT_FILENO);
+  dup2 (log, STDERR_FILENO);
+  execv (program, list);
+  _exit (EXIT_NO_PROGRAM);
+}
+
 bool
 bt_start_process (bt_stage_t *stage, const char *name)
 {
   const char *build = getenv ("BT_BUILD_DIR");
   bt_process_t *process = add_process (stage, name);
   arguments_t *arguments = calloc (1, sizeof *arguments);
-  posix_spawn_file_actions_t files;
   char program[URL_BYTES];
-  int failure;
 
   if (process == NULL || arguments == NULL || process->pid != 0)
     {
@@ -232,16 +244,13 @@
   snprintf (program, sizeof program, "%s/%s", build == NULL ? "build/asan" : build,
             fill_arguments (stage, name, arguments));
   arguments->list[0] = program;
-  posix_spawn_file_actions_init (&files);
-  posix_spawn_file_actions_addopen (&files, STDOUT_FILENO, "/dev/null", O_WRONLY, 0);
-  posix_spawn_file_actions_addopen (&files, STDERR_FILENO, process->log_path,
-                                    O_WRONLY | O_CREAT | O_APPEND, S_IRUSR | S_IWUSR);
-  failure = posix_spawn (&process->pid, program, &files, NULL, arguments->list, environ);
-  posix_spawn_file_actions_destroy (&files);
+  process->pid = fork ();
+  if (process->pid == 0)
+    run_program (program, arguments->list, process->log_path);
   free (arguments);
-  if (failure == 0)
+  if (process->pid > 0)
     return true;
-  fprintf (stderr, "can't start %s: %s\n", program, strerror (failure));
+  fprintf (stderr, "can't start %s: %s\n", program, strerror (errno));
   process->pid = 0;
   return false;
 }
