--- a/test/process/test_request_silence.c
+++ b/test/process/test_request_silence.c
@@ -40,7 +40,7 @@
 
   snprintf (url, sizeof url, "http://127.0.0.1:%d/instances", stage->list_port);
   snprintf (list, sizeof list,
-            "{\"revision\":2,\"instances\":[{\"instance\":\"agent-0\",\"role\":\"agent\","
+            "{\"revision\":1000000,\"instances\":[{\"instance\":\"agent-0\",\"role\":\"agent\","
             "\"endpoint\":\"endpoint-0\",\"app\":\"drafts\",\"address\":\"127.0.0.1:%d\","
             "\"failure_domain\":\"hall\",\"state\":\"live\"}]}",
             bt_get_proxy_port (proxy));
