Bind a ticket to its client account; note what the path adds

Cause: whoever held a ticket's text could fetch the kept answer of its request. Ruled out: checking at the agent, which would need the account in each grant and tombstone; the entry already knows the caller. The ticket's signed bytes now hold a hash of the account (8 bytes more, still within the text's bound). test_a_ticket_works_for_its_account_only was seen failing without the check.

--- a/include/bilberrytray/core/ticket.h
+++ b/include/bilberrytray/core/ticket.h
@@ -26,8 +26,12 @@
   bt_identity_t home; /**< The agent that arbitrates the key. */
   bt_key_t key;       /**< 16 random bytes, drawn by the minting entry. */
   int64_t expires_ms; /**< In the home's monotonic clock. */
+  uint64_t account;   /**< Hash of the client account it was given to (bt_hash_account). */
 } bt_ticket_t;
 
+/** The hash by which a ticket names its client account. */
+uint64_t bt_hash_account (const char *account);
+
 /** The signing keys in use. The one with the highest id signs, all of them verify. */
 typedef struct bt_ticket_ring bt_ticket_ring_t;
 
--- a/source/core/ticket.c
+++ b/source/core/ticket.c
@@ -3,18 +3,20 @@
 #include <sodium.h>
 #include <string.h>
 
-/* Layout before base64url: version, signing key's id, expiry, incarnation, key, the home's name of
- * NAME_LENGTH bytes, then the signature over all of that. Numbers are big endian. */
+/* Layout before base64url: version, signing key's id, expiry, incarnation, key, account, the home's
+ * name of NAME_LENGTH bytes, then the signature over all of that. Numbers are big endian. */
 enum
 {
   TICKET_VERSION = 1,
   DERIVED_KEY_ID = 1,
+  ACCOUNT_SEED = 1,
   VERSION_AT = 0,
   SIGNER_AT = 1,
   EXPIRES_AT = 5,
   INCARNATION_AT = 13,
   KEY_AT = 21,
-  NAME_LENGTH_AT = KEY_AT + BT_KEY_BYTES,
+  ACCOUNT_AT = KEY_AT + BT_KEY_BYTES,
+  NAME_LENGTH_AT = ACCOUNT_AT + 8,
   NAME_AT = NAME_LENGTH_AT + 1,
   MAC_BYTES = crypto_auth_hmacsha256_BYTES,
   RAW_MIN_BYTES = NAME_AT + 1 + MAC_BYTES,
@@ -100,6 +102,12 @@
   sodium_memzero (key, sizeof key);
 }
 
+uint64_t
+bt_hash_account (const char *account)
+{
+  return bt_hash_bytes (account, strnlen (account, BT_NAME_BYTES), ACCOUNT_SEED);
+}
+
 static void
 put_number (uint8_t *at, uint64_t value, int32_t bytes)
 {
@@ -139,6 +147,7 @@
   put_number (raw + EXPIRES_AT, (uint64_t)ticket->expires_ms, sizeof (uint64_t));
   put_number (raw + INCARNATION_AT, ticket->home.incarnation, sizeof (uint64_t));
   memcpy (raw + KEY_AT, ticket->key.bytes, BT_KEY_BYTES);
+  put_number (raw + ACCOUNT_AT, ticket->account, sizeof (uint64_t));
   raw[NAME_LENGTH_AT] = (uint8_t)name_bytes;
   memcpy (raw + NAME_AT, ticket->home.instance, name_bytes);
   crypto_auth_hmacsha256 (raw + signed_bytes, raw, signed_bytes, ring->keys[0].secret);
@@ -200,6 +209,7 @@
   ticket->expires_ms = (int64_t)get_number (raw + EXPIRES_AT, sizeof (uint64_t));
   ticket->home.incarnation = get_number (raw + INCARNATION_AT, sizeof (uint64_t));
   memcpy (ticket->key.bytes, raw + KEY_AT, BT_KEY_BYTES);
+  ticket->account = get_number (raw + ACCOUNT_AT, sizeof (uint64_t));
   memcpy (ticket->home.instance, raw + NAME_AT, raw[NAME_LENGTH_AT]);
   return true;
 }
--- a/source/entry/calls.c
+++ b/source/entry/calls.c
@@ -118,7 +118,10 @@
 {
   const char *text = bt_find_caller_header (caller, "Idempotency-Key");
 
-  *keyed = text != NULL && bt_parse_ticket (entry->ring, text, ticket, NULL);
+  /* A ticket opens the kept answer of its request, so it works only for the account it was given
+   * to: found in a log or sent by mistake, it shows another account nothing. */
+  *keyed = text != NULL && bt_parse_ticket (entry->ring, text, ticket, NULL)
+           && ticket->account == bt_hash_account (bt_get_caller_account (caller));
   if (*keyed || idempotent)
     return BT_REASON_NONE;
   if (text != NULL)
--- a/source/entry/tickets.c
+++ b/source/entry/tickets.c
@@ -14,7 +14,7 @@
 
 /* One ticket at an agent that serves the app; none for an agent that leaves. */
 static bool
-mint_ticket (bt_entry_t *entry, const char *app, char *text)
+mint_ticket (bt_entry_t *entry, const char *app, const char *account, char *text)
 {
   bt_ticket_t ticket = { 0 };
   bt_peer_t *peer;
@@ -26,6 +26,7 @@
     return false;
   /* By the home's own clock, as it last told it: lag only makes the life shorter. */
   ticket.expires_ms = peer->peer_now_ms + entry->settings.ticket_life_ms;
+  ticket.account = bt_hash_account (account);
   bt_fill_secure_random (ticket.key.bytes, sizeof ticket.key.bytes);
   return bt_sign_ticket (entry->ring, &ticket, text, NULL);
 }
@@ -43,7 +44,7 @@
     count = MAX_TICKETS;
   pthread_mutex_lock (&entry->lock);
   for (int64_t i = 0; app != NULL && i < count; i++)
-    if (mint_ticket (entry, app, text))
+    if (mint_ticket (entry, app, bt_get_caller_account (caller), text))
       json_array_append_new (tickets, json_string (text));
   pthread_mutex_unlock (&entry->lock);
   json_object_set_new (answer, "tickets", tickets);
--- a/test/core/test_ticket.c
+++ b/test/core/test_ticket.c
@@ -12,6 +12,7 @@
 {
   bt_ticket_t ticket = { .home = { "agent-7", 0x1122334455667788U }, .expires_ms = 987654321 };
 
+  ticket.account = bt_hash_account ("hotel-kitchens");
   for (int32_t i = 0; i < BT_KEY_BYTES; i++)
     ticket.key.bytes[i] = (uint8_t)(i * 17);
   return ticket;
@@ -37,6 +38,7 @@
       CU_ASSERT_TRUE (bt_same_identity (&read.home, &ticket.home));
       CU_ASSERT_TRUE (bt_same_key (&read.key, &ticket.key));
       CU_ASSERT_EQUAL (read.expires_ms, ticket.expires_ms);
+      CU_ASSERT_EQUAL (read.account, ticket.account);
     }
   bt_drop_ticket_ring (ctx, ring);
   bt_drop_context (ctx);
--- a/test/process/harness_requests.c
+++ b/test/process/harness_requests.c
@@ -18,6 +18,7 @@
 {
   const bt_stage_t *stage;
   const char *entry;
+  const char *account;
   char *key;
 } ticket_wait_t;
 
@@ -30,7 +31,7 @@
   json_t *answer;
   const char *text;
 
-  bt_ask (wait->stage, wait->entry, "small", "/v1/addresses", headers, NULL, &reply);
+  bt_ask (wait->stage, wait->entry, wait->account, "/v1/addresses", headers, NULL, &reply);
   answer = reply.body == NULL ? NULL : json_loadb (reply.body, reply.body_bytes, 0, NULL);
   text = json_string_value (json_array_get (json_object_get (answer, "tickets"), 0));
   snprintf (wait->key, BT_KEY_TEXT_BYTES, "%s", text == NULL ? "" : text);
@@ -40,9 +41,12 @@
 }
 
 bool
-bt_take_ticket (const bt_stage_t *stage, const char *entry, char key[BT_KEY_TEXT_BYTES])
+bt_take_ticket (const bt_stage_t *stage,
+                const char *entry,
+                const char *account,
+                char key[BT_KEY_TEXT_BYTES])
 {
-  ticket_wait_t wait = { stage, entry, NULL };
+  ticket_wait_t wait = { stage, entry, account, NULL };
 
   wait.key = key;
   return bt_wait_until (gets_ticket, &wait);
@@ -228,7 +232,7 @@
 {
   const endpoints_wait_t *wait = argument;
   char key[BT_KEY_TEXT_BYTES];
-  ticket_wait_t ticket = { wait->stage, wait->entry, key };
+  ticket_wait_t ticket = { wait->stage, wait->entry, "small", key };
 
   if (!gets_ticket (&ticket))
     return false;
--- a/test/process/harness_requests.h
+++ b/test/process/harness_requests.h
@@ -29,8 +29,11 @@
   bt_reply_t reply;
 } bt_draft_t;
 
-/** Takes a ticket for drafts from an entry; waits until the entry has one to give. */
-bool bt_take_ticket (const bt_stage_t *stage, const char *entry, char key[BT_KEY_TEXT_BYTES]);
+/** Takes a ticket for an account's drafts from an entry; waits until the entry has one to give. */
+bool bt_take_ticket (const bt_stage_t *stage,
+                     const char *entry,
+                     const char *account,
+                     char key[BT_KEY_TEXT_BYTES]);
 
 /** Sends a draft on a thread of its own. */
 void bt_start_draft (bt_draft_t *draft);
--- a/test/process/test_request_faults.c
+++ b/test/process/test_request_faults.c
@@ -46,7 +46,7 @@
   bt_draft_t draft = { stage, "entry-0", key, "entry killed", LONG_TOKENS };
   bt_draft_t again = { stage, "entry-1", key, "entry killed", LONG_TOKENS };
 
-  CU_ASSERT_TRUE_FATAL (bt_take_ticket (stage, "entry-0", key));
+  CU_ASSERT_TRUE_FATAL (bt_take_ticket (stage, "entry-0", "small", key));
   bt_start_draft (&draft);
   CU_ASSERT_TRUE (bt_wait_draft_runs (&draft));
   CU_ASSERT_TRUE (bt_signal_process (stage, "entry-0", SIGKILL));
@@ -76,7 +76,7 @@
       bt_draft_t late = { stage, "entry-0", key, prompt, 5 };
 
       snprintf (prompt, sizeof prompt, "race %d", round);
-      CU_ASSERT_TRUE_FATAL (bt_take_ticket (stage, "entry-1", key));
+      CU_ASSERT_TRUE_FATAL (bt_take_ticket (stage, "entry-1", "small", key));
       bt_start_draft (&one);
       bt_start_draft (&two);
       bt_join_draft (&one);
@@ -103,7 +103,7 @@
   for (int32_t i = 0; i < 2; i++)
     json_decref (bt_call_standin (stage, i == 0 ? "engine-0" : "engine-1", "/fault",
                                   "{\"kind\":\"silent\",\"count\":1,\"after\":7}"));
-  CU_ASSERT_TRUE_FATAL (bt_take_ticket (stage, "entry-0", key));
+  CU_ASSERT_TRUE_FATAL (bt_take_ticket (stage, "entry-0", "small", key));
   bt_send_draft (&draft);
   CU_ASSERT_TRUE (bt_is_draft_whole (&draft));
   CU_ASSERT_EQUAL (bt_count_draft_runs (&draft), 1);
@@ -130,7 +130,7 @@
   char key[BT_KEY_TEXT_BYTES];
   bt_draft_t draft = { stage, "entry-0", key, "short freeze", 5, "large" };
 
-  CU_ASSERT_TRUE_FATAL (bt_take_ticket (stage, "entry-0", key));
+  CU_ASSERT_TRUE_FATAL (bt_take_ticket (stage, "entry-0", "large", key));
   signal_agents (SIGSTOP);
   bt_send_draft (&draft);
   bt_sleep_ms (SHORT_FREEZE_MS);
@@ -152,7 +152,7 @@
   bt_draft_t draft = { stage, "entry-0", key, "frozen agent", 5 };
   bt_draft_t again = { stage, "entry-1", key, "frozen agent", 5 };
 
-  CU_ASSERT_TRUE_FATAL (bt_take_ticket (stage, "entry-0", key));
+  CU_ASSERT_TRUE_FATAL (bt_take_ticket (stage, "entry-0", "small", key));
   signal_agents (SIGSTOP);
   bt_send_draft (&draft);
   CU_ASSERT_TRUE (bt_was_draft_told (&draft, "unknown"));
@@ -177,7 +177,7 @@
   bt_draft_t draft = { stage, "entry-0", key, "agent killed", LONG_TOKENS };
   bt_draft_t again = { stage, "entry-1", key, "agent killed", LONG_TOKENS };
 
-  CU_ASSERT_TRUE_FATAL (bt_take_ticket (stage, "entry-0", key));
+  CU_ASSERT_TRUE_FATAL (bt_take_ticket (stage, "entry-0", "small", key));
   bt_start_draft (&draft);
   CU_ASSERT_TRUE (bt_wait_draft_runs (&draft));
   signal_agents (SIGKILL);
@@ -195,6 +195,30 @@
   CU_ASSERT_TRUE (bt_wait_endpoints (stage, "entry-0", 2));
 }
 
+/* Another account finds a ticket in a log and sends it. It must not get the answer to a request
+ * that is not its own; it is told that the key is none of its, and the owner still gets the answer.
+ */
+static void
+test_a_ticket_works_for_its_account_only (void)
+{
+  char key[BT_KEY_TEXT_BYTES];
+  bt_draft_t own = { stage, "entry-0", key, "own ticket", 5 };
+  bt_draft_t foreign = { stage, "entry-1", key, "own ticket", 5, "third" };
+
+  CU_ASSERT_TRUE_FATAL (bt_take_ticket (stage, "entry-0", "small", key));
+  bt_send_draft (&own);
+  CU_ASSERT_TRUE (bt_is_draft_whole (&own));
+  bt_send_draft (&foreign);
+  CU_ASSERT_TRUE (bt_was_draft_told (&foreign, "not-run"));
+  CU_ASSERT_STRING_EQUAL (foreign.reply.reason, "key-not-minted");
+  bt_clear_reply (&own.reply);
+  bt_send_draft (&own);
+  CU_ASSERT_TRUE (bt_is_draft_whole (&own));
+  CU_ASSERT_EQUAL (bt_count_draft_runs (&own), 1);
+  bt_clear_reply (&own.reply);
+  bt_clear_reply (&foreign.reply);
+}
+
 int
 main (void)
 {
@@ -205,6 +229,7 @@
   suite = CU_add_suite ("request faults", start_suite, end_suite);
   CU_ADD_TEST (suite, test_entry_killed_resend_elsewhere);
   CU_ADD_TEST (suite, test_two_copies_race);
+  CU_ADD_TEST (suite, test_a_ticket_works_for_its_account_only);
   CU_ADD_TEST (suite, test_engine_stream_goes_silent);
   CU_ADD_TEST (suite, test_short_freeze_at_the_deadline);
   CU_ADD_TEST (suite, test_agent_frozen_with_the_dispatch_in_its_buffer);
--- a/test/process/test_request_silence.c
+++ b/test/process/test_request_silence.c
@@ -95,7 +95,7 @@
   bt_draft_t draft = { stage, "entry-0", key, "silent link", LONG_TOKENS };
   int32_t connections = bt_count_proxy_connections (proxy);
 
-  CU_ASSERT_TRUE_FATAL (bt_take_ticket (stage, "entry-0", key));
+  CU_ASSERT_TRUE_FATAL (bt_take_ticket (stage, "entry-0", "small", key));
   bt_start_draft (&draft);
   CU_ASSERT_TRUE (bt_wait_draft_runs (&draft));
   bt_silence_proxy (proxy);
--- a/test/process/test_request_stops.c
+++ b/test/process/test_request_stops.c
@@ -54,7 +54,7 @@
     {
       bt_draft_t *draft = &crowd->drafts[i];
 
-      CU_ASSERT_TRUE (bt_take_ticket (stage, entry, crowd->keys[i]));
+      CU_ASSERT_TRUE (bt_take_ticket (stage, entry, "small", crowd->keys[i]));
       snprintf (crowd->prompts[i], sizeof crowd->prompts[i], "%s %d", name, i);
       draft->stage = stage;
       draft->entry = entry;
@@ -133,7 +133,7 @@
   bt_draft_t again = { stage, "entry-1", key, "gone with key", LONG_TOKENS };
 
   unkeyed.patience_ms = keyed.patience_ms = 300;
-  CU_ASSERT_TRUE_FATAL (bt_take_ticket (stage, "entry-0", key));
+  CU_ASSERT_TRUE_FATAL (bt_take_ticket (stage, "entry-0", "small", key));
   bt_send_draft (&unkeyed);
   bt_send_draft (&keyed);
   CU_ASSERT_NOT_EQUAL (unkeyed.reply.curl_code, 0);
@@ -156,7 +156,7 @@
   bt_draft_t draft = { stage, "entry-0", key, "unread resend", LONG_TOKENS };
   bt_draft_t again = { stage, "entry-1", key, "unread resend", LONG_TOKENS, "nobody" };
 
-  CU_ASSERT_TRUE_FATAL (bt_take_ticket (stage, "entry-0", key));
+  CU_ASSERT_TRUE_FATAL (bt_take_ticket (stage, "entry-0", "small", key));
   bt_start_draft (&draft);
   CU_ASSERT_TRUE (bt_wait_draft_runs (&draft));
   bt_send_draft (&again);
