--- a/source/core/config_spread.c
+++ b/source/core/config_spread.c
@@ -2,66 +2,15 @@
 
 #include <string.h>
 
-#include "bilberrytray/base/random.h"
-#include "bilberrytray/core/subset.h"
+#include "config_spread_private.h"
 
 enum
 {
   FIRST_ROOM = 8,
-  RETRY_LAST_MS = 8000,
 };
 
-#define NEVER_MS INT64_MIN
-
 static const char watch_purpose[] = "watch";
 
-typedef enum store_call
-{
-  STORE_IDLE = 0,
-  STORE_READING,
-  STORE_WATCHING,
-} store_call_t;
-
-typedef struct peer
-{
-  bt_identity_t identity;
-  bool linked;
-  bool counted;               /**< Answered a pull of ours while it was ready itself. */
-  int64_t clock_ms;           /**< Its latest now_ms, echoed back to it; -1 if none. */
-  int64_t agreed_ms;          /**< We know that it lived at this time of ours. */
-  int64_t differs_ms;         /**< Since when its digest differs; NEVER_MS while it agrees. */
-  int64_t next_pull_ms;       /**< Not before this a further pull. */
-  bt_spread_heartbeat_t last; /**< Its latest heartbeat. */
-} peer_t;
-
-struct bt_config_spread
-{
-  bt_identity_t self;
-  bt_spread_settings_t settings;
-  bt_random_t random;
-  bt_config_table_t *table;
-  peer_t *peers;
-  int32_t peer_count;
-  int32_t peer_room;
-  bt_subset_candidate_t *members;
-  bool *near_members;
-  int32_t member_count;
-  int32_t near_count; /**< Near members, this instance among them. */
-  bool watcher;
-  bool read_once; /**< The service was read since the start. */
-  bool ready;     /**< It was learnt what is in force. */
-  int64_t floor;
-  int64_t fresh_ms; /**< Start of the freshest read of the service; NEVER_MS without one. */
-  store_call_t store;
-  int64_t store_since; /**< The floor that the call in flight was sent with. */
-  int64_t store_begun_ms;
-  int64_t next_store_ms;
-  int32_t store_failures; /**< Since the last answer. */
-  uint64_t stale_reads;
-  uint64_t pulls;
-  uint64_t pushes;
-};
-
 bt_spread_settings_t
 bt_get_default_spread_settings (void)
 {
@@ -76,8 +25,8 @@
   return settings;
 }
 
-static bool
-has_guard (const bt_config_spread_t *spread, uint32_t guard)
+bool
+bt_has_spread_guard (const bt_config_spread_t *spread, uint32_t guard)
 {
   return (spread->settings.guards_off & guard) == 0;
 }
@@ -122,8 +71,8 @@
   memset (actions, 0, sizeof *actions);
 }
 
-static bt_spread_action_t *
-add_action (bt_context_t *ctx, bt_spread_actions_t *actions, bt_spread_action_kind_t kind)
+bt_spread_action_t *
+bt_add_spread_action (bt_context_t *ctx, bt_spread_actions_t *actions, bt_spread_action_kind_t kind)
 {
   bt_spread_action_t *action;
 
@@ -289,7 +238,7 @@
 {
   int32_t needed = (spread->near_count + 1) / 2;
 
-  if (!has_guard (spread, BT_SPREAD_ANY_PEER))
+  if (!bt_has_spread_guard (spread, BT_SPREAD_ANY_PEER))
     needed = 1;
   return spread->member_count > 0 && count_peers (spread, 0, true) >= needed && needed > 0
          && spread->near_count > 1;
@@ -304,7 +253,7 @@
 {
   int32_t agreed = count_peers (spread, now_ms, false);
 
-  if (!has_guard (spread, BT_SPREAD_ANY_PEER))
+  if (!bt_has_spread_guard (spread, BT_SPREAD_ANY_PEER))
     return agreed > 0;
   return spread->member_count > 0 && 2 * (agreed + 1) > spread->near_count;
 }
@@ -319,7 +268,7 @@
   /* An instance that hears neither the service nor most peers would serve rules that an operator
    * has long replaced; its callers would see old decisions with no sign of a fault. It cannot know,
    * so after the limit it stops. */
-  if (has_quorum (spread, now_ms) || !has_guard (spread, BT_SPREAD_NEVER_ISOLATED))
+  if (has_quorum (spread, now_ms) || !bt_has_spread_guard (spread, BT_SPREAD_NEVER_ISOLATED))
     return BT_SPREAD_READY;
   return BT_SPREAD_ISOLATED;
 }
@@ -333,11 +282,11 @@
 {
   bt_spread_action_t *action;
 
-  if (now_ms < peer->next_pull_ms || !has_guard (spread, BT_SPREAD_NO_PULL))
+  if (now_ms < peer->next_pull_ms || !bt_has_spread_guard (spread, BT_SPREAD_NO_PULL))
     return;
   peer->next_pull_ms = now_ms + spread->settings.pull_retry_ms;
   spread->pulls++;
-  action = add_action (ctx, actions, BT_SPREAD_PULL);
+  action = bt_add_spread_action (ctx, actions, BT_SPREAD_PULL);
   action->peer = peer->identity;
   action->since = spread->floor;
 }
@@ -349,7 +298,7 @@
            const bt_spread_push_t *push,
            bt_spread_actions_t *actions)
 {
-  bt_spread_action_t *action = add_action (ctx, actions, BT_SPREAD_PUSH);
+  bt_spread_action_t *action = bt_add_spread_action (ctx, actions, BT_SPREAD_PUSH);
 
   spread->pushes++;
   action->peer = *peer;
@@ -382,12 +331,12 @@
  * what is new to it is old to everyone else. And an operator hands over to all entries at once:
  * were each to pass it on, every entry would get every document from every peer. Whom the operator
  * missed is told by the next heartbeat's digest. */
-static void
-take_documents (bt_context_t *ctx,
-                bt_config_spread_t *spread,
-                const bt_identity_t *source,
-                const bt_spread_push_t *push,
-                bt_spread_actions_t *actions)
+void
+bt_take_spread_documents (bt_context_t *ctx,
+                          bt_config_spread_t *spread,
+                          const bt_identity_t *source,
+                          const bt_spread_push_t *push,
+                          bt_spread_actions_t *actions)
 {
   bt_spread_push_t onward = { push->documents, push->from, push->to, false, 0 };
   bool handed_over = source != NULL && find_linked (spread, source) == NULL;
@@ -397,7 +346,7 @@
     if (bt_offer_document (ctx, spread->table, push->documents->items[i]) == BT_OFFER_TAKEN)
       bt_add_document (ctx, &taken, push->documents->items[i]);
   if (taken.count > 0)
-    copy_documents (ctx, &taken, &add_action (ctx, actions, BT_SPREAD_APPLY)->documents);
+    copy_documents (ctx, &taken, &bt_add_spread_action (ctx, actions, BT_SPREAD_APPLY)->documents);
   if (taken.count > 0 && spread->ready && !handed_over)
     push_onward (ctx, spread, source, &onward, actions);
   bt_clear_documents (ctx, &taken);
@@ -444,8 +393,8 @@
   heartbeat->digest = bt_get_table_digest (spread->table);
 }
 
-static void
-raise_time (int64_t *time_ms, int64_t candidate_ms)
+void
+bt_raise_spread_time (int64_t *time_ms, int64_t candidate_ms)
 {
   if (candidate_ms > *time_ms)
     *time_ms = candidate_ms;
@@ -460,7 +409,7 @@
   if (heartbeat->digest == bt_get_table_digest (spread->table) && heartbeat->floor > spread->floor)
     spread->floor = heartbeat->floor;
   if (heartbeat->floor > 0 && heartbeat->floor <= spread->floor && heartbeat->fresh_age_ms >= 0)
-    raise_time (&spread->fresh_ms, sent_ms - heartbeat->fresh_age_ms);
+    bt_raise_spread_time (&spread->fresh_ms, sent_ms - heartbeat->fresh_age_ms);
 }
 
 /* Only a peer that is ready and has the same documents counts towards a majority. One that is not
@@ -478,7 +427,7 @@
     return;
   peer->counted = true;
   if (sent_ms >= 0 && sent_ms <= now_ms)
-    raise_time (&peer->agreed_ms, sent_ms);
+    bt_raise_spread_time (&peer->agreed_ms, sent_ms);
 }
 
 void
@@ -493,7 +442,8 @@
   /* A heartbeat may lie in a buffer for minutes, behind a pause of either process; dated by its
    * arrival, news of before a change would look like news of after it. The echo is a reading of
    * our own clock, taken before the heartbeat was sent, so the news is at least that old. */
-  int64_t sent_ms = has_guard (spread, BT_SPREAD_TRUST_ARRIVAL) ? heartbeat->echo_ms : now_ms;
+  int64_t sent_ms =
+      bt_has_spread_guard (spread, BT_SPREAD_TRUST_ARRIVAL) ? heartbeat->echo_ms : now_ms;
 
   if (peer == NULL)
     return;
@@ -519,7 +469,7 @@
                 const bt_spread_push_t *push,
                 bt_spread_actions_t *actions)
 {
-  bt_spread_action_t *action = add_action (ctx, actions, BT_SPREAD_IN_FORCE);
+  bt_spread_action_t *action = bt_add_spread_action (ctx, actions, BT_SPREAD_IN_FORCE);
 
   action->peer = *source;
   action->request = push->request;
@@ -538,7 +488,7 @@
 {
   peer_t *peer = find_linked (spread, source);
 
-  take_documents (ctx, spread, source, push, actions);
+  bt_take_spread_documents (ctx, spread, source, push, actions);
   if (push->to > 0 && push->from <= spread->floor)
     {
       if (push->to > spread->floor)
@@ -571,101 +521,6 @@
   bt_clear_documents (ctx, &documents);
 }
 
-static void
-plan_retry (bt_config_spread_t *spread, int64_t now_ms)
-{
-  int64_t longest_ms = spread->settings.store_retry_ms;
-  int64_t half_ms;
-
-  for (int32_t i = 0; i < spread->store_failures && longest_ms < RETRY_LAST_MS; i++)
-    longest_ms *= 2;
-  half_ms = longest_ms / 2;
-  spread->store_failures++;
-  spread->store = STORE_IDLE;
-  spread->next_store_ms =
-      now_ms + half_ms + (int64_t)bt_random_below (&spread->random, (uint64_t)half_ms + 1);
-}
-
-static void
-begin_read (bt_context_t *ctx,
-            bt_config_spread_t *spread,
-            int64_t now_ms,
-            bt_spread_actions_t *actions)
-{
-  bt_spread_action_t *action = add_action (ctx, actions, BT_SPREAD_READ);
-
-  spread->store = STORE_READING;
-  spread->store_since = spread->floor;
-  spread->store_begun_ms = now_ms;
-  action->since = spread->floor;
-}
-
-static void
-begin_watch (bt_context_t *ctx, bt_config_spread_t *spread, bt_spread_actions_t *actions)
-{
-  bt_spread_action_t *action = add_action (ctx, actions, BT_SPREAD_WATCH);
-
-  spread->store = STORE_WATCHING;
-  action->since = spread->floor;
-  action->wait_ms = spread->settings.watch_wait_ms;
-}
-
-void
-bt_take_store_read (bt_context_t *ctx,
-                    bt_config_spread_t *spread,
-                    int64_t revision,
-                    const bt_document_list_t *documents,
-                    int64_t now_ms,
-                    bt_spread_actions_t *actions)
-{
-  bt_spread_push_t push = { documents, spread->store_since, revision, false, 0 };
-
-  /* After a recovery a replica of the service may answer with how things stood long before. Seen
-   * as fresh, that would keep an instance admitting under old rules. Revisions never go back, so an
-   * answer below the floor that the read was sent with is known to be old. */
-  if (revision < spread->store_since && has_guard (spread, BT_SPREAD_TRUST_STALE_READ))
-    {
-      spread->stale_reads++;
-      plan_retry (spread, now_ms);
-      return;
-    }
-  take_documents (ctx, spread, NULL, &push, actions);
-  if (revision > spread->floor)
-    spread->floor = revision;
-  /* Dated from before the read was sent: it may have been answered at any time since. */
-  raise_time (&spread->fresh_ms, spread->store_begun_ms);
-  spread->read_once = true;
-  spread->store_failures = 0;
-  spread->ready = true;
-  spread->store = STORE_IDLE;
-  if (spread->watcher)
-    begin_watch (ctx, spread, actions);
-}
-
-void
-bt_take_store_watch (bt_context_t *ctx,
-                     bt_config_spread_t *spread,
-                     bool events,
-                     int64_t now_ms,
-                     bt_spread_actions_t *actions)
-{
-  /* A watch whose connection went silent looks like one on which nothing happened, and changes
-   * would never arrive. So a plain read, on a connection of its own, follows every watch. */
-  if (!events && !has_guard (spread, BT_SPREAD_TRUST_QUIET_WATCH))
-    {
-      raise_time (&spread->fresh_ms, now_ms);
-      begin_watch (ctx, spread, actions);
-      return;
-    }
-  begin_read (ctx, spread, now_ms, actions);
-}
-
-void
-bt_take_store_failure (bt_context_t *ctx, bt_config_spread_t *spread, int64_t now_ms)
-{
-  plan_retry (spread, now_ms);
-}
-
 static void
 pull_gaps (bt_context_t *ctx,
            bt_config_spread_t *spread,
@@ -697,7 +552,7 @@
     spread->ready = true;
   if (spread->store == STORE_IDLE && now_ms >= spread->next_store_ms
       && (spread->watcher || !spread->read_once || stale))
-    begin_read (ctx, spread, now_ms, actions);
+    bt_begin_spread_read (ctx, spread, now_ms, actions);
 }
 
 const bt_config_table_t *
--- /dev/null
+++ b/source/core/config_spread_store.c
@@ -0,0 +1,101 @@
+#include "config_spread_private.h"
+
+enum
+{
+  RETRY_LAST_MS = 8000,
+};
+
+static void
+plan_retry (bt_config_spread_t *spread, int64_t now_ms)
+{
+  int64_t longest_ms = spread->settings.store_retry_ms;
+  int64_t half_ms;
+
+  for (int32_t i = 0; i < spread->store_failures && longest_ms < RETRY_LAST_MS; i++)
+    longest_ms *= 2;
+  half_ms = longest_ms / 2;
+  spread->store_failures++;
+  spread->store = STORE_IDLE;
+  spread->next_store_ms =
+      now_ms + half_ms + (int64_t)bt_random_below (&spread->random, (uint64_t)half_ms + 1);
+}
+
+void
+bt_begin_spread_read (bt_context_t *ctx,
+                      bt_config_spread_t *spread,
+                      int64_t now_ms,
+                      bt_spread_actions_t *actions)
+{
+  bt_spread_action_t *action = bt_add_spread_action (ctx, actions, BT_SPREAD_READ);
+
+  spread->store = STORE_READING;
+  spread->store_since = spread->floor;
+  spread->store_begun_ms = now_ms;
+  action->since = spread->floor;
+}
+
+static void
+begin_watch (bt_context_t *ctx, bt_config_spread_t *spread, bt_spread_actions_t *actions)
+{
+  bt_spread_action_t *action = bt_add_spread_action (ctx, actions, BT_SPREAD_WATCH);
+
+  spread->store = STORE_WATCHING;
+  action->since = spread->floor;
+  action->wait_ms = spread->settings.watch_wait_ms;
+}
+
+void
+bt_take_store_read (bt_context_t *ctx,
+                    bt_config_spread_t *spread,
+                    int64_t revision,
+                    const bt_document_list_t *documents,
+                    int64_t now_ms,
+                    bt_spread_actions_t *actions)
+{
+  bt_spread_push_t push = { documents, spread->store_since, revision, false, 0 };
+
+  /* After a recovery a replica of the service may answer with how things stood long before. Seen
+   * as fresh, that would keep an instance admitting under old rules. Revisions never go back, so an
+   * answer below the floor that the read was sent with is known to be old. */
+  if (revision < spread->store_since && bt_has_spread_guard (spread, BT_SPREAD_TRUST_STALE_READ))
+    {
+      spread->stale_reads++;
+      plan_retry (spread, now_ms);
+      return;
+    }
+  bt_take_spread_documents (ctx, spread, NULL, &push, actions);
+  if (revision > spread->floor)
+    spread->floor = revision;
+  /* Dated from before the read was sent: it may have been answered at any time since. */
+  bt_raise_spread_time (&spread->fresh_ms, spread->store_begun_ms);
+  spread->read_once = true;
+  spread->store_failures = 0;
+  spread->ready = true;
+  spread->store = STORE_IDLE;
+  if (spread->watcher)
+    begin_watch (ctx, spread, actions);
+}
+
+void
+bt_take_store_watch (bt_context_t *ctx,
+                     bt_config_spread_t *spread,
+                     bool events,
+                     int64_t now_ms,
+                     bt_spread_actions_t *actions)
+{
+  /* A watch whose connection went silent looks like one on which nothing happened, and changes
+   * would never arrive. So a plain read, on a connection of its own, follows every watch. */
+  if (!events && !bt_has_spread_guard (spread, BT_SPREAD_TRUST_QUIET_WATCH))
+    {
+      bt_raise_spread_time (&spread->fresh_ms, now_ms);
+      begin_watch (ctx, spread, actions);
+      return;
+    }
+  bt_begin_spread_read (ctx, spread, now_ms, actions);
+}
+
+void
+bt_take_store_failure (bt_context_t *ctx, bt_config_spread_t *spread, int64_t now_ms)
+{
+  plan_retry (spread, now_ms);
+}
