--- a/test/process/harness.c
+++ b/test/process/harness.c
@@ -1,4 +1,4 @@
-#include "harness.h"
+#include "harness_http.h"
 
 #include <arpa/inet.h>
 #include <curl/curl.h>
@@ -11,7 +11,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <strings.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
@@ -41,7 +40,6 @@
   OFFSET_PLAIN = 130,
   BASE_TEN = 10,
   EXIT_NO_PROGRAM = 127,
-  REPLY_WAIT_S = 60,
   COMMAND_BYTES = 2048,
 };
 
@@ -295,116 +293,13 @@
   extra_agent = agent_arguments;
 }
 
-static size_t
-take_bytes (char *data, size_t size, size_t count, void *argument)
-{
-  bt_reply_t *reply = argument;
-
-  reply->body = realloc (reply->body, reply->body_bytes + size * count + 1);
-  memcpy (reply->body + reply->body_bytes, data, size * count);
-  reply->body_bytes += size * count;
-  reply->body[reply->body_bytes] = '\0';
-  return size * count;
-}
-
-static void
-copy_header (char *target, size_t bytes, const char *line, size_t length, const char *name)
-{
-  size_t skip = strlen (name);
-
-  if (length <= skip || strncasecmp (line, name, skip) != 0)
-    return;
-  snprintf (target, bytes, "%.*s", (int)(length - skip), line + skip);
-  target[strcspn (target, "\r\n")] = '\0';
-}
-
-static size_t
-take_header (char *data, size_t size, size_t count, void *argument)
-{
-  bt_reply_t *reply = argument;
-  char wait[32] = "";
-
-  copy_header (reply->outcome, sizeof reply->outcome, data, size * count, "Bilberry-Outcome: ");
-  copy_header (reply->reason, sizeof reply->reason, data, size * count, "Bilberry-Reason: ");
-  copy_header (wait, sizeof wait, data, size * count, "Bilberry-Retry-After-Ms: ");
-  if (wait[0] != '\0')
-    reply->retry_after_ms = strtoll (wait, NULL, BASE_TEN);
-  return size * count;
-}
-
-static void
-perform (const char *url,
-         struct curl_slist *lines,
-         const char *body,
-         const char *method,
-         bt_reply_t *reply)
-{
-  CURL *easy = curl_easy_init ();
-  long status = 0;
-
-  memset (reply, 0, sizeof *reply);
-  reply->retry_after_ms = -1;
-  curl_easy_setopt (easy, CURLOPT_URL, url);
-  curl_easy_setopt (easy, CURLOPT_PROXY, "");
-  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt (easy, CURLOPT_TIMEOUT, (long)REPLY_WAIT_S);
-  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, lines);
-  curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, take_bytes);
-  curl_easy_setopt (easy, CURLOPT_WRITEDATA, reply);
-  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, take_header);
-  curl_easy_setopt (easy, CURLOPT_HEADERDATA, reply);
-  if (body != NULL)
-    curl_easy_setopt (easy, CURLOPT_POSTFIELDS, body);
-  if (method != NULL)
-    curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, method);
-  reply->curl_code = (int32_t)curl_easy_perform (easy);
-  curl_easy_getinfo (easy, CURLINFO_RESPONSE_CODE, &status);
-  reply->status = (int32_t)status;
-  curl_easy_cleanup (easy);
-}
-
-void
-bt_ask (const bt_stage_t *stage,
-        const char *entry,
-        const char *account,
-        const char *path,
-        const char *const *headers,
-        const char *body,
-        bt_reply_t *reply)
-{
-  struct curl_slist *lines = NULL;
-  char url[URL_BYTES];
-  char token[URL_BYTES];
-
-  snprintf (url, sizeof url, "http://127.0.0.1:%d%s", bt_get_stage_port (stage, entry), path);
-  snprintf (token, sizeof token, "Authorization: Bearer token-%s", account);
-  lines = curl_slist_append (lines, token);
-  for (int32_t i = 0; headers != NULL && headers[i] != NULL; i++)
-    lines = curl_slist_append (lines, headers[i]);
-  perform (url, lines, body, NULL, reply);
-  curl_slist_free_all (lines);
-}
-
-const char *
-bt_get_reply_text (const bt_reply_t *reply)
-{
-  return reply->body == NULL ? "" : reply->body;
-}
-
-void
-bt_clear_reply (bt_reply_t *reply)
-{
-  free (reply->body);
-  memset (reply, 0, sizeof *reply);
-}
-
 static json_t *
 call_url (const char *url, const char *body, const char *method)
 {
   bt_reply_t reply;
   json_t *answer = NULL;
 
-  perform (url, NULL, body, method, &reply);
+  bt_perform_request (url, NULL, body, method, &reply);
   if (reply.curl_code == 0 && reply.status == 200 && reply.body != NULL)
     answer = json_loadb (reply.body, reply.body_bytes, JSON_DECODE_ANY, NULL);
   if (answer == NULL && reply.curl_code == 0 && reply.status == 200)
@@ -431,7 +326,7 @@
 
   snprintf (url, sizeof url, "http://127.0.0.1:%d/metrics",
             stage->base_port + offset + read_index (name));
-  perform (url, NULL, NULL, NULL, &reply);
+  bt_perform_request (url, NULL, NULL, NULL, &reply);
   return reply.body;
 }
 
@@ -468,7 +363,7 @@
   if (pipe == NULL)
     return -1;
   while ((got = fread (block, 1, sizeof block, pipe)) > 0)
-    take_bytes (block, 1, got, &printed);
+    bt_take_reply_bytes (block, 1, got, &printed);
   status = pclose (pipe);
   *output = printed.body == NULL ? strdup ("") : printed.body;
   return WIFEXITED (status) ? WEXITSTATUS (status) : -1;
