Dial a key's home on demand, so that any entry can answer a resend

Cause: above eight entries an agent is linked to eight of them; a resend through the ninth met no link to the key's home and was told unknown (home-unreachable) after its limit of 3 s, however healthy all were. Ruled out: the list (the entry knows the home's address) and the delivery, which waits for a link. test_request_subset, with nine entries, was seen failing before: 2 of 18 copies. Now an entry dials an agent that a call needs and keeps that link. Such links add to those counted in CAPACITY; with homes spread evenly they stay few, since only resends and stale tickets ask for them.

--- a/source/entry/deliveries.c
+++ b/source/entry/deliveries.c
@@ -228,6 +228,8 @@
   bool sent = peer != NULL && send_by_kind (entry, call, action, peer->link);
 
   add_following (following, BT_DELIVERY_SENT)->link = link;
+  if (peer == NULL)
+    bt_want_peer (entry, action->identity.instance);
   if (peer == NULL && other != NULL)
     add_following (following, BT_DELIVERY_LINK_UP)->identity = other->identity;
   if (peer != NULL && !sent)
--- a/source/entry/entry_links.c
+++ b/source/entry/entry_links.c
@@ -70,11 +70,25 @@
     bt_log (entry->ctx, BT_LOG_WARNING, BT_PART_LINK, "%s", error.message);
 }
 
+/* Above eight entries each is linked to a part of the agents only, while a caller may send a key
+ * again through any entry. Without a link to the key's home the entry could only say "unknown". */
+void
+bt_want_peer (bt_entry_t *entry, const char *instance)
+{
+  bt_peer_t *peer = find_peer (entry, instance);
+
+  if (peer == NULL || peer->near || peer->wanted)
+    return;
+  peer->wanted = true;
+  if (peer->listed)
+    dial_peer (entry, peer, bt_now_ms (entry->ctx));
+}
+
 void
 bt_dial_peers (bt_entry_t *entry, int64_t now_ms)
 {
   for (bt_peer_t *peer = entry->peers; peer != NULL; peer = peer->next)
-    if (peer->listed && peer->near && dials_peer (entry, peer))
+    if (peer->listed && (peer->near || peer->wanted) && dials_peer (entry, peer))
       dial_peer (entry, peer, now_ms);
 }
 
--- a/source/entry/entry_private.h
+++ b/source/entry/entry_private.h
@@ -38,6 +38,7 @@
   bool listed;         /**< The last reading of the list names it. */
   bool listed_leaving; /**< The list says that it leaves. */
   bool near;           /**< A link to it is kept up. */
+  bool wanted;         /**< A call needed it although it is not near: linked from then on. */
   bool link_leaving;   /**< Its own heartbeat says so; goes before the list. */
   bt_link_t *link;     /**< NULL: none. */
   bool up;
@@ -113,6 +114,9 @@
 /** Dials the peers that are due. With the lock held. */
 void bt_dial_peers (bt_entry_t *entry, int64_t now_ms);
 
+/** Has an instance dialled that a call needs and that no link leads to. With the lock held. */
+void bt_want_peer (bt_entry_t *entry, const char *instance);
+
 /** The peer whose link is up as this identity, or NULL. With the lock held. */
 bt_peer_t *bt_find_peer_identity (bt_entry_t *entry, const bt_identity_t *identity);
 
--- a/test/process/harness.c
+++ b/test/process/harness.c
@@ -40,6 +40,7 @@
   OFFSET_PLAIN = 130,
   BASE_TEN = 10,
   EXIT_NO_PROGRAM = 127,
+  ENTRIES_A_SUBSET = 8,
   COMMAND_BYTES = 2048,
 };
 
@@ -528,6 +529,9 @@
 {
   const port_wait_t *wait = argument;
 
+  /* Above this many entries each is linked to a part of the agents. */
+  if (wait->stage->entries > ENTRIES_A_SUBSET)
+    return bt_read_stage_counter (wait->stage, wait->name, "bilberry_admitting") == 1;
   return bt_is_entry_ready (wait->stage, wait->name, wait->stage->engines + wait->stage->plains);
 }
 
