Weigh accounts by their shares in the agents' queues too

Cause: the entries weighed accounts by the operators' shares, the agents, which have the last word, did not: under overload from several entries an endpoint served all accounts alike. The share travels with the dispatch. test_shares_weigh_the_turns: 6 of 8 starts for the account of weight 3, seen failing without it.

--- a/include/bilberrytray/core/run_queue.h
+++ b/include/bilberrytray/core/run_queue.h
@@ -28,6 +28,7 @@
   const char *account;
   int32_t priority;
   int64_t deadline_left_ms;
+  int32_t share; /**< Weight of the account in fair sharing; 0 counts as 1. */
 } bt_run_request_t;
 
 /** What is to be done with a request. */
--- a/source/agent/runs.c
+++ b/source/agent/runs.c
@@ -8,6 +8,7 @@
 
 enum
 {
+  MAX_SHARE = 1000,
   MAX_HEADERS = 64,
   RUN_ID_BYTES = 64,
 };
@@ -143,6 +144,7 @@
 
   request.id = number;
   request.account = dispatch->account;
+  request.share = dispatch->share > MAX_SHARE ? MAX_SHARE : (int32_t)dispatch->share;
   request.priority = dispatch->priority;
   request.deadline_left_ms = dispatch->deadline_left_ms;
   bt_offer_run (agent->ctx, agent->queue, &request, bt_now_ms (agent->ctx), &decision);
--- a/source/core/run_queue.c
+++ b/source/core/run_queue.c
@@ -98,6 +98,7 @@
     .priority = request->priority,
     .give_up_ms = now_ms + request->deadline_left_ms - (int64_t)queue->service_ms,
     .queued_ms = now_ms,
+    .share = request->share,
   };
   bt_fair_item_t victim;
 
@@ -132,8 +133,9 @@
       decision->action = BT_RUN_START;
       return;
     }
-  wait_ms = get_wait_ms (
-      queue, bt_count_fair_ahead (queue->waiting, request->account, 1, request->priority));
+  wait_ms = get_wait_ms (queue, bt_count_fair_ahead (queue->waiting, request->account,
+                                                     request->share > 0 ? request->share : 1,
+                                                     request->priority));
   late_ms = wait_ms + (int64_t)queue->service_ms - request->deadline_left_ms;
   if (late_ms > 0)
     refuse (decision, BT_REASON_DEADLINE_UNREACHABLE, late_ms);
--- a/source/entry/deliveries.c
+++ b/source/entry/deliveries.c
@@ -173,6 +173,7 @@
   bt_fill_dispatch (&message, dispatch, &grant);
   message.ticket = (char *)ticket;
   message.account = (char *)bt_get_caller_account (call->caller);
+  message.share = (uint32_t)bt_get_call_share (call);
   message.app = call->declarations->apps[call->app].name;
   message.method = request->method;
   message.path = request->path;
--- a/source/entry/placement.c
+++ b/source/entry/placement.c
@@ -24,13 +24,13 @@
   return bt_hash_bytes (request->body, bytes, (uint64_t)call->app);
 }
 
-static int32_t
-find_share (const bt_declarations_t *declarations, const char *name)
+int32_t
+bt_get_call_share (const bt_call_t *call)
 {
-  for (int32_t i = 0; i < declarations->account_count; i++)
-    if (strcmp (declarations->accounts[i].name, name) == 0)
-      return declarations->accounts[i].share;
-  return 1;
+  const bt_declarations_t *declarations = call->declarations;
+  int32_t account = bt_find_account (declarations, bt_get_caller_account (call->caller));
+
+  return account < 0 ? 1 : declarations->accounts[account].share;
 }
 
 static void
@@ -45,7 +45,7 @@
   request->id = call->id;
   request->app = call->declarations->apps[call->app].name;
   request->account = bt_get_caller_account (call->caller);
-  request->share = find_share (call->declarations, request->account);
+  request->share = bt_get_call_share (call);
   request->priority = call->priority;
   request->deadline_left_ms = call->deadline_ms - now_ms;
   request->rule = rule->name;
--- a/source/entry/placement.h
+++ b/source/entry/placement.h
@@ -11,4 +11,7 @@
  * of the body that the call's rule names. 0 when it names none, or the header is absent. */
 uint64_t bt_get_call_prefix (const bt_call_t *call);
 
+/** The weight of the call's account in fair sharing, from 1 up. */
+int32_t bt_get_call_share (const bt_call_t *call);
+
 #endif
--- a/test/core/test_run_queue.c
+++ b/test/core/test_run_queue.c
@@ -135,6 +135,30 @@
 /* A large account's burst comes through eight entries and fills the queue. A small account's single
  * request is refused, although far more than its part is held by the large one. Cause: each entry
  * is fair by itself, but none sees the queue. */
+/* The operators gave one account three times the weight of another. Both have more waiting than the
+ * endpoint takes; of each four starts the heavier account gets three, as it does at the entries. */
+static void
+test_shares_weigh_the_turns (void)
+{
+  int32_t heavy = 0;
+
+  start (1, 16);
+  offer (1, "running", 0, long_ms);
+  for (uint64_t i = 0; i < 8; i++)
+    {
+      const bt_run_request_t weighed = { 100 + i, "heavy", 0, long_ms, 3 };
+      const bt_run_request_t plain = { 200 + i, "light", 0, long_ms, 1 };
+      bt_run_decision_t decision;
+
+      bt_offer_run (ctx, queue, &weighed, 0, &decision);
+      bt_offer_run (ctx, queue, &plain, 0, &decision);
+    }
+  for (int32_t i = 0; i < 8; i++)
+    heavy += start_next () < 200;
+  CU_ASSERT_EQUAL (heavy, 6);
+  stop ();
+}
+
 static void
 test_small_account_takes_a_place_of_a_large_one (void)
 {
@@ -196,6 +220,7 @@
   CU_ADD_TEST (suite, test_overdue_requests_are_given_up_at_once);
   CU_ADD_TEST (suite, test_leaving_refuses_new_work_and_finishes_the_rest);
   CU_ADD_TEST (suite, test_priority_first_then_accounts_in_turn);
+  CU_ADD_TEST (suite, test_shares_weigh_the_turns);
   CU_ADD_TEST (suite, test_small_account_takes_a_place_of_a_large_one);
   CU_ADD_TEST (suite, test_cancelled_requests_never_start);
   CU_ADD_TEST (suite, test_load_shows_what_is_there_and_short_runs_count);
