Test a request whose every frame arrives twice, by processes

The hop of the silent-link suite now passes whole frames and can send each twice. The draft runs once and its answer is whole; with the check of sequence numbers taken out of the entry the answer is cut (seen).

--- a/test/process/harness_proxy.c
+++ b/test/process/harness_proxy.c
@@ -6,6 +6,7 @@
 #include <pthread.h>
 #include <stdatomic.h>
 #include <stdlib.h>
+#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -15,12 +16,21 @@
   ENDS = 2,
   POLL_MS = 10,
   BLOCK_BYTES = 16384,
+  PREFIX_BYTES = 4,
 };
 
+/* Bytes of one direction that are not yet a whole frame. */
+typedef struct flow
+{
+  uint8_t *data;
+  size_t bytes;
+} flow_t;
+
 /* One connection and its continuation. */
 typedef struct pair
 {
   int ends[ENDS];
+  flow_t flows[ENDS];
   bool silent;
 } pair_t;
 
@@ -32,6 +42,7 @@
   pthread_t thread;
   atomic_bool stopping;
   atomic_bool silencing;
+  atomic_bool doubling;
   atomic_int accepted;
   pair_t pairs[MAX_PAIRS];
   int32_t count;
@@ -53,7 +64,7 @@
   struct sockaddr_in target = get_address (proxy->target_port);
   pair_t *pair = &proxy->pairs[proxy->count];
 
-  pair->silent = false;
+  memset (pair, 0, sizeof *pair);
   pair->ends[0] = accept (proxy->listener, NULL, NULL);
   pair->ends[1] = socket (AF_INET, SOCK_STREAM, 0);
   if (pair->ends[0] < 0 || pair->ends[1] < 0
@@ -70,36 +81,75 @@
 static void
 close_pair (bt_proxy_t *proxy, int32_t index)
 {
-  close (proxy->pairs[index].ends[0]);
-  close (proxy->pairs[index].ends[1]);
+  for (int32_t end = 0; end < ENDS; end++)
+    {
+      close (proxy->pairs[index].ends[end]);
+      free (proxy->pairs[index].flows[end].data);
+    }
   proxy->pairs[index] = proxy->pairs[--proxy->count];
 }
 
-/* Passes on what one end has sent; false when that end is closed. */
 static bool
-pass_on (const pair_t *pair, int32_t end)
+send_whole (int fd, const uint8_t *data, size_t bytes)
 {
-  char block[BLOCK_BYTES];
-  ssize_t bytes = recv (pair->ends[end], block, sizeof block, 0);
-  ssize_t sent = 0;
-
-  while (bytes > 0 && sent < bytes)
+  while (bytes > 0)
     {
-      ssize_t more = send (pair->ends[1 - end], block + sent, (size_t)(bytes - sent), MSG_NOSIGNAL);
+      ssize_t sent = send (fd, data, bytes, MSG_NOSIGNAL);
 
-      if (more <= 0)
+      if (sent <= 0)
         return false;
-      sent += more;
+      data += sent;
+      bytes -= (size_t)sent;
     }
-  return bytes > 0;
+  return true;
+}
+
+/* The size of the first whole frame with its length, or 0 while it is not whole. */
+static size_t
+find_frame (const flow_t *flow)
+{
+  const uint8_t *at = flow->data;
+  size_t bytes;
+
+  if (flow->bytes < PREFIX_BYTES)
+    return 0;
+  bytes = PREFIX_BYTES
+          + ((size_t)at[0] << 24 | (size_t)at[1] << 16 | (size_t)at[2] << 8 | (size_t)at[3]);
+  return flow->bytes >= bytes ? bytes : 0;
+}
+
+/* Passes on the whole frames that one end has sent; false when that end is closed. */
+static bool
+pass_on (pair_t *pair, int32_t end, int32_t copies)
+{
+  flow_t *flow = &pair->flows[end];
+  size_t frame;
+  ssize_t bytes;
+
+  flow->data = realloc (flow->data, flow->bytes + BLOCK_BYTES);
+  bytes = recv (pair->ends[end], flow->data + flow->bytes, BLOCK_BYTES, 0);
+  if (bytes <= 0)
+    return false;
+  flow->bytes += (size_t)bytes;
+  while ((frame = find_frame (flow)) > 0)
+    {
+      for (int32_t copy = 0; copy < copies; copy++)
+        if (!send_whole (pair->ends[1 - end], flow->data, frame))
+          return false;
+      flow->bytes -= frame;
+      memmove (flow->data, flow->data + frame, flow->bytes);
+    }
+  return true;
 }
 
 static void
 serve_pairs (bt_proxy_t *proxy, const struct pollfd *polls)
 {
+  int32_t copies = atomic_load (&proxy->doubling) ? 2 : 1;
+
   for (int32_t i = proxy->count - 1; i >= 0; i--)
     for (int32_t end = 0; end < ENDS; end++)
-      if (polls[i * ENDS + end].revents != 0 && !pass_on (&proxy->pairs[i], end))
+      if (polls[i * ENDS + end].revents != 0 && !pass_on (&proxy->pairs[i], end, copies))
         {
           close_pair (proxy, i);
           break;
@@ -192,3 +242,9 @@
 {
   return atomic_load (&proxy->accepted);
 }
+
+void
+bt_double_proxy (bt_proxy_t *proxy, bool doubling)
+{
+  atomic_store (&proxy->doubling, doubling);
+}
--- a/test/process/harness_proxy.h
+++ b/test/process/harness_proxy.h
@@ -25,4 +25,7 @@
 /** How many connections it has accepted. */
 int32_t bt_count_proxy_connections (bt_proxy_t *proxy);
 
+/** From now on, or no longer, each frame goes out twice in either direction. */
+void bt_double_proxy (bt_proxy_t *proxy, bool doubling);
+
 #endif
--- a/test/process/test_request_silence.c
+++ b/test/process/test_request_silence.c
@@ -123,6 +123,24 @@
   bt_clear_reply (&draft.reply);
 }
 
+/* Every frame between entry and agent arrives twice: the dispatch, its acceptance, the pieces and
+ * the end of the answer. The draft runs once, and no piece is given to the buyer twice. */
+static void
+test_each_frame_arrives_twice (void)
+{
+  char key[BT_KEY_TEXT_BYTES];
+  bt_draft_t draft = { stage, "entry-0", key, "doubled frames", 20 };
+
+  CU_ASSERT_TRUE (bt_wait_endpoints (stage, "entry-0", 1));
+  CU_ASSERT_TRUE_FATAL (bt_take_ticket (stage, "entry-0", "small", key));
+  bt_double_proxy (proxy, true);
+  bt_send_draft (&draft);
+  bt_double_proxy (proxy, false);
+  CU_ASSERT_TRUE (bt_is_draft_whole (&draft));
+  CU_ASSERT_EQUAL (bt_count_draft_runs (&draft), 1);
+  bt_clear_reply (&draft.reply);
+}
+
 int
 main (void)
 {
@@ -131,6 +149,7 @@
 
   CU_initialize_registry ();
   suite = CU_add_suite ("request silence", start_suite, end_suite);
+  CU_ADD_TEST (suite, test_each_frame_arrives_twice);
   CU_ADD_TEST (suite, test_link_goes_silent_under_an_answer);
   CU_ADD_TEST (suite, test_link_goes_silent_without_a_key);
   CU_basic_set_mode (CU_BRM_VERBOSE);
