Wait for a state that lasts in the test of rank 0's agent dying before it decides

Cause of its one failure on a busy machine: only the first try of the decision was lost, the agent tried again at once, and the test, which looks every 20 ms, could miss the moment without a decision and then waited for it to its limit. Shown: with a pause of 3 s before the look the old test always fails, the new one passes. Ruled out: the product, which decided as it should. As strict as before: every try is lost until the agent is dead, then the restarted one must decide.

--- a/test/process/test_map_group.c
+++ b/test/process/test_map_group.c
@@ -346,16 +346,18 @@
   check_group ();
 }
 
-/* The same with the decision lost on its way to the engine. */
+/* The same with the decision lost on its way to the engine: each try, until the agent is dead, so
+ * that the test cannot miss the state it waits for. */
 static void
 test_agent_of_rank_0_dies_before_deciding (void)
 {
   int32_t rank = 0;
 
-  fail ("{\"kind\":\"down\",\"count\":1,\"match\":\"0/decide\"}");
+  fail ("{\"kind\":\"down\",\"count\":-1,\"match\":\"0/decide\"}");
   want_next_map ();
   CU_ASSERT_TRUE (bt_wait_until (is_rank_undecided, &rank));
   CU_ASSERT_TRUE (kill_agent (0));
+  fail ("{\"kind\":\"none\"}");
   CU_ASSERT_TRUE (start_agent (0));
   check_group ();
 }
