Read addresses in one place, and take out what nothing calls

IP:PORT was read three times: strictly for settings and for HTTP, leniently for links, where a port of letters counted as 0. bt_parse_address in base, the strict one, now serves all. Gone: a second name for bt_send_frame, bt_cut_answer and bt_get_page_port, a field and an option of the upstream that nothing set.

--- a/include/bilberrytray/base.h
+++ b/include/bilberrytray/base.h
@@ -5,6 +5,7 @@
  * Everything of the base package.
  */
 
+#include "bilberrytray/base/address.h"
 #include "bilberrytray/base/clock.h"
 #include "bilberrytray/base/context.h"
 #include "bilberrytray/base/counters.h"
--- /dev/null
+++ b/include/bilberrytray/base/address.h
@@ -0,0 +1,14 @@
+#ifndef BILBERRYTRAY_BASE_ADDRESS_H
+#define BILBERRYTRAY_BASE_ADDRESS_H
+
+/** @file
+ * Addresses of the form "IP:PORT".
+ */
+
+#include <netinet/in.h>
+#include <stdbool.h>
+
+/** Reads "IP:PORT" (IPv4, port 0 to 65535) into @p address; false when it is malformed. */
+bool bt_parse_address (const char *text, struct sockaddr_in *address);
+
+#endif
--- a/include/bilberrytray/page/page.h
+++ b/include/bilberrytray/page/page.h
@@ -5,7 +5,6 @@
  * The operators' HTTP page of a process: /metrics, /healthz and what the program adds.
  */
 
-#include <netinet/in.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -25,15 +24,9 @@
                         void *argument,
                         bt_error_t *error);
 
-/** The port it listens on. */
-int32_t bt_get_page_port (const bt_page_t *page);
-
 /** Stops serving. NULL is accepted. */
 void bt_drop_page (bt_context_t *ctx, bt_page_t *page);
 
-/** Reads "IP:PORT" into @p address; false when it is malformed. */
-bool bt_parse_socket_address (const char *text, struct sockaddr_in *address);
-
 /** All counters as one text, to be freed by free. */
 char *bt_format_counters (bt_context_t *ctx);
 
--- a/source/agent/upstream.c
+++ b/source/agent/upstream.c
@@ -55,7 +55,6 @@
   bool streams; /**< The answer is a stream of events. */
   bool done;    /**< The closing event was seen. */
   transfer_kind_t kind;
-  bool overflow;
   int64_t events; /**< Whole events passed on. */
   int64_t heard_ms;
   int32_t resumes;
--- a/source/agent/upstream.h
+++ b/source/agent/upstream.h
@@ -65,7 +65,6 @@
   int64_t idle_ms; /**< Without a byte, a stream is silent. */
   int32_t resumes; /**< Further connections for one run at most. */
   int64_t load_ms; /**< Between two load reports. */
-  int32_t max_queued;
   bt_upstream_handler_t *handler;
 } bt_upstream_options_t;
 
--- a/source/base/settings.c
+++ b/source/base/settings.c
@@ -1,12 +1,13 @@
 #include "bilberrytray/base/settings.h"
 
-#include <arpa/inet.h>
 #include <ctype.h>
 #include <errno.h>
 #include <getopt.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "bilberrytray/base/address.h"
+
 enum
 {
   MAX_SETTINGS = 64,
@@ -14,7 +15,6 @@
   BASE_TEN = 10,
   OPTION_HELP = 1000,
   OPTION_VERSION,
-  MAX_PORT = 65535,
 };
 
 static const char *const variable_prefix = "BILBERRY_";
@@ -29,25 +29,6 @@
   variable[used] = '\0';
 }
 
-static bool
-is_address (const char *text)
-{
-  char host[INET6_ADDRSTRLEN];
-  const char *colon = strrchr (text, ':');
-  struct in_addr address;
-  char *end;
-  long port;
-
-  if (colon == NULL || (size_t)(colon - text) >= sizeof host)
-    return false;
-  memcpy (host, text, (size_t)(colon - text));
-  host[colon - text] = '\0';
-  if (inet_pton (AF_INET, host, &address) != 1)
-    return false;
-  port = strtol (colon + 1, &end, BASE_TEN);
-  return end != colon + 1 && *end == '\0' && port >= 0 && port <= MAX_PORT;
-}
-
 static void
 store_integer (bt_context_t *ctx,
                const bt_setting_t *setting,
@@ -82,6 +63,14 @@
     bt_add_finding (ctx, findings, origin, 0, NULL, "\"%s\" is neither true nor false.", text);
 }
 
+static bool
+is_address (const char *text)
+{
+  struct sockaddr_in address;
+
+  return bt_parse_address (text, &address);
+}
+
 static void
 store_setting (bt_context_t *ctx,
                const bt_setting_t *setting,
--- a/source/entry/caller.c
+++ b/source/entry/caller.c
@@ -187,13 +187,6 @@
   end_answer (caller, ANSWER_WHOLE);
 }
 
-void
-bt_cut_answer (bt_context_t *ctx, bt_caller_t *caller)
-{
-  bt_count_outcome (ctx, BT_OUTCOME_UNKNOWN);
-  end_answer (caller, ANSWER_CUT);
-}
-
 void
 bt_refuse_caller (bt_context_t *ctx,
                   bt_caller_t *caller,
--- a/source/entry/caller.h
+++ b/source/entry/caller.h
@@ -64,9 +64,6 @@
 /** Ends the answer whole. */
 void bt_end_answer (bt_context_t *ctx, bt_caller_t *caller);
 
-/** Ends the answer visibly cut: the connection closes without its last chunk. */
-void bt_cut_answer (bt_context_t *ctx, bt_caller_t *caller);
-
 /** Refuses, at once. Cuts the answer instead when it has begun. This is the one way to refuse a
  * caller; it counts the reason and the outcome. */
 void bt_refuse_caller (bt_context_t *ctx,
--- a/source/entry/http_server.c
+++ b/source/entry/http_server.c
@@ -3,8 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "bilberrytray/base/address.h"
 #include "bilberrytray/base/log.h"
-#include "bilberrytray/page/page.h"
 
 enum
 {
@@ -198,7 +198,7 @@
   server->ctx = ctx;
   server->entry = entry;
   server->max_body_bytes = (size_t)settings->max_body_bytes;
-  bt_parse_socket_address (settings->listen, &address);
+  bt_parse_address (settings->listen, &address);
   server->daemon = MHD_start_daemon (
       MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, handle, server,
       MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&address, MHD_OPTION_THREAD_POOL_SIZE,
--- a/source/page/page.c
+++ b/source/page/page.c
@@ -1,20 +1,16 @@
 #include "bilberrytray/page/page.h"
 
-#include <arpa/inet.h>
 #include <microhttpd.h>
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
+#include "bilberrytray/base/address.h"
 #include "bilberrytray/base/counters.h"
 
 enum
 {
-  HOST_BYTES = 32,
-  BASE_TEN = 10,
   CONNECTION_LIMIT = 32,
   CONNECTION_TIMEOUT_S = 10,
-  MAX_PORT = 65535,
 };
 
 struct bt_page
@@ -25,27 +21,6 @@
   void *argument;
 };
 
-bool
-bt_parse_socket_address (const char *text, struct sockaddr_in *address)
-{
-  char host[HOST_BYTES];
-  const char *colon = strrchr (text, ':');
-  unsigned long port;
-  char *end;
-
-  memset (address, 0, sizeof *address);
-  if (colon == NULL || (size_t)(colon - text) >= sizeof host)
-    return false;
-  memcpy (host, text, (size_t)(colon - text));
-  host[colon - text] = '\0';
-  port = strtoul (colon + 1, &end, BASE_TEN);
-  if (end == colon + 1 || *end != '\0' || port > MAX_PORT)
-    return false;
-  address->sin_family = AF_INET;
-  address->sin_port = htons ((uint16_t)port);
-  return inet_pton (AF_INET, host, &address->sin_addr) == 1;
-}
-
 char *
 bt_format_counters (bt_context_t *ctx)
 {
@@ -119,7 +94,7 @@
   struct sockaddr_in target;
   bt_page_t *page;
 
-  if (!bt_parse_socket_address (address, &target))
+  if (!bt_parse_address (address, &target))
     {
       bt_set_error (error, BT_ERROR_FORMAT, "\"%s\" is not of the form IP:PORT.", address);
       return NULL;
@@ -142,12 +117,6 @@
   return page;
 }
 
-int32_t
-bt_get_page_port (const bt_page_t *page)
-{
-  return MHD_get_daemon_info (page->daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
-}
-
 void
 bt_drop_page (bt_context_t *ctx, bt_page_t *page)
 {
--- a/source/wire/link.c
+++ b/source/wire/link.c
@@ -97,7 +97,7 @@
 }
 
 bool
-bt_send_link (bt_context_t *ctx, bt_link_t *link, const bt_frame_t *frame)
+bt_send_frame (bt_context_t *ctx, bt_link_t *link, const bt_frame_t *frame)
 {
   bool sent = false;
 
@@ -118,12 +118,6 @@
   return sent;
 }
 
-bool
-bt_send_frame (bt_context_t *ctx, bt_link_t *link, const bt_frame_t *frame)
-{
-  return bt_send_link (ctx, link, frame);
-}
-
 void
 bt_close_link (bt_link_t *link)
 {
--- a/source/wire/link_loop.c
+++ b/source/wire/link_loop.c
@@ -11,6 +11,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "bilberrytray/base/address.h"
 #include "bilberrytray/base/counters.h"
 #include "bilberrytray/base/log.h"
 #include "link_private.h"
@@ -21,25 +22,8 @@
   TICK_MS = 20,
   RECEIVE_BYTES = 65536,
   LISTEN_BACKLOG = 256,
-  BASE_TEN = 10,
 };
 
-static bool
-parse_address (const char *text, struct sockaddr_in *address)
-{
-  char host[BT_ADDRESS_BYTES];
-  const char *colon = strrchr (text, ':');
-
-  memset (address, 0, sizeof *address);
-  if (colon == NULL || (size_t)(colon - text) >= sizeof host)
-    return false;
-  memcpy (host, text, (size_t)(colon - text));
-  host[colon - text] = '\0';
-  address->sin_family = AF_INET;
-  address->sin_port = htons ((uint16_t)strtoul (colon + 1, NULL, BASE_TEN));
-  return inet_pton (AF_INET, host, &address->sin_addr) == 1;
-}
-
 void
 bt_wake_link_loop (bt_link_loop_t *loop)
 {
@@ -90,7 +74,7 @@
   bt_link_t *link;
   int fd;
 
-  if (!parse_address (address, &target))
+  if (!bt_parse_address (address, &target))
     {
       bt_set_error (error, BT_ERROR_FORMAT, "\"%s\" is not of the form IP:PORT.", address);
       return NULL;
@@ -127,7 +111,7 @@
   int one = 1;
   int fd;
 
-  if (!parse_address (address, &target))
+  if (!bt_parse_address (address, &target))
     {
       bt_set_error (error, BT_ERROR_FORMAT, "\"%s\" is not of the form IP:PORT.", address);
       return -1;
--- a/source/wire/link_opening.c
+++ b/source/wire/link_opening.c
@@ -46,7 +46,7 @@
   challenge.nonce.len = sizeof link->nonce;
   frame.body_case = BILBERRY__FRAME__BODY_CHALLENGE;
   frame.challenge = &challenge;
-  bt_send_link (link->loop->ctx, link, &frame);
+  bt_send_frame (link->loop->ctx, link, &frame);
 }
 
 static bool
@@ -72,7 +72,7 @@
   hello.nonce.len = sizeof link->nonce;
   frame.body_case = BILBERRY__FRAME__BODY_HELLO;
   frame.hello = &hello;
-  return bt_send_link (link->loop->ctx, link, &frame);
+  return bt_send_frame (link->loop->ctx, link, &frame);
 }
 
 static bool
@@ -110,7 +110,7 @@
   welcome.failure_domain = (char *)options->failure_domain;
   frame.body_case = BILBERRY__FRAME__BODY_WELCOME;
   frame.welcome = &welcome;
-  return bt_send_link (link->loop->ctx, link, &frame);
+  return bt_send_frame (link->loop->ctx, link, &frame);
 }
 
 static bool
--- a/source/wire/link_private.h
+++ b/source/wire/link_private.h
@@ -75,9 +75,6 @@
 /** Makes a link with two references: the loop's and the caller's. */
 bt_link_t *bt_new_link (bt_link_loop_t *loop, int fd, bool dialled);
 
-/** Queues bytes of a frame and sends what the socket takes. */
-bool bt_send_link (bt_context_t *ctx, bt_link_t *link, const bt_frame_t *frame);
-
 /** Sends what is left; called when the socket takes bytes again. */
 bool bt_flush_link (bt_context_t *ctx, bt_link_t *link);
 
