Split the core by what it decides; call the store's clients source/store

The room of 39 files held four subjects. They are now packages: config, load, maps and requests, over a small core of shared words. No behaviour changes; the decisions still use no sockets, threads or clocks, and each package links only those below it.

--- a/bench/bench_maps.c
+++ b/bench/bench_maps.c
@@ -8,7 +8,7 @@
 #include <string.h>
 
 #include "bilberrytray/base.h"
-#include "bilberrytray/core/map_planner.h"
+#include "bilberrytray/maps/map_planner.h"
 #include "drift.h"
 #include "placement.h"
 #include "rounds.h"
--- a/bench/drift.h
+++ b/bench/drift.h
@@ -10,7 +10,7 @@
 #include <stdint.h>
 
 #include "bilberrytray/base/random.h"
-#include "bilberrytray/core/expert_map.h"
+#include "bilberrytray/maps/expert_map.h"
 
 typedef enum drift_kind
 {
--- a/bench/harness_baselines.c
+++ b/bench/harness_baselines.c
@@ -1,4 +1,4 @@
-#include "bilberrytray/core/retry_budget.h"
+#include "bilberrytray/load/retry_budget.h"
 #include "harness_policies.h"
 
 /* What one entry knows under a baseline. */
--- a/bench/harness_core_policy.c
+++ b/bench/harness_core_policy.c
@@ -1,7 +1,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "bilberrytray/core/retry_budget.h"
+#include "bilberrytray/load/retry_budget.h"
 #include "harness_policies.h"
 
 static const char app[] = "model";
--- a/bench/harness_kept.c
+++ b/bench/harness_kept.c
@@ -4,11 +4,11 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "bilberrytray/core/arbiter.h"
-#include "bilberrytray/core/config_table.h"
-#include "bilberrytray/core/declarations.h"
+#include "bilberrytray/config/config_table.h"
+#include "bilberrytray/config/declarations.h"
 #include "bilberrytray/core/membership.h"
-#include "bilberrytray/core/router.h"
+#include "bilberrytray/load/router.h"
+#include "bilberrytray/requests/arbiter.h"
 
 enum
 {
--- a/bench/harness_policies.h
+++ b/bench/harness_policies.h
@@ -5,7 +5,7 @@
  * The policies that the bench compares: the core, four usual baselines, and one that knows all.
  */
 
-#include "bilberrytray/core/admission.h"
+#include "bilberrytray/load/admission.h"
 #include "harness_world.h"
 
 /** The core under its default options, with bt_core_tweak applied to them. */
--- a/bench/harness_spread.h
+++ b/bench/harness_spread.h
@@ -6,7 +6,7 @@
  * what a fleet of a given size costs.
  */
 
-#include "bilberrytray/core/config_spread.h"
+#include "bilberrytray/config/config_spread.h"
 
 /** What goes wrong during the changes of a trial. */
 typedef enum bt_trial_fault
--- a/bench/harness_world.h
+++ b/bench/harness_world.h
@@ -9,7 +9,7 @@
 
 #include "bilberrytray/base/context.h"
 #include "bilberrytray/base/random.h"
-#include "bilberrytray/core/run_queue.h"
+#include "bilberrytray/load/run_queue.h"
 
 enum
 {
--- a/bench/rounds.h
+++ b/bench/rounds.h
@@ -8,10 +8,10 @@
 
 #include <string.h>
 
-#include "../test/core/lockstep.h"
+#include "../test/maps/lockstep.h"
 #include "bilberrytray/base/random.h"
-#include "bilberrytray/core/map_controller.h"
-#include "bilberrytray/core/map_rank.h"
+#include "bilberrytray/maps/map_controller.h"
+#include "bilberrytray/maps/map_rank.h"
 
 enum
 {
--- a/include/bilberrytray/core/config_spread.h
+++ b/include/bilberrytray/config/config_spread.h
@@ -1,5 +1,5 @@
-#ifndef BILBERRYTRAY_CORE_CONFIG_SPREAD_H
-#define BILBERRYTRAY_CORE_CONFIG_SPREAD_H
+#ifndef BILBERRYTRAY_CONFIG_CONFIG_SPREAD_H
+#define BILBERRYTRAY_CONFIG_CONFIG_SPREAD_H
 
 /** @file
  * How an entry instance comes by the configuration in force, and when it may not act on it.
@@ -17,7 +17,7 @@
  * Pure: the caller gives events with the time and carries out the actions that are appended.
  */
 
-#include "bilberrytray/core/config_table.h"
+#include "bilberrytray/config/config_table.h"
 
 /** Bits that take guards out, for tests that show what each guard is for. */
 enum
--- a/include/bilberrytray/core/config_table.h
+++ b/include/bilberrytray/config/config_table.h
@@ -1,11 +1,11 @@
-#ifndef BILBERRYTRAY_CORE_CONFIG_TABLE_H
-#define BILBERRYTRAY_CORE_CONFIG_TABLE_H
+#ifndef BILBERRYTRAY_CONFIG_CONFIG_TABLE_H
+#define BILBERRYTRAY_CONFIG_CONFIG_TABLE_H
 
 /** @file
  * The documents in force on one instance. A document only moves up in revision, whoever offers it.
  */
 
-#include "bilberrytray/core/document.h"
+#include "bilberrytray/config/document.h"
 
 typedef struct bt_config_table bt_config_table_t;
 
--- a/include/bilberrytray/core/declarations.h
+++ b/include/bilberrytray/config/declarations.h
@@ -1,5 +1,5 @@
-#ifndef BILBERRYTRAY_CORE_DECLARATIONS_H
-#define BILBERRYTRAY_CORE_DECLARATIONS_H
+#ifndef BILBERRYTRAY_CONFIG_DECLARATIONS_H
+#define BILBERRYTRAY_CONFIG_DECLARATIONS_H
 
 /** @file
  * The operators' declarations: client accounts, apps (models and plain services), endpoints and the
--- a/include/bilberrytray/core/document.h
+++ b/include/bilberrytray/config/document.h
@@ -1,5 +1,5 @@
-#ifndef BILBERRYTRAY_CORE_DOCUMENT_H
-#define BILBERRYTRAY_CORE_DOCUMENT_H
+#ifndef BILBERRYTRAY_CONFIG_DOCUMENT_H
+#define BILBERRYTRAY_CONFIG_DOCUMENT_H
 
 /** @file
  * One document of the configuration at one revision. Documents never change; they are counted and
--- a/include/bilberrytray/core/publisher.h
+++ b/include/bilberrytray/config/publisher.h
@@ -1,5 +1,5 @@
-#ifndef BILBERRYTRAY_CORE_PUBLISHER_H
-#define BILBERRYTRAY_CORE_PUBLISHER_H
+#ifndef BILBERRYTRAY_CONFIG_PUBLISHER_H
+#define BILBERRYTRAY_CONFIG_PUBLISHER_H
 
 /** @file
  * An operator's change, from reading what it builds on to `accepted`.
@@ -12,7 +12,7 @@
  * Pure: the caller gives events with the time and carries out the actions that are appended.
  */
 
-#include "bilberrytray/core/document.h"
+#include "bilberrytray/config/document.h"
 
 /** Bits that take guards out, for tests that show what each guard is for. */
 enum
--- a/include/bilberrytray/core/rule.h
+++ b/include/bilberrytray/config/rule.h
@@ -1,5 +1,5 @@
-#ifndef BILBERRYTRAY_CORE_RULE_H
-#define BILBERRYTRAY_CORE_RULE_H
+#ifndef BILBERRYTRAY_CONFIG_RULE_H
+#define BILBERRYTRAY_CONFIG_RULE_H
 
 /** @file
  * Which rule decides a request: the first that matches.
@@ -7,7 +7,7 @@
 
 #include <stdio.h>
 
-#include "bilberrytray/core/declarations.h"
+#include "bilberrytray/config/declarations.h"
 
 /** One header of a request. Names are compared without regard to case. */
 typedef struct bt_header
--- a/include/bilberrytray/core/membership.h
+++ b/include/bilberrytray/core/membership.h
@@ -13,7 +13,7 @@
 #include <stdint.h>
 
 #include "bilberrytray/base/context.h"
-#include "bilberrytray/core/config_spread.h"
+#include "bilberrytray/config/config_spread.h"
 #include "bilberrytray/core/identity.h"
 
 typedef enum bt_listed_role
--- a/include/bilberrytray/core/protocol.h
+++ b/include/bilberrytray/core/protocol.h
@@ -11,7 +11,7 @@
 
 #include "bilberrytray/core/identity.h"
 #include "bilberrytray/core/outcome.h"
-#include "bilberrytray/core/ticket.h"
+#include "bilberrytray/requests/ticket.h"
 
 /** Names the one agent that may run a key. */
 typedef struct bt_grant
--- a/include/bilberrytray/core/admission.h
+++ b/include/bilberrytray/load/admission.h
@@ -1,12 +1,12 @@
-#ifndef BILBERRYTRAY_CORE_ADMISSION_H
-#define BILBERRYTRAY_CORE_ADMISSION_H
+#ifndef BILBERRYTRAY_LOAD_ADMISSION_H
+#define BILBERRYTRAY_LOAD_ADMISSION_H
 
 /** @file
  * Admission at the entry: whether a request goes out now, waits in a bounded queue, or is refused
  * at once with when to come back. Not safe for threads: the shell holds the router's lock for it.
  */
 
-#include "bilberrytray/core/router.h"
+#include "bilberrytray/load/router.h"
 
 typedef struct bt_admission bt_admission_t;
 
--- a/include/bilberrytray/core/outlier.h
+++ b/include/bilberrytray/load/outlier.h
@@ -1,5 +1,5 @@
-#ifndef BILBERRYTRAY_CORE_OUTLIER_H
-#define BILBERRYTRAY_CORE_OUTLIER_H
+#ifndef BILBERRYTRAY_LOAD_OUTLIER_H
+#define BILBERRYTRAY_LOAD_OUTLIER_H
 
 /** @file
  * Whether one endpoint answers well enough to get its part of the work. An endpoint that fails, or
--- a/include/bilberrytray/core/retry_budget.h
+++ b/include/bilberrytray/load/retry_budget.h
@@ -1,5 +1,5 @@
-#ifndef BILBERRYTRAY_CORE_RETRY_BUDGET_H
-#define BILBERRYTRAY_CORE_RETRY_BUDGET_H
+#ifndef BILBERRYTRAY_LOAD_RETRY_BUDGET_H
+#define BILBERRYTRAY_LOAD_RETRY_BUDGET_H
 
 /** @file
  * A budget that keeps further attempts to a share of recent requests, so that a fault doesn't
--- a/include/bilberrytray/core/router.h
+++ b/include/bilberrytray/load/router.h
@@ -1,5 +1,5 @@
-#ifndef BILBERRYTRAY_CORE_ROUTER_H
-#define BILBERRYTRAY_CORE_ROUTER_H
+#ifndef BILBERRYTRAY_LOAD_ROUTER_H
+#define BILBERRYTRAY_LOAD_ROUTER_H
 
 /** @file
  * The entry's table of endpoints, by app (a model or a plain service), and the choice of the
@@ -8,7 +8,7 @@
 
 #include "bilberrytray/core/identity.h"
 #include "bilberrytray/core/outcome.h"
-#include "bilberrytray/core/outlier.h"
+#include "bilberrytray/load/outlier.h"
 
 typedef struct bt_router bt_router_t;
 
--- a/include/bilberrytray/core/run_queue.h
+++ b/include/bilberrytray/load/run_queue.h
@@ -1,5 +1,5 @@
-#ifndef BILBERRYTRAY_CORE_RUN_QUEUE_H
-#define BILBERRYTRAY_CORE_RUN_QUEUE_H
+#ifndef BILBERRYTRAY_LOAD_RUN_QUEUE_H
+#define BILBERRYTRAY_LOAD_RUN_QUEUE_H
 
 /** @file
  * The agent's bounded queue before its endpoint, which has the last word: entries decide on loads
@@ -9,7 +9,7 @@
 
 #include "bilberrytray/core/identity.h"
 #include "bilberrytray/core/outcome.h"
-#include "bilberrytray/core/router.h"
+#include "bilberrytray/load/router.h"
 
 typedef struct bt_run_queue bt_run_queue_t;
 
--- a/include/bilberrytray/core/expert_load.h
+++ b/include/bilberrytray/maps/expert_load.h
@@ -1,5 +1,5 @@
-#ifndef BILBERRYTRAY_CORE_EXPERT_LOAD_H
-#define BILBERRYTRAY_CORE_EXPERT_LOAD_H
+#ifndef BILBERRYTRAY_MAPS_EXPERT_LOAD_H
+#define BILBERRYTRAY_MAPS_EXPERT_LOAD_H
 
 /** @file
  * How busy each expert has been of late: tokens with exponential decay, per layer.
--- a/include/bilberrytray/core/expert_map.h
+++ b/include/bilberrytray/maps/expert_map.h
@@ -1,5 +1,5 @@
-#ifndef BILBERRYTRAY_CORE_EXPERT_MAP_H
-#define BILBERRYTRAY_CORE_EXPERT_MAP_H
+#ifndef BILBERRYTRAY_MAPS_EXPERT_MAP_H
+#define BILBERRYTRAY_MAPS_EXPERT_MAP_H
 
 /** @file
  * An expert map: which ranks of a group hold a replica of each expert of each layer.
--- a/include/bilberrytray/core/map_controller.h
+++ b/include/bilberrytray/maps/map_controller.h
@@ -1,5 +1,5 @@
-#ifndef BILBERRYTRAY_CORE_MAP_CONTROLLER_H
-#define BILBERRYTRAY_CORE_MAP_CONTROLLER_H
+#ifndef BILBERRYTRAY_MAPS_MAP_CONTROLLER_H
+#define BILBERRYTRAY_MAPS_MAP_CONTROLLER_H
 
 /** @file
  * The controller of one rank group. It holds a lease with a fencing number, looks at what the
@@ -7,7 +7,7 @@
  * that rank 0's engine has not recorded. A new controller starts from the reports alone.
  */
 
-#include "bilberrytray/core/map_round.h"
+#include "bilberrytray/maps/map_round.h"
 
 typedef struct bt_map_controller bt_map_controller_t;
 
--- a/include/bilberrytray/core/map_planner.h
+++ b/include/bilberrytray/maps/map_planner.h
@@ -1,5 +1,5 @@
-#ifndef BILBERRYTRAY_CORE_MAP_PLANNER_H
-#define BILBERRYTRAY_CORE_MAP_PLANNER_H
+#ifndef BILBERRYTRAY_MAPS_MAP_PLANNER_H
+#define BILBERRYTRAY_MAPS_MAP_PLANNER_H
 
 /** @file
  * Planners: pure functions from the current map and the experts' loads to the next map. The load of
@@ -11,8 +11,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "bilberrytray/core/expert_load.h"
-#include "bilberrytray/core/expert_map.h"
+#include "bilberrytray/maps/expert_load.h"
+#include "bilberrytray/maps/expert_map.h"
 
 /** What a deployment cares for. */
 typedef struct bt_map_weights
--- a/include/bilberrytray/core/map_rank.h
+++ b/include/bilberrytray/maps/map_rank.h
@@ -1,5 +1,5 @@
-#ifndef BILBERRYTRAY_CORE_MAP_RANK_H
-#define BILBERRYTRAY_CORE_MAP_RANK_H
+#ifndef BILBERRYTRAY_MAPS_MAP_RANK_H
+#define BILBERRYTRAY_MAPS_MAP_RANK_H
 
 /** @file
  * The agent of one rank: the gate through which each order about maps, models, adapters, versions
@@ -7,7 +7,7 @@
  * service for again, so it may restart at any moment.
  */
 
-#include "bilberrytray/core/map_round.h"
+#include "bilberrytray/maps/map_round.h"
 
 typedef struct bt_map_rank bt_map_rank_t;
 
--- a/include/bilberrytray/core/map_round.h
+++ b/include/bilberrytray/maps/map_round.h
@@ -1,5 +1,5 @@
-#ifndef BILBERRYTRAY_CORE_MAP_ROUND_H
-#define BILBERRYTRAY_CORE_MAP_ROUND_H
+#ifndef BILBERRYTRAY_MAPS_MAP_ROUND_H
+#define BILBERRYTRAY_MAPS_MAP_ROUND_H
 
 /** @file
  * What a map round is made of: the orders from a controller to a rank's agent and on to its engine,
--- a/include/bilberrytray/core/arbiter.h
+++ b/include/bilberrytray/requests/arbiter.h
@@ -1,5 +1,5 @@
-#ifndef BILBERRYTRAY_CORE_ARBITER_H
-#define BILBERRYTRAY_CORE_ARBITER_H
+#ifndef BILBERRYTRAY_REQUESTS_ARBITER_H
+#define BILBERRYTRAY_REQUESTS_ARBITER_H
 
 /** @file
  * The agent's side of the request protocol. For keys whose ticket names this agent as home it
--- a/include/bilberrytray/core/delivery.h
+++ b/include/bilberrytray/requests/delivery.h
@@ -1,5 +1,5 @@
-#ifndef BILBERRYTRAY_CORE_DELIVERY_H
-#define BILBERRYTRAY_CORE_DELIVERY_H
+#ifndef BILBERRYTRAY_REQUESTS_DELIVERY_H
+#define BILBERRYTRAY_REQUESTS_DELIVERY_H
 
 /** @file
  * The entry's side of one request: from its admission to its final answer. Events and a time go in,
--- a/include/bilberrytray/core/ticket.h
+++ b/include/bilberrytray/requests/ticket.h
@@ -1,5 +1,5 @@
-#ifndef BILBERRYTRAY_CORE_TICKET_H
-#define BILBERRYTRAY_CORE_TICKET_H
+#ifndef BILBERRYTRAY_REQUESTS_TICKET_H
+#define BILBERRYTRAY_REQUESTS_TICKET_H
 
 /** @file
  * Tickets: signed idempotency keys. A ticket names the one agent (its home) that decides where and
--- a/include/bilberrytray/platform/instances.h
+++ b/include/bilberrytray/store/instances.h
@@ -1,5 +1,5 @@
-#ifndef BILBERRYTRAY_PLATFORM_INSTANCES_H
-#define BILBERRYTRAY_PLATFORM_INSTANCES_H
+#ifndef BILBERRYTRAY_STORE_INSTANCES_H
+#define BILBERRYTRAY_STORE_INSTANCES_H
 
 /** @file
  * The platform's list of live and leaving instances. It lags, so it is the second source about
--- a/include/bilberrytray/platform/kv.h
+++ b/include/bilberrytray/store/kv.h
@@ -1,5 +1,5 @@
-#ifndef BILBERRYTRAY_PLATFORM_KV_H
-#define BILBERRYTRAY_PLATFORM_KV_H
+#ifndef BILBERRYTRAY_STORE_KV_H
+#define BILBERRYTRAY_STORE_KV_H
 
 /** @file
  * The platform's key-value service: compare-and-swap, leases and bounded watches.
--- a/source/agent/agent_private.h
+++ b/source/agent/agent_private.h
@@ -11,9 +11,9 @@
 #include <pthread.h>
 
 #include "agent.h"
-#include "bilberrytray/core/arbiter.h"
-#include "bilberrytray/core/run_queue.h"
+#include "bilberrytray/load/run_queue.h"
 #include "bilberrytray/page/page.h"
+#include "bilberrytray/requests/arbiter.h"
 #include "bilberrytray/wire/link.h"
 #include "map_agent.h"
 #include "upstream.h"
--- a/source/agent/map_agent.c
+++ b/source/agent/map_agent.c
@@ -8,8 +8,8 @@
 
 #include "bilberrytray/base/counters.h"
 #include "bilberrytray/base/log.h"
-#include "bilberrytray/core/map_rank.h"
-#include "bilberrytray/platform/kv.h"
+#include "bilberrytray/maps/map_rank.h"
+#include "bilberrytray/store/kv.h"
 #include "map_engine.h"
 #include "map_messages.h"
 
--- a/source/agent/map_engine.h
+++ b/source/agent/map_engine.h
@@ -6,8 +6,8 @@
  */
 
 #include "bilberrytray/base/error.h"
-#include "bilberrytray/core/expert_map.h"
-#include "bilberrytray/core/map_round.h"
+#include "bilberrytray/maps/expert_map.h"
+#include "bilberrytray/maps/map_round.h"
 
 typedef struct bt_map_engine bt_map_engine_t;
 
--- a/source/agent/map_messages.c
+++ b/source/agent/map_messages.c
@@ -2,7 +2,7 @@
 
 #include <stdio.h>
 
-#include "bilberrytray/core/expert_map.h"
+#include "bilberrytray/maps/expert_map.h"
 
 static bt_round_id_t
 read_round (const Bilberry__MapRound *frame)
--- a/source/agent/map_messages.h
+++ b/source/agent/map_messages.h
@@ -5,7 +5,7 @@
  * Between the frames about expert maps and the messages of the agent's decisions.
  */
 
-#include "bilberrytray/core/map_round.h"
+#include "bilberrytray/maps/map_round.h"
 #include "bilberrytray/wire/link.h"
 #include "map_engine.h"
 
--- a/source/agent/upstream.h
+++ b/source/agent/upstream.h
@@ -14,7 +14,7 @@
 
 #include "bilberrytray/base/context.h"
 #include "bilberrytray/base/error.h"
-#include "bilberrytray/core/rule.h"
+#include "bilberrytray/config/rule.h"
 
 typedef struct bt_upstream bt_upstream_t;
 typedef struct bt_upstream_handler bt_upstream_handler_t;
--- a/source/core/config_spread.c
+++ b/source/config/config_spread.c
@@ -1,4 +1,4 @@
-#include "bilberrytray/core/config_spread.h"
+#include "bilberrytray/config/config_spread.h"
 
 #include <string.h>
 
--- a/source/core/config_spread_private.h
+++ b/source/config/config_spread_private.h
@@ -1,5 +1,5 @@
-#ifndef BILBERRYTRAY_SOURCE_CORE_CONFIG_SPREAD_PRIVATE_H
-#define BILBERRYTRAY_SOURCE_CORE_CONFIG_SPREAD_PRIVATE_H
+#ifndef BILBERRYTRAY_SOURCE_CONFIG_CONFIG_SPREAD_PRIVATE_H
+#define BILBERRYTRAY_SOURCE_CONFIG_CONFIG_SPREAD_PRIVATE_H
 
 /** @file
  * What the exchange with peers (config_spread.c) and the calls on the service
@@ -7,7 +7,7 @@
  */
 
 #include "bilberrytray/base/random.h"
-#include "bilberrytray/core/config_spread.h"
+#include "bilberrytray/config/config_spread.h"
 #include "bilberrytray/core/subset.h"
 
 #define NEVER_MS INT64_MIN
--- a/source/core/config_table.c
+++ b/source/config/config_table.c
@@ -1,4 +1,4 @@
-#include "bilberrytray/core/config_table.h"
+#include "bilberrytray/config/config_table.h"
 
 #include <string.h>
 
--- a/source/core/declarations.c
+++ b/source/config/declarations.c
@@ -1,4 +1,4 @@
-#include "bilberrytray/core/declarations.h"
+#include "bilberrytray/config/declarations.h"
 
 #include <sodium.h>
 #include <stdatomic.h>
--- a/source/core/declarations_rules.c
+++ b/source/config/declarations_rules.c
@@ -1,7 +1,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "bilberrytray/core/rule.h"
+#include "bilberrytray/config/rule.h"
 #include "declarations_private.h"
 
 enum
--- a/source/core/document.c
+++ b/source/config/document.c
@@ -1,4 +1,4 @@
-#include "bilberrytray/core/document.h"
+#include "bilberrytray/config/document.h"
 
 #include <ck_pr.h>
 #include <stdio.h>
--- a/source/core/json_lines.h
+++ b/source/config/json_lines.h
@@ -1,5 +1,5 @@
-#ifndef BILBERRYTRAY_SOURCE_CORE_JSON_LINES_H
-#define BILBERRYTRAY_SOURCE_CORE_JSON_LINES_H
+#ifndef BILBERRYTRAY_SOURCE_CONFIG_JSON_LINES_H
+#define BILBERRYTRAY_SOURCE_CONFIG_JSON_LINES_H
 
 /** @file
  * The line on which each value of a JSON text stands, which jansson does not keep.
--- a/source/core/json_reader.h
+++ b/source/config/json_reader.h
@@ -1,5 +1,5 @@
-#ifndef BILBERRYTRAY_SOURCE_CORE_JSON_READER_H
-#define BILBERRYTRAY_SOURCE_CORE_JSON_READER_H
+#ifndef BILBERRYTRAY_SOURCE_CONFIG_JSON_READER_H
+#define BILBERRYTRAY_SOURCE_CONFIG_JSON_READER_H
 
 /** @file
  * Reads typed values from a JSON document and collects a finding for each that is wrong.
@@ -8,7 +8,7 @@
 #include <jansson.h>
 
 #include "bilberrytray/base/findings.h"
-#include "bilberrytray/core/declarations.h"
+#include "bilberrytray/config/declarations.h"
 #include "json_lines.h"
 
 /** A document that is being read, and the place reached. */
--- a/source/core/publisher.c
+++ b/source/config/publisher.c
@@ -1,4 +1,4 @@
-#include "bilberrytray/core/publisher.h"
+#include "bilberrytray/config/publisher.h"
 
 #include <string.h>
 
--- a/source/core/rule.c
+++ b/source/config/rule.c
@@ -1,4 +1,4 @@
-#include "bilberrytray/core/rule.h"
+#include "bilberrytray/config/rule.h"
 
 #include <string.h>
 #include <strings.h>
--- a/source/entry/caller.h
+++ b/source/entry/caller.h
@@ -13,8 +13,8 @@
 #include <stdint.h>
 
 #include "bilberrytray/base/context.h"
+#include "bilberrytray/config/rule.h"
 #include "bilberrytray/core/outcome.h"
-#include "bilberrytray/core/rule.h"
 
 typedef struct bt_caller bt_caller_t;
 
--- a/source/entry/command_check.c
+++ b/source/entry/command_check.c
@@ -2,7 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "bilberrytray/core/rule.h"
+#include "bilberrytray/config/rule.h"
 #include "commands.h"
 
 enum
--- a/source/entry/command_publish.c
+++ b/source/entry/command_publish.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 #include "bilberrytray/base/random.h"
-#include "bilberrytray/core/publisher.h"
+#include "bilberrytray/config/publisher.h"
 #include "commands.h"
 #include "config_documents.h"
 #include "operator_links.h"
--- a/source/entry/commands.h
+++ b/source/entry/commands.h
@@ -7,7 +7,7 @@
  */
 
 #include "bilberrytray/base.h"
-#include "bilberrytray/core/declarations.h"
+#include "bilberrytray/config/declarations.h"
 
 enum
 {
--- a/source/entry/config_documents.h
+++ b/source/entry/config_documents.h
@@ -6,9 +6,9 @@
  * them.
  */
 
-#include "bilberrytray/core/declarations.h"
-#include "bilberrytray/core/document.h"
-#include "bilberrytray/platform/kv.h"
+#include "bilberrytray/config/declarations.h"
+#include "bilberrytray/config/document.h"
+#include "bilberrytray/store/kv.h"
 #include "bilberrytray/wire/frame.h"
 
 /** Adds the documents that a range of the service holds. Keys that name no document and values that
--- a/source/entry/config_driver.h
+++ b/source/entry/config_driver.h
@@ -10,9 +10,9 @@
  * driver stand under the entry's lock.
  */
 
-#include "bilberrytray/core/config_spread.h"
+#include "bilberrytray/config/config_spread.h"
 #include "bilberrytray/core/outcome.h"
-#include "bilberrytray/platform/kv.h"
+#include "bilberrytray/store/kv.h"
 #include "bilberrytray/wire/link.h"
 #include "entry.h"
 
--- a/source/entry/entry.h
+++ b/source/entry/entry.h
@@ -10,7 +10,7 @@
 
 #include "bilberrytray/base/context.h"
 #include "bilberrytray/base/error.h"
-#include "bilberrytray/core/declarations.h"
+#include "bilberrytray/config/declarations.h"
 #include "caller.h"
 
 typedef struct bt_entry bt_entry_t;
--- a/source/entry/entry_private.h
+++ b/source/entry/entry_private.h
@@ -11,11 +11,11 @@
 #include <stdatomic.h>
 
 #include "bilberrytray/base/counters.h"
-#include "bilberrytray/core/admission.h"
-#include "bilberrytray/core/delivery.h"
 #include "bilberrytray/core/membership.h"
-#include "bilberrytray/core/retry_budget.h"
-#include "bilberrytray/core/router.h"
+#include "bilberrytray/load/admission.h"
+#include "bilberrytray/load/retry_budget.h"
+#include "bilberrytray/load/router.h"
+#include "bilberrytray/requests/delivery.h"
 #include "bilberrytray/wire/link.h"
 #include "config_driver.h"
 #include "entry.h"
--- a/source/entry/map_control.c
+++ b/source/entry/map_control.c
@@ -10,8 +10,8 @@
 #include "bilberrytray/base/counters.h"
 #include "bilberrytray/base/log.h"
 #include "bilberrytray/base/random.h"
-#include "bilberrytray/core/expert_map.h"
-#include "bilberrytray/core/map_controller.h"
+#include "bilberrytray/maps/expert_map.h"
+#include "bilberrytray/maps/map_controller.h"
 #include "map_lease.h"
 #include "map_messages.h"
 
--- a/source/entry/map_lease.h
+++ b/source/entry/map_lease.h
@@ -8,7 +8,7 @@
  */
 
 #include "bilberrytray/base/context.h"
-#include "bilberrytray/platform/kv.h"
+#include "bilberrytray/store/kv.h"
 
 typedef struct bt_map_lease bt_map_lease_t;
 
--- a/source/entry/map_messages.h
+++ b/source/entry/map_messages.h
@@ -5,8 +5,8 @@
  * Between the frames about expert maps and the messages of the controller's decisions.
  */
 
-#include "bilberrytray/core/expert_map.h"
-#include "bilberrytray/core/map_round.h"
+#include "bilberrytray/maps/expert_map.h"
+#include "bilberrytray/maps/map_round.h"
 #include "bilberrytray/wire/link.h"
 
 /** @p map may be empty: the engine then knows the map by its digest. */
--- a/source/entry/map_planning.h
+++ b/source/entry/map_planning.h
@@ -7,8 +7,8 @@
  * controller finds the one in use.
  */
 
-#include "bilberrytray/core/map_planner.h"
-#include "bilberrytray/platform/kv.h"
+#include "bilberrytray/maps/map_planner.h"
+#include "bilberrytray/store/kv.h"
 #include "bilberrytray/wire/frame.h"
 
 typedef struct bt_map_planning bt_map_planning_t;
--- a/source/entry/messages.h
+++ b/source/entry/messages.h
@@ -5,7 +5,7 @@
  * Between the messages of a delivery and the frames of a link.
  */
 
-#include "bilberrytray/core/delivery.h"
+#include "bilberrytray/requests/delivery.h"
 #include "bilberrytray/wire/link.h"
 
 /** Reads a frame of an agent. False when it is no reply, or is malformed. Its data belongs to the
--- a/source/entry/operator_links.h
+++ b/source/entry/operator_links.h
@@ -8,8 +8,8 @@
 
 #include "bilberrytray/base/context.h"
 #include "bilberrytray/base/error.h"
-#include "bilberrytray/core/document.h"
-#include "bilberrytray/platform/instances.h"
+#include "bilberrytray/config/document.h"
+#include "bilberrytray/store/instances.h"
 
 enum
 {
--- a/source/entry/platform_reader.c
+++ b/source/entry/platform_reader.c
@@ -8,8 +8,8 @@
 
 #include "bilberrytray/base/log.h"
 #include "bilberrytray/base/random.h"
-#include "bilberrytray/platform/instances.h"
-#include "bilberrytray/platform/kv.h"
+#include "bilberrytray/store/instances.h"
+#include "bilberrytray/store/kv.h"
 #include "config_driver.h"
 #include "entry_private.h"
 
--- a/source/core/admission.c
+++ b/source/load/admission.c
@@ -1,4 +1,4 @@
-#include "bilberrytray/core/admission.h"
+#include "bilberrytray/load/admission.h"
 
 #include <string.h>
 
--- a/source/core/choice.h
+++ b/source/load/choice.h
@@ -1,5 +1,5 @@
-#ifndef BILBERRYTRAY_SOURCE_CORE_CHOICE_H
-#define BILBERRYTRAY_SOURCE_CORE_CHOICE_H
+#ifndef BILBERRYTRAY_SOURCE_LOAD_CHOICE_H
+#define BILBERRYTRAY_SOURCE_LOAD_CHOICE_H
 
 /** @file
  * The choice among the endpoints that may be used.
--- a/source/core/demand.h
+++ b/source/load/demand.h
@@ -1,5 +1,5 @@
-#ifndef BILBERRYTRAY_SOURCE_CORE_DEMAND_H
-#define BILBERRYTRAY_SOURCE_CORE_DEMAND_H
+#ifndef BILBERRYTRAY_SOURCE_LOAD_DEMAND_H
+#define BILBERRYTRAY_SOURCE_LOAD_DEMAND_H
 
 /** @file
  * The demand of client accounts as one entry observes it, and the fair (weighted max-min) share of
--- a/source/core/endpoint_state.h
+++ b/source/load/endpoint_state.h
@@ -1,11 +1,11 @@
-#ifndef BILBERRYTRAY_SOURCE_CORE_ENDPOINT_STATE_H
-#define BILBERRYTRAY_SOURCE_CORE_ENDPOINT_STATE_H
+#ifndef BILBERRYTRAY_SOURCE_LOAD_ENDPOINT_STATE_H
+#define BILBERRYTRAY_SOURCE_LOAD_ENDPOINT_STATE_H
 
 /** @file
  * What an entry knows of one endpoint: own counts, reported load, cached prefixes, outlier record.
  */
 
-#include "bilberrytray/core/router.h"
+#include "bilberrytray/load/router.h"
 
 enum
 {
--- a/source/core/fair_queue.h
+++ b/source/load/fair_queue.h
@@ -1,5 +1,5 @@
-#ifndef BILBERRYTRAY_SOURCE_CORE_FAIR_QUEUE_H
-#define BILBERRYTRAY_SOURCE_CORE_FAIR_QUEUE_H
+#ifndef BILBERRYTRAY_SOURCE_LOAD_FAIR_QUEUE_H
+#define BILBERRYTRAY_SOURCE_LOAD_FAIR_QUEUE_H
 
 /** @file
  * A bounded queue that serves the highest priority first and, within a priority, client accounts in
--- a/source/core/outlier.c
+++ b/source/load/outlier.c
@@ -1,4 +1,4 @@
-#include "bilberrytray/core/outlier.h"
+#include "bilberrytray/load/outlier.h"
 
 enum
 {
--- a/source/core/router.c
+++ b/source/load/router.c
@@ -1,4 +1,4 @@
-#include "bilberrytray/core/router.h"
+#include "bilberrytray/load/router.h"
 
 #include <string.h>
 
--- a/source/core/run_queue.c
+++ b/source/load/run_queue.c
@@ -1,4 +1,4 @@
-#include "bilberrytray/core/run_queue.h"
+#include "bilberrytray/load/run_queue.h"
 
 #include <math.h>
 #include <string.h>
--- a/source/core/expert_load.c
+++ b/source/maps/expert_load.c
@@ -1,4 +1,4 @@
-#include "bilberrytray/core/expert_load.h"
+#include "bilberrytray/maps/expert_load.h"
 
 #include <math.h>
 
--- a/source/core/expert_map.c
+++ b/source/maps/expert_map.c
@@ -1,4 +1,4 @@
-#include "bilberrytray/core/expert_map.h"
+#include "bilberrytray/maps/expert_map.h"
 
 #include <string.h>
 
--- a/source/core/map_controller_private.h
+++ b/source/maps/map_controller_private.h
@@ -6,8 +6,8 @@
  * open.
  */
 
-#include "bilberrytray/core/expert_map.h"
-#include "bilberrytray/core/map_controller.h"
+#include "bilberrytray/maps/expert_map.h"
+#include "bilberrytray/maps/map_controller.h"
 
 /** What the controller knows of one rank. */
 typedef struct bt_rank_view
--- a/source/core/map_layer.h
+++ b/source/maps/map_layer.h
@@ -5,7 +5,7 @@
  * One layer of a map while it is planned; private to the planners.
  */
 
-#include "bilberrytray/core/map_planner.h"
+#include "bilberrytray/maps/map_planner.h"
 
 /** The ranks' loads in one layer. */
 typedef struct bt_map_layer
--- a/source/core/map_planner.c
+++ b/source/maps/map_planner.c
@@ -1,4 +1,4 @@
-#include "bilberrytray/core/map_planner.h"
+#include "bilberrytray/maps/map_planner.h"
 
 #include <stdlib.h>
 
--- a/source/core/map_rank.c
+++ b/source/maps/map_rank.c
@@ -1,4 +1,4 @@
-#include "bilberrytray/core/map_rank.h"
+#include "bilberrytray/maps/map_rank.h"
 
 #include <string.h>
 
--- a/source/core/map_round.c
+++ b/source/maps/map_round.c
@@ -1,4 +1,4 @@
-#include "bilberrytray/core/map_round.h"
+#include "bilberrytray/maps/map_round.h"
 
 #include <string.h>
 
--- a/source/core/arbiter_private.h
+++ b/source/requests/arbiter_private.h
@@ -1,11 +1,11 @@
-#ifndef BT_SOURCE_CORE_ARBITER_PRIVATE_H
-#define BT_SOURCE_CORE_ARBITER_PRIVATE_H
+#ifndef BT_SOURCE_REQUESTS_ARBITER_PRIVATE_H
+#define BT_SOURCE_REQUESTS_ARBITER_PRIVATE_H
 
 /** @file
  * What the files of the arbiter share: its state and its replies.
  */
 
-#include "bilberrytray/core/arbiter.h"
+#include "bilberrytray/requests/arbiter.h"
 #include "record.h"
 
 struct bt_arbiter
--- a/source/core/delivery_private.h
+++ b/source/requests/delivery_private.h
@@ -1,11 +1,11 @@
-#ifndef BT_SOURCE_CORE_DELIVERY_PRIVATE_H
-#define BT_SOURCE_CORE_DELIVERY_PRIVATE_H
+#ifndef BT_SOURCE_REQUESTS_DELIVERY_PRIVATE_H
+#define BT_SOURCE_REQUESTS_DELIVERY_PRIVATE_H
 
 /** @file
  * What the files of the delivery machine share.
  */
 
-#include "bilberrytray/core/delivery.h"
+#include "bilberrytray/requests/delivery.h"
 
 typedef enum bt_delivery_phase
 {
--- a/source/core/record.h
+++ b/source/requests/record.h
@@ -1,5 +1,5 @@
-#ifndef BT_SOURCE_CORE_RECORD_H
-#define BT_SOURCE_CORE_RECORD_H
+#ifndef BT_SOURCE_REQUESTS_RECORD_H
+#define BT_SOURCE_REQUESTS_RECORD_H
 
 /** @file
  * The agent's records of keys and of what runs, bounded in number and bytes.
--- a/source/core/ticket.c
+++ b/source/requests/ticket.c
@@ -1,4 +1,4 @@
-#include "bilberrytray/core/ticket.h"
+#include "bilberrytray/requests/ticket.h"
 
 #include <sodium.h>
 #include <string.h>
--- a/source/platform/etcd_json.h
+++ b/source/store/etcd_json.h
@@ -7,7 +7,7 @@
 
 #include <jansson.h>
 
-#include "bilberrytray/platform/kv.h"
+#include "bilberrytray/store/kv.h"
 
 /** A JSON string that holds bytes in base64. */
 json_t *bt_encode_etcd_bytes (bt_context_t *ctx, const char *data, size_t bytes);
--- a/source/platform/instances.c
+++ b/source/store/instances.c
@@ -1,4 +1,4 @@
-#include "bilberrytray/platform/instances.h"
+#include "bilberrytray/store/instances.h"
 
 #include <jansson.h>
 #include <pthread.h>
--- a/source/platform/kv.c
+++ b/source/store/kv.c
@@ -1,4 +1,4 @@
-#include "bilberrytray/platform/kv.h"
+#include "bilberrytray/store/kv.h"
 
 #include <string.h>
 
--- a/source/platform/kv_etcd.c
+++ b/source/store/kv_etcd.c
@@ -7,7 +7,7 @@
 #include <time.h>
 
 #include "bilberrytray/base/counters.h"
-#include "bilberrytray/platform/kv.h"
+#include "bilberrytray/store/kv.h"
 #include "etcd_json.h"
 #include "http_client.h"
 
--- a/test/core/config_world.h
+++ b/test/config/config_world.h
@@ -12,8 +12,8 @@
 #include <string.h>
 
 #include "bilberrytray/base.h"
-#include "bilberrytray/core/config_spread.h"
-#include "bilberrytray/core/publisher.h"
+#include "bilberrytray/config/config_spread.h"
+#include "bilberrytray/config/publisher.h"
 
 enum
 {
--- a/test/core/test_config_table.c
+++ b/test/config/test_config_table.c
@@ -1,7 +1,7 @@
 #include <CUnit/Basic.h>
 #include <string.h>
 
-#include "bilberrytray/core/config_table.h"
+#include "bilberrytray/config/config_table.h"
 
 static bt_document_t *
 make (bt_context_t *ctx, const char *name, int64_t revision, const char *data)
--- a/test/core/test_declarations.c
+++ b/test/config/test_declarations.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #include "bilberrytray/base.h"
-#include "bilberrytray/core/rule.h"
+#include "bilberrytray/config/rule.h"
 
 static const char *const good_accounts =
     "{\"accounts\":[{\"name\":\"a\",\"token_sha256\":\""
--- a/test/core/test_rule.c
+++ b/test/config/test_rule.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #include "bilberrytray/base.h"
-#include "bilberrytray/core/rule.h"
+#include "bilberrytray/config/rule.h"
 
 enum
 {
--- a/test/core/test_admission.c
+++ b/test/load/test_admission.c
@@ -2,7 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "bilberrytray/core/admission.h"
+#include "bilberrytray/load/admission.h"
 
 enum
 {
--- a/test/core/test_outlier.c
+++ b/test/load/test_outlier.c
@@ -1,6 +1,6 @@
 #include <CUnit/Basic.h>
 
-#include "bilberrytray/core/outlier.h"
+#include "bilberrytray/load/outlier.h"
 
 static const int64_t peers_ms = 100;
 
--- a/test/core/test_policy_invariants.c
+++ b/test/load/test_policy_invariants.c
@@ -3,8 +3,8 @@
 #include <string.h>
 
 #include "bilberrytray/base/random.h"
-#include "bilberrytray/core/admission.h"
-#include "bilberrytray/core/run_queue.h"
+#include "bilberrytray/load/admission.h"
+#include "bilberrytray/load/run_queue.h"
 
 enum
 {
--- a/test/core/test_retry_budget.c
+++ b/test/load/test_retry_budget.c
@@ -1,7 +1,7 @@
 #include <CUnit/Basic.h>
 
 #include "bilberrytray/base/counters.h"
-#include "bilberrytray/core/retry_budget.h"
+#include "bilberrytray/load/retry_budget.h"
 
 /* A third of the endpoints dies and every request on them is tried again. Without a bound the rest
  * would get half as much work again just when they are fewest, fail by their deadlines, and cause
--- a/test/core/test_router.c
+++ b/test/load/test_router.c
@@ -2,7 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "bilberrytray/core/router.h"
+#include "bilberrytray/load/router.h"
 
 enum
 {
--- a/test/core/test_run_queue.c
+++ b/test/load/test_run_queue.c
@@ -1,6 +1,6 @@
 #include <CUnit/Basic.h>
 
-#include "bilberrytray/core/run_queue.h"
+#include "bilberrytray/load/run_queue.h"
 
 static const int64_t long_ms = 100000;
 static const int64_t run_ms = 100;
--- a/test/core/lockstep.h
+++ b/test/maps/lockstep.h
@@ -9,7 +9,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "bilberrytray/core/map_round.h"
+#include "bilberrytray/maps/map_round.h"
 
 enum
 {
--- a/test/core/test_expert_map.c
+++ b/test/maps/test_expert_map.c
@@ -2,8 +2,8 @@
 #include <string.h>
 
 #include "bilberrytray/base.h"
-#include "bilberrytray/core/expert_load.h"
-#include "bilberrytray/core/expert_map.h"
+#include "bilberrytray/maps/expert_load.h"
+#include "bilberrytray/maps/expert_map.h"
 
 static const bt_map_shape_t shape = { 3, 10, 4 };
 
--- a/test/core/test_map_controller.c
+++ b/test/maps/test_map_controller.c
@@ -2,7 +2,7 @@
 #include <string.h>
 
 #include "bilberrytray/base.h"
-#include "bilberrytray/core/map_controller.h"
+#include "bilberrytray/maps/map_controller.h"
 #include "lockstep.h"
 
 enum
--- a/test/core/test_map_planner.c
+++ b/test/maps/test_map_planner.c
@@ -1,7 +1,7 @@
 #include <CUnit/Basic.h>
 
 #include "bilberrytray/base.h"
-#include "bilberrytray/core/map_planner.h"
+#include "bilberrytray/maps/map_planner.h"
 
 enum
 {
--- a/test/core/test_map_rank.c
+++ b/test/maps/test_map_rank.c
@@ -2,7 +2,7 @@
 #include <string.h>
 
 #include "bilberrytray/base.h"
-#include "bilberrytray/core/map_rank.h"
+#include "bilberrytray/maps/map_rank.h"
 #include "lockstep.h"
 
 enum
--- a/test/core/test_map_schedules.c
+++ b/test/maps/test_map_schedules.c
@@ -3,8 +3,8 @@
 #include <string.h>
 
 #include "bilberrytray/base.h"
-#include "bilberrytray/core/map_controller.h"
-#include "bilberrytray/core/map_rank.h"
+#include "bilberrytray/maps/map_controller.h"
+#include "bilberrytray/maps/map_rank.h"
 #include "lockstep.h"
 
 /* Three ranks and two controllers over a network that loses, delays and repeats messages, with
--- a/test/process/harness_config.c
+++ b/test/process/harness_config.c
@@ -8,8 +8,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include "bilberrytray/core/document.h"
-#include "bilberrytray/platform/kv.h"
+#include "bilberrytray/config/document.h"
+#include "bilberrytray/store/kv.h"
 
 extern char **environ;
 
--- a/test/core/request_world.h
+++ b/test/requests/request_world.h
@@ -10,8 +10,8 @@
 #include <string.h>
 
 #include "bilberrytray/base.h"
-#include "bilberrytray/core/arbiter.h"
-#include "bilberrytray/core/delivery.h"
+#include "bilberrytray/requests/arbiter.h"
+#include "bilberrytray/requests/delivery.h"
 
 /* A world of entries, agents, endpoints and callers in one thread, driven by a seed: messages are
  * lost, delayed, doubled and reordered, links die, processes restart and pause. What endpoints ran
--- a/test/core/test_arbiter.c
+++ b/test/requests/test_arbiter.c
@@ -2,7 +2,7 @@
 #include <string.h>
 
 #include "bilberrytray/base.h"
-#include "bilberrytray/core/arbiter.h"
+#include "bilberrytray/requests/arbiter.h"
 
 enum
 {
--- a/test/core/test_delivery.c
+++ b/test/requests/test_delivery.c
@@ -2,7 +2,7 @@
 #include <string.h>
 
 #include "bilberrytray/base.h"
-#include "bilberrytray/core/delivery.h"
+#include "bilberrytray/requests/delivery.h"
 
 enum
 {
--- a/test/core/test_ticket.c
+++ b/test/requests/test_ticket.c
@@ -2,7 +2,7 @@
 #include <string.h>
 
 #include "bilberrytray/base.h"
-#include "bilberrytray/core/ticket.h"
+#include "bilberrytray/requests/ticket.h"
 
 static const uint8_t old_secret[BT_TICKET_SECRET_BYTES] = { 1 };
 static const uint8_t new_secret[BT_TICKET_SECRET_BYTES] = { 2 };
--- a/test/standin/group/main.c
+++ b/test/standin/group/main.c
@@ -20,7 +20,7 @@
 #include <string.h>
 #include <time.h>
 
-#include "../../core/lockstep.h"
+#include "../../maps/lockstep.h"
 #include "standin_http.h"
 
 enum
--- a/test/platform/test_instances.c
+++ b/test/store/test_instances.c
@@ -1,7 +1,7 @@
 #include <CUnit/Basic.h>
 #include <string.h>
 
-#include "bilberrytray/platform/instances.h"
+#include "bilberrytray/store/instances.h"
 #include "standin_process.h"
 
 #define ENTRY                                                                                      \
--- a/test/platform/test_kv.c
+++ b/test/store/test_kv.c
@@ -1,7 +1,7 @@
 #include <CUnit/Basic.h>
 #include <string.h>
 
-#include "bilberrytray/platform/kv.h"
+#include "bilberrytray/store/kv.h"
 #include "standin_process.h"
 
 typedef struct fixture
