--- a/include/bilberrytray/config/declarations.h
+++ b/include/bilberrytray/config/declarations.h
@@ -40,7 +40,8 @@
   char name[BT_NAME_BYTES];
   uint8_t (*token_hashes)[BT_TOKEN_HASH_BYTES];
   int32_t token_count;
-  int32_t share; /**< Weight in fair sharing, from 1 up. */
+  int32_t share;    /**< Weight in fair sharing, from 1 up. */
+  int32_t priority; /**< A bt_priority_t that goes before the rule's; -1: the rule decides. */
 } bt_account_t;
 
 typedef enum bt_app_kind
@@ -49,12 +50,32 @@
   BT_APP_SERVICE,   /**< A plain HTTP service. */
 } bt_app_kind_t;
 
+/** What a model's engines are: their size, their speed, and the experts of their group. */
+typedef struct bt_engine
+{
+  int32_t slots;             /**< Requests that one engine runs at a time. */
+  int64_t kv_tokens;         /**< Tokens that its memory holds. */
+  int32_t stride;            /**< Token steps in one pass of a group. */
+  double step_ms;            /**< Time of one token step, without its requests. */
+  double step_request_ms;    /**< Added to a step for each request that writes. */
+  double step_context_ms;    /**< Added to a step for each 1,000 tokens of context. */
+  double read_tokens_per_ms; /**< Prompt tokens read. */
+  int32_t expert_sets;       /**< Sets of layers that share one placement; 0: no experts. */
+  int32_t experts;           /**< Experts of a set. */
+  int32_t places;            /**< Experts of a set that one rank holds. */
+  int32_t spare_places;      /**< New experts of a set that one rank can copy in one round. */
+  double expert_mb;          /**< Size of one expert of a set. */
+  double link_mbps;          /**< Speed at which experts are copied. */
+  double expert_share;       /**< Part of a token's work that experts do, from 0 to 1. */
+} bt_engine_t;
+
 /** A model or a plain service. */
 typedef struct bt_app
 {
   char name[BT_NAME_BYTES];
   bt_app_kind_t kind;
   int64_t deadline_ms; /**< For requests whose rule sets none. */
+  bt_engine_t engine;  /**< Of a model whose ranks work in a group; all 0 otherwise. */
 } bt_app_t;
 
 /** One endpoint of an app. */
@@ -113,7 +134,12 @@
   int32_t retries;       /**< Further attempts at most. */
   char *affinity_header; /**< Requests with the same value go together; NULL: none. */
   int64_t affinity_prefix_bytes;
-  char *message; /**< Told to a refused caller; NULL: none. */
+  bool open;        /**< Callers need no client account. */
+  bool streamed;    /**< The answer is a stream of events. */
+  bool resumable;   /**< A stream that was cut may go on elsewhere behind its last event. */
+  int64_t aim_ms;   /**< Time to the answer, or its first event, that callers expect; 0: none. */
+  int64_t pause_ms; /**< Longest pause between events that callers expect; 0: none. */
+  char *message;    /**< Told to a refused caller; NULL: none. */
   int64_t retry_after_ms;
 } bt_rule_then_t;
 
@@ -124,6 +150,15 @@
   bt_rule_then_t then;
 } bt_rule_t;
 
+/** Bounds on what one caller may send; 0 leaves a bound to the program's own settings. */
+typedef struct bt_caller_limits
+{
+  int64_t head_bytes; /**< Request line and headers. */
+  int64_t body_bytes;
+  int64_t head_ms; /**< Time to send the head. */
+  int64_t idle_ms; /**< Time that a connection may stay open without a request. */
+} bt_caller_limits_t;
+
 /** All declarations in force at one time; never changed once made, so any thread may read. */
 typedef struct bt_declarations
 {
@@ -135,6 +170,7 @@
   int32_t endpoint_count;
   bt_rule_t *rules;
   int32_t rule_count;
+  bt_caller_limits_t limits;
   int64_t revision; /**< Highest revision of the documents, from the service; 0 from files. */
 } bt_declarations_t;
 
@@ -155,6 +191,29 @@
                                         const bt_document_text_t texts[BT_DOCUMENT_COUNT],
                                         bt_findings_t *findings);
 
+/** Makes declarations that hold nothing, with one reference, to be filled by the calls below before
+ * any other thread sees them. */
+bt_declarations_t *bt_new_empty_declarations (bt_context_t *ctx);
+
+/** Adds an account with a share of 1. The pointer is good until the next account is added. */
+bt_account_t *
+bt_add_account (bt_context_t *ctx, bt_declarations_t *declarations, const char *name);
+
+/** Adds a bearer token to an account. */
+void bt_add_account_token (bt_context_t *ctx, bt_account_t *account, const char *token);
+
+/** Adds an app. The pointer is good until the next app is added. */
+bt_app_t *bt_add_app (bt_context_t *ctx, bt_declarations_t *declarations, const char *name);
+
+/** Adds a rule behind the others: it matches every request and routes to @p app. The pointer is
+ * good until the next rule is added. */
+bt_rule_t *
+bt_add_rule (bt_context_t *ctx, bt_declarations_t *declarations, const char *name, int32_t app);
+
+/** Has a rule ask for a header of exactly this value. */
+void
+bt_add_rule_header (bt_context_t *ctx, bt_rule_t *rule, const char *name, const char *value);
+
 bt_declarations_t *bt_keep_declarations (bt_declarations_t *declarations);
 
 /** Drops a reference. NULL is accepted. */
--- a/source/store/http_client.h
+++ b/include/bilberrytray/store/http_client.h
@@ -1,5 +1,5 @@
-#ifndef BILBERRYTRAY_SOURCE_HTTP_CLIENT_H
-#define BILBERRYTRAY_SOURCE_HTTP_CLIENT_H
+#ifndef BILBERRYTRAY_STORE_HTTP_CLIENT_H
+#define BILBERRYTRAY_STORE_HTTP_CLIENT_H
 
 /** @file
  * One HTTP connection to a service of the platform, with limits on every call.
@@ -28,7 +28,9 @@
 typedef struct bt_http_request
 {
   const char *url;
-  const char *body;       /**< JSON to POST; NULL for a GET. */
+  const char *method;     /**< NULL: POST with a body, GET without one. */
+  const char *body;       /**< JSON to send; NULL for none. */
+  int64_t total_ms;       /**< Limit for this call; 0: that of the client. */
   bool fresh;             /**< On a connection of its own. */
   int64_t wait_ms;        /**< Above 0: a streamed answer, read for this long at most. */
   bt_http_line_t on_line; /**< For a streamed answer. */
--- a/source/agent/map_engine.c
+++ b/source/agent/map_engine.c
@@ -4,7 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
-#include "http_client.h"
+#include "bilberrytray/store/http_client.h"
 
 enum
 {
--- a/source/base/context.c
+++ b/source/base/context.c
@@ -7,24 +7,14 @@
 #include <time.h>
 #include <unistd.h>
 
-#include "bilberrytray/base/counters.h"
-#include "bilberrytray/base/log.h"
+#include "context_private.h"
 
 enum
 {
-  LOG_NAME_BYTES = 64,
   LOG_LINE_BYTES = 1024,
   MS_PER_S = 1000,
 };
 
-struct bt_context
-{
-  bt_clock_t *clock;
-  bt_counters_t *counters;
-  int32_t log_level;
-  char log_name[LOG_NAME_BYTES];
-};
-
 bt_context_t *
 bt_new_context (void)
 {
@@ -35,7 +25,10 @@
   ctx->clock = bt_system_clock ();
   ctx->log_level = BT_LOG_INFO;
   snprintf (ctx->log_name, sizeof ctx->log_name, "-");
+  pthread_mutex_init (&ctx->event_lock, NULL);
   ctx->counters = bt_new_counters (ctx);
+  ctx->lines_lost = bt_find_counter (ctx, BT_COUNTER, "bilberry_log_lines_lost_total",
+                                     "Log lines that could not be written at once.", NULL, NULL);
   return ctx;
 }
 
@@ -45,6 +38,7 @@
   if (ctx == NULL)
     return;
   bt_drop_counters (ctx, ctx->counters);
+  pthread_mutex_destroy (&ctx->event_lock);
   free (ctx);
 }
 
@@ -142,26 +136,38 @@
   return false;
 }
 
+const char *
+bt_name_log_level (bt_log_level_t level)
+{
+  return level_names[level];
+}
+
+void
+bt_format_log_stamp (char stamp[BT_LOG_STAMP_BYTES])
+{
+  int64_t wall_ms = bt_read_wall_ms ();
+  time_t seconds = (time_t)(wall_ms / MS_PER_S);
+  struct tm parts;
+  size_t used;
+
+  gmtime_r (&seconds, &parts);
+  used = strftime (stamp, BT_LOG_STAMP_BYTES, "%Y-%m-%dT%H:%M:%S", &parts);
+  snprintf (stamp + used, BT_LOG_STAMP_BYTES - used, ".%03dZ", (int)(wall_ms % MS_PER_S));
+}
+
 void
 bt_log (bt_context_t *ctx, bt_log_level_t level, bt_log_part_t part, const char *format, ...)
 {
   char line[LOG_LINE_BYTES];
-  char stamp[32];
-  int64_t wall_ms;
-  time_t seconds;
-  struct tm parts;
+  char stamp[BT_LOG_STAMP_BYTES];
   va_list arguments;
   size_t used;
 
   if ((int32_t)level > ctx->log_level)
     return;
-  wall_ms = bt_read_wall_ms ();
-  seconds = (time_t)(wall_ms / MS_PER_S);
-  gmtime_r (&seconds, &parts);
-  strftime (stamp, sizeof stamp, "%Y-%m-%dT%H:%M:%S", &parts);
-  used =
-      (size_t)snprintf (line, sizeof line, "%s.%03dZ %s %s %s: ", stamp, (int)(wall_ms % MS_PER_S),
-                        level_names[level], ctx->log_name, part_names[part]);
+  bt_format_log_stamp (stamp);
+  used = (size_t)snprintf (line, sizeof line, "%s %s %s %s: ", stamp, level_names[level],
+                           ctx->log_name, part_names[part]);
   va_start (arguments, format);
   vsnprintf (line + used, sizeof line - used - 1, format, arguments);
   va_end (arguments);
--- a/source/config/declarations.c
+++ b/source/config/declarations.c
@@ -111,6 +111,7 @@
       read_token_hashes (reader, object, path, account);
       account->share =
           (int32_t)bt_read_json_integer (reader, object, path, "share", 1, MAX_SHARE, 1);
+      account->priority = -1;
       declarations->account_count++;
     }
 }
@@ -210,10 +211,9 @@
   typedef void (*document_reader_t) (bt_json_reader_t *, bt_declarations_t *);
   static const document_reader_t readers[] = { bt_read_accounts, bt_read_apps, bt_read_endpoints,
                                                bt_read_rules };
-  counted_declarations_t *counted = bt_calloc (ctx, 1, sizeof *counted);
+  bt_declarations_t *declarations = bt_new_empty_declarations (ctx);
   int32_t before = bt_count_findings (findings);
 
-  atomic_init (&counted->references, 1);
   for (int32_t kind = 0; kind < BT_DOCUMENT_COUNT; kind++)
     {
       const char *fields[] = { document_names[kind], NULL };
@@ -223,16 +223,25 @@
       if (reader.root != NULL)
         {
           bt_check_json_fields (&reader, reader.root, "", fields);
-          readers[kind](&reader, &counted->base);
+          readers[kind](&reader, declarations);
         }
       bt_close_json_reader (&reader);
     }
   if (bt_count_findings (findings) == before)
-    return &counted->base;
-  bt_drop_declarations (ctx, &counted->base);
+    return declarations;
+  bt_drop_declarations (ctx, declarations);
   return NULL;
 }
 
+bt_declarations_t *
+bt_new_empty_declarations (bt_context_t *ctx)
+{
+  counted_declarations_t *counted = bt_calloc (ctx, 1, sizeof *counted);
+
+  atomic_init (&counted->references, 1);
+  return &counted->base;
+}
+
 bt_declarations_t *
 bt_keep_declarations (bt_declarations_t *declarations)
 {
@@ -285,6 +294,15 @@
   return -1;
 }
 
+void
+bt_add_account_token (bt_context_t *ctx, bt_account_t *account, const char *token)
+{
+  account->token_hashes = bt_realloc (ctx, account->token_hashes, (size_t)account->token_count + 1,
+                                      sizeof *account->token_hashes);
+  crypto_hash_sha256 (account->token_hashes[account->token_count++], (const unsigned char *)token,
+                      strlen (token));
+}
+
 int32_t
 bt_find_token (const bt_declarations_t *declarations, const char *token)
 {
--- a/source/config/declarations_rules.c
+++ b/source/config/declarations_rules.c
@@ -194,6 +194,19 @@
       bt_read_json_integer (reader, affinity, joined, "prefix_bytes", 1, MAX_PREFIX_BYTES, 0);
 }
 
+/* What callers expect of the answer; absent words mean false and 0. */
+static void
+read_answer (bt_json_reader_t *reader, const json_t *object, const char *path, bt_rule_then_t *then)
+{
+  then->open = bt_read_json_bool (reader, object, path, "open") == 1;
+  then->streamed = bt_read_json_bool (reader, object, path, "streamed") == 1;
+  then->resumable = bt_read_json_bool (reader, object, path, "resumable") == 1;
+  then->aim_ms = bt_read_json_integer (reader, object, path, "aim_ms", 1, MAX_DEADLINE_MS, 0);
+  then->pause_ms = bt_read_json_integer (reader, object, path, "pause_ms", 1, MAX_DEADLINE_MS, 0);
+  if (then->resumable && !then->streamed)
+    bt_report_json (reader, path, "Only a streamed answer can be resumable.");
+}
+
 static void
 read_route (bt_json_reader_t *reader,
             const json_t *object,
@@ -221,6 +234,7 @@
                                                  DEFAULT_RETRIES);
   read_limit (reader, object, path, then);
   read_affinity (reader, object, path, then);
+  read_answer (reader, object, path, then);
 }
 
 static void
@@ -232,7 +246,8 @@
 {
   static const char *const route_fields[] = { "action",     "app", "priority", "deadline_ms",
                                               "idempotent", "key", "retries",  "limit",
-                                              "affinity",   NULL };
+                                              "affinity",   "open", "streamed", "resumable",
+                                              "aim_ms",     "pause_ms", NULL };
   static const char *const refuse_fields[] = { "action", "message", "retry_after_ms", NULL };
   static const char *const actions[] = { "route", "refuse" };
 
--- /dev/null
+++ b/source/entry/command_gateway.c
@@ -0,0 +1,148 @@
+#include <curl/curl.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stddef.h>
+#include <stdio.h>
+
+#include "bilberrytray/base/event_log.h"
+#include "bilberrytray/gateway/gateway.h"
+#include "bilberrytray/page/page.h"
+#include "commands.h"
+
+#define FIELD(name) offsetof (bt_gateway_settings_t, name)
+
+static const bt_setting_t gateway_settings[] = {
+  { "instance", BT_SETTING_TEXT, FIELD (instance), NULL, 0, 0, "Name of this instance." },
+  { "failure-domain", BT_SETTING_TEXT, FIELD (failure_domain), NULL, 0, 0,
+    "Failure domain of this instance." },
+  { "listen", BT_SETTING_ADDRESS, FIELD (listen), NULL, 0, 0, "Where callers are served." },
+  { "addresses", BT_SETTING_ADDRESS, FIELD (addresses), NULL, 0, 0,
+    "Where callers ask which addresses to use." },
+  { "ready", BT_SETTING_ADDRESS, FIELD (ready), NULL, 0, 0,
+    "Where the platform asks whether this instance is ready." },
+  { "page", BT_SETTING_ADDRESS, FIELD (page), "", 0, 0, "Where the operators' page is served." },
+  { "links", BT_SETTING_ADDRESS, FIELD (links), NULL, 0, 0,
+    "Where links of other instances are accepted." },
+  { "secret", BT_SETTING_TEXT, FIELD (secret), "", 0, 0,
+    "Secret that all processes of the deployment share; better set by its variable." },
+  { "seeds", BT_SETTING_TEXT, FIELD (seeds), "", 0, 0,
+    "Addresses of some instances, for a start without the store." },
+  { "store", BT_SETTING_ADDRESS, FIELD (store), NULL, 0, 0, "The platform's store." },
+  { "log-level", BT_SETTING_TEXT, FIELD (log_level), "info", 0, 0,
+    "error, warning, info or debug." },
+  { "max-connections", BT_SETTING_INTEGER, FIELD (max_connections), "2000", 8, 60000,
+    "Callers' connections at a time." },
+  { "address-life-ms", BT_SETTING_INTEGER, FIELD (address_life_ms), "2000", 100, 3600000,
+    "How long callers may keep an answer with addresses, ms." },
+  { "drain-ms", BT_SETTING_INTEGER, FIELD (drain_ms), "7500", 0, 3600000,
+    "Longest time from SIGTERM to the end, ms." },
+  { "watch-ms", BT_SETTING_INTEGER, FIELD (watch_ms), "2000", 100, 30000,
+    "Longest wait of one watch on the store, ms." },
+  { "lease-s", BT_SETTING_INTEGER, FIELD (lease_s), "4", 1, 600,
+    "Life of this instance's listing without renewal, s." },
+  { "renew-ms", BT_SETTING_INTEGER, FIELD (renew_ms), "1300", 100, 600000,
+    "Between two renewals of the listing, ms." },
+  { "retry-percent", BT_SETTING_INTEGER, FIELD (retry_percent), "15", 0, 100,
+    "Retries for 100 requests of an app." },
+  { "retry-reserve", BT_SETTING_INTEGER, FIELD (retry_reserve), "8", 1, 10000,
+    "Retries of an app that may be saved up." },
+};
+
+/** What the thread that waits for signals needs. */
+typedef struct signal_waiter
+{
+  bt_context_t *ctx;
+  bt_gateway_t *gateway;
+  sigset_t signals;
+} signal_waiter_t;
+
+static void *
+wait_for_signals (void *argument)
+{
+  signal_waiter_t *waiter = argument;
+  int received;
+
+  while (sigwait (&waiter->signals, &received) == 0)
+    {
+      if (received == SIGUSR2)
+        return NULL;
+      if (received == SIGHUP)
+        bt_log_event (waiter->ctx, BT_LOG_INFO, "reload", "{s:s}", "message",
+                      "Flags are read at the start only; nothing changes.");
+      else
+        bt_stop_gateway (waiter->gateway);
+    }
+  return NULL;
+}
+
+static int
+serve_until_stopped (bt_context_t *ctx, const bt_gateway_settings_t *settings, sigset_t signals)
+{
+  bt_error_t error = { 0 };
+  bt_gateway_t *gateway = bt_new_gateway (ctx, bt_get_platform (), settings, &error);
+  signal_waiter_t waiter = { ctx, gateway, signals };
+  bt_page_t *page = NULL;
+  pthread_t thread;
+
+  if (gateway != NULL && settings->page[0] != '\0')
+    page = bt_new_page (ctx, settings->page, NULL, NULL, &error);
+  if (gateway == NULL || error.code != BT_ERROR_NONE
+      || pthread_create (&thread, NULL, wait_for_signals, &waiter) != 0)
+    {
+      bt_log_event (ctx, BT_LOG_ERROR, "start-failed", "{s:s}", "message", error.message);
+      bt_drop_page (ctx, page);
+      bt_drop_gateway (ctx, gateway);
+      return BT_EXIT_FAILED;
+    }
+  bt_log_event (ctx, BT_LOG_INFO, "start", "{s:s, s:s}", "version", BT_VERSION, "callers",
+                settings->listen);
+  bt_run_gateway (gateway);
+  pthread_kill (thread, SIGUSR2);
+  pthread_join (thread, NULL);
+  bt_drop_page (ctx, page);
+  bt_drop_gateway (ctx, gateway);
+  bt_log_event (ctx, BT_LOG_INFO, "stop", "{}");
+  return BT_EXIT_DONE;
+}
+
+static int
+run_gateway_command (bt_context_t *ctx, const void *values, int operand_count, char **operands)
+{
+  const bt_gateway_settings_t *settings = values;
+  bt_log_level_t level;
+  sigset_t signals;
+  int status;
+
+  (void)operands;
+  if (operand_count > 0 || !bt_parse_log_level (settings->log_level, &level))
+    {
+      fprintf (stderr, "%s\n",
+               operand_count > 0 ? "gateway: Nothing is expected behind the flags."
+                                 : "log-level: There is no such level.");
+      return BT_EXIT_USAGE;
+    }
+  bt_set_log_level (ctx, (int32_t)level);
+  bt_set_log_name (ctx, settings->instance);
+  bt_prepare_outcome_counters (ctx);
+  sigemptyset (&signals);
+  sigaddset (&signals, SIGTERM);
+  sigaddset (&signals, SIGINT);
+  sigaddset (&signals, SIGHUP);
+  sigaddset (&signals, SIGUSR2);
+  pthread_sigmask (SIG_BLOCK, &signals, NULL);
+  signal (SIGPIPE, SIG_IGN);
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  status = serve_until_stopped (ctx, settings, signals);
+  curl_global_cleanup ();
+  return status;
+}
+
+const bt_command_t bt_gateway_command = {
+  "gateway",
+  "Serve callers on a platform whose endpoints are reached by HTTP, until SIGTERM.",
+  "",
+  gateway_settings,
+  sizeof gateway_settings / sizeof gateway_settings[0],
+  sizeof (bt_gateway_settings_t),
+  run_gateway_command,
+};
--- a/source/entry/commands.h
+++ b/source/entry/commands.h
@@ -29,6 +29,7 @@
 } bt_command_t;
 
 extern const bt_command_t bt_serve_command;
+extern const bt_command_t bt_gateway_command;
 extern const bt_command_t bt_check_command;
 extern const bt_command_t bt_explain_command;
 extern const bt_command_t bt_publish_command;
--- /dev/null
+++ b/source/gateway/endpoint_table.c
@@ -0,0 +1,192 @@
+#include "endpoint_table.h"
+
+#include <string.h>
+
+#include "bilberrytray/base/event_log.h"
+
+enum
+{
+  /* Endpoints that lapsed with the store are listed again within two seconds of its return; half a
+   * second more for the way through a watch and a read. */
+  RELIST_MS = 2500,
+  /* An id names one start of an endpoint, so that its incarnation says nothing more. */
+  ONLY_INCARNATION = 1,
+};
+
+/** One endpoint. */
+typedef struct table_row
+{
+  bt_listed_endpoint_t listed;
+  bool gone; /* it was found to be gone; it stays out while the same entry is listed */
+} table_row_t;
+
+struct bt_endpoint_table
+{
+  bt_router_t *router;
+  table_row_t *rows;
+  int32_t count;
+  int32_t room;
+  int64_t regained_ms; /* when the store came back last; 0: never away */
+};
+
+void
+bt_identify_endpoint (const char *id, bt_identity_t *identity)
+{
+  memset (identity, 0, sizeof *identity);
+  bt_copy_name (identity->instance, id);
+  identity->incarnation = ONLY_INCARNATION;
+}
+
+bt_endpoint_table_t *
+bt_new_endpoint_table (bt_context_t *ctx, bt_router_t *router)
+{
+  bt_endpoint_table_t *table = bt_calloc (ctx, 1, sizeof *table);
+
+  table->router = router;
+  return table;
+}
+
+void
+bt_drop_endpoint_table (bt_context_t *ctx, bt_endpoint_table_t *table)
+{
+  if (table == NULL)
+    return;
+  bt_free (ctx, table->rows);
+  bt_free (ctx, table);
+}
+
+static table_row_t *
+find_row (const bt_endpoint_table_t *table, const char *id)
+{
+  for (int32_t i = 0; i < table->count; i++)
+    if (strcmp (table->rows[i].listed.id, id) == 0)
+      return &table->rows[i];
+  return NULL;
+}
+
+const bt_listed_endpoint_t *
+bt_find_listed_endpoint (const bt_endpoint_table_t *table, const char *id)
+{
+  const table_row_t *row = find_row (table, id);
+
+  return row == NULL ? NULL : &row->listed;
+}
+
+static bool
+is_listed (const bt_view_t *view, const char *id)
+{
+  for (int32_t i = 0; i < view->endpoint_count; i++)
+    if (strcmp (view->endpoints[i].id, id) == 0)
+      return true;
+  return false;
+}
+
+static void
+put_in_router (bt_context_t *ctx,
+               bt_endpoint_table_t *table,
+               const bt_listed_endpoint_t *listed,
+               bool fresh,
+               int64_t now_ms)
+{
+  bt_endpoint_t endpoint = { 0 };
+  bt_load_t load = { .slots = listed->slots };
+
+  bt_identify_endpoint (listed->id, &endpoint.identity);
+  bt_copy_name (endpoint.name, listed->id);
+  bt_copy_name (endpoint.app, listed->app);
+  bt_copy_name (endpoint.failure_domain, listed->failure_domain);
+  bt_put_endpoint (ctx, table->router, &endpoint, now_ms);
+  bt_set_endpoint_leaving (table->router, &endpoint.identity, listed->leaving);
+  if (fresh)
+    bt_record_load (table->router, &endpoint.identity, &load, now_ms);
+}
+
+static void
+tell_endpoint (bt_context_t *ctx, const char *event, const bt_listed_endpoint_t *listed)
+{
+  bt_log_event (ctx, BT_LOG_INFO, event, "{s:s, s:s, s:s}", "endpoint", listed->id, "app",
+                listed->app, "address", listed->address);
+}
+
+static void
+put_row (bt_context_t *ctx,
+         bt_endpoint_table_t *table,
+         const bt_listed_endpoint_t *listed,
+         int64_t now_ms)
+{
+  table_row_t *row = find_row (table, listed->id);
+  bool fresh = row == NULL;
+
+  if (fresh)
+    {
+      if (table->count == table->room)
+        {
+          table->room = 2 * table->room + 1;
+          table->rows = bt_realloc (ctx, table->rows, (size_t)table->room, sizeof *table->rows);
+        }
+      row = &table->rows[table->count++];
+      row->gone = false;
+      tell_endpoint (ctx, "endpoint-listed", listed);
+    }
+  else if (listed->leaving && !row->listed.leaving)
+    tell_endpoint (ctx, "endpoint-leaving", listed);
+  row->listed = *listed;
+  if (!row->gone)
+    put_in_router (ctx, table, listed, fresh, now_ms);
+}
+
+static void
+take_from_router (bt_context_t *ctx, bt_endpoint_table_t *table, const char *id)
+{
+  bt_identity_t identity;
+
+  bt_identify_endpoint (id, &identity);
+  bt_remove_endpoint (ctx, table->router, &identity);
+}
+
+int64_t
+bt_apply_listed_endpoints (bt_context_t *ctx,
+                           bt_endpoint_table_t *table,
+                           const bt_view_t *view,
+                           int64_t now_ms)
+{
+  bool relisting = table->regained_ms > 0 && now_ms < table->regained_ms + RELIST_MS;
+  bool kept = false;
+
+  for (int32_t i = 0; i < view->endpoint_count; i++)
+    put_row (ctx, table, &view->endpoints[i], now_ms);
+  for (int32_t i = table->count - 1; i >= 0; i--)
+    {
+      table_row_t *row = &table->rows[i];
+
+      if (is_listed (view, row->listed.id))
+        continue;
+      if (relisting && !row->listed.leaving)
+        {
+          kept = true;
+          continue;
+        }
+      tell_endpoint (ctx, "endpoint-gone", &row->listed);
+      take_from_router (ctx, table, row->listed.id);
+      *row = table->rows[--table->count];
+    }
+  return kept ? table->regained_ms + RELIST_MS : 0;
+}
+
+void
+bt_note_store_regained (bt_endpoint_table_t *table, int64_t now_ms)
+{
+  table->regained_ms = now_ms;
+}
+
+void
+bt_remove_listed_endpoint (bt_context_t *ctx, bt_endpoint_table_t *table, const char *id)
+{
+  table_row_t *row = find_row (table, id);
+
+  if (row == NULL || row->gone)
+    return;
+  row->gone = true;
+  tell_endpoint (ctx, "endpoint-replaced", &row->listed);
+  take_from_router (ctx, table, id);
+}
--- /dev/null
+++ b/source/gateway/endpoint_table.h
@@ -0,0 +1,39 @@
+#ifndef BILBERRYTRAY_SOURCE_GATEWAY_ENDPOINT_TABLE_H
+#define BILBERRYTRAY_SOURCE_GATEWAY_ENDPOINT_TABLE_H
+
+/** @file
+ * The endpoints that the store lists, kept in step with the router.
+ */
+
+#include "bilberrytray/load/router.h"
+#include "view.h"
+
+typedef struct bt_endpoint_table bt_endpoint_table_t;
+
+bt_endpoint_table_t *bt_new_endpoint_table (bt_context_t *ctx, bt_router_t *router);
+
+/** NULL is accepted. */
+void bt_drop_endpoint_table (bt_context_t *ctx, bt_endpoint_table_t *table);
+
+/** Takes in a view. An endpoint that is missing is taken out; but for some seconds after the store
+ * came back it is kept, since it may only have lapsed with the store. Returns when to call again
+ * with the same view, or 0. */
+int64_t bt_apply_listed_endpoints (bt_context_t *ctx,
+                                   bt_endpoint_table_t *table,
+                                   const bt_view_t *view,
+                                   int64_t now_ms);
+
+/** Tells that the store was away until now. */
+void bt_note_store_regained (bt_endpoint_table_t *table, int64_t now_ms);
+
+/** An endpoint by its id; NULL when it is not there. Good until the next change. */
+const bt_listed_endpoint_t *bt_find_listed_endpoint (const bt_endpoint_table_t *table,
+                                                     const char *id);
+
+/** Takes an endpoint out that is known to be gone, until the store lists it anew. */
+void bt_remove_listed_endpoint (bt_context_t *ctx, bt_endpoint_table_t *table, const char *id);
+
+/** The router's identity of an endpoint. Its id names one start already. */
+void bt_identify_endpoint (const char *id, bt_identity_t *identity);
+
+#endif
--- /dev/null
+++ b/source/gateway/exchange.c
@@ -0,0 +1,471 @@
+#include "exchange.h"
+
+#include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+
+#include "bilberrytray/base/log.h"
+
+enum
+{
+  URL_BYTES = 64,
+  LINE_BYTES = 17408, /* longest header line: 16 KiB of value and its name */
+  FIRST_BODY_BYTES = 1024,
+  IDLE_HANDLES = 16, /* kept for the next exchanges; making one costs about 20 us */
+  FIRST_FINAL_STATUS = 200,
+};
+
+struct bt_exchange
+{
+  bt_exchange_pool_t *pool;
+  bt_exchange_handler_t *handler;
+  CURL *curl;
+  struct curl_slist *headers;
+  char *target;
+  size_t answer_bytes;
+  bt_exchange_state_t state;
+  int32_t status;
+  bool head_whole;
+  bool progressed;
+  bool dropped;
+  CURLcode code;
+  char *body;
+  size_t body_bytes;
+  size_t body_room;
+  bt_exchange_t *next_ready;
+};
+
+/** A socket of libcurl's. */
+typedef struct socket_watch
+{
+  bt_watch_t watch;
+  bt_exchange_pool_t *pool;
+  struct socket_watch *next_closed;
+} socket_watch_t;
+
+struct bt_exchange_pool
+{
+  bt_context_t *ctx;
+  bt_event_loop_t *loop;
+  bt_exchange_limits_t limits;
+  CURLM *multi;
+  bt_timer_t timer;
+  bt_turn_t turn;
+  bt_exchange_t *first_ready; /* those with progress to tell */
+  bt_exchange_t **last_ready;
+  socket_watch_t *closed; /* freed in the next turn: their events may be waiting */
+  CURL *idle[IDLE_HANDLES];
+  int32_t idle_count;
+};
+
+static void
+mark_ready (bt_exchange_t *exchange)
+{
+  if (exchange->progressed)
+    return;
+  exchange->progressed = true;
+  exchange->next_ready = NULL;
+  *exchange->pool->last_ready = exchange;
+  exchange->pool->last_ready = &exchange->next_ready;
+}
+
+static void
+free_exchange (bt_exchange_t *exchange)
+{
+  bt_context_t *ctx = exchange->pool->ctx;
+
+  bt_free (ctx, exchange->target);
+  bt_free (ctx, exchange->body);
+  bt_free (ctx, exchange);
+}
+
+/* Learns how exchanges ended. A request of which no byte was sent did not run; every other failure
+ * may have. */
+static void
+collect_ends (bt_exchange_pool_t *pool)
+{
+  CURLMsg *message;
+  int left;
+
+  while ((message = curl_multi_info_read (pool->multi, &left)) != NULL)
+    {
+      bt_exchange_t *exchange = NULL;
+      long sent_bytes = 0;
+
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, (char **)&exchange);
+      curl_easy_getinfo (message->easy_handle, CURLINFO_REQUEST_SIZE, &sent_bytes);
+      exchange->code = message->data.result;
+      if (exchange->code == CURLE_OK)
+        exchange->state = BT_EXCHANGE_WHOLE;
+      else
+        exchange->state = sent_bytes == 0 ? BT_EXCHANGE_UNSENT : BT_EXCHANGE_BROKEN;
+      mark_ready (exchange);
+    }
+}
+
+static void
+run_pool (bt_turn_t *turn)
+{
+  bt_exchange_pool_t *pool =
+      (bt_exchange_pool_t *)((char *)turn - offsetof (bt_exchange_pool_t, turn));
+
+  collect_ends (pool);
+  while (pool->first_ready != NULL)
+    {
+      bt_exchange_t *exchange = pool->first_ready;
+
+      pool->first_ready = exchange->next_ready;
+      if (pool->first_ready == NULL)
+        pool->last_ready = &pool->first_ready;
+      exchange->progressed = false;
+      if (exchange->dropped)
+        free_exchange (exchange);
+      else
+        exchange->handler->vtable->on_progress (exchange->handler, exchange);
+    }
+  while (pool->closed != NULL)
+    {
+      socket_watch_t *watch = pool->closed;
+
+      pool->closed = watch->next_closed;
+      bt_free (pool->ctx, watch);
+    }
+}
+
+static void
+act_on_socket (bt_watch_t *watch, uint32_t events)
+{
+  socket_watch_t *socket = (socket_watch_t *)watch;
+  int action = 0;
+  int running;
+
+  if (watch->fd < 0)
+    return;
+  if ((events & (EPOLLIN | EPOLLHUP)) != 0)
+    action |= CURL_CSELECT_IN;
+  if ((events & EPOLLOUT) != 0)
+    action |= CURL_CSELECT_OUT;
+  if ((events & EPOLLERR) != 0)
+    action |= CURL_CSELECT_ERR;
+  curl_multi_socket_action (socket->pool->multi, watch->fd, action, &running);
+}
+
+static void
+act_on_time (bt_timer_t *timer)
+{
+  bt_exchange_pool_t *pool =
+      (bt_exchange_pool_t *)((char *)timer - offsetof (bt_exchange_pool_t, timer));
+  int running;
+
+  curl_multi_socket_action (pool->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+}
+
+static int
+watch_socket (CURL *curl, curl_socket_t fd, int what, void *user, void *socket_user)
+{
+  bt_exchange_pool_t *pool = user;
+  socket_watch_t *socket = socket_user;
+  uint32_t events = 0;
+
+  (void)curl;
+  if (what == CURL_POLL_REMOVE)
+    {
+      if (socket == NULL)
+        return 0;
+      bt_clear_watch (pool->loop, &socket->watch);
+      socket->watch.fd = -1;
+      socket->next_closed = pool->closed;
+      pool->closed = socket;
+      curl_multi_assign (pool->multi, fd, NULL);
+      return 0;
+    }
+  if (socket == NULL)
+    {
+      socket = bt_calloc (pool->ctx, 1, sizeof *socket);
+      socket->pool = pool;
+      socket->watch.fd = fd;
+      socket->watch.on_ready = act_on_socket;
+      curl_multi_assign (pool->multi, fd, socket);
+    }
+  if ((what & CURL_POLL_IN) != 0)
+    events |= EPOLLIN;
+  if ((what & CURL_POLL_OUT) != 0)
+    events |= EPOLLOUT;
+  bt_set_watch (pool->loop, &socket->watch, events);
+  return 0;
+}
+
+static int
+set_pool_timer (CURLM *multi, long wait_ms, void *user)
+{
+  bt_exchange_pool_t *pool = user;
+
+  (void)multi;
+  if (wait_ms < 0)
+    bt_clear_timer (pool->loop, &pool->timer);
+  else
+    bt_set_timer (pool->loop, &pool->timer, bt_now_ms (pool->ctx) + wait_ms);
+  return 0;
+}
+
+bt_exchange_pool_t *
+bt_new_exchange_pool (bt_context_t *ctx, bt_event_loop_t *loop, const bt_exchange_limits_t *limits)
+{
+  bt_exchange_pool_t *pool = bt_calloc (ctx, 1, sizeof *pool);
+
+  pool->ctx = ctx;
+  pool->loop = loop;
+  pool->limits = *limits;
+  pool->last_ready = &pool->first_ready;
+  pool->timer.on_time = act_on_time;
+  pool->turn.on_turn = run_pool;
+  pool->multi = curl_multi_init ();
+  curl_multi_setopt (pool->multi, CURLMOPT_SOCKETFUNCTION, watch_socket);
+  curl_multi_setopt (pool->multi, CURLMOPT_SOCKETDATA, pool);
+  curl_multi_setopt (pool->multi, CURLMOPT_TIMERFUNCTION, set_pool_timer);
+  curl_multi_setopt (pool->multi, CURLMOPT_TIMERDATA, pool);
+  curl_multi_setopt (pool->multi, CURLMOPT_MAXCONNECTS, 1L);
+  bt_add_turn (loop, &pool->turn);
+  return pool;
+}
+
+void
+bt_drop_exchange_pool (bt_context_t *ctx, bt_exchange_pool_t *pool)
+{
+  if (pool == NULL)
+    return;
+  run_pool (&pool->turn);
+  for (int32_t i = 0; i < pool->idle_count; i++)
+    curl_easy_cleanup (pool->idle[i]);
+  curl_multi_cleanup (pool->multi);
+  bt_clear_timer (pool->loop, &pool->timer);
+  run_pool (&pool->turn);
+  bt_free (ctx, pool);
+}
+
+static size_t
+take_body (char *data, size_t size, size_t count, void *user)
+{
+  bt_exchange_t *exchange = user;
+  size_t bytes = size * count;
+
+  if (exchange->body_bytes + bytes > exchange->answer_bytes)
+    return CURL_WRITEFUNC_ERROR;
+  if (exchange->body_bytes + bytes + 1 > exchange->body_room)
+    {
+      exchange->body_room = 2 * (exchange->body_bytes + bytes) + FIRST_BODY_BYTES;
+      exchange->body = bt_realloc (exchange->pool->ctx, exchange->body, exchange->body_room, 1);
+    }
+  memcpy (exchange->body + exchange->body_bytes, data, bytes);
+  exchange->body_bytes += bytes;
+  exchange->body[exchange->body_bytes] = '\0';
+  mark_ready (exchange);
+  return bytes;
+}
+
+/* Splits "Name: value" in place. */
+static bool
+split_header (char *line, char **value)
+{
+  char *colon = strchr (line, ':');
+
+  if (colon == NULL)
+    return false;
+  *colon = '\0';
+  *value = colon + 1 + strspn (colon + 1, " \t");
+  (*value)[strcspn (*value, "\r\n")] = '\0';
+  return true;
+}
+
+static size_t
+take_header (char *data, size_t size, size_t count, void *user)
+{
+  bt_exchange_t *exchange = user;
+  size_t bytes = size * count;
+  char line[LINE_BYTES];
+  char *value;
+  long status = 0;
+
+  if (bytes >= sizeof line)
+    return 0;
+  memcpy (line, data, bytes);
+  line[bytes] = '\0';
+  curl_easy_getinfo (exchange->curl, CURLINFO_RESPONSE_CODE, &status);
+  /* An interim answer (1xx) has a head of its own, which says nothing of the final one. */
+  if (exchange->head_whole || status < FIRST_FINAL_STATUS)
+    return bytes;
+  if (strcmp (line, "\r\n") == 0 || strcmp (line, "\n") == 0)
+    {
+      exchange->head_whole = true;
+      exchange->status = (int32_t)status;
+      mark_ready (exchange);
+      return bytes;
+    }
+  if (split_header (line, &value))
+    exchange->handler->vtable->on_header (exchange->handler, line, value);
+  return bytes;
+}
+
+/* Bytes to a host that is gone are repeated for many minutes, unless the kernel is told when to give
+ * up. */
+static int
+bound_silence (void *user, curl_socket_t fd, curlsocktype purpose)
+{
+  const bt_exchange_pool_t *pool = user;
+  unsigned int silent_ms = (unsigned int)pool->limits.silent_ms;
+
+  (void)purpose;
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silent_ms, sizeof silent_ms);
+  return CURL_SOCKOPT_OK;
+}
+
+static void
+set_method (CURL *curl, const bt_exchange_request_t *request)
+{
+  if (strcmp (request->method, "HEAD") == 0)
+    curl_easy_setopt (curl, CURLOPT_NOBODY, 1L);
+  else if (request->body_bytes > 0 || strcmp (request->method, "POST") == 0)
+    {
+      curl_easy_setopt (curl, CURLOPT_POST, 1L);
+      curl_easy_setopt (curl, CURLOPT_POSTFIELDS, request->body_bytes > 0 ? request->body : "");
+      curl_easy_setopt (curl, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)request->body_bytes);
+    }
+  else
+    curl_easy_setopt (curl, CURLOPT_HTTPGET, 1L);
+  curl_easy_setopt (curl, CURLOPT_CUSTOMREQUEST, request->method);
+}
+
+static void
+set_options (bt_exchange_t *exchange, const bt_exchange_request_t *request)
+{
+  CURL *curl = exchange->curl;
+  char url[URL_BYTES];
+
+  snprintf (url, sizeof url, "http://%s/", request->address);
+  curl_easy_setopt (curl, CURLOPT_URL, url);
+  curl_easy_setopt (curl, CURLOPT_REQUEST_TARGET, exchange->target);
+  curl_easy_setopt (curl, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (curl, CURLOPT_PROXY, "");
+  curl_easy_setopt (curl, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt (curl, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (curl, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt (curl, CURLOPT_FRESH_CONNECT, 1L);
+  curl_easy_setopt (curl, CURLOPT_FORBID_REUSE, 1L);
+  curl_easy_setopt (curl, CURLOPT_CONNECTTIMEOUT_MS, (long)exchange->pool->limits.connect_ms);
+  curl_easy_setopt (curl, CURLOPT_SOCKOPTFUNCTION, bound_silence);
+  curl_easy_setopt (curl, CURLOPT_SOCKOPTDATA, exchange->pool);
+  curl_easy_setopt (curl, CURLOPT_WRITEFUNCTION, take_body);
+  curl_easy_setopt (curl, CURLOPT_WRITEDATA, exchange);
+  curl_easy_setopt (curl, CURLOPT_HEADERFUNCTION, take_header);
+  curl_easy_setopt (curl, CURLOPT_HEADERDATA, exchange);
+  curl_easy_setopt (curl, CURLOPT_PRIVATE, exchange);
+  set_method (curl, request);
+}
+
+bt_exchange_t *
+bt_new_exchange (bt_context_t *ctx,
+                 bt_exchange_pool_t *pool,
+                 const bt_exchange_request_t *request,
+                 bt_exchange_handler_t *handler)
+{
+  static const char *const unsent[] = { "Accept:", "Content-Type:", "Expect:", "User-Agent:" };
+  bt_exchange_t *exchange = bt_calloc (ctx, 1, sizeof *exchange);
+
+  exchange->pool = pool;
+  exchange->handler = handler;
+  exchange->target = bt_strdup (ctx, request->target);
+  exchange->answer_bytes = request->answer_bytes;
+  exchange->curl = pool->idle_count > 0 ? pool->idle[--pool->idle_count] : curl_easy_init ();
+  set_options (exchange, request);
+  /* libcurl would add these of its own. A header that the caller sent comes later in the list and
+   * is sent. */
+  for (size_t i = 0; i < sizeof unsent / sizeof unsent[0]; i++)
+    exchange->headers = curl_slist_append (exchange->headers, unsent[i]);
+  return exchange;
+}
+
+void
+bt_add_exchange_header (bt_exchange_t *exchange, const char *name, const char *value)
+{
+  char line[LINE_BYTES];
+
+  /* libcurl leaves out a header that ends with its colon; the semicolon has it sent empty. */
+  snprintf (line, sizeof line, value[0] == '\0' ? "%s;" : "%s: %s", name, value);
+  exchange->headers = curl_slist_append (exchange->headers, line);
+}
+
+void
+bt_send_exchange (bt_exchange_t *exchange)
+{
+  curl_easy_setopt (exchange->curl, CURLOPT_HTTPHEADER, exchange->headers);
+  curl_multi_add_handle (exchange->pool->multi, exchange->curl);
+}
+
+void
+bt_drop_exchange (bt_context_t *ctx, bt_exchange_t *exchange)
+{
+  bt_exchange_pool_t *pool;
+
+  (void)ctx;
+  if (exchange == NULL)
+    return;
+  pool = exchange->pool;
+  curl_multi_remove_handle (pool->multi, exchange->curl);
+  curl_slist_free_all (exchange->headers);
+  exchange->headers = NULL;
+  if (pool->idle_count < IDLE_HANDLES)
+    {
+      curl_easy_reset (exchange->curl);
+      pool->idle[pool->idle_count++] = exchange->curl;
+    }
+  else
+    curl_easy_cleanup (exchange->curl);
+  exchange->curl = NULL;
+  exchange->dropped = true;
+  if (!exchange->progressed)
+    free_exchange (exchange);
+}
+
+bt_exchange_state_t
+bt_get_exchange_state (const bt_exchange_t *exchange)
+{
+  return exchange->state;
+}
+
+int32_t
+bt_get_exchange_status (const bt_exchange_t *exchange)
+{
+  return exchange->status;
+}
+
+const char *
+bt_peek_exchange_body (const bt_exchange_t *exchange, size_t *bytes)
+{
+  *bytes = exchange->body_bytes;
+  return exchange->body == NULL ? "" : exchange->body;
+}
+
+void
+bt_take_exchange_body (bt_exchange_t *exchange, size_t bytes)
+{
+  exchange->body_bytes -= bytes;
+  if (exchange->body == NULL)
+    return;
+  memmove (exchange->body, exchange->body + bytes, exchange->body_bytes);
+  exchange->body[exchange->body_bytes] = '\0';
+}
+
+const char *
+bt_get_exchange_fault (const bt_exchange_t *exchange)
+{
+  return curl_easy_strerror (exchange->code);
+}
--- /dev/null
+++ b/source/gateway/forward.c
@@ -0,0 +1,366 @@
+#include "forward.h"
+
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "bilberrytray/base/event_log.h"
+
+enum
+{
+  MS_PER_S = 1000,
+  NUMBER_BYTES = 24,
+  RETRY_AFTER_BYTES = 32,
+  /* Waiting requests are looked at again this often, beside each end and each report. */
+  PUMP_MS = 10,
+  /* A caller's time runs from when it sent the request, and the answer has a way back: two of the
+   * longest delays between a caller and an entry (3 ms), and one look of the loop. */
+  CALLER_WAY_MS = 10,
+  /* Nothing is free: an endpoint's run takes about a second, so half of one later something is. */
+  RETRY_AFTER_LEAST_MS = 300,
+  RETRY_AFTER_SPREAD_MS = 700,
+  /* Entries learn of the configuration within about this. */
+  NOT_READY_RETRY_MS = 500,
+};
+
+static const char *const bearer_prefix = "Bearer ";
+
+uint64_t
+bt_draw_gateway_seed (bt_gateway_t *gateway)
+{
+  return bt_next_random (&gateway->random);
+}
+
+int64_t
+bt_draw_retry_after_ms (bt_gateway_t *gateway)
+{
+  return RETRY_AFTER_LEAST_MS
+         + (int64_t)bt_random_below (&gateway->random, RETRY_AFTER_SPREAD_MS);
+}
+
+bool
+bt_is_forward_repeatable (const bt_forward_t *forward)
+{
+  const bt_rule_then_t *then = &forward->rule->then;
+
+  return then->streamed ? then->resumable : then->idempotent == 1;
+}
+
+static void
+link_forward (bt_gateway_t *gateway, bt_forward_t *forward)
+{
+  forward->next = gateway->first_forward;
+  if (forward->next != NULL)
+    forward->next->previous = forward;
+  gateway->first_forward = forward;
+  gateway->forwards++;
+}
+
+static void
+unlink_forward (bt_gateway_t *gateway, bt_forward_t *forward)
+{
+  if (forward->previous != NULL)
+    forward->previous->next = forward->next;
+  else
+    gateway->first_forward = forward->next;
+  if (forward->next != NULL)
+    forward->next->previous = forward->previous;
+  gateway->forwards--;
+}
+
+static void
+log_end (const bt_forward_t *forward, bt_outcome_t outcome, bt_reason_t reason, int32_t status)
+{
+  bt_gateway_t *gateway = forward->gateway;
+  int64_t now_ms = bt_get_loop_ms (gateway->loop);
+  bool good = outcome == BT_OUTCOME_ANSWERED;
+
+  bt_log_event (
+      gateway->ctx, good ? BT_LOG_INFO : BT_LOG_WARNING, "request",
+      "{s:s, s:s, s:s, s:s, s:i, s:s, s:s, s:s, s:i, s:i, s:I, s:I, s:I, s:I, s:I}", "request",
+      forward->facts.request_id, "rule", forward->rule == NULL ? "" : forward->rule->name,
+      "account", forward->account, "outcome", bt_name_outcome (outcome), "status", status, "reason",
+      bt_name_reason (reason), "app", forward->app == NULL ? "" : forward->app, "endpoint",
+      forward->route.identity.instance, "sends", forward->sends, "runs", forward->runs, "events",
+      (json_int_t)forward->events.events, "queue_ms",
+      (json_int_t)(forward->first_sent_ms > 0 ? forward->first_sent_ms - forward->arrived_ms : -1),
+      "first_ms",
+      (json_int_t)(forward->first_byte_ms > 0 ? forward->first_byte_ms - forward->arrived_ms : -1),
+      "total_ms", (json_int_t)(now_ms - forward->arrived_ms), "revision",
+      (json_int_t)(forward->declarations == NULL ? 0 : forward->declarations->revision));
+}
+
+void
+bt_finish_forward (bt_forward_t *forward,
+                   bt_outcome_t outcome,
+                   bt_reason_t reason,
+                   int32_t status)
+{
+  bt_gateway_t *gateway = forward->gateway;
+  bt_context_t *ctx = gateway->ctx;
+
+  bt_count_outcome (ctx, outcome);
+  log_end (forward, outcome, reason, status);
+  bt_clear_timer (gateway->loop, &forward->timer);
+  bt_end_forward_attempt (forward, BT_ATTEMPT_CANCELLED);
+  unlink_forward (gateway, forward);
+  bt_drop_front_call (ctx, forward->call);
+  bt_drop_declarations (ctx, forward->declarations);
+  bt_free_front_header_list (ctx, forward->headers, forward->header_count);
+  bt_free (ctx, forward);
+}
+
+static void
+add_retry_after (bt_front_call_t *call, int64_t retry_after_ms)
+{
+  char text[RETRY_AFTER_BYTES];
+
+  if (retry_after_ms <= 0)
+    return;
+  snprintf (text, sizeof text, "%.3f", (double)retry_after_ms / MS_PER_S);
+  bt_add_front_header (call, "Retry-After", text);
+}
+
+void
+bt_refuse_forward (bt_forward_t *forward, bt_reason_t reason, int64_t retry_after_ms)
+{
+  bt_gateway_t *gateway = forward->gateway;
+  bt_outcome_t outcome = bt_get_reason_outcome (reason);
+  int32_t status = bt_get_reason_status (reason);
+
+  bt_count_refusal (gateway->ctx, reason);
+  bt_end_forward_attempt (forward, BT_ATTEMPT_CANCELLED);
+  if (forward->state == BT_FORWARD_STREAMING)
+    {
+      bt_end_front_stream (forward->call, BT_STREAM_CUT);
+      bt_finish_forward (forward, BT_OUTCOME_UNKNOWN, reason, 0);
+      return;
+    }
+  add_retry_after (forward->call, retry_after_ms);
+  bt_add_front_header (forward->call, "Bilberry-Reason", bt_name_reason (reason));
+  bt_answer_front_call (forward->call, status, "", 0);
+  bt_finish_forward (forward, outcome, reason, status);
+}
+
+/* The caller has waited as long as it or the rule wants. */
+static void
+end_by_time (bt_timer_t *timer)
+{
+  bt_forward_t *forward = (bt_forward_t *)((char *)timer - offsetof (bt_forward_t, timer));
+  bt_gateway_t *gateway = forward->gateway;
+
+  if (forward->state == BT_FORWARD_WAITING)
+    bt_cancel_admission (gateway->admission, forward->id);
+  if (forward->runs > 0 || forward->exchange != NULL)
+    bt_refuse_forward (forward, BT_REASON_DEADLINE_PASSED, 0);
+  else
+    bt_refuse_forward (forward, BT_REASON_DEADLINE_UNREACHABLE, bt_draw_retry_after_ms (gateway));
+  bt_pump_forwards (gateway);
+}
+
+static void
+pump_by_time (bt_timer_t *timer)
+{
+  bt_pump_forwards ((bt_gateway_t *)((char *)timer - offsetof (bt_gateway_t, pump_timer)));
+}
+
+static bt_forward_t *
+find_forward (bt_gateway_t *gateway, uint64_t id)
+{
+  for (bt_forward_t *forward = gateway->first_forward; forward != NULL; forward = forward->next)
+    if (forward->id == id)
+      return forward;
+  return NULL;
+}
+
+static bool
+is_any_waiting (const bt_gateway_t *gateway)
+{
+  for (const bt_forward_t *forward = gateway->first_forward; forward != NULL;
+       forward = forward->next)
+    if (forward->state == BT_FORWARD_WAITING)
+      return true;
+  return false;
+}
+
+void
+bt_pump_forwards (bt_gateway_t *gateway)
+{
+  int64_t now_ms = bt_get_loop_ms (gateway->loop);
+  bt_admission_decision_t decision;
+
+  while (bt_next_admission (gateway->admission, now_ms, &decision))
+    {
+      bt_forward_t *forward = find_forward (gateway, decision.id);
+
+      if (forward == NULL)
+        continue;
+      if (decision.action == BT_ADMISSION_ADMIT)
+        bt_send_forward (forward);
+      else
+        bt_refuse_forward (forward, decision.reason, decision.retry_after_ms);
+    }
+  gateway->pump_timer.on_time = pump_by_time;
+  if (is_any_waiting (gateway))
+    bt_set_timer (gateway->loop, &gateway->pump_timer, now_ms + PUMP_MS);
+}
+
+static void
+admit (bt_forward_t *forward)
+{
+  bt_gateway_t *gateway = forward->gateway;
+  int64_t now_ms = bt_get_loop_ms (gateway->loop);
+  bt_admission_request_t request = {
+    .id = forward->id,
+    .app = forward->app,
+    .account = forward->account,
+    .share = 1,
+    .priority = (int32_t)forward->priority,
+    .deadline_left_ms = forward->end_ms - now_ms,
+    .seed = bt_draw_gateway_seed (gateway),
+  };
+  bt_admission_decision_t decision;
+
+  bt_decide_admission (gateway->ctx, gateway->admission, &request, now_ms, &decision);
+  if (decision.action == BT_ADMISSION_ADMIT)
+    bt_send_forward (forward);
+  else if (decision.action == BT_ADMISSION_REFUSE)
+    bt_refuse_forward (forward, decision.reason, decision.retry_after_ms);
+  else
+    bt_set_timer (gateway->loop, &gateway->pump_timer, now_ms + PUMP_MS);
+}
+
+/* Finds the rule; an account is asked for only where the rule wants one. */
+static bt_reason_t
+judge (bt_forward_t *forward, const char *path)
+{
+  const bt_declarations_t *declarations = forward->declarations;
+  const char *token = bt_find_front_header (forward->call, "Authorization");
+  const char *host = bt_find_front_header (forward->call, "Host");
+  bt_header_t header = { "Host", host == NULL ? "" : host };
+  bt_request_facts_t facts = {
+    .account = "",
+    .app = "",
+    .method = bt_get_front_request (forward->call)->method,
+    .path = path,
+    .headers = &header,
+    .header_count = 1,
+    .body_bytes = (int64_t)bt_get_front_request (forward->call)->body_bytes,
+    .priority = BT_PRIORITY_NORMAL,
+  };
+  int32_t rule = bt_match_rules (declarations, &facts);
+  int32_t account;
+
+  if (rule < 0)
+    return BT_REASON_NO_SUCH_PATH;
+  forward->rule = &declarations->rules[rule];
+  forward->app = declarations->apps[forward->rule->then.app].name;
+  forward->priority = BT_PRIORITY_NORMAL;
+  if (forward->rule->then.priority >= 0)
+    forward->priority = (bt_priority_t)forward->rule->then.priority;
+  if (forward->rule->then.open || declarations->account_count == 0)
+    return BT_REASON_NONE;
+  if (token == NULL || strncmp (token, bearer_prefix, strlen (bearer_prefix)) != 0)
+    return BT_REASON_NO_TOKEN;
+  account = bt_find_token (declarations, token + strlen (bearer_prefix));
+  if (account < 0)
+    return BT_REASON_BAD_TOKEN;
+  bt_copy_name (forward->account, declarations->accounts[account].name);
+  if (declarations->accounts[account].priority >= 0)
+    forward->priority = (bt_priority_t)declarations->accounts[account].priority;
+  return BT_REASON_NONE;
+}
+
+/* The path without its query, which no rule looks at. */
+static char *
+copy_path (bt_context_t *ctx, const char *target)
+{
+  char *path = bt_strdup (ctx, target);
+
+  path[strcspn (path, "?")] = '\0';
+  return path;
+}
+
+static void
+read_facts (bt_forward_t *forward)
+{
+  const bt_front_request_t *request = bt_get_front_request (forward->call);
+  const bt_platform_t *platform = forward->gateway->platform;
+
+  for (int32_t i = 0; i < request->header_count; i++)
+    platform->vtable->read_call_header (request->headers[i].name, request->headers[i].value,
+                                        &forward->facts);
+}
+
+static void
+set_end (bt_forward_t *forward)
+{
+  int64_t limit_ms = forward->rule->then.deadline_ms;
+
+  if (limit_ms <= 0)
+    limit_ms = forward->declarations->apps[forward->rule->then.app].deadline_ms;
+  forward->end_ms = forward->arrived_ms + limit_ms;
+  if (forward->facts.deadline_ms > 0
+      && forward->arrived_ms + forward->facts.deadline_ms - CALLER_WAY_MS < forward->end_ms)
+    forward->end_ms = forward->arrived_ms + forward->facts.deadline_ms - CALLER_WAY_MS;
+  forward->timer.on_time = end_by_time;
+  bt_set_timer (forward->gateway->loop, &forward->timer, forward->end_ms);
+}
+
+void
+bt_start_forward (bt_gateway_t *gateway, bt_front_call_t *call)
+{
+  const bt_front_request_t *request = bt_get_front_request (call);
+  bt_forward_t *forward = bt_calloc (gateway->ctx, 1, sizeof *forward);
+  bt_reason_t reason = BT_REASON_NOT_READY;
+  char *path = copy_path (gateway->ctx, request->target);
+
+  forward->gateway = gateway;
+  forward->call = call;
+  forward->id = ++gateway->last_forward_id;
+  forward->arrived_ms = request->arrived_ms;
+  link_forward (gateway, forward);
+  bt_set_front_call_data (call, forward);
+  read_facts (forward);
+  if (gateway->view != NULL && gateway->view->declarations != NULL)
+    {
+      forward->declarations = bt_keep_declarations (gateway->view->declarations);
+      reason = judge (forward, path);
+    }
+  bt_free (gateway->ctx, path);
+  if (reason != BT_REASON_NONE)
+    {
+      bt_refuse_forward (forward, reason, reason == BT_REASON_NOT_READY ? NOT_READY_RETRY_MS : 0);
+      return;
+    }
+  set_end (forward);
+  admit (forward);
+}
+
+void
+bt_abandon_forward (bt_gateway_t *gateway, bt_front_call_t *call)
+{
+  bt_forward_t *forward = bt_get_front_call_data (call);
+
+  if (forward == NULL)
+    return;
+  bt_set_front_call_data (call, NULL);
+  if (forward->state == BT_FORWARD_WAITING)
+    bt_cancel_admission (gateway->admission, forward->id);
+  bt_finish_forward (forward, BT_OUTCOME_UNKNOWN, BT_REASON_CANCELLED, 0);
+  bt_pump_forwards (gateway);
+}
+
+void
+bt_cut_forwards (bt_gateway_t *gateway)
+{
+  while (gateway->first_forward != NULL)
+    {
+      bt_forward_t *forward = gateway->first_forward;
+
+      if (forward->state == BT_FORWARD_WAITING)
+        bt_cancel_admission (gateway->admission, forward->id);
+      bt_break_front_call (forward->call);
+      bt_finish_forward (forward, BT_OUTCOME_UNKNOWN, BT_REASON_STOPPING, 0);
+    }
+}
--- /dev/null
+++ b/source/gateway/forward_send.c
@@ -0,0 +1,371 @@
+#include <string.h>
+#include <strings.h>
+
+#include "bilberrytray/base/event_log.h"
+#include "forward.h"
+
+enum
+{
+  /* Longest answer that is kept until it is whole. */
+  MOST_ANSWER_BYTES = 8 << 20,
+  /* With less time left than this no endpoint can answer. */
+  LEAST_SEND_MS = 5,
+  /* Refusals that a request may meet beside its runs: each costs a round trip. */
+  EXTRA_SENDS = 2,
+};
+
+/* Headers that concern one connection only, and those that the gateway's own library sets. */
+static bool
+is_hop_header (const char *name)
+{
+  static const char *const hop[] = { "Connection",       "Keep-Alive",       "Transfer-Encoding",
+                                     "TE",               "Upgrade",          "Trailer",
+                                     "Expect",           "Content-Length",   "Proxy-Connection",
+                                     "Proxy-Authenticate", "Proxy-Authorization" };
+
+  for (size_t i = 0; i < sizeof hop / sizeof hop[0]; i++)
+    if (strcasecmp (name, hop[i]) == 0)
+      return true;
+  return false;
+}
+
+static void
+drop_headers (bt_forward_t *forward)
+{
+  bt_free_front_header_list (forward->gateway->ctx, forward->headers, forward->header_count);
+  forward->headers = NULL;
+  forward->header_count = 0;
+}
+
+void
+bt_end_forward_attempt (bt_forward_t *forward, bt_attempt_end_t end)
+{
+  bt_gateway_t *gateway = forward->gateway;
+  int64_t now_ms = bt_get_loop_ms (gateway->loop);
+
+  if (forward->exchange == NULL)
+    return;
+  bt_record_attempt_end (gateway->router, &forward->route, end, now_ms - forward->sent_ms, now_ms);
+  bt_drop_exchange (gateway->ctx, forward->exchange);
+  forward->exchange = NULL;
+  drop_headers (forward);
+}
+
+static void
+put_header (void *data, const char *name, const char *value)
+{
+  bt_add_exchange_header (data, name, value);
+}
+
+/* The caller's headers, but for its secret and what the gateway sets itself. */
+static void
+add_headers (bt_forward_t *forward, int64_t now_ms)
+{
+  const bt_front_request_t *request = bt_get_front_request (forward->call);
+  const bt_platform_vtable_t *platform = forward->gateway->platform->vtable;
+  const bool goes_on = forward->events.events > 0;
+  bt_call_facts_t unused;
+  bt_send_facts_t facts = {
+    .endpoint = forward->route.identity.instance,
+    .account = forward->account,
+    .deadline_left_ms = forward->end_ms - now_ms,
+  };
+
+  for (int32_t i = 0; i < request->header_count; i++)
+    {
+      const bt_front_header_t *header = &request->headers[i];
+
+      if (is_hop_header (header->name) || strcasecmp (header->name, "Authorization") == 0
+          || (goes_on && strcasecmp (header->name, "Last-Event-Id") == 0)
+          || !platform->read_call_header (header->name, header->value, &unused))
+        continue;
+      bt_add_exchange_header (forward->exchange, header->name, header->value);
+    }
+  if (goes_on)
+    bt_add_exchange_header (forward->exchange, "Last-Event-Id", forward->events.last_id);
+  platform->write_send_headers (&facts, put_header, forward->exchange);
+}
+
+static void
+take_answer_header (bt_exchange_handler_t *handler, const char *name, const char *value)
+{
+  bt_forward_t *forward = (bt_forward_t *)handler;
+
+  if (!forward->gateway->platform->vtable->read_answer_header (name, value, &forward->answer)
+      || is_hop_header (name))
+    return;
+  bt_append_front_header (forward->gateway->ctx, &forward->headers, &forward->header_count, name,
+                          value);
+}
+
+static bt_attempt_stage_t
+get_stage (const bt_exchange_t *exchange, size_t partial_bytes)
+{
+  switch (bt_get_exchange_state (exchange))
+    {
+    case BT_EXCHANGE_WHOLE:
+      return partial_bytes > 0 ? BT_ATTEMPT_CUT : BT_ATTEMPT_WHOLE;
+    case BT_EXCHANGE_UNSENT:
+      return BT_ATTEMPT_UNSENT;
+    default:
+      return bt_get_exchange_status (exchange) > 0 ? BT_ATTEMPT_CUT : BT_ATTEMPT_NO_ANSWER;
+    }
+}
+
+static void
+describe_result (const bt_forward_t *forward, bt_attempt_stage_t stage, bt_attempt_result_t *result)
+{
+  const char *answered = forward->answer.request_id;
+
+  memset (result, 0, sizeof *result);
+  result->stage = stage;
+  result->status = bt_get_exchange_status (forward->exchange);
+  result->marked = forward->answer.marked;
+  result->not_run = forward->answer.not_run;
+  result->encoded = forward->answer.encoded;
+  result->other_id =
+      answered[0] != '\0' && strcmp (answered, forward->facts.request_id) != 0;
+}
+
+static void
+pass_head (bt_forward_t *forward)
+{
+  for (int32_t i = 0; i < forward->header_count; i++)
+    bt_add_front_header (forward->call, forward->headers[i].name, forward->headers[i].value);
+}
+
+static void
+pass_answer (bt_forward_t *forward)
+{
+  int32_t status = bt_get_exchange_status (forward->exchange);
+  size_t bytes;
+  const char *body = bt_peek_exchange_body (forward->exchange, &bytes);
+
+  forward->first_byte_ms = bt_get_loop_ms (forward->gateway->loop);
+  pass_head (forward);
+  bt_answer_front_call (forward->call, status, body, bytes);
+  bt_finish_forward (forward, BT_OUTCOME_ANSWERED, BT_REASON_NONE, status);
+}
+
+static bool
+is_tried (const bt_forward_t *forward, const bt_identity_t *identity)
+{
+  for (int32_t i = 0; i < forward->sends; i++)
+    if (bt_same_identity (&forward->tried[i], identity))
+      return true;
+  return false;
+}
+
+static void
+log_retry (const bt_forward_t *forward, const bt_attempt_verdict_t *verdict, const char *fault)
+{
+  bt_log_event (forward->gateway->ctx, BT_LOG_INFO, "retry", "{s:s, s:s, s:s, s:s, s:i, s:i, s:I}",
+                "request", forward->facts.request_id, "reason", bt_name_retry (verdict->retry),
+                "endpoint", forward->route.identity.instance, "fault", fault, "sends",
+                forward->sends, "runs", forward->runs, "left_ms",
+                (json_int_t)(forward->end_ms - bt_get_loop_ms (forward->gateway->loop)));
+}
+
+/* Goes to another endpoint when the budget that all requests of the app share allows it. */
+static void
+retry (bt_forward_t *forward, const bt_attempt_verdict_t *verdict)
+{
+  bt_gateway_t *gateway = forward->gateway;
+
+  if (!bt_take_app_retry (gateway, forward->app, verdict->retry))
+    {
+      bt_refuse_forward (forward, verdict->reason, bt_draw_retry_after_ms (gateway));
+      return;
+    }
+  bt_send_forward (forward);
+}
+
+static void
+end_attempt_by_verdict (bt_forward_t *forward, bt_attempt_stage_t stage)
+{
+  bt_gateway_t *gateway = forward->gateway;
+  int32_t most_sends = forward->rule->then.retries + 1 + EXTRA_SENDS;
+  bt_attempt_rights_t rights = {
+    .repeatable = bt_is_forward_repeatable (forward),
+    .runs_left = forward->rule->then.retries - forward->runs,
+    .sends_left =
+        (most_sends < BT_MAX_FORWARD_SENDS ? most_sends : BT_MAX_FORWARD_SENDS) - forward->sends,
+    .answer_started = forward->state == BT_FORWARD_STREAMING,
+  };
+  bt_attempt_result_t result;
+  bt_attempt_verdict_t verdict;
+
+  describe_result (forward, stage, &result);
+  bt_judge_attempt (&result, &rights, &verdict);
+  if (verdict.may_have_run)
+    forward->runs++;
+  if (verdict.endpoint_gone)
+    bt_remove_listed_endpoint (gateway->ctx, gateway->endpoints,
+                               forward->route.identity.instance);
+  if (verdict.next == BT_NEXT_PASS && !rights.answer_started)
+    {
+      pass_answer (forward);
+      return;
+    }
+  if (verdict.next == BT_NEXT_RETRY)
+    log_retry (forward, &verdict, bt_get_exchange_fault (forward->exchange));
+  bt_end_forward_attempt (forward, verdict.end);
+  if (verdict.next == BT_NEXT_RETRY)
+    retry (forward, &verdict);
+  else
+    bt_refuse_forward (forward, verdict.reason,
+                       verdict.may_have_run ? 0 : bt_draw_retry_after_ms (gateway));
+}
+
+/* True when the answer under way is a stream that may be passed on before it is whole. */
+static bool
+is_good_stream (const bt_forward_t *forward)
+{
+  bt_attempt_result_t result;
+
+  describe_result (forward, BT_ATTEMPT_CUT, &result);
+  return forward->rule->then.streamed && result.status == 200 && result.marked && !result.encoded
+         && !result.other_id && !result.not_run;
+}
+
+/* Passes whole events on. The head goes out with the first one: until then another endpoint can
+ * still answer in the place of this one. */
+static void
+pass_events (bt_forward_t *forward)
+{
+  size_t bytes;
+  const char *body = bt_peek_exchange_body (forward->exchange, &bytes);
+  size_t whole_bytes = bt_take_events (&forward->events, body, bytes);
+
+  if (whole_bytes == 0)
+    return;
+  if (forward->state != BT_FORWARD_STREAMING)
+    {
+      forward->state = BT_FORWARD_STREAMING;
+      forward->first_byte_ms = bt_get_loop_ms (forward->gateway->loop);
+      pass_head (forward);
+      bt_begin_front_stream (forward->call, bt_get_exchange_status (forward->exchange));
+    }
+  bt_push_front_stream (forward->call, body, whole_bytes);
+  bt_take_exchange_body (forward->exchange, whole_bytes);
+}
+
+static void
+finish_stream (bt_forward_t *forward)
+{
+  bt_end_forward_attempt (forward, BT_ATTEMPT_ANSWERED);
+  bt_end_front_stream (forward->call, BT_STREAM_WHOLE);
+  bt_finish_forward (forward, BT_OUTCOME_ANSWERED, BT_REASON_NONE, 200);
+}
+
+static void
+take_load (bt_forward_t *forward)
+{
+  bt_gateway_t *gateway = forward->gateway;
+
+  if (!forward->answer.has_load)
+    return;
+  forward->answer.has_load = false;
+  bt_record_load (gateway->router, &forward->route.identity, &forward->answer.load,
+                  bt_get_loop_ms (gateway->loop));
+}
+
+static void
+take_progress (bt_exchange_handler_t *handler, bt_exchange_t *exchange)
+{
+  bt_forward_t *forward = (bt_forward_t *)handler;
+  bt_gateway_t *gateway = forward->gateway;
+  bool stream = is_good_stream (forward);
+  size_t partial_bytes = 0;
+
+  take_load (forward);
+  if (stream)
+    {
+      pass_events (forward);
+      bt_peek_exchange_body (exchange, &partial_bytes);
+    }
+  /* Events are missing before this one: what comes behind it can't be passed on. */
+  if (forward->events.gap)
+    {
+      forward->events.gap = false;
+      end_attempt_by_verdict (forward, BT_ATTEMPT_CUT);
+    }
+  else if (bt_get_exchange_state (exchange) == BT_EXCHANGE_OPEN)
+    return;
+  else if (bt_get_exchange_state (exchange) == BT_EXCHANGE_WHOLE && partial_bytes == 0
+           && forward->state == BT_FORWARD_STREAMING)
+    finish_stream (forward);
+  else
+    end_attempt_by_verdict (forward, get_stage (exchange, partial_bytes));
+  bt_pump_forwards (gateway);
+}
+
+static const bt_exchange_handler_vtable_t exchange_vtable = { take_progress, take_answer_header };
+
+static void
+begin_attempt (bt_forward_t *forward, const char *address, int64_t now_ms)
+{
+  bt_gateway_t *gateway = forward->gateway;
+  const bt_front_request_t *request = bt_get_front_request (forward->call);
+  bt_exchange_request_t exchange = {
+    .address = address,
+    .method = request->method,
+    .target = request->target,
+    .body = request->body,
+    .body_bytes = request->body_bytes,
+    .answer_bytes = MOST_ANSWER_BYTES,
+  };
+
+  forward->handler.vtable = &exchange_vtable;
+  memset (&forward->answer, 0, sizeof forward->answer);
+  forward->exchange = bt_new_exchange (gateway->ctx, gateway->exchanges, &exchange,
+                                       &forward->handler);
+  add_headers (forward, now_ms);
+  if (forward->state == BT_FORWARD_WAITING)
+    forward->state = BT_FORWARD_SENT;
+  if (forward->first_sent_ms == 0)
+    forward->first_sent_ms = now_ms;
+  forward->sent_ms = now_ms;
+  forward->tried[forward->sends++] = forward->route.identity;
+  bt_record_dispatch (gateway->router, &forward->route, 0, now_ms);
+  bt_send_exchange (forward->exchange);
+}
+
+void
+bt_send_forward (bt_forward_t *forward)
+{
+  bt_gateway_t *gateway = forward->gateway;
+  int64_t now_ms = bt_get_loop_ms (gateway->loop);
+  bt_route_request_t request = {
+    .app = forward->app,
+    .account = forward->account,
+    .priority = (int32_t)forward->priority,
+    .deadline_left_ms = forward->end_ms - now_ms,
+    .excluded = forward->tried,
+    .excluded_count = forward->sends,
+    .seed = bt_draw_gateway_seed (gateway),
+  };
+  const bt_listed_endpoint_t *listed;
+  int64_t retry_after_ms;
+  bt_reason_t reason = BT_REASON_DEADLINE_UNREACHABLE;
+
+  if (forward->end_ms - now_ms >= LEAST_SEND_MS)
+    reason = bt_choose_endpoint (gateway->router, &request, now_ms, &forward->route,
+                                 &retry_after_ms);
+  if (reason == BT_REASON_NONE)
+    {
+      listed = bt_find_listed_endpoint (gateway->endpoints, forward->route.identity.instance);
+      if (listed != NULL && !is_tried (forward, &forward->route.identity))
+        {
+          if (forward->sends == 0)
+            bt_record_app_request (gateway, forward->app);
+          begin_attempt (forward, listed->address, now_ms);
+          return;
+        }
+      reason = BT_REASON_NO_ENDPOINT;
+    }
+  if (forward->runs > 0)
+    bt_refuse_forward (forward, BT_REASON_ENGINE_FAILED, 0);
+  else
+    bt_refuse_forward (forward, reason, bt_draw_retry_after_ms (gateway));
+}
--- /dev/null
+++ b/source/gateway/gateway.c
@@ -0,0 +1,345 @@
+#include "bilberrytray/gateway/gateway.h"
+
+#include <string.h>
+
+#include "bilberrytray/base/event_log.h"
+#include "gateway_private.h"
+
+enum
+{
+  /* The library's buffer of a connection: the longest head that declarations usually allow, and as
+   * much again for an answer's head. */
+  CONNECTION_BYTES = 24576,
+  CONTROL_CONNECTIONS = 256,
+  CONTROL_BODY_BYTES = 4096,
+  CALLER_BODY_BYTES = 4 << 20,
+  CALLER_IDLE_MS = 60000,
+  /* A connection is closed this long behind the declared bound, so that a caller who uses it at the
+   * last moment still finds it open. */
+  IDLE_MARGIN_MS = 1000,
+  CONNECT_MS = 500,
+  PEER_SILENT_MS = 3000,
+  DRAIN_CHECK_MS = 50,
+  /* An endpoint is probed by requests only; a run takes about a second at first. */
+  FIRST_SERVICE_MS = 300,
+};
+
+static bt_retry_budget_t *
+find_budget (bt_gateway_t *gateway, const char *app)
+{
+  bt_retry_budget_options_t options = {
+    .share_percent = (int32_t)gateway->settings->retry_percent,
+    .reserve = (int32_t)gateway->settings->retry_reserve,
+  };
+  bt_app_budget_t *row;
+
+  for (int32_t i = 0; i < gateway->budget_count; i++)
+    if (strcmp (gateway->budgets[i].app, app) == 0)
+      return gateway->budgets[i].budget;
+  gateway->budgets = bt_realloc (gateway->ctx, gateway->budgets, (size_t)gateway->budget_count + 1,
+                                 sizeof *gateway->budgets);
+  row = &gateway->budgets[gateway->budget_count++];
+  bt_copy_name (row->app, app);
+  row->budget = bt_new_retry_budget (gateway->ctx, &options);
+  return row->budget;
+}
+
+void
+bt_record_app_request (bt_gateway_t *gateway, const char *app)
+{
+  bt_record_attempt (find_budget (gateway, app));
+}
+
+bool
+bt_take_app_retry (bt_gateway_t *gateway, const char *app, bt_retry_t retry)
+{
+  return bt_take_retry (gateway->ctx, find_budget (gateway, app), retry);
+}
+
+static void
+apply_endpoints (bt_gateway_t *gateway)
+{
+  int64_t again_ms = bt_apply_listed_endpoints (gateway->ctx, gateway->endpoints, gateway->view,
+                                                bt_get_loop_ms (gateway->loop));
+
+  if (again_ms > 0)
+    bt_set_timer (gateway->loop, &gateway->relist_timer, again_ms);
+}
+
+static void
+apply_endpoints_again (bt_timer_t *timer)
+{
+  apply_endpoints ((bt_gateway_t *)((char *)timer - offsetof (bt_gateway_t, relist_timer)));
+}
+
+static void
+apply_limits (bt_gateway_t *gateway, const bt_caller_limits_t *limits)
+{
+  if (limits->idle_ms > 0)
+    bt_set_front_idle (gateway->callers, limits->idle_ms + IDLE_MARGIN_MS);
+  if (limits->body_bytes > 0)
+    bt_set_front_body_limit (gateway->callers, (size_t)limits->body_bytes);
+}
+
+static bool
+is_ready (const bt_gateway_t *gateway)
+{
+  return !gateway->leaving && gateway->view != NULL && gateway->view->declarations != NULL;
+}
+
+static void
+take_view (bt_store_listener_t *listener, bt_view_t *view)
+{
+  bt_gateway_t *gateway = (bt_gateway_t *)((char *)listener - offsetof (bt_gateway_t, listener));
+  bt_view_t *before = gateway->view;
+  bool was_ready = is_ready (gateway);
+
+  gateway->view = view;
+  if (before == NULL || before->declarations != view->declarations)
+    bt_log_event (gateway->ctx, BT_LOG_INFO, "configuration", "{s:I, s:I, s:i, s:i}", "revision",
+                  (json_int_t)(view->declarations == NULL ? 0 : view->declarations->revision),
+                  "store_revision", (json_int_t)view->configuration_revision, "rules",
+                  view->declarations == NULL ? 0 : view->declarations->rule_count, "accounts",
+                  view->declarations == NULL ? 0 : view->declarations->account_count);
+  if (view->declarations != NULL)
+    apply_limits (gateway, &view->declarations->limits);
+  bt_set_router_entries (gateway->router, view->entry_count);
+  apply_endpoints (gateway);
+  if (is_ready (gateway) && !was_ready)
+    {
+      bt_log_event (gateway->ctx, BT_LOG_INFO, "ready", "{}");
+      bt_set_follower_listed (gateway->follower, true);
+    }
+  bt_drop_view (gateway->ctx, before);
+  bt_pump_forwards (gateway);
+}
+
+static void
+take_store_news (bt_store_listener_t *listener, bool there)
+{
+  bt_gateway_t *gateway = (bt_gateway_t *)((char *)listener - offsetof (bt_gateway_t, listener));
+
+  gateway->store_lost = !there;
+  if (there)
+    bt_note_store_regained (gateway->endpoints, bt_get_loop_ms (gateway->loop));
+}
+
+static void
+take_call (bt_front_handler_t *handler, bt_front_call_t *call)
+{
+  bt_start_forward ((bt_gateway_t *)((char *)handler - offsetof (bt_gateway_t, call_handler)),
+                    call);
+}
+
+static void
+lose_call (bt_front_handler_t *handler, bt_front_call_t *call)
+{
+  bt_abandon_forward ((bt_gateway_t *)((char *)handler - offsetof (bt_gateway_t, call_handler)),
+                      call);
+}
+
+static bool
+has_path (const bt_front_call_t *call, const char *path)
+{
+  const char *target = bt_get_front_request (call)->target;
+  size_t bytes = strlen (path);
+
+  return strncmp (target, path, bytes) == 0 && (target[bytes] == '\0' || target[bytes] == '?');
+}
+
+static void
+take_address_call (bt_front_handler_t *handler, bt_front_call_t *call)
+{
+  bt_gateway_t *gateway =
+      (bt_gateway_t *)((char *)handler - offsetof (bt_gateway_t, address_handler));
+
+  if (has_path (call, gateway->platform->address_path))
+    bt_answer_gateway_addresses (gateway, call);
+  else
+    bt_answer_front_call (call, bt_get_reason_status (BT_REASON_NO_SUCH_PATH), "", 0);
+  bt_drop_front_call (gateway->ctx, call);
+}
+
+static void
+take_ready_call (bt_front_handler_t *handler, bt_front_call_t *call)
+{
+  bt_gateway_t *gateway =
+      (bt_gateway_t *)((char *)handler - offsetof (bt_gateway_t, ready_handler));
+  bt_reason_t reason = is_ready (gateway) ? BT_REASON_NONE : BT_REASON_NOT_READY;
+
+  if (!has_path (call, gateway->platform->ready_path))
+    reason = BT_REASON_NO_SUCH_PATH;
+  bt_answer_front_call (call, bt_get_reason_status (reason), "", 0);
+  bt_drop_front_call (gateway->ctx, call);
+}
+
+/* Calls that are answered at once have nobody waiting for their end. */
+static void
+lose_answered_call (bt_front_handler_t *handler, bt_front_call_t *call)
+{
+  (void)handler;
+  (void)call;
+}
+
+static const bt_front_handler_vtable_t call_vtable = { take_call, lose_call };
+static const bt_front_handler_vtable_t address_vtable = { take_address_call, lose_answered_call };
+static const bt_front_handler_vtable_t ready_vtable = { take_ready_call, lose_answered_call };
+
+static bool
+open_fronts (bt_gateway_t *gateway, bt_error_t *error)
+{
+  const bt_gateway_settings_t *settings = gateway->settings;
+  bt_front_limits_t callers = { (int32_t)settings->max_connections, CONNECTION_BYTES,
+                                CALLER_BODY_BYTES, CALLER_IDLE_MS };
+  bt_front_limits_t control = { CONTROL_CONNECTIONS, CONNECTION_BYTES, CONTROL_BODY_BYTES,
+                                CALLER_IDLE_MS };
+
+  gateway->call_handler.vtable = &call_vtable;
+  gateway->address_handler.vtable = &address_vtable;
+  gateway->ready_handler.vtable = &ready_vtable;
+  gateway->callers = bt_new_front (gateway->ctx, gateway->loop, settings->listen, &callers,
+                                   &gateway->call_handler, error);
+  if (gateway->callers != NULL)
+    gateway->addresses = bt_new_front (gateway->ctx, gateway->loop, settings->addresses, &control,
+                                       &gateway->address_handler, error);
+  if (gateway->addresses != NULL)
+    gateway->ready = bt_new_front (gateway->ctx, gateway->loop, settings->ready, &control,
+                                   &gateway->ready_handler, error);
+  return gateway->ready != NULL;
+}
+
+static void
+open_load (bt_gateway_t *gateway)
+{
+  bt_router_options_t router;
+  bt_admission_options_t admission;
+
+  bt_default_router_options (&router);
+  bt_default_admission_options (&admission);
+  bt_copy_name (router.failure_domain, gateway->settings->failure_domain);
+  router.default_service_ms = FIRST_SERVICE_MS;
+  gateway->router = bt_new_router (gateway->ctx, &router);
+  gateway->admission = bt_new_admission (gateway->ctx, gateway->router, &admission);
+  gateway->endpoints = bt_new_endpoint_table (gateway->ctx, gateway->router);
+}
+
+static void
+follow_store (bt_gateway_t *gateway)
+{
+  const bt_gateway_settings_t *settings = gateway->settings;
+  bt_store_follower_options_t options = {
+    .platform = gateway->platform,
+    .address = settings->store,
+    .watch_ms = settings->watch_ms,
+    .lease_s = settings->lease_s,
+    .renew_ms = settings->renew_ms,
+  };
+
+  options.entry.identity = gateway->identity;
+  strncpy (options.entry.callers, settings->listen, sizeof options.entry.callers - 1);
+  strncpy (options.entry.links, settings->links, sizeof options.entry.links - 1);
+  bt_copy_name (options.entry.failure_domain, settings->failure_domain);
+  gateway->listener.on_view = take_view;
+  gateway->listener.on_store = take_store_news;
+  gateway->follower =
+      bt_new_store_follower (gateway->ctx, gateway->loop, &options, &gateway->listener);
+}
+
+bt_gateway_t *
+bt_new_gateway (bt_context_t *ctx,
+                const bt_platform_t *platform,
+                const bt_gateway_settings_t *settings,
+                bt_error_t *error)
+{
+  bt_gateway_t *gateway = bt_calloc (ctx, 1, sizeof *gateway);
+  bt_exchange_limits_t limits = { CONNECT_MS, PEER_SILENT_MS };
+  uint64_t seed;
+
+  gateway->ctx = ctx;
+  gateway->platform = platform;
+  gateway->settings = settings;
+  bt_fill_secure_random (&seed, sizeof seed);
+  bt_seed_random (&gateway->random, seed);
+  bt_copy_name (gateway->identity.instance, settings->instance);
+  bt_fill_secure_random (&gateway->identity.incarnation, sizeof gateway->identity.incarnation);
+  gateway->relist_timer.on_time = apply_endpoints_again;
+  gateway->loop = bt_new_event_loop (ctx, error);
+  if (gateway->loop == NULL || !open_fronts (gateway, error))
+    {
+      bt_drop_gateway (ctx, gateway);
+      return NULL;
+    }
+  gateway->exchanges = bt_new_exchange_pool (ctx, gateway->loop, &limits);
+  open_load (gateway);
+  follow_store (gateway);
+  return gateway;
+}
+
+/* Leaves: out of the address answers and not ready at once; callers that hold an old answer are
+ * still served, until the last of them has asked anew. */
+static void
+check_drained (bt_timer_t *timer)
+{
+  bt_gateway_t *gateway = (bt_gateway_t *)((char *)timer - offsetof (bt_gateway_t, drain_timer));
+  int64_t now_ms = bt_get_loop_ms (gateway->loop);
+  int64_t left_ms = now_ms - gateway->leaving_since_ms;
+  bool old_answers = left_ms < gateway->settings->address_life_ms * 3;
+
+  if (left_ms >= gateway->settings->drain_ms || (!old_answers && gateway->forwards == 0))
+    bt_stop_event_loop (gateway->loop);
+  else
+    bt_set_timer (gateway->loop, &gateway->drain_timer, now_ms + DRAIN_CHECK_MS);
+}
+
+static void
+begin_leaving (bt_task_t *task)
+{
+  bt_gateway_t *gateway = (bt_gateway_t *)((char *)task - offsetof (bt_gateway_t, stop_task));
+
+  if (gateway->leaving)
+    return;
+  gateway->leaving = true;
+  gateway->leaving_since_ms = bt_get_loop_ms (gateway->loop);
+  bt_log_event (gateway->ctx, BT_LOG_INFO, "leaving", "{s:i}", "requests", gateway->forwards);
+  bt_set_front_leaving (gateway->callers, true);
+  bt_set_follower_listed (gateway->follower, false);
+  gateway->drain_timer.on_time = check_drained;
+  check_drained (&gateway->drain_timer);
+}
+
+void
+bt_stop_gateway (bt_gateway_t *gateway)
+{
+  gateway->stop_task.run = begin_leaving;
+  if (!bt_post_task (gateway->loop, &gateway->stop_task))
+    bt_log_event (gateway->ctx, BT_LOG_ERROR, "stop-failed", "{}");
+}
+
+void
+bt_run_gateway (bt_gateway_t *gateway)
+{
+  bt_run_event_loop (gateway->loop);
+}
+
+void
+bt_drop_gateway (bt_context_t *ctx, bt_gateway_t *gateway)
+{
+  if (gateway == NULL)
+    return;
+  bt_drop_store_follower (ctx, gateway->follower);
+  if (gateway->callers != NULL)
+    bt_cut_forwards (gateway);
+  bt_drop_front (ctx, gateway->callers);
+  bt_drop_front (ctx, gateway->addresses);
+  bt_drop_front (ctx, gateway->ready);
+  bt_drop_exchange_pool (ctx, gateway->exchanges);
+  bt_drop_endpoint_table (ctx, gateway->endpoints);
+  bt_drop_admission (ctx, gateway->admission);
+  bt_drop_router (ctx, gateway->router);
+  for (int32_t i = 0; i < gateway->budget_count; i++)
+    bt_drop_retry_budget (ctx, gateway->budgets[i].budget);
+  bt_free (ctx, gateway->budgets);
+  bt_drop_view (ctx, gateway->view);
+  bt_drop_event_loop (ctx, gateway->loop);
+  bt_free (ctx, gateway);
+}
--- /dev/null
+++ b/source/gateway/gateway_private.h
@@ -0,0 +1,90 @@
+#ifndef BILBERRYTRAY_SOURCE_GATEWAY_GATEWAY_PRIVATE_H
+#define BILBERRYTRAY_SOURCE_GATEWAY_GATEWAY_PRIVATE_H
+
+/** @file
+ * The blackboard of the gateway: what its parts read and write, all on the event loop's thread.
+ */
+
+#include "bilberrytray/base/random.h"
+#include "bilberrytray/gateway/gateway.h"
+#include "bilberrytray/load/admission.h"
+#include "bilberrytray/load/retry_budget.h"
+#include "endpoint_table.h"
+#include "exchange.h"
+#include "http_front.h"
+#include "store_follower.h"
+
+struct bt_forward;
+
+/** The retry budget of one app. */
+typedef struct bt_app_budget
+{
+  char app[BT_NAME_BYTES];
+  bt_retry_budget_t *budget;
+} bt_app_budget_t;
+
+struct bt_gateway
+{
+  bt_context_t *ctx;
+  const bt_platform_t *platform;
+  const bt_gateway_settings_t *settings;
+  bt_event_loop_t *loop;
+  bt_random_t random;
+  bt_identity_t identity;
+
+  bt_front_t *callers;
+  bt_front_t *addresses;
+  bt_front_t *ready;
+  bt_front_handler_t call_handler;
+  bt_front_handler_t address_handler;
+  bt_front_handler_t ready_handler;
+  bt_exchange_pool_t *exchanges;
+
+  bt_store_follower_t *follower;
+  bt_store_listener_t listener;
+  bt_view_t *view; /**< The newest; NULL before the first. */
+  bool store_lost;
+
+  bt_router_t *router;
+  bt_admission_t *admission;
+  bt_endpoint_table_t *endpoints;
+  bt_app_budget_t *budgets;
+  int32_t budget_count;
+
+  struct bt_forward *first_forward; /**< All requests under way. */
+  int32_t forwards;
+  uint64_t last_forward_id;
+  bt_timer_t pump_timer;
+  bt_timer_t relist_timer; /**< Rings when endpoints that lapsed are taken to be gone. */
+
+  bool leaving;
+  int64_t leaving_since_ms;
+  bt_task_t stop_task;
+  bt_timer_t drain_timer;
+};
+
+/** A number for seeds. */
+uint64_t bt_draw_gateway_seed (bt_gateway_t *gateway);
+
+/** Records the first attempt of a request, which earns its app a share of a retry. */
+void bt_record_app_request (bt_gateway_t *gateway, const char *app);
+
+/** Takes a retry of an app's budget; false when none is left. */
+bool bt_take_app_retry (bt_gateway_t *gateway, const char *app, bt_retry_t retry);
+
+/** Answers a caller's request, or begins to. */
+void bt_start_forward (bt_gateway_t *gateway, bt_front_call_t *call);
+
+/** The caller of a request under way has left. */
+void bt_abandon_forward (bt_gateway_t *gateway, bt_front_call_t *call);
+
+/** Sends waiting requests for which there is room now, and refuses those that can't make it. */
+void bt_pump_forwards (bt_gateway_t *gateway);
+
+/** Ends all requests under way, with connections that break. */
+void bt_cut_forwards (bt_gateway_t *gateway);
+
+/** Answers which addresses a caller may use. */
+void bt_answer_gateway_addresses (bt_gateway_t *gateway, bt_front_call_t *call);
+
+#endif
--- /dev/null
+++ b/source/requests/event_stream.c
@@ -0,0 +1,110 @@
+#include "bilberrytray/requests/event_stream.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  BASE_TEN = 10,
+};
+
+/* The length of the first event with the blank line that ends it; 0 while it is not whole. */
+static size_t
+find_event_end (const char *data, size_t bytes)
+{
+  size_t line_start = 0;
+
+  for (size_t i = 0; i < bytes; i++)
+    {
+      size_t length;
+
+      if (data[i] != '\n')
+        continue;
+      length = i - line_start;
+      if (length == 0 || (length == 1 && data[line_start] == '\r'))
+        return i + 1;
+      line_start = i + 1;
+    }
+  return 0;
+}
+
+/* Reads the id of an event; false when it has none. */
+static bool
+read_event_id (const char *data, size_t bytes, char id[BT_EVENT_ID_BYTES])
+{
+  size_t start = 0;
+
+  while (start < bytes)
+    {
+      const char *end = memchr (data + start, '\n', bytes - start);
+      size_t length = end == NULL ? bytes - start : (size_t)(end - data) - start;
+
+      if (length >= 3 && strncmp (data + start, "id:", 3) == 0)
+        {
+          const char *value = data + start + 3;
+          size_t value_bytes = length - 3;
+
+          while (value_bytes > 0 && (*value == ' '))
+            {
+              value++;
+              value_bytes--;
+            }
+          if (value_bytes > 0 && value[value_bytes - 1] == '\r')
+            value_bytes--;
+          if (value_bytes >= BT_EVENT_ID_BYTES)
+            return false;
+          memcpy (id, value, value_bytes);
+          id[value_bytes] = '\0';
+          return true;
+        }
+      start += length + 1;
+    }
+  return false;
+}
+
+static int64_t
+parse_number (const char *id)
+{
+  char *end;
+  long long number = strtoll (id, &end, BASE_TEN);
+
+  return end != id && *end == '\0' ? number : -1;
+}
+
+/* Notes an event. False when its id shows that events before it are missing, or that it was
+ * delivered already: an endpoint that goes on in the wrong place must not reach the caller. */
+static bool
+note_event (bt_event_stream_t *stream, const char *id)
+{
+  const int64_t number = parse_number (id);
+
+  if (stream->events > 0 && stream->last_number >= 0 && number >= 0
+      && number != stream->last_number + 1)
+    {
+      stream->gap = true;
+      return false;
+    }
+  memcpy (stream->last_id, id, strlen (id) + 1);
+  stream->last_number = number;
+  stream->events++;
+  return true;
+}
+
+size_t
+bt_take_events (bt_event_stream_t *stream, const char *data, size_t bytes)
+{
+  size_t taken = 0;
+
+  while (!stream->gap)
+    {
+      size_t length = find_event_end (data + taken, bytes - taken);
+      char id[BT_EVENT_ID_BYTES];
+
+      if (length == 0)
+        return taken;
+      if (read_event_id (data + taken, length, id) && !note_event (stream, id))
+        return taken;
+      taken += length;
+    }
+  return taken;
+}
--- a/source/store/http_client.c
+++ b/source/store/http_client.c
@@ -1,4 +1,4 @@
-#include "http_client.h"
+#include "bilberrytray/store/http_client.h"
 
 #include <ck_pr.h>
 #include <curl/curl.h>
@@ -140,6 +140,9 @@
 prepare_call (bt_http_client_t *client, const bt_http_request_t *request)
 {
   bool streamed = request->wait_ms > 0;
+  int64_t total_ms = request->total_ms > 0 ? request->total_ms : client->limits.total_ms;
+  /* A call with a limit of its own is answered when there is something to tell. */
+  bool waits = streamed || request->total_ms > 0;
   long idle_s = (long)((client->limits.idle_ms + MS_PER_S - 1) / MS_PER_S);
 
   if (client->curl == NULL)
@@ -152,10 +155,11 @@
   append_body (client, "", 0);
   curl_easy_setopt (client->curl, CURLOPT_URL, request->url);
   curl_easy_setopt (client->curl, CURLOPT_TIMEOUT_MS,
-                    (long)(streamed ? request->wait_ms : client->limits.total_ms));
-  curl_easy_setopt (client->curl, CURLOPT_LOW_SPEED_LIMIT, streamed ? 0L : 1L);
-  curl_easy_setopt (client->curl, CURLOPT_LOW_SPEED_TIME, streamed ? 0L : idle_s);
+                    (long)(streamed ? request->wait_ms : total_ms));
+  curl_easy_setopt (client->curl, CURLOPT_LOW_SPEED_LIMIT, waits ? 0L : 1L);
+  curl_easy_setopt (client->curl, CURLOPT_LOW_SPEED_TIME, waits ? 0L : idle_s);
   curl_easy_setopt (client->curl, CURLOPT_FRESH_CONNECT, request->fresh ? 1L : 0L);
+  curl_easy_setopt (client->curl, CURLOPT_CUSTOMREQUEST, request->method);
   if (request->body == NULL)
     {
       curl_easy_setopt (client->curl, CURLOPT_HTTPGET, 1L);
--- a/source/store/instances.c
+++ b/source/store/instances.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 #include "bilberrytray/base/counters.h"
-#include "http_client.h"
+#include "bilberrytray/store/http_client.h"
 
 enum
 {
--- a/test/store/standin_process.h
+++ b/test/store/standin_process.h
@@ -13,7 +13,7 @@
 #include <unistd.h>
 
 #include "bilberrytray/base.h"
-#include "http_client.h"
+#include "bilberrytray/store/http_client.h"
 
 extern char **environ;
 
