--- /dev/null
+++ b/source/maps/group_rounds.c
@@ -0,0 +1,536 @@
+#include "bilberrytray/maps/group_rounds.h"
+
+#include <string.h>
+
+enum
+{
+  /* Versions of one leader: its fencing number leads, so that no other leader ever uses the same
+   * version for another map. */
+  VERSIONS_OF_LEADER = 1 << 20,
+  /* Refusals of one rank that end a try to prepare or to hold. */
+  MOST_REFUSALS = 3,
+  NO_RANK = -1,
+};
+
+/** What is known of one rank. */
+typedef struct rank_state
+{
+  bool known;
+  bt_rank_report_t report;
+  int64_t heard_ms;
+  uint64_t order_id; /* the order under way; 0: none */
+  int64_t sent_ms;
+  int32_t refusals; /* in this phase */
+} rank_state_t;
+
+struct bt_group_rounds
+{
+  bt_group_rounds_settings_t settings;
+  uint64_t fence; /* 0: not leading */
+  bool fenced;
+  uint64_t last_order_id;
+  int64_t last_version;
+  bt_group_phase_t phase;
+  int64_t phase_ms; /* when it began */
+  int64_t epoch;
+  int64_t target;     /* the version of the round */
+  int64_t clearing;   /* the version whose preparing raises the counts */
+  int64_t step;       /* the step of the change */
+  int64_t last_step;  /* the highest step that any round here used */
+  int32_t holder;
+  rank_state_t ranks[BT_MAX_GROUP_RANKS];
+};
+
+static const char *const order_names[] = { "prepare", "hold", "arm", "disarm", "go" };
+static const char *const phase_names[] = { "looking", "calm",       "preparing", "holding",
+                                           "arming",  "letting-go", "settling",  "clearing" };
+
+const char *
+bt_name_group_order (bt_group_order_kind_t kind)
+{
+  return order_names[kind];
+}
+
+const char *
+bt_name_group_phase (bt_group_phase_t phase)
+{
+  return phase_names[phase];
+}
+
+bt_group_rounds_t *
+bt_new_group_rounds (bt_context_t *ctx, const bt_group_rounds_settings_t *settings)
+{
+  bt_group_rounds_t *rounds = bt_calloc (ctx, 1, sizeof *rounds);
+
+  rounds->settings = *settings;
+  return rounds;
+}
+
+void
+bt_drop_group_rounds (bt_context_t *ctx, bt_group_rounds_t *rounds)
+{
+  bt_free (ctx, rounds);
+}
+
+static void
+set_phase (bt_group_rounds_t *rounds, bt_group_phase_t phase, int64_t now_ms)
+{
+  rounds->phase = phase;
+  rounds->phase_ms = now_ms;
+  for (int32_t i = 0; i < rounds->settings.ranks; i++)
+    rounds->ranks[i].refusals = 0;
+}
+
+void
+bt_lead_group (bt_group_rounds_t *rounds, uint64_t fence)
+{
+  memset (rounds->ranks, 0, sizeof rounds->ranks);
+  rounds->fence = fence;
+  rounds->fenced = false;
+  rounds->target = 0;
+  rounds->last_version = (int64_t)fence * VERSIONS_OF_LEADER;
+  set_phase (rounds, BT_GROUP_LOOKING, 0);
+}
+
+void
+bt_leave_group (bt_group_rounds_t *rounds)
+{
+  rounds->fence = 0;
+  rounds->target = 0;
+  rounds->phase = BT_GROUP_LOOKING;
+}
+
+static bool
+is_armed (const rank_state_t *rank)
+{
+  return rank->report.armed_version != 0;
+}
+
+static bool
+holds (const rank_state_t *rank)
+{
+  return rank->report.held_step != BT_NO_STEP;
+}
+
+/* True when all ranks are heard of lately, in one open group. */
+static bool
+is_group_whole (const bt_group_rounds_t *rounds, int64_t now_ms)
+{
+  for (int32_t i = 0; i < rounds->settings.ranks; i++)
+    {
+      const rank_state_t *rank = &rounds->ranks[i];
+
+      if (!rank->known || !rank->report.open || rank->report.epoch != rounds->ranks[0].report.epoch
+          || now_ms - rank->heard_ms > rounds->settings.stale_ms)
+        return false;
+    }
+  return true;
+}
+
+static bool
+is_same_version (const bt_group_rounds_t *rounds)
+{
+  for (int32_t i = 1; i < rounds->settings.ranks; i++)
+    if (rounds->ranks[i].report.version != rounds->ranks[0].report.version)
+      return false;
+  return true;
+}
+
+static bool
+is_anything_left (const bt_group_rounds_t *rounds)
+{
+  for (int32_t i = 0; i < rounds->settings.ranks; i++)
+    if (is_armed (&rounds->ranks[i]) || holds (&rounds->ranks[i]))
+      return true;
+  return false;
+}
+
+/* The change that every rank is armed for or has made already; 0 when there is none such. Ranks that
+ * report a moment later may have changed while others still say armed. */
+static int64_t
+find_common_change (const bt_group_rounds_t *rounds)
+{
+  int64_t version = 0;
+
+  for (int32_t i = 0; i < rounds->settings.ranks; i++)
+    if (is_armed (&rounds->ranks[i]))
+      version = rounds->ranks[i].report.armed_version;
+  for (int32_t i = 0; version != 0 && i < rounds->settings.ranks; i++)
+    if (rounds->ranks[i].report.armed_version != version
+        && rounds->ranks[i].report.version != version)
+      return 0;
+  return version;
+}
+
+static int32_t
+find_holder (const bt_group_rounds_t *rounds)
+{
+  for (int32_t i = 0; i < rounds->settings.ranks; i++)
+    if (holds (&rounds->ranks[i]))
+      return i;
+  return NO_RANK;
+}
+
+/* Decides what is to be done with a group that is whole, and with which no round is under way. */
+static void
+look (bt_group_rounds_t *rounds, int64_t now_ms)
+{
+  rounds->target = 0;
+  rounds->epoch = rounds->ranks[0].report.epoch;
+  if (!is_anything_left (rounds))
+    {
+      if (is_same_version (rounds))
+        set_phase (rounds, BT_GROUP_CALM, now_ms);
+      return;
+    }
+  rounds->target = find_common_change (rounds);
+  rounds->holder = find_holder (rounds);
+  if (rounds->target == 0)
+    {
+      rounds->clearing = ++rounds->last_version;
+      set_phase (rounds, BT_GROUP_CLEARING, now_ms);
+    }
+  else if (rounds->holder == NO_RANK)
+    set_phase (rounds, BT_GROUP_SETTLING, now_ms);
+  else
+    {
+      rounds->step = rounds->ranks[rounds->holder].report.held_step;
+      set_phase (rounds, BT_GROUP_LETTING_GO, now_ms);
+    }
+}
+
+static void
+give_up (bt_group_rounds_t *rounds, int64_t now_ms)
+{
+  rounds->target = 0;
+  rounds->clearing = ++rounds->last_version;
+  set_phase (rounds, BT_GROUP_CLEARING, now_ms);
+}
+
+static int64_t
+find_latest_step (const bt_group_rounds_t *rounds)
+{
+  int64_t step = BT_NO_STEP;
+
+  for (int32_t i = 0; i < rounds->settings.ranks; i++)
+    if (rounds->ranks[i].report.step > step)
+      step = rounds->ranks[i].report.step;
+  return step;
+}
+
+/* The rank heard of last: its agent answers. */
+static int32_t
+choose_holder (const bt_group_rounds_t *rounds)
+{
+  int32_t best = 0;
+
+  for (int32_t i = 1; i < rounds->settings.ranks; i++)
+    if (rounds->ranks[i].refusals < rounds->ranks[best].refusals
+        || (rounds->ranks[i].refusals == rounds->ranks[best].refusals
+            && rounds->ranks[i].heard_ms > rounds->ranks[best].heard_ms))
+      best = i;
+  return best;
+}
+
+static void
+choose_step (bt_group_rounds_t *rounds, int64_t now_ms)
+{
+  int64_t latest = find_latest_step (rounds);
+
+  /* A step is never used twice: an order for it may still be on its way. */
+  if (latest < rounds->last_step)
+    latest = rounds->last_step;
+  rounds->step = latest + rounds->settings.hold_steps;
+  rounds->last_step = rounds->step;
+  rounds->holder = choose_holder (rounds);
+  set_phase (rounds, BT_GROUP_HOLDING, now_ms);
+}
+
+static bool
+is_all_prepared (const bt_group_rounds_t *rounds, int64_t version)
+{
+  for (int32_t i = 0; i < rounds->settings.ranks; i++)
+    if (rounds->ranks[i].report.prepared != version)
+      return false;
+  return true;
+}
+
+static bool
+is_rank_armed (const bt_group_rounds_t *rounds, const rank_state_t *rank)
+{
+  return rank->report.armed_version == rounds->target && rank->report.armed_step == rounds->step;
+}
+
+static bool
+is_all_armed (const bt_group_rounds_t *rounds)
+{
+  for (int32_t i = 0; i < rounds->settings.ranks; i++)
+    if (!is_rank_armed (rounds, &rounds->ranks[i]))
+      return false;
+  return true;
+}
+
+static int32_t
+count_most_refusals (const bt_group_rounds_t *rounds)
+{
+  int32_t most = 0;
+
+  for (int32_t i = 0; i < rounds->settings.ranks; i++)
+    if (rounds->ranks[i].refusals > most)
+      most = rounds->ranks[i].refusals;
+  return most;
+}
+
+/* A rank that has prepared the clearing's version has accepted an order with this leader's fencing
+ * number since, and refuses all that was sent before. */
+static bool
+is_bumped (const bt_group_rounds_t *rounds, const rank_state_t *rank)
+{
+  return rank->report.prepared == rounds->clearing;
+}
+
+static bool
+is_cleared (const bt_group_rounds_t *rounds)
+{
+  for (int32_t i = 0; i < rounds->settings.ranks; i++)
+    if (is_armed (&rounds->ranks[i]) || !is_bumped (rounds, &rounds->ranks[i]))
+      return false;
+  return true;
+}
+
+/* Moves from phase to phase as far as the reports allow. Each step waits for what it needs to be
+ * seen in reports; that an order was sent or answered proves nothing. */
+static void
+advance (bt_group_rounds_t *rounds, int64_t now_ms)
+{
+  const int64_t taken_ms = now_ms - rounds->phase_ms;
+
+  switch (rounds->phase)
+    {
+    case BT_GROUP_LOOKING:
+      if (is_group_whole (rounds, now_ms))
+        look (rounds, now_ms);
+      break;
+    case BT_GROUP_CALM:
+      if (is_anything_left (rounds) || !is_same_version (rounds))
+        set_phase (rounds, BT_GROUP_LOOKING, now_ms);
+      break;
+    case BT_GROUP_PREPARING:
+      if (is_all_prepared (rounds, rounds->target))
+        choose_step (rounds, now_ms);
+      else if (taken_ms > rounds->settings.prepare_limit_ms
+               || count_most_refusals (rounds) >= MOST_REFUSALS)
+        set_phase (rounds, BT_GROUP_LOOKING, now_ms);
+      break;
+    case BT_GROUP_HOLDING:
+      if (rounds->ranks[rounds->holder].report.held_step == rounds->step)
+        set_phase (rounds, BT_GROUP_ARMING, now_ms);
+      else if (taken_ms > rounds->settings.arm_limit_ms)
+        give_up (rounds, now_ms);
+      else if (rounds->ranks[rounds->holder].refusals > 0
+               || find_latest_step (rounds) >= rounds->step)
+        choose_step (rounds, now_ms);
+      break;
+    case BT_GROUP_ARMING:
+      if (is_all_armed (rounds))
+        set_phase (rounds, BT_GROUP_LETTING_GO, now_ms);
+      else if (taken_ms > rounds->settings.arm_limit_ms)
+        give_up (rounds, now_ms);
+      break;
+    case BT_GROUP_LETTING_GO:
+      if (!holds (&rounds->ranks[rounds->holder]))
+        set_phase (rounds, BT_GROUP_SETTLING, now_ms);
+      break;
+    case BT_GROUP_SETTLING:
+      if (!is_anything_left (rounds) && is_same_version (rounds))
+        set_phase (rounds, BT_GROUP_CALM, now_ms);
+      else if (find_holder (rounds) != NO_RANK)
+        set_phase (rounds, BT_GROUP_LOOKING, now_ms);
+      break;
+    case BT_GROUP_CLEARING:
+      if (is_cleared (rounds) && find_holder (rounds) == NO_RANK)
+        set_phase (rounds, BT_GROUP_LOOKING, now_ms);
+      break;
+    }
+}
+
+/* A group that was formed anew has dropped all maps, holds and arms. */
+static void
+notice_epoch (bt_group_rounds_t *rounds, const bt_rank_report_t *report, int64_t now_ms)
+{
+  if (rounds->phase == BT_GROUP_LOOKING || (report->open && report->epoch == rounds->epoch))
+    return;
+  rounds->target = 0;
+  set_phase (rounds, BT_GROUP_LOOKING, now_ms);
+}
+
+void
+bt_take_rank_report (bt_group_rounds_t *rounds,
+                     int32_t rank,
+                     const bt_rank_report_t *report,
+                     int64_t now_ms)
+{
+  rank_state_t *state;
+
+  if (rounds->fence == 0 || rank < 0 || rank >= rounds->settings.ranks)
+    return;
+  state = &rounds->ranks[rank];
+  state->known = true;
+  state->report = *report;
+  state->heard_ms = now_ms;
+  notice_epoch (rounds, report, now_ms);
+  advance (rounds, now_ms);
+}
+
+void
+bt_take_group_order_result (bt_group_rounds_t *rounds,
+                            int32_t rank,
+                            uint64_t id,
+                            bt_order_result_t result,
+                            const bt_rank_report_t *report,
+                            int64_t now_ms)
+{
+  rank_state_t *state;
+
+  if (rounds->fence == 0 || rank < 0 || rank >= rounds->settings.ranks)
+    return;
+  state = &rounds->ranks[rank];
+  if (state->order_id == id)
+    {
+      state->order_id = 0;
+      if (result == BT_ORDER_REFUSED)
+        state->refusals++;
+      if (result == BT_ORDER_FENCED)
+        rounds->fenced = true;
+    }
+  bt_take_rank_report (rounds, rank, report, now_ms);
+}
+
+int64_t
+bt_begin_group_round (bt_group_rounds_t *rounds, int64_t now_ms)
+{
+  if (rounds->fence == 0 || rounds->phase != BT_GROUP_CALM || !is_group_whole (rounds, now_ms)
+      || rounds->last_version + 2 >= ((int64_t)rounds->fence + 1) * VERSIONS_OF_LEADER)
+    return 0;
+  rounds->target = ++rounds->last_version;
+  set_phase (rounds, BT_GROUP_PREPARING, now_ms);
+  return rounds->target;
+}
+
+/* What a rank is to be ordered while a round that was given up is cleared: disarm first, since an
+ * armed rank prepares nothing; then another version, which raises its count; when that is done
+ * everywhere, the group is let go. */
+static bool
+get_clearing_order (const bt_group_rounds_t *rounds, int32_t index, bt_group_order_t *order)
+{
+  const rank_state_t *rank = &rounds->ranks[index];
+
+  if (is_armed (rank))
+    {
+      order->kind = BT_GROUP_DISARM;
+      order->version = rank->report.armed_version;
+      return true;
+    }
+  if (!is_bumped (rounds, rank))
+    {
+      order->kind = BT_GROUP_PREPARE;
+      order->version = rounds->clearing;
+      return true;
+    }
+  order->kind = BT_GROUP_GO;
+  order->step = rank->report.held_step;
+  return holds (rank) && is_cleared (rounds);
+}
+
+/* What a rank is to be ordered now, if anything. */
+static bool
+get_order (const bt_group_rounds_t *rounds, int32_t index, bt_group_order_t *order)
+{
+  const rank_state_t *rank = &rounds->ranks[index];
+
+  order->version = rounds->target;
+  order->step = rounds->step;
+  switch (rounds->phase)
+    {
+    case BT_GROUP_PREPARING:
+      order->kind = BT_GROUP_PREPARE;
+      return rank->report.prepared != rounds->target;
+    case BT_GROUP_HOLDING:
+      order->kind = BT_GROUP_HOLD;
+      return index == rounds->holder;
+    case BT_GROUP_ARMING:
+      order->kind = BT_GROUP_ARM;
+      return !is_rank_armed (rounds, rank);
+    case BT_GROUP_LETTING_GO:
+      order->kind = BT_GROUP_GO;
+      return index == rounds->holder && holds (rank);
+    case BT_GROUP_CLEARING:
+      return get_clearing_order (rounds, index, order);
+    default:
+      return false;
+    }
+}
+
+static bool
+is_order_due (const bt_group_rounds_t *rounds, const rank_state_t *rank, int64_t now_ms)
+{
+  return rank->known
+         && (rank->order_id == 0 || now_ms - rank->sent_ms >= rounds->settings.resend_ms);
+}
+
+bool
+bt_next_group_order (bt_group_rounds_t *rounds, int64_t now_ms, bt_group_order_t *order)
+{
+  if (rounds->fence == 0 || rounds->fenced)
+    return false;
+  advance (rounds, now_ms);
+  for (int32_t i = 0; i < rounds->settings.ranks; i++)
+    {
+      rank_state_t *rank = &rounds->ranks[i];
+
+      memset (order, 0, sizeof *order);
+      if (!is_order_due (rounds, rank, now_ms) || !get_order (rounds, i, order))
+        continue;
+      order->rank = i;
+      order->id = ++rounds->last_order_id;
+      order->fence = rounds->fence;
+      order->epoch = rounds->epoch;
+      order->sequence = rank->report.sequence;
+      rank->order_id = order->id;
+      rank->sent_ms = now_ms;
+      return true;
+    }
+  return false;
+}
+
+bt_group_phase_t
+bt_get_group_phase (const bt_group_rounds_t *rounds)
+{
+  return rounds->phase;
+}
+
+int64_t
+bt_get_group_target (const bt_group_rounds_t *rounds)
+{
+  return rounds->target;
+}
+
+int64_t
+bt_get_group_version (const bt_group_rounds_t *rounds)
+{
+  if (rounds->phase == BT_GROUP_LOOKING || !is_same_version (rounds))
+    return -1;
+  return rounds->ranks[0].report.version;
+}
+
+int64_t
+bt_get_group_epoch (const bt_group_rounds_t *rounds)
+{
+  return rounds->phase == BT_GROUP_LOOKING ? -1 : rounds->epoch;
+}
+
+bool
+bt_is_group_fenced (const bt_group_rounds_t *rounds)
+{
+  return rounds->fenced;
+}
--- /dev/null
+++ b/test/maps/held_group.h
@@ -0,0 +1,214 @@
+#ifndef BILBERRYTRAY_TEST_HELD_GROUP_H
+#define BILBERRYTRAY_TEST_HELD_GROUP_H
+
+/** @file
+ * A group of engines that can hold together, played in virtual time: orders are lost, answered late
+ * or carried out late, leaders change and go on believing that they lead, and the group is formed
+ * anew. It checks that no step begins while two ranks have different maps, by version or content.
+ */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "bilberrytray/base/random.h"
+#include "bilberrytray/maps/group_rounds.h"
+
+enum
+{
+  HELD_RANKS = 5,
+  HELD_LATE = 512, /* orders on their way */
+};
+
+typedef struct held_engine
+{
+  bt_rank_report_t report;
+  int64_t highest_version;
+  uint64_t fence;
+  uint64_t prepared_content;
+  uint64_t content;
+} held_engine_t;
+
+typedef struct held_late
+{
+  bool used;
+  int64_t at_ms;
+  bt_group_order_t order;
+  uint64_t content;
+} held_late_t;
+
+typedef struct held_group
+{
+  held_engine_t engines[HELD_RANKS];
+  held_late_t late[HELD_LATE];
+  bt_random_t random;
+  int64_t now_ms;
+  int64_t step;
+  int64_t epoch;
+  bool fences_checked;
+  int32_t splits; /* steps that began with different maps */
+  int32_t changes;
+  int32_t lost_percent; /* orders that get no answer and are carried out late, or never */
+} held_group_t;
+
+static inline void
+form_held_group (held_group_t *group)
+{
+  group->epoch++;
+  for (int32_t i = 0; i < HELD_RANKS; i++)
+    {
+      held_engine_t *engine = &group->engines[i];
+
+      memset (engine, 0, sizeof *engine);
+      engine->report.epoch = group->epoch;
+      engine->report.open = true;
+      engine->report.step = group->step;
+      engine->report.held_step = BT_NO_STEP;
+    }
+}
+
+static inline void
+start_held_group (held_group_t *group, uint64_t seed)
+{
+  memset (group, 0, sizeof *group);
+  bt_seed_random (&group->random, seed);
+  group->fences_checked = true;
+  form_held_group (group);
+}
+
+static inline bt_order_result_t
+carry_out_prepare (held_engine_t *engine, const bt_group_order_t *order, uint64_t content)
+{
+  if (order->version <= engine->highest_version || engine->report.armed_version != 0)
+    return BT_ORDER_REFUSED;
+  engine->highest_version = order->version;
+  engine->report.prepared = order->version;
+  engine->prepared_content = content;
+  engine->report.sequence++;
+  return BT_ORDER_DONE;
+}
+
+static inline bt_order_result_t
+carry_out_arm (held_engine_t *engine, const bt_group_order_t *order)
+{
+  if (engine->report.prepared != order->version || order->step <= engine->report.step)
+    return BT_ORDER_REFUSED;
+  if (engine->report.armed_version == order->version && engine->report.armed_step == order->step)
+    return BT_ORDER_DONE;
+  engine->report.armed_version = order->version;
+  engine->report.armed_step = order->step;
+  engine->report.sequence++;
+  return BT_ORDER_DONE;
+}
+
+static inline bt_order_result_t
+carry_out_hold (held_engine_t *engine, const bt_group_order_t *order)
+{
+  if (order->step <= engine->report.step)
+    return BT_ORDER_REFUSED;
+  if (engine->report.held_step != BT_NO_STEP)
+    return engine->report.held_step == order->step ? BT_ORDER_DONE : BT_ORDER_REFUSED;
+  engine->report.held_step = order->step;
+  engine->report.sequence++;
+  return BT_ORDER_DONE;
+}
+
+static inline bt_order_result_t
+carry_out (held_group_t *group, const bt_group_order_t *order, uint64_t content)
+{
+  held_engine_t *engine = &group->engines[order->rank];
+
+  if (order->epoch != group->epoch)
+    return BT_ORDER_REFUSED;
+  if (group->fences_checked && order->fence < engine->fence)
+    return BT_ORDER_FENCED;
+  if (order->sequence != engine->report.sequence)
+    return BT_ORDER_REFUSED;
+  if (group->fences_checked)
+    engine->fence = order->fence;
+  switch (order->kind)
+    {
+    case BT_GROUP_PREPARE:
+      return carry_out_prepare (engine, order, content);
+    case BT_GROUP_ARM:
+      return carry_out_arm (engine, order);
+    case BT_GROUP_HOLD:
+      return carry_out_hold (engine, order);
+    case BT_GROUP_DISARM:
+      if (engine->report.armed_version != order->version)
+        return BT_ORDER_DONE;
+      engine->report.armed_version = 0;
+      engine->report.sequence++;
+      return BT_ORDER_DONE;
+    case BT_GROUP_GO:
+      if (engine->report.held_step != order->step)
+        return BT_ORDER_DONE;
+      engine->report.held_step = BT_NO_STEP;
+      engine->report.sequence++;
+      return BT_ORDER_DONE;
+    }
+  return BT_ORDER_REFUSED;
+}
+
+/* Sends an order: it is carried out now, later, or never. */
+static inline bt_order_result_t
+send_held_order (held_group_t *group, const bt_group_order_t *order, uint64_t content)
+{
+  bool lost = (int32_t)bt_random_below (&group->random, 100) < group->lost_percent;
+
+  if (!lost)
+    return carry_out (group, order, content);
+  for (int32_t i = 0; i < HELD_LATE; i++)
+    if (!group->late[i].used)
+      {
+        held_late_t *late = &group->late[i];
+
+        late->used = true;
+        late->at_ms = group->now_ms + (int64_t)bt_random_below (&group->random, 6000);
+        late->order = *order;
+        late->content = content;
+        break;
+      }
+  return BT_ORDER_LOST;
+}
+
+static inline void
+begin_held_step (held_group_t *group)
+{
+  for (int32_t i = 0; i < HELD_RANKS; i++)
+    if (group->engines[i].report.held_step == group->step + 1)
+      return;
+  group->step++;
+  for (int32_t i = 0; i < HELD_RANKS; i++)
+    {
+      held_engine_t *engine = &group->engines[i];
+
+      engine->report.step = group->step;
+      if (engine->report.armed_version != 0 && engine->report.armed_step == group->step)
+        {
+          engine->report.version = engine->report.armed_version;
+          engine->content = engine->prepared_content;
+          engine->report.armed_version = 0;
+          group->changes++;
+        }
+    }
+  for (int32_t i = 1; i < HELD_RANKS; i++)
+    if (group->engines[i].report.version != group->engines[0].report.version
+        || group->engines[i].content != group->engines[0].content)
+      {
+        group->splits++;
+        return;
+      }
+}
+
+static inline void
+run_late_orders (held_group_t *group)
+{
+  for (int32_t i = 0; i < HELD_LATE; i++)
+    if (group->late[i].used && group->late[i].at_ms <= group->now_ms)
+      {
+        carry_out (group, &group->late[i].order, group->late[i].content);
+        group->late[i].used = false;
+      }
+}
+
+#endif
--- /dev/null
+++ b/test/maps/test_group_rounds.c
@@ -0,0 +1,246 @@
+#include <CUnit/Basic.h>
+
+#include "held_group.h"
+
+/* A leader: its rounds, and where its frames go. */
+typedef struct leader
+{
+  bt_group_rounds_t *rounds;
+  uint64_t fence;
+  bool leading;
+  bool frozen;
+} leader_t;
+
+enum
+{
+  LEADERS = 2,
+  TICK_MS = 5,
+  STEP_MS = 40,
+  PERCENT = 100,
+};
+
+static bt_context_t *ctx;
+
+static bt_group_rounds_t *
+new_rounds (void)
+{
+  bt_group_rounds_settings_t settings = {
+    .ranks = HELD_RANKS,
+    .hold_steps = 3,
+    .resend_ms = 100,
+    .stale_ms = 500,
+    .prepare_limit_ms = 2000,
+    .arm_limit_ms = 800,
+  };
+
+  return bt_new_group_rounds (ctx, &settings);
+}
+
+/* Sends what a leader has to send. The content that a version stands for is its own number, and the
+ * content in use for a version that only raises the counts. */
+static void
+send_orders (held_group_t *group, leader_t *leader)
+{
+  bt_group_order_t order;
+
+  while (bt_next_group_order (leader->rounds, group->now_ms, &order))
+    {
+      uint64_t content = (uint64_t)order.version;
+      bt_order_result_t result;
+
+      if (order.kind == BT_GROUP_PREPARE && order.version != bt_get_group_target (leader->rounds))
+        content = group->engines[0].content;
+      result = send_held_order (group, &order, content);
+      if (result != BT_ORDER_LOST)
+        bt_take_group_order_result (leader->rounds, order.rank, order.id, result,
+                                    &group->engines[order.rank].report, group->now_ms);
+    }
+}
+
+static void
+tell_reports (held_group_t *group, leader_t *leader)
+{
+  for (int32_t i = 0; i < HELD_RANKS; i++)
+    bt_take_rank_report (leader->rounds, i, &group->engines[i].report, group->now_ms);
+}
+
+static void
+run_leader (held_group_t *group, leader_t *leader)
+{
+  if (!leader->leading || leader->frozen)
+    return;
+  if (group->now_ms % 50 == 0)
+    tell_reports (group, leader);
+  if (bt_get_group_phase (leader->rounds) == BT_GROUP_CALM && group->now_ms % 300 == 0)
+    bt_begin_group_round (leader->rounds, group->now_ms);
+  send_orders (group, leader);
+}
+
+static void
+run_world (held_group_t *group, leader_t *leaders, int32_t count, int64_t until_ms)
+{
+  while (group->now_ms < until_ms)
+    {
+      group->now_ms += TICK_MS;
+      run_late_orders (group);
+      for (int32_t i = 0; i < count; i++)
+        run_leader (group, &leaders[i]);
+      if (group->now_ms % STEP_MS == 0)
+        begin_held_step (group);
+    }
+}
+
+static void
+lead (leader_t *leader, uint64_t fence)
+{
+  leader->leading = true;
+  leader->frozen = false;
+  leader->fence = fence;
+  bt_lead_group (leader->rounds, fence);
+}
+
+static void
+test_calm_group_changes_its_map (void)
+{
+  held_group_t group;
+  leader_t leader = { new_rounds () };
+
+  start_held_group (&group, 1);
+  lead (&leader, 7);
+  run_world (&group, &leader, 1, 3000);
+  CU_ASSERT (group.changes >= 5 * HELD_RANKS);
+  CU_ASSERT_EQUAL (group.splits, 0);
+  bt_drop_group_rounds (ctx, leader.rounds);
+}
+
+/* A rank's order to arm gets no answer and is carried out seconds later. Were the group let go
+ * without that rank, it would change maps alone when the late order lands, or not at all. The group
+ * waits, the order is sent again, and the late one finds another count of orders. */
+static void
+test_late_orders_split_no_group (void)
+{
+  for (uint64_t seed = 1; seed <= 60; seed++)
+    {
+      held_group_t group;
+      leader_t leader = { new_rounds () };
+
+      start_held_group (&group, seed);
+      group.lost_percent = 40;
+      lead (&leader, 7);
+      run_world (&group, &leader, 1, 20000);
+      group.lost_percent = 0;
+      run_world (&group, &leader, 1, 32000);
+      CU_ASSERT (group.changes > 0);
+      CU_ASSERT_EQUAL (group.splits, 0);
+      CU_ASSERT (group.engines[0].report.step > 100);
+      bt_drop_group_rounds (ctx, leader.rounds);
+    }
+}
+
+/* A leader stands still in the middle of a round, another takes over, and the first wakes and goes
+ * on sending as if nothing had been. The second finds ranks armed and the group held; it must free
+ * the group, and what the first still sends must not arm a rank behind its back. */
+static void
+test_two_leaders_split_no_group (void)
+{
+  for (uint64_t seed = 1; seed <= 80; seed++)
+    {
+      held_group_t group;
+      leader_t leaders[LEADERS] = { { new_rounds () }, { new_rounds () } };
+      uint64_t fence = 10;
+
+      start_held_group (&group, seed);
+      group.lost_percent = 25;
+      lead (&leaders[0], fence++);
+      for (int32_t turn = 0; turn < 8; turn++)
+        {
+          leader_t *old = &leaders[turn % LEADERS];
+          int64_t slept_ms;
+
+          run_world (&group, leaders, LEADERS,
+                     group.now_ms + 500 + (int64_t)bt_random_below (&group.random, 1500));
+          old->frozen = true;
+          lead (&leaders[(turn + 1) % LEADERS], fence++);
+          slept_ms = 100 + (int64_t)bt_random_below (&group.random, 2000);
+          run_world (&group, leaders, LEADERS, group.now_ms + slept_ms);
+          old->frozen = false;
+          run_world (&group, leaders, LEADERS, group.now_ms + 400);
+          old->leading = false;
+        }
+      group.lost_percent = 0;
+      run_world (&group, leaders, LEADERS, group.now_ms + 12000);
+      CU_ASSERT_EQUAL (group.splits, 0);
+      for (int32_t i = 0; i < HELD_RANKS; i++)
+        CU_ASSERT_EQUAL (group.engines[i].report.held_step, BT_NO_STEP);
+      for (int32_t i = 0; i < LEADERS; i++)
+        bt_drop_group_rounds (ctx, leaders[i].rounds);
+    }
+}
+
+/* A rank crashes in the middle of a round: the group is formed anew with the first map, and nothing
+ * prepared, armed or held. Orders of the old epoch must not reach the new one. */
+static void
+test_new_epoch_starts_anew (void)
+{
+  for (uint64_t seed = 1; seed <= 40; seed++)
+    {
+      held_group_t group;
+      leader_t leader = { new_rounds () };
+
+      start_held_group (&group, seed);
+      group.lost_percent = 30;
+      lead (&leader, 7);
+      for (int32_t turn = 0; turn < 10; turn++)
+        {
+          run_world (&group, &leader, 1,
+                     group.now_ms + 200 + (int64_t)bt_random_below (&group.random, 1200));
+          form_held_group (&group);
+        }
+      group.lost_percent = 0;
+      run_world (&group, &leader, 1, group.now_ms + 12000);
+      CU_ASSERT_EQUAL (group.splits, 0);
+      CU_ASSERT (group.engines[0].report.version > 0);
+      bt_drop_group_rounds (ctx, leader.rounds);
+    }
+}
+
+/* An order that a newer leader's fencing number turned away ends a leader: it sends nothing more. */
+static void
+test_fenced_leader_stops (void)
+{
+  held_group_t group;
+  leader_t leader = { new_rounds () };
+  bt_group_order_t order;
+
+  start_held_group (&group, 3);
+  for (int32_t i = 0; i < HELD_RANKS; i++)
+    group.engines[i].fence = 9;
+  lead (&leader, 8);
+  tell_reports (&group, &leader);
+  CU_ASSERT (bt_begin_group_round (leader.rounds, group.now_ms) > 0);
+  send_orders (&group, &leader);
+  CU_ASSERT (bt_is_group_fenced (leader.rounds));
+  CU_ASSERT_FALSE (bt_next_group_order (leader.rounds, group.now_ms + 1000, &order));
+  bt_drop_group_rounds (ctx, leader.rounds);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned failures;
+
+  ctx = bt_new_context ();
+  CU_initialize_registry ();
+  suite = CU_add_suite ("group_rounds", NULL, NULL);
+  CU_add_test (suite, "calm_group_changes_its_map", test_calm_group_changes_its_map);
+  CU_add_test (suite, "late_orders_split_no_group", test_late_orders_split_no_group);
+  CU_add_test (suite, "two_leaders_split_no_group", test_two_leaders_split_no_group);
+  CU_add_test (suite, "new_epoch_starts_anew", test_new_epoch_starts_anew);
+  CU_add_test (suite, "fenced_leader_stops", test_fenced_leader_stops);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  bt_drop_context (ctx);
+  return failures == 0 ? 0 : 1;
+}
