--- a/include/bilberrytray/gateway/gateway.h
+++ b/include/bilberrytray/gateway/gateway.h
@@ -33,6 +33,8 @@
   int64_t renew_ms;        /**< Between two renewals of the listing. */
   int64_t retry_percent;   /**< Retries for 100 requests of an app. */
   int64_t retry_reserve;   /**< Retries of an app that may be saved up. */
+  int64_t agent_port;      /**< Where agents beside engines accept links; 0: there are none. */
+  int64_t plan_ms;         /**< Between two plans of a group's expert map. */
 } bt_gateway_settings_t;
 
 /** Starts to serve; requests are refused until the configuration is known. */
--- a/include/bilberrytray/maps/expert_map.h
+++ b/include/bilberrytray/maps/expert_map.h
@@ -56,6 +56,12 @@
 /** Replaces the ranks that hold an expert. */
 void bt_set_map_ranks (bt_expert_map_t *map, int32_t layer, int32_t expert, uint64_t ranks);
 
+/** Has a rank hold an expert too. */
+void bt_add_map_holder (bt_expert_map_t *map, int32_t layer, int32_t expert, int32_t rank);
+
+/** True when a rank holds an expert. */
+bool bt_is_map_holder (const bt_expert_map_t *map, int32_t layer, int32_t expert, int32_t rank);
+
 /** How many replicas a rank holds in one layer. */
 int32_t bt_count_map_slots (const bt_expert_map_t *map, int32_t layer, int32_t rank);
 
--- /dev/null
+++ b/source/agent/command_side.c
@@ -0,0 +1,133 @@
+#include <curl/curl.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "bilberrytray/base.h"
+#include "bilberrytray/base/event_log.h"
+#include "side.h"
+
+enum
+{
+  EXIT_USAGE = 2,
+};
+
+#define FIELD(name) offsetof (bt_side_settings_t, name)
+
+static const bt_setting_t side_settings[] = {
+  { "listen", BT_SETTING_ADDRESS, FIELD (listen), NULL, 0, 0,
+    "Where links of entry instances are accepted." },
+  { "engine", BT_SETTING_ADDRESS, FIELD (engine), NULL, 0, 0, "The engine on this instance." },
+  { "failure-domain", BT_SETTING_TEXT, FIELD (failure_domain), NULL, 0, 0,
+    "Failure domain of this instance." },
+  { "secret", BT_SETTING_TEXT, FIELD (secret), NULL, 0, 0,
+    "Secret that all processes of the deployment share; better set by its variable." },
+  { "log-level", BT_SETTING_TEXT, FIELD (log_level), "info", 0, 0,
+    "error, warning, info or debug." },
+  { "report-ms", BT_SETTING_INTEGER, FIELD (report_ms), "200", 20, 60000,
+    "Between two reports to the entry instances, ms." },
+  { "call-ms", BT_SETTING_INTEGER, FIELD (call_ms), "150", 10, 60000,
+    "Limit of one call on the engine, ms." },
+  { "beat-ms", BT_SETTING_INTEGER, FIELD (beat_ms), "500", 10, 60000, "Between heartbeats, ms." },
+  { "link-idle-ms", BT_SETTING_INTEGER, FIELD (link_idle_ms), "1600", 50, 600000,
+    "A link without any frame is dead after this, ms." },
+  { "max-links", BT_SETTING_INTEGER, FIELD (max_links), "256", 1, 10000, "Links at a time." },
+};
+
+enum
+{
+  SETTING_COUNT = sizeof side_settings / sizeof side_settings[0],
+};
+
+/** What the thread that waits for signals needs. */
+typedef struct signal_waiter
+{
+  bt_side_t *side;
+  sigset_t signals;
+} signal_waiter_t;
+
+static void *
+wait_for_signals (void *argument)
+{
+  signal_waiter_t *waiter = argument;
+  int received;
+
+  while (sigwait (&waiter->signals, &received) == 0)
+    if (received != SIGHUP)
+      {
+        bt_stop_side (waiter->side);
+        return NULL;
+      }
+  return NULL;
+}
+
+static int
+serve (bt_context_t *ctx, const bt_side_settings_t *settings)
+{
+  bt_error_t error = { 0 };
+  signal_waiter_t waiter;
+  pthread_t thread;
+
+  sigemptyset (&waiter.signals);
+  sigaddset (&waiter.signals, SIGTERM);
+  sigaddset (&waiter.signals, SIGINT);
+  sigaddset (&waiter.signals, SIGHUP);
+  pthread_sigmask (SIG_BLOCK, &waiter.signals, NULL);
+  signal (SIGPIPE, SIG_IGN);
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  waiter.side = bt_new_side (ctx, bt_get_engine_platform (), settings, &error);
+  if (waiter.side == NULL || pthread_create (&thread, NULL, wait_for_signals, &waiter) != 0)
+    {
+      bt_log_event (ctx, BT_LOG_ERROR, "start-failed", "{s:s}", "message", error.message);
+      return EXIT_FAILURE;
+    }
+  bt_log_event (ctx, BT_LOG_INFO, "start", "{s:s, s:s}", "version", BT_VERSION, "engine",
+                settings->engine);
+  bt_run_side (waiter.side);
+  pthread_join (thread, NULL);
+  bt_drop_side (ctx, waiter.side);
+  bt_log_event (ctx, BT_LOG_INFO, "stop", "{}");
+  curl_global_cleanup ();
+  return EXIT_SUCCESS;
+}
+
+int
+bt_run_side_command (bt_context_t *ctx, int argc, char **argv)
+{
+  bt_findings_t *findings = bt_new_findings (ctx);
+  bt_side_settings_t settings = { 0 };
+  bt_log_level_t level = BT_LOG_INFO;
+  bt_settings_result_t result =
+      bt_parse_settings (ctx, side_settings, SETTING_COUNT, argc, argv, &settings, NULL, findings);
+  int status = EXIT_USAGE;
+
+  if (result == BT_SETTINGS_OK && !bt_parse_log_level (settings.log_level, &level))
+    {
+      bt_add_finding (ctx, findings, "log-level", 0, NULL, "There is no level \"%s\".",
+                      settings.log_level);
+      result = BT_SETTINGS_BAD;
+    }
+  if (result == BT_SETTINGS_HELP)
+    {
+      printf ("Usage: bilberry-agent side [FLAGS]\n\n"
+              "Runs beside an engine that requests reach directly: tells the entry instances how it\n"
+              "stands and carries out the orders of its group's leader.\n\n");
+      bt_print_settings (side_settings, SETTING_COUNT, stdout);
+    }
+  else if (result == BT_SETTINGS_VERSION)
+    printf ("bilberry-agent %s\n", BT_VERSION);
+  else if (result == BT_SETTINGS_BAD)
+    bt_print_findings (findings, stderr);
+  else
+    {
+      bt_set_log_level (ctx, (int32_t)level);
+      bt_set_log_name (ctx, settings.listen);
+      status = serve (ctx, &settings);
+    }
+  if (result == BT_SETTINGS_HELP || result == BT_SETTINGS_VERSION)
+    status = EXIT_SUCCESS;
+  bt_drop_findings (ctx, findings);
+  return status;
+}
--- /dev/null
+++ b/source/agent/engine_client.c
@@ -0,0 +1,124 @@
+#include "engine_client.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "bilberrytray/store/http_client.h"
+
+enum
+{
+  URL_BYTES = 256,
+  STATUS_OK = 200,
+  ANSWER_BYTES = 4 << 20,
+};
+
+struct bt_engine_client
+{
+  const bt_engine_platform_t *platform;
+  bt_http_client_t *http;
+  char report_url[URL_BYTES];
+  char picks_url[URL_BYTES];
+  char places_url[URL_BYTES];
+  char order_url[URL_BYTES];
+};
+
+bt_engine_client_t *
+bt_new_engine_client (bt_context_t *ctx,
+                      const bt_engine_platform_t *platform,
+                      const char *address,
+                      int64_t limit_ms,
+                      const int32_t *cancelled)
+{
+  bt_engine_client_t *client = bt_calloc (ctx, 1, sizeof *client);
+  bt_http_limits_t limits = { limit_ms, limit_ms, limit_ms, ANSWER_BYTES };
+
+  client->platform = platform;
+  client->http = bt_new_http_client (ctx, &limits, cancelled);
+  snprintf (client->report_url, URL_BYTES, "http://%s%s", address, platform->report_path);
+  snprintf (client->picks_url, URL_BYTES, "http://%s%s", address, platform->picks_path);
+  snprintf (client->places_url, URL_BYTES, "http://%s%s", address, platform->places_path);
+  snprintf (client->order_url, URL_BYTES, "http://%s%s", address, platform->order_path);
+  return client;
+}
+
+void
+bt_drop_engine_client (bt_context_t *ctx, bt_engine_client_t *client)
+{
+  if (client == NULL)
+    return;
+  bt_drop_http_client (ctx, client->http);
+  bt_free (ctx, client);
+}
+
+static bool
+get (bt_context_t *ctx,
+     bt_engine_client_t *client,
+     const char *url,
+     bt_http_answer_t *answer,
+     bt_error_t *error)
+{
+  bt_http_request_t request = { .url = url };
+
+  if (!bt_call_http (ctx, client->http, &request, answer, error))
+    return false;
+  if (answer->status == STATUS_OK)
+    return true;
+  return bt_set_error (error, BT_ERROR_REFUSED, "The engine answered %s with %d.", url,
+                       (int)answer->status);
+}
+
+bool
+bt_read_engine_state (bt_context_t *ctx,
+                      bt_engine_client_t *client,
+                      bt_engine_report_t *report,
+                      bt_error_t *error)
+{
+  bt_http_answer_t answer;
+
+  return get (ctx, client, client->report_url, &answer, error)
+         && client->platform->read_report (answer.body, answer.body_bytes, report, error);
+}
+
+bool
+bt_read_engine_picks (bt_context_t *ctx,
+                      bt_engine_client_t *client,
+                      bt_engine_picks_t *picks,
+                      bt_error_t *error)
+{
+  bt_http_answer_t answer;
+
+  return get (ctx, client, client->picks_url, &answer, error)
+         && client->platform->read_picks (ctx, answer.body, answer.body_bytes, picks, error);
+}
+
+bool
+bt_read_engine_places (bt_context_t *ctx,
+                       bt_engine_client_t *client,
+                       bt_engine_places_t *places,
+                       bt_error_t *error)
+{
+  bt_http_answer_t answer;
+
+  return get (ctx, client, client->places_url, &answer, error)
+         && client->platform->read_places (ctx, answer.body, answer.body_bytes, places, error);
+}
+
+bt_order_result_t
+bt_order_engine (bt_context_t *ctx,
+                 bt_engine_client_t *client,
+                 const bt_group_order_t *order,
+                 const bt_expert_map_t *map,
+                 int32_t *status)
+{
+  char *body = client->platform->write_order (order, map);
+  /* On a connection of its own, so that libcurl never sends it twice. */
+  bt_http_request_t request = { .url = client->order_url, .body = body, .fresh = true };
+  bt_http_answer_t answer = { 0 };
+  bt_error_t error = { 0 };
+
+  *status = 0;
+  if (bt_call_http (ctx, client->http, &request, &answer, &error))
+    *status = answer.status;
+  free (body);
+  return client->platform->read_order_status (*status);
+}
--- /dev/null
+++ b/source/agent/engine_client.h
@@ -0,0 +1,43 @@
+#ifndef BILBERRYTRAY_SOURCE_AGENT_ENGINE_CLIENT_H
+#define BILBERRYTRAY_SOURCE_AGENT_ENGINE_CLIENT_H
+
+/** @file
+ * Calls on the engine beside an agent, by HTTP on its own instance.
+ */
+
+#include "bilberrytray/agent/engine_platform.h"
+
+typedef struct bt_engine_client bt_engine_client_t;
+
+bt_engine_client_t *bt_new_engine_client (bt_context_t *ctx,
+                                          const bt_engine_platform_t *platform,
+                                          const char *address,
+                                          int64_t limit_ms,
+                                          const int32_t *cancelled);
+
+/** NULL is accepted. */
+void bt_drop_engine_client (bt_context_t *ctx, bt_engine_client_t *client);
+
+bool bt_read_engine_state (bt_context_t *ctx,
+                           bt_engine_client_t *client,
+                           bt_engine_report_t *report,
+                           bt_error_t *error);
+
+bool bt_read_engine_picks (bt_context_t *ctx,
+                           bt_engine_client_t *client,
+                           bt_engine_picks_t *picks,
+                           bt_error_t *error);
+
+bool bt_read_engine_places (bt_context_t *ctx,
+                            bt_engine_client_t *client,
+                            bt_engine_places_t *places,
+                            bt_error_t *error);
+
+/** Gives the engine an order. @p status is that of its answer, 0 without one. */
+bt_order_result_t bt_order_engine (bt_context_t *ctx,
+                                   bt_engine_client_t *client,
+                                   const bt_group_order_t *order,
+                                   const bt_expert_map_t *map,
+                                   int32_t *status);
+
+#endif
--- a/source/agent/main.c
+++ b/source/agent/main.c
@@ -2,11 +2,13 @@
 #include <stddef.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include <curl/curl.h>
 
 #include "agent.h"
 #include "bilberrytray/base.h"
+#include "side.h"
 
 enum
 {
@@ -85,7 +87,7 @@
 static void
 print_help (void)
 {
-  printf ("Usage: bilberry-agent [FLAGS]\n\n"
+  printf ("Usage: bilberry-agent [FLAGS]\n       bilberry-agent side [FLAGS]\n\n"
           "Runs beside one endpoint and passes it the requests that bilberryd sends.\n"
           "SIGTERM lets it take no new work, end what runs, and exit.\n\n");
   bt_print_settings (settings_table, SETTING_COUNT, stdout);
@@ -132,10 +134,9 @@
   return EXIT_SUCCESS;
 }
 
-int
-main (int argc, char **argv)
+static int
+run_main (bt_context_t *ctx, int argc, char **argv)
 {
-  bt_context_t *ctx = bt_new_context ();
   bt_findings_t *findings = bt_new_findings (ctx);
   bt_agent_settings_t settings = { 0 };
   bt_log_level_t level = BT_LOG_INFO;
@@ -164,6 +165,19 @@
   if (result == BT_SETTINGS_HELP || result == BT_SETTINGS_VERSION)
     status = EXIT_SUCCESS;
   bt_drop_findings (ctx, findings);
+  return status;
+}
+
+int
+main (int argc, char **argv)
+{
+  bt_context_t *ctx = bt_new_context ();
+  int status;
+
+  if (argc >= 2 && strcmp (argv[1], "side") == 0)
+    status = bt_run_side_command (ctx, argc - 1, argv + 1);
+  else
+    status = run_main (ctx, argc, argv);
   bt_drop_context (ctx);
   return status;
 }
--- /dev/null
+++ b/source/agent/side.c
@@ -0,0 +1,475 @@
+#include "side.h"
+
+#include <pthread.h>
+#include <string.h>
+
+#include "bilberrytray/base/condition.h"
+#include "bilberrytray/base/event_log.h"
+#include "bilberrytray/base/random.h"
+#include "bilberrytray/wire/link.h"
+#include "engine_client.h"
+
+enum
+{
+  MS_PER_S = 1000,
+  OPENING_MS = 2000,
+  MAX_FRAME_BYTES = 1 << 20,
+  MAX_UNSENT_BYTES = 1 << 20,
+};
+
+/** An order that waits for its turn. */
+typedef struct waiting_order
+{
+  bt_link_t *link;
+  bt_group_order_t order;
+  bt_expert_map_t *map;
+  struct waiting_order *next;
+} waiting_order_t;
+
+/** A link to an entry. */
+typedef struct side_link
+{
+  bt_link_t *link;
+  bool follows;      /* its reports carry picks */
+  bool wants_places; /* its next report carries places */
+  bool told;         /* base holds what was told */
+  int64_t epoch;
+  int64_t *base; /* the counts up to which picks were told */
+  int32_t base_count;
+  struct side_link *next;
+} side_link_t;
+
+struct bt_side
+{
+  bt_link_handler_t handler; /* first */
+  bt_context_t *ctx;
+  const bt_side_settings_t *settings;
+  bt_engine_client_t *engine;
+  bt_link_loop_t *links_loop;
+  int32_t cancelled;
+  bool lost; /* the engine did not answer last */
+  uint64_t fence; /* the highest seen */
+  int64_t next_report_ms;
+  /* Lock order: taken before any call into a link. */
+  pthread_mutex_t lock; /* guards what stands below */
+  pthread_cond_t changed;
+  bool stopping;
+  side_link_t *links;
+  waiting_order_t *first_order;
+  waiting_order_t **last_order;
+};
+
+static side_link_t *
+find_link (bt_side_t *side, const bt_link_t *link)
+{
+  for (side_link_t *row = side->links; row != NULL; row = row->next)
+    if (row->link == link)
+      return row;
+  return NULL;
+}
+
+static void
+take_link_up (bt_link_handler_t *handler, bt_link_t *link)
+{
+  bt_side_t *side = (bt_side_t *)handler;
+  side_link_t *row = bt_calloc (side->ctx, 1, sizeof *row);
+
+  row->link = bt_keep_link (link);
+  pthread_mutex_lock (&side->lock);
+  row->next = side->links;
+  side->links = row;
+  side->next_report_ms = 0;
+  pthread_cond_signal (&side->changed);
+  pthread_mutex_unlock (&side->lock);
+  bt_log_event (side->ctx, BT_LOG_INFO, "link-up", "{s:s}", "peer", bt_get_link_instance (link));
+}
+
+static void
+take_link_down (bt_link_handler_t *handler, bt_link_t *link)
+{
+  bt_side_t *side = (bt_side_t *)handler;
+
+  pthread_mutex_lock (&side->lock);
+  for (side_link_t **at = &side->links; *at != NULL; at = &(*at)->next)
+    if ((*at)->link == link)
+      {
+        side_link_t *row = *at;
+
+        *at = row->next;
+        bt_drop_link (side->ctx, row->link);
+        bt_free (side->ctx, row->base);
+        bt_free (side->ctx, row);
+        break;
+      }
+  pthread_mutex_unlock (&side->lock);
+  bt_log_event (side->ctx, BT_LOG_INFO, "link-down", "{s:s}", "peer", bt_get_link_instance (link));
+}
+
+static void
+take_order (bt_side_t *side, bt_link_t *link, const Bilberry__EngineOrder *message)
+{
+  waiting_order_t *waiting = bt_calloc (side->ctx, 1, sizeof *waiting);
+  bt_error_t error = { 0 };
+  bool good = bt_read_engine_order (message, &waiting->order);
+
+  if (good && waiting->order.kind == BT_GROUP_PREPARE)
+    {
+      waiting->map =
+          bt_decode_expert_map (side->ctx, message->map.data, (uint32_t)message->map.len, &error);
+      good = waiting->map != NULL;
+    }
+  if (!good)
+    {
+      bt_log_event (side->ctx, BT_LOG_WARNING, "order-unreadable", "{s:s, s:s}", "peer",
+                    bt_get_link_instance (link), "message", error.message);
+      bt_free (side->ctx, waiting);
+      return;
+    }
+  waiting->link = bt_keep_link (link);
+  pthread_mutex_lock (&side->lock);
+  *side->last_order = waiting;
+  side->last_order = &waiting->next;
+  pthread_cond_signal (&side->changed);
+  pthread_mutex_unlock (&side->lock);
+}
+
+static void
+take_follow (bt_side_t *side, bt_link_t *link, const Bilberry__EngineFollow *message)
+{
+  side_link_t *row;
+
+  pthread_mutex_lock (&side->lock);
+  row = find_link (side, link);
+  if (row != NULL)
+    {
+      row->follows = message->fence != 0;
+      row->wants_places = row->wants_places || message->places;
+      side->next_report_ms = 0;
+      pthread_cond_signal (&side->changed);
+    }
+  pthread_mutex_unlock (&side->lock);
+}
+
+static void
+take_frame (bt_link_handler_t *handler, bt_link_t *link, const bt_frame_t *frame)
+{
+  bt_side_t *side = (bt_side_t *)handler;
+
+  if (frame->body_case == BILBERRY__FRAME__BODY_ENGINE_ORDER)
+    take_order (side, link, frame->engine_order);
+  else if (frame->body_case == BILBERRY__FRAME__BODY_ENGINE_FOLLOW)
+    take_follow (side, link, frame->engine_follow);
+}
+
+static void
+send_beat (bt_link_handler_t *handler, bt_link_t *link)
+{
+  bt_side_t *side = (bt_side_t *)handler;
+  Bilberry__Heartbeat beat = BILBERRY__HEARTBEAT__INIT;
+  bt_frame_t frame = BILBERRY__FRAME__INIT;
+
+  beat.now_ms = bt_now_ms (side->ctx);
+  frame.body_case = BILBERRY__FRAME__BODY_HEARTBEAT;
+  frame.heartbeat = &beat;
+  bt_send_frame (side->ctx, link, &frame);
+}
+
+static const bt_link_handler_vtable_t handler_vtable = { take_link_up, take_frame, take_link_down,
+                                                         send_beat };
+
+/* Reads how the engine stands, and tells when it stops answering or answers again. */
+static bool
+read_state (bt_side_t *side, bt_engine_report_t *report)
+{
+  bt_error_t error = { 0 };
+  bool there = bt_read_engine_state (side->ctx, side->engine, report, &error);
+
+  if (there == side->lost)
+    bt_log_event (side->ctx, there ? BT_LOG_INFO : BT_LOG_WARNING,
+                  there ? "engine-regained" : "engine-lost", "{s:s}", "message", error.message);
+  side->lost = !there;
+  return there;
+}
+
+static void
+send_result (bt_side_t *side,
+             const waiting_order_t *waiting,
+             bt_order_result_t result,
+             int32_t status,
+             const bt_engine_report_t *report)
+{
+  Bilberry__EngineReport report_message = BILBERRY__ENGINE_REPORT__INIT;
+  Bilberry__EngineResult message = BILBERRY__ENGINE_RESULT__INIT;
+  bt_frame_t frame = BILBERRY__FRAME__INIT;
+
+  bt_write_engine_report (report, &report_message);
+  message.id = waiting->order.id;
+  message.result = (uint32_t)result;
+  message.status = (uint32_t)status;
+  message.report = &report_message;
+  frame.body_case = BILBERRY__FRAME__BODY_ENGINE_RESULT;
+  frame.engine_result = &message;
+  bt_send_frame (side->ctx, waiting->link, &frame);
+}
+
+/* Carries out one order. An older leader's is refused here too: not every engine checks. Without a
+ * report behind the order its effect is not known, and the leader asks again. */
+static void
+carry_out (bt_side_t *side, const waiting_order_t *waiting)
+{
+  const bt_group_order_t *order = &waiting->order;
+  bt_order_result_t result = BT_ORDER_FENCED;
+  bt_engine_report_t report;
+  int32_t status = 0;
+
+  if (order->fence >= side->fence)
+    {
+      side->fence = order->fence;
+      result = bt_order_engine (side->ctx, side->engine, order, waiting->map, &status);
+    }
+  bt_log_event (side->ctx, BT_LOG_INFO, "order", "{s:s, s:I, s:I, s:I, s:I, s:I, s:i, s:i}", "kind",
+                bt_name_group_order (order->kind), "version", (json_int_t)order->version, "step",
+                (json_int_t)order->step, "fence", (json_int_t)order->fence, "epoch",
+                (json_int_t)order->epoch, "sequence", (json_int_t)order->sequence, "status", status,
+                "result", (int)result);
+  if (read_state (side, &report))
+    send_result (side, waiting, result, status, &report);
+}
+
+static void
+drop_order (bt_side_t *side, waiting_order_t *waiting)
+{
+  bt_drop_link (side->ctx, waiting->link);
+  bt_drop_expert_map (side->ctx, waiting->map);
+  bt_free (side->ctx, waiting);
+}
+
+/* Fills in what was picked since the last report on this link. An engine that was started anew
+ * counts from zero again. */
+static void
+add_picks (bt_side_t *side,
+           side_link_t *row,
+           const bt_engine_picks_t *picks,
+           uint32_t *deltas,
+           Bilberry__EngineReport *message)
+{
+  bool anew = !row->told || row->epoch != picks->epoch || row->base_count != picks->count;
+
+  if (anew)
+    {
+      bt_free (side->ctx, row->base);
+      row->base = bt_calloc (side->ctx, (size_t)picks->count, sizeof *row->base);
+      row->base_count = picks->count;
+      memcpy (row->base, picks->counts, (size_t)picks->count * sizeof *row->base);
+    }
+  for (int32_t i = 0; i < picks->count; i++)
+    {
+      int64_t delta = picks->counts[i] - row->base[i];
+
+      deltas[i] = delta > 0 ? (uint32_t)delta : 0;
+      row->base[i] = picks->counts[i];
+    }
+  row->told = true;
+  row->epoch = picks->epoch;
+  message->picks = deltas;
+  message->n_picks = (size_t)picks->count;
+}
+
+/** What one report may carry beside the engine's state. */
+typedef struct extras
+{
+  bt_engine_picks_t picks;
+  bt_engine_places_t places;
+  uint32_t *deltas;
+} extras_t;
+
+static void
+send_report (bt_side_t *side, side_link_t *row, const bt_engine_report_t *report, extras_t *extras)
+{
+  Bilberry__EngineReport message = BILBERRY__ENGINE_REPORT__INIT;
+  bt_frame_t frame = BILBERRY__FRAME__INIT;
+
+  bt_write_engine_report (report, &message);
+  if (row->follows && extras->picks.counts != NULL)
+    add_picks (side, row, &extras->picks, extras->deltas, &message);
+  if (row->wants_places && extras->places.places != NULL)
+    {
+      message.has_places = true;
+      message.places_epoch = extras->places.epoch;
+      message.places_version = extras->places.version;
+      message.places = extras->places.places;
+      message.n_places = (size_t)extras->places.count;
+      row->wants_places = false;
+    }
+  frame.body_case = BILBERRY__FRAME__BODY_ENGINE_REPORT;
+  frame.engine_report = &message;
+  bt_send_frame (side->ctx, row->link, &frame);
+}
+
+static void
+read_extras (bt_side_t *side, bool picks, bool places, extras_t *extras)
+{
+  bt_error_t error = { 0 };
+
+  memset (extras, 0, sizeof *extras);
+  if ((picks && !bt_read_engine_picks (side->ctx, side->engine, &extras->picks, &error))
+      || (places && !bt_read_engine_places (side->ctx, side->engine, &extras->places, &error)))
+    bt_log_event (side->ctx, BT_LOG_WARNING, "engine-unreadable", "{s:s}", "message",
+                  error.message);
+  extras->deltas = bt_calloc (side->ctx, (size_t)extras->picks.count, sizeof *extras->deltas);
+}
+
+static void
+drop_extras (bt_side_t *side, extras_t *extras)
+{
+  bt_free (side->ctx, extras->picks.counts);
+  bt_free (side->ctx, extras->places.places);
+  bt_free (side->ctx, extras->deltas);
+}
+
+/* Reads the engine once and tells every entry. */
+static void
+report_to_all (bt_side_t *side)
+{
+  bt_engine_report_t report;
+  extras_t extras;
+  bool picks = false;
+  bool places = false;
+
+  pthread_mutex_lock (&side->lock);
+  for (const side_link_t *row = side->links; row != NULL; row = row->next)
+    {
+      picks = picks || row->follows;
+      places = places || row->wants_places;
+    }
+  pthread_mutex_unlock (&side->lock);
+  if (!read_state (side, &report))
+    return;
+  read_extras (side, picks, places, &extras);
+  pthread_mutex_lock (&side->lock);
+  for (side_link_t *row = side->links; row != NULL; row = row->next)
+    send_report (side, row, &report, &extras);
+  pthread_mutex_unlock (&side->lock);
+  drop_extras (side, &extras);
+}
+
+static void
+wait_for_work (bt_side_t *side)
+{
+  int64_t wait_ms = side->next_report_ms - bt_now_ms (side->ctx);
+
+  if (side->links == NULL)
+    wait_ms = MS_PER_S;
+  if (wait_ms > 0)
+    bt_wait_condition (&side->changed, &side->lock, wait_ms);
+}
+
+static waiting_order_t *
+take_next_order (bt_side_t *side)
+{
+  waiting_order_t *waiting = side->first_order;
+
+  if (waiting == NULL)
+    return NULL;
+  side->first_order = waiting->next;
+  if (side->first_order == NULL)
+    side->last_order = &side->first_order;
+  return waiting;
+}
+
+void
+bt_run_side (bt_side_t *side)
+{
+  while (true)
+    {
+      waiting_order_t *waiting;
+      bool linked;
+      bool stopping;
+
+      pthread_mutex_lock (&side->lock);
+      if (side->first_order == NULL && !side->stopping)
+        wait_for_work (side);
+      waiting = take_next_order (side);
+      linked = side->links != NULL;
+      stopping = side->stopping;
+      pthread_mutex_unlock (&side->lock);
+      if (stopping)
+        {
+          if (waiting != NULL)
+            drop_order (side, waiting);
+          return;
+        }
+      if (waiting != NULL)
+        {
+          carry_out (side, waiting);
+          drop_order (side, waiting);
+        }
+      else if (linked && bt_now_ms (side->ctx) >= side->next_report_ms)
+        {
+          side->next_report_ms = bt_now_ms (side->ctx) + side->settings->report_ms;
+          report_to_all (side);
+        }
+    }
+}
+
+bt_side_t *
+bt_new_side (bt_context_t *ctx,
+             const bt_engine_platform_t *platform,
+             const bt_side_settings_t *settings,
+             bt_error_t *error)
+{
+  bt_side_t *side = bt_calloc (ctx, 1, sizeof *side);
+  bt_link_options_t options = {
+    .role = "agent",
+    .instance = settings->listen,
+    .failure_domain = settings->failure_domain,
+    .address = settings->listen,
+    .secret = settings->secret,
+    .beat_ms = settings->beat_ms,
+    .idle_ms = settings->link_idle_ms,
+    .opening_ms = OPENING_MS,
+    .max_frame_bytes = MAX_FRAME_BYTES,
+    .max_unsent_bytes = MAX_UNSENT_BYTES,
+    .max_links = (int32_t)settings->max_links,
+    .handler = &side->handler,
+  };
+
+  side->ctx = ctx;
+  side->settings = settings;
+  side->handler.vtable = &handler_vtable;
+  side->last_order = &side->first_order;
+  pthread_mutex_init (&side->lock, NULL);
+  bt_init_condition (&side->changed);
+  bt_fill_secure_random (&options.incarnation, sizeof options.incarnation);
+  side->engine =
+      bt_new_engine_client (ctx, platform, settings->engine, settings->call_ms, &side->cancelled);
+  side->links_loop = bt_new_link_loop (ctx, &options, error);
+  if (side->links_loop != NULL
+      && bt_listen_links (ctx, side->links_loop, settings->listen, error) >= 0)
+    return side;
+  bt_drop_side (ctx, side);
+  return NULL;
+}
+
+void
+bt_stop_side (bt_side_t *side)
+{
+  pthread_mutex_lock (&side->lock);
+  side->stopping = true;
+  pthread_cond_signal (&side->changed);
+  pthread_mutex_unlock (&side->lock);
+}
+
+void
+bt_drop_side (bt_context_t *ctx, bt_side_t *side)
+{
+  if (side == NULL)
+    return;
+  bt_drop_link_loop (ctx, side->links_loop);
+  for (waiting_order_t *waiting; (waiting = take_next_order (side)) != NULL;)
+    drop_order (side, waiting);
+  bt_drop_engine_client (ctx, side->engine);
+  pthread_cond_destroy (&side->changed);
+  pthread_mutex_destroy (&side->lock);
+  bt_free (ctx, side);
+}
--- a/source/entry/map_control.c
+++ b/source/entry/map_control.c
@@ -12,7 +12,7 @@
 #include "bilberrytray/base/random.h"
 #include "bilberrytray/maps/expert_map.h"
 #include "bilberrytray/maps/map_controller.h"
-#include "map_lease.h"
+#include "bilberrytray/store/fenced_lease.h"
 #include "map_messages.h"
 
 enum
@@ -34,7 +34,7 @@
   bt_context_t *ctx;
   bt_map_control_settings_t settings;
   bt_kv_t *kv;
-  bt_map_lease_t *lease;
+  bt_fenced_lease_t *lease;
   bt_map_planning_t *planning; /* NULL: none */
   pthread_t threads[2];
   int32_t thread_count;
@@ -242,23 +242,23 @@
   int64_t sent_ms = bt_now_ms (control->ctx);
   int64_t lease_ms = control->settings.lease_s * MS_PER_S;
   uint64_t fence = 0;
-  bt_map_lease_result_t result = bt_hold_map_lease (control->ctx, control->lease, &fence);
+  bt_lease_result_t result = bt_hold_fenced_lease (control->ctx, control->lease, &fence);
   bool held;
 
   pthread_mutex_lock (&control->lock);
-  if (result == BT_MAP_LEASE_GRANTED)
+  if (result == BT_LEASE_GRANTED)
     bt_grant_map_lease (control->controller, fence, sent_ms, lease_ms);
-  else if (result == BT_MAP_LEASE_RENEWED)
+  else if (result == BT_LEASE_RENEWED)
     bt_renew_map_lease (control->controller, sent_ms, lease_ms, bt_now_ms (control->ctx));
   held = bt_holds_map_lease (control->controller, bt_now_ms (control->ctx));
   pthread_mutex_unlock (&control->lock);
-  if (result == BT_MAP_LEASE_GRANTED)
+  if (result == BT_LEASE_GRANTED)
     bt_log (control->ctx, BT_LOG_INFO, BT_PART_MAPS, "Controls group %s with fencing number %llu.",
             control->settings.group, (unsigned long long)fence);
   /* The service may still have the lease of a controller that stopped early; it is not renewed, so
    * that it lapses and a new number is drawn. */
   if (!held)
-    bt_forget_map_lease (control->lease);
+    bt_forget_fenced_lease (control->lease);
 }
 
 /* The digests that the ranks stand at, so that a new controller has the bytes to go on with. */
@@ -372,7 +372,7 @@
   kv.total_ms = settings->lease_s * MS_PER_S / MARGIN_PART;
   pthread_mutex_init (&control->lock, NULL);
   control->kv = bt_new_etcd_kv (ctx, &kv);
-  control->lease = bt_new_map_lease (ctx, control->kv, settings->store_prefix, settings->group,
+  control->lease = bt_new_fenced_lease (ctx, control->kv, settings->store_prefix, settings->group,
                                      settings->instance, settings->lease_s);
   if (settings->planning != NULL)
     control->planning = bt_new_map_planning (ctx, settings->planning);
@@ -400,7 +400,7 @@
     bt_drop_link (ctx, control->links[rank]);
   bt_drop_map_controller (ctx, control->controller);
   bt_clear_map_actions (ctx, &control->actions);
-  bt_drop_map_lease (ctx, control->lease);
+  bt_drop_fenced_lease (ctx, control->lease);
   bt_drop_map_planning (ctx, control->planning);
   bt_drop_kv (ctx, control->kv);
   pthread_mutex_destroy (&control->lock);
--- /dev/null
+++ b/source/gateway/agent_links.c
@@ -0,0 +1,476 @@
+#include "agent_links.h"
+
+#include <ck_pr.h>
+#include <pthread.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "bilberrytray/base/event_log.h"
+#include "bilberrytray/wire/link.h"
+
+enum
+{
+  BEAT_MS = 500,
+  IDLE_MS = 1600,
+  OPENING_MS = 1000,
+  REDIAL_MS = 400,
+  MAX_FRAME_BYTES = 1 << 20,
+  MAX_UNSENT_BYTES = 1 << 20,
+  MAX_LINKS = 1024,
+};
+
+/** One agent. */
+typedef struct agent_row
+{
+  char endpoint[BT_ADDRESS_BYTES];
+  char agent[BT_ADDRESS_BYTES];
+  bool wanted; /* still listed */
+  bt_link_t *link;
+  bool up;
+  bool fresh; /* there is news */
+  bt_engine_report_t report;
+  int64_t heard_ms;
+  uint32_t *picks; /* summed up until they are handed over */
+  int32_t pick_count;
+  uint32_t *places;
+  int32_t place_count;
+  int64_t places_epoch;
+  int64_t places_version;
+  bool answered;
+  uint64_t answered_id;
+  bt_order_result_t result;
+  struct agent_row *next;
+} agent_row_t;
+
+struct bt_agent_links
+{
+  bt_link_handler_t handler; /* first */
+  bt_context_t *ctx;
+  bt_event_loop_t *loop;
+  int32_t port;
+  bt_link_loop_t *link_loop;
+  bt_timer_t redial_timer;
+  uint64_t fence;
+  /* Lock order: taken before any call into a link. */
+  pthread_mutex_t lock; /* guards the rows */
+  agent_row_t *rows;
+};
+
+/** Wakes the loop: news is looked for in every turn. */
+typedef struct wake_task
+{
+  bt_task_t task;
+  bt_context_t *ctx;
+} wake_task_t;
+
+static void
+run_wake (bt_task_t *task)
+{
+  bt_free (((wake_task_t *)task)->ctx, task);
+}
+
+static void
+wake_loop (bt_agent_links_t *links)
+{
+  wake_task_t *wake = bt_calloc (links->ctx, 1, sizeof *wake);
+
+  wake->task.run = run_wake;
+  wake->ctx = links->ctx;
+  /* With so many tasks waiting the loop turns anyway. */
+  if (!bt_post_task (links->loop, &wake->task))
+    bt_free (links->ctx, wake);
+}
+
+static agent_row_t *
+find_row_of_link (bt_agent_links_t *links, const bt_link_t *link)
+{
+  for (agent_row_t *row = links->rows; row != NULL; row = row->next)
+    if (row->link == link)
+      return row;
+  return NULL;
+}
+
+static agent_row_t *
+find_row (bt_agent_links_t *links, const char *endpoint)
+{
+  for (agent_row_t *row = links->rows; row != NULL; row = row->next)
+    if (strcmp (row->endpoint, endpoint) == 0)
+      return row;
+  return NULL;
+}
+
+static void
+send_follow (bt_agent_links_t *links, agent_row_t *row, bool places)
+{
+  Bilberry__EngineFollow follow = BILBERRY__ENGINE_FOLLOW__INIT;
+  bt_frame_t frame = BILBERRY__FRAME__INIT;
+
+  if (!row->up)
+    return;
+  follow.fence = links->fence;
+  follow.places = places;
+  frame.body_case = BILBERRY__FRAME__BODY_ENGINE_FOLLOW;
+  frame.engine_follow = &follow;
+  bt_send_frame (links->ctx, row->link, &frame);
+}
+
+static void
+take_link_up (bt_link_handler_t *handler, bt_link_t *link)
+{
+  bt_agent_links_t *links = (bt_agent_links_t *)handler;
+  agent_row_t *row;
+
+  pthread_mutex_lock (&links->lock);
+  row = find_row_of_link (links, link);
+  if (row != NULL)
+    {
+      row->up = true;
+      if (links->fence != 0)
+        send_follow (links, row, true);
+    }
+  pthread_mutex_unlock (&links->lock);
+  bt_log_event (links->ctx, BT_LOG_INFO, "agent-linked", "{s:s}", "agent",
+                bt_get_link_instance (link));
+}
+
+static void
+take_link_down (bt_link_handler_t *handler, bt_link_t *link)
+{
+  bt_agent_links_t *links = (bt_agent_links_t *)handler;
+  agent_row_t *row;
+
+  pthread_mutex_lock (&links->lock);
+  row = find_row_of_link (links, link);
+  if (row != NULL)
+    row->up = false;
+  pthread_mutex_unlock (&links->lock);
+  bt_log_event (links->ctx, BT_LOG_INFO, "agent-lost", "{s:s}", "agent",
+                bt_get_link_instance (link));
+}
+
+/* Sums picks up: several reports may come between two looks of the loop. */
+static void
+note_picks (bt_agent_links_t *links, agent_row_t *row, const Bilberry__EngineReport *message)
+{
+  if (message->n_picks == 0)
+    return;
+  if (row->pick_count != (int32_t)message->n_picks)
+    {
+      bt_free (links->ctx, row->picks);
+      row->picks = bt_calloc (links->ctx, message->n_picks, sizeof *row->picks);
+      row->pick_count = (int32_t)message->n_picks;
+    }
+  for (size_t i = 0; i < message->n_picks; i++)
+    row->picks[i] += message->picks[i];
+}
+
+static void
+note_places (bt_agent_links_t *links, agent_row_t *row, const Bilberry__EngineReport *message)
+{
+  if (!message->has_places)
+    return;
+  bt_free (links->ctx, row->places);
+  row->places =
+      bt_memdup (links->ctx, message->places, message->n_places * sizeof *message->places);
+  row->place_count = (int32_t)message->n_places;
+  row->places_epoch = message->places_epoch;
+  row->places_version = message->places_version;
+}
+
+static void
+note_report (bt_agent_links_t *links, agent_row_t *row, const Bilberry__EngineReport *message)
+{
+  bt_read_engine_report (message, &row->report);
+  row->heard_ms = bt_now_ms (links->ctx);
+  row->fresh = true;
+  note_picks (links, row, message);
+  note_places (links, row, message);
+}
+
+static void
+take_frame (bt_link_handler_t *handler, bt_link_t *link, const bt_frame_t *frame)
+{
+  bt_agent_links_t *links = (bt_agent_links_t *)handler;
+  bool result = frame->body_case == BILBERRY__FRAME__BODY_ENGINE_RESULT;
+  agent_row_t *row;
+  bool leading;
+
+  pthread_mutex_lock (&links->lock);
+  row = find_row_of_link (links, link);
+  if (row != NULL && frame->body_case == BILBERRY__FRAME__BODY_ENGINE_REPORT)
+    note_report (links, row, frame->engine_report);
+  if (row != NULL && result && frame->engine_result->report != NULL)
+    {
+      note_report (links, row, frame->engine_result->report);
+      row->answered = true;
+      row->answered_id = frame->engine_result->id;
+      row->result = (bt_order_result_t)frame->engine_result->result;
+    }
+  leading = links->fence != 0;
+  pthread_mutex_unlock (&links->lock);
+  if (leading)
+    wake_loop (links);
+}
+
+static void
+send_beat (bt_link_handler_t *handler, bt_link_t *link)
+{
+  bt_agent_links_t *links = (bt_agent_links_t *)handler;
+  Bilberry__Heartbeat beat = BILBERRY__HEARTBEAT__INIT;
+  bt_frame_t frame = BILBERRY__FRAME__INIT;
+
+  beat.now_ms = bt_now_ms (links->ctx);
+  frame.body_case = BILBERRY__FRAME__BODY_HEARTBEAT;
+  frame.heartbeat = &beat;
+  bt_send_frame (links->ctx, link, &frame);
+}
+
+static const bt_link_handler_vtable_t handler_vtable = { take_link_up, take_frame, take_link_down,
+                                                         send_beat };
+
+/* Dials agents that are not linked. */
+static void
+dial_missing (bt_agent_links_t *links)
+{
+  for (agent_row_t *row = links->rows; row != NULL; row = row->next)
+    {
+      bt_error_t error = { 0 };
+
+      if (row->link != NULL && !bt_is_link_closed (row->link))
+        continue;
+      bt_drop_link (links->ctx, row->link);
+      row->up = false;
+      row->link = bt_dial_link (links->ctx, links->link_loop, row->agent, row->agent, &error);
+    }
+}
+
+static void
+redial (bt_timer_t *timer)
+{
+  bt_agent_links_t *links =
+      (bt_agent_links_t *)((char *)timer - offsetof (bt_agent_links_t, redial_timer));
+
+  pthread_mutex_lock (&links->lock);
+  dial_missing (links);
+  pthread_mutex_unlock (&links->lock);
+  bt_set_timer (links->loop, timer, bt_get_loop_ms (links->loop) + REDIAL_MS);
+}
+
+bt_agent_links_t *
+bt_new_agent_links (bt_context_t *ctx,
+                    bt_event_loop_t *loop,
+                    const bt_agent_links_options_t *options,
+                    bt_error_t *error)
+{
+  bt_agent_links_t *links = bt_calloc (ctx, 1, sizeof *links);
+  bt_link_options_t link_options = {
+    .role = "entry",
+    .instance = options->instance,
+    .incarnation = options->incarnation,
+    .failure_domain = options->failure_domain,
+    .address = "",
+    .secret = options->secret,
+    .beat_ms = BEAT_MS,
+    .idle_ms = IDLE_MS,
+    .opening_ms = OPENING_MS,
+    .max_frame_bytes = MAX_FRAME_BYTES,
+    .max_unsent_bytes = MAX_UNSENT_BYTES,
+    .max_links = MAX_LINKS,
+    .handler = &links->handler,
+  };
+
+  links->ctx = ctx;
+  links->loop = loop;
+  links->port = options->port;
+  links->handler.vtable = &handler_vtable;
+  links->redial_timer.on_time = redial;
+  pthread_mutex_init (&links->lock, NULL);
+  links->link_loop = bt_new_link_loop (ctx, &link_options, error);
+  if (links->link_loop == NULL)
+    {
+      bt_drop_agent_links (ctx, links);
+      return NULL;
+    }
+  bt_set_timer (loop, &links->redial_timer, bt_get_loop_ms (loop));
+  return links;
+}
+
+static void
+drop_row (bt_agent_links_t *links, agent_row_t *row)
+{
+  if (row->link != NULL)
+    bt_close_link (row->link);
+  bt_drop_link (links->ctx, row->link);
+  bt_free (links->ctx, row->picks);
+  bt_free (links->ctx, row->places);
+  bt_free (links->ctx, row);
+}
+
+void
+bt_drop_agent_links (bt_context_t *ctx, bt_agent_links_t *links)
+{
+  if (links == NULL)
+    return;
+  bt_clear_timer (links->loop, &links->redial_timer);
+  bt_drop_link_loop (ctx, links->link_loop);
+  while (links->rows != NULL)
+    {
+      agent_row_t *row = links->rows;
+
+      links->rows = row->next;
+      drop_row (links, row);
+    }
+  pthread_mutex_destroy (&links->lock);
+  bt_free (ctx, links);
+}
+
+static bool
+is_model (const bt_declarations_t *declarations, const char *app)
+{
+  int32_t index = bt_find_app (declarations, app);
+
+  return index >= 0 && declarations->apps[index].kind == BT_APP_MODEL;
+}
+
+static void
+want_row (bt_agent_links_t *links, const char *endpoint)
+{
+  agent_row_t *row = find_row (links, endpoint);
+  size_t host_bytes = strcspn (endpoint, ":");
+
+  if (row == NULL)
+    {
+      row = bt_calloc (links->ctx, 1, sizeof *row);
+      snprintf (row->endpoint, sizeof row->endpoint, "%s", endpoint);
+      snprintf (row->agent, sizeof row->agent, "%.*s:%d", (int)host_bytes, endpoint, links->port);
+      row->next = links->rows;
+      links->rows = row;
+    }
+  row->wanted = true;
+}
+
+void
+bt_set_agent_endpoints (bt_agent_links_t *links,
+                        const bt_view_t *view,
+                        const bt_declarations_t *declarations)
+{
+  agent_row_t **at = &links->rows;
+
+  pthread_mutex_lock (&links->lock);
+  for (agent_row_t *row = links->rows; row != NULL; row = row->next)
+    row->wanted = false;
+  for (int32_t i = 0; i < view->endpoint_count; i++)
+    if (is_model (declarations, view->endpoints[i].app))
+      want_row (links, view->endpoints[i].address);
+  at = &links->rows;
+  while (*at != NULL)
+    {
+      agent_row_t *row = *at;
+
+      if (row->wanted)
+        {
+          at = &row->next;
+          continue;
+        }
+      *at = row->next;
+      drop_row (links, row);
+    }
+  dial_missing (links);
+  pthread_mutex_unlock (&links->lock);
+}
+
+/* Copies the news of a row and forgets it there. */
+static bool
+take_row_news (agent_row_t *row, bt_agent_news_t *news)
+{
+  if (!row->fresh)
+    return false;
+  memset (news, 0, sizeof *news);
+  news->endpoint = row->endpoint;
+  news->report = row->report;
+  news->heard_ms = row->heard_ms;
+  news->picks = row->picks;
+  news->pick_count = row->pick_count;
+  news->places = row->places;
+  news->place_count = row->place_count;
+  news->places_epoch = row->places_epoch;
+  news->places_version = row->places_version;
+  news->answered = row->answered;
+  news->answered_id = row->answered_id;
+  news->result = row->result;
+  row->fresh = false;
+  row->answered = false;
+  row->picks = NULL;
+  row->pick_count = 0;
+  row->places = NULL;
+  return true;
+}
+
+void
+bt_collect_agent_news (bt_agent_links_t *links, bt_take_agent_news_t take, void *data)
+{
+  agent_row_t *row;
+
+  /* Rows are made and dropped by this thread only; the lock guards what stands in them. */
+  for (row = links->rows; row != NULL; row = row->next)
+    {
+      bt_agent_news_t news;
+      bool fresh;
+
+      pthread_mutex_lock (&links->lock);
+      fresh = take_row_news (row, &news);
+      pthread_mutex_unlock (&links->lock);
+      if (!fresh)
+        continue;
+      take (data, &news);
+      bt_free (links->ctx, (void *)news.picks);
+      bt_free (links->ctx, (void *)news.places);
+    }
+}
+
+void
+bt_follow_agents (bt_agent_links_t *links, uint64_t fence)
+{
+  pthread_mutex_lock (&links->lock);
+  links->fence = fence;
+  for (agent_row_t *row = links->rows; row != NULL; row = row->next)
+    send_follow (links, row, fence != 0);
+  pthread_mutex_unlock (&links->lock);
+}
+
+void
+bt_ask_agent_places (bt_agent_links_t *links, const char *endpoint)
+{
+  agent_row_t *row;
+
+  pthread_mutex_lock (&links->lock);
+  row = find_row (links, endpoint);
+  if (row != NULL)
+    send_follow (links, row, true);
+  pthread_mutex_unlock (&links->lock);
+}
+
+bool
+bt_send_agent_order (bt_agent_links_t *links,
+                     const char *endpoint,
+                     const bt_group_order_t *order,
+                     const bt_map_bytes_t *map)
+{
+  Bilberry__EngineOrder message = BILBERRY__ENGINE_ORDER__INIT;
+  bt_frame_t frame = BILBERRY__FRAME__INIT;
+  agent_row_t *row;
+  bool sent = false;
+
+  bt_write_engine_order (order, &message);
+  if (map != NULL)
+    message.map = (ProtobufCBinaryData){ map->bytes, map->data };
+  frame.body_case = BILBERRY__FRAME__BODY_ENGINE_ORDER;
+  frame.engine_order = &message;
+  pthread_mutex_lock (&links->lock);
+  row = find_row (links, endpoint);
+  if (row != NULL && row->up)
+    sent = bt_send_frame (links->ctx, row->link, &frame);
+  pthread_mutex_unlock (&links->lock);
+  return sent;
+}
--- a/source/gateway/endpoint_table.c
+++ b/source/gateway/endpoint_table.c
@@ -72,6 +72,15 @@
   return row == NULL ? NULL : &row->listed;
 }
 
+const bt_listed_endpoint_t *
+bt_find_endpoint_at (const bt_endpoint_table_t *table, const char *address)
+{
+  for (int32_t i = table->count - 1; i >= 0; i--)
+    if (!table->rows[i].gone && strcmp (table->rows[i].listed.address, address) == 0)
+      return &table->rows[i].listed;
+  return NULL;
+}
+
 static bool
 is_listed (const bt_view_t *view, const char *id)
 {
--- a/source/gateway/endpoint_table.h
+++ b/source/gateway/endpoint_table.h
@@ -30,6 +30,10 @@
 const bt_listed_endpoint_t *bt_find_listed_endpoint (const bt_endpoint_table_t *table,
                                                      const char *id);
 
+/** The endpoint at an address, that of the newest entry; NULL when there is none. */
+const bt_listed_endpoint_t *bt_find_endpoint_at (const bt_endpoint_table_t *table,
+                                                 const char *address);
+
 /** Takes an endpoint out that is known to be gone, until the store lists it anew. */
 void bt_remove_listed_endpoint (bt_context_t *ctx, bt_endpoint_table_t *table, const char *id);
 
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -105,6 +105,11 @@
     apply_limits (gateway, &view->declarations->limits);
   bt_set_router_entries (gateway->router, view->entry_count);
   apply_endpoints (gateway);
+  if (gateway->agents != NULL && view->declarations != NULL)
+    {
+      bt_set_agent_endpoints (gateway->agents, view, view->declarations);
+      bt_set_group_view (gateway->groups, view, gateway->leaving);
+    }
   if (is_ready (gateway) && !was_ready)
     {
       bt_log_event (gateway->ctx, BT_LOG_INFO, "ready", "{}");
@@ -124,6 +129,69 @@
     bt_note_store_regained (gateway->endpoints, bt_get_loop_ms (gateway->loop));
 }
 
+/* What an engine says goes to the router, and to the control of its group. */
+static void
+take_agent_news (void *data, const bt_agent_news_t *news)
+{
+  bt_gateway_t *gateway = data;
+  const bt_listed_endpoint_t *listed =
+      bt_find_endpoint_at (gateway->endpoints, news->endpoint);
+  bt_load_t load = { .running = news->report.running, .queued = news->report.queued };
+  bt_identity_t identity;
+  int32_t app;
+
+  if (listed == NULL || gateway->view == NULL || gateway->view->declarations == NULL)
+    return;
+  load.slots = listed->slots;
+  load.age_ms = bt_get_loop_ms (gateway->loop) - news->heard_ms;
+  bt_identify_endpoint (listed->id, &identity);
+  bt_record_load (gateway->router, &identity, &load, bt_get_loop_ms (gateway->loop));
+  app = bt_find_app (gateway->view->declarations, listed->app);
+  if (app >= 0)
+    bt_take_group_news (gateway->groups, &gateway->view->declarations->apps[app].engine, news);
+}
+
+static void
+run_agents (bt_turn_t *turn)
+{
+  bt_gateway_t *gateway = (bt_gateway_t *)((char *)turn - offsetof (bt_gateway_t, agent_turn));
+
+  bt_collect_agent_news (gateway->agents, take_agent_news, gateway);
+  bt_run_group_control (gateway->groups);
+}
+
+static bool
+link_agents (bt_gateway_t *gateway, bt_error_t *error)
+{
+  const bt_gateway_settings_t *settings = gateway->settings;
+  bt_agent_links_options_t links = {
+    .instance = settings->instance,
+    .incarnation = gateway->identity.incarnation,
+    .failure_domain = settings->failure_domain,
+    .secret = settings->secret,
+    .port = (int32_t)settings->agent_port,
+  };
+  bt_group_control_options_t control = {
+    .platform = gateway->platform,
+    .store = settings->store,
+    .instance = settings->instance,
+    .lease_s = settings->lease_s,
+    .renew_ms = settings->renew_ms,
+    .plan_ms = settings->plan_ms,
+  };
+
+  if (settings->agent_port == 0)
+    return true;
+  gateway->agents = bt_new_agent_links (gateway->ctx, gateway->loop, &links, error);
+  if (gateway->agents == NULL)
+    return false;
+  gateway->groups =
+      bt_new_group_control (gateway->ctx, gateway->loop, gateway->agents, &control);
+  gateway->agent_turn.on_turn = run_agents;
+  bt_add_turn (gateway->loop, &gateway->agent_turn);
+  return true;
+}
+
 static void
 take_call (bt_front_handler_t *handler, bt_front_call_t *call)
 {
@@ -264,7 +332,7 @@
   bt_fill_secure_random (&gateway->identity.incarnation, sizeof gateway->identity.incarnation);
   gateway->relist_timer.on_time = apply_endpoints_again;
   gateway->loop = bt_new_event_loop (ctx, error);
-  if (gateway->loop == NULL || !open_fronts (gateway, error))
+  if (gateway->loop == NULL || !open_fronts (gateway, error) || !link_agents (gateway, error))
     {
       bt_drop_gateway (ctx, gateway);
       return NULL;
@@ -303,6 +371,8 @@
   bt_log_event (gateway->ctx, BT_LOG_INFO, "leaving", "{s:i}", "requests", gateway->forwards);
   bt_set_front_leaving (gateway->callers, true);
   bt_set_follower_listed (gateway->follower, false);
+  if (gateway->groups != NULL && gateway->view != NULL)
+    bt_set_group_view (gateway->groups, gateway->view, true);
   gateway->drain_timer.on_time = check_drained;
   check_drained (&gateway->drain_timer);
 }
@@ -327,6 +397,8 @@
   if (gateway == NULL)
     return;
   bt_drop_store_follower (ctx, gateway->follower);
+  bt_drop_group_control (ctx, gateway->groups);
+  bt_drop_agent_links (ctx, gateway->agents);
   if (gateway->callers != NULL)
     bt_cut_forwards (gateway);
   bt_drop_front (ctx, gateway->callers);
--- a/source/gateway/gateway_private.h
+++ b/source/gateway/gateway_private.h
@@ -11,6 +11,7 @@
 #include "bilberrytray/load/retry_budget.h"
 #include "endpoint_table.h"
 #include "exchange.h"
+#include "group_control.h"
 #include "http_front.h"
 #include "store_follower.h"
 
@@ -48,6 +49,9 @@
   bt_router_t *router;
   bt_admission_t *admission;
   bt_endpoint_table_t *endpoints;
+  bt_agent_links_t *agents;
+  bt_group_control_t *groups;
+  bt_turn_t agent_turn;
   bt_app_budget_t *budgets;
   int32_t budget_count;
 
--- /dev/null
+++ b/source/gateway/group_control.h
@@ -0,0 +1,43 @@
+#ifndef BILBERRYTRAY_SOURCE_GATEWAY_GROUP_CONTROL_H
+#define BILBERRYTRAY_SOURCE_GATEWAY_GROUP_CONTROL_H
+
+/** @file
+ * Keeps the expert maps of rank groups in step with what requests ask for, on the one entry instance
+ * that holds the lease.
+ */
+
+#include "agent_links.h"
+#include "lease_keeper.h"
+
+typedef struct bt_group_control bt_group_control_t;
+
+typedef struct bt_group_control_options
+{
+  const bt_platform_t *platform;
+  const char *store;
+  const char *instance;
+  int64_t lease_s;  /**< Life of the lease. */
+  int64_t renew_ms; /**< Between two renewals. */
+  int64_t plan_ms;  /**< Between two plans for one group. */
+} bt_group_control_options_t;
+
+bt_group_control_t *bt_new_group_control (bt_context_t *ctx,
+                                          bt_event_loop_t *loop,
+                                          bt_agent_links_t *links,
+                                          const bt_group_control_options_t *options);
+
+/** NULL is accepted. */
+void bt_drop_group_control (bt_context_t *ctx, bt_group_control_t *control);
+
+/** Takes in a view: whether another instance leads, and how long this one waits for its turn. */
+void bt_set_group_view (bt_group_control_t *control, const bt_view_t *view, bool leaving);
+
+/** Takes in what an agent says of its engine, which serves an app with these sizes. */
+void bt_take_group_news (bt_group_control_t *control,
+                         const bt_engine_t *engine,
+                         const bt_agent_news_t *news);
+
+/** Plans, and sends what orders are due. Called in each turn of the loop. */
+void bt_run_group_control (bt_group_control_t *control);
+
+#endif
--- /dev/null
+++ b/source/gateway/group_maps.c
@@ -0,0 +1,234 @@
+#include "group_maps.h"
+
+#include <string.h>
+
+#include "bilberrytray/maps/group_rounds.h"
+
+enum
+{
+  SET_SHIFT = 16,
+  EXPERT_MASK = 0xffff,
+  BYTES_PER_MB = 1000000,
+  DEFAULT_HALF_LIFE_MS = 1000,
+  DEFAULT_HORIZON_MS = 3000,
+};
+
+/* Copying slows passes by 15 in 100 while it lasts. An expert of 880 MB takes 39 ms at 180 Gbit/s,
+ * which is 5.9 ms of step time, 6.7 us a megabyte; the ranks copy at the same time. */
+static const double copy_slowdown = 0.15;
+static const double us_per_s = 1e6;
+static const double bits_per_byte = 8;
+
+struct bt_group_maps
+{
+  bt_group_maps_settings_t settings;
+  bt_engine_t engine;
+  bt_map_shape_t shape;
+  bt_expert_load_t *load;
+  double picks; /* taken in since the last plan */
+  bt_expert_map_t *current; /* NULL while it is not known */
+  int64_t epoch;
+  int64_t version;
+  bt_expert_map_t *found; /* being put together */
+  int64_t found_epoch;
+  int64_t found_version;
+  bool found_ranks[BT_MAX_GROUP_RANKS];
+  bt_expert_map_t *next;
+};
+
+bt_group_maps_settings_t
+bt_get_default_group_maps_settings (void)
+{
+  bt_group_maps_settings_t settings = {
+    .load_half_life_ms = DEFAULT_HALF_LIFE_MS,
+    .horizon_ms = DEFAULT_HORIZON_MS,
+    .pay_ratio = 1.2,
+    .least_gain = 0.04,
+  };
+
+  return settings;
+}
+
+bt_group_maps_t *
+bt_new_group_maps (bt_context_t *ctx,
+                   const bt_engine_t *engine,
+                   int32_t ranks,
+                   const bt_group_maps_settings_t *settings)
+{
+  bt_map_shape_t shape = { engine->expert_sets, engine->experts, ranks };
+  bt_error_t error = { 0 };
+  bt_expert_map_t *found = bt_new_expert_map (ctx, shape, &error);
+  bt_group_maps_t *maps;
+
+  if (found == NULL || ranks > BT_MAX_GROUP_RANKS)
+    {
+      bt_drop_expert_map (ctx, found);
+      return NULL;
+    }
+  maps = bt_calloc (ctx, 1, sizeof *maps);
+  maps->settings = *settings;
+  maps->engine = *engine;
+  maps->shape = shape;
+  maps->found = found;
+  maps->load =
+      bt_new_expert_load (ctx, shape.layers, shape.experts, settings->load_half_life_ms);
+  return maps;
+}
+
+void
+bt_drop_group_maps (bt_context_t *ctx, bt_group_maps_t *maps)
+{
+  if (maps == NULL)
+    return;
+  bt_drop_expert_load (ctx, maps->load);
+  bt_drop_expert_map (ctx, maps->current);
+  bt_drop_expert_map (ctx, maps->found);
+  bt_drop_expert_map (ctx, maps->next);
+  bt_free (ctx, maps);
+}
+
+static void
+start_finding (bt_context_t *ctx, bt_group_maps_t *maps, int64_t epoch, int64_t version)
+{
+  bt_error_t error = { 0 };
+
+  bt_drop_expert_map (ctx, maps->found);
+  maps->found = bt_new_expert_map (ctx, maps->shape, &error);
+  maps->found_epoch = epoch;
+  maps->found_version = version;
+  memset (maps->found_ranks, 0, sizeof maps->found_ranks);
+}
+
+void
+bt_forget_group_map (bt_context_t *ctx, bt_group_maps_t *maps)
+{
+  bt_drop_expert_map (ctx, maps->current);
+  bt_drop_expert_map (ctx, maps->next);
+  maps->current = NULL;
+  maps->next = NULL;
+}
+
+void
+bt_take_rank_places (bt_context_t *ctx,
+                     bt_group_maps_t *maps,
+                     int32_t rank,
+                     int64_t epoch,
+                     int64_t version,
+                     const uint32_t *places,
+                     int32_t count)
+{
+  if (rank < 0 || rank >= maps->shape.ranks)
+    return;
+  if (maps->found_epoch != epoch || maps->found_version != version)
+    start_finding (ctx, maps, epoch, version);
+  for (int32_t i = 0; i < count; i++)
+    {
+      int32_t set = (int32_t)(places[i] >> SET_SHIFT);
+      int32_t expert = (int32_t)(places[i] & EXPERT_MASK);
+
+      if (set < maps->shape.layers && expert < maps->shape.experts)
+        bt_add_map_holder (maps->found, set, expert, rank);
+    }
+  maps->found_ranks[rank] = true;
+}
+
+void
+bt_take_rank_picks (bt_group_maps_t *maps, const uint32_t *picks, int32_t count, int64_t now_ms)
+{
+  if (count != maps->shape.layers * maps->shape.experts)
+    return;
+  bt_decay_expert_load (maps->load, now_ms);
+  for (int32_t i = 0; i < count; i++)
+    if (picks[i] > 0)
+      {
+        bt_add_expert_load (maps->load, i / maps->shape.experts, i % maps->shape.experts,
+                            picks[i]);
+        maps->picks += picks[i];
+      }
+}
+
+static bool
+is_found_whole (const bt_group_maps_t *maps, int64_t epoch, int64_t version)
+{
+  if (maps->found_epoch != epoch || maps->found_version != version)
+    return false;
+  for (int32_t rank = 0; rank < maps->shape.ranks; rank++)
+    if (!maps->found_ranks[rank])
+      return false;
+  return true;
+}
+
+const bt_expert_map_t *
+bt_get_group_map (bt_context_t *ctx, bt_group_maps_t *maps, int64_t epoch, int64_t version)
+{
+  if (maps->current != NULL && maps->epoch == epoch && maps->version == version)
+    return maps->current;
+  if (!is_found_whole (maps, epoch, version))
+    return NULL;
+  bt_drop_expert_map (ctx, maps->current);
+  maps->current = bt_copy_expert_map (ctx, maps->found);
+  maps->epoch = epoch;
+  maps->version = version;
+  return maps->current;
+}
+
+static void
+fill_input (const bt_group_maps_t *maps, int64_t now_ms, bt_map_input_t *input)
+{
+  const bt_engine_t *engine = &maps->engine;
+  double us_per_mb = us_per_s * bits_per_byte / (engine->link_mbps > 0 ? engine->link_mbps : 1);
+
+  memset (input, 0, sizeof *input);
+  input->current = maps->current;
+  input->load = maps->load;
+  input->now_ms = now_ms;
+  input->weights.skew_weight = 1;
+  input->weights.cost_weight = 1;
+  input->weights.horizon_ms = maps->settings.horizon_ms;
+  input->weights.pay_ratio = maps->settings.pay_ratio;
+  input->limits.slots = engine->places;
+  input->limits.expert_bytes = (int64_t)(engine->expert_mb * BYTES_PER_MB);
+  input->limits.move_us_per_mb = (int64_t)(us_per_mb * copy_slowdown / maps->shape.ranks + 1);
+  input->limits.expert_share = engine->expert_share;
+  input->limits.rank_adds = engine->spare_places;
+}
+
+const bt_expert_map_t *
+bt_plan_next_group_map (bt_context_t *ctx, bt_group_maps_t *maps, int64_t now_ms, double skew[2])
+{
+  bt_map_input_t input;
+  bt_map_plan_t *plan;
+
+  bt_drop_expert_map (ctx, maps->next);
+  maps->next = NULL;
+  if (maps->current == NULL || maps->picks <= 0)
+    return NULL;
+  maps->picks = 0;
+  bt_decay_expert_load (maps->load, now_ms);
+  fill_input (maps, now_ms, &input);
+  plan = bt_plan_map (ctx, bt_paying_map_planner (), &input);
+  skew[0] = plan->skew_before;
+  skew[1] = plan->skew_after;
+  if (plan->move_count > 0
+      && plan->skew_after < plan->skew_before * (1 - maps->settings.least_gain))
+    maps->next = bt_copy_expert_map (ctx, plan->next);
+  bt_drop_map_plan (ctx, plan);
+  return maps->next;
+}
+
+const bt_expert_map_t *
+bt_get_next_group_map (const bt_group_maps_t *maps)
+{
+  return maps->next;
+}
+
+void
+bt_use_next_group_map (bt_context_t *ctx, bt_group_maps_t *maps, int64_t version)
+{
+  if (maps->next == NULL)
+    return;
+  bt_drop_expert_map (ctx, maps->current);
+  maps->current = maps->next;
+  maps->next = NULL;
+  maps->version = version;
+}
--- /dev/null
+++ b/source/gateway/lease_keeper.c
@@ -0,0 +1,158 @@
+#include "lease_keeper.h"
+
+#include <pthread.h>
+
+#include "bilberrytray/base/condition.h"
+#include "bilberrytray/base/event_log.h"
+#include "bilberrytray/base/random.h"
+#include "bilberrytray/store/fenced_lease.h"
+
+struct bt_lease_keeper
+{
+  bt_context_t *ctx;
+  bt_event_loop_t *loop;
+  bt_lease_keeper_options_t options;
+  bt_lease_listener_t *listener;
+  bt_kv_t *kv;
+  bt_fenced_lease_t *lease;
+  pthread_t thread;
+  /* Lock order: taken alone. */
+  pthread_mutex_t lock; /* guards what stands below */
+  pthread_cond_t changed;
+  bool stopping;
+  bool wanted;
+  int64_t next_ms;
+};
+
+typedef struct lease_news
+{
+  bt_task_t task;
+  bt_lease_keeper_t *keeper;
+  uint64_t fence;
+  int64_t sent_ms;
+} lease_news_t;
+
+static void
+run_news (bt_task_t *task)
+{
+  lease_news_t *news = (lease_news_t *)task;
+  bt_lease_listener_t *listener = news->keeper->listener;
+
+  listener->on_lease (listener, news->fence, news->sent_ms);
+  bt_free (news->keeper->ctx, news);
+}
+
+static void
+post_news (bt_lease_keeper_t *keeper, uint64_t fence, int64_t sent_ms)
+{
+  lease_news_t *news = bt_calloc (keeper->ctx, 1, sizeof *news);
+
+  news->task.run = run_news;
+  news->keeper = keeper;
+  news->fence = fence;
+  news->sent_ms = sent_ms;
+  if (!bt_post_task (keeper->loop, &news->task))
+    bt_free (keeper->ctx, news);
+}
+
+/* One try to get or renew the lease. */
+static void
+hold (bt_lease_keeper_t *keeper)
+{
+  int64_t sent_ms = bt_now_ms (keeper->ctx);
+  uint64_t fence = 0;
+
+  switch (bt_hold_fenced_lease (keeper->ctx, keeper->lease, &fence))
+    {
+    case BT_LEASE_GRANTED:
+      bt_log_event (keeper->ctx, BT_LOG_INFO, "lease-granted", "{s:s, s:I}", "lease",
+                    keeper->options.name, "fence", (json_int_t)fence);
+      post_news (keeper, fence, sent_ms);
+      break;
+    case BT_LEASE_RENEWED:
+      post_news (keeper, 0, sent_ms);
+      break;
+    case BT_LEASE_NONE:
+      break;
+    }
+}
+
+static void *
+run_keeper (void *argument)
+{
+  bt_lease_keeper_t *keeper = argument;
+
+  pthread_mutex_lock (&keeper->lock);
+  while (!keeper->stopping)
+    {
+      int64_t wait_ms = keeper->next_ms - bt_now_ms (keeper->ctx);
+
+      if (!keeper->wanted)
+        pthread_cond_wait (&keeper->changed, &keeper->lock);
+      else if (wait_ms > 0)
+        bt_wait_condition (&keeper->changed, &keeper->lock, wait_ms);
+      else
+        {
+          keeper->next_ms = bt_now_ms (keeper->ctx) + keeper->options.renew_ms;
+          pthread_mutex_unlock (&keeper->lock);
+          hold (keeper);
+          pthread_mutex_lock (&keeper->lock);
+        }
+    }
+  pthread_mutex_unlock (&keeper->lock);
+  return NULL;
+}
+
+bt_lease_keeper_t *
+bt_new_lease_keeper (bt_context_t *ctx,
+                     bt_event_loop_t *loop,
+                     const bt_lease_keeper_options_t *options,
+                     bt_lease_listener_t *listener)
+{
+  bt_lease_keeper_t *keeper = bt_calloc (ctx, 1, sizeof *keeper);
+  uint64_t seed;
+
+  bt_fill_secure_random (&seed, sizeof seed);
+  keeper->ctx = ctx;
+  keeper->loop = loop;
+  keeper->options = *options;
+  keeper->listener = listener;
+  keeper->kv = options->platform->vtable->new_store (ctx, options->store, seed);
+  keeper->lease = bt_new_fenced_lease (ctx, keeper->kv, options->prefix, options->name,
+                                       options->instance, options->life_s);
+  pthread_mutex_init (&keeper->lock, NULL);
+  bt_init_condition (&keeper->changed);
+  if (pthread_create (&keeper->thread, NULL, run_keeper, keeper) != 0)
+    bt_log_event (ctx, BT_LOG_ERROR, "thread-failed", "{s:s}", "message",
+                  "The thread for the lease could not be started.");
+  return keeper;
+}
+
+void
+bt_want_lease (bt_lease_keeper_t *keeper, bool wanted, int64_t wait_ms)
+{
+  pthread_mutex_lock (&keeper->lock);
+  if (wanted && !keeper->wanted)
+    keeper->next_ms = bt_now_ms (keeper->ctx) + wait_ms;
+  keeper->wanted = wanted;
+  pthread_cond_signal (&keeper->changed);
+  pthread_mutex_unlock (&keeper->lock);
+}
+
+void
+bt_drop_lease_keeper (bt_context_t *ctx, bt_lease_keeper_t *keeper)
+{
+  if (keeper == NULL)
+    return;
+  pthread_mutex_lock (&keeper->lock);
+  keeper->stopping = true;
+  pthread_cond_signal (&keeper->changed);
+  pthread_mutex_unlock (&keeper->lock);
+  bt_cancel_kv (ctx, keeper->kv);
+  pthread_join (keeper->thread, NULL);
+  bt_drop_fenced_lease (ctx, keeper->lease);
+  bt_drop_kv (ctx, keeper->kv);
+  pthread_cond_destroy (&keeper->changed);
+  pthread_mutex_destroy (&keeper->lock);
+  bt_free (ctx, keeper);
+}
--- a/source/gateway/store_follower.c
+++ b/source/gateway/store_follower.c
@@ -3,9 +3,9 @@
 #include <ck_pr.h>
 #include <pthread.h>
 #include <string.h>
-#include <time.h>
 
 #include "bilberrytray/base/clock.h"
+#include "bilberrytray/base/condition.h"
 #include "bilberrytray/base/event_log.h"
 #include "bilberrytray/base/random.h"
 
@@ -13,8 +13,6 @@
 {
   /* Between two tries while the store fails; the client's own back-off comes on top. */
   FAILED_PAUSE_MS = 150,
-  MS_PER_S = 1000,
-  NS_PER_MS = 1000000,
   THREAD_STACK_BYTES = 256 * 1024,
 };
 
@@ -207,21 +205,11 @@
 static bool
 wait_for_renewal (bt_store_follower_t *follower, bool listed)
 {
-  struct timespec until;
-  int64_t wait_ms = follower->options.renew_ms;
   bool wanted;
 
-  clock_gettime (CLOCK_MONOTONIC, &until);
-  until.tv_sec += wait_ms / MS_PER_S;
-  until.tv_nsec += wait_ms % MS_PER_S * NS_PER_MS;
-  if (until.tv_nsec >= (long)MS_PER_S * NS_PER_MS)
-    {
-      until.tv_sec++;
-      until.tv_nsec -= (long)MS_PER_S * NS_PER_MS;
-    }
   pthread_mutex_lock (&follower->lock);
   if (follower->wanted == listed && !is_stopping (follower))
-    pthread_cond_timedwait (&follower->changed, &follower->lock, &until);
+    bt_wait_condition (&follower->changed, &follower->lock, follower->options.renew_ms);
   wanted = follower->wanted;
   pthread_mutex_unlock (&follower->lock);
   return wanted;
@@ -277,7 +265,6 @@
                        bt_store_listener_t *listener)
 {
   bt_store_follower_t *follower = bt_calloc (ctx, 1, sizeof *follower);
-  pthread_condattr_t attributes;
   uint64_t seed;
 
   bt_fill_secure_random (&seed, sizeof seed);
@@ -287,10 +274,7 @@
   follower->listener = listener;
   follower->kv = options->platform->vtable->new_store (ctx, options->address, seed);
   pthread_mutex_init (&follower->lock, NULL);
-  pthread_condattr_init (&attributes);
-  pthread_condattr_setclock (&attributes, CLOCK_MONOTONIC);
-  pthread_cond_init (&follower->changed, &attributes);
-  pthread_condattr_destroy (&attributes);
+  bt_init_condition (&follower->changed);
   start_thread (follower, &follower->watcher, run_watcher);
   start_thread (follower, &follower->lister, run_lister);
   return follower;
--- a/source/gateway/view.c
+++ b/source/gateway/view.c
@@ -15,6 +15,7 @@
 };
 
 static const char *const entry_prefix = "bilberrytray/entries/";
+static const char *const leader_key = "bilberrytray/maps/groups/controller";
 
 void
 bt_write_entry_key (char key[2 * BT_NAME_BYTES], const char *instance)
@@ -155,6 +156,8 @@
       else if (starts_with (pair->key, entry_prefix)
                && read_entry (pair, &view->entries[view->entry_count]))
         view->entry_count++;
+      else if (strcmp (pair->key, leader_key) == 0)
+        bt_copy_name (view->leader, pair->value);
     }
   return view;
 }
--- a/source/gateway/view.h
+++ b/source/gateway/view.h
@@ -29,6 +29,7 @@
   int32_t endpoint_count;
   bt_listed_entry_t *entries;
   int32_t entry_count;
+  char leader[BT_NAME_BYTES]; /**< The instance that leads the rank groups; "" for none. */
 } bt_view_t;
 
 /** Makes a view of all items of the store. The declarations of @p before are taken over when the
--- a/source/maps/expert_map.c
+++ b/source/maps/expert_map.c
@@ -114,6 +114,19 @@
   map->ranks[index_cell (map, layer, expert)] = ranks;
 }
 
+void
+bt_add_map_holder (bt_expert_map_t *map, int32_t layer, int32_t expert, int32_t rank)
+{
+  bt_set_map_ranks (map, layer, expert,
+                    bt_get_map_ranks (map, layer, expert) | (uint64_t)1 << rank);
+}
+
+bool
+bt_is_map_holder (const bt_expert_map_t *map, int32_t layer, int32_t expert, int32_t rank)
+{
+  return (bt_get_map_ranks (map, layer, expert) >> rank & 1) != 0;
+}
+
 int32_t
 bt_count_map_slots (const bt_expert_map_t *map, int32_t layer, int32_t rank)
 {
--- a/source/maps/map_layer.c
+++ b/source/maps/map_layer.c
@@ -118,6 +118,9 @@
 {
   bt_map_layer_t *layer;
   const bool *pinned;
+  const uint64_t *in_use; /* by expert: the ranks that hold it in the map in use */
+  int32_t rank_adds;      /* most new replicas on one rank; 0: no bound */
+  int32_t adds[BT_MAP_MAX_RANKS];
   int32_t slots;
   int32_t busiest;
   int32_t target;
@@ -128,6 +131,27 @@
   int16_t held[BT_MAP_MAX_RANKS][BT_MAP_MAX_EXPERTS]; /* by rank: the experts that it holds */
 } search_t;
 
+/* True when a rank may get a replica of an expert: it had it before, or may copy one more. An engine
+ * refuses a map with more new experts than it has spare places for. */
+static bool
+may_add (const search_t *search, int32_t expert, int32_t rank)
+{
+  return search->rank_adds == 0 || holds (search->in_use[expert], rank)
+         || search->adds[rank] < search->rank_adds;
+}
+
+/* Counts the new replicas that a change of holders brings, or takes back. */
+static void
+count_adds (search_t *search, int32_t expert, uint64_t before, uint64_t after)
+{
+  for (uint64_t left = (before ^ after) & ~search->in_use[expert]; left != 0; left &= left - 1)
+    {
+      int32_t rank = __builtin_ctzll (left);
+
+      search->adds[rank] += holds (after, rank) ? 1 : -1;
+    }
+}
+
 /* Weighs a change by the load that it takes off the busiest rank, less what its transfers cost. Two
  * changes of equal worth keep the first, so that a plan is the same on every machine. */
 static void
@@ -199,7 +223,8 @@
   double share = layer->tokens[expert] / count_ranks (layer->holders[expert]);
   double other_share = layer->tokens[other] / count_ranks (layer->holders[other]);
 
-  if (other_share >= share || holds (layer->holders[other], search->busiest))
+  if (other_share >= share || holds (layer->holders[other], search->busiest)
+      || !may_add (search, other, search->busiest))
     return;
   weigh_change (
       search,
@@ -272,18 +297,24 @@
       int32_t expert = search->held[search->busiest][i];
 
       for (search->target = 0; search->target < layer->ranks; search->target++)
-        if (layer->tokens[expert] > 0 && !holds (layer->holders[expert], search->target))
+        if (layer->tokens[expert] > 0 && !holds (layer->holders[expert], search->target)
+            && may_add (search, expert, search->target))
           try_expert (search, expert);
     }
   return search->best.expert != NO_EXPERT;
 }
 
 static void
-apply_change (bt_map_layer_t *layer, const change_t *change)
+apply_change (search_t *search, const change_t *change)
 {
+  bt_map_layer_t *layer = search->layer;
+
+  count_adds (search, change->expert, layer->holders[change->expert], change->holders);
   set_holders (layer, change->expert, change->holders);
-  if (change->other != NO_EXPERT)
-    set_holders (layer, change->other, change->other_holders);
+  if (change->other == NO_EXPERT)
+    return;
+  count_adds (search, change->other, layer->holders[change->other], change->other_holders);
+  set_holders (layer, change->other, change->other_holders);
 }
 
 static void
@@ -303,7 +334,12 @@
 {
   bt_map_layer_t layer;
   change_t changes[MAX_CHANGES];
-  search_t search = { &layer, pinned, input->limits.slots };
+  uint64_t in_use[BT_MAP_MAX_EXPERTS];
+  search_t search = { .layer = &layer,
+                      .pinned = pinned,
+                      .in_use = in_use,
+                      .rank_adds = input->limits.rank_adds,
+                      .slots = input->limits.slots };
   double start;
   double spent = 0;
   bt_layer_gain_t gain = { index };
@@ -311,6 +347,8 @@
   int32_t paying = 0;
 
   bt_read_map_layer (&layer, map, input->load, index);
+  for (int32_t expert = 0; expert < layer.experts; expert++)
+    in_use[expert] = bt_get_map_ranks (input->current, index, expert);
   start = layer.load[bt_find_busiest_rank (&layer)];
   search.transfer_price = prices->transfer;
   search.load_price = prices->load;
@@ -320,7 +358,7 @@
     {
       double worth;
 
-      apply_change (&layer, &search.best);
+      apply_change (&search, &search.best);
       changes[count++] = search.best;
       transfers += search.best.transfers;
       spent += search.best.transfers * prices->transfer;
--- a/source/entry/map_lease.c
+++ b/source/store/fenced_lease.c
@@ -1,4 +1,4 @@
-#include "map_lease.h"
+#include "bilberrytray/store/fenced_lease.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -12,7 +12,7 @@
   VALUE_BYTES = 128,
 };
 
-struct bt_map_lease
+struct bt_fenced_lease
 {
   bt_kv_t *kv;
   int64_t life_s;
@@ -22,15 +22,15 @@
   char instance[VALUE_BYTES];
 };
 
-bt_map_lease_t *
-bt_new_map_lease (bt_context_t *ctx,
+bt_fenced_lease_t *
+bt_new_fenced_lease (bt_context_t *ctx,
                   bt_kv_t *kv,
                   const char *prefix,
                   const char *group,
                   const char *instance,
                   int64_t life_s)
 {
-  bt_map_lease_t *lease = bt_calloc (ctx, 1, sizeof *lease);
+  bt_fenced_lease_t *lease = bt_calloc (ctx, 1, sizeof *lease);
 
   lease->kv = kv;
   lease->life_s = life_s;
@@ -41,19 +41,19 @@
 }
 
 void
-bt_drop_map_lease (bt_context_t *ctx, bt_map_lease_t *lease)
+bt_drop_fenced_lease (bt_context_t *ctx, bt_fenced_lease_t *lease)
 {
   bt_free (ctx, lease);
 }
 
 void
-bt_forget_map_lease (bt_map_lease_t *lease)
+bt_forget_fenced_lease (bt_fenced_lease_t *lease)
 {
   lease->lease = 0;
 }
 
 static bool
-is_free (bt_context_t *ctx, bt_map_lease_t *lease)
+is_free (bt_context_t *ctx, bt_fenced_lease_t *lease)
 {
   bt_kv_range_t range = { 0 };
   bt_error_t error = { 0 };
@@ -67,8 +67,8 @@
 /* Both keys in one transaction: whoever holds the lease has written the fencing number, and the
  * revision is above that of each holder before. Its effect may be unknown; then the key hangs on a
  * lease that nobody renews, and the next try waits until it has lapsed. */
-static bt_map_lease_result_t
-take_lease (bt_context_t *ctx, bt_map_lease_t *lease, uint64_t *fence)
+static bt_lease_result_t
+take_lease (bt_context_t *ctx, bt_fenced_lease_t *lease, uint64_t *fence)
 {
   bt_error_t error = { 0 };
   int64_t number = 0;
@@ -81,21 +81,21 @@
   bt_kv_txn_t txn = { &compare, 1, writes, 2 };
 
   if (!is_free (ctx, lease) || !bt_grant_kv_lease (ctx, lease->kv, lease->life_s, &number, &error))
-    return BT_MAP_LEASE_NONE;
+    return BT_LEASE_NONE;
   writes[0].lease = number;
   if (!bt_commit_kv (ctx, lease->kv, &txn, &result, &error) || !result.succeeded)
     {
       if (error.code == BT_ERROR_NONE)
         bt_revoke_kv_lease (ctx, lease->kv, number, &error);
-      return BT_MAP_LEASE_NONE;
+      return BT_LEASE_NONE;
     }
   lease->lease = number;
   *fence = (uint64_t)result.revision;
-  return BT_MAP_LEASE_GRANTED;
+  return BT_LEASE_GRANTED;
 }
 
-bt_map_lease_result_t
-bt_hold_map_lease (bt_context_t *ctx, bt_map_lease_t *lease, uint64_t *fence)
+bt_lease_result_t
+bt_hold_fenced_lease (bt_context_t *ctx, bt_fenced_lease_t *lease, uint64_t *fence)
 {
   bt_error_t error = { 0 };
   int64_t life_s = 0;
@@ -103,8 +103,8 @@
   if (lease->lease == 0)
     return take_lease (ctx, lease, fence);
   if (bt_renew_kv_lease (ctx, lease->kv, lease->lease, &life_s, &error))
-    return BT_MAP_LEASE_RENEWED;
+    return BT_LEASE_RENEWED;
   if (error.code == BT_ERROR_NOT_FOUND)
     lease->lease = 0;
-  return BT_MAP_LEASE_NONE;
+  return BT_LEASE_NONE;
 }
