Admit while there is room, and let only a stream end a stream

Cause, from logs: routes that run into their timeout raise the mean time of a run, and quick requests of the same app were refused with every slot free; an endpoint that refused to go on with a cut stream was taken for its end (ORDER, mix).

--- a/source/gateway/forward_send.c
+++ b/source/gateway/forward_send.c
@@ -297,7 +297,9 @@
     }
   else if (bt_get_exchange_state (exchange) == BT_EXCHANGE_OPEN)
     return;
-  else if (bt_get_exchange_state (exchange) == BT_EXCHANGE_WHOLE && partial_bytes == 0
+  /* Only a stream ends a stream: the whole answer of an endpoint that refuses to go on with it says
+   * nothing of the events that are still to come. */
+  else if (bt_get_exchange_state (exchange) == BT_EXCHANGE_WHOLE && stream && partial_bytes == 0
            && forward->state == BT_FORWARD_STREAMING)
     finish_stream (forward);
   else
--- a/source/load/admission.c
+++ b/source/load/admission.c
@@ -313,10 +313,10 @@
   if (capacity.endpoints == 0)
     refuse (admission, decision, BT_REASON_NO_ENDPOINT, admission->options.spread_ms,
             request->seed);
-  else if (capacity.service_ms > request->deadline_left_ms)
-    refuse (admission, decision, BT_REASON_DEADLINE_UNREACHABLE, 0, request->seed);
   else if (has_room (&capacity) && bt_count_fair (app->waiting) == 0)
     decision->action = BT_ADMISSION_ADMIT;
+  else if (capacity.service_ms > request->deadline_left_ms)
+    refuse (admission, decision, BT_REASON_DEADLINE_UNREACHABLE, 0, request->seed);
   else
     queue_or_refuse (ctx, admission, app, request, &capacity, now_ms, decision);
 }
--- a/test/load/test_admission.c
+++ b/test/load/test_admission.c
@@ -275,6 +275,24 @@
   stop ();
 }
 
+/* A few requests of a slow rule ran into its timeout, so that a run is thought to take longer than a
+ * quick rule's callers wait. All their requests were refused with every slot free; the estimate that
+ * refused them could never be corrected, since nothing ran. With a free slot a request goes out. */
+static void
+test_slow_runs_refuse_nobody_while_slots_are_free (void)
+{
+  bt_route_t route;
+
+  start (QUEUE_LIMIT);
+  route = send_out (0);
+  bt_record_attempt_end (router, &route, BT_ATTEMPT_ANSWERED, 10 * SERVICE_MS, 10 * SERVICE_MS);
+  CU_ASSERT_EQUAL (decide ((bt_admission_request_t){ .id = 1, .deadline_left_ms = SERVICE_MS },
+                           10 * SERVICE_MS)
+                       .action,
+                   BT_ADMISSION_ADMIT);
+  stop ();
+}
+
 /* A thousand callers are refused within one second and told the same time. They come back as one,
  * and are refused again. */
 static void
@@ -334,6 +352,7 @@
   CU_ADD_TEST (suite, test_priority_and_further_attempts_go_first);
   CU_ADD_TEST (suite, test_queue_outlives_its_endpoint_for_a_moment_only);
   CU_ADD_TEST (suite, test_overdue_requests_are_given_up_at_once);
+  CU_ADD_TEST (suite, test_slow_runs_refuse_nobody_while_slots_are_free);
   CU_ADD_TEST (suite, test_come_back_times_are_spread);
   CU_ADD_TEST (suite, test_late_entry_gets_its_equal_part);
   CU_basic_set_mode (CU_BRM_VERBOSE);
