--- a/bench/bench_maps.c
+++ b/bench/bench_maps.c
@@ -163,13 +163,13 @@
 
       for (int32_t expert = 0; expert < shape.experts; expert++)
         {
-          uint64_t ranks = bt_get_map_ranks (run->map, layer, expert);
+          bt_rank_mask_t ranks = bt_get_map_ranks (run->map, layer, expert);
           double share =
               draw_count (&run->noise, tokens * get_drift_share (run->drift, layer, expert))
-              / __builtin_popcountll (ranks);
+              / bt_count_ranks (ranks);
 
-          for (; ranks != 0; ranks &= ranks - 1)
-            load[__builtin_ctzll (ranks)] += share;
+          while (ranks != 0)
+            load[bt_take_rank (&ranks)] += share;
         }
       for (int32_t rank = 0; rank < shape.ranks; rank++)
         {
--- a/include/bilberrytray/maps/expert_map.h
+++ b/include/bilberrytray/maps/expert_map.h
@@ -11,12 +11,15 @@
 #include "bilberrytray/base/context.h"
 #include "bilberrytray/base/error.h"
 
-/** Bounds of a map; a rank fits a bit of a 64-bit mask. */
+/** Ranks of a group, a bit each, bit 0 for rank 0. */
+typedef unsigned __int128 bt_rank_mask_t;
+
+/** Bounds of a map; a rank fits a bit of a mask. */
 enum
 {
   BT_MAP_MAX_LAYERS = 128,
   BT_MAP_MAX_EXPERTS = 1024,
-  BT_MAP_MAX_RANKS = 64,
+  BT_MAP_MAX_RANKS = 128,
 };
 
 typedef struct bt_expert_map bt_expert_map_t;
@@ -36,6 +39,15 @@
   uint32_t bytes;
 } bt_map_bytes_t;
 
+/** The mask of one rank. */
+bt_rank_mask_t bt_mask_rank (int32_t rank);
+
+/** How many ranks a mask names. */
+int32_t bt_count_ranks (bt_rank_mask_t ranks);
+
+/** Takes the first rank out of a mask that is not empty, and returns it. */
+int32_t bt_take_rank (bt_rank_mask_t *ranks);
+
 /** Makes a map without any replica; NULL when the shape is out of bounds. */
 bt_expert_map_t *bt_new_expert_map (bt_context_t *ctx, bt_map_shape_t shape, bt_error_t *error);
 
@@ -51,10 +63,10 @@
 bt_map_shape_t bt_get_map_shape (const bt_expert_map_t *map);
 
 /** The ranks that hold an expert, as a mask with bit 0 for rank 0. */
-uint64_t bt_get_map_ranks (const bt_expert_map_t *map, int32_t layer, int32_t expert);
+bt_rank_mask_t bt_get_map_ranks (const bt_expert_map_t *map, int32_t layer, int32_t expert);
 
 /** Replaces the ranks that hold an expert. */
-void bt_set_map_ranks (bt_expert_map_t *map, int32_t layer, int32_t expert, uint64_t ranks);
+void bt_set_map_ranks (bt_expert_map_t *map, int32_t layer, int32_t expert, bt_rank_mask_t ranks);
 
 /** Has a rank hold an expert too. */
 void bt_add_map_holder (bt_expert_map_t *map, int32_t layer, int32_t expert, int32_t rank);
--- a/include/bilberrytray/maps/map_planner.h
+++ b/include/bilberrytray/maps/map_planner.h
@@ -34,7 +34,7 @@
   int64_t round_bytes;       /**< Most bytes that one round stages; 0: no bound. */
   double expert_share;       /**< Share of a balanced step that the experts take, 0 to 1. */
   double held_steps_a_round; /**< Held steps that past rounds came to; 0 without faults. */
-  int32_t rank_adds;         /**< Most new replicas of a layer on one rank in a round; 0: no bound. */
+  int32_t rank_adds; /**< Most new replicas of a layer on one rank in a round; 0: no bound. */
 } bt_map_limits_t;
 
 /** When each expert's replicas last changed, for the minimum stay. */
--- a/include/bilberrytray/store/fenced_lease.h
+++ b/include/bilberrytray/store/fenced_lease.h
@@ -13,11 +13,11 @@
 typedef struct bt_fenced_lease bt_fenced_lease_t;
 
 bt_fenced_lease_t *bt_new_fenced_lease (bt_context_t *ctx,
-                                  bt_kv_t *kv,
-                                  const char *prefix,
-                                  const char *group,
-                                  const char *instance,
-                                  int64_t life_s);
+                                        bt_kv_t *kv,
+                                        const char *prefix,
+                                        const char *group,
+                                        const char *instance,
+                                        int64_t life_s);
 
 /** NULL is accepted. The lease itself is left to lapse. */
 void bt_drop_fenced_lease (bt_context_t *ctx, bt_fenced_lease_t *lease);
@@ -32,7 +32,8 @@
 
 /** Renews the lease if it was held before, else tries to get it. Its life counts from before this
  * call. Blocks on the service. */
-bt_lease_result_t bt_hold_fenced_lease (bt_context_t *ctx, bt_fenced_lease_t *lease, uint64_t *fence);
+bt_lease_result_t
+bt_hold_fenced_lease (bt_context_t *ctx, bt_fenced_lease_t *lease, uint64_t *fence);
 
 /** Forgets the lease, so that only a new one can be held: for a holder that stopped in doubt. */
 void bt_forget_fenced_lease (bt_fenced_lease_t *lease);
--- a/source/agent/command_side.c
+++ b/source/agent/command_side.c
@@ -111,9 +111,10 @@
     }
   if (result == BT_SETTINGS_HELP)
     {
-      printf ("Usage: bilberry-agent side [FLAGS]\n\n"
-              "Runs beside an engine that requests reach directly: tells the entry instances how it\n"
-              "stands and carries out the orders of its group's leader.\n\n");
+      printf (
+          "Usage: bilberry-agent side [FLAGS]\n\n"
+          "Runs beside an engine that requests reach directly: tells the entry instances how it\n"
+          "stands and carries out the orders of its group's leader.\n\n");
       bt_print_settings (side_settings, SETTING_COUNT, stdout);
     }
   else if (result == BT_SETTINGS_VERSION)
--- a/source/agent/side.c
+++ b/source/agent/side.c
@@ -47,7 +47,7 @@
   bt_engine_client_t *engine;
   bt_link_loop_t *links_loop;
   int32_t cancelled;
-  bool lost; /* the engine did not answer last */
+  bool lost;      /* the engine did not answer last */
   uint64_t fence; /* the highest seen */
   int64_t next_report_ms;
   /* Lock order: taken before any call into a link. */
--- a/source/entry/map_control.c
+++ b/source/entry/map_control.c
@@ -373,7 +373,7 @@
   pthread_mutex_init (&control->lock, NULL);
   control->kv = bt_new_etcd_kv (ctx, &kv);
   control->lease = bt_new_fenced_lease (ctx, control->kv, settings->store_prefix, settings->group,
-                                     settings->instance, settings->lease_s);
+                                        settings->instance, settings->lease_s);
   if (settings->planning != NULL)
     control->planning = bt_new_map_planning (ctx, settings->planning);
   control->controller = make_controller (ctx, settings, control->planning);
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -134,8 +134,7 @@
 take_agent_news (void *data, const bt_agent_news_t *news)
 {
   bt_gateway_t *gateway = data;
-  const bt_listed_endpoint_t *listed =
-      bt_find_endpoint_at (gateway->endpoints, news->endpoint);
+  const bt_listed_endpoint_t *listed = bt_find_endpoint_at (gateway->endpoints, news->endpoint);
   bt_load_t load = { .running = news->report.running, .queued = news->report.queued };
   bt_identity_t identity;
   int32_t app;
@@ -185,8 +184,7 @@
   gateway->agents = bt_new_agent_links (gateway->ctx, gateway->loop, &links, error);
   if (gateway->agents == NULL)
     return false;
-  gateway->groups =
-      bt_new_group_control (gateway->ctx, gateway->loop, gateway->agents, &control);
+  gateway->groups = bt_new_group_control (gateway->ctx, gateway->loop, gateway->agents, &control);
   gateway->agent_turn.on_turn = run_agents;
   bt_add_turn (gateway->loop, &gateway->agent_turn);
   return true;
--- a/source/gateway/group_control.c
+++ b/source/gateway/group_control.c
@@ -42,7 +42,7 @@
   char endpoints[BT_MAX_GROUP_RANKS][BT_ADDRESS_BYTES]; /* by rank */
   int64_t next_plan_ms;
   int64_t next_ask_ms;
-  int64_t target; /* the version that the next map was given; 0: none */
+  int64_t target;         /* the version that the next map was given; 0: none */
   bt_group_phase_t phase; /* as last logged */
   struct group *next;
 } group_t;
@@ -166,7 +166,9 @@
 }
 
 static group_t *
-find_group (bt_group_control_t *control, const bt_engine_t *engine, const bt_engine_report_t *report)
+find_group (bt_group_control_t *control,
+            const bt_engine_t *engine,
+            const bt_engine_report_t *report)
 {
   bt_group_rounds_settings_t rounds = {
     .ranks = report->ranks,
@@ -233,12 +235,11 @@
 
   if (phase == group->phase)
     return;
-  bt_log_event (control->ctx, BT_LOG_INFO, "group-phase", "{s:s, s:s, s:s, s:I, s:I, s:I}", "group",
-                group->name, "from", bt_name_group_phase (group->phase), "to",
-                bt_name_group_phase (phase), "version",
-                (json_int_t)bt_get_group_version (group->rounds), "target",
-                (json_int_t)bt_get_group_target (group->rounds), "fence",
-                (json_int_t)control->fence);
+  bt_log_event (
+      control->ctx, BT_LOG_INFO, "group-phase", "{s:s, s:s, s:s, s:I, s:I, s:I}", "group",
+      group->name, "from", bt_name_group_phase (group->phase), "to", bt_name_group_phase (phase),
+      "version", (json_int_t)bt_get_group_version (group->rounds), "target",
+      (json_int_t)bt_get_group_target (group->rounds), "fence", (json_int_t)control->fence);
   group->phase = phase;
 }
 
@@ -360,8 +361,7 @@
       stop_leading (control, "The lease was not renewed in time.");
       return;
     }
-  for (group_t *group = control->groups; group != NULL && control->fence != 0;
-       group = group->next)
+  for (group_t *group = control->groups; group != NULL && control->fence != 0; group = group->next)
     run_group (control, group, now_ms);
   bt_set_timer (control->loop, &control->timer,
                 now_ms + (is_any_round (control) ? ROUND_LOOK_MS : control->options.plan_ms));
--- a/source/gateway/group_control.h
+++ b/source/gateway/group_control.h
@@ -2,8 +2,8 @@
 #define BILBERRYTRAY_SOURCE_GATEWAY_GROUP_CONTROL_H
 
 /** @file
- * Keeps the expert maps of rank groups in step with what requests ask for, on the one entry instance
- * that holds the lease.
+ * Keeps the expert maps of rank groups in step with what requests ask for, on the one entry
+ * instance that holds the lease.
  */
 
 #include "agent_links.h"
--- a/source/gateway/group_maps.c
+++ b/source/gateway/group_maps.c
@@ -25,7 +25,7 @@
   bt_engine_t engine;
   bt_map_shape_t shape;
   bt_expert_load_t *load;
-  double picks; /* taken in since the last plan */
+  double picks;             /* taken in since the last plan */
   bt_expert_map_t *current; /* NULL while it is not known */
   int64_t epoch;
   int64_t version;
@@ -42,6 +42,7 @@
   bt_group_maps_settings_t settings = {
     .load_half_life_ms = DEFAULT_HALF_LIFE_MS,
     .horizon_ms = DEFAULT_HORIZON_MS,
+    .cost_weight = 20,
     .pay_ratio = 1.2,
     .least_gain = 0.04,
   };
@@ -70,8 +71,7 @@
   maps->engine = *engine;
   maps->shape = shape;
   maps->found = found;
-  maps->load =
-      bt_new_expert_load (ctx, shape.layers, shape.experts, settings->load_half_life_ms);
+  maps->load = bt_new_expert_load (ctx, shape.layers, shape.experts, settings->load_half_life_ms);
   return maps;
 }
 
@@ -141,8 +141,7 @@
   for (int32_t i = 0; i < count; i++)
     if (picks[i] > 0)
       {
-        bt_add_expert_load (maps->load, i / maps->shape.experts, i % maps->shape.experts,
-                            picks[i]);
+        bt_add_expert_load (maps->load, i / maps->shape.experts, i % maps->shape.experts, picks[i]);
         maps->picks += picks[i];
       }
 }
@@ -183,7 +182,7 @@
   input->load = maps->load;
   input->now_ms = now_ms;
   input->weights.skew_weight = 1;
-  input->weights.cost_weight = 1;
+  input->weights.cost_weight = maps->settings.cost_weight;
   input->weights.horizon_ms = maps->settings.horizon_ms;
   input->weights.pay_ratio = maps->settings.pay_ratio;
   input->limits.slots = engine->places;
--- a/source/gateway/group_maps.h
+++ b/source/gateway/group_maps.h
@@ -16,6 +16,7 @@
 {
   int64_t load_half_life_ms; /**< Of what is remembered of the experts' loads. */
   int64_t horizon_ms;        /**< How long a gain is taken to last. */
+  double cost_weight;        /**< Price of a millisecond of step time spent on copying. */
   double pay_ratio;          /**< A gain must be this many times its cost. */
   double least_gain;         /**< A plan must lower the skew by this part at least. */
 } bt_group_maps_settings_t;
@@ -45,18 +46,16 @@
                           int32_t count);
 
 /** Takes in how often each expert was picked, by set and expert. */
-void bt_take_rank_picks (bt_group_maps_t *maps,
-                         const uint32_t *picks,
-                         int32_t count,
-                         int64_t now_ms);
+void
+bt_take_rank_picks (bt_group_maps_t *maps, const uint32_t *picks, int32_t count, int64_t now_ms);
 
 /** The map in use, if it is known whole for this epoch and version; else NULL. */
 const bt_expert_map_t *
 bt_get_group_map (bt_context_t *ctx, bt_group_maps_t *maps, int64_t epoch, int64_t version);
 
-/** Plans the next map from the one in use. NULL when none pays; else it stays until the next call of
- * this, of bt_use_next_group_map or of bt_forget_group_map. @p skew tells what is predicted before
- * and after. */
+/** Plans the next map from the one in use. NULL when none pays; else it stays until the next call
+ * of this, of bt_use_next_group_map or of bt_forget_group_map. @p skew tells what is predicted
+ * before and after. */
 const bt_expert_map_t *
 bt_plan_next_group_map (bt_context_t *ctx, bt_group_maps_t *maps, int64_t now_ms, double skew[2]);
 
--- a/source/maps/expert_map.c
+++ b/source/maps/expert_map.c
@@ -9,11 +9,12 @@
 {
   MAGIC_0 = 'B',
   MAGIC_1 = 'M',
-  FORMAT_VERSION = 1,
+  FORMAT_VERSION = 2,
   HEADER_BYTES = 8,
   DIGEST_BYTES = 8,
-  RANK_BITS = 0x3f,
-  MORE_FLAG = 0x40,
+  RANK_BITS = 0x7f,
+  MORE_FLAG = 0x80,
+  WORD_BITS = 64,
   BYTE_BITS = 8,
   BYTE_MASK = 0xff,
   DIGEST_SEED = 0x6d6170,
@@ -25,9 +26,33 @@
 struct bt_expert_map
 {
   bt_map_shape_t shape;
-  uint64_t ranks[]; /* layer-major, one mask an expert */
+  bt_rank_mask_t ranks[]; /* layer-major, one mask an expert */
 };
 
+bt_rank_mask_t
+bt_mask_rank (int32_t rank)
+{
+  return (bt_rank_mask_t)1 << rank;
+}
+
+int32_t
+bt_count_ranks (bt_rank_mask_t ranks)
+{
+  return __builtin_popcountll ((uint64_t)ranks)
+         + __builtin_popcountll ((uint64_t)(ranks >> WORD_BITS));
+}
+
+int32_t
+bt_take_rank (bt_rank_mask_t *ranks)
+{
+  uint64_t low = (uint64_t)*ranks;
+  int32_t rank = low != 0 ? __builtin_ctzll (low)
+                          : WORD_BITS + __builtin_ctzll ((uint64_t)(*ranks >> WORD_BITS));
+
+  *ranks &= *ranks - 1;
+  return rank;
+}
+
 static bool
 check_shape (bt_map_shape_t shape, bt_error_t *error)
 {
@@ -49,7 +74,7 @@
 static size_t
 size_map (bt_map_shape_t shape)
 {
-  return sizeof (bt_expert_map_t) + count_cells (shape) * sizeof (uint64_t);
+  return sizeof (bt_expert_map_t) + count_cells (shape) * sizeof (bt_rank_mask_t);
 }
 
 static size_t
@@ -80,7 +105,7 @@
   for (int32_t layer = 0; layer < shape.layers; layer++)
     for (int32_t expert = 0; expert < shape.experts; expert++)
       bt_set_map_ranks (map, layer, expert,
-                        (uint64_t)1 << ((int64_t)expert * shape.ranks / shape.experts));
+                        bt_mask_rank ((int32_t)((int64_t)expert * shape.ranks / shape.experts)));
   return map;
 }
 
@@ -102,14 +127,14 @@
   return map->shape;
 }
 
-uint64_t
+bt_rank_mask_t
 bt_get_map_ranks (const bt_expert_map_t *map, int32_t layer, int32_t expert)
 {
   return map->ranks[index_cell (map, layer, expert)];
 }
 
 void
-bt_set_map_ranks (bt_expert_map_t *map, int32_t layer, int32_t expert, uint64_t ranks)
+bt_set_map_ranks (bt_expert_map_t *map, int32_t layer, int32_t expert, bt_rank_mask_t ranks)
 {
   map->ranks[index_cell (map, layer, expert)] = ranks;
 }
@@ -118,7 +143,7 @@
 bt_add_map_holder (bt_expert_map_t *map, int32_t layer, int32_t expert, int32_t rank)
 {
   bt_set_map_ranks (map, layer, expert,
-                    bt_get_map_ranks (map, layer, expert) | (uint64_t)1 << rank);
+                    bt_get_map_ranks (map, layer, expert) | bt_mask_rank (rank));
 }
 
 bool
@@ -143,7 +168,7 @@
   int64_t moves = 0;
 
   for (size_t i = 0; i < count_cells (current->shape); i++)
-    moves += __builtin_popcountll (next->ranks[i] & ~current->ranks[i]);
+    moves += bt_count_ranks (next->ranks[i] & ~current->ranks[i]);
   return moves;
 }
 
@@ -161,13 +186,12 @@
 }
 
 static uint8_t *
-write_cell (uint8_t *at, uint64_t ranks)
+write_cell (uint8_t *at, bt_rank_mask_t ranks)
 {
   while (ranks != 0)
     {
-      int32_t rank = __builtin_ctzll (ranks);
+      int32_t rank = bt_take_rank (&ranks);
 
-      ranks &= ranks - 1;
       *at++ = (uint8_t)(rank | (ranks != 0 ? MORE_FLAG : 0));
     }
   return at;
@@ -207,7 +231,7 @@
                         i % (size_t)map->shape.experts, i / (size_t)map->shape.experts);
           return false;
         }
-      replicas += (size_t)__builtin_popcountll (map->ranks[i]);
+      replicas += (size_t)bt_count_ranks (map->ranks[i]);
     }
   encoded->bytes = (uint32_t)(HEADER_BYTES + replicas + DIGEST_BYTES);
   encoded->data = bt_calloc (ctx, encoded->bytes, 1);
@@ -238,7 +262,7 @@
 
 /* Reads one expert's replicas; NULL when they run past the end, repeat or leave the group. */
 static const uint8_t *
-read_cell (const uint8_t *at, const uint8_t *end, int32_t ranks, uint64_t *mask)
+read_cell (const uint8_t *at, const uint8_t *end, int32_t ranks, bt_rank_mask_t *mask)
 {
   int32_t last = -1;
   bool more = true;
@@ -248,13 +272,13 @@
     {
       int32_t rank;
 
-      if (at == end || (*at & ~(RANK_BITS | MORE_FLAG)) != 0)
+      if (at == end)
         return NULL;
       rank = *at & RANK_BITS;
       more = (*at & MORE_FLAG) != 0;
       if (rank <= last || rank >= ranks)
         return NULL;
-      *mask |= (uint64_t)1 << rank;
+      *mask |= bt_mask_rank (rank);
       last = rank;
       at++;
     }
--- a/source/maps/map_layer.h
+++ b/source/maps/map_layer.h
@@ -12,8 +12,8 @@
 {
   int32_t experts;
   int32_t ranks;
-  double tokens[BT_MAP_MAX_EXPERTS];    /**< An expert's load over all its replicas. */
-  uint64_t holders[BT_MAP_MAX_EXPERTS]; /**< The ranks that hold it. */
+  double tokens[BT_MAP_MAX_EXPERTS];          /**< An expert's load over all its replicas. */
+  bt_rank_mask_t holders[BT_MAP_MAX_EXPERTS]; /**< The ranks that hold it. */
   double load[BT_MAP_MAX_RANKS];
   int32_t used[BT_MAP_MAX_RANKS]; /**< Replicas on the rank. */
 } bt_map_layer_t;
--- a/source/maps/map_planner.c
+++ b/source/maps/map_planner.c
@@ -98,12 +98,12 @@
                  bt_map_plan_t *plan,
                  int32_t layer,
                  int32_t expert,
-                 uint64_t before,
-                 uint64_t after)
+                 bt_rank_mask_t before,
+                 bt_rank_mask_t after)
 {
-  for (uint64_t left = before ^ after; left != 0; left &= left - 1)
+  for (bt_rank_mask_t left = before ^ after; left != 0;)
     {
-      int32_t rank = __builtin_ctzll (left);
+      int32_t rank = bt_take_rank (&left);
 
       add_move (ctx, plan, (bt_map_move_t){ layer, expert, rank, (after >> rank & 1) != 0 });
     }
--- a/source/store/fenced_lease.c
+++ b/source/store/fenced_lease.c
@@ -24,11 +24,11 @@
 
 bt_fenced_lease_t *
 bt_new_fenced_lease (bt_context_t *ctx,
-                  bt_kv_t *kv,
-                  const char *prefix,
-                  const char *group,
-                  const char *instance,
-                  int64_t life_s)
+                     bt_kv_t *kv,
+                     const char *prefix,
+                     const char *group,
+                     const char *instance,
+                     int64_t life_s)
 {
   bt_fenced_lease_t *lease = bt_calloc (ctx, 1, sizeof *lease);
 
--- a/test/load/test_admission.c
+++ b/test/load/test_admission.c
@@ -275,9 +275,10 @@
   stop ();
 }
 
-/* A few requests of a slow rule ran into its timeout, so that a run is thought to take longer than a
- * quick rule's callers wait. All their requests were refused with every slot free; the estimate that
- * refused them could never be corrected, since nothing ran. With a free slot a request goes out. */
+/* A few requests of a slow rule ran into its timeout, so that a run is thought to take longer than
+ * a quick rule's callers wait. All their requests were refused with every slot free; the estimate
+ * that refused them could never be corrected, since nothing ran. With a free slot a request goes
+ * out. */
 static void
 test_slow_runs_refuse_nobody_while_slots_are_free (void)
 {
@@ -286,10 +287,10 @@
   start (QUEUE_LIMIT);
   route = send_out (0);
   bt_record_attempt_end (router, &route, BT_ATTEMPT_ANSWERED, 10 * SERVICE_MS, 10 * SERVICE_MS);
-  CU_ASSERT_EQUAL (decide ((bt_admission_request_t){ .id = 1, .deadline_left_ms = SERVICE_MS },
-                           10 * SERVICE_MS)
-                       .action,
-                   BT_ADMISSION_ADMIT);
+  CU_ASSERT_EQUAL (
+      decide ((bt_admission_request_t){ .id = 1, .deadline_left_ms = SERVICE_MS }, 10 * SERVICE_MS)
+          .action,
+      BT_ADMISSION_ADMIT);
   stop ();
 }
 
--- a/test/maps/test_expert_map.c
+++ b/test/maps/test_expert_map.c
@@ -67,7 +67,8 @@
   bt_expert_map_t *map = bt_new_expert_map (ctx, shape, NULL);
   bt_map_bytes_t encoded = { 0 };
 
-  CU_ASSERT_PTR_NULL (bt_new_expert_map (ctx, (bt_map_shape_t){ 1, 1, 65 }, &error));
+  CU_ASSERT_PTR_NULL (
+      bt_new_expert_map (ctx, (bt_map_shape_t){ 1, 1, BT_MAP_MAX_RANKS + 1 }, &error));
   CU_ASSERT_PTR_NULL (bt_new_expert_map (ctx, (bt_map_shape_t){ 0, 1, 1 }, NULL));
   CU_ASSERT_PTR_NULL (bt_new_expert_map (ctx, (bt_map_shape_t){ 1, 1025, 1 }, NULL));
   CU_ASSERT_EQUAL (error.code, BT_ERROR_FORMAT);
--- a/test/maps/test_map_planner.c
+++ b/test/maps/test_map_planner.c
@@ -73,7 +73,7 @@
   bt_map_plan_t *plan = bt_plan_map (fixture.ctx, bt_paying_map_planner (), &fixture.input);
 
   CU_ASSERT_TRUE (plan->move_count > 0);
-  CU_ASSERT_TRUE (__builtin_popcountll (bt_get_map_ranks (plan->next, 0, 5)) > 1);
+  CU_ASSERT_TRUE (bt_count_ranks (bt_get_map_ranks (plan->next, 0, 5)) > 1);
   CU_ASSERT_TRUE (plan->skew_after < plan->skew_before);
   CU_ASSERT_DOUBLE_EQUAL (plan->skew_after, bt_predict_map_skew (plan->next, fixture.load), 1e-9);
   CU_ASSERT_EQUAL (plan->moved_bytes, bt_count_map_moves (fixture.map, plan->next)
