--- a/source/agent/side.c
+++ b/source/agent/side.c
@@ -32,6 +32,7 @@
   bt_link_t *link;
   bool follows;      /* its reports carry picks */
   bool wants_places; /* its next report carries places */
+  int64_t next_ms;   /* its next report */
   bool told;         /* base holds what was told */
   int64_t epoch;
   int64_t *base; /* the counts up to which picks were told */
@@ -144,6 +145,7 @@
     {
       row->follows = message->fence != 0;
       row->wants_places = row->wants_places || message->places;
+      row->next_ms = 0;
       side->next_report_ms = 0;
       pthread_cond_signal (&side->changed);
     }
@@ -327,28 +329,44 @@
   bt_free (side->ctx, extras->deltas);
 }
 
-/* Reads the engine once and tells every entry. */
+/* True when a link is to get a report now. */
+static bool
+is_report_due (const side_link_t *row, int64_t now_ms)
+{
+  return row->wants_places || now_ms >= row->next_ms;
+}
+
+/* Reads the engine once and tells the entries whose report is due. The leader of the engine's group
+ * follows the demand for experts and needs news quickly; the others only weigh the engines. */
 static void
 report_to_all (bt_side_t *side)
 {
+  int64_t now_ms = bt_now_ms (side->ctx);
   bt_engine_report_t report;
   extras_t extras;
+  bool due = false;
   bool picks = false;
   bool places = false;
 
   pthread_mutex_lock (&side->lock);
   for (const side_link_t *row = side->links; row != NULL; row = row->next)
     {
+      due = due || is_report_due (row, now_ms);
       picks = picks || row->follows;
       places = places || row->wants_places;
     }
   pthread_mutex_unlock (&side->lock);
-  if (!read_state (side, &report))
+  if (!due || !read_state (side, &report))
     return;
   read_extras (side, picks, places, &extras);
   pthread_mutex_lock (&side->lock);
   for (side_link_t *row = side->links; row != NULL; row = row->next)
-    send_report (side, row, &report, &extras);
+    if (is_report_due (row, now_ms))
+      {
+        row->next_ms =
+            now_ms + (row->follows ? side->settings->report_ms : side->settings->others_ms);
+        send_report (side, row, &report, &extras);
+      }
   pthread_mutex_unlock (&side->lock);
   drop_extras (side, &extras);
 }
--- a/source/agent/side.h
+++ b/source/agent/side.h
@@ -19,7 +19,8 @@
   const char *failure_domain;
   const char *secret;
   const char *log_level;
-  int64_t report_ms; /**< Between two reports. */
+  int64_t report_ms; /**< Between two reports to the leader of the engine's group. */
+  int64_t others_ms; /**< Between two reports to other entries. */
   int64_t call_ms;   /**< Limit of one call on the engine. */
   int64_t beat_ms;
   int64_t link_idle_ms;
--- a/source/entry/command_gateway.c
+++ b/source/entry/command_gateway.c
@@ -48,7 +48,7 @@
     "Retries of an app that may be saved up." },
   { "agent-port", BT_SETTING_INTEGER, FIELD (agent_port), "0", 0, 65535,
     "Port on which agents beside engines accept links; 0: there are none." },
-  { "plan-ms", BT_SETTING_INTEGER, FIELD (plan_ms), "400", 20, 3600000,
+  { "plan-ms", BT_SETTING_INTEGER, FIELD (plan_ms), "200", 20, 3600000,
     "Between two plans of a group's expert map, ms." },
 };
 
