--- a/include/bilberrytray/gateway/platform.h
+++ b/include/bilberrytray/gateway/platform.h
@@ -29,8 +29,9 @@
   char app[BT_NAME_BYTES];
   char address[BT_ADDRESS_BYTES];
   char failure_domain[BT_NAME_BYTES];
-  int32_t slots; /**< Requests that it runs at a time. */
-  bool leaving;  /**< It takes no new work and ends soon. */
+  int32_t slots;            /**< Requests that it runs at a time. */
+  bool leaving;             /**< It takes no new work and ends soon. */
+  int64_t created_revision; /**< The store's when the entry was made. */
 } bt_listed_endpoint_t;
 
 /** What a caller's headers say of a request. */
--- a/include/bilberrytray/load/admission.h
+++ b/include/bilberrytray/load/admission.h
@@ -19,6 +19,7 @@
   int64_t spread_ms;           /**< Come-back times are spread over at least this. */
   int64_t max_retry_after_ms;  /**< Longest come-back time that is told. */
   int64_t no_endpoint_wait_ms; /**< How long a queue outlives its last endpoint. */
+  int64_t opening_wait_ms;     /**< The same while endpoints are shut that will open again. */
 } bt_admission_options_t;
 
 /** A request as admission sees it. Strings are only read during the call. */
--- a/include/bilberrytray/load/router.h
+++ b/include/bilberrytray/load/router.h
@@ -81,6 +81,7 @@
 typedef struct bt_capacity
 {
   int32_t endpoints;  /**< That may be chosen now. */
+  int32_t opening;    /**< That take nothing now and are expected to within a second or two. */
   int32_t room;       /**< Requests that can be sent without making any endpoint's queue long. */
   int32_t in_flight;  /**< This entry's own. */
   double slots;       /**< All slots of those endpoints. */
@@ -113,6 +114,10 @@
 /** Marks an endpoint as leaving, or not: it gets no new work. False when it isn't there. */
 bool bt_set_endpoint_leaving (bt_router_t *router, const bt_identity_t *identity, bool leaving);
 
+/** Marks an endpoint as shut for a while, as its group is being formed, or open again. False when
+ * it isn't there. */
+bool bt_set_endpoint_shut (bt_router_t *router, const bt_identity_t *identity, bool shut);
+
 /** Records a report of load, from a heartbeat or a refusal. False when the endpoint isn't there. */
 bool bt_record_load (bt_router_t *router,
                      const bt_identity_t *identity,
--- a/include/bilberrytray/store/kv.h
+++ b/include/bilberrytray/store/kv.h
@@ -25,6 +25,7 @@
   char *value; /**< Followed by a zero byte that value_bytes does not count. */
   size_t value_bytes;
   int64_t mod_revision;
+  int64_t create_revision;
   int64_t lease; /**< 0 without one. */
 } bt_kv_pair_t;
 
--- a/source/gateway/agent_links.c
+++ b/source/gateway/agent_links.c
@@ -407,10 +407,11 @@
   return true;
 }
 
-void
+bool
 bt_collect_agent_news (bt_agent_links_t *links, bt_take_agent_news_t take, void *data)
 {
   agent_row_t *row;
+  bool any = false;
 
   /* Rows are made and dropped by this thread only; the lock guards what stands in them. */
   for (row = links->rows; row != NULL; row = row->next)
@@ -423,10 +424,12 @@
       pthread_mutex_unlock (&links->lock);
       if (!fresh)
         continue;
+      any = true;
       take (data, &news);
       bt_free (links->ctx, (void *)news.picks);
       bt_free (links->ctx, (void *)news.places);
     }
+  return any;
 }
 
 void
--- a/source/gateway/agent_links.h
+++ b/source/gateway/agent_links.h
@@ -59,8 +59,8 @@
                              const bt_view_t *view,
                              const bt_declarations_t *declarations);
 
-/** Hands over all that came since the last call. */
-void bt_collect_agent_news (bt_agent_links_t *links, bt_take_agent_news_t take, void *data);
+/** Hands over all that came since the last call; false when nothing did. */
+bool bt_collect_agent_news (bt_agent_links_t *links, bt_take_agent_news_t take, void *data);
 
 /** Has all agents send picks, and their places once, for the leader with this fencing number; 0: no
  * longer. Agents that are linked later are told too. */
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -149,6 +149,8 @@
   load.age_ms = bt_get_loop_ms (gateway->loop) - news->heard_ms;
   bt_identify_endpoint (listed->id, &identity);
   bt_record_load (gateway->router, &identity, &load, bt_get_loop_ms (gateway->loop));
+  bt_set_endpoint_shut (gateway->router, &identity,
+                        news->report.group[0] != '\0' && !news->report.maps.open);
   app = bt_find_app (gateway->view->declarations, listed->app);
   if (app >= 0)
     bt_take_group_news (gateway->groups, &gateway->view->declarations->apps[app].engine, news);
@@ -159,7 +161,8 @@
 {
   bt_gateway_t *gateway = (bt_gateway_t *)((char *)turn - offsetof (bt_gateway_t, agent_turn));
 
-  bt_collect_agent_news (gateway->agents, take_agent_news, gateway);
+  if (bt_collect_agent_news (gateway->agents, take_agent_news, gateway))
+    bt_pump_forwards (gateway);
   bt_run_group_control (gateway->groups);
 }
 
--- a/source/gateway/view.c
+++ b/source/gateway/view.c
@@ -124,14 +124,38 @@
 {
   bt_error_t error = { 0 };
 
-  if (platform->vtable->read_endpoint (pair->key, pair->value, pair->value_bytes,
-                                       &view->endpoints[view->endpoint_count], &error))
-    view->endpoint_count++;
+  bt_listed_endpoint_t *endpoint = &view->endpoints[view->endpoint_count];
+
+  if (platform->vtable->read_endpoint (pair->key, pair->value, pair->value_bytes, endpoint, &error))
+    {
+      endpoint->created_revision = pair->create_revision;
+      view->endpoint_count++;
+    }
   else
     bt_log_event (ctx, BT_LOG_WARNING, "endpoint-unreadable", "{s:s, s:s}", "key", pair->key,
                   "message", error.message);
 }
 
+/* Of two entries at one address the one that was made first is of a start that has ended: the entry
+ * of a process that lost power stays until it lapses, seconds after the next start was listed. */
+static bool
+is_replaced (const bt_view_t *view, const bt_listed_endpoint_t *endpoint)
+{
+  for (int32_t i = 0; i < view->endpoint_count; i++)
+    if (view->endpoints[i].created_revision > endpoint->created_revision
+        && strcmp (view->endpoints[i].address, endpoint->address) == 0)
+      return true;
+  return false;
+}
+
+static void
+drop_replaced (bt_view_t *view)
+{
+  for (int32_t i = view->endpoint_count - 1; i >= 0; i--)
+    if (is_replaced (view, &view->endpoints[i]))
+      view->endpoints[i] = view->endpoints[--view->endpoint_count];
+}
+
 bt_view_t *
 bt_new_view (bt_context_t *ctx,
              const bt_platform_t *platform,
@@ -159,6 +183,7 @@
       else if (strcmp (pair->key, leader_key) == 0)
         bt_copy_name (view->leader, pair->value);
     }
+  drop_replaced (view);
   return view;
 }
 
--- a/source/load/admission.c
+++ b/source/load/admission.c
@@ -16,6 +16,7 @@
   DEFAULT_SPREAD_MS = 1000,
   DEFAULT_MAX_RETRY_AFTER_MS = 300000,
   DEFAULT_NO_ENDPOINT_WAIT_MS = 1000,
+  DEFAULT_OPENING_WAIT_MS = 3000,
 };
 
 /* Requests a second that are counted on at least, so that no estimate divides by zero. */
@@ -58,6 +59,7 @@
   options->spread_ms = DEFAULT_SPREAD_MS;
   options->max_retry_after_ms = DEFAULT_MAX_RETRY_AFTER_MS;
   options->no_endpoint_wait_ms = DEFAULT_NO_ENDPOINT_WAIT_MS;
+  options->opening_wait_ms = DEFAULT_OPENING_WAIT_MS;
 }
 
 bt_admission_t *
@@ -288,6 +290,34 @@
     refuse (admission, decision, BT_REASON_QUEUE_FULL, wait_ms, request->seed);
 }
 
+/* All endpoints are shut while their group is being formed, which takes a second or two. A caller
+ * who waits longer than that anyway is served sooner by waiting here than by coming back. */
+static void
+wait_for_opening (bt_context_t *ctx,
+                  bt_admission_t *admission,
+                  app_t *app,
+                  const bt_admission_request_t *request,
+                  int64_t now_ms,
+                  bt_admission_decision_t *decision)
+{
+  const int64_t opening_ms = admission->options.opening_wait_ms;
+  const bt_fair_item_t item = {
+    .id = request->id,
+    .priority = request->priority,
+    .give_up_ms = now_ms + request->deadline_left_ms - opening_ms / 2,
+    .aim_ms = request->aim_left_ms > 0 ? now_ms + request->aim_left_ms : 0,
+    .queued_ms = now_ms,
+    .share = request->share,
+    .first = request->again,
+  };
+
+  if (request->deadline_left_ms > opening_ms
+      && bt_push_fair (ctx, app->waiting, request->account, &item))
+    decision->action = BT_ADMISSION_QUEUE;
+  else
+    refuse (admission, decision, BT_REASON_NO_ENDPOINT, opening_ms / 2, request->seed);
+}
+
 void
 bt_decide_admission (bt_context_t *ctx,
                      bt_admission_t *admission,
@@ -311,7 +341,9 @@
   bt_get_capacity (admission->router, request->app, now_ms, &capacity);
   if (capacity.endpoints > 0)
     app->usable_ms = now_ms;
-  if (capacity.endpoints == 0)
+  if (capacity.endpoints == 0 && capacity.opening > 0)
+    wait_for_opening (ctx, admission, app, request, now_ms, decision);
+  else if (capacity.endpoints == 0)
     refuse (admission, decision, BT_REASON_NO_ENDPOINT, admission->options.spread_ms,
             request->seed);
   else if (has_room (&capacity) && bt_count_fair (app->waiting) == 0)
@@ -343,7 +375,8 @@
       refuse (admission, decision, BT_REASON_DEADLINE_UNREACHABLE, 0, item.id);
       return true;
     }
-  if (now_ms - app->usable_ms > admission->options.no_endpoint_wait_ms
+  if (now_ms - app->usable_ms > (capacity.opening > 0 ? admission->options.opening_wait_ms
+                                                      : admission->options.no_endpoint_wait_ms)
       && bt_pop_fair (app->waiting, now_ms, &item))
     {
       decision->id = item.id;
--- a/source/load/endpoint_state.h
+++ b/source/load/endpoint_state.h
@@ -35,6 +35,7 @@
   bool linked;
   int64_t down_ms; /**< When the link died last. */
   bool leaving;
+  bool shut;     /**< Its group is being formed: it refuses everything. */
   bool reported; /**< A load report came since the link came up. */
   bt_load_t load;
   int64_t load_at_ms; /**< The moment that the load speaks of. */
--- a/source/load/router.c
+++ b/source/load/router.c
@@ -181,6 +181,17 @@
   return true;
 }
 
+bool
+bt_set_endpoint_shut (bt_router_t *router, const bt_identity_t *identity, bool shut)
+{
+  bt_endpoint_state_t *state = find_endpoint (router, identity);
+
+  if (state == NULL)
+    return false;
+  state->shut = shut;
+  return true;
+}
+
 bool
 bt_record_load (bt_router_t *router,
                 const bt_identity_t *identity,
@@ -213,7 +224,7 @@
 static bool
 is_usable (bt_router_t *router, bt_endpoint_state_t *state, const char *app, int64_t now_ms)
 {
-  return state->linked && !state->leaving && strcmp (state->endpoint.app, app) == 0
+  return state->linked && !state->leaving && !state->shut && strcmp (state->endpoint.app, app) == 0
          && !bt_is_outlier (&state->outlier, &router->options.outlier, now_ms);
 }
 
@@ -438,7 +449,10 @@
       int32_t room;
 
       if (strcmp (state->endpoint.app, app) == 0)
-        capacity->in_flight += state->own;
+        {
+          capacity->in_flight += state->own;
+          capacity->opening += state->shut && !state->leaving ? 1 : 0;
+        }
       if (!is_usable (router, state, app, now_ms))
         continue;
       slots = bt_get_endpoint_slots (state, options);
--- a/source/store/etcd_json.c
+++ b/source/store/etcd_json.c
@@ -199,6 +199,7 @@
   pair->key = decode_bytes (ctx, object, "key", &key_bytes);
   pair->value = decode_bytes (ctx, object, "value", &pair->value_bytes);
   pair->mod_revision = bt_decode_etcd_number (object, "mod_revision");
+  pair->create_revision = bt_decode_etcd_number (object, "create_revision");
   pair->lease = bt_decode_etcd_number (object, "lease");
   return pair->key != NULL && pair->value != NULL && pair->mod_revision > 0;
 }
