--- a/test/process/harness.c
+++ b/test/process/harness.c
@@ -213,14 +213,13 @@
 
 /* In the child. A test that is killed at its time limit would leave its processes behind, with
  * their ports: so they end with it. */
-static void
-run_program (const char *program, char **list, const char *log_path)
+void
+bt_exec_program (const char *program, char **list, const char *log_path)
 {
-  int silent = open ("/dev/null", O_WRONLY);
   int log = open (log_path, O_WRONLY | O_CREAT | O_APPEND, S_IRUSR | S_IWUSR);
 
   prctl (PR_SET_PDEATHSIG, SIGKILL);
-  dup2 (silent, STDOUT_FILENO);
+  dup2 (log, STDOUT_FILENO);
   dup2 (log, STDERR_FILENO);
   execv (program, list);
   _exit (EXIT_NO_PROGRAM);
@@ -245,7 +244,7 @@
   arguments->list[0] = program;
   process->pid = fork ();
   if (process->pid == 0)
-    run_program (program, arguments->list, process->log_path);
+    bt_exec_program (program, arguments->list, process->log_path);
   free (arguments);
   if (process->pid > 0)
     return true;
--- a/test/process/harness.h
+++ b/test/process/harness.h
@@ -110,6 +110,10 @@
 json_t *
 bt_call_standin (const bt_stage_t *stage, const char *name, const char *path, const char *body);
 
+/** In a child process: becomes a program whose output goes to a file, and which ends with the test.
+ */
+void bt_exec_program (const char *program, char **list, const char *log_path);
+
 /** Runs a built program to its end by a shell line such as "bilberryd check examples/haiyun";
  * returns its exit code and gives what it printed on both streams, to be freed. */
 int32_t bt_run_program (const char *line, char **output);
--- /dev/null
+++ b/test/process/harness_gateway.c
@@ -0,0 +1,290 @@
+#include "harness_gateway.h"
+
+#include <arpa/inet.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "bilberrytray/base/clock.h"
+#include "harness_http.h"
+
+enum
+{
+  URL_BYTES = 640,
+  TEXT_BYTES = 512,
+  MOST_ARGUMENTS = 24,
+  OK = 200,
+  POLL_MS = 10,
+};
+
+/* A port that was free a moment ago. */
+static int32_t
+find_port (void)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET, .sin_addr = { htonl (INADDR_LOOPBACK) } };
+  socklen_t bytes = sizeof address;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  bind (fd, (struct sockaddr *)&address, sizeof address);
+  getsockname (fd, (struct sockaddr *)&address, &bytes);
+  close (fd);
+  return ntohs (address.sin_port);
+}
+
+static pid_t
+start (bt_field_t *field, const char *program, const char *name, char *const *arguments)
+{
+  const char *build = getenv ("BT_BUILD_DIR");
+  char path[2 * URL_BYTES];
+  char log_path[2 * URL_BYTES];
+  char *list[MOST_ARGUMENTS] = { path };
+  pid_t pid;
+
+  snprintf (path, sizeof path, "%s/%s", build == NULL ? "build/asan" : build, program);
+  snprintf (log_path, sizeof log_path, "%s/%s.log", field->folder, name);
+  for (int32_t i = 0; arguments[i] != NULL; i++)
+    list[i + 1] = arguments[i];
+  pid = fork ();
+  if (pid == 0)
+    bt_exec_program (path, list, log_path);
+  return pid;
+}
+
+static pid_t
+start_standin (bt_field_t *field, const char *program, const char *name, int32_t port)
+{
+  char text[TEXT_BYTES];
+  char *arguments[] = { "--port", text, NULL };
+
+  snprintf (text, sizeof text, "%d", port);
+  return start (field, program, name, arguments);
+}
+
+static int32_t
+perform (int32_t port, const char *path, const char *body)
+{
+  char url[4 * URL_BYTES];
+  bt_reply_t reply;
+  int32_t status;
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%d%s", port, path);
+  bt_perform_request (url, NULL, body, NULL, &reply);
+  status = reply.curl_code == 0 ? reply.status : 0;
+  bt_clear_reply (&reply);
+  return status;
+}
+
+int32_t
+bt_get_field_status (int32_t port, const char *path)
+{
+  return perform (port, path, NULL);
+}
+
+bool
+bt_set_field_fault (int32_t port, const char *fault)
+{
+  return perform (port, "/fault", fault) == OK;
+}
+
+bool
+bt_put_field_item (const bt_field_t *field, const char *key, const char *value)
+{
+  char path[2 * URL_BYTES];
+
+  snprintf (path, sizeof path, "/control/%s?key=%s", value == NULL ? "remove" : "put", key);
+  return perform (field->store_port, path, value == NULL ? "" : value) == OK;
+}
+
+bool
+bt_list_field_runner (const bt_field_t *field, int32_t index, const char *state)
+{
+  char key[URL_BYTES];
+  char value[TEXT_BYTES];
+
+  snprintf (key, sizeof key, "servers/i-%d", index);
+  snprintf (value, sizeof value,
+            "{\"service\":\"svc\",\"address\":\"127.0.0.1:%d\",\"zone\":\"a\",\"slots\":8,"
+            "\"state\":\"%s\"}",
+            field->runner_ports[index], state);
+  return bt_put_field_item (field, key, value);
+}
+
+static bool
+wait_for_port (int32_t port)
+{
+  int64_t limit_ms = bt_read_clock_ms (bt_system_clock ()) + BT_STAGE_WAIT_MS;
+
+  while (perform (port, "/fault", "{\"kind\":\"none\"}") != OK)
+    {
+      if (bt_read_clock_ms (bt_system_clock ()) > limit_ms)
+        return false;
+      bt_sleep_ms (POLL_MS);
+    }
+  return true;
+}
+
+void
+bt_start_gateway_process (bt_field_t *field, int32_t index)
+{
+  char instance[TEXT_BYTES];
+  char listen[TEXT_BYTES];
+  char addresses[TEXT_BYTES];
+  char ready[TEXT_BYTES];
+  char store[TEXT_BYTES];
+  char *arguments[] = { "gateway",
+                        instance,
+                        "--failure-domain=a",
+                        listen,
+                        addresses,
+                        ready,
+                        "--links=127.0.0.1:1",
+                        store,
+                        "--address-life-ms=300",
+                        "--drain-ms=8000",
+                        NULL };
+
+  snprintf (instance, sizeof instance, "--instance=gateway-%d", index);
+  snprintf (listen, sizeof listen, "--listen=127.0.0.1:%d", field->caller_ports[index]);
+  snprintf (addresses, sizeof addresses, "--addresses=127.0.0.1:%d", field->address_ports[index]);
+  snprintf (ready, sizeof ready, "--ready=127.0.0.1:%d", field->ready_ports[index]);
+  snprintf (store, sizeof store, "--store=127.0.0.1:%d", field->store_port);
+  field->gateways[index] = start (field, "bilberryd", instance + 2, arguments);
+}
+
+static bool
+start_runners (bt_field_t *field)
+{
+  for (int32_t i = 0; i < BT_FIELD_RUNNERS; i++)
+    {
+      char id[TEXT_BYTES];
+
+      snprintf (id, sizeof id, "i-%d", i);
+      setenv ("RUNNER_ID", id, 1);
+      field->runner_ports[i] = find_port ();
+      field->runners[i] =
+          start_standin (field, "standin-haiyun_runner", id, field->runner_ports[i]);
+      if (!wait_for_port (field->runner_ports[i]) || !bt_list_field_runner (field, i, "ready"))
+        return false;
+    }
+  return true;
+}
+
+bt_field_t *
+bt_new_field (int32_t gateways, const char *configuration)
+{
+  bt_field_t *field = calloc (1, sizeof *field);
+
+  snprintf (field->folder, sizeof field->folder, "/tmp/bilberry-field-XXXXXX");
+  if (mkdtemp (field->folder) == NULL)
+    return NULL;
+  field->store_port = find_port ();
+  field->store = start_standin (field, "standin-haiyun_store", "store", field->store_port);
+  if (!wait_for_port (field->store_port) || !start_runners (field)
+      || !bt_put_field_item (field, "op/config", configuration))
+    {
+      bt_drop_field (field, true);
+      return NULL;
+    }
+  for (int32_t i = 0; i < gateways; i++)
+    {
+      field->caller_ports[i] = find_port ();
+      field->address_ports[i] = find_port ();
+      field->ready_ports[i] = find_port ();
+      bt_start_gateway_process (field, i);
+    }
+  return field;
+}
+
+static void
+end_process (pid_t pid)
+{
+  if (pid <= 0)
+    return;
+  kill (pid, SIGKILL);
+  waitpid (pid, NULL, 0);
+}
+
+void
+bt_drop_field (bt_field_t *field, bool failed)
+{
+  char command[URL_BYTES];
+
+  if (field == NULL)
+    return;
+  for (int32_t i = 0; i < BT_FIELD_GATEWAYS; i++)
+    end_process (field->gateways[i]);
+  for (int32_t i = 0; i < BT_FIELD_RUNNERS; i++)
+    end_process (field->runners[i]);
+  end_process (field->store);
+  snprintf (command, sizeof command, failed ? "tail -n 80 %s/*; rm -r %s" : "true %s; rm -r %s",
+            field->folder, field->folder);
+  if (system (command) != 0)
+    fprintf (stderr, "can't remove %s\n", field->folder);
+  free (field);
+}
+
+void
+bt_ask_gateway (const bt_field_t *field,
+                int32_t index,
+                const char *path,
+                const char *const *headers,
+                const char *body,
+                bt_reply_t *reply)
+{
+  struct curl_slist *lines = NULL;
+  char url[2 * URL_BYTES];
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%d%s", field->caller_ports[index], path);
+  for (int32_t i = 0; headers != NULL && headers[i] != NULL; i++)
+    lines = curl_slist_append (lines, headers[i]);
+  bt_perform_request (url, lines, body, NULL, reply);
+  curl_slist_free_all (lines);
+}
+
+bool
+bt_wait_gateway_ready (const bt_field_t *field, int32_t index)
+{
+  int64_t limit_ms = bt_read_clock_ms (bt_system_clock ()) + BT_STAGE_WAIT_MS;
+
+  while (bt_get_field_status (field->ready_ports[index], "/v1/readiness") != OK)
+    {
+      if (bt_read_clock_ms (bt_system_clock ()) > limit_ms)
+        return false;
+      bt_sleep_ms (POLL_MS);
+    }
+  return true;
+}
+
+static void
+append_runs (json_t *found, int32_t port, const char *request_id)
+{
+  char url[URL_BYTES];
+  bt_reply_t reply;
+  json_t *log;
+  json_t *run;
+  size_t i;
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%d/log", port);
+  bt_perform_request (url, NULL, NULL, NULL, &reply);
+  log = json_loads (bt_get_reply_text (&reply), 0, NULL);
+  json_array_foreach (
+      json_object_get (log, "runs"), i,
+      run) if (strcmp (json_string_value (json_object_get (run, "request")), request_id) == 0)
+      json_array_append (found, run);
+  json_decref (log);
+  bt_clear_reply (&reply);
+}
+
+json_t *
+bt_find_field_runs (const bt_field_t *field, const char *request_id)
+{
+  json_t *found = json_array ();
+
+  for (int32_t i = 0; i < BT_FIELD_RUNNERS; i++)
+    append_runs (found, field->runner_ports[i], request_id);
+  return found;
+}
--- /dev/null
+++ b/test/process/harness_gateway.h
@@ -0,0 +1,66 @@
+#ifndef BILBERRYTRAY_TEST_HARNESS_GATEWAY_H
+#define BILBERRYTRAY_TEST_HARNESS_GATEWAY_H
+
+/** @file
+ * Gateways on loopback with stand-ins for the users' platform: its store and its runners.
+ */
+
+#include "harness.h"
+
+enum
+{
+  BT_FIELD_GATEWAYS = 2,
+  BT_FIELD_RUNNERS = 3,
+};
+
+/** One small deployment. */
+typedef struct bt_field
+{
+  pid_t store;
+  pid_t runners[BT_FIELD_RUNNERS];
+  pid_t gateways[BT_FIELD_GATEWAYS];
+  int32_t store_port;
+  int32_t runner_ports[BT_FIELD_RUNNERS];
+  int32_t caller_ports[BT_FIELD_GATEWAYS];
+  int32_t address_ports[BT_FIELD_GATEWAYS];
+  int32_t ready_ports[BT_FIELD_GATEWAYS];
+  char folder[64];
+} bt_field_t;
+
+/** Starts the store, runners that are listed there as "i-0", "i-1" ... of the service "svc", and
+ * @p gateways gateways; puts @p configuration into the store. Does not wait for readiness. NULL on
+ * failure. */
+bt_field_t *bt_new_field (int32_t gateways, const char *configuration);
+
+/** Ends every process by its id; prints the logs if @p failed. */
+void bt_drop_field (bt_field_t *field, bool failed);
+
+void bt_start_gateway_process (bt_field_t *field, int32_t index);
+
+/** Writes an item as the operator or a runner does; @p value NULL removes it. */
+bool bt_put_field_item (const bt_field_t *field, const char *key, const char *value);
+
+/** Lists a runner, or one that is leaving. */
+bool bt_list_field_runner (const bt_field_t *field, int32_t index, const char *state);
+
+/** Sets the fault of a stand-in at a port. */
+bool bt_set_field_fault (int32_t port, const char *fault);
+
+/** Asks a gateway. @p headers are "Name: value" lines, NULL-ended. */
+void bt_ask_gateway (const bt_field_t *field,
+                     int32_t index,
+                     const char *path,
+                     const char *const *headers,
+                     const char *body,
+                     bt_reply_t *reply);
+
+/** GET of a path at a port; the status, 0 when there is no answer. */
+int32_t bt_get_field_status (int32_t port, const char *path);
+
+/** Waits until a gateway says that it is ready. */
+bool bt_wait_gateway_ready (const bt_field_t *field, int32_t index);
+
+/** The runs of all runners for one request id, each as logged; owned by the caller. */
+json_t *bt_find_field_runs (const bt_field_t *field, const char *request_id);
+
+#endif
--- /dev/null
+++ b/test/process/test_gateway.c
@@ -0,0 +1,369 @@
+#include <CUnit/Basic.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "bilberrytray/base/clock.h"
+#include "harness_gateway.h"
+
+enum
+{
+  OK = 200,
+  UNAUTHORIZED = 401,
+  NOT_FOUND = 404,
+  FAILED = 500,
+  BAD_GATEWAY = 502,
+  UNAVAILABLE = 503,
+  POLL_MS = 20,
+};
+
+static const char *const configuration =
+    "{\"version\":%d,\"services\":[{\"name\":\"svc\"}],"
+    "\"tenants\":[{\"name\":\"small\",\"api_keys\":[\"key-small\"%s],\"priority\":1}],"
+    "\"routes\":["
+    "{\"name\":\"wide\",\"host\":\"shop.example\",\"prefix\":\"/a/\",\"kind\":\"idempotent\","
+    "\"service\":\"svc\",\"timeout_ms\":3000,\"max_attempts\":2,\"public\":false},"
+    "{\"name\":\"once\",\"host\":\"shop.example\",\"prefix\":\"/a/once/\","
+    "\"kind\":\"non_idempotent\",\"service\":\"svc\",\"timeout_ms\":3000,\"max_attempts\":1,"
+    "\"public\":false},"
+    "{\"name\":\"stream\",\"host\":\"shop.example\",\"prefix\":\"/a/stream/\","
+    "\"kind\":\"streaming\",\"resumable\":true,\"service\":\"svc\",\"timeout_ms\":8000,"
+    "\"max_attempts\":2,\"public\":false}%s],"
+    "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":65536,\"idle_timeout_ms\":15000}}";
+
+static const char *const added_route =
+    ",{\"name\":\"late\",\"host\":\"shop.example\",\"prefix\":\"/late/\",\"kind\":\"idempotent\","
+    "\"service\":\"svc\",\"timeout_ms\":3000,\"max_attempts\":2,\"public\":true}";
+
+static bt_field_t *field;
+
+static void
+write_configuration (char *text, size_t room, int32_t version, const char *keys, const char *routes)
+{
+  snprintf (text, room, configuration, version, keys, routes);
+}
+
+static int
+start_suite (void)
+{
+  char text[4096];
+
+  write_configuration (text, sizeof text, 1, ",\"key-other\"", "");
+  field = bt_new_field (2, text);
+  if (field == NULL || !bt_wait_gateway_ready (field, 0) || !bt_wait_gateway_ready (field, 1))
+    return 1;
+  return 0;
+}
+
+static int
+end_suite (void)
+{
+  bt_drop_field (field, CU_get_number_of_failures () > 0);
+  return 0;
+}
+
+/* Sends a request with an id and a key. */
+static void
+ask (int32_t gateway, const char *path, const char *id, const char *key, bt_reply_t *reply)
+{
+  char id_line[128];
+  char key_line[128];
+  const char *headers[] = {
+    "Host: shop.example",          id_line, key_line, "Bilberrytray-Deadline-Ms: 4000",
+    "Bilberrytray-Tenant: forged", NULL
+  };
+
+  snprintf (id_line, sizeof id_line, "Bilberrytray-Attempt-Id: %s", id);
+  snprintf (key_line, sizeof key_line, "Authorization: Bearer %s", key);
+  bt_ask_gateway (field, gateway, path, headers, "shrimp", reply);
+}
+
+static int32_t
+ask_status (int32_t gateway, const char *path, const char *id, const char *key)
+{
+  bt_reply_t reply;
+  int32_t status;
+
+  ask (gateway, path, id, key, &reply);
+  status = reply.curl_code == 0 ? reply.status : 0;
+  bt_clear_reply (&reply);
+  return status;
+}
+
+static size_t
+count_runs (const char *id)
+{
+  json_t *runs = bt_find_field_runs (field, id);
+  size_t count = json_array_size (runs);
+
+  json_decref (runs);
+  return count;
+}
+
+static void
+set_all_faults (const char *fault)
+{
+  for (int32_t i = 0; i < BT_FIELD_RUNNERS; i++)
+    CU_ASSERT_TRUE (bt_set_field_fault (field->runner_ports[i], fault));
+}
+
+static void
+test_requests_reach_a_runner_as_they_are (void)
+{
+  json_t *runs;
+  const json_t *run;
+
+  CU_ASSERT_EQUAL (ask_status (0, "/a/lookup", "r-plain", "key-small"), OK);
+  runs = bt_find_field_runs (field, "r-plain");
+  CU_ASSERT_EQUAL (json_array_size (runs), 1);
+  run = json_array_get (runs, 0);
+  CU_ASSERT_STRING_EQUAL (json_string_value (json_object_get (run, "account")), "small");
+  CU_ASSERT_STRING_EQUAL (json_string_value (json_object_get (run, "token")), "");
+  CU_ASSERT (atoi (json_string_value (json_object_get (run, "deadline"))) <= 3000);
+  CU_ASSERT (atoi (json_string_value (json_object_get (run, "deadline"))) > 0);
+  json_decref (runs);
+}
+
+static void
+test_refusals_tell_why (void)
+{
+  CU_ASSERT_EQUAL (ask_status (0, "/elsewhere/x", "r-route", "key-small"), NOT_FOUND);
+  CU_ASSERT_EQUAL (ask_status (1, "/a/lookup", "r-key", "key-nobody"), UNAUTHORIZED);
+  CU_ASSERT_EQUAL (count_runs ("r-route") + count_runs ("r-key"), 0);
+}
+
+static void
+test_streams_come_whole (void)
+{
+  bt_reply_t reply;
+
+  ask (0, "/a/stream/x", "r-stream", "key-small", &reply);
+  CU_ASSERT_EQUAL (reply.curl_code, 0);
+  CU_ASSERT_EQUAL (reply.status, OK);
+  CU_ASSERT_PTR_NOT_NULL (strstr (bt_get_reply_text (&reply), "id: 1\ndata: piece-1\n\n"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (bt_get_reply_text (&reply), "id: 8\ndata: piece-8\n\n"));
+  bt_clear_reply (&reply);
+}
+
+/* A runner dies in the middle of an event of a draft. The caller sees one whole stream: another
+ * runner goes on behind the last whole event, and the half one is never passed on. */
+static void
+test_cut_stream_goes_on_elsewhere (void)
+{
+  bt_reply_t reply;
+  json_t *runs;
+
+  set_all_faults ("{\"kind\":\"cut\",\"count\":0,\"match\":\"/stream/\"}");
+  CU_ASSERT_TRUE (bt_set_field_fault (field->runner_ports[0],
+                                      "{\"kind\":\"cut\",\"count\":-1,\"match\":\"/stream/\"}"));
+  for (int32_t i = 0; i < BT_FIELD_RUNNERS * 2; i++)
+    {
+      char id[32];
+      char expected[512] = "";
+
+      snprintf (id, sizeof id, "r-cut-%d", i);
+      for (int32_t event = 1; event <= 8; event++)
+        {
+          char text[64];
+
+          snprintf (text, sizeof text, "id: %d\ndata: piece-%d\n\n", event, event);
+          strcat (expected, text);
+        }
+      ask (0, "/a/stream/x", id, "key-small", &reply);
+      CU_ASSERT_EQUAL (reply.curl_code, 0);
+      CU_ASSERT_STRING_EQUAL (bt_get_reply_text (&reply), expected);
+      bt_clear_reply (&reply);
+      runs = bt_find_field_runs (field, id);
+      if (json_array_size (runs) > 1)
+        CU_ASSERT_STRING_EQUAL (
+            json_string_value (json_object_get (json_array_get (runs, 1), "last")), "3");
+      json_decref (runs);
+    }
+  set_all_faults ("{\"kind\":\"none\"}");
+}
+
+/* A runner dies in the middle of a draft, and the others are too full to go on with it. The
+ * refusal's whole answer must not pass for the end of the stream: the caller would take half a
+ * draft for all. */
+static void
+test_refused_resume_is_visibly_cut (void)
+{
+  set_all_faults ("{\"kind\":\"full\",\"count\":-1,\"match\":\"/stream/\"}");
+  CU_ASSERT_TRUE (bt_set_field_fault (field->runner_ports[0],
+                                      "{\"kind\":\"cut\",\"count\":-1,\"match\":\"/stream/\"}"));
+  for (int32_t i = 0; i < BT_FIELD_RUNNERS * 2; i++)
+    {
+      bt_reply_t reply;
+
+      ask (0, "/a/stream/x", "r-alone", "key-small", &reply);
+      CU_ASSERT (reply.curl_code != 0 || reply.status == UNAVAILABLE);
+      CU_ASSERT_PTR_NULL (strstr (bt_get_reply_text (&reply), "piece-8"));
+      bt_clear_reply (&reply);
+    }
+  set_all_faults ("{\"kind\":\"none\"}");
+}
+
+/* An order was sent, and the runner's connection breaks before its answer. It may have run: it is
+ * not sent again, and its caller is not told that it has not run. A lookup is simply asked
+ * elsewhere. */
+static void
+test_lost_answers (void)
+{
+  int32_t status;
+
+  set_all_faults ("{\"kind\":\"cut\",\"count\":1}");
+  status = ask_status (0, "/a/once/order", "r-order", "key-small");
+  CU_ASSERT_EQUAL (status, BAD_GATEWAY);
+  CU_ASSERT_EQUAL (count_runs ("r-order"), 1);
+  set_all_faults ("{\"kind\":\"none\"}");
+  CU_ASSERT_TRUE (bt_set_field_fault (field->runner_ports[0], "{\"kind\":\"cut\",\"count\":1}"));
+  for (int32_t i = 0; i < BT_FIELD_RUNNERS * 2; i++)
+    {
+      char id[32];
+
+      snprintf (id, sizeof id, "r-lookup-%d", i);
+      CU_ASSERT_EQUAL (ask_status (0, "/a/lookup", id, "key-small"), OK);
+    }
+  set_all_faults ("{\"kind\":\"none\"}");
+}
+
+/* A runner that is full says so, and the request has not run: it goes to another. */
+static void
+test_full_runner_costs_nothing (void)
+{
+  CU_ASSERT_TRUE (bt_set_field_fault (field->runner_ports[1], "{\"kind\":\"full\",\"count\":-1}"));
+  for (int32_t i = 0; i < BT_FIELD_RUNNERS * 2; i++)
+    {
+      char id[32];
+
+      snprintf (id, sizeof id, "r-full-%d", i);
+      CU_ASSERT_EQUAL (ask_status (1, "/a/once/order", id, "key-small"), OK);
+      CU_ASSERT_EQUAL (count_runs (id), 1);
+    }
+  set_all_faults ("{\"kind\":\"none\"}");
+}
+
+/* A whole answer without the runner's mark is somebody else's bytes: no caller gets it. */
+static void
+test_unmarked_answer_is_not_passed (void)
+{
+  set_all_faults ("{\"kind\":\"unmarked\",\"count\":-1}");
+  CU_ASSERT_EQUAL (ask_status (0, "/a/once/order", "r-unmarked", "key-small"), BAD_GATEWAY);
+  set_all_faults ("{\"kind\":\"none\"}");
+}
+
+/* Asks until the status is as wanted, or for long enough. */
+static bool
+wait_status (int32_t gateway, const char *path, const char *id, const char *key, int32_t wanted)
+{
+  int64_t limit_ms = bt_read_clock_ms (bt_system_clock ()) + BT_STAGE_WAIT_MS;
+
+  while (ask_status (gateway, path, id, key) != wanted)
+    {
+      if (bt_read_clock_ms (bt_system_clock ()) > limit_ms)
+        return false;
+      bt_sleep_ms (POLL_MS);
+    }
+  return true;
+}
+
+static void
+test_configuration_comes_into_force (void)
+{
+  char text[4096];
+
+  CU_ASSERT_EQUAL (ask_status (0, "/late/x", "r-early", "key-small"), NOT_FOUND);
+  write_configuration (text, sizeof text, 2, "", added_route);
+  CU_ASSERT_TRUE (bt_put_field_item (field, "op/config", text));
+  for (int32_t i = 0; i < 2; i++)
+    {
+      CU_ASSERT_TRUE (wait_status (i, "/late/x", "r-late", "none", OK));
+      CU_ASSERT_TRUE (wait_status (i, "/a/lookup", "r-revoked", "key-other", UNAUTHORIZED));
+    }
+}
+
+/* The operator's text can't be translated: a route names a service that does not exist. What was in
+ * force stays in force, and a later good one replaces it. */
+static void
+test_bad_configuration_changes_nothing (void)
+{
+  char text[4096];
+
+  CU_ASSERT_TRUE (bt_put_field_item (
+      field, "op/config",
+      "{\"version\":3,\"services\":[],\"routes\":[{\"name\":\"x\",\"host\":\"shop.example\","
+      "\"prefix\":\"/a/\",\"kind\":\"idempotent\",\"service\":\"nothing\"}]}"));
+  bt_sleep_ms (400);
+  CU_ASSERT_EQUAL (ask_status (0, "/late/x", "r-kept", "none"), OK);
+  write_configuration (text, sizeof text, 4, "", "");
+  CU_ASSERT_TRUE (bt_put_field_item (field, "op/config", text));
+  CU_ASSERT_TRUE (wait_status (0, "/late/x", "r-gone", "none", NOT_FOUND));
+}
+
+/* The store goes away while requests come. What is known goes on to be served. */
+static void
+test_store_outage_changes_nothing (void)
+{
+  CU_ASSERT_TRUE (bt_set_field_fault (field->store_port, "{\"kind\":\"down\",\"count\":-1}"));
+  bt_sleep_ms (600);
+  CU_ASSERT_EQUAL (ask_status (0, "/a/lookup", "r-outage", "key-small"), OK);
+  CU_ASSERT_EQUAL (bt_get_field_status (field->ready_ports[0], "/v1/readiness"), OK);
+  CU_ASSERT_TRUE (bt_set_field_fault (field->store_port, "{\"kind\":\"none\"}"));
+}
+
+/* A gateway is told to stop while a stream runs through it. It is out of the address answers and
+ * not ready at once, the stream ends whole, and the process ends by itself. */
+static void
+test_stop_cuts_nothing (void)
+{
+  bt_reply_t reply;
+  int status = 0;
+  pid_t asker = fork ();
+
+  if (asker == 0)
+    {
+      ask (1, "/a/stream/x", "r-stop", "key-small", &reply);
+      _exit (reply.curl_code == 0 && strstr (bt_get_reply_text (&reply), "piece-8") != NULL ? 0
+                                                                                            : 1);
+    }
+  bt_sleep_ms (60);
+  kill (field->gateways[1], SIGTERM);
+  waitpid (asker, &status, 0);
+  CU_ASSERT (WIFEXITED (status) && WEXITSTATUS (status) == 0);
+  CU_ASSERT_EQUAL (bt_get_field_status (field->ready_ports[1], "/v1/readiness"), UNAVAILABLE);
+  waitpid (field->gateways[1], &status, 0);
+  field->gateways[1] = 0;
+  CU_ASSERT (WIFEXITED (status) && WEXITSTATUS (status) == 0);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned failures;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("gateway", start_suite, end_suite);
+  CU_ADD_TEST (suite, test_requests_reach_a_runner_as_they_are);
+  CU_ADD_TEST (suite, test_refusals_tell_why);
+  CU_ADD_TEST (suite, test_streams_come_whole);
+  CU_ADD_TEST (suite, test_cut_stream_goes_on_elsewhere);
+  CU_ADD_TEST (suite, test_refused_resume_is_visibly_cut);
+  CU_ADD_TEST (suite, test_lost_answers);
+  CU_ADD_TEST (suite, test_full_runner_costs_nothing);
+  CU_ADD_TEST (suite, test_unmarked_answer_is_not_passed);
+  CU_ADD_TEST (suite, test_configuration_comes_into_force);
+  CU_ADD_TEST (suite, test_bad_configuration_changes_nothing);
+  CU_ADD_TEST (suite, test_store_outage_changes_nothing);
+  CU_ADD_TEST (suite, test_stop_cuts_nothing);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  if (CU_get_number_of_suites_failed () > 0)
+    failures++;
+  CU_cleanup_registry ();
+  return failures == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/test/standin/haiyun_runner/main.c
@@ -0,0 +1,179 @@
+/** @file
+ * A stand-in for a runner of the users' platform, named by the variable RUNNER_ID. A path with
+ * "/stream/" is answered with EVENTS numbered events, any other with one line; each run is logged.
+ *
+ *   GET /log      {"runs":[{"request":..., "path":..., "account":..., "deadline":..., "last":...}]}
+ *   POST /fault   see standin_http.h: "full", "fail", "cut" (after some events, or before any
+ * answer), "unmarked", "slow"
+ */
+
+#include <jansson.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "standin_http.h"
+
+enum
+{
+  EVENTS = 8,
+  EVENTS_BEFORE_CUT = 3,
+  EVENT_BYTES = 64,
+  BLOCK_BYTES = 256,
+  PAUSE_NS = 15000000,
+  BASE_TEN = 10,
+};
+
+typedef struct runner
+{
+  const char *id;
+  pthread_mutex_t lock; /**< Guards runs. */
+  json_t *runs;
+} runner_t;
+
+typedef struct stream
+{
+  long next;
+  bool cut;
+} stream_t;
+
+static const char *
+get_header (const bt_standin_request_t *request, const char *name)
+{
+  const char *value = MHD_lookup_connection_value (request->connection, MHD_HEADER_KIND, name);
+
+  return value == NULL ? "" : value;
+}
+
+static void
+note_run (runner_t *runner, const bt_standin_request_t *request)
+{
+  json_t *run = json_pack (
+      "{s:s, s:s, s:s, s:s, s:s, s:s}", "request", get_header (request, "Bilberrytray-Attempt-Id"),
+      "path", request->url, "account", get_header (request, "Bilberrytray-Tenant"), "deadline",
+      get_header (request, "Bilberrytray-Deadline-Ms"), "last",
+      get_header (request, "Last-Event-Id"), "token", get_header (request, "Authorization"));
+
+  pthread_mutex_lock (&runner->lock);
+  json_array_append_new (runner->runs, run);
+  pthread_mutex_unlock (&runner->lock);
+}
+
+static ssize_t
+read_stream (void *data, uint64_t position, char *buffer, size_t room)
+{
+  stream_t *stream = data;
+  struct timespec pause = { 0, PAUSE_NS };
+
+  (void)position;
+  if (stream->next > EVENTS)
+    return MHD_CONTENT_READER_END_OF_STREAM;
+  if (stream->cut && stream->next > EVENTS_BEFORE_CUT)
+    return MHD_CONTENT_READER_END_WITH_ERROR;
+  nanosleep (&pause, NULL);
+  stream->next++;
+  /* The cut falls into the middle of an event. */
+  if (stream->cut && stream->next > EVENTS_BEFORE_CUT)
+    return snprintf (buffer, room, "id: %ld\nda", stream->next - 1);
+  return snprintf (buffer, room, "id: %ld\ndata: piece-%ld\n\n", stream->next - 1,
+                   stream->next - 1);
+}
+
+static struct MHD_Response *
+make_stream (const bt_standin_request_t *request, bool cut)
+{
+  stream_t *stream = calloc (1, sizeof *stream);
+
+  stream->next = strtol (get_header (request, "Last-Event-Id"), NULL, BASE_TEN) + 1;
+  stream->cut = cut;
+  return MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, BLOCK_BYTES, read_stream, stream,
+                                            free);
+}
+
+static struct MHD_Response *
+make_text (const char *text)
+{
+  return MHD_create_response_from_buffer (strlen (text), (void *)text, MHD_RESPMEM_MUST_COPY);
+}
+
+static void
+run_request (runner_t *runner,
+             const bt_standin_request_t *request,
+             const char *fault,
+             bt_standin_answer_t *answer)
+{
+  bool stream = strstr (request->url, "/stream/") != NULL;
+  bool cut = strcmp (fault, "cut") == 0;
+  char text[EVENT_BYTES];
+
+  note_run (runner, request);
+  if (cut && !stream)
+    {
+      answer->drop = true;
+      return;
+    }
+  if (strcmp (fault, "fail") == 0)
+    answer->status = MHD_HTTP_INTERNAL_SERVER_ERROR;
+  snprintf (text, sizeof text, "answer of %s", runner->id);
+  answer->response = stream ? make_stream (request, cut) : make_text (text);
+  answer->type = stream ? "text/event-stream" : "text/plain";
+  if (strcmp (fault, "unmarked") != 0)
+    MHD_add_response_header (answer->response, "Bilberrytray-Server-Stamp", runner->id);
+  MHD_add_response_header (answer->response, "Bilberrytray-Attempt-Id",
+                           get_header (request, "Bilberrytray-Attempt-Id"));
+  MHD_add_response_header (answer->response, "Bilberrytray-Instance-Load", "1,0,8");
+}
+
+static void
+refuse (bt_standin_answer_t *answer, uint32_t status)
+{
+  answer->status = status;
+  answer->response = make_text ("");
+  MHD_add_response_header (answer->response, "Bilberrytray-Not-Executed", "1");
+}
+
+static void
+answer_request (void *data,
+                bt_standin_t *standin,
+                const bt_standin_request_t *request,
+                bt_standin_answer_t *answer)
+{
+  runner_t *runner = data;
+  const char *wanted = get_header (request, "Bilberrytray-Expect-Instance");
+  char fault[BT_FAULT_BYTES];
+  json_t *log;
+
+  answer->status = MHD_HTTP_OK;
+  if (strcmp (request->url, "/log") == 0)
+    {
+      pthread_mutex_lock (&runner->lock);
+      log = json_pack ("{s:O}", "runs", runner->runs);
+      answer->body = json_dumps (log, JSON_COMPACT);
+      pthread_mutex_unlock (&runner->lock);
+      json_decref (log);
+      return;
+    }
+  bt_take_standin_fault (standin, request->url, fault);
+  if (strcmp (wanted, runner->id) != 0)
+    refuse (answer, MHD_HTTP_MISDIRECTED_REQUEST);
+  else if (strcmp (fault, "full") == 0)
+    refuse (answer, MHD_HTTP_SERVICE_UNAVAILABLE);
+  else
+    run_request (runner, request, fault, answer);
+}
+
+int
+main (int argc, char **argv)
+{
+  runner_t runner = { getenv ("RUNNER_ID"), PTHREAD_MUTEX_INITIALIZER, json_array () };
+  bt_standin_routes_t routes = { &runner, answer_request, NULL };
+  int status;
+
+  if (runner.id == NULL)
+    runner.id = "i-nameless";
+  status = bt_run_standin (argc, argv, &routes);
+  json_decref (runner.runs);
+  return status;
+}
--- /dev/null
+++ b/test/standin/haiyun_store/main.c
@@ -0,0 +1,310 @@
+/** @file
+ * A stand-in for the store of the users' platform: items, ranges, watches, transactions and leases.
+ * Leases do not lapse by time here; a test ends them.
+ *
+ *   POST /control/put?key=KEY      writes the body as an item, as the operator or a server does
+ *   POST /control/remove?key=KEY   removes it
+ *   POST /fault                    see standin_http.h: "down", "refuse", "lost-answer", "slow"
+ */
+
+#include <jansson.h>
+#include <pthread.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include "standin_http.h"
+
+enum
+{
+  MS_PER_S = 1000,
+  NS_PER_MS = 1000000,
+  POLL_MS = 10,
+  BASE_TEN = 10,
+};
+
+typedef struct store
+{
+  pthread_mutex_t lock; /**< Guards what stands below. */
+  json_t *items;        /**< By key. */
+  json_t *history;      /**< Events, oldest first. */
+  json_int_t revision;
+  json_int_t last_lease;
+  json_t *leases; /**< Ids that live, as text. */
+} store_t;
+
+static const char *
+get_argument (const bt_standin_request_t *request, const char *name)
+{
+  const char *value =
+      MHD_lookup_connection_value (request->connection, MHD_GET_ARGUMENT_KIND, name);
+
+  return value == NULL ? "" : value;
+}
+
+static bool
+starts_with (const char *text, const char *prefix)
+{
+  return strncmp (text, prefix, strlen (prefix)) == 0;
+}
+
+static void
+answer_json (bt_standin_answer_t *answer, uint32_t status, json_t *body)
+{
+  answer->status = status;
+  answer->body = json_dumps (body, JSON_COMPACT);
+  json_decref (body);
+}
+
+static void
+put_item (store_t *store, const char *key, const char *value, json_int_t lease)
+{
+  const json_t *before = json_object_get (store->items, key);
+  json_int_t created =
+      before == NULL ? store->revision : json_integer_value (json_object_get (before, "created"));
+  json_t *item = json_pack ("{s:s, s:s, s:I, s:I, s:I}", "key", key, "value", value, "revision",
+                            store->revision, "created", created, "lease_id", lease);
+
+  json_object_set (store->items, key, item);
+  json_array_append_new (store->history, item);
+}
+
+static void
+remove_item (store_t *store, const char *key)
+{
+  if (json_object_del (store->items, key) == 0)
+    json_array_append_new (store->history, json_pack ("{s:s, s:I, s:b}", "key", key, "revision",
+                                                      store->revision, "deleted", 1));
+}
+
+static void
+control (store_t *store, const bt_standin_request_t *request)
+{
+  const char *key = get_argument (request, "key");
+  size_t room = sodium_base64_ENCODED_LEN (request->body_bytes, sodium_base64_VARIANT_ORIGINAL);
+  char *encoded = calloc (room, 1);
+
+  sodium_bin2base64 (encoded, room, (const unsigned char *)request->body, request->body_bytes,
+                     sodium_base64_VARIANT_ORIGINAL);
+  store->revision++;
+  if (strcmp (request->url, "/control/put") == 0)
+    put_item (store, key, encoded, 0);
+  else
+    remove_item (store, key);
+  free (encoded);
+}
+
+static void
+answer_range (store_t *store, const bt_standin_request_t *request, bt_standin_answer_t *answer)
+{
+  json_t *items = json_array ();
+  const char *key;
+  json_t *item;
+
+  json_object_foreach (store->items, key,
+                       item) if (starts_with (key, get_argument (request, "prefix")))
+      json_array_append (items, item);
+  answer_json (answer, MHD_HTTP_OK,
+               json_pack ("{s:b, s:o, s:I}", "has_more", 0, "items", items, "at", store->revision));
+}
+
+static void
+answer_key (store_t *store, const bt_standin_request_t *request, bt_standin_answer_t *answer)
+{
+  json_t *item = json_deep_copy (json_object_get (store->items, get_argument (request, "key")));
+
+  if (item == NULL)
+    {
+      answer_json (answer, MHD_HTTP_NOT_FOUND, json_pack ("{s:I}", "at", store->revision));
+      return;
+    }
+  json_object_set_new (item, "at", json_integer (store->revision));
+  answer_json (answer, MHD_HTTP_OK, item);
+}
+
+static json_t *
+collect_events (store_t *store, const char *prefix, json_int_t after)
+{
+  json_t *events = json_array ();
+  json_t *event;
+  size_t i;
+
+  json_array_foreach (store->history, i,
+                      event) if (json_integer_value (json_object_get (event, "revision")) > after
+                                 && starts_with (json_string_value (json_object_get (event, "key")),
+                                                 prefix)) json_array_append (events, event);
+  return events;
+}
+
+static void
+answer_watch (store_t *store, const bt_standin_request_t *request, bt_standin_answer_t *answer)
+{
+  json_int_t after = strtoll (get_argument (request, "after"), NULL, BASE_TEN);
+  long left_ms = strtol (get_argument (request, "wait_ms"), NULL, BASE_TEN);
+  struct timespec nap = { 0, (long)POLL_MS * NS_PER_MS };
+  json_t *events = collect_events (store, get_argument (request, "prefix"), after);
+
+  while (json_array_size (events) == 0 && left_ms > 0)
+    {
+      json_decref (events);
+      pthread_mutex_unlock (&store->lock);
+      nanosleep (&nap, NULL);
+      pthread_mutex_lock (&store->lock);
+      left_ms -= POLL_MS;
+      events = collect_events (store, get_argument (request, "prefix"), after);
+    }
+  answer_json (answer, MHD_HTTP_OK,
+               json_pack ("{s:o, s:I}", "events", events, "at", store->revision));
+}
+
+static bool
+holds (const store_t *store, const json_t *conditions)
+{
+  const json_t *condition;
+  size_t i;
+
+  json_array_foreach (conditions, i, condition)
+  {
+    const json_t *item =
+        json_object_get (store->items, json_string_value (json_object_get (condition, "key")));
+
+    if (json_integer_value (json_object_get (item, "revision"))
+        != json_integer_value (json_object_get (condition, "revision")))
+      return false;
+  }
+  return true;
+}
+
+static void
+answer_txn (store_t *store, const bt_standin_request_t *request, bt_standin_answer_t *answer)
+{
+  json_t *body = json_loadb (request->body, request->body_bytes, 0, NULL);
+  const json_t *entry;
+  size_t i;
+
+  if (!holds (store, json_object_get (body, "precondition")))
+    {
+      json_decref (body);
+      answer_json (answer, MHD_HTTP_PRECONDITION_FAILED, json_pack ("{s:[]}", "items"));
+      return;
+    }
+  store->revision++;
+  json_array_foreach (json_object_get (body, "write"), i, entry)
+      put_item (store, json_string_value (json_object_get (entry, "key")),
+                json_string_value (json_object_get (entry, "value")),
+                json_integer_value (json_object_get (entry, "lease_id")));
+  json_array_foreach (json_object_get (body, "remove"), i, entry)
+      remove_item (store, json_string_value (entry));
+  json_decref (body);
+  answer_json (answer, MHD_HTTP_OK, json_pack ("{s:I}", "revision", store->revision));
+}
+
+static void
+end_lease (store_t *store, const char *id)
+{
+  json_int_t lease = strtoll (id, NULL, BASE_TEN);
+  const char *key;
+  json_t *item;
+  void *next;
+
+  json_object_del (store->leases, id);
+  store->revision++;
+  json_object_foreach_safe (store->items, next, key,
+                            item) if (json_integer_value (json_object_get (item, "lease_id"))
+                                      == lease) remove_item (store, key);
+}
+
+static void
+answer_lease (store_t *store, const bt_standin_request_t *request, bt_standin_answer_t *answer)
+{
+  static const char *const keep = "/v1/kv-keep/";
+  static const char *const end = "/v1/kv-lease-end/";
+  char id[BT_FAULT_BYTES];
+
+  if (starts_with (request->url, end))
+    {
+      end_lease (store, request->url + strlen (end));
+      answer_json (answer, MHD_HTTP_OK, json_object ());
+    }
+  else if (starts_with (request->url, keep))
+    {
+      bool lives = json_object_get (store->leases, request->url + strlen (keep)) != NULL;
+
+      answer_json (answer, lives ? MHD_HTTP_OK : MHD_HTTP_NOT_FOUND,
+                   json_pack ("{s:i}", "ttl_ms", 4 * MS_PER_S));
+    }
+  else
+    {
+      snprintf (id, sizeof id, "%lld", (long long)++store->last_lease);
+      json_object_set_new (store->leases, id, json_true ());
+      answer_json (answer, MHD_HTTP_OK,
+                   json_pack ("{s:I, s:i}", "lease_id", store->last_lease, "ttl_ms", 4 * MS_PER_S));
+    }
+}
+
+static void
+answer_locked (store_t *store, const bt_standin_request_t *request, bt_standin_answer_t *answer)
+{
+  if (starts_with (request->url, "/control/"))
+    {
+      control (store, request);
+      answer_json (answer, MHD_HTTP_OK, json_object ());
+    }
+  else if (strcmp (request->url, "/v1/kv-range") == 0)
+    answer_range (store, request, answer);
+  else if (strcmp (request->url, "/v1/kv-key") == 0)
+    answer_key (store, request, answer);
+  else if (strcmp (request->url, "/v1/kv-watch") == 0)
+    answer_watch (store, request, answer);
+  else if (strcmp (request->url, "/v1/kv-txn") == 0)
+    answer_txn (store, request, answer);
+  else
+    answer_lease (store, request, answer);
+}
+
+static void
+answer_request (void *data,
+                bt_standin_t *standin,
+                const bt_standin_request_t *request,
+                bt_standin_answer_t *answer)
+{
+  store_t *store = data;
+  char fault[BT_FAULT_BYTES] = "none";
+
+  answer->status = MHD_HTTP_OK;
+  if (!starts_with (request->url, "/control/"))
+    bt_take_standin_fault (standin, request->url, fault);
+  if (strcmp (fault, "down") == 0)
+    {
+      answer->drop = true;
+      return;
+    }
+  if (strcmp (fault, "refuse") == 0)
+    {
+      answer->status = MHD_HTTP_SERVICE_UNAVAILABLE;
+      return;
+    }
+  pthread_mutex_lock (&store->lock);
+  answer_locked (store, request, answer);
+  pthread_mutex_unlock (&store->lock);
+  answer->drop = strcmp (fault, "lost-answer") == 0;
+}
+
+int
+main (int argc, char **argv)
+{
+  store_t store = { .lock = PTHREAD_MUTEX_INITIALIZER,
+                    .items = json_object (),
+                    .history = json_array (),
+                    .leases = json_object (),
+                    .revision = 1 };
+  bt_standin_routes_t routes = { &store, answer_request, NULL };
+  int status = bt_run_standin (argc, argv, &routes);
+
+  json_decref (store.items);
+  json_decref (store.history);
+  json_decref (store.leases);
+  return status;
+}
