--- a/include/bilberrytray/config/declarations.h
+++ b/include/bilberrytray/config/declarations.h
@@ -54,7 +54,7 @@
 typedef struct bt_engine
 {
   int32_t slots;             /**< Requests that one engine runs at a time. */
-  int64_t kv_tokens;         /**< Tokens that its memory holds. */
+  int64_t memory_tokens;     /**< Tokens that its memory holds. */
   int32_t stride;            /**< Token steps in one pass of a group. */
   double step_ms;            /**< Time of one token step, without its requests. */
   double step_request_ms;    /**< Added to a step for each request that writes. */
--- a/include/bilberrytray/wire/engine_messages.h
+++ b/include/bilberrytray/wire/engine_messages.h
@@ -16,10 +16,10 @@
   int32_t rank;
   int32_t ranks;
   bt_rank_report_t maps;
-  int32_t running; /**< Requests in its batch. */
-  int32_t queued;  /**< Requests that wait for it. */
-  int64_t kv_used; /**< Tokens in its memory that can't yield. */
-  int64_t kv_total;
+  int32_t running;     /**< Requests in its batch. */
+  int32_t queued;      /**< Requests that wait for it. */
+  int64_t memory_used; /**< Tokens in its memory that can't yield. */
+  int64_t memory;
   double pace; /**< Above 1 it is slow. */
 } bt_engine_report_t;
 
--- a/source/wire/engine_messages.c
+++ b/source/wire/engine_messages.c
@@ -21,8 +21,8 @@
   message->sequence = report->maps.sequence;
   message->running = (uint32_t)report->running;
   message->queued = (uint32_t)report->queued;
-  message->kv_used = (uint64_t)report->kv_used;
-  message->kv_total = (uint64_t)report->kv_total;
+  message->memory_used = (uint64_t)report->memory_used;
+  message->memory = (uint64_t)report->memory;
   message->pace_permille = (uint32_t)(report->pace * permille);
 }
 
@@ -44,8 +44,8 @@
   report->maps.sequence = message->sequence;
   report->running = (int32_t)message->running;
   report->queued = (int32_t)message->queued;
-  report->kv_used = (int64_t)message->kv_used;
-  report->kv_total = (int64_t)message->kv_total;
+  report->memory_used = (int64_t)message->memory_used;
+  report->memory = (int64_t)message->memory;
   report->pace = message->pace_permille / permille;
 }
 
--- a/test/platform/test_names.c
+++ b/test/platform/test_names.c
@@ -95,9 +95,9 @@
 
   for (int i = 0; text != NULL && i < name_count; i++)
     {
-      char quoted[NAME_BYTES + 2];
+      char quoted[NAME_BYTES + 3];
 
-      snprintf (quoted, sizeof quoted, "\"%s\"", names[i]);
+      snprintf (quoted, sizeof quoted, "\"%.*s\"", NAME_BYTES - 1, names[i]);
       if (strstr (text, quoted) == NULL)
         continue;
       printf ("%s uses the platform's name %s\n", path, quoted);
