--- a/source/gateway/agent_links.c
+++ b/source/gateway/agent_links.c
@@ -355,7 +355,7 @@
                         const bt_view_t *view,
                         const bt_declarations_t *declarations)
 {
-  agent_row_t **at = &links->rows;
+  agent_row_t **at;
 
   pthread_mutex_lock (&links->lock);
   for (agent_row_t *row = links->rows; row != NULL; row = row->next)
--- a/source/gateway/forward.c
+++ b/source/gateway/forward.c
@@ -24,6 +24,8 @@
   FIRST_PART = 2,
   /* Entries learn of the configuration within about this. */
   NOT_READY_RETRY_MS = 500,
+  /* Another instance takes the request at once. */
+  STOPPING_RETRY_MS = 1,
 };
 
 static const char *const bearer_prefix = "Bearer ";
@@ -320,6 +322,15 @@
   bt_set_timer (forward->gateway->loop, &forward->timer, forward->end_ms);
 }
 
+/* When a request that was refused before it was looked at may come back, ms; 0: that is no use. */
+static int64_t
+get_early_retry_ms (bt_reason_t reason)
+{
+  if (reason == BT_REASON_NOT_READY)
+    return NOT_READY_RETRY_MS;
+  return reason == BT_REASON_STOPPING ? STOPPING_RETRY_MS : 0;
+}
+
 void
 bt_start_forward (bt_gateway_t *gateway, bt_front_call_t *call)
 {
@@ -335,7 +346,9 @@
   link_forward (gateway, forward);
   bt_set_front_call_data (call, forward);
   read_facts (forward);
-  if (gateway->view != NULL && gateway->view->declarations != NULL)
+  if (bt_is_gateway_closing (gateway))
+    reason = BT_REASON_STOPPING;
+  else if (gateway->view != NULL && gateway->view->declarations != NULL)
     {
       forward->declarations = bt_keep_declarations (gateway->view->declarations);
       reason = judge (forward, path);
@@ -343,7 +356,7 @@
   bt_free (gateway->ctx, path);
   if (reason != BT_REASON_NONE)
     {
-      bt_refuse_forward (forward, reason, reason == BT_REASON_NOT_READY ? NOT_READY_RETRY_MS : 0);
+      bt_refuse_forward (forward, reason, get_early_retry_ms (reason));
       return;
     }
   set_end (forward);
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -20,6 +20,7 @@
   CONNECT_MS = 500,
   PEER_SILENT_MS = 3000,
   DRAIN_CHECK_MS = 50,
+  ANSWER_LIVES = 3,
   /* An endpoint is probed by requests only; a run takes about a second at first. */
   FIRST_SERVICE_MS = 300,
   /* Requests put behind an endpoint's slots. What waits here can still be ordered by what its
@@ -325,6 +326,21 @@
   return gateway;
 }
 
+/* Some callers keep an answer with addresses this many times as long as they are told. */
+static bool
+is_old_answer_about (const bt_gateway_t *gateway)
+{
+  int64_t left_ms = bt_get_loop_ms (gateway->loop) - gateway->leaving_since_ms;
+
+  return left_ms < gateway->settings->address_life_ms * ANSWER_LIVES;
+}
+
+bool
+bt_is_gateway_closing (const bt_gateway_t *gateway)
+{
+  return gateway->leaving && !is_old_answer_about (gateway);
+}
+
 /* Leaves: out of the address answers and not ready at once; callers that hold an old answer are
  * still served, until the last of them has asked anew. */
 static void
@@ -333,9 +349,9 @@
   bt_gateway_t *gateway = (bt_gateway_t *)((char *)timer - offsetof (bt_gateway_t, drain_timer));
   int64_t now_ms = bt_get_loop_ms (gateway->loop);
   int64_t left_ms = now_ms - gateway->leaving_since_ms;
-  bool old_answers = left_ms < gateway->settings->address_life_ms * 3;
 
-  if (left_ms >= gateway->settings->drain_ms || (!old_answers && gateway->forwards == 0))
+  if (left_ms >= gateway->settings->drain_ms
+      || (bt_is_gateway_closing (gateway) && gateway->forwards == 0))
     bt_stop_event_loop (gateway->loop);
   else
     bt_set_timer (gateway->loop, &gateway->drain_timer, now_ms + DRAIN_CHECK_MS);
--- a/source/gateway/gateway_private.h
+++ b/source/gateway/gateway_private.h
@@ -101,6 +101,10 @@
 /** Sends waiting requests for which there is room now, and refuses those that can't make it. */
 void bt_pump_forwards (bt_gateway_t *gateway);
 
+/** True when this instance leaves and no caller can still believe that it serves. What comes now
+ * could not be ended before the process has to be gone. */
+bool bt_is_gateway_closing (const bt_gateway_t *gateway);
+
 /** Ends all requests under way, with connections that break. */
 void bt_cut_forwards (bt_gateway_t *gateway);
 
--- a/source/maps/map_search.c
+++ b/source/maps/map_search.c
@@ -263,6 +263,7 @@
     int16_t held[replicas];
     double busiest = layer->load[hot] / step.mean;
 
+    memset (held, 0, sizeof held);
     list_held (layer, held, first);
     list_targets (&step);
     step.held = held;
--- a/test/load/test_admission.c
+++ b/test/load/test_admission.c
@@ -7,6 +7,7 @@
 enum
 {
   SERVICE_MS = 100,
+  LATER_MS = 1000,
   SLOTS = 4,
   LONG_MS = 100000,
   QUEUE_LIMIT = 6,
@@ -286,10 +287,9 @@
 
   start (QUEUE_LIMIT);
   route = send_out (0);
-  bt_record_attempt_end (router, &route, BT_ATTEMPT_ANSWERED, 10 * SERVICE_MS, 10 * SERVICE_MS);
+  bt_record_attempt_end (router, &route, BT_ATTEMPT_ANSWERED, LATER_MS, LATER_MS);
   CU_ASSERT_EQUAL (
-      decide ((bt_admission_request_t){ .id = 1, .deadline_left_ms = SERVICE_MS }, 10 * SERVICE_MS)
-          .action,
+      decide ((bt_admission_request_t){ .id = 1, .deadline_left_ms = SERVICE_MS }, LATER_MS).action,
       BT_ADMISSION_ADMIT);
   stop ();
 }
--- a/test/process/harness_gateway.c
+++ b/test/process/harness_gateway.c
@@ -29,8 +29,9 @@
   socklen_t bytes = sizeof address;
   int fd = socket (AF_INET, SOCK_STREAM, 0);
 
-  bind (fd, (struct sockaddr *)&address, sizeof address);
-  getsockname (fd, (struct sockaddr *)&address, &bytes);
+  if (bind (fd, (struct sockaddr *)&address, sizeof address) != 0
+      || getsockname (fd, (struct sockaddr *)&address, &bytes) != 0)
+    fprintf (stderr, "no free port\n");
   close (fd);
   return ntohs (address.sin_port);
 }
--- a/test/process/test_gateway.c
+++ b/test/process/test_gateway.c
@@ -162,16 +162,13 @@
   for (int32_t i = 0; i < BT_FIELD_RUNNERS * 2; i++)
     {
       char id[32];
-      char expected[512] = "";
+      char expected[512];
+      size_t used = 0;
 
       snprintf (id, sizeof id, "r-cut-%d", i);
       for (int32_t event = 1; event <= 8; event++)
-        {
-          char text[64];
-
-          snprintf (text, sizeof text, "id: %d\ndata: piece-%d\n\n", event, event);
-          strcat (expected, text);
-        }
+        used += (size_t)snprintf (expected + used, sizeof expected - used,
+                                  "id: %d\ndata: piece-%d\n\n", event, event);
       ask (0, "/a/stream/x", id, "key-small", &reply);
       CU_ASSERT_EQUAL (reply.curl_code, 0);
       CU_ASSERT_STRING_EQUAL (bt_get_reply_text (&reply), expected);
@@ -314,6 +311,31 @@
   CU_ASSERT_TRUE (bt_set_field_fault (field->store_port, "{\"kind\":\"none\"}"));
 }
 
+/* A gateway has been leaving for so long that no caller can still hold its address, and one slow
+ * request keeps it alive. A request that comes now could not be ended before the process has to be
+ * gone: it is refused as not run, and the slow one is still answered. */
+static void
+test_late_comers_are_refused_at_the_end (void)
+{
+  int status = 0;
+  pid_t asker;
+
+  set_all_faults ("{\"kind\":\"slow\",\"count\":1,\"delay_ms\":2500}");
+  asker = fork ();
+  if (asker == 0)
+    _exit (ask_status (1, "/a/lookup", "r-slow", "key-small") == OK ? 0 : 1);
+  bt_sleep_ms (200);
+  kill (field->gateways[1], SIGTERM);
+  CU_ASSERT_TRUE (wait_status (1, "/a/lookup", "r-late-comer", "key-small", UNAVAILABLE));
+  waitpid (asker, &status, 0);
+  CU_ASSERT (WIFEXITED (status) && WEXITSTATUS (status) == 0);
+  waitpid (field->gateways[1], &status, 0);
+  CU_ASSERT (WIFEXITED (status) && WEXITSTATUS (status) == 0);
+  set_all_faults ("{\"kind\":\"none\"}");
+  bt_start_gateway_process (field, 1);
+  CU_ASSERT_TRUE (bt_wait_gateway_ready (field, 1));
+}
+
 /* A gateway is told to stop while a stream runs through it. It is out of the address answers and
  * not ready at once, the stream ends whole, and the process ends by itself. */
 static void
@@ -358,6 +380,7 @@
   CU_ADD_TEST (suite, test_configuration_comes_into_force);
   CU_ADD_TEST (suite, test_bad_configuration_changes_nothing);
   CU_ADD_TEST (suite, test_store_outage_changes_nothing);
+  CU_ADD_TEST (suite, test_late_comers_are_refused_at_the_end);
   CU_ADD_TEST (suite, test_stop_cuts_nothing);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
