--- a/test/process/test_gateway.c
+++ b/test/process/test_gateway.c
@@ -320,10 +320,10 @@
   int status = 0;
   pid_t asker;
 
-  set_all_faults ("{\"kind\":\"slow\",\"count\":1,\"delay_ms\":2500}");
+  set_all_faults ("{\"kind\":\"slow\",\"count\":1,\"delay_ms\":2500,\"match\":\"/slow\"}");
   asker = fork ();
   if (asker == 0)
-    _exit (ask_status (1, "/a/lookup", "r-slow", "key-small") == OK ? 0 : 1);
+    _exit (ask_status (1, "/a/slow", "r-slow", "key-small") == OK ? 0 : 1);
   bt_sleep_ms (200);
   kill (field->gateways[1], SIGTERM);
   CU_ASSERT_TRUE (wait_status (1, "/a/lookup", "r-late-comer", "key-small", UNAVAILABLE));
