--- a/include/bilberrytray/store/kv.h
+++ b/include/bilberrytray/store/kv.h
@@ -84,6 +84,17 @@
   BT_KV_WATCH_COMPACTED, /**< The start revision is gone from the service's history. */
 } bt_kv_watch_result_t;
 
+/** What a watch saw in full. Zero-initialise it; free it with bt_drop_kv_changes. */
+typedef struct bt_kv_changes
+{
+  bt_kv_range_t written; /**< Keys that were written, oldest first; its revision is where the next
+                              watch starts behind. */
+  char **removed;        /**< Keys that were removed. */
+  int64_t *removed_at;   /**< The revision of each removal. */
+  int32_t removed_count;
+  bool incomplete; /**< Something was missed: only a full read tells how things stand. */
+} bt_kv_changes_t;
+
 typedef struct bt_kv bt_kv_t;
 
 /** What a key-value service can do. */
@@ -120,6 +131,14 @@
                  bt_error_t *error);
   void (*cancel) (bt_context_t *ctx, bt_kv_t *kv);
   void (*drop) (bt_context_t *ctx, bt_kv_t *kv);
+  /** May be NULL: watches of this service tell only that something changed. */
+  bool (*follow) (bt_context_t *ctx,
+                  bt_kv_t *kv,
+                  const char *prefix,
+                  int64_t start_revision,
+                  int64_t wait_ms,
+                  bt_kv_changes_t *changes,
+                  bt_error_t *error);
 } bt_kv_vtable_t;
 
 /** A key-value service: the vtable is its first member. */
@@ -210,6 +229,22 @@
                   bt_kv_watch_result_t *result,
                   bt_error_t *error);
 
+/** Like bt_watch_kv, but takes what changed. Of a service that does not tell, every answer that is
+ * not quiet is incomplete. */
+bool bt_follow_kv (bt_context_t *ctx,
+                   bt_kv_t *kv,
+                   const char *prefix,
+                   int64_t start_revision,
+                   int64_t wait_ms,
+                   bt_kv_changes_t *changes,
+                   bt_error_t *error);
+
+/** Frees what changes hold and zeroes them. */
+void bt_drop_kv_changes (bt_context_t *ctx, bt_kv_changes_t *changes);
+
+/** Brings a range up to date with changes that follow on it; takes the written pairs over. */
+void bt_apply_kv_changes (bt_context_t *ctx, bt_kv_range_t *range, bt_kv_changes_t *changes);
+
 /** True when a write that ended with @p error may have taken effect. */
 bool bt_is_kv_effect_unknown (const bt_error_t *error);
 
--- a/source/gateway/store_follower.c
+++ b/source/gateway/store_follower.c
@@ -13,6 +13,8 @@
 {
   /* Between two tries while the store fails; the client's own back-off comes on top. */
   FAILED_PAUSE_MS = 150,
+  GATHER_MS = 200,
+  FULL_READ_MS = 20000,
   THREAD_STACK_BYTES = 256 * 1024,
 };
 
@@ -27,7 +29,9 @@
   pthread_t lister;
   int32_t stopping;
   /* Of the watching thread. */
-  bt_view_t *last; /* what was handed over last: a copy that shares its declarations */
+  bt_kv_range_t items; /* all that the store holds, as far as it is known */
+  int64_t read_ms;     /* when they were last read in full */
+  bt_view_t *last;     /* what was handed over last: a copy that shares its declarations */
   bool lost;
   /* Lock order: taken alone. */
   pthread_mutex_t lock; /* guards wanted */
@@ -104,6 +108,17 @@
   follower->last = copy;
 }
 
+/* Hands over how things stand now. */
+static void
+tell_items (bt_store_follower_t *follower, int64_t read_ms)
+{
+  bt_view_t *view = bt_new_view (follower->ctx, follower->options.platform, &follower->items,
+                                 read_ms, follower->last);
+
+  remember (follower, view);
+  post_news (follower, view, true);
+}
+
 /* Reads all that the store holds. The revision never goes back within one life: an answer that is
  * older than what is known comes from a store that has not caught up, and is dropped. */
 static bool
@@ -112,40 +127,60 @@
   bt_context_t *ctx = follower->ctx;
   int64_t begun_ms = bt_now_ms (ctx);
   bt_kv_range_t range = { 0 };
-  bt_view_t *view;
 
   if (!bt_read_kv (ctx, follower->kv, "", true, &range, error))
     return false;
-  if (follower->last != NULL && range.revision < follower->last->revision)
+  if (range.revision < follower->items.revision)
     {
       bt_log_event (ctx, BT_LOG_WARNING, "store-read-old", "{s:I, s:I}", "revision",
-                    (json_int_t)range.revision, "known", (json_int_t)follower->last->revision);
+                    (json_int_t)range.revision, "known", (json_int_t)follower->items.revision);
       bt_drop_kv_range (ctx, &range);
       return true;
     }
-  view = bt_new_view (ctx, follower->options.platform, &range, begun_ms, follower->last);
-  bt_drop_kv_range (ctx, &range);
-  remember (follower, view);
-  post_news (follower, view, true);
+  bt_drop_kv_range (ctx, &follower->items);
+  follower->items = range;
+  follower->read_ms = begun_ms;
+  tell_items (follower, begun_ms);
   return true;
 }
 
-/* One watch, and a read when it says so. A watch that fails is followed by a read: whatever
- * happened during it was not heard. */
+/* Takes what a watch saw, or reads in full where it says that it missed something. */
+static bool
+take_changes (bt_store_follower_t *follower, bt_kv_changes_t *changes, bt_error_t *error)
+{
+  if (changes->incomplete || changes->written.revision < follower->items.revision)
+    return read_all (follower, error);
+  if (changes->written.count == 0 && changes->removed_count == 0)
+    return true;
+  bt_apply_kv_changes (follower->ctx, &follower->items, changes);
+  tell_items (follower, bt_now_ms (follower->ctx));
+  /* Changes come in series, and each watch counts as a call: those of the next moment come with the
+   * next answer. */
+  bt_sleep_ms (GATHER_MS);
+  return true;
+}
+
+/* One watch, and what it saw. A watch that fails is followed by a read: whatever happened during it
+ * was not heard. So is a long time without one, whatever the watches said. */
 static bool
 follow_once (bt_store_follower_t *follower, bt_error_t *error)
 {
-  bt_kv_watch_result_t result = BT_KV_WATCH_QUIET;
+  bt_kv_changes_t changes = { 0 };
+  bool done;
 
-  if (follower->last == NULL)
+  if (follower->last == NULL || bt_now_ms (follower->ctx) - follower->read_ms > FULL_READ_MS)
     return read_all (follower, error);
-  if (!bt_watch_kv (follower->ctx, follower->kv, "", follower->last->revision + 1,
-                    follower->options.watch_ms, &result, error))
+  done = bt_follow_kv (follower->ctx, follower->kv, "", follower->items.revision + 1,
+                       follower->options.watch_ms, &changes, error);
+  if (done)
+    done = take_changes (follower, &changes, error);
+  else
     {
       bt_clear_error (error);
-      return read_all (follower, error);
+      done = read_all (follower, error);
     }
-  return result == BT_KV_WATCH_QUIET || read_all (follower, error);
+  bt_drop_kv_changes (follower->ctx, &changes);
+  return done;
 }
 
 static void *
@@ -302,6 +337,7 @@
   bt_cancel_kv (ctx, follower->kv);
   pthread_join (follower->watcher, NULL);
   bt_drop_kv (ctx, follower->kv);
+  bt_drop_kv_range (ctx, &follower->items);
   bt_drop_view (ctx, follower->last);
   pthread_cond_destroy (&follower->changed);
   pthread_mutex_destroy (&follower->lock);
--- a/source/store/kv.c
+++ b/source/store/kv.c
@@ -103,6 +103,90 @@
   return kv->vtable->watch (ctx, kv, prefix, start_revision, wait_ms, result, error);
 }
 
+bool
+bt_follow_kv (bt_context_t *ctx,
+              bt_kv_t *kv,
+              const char *prefix,
+              int64_t start_revision,
+              int64_t wait_ms,
+              bt_kv_changes_t *changes,
+              bt_error_t *error)
+{
+  bt_kv_watch_result_t result = BT_KV_WATCH_QUIET;
+
+  memset (changes, 0, sizeof *changes);
+  if (kv->vtable->follow != NULL)
+    return kv->vtable->follow (ctx, kv, prefix, start_revision, wait_ms, changes, error);
+  if (!bt_watch_kv (ctx, kv, prefix, start_revision, wait_ms, &result, error))
+    return false;
+  changes->incomplete = result != BT_KV_WATCH_QUIET;
+  changes->written.revision = start_revision - 1;
+  return true;
+}
+
+void
+bt_drop_kv_changes (bt_context_t *ctx, bt_kv_changes_t *changes)
+{
+  bt_drop_kv_range (ctx, &changes->written);
+  for (int32_t i = 0; i < changes->removed_count; i++)
+    bt_free (ctx, changes->removed[i]);
+  bt_free (ctx, changes->removed);
+  bt_free (ctx, changes->removed_at);
+  memset (changes, 0, sizeof *changes);
+}
+
+static int32_t
+find_pair (const bt_kv_range_t *range, const char *key)
+{
+  for (int32_t i = 0; i < range->count; i++)
+    if (strcmp (range->pairs[i].key, key) == 0)
+      return i;
+  return range->count;
+}
+
+static void
+drop_pair (bt_context_t *ctx, bt_kv_pair_t *pair)
+{
+  bt_free (ctx, pair->key);
+  bt_free (ctx, pair->value);
+}
+
+/* A key may have been written and removed, or the other way round, within one answer: the later of
+ * the two counts. */
+static void
+remove_key (bt_context_t *ctx, bt_kv_range_t *range, const char *key, int64_t revision)
+{
+  int32_t at = find_pair (range, key);
+
+  if (at == range->count || range->pairs[at].mod_revision > revision)
+    return;
+  drop_pair (ctx, &range->pairs[at]);
+  range->pairs[at] = range->pairs[--range->count];
+}
+
+void
+bt_apply_kv_changes (bt_context_t *ctx, bt_kv_range_t *range, bt_kv_changes_t *changes)
+{
+  bt_kv_range_t *written = &changes->written;
+
+  range->pairs = bt_realloc (ctx, range->pairs, (size_t)range->count + (size_t)written->count,
+                             sizeof *range->pairs);
+  for (int32_t i = 0; i < written->count; i++)
+    {
+      int32_t at = find_pair (range, written->pairs[i].key);
+
+      if (at < range->count)
+        drop_pair (ctx, &range->pairs[at]);
+      else
+        range->count++;
+      range->pairs[at] = written->pairs[i];
+    }
+  written->count = 0;
+  for (int32_t i = 0; i < changes->removed_count; i++)
+    remove_key (ctx, range, changes->removed[i], changes->removed_at[i]);
+  range->revision = written->revision;
+}
+
 bool
 bt_is_kv_effect_unknown (const bt_error_t *error)
 {
