--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -124,4 +124,35 @@
 
 echo "== Counters of entry-1"
 curl -s "http://127.0.0.1:$((base + 51))/metrics" | grep -E '^bilberry_(outcomes|refusals)' | grep -v ' 0$'
+
+echo "== The same on a platform whose endpoints speak HTTP: a gateway, the store's stand-in, two runners"
+start store "$build/standin-haiyun_store" --port $((base + 60)) --life-s 120
+for i in 1 2; do
+  RUNNER_ID="i-$i" start "runner-$i" "$build/standin-haiyun_runner" --port $((base + 60 + i)) --life-s 120
+done
+sleep 0.5
+put() { curl -sf -X POST -d "$2" "http://127.0.0.1:$((base + 60))/control/put?key=$1" >/dev/null; }
+for i in 1 2; do
+  put "servers/i-$i" "{\"service\":\"drafts\",\"address\":\"127.0.0.1:$((base + 60 + i))\",\"zone\":\"a\",\"slots\":8,\"state\":\"ready\"}"
+done
+put op/config '{"version":1,"services":[{"name":"drafts"}],"tenants":[{"name":"buyer","api_keys":["demo-key"]}],"routes":[{"name":"drafts","host":"shop.example","prefix":"/stream/","kind":"streaming","resumable":true,"service":"drafts","timeout_ms":8000,"max_attempts":2}]}'
+start gateway "$build/bilberryd" gateway --instance gateway-1 --failure-domain a \
+  --listen "127.0.0.1:$((base + 70))" --addresses "127.0.0.1:$((base + 71))" \
+  --ready "127.0.0.1:$((base + 72))" --links "127.0.0.1:$((base + 73))" --store "127.0.0.1:$((base + 60))"
+for _ in $(seq 100); do
+  curl -sf "http://127.0.0.1:$((base + 72))/v1/readiness" >/dev/null && break
+  sleep 0.1
+done
+ask_gateway() { # ID KEY
+  echo "-- request $1:"
+  curl -s -H "Host: shop.example" -H "Authorization: Bearer $2" -H "Bilberrytray-Attempt-Id: $1" \
+    -d shrimp "http://127.0.0.1:$((base + 70))/stream/draft" | grep -c '^data: piece' || true
+}
+curl -s "http://127.0.0.1:$((base + 71))/v1/resolve?name=shop.example"; echo
+ask_gateway whole demo-key
+curl -sf -d '{"kind":"cut","count":1,"match":"/stream/"}' "http://127.0.0.1:$((base + 61))/fault" >/dev/null
+echo "   (a runner now cuts one stream in the middle of an event; the other goes on with it)"
+for i in 1 2 3; do ask_gateway "resumed-$i" demo-key; done
+ask_gateway unknown-key nobody
+grep -h '"event":"request"\|"event":"retry"' "$work/gateway.out" | cut -c1-200 | tail -6
 echo "== Stopping"
