Have a leader that leaves hand over at once

Ruled out: the drain time, which ended after the lease. Now it ends its rounds, begins none, and gives the lease back.

--- a/source/gateway/group_control.c
+++ b/source/gateway/group_control.c
@@ -58,6 +58,7 @@
   uint64_t fence;       /* 0: not leading */
   uint64_t lease_fence; /* of the lease that was granted last */
   int64_t lease_end_ms;
+  bool leaving;
   group_t *groups;
   bt_timer_t timer;
 };
@@ -99,7 +100,9 @@
   if (fence != 0)
     control->lease_fence = fence;
   /* A renewal that came late ended the leading, not the lease: nobody else has led meanwhile. */
-  if (fence != 0 || control->fence == 0)
+  if (control->leaving && control->fence == 0)
+    bt_want_lease (control->keeper, false, 0);
+  else if (fence != 0 || control->fence == 0)
     start_leading (control, control->lease_fence);
 }
 
@@ -165,7 +168,8 @@
   for (int32_t i = 0; i < view->entry_count; i++)
     if (strcmp (view->entries[i].identity.instance, control->options.instance) < 0)
       turn++;
-  bt_want_lease (control->keeper, !leaving && (view->leader[0] == '\0' || own),
+  control->leaving = leaving;
+  bt_want_lease (control->keeper, leaving ? control->fence != 0 : view->leader[0] == '\0' || own,
                  FIRST_TURN_MS + turn * TURN_MS);
 }
 
@@ -277,7 +281,8 @@
   int64_t version = bt_get_group_version (group->rounds);
   double skew[2] = { 0 };
 
-  if (bt_get_group_phase (group->rounds) != BT_GROUP_CALM || now_ms < group->next_plan_ms)
+  if (control->leaving || bt_get_group_phase (group->rounds) != BT_GROUP_CALM
+      || now_ms < group->next_plan_ms)
     return;
   if (bt_get_group_map (control->ctx, group->maps, bt_get_group_epoch (group->rounds), version)
       == NULL)
@@ -353,6 +358,16 @@
   return false;
 }
 
+/* A leader that leaves ends the rounds it has begun and hands over at once. If its lease lapsed
+ * instead, a group that it holds would stand until the next leader is in office, 4 s where each
+ * entry instance is replaced in turn. */
+static void
+hand_over (bt_group_control_t *control)
+{
+  stop_leading (control, "This instance leaves.");
+  bt_want_lease (control->keeper, false, 0);
+}
+
 void
 bt_run_group_control (bt_group_control_t *control)
 {
@@ -368,6 +383,8 @@
     }
   for (group_t *group = control->groups; group != NULL && control->fence != 0; group = group->next)
     run_group (control, group, now_ms);
+  if (control->leaving && !is_any_round (control))
+    hand_over (control);
   bt_set_timer (control->loop, &control->timer,
                 now_ms + (is_any_round (control) ? ROUND_LOOK_MS : control->options.plan_ms));
 }
--- a/source/gateway/lease_keeper.c
+++ b/source/gateway/lease_keeper.c
@@ -21,6 +21,7 @@
   pthread_cond_t changed;
   bool stopping;
   bool wanted;
+  bool held; /* tried for since it was given back */
   int64_t next_ms;
 };
 
@@ -55,6 +56,16 @@
     bt_free (keeper->ctx, news);
 }
 
+/* What is no longer wanted goes to the next at once instead of when it lapses. */
+static void
+give_back (bt_lease_keeper_t *keeper)
+{
+  keeper->held = false;
+  pthread_mutex_unlock (&keeper->lock);
+  bt_give_back_fenced_lease (keeper->ctx, keeper->lease);
+  pthread_mutex_lock (&keeper->lock);
+}
+
 /* One try to get or renew the lease. */
 static void
 hold (bt_lease_keeper_t *keeper)
@@ -87,12 +98,15 @@
     {
       int64_t wait_ms = keeper->next_ms - bt_now_ms (keeper->ctx);
 
-      if (!keeper->wanted)
+      if (!keeper->wanted && keeper->held)
+        give_back (keeper);
+      else if (!keeper->wanted)
         pthread_cond_wait (&keeper->changed, &keeper->lock);
       else if (wait_ms > 0)
         bt_wait_condition (&keeper->changed, &keeper->lock, wait_ms);
       else
         {
+          keeper->held = true;
           keeper->next_ms = bt_now_ms (keeper->ctx) + keeper->options.renew_ms;
           pthread_mutex_unlock (&keeper->lock);
           hold (keeper);
--- a/source/gateway/lease_keeper.h
+++ b/source/gateway/lease_keeper.h
@@ -34,7 +34,7 @@
                                         const bt_lease_keeper_options_t *options,
                                         bt_lease_listener_t *listener);
 
-/** Has the thread try to get the lease in @p wait_ms, and then keep it; or let it lapse. */
+/** Has the thread try to get the lease in @p wait_ms, and then keep it; or give it back. */
 void bt_want_lease (bt_lease_keeper_t *keeper, bool wanted, int64_t wait_ms);
 
 /** NULL is accepted. */
--- a/source/store/fenced_lease.c
+++ b/source/store/fenced_lease.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "bilberrytray/base/event_log.h"
 #include "bilberrytray/base/log.h"
 #include "bilberrytray/base/random.h"
 
@@ -118,3 +119,14 @@
     lease->lease = 0;
   return BT_LEASE_NONE;
 }
+
+void
+bt_give_back_fenced_lease (bt_context_t *ctx, bt_fenced_lease_t *lease)
+{
+  bt_error_t error = { 0 };
+
+  /* A lease that could not be given back lapses. */
+  if (lease->lease != 0 && !bt_revoke_kv_lease (ctx, lease->kv, lease->lease, &error))
+    bt_log_event (ctx, BT_LOG_WARNING, "lease-left", "{s:s}", "message", error.message);
+  lease->lease = 0;
+}
--- /dev/null
+++ b/test/gateway/test_group_control.c
@@ -0,0 +1,208 @@
+#include <CUnit/Basic.h>
+#include <stdatomic.h>
+#include <stddef.h>
+#include <string.h>
+
+#include "bilberrytray/base/clock.h"
+#include "group_control.h"
+
+enum
+{
+  LEASE = 7,
+  LEASE_S = 600,
+  RENEW_MS = 10,
+  PLAN_MS = 5,
+  LIMIT_MS = 10000,
+};
+
+static bt_context_t *ctx;
+static atomic_int renewed;
+static atomic_int given_back;
+
+static bool
+read_nothing (bt_context_t *unused,
+              bt_kv_t *kv,
+              const char *key,
+              bool prefix,
+              int64_t min_revision,
+              bt_kv_range_t *range,
+              bt_error_t *error)
+{
+  (void)unused;
+  (void)kv;
+  (void)key;
+  (void)prefix;
+  (void)min_revision;
+  (void)range;
+  (void)error;
+  return true;
+}
+
+static bool
+commit (bt_context_t *unused,
+        bt_kv_t *kv,
+        const bt_kv_txn_t *txn,
+        bt_kv_txn_result_t *result,
+        bt_error_t *error)
+{
+  (void)unused;
+  (void)kv;
+  (void)txn;
+  (void)error;
+  result->succeeded = true;
+  result->revision = 40;
+  return true;
+}
+
+static bool
+grant (bt_context_t *unused, bt_kv_t *kv, int64_t life_s, int64_t *lease, bt_error_t *error)
+{
+  (void)unused;
+  (void)kv;
+  (void)life_s;
+  (void)error;
+  *lease = LEASE;
+  return true;
+}
+
+static bool
+renew (bt_context_t *unused, bt_kv_t *kv, int64_t lease, int64_t *life_s, bt_error_t *error)
+{
+  (void)unused;
+  (void)kv;
+  (void)lease;
+  (void)error;
+  *life_s = LEASE_S;
+  atomic_fetch_add (&renewed, 1);
+  return true;
+}
+
+static bool
+revoke (bt_context_t *unused, bt_kv_t *kv, int64_t lease, bt_error_t *error)
+{
+  (void)unused;
+  (void)kv;
+  (void)error;
+  if (lease == LEASE)
+    atomic_fetch_add (&given_back, 1);
+  return true;
+}
+
+static void
+cancel (bt_context_t *unused, bt_kv_t *kv)
+{
+  (void)unused;
+  (void)kv;
+}
+
+static void
+drop (bt_context_t *unused, bt_kv_t *kv)
+{
+  bt_free (unused, kv);
+}
+
+/* A store that knows the one lease, and leaves it to nobody else. */
+static const bt_kv_vtable_t store_vtable = {
+  .read_range = read_nothing,
+  .commit_txn = commit,
+  .grant_lease = grant,
+  .renew_lease = renew,
+  .revoke_lease = revoke,
+  .cancel = cancel,
+  .drop = drop,
+};
+
+static bt_kv_t *
+new_store (bt_context_t *context, const char *address, uint64_t seed)
+{
+  bt_kv_t *kv = bt_calloc (context, 1, sizeof *kv);
+
+  (void)address;
+  (void)seed;
+  kv->vtable = &store_vtable;
+  return kv;
+}
+
+static const bt_platform_vtable_t platform_vtable = { .new_store = new_store };
+static const bt_platform_t platform = { &platform_vtable };
+
+/** What a loop does in each turn until its limit or its end. */
+typedef struct course
+{
+  bt_turn_t turn;
+  bt_timer_t timer;
+  bt_event_loop_t *loop;
+  bt_group_control_t *control;
+  bt_view_t view;
+  int64_t end_ms;
+  bool leaving;
+} course_t;
+
+static void
+look_again (bt_timer_t *timer)
+{
+  course_t *course = (course_t *)((char *)timer - offsetof (course_t, timer));
+
+  bt_set_timer (course->loop, timer, bt_now_ms (ctx) + PLAN_MS);
+}
+
+static void
+take_turn (bt_turn_t *turn)
+{
+  course_t *course = (course_t *)turn;
+
+  bt_run_group_control (course->control);
+  if (!course->leaving && atomic_load (&renewed) > 1)
+    {
+      course->leaving = true;
+      bt_set_group_view (course->control, &course->view, true);
+    }
+  if (atomic_load (&given_back) > 0 || bt_now_ms (ctx) >= course->end_ms)
+    bt_stop_event_loop (course->loop);
+}
+
+/* The instance that leads is told to stop, with a long lease before it. No other can lead until
+ * the lease is gone. It gives the lease back as soon as no group is in the middle of a round. */
+static void
+test_leaving_leader_gives_the_lease_back (void)
+{
+  bt_error_t error = { 0 };
+  bt_agent_links_options_t link_options = { .instance = "one", .incarnation = 1, .secret = "s" };
+  bt_group_control_options_t options = { &platform, "", "one", LEASE_S, RENEW_MS, PLAN_MS };
+  course_t course = { .turn = { .on_turn = take_turn } };
+  bt_agent_links_t *links;
+
+  course.loop = bt_new_event_loop (ctx, &error);
+  links = bt_new_agent_links (ctx, course.loop, &link_options, &error);
+  course.control = bt_new_group_control (ctx, course.loop, links, &options);
+  course.end_ms = bt_now_ms (ctx) + LIMIT_MS;
+  course.timer.on_time = look_again;
+  bt_set_group_view (course.control, &course.view, false);
+  bt_add_turn (course.loop, &course.turn);
+  look_again (&course.timer);
+  bt_run_event_loop (course.loop);
+  CU_ASSERT_TRUE (course.leaving);
+  CU_ASSERT_EQUAL (atomic_load (&given_back), 1);
+  bt_drop_group_control (ctx, course.control);
+  bt_drop_agent_links (ctx, links);
+  bt_clear_timer (course.loop, &course.timer);
+  bt_drop_event_loop (ctx, course.loop);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned failures;
+
+  ctx = bt_new_context ();
+  CU_initialize_registry ();
+  suite = CU_add_suite ("group_control", NULL, NULL);
+  CU_ADD_TEST (suite, test_leaving_leader_gives_the_lease_back);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  bt_drop_context (ctx);
+  return failures == 0 ? 0 : 1;
+}
