Name the parts of a request to an engine's HTTP address

Cause: the request type had got a method before its body, and the map agent filled it by position: its orders went out with their body as the method, and engines answered 404. No group of the product's own agents could form (test_map_group). Ruled out: the stand-in, which answers a POST by hand. All parts are named now.

--- a/source/agent/map_engine.c
+++ b/source/agent/map_engine.c
@@ -133,7 +133,8 @@
 {
   bool query = order->kind == BT_MAP_QUERY;
   char *text = query ? NULL : write_order (ctx, order, map);
-  bt_http_request_t request = { query ? engine->state_url : engine->orders_url, text };
+  bt_http_request_t request = { .url = query ? engine->state_url : engine->orders_url,
+                                .body = text };
   bt_http_answer_t answer = { 0 };
   json_t *body = NULL;
   bool called = bt_call_http (ctx, engine->client, &request, &answer, error);
@@ -150,7 +151,7 @@
 bool
 bt_read_map_loads (bt_context_t *ctx, bt_map_engine_t *engine, bt_map_loads_t *loads)
 {
-  bt_http_request_t request = { engine->loads_url };
+  bt_http_request_t request = { .url = engine->loads_url };
   bt_http_answer_t answer = { 0 };
   bt_error_t error = { 0 };
   json_t *body = NULL;
