Let an endpoint that leaves just after an outage go within its time

Ruled out: the watch, which told of it at once. What is missing is now kept for 1.8 s at most. Test: test_endpoint_table, seen failing first.

--- a/source/gateway/endpoint_table.c
+++ b/source/gateway/endpoint_table.c
@@ -9,6 +9,9 @@
   /* Endpoints that lapsed with the store are listed again within two seconds of its return; half a
    * second more for the way through a watch and a read. */
   RELIST_MS = 2500,
+  /* One that left just then is missing as well, and is to get nothing two seconds later. An entry
+   * that had been cut off alone went on sending to it for 2.02 s. */
+  MISSING_MS = 1800,
   /* An id names one start of an endpoint, so that its incarnation says nothing more. */
   ONLY_INCARNATION = 1,
 };
@@ -17,7 +20,8 @@
 typedef struct table_row
 {
   bt_listed_endpoint_t listed;
-  bool gone; /* it was found to be gone; it stays out while the same entry is listed */
+  bool gone;          /* it was found to be gone; it stays out while the same entry is listed */
+  int64_t missing_ms; /* since when the store does not list it; 0: it does */
 } table_row_t;
 
 struct bt_endpoint_table
@@ -140,6 +144,7 @@
   else if (listed->leaving && !row->listed.leaving)
     tell_endpoint (ctx, "endpoint-leaving", listed);
   row->listed = *listed;
+  row->missing_ms = 0;
   if (!row->gone)
     put_in_router (ctx, table, listed, fresh, now_ms);
 }
@@ -153,14 +158,26 @@
   bt_remove_endpoint (ctx, table->router, &identity);
 }
 
+/* Until when an endpoint that is missing is kept. */
+static int64_t
+get_keep_end_ms (const bt_endpoint_table_t *table, const table_row_t *row)
+{
+  int64_t relist_ms = table->regained_ms + RELIST_MS;
+  int64_t missing_ms = row->missing_ms + MISSING_MS;
+
+  if (table->regained_ms == 0 || row->listed.leaving)
+    return 0;
+  return missing_ms < relist_ms ? missing_ms : relist_ms;
+}
+
 int64_t
 bt_apply_listed_endpoints (bt_context_t *ctx,
                            bt_endpoint_table_t *table,
                            const bt_view_t *view,
                            int64_t now_ms)
 {
-  bool relisting = table->regained_ms > 0 && now_ms < table->regained_ms + RELIST_MS;
-  bool kept = false;
+  int64_t again_ms = 0;
+  int64_t keep_end_ms;
 
   for (int32_t i = 0; i < view->endpoint_count; i++)
     put_row (ctx, table, &view->endpoints[i], now_ms);
@@ -170,16 +187,20 @@
 
       if (is_listed (view, row->listed.id))
         continue;
-      if (relisting && !row->listed.leaving)
+      if (row->missing_ms == 0)
+        row->missing_ms = now_ms;
+      keep_end_ms = get_keep_end_ms (table, row);
+      if (now_ms < keep_end_ms)
         {
-          kept = true;
+          if (again_ms == 0 || keep_end_ms < again_ms)
+            again_ms = keep_end_ms;
           continue;
         }
       tell_endpoint (ctx, "endpoint-gone", &row->listed);
       take_from_router (ctx, table, row->listed.id);
       *row = table->rows[--table->count];
     }
-  return kept ? table->regained_ms + RELIST_MS : 0;
+  return again_ms;
 }
 
 void
