One start for both commands of the agent; the lease knows whether it is held

The agent's two commands read flags, printed help and set levels by the same forty lines; bt_start_agent_command does it for both. The lease keeper kept a second note of what the lease itself knows.

--- a/include/bilberrytray/store/fenced_lease.h
+++ b/include/bilberrytray/store/fenced_lease.h
@@ -35,6 +35,9 @@
 bt_lease_result_t
 bt_hold_fenced_lease (bt_context_t *ctx, bt_fenced_lease_t *lease, uint64_t *fence);
 
+/** True from when the lease was granted until it is known to have ended. */
+bool bt_holds_fenced_lease (const bt_fenced_lease_t *lease);
+
 /** Gives the lease back, so that the next holder need not wait until it lapses: for a holder that
  * has stopped for good. Without a lease nothing is done. Blocks on the service. */
 void bt_give_back_fenced_lease (bt_context_t *ctx, bt_fenced_lease_t *lease);
--- a/source/agent/command_side.c
+++ b/source/agent/command_side.c
@@ -2,17 +2,11 @@
 #include <pthread.h>
 #include <signal.h>
 #include <stddef.h>
-#include <stdio.h>
 #include <stdlib.h>
 
-#include "bilberrytray/base.h"
 #include "bilberrytray/base/event_log.h"
 #include "side.h"
-
-enum
-{
-  EXIT_USAGE = 2,
-};
+#include "start.h"
 
 #define FIELD(name) offsetof (bt_side_settings_t, name)
 
@@ -38,11 +32,6 @@
   { "max-links", BT_SETTING_INTEGER, FIELD (max_links), "256", 1, 10000, "Links at a time." },
 };
 
-enum
-{
-  SETTING_COUNT = sizeof side_settings / sizeof side_settings[0],
-};
-
 /** What the thread that waits for signals needs. */
 typedef struct signal_waiter
 {
@@ -66,8 +55,9 @@
 }
 
 static int
-serve (bt_context_t *ctx, const bt_side_settings_t *settings)
+serve (bt_context_t *ctx, const void *values)
 {
+  const bt_side_settings_t *settings = values;
   bt_error_t error = { 0 };
   signal_waiter_t waiter;
   pthread_t thread;
@@ -98,39 +88,18 @@
 int
 bt_run_side_command (bt_context_t *ctx, int argc, char **argv)
 {
-  bt_findings_t *findings = bt_new_findings (ctx);
   bt_side_settings_t settings = { 0 };
-  bt_log_level_t level = BT_LOG_INFO;
-  bt_settings_result_t result =
-      bt_parse_settings (ctx, side_settings, SETTING_COUNT, argc, argv, &settings, NULL, findings);
-  int status = EXIT_USAGE;
+  bt_agent_command_t command = {
+    .usage =
+        "Usage: bilberry-agent side [FLAGS]\n\n"
+        "Runs beside an engine that requests reach directly: tells the entry instances how it\n"
+        "stands and carries out the orders of its group's leader.\n\n",
+    .settings = side_settings,
+    .setting_count = sizeof side_settings / sizeof side_settings[0],
+    .log_level = &settings.log_level,
+    .log_name = &settings.listen,
+    .run = serve,
+  };
 
-  if (result == BT_SETTINGS_OK && !bt_parse_log_level (settings.log_level, &level))
-    {
-      bt_add_finding (ctx, findings, "log-level", 0, NULL, "There is no level \"%s\".",
-                      settings.log_level);
-      result = BT_SETTINGS_BAD;
-    }
-  if (result == BT_SETTINGS_HELP)
-    {
-      printf (
-          "Usage: bilberry-agent side [FLAGS]\n\n"
-          "Runs beside an engine that requests reach directly: tells the entry instances how it\n"
-          "stands and carries out the orders of its group's leader.\n\n");
-      bt_print_settings (side_settings, SETTING_COUNT, stdout);
-    }
-  else if (result == BT_SETTINGS_VERSION)
-    printf ("bilberry-agent %s\n", BT_VERSION);
-  else if (result == BT_SETTINGS_BAD)
-    bt_print_findings (findings, stderr);
-  else
-    {
-      bt_set_log_level (ctx, (int32_t)level);
-      bt_set_log_name (ctx, settings.listen);
-      status = serve (ctx, &settings);
-    }
-  if (result == BT_SETTINGS_HELP || result == BT_SETTINGS_VERSION)
-    status = EXIT_SUCCESS;
-  bt_drop_findings (ctx, findings);
-  return status;
+  return bt_start_agent_command (ctx, &command, &settings, argc, argv);
 }
--- a/source/agent/main.c
+++ b/source/agent/main.c
@@ -1,18 +1,16 @@
 #include <signal.h>
 #include <stddef.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include <curl/curl.h>
 
 #include "agent.h"
-#include "bilberrytray/base.h"
 #include "side.h"
+#include "start.h"
 
 enum
 {
-  EXIT_USAGE = 2,
   IDLE_CHECK_MS = 50,
 };
 
@@ -79,20 +77,6 @@
     "Rank 0 drops a round that others have asked about for so long, ms." },
 };
 
-enum
-{
-  SETTING_COUNT = sizeof settings_table / sizeof settings_table[0],
-};
-
-static void
-print_help (void)
-{
-  printf ("Usage: bilberry-agent [FLAGS]\n       bilberry-agent side [FLAGS]\n\n"
-          "Runs beside one endpoint and passes it the requests that bilberryd sends.\n"
-          "SIGTERM lets it take no new work, end what runs, and exit.\n\n");
-  bt_print_settings (settings_table, SETTING_COUNT, stdout);
-}
-
 static void
 wait_idle (bt_context_t *ctx, bt_agent_t *agent, int64_t drain_ms)
 {
@@ -103,8 +87,9 @@
 }
 
 static int
-run_agent (bt_context_t *ctx, const bt_agent_settings_t *settings)
+run_agent (bt_context_t *ctx, const void *values)
 {
+  const bt_agent_settings_t *settings = values;
   bt_error_t error = { 0 };
   sigset_t signals;
   bt_agent_t *agent;
@@ -137,35 +122,19 @@
 static int
 run_main (bt_context_t *ctx, int argc, char **argv)
 {
-  bt_findings_t *findings = bt_new_findings (ctx);
   bt_agent_settings_t settings = { 0 };
-  bt_log_level_t level = BT_LOG_INFO;
-  bt_settings_result_t result =
-      bt_parse_settings (ctx, settings_table, SETTING_COUNT, argc, argv, &settings, NULL, findings);
-  int status = EXIT_USAGE;
+  bt_agent_command_t command = {
+    .usage = "Usage: bilberry-agent [FLAGS]\n       bilberry-agent side [FLAGS]\n\n"
+             "Runs beside one endpoint and passes it the requests that bilberryd sends.\n"
+             "SIGTERM lets it take no new work, end what runs, and exit.\n\n",
+    .settings = settings_table,
+    .setting_count = sizeof settings_table / sizeof settings_table[0],
+    .log_level = &settings.log_level,
+    .log_name = &settings.instance,
+    .run = run_agent,
+  };
 
-  if (result == BT_SETTINGS_OK && !bt_parse_log_level (settings.log_level, &level))
-    {
-      bt_add_finding (ctx, findings, "log-level", 0, NULL, "There is no level \"%s\".",
-                      settings.log_level);
-      result = BT_SETTINGS_BAD;
-    }
-  if (result == BT_SETTINGS_HELP)
-    print_help ();
-  else if (result == BT_SETTINGS_VERSION)
-    printf ("bilberry-agent %s\n", BT_VERSION);
-  else if (result == BT_SETTINGS_BAD)
-    bt_print_findings (findings, stderr);
-  else
-    {
-      bt_set_log_level (ctx, (int32_t)level);
-      bt_set_log_name (ctx, settings.instance);
-      status = run_agent (ctx, &settings);
-    }
-  if (result == BT_SETTINGS_HELP || result == BT_SETTINGS_VERSION)
-    status = EXIT_SUCCESS;
-  bt_drop_findings (ctx, findings);
-  return status;
+  return bt_start_agent_command (ctx, &command, &settings, argc, argv);
 }
 
 int
--- a/source/gateway/group_control.c
+++ b/source/gateway/group_control.c
@@ -99,9 +99,9 @@
   control->lease_end_ms = sent_ms + control->options.lease_s * MS_PER_S - LEASE_MARGIN_MS;
   if (fence != 0)
     control->lease_fence = fence;
-  /* A renewal that came late ended the leading, not the lease: nobody else has led meanwhile. */
   if (control->leaving && control->fence == 0)
     bt_want_lease (control->keeper, false, 0);
+  /* A renewal that came late ended the leading, not the lease: nobody else has led meanwhile. */
   else if (fence != 0 || control->fence == 0)
     start_leading (control, control->lease_fence);
 }
--- a/source/gateway/lease_keeper.c
+++ b/source/gateway/lease_keeper.c
@@ -21,7 +21,6 @@
   pthread_cond_t changed;
   bool stopping;
   bool wanted;
-  bool held; /* tried for since it was given back */
   int64_t next_ms;
 };
 
@@ -60,7 +59,6 @@
 static void
 give_back (bt_lease_keeper_t *keeper)
 {
-  keeper->held = false;
   pthread_mutex_unlock (&keeper->lock);
   bt_give_back_fenced_lease (keeper->ctx, keeper->lease);
   pthread_mutex_lock (&keeper->lock);
@@ -98,7 +96,7 @@
     {
       int64_t wait_ms = keeper->next_ms - bt_now_ms (keeper->ctx);
 
-      if (!keeper->wanted && keeper->held)
+      if (!keeper->wanted && bt_holds_fenced_lease (keeper->lease))
         give_back (keeper);
       else if (!keeper->wanted)
         pthread_cond_wait (&keeper->changed, &keeper->lock);
@@ -106,7 +104,6 @@
         bt_wait_condition (&keeper->changed, &keeper->lock, wait_ms);
       else
         {
-          keeper->held = true;
           keeper->next_ms = bt_now_ms (keeper->ctx) + keeper->options.renew_ms;
           pthread_mutex_unlock (&keeper->lock);
           hold (keeper);
--- a/source/store/fenced_lease.c
+++ b/source/store/fenced_lease.c
@@ -120,6 +120,12 @@
   return BT_LEASE_NONE;
 }
 
+bool
+bt_holds_fenced_lease (const bt_fenced_lease_t *lease)
+{
+  return lease->lease != 0;
+}
+
 void
 bt_give_back_fenced_lease (bt_context_t *ctx, bt_fenced_lease_t *lease)
 {
