Tell endpoints the time that is left by the clock, not by the loop's last reading

Cause: a request's arrival is read from the clock, what is left of its deadline was worked out from the loop's reading, which is from before the arrival. An endpoint was told up to a turn of the loop more than was left; after a stand-still between the two readings it would be told seconds more, and work for a caller who has left. Seen: test_gateway's first test fails once in about eight runs beside other tests (deadline 3001 for a limit of 3000). Ruled out: the adapter, which only prints it. After: eight runs of it without a failure.

--- a/source/gateway/forward_send.c
+++ b/source/gateway/forward_send.c
@@ -66,7 +66,7 @@
 
 /* The caller's headers, but for its secret and what the gateway sets itself. */
 static void
-add_headers (bt_forward_t *forward, int64_t now_ms)
+add_headers (bt_forward_t *forward)
 {
   const bt_front_request_t *request = bt_get_front_request (forward->call);
   const bt_platform_vtable_t *platform = forward->gateway->platform->vtable;
@@ -75,7 +75,9 @@
   bt_send_facts_t facts = {
     .endpoint = forward->route.identity.instance,
     .account = forward->account,
-    .deadline_left_ms = forward->end_ms - now_ms,
+    /* The clock itself: the loop's reading may be from before the request came, or from before the
+     * process stood still, and the endpoint would work for a caller who has left. */
+    .deadline_left_ms = forward->end_ms - bt_now_ms (forward->gateway->ctx),
   };
 
   for (int32_t i = 0; i < request->header_count; i++)
@@ -346,7 +348,7 @@
   memset (&forward->answer, 0, sizeof forward->answer);
   forward->exchange =
       bt_new_exchange (gateway->ctx, gateway->exchanges, &exchange, &forward->handler);
-  add_headers (forward, now_ms);
+  add_headers (forward);
   if (forward->state == BT_FORWARD_WAITING)
     forward->state = BT_FORWARD_SENT;
   if (forward->first_sent_ms == 0)
