--- a/include/bilberrytray/gateway/gateway.h
+++ b/include/bilberrytray/gateway/gateway.h
@@ -22,7 +22,8 @@
   const char *page;      /**< Where the operators' page is served; "" for none. */
   const char *links;     /**< Where links of peers are accepted. */
   const char *secret;
-  const char *seeds; /**< Addresses of some instances, with commas between; may be "". */
+  const char *seeds; /**< Links of some instances, with commas between, to learn from while the
+                          store is silent at the start; may be "". */
   const char *store; /**< The platform's store, "IP:PORT". */
   const char *log_level;
   int64_t max_connections;
--- /dev/null
+++ b/source/gateway/feed_choice.c
@@ -0,0 +1,141 @@
+#include "feed_choice.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "bilberrytray/core/subset.h"
+
+static bool
+is_first_of_domain (const bt_listed_entry_t *entries, int32_t index)
+{
+  for (int32_t i = 0; i < index; i++)
+    if (strcmp (entries[i].failure_domain, entries[index].failure_domain) == 0)
+      return false;
+  return true;
+}
+
+/* Each failure domain has a reader, so that what an entry learns need not cross between two. */
+static int32_t
+count_readers (const bt_listed_entry_t *entries, int32_t count)
+{
+  int32_t readers = (count + BT_ENTRIES_A_READER - 1) / BT_ENTRIES_A_READER;
+  int32_t domains = 0;
+
+  for (int32_t i = 0; i < count; i++)
+    if (is_first_of_domain (entries, i))
+      domains++;
+  return readers > domains ? readers : domains;
+}
+
+static void
+add_candidate (bt_feed_choice_t *choice, const char *links)
+{
+  if (choice->count < BT_MAX_FEED_CANDIDATES)
+    snprintf (choice->candidates[choice->count++], BT_ADDRESS_BYTES, "%s", links);
+}
+
+/* Adds the readers of the same failure domain, or those of others, from a place of its own on. */
+static void
+add_readers (bt_feed_choice_t *choice,
+             const bt_listed_entry_t *entries,
+             const int32_t *readers,
+             int32_t count,
+             const char *links,
+             const char *failure_domain,
+             bool same)
+{
+  int32_t first = (int32_t)(bt_hash_bytes (links, strlen (links), 0) % (uint64_t)count);
+
+  for (int32_t i = 0; i < count; i++)
+    {
+      const bt_listed_entry_t *entry = &entries[readers[(first + i) % count]];
+      bool near = strcmp (entry->failure_domain, failure_domain) == 0;
+
+      if (near == same && strcmp (entry->links, links) != 0)
+        add_candidate (choice, entry->links);
+    }
+}
+
+/* Lists the entries that stand by, in the order that all know. */
+static void
+add_standbys (bt_feed_choice_t *choice,
+              const bt_listed_entry_t *entries,
+              const int32_t *standbys,
+              int32_t count,
+              const char *links)
+{
+  bool before = true;
+
+  for (int32_t i = 0; i < count; i++)
+    {
+      const bt_listed_entry_t *entry = &entries[standbys[i]];
+
+      if (strcmp (entry->links, links) == 0)
+        before = false;
+      else
+        add_candidate (choice, entry->links);
+      if (before)
+        choice->usual = choice->count;
+    }
+}
+
+static bool
+is_among (const bt_listed_entry_t *entries, const int32_t *chosen, int32_t count, const char *links)
+{
+  for (int32_t i = 0; i < count; i++)
+    if (strcmp (entries[chosen[i]].links, links) == 0)
+      return true;
+  return false;
+}
+
+void
+bt_choose_feed (bt_context_t *ctx,
+                const bt_listed_entry_t *entries,
+                int32_t count,
+                const char *links,
+                const char *failure_domain,
+                bt_feed_choice_t *choice)
+{
+  bt_subset_candidate_t *known = bt_calloc (ctx, (size_t)count, sizeof *known);
+  int32_t readers = count_readers (entries, count);
+  int32_t wanted = readers + BT_STANDBY_READERS;
+  int32_t *chosen = bt_calloc (ctx, (size_t)wanted, sizeof *chosen);
+
+  memset (choice, 0, sizeof *choice);
+  for (int32_t i = 0; i < count; i++)
+    {
+      bt_copy_name (known[i].instance, entries[i].identity.instance);
+      bt_copy_name (known[i].failure_domain, entries[i].failure_domain);
+    }
+  wanted = bt_choose_subset (ctx, "store readers", known, count, wanted, chosen);
+  readers = readers < wanted ? readers : wanted;
+  choice->reader = is_among (entries, chosen, readers, links);
+  if (readers > 0)
+    {
+      add_readers (choice, entries, chosen, readers, links, failure_domain, true);
+      add_readers (choice, entries, chosen, readers, links, failure_domain, false);
+    }
+  choice->usual = choice->count;
+  add_standbys (choice, entries, chosen + readers, wanted - readers, links);
+  if (choice->reader)
+    choice->usual = 0;
+  bt_free (ctx, known);
+  bt_free (ctx, chosen);
+}
+
+void
+bt_choose_seed_feed (const char *seeds, const char *links, bt_feed_choice_t *choice)
+{
+  memset (choice, 0, sizeof *choice);
+  while (*seeds != '\0')
+    {
+      size_t bytes = strcspn (seeds, ",");
+      char address[BT_ADDRESS_BYTES];
+
+      snprintf (address, sizeof address, "%.*s", (int)bytes, seeds);
+      if (bytes > 0 && strcmp (address, links) != 0)
+        add_candidate (choice, address);
+      seeds += bytes + (seeds[bytes] == ',' ? 1 : 0);
+    }
+  choice->usual = choice->count;
+}
--- /dev/null
+++ b/source/gateway/feed_messages.h
@@ -0,0 +1,31 @@
+#ifndef BILBERRYTRAY_SOURCE_GATEWAY_FEED_MESSAGES_H
+#define BILBERRYTRAY_SOURCE_GATEWAY_FEED_MESSAGES_H
+
+/** @file
+ * The messages by which an entry tells another what the platform's store holds.
+ */
+
+#include "bilberrytray/wire/frame.h"
+#include "store_copy.h"
+
+/** Writes changes that follow on @p from_revision. The message points into @p changes; free it with
+ * bt_clear_items_message. */
+void bt_write_changes_message (bt_context_t *ctx,
+                               int64_t from_revision,
+                               const bt_kv_changes_t *changes,
+                               Bilberry__StoreItems *message);
+
+/** Writes the items that changed behind @p from_revision, and the keys of all. The message points
+ * into @p items; free it with bt_clear_items_message. */
+void bt_write_items_message (bt_context_t *ctx,
+                             int64_t from_revision,
+                             const bt_kv_range_t *items,
+                             Bilberry__StoreItems *message);
+
+/** Frees the lists of a message that was written, not what they point to. */
+void bt_clear_items_message (bt_context_t *ctx, Bilberry__StoreItems *message);
+
+/** Copies what a message holds; freed with bt_drop_store_news. */
+bt_store_news_t *bt_read_items_message (bt_context_t *ctx, const Bilberry__StoreItems *message);
+
+#endif
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -274,8 +274,8 @@
   gateway->endpoints = bt_new_endpoint_table (gateway->ctx, gateway->router);
 }
 
-static void
-follow_store (bt_gateway_t *gateway)
+static bool
+follow_store (bt_gateway_t *gateway, bt_error_t *error)
 {
   const bt_gateway_settings_t *settings = gateway->settings;
   bt_store_follower_options_t options = {
@@ -284,6 +284,8 @@
     .watch_ms = settings->watch_ms,
     .lease_s = settings->lease_s,
     .renew_ms = settings->renew_ms,
+    .seeds = settings->seeds,
+    .secret = settings->secret,
   };
 
   options.entry.identity = gateway->identity;
@@ -293,7 +295,8 @@
   gateway->listener.on_view = take_view;
   gateway->listener.on_store = take_store_news;
   gateway->follower =
-      bt_new_store_follower (gateway->ctx, gateway->loop, &options, &gateway->listener);
+      bt_new_store_follower (gateway->ctx, gateway->loop, &options, &gateway->listener, error);
+  return gateway->follower != NULL;
 }
 
 bt_gateway_t *
@@ -323,7 +326,11 @@
     }
   gateway->exchanges = bt_new_exchange_pool (ctx, gateway->loop, &limits);
   open_load (gateway);
-  follow_store (gateway);
+  if (!follow_store (gateway, error))
+    {
+      bt_drop_gateway (ctx, gateway);
+      return NULL;
+    }
   return gateway;
 }
 
--- /dev/null
+++ b/source/gateway/peer_feed.c
@@ -0,0 +1,473 @@
+#include "peer_feed.h"
+
+#include <pthread.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "bilberrytray/base/clock.h"
+#include "bilberrytray/base/condition.h"
+#include "bilberrytray/base/event_log.h"
+#include "feed_messages.h"
+
+enum
+{
+  /* A reader that stands still or is cut off shows by its silence only, and what it knew last may
+   * be old by then: a follower turns to the store after 800 ms, and is behind by no more than that
+   * and one read, well within the two seconds in which a change has to be in force. */
+  BEAT_MS = 250,
+  IDLE_MS = 800,
+  OPENING_MS = 500,
+  /* Between the dialling of two candidates. */
+  REDIAL_MS = 600,
+  /* Items are as large as a megabyte each, and a large configuration is one. */
+  MAX_FRAME_BYTES = 16 << 20,
+  MAX_UNSENT_BYTES = 16 << 20,
+  MAX_LINKS = 256,
+};
+
+/** A link to an entry that follows this one. */
+typedef struct follower_row
+{
+  bt_link_t *link;
+  struct follower_row *next;
+} follower_row_t;
+
+struct bt_peer_feed
+{
+  bt_link_handler_t handler; /* first */
+  bt_context_t *ctx;
+  bt_peer_feed_options_t options;
+  bt_store_copy_t *copy;
+  bt_link_loop_t *loop;
+  /* Of the thread that makes the calls. */
+  int32_t next_candidate;
+  int64_t dialled_ms;
+  /* Lock order: taken before the copy's, and before any call into a link. */
+  pthread_mutex_t lock; /* guards what stands below */
+  pthread_cond_t changed;
+  follower_row_t *followers;
+  bool attached; /* the store answers this entry */
+  int64_t contact_ms;
+  bool retired;
+  char address[BT_ADDRESS_BYTES]; /* of the peer that is followed */
+  bt_link_t *link;                /* to it */
+  bool up;
+  bool told; /* it has sent its items */
+  bool peer_attached;
+  int64_t peer_revision;
+  bt_store_news_t *first_news;
+  bt_store_news_t **last_news;
+};
+
+static void
+send_message (bt_peer_feed_t *feed, bt_link_t *link, Bilberry__Frame__BodyCase kind, void *message)
+{
+  bt_frame_t frame = BILBERRY__FRAME__INIT;
+
+  frame.body_case = kind;
+  switch (kind)
+    {
+    case BILBERRY__FRAME__BODY_STORE_ITEMS:
+      frame.store_items = message;
+      break;
+    case BILBERRY__FRAME__BODY_STORE_FOLLOW:
+      frame.store_follow = message;
+      break;
+    default:
+      frame.store_state = message;
+      break;
+    }
+  if (!bt_send_frame (feed->ctx, link, &frame))
+    bt_log_event (feed->ctx, BT_LOG_WARNING, "peer-unreachable", "{s:s}", "peer",
+                  bt_get_link_instance (link));
+}
+
+static void
+send_state (bt_peer_feed_t *feed, bt_link_t *link)
+{
+  Bilberry__StoreState state = BILBERRY__STORE_STATE__INIT;
+  int64_t silent_ms = bt_now_ms (feed->ctx) - feed->contact_ms;
+
+  state.attached = feed->attached && !feed->retired && silent_ms < feed->options.contact_ms;
+  state.revision = bt_get_copy_revision (feed->copy);
+  send_message (feed, link, BILBERRY__FRAME__BODY_STORE_STATE, &state);
+}
+
+static void
+send_follow (bt_peer_feed_t *feed)
+{
+  Bilberry__StoreFollow follow = BILBERRY__STORE_FOLLOW__INIT;
+
+  follow.revision = bt_get_copy_revision (feed->copy);
+  send_message (feed, feed->link, BILBERRY__FRAME__BODY_STORE_FOLLOW, &follow);
+}
+
+/** Items for one link, or for all followers. */
+typedef struct items_order
+{
+  bt_peer_feed_t *feed;
+  bt_link_t *link; /* NULL: all followers */
+  int64_t from_revision;
+} items_order_t;
+
+static void
+send_to_followers (bt_peer_feed_t *feed, Bilberry__Frame__BodyCase kind, void *message)
+{
+  for (follower_row_t *row = feed->followers; row != NULL; row = row->next)
+    send_message (feed, row->link, kind, message);
+}
+
+static void
+send_items (void *data, const bt_kv_range_t *items)
+{
+  items_order_t *order = data;
+  Bilberry__StoreItems message;
+
+  bt_write_items_message (order->feed->ctx, order->from_revision, items, &message);
+  if (order->link != NULL)
+    send_message (order->feed, order->link, BILBERRY__FRAME__BODY_STORE_ITEMS, &message);
+  else
+    send_to_followers (order->feed, BILBERRY__FRAME__BODY_STORE_ITEMS, &message);
+  bt_clear_items_message (order->feed->ctx, &message);
+}
+
+static void
+take_link_up (bt_link_handler_t *handler, bt_link_t *link)
+{
+  bt_peer_feed_t *feed = (bt_peer_feed_t *)handler;
+
+  pthread_mutex_lock (&feed->lock);
+  if (link == feed->link)
+    {
+      feed->up = true;
+      send_follow (feed);
+    }
+  pthread_mutex_unlock (&feed->lock);
+}
+
+static void
+drop_follower (bt_peer_feed_t *feed, follower_row_t **at)
+{
+  follower_row_t *row = *at;
+
+  *at = row->next;
+  bt_drop_link (feed->ctx, row->link);
+  bt_free (feed->ctx, row);
+}
+
+static void
+take_link_down (bt_link_handler_t *handler, bt_link_t *link)
+{
+  bt_peer_feed_t *feed = (bt_peer_feed_t *)handler;
+
+  pthread_mutex_lock (&feed->lock);
+  if (link == feed->link)
+    feed->up = false;
+  for (follower_row_t **at = &feed->followers; *at != NULL; at = &(*at)->next)
+    if ((*at)->link == link)
+      {
+        drop_follower (feed, at);
+        break;
+      }
+  pthread_cond_signal (&feed->changed);
+  pthread_mutex_unlock (&feed->lock);
+}
+
+static bool
+is_follower (const bt_peer_feed_t *feed, const bt_link_t *link)
+{
+  for (const follower_row_t *row = feed->followers; row != NULL; row = row->next)
+    if (row->link == link)
+      return true;
+  return false;
+}
+
+/* A new follower, or one that has missed something. It gets all that changed behind what it has:
+ * keys that went meanwhile are not known any more, so the keys that are there go with it. */
+static void
+take_follow (bt_peer_feed_t *feed, bt_link_t *link, int64_t revision)
+{
+  items_order_t order = { feed, link, revision };
+
+  if (!is_follower (feed, link))
+    {
+      follower_row_t *row = bt_calloc (feed->ctx, 1, sizeof *row);
+
+      row->link = bt_keep_link (link);
+      row->next = feed->followers;
+      feed->followers = row;
+    }
+  bt_look_at_copy (feed->copy, send_items, &order);
+  send_state (feed, link);
+}
+
+static void
+take_items (bt_peer_feed_t *feed, const Bilberry__StoreItems *message)
+{
+  bt_store_news_t *news = bt_read_items_message (feed->ctx, message);
+
+  feed->told = true;
+  if (message->revision > feed->peer_revision)
+    feed->peer_revision = message->revision;
+  *feed->last_news = news;
+  feed->last_news = &news->next;
+}
+
+static void
+take_frame (bt_link_handler_t *handler, bt_link_t *link, const bt_frame_t *frame)
+{
+  bt_peer_feed_t *feed = (bt_peer_feed_t *)handler;
+
+  pthread_mutex_lock (&feed->lock);
+  if (frame->body_case == BILBERRY__FRAME__BODY_STORE_FOLLOW)
+    take_follow (feed, link, frame->store_follow->revision);
+  else if (link == feed->link && frame->body_case == BILBERRY__FRAME__BODY_STORE_ITEMS)
+    take_items (feed, frame->store_items);
+  else if (link == feed->link && frame->body_case == BILBERRY__FRAME__BODY_STORE_STATE)
+    {
+      feed->peer_attached = frame->store_state->attached;
+      if (frame->store_state->revision > feed->peer_revision)
+        feed->peer_revision = frame->store_state->revision;
+    }
+  pthread_cond_signal (&feed->changed);
+  pthread_mutex_unlock (&feed->lock);
+}
+
+static void
+send_beat (bt_link_handler_t *handler, bt_link_t *link)
+{
+  bt_peer_feed_t *feed = (bt_peer_feed_t *)handler;
+
+  pthread_mutex_lock (&feed->lock);
+  send_state (feed, link);
+  pthread_mutex_unlock (&feed->lock);
+}
+
+static const bt_link_handler_vtable_t handler_vtable = { take_link_up, take_frame, take_link_down,
+                                                         send_beat };
+
+bt_peer_feed_t *
+bt_new_peer_feed (bt_context_t *ctx,
+                  const bt_peer_feed_options_t *options,
+                  bt_store_copy_t *copy,
+                  bt_error_t *error)
+{
+  bt_peer_feed_t *feed = bt_calloc (ctx, 1, sizeof *feed);
+  bt_link_options_t link_options = {
+    .role = "entry",
+    .instance = options->links,
+    .incarnation = options->incarnation,
+    .failure_domain = options->failure_domain,
+    .address = options->links,
+    .secret = options->secret,
+    .beat_ms = BEAT_MS,
+    .idle_ms = IDLE_MS,
+    .opening_ms = OPENING_MS,
+    .max_frame_bytes = MAX_FRAME_BYTES,
+    .max_unsent_bytes = MAX_UNSENT_BYTES,
+    .max_links = MAX_LINKS,
+    .handler = &feed->handler,
+  };
+
+  feed->handler.vtable = &handler_vtable;
+  feed->ctx = ctx;
+  feed->options = *options;
+  feed->copy = copy;
+  feed->last_news = &feed->first_news;
+  pthread_mutex_init (&feed->lock, NULL);
+  bt_init_condition (&feed->changed);
+  feed->loop = bt_new_link_loop (ctx, &link_options, error);
+  if (feed->loop == NULL || bt_listen_links (ctx, feed->loop, options->links, error) < 0)
+    {
+      bt_drop_peer_feed (ctx, feed);
+      return NULL;
+    }
+  return feed;
+}
+
+/* Forgets the peer that is followed, and what it sent. */
+static void
+leave_peer (bt_peer_feed_t *feed)
+{
+  if (feed->link == NULL)
+    return;
+  bt_close_link (feed->link);
+  bt_drop_link (feed->ctx, feed->link);
+  feed->link = NULL;
+  feed->up = false;
+  feed->told = false;
+  feed->peer_attached = false;
+  feed->peer_revision = 0;
+  while (feed->first_news != NULL)
+    {
+      bt_store_news_t *news = feed->first_news;
+
+      feed->first_news = news->next;
+      bt_drop_store_news (feed->ctx, news);
+    }
+  feed->last_news = &feed->first_news;
+}
+
+void
+bt_drop_peer_feed (bt_context_t *ctx, bt_peer_feed_t *feed)
+{
+  if (feed == NULL)
+    return;
+  bt_drop_link_loop (ctx, feed->loop);
+  leave_peer (feed);
+  while (feed->followers != NULL)
+    drop_follower (feed, &feed->followers);
+  pthread_cond_destroy (&feed->changed);
+  pthread_mutex_destroy (&feed->lock);
+  bt_free (ctx, feed);
+}
+
+static bool
+is_good (bt_peer_feed_t *feed)
+{
+  return feed->link != NULL && feed->up && feed->told && feed->peer_attached
+         && feed->peer_revision >= bt_get_copy_revision (feed->copy);
+}
+
+static bool
+is_candidate (const bt_feed_choice_t *choice, int32_t count, const char *address)
+{
+  for (int32_t i = 0; i < count; i++)
+    if (strcmp (choice->candidates[i], address) == 0)
+      return true;
+  return false;
+}
+
+/* Dials the next candidate. A peer is named by its address, as an agent is: a seed's name is not
+ * known. */
+static void
+dial_next (bt_peer_feed_t *feed, const bt_feed_choice_t *choice, int32_t count)
+{
+  const char *address = choice->candidates[feed->next_candidate++ % count];
+  bt_error_t error = { 0 };
+
+  snprintf (feed->address, sizeof feed->address, "%s", address);
+  feed->dialled_ms = bt_now_ms (feed->ctx);
+  feed->link = bt_dial_link (feed->ctx, feed->loop, feed->address, feed->address, &error);
+  if (feed->link == NULL)
+    bt_log_event (feed->ctx, BT_LOG_WARNING, "peer-unreachable", "{s:s, s:s}", "peer", address,
+                  "message", error.message);
+}
+
+void
+bt_tend_peer_feed (bt_peer_feed_t *feed, const bt_feed_choice_t *choice, int32_t count)
+{
+  int64_t now_ms = bt_now_ms (feed->ctx);
+  bool due = feed->dialled_ms == 0 || now_ms - feed->dialled_ms > REDIAL_MS;
+
+  pthread_mutex_lock (&feed->lock);
+  if (feed->link != NULL
+      && (!is_candidate (choice, count, feed->address) || (due && !is_good (feed))))
+    leave_peer (feed);
+  if (feed->link == NULL && due && count > 0)
+    dial_next (feed, choice, count);
+  pthread_mutex_unlock (&feed->lock);
+}
+
+bool
+bt_is_peer_feed_good (bt_peer_feed_t *feed)
+{
+  bool good;
+
+  pthread_mutex_lock (&feed->lock);
+  good = is_good (feed);
+  if (good)
+    feed->next_candidate = 0;
+  pthread_mutex_unlock (&feed->lock);
+  return good;
+}
+
+void
+bt_wait_peer_feed (bt_peer_feed_t *feed, int64_t wait_ms)
+{
+  pthread_mutex_lock (&feed->lock);
+  if (feed->first_news == NULL && is_good (feed))
+    bt_wait_condition (&feed->changed, &feed->lock, wait_ms);
+  pthread_mutex_unlock (&feed->lock);
+}
+
+bt_store_news_t *
+bt_take_peer_news (bt_peer_feed_t *feed)
+{
+  bt_store_news_t *news;
+
+  pthread_mutex_lock (&feed->lock);
+  news = feed->first_news;
+  if (news != NULL)
+    feed->first_news = news->next;
+  if (feed->first_news == NULL)
+    feed->last_news = &feed->first_news;
+  pthread_mutex_unlock (&feed->lock);
+  return news;
+}
+
+void
+bt_ask_peer_again (bt_peer_feed_t *feed)
+{
+  pthread_mutex_lock (&feed->lock);
+  if (feed->up)
+    send_follow (feed);
+  pthread_mutex_unlock (&feed->lock);
+}
+
+static void
+tell_state (bt_peer_feed_t *feed)
+{
+  for (follower_row_t *row = feed->followers; row != NULL; row = row->next)
+    send_state (feed, row->link);
+}
+
+void
+bt_note_store_contact (bt_peer_feed_t *feed, bool there)
+{
+  bool before;
+
+  pthread_mutex_lock (&feed->lock);
+  before = feed->attached;
+  feed->attached = there;
+  if (there)
+    feed->contact_ms = bt_now_ms (feed->ctx);
+  if (before != there)
+    tell_state (feed);
+  pthread_mutex_unlock (&feed->lock);
+}
+
+void
+bt_send_peer_changes (bt_peer_feed_t *feed, int64_t from_revision, const bt_kv_changes_t *changes)
+{
+  Bilberry__StoreItems message;
+
+  pthread_mutex_lock (&feed->lock);
+  if (feed->followers != NULL)
+    {
+      bt_write_changes_message (feed->ctx, from_revision, changes, &message);
+      send_to_followers (feed, BILBERRY__FRAME__BODY_STORE_ITEMS, &message);
+      bt_clear_items_message (feed->ctx, &message);
+    }
+  pthread_mutex_unlock (&feed->lock);
+}
+
+void
+bt_send_peer_items (bt_peer_feed_t *feed, int64_t from_revision)
+{
+  items_order_t order = { feed, NULL, from_revision };
+
+  pthread_mutex_lock (&feed->lock);
+  if (feed->followers != NULL)
+    bt_look_at_copy (feed->copy, send_items, &order);
+  pthread_mutex_unlock (&feed->lock);
+}
+
+void
+bt_retire_peer_feed (bt_peer_feed_t *feed)
+{
+  pthread_mutex_lock (&feed->lock);
+  feed->retired = true;
+  tell_state (feed);
+  pthread_mutex_unlock (&feed->lock);
+}
--- a/source/gateway/store_follower.c
+++ b/source/gateway/store_follower.c
@@ -8,6 +8,7 @@
 #include "bilberrytray/base/condition.h"
 #include "bilberrytray/base/event_log.h"
 #include "bilberrytray/base/random.h"
+#include "peer_feed.h"
 
 enum
 {
@@ -16,6 +17,15 @@
   GATHER_MS = 200,
   FULL_READ_MS = 20000,
   THREAD_STACK_BYTES = 256 * 1024,
+  /* A watch is answered this long behind its wait at the latest, and changes are gathered after it.
+   */
+  CONTACT_MARGIN_MS = 800,
+  /* Longest sleep of one that is told by a peer; what comes wakes it. */
+  PEER_WAIT_MS = 300,
+  /* One that reads the store, but has lost it, is told by a peer meanwhile and tries the store with
+   * this pause, by a watch that waits so long: what the peer tells waits for the watch. */
+  STORE_RETRY_MS = 1500,
+  RETRY_WATCH_MS = 20,
 };
 
 struct bt_store_follower
@@ -25,14 +35,20 @@
   bt_store_follower_options_t options;
   bt_store_listener_t *listener;
   bt_kv_t *kv;
+  bool running; /* the threads were started */
   pthread_t watcher;
   pthread_t lister;
   int32_t stopping;
   /* Of the watching thread. */
-  bt_kv_range_t items; /* all that the store holds, as far as it is known */
-  int64_t read_ms;     /* when they were last read in full */
-  bt_view_t *last;     /* what was handed over last: a copy that shares its declarations */
-  bool lost;
+  int64_t read_ms;  /* when all items were last read in full */
+  bt_view_t *last;  /* what was handed over last: a copy that shares its declarations */
+  bool told;        /* by a peer, and not by the store */
+  bool lost;        /* neither the store nor a peer tells anything */
+  bool turned_away; /* the store itself does not answer */
+  int64_t tried_ms; /* when the store was last tried */
+  bt_feed_choice_t choice;
+  bt_store_copy_t *copy; /* all that the store holds, as far as it is known */
+  bt_peer_feed_t *feed;
   /* Lock order: taken alone. */
   pthread_mutex_t lock; /* guards wanted */
   pthread_cond_t changed;
@@ -108,38 +124,59 @@
   follower->last = copy;
 }
 
+/** What becomes of the items. */
+typedef struct view_order
+{
+  bt_store_follower_t *follower;
+  int64_t read_ms;
+  bt_view_t *view;
+} view_order_t;
+
+static void
+make_view (void *data, const bt_kv_range_t *items)
+{
+  view_order_t *order = data;
+  bt_store_follower_t *follower = order->follower;
+
+  order->view = bt_new_view (follower->ctx, follower->options.platform, items, order->read_ms,
+                             follower->last);
+}
+
 /* Hands over how things stand now. */
 static void
 tell_items (bt_store_follower_t *follower, int64_t read_ms)
 {
-  bt_view_t *view = bt_new_view (follower->ctx, follower->options.platform, &follower->items,
-                                 read_ms, follower->last);
-
-  remember (follower, view);
-  post_news (follower, view, true);
+  const bt_listed_entry_t *self = &follower->options.entry;
+  view_order_t order = { follower, read_ms, NULL };
+
+  bt_look_at_copy (follower->copy, make_view, &order);
+  bt_choose_feed (follower->ctx, order.view->entries, order.view->entry_count, self->links,
+                  self->failure_domain, &follower->choice);
+  remember (follower, order.view);
+  post_news (follower, order.view, true);
 }
 
-/* Reads all that the store holds. The revision never goes back within one life: an answer that is
- * older than what is known comes from a store that has not caught up, and is dropped. */
+/* Reads all that the store holds. */
 static bool
 read_all (bt_store_follower_t *follower, bt_error_t *error)
 {
   bt_context_t *ctx = follower->ctx;
   int64_t begun_ms = bt_now_ms (ctx);
+  int64_t before = bt_get_copy_revision (follower->copy);
   bt_kv_range_t range = { 0 };
 
   if (!bt_read_kv (ctx, follower->kv, "", true, &range, error))
     return false;
-  if (range.revision < follower->items.revision)
+  if (!bt_replace_copy (ctx, follower->copy, &range))
     {
       bt_log_event (ctx, BT_LOG_WARNING, "store-read-old", "{s:I, s:I}", "revision",
-                    (json_int_t)range.revision, "known", (json_int_t)follower->items.revision);
+                    (json_int_t)range.revision, "known", (json_int_t)before);
       bt_drop_kv_range (ctx, &range);
       return true;
     }
-  bt_drop_kv_range (ctx, &follower->items);
-  follower->items = range;
   follower->read_ms = begun_ms;
+  if (bt_get_copy_revision (follower->copy) > before)
+    bt_send_peer_items (follower->feed, before);
   tell_items (follower, begun_ms);
   return true;
 }
@@ -148,11 +185,14 @@
 static bool
 take_changes (bt_store_follower_t *follower, bt_kv_changes_t *changes, bt_error_t *error)
 {
-  if (changes->incomplete || changes->written.revision < follower->items.revision)
+  int64_t before = bt_get_copy_revision (follower->copy);
+
+  if (changes->incomplete || changes->written.revision < before)
     return read_all (follower, error);
   if (changes->written.count == 0 && changes->removed_count == 0)
     return true;
-  bt_apply_kv_changes (follower->ctx, &follower->items, changes);
+  bt_send_peer_changes (follower->feed, before, changes);
+  bt_change_copy (follower->ctx, follower->copy, changes);
   tell_items (follower, bt_now_ms (follower->ctx));
   /* Changes come in series, and each watch counts as a call: those of the next moment come with the
    * next answer. */
@@ -163,18 +203,18 @@
 /* One watch, and what it saw. A watch that fails is followed by a read: whatever happened during it
  * was not heard. So is a long time without one, whatever the watches said. */
 static bool
-follow_once (bt_store_follower_t *follower, bt_error_t *error)
+follow_store (bt_store_follower_t *follower, int64_t wait_ms, bt_error_t *error)
 {
   bt_kv_changes_t changes = { 0 };
   bool done;
 
   if (follower->last == NULL || bt_now_ms (follower->ctx) - follower->read_ms > FULL_READ_MS)
     return read_all (follower, error);
-  done = bt_follow_kv (follower->ctx, follower->kv, "", follower->items.revision + 1,
-                       follower->options.watch_ms, &changes, error);
+  done = bt_follow_kv (follower->ctx, follower->kv, "", bt_get_copy_revision (follower->copy) + 1,
+                       wait_ms, &changes, error);
   if (done)
     done = take_changes (follower, &changes, error);
-  else
+  else if (!follower->told)
     {
       bt_clear_error (error);
       done = read_all (follower, error);
@@ -183,6 +223,74 @@
   return done;
 }
 
+/* One turn with the store itself. */
+static void
+ask_store (bt_store_follower_t *follower, int64_t wait_ms)
+{
+  bt_error_t error = { 0 };
+  bool done = follow_store (follower, wait_ms, &error);
+
+  if (is_stopping (follower))
+    return;
+  follower->tried_ms = bt_now_ms (follower->ctx);
+  follower->turned_away = !done;
+  bt_note_store_contact (follower->feed, done);
+  if (done || !follower->told)
+    note_store (follower, done, &error);
+  if (!done && !follower->told)
+    bt_sleep_ms (FAILED_PAUSE_MS);
+}
+
+/* Takes what a peer has sent. */
+static void
+take_peer_news (bt_store_follower_t *follower)
+{
+  bt_store_news_t *news;
+  bool changed = false;
+
+  while ((news = bt_take_peer_news (follower->feed)) != NULL)
+    {
+      bt_news_effect_t effect = bt_add_news_to_copy (follower->ctx, follower->copy, news);
+
+      if (effect == BT_NEWS_GAP)
+        bt_ask_peer_again (follower->feed);
+      changed = changed || effect == BT_NEWS_TAKEN;
+      bt_drop_store_news (follower->ctx, news);
+    }
+  if (changed)
+    tell_items (follower, bt_now_ms (follower->ctx));
+}
+
+/* Whether a peer tells this entry how things stand. The store is asked by readers, by those that no
+ * peer tells, and by nobody else. */
+static void
+choose_source (bt_store_follower_t *follower)
+{
+  const bt_feed_choice_t *choice = &follower->choice;
+  int32_t count = follower->turned_away ? choice->count : choice->usual;
+  bool told;
+
+  bt_tend_peer_feed (follower->feed, choice, count);
+  told = bt_is_peer_feed_good (follower->feed);
+  if (told == follower->told)
+    return;
+  follower->told = told;
+  bt_log_event (follower->ctx, BT_LOG_INFO, "store-source", "{s:s, s:I}", "source",
+                told ? "peer" : "store", "revision",
+                (json_int_t)bt_get_copy_revision (follower->copy));
+  if (!told)
+    return;
+  /* Peers that follow this one are to follow one that reads the store. */
+  bt_note_store_contact (follower->feed, false);
+  note_store (follower, true, NULL);
+}
+
+static bool
+is_store_due (const bt_store_follower_t *follower)
+{
+  return follower->choice.reader && bt_now_ms (follower->ctx) - follower->tried_ms > STORE_RETRY_MS;
+}
+
 static void *
 run_watcher (void *argument)
 {
@@ -190,14 +298,14 @@
 
   while (!is_stopping (follower))
     {
-      bt_error_t error = { 0 };
-      bool done = follow_once (follower, &error);
-
-      if (is_stopping (follower))
-        break;
-      note_store (follower, done, &error);
-      if (!done)
-        bt_sleep_ms (FAILED_PAUSE_MS);
+      choose_source (follower);
+      take_peer_news (follower);
+      if (!follower->told)
+        ask_store (follower, follower->options.watch_ms);
+      else if (is_store_due (follower))
+        ask_store (follower, RETRY_WATCH_MS);
+      else
+        bt_wait_peer_feed (follower->feed, PEER_WAIT_MS);
     }
   return NULL;
 }
@@ -293,11 +401,30 @@
   pthread_attr_destroy (&attributes);
 }
 
+static bool
+open_feed (bt_store_follower_t *follower, bt_error_t *error)
+{
+  const bt_store_follower_options_t *options = &follower->options;
+  bt_peer_feed_options_t feed = {
+    .links = options->entry.links,
+    .incarnation = options->entry.identity.incarnation,
+    .failure_domain = options->entry.failure_domain,
+    .secret = options->secret,
+    .contact_ms = options->watch_ms + CONTACT_MARGIN_MS,
+  };
+
+  follower->copy = bt_new_store_copy (follower->ctx);
+  bt_choose_seed_feed (options->seeds, options->entry.links, &follower->choice);
+  follower->feed = bt_new_peer_feed (follower->ctx, &feed, follower->copy, error);
+  return follower->feed != NULL;
+}
+
 bt_store_follower_t *
 bt_new_store_follower (bt_context_t *ctx,
                        bt_event_loop_t *loop,
                        const bt_store_follower_options_t *options,
-                       bt_store_listener_t *listener)
+                       bt_store_listener_t *listener,
+                       bt_error_t *error)
 {
   bt_store_follower_t *follower = bt_calloc (ctx, 1, sizeof *follower);
   uint64_t seed;
@@ -310,6 +437,12 @@
   follower->kv = options->platform->vtable->new_store (ctx, options->address, seed);
   pthread_mutex_init (&follower->lock, NULL);
   bt_init_condition (&follower->changed);
+  if (!open_feed (follower, error))
+    {
+      bt_drop_store_follower (ctx, follower);
+      return NULL;
+    }
+  follower->running = true;
   start_thread (follower, &follower->watcher, run_watcher);
   start_thread (follower, &follower->lister, run_lister);
   return follower;
@@ -322,6 +455,8 @@
   follower->wanted = listed;
   pthread_cond_signal (&follower->changed);
   pthread_mutex_unlock (&follower->lock);
+  if (!listed)
+    bt_retire_peer_feed (follower->feed);
 }
 
 void
@@ -333,11 +468,14 @@
   ck_pr_store_int (&follower->stopping, 1);
   pthread_cond_signal (&follower->changed);
   pthread_mutex_unlock (&follower->lock);
-  pthread_join (follower->lister, NULL);
+  if (follower->running)
+    pthread_join (follower->lister, NULL);
   bt_cancel_kv (ctx, follower->kv);
-  pthread_join (follower->watcher, NULL);
+  if (follower->running)
+    pthread_join (follower->watcher, NULL);
   bt_drop_kv (ctx, follower->kv);
-  bt_drop_kv_range (ctx, &follower->items);
+  bt_drop_peer_feed (ctx, follower->feed);
+  bt_drop_store_copy (ctx, follower->copy);
   bt_drop_view (ctx, follower->last);
   pthread_cond_destroy (&follower->changed);
   pthread_mutex_destroy (&follower->lock);
--- a/source/gateway/store_follower.h
+++ b/source/gateway/store_follower.h
@@ -2,8 +2,8 @@
 #define BILBERRYTRAY_SOURCE_GATEWAY_STORE_FOLLOWER_H
 
 /** @file
- * The threads that speak with the platform's store: one follows what it holds, one keeps this
- * instance listed there.
+ * What this instance knows of the platform's store, and how it learns it. One thread follows the
+ * store, or a peer that does; another keeps this instance listed there.
  */
 
 #include "event_loop.h"
@@ -28,12 +28,16 @@
   int64_t watch_ms;        /**< Longest wait of one watch. */
   int64_t lease_s;         /**< An instance that does not renew for so long is no longer listed. */
   int64_t renew_ms;        /**< Between two renewals. */
+  const char *seeds;       /**< Instances to learn from while none is known; see gateway.h. */
+  const char *secret;      /**< Of links between instances. */
 } bt_store_follower_options_t;
 
+/** Strings of the options must outlive it. NULL with @p error when peers can't be let in. */
 bt_store_follower_t *bt_new_store_follower (bt_context_t *ctx,
                                             bt_event_loop_t *loop,
                                             const bt_store_follower_options_t *options,
-                                            bt_store_listener_t *listener);
+                                            bt_store_listener_t *listener,
+                                            bt_error_t *error);
 
 /** Has this instance listed, or no longer. Until the first call it is not. From any thread. */
 void bt_set_follower_listed (bt_store_follower_t *follower, bool listed);
--- /dev/null
+++ b/test/gateway/test_feed_choice.c
@@ -0,0 +1,195 @@
+#include <CUnit/Basic.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "feed_choice.h"
+
+enum
+{
+  DOMAINS = 3,
+  MOST = 700,
+};
+
+static const char *const domains[DOMAINS] = { "hall-a", "hall-b", "hall-c" };
+
+static bt_context_t *ctx;
+static bt_listed_entry_t entries[MOST];
+
+static void
+list_entries (int32_t count)
+{
+  memset (entries, 0, sizeof entries);
+  for (int32_t i = 0; i < count; i++)
+    {
+      snprintf (entries[i].identity.instance, BT_NAME_BYTES, "entry-%d", i);
+      snprintf (entries[i].links, BT_ADDRESS_BYTES, "10.0.%d.%d:7340", i / 200, i % 200);
+      bt_copy_name (entries[i].failure_domain, domains[i % DOMAINS]);
+    }
+}
+
+static bt_feed_choice_t
+choose (int32_t count, int32_t index)
+{
+  bt_feed_choice_t choice;
+
+  bt_choose_feed (ctx, entries, count, entries[index].links, entries[index].failure_domain,
+                  &choice);
+  return choice;
+}
+
+static int32_t
+count_readers (int32_t count)
+{
+  int32_t readers = 0;
+
+  for (int32_t i = 0; i < count; i++)
+    readers += choose (count, i).reader ? 1 : 0;
+  return readers;
+}
+
+static const char *
+find_domain (const char *links, int32_t count)
+{
+  for (int32_t i = 0; i < count; i++)
+    if (strcmp (entries[i].links, links) == 0)
+      return entries[i].failure_domain;
+  return "";
+}
+
+/* Few read the store, however many there are, and each failure domain has one that does. */
+static void
+test_few_read_the_store (void)
+{
+  const int32_t sizes[] = { 1, 2, 7, 41, 640 };
+  const int32_t readers[] = { 1, 2, 3, 4, 54 };
+
+  for (size_t i = 0; i < sizeof sizes / sizeof sizes[0]; i++)
+    {
+      list_entries (sizes[i]);
+      CU_ASSERT_EQUAL (count_readers (sizes[i]), readers[i]);
+    }
+}
+
+/* What an entry learns comes from its own failure domain if it can, and never from itself. */
+static void
+test_near_readers_come_first (void)
+{
+  list_entries (41);
+  for (int32_t i = 0; i < 41; i++)
+    {
+      bt_feed_choice_t choice = choose (41, i);
+
+      CU_ASSERT (choice.count >= 3);
+      for (int32_t k = 0; k < choice.count; k++)
+        CU_ASSERT_STRING_NOT_EQUAL (choice.candidates[k], entries[i].links);
+      if (!choice.reader)
+        CU_ASSERT_STRING_EQUAL (find_domain (choice.candidates[0], 41), entries[i].failure_domain);
+    }
+}
+
+/* Followers of one failure domain are spread over its readers: none carries all. */
+static void
+test_followers_are_spread (void)
+{
+  int32_t followers[MOST] = { 0 };
+  int32_t most = 0;
+
+  list_entries (640);
+  for (int32_t i = 0; i < 640; i++)
+    {
+      bt_feed_choice_t choice = choose (640, i);
+
+      for (int32_t r = 0; r < 640 && !choice.reader; r++)
+        if (strcmp (choice.candidates[0], entries[r].links) == 0)
+          most = ++followers[r] > most ? followers[r] : most;
+    }
+  CU_ASSERT (most <= 3 * BT_ENTRIES_A_READER);
+}
+
+/* An instance that starts is in no list yet: it follows, and does not take itself for a reader. */
+static void
+test_unlisted_entry_follows (void)
+{
+  bt_feed_choice_t choice;
+
+  list_entries (7);
+  bt_choose_feed (ctx, entries, 7, "10.9.9.9:7340", "hall-a", &choice);
+  CU_ASSERT_FALSE (choice.reader);
+  CU_ASSERT_EQUAL (choice.count, 3 + BT_STANDBY_READERS);
+  CU_ASSERT_EQUAL (choice.usual, choice.count);
+  bt_choose_feed (ctx, entries, 0, "10.9.9.9:7340", "hall-a", &choice);
+  CU_ASSERT_EQUAL (choice.count, 0);
+}
+
+/* True when the first may follow the second while the store answers both. */
+static bool
+may_follow (int32_t count, int32_t first, int32_t second)
+{
+  bt_feed_choice_t choice = choose (count, first);
+
+  for (int32_t i = 0; i < choice.usual; i++)
+    if (strcmp (choice.candidates[i], entries[second].links) == 0)
+      return true;
+  return false;
+}
+
+/* A reader has lost the store, and the entries that stand by read it in its place. If two of these
+ * followed each other, both would stop to read, leave each other, and begin again. */
+static void
+test_no_two_follow_each_other (void)
+{
+  list_entries (9);
+  for (int32_t i = 0; i < 9; i++)
+    for (int32_t k = 0; k < i; k++)
+      CU_ASSERT_FALSE (may_follow (9, i, k) && may_follow (9, k, i));
+}
+
+/* The only reader of a deployment is turned away by the store: it has somebody to learn from. */
+static void
+test_reader_has_somebody_to_turn_to (void)
+{
+  list_entries (4);
+  for (int32_t i = 0; i < 4; i++)
+    {
+      bt_feed_choice_t choice = choose (4, i);
+
+      CU_ASSERT (choice.count >= 3);
+      CU_ASSERT_EQUAL (choice.usual == 0, choice.reader);
+    }
+}
+
+static void
+test_seeds_without_oneself (void)
+{
+  bt_feed_choice_t choice;
+
+  bt_choose_seed_feed ("10.0.0.1:1,10.0.0.2:1,10.0.0.3:1", "10.0.0.2:1", &choice);
+  CU_ASSERT_EQUAL (choice.count, 2);
+  CU_ASSERT_STRING_EQUAL (choice.candidates[1], "10.0.0.3:1");
+  bt_choose_seed_feed ("", "10.0.0.2:1", &choice);
+  CU_ASSERT_EQUAL (choice.count, 0);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned failures;
+
+  ctx = bt_new_context ();
+  CU_initialize_registry ();
+  suite = CU_add_suite ("feed_choice", NULL, NULL);
+  CU_ADD_TEST (suite, test_few_read_the_store);
+  CU_ADD_TEST (suite, test_near_readers_come_first);
+  CU_ADD_TEST (suite, test_followers_are_spread);
+  CU_ADD_TEST (suite, test_unlisted_entry_follows);
+  CU_ADD_TEST (suite, test_no_two_follow_each_other);
+  CU_ADD_TEST (suite, test_reader_has_somebody_to_turn_to);
+  CU_ADD_TEST (suite, test_seeds_without_oneself);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  bt_drop_context (ctx);
+  return failures == 0 ? 0 : 1;
+}
--- a/test/process/harness_gateway.c
+++ b/test/process/harness_gateway.c
@@ -19,6 +19,7 @@
   MOST_ARGUMENTS = 24,
   OK = 200,
   POLL_MS = 10,
+  MS_PER_S = 1000,
 };
 
 /* A port that was free a moment ago. */
@@ -146,13 +147,17 @@
   char ready[TEXT_BYTES];
   char store[TEXT_BYTES];
   char page[TEXT_BYTES];
+  char links[TEXT_BYTES];
+  char seeds[TEXT_BYTES];
   char *arguments[] = { "gateway",
                         instance,
                         "--failure-domain=a",
                         listen,
                         addresses,
                         ready,
-                        "--links=127.0.0.1:1",
+                        links,
+                        seeds,
+                        "--secret=secret of the field",
                         store,
                         page,
                         "--address-life-ms=300",
@@ -163,7 +168,9 @@
   snprintf (listen, sizeof listen, "--listen=127.0.0.1:%d", field->caller_ports[index]);
   snprintf (addresses, sizeof addresses, "--addresses=127.0.0.1:%d", field->address_ports[index]);
   snprintf (ready, sizeof ready, "--ready=127.0.0.1:%d", field->ready_ports[index]);
-  snprintf (store, sizeof store, "--store=127.0.0.1:%d", field->store_port);
+  snprintf (store, sizeof store, "--store=127.0.0.1:%d", field->hop_ports[index]);
+  snprintf (links, sizeof links, "--links=127.0.0.1:%d", field->link_ports[index]);
+  snprintf (seeds, sizeof seeds, "--seeds=127.0.0.1:%d", field->link_ports[index == 0 ? 1 : 0]);
   snprintf (page, sizeof page, "--page=127.0.0.1:%d", field->page_ports[index]);
   field->gateways[index] = start (field, "bilberryd", instance + 2, arguments);
 }
@@ -186,6 +193,38 @@
   return true;
 }
 
+static void
+start_hop (bt_field_t *field, int32_t index)
+{
+  char name[TEXT_BYTES];
+  char port[TEXT_BYTES];
+  char target[TEXT_BYTES];
+  char *arguments[] = { port, target, NULL };
+
+  field->hop_ports[index] = find_port ();
+  snprintf (name, sizeof name, "hop-%d", index);
+  snprintf (port, sizeof port, "%d", field->hop_ports[index]);
+  snprintf (target, sizeof target, "%d", field->store_port);
+  field->hops[index] = start (field, "standin-hop", name, arguments);
+}
+
+bool
+bt_set_hop_fault (int32_t port, bt_hop_fault_t fault, int32_t delay_ms)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET, .sin_addr = { htonl (INADDR_LOOPBACK) } };
+  struct timeval limit = { BT_STAGE_WAIT_MS / MS_PER_S, 0 };
+  bt_hop_command_t command = { (int32_t)fault, delay_ms };
+  int fd = socket (AF_INET, SOCK_DGRAM, 0);
+  bool done;
+
+  address.sin_port = htons ((uint16_t)port);
+  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+  done = sendto (fd, &command, sizeof command, 0, (struct sockaddr *)&address, sizeof address) > 0
+         && recv (fd, &command, sizeof command, 0) == (ssize_t)sizeof command;
+  close (fd);
+  return done;
+}
+
 bt_field_t *
 bt_new_field (int32_t gateways, const char *configuration)
 {
@@ -208,8 +247,11 @@
       field->address_ports[i] = find_port ();
       field->ready_ports[i] = find_port ();
       field->page_ports[i] = find_port ();
-      bt_start_gateway_process (field, i);
+      field->link_ports[i] = find_port ();
+      start_hop (field, i);
     }
+  for (int32_t i = 0; i < gateways; i++)
+    bt_start_gateway_process (field, i);
   return field;
 }
 
@@ -231,6 +273,8 @@
     return;
   for (int32_t i = 0; i < BT_FIELD_GATEWAYS; i++)
     end_process (field->gateways[i]);
+  for (int32_t i = 0; i < BT_FIELD_GATEWAYS; i++)
+    end_process (field->hops[i]);
   for (int32_t i = 0; i < BT_FIELD_RUNNERS; i++)
     end_process (field->runners[i]);
   end_process (field->store);
--- a/test/process/harness_gateway.h
+++ b/test/process/harness_gateway.h
@@ -6,10 +6,11 @@
  */
 
 #include "harness.h"
+#include "hop.h"
 
 enum
 {
-  BT_FIELD_GATEWAYS = 2,
+  BT_FIELD_GATEWAYS = 8,
   BT_FIELD_RUNNERS = 3,
 };
 
@@ -25,6 +26,9 @@
   int32_t address_ports[BT_FIELD_GATEWAYS];
   int32_t ready_ports[BT_FIELD_GATEWAYS];
   int32_t page_ports[BT_FIELD_GATEWAYS];
+  int32_t link_ports[BT_FIELD_GATEWAYS];
+  pid_t hops[BT_FIELD_GATEWAYS]; /**< Each between a gateway and the store. */
+  int32_t hop_ports[BT_FIELD_GATEWAYS];
   char folder[64];
 } bt_field_t;
 
@@ -47,6 +51,9 @@
 /** Sets the fault of a stand-in at a port. */
 bool bt_set_field_fault (int32_t port, const char *fault);
 
+/** Has a hop do harm to what it carries; in force when this returns. */
+bool bt_set_hop_fault (int32_t port, bt_hop_fault_t fault, int32_t delay_ms);
+
 /** Asks a gateway. @p headers are "Name: value" lines, NULL-ended. */
 void bt_ask_gateway (const bt_field_t *field,
                      int32_t index,
--- /dev/null
+++ b/test/process/test_gateway_peers.c
@@ -0,0 +1,211 @@
+#include <CUnit/Basic.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+
+#include "bilberrytray/base/clock.h"
+#include "harness_gateway.h"
+
+enum
+{
+  GATEWAYS = 4,
+  OK = 200,
+  UNAUTHORIZED = 401,
+  POLL_MS = 20,
+  PAGE_LINE_BYTES = 128,
+};
+
+static const char *const configuration =
+    "{\"version\":%d,\"services\":[{\"name\":\"svc\"}],"
+    "\"tenants\":[{\"name\":\"small\",\"api_keys\":[\"key-small\"%s],\"priority\":1}],"
+    "\"routes\":[{\"name\":\"wide\",\"host\":\"shop.example\",\"prefix\":\"/a/\","
+    "\"kind\":\"idempotent\",\"service\":\"svc\",\"timeout_ms\":3000,\"max_attempts\":2,"
+    "\"public\":false}],"
+    "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":65536,\"idle_timeout_ms\":15000}}";
+
+static bt_field_t *field;
+
+static bool
+put_configuration (int32_t version, const char *keys)
+{
+  char text[2048];
+
+  snprintf (text, sizeof text, configuration, version, keys);
+  return bt_put_field_item (field, "op/config", text);
+}
+
+static int
+start_suite (void)
+{
+  char text[2048];
+
+  snprintf (text, sizeof text, configuration, 1, ",\"key-other\"");
+  field = bt_new_field (GATEWAYS, text);
+  if (field == NULL)
+    return 1;
+  for (int32_t i = 0; i < GATEWAYS; i++)
+    if (!bt_wait_gateway_ready (field, i))
+      return 1;
+  return 0;
+}
+
+static int
+end_suite (void)
+{
+  bt_drop_field (field, CU_get_number_of_failures () > 0);
+  return 0;
+}
+
+static int32_t
+ask_status (int32_t gateway, const char *key)
+{
+  char key_line[PAGE_LINE_BYTES];
+  const char *headers[] = { "Host: shop.example", "Bilberrytray-Attempt-Id: r-peers", key_line,
+                            "Bilberrytray-Deadline-Ms: 4000", NULL };
+  bt_reply_t reply;
+  int32_t status;
+
+  snprintf (key_line, sizeof key_line, "Authorization: Bearer %s", key);
+  bt_ask_gateway (field, gateway, "/a/lookup", headers, "shrimp", &reply);
+  status = reply.curl_code == 0 ? reply.status : 0;
+  bt_clear_reply (&reply);
+  return status;
+}
+
+static bool
+wait_status (int32_t gateway, const char *key, int32_t status)
+{
+  int64_t limit_ms = bt_read_clock_ms (bt_system_clock ()) + BT_STAGE_WAIT_MS;
+
+  while (ask_status (gateway, key) != status)
+    {
+      if (bt_read_clock_ms (bt_system_clock ()) > limit_ms)
+        return false;
+      bt_sleep_ms (POLL_MS);
+    }
+  return true;
+}
+
+static int64_t
+count_watches (int32_t gateway)
+{
+  static const char *const name = "bilberry_store_calls_total{kind=\"watch\"} ";
+  bt_reply_t reply;
+  const char *line;
+  int64_t count;
+
+  bt_read_gateway_metrics (field, gateway, &reply);
+  line = strstr (bt_get_reply_text (&reply), name);
+  count = line == NULL ? 0 : strtoll (line + strlen (name), NULL, 10);
+  bt_clear_reply (&reply);
+  return count;
+}
+
+/* Four entries of one failure domain stand before a store that counts every call. One of them reads
+ * it, the others learn from that one and stop asking the store. */
+static void
+test_one_reads_for_all (void)
+{
+  int64_t limit_ms = bt_read_clock_ms (bt_system_clock ()) + BT_STAGE_WAIT_MS;
+  int32_t readers = GATEWAYS;
+
+  while (readers != 1 && bt_read_clock_ms (bt_system_clock ()) < limit_ms)
+    {
+      int64_t before[GATEWAYS];
+
+      for (int32_t i = 0; i < GATEWAYS; i++)
+        before[i] = count_watches (i);
+      bt_sleep_ms (2500);
+      readers = 0;
+      for (int32_t i = 0; i < GATEWAYS; i++)
+        readers += count_watches (i) > before[i] ? 1 : 0;
+    }
+  CU_ASSERT_EQUAL (readers, 1);
+}
+
+static void
+set_hop_fault (int32_t gateway, bt_hop_fault_t fault)
+{
+  CU_ASSERT_TRUE (bt_set_hop_fault (field->hop_ports[gateway], fault, 0));
+}
+
+/* The store turns one entry after the other away while it serves the rest, and each time a key is
+ * taken away from a caller. The entry that is turned away learns it from a peer, whether it read
+ * the store before or not, and refuses the key. */
+static void
+test_entry_turned_away_learns_from_a_peer (void)
+{
+  int32_t version = 2;
+
+  for (int32_t i = 0; i < GATEWAYS; i++)
+    {
+      CU_ASSERT_TRUE (put_configuration (version++, ",\"key-other\""));
+      CU_ASSERT_TRUE (wait_status (i, "key-other", OK));
+      set_hop_fault (i, i % 2 == 0 ? BT_HOP_REFUSE : BT_HOP_CUT);
+      CU_ASSERT_TRUE (put_configuration (version++, ""));
+      CU_ASSERT_TRUE (wait_status (i, "key-other", UNAUTHORIZED));
+      CU_ASSERT_EQUAL (ask_status (i, "key-small"), OK);
+      set_hop_fault (i, BT_HOP_NONE);
+    }
+}
+
+/* An entry is killed and starts again while the store turns it away. A peer that it finds by its
+ * settings tells it the configuration, and it serves. */
+static void
+test_entry_starts_without_the_store (void)
+{
+  CU_ASSERT_TRUE (put_configuration (100, ",\"key-late\""));
+  CU_ASSERT_TRUE (wait_status (0, "key-late", OK));
+  set_hop_fault (1, BT_HOP_REFUSE);
+  kill (field->gateways[1], SIGKILL);
+  waitpid (field->gateways[1], NULL, 0);
+  bt_start_gateway_process (field, 1);
+  CU_ASSERT_TRUE (bt_wait_gateway_ready (field, 1));
+  CU_ASSERT_EQUAL (ask_status (1, "key-late"), OK);
+  CU_ASSERT_EQUAL (ask_status (1, "key-other"), UNAUTHORIZED);
+  set_hop_fault (1, BT_HOP_NONE);
+}
+
+/* The process that reads the store for all stands still: its connections stay open and nothing
+ * comes. The others notice the silence and read the store themselves. */
+static void
+test_frozen_reader_is_left (void)
+{
+  int32_t version = 200;
+
+  for (int32_t i = 0; i < GATEWAYS; i++)
+    {
+      kill (field->gateways[i], SIGSTOP);
+      CU_ASSERT_TRUE (put_configuration (version++, ",\"key-frozen\""));
+      for (int32_t k = 0; k < GATEWAYS; k++)
+        if (k != i)
+          CU_ASSERT_TRUE (wait_status (k, "key-frozen", OK));
+      kill (field->gateways[i], SIGCONT);
+      CU_ASSERT_TRUE (put_configuration (version++, ""));
+      for (int32_t k = 0; k < GATEWAYS; k++)
+        CU_ASSERT_TRUE (wait_status (k, "key-frozen", UNAUTHORIZED));
+    }
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned failures;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("gateway_peers", start_suite, end_suite);
+  CU_ADD_TEST (suite, test_one_reads_for_all);
+  CU_ADD_TEST (suite, test_entry_turned_away_learns_from_a_peer);
+  CU_ADD_TEST (suite, test_entry_starts_without_the_store);
+  CU_ADD_TEST (suite, test_frozen_reader_is_left);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  if (CU_get_number_of_suites_failed () > 0)
+    failures++;
+  CU_cleanup_registry ();
+  return failures == 0 ? 0 : 1;
+}
