No stand-still of a group by the agent that held it, or by a lease that ends

The engines themselves run on while their side instance stands still. Ruled out: going on without a hold (a rank that missed the order would split the group); orders past the silent agent (its engine is not reachable either). Change: another rank's agent gives HOLD; nothing is armed before every agent is heard of after the hold was seen; is one silent for 250 ms, the group is let go while nothing is armed. With under 700 ms left of its lease a leader begins no hold. test_group_rounds: both tests fail with their guard taken out (giver = holder, no wait for all, no limit). Its check that no rank holds at the end is made after the last round has ended: a trace showed rounds that had just begun, 2 steps ahead.

--- a/include/bilberrytray/maps/group_rounds.h
+++ b/include/bilberrytray/maps/group_rounds.h
@@ -17,6 +17,12 @@
  * raise the count, so a round that is given up raises it everywhere by preparing another version
  * before the group is let go.
  *
+ * While the group is held, only the agent of the rank that holds it can let it go. If that agent
+ * itself gave the hold and stood still right after it, the group would stand as long, 4 s and more.
+ * So another rank's agent gives the hold, nothing is armed before every agent has been heard of
+ * after it was seen in force, and a round in which one stays silent is given up while nothing is
+ * armed yet.
+ *
  * Pure: reports and times go in, orders come out.
  */
 
@@ -64,6 +70,7 @@
 {
   bt_group_order_kind_t kind;
   int32_t rank;
+  int32_t via;      /**< The rank whose agent gives the order: mostly the rank's own. */
   uint64_t id;      /**< Of this order; its result repeats it. */
   uint64_t fence;   /**< The leader's fencing number. */
   int64_t epoch;    /**< Refused in any other. */
@@ -108,6 +115,8 @@
   int64_t stale_ms;         /**< A report older than this says nothing of now. */
   int64_t prepare_limit_ms; /**< A map that is not prepared everywhere by then is given up. */
   int64_t arm_limit_ms;     /**< The same for holding and arming. */
+  int64_t silence_ms;       /**< A rank that is silent for so long while the group is held, and
+                                 nothing is armed, ends the round. */
 } bt_group_rounds_settings_t;
 
 bt_group_rounds_t *bt_new_group_rounds (bt_context_t *ctx,
@@ -120,6 +129,10 @@
  * forgotten: it may have been read before the last leader's orders. */
 void bt_lead_group (bt_group_rounds_t *rounds, uint64_t fence);
 
+/** From this time on no group is held any more, though rounds that hold one already go on. It lies
+ * before the end of the leader's lease, and moves on with each renewal. */
+void bt_limit_group_holds (bt_group_rounds_t *rounds, int64_t until_ms);
+
 /** Stops leading: no more orders. */
 void bt_leave_group (bt_group_rounds_t *rounds);
 
@@ -129,7 +142,8 @@
                           const bt_rank_report_t *report,
                           int64_t now_ms);
 
-/** Takes in what became of an order, with a report that was read afterwards. */
+/** Takes in what became of an order, with a report that was read afterwards, of the rank whose
+ * agent gave it. */
 void bt_take_group_order_result (bt_group_rounds_t *rounds,
                                  int32_t rank,
                                  uint64_t id,
@@ -147,6 +161,9 @@
 
 bt_group_phase_t bt_get_group_phase (const bt_group_rounds_t *rounds);
 
+/** True when all agents are to be asked for a report at once; the next call returns false. */
+bool bt_take_group_ask (bt_group_rounds_t *rounds);
+
 /** The version that the round under way changes to; 0 without one. PREPARE orders of any other
  * version ask for the map in use. */
 int64_t bt_get_group_target (const bt_group_rounds_t *rounds);
--- a/source/agent/engine_client.c
+++ b/source/agent/engine_client.c
@@ -106,16 +106,22 @@
 bt_order_result_t
 bt_order_engine (bt_context_t *ctx,
                  bt_engine_client_t *client,
+                 const char *address,
                  const bt_group_order_t *order,
                  const bt_expert_map_t *map,
                  int32_t *status)
 {
+  char url[URL_BYTES];
   char *body = client->platform->write_order (order, map);
   /* On a connection of its own, so that libcurl never sends it twice. */
-  bt_http_request_t request = { .url = client->order_url, .body = body, .fresh = true };
+  bt_http_request_t request = { .url = url, .body = body, .fresh = true };
   bt_http_answer_t answer = { 0 };
   bt_error_t error = { 0 };
 
+  if (address[0] == '\0')
+    snprintf (url, sizeof url, "%s", client->order_url);
+  else
+    snprintf (url, sizeof url, "http://%s%s", address, client->platform->order_path);
   *status = 0;
   if (bt_call_http (ctx, client->http, &request, &answer, &error))
     *status = answer.status;
--- a/source/agent/engine_client.h
+++ b/source/agent/engine_client.h
@@ -33,9 +33,11 @@
                             bt_engine_places_t *places,
                             bt_error_t *error);
 
-/** Gives the engine an order. @p status is that of its answer, 0 without one. */
+/** Gives an order to the engine at @p address, "IP:PORT", or with "" to its own. @p status is that
+ * of the answer, 0 without one. */
 bt_order_result_t bt_order_engine (bt_context_t *ctx,
                                    bt_engine_client_t *client,
+                                   const char *address,
                                    const bt_group_order_t *order,
                                    const bt_expert_map_t *map,
                                    int32_t *status);
--- a/source/agent/side.c
+++ b/source/agent/side.c
@@ -1,6 +1,7 @@
 #include "side.h"
 
 #include <pthread.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "bilberrytray/base/condition.h"
@@ -22,6 +23,7 @@
 {
   bt_link_t *link;
   bt_group_order_t order;
+  char engine[BT_ADDRESS_BYTES]; /* that it is for; "" for the one beside this agent */
   bt_expert_map_t *map;
   struct waiting_order *next;
 } waiting_order_t;
@@ -127,6 +129,7 @@
       return;
     }
   waiting->link = bt_keep_link (link);
+  snprintf (waiting->engine, sizeof waiting->engine, "%s", message->engine);
   pthread_mutex_lock (&side->lock);
   *side->last_order = waiting;
   side->last_order = &waiting->next;
@@ -227,13 +230,14 @@
   if (order->fence >= side->fence)
     {
       side->fence = order->fence;
-      result = bt_order_engine (side->ctx, side->engine, order, waiting->map, &status);
+      result =
+          bt_order_engine (side->ctx, side->engine, waiting->engine, order, waiting->map, &status);
     }
-  bt_log_event (side->ctx, BT_LOG_INFO, "order", "{s:s, s:I, s:I, s:I, s:I, s:I, s:i, s:i}", "kind",
-                bt_name_group_order (order->kind), "version", (json_int_t)order->version, "step",
-                (json_int_t)order->step, "fence", (json_int_t)order->fence, "epoch",
-                (json_int_t)order->epoch, "sequence", (json_int_t)order->sequence, "status", status,
-                "result", (int)result);
+  bt_log_event (side->ctx, BT_LOG_INFO, "order", "{s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:i, s:i}",
+                "kind", bt_name_group_order (order->kind), "engine", waiting->engine, "version",
+                (json_int_t)order->version, "step", (json_int_t)order->step, "fence",
+                (json_int_t)order->fence, "epoch", (json_int_t)order->epoch, "sequence",
+                (json_int_t)order->sequence, "status", status, "result", (int)result);
   if (read_state (side, &report))
     send_result (side, waiting, result, status, &report);
 }
--- a/source/gateway/agent_links.c
+++ b/source/gateway/agent_links.c
@@ -442,20 +442,33 @@
   pthread_mutex_unlock (&links->lock);
 }
 
-void
-bt_ask_agent_places (bt_agent_links_t *links, const char *endpoint)
+static void
+ask_agent (bt_agent_links_t *links, const char *endpoint, bool places)
 {
   agent_row_t *row;
 
   pthread_mutex_lock (&links->lock);
   row = find_row (links, endpoint);
   if (row != NULL)
-    send_follow (links, row, true);
+    send_follow (links, row, places);
   pthread_mutex_unlock (&links->lock);
 }
 
+void
+bt_ask_agent_report (bt_agent_links_t *links, const char *endpoint)
+{
+  ask_agent (links, endpoint, false);
+}
+
+void
+bt_ask_agent_places (bt_agent_links_t *links, const char *endpoint)
+{
+  ask_agent (links, endpoint, true);
+}
+
 bool
 bt_send_agent_order (bt_agent_links_t *links,
+                     const char *via,
                      const char *endpoint,
                      const bt_group_order_t *order,
                      const bt_map_bytes_t *map)
@@ -468,10 +481,12 @@
   bt_write_engine_order (order, &message);
   if (map != NULL)
     message.map = (ProtobufCBinaryData){ map->bytes, map->data };
+  if (strcmp (via, endpoint) != 0)
+    message.engine = (char *)endpoint;
   frame.body_case = BILBERRY__FRAME__BODY_ENGINE_ORDER;
   frame.engine_order = &message;
   pthread_mutex_lock (&links->lock);
-  row = find_row (links, endpoint);
+  row = find_row (links, via);
   if (row != NULL && row->up)
     sent = bt_send_frame (links->ctx, row->link, &frame);
   pthread_mutex_unlock (&links->lock);
--- a/source/gateway/agent_links.h
+++ b/source/gateway/agent_links.h
@@ -66,11 +66,16 @@
  * longer. Agents that are linked later are told too. */
 void bt_follow_agents (bt_agent_links_t *links, uint64_t fence);
 
+/** Asks one agent for a report now. */
+void bt_ask_agent_report (bt_agent_links_t *links, const char *endpoint);
+
 /** Asks one agent for its places. */
 void bt_ask_agent_places (bt_agent_links_t *links, const char *endpoint);
 
-/** Sends an order; false when the agent is not linked. @p map goes with PREPARE, else NULL. */
+/** Sends an order to the agent beside the engine @p via, for the engine @p endpoint; false when
+ * that agent is not linked. @p map goes with PREPARE, else NULL. */
 bool bt_send_agent_order (bt_agent_links_t *links,
+                          const char *via,
                           const char *endpoint,
                           const bt_group_order_t *order,
                           const bt_map_bytes_t *map);
--- a/source/gateway/feed_messages.c
+++ b/source/gateway/feed_messages.c
@@ -36,8 +36,9 @@
   bilberry__store_items__init (message);
   message->from_revision = from_revision;
   message->revision = written->revision;
-  message->written = bt_calloc (ctx, (size_t)written->count, sizeof *message->written);
-  message->removed = bt_calloc (ctx, (size_t)changes->removed_count, sizeof *message->removed);
+  message->written = bt_calloc (ctx, (size_t)written->count, sizeof (Bilberry__StoreItem *));
+  message->removed =
+      bt_calloc (ctx, (size_t)changes->removed_count, sizeof (Bilberry__StoreRemoval *));
   for (int32_t i = 0; i < written->count; i++)
     add_item (ctx, message, &written->pairs[i]);
   for (int32_t i = 0; i < changes->removed_count; i++)
@@ -54,8 +55,8 @@
   message->from_revision = from_revision;
   message->revision = items->revision;
   message->whole = true;
-  message->written = bt_calloc (ctx, (size_t)items->count, sizeof *message->written);
-  message->keys = bt_calloc (ctx, (size_t)items->count, sizeof *message->keys);
+  message->written = bt_calloc (ctx, (size_t)items->count, sizeof (Bilberry__StoreItem *));
+  message->keys = bt_calloc (ctx, (size_t)items->count, sizeof (char *));
   for (int32_t i = 0; i < items->count; i++)
     {
       message->keys[message->n_keys++] = items->pairs[i].key;
@@ -100,7 +101,7 @@
   changes->written.pairs = bt_calloc (ctx, message->n_written, sizeof *changes->written.pairs);
   changes->removed = bt_calloc (ctx, message->n_removed, sizeof *changes->removed);
   changes->removed_at = bt_calloc (ctx, message->n_removed, sizeof *changes->removed_at);
-  news->keys = bt_calloc (ctx, message->n_keys, sizeof *news->keys);
+  news->keys = bt_calloc (ctx, message->n_keys, sizeof (char *));
   for (size_t i = 0; i < message->n_written; i++)
     read_item (ctx, message->written[i], &changes->written.pairs[changes->written.count++]);
   for (size_t i = 0; i < message->n_removed; i++)
--- a/source/gateway/group_control.c
+++ b/source/gateway/group_control.c
@@ -14,11 +14,18 @@
   /* Orders stop so long before the lease could lapse: a way to an agent and back, and as long again
    * for a loop that was held up. */
   LEASE_MARGIN_MS = 500,
+  /* With less left of its lease a leader holds no group. It would stand until the next leader is in
+   * office: 6.9 s where the store went away while ranks were being armed. A round holds its group
+   * for 50 to 100 ms, and gives it up after 300 ms if an agent is silent; a lease that is renewed
+   * each 600 ms has 900 ms left at least. */
+  LEAST_LEASE_MS = 700,
   /* A step is one pass of the group, 60 to 100 ms. Holding and arming take two ways to the agents,
    * about 15 ms; three steps leave room for an order that is sent twice. */
   HOLD_STEPS = 3,
   RESEND_MS = 120,
   STALE_MS = 1200,
+  /* Agents report to the leader each 100 ms, and at once when asked; two reports and a way. */
+  SILENCE_MS = 250,
   PREPARE_LIMIT_MS = 3000,
   ARM_LIMIT_MS = 1500,
   /* While a round is under way the group is looked at this often. */
@@ -185,6 +192,7 @@
     .stale_ms = STALE_MS,
     .prepare_limit_ms = PREPARE_LIMIT_MS,
     .arm_limit_ms = ARM_LIMIT_MS,
+    .silence_ms = SILENCE_MS,
   };
   bt_group_maps_settings_t settings = bt_get_default_group_maps_settings ();
   bt_group_maps_t *maps;
@@ -263,6 +271,14 @@
   group->target = 0;
 }
 
+static void
+ask_reports (bt_group_control_t *control, const group_t *group)
+{
+  for (int32_t rank = 0; rank < group->ranks; rank++)
+    if (group->endpoints[rank][0] != '\0')
+      bt_ask_agent_report (control->links, group->endpoints[rank]);
+}
+
 static void
 ask_places (bt_group_control_t *control, group_t *group, int64_t now_ms)
 {
@@ -331,7 +347,8 @@
           return;
         }
     }
-  bt_send_agent_order (control->links, endpoint, order, map == NULL ? NULL : &bytes);
+  bt_send_agent_order (control->links, group->endpoints[order->via], endpoint, order,
+                       map == NULL ? NULL : &bytes);
   bt_free (control->ctx, bytes.data);
 }
 
@@ -340,10 +357,13 @@
 {
   bt_group_order_t order;
 
+  bt_limit_group_holds (group->rounds, control->lease_end_ms - LEAST_LEASE_MS);
   settle (control, group);
   plan (control, group, now_ms);
   while (bt_next_group_order (group->rounds, now_ms, &order))
     send_order (control, group, &order, now_ms);
+  if (bt_take_group_ask (group->rounds))
+    ask_reports (control, group);
   log_phase (control, group);
   if (bt_is_group_fenced (group->rounds))
     stop_leading (control, "An engine has seen a newer leader.");
--- a/source/maps/group_rounds.c
+++ b/source/maps/group_rounds.c
@@ -29,17 +29,21 @@
   bt_group_rounds_settings_t settings;
   uint64_t fence; /* 0: not leading */
   bool fenced;
+  int64_t hold_until_ms; /* no hold is begun from then on */
   uint64_t last_order_id;
   int64_t last_version;
   bt_group_phase_t phase;
   int64_t phase_ms; /* when it began */
   int64_t epoch;
-  int64_t target;    /* the version of the round */
-  int64_t clearing;  /* the version whose preparing raises the counts */
-  int64_t step;      /* the step of the change */
-  int64_t last_step; /* the highest step that any round here used */
-  int32_t holder;    /* the rank of this leader's own hold */
-  bool own_hold;     /* it was seen in force, and was not taken back */
+  int64_t target;     /* the version of the round */
+  int64_t clearing;   /* the version whose preparing raises the counts */
+  int64_t step;       /* the step of the change */
+  int64_t last_step;  /* the highest step that any round here used */
+  int32_t holder;     /* the rank of this leader's own hold */
+  int32_t hold_tries; /* orders to hold in this phase */
+  bool own_hold;      /* it was seen in force, and was not taken back */
+  int64_t seen_ms;    /* when it was */
+  bool ask;           /* all agents are to be asked for a report */
   rank_state_t ranks[BT_MAX_GROUP_RANKS];
 };
 
@@ -80,6 +84,8 @@
 {
   rounds->phase = phase;
   rounds->phase_ms = now_ms;
+  rounds->hold_tries = 0;
+  rounds->ask = false;
   for (int32_t i = 0; i < rounds->settings.ranks; i++)
     {
       rounds->ranks[i].refusals = 0;
@@ -95,12 +101,19 @@
   rounds->fenced = false;
   rounds->own_hold = false;
   rounds->target = 0;
+  rounds->hold_until_ms = INT64_MAX;
   /* A leader that pauses and goes on with its own fencing number goes on with its versions too. */
   if (rounds->last_version < (int64_t)fence * VERSIONS_OF_LEADER)
     rounds->last_version = (int64_t)fence * VERSIONS_OF_LEADER;
   set_phase (rounds, BT_GROUP_LOOKING, 0);
 }
 
+void
+bt_limit_group_holds (bt_group_rounds_t *rounds, int64_t until_ms)
+{
+  rounds->hold_until_ms = until_ms;
+}
+
 void
 bt_leave_group (bt_group_rounds_t *rounds)
 {
@@ -306,13 +319,36 @@
 /* True once this leader's hold is reported. It stays in force until this leader lets the group go:
  * every rank has prepared this leader's map by then, and refuses all earlier leaders. */
 static bool
-is_own_hold_seen (bt_group_rounds_t *rounds)
+is_own_hold_seen (bt_group_rounds_t *rounds, int64_t now_ms)
 {
-  if (rounds->ranks[rounds->holder].report.held_step == rounds->step)
-    rounds->own_hold = true;
+  if (!rounds->own_hold && rounds->ranks[rounds->holder].report.held_step == rounds->step)
+    {
+      rounds->own_hold = true;
+      rounds->seen_ms = now_ms;
+      rounds->ask = true;
+    }
   return rounds->own_hold;
 }
 
+/* True when every rank was heard of since the hold was seen. */
+static bool
+is_everyone_heard (const bt_group_rounds_t *rounds)
+{
+  for (int32_t i = 0; i < rounds->settings.ranks; i++)
+    if (rounds->ranks[i].heard_ms <= rounds->seen_ms)
+      return false;
+  return true;
+}
+
+/* Nothing is armed yet and nothing will be, so the group can be let go without knowing what became
+ * of the silent rank. */
+static void
+give_hold_up (bt_group_rounds_t *rounds, int64_t now_ms)
+{
+  rounds->target = 0;
+  set_phase (rounds, BT_GROUP_LETTING_GO, now_ms);
+}
+
 /* Moves from phase to phase as far as the reports allow. Each step waits for what it needs to be
  * seen in reports; that an order was sent or answered proves nothing. */
 static void
@@ -331,15 +367,20 @@
         set_phase (rounds, BT_GROUP_LOOKING, now_ms);
       break;
     case BT_GROUP_PREPARING:
-      if (is_all_prepared (rounds, rounds->target))
+      if (is_all_prepared (rounds, rounds->target) && now_ms < rounds->hold_until_ms)
         choose_step (rounds, now_ms);
       else if (taken_ms > rounds->settings.prepare_limit_ms
                || count_most_refusals (rounds) >= MOST_REFUSALS)
         set_phase (rounds, BT_GROUP_LOOKING, now_ms);
       break;
     case BT_GROUP_HOLDING:
-      if (is_own_hold_seen (rounds))
+      if (is_own_hold_seen (rounds, now_ms) && is_everyone_heard (rounds))
         set_phase (rounds, BT_GROUP_ARMING, now_ms);
+      else if (rounds->own_hold)
+        {
+          if (now_ms - rounds->seen_ms > rounds->settings.silence_ms)
+            give_hold_up (rounds, now_ms);
+        }
       else if (taken_ms > rounds->settings.arm_limit_ms)
         set_phase (rounds, BT_GROUP_LOOKING, now_ms);
       else if (rounds->ranks[rounds->holder].refusals > 0
@@ -419,6 +460,16 @@
   advance (rounds, now_ms);
 }
 
+/* The rank that an order under way is for; NULL for one that is no longer waited for. */
+static rank_state_t *
+find_order (bt_group_rounds_t *rounds, uint64_t id)
+{
+  for (int32_t i = 0; i < rounds->settings.ranks; i++)
+    if (id != 0 && rounds->ranks[i].order_id == id)
+      return &rounds->ranks[i];
+  return NULL;
+}
+
 void
 bt_take_group_order_result (bt_group_rounds_t *rounds,
                             int32_t rank,
@@ -431,8 +482,8 @@
 
   if (rounds->fence == 0 || rank < 0 || rank >= rounds->settings.ranks)
     return;
-  state = &rounds->ranks[rank];
-  if (state->order_id == id)
+  state = find_order (rounds, id);
+  if (state != NULL)
     {
       state->order_id = 0;
       state->accepted = result == BT_ORDER_DONE;
@@ -445,6 +496,9 @@
        */
       if (result == BT_ORDER_DONE && rounds->phase == BT_GROUP_SECURING)
         rounds->own_hold = true;
+      /* The answer comes from another rank's agent: that the group is held is for the holder's own
+       * to say. */
+      rounds->ask = rounds->ask || rounds->phase == BT_GROUP_HOLDING;
     }
   bt_take_rank_report (rounds, rank, report, now_ms);
 }
@@ -485,6 +539,18 @@
   return holds (rank) && is_cleared (rounds);
 }
 
+/* The rank whose agent gives the hold: another one with each try, never the holder's own unless it
+ * is alone. */
+static int32_t
+choose_giver (const bt_group_rounds_t *rounds)
+{
+  int32_t others = rounds->settings.ranks - 1;
+
+  if (others == 0)
+    return rounds->holder;
+  return (rounds->holder + 1 + rounds->hold_tries % others) % rounds->settings.ranks;
+}
+
 /* What a rank is to be ordered now, if anything. */
 static bool
 get_order (const bt_group_rounds_t *rounds, int32_t index, bt_group_order_t *order)
@@ -501,7 +567,8 @@
     case BT_GROUP_HOLDING:
     case BT_GROUP_SECURING:
       order->kind = BT_GROUP_HOLD;
-      return index == rounds->holder;
+      order->via = choose_giver (rounds);
+      return index == rounds->holder && !rounds->own_hold;
     case BT_GROUP_ARMING:
       order->kind = BT_GROUP_ARM;
       return !is_rank_armed (rounds, rank);
@@ -536,6 +603,7 @@
       rank_state_t *rank = &rounds->ranks[i];
 
       memset (order, 0, sizeof *order);
+      order->via = i;
       if (!is_order_due (rounds, rank, now_ms) || !get_order (rounds, i, order))
         continue;
       order->rank = i;
@@ -546,6 +614,7 @@
       rank->order_id = order->id;
       rank->accepted = false;
       rank->sent_ms = now_ms;
+      rounds->hold_tries += order->kind == BT_GROUP_HOLD ? 1 : 0;
       return true;
     }
   return false;
@@ -557,6 +626,15 @@
   return rounds->phase;
 }
 
+bool
+bt_take_group_ask (bt_group_rounds_t *rounds)
+{
+  bool ask = rounds->ask;
+
+  rounds->ask = false;
+  return ask;
+}
+
 int64_t
 bt_get_group_target (const bt_group_rounds_t *rounds)
 {
--- a/test/maps/held_group.h
+++ b/test/maps/held_group.h
@@ -52,6 +52,13 @@
   int32_t deaf_rank;     /* loses every order until deaf_until_ms */
   int64_t deaf_until_ms;
   int32_t lost_percent; /* orders that get no answer and are carried out late, or never */
+  bool ending;          /* no round is begun any more */
+  bool freeze_giver;    /* the next agent that gives a hold stands still from then on */
+  int32_t frozen_rank;
+  int64_t frozen_ms;
+  int64_t frozen_until_ms;
+  int64_t stepped_ms; /* when the last step began */
+  int64_t longest_ms; /* the longest time between two steps */
 } held_group_t;
 
 static inline void
@@ -76,6 +83,7 @@
   memset (group, 0, sizeof *group);
   bt_seed_random (&group->random, seed);
   group->fences_checked = true;
+  group->frozen_rank = -1;
   group->counts_checked = seed % 2 == 0;
   form_held_group (group);
 }
@@ -155,6 +163,33 @@
     }
 }
 
+static inline bool
+is_held_rank_frozen (const held_group_t *group, int32_t rank)
+{
+  return rank == group->frozen_rank && group->now_ms >= group->frozen_ms
+         && group->now_ms < group->frozen_until_ms;
+}
+
+/* The agent that gives a hold stands still right after it, so that its answer is lost, or a moment
+ * later. */
+static inline bt_order_result_t
+freeze_giver (held_group_t *group, const bt_group_order_t *order, uint64_t content)
+{
+  enum
+  {
+    FROZEN_MS = 4000,
+    LATEST_MS = 60,
+  };
+  bt_order_result_t result = carry_out (group, order, content);
+  int64_t delay_ms = (int64_t)bt_random_below (&group->random, LATEST_MS);
+
+  group->freeze_giver = false;
+  group->frozen_rank = order->via;
+  group->frozen_ms = group->now_ms + delay_ms;
+  group->frozen_until_ms = group->frozen_ms + FROZEN_MS;
+  return delay_ms == 0 ? BT_ORDER_LOST : result;
+}
+
 /* Sends an order: it is carried out now, later, or never. */
 static inline bt_order_result_t
 send_held_order (held_group_t *group, const bt_group_order_t *order, uint64_t content)
@@ -167,6 +202,10 @@
       group->deaf_until_ms = group->now_ms + 1500;
     }
   lost = lost || (order->rank == group->deaf_rank && group->now_ms < group->deaf_until_ms);
+  if (is_held_rank_frozen (group, order->via) || is_held_rank_frozen (group, order->rank))
+    return BT_ORDER_LOST;
+  if (!lost && order->kind == BT_GROUP_HOLD && group->freeze_giver)
+    return freeze_giver (group, order, content);
   if (!lost)
     return carry_out (group, order, content);
   for (int32_t i = 0; i < HELD_LATE; i++)
@@ -196,6 +235,9 @@
     if (group->engines[i].report.held_step == group->step + 1)
       return;
   group->step++;
+  if (group->now_ms - group->stepped_ms > group->longest_ms)
+    group->longest_ms = group->now_ms - group->stepped_ms;
+  group->stepped_ms = group->now_ms;
   for (int32_t i = 0; i < HELD_RANKS; i++)
     {
       held_engine_t *engine = &group->engines[i];
--- a/test/maps/test_group_rounds.c
+++ b/test/maps/test_group_rounds.c
@@ -31,6 +31,7 @@
     .stale_ms = 500,
     .prepare_limit_ms = 2000,
     .arm_limit_ms = 800,
+    .silence_ms = 250,
   };
 
   return bt_new_group_rounds (ctx, &settings);
@@ -52,8 +53,8 @@
         content = group->engines[0].content;
       result = send_held_order (group, &order, content);
       if (result != BT_ORDER_LOST)
-        bt_take_group_order_result (leader->rounds, order.rank, order.id, result,
-                                    &group->engines[order.rank].report, group->now_ms);
+        bt_take_group_order_result (leader->rounds, order.via, order.id, result,
+                                    &group->engines[order.via].report, group->now_ms);
     }
 }
 
@@ -61,7 +62,8 @@
 tell_reports (held_group_t *group, leader_t *leader)
 {
   for (int32_t i = 0; i < HELD_RANKS; i++)
-    bt_take_rank_report (leader->rounds, i, &group->engines[i].report, group->now_ms);
+    if (!is_held_rank_frozen (group, i))
+      bt_take_rank_report (leader->rounds, i, &group->engines[i].report, group->now_ms);
 }
 
 static void
@@ -71,7 +73,8 @@
     return;
   if (group->now_ms % 50 == 0)
     tell_reports (group, leader);
-  if (bt_get_group_phase (leader->rounds) == BT_GROUP_CALM && group->now_ms % 300 == 0)
+  if (!group->ending && bt_get_group_phase (leader->rounds) == BT_GROUP_CALM
+      && group->now_ms % 300 == 0)
     bt_begin_group_round (leader->rounds, group->now_ms);
   send_orders (group, leader);
 }
@@ -113,6 +116,69 @@
   bt_drop_group_rounds (ctx, leader.rounds);
 }
 
+/* Callers of the model got nothing for 4 s: an agent stood still right after it had held the group,
+ * and only the holder's own agent can let it go. Whoever gives the hold must not be the one whose
+ * help is needed to take it back, and a round with a silent agent ends before anything is armed. */
+static void
+test_giver_that_stands_still_holds_up_nobody (void)
+{
+  enum
+  {
+    TURNS = 20,
+    LONGEST_MS = 600,
+  };
+
+  for (uint64_t seed = 1; seed <= 20; seed++)
+    {
+      held_group_t group;
+      leader_t leader = { new_rounds () };
+
+      start_held_group (&group, seed);
+      lead (&leader, 7);
+      for (int32_t turn = 0; turn < TURNS; turn++)
+        {
+          run_world (&group, &leader, 1, group.now_ms + 2000);
+          group.freeze_giver = true;
+          run_world (&group, &leader, 1, group.now_ms + 6000);
+        }
+      CU_ASSERT_EQUAL (group.splits, 0);
+      CU_ASSERT (group.changes > TURNS * HELD_RANKS);
+      CU_ASSERT (group.longest_ms <= LONGEST_MS);
+      bt_drop_group_rounds (ctx, leader.rounds);
+    }
+}
+
+/* Callers of the model got nothing for 7 s: the store went away, and the leader's lease ended while
+ * it held the group. Nobody led until the store was back. A leader that sees the end of its lease
+ * come holds no group any more. */
+static void
+test_lease_that_ends_leaves_no_hold (void)
+{
+  enum
+  {
+    MARGIN_MS = 700,
+  };
+
+  for (uint64_t seed = 1; seed <= 200; seed++)
+    {
+      held_group_t group;
+      leader_t leader = { new_rounds () };
+      int64_t end_ms = 1000 + (int64_t)seed * TICK_MS;
+
+      start_held_group (&group, seed);
+      lead (&leader, 7);
+      bt_limit_group_holds (leader.rounds, end_ms);
+      run_world (&group, &leader, 1, end_ms + MARGIN_MS);
+      bt_leave_group (leader.rounds);
+      leader.leading = false;
+      group.longest_ms = 0;
+      run_world (&group, &leader, 1, end_ms + 4 * MARGIN_MS);
+      CU_ASSERT_EQUAL (group.longest_ms, STEP_MS);
+      CU_ASSERT_EQUAL (group.splits, 0);
+      bt_drop_group_rounds (ctx, leader.rounds);
+    }
+}
+
 /* A rank's order to arm gets no answer and is carried out seconds later. Were the group let go
  * without that rank, it would change maps alone when the late order lands, or not at all. The group
  * waits, the order is sent again, and the late one finds another count of orders. */
@@ -169,6 +235,9 @@
         }
       group.lost_percent = 0;
       run_world (&group, leaders, LEADERS, group.now_ms + 12000);
+      /* A round may just be under way, with the group held before a step to come. */
+      group.ending = true;
+      run_world (&group, leaders, LEADERS, group.now_ms + 1000);
       CU_ASSERT_EQUAL (group.splits, 0);
       for (int32_t i = 0; i < HELD_RANKS; i++)
         CU_ASSERT_EQUAL (group.engines[i].report.held_step, BT_NO_STEP);
@@ -235,6 +304,9 @@
   CU_initialize_registry ();
   suite = CU_add_suite ("group_rounds", NULL, NULL);
   CU_add_test (suite, "calm_group_changes_its_map", test_calm_group_changes_its_map);
+  CU_add_test (suite, "giver_that_stands_still_holds_up_nobody",
+               test_giver_that_stands_still_holds_up_nobody);
+  CU_add_test (suite, "lease_that_ends_leaves_no_hold", test_lease_that_ends_leaves_no_hold);
   CU_add_test (suite, "late_orders_split_no_group", test_late_orders_split_no_group);
   CU_add_test (suite, "two_leaders_split_no_group", test_two_leaders_split_no_group);
   CU_add_test (suite, "new_epoch_starts_anew", test_new_epoch_starts_anew);
