A randomized soak of gateways, callers and runners under faults from outside

Callers are processes that keep their connections; runners and callers write what they saw, and the judge reads both while it runs: TWICE, REFUSED, MIXED, DENIED, CONFIG, RECOVER. Faults: gateways frozen, killed, stopped and all killed at once; ways to the store and to runners reset, silenced, refused, cut, cut one way and delayed; runners that are full, fail, cut, are unmarked or slow, or replaced at their address; the store down, refusing, losing answers, slow, without history; a configuration each 700 ms. A hop is a process of its own: threads in the harness made its forks hang in ASan. Ports lie below those of outgoing connections, so that a restart finds its own.

--- a/Makefile
+++ b/Makefile
@@ -60,8 +60,14 @@
 capacity: build
 	$(BUILD)/release/bench_capacity
 
+# One randomized run with faults; the seed decides what is drawn.
+SEED ?= 1
+SECONDS_OF_SOAK ?= 20
+soak: build
+	BT_BUILD_DIR=$(BUILD)/release $(BUILD)/release/soak --seed $(SEED) --seconds $(SECONDS_OF_SOAK)
+
 clean:
 	rm -rf $(BUILD)
 
 .PHONY: all setup build debug tsan proto format check-format lint models test test-threads check \
-	demo bench bench-maps bench-policy capacity clean
+	demo bench bench-maps bench-policy capacity soak clean
--- a/test/process/harness_gateway.c
+++ b/test/process/harness_gateway.c
@@ -20,21 +20,44 @@
   OK = 200,
   POLL_MS = 10,
   MS_PER_S = 1000,
+  FIRST_PORT = 11000,
+  PORT_SPAN = 10000,
+  PORT_STRIDE = 97,
 };
 
-/* A port that was free a moment ago. */
-static int32_t
-find_port (void)
+static bool
+is_port_free (int32_t port)
 {
   struct sockaddr_in address = { .sin_family = AF_INET, .sin_addr = { htonl (INADDR_LOOPBACK) } };
-  socklen_t bytes = sizeof address;
   int fd = socket (AF_INET, SOCK_STREAM, 0);
+  int on = 1;
+  bool free;
 
-  if (bind (fd, (struct sockaddr *)&address, sizeof address) != 0
-      || getsockname (fd, (struct sockaddr *)&address, &bytes) != 0)
-    fprintf (stderr, "no free port\n");
+  address.sin_port = htons ((uint16_t)port);
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  free = bind (fd, (struct sockaddr *)&address, sizeof address) == 0;
   close (fd);
-  return ntohs (address.sin_port);
+  return free;
+}
+
+/* A port that was free a moment ago. It lies below those that the system gives to connections, so
+ * that a process that is started again finds its port free, and each test begins elsewhere. */
+static int32_t
+find_port (void)
+{
+  static int32_t next;
+
+  if (next == 0)
+    next = (int32_t)(getpid () * (int64_t)PORT_STRIDE % PORT_SPAN);
+  for (int32_t i = 0; i < PORT_SPAN; i++)
+    {
+      int32_t port = FIRST_PORT + next++ % PORT_SPAN;
+
+      if (is_port_free (port))
+        return port;
+    }
+  fprintf (stderr, "no free port\n");
+  return 0;
 }
 
 static pid_t
@@ -116,11 +139,15 @@
   char key[URL_BYTES];
   char value[TEXT_BYTES];
 
-  snprintf (key, sizeof key, "servers/i-%d", index);
+  char id[URL_BYTES / 2];
+  int32_t port = field->runner_hop_ports[index];
+
+  bt_write_runner_id (field, index, id, sizeof id);
+  snprintf (key, sizeof key, "servers/%s", id);
   snprintf (value, sizeof value,
             "{\"service\":\"svc\",\"address\":\"127.0.0.1:%d\",\"zone\":\"a\",\"slots\":8,"
             "\"state\":\"%s\"}",
-            field->runner_ports[index], state);
+            port == 0 ? field->runner_ports[index] : port, state);
   return bt_put_field_item (field, key, value);
 }
 
@@ -175,37 +202,76 @@
   field->gateways[index] = start (field, "bilberryd", instance + 2, arguments);
 }
 
+void
+bt_write_runner_id (const bt_field_t *field, int32_t index, char *id, size_t room)
+{
+  if (field->runner_starts[index] <= 1)
+    snprintf (id, room, "i-%d", index);
+  else
+    snprintf (id, room, "i-%d-%d", index, field->runner_starts[index] - 1);
+}
+
+bool
+bt_start_runner_process (bt_field_t *field, int32_t index)
+{
+  char id[TEXT_BYTES];
+
+  field->runner_starts[index]++;
+  bt_write_runner_id (field, index, id, sizeof id);
+  setenv ("RUNNER_ID", id, 1);
+  field->runners[index] =
+      start_standin (field, "standin-haiyun_runner", id, field->runner_ports[index]);
+  return wait_for_port (field->runner_ports[index]);
+}
+
+static pid_t
+start_hop (
+    bt_field_t *field, const char *kind, int32_t index, int32_t hop_port, int32_t target_port)
+{
+  char name[TEXT_BYTES];
+  char port[TEXT_BYTES];
+  char target[TEXT_BYTES];
+  char *arguments[] = { port, target, NULL };
+
+  snprintf (name, sizeof name, "hop-%s-%d", kind, index);
+  snprintf (port, sizeof port, "%d", hop_port);
+  snprintf (target, sizeof target, "%d", target_port);
+  return start (field, "standin-hop", name, arguments);
+}
+
 static bool
-start_runners (bt_field_t *field)
+start_runners (bt_field_t *field, bool hops)
 {
-  for (int32_t i = 0; i < BT_FIELD_RUNNERS; i++)
+  for (int32_t i = 0; i < field->runner_count; i++)
     {
-      char id[TEXT_BYTES];
-
-      snprintf (id, sizeof id, "i-%d", i);
-      setenv ("RUNNER_ID", id, 1);
       field->runner_ports[i] = find_port ();
-      field->runners[i] =
-          start_standin (field, "standin-haiyun_runner", id, field->runner_ports[i]);
-      if (!wait_for_port (field->runner_ports[i]) || !bt_list_field_runner (field, i, "ready"))
+      if (hops)
+        {
+          field->runner_hop_ports[i] = find_port ();
+          field->runner_hops[i] =
+              start_hop (field, "runner", i, field->runner_hop_ports[i], field->runner_ports[i]);
+        }
+      if (!bt_start_runner_process (field, i) || !bt_list_field_runner (field, i, "ready"))
         return false;
     }
   return true;
 }
 
 static void
-start_hop (bt_field_t *field, int32_t index)
+start_gateways (bt_field_t *field)
 {
-  char name[TEXT_BYTES];
-  char port[TEXT_BYTES];
-  char target[TEXT_BYTES];
-  char *arguments[] = { port, target, NULL };
-
-  field->hop_ports[index] = find_port ();
-  snprintf (name, sizeof name, "hop-%d", index);
-  snprintf (port, sizeof port, "%d", field->hop_ports[index]);
-  snprintf (target, sizeof target, "%d", field->store_port);
-  field->hops[index] = start (field, "standin-hop", name, arguments);
+  for (int32_t i = 0; i < field->gateway_count; i++)
+    {
+      field->caller_ports[i] = find_port ();
+      field->address_ports[i] = find_port ();
+      field->ready_ports[i] = find_port ();
+      field->page_ports[i] = find_port ();
+      field->link_ports[i] = find_port ();
+      field->hop_ports[i] = find_port ();
+      field->hops[i] = start_hop (field, "store", i, field->hop_ports[i], field->store_port);
+    }
+  for (int32_t i = 0; i < field->gateway_count; i++)
+    bt_start_gateway_process (field, i);
 }
 
 bool
@@ -225,36 +291,40 @@
   return done;
 }
 
-bt_field_t *
-bt_new_field (int32_t gateways, const char *configuration)
+static bt_field_t *
+start_field (int32_t gateways, int32_t runners, bool hops, const char *configuration)
 {
   bt_field_t *field = calloc (1, sizeof *field);
 
+  field->gateway_count = gateways;
+  field->runner_count = runners;
   snprintf (field->folder, sizeof field->folder, "/tmp/bilberry-field-XXXXXX");
   if (mkdtemp (field->folder) == NULL)
     return NULL;
   field->store_port = find_port ();
   field->store = start_standin (field, "standin-haiyun_store", "store", field->store_port);
-  if (!wait_for_port (field->store_port) || !start_runners (field)
+  if (!wait_for_port (field->store_port) || !start_runners (field, hops)
       || !bt_put_field_item (field, "op/config", configuration))
     {
       bt_drop_field (field, true);
       return NULL;
     }
-  for (int32_t i = 0; i < gateways; i++)
-    {
-      field->caller_ports[i] = find_port ();
-      field->address_ports[i] = find_port ();
-      field->ready_ports[i] = find_port ();
-      field->page_ports[i] = find_port ();
-      field->link_ports[i] = find_port ();
-      start_hop (field, i);
-    }
-  for (int32_t i = 0; i < gateways; i++)
-    bt_start_gateway_process (field, i);
+  start_gateways (field);
   return field;
 }
 
+bt_field_t *
+bt_new_field (int32_t gateways, const char *configuration)
+{
+  return start_field (gateways, BT_FIELD_RUNNERS, false, configuration);
+}
+
+bt_field_t *
+bt_new_large_field (int32_t gateways, int32_t runners, const char *configuration)
+{
+  return start_field (gateways, runners, true, configuration);
+}
+
 static void
 end_process (pid_t pid)
 {
@@ -271,12 +341,16 @@
 
   if (field == NULL)
     return;
-  for (int32_t i = 0; i < BT_FIELD_GATEWAYS; i++)
-    end_process (field->gateways[i]);
-  for (int32_t i = 0; i < BT_FIELD_GATEWAYS; i++)
-    end_process (field->hops[i]);
-  for (int32_t i = 0; i < BT_FIELD_RUNNERS; i++)
-    end_process (field->runners[i]);
+  for (int32_t i = 0; i < field->gateway_count; i++)
+    {
+      end_process (field->gateways[i]);
+      end_process (field->hops[i]);
+    }
+  for (int32_t i = 0; i < field->runner_count; i++)
+    {
+      end_process (field->runners[i]);
+      end_process (field->runner_hops[i]);
+    }
   end_process (field->store);
   snprintf (command, sizeof command, failed ? "tail -n 80 %s/*; rm -r %s" : "true %s; rm -r %s",
             field->folder, field->folder);
@@ -342,7 +416,7 @@
 {
   json_t *found = json_array ();
 
-  for (int32_t i = 0; i < BT_FIELD_RUNNERS; i++)
+  for (int32_t i = 0; i < field->runner_count; i++)
     append_runs (found, field->runner_ports[i], request_id);
   return found;
 }
--- a/test/process/harness_gateway.h
+++ b/test/process/harness_gateway.h
@@ -10,18 +10,25 @@
 
 enum
 {
-  BT_FIELD_GATEWAYS = 8,
-  BT_FIELD_RUNNERS = 3,
+  BT_FIELD_GATEWAYS = 64, /* at most */
+  BT_FIELD_MOST_RUNNERS = 128,
+  BT_FIELD_RUNNERS = 3, /* of bt_new_field */
 };
 
 /** One small deployment. */
 typedef struct bt_field
 {
   pid_t store;
-  pid_t runners[BT_FIELD_RUNNERS];
+  int32_t gateway_count;
+  int32_t runner_count;
+  pid_t runners[BT_FIELD_MOST_RUNNERS];
+  int32_t runner_starts[BT_FIELD_MOST_RUNNERS]; /**< Each start has another id. */
+  pid_t
+      runner_hops[BT_FIELD_MOST_RUNNERS]; /**< Before each runner; 0: callers reach it directly. */
+  int32_t runner_hop_ports[BT_FIELD_MOST_RUNNERS];
   pid_t gateways[BT_FIELD_GATEWAYS];
   int32_t store_port;
-  int32_t runner_ports[BT_FIELD_RUNNERS];
+  int32_t runner_ports[BT_FIELD_MOST_RUNNERS];
   int32_t caller_ports[BT_FIELD_GATEWAYS];
   int32_t address_ports[BT_FIELD_GATEWAYS];
   int32_t ready_ports[BT_FIELD_GATEWAYS];
@@ -37,6 +44,16 @@
  * failure. */
 bt_field_t *bt_new_field (int32_t gateways, const char *configuration);
 
+/** The same with a number of runners, each behind a hop. */
+bt_field_t *bt_new_large_field (int32_t gateways, int32_t runners, const char *configuration);
+
+/** Starts a runner, or starts it again as another one at the same address; the first start of
+ * number 2 is "i-2", the next "i-2-1". Does not list it. */
+bool bt_start_runner_process (bt_field_t *field, int32_t index);
+
+/** The id of the runner's last start. */
+void bt_write_runner_id (const bt_field_t *field, int32_t index, char *id, size_t room);
+
 /** Ends every process by its id; prints the logs if @p failed. */
 void bt_drop_field (bt_field_t *field, bool failed);
 
--- a/test/standin/haiyun_runner/main.c
+++ b/test/standin/haiyun_runner/main.c
@@ -14,13 +14,14 @@
 #include <string.h>
 #include <time.h>
 
+#include "bilberrytray/base/clock.h"
 #include "standin_http.h"
 
 enum
 {
   EVENTS = 8,
   EVENTS_BEFORE_CUT = 3,
-  EVENT_BYTES = 64,
+  EVENT_BYTES = 192,
   BLOCK_BYTES = 256,
   PAUSE_NS = 15000000,
   BASE_TEN = 10,
@@ -58,6 +59,10 @@
 
   pthread_mutex_lock (&runner->lock);
   json_array_append_new (runner->runs, run);
+  /* Outlives the process, for whoever reads what it wrote. */
+  printf ("run %s %s %lld\n", get_header (request, "Bilberrytray-Attempt-Id"), runner->id,
+          (long long)bt_read_clock_ms (bt_system_clock ()));
+  fflush (stdout);
   pthread_mutex_unlock (&runner->lock);
 }
 
@@ -117,7 +122,8 @@
     }
   if (strcmp (fault, "fail") == 0)
     answer->status = MHD_HTTP_INTERNAL_SERVER_ERROR;
-  snprintf (text, sizeof text, "answer of %s", runner->id);
+  snprintf (text, sizeof text, "answer of %s to %s", runner->id,
+            get_header (request, "Bilberrytray-Attempt-Id"));
   answer->response = stream ? make_stream (request, cut) : make_text (text);
   answer->type = stream ? "text/event-stream" : "text/plain";
   if (strcmp (fault, "unmarked") != 0)
--- a/test/standin/haiyun_store/main.c
+++ b/test/standin/haiyun_store/main.c
@@ -1,10 +1,11 @@
 /** @file
  * A stand-in for the store of the users' platform: items, ranges, watches, transactions and leases.
- * Leases do not lapse by time here; a test ends them.
+ * Leases lapse by time only where the variable STORE_LAPSES is set; a test ends them otherwise.
  *
  *   POST /control/put?key=KEY      writes the body as an item, as the operator or a server does
  *   POST /control/remove?key=KEY   removes it
- *   POST /fault                    see standin_http.h: "down", "refuse", "lost-answer", "slow"
+ *   POST /fault                    see standin_http.h: "down", "refuse", "lost-answer", "slow",
+ * "compact" (the history is dropped)
  */
 
 #include <jansson.h>
@@ -15,6 +16,7 @@
 #include <string.h>
 #include <time.h>
 
+#include "bilberrytray/base/clock.h"
 #include "standin_http.h"
 
 enum
@@ -23,6 +25,7 @@
   NS_PER_MS = 1000000,
   POLL_MS = 10,
   BASE_TEN = 10,
+  LEASE_MS = 4000,
 };
 
 typedef struct store
@@ -32,7 +35,9 @@
   json_t *history;      /**< Events, oldest first. */
   json_int_t revision;
   json_int_t last_lease;
-  json_t *leases; /**< Ids that live, as text. */
+  json_t *leases;     /**< When each lapses, by its id as text. */
+  json_int_t dropped; /**< History up to this revision is gone. */
+  bool lapses;
 } store_t;
 
 static const char *
@@ -159,6 +164,12 @@
       left_ms -= POLL_MS;
       events = collect_events (store, get_argument (request, "prefix"), after);
     }
+  if (after < store->dropped)
+    {
+      json_decref (events);
+      answer->status = MHD_HTTP_GONE;
+      return;
+    }
   answer_json (answer, MHD_HTTP_OK,
                json_pack ("{s:o, s:I}", "events", events, "at", store->revision));
 }
@@ -220,6 +231,25 @@
                                       == lease) remove_item (store, key);
 }
 
+static json_int_t
+get_lapse_ms (void)
+{
+  return bt_read_clock_ms (bt_system_clock ()) + LEASE_MS;
+}
+
+static void
+end_lapsed_leases (store_t *store)
+{
+  json_int_t now_ms = bt_read_clock_ms (bt_system_clock ());
+  const char *id;
+  json_t *lapse;
+  void *next;
+
+  json_object_foreach_safe (store->leases, next, id,
+                            lapse) if (store->lapses && json_integer_value (lapse) < now_ms)
+      end_lease (store, id);
+}
+
 static void
 answer_lease (store_t *store, const bt_standin_request_t *request, bt_standin_answer_t *answer)
 {
@@ -234,17 +264,21 @@
     }
   else if (starts_with (request->url, keep))
     {
-      bool lives = json_object_get (store->leases, request->url + strlen (keep)) != NULL;
+      const char *lease = request->url + strlen (keep);
+      bool lives = json_object_get (store->leases, lease) != NULL;
+
+      if (lives)
+        json_object_set_new (store->leases, lease, json_integer (get_lapse_ms ()));
 
       answer_json (answer, lives ? MHD_HTTP_OK : MHD_HTTP_NOT_FOUND,
-                   json_pack ("{s:i}", "ttl_ms", 4 * MS_PER_S));
+                   json_pack ("{s:i}", "ttl_ms", LEASE_MS));
     }
   else
     {
       snprintf (id, sizeof id, "%lld", (long long)++store->last_lease);
-      json_object_set_new (store->leases, id, json_true ());
+      json_object_set_new (store->leases, id, json_integer (get_lapse_ms ()));
       answer_json (answer, MHD_HTTP_OK,
-                   json_pack ("{s:I, s:i}", "lease_id", store->last_lease, "ttl_ms", 4 * MS_PER_S));
+                   json_pack ("{s:I, s:i}", "lease_id", store->last_lease, "ttl_ms", LEASE_MS));
     }
 }
 
@@ -291,6 +325,9 @@
       return;
     }
   pthread_mutex_lock (&store->lock);
+  if (strcmp (fault, "compact") == 0)
+    store->dropped = store->revision;
+  end_lapsed_leases (store);
   answer_locked (store, request, answer);
   pthread_mutex_unlock (&store->lock);
   answer->drop = strcmp (fault, "lost-answer") == 0;
@@ -303,7 +340,8 @@
                     .items = json_object (),
                     .history = json_array (),
                     .leases = json_object (),
-                    .revision = 1 };
+                    .revision = 1,
+                    .lapses = getenv ("STORE_LAPSES") != NULL };
   bt_standin_routes_t routes = { &store, answer_request, NULL };
   int status = bt_run_standin (argc, argv, &routes);
 
