--- a/test/process/test_gateway.c
+++ b/test/process/test_gateway.c
@@ -434,6 +434,49 @@
   bt_clear_reply (&reply);
 }
 
+/* Asks the command line what became of a request, by the log of a gateway. */
+static void
+check_story (const char *id, int32_t exit_code, const char *const *wanted)
+{
+  char line[512];
+  char *output = NULL;
+
+  snprintf (line, sizeof line, "bilberryd explain --request %s %s/instance=gateway-0.log", id,
+            field->folder);
+  CU_ASSERT_EQUAL (bt_run_program (line, &output), exit_code);
+  for (int32_t i = 0; output != NULL && wanted[i] != NULL; i++)
+    {
+      if (strstr (output, wanted[i]) == NULL)
+        fprintf (stderr, "\"%s\" is not in:\n%s", wanted[i], output);
+      CU_ASSERT_PTR_NOT_NULL (strstr (output, wanted[i]));
+    }
+  free (output);
+}
+
+/* A caller complains, and has the id of a request only. The logs lead from there to the cause: it
+ * was refused by full endpoints, cut after it was sent, or turned away by a configuration. */
+static void
+test_logs_lead_from_an_id_to_its_cause (void)
+{
+  static const char *const full[] = { "retry", "reason=\"endpoint-full\"",
+                                      "It did not run: 3 endpoints were asked", NULL };
+  static const char *const cut[] = { "outcome=\"unknown\"", "It may have run at i-", NULL };
+  static const char *const route[] = { "It was sent to no endpoint: no-such-path, by revision ",
+                                       "was in force at gateway-0 since 20", NULL };
+  static const char *const nothing[] = { "No line of these logs names the request r-never", NULL };
+
+  set_all_faults ("{\"kind\":\"full\",\"count\":-1}");
+  CU_ASSERT_EQUAL (ask_status (0, "/a/lookup", "r-story-full", "key-small"), UNAVAILABLE);
+  set_all_faults ("{\"kind\":\"cut\",\"count\":-1}");
+  CU_ASSERT_EQUAL (ask_status (0, "/a/once/x", "r-story-cut", "key-small"), BAD_GATEWAY);
+  set_all_faults ("{\"kind\":\"none\"}");
+  CU_ASSERT_EQUAL (ask_status (0, "/elsewhere/x", "r-story-route", "key-small"), NOT_FOUND);
+  check_story ("r-story-full", 0, full);
+  check_story ("r-story-cut", 0, cut);
+  check_story ("r-story-route", 0, route);
+  check_story ("r-never", 1, nothing);
+}
+
 /* A gateway is told to stop while a stream runs through it. It is out of the address answers and
  * not ready at once, the stream ends whole, and the process ends by itself. */
 static void
@@ -476,6 +519,7 @@
   CU_ADD_TEST (suite, test_full_runner_costs_nothing);
   CU_ADD_TEST (suite, test_unmarked_answer_is_not_passed);
   CU_ADD_TEST (suite, test_metrics_tell_of_each_step);
+  CU_ADD_TEST (suite, test_logs_lead_from_an_id_to_its_cause);
   CU_ADD_TEST (suite, test_configuration_comes_into_force);
   CU_ADD_TEST (suite, test_bad_configuration_changes_nothing);
   CU_ADD_TEST (suite, test_store_outage_changes_nothing);
