Hold large groups more steps ahead; a field of processes has ports of its own

Cause: from the order to hold until a group of 72 ranks is let go 60 to 270 ms pass, since every agent is heard of in between. Two soaks that ran at once took the same ports; the answer came from the other one's process. Each field now holds a range of ports.

--- a/source/gateway/group_control.c
+++ b/source/gateway/group_control.c
@@ -19,9 +19,13 @@
    * for 50 to 100 ms, and gives it up after 300 ms if an agent is silent; a lease that is renewed
    * each 600 ms has 900 ms left at least. */
   LEAST_LEASE_MS = 700,
-  /* A step is one pass of the group, 60 to 100 ms. Holding and arming take two ways to the agents,
-   * about 15 ms; three steps leave room for an order that is sent twice. */
-  HOLD_STEPS = 3,
+  /* A step is one pass of the group, 60 to 100 ms. From the order to hold until the group is let go
+   * a group of 16 ranks takes 30 to 60 ms, one of 72 ranks 60 to 270 ms. Is the held step reached
+   * before, the pause makes every stream under way late: with 3 steps a group of 72 ranks had 0.72
+   * of a heavy day's worth, with 5 steps 0.79. More than 3 steps gain a group of 16 ranks nothing:
+   * mean worth 0.707, 0.702 and 0.701 with 3, 4 and 5. */
+  LEAST_HOLD_STEPS = 3,
+  RANKS_A_HOLD_STEP = 32,
   RESEND_MS = 120,
   STALE_MS = 1200,
   /* Agents report to the leader each 100 ms, and at once when asked; two reports and a way. */
@@ -187,7 +191,7 @@
 {
   bt_group_rounds_settings_t rounds = {
     .ranks = report->ranks,
-    .hold_steps = HOLD_STEPS,
+    .hold_steps = LEAST_HOLD_STEPS + report->ranks / RANKS_A_HOLD_STEP,
     .resend_ms = RESEND_MS,
     .stale_ms = STALE_MS,
     .prepare_limit_ms = PREPARE_LIMIT_MS,
--- a/test/process/harness_gateway.c
+++ b/test/process/harness_gateway.c
@@ -21,43 +21,57 @@
   POLL_MS = 10,
   MS_PER_S = 1000,
   FIRST_PORT = 11000,
-  PORT_SPAN = 10000,
-  PORT_STRIDE = 97,
+  PORT_SPAN = 1000,
+  PORT_SLOTS = 10,
 };
 
-static bool
-is_port_free (int32_t port)
+/* A socket that listens at a port; -1 when the port is not free. */
+static int
+hold_port (int32_t port)
 {
   struct sockaddr_in address = { .sin_family = AF_INET, .sin_addr = { htonl (INADDR_LOOPBACK) } };
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   int on = 1;
-  bool free;
 
   address.sin_port = htons ((uint16_t)port);
   setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  free = bind (fd, (struct sockaddr *)&address, sizeof address) == 0;
+  if (bind (fd, (struct sockaddr *)&address, sizeof address) == 0 && listen (fd, 1) == 0)
+    return fd;
   close (fd);
-  return free;
+  return -1;
 }
 
-/* A port that was free a moment ago. It lies below those that the system gives to connections, so
- * that a process that is started again finds its port free, and each test begins elsewhere. */
-static int32_t
-find_port (void)
+/* Takes a range of ports for this field alone, by holding its first one. A process that is killed
+ * and started again must find its port free, though other fields come and go meanwhile. The ranges
+ * lie below the ports that the system gives to connections. */
+static bool
+take_ports (bt_field_t *field)
 {
-  static int32_t next;
-
-  if (next == 0)
-    next = (int32_t)(getpid () * (int64_t)PORT_STRIDE % PORT_SPAN);
-  for (int32_t i = 0; i < PORT_SPAN; i++)
+  for (int32_t i = 0; i < PORT_SLOTS; i++)
     {
-      int32_t port = FIRST_PORT + next++ % PORT_SPAN;
+      int32_t first = FIRST_PORT + (getpid () + i) % PORT_SLOTS * PORT_SPAN;
 
-      if (is_port_free (port))
-        return port;
+      field->slot_fd = hold_port (first);
+      if (field->slot_fd < 0)
+        continue;
+      field->next_port = first;
+      return true;
     }
-  fprintf (stderr, "no free port\n");
-  return 0;
+  fprintf (stderr, "no range of ports is free\n");
+  return false;
+}
+
+/* The next port of the field's range that is free. */
+static int32_t
+find_port (bt_field_t *field)
+{
+  int fd;
+
+  do
+    fd = hold_port (++field->next_port);
+  while (fd < 0);
+  close (fd);
+  return field->next_port;
 }
 
 static pid_t
@@ -244,10 +258,10 @@
 {
   for (int32_t i = 0; i < field->runner_count; i++)
     {
-      field->runner_ports[i] = find_port ();
+      field->runner_ports[i] = find_port (field);
       if (hops)
         {
-          field->runner_hop_ports[i] = find_port ();
+          field->runner_hop_ports[i] = find_port (field);
           field->runner_hops[i] =
               start_hop (field, "runner", i, field->runner_hop_ports[i], field->runner_ports[i]);
         }
@@ -262,12 +276,12 @@
 {
   for (int32_t i = 0; i < field->gateway_count; i++)
     {
-      field->caller_ports[i] = find_port ();
-      field->address_ports[i] = find_port ();
-      field->ready_ports[i] = find_port ();
-      field->page_ports[i] = find_port ();
-      field->link_ports[i] = find_port ();
-      field->hop_ports[i] = find_port ();
+      field->caller_ports[i] = find_port (field);
+      field->address_ports[i] = find_port (field);
+      field->ready_ports[i] = find_port (field);
+      field->page_ports[i] = find_port (field);
+      field->link_ports[i] = find_port (field);
+      field->hop_ports[i] = find_port (field);
       field->hops[i] = start_hop (field, "store", i, field->hop_ports[i], field->store_port);
     }
   for (int32_t i = 0; i < field->gateway_count; i++)
@@ -299,9 +313,12 @@
   field->gateway_count = gateways;
   field->runner_count = runners;
   snprintf (field->folder, sizeof field->folder, "/tmp/bilberry-field-XXXXXX");
-  if (mkdtemp (field->folder) == NULL)
-    return NULL;
-  field->store_port = find_port ();
+  if (!take_ports (field) || mkdtemp (field->folder) == NULL)
+    {
+      free (field);
+      return NULL;
+    }
+  field->store_port = find_port (field);
   field->store = start_standin (field, "standin-haiyun_store", "store", field->store_port);
   if (!wait_for_port (field->store_port) || !start_runners (field, hops)
       || !bt_put_field_item (field, "op/config", configuration))
@@ -356,6 +373,7 @@
             field->folder, field->folder);
   if (system (command) != 0)
     fprintf (stderr, "can't remove %s\n", field->folder);
+  close (field->slot_fd);
   free (field);
 }
 
--- a/test/process/harness_gateway.h
+++ b/test/process/harness_gateway.h
@@ -37,6 +37,8 @@
   pid_t hops[BT_FIELD_GATEWAYS]; /**< Each between a gateway and the store. */
   int32_t hop_ports[BT_FIELD_GATEWAYS];
   char folder[64];
+  int slot_fd; /**< Holds the field's range of ports. */
+  int32_t next_port;
 } bt_field_t;
 
 /** Starts the store, runners that are listed there as "i-0", "i-1" ... of the service "svc", and
