--- a/test/maps/test_group_rounds.c
+++ b/test/maps/test_group_rounds.c
@@ -172,7 +172,7 @@
       bt_leave_group (leader.rounds);
       leader.leading = false;
       group.longest_ms = 0;
-      run_world (&group, &leader, 1, end_ms + 4 * MARGIN_MS);
+      run_world (&group, &leader, 1, end_ms + (int64_t)4 * MARGIN_MS);
       CU_ASSERT_EQUAL (group.longest_ms, STEP_MS);
       CU_ASSERT_EQUAL (group.splits, 0);
       bt_drop_group_rounds (ctx, leader.rounds);
--- a/test/soak/caller.c
+++ b/test/soak/caller.c
@@ -40,14 +40,6 @@
 
 static const char *const paths[] = { "/a/x", "/a/once/x", "/a/stream/x" };
 
-static size_t
-take_header (char *data, size_t size, size_t count, void *argument)
-{
-  (void)data;
-  (void)argument;
-  return size * count;
-}
-
 static void
 set_options (caller_t *caller, const char *url, bt_soak_kind_t kind, outcome_t *outcome)
 {
@@ -60,7 +52,6 @@
   curl_easy_setopt (easy, CURLOPT_POSTFIELDS, "shrimp");
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, bt_take_reply_bytes);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, &outcome->reply);
-  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, take_header);
   /* The library sends again by itself on a kept connection that turns out closed. */
   curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, kind == BT_SOAK_ONCE ? 1L : 0L);
 }
