--- a/test/soak/caller.c
+++ b/test/soak/caller.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <strings.h>
 
 #include "bilberrytray/base/clock.h"
 #include "harness_http.h"
@@ -16,6 +17,9 @@
   PERCENT = 100,
   /* Of the requests, those with a key that may have been taken away. */
   KEY_PERCENT = 25,
+  /* Of the newest keys, how many are drawn from: one is taken away after two, so that the oldest of
+   * these has been gone for 4 s. */
+  NEWEST_KEYS = 8,
   URL_BYTES = 128,
 };
 
@@ -35,11 +39,23 @@
 typedef struct outcome
 {
   bt_reply_t reply;
+  bool marked; /* it bears a runner's mark of origin */
   int64_t began_ms;
 } outcome_t;
 
 static const char *const paths[] = { "/a/x", "/a/once/x", "/a/stream/x" };
 
+static size_t
+take_header (char *data, size_t size, size_t count, void *argument)
+{
+  static const char *const mark = "Bilberrytray-Server-Stamp: i-";
+  outcome_t *outcome = argument;
+
+  if (size * count > strlen (mark) && strncasecmp (data, mark, strlen (mark)) == 0)
+    outcome->marked = true;
+  return size * count;
+}
+
 static void
 set_options (caller_t *caller, const char *url, bt_soak_kind_t kind, outcome_t *outcome)
 {
@@ -52,6 +68,8 @@
   curl_easy_setopt (easy, CURLOPT_POSTFIELDS, "shrimp");
   curl_easy_setopt (easy, CURLOPT_WRITEFUNCTION, bt_take_reply_bytes);
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, &outcome->reply);
+  curl_easy_setopt (easy, CURLOPT_HEADERFUNCTION, take_header);
+  curl_easy_setopt (easy, CURLOPT_HEADERDATA, outcome);
   /* The library sends again by itself on a kept connection that turns out closed. */
   curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, kind == BT_SOAK_ONCE ? 1L : 0L);
 }
@@ -126,7 +144,7 @@
   snprintf (key, room, "k-good");
   if ((int32_t)bt_random_below (&caller->random, PERCENT) < KEY_PERCENT)
     snprintf (key, room, "k-%lld",
-              (long long)(newest - (int64_t)bt_random_below (&caller->random, 3)));
+              (long long)(newest - (int64_t)bt_random_below (&caller->random, NEWEST_KEYS)));
 }
 
 static void
@@ -144,6 +162,7 @@
   perform (caller, kind, id, key, &outcome);
   body = bt_get_reply_text (&outcome.reply);
   whole = kind == BT_SOAK_STREAM ? is_whole_stream (body) : is_whole_plain (body, id);
+  whole = whole && outcome.marked;
   fprintf (caller->log, "end %s %d %s %d %d %d %d %lld %lld\n", id, kind, key, caller->gateway,
            outcome.reply.status, outcome.reply.curl_code, whole ? 1 : 0,
            (long long)outcome.began_ms, (long long)bt_read_clock_ms (bt_system_clock ()));
--- a/test/soak/faults.c
+++ b/test/soak/faults.c
@@ -10,8 +10,11 @@
 enum
 {
   MOST_ACTIVE = 64,
-  LONGEST_PAUSE_MS = 700,
-  LONGEST_FAULT_MS = 3000,
+  /* Some seeds are dense, so that faults overlap; some leave room in which entries are in touch,
+   * and what must hold within seconds is judged. */
+  LEAST_PAUSE_MS = 400,
+  LONGEST_PAUSE_MS = 4000,
+  LONGEST_FAULT_MS = 5000,
   LONGEST_DELAY_MS = 400,
   /* A machine is in touch this long after its last disturbance. */
   STABLE_MS = 3000,
@@ -56,6 +59,7 @@
   bt_soak_t *soak;
   active_t active[MOST_ACTIVE];
   int32_t count;
+  int32_t pause_ms; /* longest between two faults of this seed */
   int64_t next_ms;
   int64_t next_key_ms;
 };
@@ -330,7 +334,7 @@
   active_t fault = { (fault_kind_t)draw (faults, FAULT_KINDS), NO_TARGET,
                      now () + 1 + draw (faults, LONGEST_FAULT_MS) };
 
-  faults->next_ms = now () + draw (faults, LONGEST_PAUSE_MS);
+  faults->next_ms = now () + draw (faults, faults->pause_ms);
   fault.target = draw_target (faults, fault.kind);
   if (faults->count == MOST_ACTIVE || is_taken (faults, &fault)
       || (fault.kind == FAULT_HERD && draw (faults, HERD_CHANCE) != 0))
@@ -346,6 +350,7 @@
   bt_soak_faults_t *faults = calloc (1, sizeof *faults);
 
   faults->soak = soak;
+  faults->pause_ms = LEAST_PAUSE_MS + draw (faults, LONGEST_PAUSE_MS - LEAST_PAUSE_MS);
   faults->next_ms = now ();
   faults->next_key_ms = soak->start_ms;
   return faults;
