Log when a gateway's loop ends and what was unanswered when its fronts close

The record of a request lost at a stop can't tell three causes apart: it does not say when the loop ended, nor whether a request had been read by then. serving-ended tells the first, front-closed the second. No logic changes.

--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -395,6 +395,9 @@
 bt_run_gateway (bt_gateway_t *gateway)
 {
   bt_run_event_loop (gateway->loop);
+  bt_log_event (gateway->ctx, BT_LOG_INFO, "serving-ended", "{s:I, s:i, s:i}", "after_ms",
+                (json_int_t)(bt_now_ms (gateway->ctx) - gateway->leaving_since_ms), "requests",
+                gateway->forwards, "calls", bt_count_front_calls (gateway->callers));
 }
 
 void
--- a/source/gateway/http_front.c
+++ b/source/gateway/http_front.c
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 
 #include "bilberrytray/base/address.h"
+#include "bilberrytray/base/event_log.h"
 #include "http_front_private.h"
 
 enum
@@ -338,6 +339,18 @@
   return front;
 }
 
+/* Requests that were read whole and that nobody has answered. */
+static int32_t
+count_unanswered (const bt_front_t *front)
+{
+  int32_t count = 0;
+
+  for (const bt_front_call_t *call = front->first_call; call != NULL; call = call->next)
+    if (call->whole && call->answer == ANSWER_NONE)
+      count++;
+  return count;
+}
+
 void
 bt_drop_front (bt_context_t *ctx, bt_front_t *front)
 {
@@ -352,6 +365,8 @@
       bt_break_front_call (call);
     }
   MHD_run (front->daemon);
+  bt_log_event (ctx, BT_LOG_INFO, "front-closed", "{s:i, s:i}", "port", bt_get_front_port (front),
+                "unanswered", count_unanswered (front));
   MHD_stop_daemon (front->daemon);
   bt_free (ctx, front);
 }
