--- a/test/process/harness_gateway.c
+++ b/test/process/harness_gateway.c
@@ -20,6 +20,7 @@
   OK = 200,
   POLL_MS = 10,
   MS_PER_S = 1000,
+  DRAIN_MS = 8000,
   FIRST_PORT = 11000,
   PORT_SPAN = 1000,
   PORT_SLOTS = 10,
@@ -190,20 +191,12 @@
   char page[TEXT_BYTES];
   char links[TEXT_BYTES];
   char seeds[TEXT_BYTES];
-  char *arguments[] = { "gateway",
-                        instance,
-                        "--failure-domain=a",
-                        listen,
-                        addresses,
-                        ready,
-                        links,
-                        seeds,
-                        "--secret=secret of the field",
-                        store,
-                        page,
-                        "--address-life-ms=300",
-                        "--drain-ms=8000",
-                        NULL };
+  char drain[TEXT_BYTES];
+  char *arguments[] = { "gateway", instance,  "--failure-domain=a",
+                        listen,    addresses, ready,
+                        links,     seeds,     "--secret=secret of the field",
+                        store,     page,      "--address-life-ms=300",
+                        drain,     NULL };
 
   snprintf (instance, sizeof instance, "--instance=gateway-%d", index);
   snprintf (listen, sizeof listen, "--listen=127.0.0.1:%d", field->caller_ports[index]);
@@ -213,6 +206,7 @@
   snprintf (links, sizeof links, "--links=127.0.0.1:%d", field->link_ports[index]);
   snprintf (seeds, sizeof seeds, "--seeds=127.0.0.1:%d", field->link_ports[index == 0 ? 1 : 0]);
   snprintf (page, sizeof page, "--page=127.0.0.1:%d", field->page_ports[index]);
+  snprintf (drain, sizeof drain, "--drain-ms=%d", field->drain_ms);
   field->gateways[index] = start (field, "bilberryd", instance + 2, arguments);
 }
 
@@ -312,6 +306,7 @@
 
   field->gateway_count = gateways;
   field->runner_count = runners;
+  field->drain_ms = DRAIN_MS;
   snprintf (field->folder, sizeof field->folder, "/tmp/bilberry-field-XXXXXX");
   if (!take_ports (field) || mkdtemp (field->folder) == NULL)
     {
--- a/test/process/harness_gateway.h
+++ b/test/process/harness_gateway.h
@@ -36,6 +36,7 @@
   int32_t link_ports[BT_FIELD_GATEWAYS];
   pid_t hops[BT_FIELD_GATEWAYS]; /**< Each between a gateway and the store. */
   int32_t hop_ports[BT_FIELD_GATEWAYS];
+  int32_t drain_ms; /**< Longest stop of gateways that are started from now on. */
   char folder[64];
   int slot_fd; /**< Holds the field's range of ports. */
   int32_t next_port;
