Test that an entry cuts nothing at its end; it fails by the cause found in the gateway

The same window stands in the other request path: the callers' port is open while the entry ends its threads, and what came meanwhile is cut.

--- a/test/process/test_request_stops.c
+++ b/test/process/test_request_stops.c
@@ -1,4 +1,5 @@
 #include <CUnit/Basic.h>
+#include <curl/curl.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
@@ -12,6 +13,8 @@
   LONG_TOKENS = 60,
   CALLERS = 12,
   LEAVING_LIMIT_MS = 2000, /* After this a leaving endpoint gets no new work. */
+  SHORT_TOKENS = 5,
+  MOST_LATE = 600, /* Drafts of 0.1 s that a stop has room for, many times over. */
 };
 
 static const char *const rules =
@@ -219,6 +222,49 @@
   bt_clear_reply (&late.reply);
 }
 
+/* True while the entry's port is open: a draft that was sent there came back whole, or was refused
+ * as not run. */
+static bool
+send_late_draft (int32_t number, int32_t *lost)
+{
+  char prompt[32];
+  bt_draft_t draft = { stage, "entry-1", NULL, prompt, SHORT_TOKENS };
+  bool connected;
+
+  snprintf (prompt, sizeof prompt, "late %d", number);
+  bt_send_draft (&draft);
+  connected = draft.reply.curl_code != CURLE_COULDNT_CONNECT;
+  if (connected && !bt_is_draft_whole (&draft) && !bt_was_draft_told (&draft, "not-run"))
+    {
+      fprintf (stderr, "\"%s\" was lost: curl %d, status %d, %s\n", prompt, draft.reply.curl_code,
+               draft.reply.status, draft.reply.outcome);
+      ++*lost;
+    }
+  bt_clear_reply (&draft.reply);
+  return connected;
+}
+
+/* A caller sends one draft after the other to an entry that stops. One of them got no answer, or
+ * only a part of it: the entry had found nothing under way and had begun to take itself apart with
+ * its callers' port still open, and cut what had come since. */
+static void
+test_entry_ends_between_callers (void)
+{
+  int32_t code = -1;
+  int32_t lost = 0;
+  int32_t sent = 0;
+
+  CU_ASSERT_TRUE (bt_start_process (stage, "entry-1"));
+  CU_ASSERT_TRUE (bt_wait_endpoints (stage, "entry-1", 2));
+  CU_ASSERT_TRUE (bt_signal_process (stage, "entry-1", SIGTERM));
+  while (sent < MOST_LATE && send_late_draft (sent, &lost))
+    sent++;
+  CU_ASSERT (sent > 0 && sent < MOST_LATE);
+  CU_ASSERT_EQUAL (lost, 0);
+  CU_ASSERT_TRUE (bt_wait_process (stage, "entry-1", &code));
+  CU_ASSERT_EQUAL (code, 0);
+}
+
 int
 main (void)
 {
@@ -231,6 +277,7 @@
   CU_ADD_TEST (suite, test_unread_resend_is_not_called_not_run);
   CU_ADD_TEST (suite, test_endpoint_leaves_under_load);
   CU_ADD_TEST (suite, test_entry_stops_under_load);
+  CU_ADD_TEST (suite, test_entry_ends_between_callers);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   failed = CU_get_number_of_failures () + CU_get_number_of_suites_failed ();
