Close callers' sockets inside the loop, before anything at the end of a stop may block

Cause: a gateway's loop ended while its callers' sockets were open, and the process then waited for its threads that talk to the store (0.2 s for the pause behind a change, a second or more for a call). Connections were made and requests sent meanwhile that nobody read. The last look of the HTTP library then read them, laid their connections to sleep for a loop that had ended, and the library aborted the process. The other request path cut, in the same window, what it had taken since it was last idle.

Ruled out: a loop that stands still (its end comes on time, with no call waiting), a slow instance (1% of its processor), a request cut by the drain limit (the lost one was in no log).

The listening sockets are closed in the loop, with the connections that wait to be accepted taken in; what comes on open connections for 120 ms behind that is refused as not run; then the loop ends and the sockets are closed, first of all. A front that is dropped no longer lays a request to sleep. A leaving instance does not take a request whose like lately took longer than it has left. A request that was sent and is cut by the limit gets an answer that says so (502, stopped-midway) in place of a broken connection; in the other path that was a 503.

--- a/include/bilberrytray/core/outcome.h
+++ b/include/bilberrytray/core/outcome.h
@@ -48,6 +48,7 @@
   X (NOT_READY, "not-ready", 503, NOT_RUN)                                                         \
   X (ISOLATED, "isolated", 503, NOT_RUN)                                                           \
   X (STOPPING, "stopping", 503, NOT_RUN)                                                           \
+  X (STOPPED_MIDWAY, "stopped-midway", 502, UNKNOWN)                                               \
   X (DEADLINE_PASSED, "deadline-passed", 504, UNKNOWN)                                             \
   X (LINK_LOST, "link-lost", 502, UNKNOWN)                                                         \
   X (HOME_RESTARTED, "home-restarted", 502, UNKNOWN)                                               \
--- a/source/entry/calls.c
+++ b/source/entry/calls.c
@@ -168,6 +168,14 @@
   facts->home = ticket.home;
   facts->idempotent = idempotent;
   pthread_mutex_lock (&entry->lock);
+  /* Checked where calls are added: one that is added behind the last cut would sleep for ever, and
+   * the HTTP library aborts a process that stops it with a connection asleep. */
+  if (entry->closed)
+    {
+      pthread_mutex_unlock (&entry->lock);
+      bt_refuse_unread_caller (entry->ctx, caller, BT_REASON_STOPPING, 0, NULL);
+      return;
+    }
   call = add_call (entry, caller, facts);
   bt_prepare_delivery (entry, call, call->keyed ? &ticket : NULL);
   bt_place_call (entry, call, false);
@@ -274,7 +282,7 @@
     while (entry->calls[i] != NULL)
       {
         bt_refuse_caller (entry->ctx, entry->calls[i]->caller, BT_OUTCOME_UNKNOWN,
-                          BT_REASON_STOPPING, 0, NULL);
+                          BT_REASON_STOPPED_MIDWAY, 0, NULL);
         bt_remove_call (entry, entry->calls[i]);
       }
 }
--- a/source/entry/command_gateway.c
+++ b/source/entry/command_gateway.c
@@ -34,7 +34,7 @@
     "Callers' connections at a time." },
   { "address-life-ms", BT_SETTING_INTEGER, FIELD (address_life_ms), "1500", 100, 3600000,
     "How long callers may keep an answer with addresses, ms." },
-  { "drain-ms", BT_SETTING_INTEGER, FIELD (drain_ms), "7700", 0, 3600000,
+  { "drain-ms", BT_SETTING_INTEGER, FIELD (drain_ms), "7800", 0, 3600000,
     "Longest time from SIGTERM to the end, ms." },
   { "watch-ms", BT_SETTING_INTEGER, FIELD (watch_ms), "1000", 100, 30000,
     "Longest wait of one watch on the store, ms." },
--- a/source/entry/command_serve.c
+++ b/source/entry/command_serve.c
@@ -101,21 +101,27 @@
     "Between two plans, ms." },
 };
 
+static void
+wait_idle (bt_context_t *ctx, bt_entry_t *entry, int64_t limit_ms)
+{
+  while (!bt_is_entry_idle (entry) && bt_now_ms (ctx) < limit_ms)
+    bt_sleep_ms (IDLE_CHECK_MS);
+}
+
 /* A leaving entry serves callers that still hold its address: it waits out the life of the last
- * answer that named it, and then until nothing is under way. */
+ * answer that named it, and then until nothing is under way. The callers' port is closed behind
+ * that and before all else: while other parts end, which takes a second or more where the platform
+ * is silent, nobody would answer those who connect. */
 static void
-wait_drained (bt_context_t *ctx, bt_entry_t *entry, const bt_entry_settings_t *settings)
+drain (bt_context_t *ctx, bt_entry_t *entry, const bt_entry_settings_t *settings)
 {
-  int64_t started_ms = bt_now_ms (ctx);
-  int64_t waited_ms = 0;
+  int64_t limit_ms = bt_now_ms (ctx) + settings->address_life_ms + settings->drain_ms;
 
-  while (
-      waited_ms < settings->address_life_ms
-      || (!bt_is_entry_idle (entry) && waited_ms < settings->address_life_ms + settings->drain_ms))
-    {
-      bt_sleep_ms (IDLE_CHECK_MS);
-      waited_ms = bt_now_ms (ctx) - started_ms;
-    }
+  bt_sleep_ms (settings->address_life_ms);
+  wait_idle (ctx, entry, limit_ms);
+  bt_close_entry (entry);
+  wait_idle (ctx, entry, limit_ms);
+  bt_end_entry_callers (ctx, entry);
 }
 
 static int
@@ -140,7 +146,7 @@
               bt_get_entry_http_port (entry));
       sigwait (signals, &received);
       bt_leave_entry (ctx, entry);
-      wait_drained (ctx, entry, settings);
+      drain (ctx, entry, settings);
       bt_log (ctx, BT_LOG_INFO, BT_PART_MAIN, "Stopped.");
       status = BT_EXIT_DONE;
     }
--- a/source/entry/entry.c
+++ b/source/entry/entry.c
@@ -13,6 +13,9 @@
   TICK_MS = 10,
   OPENING_MS = 2000,
   MAX_UNSENT_BYTES = 16 << 20,
+  /* The workers write in this time what callers are told last, and refuse those whose request comes
+   * a round trip behind the end of listening. */
+  LINGER_MS = 120,
 };
 
 static void *
@@ -229,6 +232,27 @@
   return idle;
 }
 
+void
+bt_close_entry (bt_entry_t *entry)
+{
+  pthread_mutex_lock (&entry->lock);
+  entry->closed = true;
+  pthread_mutex_unlock (&entry->lock);
+  bt_close_http_server (entry->http);
+}
+
+void
+bt_end_entry_callers (bt_context_t *ctx, bt_entry_t *entry)
+{
+  pthread_mutex_lock (&entry->lock);
+  entry->closed = true;
+  bt_cut_calls (entry);
+  pthread_mutex_unlock (&entry->lock);
+  bt_sleep_ms (LINGER_MS);
+  bt_drop_http_server (ctx, entry->http);
+  entry->http = NULL;
+}
+
 static void
 drop_peers (bt_entry_t *entry)
 {
@@ -250,10 +274,8 @@
   atomic_store (&entry->stopping, true);
   if (entry->ticking)
     pthread_join (entry->ticker, NULL);
-  pthread_mutex_lock (&entry->lock);
-  bt_cut_calls (entry);
-  pthread_mutex_unlock (&entry->lock);
-  bt_drop_http_server (ctx, entry->http);
+  if (entry->http != NULL)
+    bt_end_entry_callers (ctx, entry);
   bt_drop_link_loop (ctx, entry->loop);
   bt_drop_map_control (ctx, entry->maps);
   drop_peers (entry);
--- a/source/entry/entry.h
+++ b/source/entry/entry.h
@@ -111,6 +111,13 @@
 /** True when no call is under way. */
 bool bt_is_entry_idle (bt_entry_t *entry);
 
+/** Lets nobody connect any more, and refuses what comes on connections that were made before. */
+void bt_close_entry (bt_entry_t *entry);
+
+/** Ends the calls that are still under way, and closes all callers' connections once they have what
+ * they are told. To be called on a closed entry before anything that may block. */
+void bt_end_entry_callers (bt_context_t *ctx, bt_entry_t *entry);
+
 /** Stops all threads and frees the entry. NULL is accepted. */
 void bt_drop_entry (bt_context_t *ctx, bt_entry_t *entry);
 
--- a/source/entry/entry_private.h
+++ b/source/entry/entry_private.h
@@ -95,6 +95,7 @@
 
   pthread_mutex_t lock; /**< Guards what stands below. */
   bool leaving;
+  bool closed; /**< Nothing new is taken: the calls under way are the last. */
   bt_declarations_t *declarations;
   bt_router_t *router;
   bt_admission_t *admission;
--- a/source/entry/http_server.c
+++ b/source/entry/http_server.c
@@ -5,6 +5,7 @@
 
 #include "bilberrytray/base/address.h"
 #include "bilberrytray/base/log.h"
+#include "bilberrytray/page/listener.h"
 
 enum
 {
@@ -221,6 +222,12 @@
   return MHD_get_daemon_info (server->daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
 }
 
+void
+bt_close_http_server (bt_http_server_t *server)
+{
+  bt_close_listener (server->daemon);
+}
+
 void
 bt_drop_http_server (bt_context_t *ctx, bt_http_server_t *server)
 {
--- a/source/entry/http_server.h
+++ b/source/entry/http_server.h
@@ -16,6 +16,9 @@
 
 int32_t bt_get_http_server_port (const bt_http_server_t *server);
 
+/** Lets nobody connect any more; connections that were made before are still served. */
+void bt_close_http_server (bt_http_server_t *server);
+
 /** Closes every connection and ends the workers. NULL is accepted. */
 void bt_drop_http_server (bt_context_t *ctx, bt_http_server_t *server);
 
--- a/source/gateway/forward.c
+++ b/source/gateway/forward.c
@@ -103,6 +103,9 @@
   bt_count_outcome (ctx, outcome);
   log_end (forward, outcome, reason, status);
   bt_record_duration (gateway->timings.total, bt_get_loop_ms (gateway->loop) - forward->arrived_ms);
+  if (outcome == BT_OUTCOME_ANSWERED)
+    bt_record_app_duration (gateway, forward->app,
+                            bt_get_loop_ms (gateway->loop) - forward->arrived_ms);
   bt_clear_timer (gateway->loop, &forward->timer);
   bt_end_forward_attempt (forward, BT_ATTEMPT_CANCELLED);
   unlink_forward (gateway, forward);
@@ -355,13 +358,16 @@
       reason = judge (forward, path);
     }
   bt_free (gateway->ctx, path);
-  if (reason != BT_REASON_NONE)
+  if (reason == BT_REASON_NONE)
     {
-      bt_refuse_forward (forward, reason, get_early_retry_ms (reason));
-      return;
+      set_end (forward);
+      if (!bt_may_gateway_take (gateway, forward->app, forward->end_ms))
+        reason = BT_REASON_STOPPING;
     }
-  set_end (forward);
-  admit (forward);
+  if (reason != BT_REASON_NONE)
+    bt_refuse_forward (forward, reason, get_early_retry_ms (reason));
+  else
+    admit (forward);
 }
 
 void
@@ -378,16 +384,23 @@
   bt_pump_forwards (gateway);
 }
 
+/* A request that was sent may have run. An answer that says so is better than a broken connection,
+ * of which the caller can't tell whether it was read at all. */
+static void
+cut_forward (bt_forward_t *forward)
+{
+  if (forward->state == BT_FORWARD_WAITING)
+    {
+      bt_cancel_admission (forward->gateway->admission, forward->id);
+      bt_refuse_forward (forward, BT_REASON_STOPPING, STOPPING_RETRY_MS);
+    }
+  else
+    bt_refuse_forward (forward, BT_REASON_STOPPED_MIDWAY, 0);
+}
+
 void
 bt_cut_forwards (bt_gateway_t *gateway)
 {
   while (gateway->first_forward != NULL)
-    {
-      bt_forward_t *forward = gateway->first_forward;
-
-      if (forward->state == BT_FORWARD_WAITING)
-        bt_cancel_admission (gateway->admission, forward->id);
-      bt_break_front_call (forward->call);
-      bt_finish_forward (forward, BT_OUTCOME_UNKNOWN, BT_REASON_STOPPING, 0);
-    }
+    cut_forward (gateway->first_forward);
 }
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -19,8 +19,6 @@
   IDLE_MARGIN_MS = 1000,
   CONNECT_MS = 500,
   PEER_SILENT_MS = 3000,
-  DRAIN_CHECK_MS = 50,
-  ANSWER_LIVES = 3,
   /* An endpoint is probed by requests only; a run takes about a second at first. */
   FIRST_SERVICE_MS = 300,
   /* Requests put behind an endpoint's slots. What waits here can still be ordered by what its
@@ -29,36 +27,50 @@
   BEHIND_SLOTS = 1,
 };
 
-static bt_retry_budget_t *
-find_budget (bt_gateway_t *gateway, const char *app)
+static bt_app_row_t *
+find_app (bt_gateway_t *gateway, const char *app)
 {
   bt_retry_budget_options_t options = {
     .share_percent = (int32_t)gateway->settings->retry_percent,
     .reserve = (int32_t)gateway->settings->retry_reserve,
   };
-  bt_app_budget_t *row;
-
-  for (int32_t i = 0; i < gateway->budget_count; i++)
-    if (strcmp (gateway->budgets[i].app, app) == 0)
-      return gateway->budgets[i].budget;
-  gateway->budgets = bt_realloc (gateway->ctx, gateway->budgets, (size_t)gateway->budget_count + 1,
-                                 sizeof *gateway->budgets);
-  row = &gateway->budgets[gateway->budget_count++];
+  bt_app_row_t *row;
+
+  for (int32_t i = 0; i < gateway->app_count; i++)
+    if (strcmp (gateway->apps[i].app, app) == 0)
+      return &gateway->apps[i];
+  gateway->apps = bt_realloc (gateway->ctx, gateway->apps, (size_t)gateway->app_count + 1,
+                              sizeof *gateway->apps);
+  row = &gateway->apps[gateway->app_count++];
+  memset (row, 0, sizeof *row);
   bt_copy_name (row->app, app);
   row->budget = bt_new_retry_budget (gateway->ctx, &options);
-  return row->budget;
+  return row;
 }
 
 void
 bt_record_app_request (bt_gateway_t *gateway, const char *app)
 {
-  bt_record_attempt (find_budget (gateway, app));
+  bt_record_attempt (find_app (gateway, app)->budget);
 }
 
 bool
 bt_take_app_retry (bt_gateway_t *gateway, const char *app, bt_retry_t retry)
 {
-  return bt_take_retry (gateway->ctx, find_budget (gateway, app), retry);
+  return bt_take_retry (gateway->ctx, find_app (gateway, app)->budget, retry);
+}
+
+void
+bt_record_app_duration (bt_gateway_t *gateway, const char *app, int64_t taken_ms)
+{
+  bt_record_taken (&find_app (gateway, app)->durations, taken_ms, bt_get_loop_ms (gateway->loop));
+}
+
+int64_t
+bt_get_app_longest_ms (bt_gateway_t *gateway, const char *app)
+{
+  return bt_get_recent_longest_ms (&find_app (gateway, app)->durations,
+                                   bt_get_loop_ms (gateway->loop));
 }
 
 static void
@@ -334,70 +346,14 @@
   return gateway;
 }
 
-/* Some callers keep an answer with addresses this many times as long as they are told. */
-static bool
-is_old_answer_about (const bt_gateway_t *gateway)
-{
-  int64_t left_ms = bt_get_loop_ms (gateway->loop) - gateway->leaving_since_ms;
-
-  return left_ms < gateway->settings->address_life_ms * ANSWER_LIVES;
-}
-
-bool
-bt_is_gateway_closing (const bt_gateway_t *gateway)
-{
-  return gateway->leaving && !is_old_answer_about (gateway);
-}
-
-/* Leaves: out of the address answers and not ready at once; callers that hold an old answer are
- * still served, until the last of them has asked anew. */
-static void
-check_drained (bt_timer_t *timer)
-{
-  bt_gateway_t *gateway = (bt_gateway_t *)((char *)timer - offsetof (bt_gateway_t, drain_timer));
-  int64_t now_ms = bt_get_loop_ms (gateway->loop);
-  int64_t left_ms = now_ms - gateway->leaving_since_ms;
-
-  if (left_ms >= gateway->settings->drain_ms
-      || (bt_is_gateway_closing (gateway) && gateway->forwards == 0))
-    bt_stop_event_loop (gateway->loop);
-  else
-    bt_set_timer (gateway->loop, &gateway->drain_timer, now_ms + DRAIN_CHECK_MS);
-}
-
-static void
-begin_leaving (bt_task_t *task)
-{
-  bt_gateway_t *gateway = (bt_gateway_t *)((char *)task - offsetof (bt_gateway_t, stop_task));
-
-  if (gateway->leaving)
-    return;
-  gateway->leaving = true;
-  gateway->leaving_since_ms = bt_get_loop_ms (gateway->loop);
-  bt_log_event (gateway->ctx, BT_LOG_INFO, "leaving", "{s:i}", "requests", gateway->forwards);
-  bt_set_front_leaving (gateway->callers, true);
-  bt_set_follower_listed (gateway->follower, false);
-  if (gateway->groups != NULL && gateway->view != NULL)
-    bt_set_group_view (gateway->groups, gateway->view, true);
-  gateway->drain_timer.on_time = check_drained;
-  check_drained (&gateway->drain_timer);
-}
-
-void
-bt_stop_gateway (bt_gateway_t *gateway)
-{
-  gateway->stop_task.run = begin_leaving;
-  if (!bt_post_task (gateway->loop, &gateway->stop_task))
-    bt_log_event (gateway->ctx, BT_LOG_ERROR, "stop-failed", "{}");
-}
-
 void
 bt_run_gateway (bt_gateway_t *gateway)
 {
   bt_run_event_loop (gateway->loop);
   bt_log_event (gateway->ctx, BT_LOG_INFO, "serving-ended", "{s:I, s:i, s:i}", "after_ms",
-                (json_int_t)(bt_now_ms (gateway->ctx) - gateway->leaving_since_ms), "requests",
+                (json_int_t)(bt_now_ms (gateway->ctx) - gateway->stop.began_ms), "requests",
                 gateway->forwards, "calls", bt_count_front_calls (gateway->callers));
+  bt_drop_gateway_fronts (gateway);
 }
 
 void
@@ -405,22 +361,18 @@
 {
   if (gateway == NULL)
     return;
+  bt_drop_gateway_fronts (gateway);
   bt_drop_store_follower (ctx, gateway->follower);
   bt_drop_group_control (ctx, gateway->groups);
   bt_drop_agent_links (ctx, gateway->agents);
-  if (gateway->callers != NULL)
-    bt_cut_forwards (gateway);
-  bt_drop_front (ctx, gateway->callers);
-  bt_drop_front (ctx, gateway->addresses);
-  bt_drop_front (ctx, gateway->ready);
   bt_drop_exchange_pool (ctx, gateway->exchanges);
   bt_drop_group_paces (gateway);
   bt_drop_endpoint_table (ctx, gateway->endpoints);
   bt_drop_admission (ctx, gateway->admission);
   bt_drop_router (ctx, gateway->router);
-  for (int32_t i = 0; i < gateway->budget_count; i++)
-    bt_drop_retry_budget (ctx, gateway->budgets[i].budget);
-  bt_free (ctx, gateway->budgets);
+  for (int32_t i = 0; i < gateway->app_count; i++)
+    bt_drop_retry_budget (ctx, gateway->apps[i].budget);
+  bt_free (ctx, gateway->apps);
   bt_drop_view (ctx, gateway->view);
   bt_drop_event_loop (ctx, gateway->loop);
   bt_close_timings (ctx, &gateway->timings);
--- /dev/null
+++ b/source/gateway/gateway_stop.c
@@ -0,0 +1,109 @@
+#include "bilberrytray/base/event_log.h"
+#include "gateway_private.h"
+
+enum
+{
+  CHECK_MS = 20,
+};
+
+static const char *const phase_names[] = { "leaving", "closing", "lingering", "done" };
+
+bool
+bt_is_gateway_closing (const bt_gateway_t *gateway)
+{
+  return gateway->leaving && gateway->stop.phase > BT_STOP_LEAVING;
+}
+
+bool
+bt_may_gateway_take (bt_gateway_t *gateway, const char *app, int64_t end_ms)
+{
+  int64_t now_ms = bt_get_loop_ms (gateway->loop);
+  int64_t likely_ms;
+
+  if (!gateway->leaving)
+    return true;
+  likely_ms = bt_get_app_longest_ms (gateway, app);
+  if (likely_ms > end_ms - now_ms)
+    likely_ms = end_ms - now_ms;
+  return bt_may_take_at_stop (&gateway->stop, likely_ms, now_ms);
+}
+
+/* What the instance has to do as its stop comes to a phase. */
+static void
+enter_phase (bt_gateway_t *gateway, bt_stop_phase_t phase)
+{
+  bt_log_event (gateway->ctx, BT_LOG_INFO, "stop-phase", "{s:s, s:i, s:i}", "phase",
+                phase_names[phase], "requests", gateway->forwards, "calls",
+                bt_count_front_calls (gateway->callers));
+  bt_end_store_watch (gateway->follower);
+  if (phase == BT_STOP_DONE)
+    bt_stop_event_loop (gateway->loop);
+  if (phase < BT_STOP_LINGERING)
+    return;
+  bt_cut_forwards (gateway);
+  bt_close_front (gateway->callers);
+  bt_close_front (gateway->addresses);
+  bt_close_front (gateway->ready);
+}
+
+static void
+advance_stop (bt_timer_t *timer)
+{
+  bt_gateway_t *gateway = (bt_gateway_t *)((char *)timer - offsetof (bt_gateway_t, stop_timer));
+  int64_t now_ms = bt_get_loop_ms (gateway->loop);
+  bt_stop_phase_t before = gateway->stop.phase;
+  bt_stop_phase_t phase =
+      bt_advance_stop (&gateway->stop, bt_count_front_calls (gateway->callers), now_ms);
+
+  if (phase != before)
+    enter_phase (gateway, phase);
+  if (phase != BT_STOP_DONE)
+    bt_set_timer (gateway->loop, &gateway->stop_timer, now_ms + CHECK_MS);
+}
+
+/* Leaves: out of the address answers and not ready at once; callers that hold an old answer are
+ * still served, until the last of them has asked anew. */
+static void
+begin_leaving (bt_task_t *task)
+{
+  bt_gateway_t *gateway = (bt_gateway_t *)((char *)task - offsetof (bt_gateway_t, stop_task));
+  bt_stop_limits_t limits = {
+    .address_life_ms = gateway->settings->address_life_ms,
+    .drain_ms = gateway->settings->drain_ms,
+  };
+
+  if (gateway->leaving)
+    return;
+  gateway->leaving = true;
+  bt_begin_stop (&gateway->stop, &limits, bt_get_loop_ms (gateway->loop));
+  bt_log_event (gateway->ctx, BT_LOG_INFO, "leaving", "{s:i}", "requests", gateway->forwards);
+  bt_set_front_leaving (gateway->callers, true);
+  bt_set_follower_listed (gateway->follower, false);
+  if (gateway->groups != NULL && gateway->view != NULL)
+    bt_set_group_view (gateway->groups, gateway->view, true);
+  gateway->stop_timer.on_time = advance_stop;
+  advance_stop (&gateway->stop_timer);
+}
+
+void
+bt_stop_gateway (bt_gateway_t *gateway)
+{
+  gateway->stop_task.run = begin_leaving;
+  if (!bt_post_task (gateway->loop, &gateway->stop_task))
+    bt_log_event (gateway->ctx, BT_LOG_ERROR, "stop-failed", "{}");
+}
+
+/* The callers' sockets go first of all that a gateway owns: what goes behind them may wait for the
+ * store, for a second or more, and whoever sent a request meanwhile would get no answer. */
+void
+bt_drop_gateway_fronts (bt_gateway_t *gateway)
+{
+  if (gateway->callers != NULL)
+    bt_cut_forwards (gateway);
+  bt_drop_front (gateway->ctx, gateway->callers);
+  bt_drop_front (gateway->ctx, gateway->addresses);
+  bt_drop_front (gateway->ctx, gateway->ready);
+  gateway->callers = NULL;
+  gateway->addresses = NULL;
+  gateway->ready = NULL;
+}
--- a/source/gateway/http_answer.c
+++ b/source/gateway/http_answer.c
@@ -101,6 +101,8 @@
   if (bytes == 0 && call->stream_ended)
     return call->stream_end == BT_STREAM_WHOLE ? MHD_CONTENT_READER_END_OF_STREAM
                                                : MHD_CONTENT_READER_END_WITH_ERROR;
+  if (bytes == 0 && call->front->dropping)
+    return MHD_CONTENT_READER_END_WITH_ERROR;
   if (bytes == 0)
     {
       call->suspended = true;
--- a/source/gateway/http_front.c
+++ b/source/gateway/http_front.c
@@ -8,6 +8,7 @@
 
 #include "bilberrytray/base/address.h"
 #include "bilberrytray/base/event_log.h"
+#include "bilberrytray/page/listener.h"
 #include "http_front_private.h"
 
 enum
@@ -19,6 +20,8 @@
   /* A peer that acknowledges nothing for this long is gone: its path has lost the connection. Three
    * round trips of a slow path, with their repetitions, take less. */
   PEER_SILENT_MS = 8000,
+  /* Looks that the library needs to take an answer and to write it. */
+  LAST_LOOKS = 3,
 };
 
 static void
@@ -193,6 +196,10 @@
   bt_front_t *front = call->front;
 
   call->whole = true;
+  /* Nobody would wake it, and the library aborts the process when it is stopped with connections
+   * that sleep: closing this one is all that can be done for its caller. */
+  if (front->dropping)
+    return MHD_NO;
   call->held = true;
   call->suspended = true;
   MHD_suspend_connection (call->connection);
@@ -339,34 +346,49 @@
   return front;
 }
 
-/* Requests that were read whole and that nobody has answered. */
+void
+bt_close_front (bt_front_t *front)
+{
+  if (front->closed)
+    return;
+  front->closed = true;
+  bt_close_listener (front->daemon);
+  front->due = true;
+  bt_hurry_event_loop (front->loop);
+}
+
+/* Ends what nobody has answered; returns how many whole requests that were. */
 static int32_t
-count_unanswered (const bt_front_t *front)
+break_unanswered (bt_front_t *front)
 {
   int32_t count = 0;
 
-  for (const bt_front_call_t *call = front->first_call; call != NULL; call = call->next)
-    if (call->whole && call->answer == ANSWER_NONE)
-      count++;
+  for (bt_front_call_t *call = front->first_call; call != NULL; call = call->next)
+    {
+      call->held = false;
+      if (call->answer == ANSWER_NONE && call->whole)
+        count++;
+      if (call->answer == ANSWER_NONE || call->streaming)
+        bt_break_front_call (call);
+    }
   return count;
 }
 
 void
 bt_drop_front (bt_context_t *ctx, bt_front_t *front)
 {
+  int32_t unanswered;
+
   if (front == NULL)
     return;
   bt_clear_watch (front->loop, &front->watch);
   bt_clear_timer (front->loop, &front->timer);
-  /* The library aborts when it is stopped with sleeping connections. */
-  for (bt_front_call_t *call = front->first_call; call != NULL; call = call->next)
-    {
-      call->held = false;
-      bt_break_front_call (call);
-    }
-  MHD_run (front->daemon);
-  bt_log_event (ctx, BT_LOG_INFO, "front-closed", "{s:i, s:i}", "port", bt_get_front_port (front),
-                "unanswered", count_unanswered (front));
+  front->dropping = true;
+  unanswered = break_unanswered (front);
+  for (int32_t i = 0; i < LAST_LOOKS; i++)
+    MHD_run (front->daemon);
+  bt_log_event (ctx, unanswered == 0 ? BT_LOG_INFO : BT_LOG_ERROR, "front-closed", "{s:i, s:i}",
+                "port", bt_get_front_port (front), "unanswered", unanswered);
   MHD_stop_daemon (front->daemon);
   bt_free (ctx, front);
 }
--- a/source/gateway/http_front.h
+++ b/source/gateway/http_front.h
@@ -72,7 +72,12 @@
                           bt_front_handler_t *handler,
                           bt_error_t *error);
 
-/** Closes all connections. NULL is accepted. */
+/** Lets nobody connect any more. Connections that were made before are still served, those too that
+ * wait to be accepted. A second call changes nothing. */
+void bt_close_front (bt_front_t *front);
+
+/** Closes all connections at once, so callers should have been served by then: what was not
+ * answered breaks. NULL is accepted. */
 void bt_drop_front (bt_context_t *ctx, bt_front_t *front);
 
 int32_t bt_get_front_port (const bt_front_t *front);
--- a/source/gateway/store_follower.c
+++ b/source/gateway/store_follower.c
@@ -5,10 +5,11 @@
 #include <string.h>
 
 #include "bilberrytray/base/clock.h"
-#include "bilberrytray/base/condition.h"
 #include "bilberrytray/base/event_log.h"
 #include "bilberrytray/base/random.h"
+#include "listing.h"
 #include "peer_feed.h"
+#include "store_thread.h"
 
 enum
 {
@@ -16,7 +17,6 @@
   FAILED_PAUSE_MS = 150,
   GATHER_MS = 200,
   FULL_READ_MS = 20000,
-  THREAD_STACK_BYTES = 256 * 1024,
   /* A watch is answered this long behind its wait at the latest, and changes are gathered after it.
    */
   CONTACT_MARGIN_MS = 800,
@@ -35,10 +35,10 @@
   bt_store_follower_options_t options;
   bt_store_listener_t *listener;
   bt_kv_t *kv;
-  bool running; /* the threads were started */
+  bt_listing_t *listing;
+  bool running; /* the watching thread was started */
   pthread_t watcher;
-  pthread_t lister;
-  int32_t stopping;
+  int32_t unwatched; /* it is to end */
   /* Of the watching thread. */
   int64_t read_ms;  /* when all items were last read in full */
   bt_view_t *last;  /* what was handed over last: a copy that shares its declarations */
@@ -49,10 +49,6 @@
   bt_feed_choice_t choice;
   bt_store_copy_t *copy; /* all that the store holds, as far as it is known */
   bt_peer_feed_t *feed;
-  /* Lock order: taken alone. */
-  pthread_mutex_t lock; /* guards wanted */
-  pthread_cond_t changed;
-  bool wanted; /* this instance is to be listed */
 };
 
 /** A view, or news of the store, on its way to the loop. */
@@ -64,12 +60,6 @@
   bool there;
 } news_t;
 
-static bool
-is_stopping (bt_store_follower_t *follower)
-{
-  return ck_pr_load_int (&follower->stopping) != 0;
-}
-
 static void
 run_news (bt_task_t *task)
 {
@@ -230,7 +220,7 @@
   bt_error_t error = { 0 };
   bool done = follow_store (follower, wait_ms, &error);
 
-  if (is_stopping (follower))
+  if (ck_pr_load_int (&follower->unwatched) != 0)
     return;
   follower->tried_ms = bt_now_ms (follower->ctx);
   follower->turned_away = !done;
@@ -296,7 +286,7 @@
 {
   bt_store_follower_t *follower = argument;
 
-  while (!is_stopping (follower))
+  while (ck_pr_load_int (&follower->unwatched) == 0)
     {
       choose_source (follower);
       take_peer_news (follower);
@@ -310,97 +300,6 @@
   return NULL;
 }
 
-/* Makes a lease and lists this instance under it. */
-static bool
-list_entry (bt_store_follower_t *follower, int64_t *lease, bt_error_t *error)
-{
-  bt_context_t *ctx = follower->ctx;
-  char key[2 * BT_NAME_BYTES];
-  char *value = bt_write_listed_entry (ctx, &follower->options.entry);
-  bt_kv_write_t write = { .kind = BT_KV_PUT, .key = key, .value = value };
-  bool done;
-
-  bt_write_entry_key (key, follower->options.entry.identity.instance);
-  done = bt_grant_kv_lease (ctx, follower->kv, follower->options.lease_s, lease, error);
-  write.value_bytes = strlen (value);
-  write.lease = *lease;
-  done = done && bt_put_kv (ctx, follower->kv, &write, NULL, error);
-  bt_free (ctx, value);
-  if (done)
-    bt_log_event (ctx, BT_LOG_INFO, "listed", "{s:I}", "lease", (json_int_t)*lease);
-  else
-    *lease = 0;
-  return done;
-}
-
-static void
-unlist_entry (bt_store_follower_t *follower, int64_t *lease)
-{
-  bt_error_t error = { 0 };
-
-  if (*lease != 0 && !bt_revoke_kv_lease (follower->ctx, follower->kv, *lease, &error))
-    bt_log_event (follower->ctx, BT_LOG_WARNING, "unlist-failed", "{s:s}", "message",
-                  error.message);
-  *lease = 0;
-}
-
-/* Sleeps until the next renewal, or until what is wanted changes. */
-static bool
-wait_for_renewal (bt_store_follower_t *follower, bool listed)
-{
-  bool wanted;
-
-  pthread_mutex_lock (&follower->lock);
-  if (follower->wanted == listed && !is_stopping (follower))
-    bt_wait_condition (&follower->changed, &follower->lock, follower->options.renew_ms);
-  wanted = follower->wanted;
-  pthread_mutex_unlock (&follower->lock);
-  return wanted;
-}
-
-static void *
-run_lister (void *argument)
-{
-  bt_store_follower_t *follower = argument;
-  int64_t lease = 0;
-
-  while (!is_stopping (follower))
-    {
-      bool wanted = wait_for_renewal (follower, lease != 0);
-      bt_error_t error = { 0 };
-      int64_t life_s;
-
-      if (is_stopping (follower))
-        break;
-      if (!wanted)
-        unlist_entry (follower, &lease);
-      else if (lease == 0)
-        list_entry (follower, &lease, &error);
-      else if (!bt_renew_kv_lease (follower->ctx, follower->kv, lease, &life_s, &error)
-               && error.code == BT_ERROR_NOT_FOUND)
-        {
-          bt_log_event (follower->ctx, BT_LOG_WARNING, "listing-lapsed", "{s:I}", "lease",
-                        (json_int_t)lease);
-          list_entry (follower, &lease, &error);
-        }
-    }
-  unlist_entry (follower, &lease);
-  return NULL;
-}
-
-static void
-start_thread (bt_store_follower_t *follower, pthread_t *thread, void *(*run) (void *))
-{
-  pthread_attr_t attributes;
-
-  pthread_attr_init (&attributes);
-  pthread_attr_setstacksize (&attributes, THREAD_STACK_BYTES);
-  if (pthread_create (thread, &attributes, run, follower) != 0)
-    bt_log_event (follower->ctx, BT_LOG_ERROR, "thread-failed", "{s:s}", "message",
-                  "A thread for the store could not be started.");
-  pthread_attr_destroy (&attributes);
-}
-
 static bool
 open_feed (bt_store_follower_t *follower, bt_error_t *error)
 {
@@ -427,6 +326,11 @@
                        bt_error_t *error)
 {
   bt_store_follower_t *follower = bt_calloc (ctx, 1, sizeof *follower);
+  bt_listing_options_t listing = {
+    .entry = &follower->options.entry,
+    .lease_s = options->lease_s,
+    .renew_ms = options->renew_ms,
+  };
   uint64_t seed;
 
   bt_fill_secure_random (&seed, sizeof seed);
@@ -435,41 +339,38 @@
   follower->options = *options;
   follower->listener = listener;
   follower->kv = options->platform->vtable->new_store (ctx, options->address, seed);
-  pthread_mutex_init (&follower->lock, NULL);
-  bt_init_condition (&follower->changed);
+  listing.kv = follower->kv;
   if (!open_feed (follower, error))
     {
       bt_drop_store_follower (ctx, follower);
       return NULL;
     }
-  follower->running = true;
-  start_thread (follower, &follower->watcher, run_watcher);
-  start_thread (follower, &follower->lister, run_lister);
+  follower->running = bt_start_store_thread (ctx, &follower->watcher, run_watcher, follower);
+  follower->listing = bt_new_listing (ctx, &listing);
   return follower;
 }
 
 void
 bt_set_follower_listed (bt_store_follower_t *follower, bool listed)
 {
-  pthread_mutex_lock (&follower->lock);
-  follower->wanted = listed;
-  pthread_cond_signal (&follower->changed);
-  pthread_mutex_unlock (&follower->lock);
+  bt_set_listing_wanted (follower->listing, listed);
   if (!listed)
     bt_retire_peer_feed (follower->feed);
 }
 
+void
+bt_end_store_watch (bt_store_follower_t *follower)
+{
+  ck_pr_store_int (&follower->unwatched, 1);
+}
+
 void
 bt_drop_store_follower (bt_context_t *ctx, bt_store_follower_t *follower)
 {
   if (follower == NULL)
     return;
-  pthread_mutex_lock (&follower->lock);
-  ck_pr_store_int (&follower->stopping, 1);
-  pthread_cond_signal (&follower->changed);
-  pthread_mutex_unlock (&follower->lock);
-  if (follower->running)
-    pthread_join (follower->lister, NULL);
+  bt_end_store_watch (follower);
+  bt_drop_listing (ctx, follower->listing);
   bt_cancel_kv (ctx, follower->kv);
   if (follower->running)
     pthread_join (follower->watcher, NULL);
@@ -477,7 +378,5 @@
   bt_drop_peer_feed (ctx, follower->feed);
   bt_drop_store_copy (ctx, follower->copy);
   bt_drop_view (ctx, follower->last);
-  pthread_cond_destroy (&follower->changed);
-  pthread_mutex_destroy (&follower->lock);
   bt_free (ctx, follower);
 }
--- a/source/gateway/store_follower.h
+++ b/source/gateway/store_follower.h
@@ -42,6 +42,11 @@
 /** Has this instance listed, or no longer. Until the first call it is not. From any thread. */
 void bt_set_follower_listed (bt_store_follower_t *follower, bool listed);
 
+/** Ends the following of the store, behind the call that is under way: an instance that takes no
+ * request any more needs no news, and its end need not wait for a watch. The listing is still kept
+ * as it is wanted. */
+void bt_end_store_watch (bt_store_follower_t *follower);
+
 /** Ends the threads; the loop must no longer run. NULL is accepted. */
 void bt_drop_store_follower (bt_context_t *ctx, bt_store_follower_t *follower);
 
