--- a/test/process/test_gateway_peers.c
+++ b/test/process/test_gateway_peers.c
@@ -7,6 +7,7 @@
 
 #include "bilberrytray/base/clock.h"
 #include "harness_gateway.h"
+#include "harness_http.h"
 
 enum
 {
@@ -189,6 +190,64 @@
     }
 }
 
+/* Whether a gateway tells callers the address of another one. */
+static bool
+is_told (int32_t asked, int32_t named)
+{
+  char url[PAGE_LINE_BYTES];
+  char address[PAGE_LINE_BYTES];
+  bt_reply_t reply;
+  bool told;
+
+  snprintf (url, sizeof url, "http://127.0.0.1:%d/v1/resolve", field->address_ports[asked]);
+  snprintf (address, sizeof address, "127.0.0.1:%d", field->caller_ports[named]);
+  bt_perform_request (url, NULL, NULL, NULL, &reply);
+  CU_ASSERT_EQUAL (reply.status, OK);
+  told = strstr (bt_get_reply_text (&reply), address) != NULL;
+  bt_clear_reply (&reply);
+  return told;
+}
+
+static bool
+wait_told (int32_t asked, int32_t named, bool told)
+{
+  int64_t limit_ms = bt_read_clock_ms (bt_system_clock ()) + BT_STAGE_WAIT_MS;
+
+  while (is_told (asked, named) != told)
+    {
+      if (bt_read_clock_ms (bt_system_clock ()) > limit_ms)
+        return false;
+      bt_sleep_ms (POLL_MS);
+    }
+  return true;
+}
+
+/* Callers are sent to an entry that refuses them, again and again. It was told to stop while the
+ * store was away, so that it could not take back its listing, and all others went on telling its
+ * address. The others hear of its leaving from itself. */
+static void
+test_leaving_entry_is_not_told_while_the_store_is_away (void)
+{
+  int32_t last = GATEWAYS - 1;
+
+  for (int32_t i = 0; i < last; i++)
+    CU_ASSERT_TRUE (wait_told (i, last, true));
+  for (int32_t i = 0; i < GATEWAYS; i++)
+    set_hop_fault (i, BT_HOP_CUT);
+  kill (field->gateways[last], SIGTERM);
+  for (int32_t i = 0; i < last; i++)
+    CU_ASSERT_TRUE (wait_told (i, last, false));
+  waitpid (field->gateways[last], NULL, 0);
+  field->gateways[last] = 0;
+  for (int32_t i = 0; i < last; i++)
+    {
+      CU_ASSERT_FALSE (is_told (i, last));
+      CU_ASSERT_TRUE (is_told (i, i));
+    }
+  for (int32_t i = 0; i < GATEWAYS; i++)
+    set_hop_fault (i, BT_HOP_NONE);
+}
+
 int
 main (void)
 {
@@ -201,6 +260,7 @@
   CU_ADD_TEST (suite, test_entry_turned_away_learns_from_a_peer);
   CU_ADD_TEST (suite, test_entry_starts_without_the_store);
   CU_ADD_TEST (suite, test_frozen_reader_is_left);
+  CU_ADD_TEST (suite, test_leaving_entry_is_not_told_while_the_store_is_away);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
