An entry that leaves tells its peers, which stop telling its address at once

Cause: what makes callers come to an entry seconds behind its order to stop is its listing. While the store is away it can't be taken back, and all others go on telling its address.

Change: the entry that leaves dials the entries that are listed, 64 at most, and says so; the state that peers send each other anyway has a field for it. They leave it out of their address answers by its incarnation.

Before: test_gateway_peers fails, three entries name it for as long as the store is away.

--- a/source/gateway/directory.c
+++ b/source/gateway/directory.c
@@ -3,7 +3,8 @@
 #include "gateway_private.h"
 
 /* Which entry instances callers may use: those the store lists, this one among them while it stays.
- * One that leaves has taken itself off the list. */
+ * One that leaves has taken itself off the list; while the store is away it can't, and says so
+ * itself. */
 static int32_t
 collect_addresses (bt_gateway_t *gateway, const char *addresses[BT_MAX_TOLD_ADDRESSES])
 {
@@ -14,7 +15,8 @@
   if (!gateway->leaving)
     addresses[count++] = own;
   for (int32_t i = 0; view != NULL && i < view->entry_count && count < BT_MAX_TOLD_ADDRESSES; i++)
-    if (strcmp (view->entries[i].callers, own) != 0)
+    if (strcmp (view->entries[i].callers, own) != 0
+        && !bt_has_entry_left (gateway->follower, &view->entries[i].identity))
       addresses[count++] = view->entries[i].callers;
   return count;
 }
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -362,6 +362,7 @@
   if (gateway == NULL)
     return;
   bt_drop_gateway_fronts (gateway);
+  bt_drop_leaving_notice (ctx, gateway->notice);
   bt_drop_store_follower (ctx, gateway->follower);
   bt_drop_group_control (ctx, gateway->groups);
   bt_drop_agent_links (ctx, gateway->agents);
--- a/source/gateway/gateway_private.h
+++ b/source/gateway/gateway_private.h
@@ -15,6 +15,7 @@
 #include "exchange.h"
 #include "group_control.h"
 #include "http_front.h"
+#include "leaving_notice.h"
 #include "stop_plan.h"
 #include "store_follower.h"
 #include "timings.h"
@@ -78,6 +79,7 @@
 
   bool leaving;
   bt_stop_plan_t stop; /**< Of one that leaves. */
+  bt_leaving_notice_t *notice;
   bt_task_t stop_task;
   bt_timer_t stop_timer;
 };
--- a/source/gateway/gateway_stop.c
+++ b/source/gateway/gateway_stop.c
@@ -61,6 +61,21 @@
     bt_set_timer (gateway->loop, &gateway->stop_timer, now_ms + CHECK_MS);
 }
 
+static void
+tell_peers (bt_gateway_t *gateway)
+{
+  bt_leaving_notice_options_t options = {
+    .links = gateway->settings->links,
+    .incarnation = gateway->identity.incarnation,
+    .failure_domain = gateway->settings->failure_domain,
+    .secret = gateway->settings->secret,
+  };
+
+  if (gateway->view != NULL)
+    gateway->notice = bt_new_leaving_notice (gateway->ctx, &options, gateway->view->entries,
+                                             gateway->view->entry_count);
+}
+
 /* Leaves: out of the address answers and not ready at once; callers that hold an old answer are
  * still served, until the last of them has asked anew. */
 static void
@@ -79,6 +94,7 @@
   bt_log_event (gateway->ctx, BT_LOG_INFO, "leaving", "{s:i}", "requests", gateway->forwards);
   bt_set_front_leaving (gateway->callers, true);
   bt_set_follower_listed (gateway->follower, false);
+  tell_peers (gateway);
   if (gateway->groups != NULL && gateway->view != NULL)
     bt_set_group_view (gateway->groups, gateway->view, true);
   gateway->stop_timer.on_time = advance_stop;
--- /dev/null
+++ b/source/gateway/leaving_notice.c
@@ -0,0 +1,126 @@
+#include "leaving_notice.h"
+
+#include <string.h>
+
+#include "bilberrytray/base/event_log.h"
+#include "bilberrytray/wire/link.h"
+
+enum
+{
+  /* Peers on one machine's way, or in another failure domain, answer within a few ms; one that is
+   * frozen may wake up meanwhile. */
+  OPENING_MS = 3000,
+  BEAT_MS = 250,
+  IDLE_MS = 3000,
+  MAX_FRAME_BYTES = 4096,
+  MAX_UNSENT_BYTES = 65536,
+  /* In a larger fleet the others learn it from the store, and fewer callers come by chance to the
+   * one that leaves. */
+  MOST_PEERS = 64,
+};
+
+struct bt_leaving_notice
+{
+  bt_link_handler_t handler; /* first */
+  bt_context_t *ctx;
+  bt_link_loop_t *loop;
+  bt_link_t *links[MOST_PEERS];
+  int32_t count;
+};
+
+static void
+tell (bt_link_handler_t *handler, bt_link_t *link)
+{
+  bt_leaving_notice_t *notice = (bt_leaving_notice_t *)handler;
+  Bilberry__StoreState state = BILBERRY__STORE_STATE__INIT;
+  bt_frame_t frame = BILBERRY__FRAME__INIT;
+
+  state.leaving = true;
+  frame.body_case = BILBERRY__FRAME__BODY_STORE_STATE;
+  frame.store_state = &state;
+  if (!bt_send_frame (notice->ctx, link, &frame))
+    bt_log_event (notice->ctx, BT_LOG_WARNING, "peer-unreachable", "{s:s}", "peer",
+                  bt_get_link_instance (link));
+}
+
+static void
+pass_over_frame (bt_link_handler_t *handler, bt_link_t *link, const bt_frame_t *frame)
+{
+  (void)handler;
+  (void)link;
+  (void)frame;
+}
+
+static void
+pass_over_end (bt_link_handler_t *handler, bt_link_t *link)
+{
+  (void)handler;
+  (void)link;
+}
+
+static const bt_link_handler_vtable_t handler_vtable = { tell, pass_over_frame, pass_over_end,
+                                                         tell };
+
+/* A peer is named by its address on links. */
+static void
+dial (bt_leaving_notice_t *notice, const char *address)
+{
+  bt_error_t error = { 0 };
+  bt_link_t *link = bt_dial_link (notice->ctx, notice->loop, address, address, &error);
+
+  if (link != NULL)
+    notice->links[notice->count++] = link;
+  else
+    bt_log_event (notice->ctx, BT_LOG_WARNING, "peer-unreachable", "{s:s, s:s}", "peer", address,
+                  "message", error.message);
+}
+
+bt_leaving_notice_t *
+bt_new_leaving_notice (bt_context_t *ctx,
+                       const bt_leaving_notice_options_t *options,
+                       const bt_listed_entry_t *entries,
+                       int32_t count)
+{
+  bt_leaving_notice_t *notice = bt_calloc (ctx, 1, sizeof *notice);
+  bt_link_options_t links = {
+    .role = "entry",
+    .instance = options->links,
+    .incarnation = options->incarnation,
+    .failure_domain = options->failure_domain,
+    .address = options->links,
+    .secret = options->secret,
+    .beat_ms = BEAT_MS,
+    .idle_ms = IDLE_MS,
+    .opening_ms = OPENING_MS,
+    .max_frame_bytes = MAX_FRAME_BYTES,
+    .max_unsent_bytes = MAX_UNSENT_BYTES,
+    .max_links = MOST_PEERS,
+    .handler = &notice->handler,
+  };
+  bt_error_t error = { 0 };
+
+  notice->handler.vtable = &handler_vtable;
+  notice->ctx = ctx;
+  notice->loop = bt_new_link_loop (ctx, &links, &error);
+  if (notice->loop == NULL)
+    {
+      bt_log_event (ctx, BT_LOG_WARNING, "notice-failed", "{s:s}", "message", error.message);
+      bt_free (ctx, notice);
+      return NULL;
+    }
+  for (int32_t i = 0; i < count && notice->count < MOST_PEERS; i++)
+    if (strcmp (entries[i].links, options->links) != 0)
+      dial (notice, entries[i].links);
+  return notice;
+}
+
+void
+bt_drop_leaving_notice (bt_context_t *ctx, bt_leaving_notice_t *notice)
+{
+  if (notice == NULL)
+    return;
+  bt_drop_link_loop (ctx, notice->loop);
+  for (int32_t i = 0; i < notice->count; i++)
+    bt_drop_link (ctx, notice->links[i]);
+  bt_free (ctx, notice);
+}
--- a/source/gateway/peer_feed.c
+++ b/source/gateway/peer_feed.c
@@ -8,6 +8,7 @@
 #include "bilberrytray/base/condition.h"
 #include "bilberrytray/base/event_log.h"
 #include "feed_messages.h"
+#include "left_peers.h"
 
 enum
 {
@@ -57,6 +58,7 @@
   int64_t peer_revision;
   bt_store_news_t *first_news;
   bt_store_news_t **last_news;
+  bt_left_peers_t left;
 };
 
 static void
@@ -90,6 +92,7 @@
 
   state.attached = feed->attached && !feed->retired && silent_ms < feed->options.contact_ms;
   state.revision = bt_get_copy_revision (feed->copy);
+  state.leaving = feed->retired;
   send_message (feed, link, BILBERRY__FRAME__BODY_STORE_STATE, &state);
 }
 
@@ -219,6 +222,8 @@
   bt_peer_feed_t *feed = (bt_peer_feed_t *)handler;
 
   pthread_mutex_lock (&feed->lock);
+  if (frame->body_case == BILBERRY__FRAME__BODY_STORE_STATE && frame->store_state->leaving)
+    bt_note_left_peer (feed->ctx, &feed->left, link);
   if (frame->body_case == BILBERRY__FRAME__BODY_STORE_FOLLOW)
     take_follow (feed, link, frame->store_follow->revision);
   else if (link == feed->link && frame->body_case == BILBERRY__FRAME__BODY_STORE_ITEMS)
@@ -471,3 +476,14 @@
   tell_state (feed);
   pthread_mutex_unlock (&feed->lock);
 }
+
+bool
+bt_has_peer_left (bt_peer_feed_t *feed, uint64_t incarnation)
+{
+  bool left;
+
+  pthread_mutex_lock (&feed->lock);
+  left = bt_is_left_peer (&feed->left, incarnation);
+  pthread_mutex_unlock (&feed->lock);
+  return left;
+}
--- a/source/gateway/peer_feed.h
+++ b/source/gateway/peer_feed.h
@@ -65,4 +65,7 @@
 /** Followers are to look elsewhere: this entry leaves. From any thread. */
 void bt_retire_peer_feed (bt_peer_feed_t *feed);
 
+/** True when the peer of this incarnation said that it leaves. */
+bool bt_has_peer_left (bt_peer_feed_t *feed, uint64_t incarnation);
+
 #endif
--- a/source/gateway/store_follower.c
+++ b/source/gateway/store_follower.c
@@ -358,6 +358,12 @@
     bt_retire_peer_feed (follower->feed);
 }
 
+bool
+bt_has_entry_left (bt_store_follower_t *follower, const bt_identity_t *identity)
+{
+  return bt_has_peer_left (follower->feed, identity->incarnation);
+}
+
 void
 bt_end_store_watch (bt_store_follower_t *follower)
 {
