The soak judges what a planned stop owes its callers, and some callers hold on to the end

Why it missed the fault: no promise said that a request that was let in is answered, the ends of stopped processes were not looked at, every caller turned away from a gateway at its first refusal, and a stop had 8 s, far more than any request needs.

--- a/test/soak/caller.c
+++ b/test/soak/caller.c
@@ -126,7 +126,7 @@
   return body[0] == '\0';
 }
 
-/* Turns to another gateway when this one did not serve. */
+/* Turns to another gateway. */
 static void
 choose_gateway (caller_t *caller)
 {
@@ -147,6 +147,16 @@
               (long long)(newest - (int64_t)bt_random_below (&caller->random, NEWEST_KEYS)));
 }
 
+/* Some callers turn away from a gateway that did not serve; the others hold on to its address until
+ * nobody listens there. */
+static bool
+is_done_with_gateway (const caller_t *caller, const outcome_t *outcome)
+{
+  if (caller->number % 2 == 1)
+    return outcome->reply.curl_code == CURLE_COULDNT_CONNECT;
+  return outcome->reply.curl_code != 0 || outcome->reply.status != BT_SOAK_OK;
+}
+
 static void
 send_one (caller_t *caller)
 {
@@ -167,7 +177,7 @@
            outcome.reply.status, outcome.reply.curl_code, whole ? 1 : 0,
            (long long)outcome.began_ms, (long long)bt_read_clock_ms (bt_system_clock ()));
   fflush (caller->log);
-  if (outcome.reply.curl_code != 0 || outcome.reply.status != BT_SOAK_OK)
+  if (is_done_with_gateway (caller, &outcome))
     choose_gateway (caller);
   bt_clear_reply (&outcome.reply);
 }
--- a/test/soak/faults.c
+++ b/test/soak/faults.c
@@ -142,12 +142,27 @@
     soak->disturbed_ms[gateway] = until_ms + STABLE_MS;
 }
 
+/* A process that is told to stop ends by itself and well, whatever lies on it meanwhile. */
 static void
-reap (bt_soak_t *soak, int32_t gateway)
+check_stopped (bt_soak_t *soak, int32_t gateway, int status)
 {
+  if (WIFEXITED (status) && WEXITSTATUS (status) == 0)
+    return;
+  soak->bad_stops++;
+  bt_tell_soak (soak, "BROKEN LOST gateway %d did not end well when it was stopped: status %d",
+                gateway, status);
+}
+
+static void
+reap (bt_soak_t *soak, int32_t gateway, bool stopped)
+{
+  int status;
+
   if (soak->field->gateways[gateway] == 0)
     return;
-  waitpid (soak->field->gateways[gateway], NULL, 0);
+  waitpid (soak->field->gateways[gateway], &status, 0);
+  if (stopped)
+    check_stopped (soak, gateway, status);
   soak->field->gateways[gateway] = 0;
 }
 
@@ -157,7 +172,7 @@
   if (soak->field->gateways[gateway] == 0)
     return;
   kill (soak->field->gateways[gateway], SIGKILL);
-  reap (soak, gateway);
+  reap (soak, gateway, false);
 }
 
 static bool
@@ -236,7 +251,7 @@
       kill (field->gateways[fault->target], SIGCONT);
       break;
     case FAULT_STOP:
-      reap (soak, fault->target);
+      reap (soak, fault->target, true);
       bt_start_gateway_process (field, fault->target);
       break;
     case FAULT_KILL:
@@ -319,6 +334,10 @@
 {
   bt_soak_t *soak = faults->soak;
 
+  for (int32_t i = 0; i < soak->field->gateway_count; i++)
+    if (fault->kind == FAULT_HERD
+        || (fault->target == i && (fault->kind == FAULT_FREEZE || fault->kind == FAULT_KILL)))
+      soak->hurt_ms[i] = fault->until_ms;
   if (fault->kind == FAULT_STORE)
     soak->store_disturbed_ms = fault->until_ms + STABLE_MS;
   else if (fault->kind == FAULT_HERD)
@@ -362,13 +381,17 @@
 is_over (bt_soak_faults_t *faults, active_t *fault, int64_t now_ms)
 {
   pid_t *pid = &faults->soak->field->gateways[fault->target < 0 ? 0 : fault->target];
+  int status;
 
   if (fault->until_ms > now_ms)
     return false;
   if (fault->kind != FAULT_STOP || *pid == 0 || now_ms == INT64_MAX)
     return true;
-  if (waitpid (*pid, NULL, WNOHANG) == *pid)
-    *pid = 0;
+  if (waitpid (*pid, &status, WNOHANG) == *pid)
+    {
+      check_stopped (faults->soak, fault->target, status);
+      *pid = 0;
+    }
   else
     fault->until_ms = now_ms + POLL_MS;
   return *pid == 0;
--- a/test/soak/judge.c
+++ b/test/soak/judge.c
@@ -1,3 +1,4 @@
+#include <curl/curl.h>
 #include <glob.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -35,6 +36,7 @@
   int32_t gateway;
   int32_t status;
   bool came_whole; /* as far as HTTP can tell */
+  bool connected;  /* the caller had a connection for it */
   bool whole;      /* as the answer itself tells */
   int64_t began_ms;
   int64_t ended_ms;
@@ -144,6 +146,16 @@
     tell_broken (judge, "CONFIG", record, "its key had been good for long");
 }
 
+/* A gateway that nobody kills answers every request that it lets in, also while it stops; only a
+ * stream may break, with its runner. */
+static void
+judge_lost (bt_soak_judge_t *judge, const record_t *record)
+{
+  if (record->connected && !record->came_whole && record->kind != BT_SOAK_STREAM
+      && judge->soak->hurt_ms[record->gateway] < record->began_ms)
+    tell_broken (judge, "LOST", record, "it was let in and got no whole answer");
+}
+
 static void
 judge_end (bt_soak_judge_t *judge, const record_t *record, const char *key)
 {
@@ -155,6 +167,7 @@
     tell_broken (judge, "DENIED", record, "every configuration allows it");
   if (!good_key)
     judge_key (judge, record, key);
+  judge_lost (judge, record);
   judge_runs (judge, record);
 }
 
@@ -188,6 +201,7 @@
       record->gateway = gateway;
       record->status = status;
       record->came_whole = code == 0;
+      record->connected = code != CURLE_COULDNT_CONNECT;
       record->whole = whole != 0;
       record->began_ms = began_ms;
       record->ended_ms = ended_ms;
@@ -246,7 +260,7 @@
         }
       globfree (&found);
     }
-  return judge->broken;
+  return judge->broken + judge->soak->bad_stops;
 }
 
 void
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -38,6 +38,10 @@
   fflush (stdout);
 }
 
+/* Gateways that start during the soak may take so long to stop: enough for all requests, for most
+ * of them, or for few. */
+static const int32_t drains_ms[] = { 8000, 2500, 1300 };
+
 static bool
 start_soak (bt_soak_t *soak)
 {
@@ -55,6 +59,7 @@
   for (int32_t i = 0; i < soak->settings.gateways; i++)
     if (!bt_wait_gateway_ready (soak->field, i))
       return false;
+  soak->field->drain_ms = drains_ms[soak->settings.seed % (sizeof drains_ms / sizeof drains_ms[0])];
   soak->start_ms = bt_read_clock_ms (bt_system_clock ());
   return true;
 }
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -64,6 +64,9 @@
    */
   int64_t disturbed_ms[BT_FIELD_GATEWAYS];
   int64_t store_disturbed_ms;
+  /** Until when each gateway was killed or stood still: what breaks then is not its own doing. */
+  int64_t hurt_ms[BT_FIELD_GATEWAYS];
+  int32_t bad_stops; /**< Gateways that were told to stop and did not end well. */
 } bt_soak_t;
 
 /** Text of the configuration with the keys that are good now; freed by the caller. */
