Tell what a stopped reader of the log missed, and let nothing wait for it

Cause: a gateway whose reader stopped lost lines and counted them on its page, but told nobody in the log itself: a reader that came back took the absence of a failure's line for the absence of the failure. What the budget left out was told by the next line of the same level only, which after a flood may come hours later, and was not on the page. Ruled out: making the descriptors non-blocking, which holds for every process that shares them (a shell's own output fails then); a thread with a ring of its own, whose stack and copies cost more than they give, since the pipe is a ring already.

--- a/source/base/context.c
+++ b/source/base/context.c
@@ -7,11 +7,14 @@
 #include <time.h>
 #include <unistd.h>
 
+#include <ck_pr.h>
+
 #include "context_private.h"
 
 enum
 {
   LOG_LINE_BYTES = 1024,
+  LOG_HEAD_BYTES = 160,
   MS_PER_S = 1000,
 };
 
@@ -25,7 +28,10 @@
   ctx->clock = bt_system_clock ();
   ctx->log_level = BT_LOG_INFO;
   snprintf (ctx->log_name, sizeof ctx->log_name, "-");
+  ctx->events.fd = STDOUT_FILENO;
+  ctx->sentences.fd = STDERR_FILENO;
   pthread_mutex_init (&ctx->event_lock, NULL);
+  pthread_mutex_init (&ctx->sentence_lock, NULL);
   ctx->counters = bt_new_counters (ctx);
   return ctx;
 }
@@ -37,6 +43,7 @@
     return;
   bt_drop_counters (ctx, ctx->counters);
   pthread_mutex_destroy (&ctx->event_lock);
+  pthread_mutex_destroy (&ctx->sentence_lock);
   free (ctx);
 }
 
@@ -134,6 +141,12 @@
   return false;
 }
 
+bool
+bt_is_logged (bt_context_t *ctx, bt_log_level_t level)
+{
+  return (int32_t)level <= ctx->log_level;
+}
+
 const char *
 bt_name_log_level (bt_log_level_t level)
 {
@@ -153,25 +166,69 @@
   snprintf (stamp + used, BT_LOG_STAMP_BYTES - used, ".%03dZ", (int)(wall_ms % MS_PER_S));
 }
 
+/* Looking a counter up takes a lock, so the pointers are kept. Two threads that come here at once
+ * find the same counters. */
+void
+bt_open_log_counters (bt_context_t *ctx)
+{
+  static const char *const family = "bilberry_log_lines_lost_total";
+  static const char *const help = "Log lines that were left out, by cause.";
+
+  if (ck_pr_load_ptr (&ctx->lost_by_budget) != NULL)
+    return;
+  ck_pr_store_ptr (&ctx->lost_by_reader,
+                   bt_find_counter (ctx, BT_COUNTER, family, help, "cause", "reader"));
+  ck_pr_fence_store ();
+  ck_pr_store_ptr (&ctx->lost_by_budget,
+                   bt_find_counter (ctx, BT_COUNTER, family, help, "cause", "budget"));
+}
+
+/* Whoever reads standard error may stop too, and then no thread may wait for it. */
+static bool
+write_sentence (bt_context_t *ctx, const char *head, const char *line, size_t bytes)
+{
+  bt_log_stream_t *stream = &ctx->sentences;
+  char told[LOG_LINE_BYTES];
+  int used;
+
+  if (stream->lost_lines > 0)
+    {
+      used = snprintf (told, sizeof told, "%s%s: %lld lines were lost: nobody read them.\n", head,
+                       part_names[BT_PART_MAIN], (long long)stream->lost_lines);
+      if (!bt_write_log_line (stream, told, (size_t)used))
+        return false;
+      stream->lost_lines = 0;
+    }
+  return bt_write_log_line (stream, line, bytes);
+}
+
 void
 bt_log (bt_context_t *ctx, bt_log_level_t level, bt_log_part_t part, const char *format, ...)
 {
+  char head[LOG_HEAD_BYTES];
   char line[LOG_LINE_BYTES];
   char stamp[BT_LOG_STAMP_BYTES];
   va_list arguments;
+  bool written;
   size_t used;
 
-  if ((int32_t)level > ctx->log_level)
+  if (!bt_is_logged (ctx, level))
     return;
   bt_format_log_stamp (stamp);
-  used = (size_t)snprintf (line, sizeof line, "%s %s %s %s: ", stamp, level_names[level],
-                           ctx->log_name, part_names[part]);
+  snprintf (head, sizeof head, "%s %s %s ", stamp, level_names[level], ctx->log_name);
+  used = (size_t)snprintf (line, sizeof line, "%s%s: ", head, part_names[part]);
   va_start (arguments, format);
   vsnprintf (line + used, sizeof line - used - 1, format, arguments);
   va_end (arguments);
   used = strlen (line);
   line[used] = '\n';
-  /* One write for a line, so that lines of several threads do not mix. */
-  if (write (STDERR_FILENO, line, used + 1) < 0)
+  pthread_mutex_lock (&ctx->sentence_lock);
+  written = write_sentence (ctx, head, line, used + 1);
+  if (!written)
+    ctx->sentences.lost_lines++;
+  pthread_mutex_unlock (&ctx->sentence_lock);
+  if (written)
     return;
+  bt_open_log_counters (ctx);
+  bt_add_counter (ctx->lost_by_reader, 1);
 }
--- a/source/base/event_log.c
+++ b/source/base/event_log.c
@@ -1,17 +1,13 @@
 #include "bilberrytray/base/event_log.h"
 
-#include <jansson.h>
-#include <limits.h>
-#include <poll.h>
 #include <stdarg.h>
-#include <unistd.h>
+#include <string.h>
 
 #include "context_private.h"
+#include "event_fields.h"
 
 enum
 {
-  /* Longest line. A pipe that polls as writable takes this many bytes without blocking. */
-  LINE_BYTES = PIPE_BUF,
   MILLI = 1000,
   /* Lines a second that one level may write for long, and at once after a rest. A line takes about
    * 25 us to make and write, so a level takes at most 0.1% of a core. */
@@ -19,93 +15,140 @@
   LINES_AT_ONCE = 400,
 };
 
-static void
-count_lost (bt_context_t *ctx)
+static bool
+is_failure (bt_log_level_t level)
 {
-  bt_add_counter (bt_find_counter (ctx, BT_COUNTER, "bilberry_log_lines_lost_total",
-                                   "Log lines that could not be written at once.", NULL, NULL),
-                  1);
+  return level <= BT_LOG_WARNING;
 }
 
-/* Writes a line unless that would block: a request must not wait for whoever reads the log. */
 static void
-write_line (bt_context_t *ctx, const char *line, size_t bytes)
+refill_budget (bt_log_budget_t *budget, int64_t now_ms)
 {
-  struct pollfd out = { .fd = STDOUT_FILENO, .events = POLLOUT };
+  int64_t most_milli = (int64_t)LINES_AT_ONCE * MILLI;
 
-  if (poll (&out, 1, 0) != 1 || (out.revents & POLLOUT) == 0
-      || write (STDOUT_FILENO, line, bytes) < 0)
-    count_lost (ctx);
+  budget->lines_milli =
+      budget->began ? budget->lines_milli + (now_ms - budget->filled_ms) * LINES_PER_S : most_milli;
+  budget->began = true;
+  budget->filled_ms = now_ms;
+  if (budget->lines_milli > most_milli)
+    budget->lines_milli = most_milli;
 }
 
 static bool
-take_budget (bt_log_budget_t *budget, int64_t now_ms)
+take_budget (bt_log_budget_t *budget)
 {
-  budget->lines_milli += (now_ms - budget->filled_ms) * LINES_PER_S;
-  budget->filled_ms = now_ms;
-  if (budget->lines_milli > (int64_t)LINES_AT_ONCE * MILLI)
-    budget->lines_milli = (int64_t)LINES_AT_ONCE * MILLI;
   if (budget->lines_milli < MILLI)
-    {
-      budget->left_out++;
-      return false;
-    }
+    return false;
   budget->lines_milli -= MILLI;
   return true;
 }
 
-static void
-write_object (bt_context_t *ctx, bt_log_level_t level, const char *event, json_t *fields)
+static json_t *
+begin_object (bt_context_t *ctx, bt_log_level_t level, const char *event)
 {
-  char line[LINE_BYTES];
   char stamp[BT_LOG_STAMP_BYTES];
-  json_t *object;
-  size_t bytes;
 
   bt_format_log_stamp (stamp);
-  object = json_pack ("{s:s, s:s, s:s, s:s}", "at", stamp, "level", bt_name_log_level (level),
-                      "instance", ctx->log_name, "event", event);
-  if (fields != NULL)
-    json_object_update (object, fields);
-  bytes = json_dumpb (object, line, sizeof line - 1, JSON_COMPACT);
+  return json_pack ("{s:s, s:s, s:s, s:s}", "at", stamp, "level", bt_name_log_level (level),
+                    "instance", ctx->log_name, "event", event);
+}
+
+/* Writes an object as one line and frees it. False when the reader does not take it. */
+static bool
+write_object (bt_context_t *ctx, json_t *object)
+{
+  char line[BT_LOG_LINE_BYTES];
+  size_t bytes = json_dumpb (object, line, sizeof line - 1, JSON_COMPACT);
+
   json_decref (object);
   if (bytes == 0 || bytes > sizeof line - 1)
-    {
-      count_lost (ctx);
-      return;
-    }
+    return false;
   line[bytes] = '\n';
-  write_line (ctx, line, bytes + 1);
+  return bt_write_log_line (&ctx->events, line, bytes + 1);
+}
+
+static bool
+tell_left_out (
+    bt_context_t *ctx, bt_log_level_t level, const char *cause, int64_t lines, int64_t failures)
+{
+  json_t *object = begin_object (ctx, level, "log-left-out");
+
+  json_object_set_new (object, "cause", json_string (cause));
+  json_object_set_new (object, "lines", json_integer (lines));
+  json_object_set_new (object, "failures", json_integer (failures));
+  return write_object (ctx, object);
+}
+
+/* The reader stood still and lines were lost: says so before anything else. Without it, a reader
+ * would take the absence of a failure's line for the absence of the failure. */
+static bool
+tell_lost (bt_context_t *ctx)
+{
+  bt_log_stream_t *events = &ctx->events;
+
+  if (events->lost_lines == 0)
+    return true;
+  if (!tell_left_out (ctx, BT_LOG_WARNING, "reader", events->lost_lines, events->lost_failures))
+    return false;
+  events->lost_lines = 0;
+  events->lost_failures = 0;
+  return true;
 }
 
+/* Says what the budgets left out, also of other levels: the end of a flood may be the last event of
+ * its level for hours. Told lines count against the level's own budget. */
 static void
-tell_left_out (bt_context_t *ctx, bt_log_level_t level, bt_log_budget_t *budget)
+tell_over_budget (bt_context_t *ctx, int64_t now_ms)
 {
-  json_t *fields = json_pack ("{s:I}", "lines", (json_int_t)budget->left_out);
+  for (int32_t level = BT_LOG_ERROR; level < BT_LOG_LEVELS; level++)
+    {
+      bt_log_budget_t *budget = &ctx->budgets[level];
+
+      refill_budget (budget, now_ms);
+      if (budget->left_out == 0 || !take_budget (budget))
+        continue;
+      if (!tell_left_out (ctx, (bt_log_level_t)level, "budget", budget->left_out,
+                          is_failure ((bt_log_level_t)level) ? budget->left_out : 0))
+        return;
+      budget->left_out = 0;
+    }
+}
 
-  budget->left_out = 0;
-  write_object (ctx, level, "log-left-out", fields);
-  json_decref (fields);
+static void
+write_event (bt_context_t *ctx, bt_log_level_t level, json_t *object)
+{
+  if (!take_budget (&ctx->budgets[level]))
+    {
+      ctx->budgets[level].left_out++;
+      bt_add_counter (ctx->lost_by_budget, 1);
+      json_decref (object);
+      return;
+    }
+  if (write_object (ctx, object))
+    return;
+  bt_add_counter (ctx->lost_by_reader, 1);
+  ctx->events.lost_lines++;
+  ctx->events.lost_failures += is_failure (level);
 }
 
 void
 bt_log_event (bt_context_t *ctx, bt_log_level_t level, const char *event, const char *format, ...)
 {
-  json_t *fields;
+  json_t *object;
   va_list arguments;
 
-  if ((int32_t)level > ctx->log_level)
+  if (!bt_is_logged (ctx, level))
     return;
+  bt_open_log_counters (ctx);
+  object = begin_object (ctx, level, event);
   va_start (arguments, format);
-  fields = json_vpack_ex (NULL, 0, format, arguments);
+  bt_add_event_fields (object, format, arguments);
   va_end (arguments);
   pthread_mutex_lock (&ctx->event_lock);
-  if (take_budget (&ctx->budgets[level], bt_now_ms (ctx)))
-    {
-      if (ctx->budgets[level].left_out > 0)
-        tell_left_out (ctx, level, &ctx->budgets[level]);
-      write_object (ctx, level, event, fields);
-    }
+  if (tell_lost (ctx))
+    tell_over_budget (ctx, bt_now_ms (ctx));
+  else
+    refill_budget (&ctx->budgets[level], bt_now_ms (ctx));
+  write_event (ctx, level, object);
   pthread_mutex_unlock (&ctx->event_lock);
-  json_decref (fields);
 }
--- a/test/process/harness.c
+++ b/test/process/harness.c
@@ -47,6 +47,7 @@
 static const char *const *extra_entry;
 static const char *const *extra_agent;
 static int32_t stage_step_us;
+static int program_output = -1;
 
 /** Arguments of a program that is to be started. */
 typedef struct arguments
@@ -211,12 +212,19 @@
   return process;
 }
 
+void
+bt_set_program_output (int fd)
+{
+  program_output = fd;
+}
+
 /* In the child. A test that is killed at its time limit would leave its processes behind, with
  * their ports: so they end with it. */
 void
 bt_exec_program (const char *program, char **list, const char *log_path)
 {
-  int log = open (log_path, O_WRONLY | O_CREAT | O_APPEND, S_IRUSR | S_IWUSR);
+  int log = program_output >= 0 ? program_output
+                                : open (log_path, O_WRONLY | O_CREAT | O_APPEND, S_IRUSR | S_IWUSR);
 
   prctl (PR_SET_PDEATHSIG, SIGKILL);
   dup2 (log, STDOUT_FILENO);
--- a/test/process/harness.h
+++ b/test/process/harness.h
@@ -114,6 +114,10 @@
  */
 void bt_exec_program (const char *program, char **list, const char *log_path);
 
+/** Has the programs that are started from now on write to @p fd instead of a file; -1: as before.
+ */
+void bt_set_program_output (int fd);
+
 /** Runs a built program to its end by a shell line such as "bilberryd check examples/haiyun";
  * returns its exit code and gives what it printed on both streams, to be freed. */
 int32_t bt_run_program (const char *line, char **output);
--- /dev/null
+++ b/test/process/test_gateway_logs.c
@@ -0,0 +1,172 @@
+#include <CUnit/Basic.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+
+#include "bilberrytray/base/clock.h"
+#include "harness_gateway.h"
+#include "log_pipe.h"
+
+enum
+{
+  OK = 200,
+  NOT_FOUND = 404,
+  USUAL = 100,        /* requests */
+  BURST = 10 * USUAL, /* those of a burst */
+  ASKERS = 8,
+  ASKERS_ASTRAY = 2, /* whose path has no route */
+  LINE_BYTES = 128,
+  BASE_TEN = 10,
+};
+
+static const char *const configuration =
+    "{\"version\":1,\"services\":[{\"name\":\"svc\"}],"
+    "\"tenants\":[{\"name\":\"small\",\"api_keys\":[\"key-small\"],\"priority\":1}],"
+    "\"routes\":[{\"name\":\"wide\",\"host\":\"shop.example\",\"prefix\":\"/a/\","
+    "\"kind\":\"idempotent\",\"service\":\"svc\",\"timeout_ms\":20000,\"max_attempts\":2,"
+    "\"public\":false}],"
+    "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":65536,\"idle_timeout_ms\":15000}}";
+
+static bt_field_t *field;
+static log_pipe_t gateway_log;
+
+/* The second gateway is started anew with its output in a pipe, so that the first one's log shows
+ * what went wrong if the test fails. */
+static int
+start_suite (void)
+{
+  field = bt_new_field (2, configuration);
+  if (field == NULL || !bt_wait_gateway_ready (field, 1) || !open_log_pipe (&gateway_log))
+    return 1;
+  kill (field->gateways[1], SIGKILL);
+  waitpid (field->gateways[1], NULL, 0);
+  bt_set_program_output (gateway_log.out);
+  bt_start_gateway_process (field, 1);
+  bt_set_program_output (-1);
+  return bt_wait_gateway_ready (field, 1) ? 0 : 1;
+}
+
+static int
+end_suite (void)
+{
+  bt_drop_field (field, CU_get_number_of_failures () > 0);
+  close_log_pipe (&gateway_log);
+  return 0;
+}
+
+static int32_t
+ask_status (const char *path)
+{
+  const char *headers[] = { "Host: shop.example", "Bilberrytray-Attempt-Id: r-logs",
+                            "Authorization: Bearer key-small", "Bilberrytray-Deadline-Ms: 20000",
+                            NULL };
+  bt_reply_t reply;
+  int32_t status;
+
+  bt_ask_gateway (field, 1, path, headers, "shrimp", &reply);
+  status = reply.curl_code == 0 ? reply.status : 0;
+  bt_clear_reply (&reply);
+  return status;
+}
+
+/* True when each of so many requests was answered as it had to be. */
+static bool
+ask_many (int32_t count, bool astray)
+{
+  bool good = true;
+
+  for (int32_t i = 0; i < count; i++)
+    good = ask_status (astray ? "/elsewhere/x" : "/a/lookup") == (astray ? NOT_FOUND : OK) && good;
+  return good;
+}
+
+static void
+ask_together (void)
+{
+  pid_t askers[ASKERS];
+  int status = 0;
+
+  for (int32_t i = 0; i < ASKERS; i++)
+    {
+      askers[i] = fork ();
+      if (askers[i] == 0)
+        _exit (ask_many (BURST / ASKERS, i < ASKERS_ASTRAY) ? 0 : 1);
+    }
+  for (int32_t i = 0; i < ASKERS; i++)
+    {
+      waitpid (askers[i], &status, 0);
+      CU_ASSERT (WIFEXITED (status) && WEXITSTATUS (status) == 0);
+    }
+}
+
+/* A value of the gateway's page; -1 when it is not there. */
+static int64_t
+read_value (const char *name)
+{
+  bt_reply_t reply;
+  const char *at;
+  int64_t value = -1;
+
+  bt_read_gateway_metrics (field, 1, &reply);
+  at = strstr (bt_get_reply_text (&reply), name);
+  if (at != NULL)
+    value = strtoll (at + strlen (name), NULL, BASE_TEN);
+  bt_clear_reply (&reply);
+  return value;
+}
+
+/* Whoever reads a gateway's log stops while ten times the usual requests come, a quarter of them
+ * astray. Every request is answered as before. The page says how many lines were lost. When the
+ * reader goes on, every line is whole and one says how many are missing. */
+static void
+test_stopped_reader_harms_no_request (void)
+{
+  const char *lost = "bilberry_log_lines_lost_total{cause=\"reader\"} ";
+
+  CU_ASSERT_TRUE (ask_many (USUAL, false));
+  read_log_pipe (&gateway_log);
+  ask_together ();
+  CU_ASSERT (read_value (lost) > 0);
+  CU_ASSERT (read_value ("bilberry_log_lines_lost_total{cause=\"budget\"} ") >= 0);
+  read_log_pipe (&gateway_log);
+  CU_ASSERT_EQUAL (ask_status ("/a/lookup"), OK);
+  read_log_pipe (&gateway_log);
+  CU_ASSERT (sum_log_pipe (&gateway_log, "request", NULL, NULL) > 0);
+  CU_ASSERT_EQUAL (sum_log_pipe (&gateway_log, "log-left-out", "reader", "lines"),
+                   read_value (lost));
+  CU_ASSERT (sum_log_pipe (&gateway_log, "log-left-out", "reader", "failures") > 0);
+}
+
+/* The reader never comes back, and the gateway is told to stop. It ends all the same. */
+static void
+test_stopped_reader_holds_up_no_stop (void)
+{
+  int status = 0;
+
+  ask_together ();
+  kill (field->gateways[1], SIGTERM);
+  waitpid (field->gateways[1], &status, 0);
+  field->gateways[1] = 0;
+  CU_ASSERT (WIFEXITED (status) && WEXITSTATUS (status) == 0);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned failures;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("gateway_logs", start_suite, end_suite);
+  CU_ADD_TEST (suite, test_stopped_reader_harms_no_request);
+  CU_ADD_TEST (suite, test_stopped_reader_holds_up_no_stop);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  if (CU_get_number_of_suites_failed () > 0)
+    failures++;
+  CU_cleanup_registry ();
+  return failures == 0 ? 0 : 1;
+}
