Let the log's level change while other threads log

Cause: the level was a plain number that every thread reads and bt_set_log_level writes; the thread sanitizer calls it a race. Ruled out: a lock, which every line that is not logged would have to take. Change: it is read and stored as one word, without an order to anything else: each line goes by the old level or the new one. Seen failing first: test_level_changes_while_threads_log, data race of bt_set_log_level and bt_is_logged under the thread sanitizer.

--- a/include/bilberrytray/base/context.h
+++ b/include/bilberrytray/base/context.h
@@ -19,7 +19,8 @@
 /** Frees a context and its counters. NULL is accepted. */
 void bt_drop_context (bt_context_t *ctx);
 
-/** Sets the highest level that is logged, a bt_log_level_t; -1 turns the log off (tests). */
+/** Sets the highest level that is logged, a bt_log_level_t; -1 turns the log off (tests). Safe
+ * while other threads log: each line goes by the old level or the new one. */
 void bt_set_log_level (bt_context_t *ctx, int32_t level);
 
 /** Sets the name that each log line carries after its time, usually the instance's; copied. */
--- a/source/base/context.c
+++ b/source/base/context.c
@@ -50,7 +50,7 @@
 void
 bt_set_log_level (bt_context_t *ctx, int32_t level)
 {
-  ctx->log_level = level;
+  ck_pr_store_int (&ctx->log_level, level);
 }
 
 void
@@ -144,7 +144,7 @@
 bool
 bt_is_logged (bt_context_t *ctx, bt_log_level_t level)
 {
-  return (int32_t)level <= ctx->log_level;
+  return (int32_t)level <= ck_pr_load_int (&ctx->log_level);
 }
 
 const char *
--- a/test/base/test_event_log.c
+++ b/test/base/test_event_log.c
@@ -1,6 +1,7 @@
 #include <CUnit/Basic.h>
 #include <fcntl.h>
 #include <jansson.h>
+#include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -24,6 +25,8 @@
   LINES_PER_S = 40,
   SECONDS = 10,
   LONG_TEXT = 9000,
+  THREADS = 4,
+  ROUNDS = 2000,
 };
 
 static bt_context_t *ctx;
@@ -304,6 +307,38 @@
   end ();
 }
 
+static void *
+log_much (void *argument)
+{
+  for (int32_t i = 0; i < ROUNDS; i++)
+    {
+      bt_log_event (ctx, BT_LOG_DEBUG, "detail", "{s:i}", "number", i);
+      bt_log_event (ctx, BT_LOG_ERROR, "failure", "{s:i}", "number", i);
+    }
+  return NULL;
+}
+
+/* An operator asks for more detail, and for less again, while requests are served by all threads.
+ * Nothing tears or crashes, and a failure's line is never taken for a detail. */
+static void
+test_level_changes_while_threads_log (void)
+{
+  pthread_t threads[THREADS];
+
+  begin_file ();
+  for (int32_t i = 0; i < THREADS; i++)
+    pthread_create (&threads[i], NULL, log_much, NULL);
+  for (int32_t i = 0; i < ROUNDS; i++)
+    bt_set_log_level (ctx, i % 2 == 0 ? BT_LOG_DEBUG : BT_LOG_ERROR);
+  for (int32_t i = 0; i < THREADS; i++)
+    pthread_join (threads[i], NULL);
+  read_what_came ();
+  CU_ASSERT_EQUAL (count_events ("failure"), LINES_AT_ONCE);
+  CU_ASSERT (count_events ("detail") <= LINES_AT_ONCE);
+  CU_ASSERT (count_lost ("budget") >= (int64_t)THREADS * ROUNDS - LINES_AT_ONCE);
+  end ();
+}
+
 int
 main (void)
 {
@@ -322,6 +357,7 @@
   CU_ADD_TEST (suite, test_hostile_texts_are_cut_and_cleaned);
   CU_ADD_TEST (suite, test_no_line_is_torn);
   CU_ADD_TEST (suite, test_sentences_do_not_block);
+  CU_ADD_TEST (suite, test_level_changes_while_threads_log);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   failed = CU_get_number_of_failures ();
