Measure what the log costs; put no line together that the budget leaves out

Cause: the price of a line was a figure in a comment, with no bench behind it. make bench-log measures requests with the log on, off and with a stopped reader in one run, and single lines.

--- a/Makefile
+++ b/Makefile
@@ -51,6 +51,9 @@
 bench: build
 	BT_BUILD_DIR=$(BUILD)/release $(BUILD)/release/bench_path
 
+bench-log: build
+	BT_BUILD_DIR=$(BUILD)/release $(BUILD)/release/bench_log
+
 bench-maps: build
 	$(BUILD)/release/bench_maps
 
@@ -70,4 +73,4 @@
 	rm -rf $(BUILD)
 
 .PHONY: all setup build debug tsan proto format check-format lint models test test-threads check \
-	demo bench bench-maps bench-policy capacity soak clean
+	demo bench bench-log bench-maps bench-policy capacity soak clean
--- /dev/null
+++ b/bench/bench_log.c
@@ -0,0 +1,328 @@
+/** @file
+ * What the log of events costs: the same requests to gateways with the log on, with it off, and
+ * with a reader that has stopped, in one run; then single lines of each fate.
+ *
+ *   bench_log [--rounds N]
+ *
+ * Each round sends to each gateway in turn as many requests as the budget lets through at once, and
+ * then rests until the budget is full again; a last round sends ten times as many.
+ */
+
+#include <dirent.h>
+#include <fcntl.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/resource.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "bilberrytray/base/clock.h"
+#include "bilberrytray/base/event_log.h"
+#include "harness_gateway.h"
+
+enum
+{
+  DEFAULT_ROUNDS = 7,
+  MOST_ROUNDS = 32,
+  REQUESTS = 300, /* in a round; within the budget's 400 lines at once */
+  BURST = 3000,
+  WARM_UP = 50,
+  REST_MS = 9000, /* 300 lines at 40 a second, and some more */
+  LINES = 20000,
+  LINE_PAUSE_MS = 25, /* one line at 40 a second */
+  PIPE_BYTES = 4096,
+  PATH_BYTES = 320,
+  NS_PER_US = 1000,
+  US_PER_S = 1000000,
+  BASE_TEN = 10,
+};
+
+/** The gateways, in the order of the field. */
+typedef enum log_mode
+{
+  LOG_ON = 0,
+  LOG_OFF,
+  READER_STOPPED,
+  MODES,
+} log_mode_t;
+
+static const char *const mode_names[] = { "log on", "log off", "reader stopped" };
+
+static const char *const configuration =
+    "{\"version\":1,\"services\":[{\"name\":\"svc\"}],"
+    "\"tenants\":[{\"name\":\"small\",\"api_keys\":[\"key-small\"],\"priority\":1}],"
+    "\"routes\":[{\"name\":\"wide\",\"host\":\"shop.example\",\"prefix\":\"/a/\","
+    "\"kind\":\"idempotent\",\"service\":\"svc\",\"timeout_ms\":20000,\"max_attempts\":2,"
+    "\"public\":false}],"
+    "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":65536,\"idle_timeout_ms\":15000}}";
+
+/** What one batch of requests took. */
+typedef struct cost
+{
+  double cpu_us;  /* of the gateway, for a request */
+  double wall_us; /* of the client, for a request */
+  double bytes;   /* of log, for a request */
+} cost_t;
+
+static bt_field_t *field;
+static int32_t failed;
+
+/* Processor time of all threads of a process. */
+static double
+read_cpu_us (pid_t pid)
+{
+  char path[PATH_BYTES];
+  double total_ns = 0;
+  struct dirent *entry;
+  DIR *folder;
+
+  snprintf (path, sizeof path, "/proc/%d/task", (int)pid);
+  folder = opendir (path);
+  while (folder != NULL && (entry = readdir (folder)) != NULL)
+    {
+      char file[2 * PATH_BYTES];
+      double task_ns = 0;
+      FILE *input;
+
+      snprintf (file, sizeof file, "%s/%s/schedstat", path, entry->d_name);
+      input = entry->d_name[0] == '.' ? NULL : fopen (file, "r");
+      if (input == NULL)
+        continue;
+      if (fscanf (input, "%lf", &task_ns) == 1)
+        total_ns += task_ns;
+      fclose (input);
+    }
+  if (folder != NULL)
+    closedir (folder);
+  return total_ns / NS_PER_US;
+}
+
+static double
+read_log_bytes (int32_t gateway)
+{
+  char path[PATH_BYTES];
+  struct stat facts;
+
+  snprintf (path, sizeof path, "%s/instance=gateway-%d.log", field->folder, (int)gateway);
+  return stat (path, &facts) == 0 ? (double)facts.st_size : 0;
+}
+
+static void
+ask (int32_t gateway, int32_t count)
+{
+  static const char *const headers[] = { "Host: shop.example", "Bilberrytray-Attempt-Id: r-bench",
+                                         "Authorization: Bearer key-small",
+                                         "Bilberrytray-Deadline-Ms: 20000", NULL };
+
+  for (int32_t i = 0; i < count; i++)
+    {
+      bt_reply_t reply;
+
+      bt_ask_gateway (field, gateway, "/a/lookup", headers, "shrimp", &reply);
+      failed += reply.curl_code != 0 || reply.status != 200;
+      bt_clear_reply (&reply);
+    }
+}
+
+static cost_t
+measure (int32_t gateway, int32_t count)
+{
+  double cpu_us = read_cpu_us (field->gateways[gateway]);
+  double bytes = read_log_bytes (gateway);
+  int64_t began_us = bt_read_monotonic_us ();
+  cost_t cost;
+
+  ask (gateway, count);
+  cost.wall_us = (double)(bt_read_monotonic_us () - began_us) / count;
+  cost.cpu_us = (read_cpu_us (field->gateways[gateway]) - cpu_us) / count;
+  cost.bytes = (read_log_bytes (gateway) - bytes) / count;
+  return cost;
+}
+
+static int
+compare (const void *left, const void *right)
+{
+  double a = *(const double *)left;
+  double b = *(const double *)right;
+
+  return (a > b) - (a < b);
+}
+
+static void
+print_spread (const char *name, double *values, int32_t count, const char *unit)
+{
+  qsort (values, (size_t)count, sizeof *values, compare);
+  printf ("%-34s %9.2f  (%.2f to %.2f) %s\n", name, values[count / 2], values[0], values[count - 1],
+          unit);
+}
+
+static void
+restart_gateway (int32_t gateway)
+{
+  kill (field->gateways[gateway], SIGKILL);
+  waitpid (field->gateways[gateway], NULL, 0);
+  bt_start_gateway_process (field, gateway);
+}
+
+/* Of the gateways one has its log off, and one writes to a pipe that nobody reads. */
+static bool
+start (void)
+{
+  static int ends[2];
+
+  field = bt_new_field (MODES, configuration);
+  if (field == NULL || pipe2 (ends, O_CLOEXEC) != 0)
+    return false;
+  fcntl (ends[1], F_SETPIPE_SZ, PIPE_BYTES);
+  setenv ("BILBERRY_LOG_LEVEL", "error", 1);
+  restart_gateway (LOG_OFF);
+  unsetenv ("BILBERRY_LOG_LEVEL");
+  bt_set_program_output (ends[1]);
+  restart_gateway (READER_STOPPED);
+  bt_set_program_output (-1);
+  for (int32_t i = 0; i < MODES; i++)
+    {
+      if (!bt_wait_gateway_ready (field, i))
+        return false;
+      ask (i, WARM_UP);
+    }
+  return true;
+}
+
+static void
+print_rounds (cost_t costs[MOST_ROUNDS][MODES], int32_t rounds)
+{
+  double values[MOST_ROUNDS];
+  char name[PATH_BYTES];
+
+  for (int32_t mode = 0; mode < MODES; mode++)
+    {
+      snprintf (name, sizeof name, "processor time, %s", mode_names[mode]);
+      for (int32_t i = 0; i < rounds; i++)
+        values[i] = costs[i][mode].cpu_us;
+      print_spread (name, values, rounds, "us a request");
+    }
+  for (int32_t mode = 0; mode < MODES; mode++)
+    {
+      if (mode == LOG_OFF)
+        continue;
+      snprintf (name, sizeof name, "  ratio, %s / log off", mode_names[mode]);
+      for (int32_t i = 0; i < rounds; i++)
+        values[i] = costs[i][mode].cpu_us / costs[i][LOG_OFF].cpu_us;
+      print_spread (name, values, rounds, "");
+      snprintf (name, sizeof name, "  time to answer, same ratio");
+      for (int32_t i = 0; i < rounds; i++)
+        values[i] = costs[i][mode].wall_us / costs[i][LOG_OFF].wall_us;
+      print_spread (name, values, rounds, "");
+    }
+  for (int32_t mode = 0; mode < READER_STOPPED; mode++)
+    {
+      snprintf (name, sizeof name, "bytes, %s", mode_names[mode]);
+      for (int32_t i = 0; i < rounds; i++)
+        values[i] = costs[i][mode].bytes;
+      print_spread (name, values, rounds, "a request");
+    }
+}
+
+static double
+read_own_cpu_us (void)
+{
+  struct rusage usage;
+
+  getrusage (RUSAGE_SELF, &usage);
+  return (double)(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) * US_PER_S
+         + (double)(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec);
+}
+
+/* Processor time of one line into @p out, at a pace within the budget or all at once. */
+static double
+measure_line (int out, int64_t pause_ms)
+{
+  bt_context_t *ctx = bt_new_context ();
+  bt_fake_clock_t clock;
+  double began_us;
+  int saved;
+
+  bt_init_fake_clock (&clock, 0);
+  bt_set_context_clock (ctx, &clock.base);
+  fflush (stdout);
+  saved = dup (STDOUT_FILENO);
+  dup2 (out, STDOUT_FILENO);
+  began_us = read_own_cpu_us ();
+  for (int32_t i = 0; i < LINES; i++)
+    {
+      clock.now_ms += pause_ms;
+      bt_log_event (ctx, BT_LOG_INFO, "request", "{s:s, s:s, s:s, s:s, s:i, s:I, s:I, s:I}",
+                    "request", "0b9704cba6941bc8", "rule", "r-q5vag4c", "account", "bolo146",
+                    "outcome", "answered", "status", 200, "queue_ms", (json_int_t)0, "total_ms",
+                    (json_int_t)39, "revision", (json_int_t)33);
+    }
+  began_us = read_own_cpu_us () - began_us;
+  dup2 (saved, STDOUT_FILENO);
+  close (saved);
+  bt_drop_context (ctx);
+  return began_us / LINES;
+}
+
+static void
+print_lines (int32_t rounds)
+{
+  double written[MOST_ROUNDS];
+  double left_out[MOST_ROUNDS];
+  double lost[MOST_ROUNDS];
+  FILE *file = tmpfile ();
+  int ends[2];
+
+  if (file == NULL || pipe2 (ends, O_CLOEXEC) != 0)
+    return;
+  for (int32_t i = 0; i < rounds; i++)
+    {
+      written[i] = measure_line (fileno (file), LINE_PAUSE_MS);
+      left_out[i] = measure_line (fileno (file), 0);
+      lost[i] = measure_line (ends[1], LINE_PAUSE_MS);
+    }
+  print_spread ("one line, written to a file", written, rounds, "us");
+  print_spread ("one line, left out by the budget", left_out, rounds, "us");
+  print_spread ("one line, reader stopped", lost, rounds, "us");
+  fclose (file);
+  close (ends[0]);
+  close (ends[1]);
+}
+
+int
+main (int argc, char **argv)
+{
+  static cost_t costs[MOST_ROUNDS][MODES];
+  static cost_t burst[MOST_ROUNDS][MODES];
+  int32_t rounds = DEFAULT_ROUNDS;
+
+  if (argc == 3 && strcmp (argv[1], "--rounds") == 0)
+    rounds = (int32_t)strtol (argv[2], NULL, BASE_TEN);
+  if (rounds < 1 || rounds > MOST_ROUNDS || !start ())
+    {
+      fprintf (stderr, "bench_log: can't start\n");
+      return 1;
+    }
+  for (int32_t i = 0; i < rounds; i++)
+    {
+      for (int32_t step = 0; step < MODES; step++)
+        costs[i][(i + step) % MODES] = measure ((i + step) % MODES, REQUESTS);
+      bt_sleep_ms (REST_MS);
+    }
+  for (int32_t i = 0; i < rounds; i++)
+    for (int32_t step = 0; step < MODES; step++)
+      burst[i][(i + step) % MODES] = measure ((i + step) % MODES, BURST);
+  printf ("%d rounds: median (least to most)\n\n%d requests, each with its line\n", rounds,
+          REQUESTS);
+  print_rounds (costs, rounds);
+  printf ("\n%d requests, most lines over the budget\n", BURST);
+  print_rounds (burst, rounds);
+  printf ("\n");
+  print_lines (rounds);
+  printf ("\nrequests that failed: %d\n", failed);
+  bt_drop_field (field, false);
+  return failed == 0 ? 0 : 1;
+}
--- a/source/base/event_log.c
+++ b/source/base/event_log.c
@@ -114,21 +114,20 @@
     }
 }
 
-static void
-write_event (bt_context_t *ctx, bt_log_level_t level, json_t *object)
+/* What the budget leaves out is not even put together: under a flood that is most lines. */
+static bool
+may_write (bt_context_t *ctx, bt_log_level_t level)
 {
-  if (!take_budget (&ctx->budgets[level]))
-    {
-      ctx->budgets[level].left_out++;
-      bt_add_counter (ctx->lost_by_budget, 1);
-      json_decref (object);
-      return;
-    }
-  if (write_object (ctx, object))
-    return;
-  bt_add_counter (ctx->lost_by_reader, 1);
-  ctx->events.lost_lines++;
-  ctx->events.lost_failures += is_failure (level);
+  int64_t now_ms = bt_now_ms (ctx);
+
+  if (tell_lost (ctx))
+    tell_over_budget (ctx, now_ms);
+  refill_budget (&ctx->budgets[level], now_ms);
+  if (take_budget (&ctx->budgets[level]))
+    return true;
+  ctx->budgets[level].left_out++;
+  bt_add_counter (ctx->lost_by_budget, 1);
+  return false;
 }
 
 void
@@ -140,15 +139,19 @@
   if (!bt_is_logged (ctx, level))
     return;
   bt_open_log_counters (ctx);
-  object = begin_object (ctx, level, event);
-  va_start (arguments, format);
-  bt_add_event_fields (object, format, arguments);
-  va_end (arguments);
   pthread_mutex_lock (&ctx->event_lock);
-  if (tell_lost (ctx))
-    tell_over_budget (ctx, bt_now_ms (ctx));
-  else
-    refill_budget (&ctx->budgets[level], bt_now_ms (ctx));
-  write_event (ctx, level, object);
+  if (may_write (ctx, level))
+    {
+      object = begin_object (ctx, level, event);
+      va_start (arguments, format);
+      bt_add_event_fields (object, format, arguments);
+      va_end (arguments);
+      if (!write_object (ctx, object))
+        {
+          bt_add_counter (ctx->lost_by_reader, 1);
+          ctx->events.lost_lines++;
+          ctx->events.lost_failures += is_failure (level);
+        }
+    }
   pthread_mutex_unlock (&ctx->event_lock);
 }
