Give the agent beside an engine a page of metrics

Cause: a slow change of map or a stale report could not be traced to an agent: the side agent counted and timed nothing. Ruled out: a page served by the links' own loop, which would save the thread but be a second HTTP server; families by kind of order, where one label more does: counters now carry any labels as they are printed, and a histogram may have some of its own.

--- a/include/bilberrytray/base/counters.h
+++ b/include/bilberrytray/base/counters.h
@@ -12,6 +12,12 @@
 
 typedef struct bt_counter bt_counter_t;
 
+enum
+{
+  /** Room for the labels of a value, as they are printed. */
+  BT_LABELS_BYTES = 160,
+};
+
 /** What a value is. */
 typedef enum bt_counter_kind
 {
@@ -33,6 +39,15 @@
                                const char *label,
                                const char *value);
 
+/** The same with all labels as they are printed, such as "order=\"hold\",answer=\"done\"", or NULL;
+ * and for a BT_HISTOGRAM its @p part, "bucket", "sum" or "count", else NULL. */
+bt_counter_t *bt_find_labelled_counter (bt_context_t *ctx,
+                                        bt_counter_kind_t kind,
+                                        const char *family,
+                                        const char *help,
+                                        const char *part,
+                                        const char *labels);
+
 /** Adds to a value, without a lock. @p amount may be negative for a gauge. */
 void bt_add_counter (bt_counter_t *counter, int64_t amount);
 
--- a/include/bilberrytray/base/histogram.h
+++ b/include/bilberrytray/base/histogram.h
@@ -15,6 +15,12 @@
 /** Makes a histogram, such as "bilberry_queue_wait_ms". Several of one name count together. */
 bt_histogram_t *bt_new_histogram (bt_context_t *ctx, const char *family, const char *help);
 
+/** The same with labels as they are printed, such as "order=\"hold\"". */
+bt_histogram_t *bt_new_labelled_histogram (bt_context_t *ctx,
+                                           const char *family,
+                                           const char *help,
+                                           const char *labels);
+
 /** NULL is accepted. What was counted stays. */
 void bt_drop_histogram (bt_context_t *ctx, bt_histogram_t *histogram);
 
--- a/source/agent/command_side.c
+++ b/source/agent/command_side.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 
 #include "bilberrytray/base/event_log.h"
+#include "bilberrytray/page/page.h"
 #include "side.h"
 #include "start.h"
 
@@ -14,6 +15,7 @@
   { "listen", BT_SETTING_ADDRESS, FIELD (listen), NULL, 0, 0,
     "Where links of entry instances are accepted." },
   { "engine", BT_SETTING_ADDRESS, FIELD (engine), NULL, 0, 0, "The engine on this instance." },
+  { "page", BT_SETTING_ADDRESS, FIELD (page), "", 0, 0, "Where the operators' page is served." },
   { "failure-domain", BT_SETTING_TEXT, FIELD (failure_domain), NULL, 0, 0,
     "Failure domain of this instance." },
   { "secret", BT_SETTING_TEXT, FIELD (secret), NULL, 0, 0,
@@ -59,6 +61,7 @@
 {
   const bt_side_settings_t *settings = values;
   bt_error_t error = { 0 };
+  bt_page_t *page = NULL;
   signal_waiter_t waiter;
   pthread_t thread;
 
@@ -70,15 +73,21 @@
   signal (SIGPIPE, SIG_IGN);
   curl_global_init (CURL_GLOBAL_DEFAULT);
   waiter.side = bt_new_side (ctx, bt_get_engine_platform (), settings, &error);
-  if (waiter.side == NULL || pthread_create (&thread, NULL, wait_for_signals, &waiter) != 0)
+  if (waiter.side != NULL && settings->page[0] != '\0')
+    page = bt_new_page (ctx, settings->page, NULL, NULL, &error);
+  if (waiter.side == NULL || error.code != BT_ERROR_NONE
+      || pthread_create (&thread, NULL, wait_for_signals, &waiter) != 0)
     {
       bt_log_event (ctx, BT_LOG_ERROR, "start-failed", "{s:s}", "message", error.message);
+      bt_drop_page (ctx, page);
+      bt_drop_side (ctx, waiter.side);
       return EXIT_FAILURE;
     }
   bt_log_event (ctx, BT_LOG_INFO, "start", "{s:s, s:s}", "version", BT_VERSION, "engine",
                 settings->engine);
   bt_run_side (waiter.side);
   pthread_join (thread, NULL);
+  bt_drop_page (ctx, page);
   bt_drop_side (ctx, waiter.side);
   bt_log_event (ctx, BT_LOG_INFO, "stop", "{}");
   curl_global_cleanup ();
--- a/source/agent/side.c
+++ b/source/agent/side.c
@@ -1,14 +1,11 @@
 #include "side.h"
 
-#include <pthread.h>
 #include <stdio.h>
-#include <string.h>
 
 #include "bilberrytray/base/condition.h"
 #include "bilberrytray/base/event_log.h"
 #include "bilberrytray/base/random.h"
-#include "bilberrytray/wire/link.h"
-#include "engine_client.h"
+#include "side_private.h"
 
 enum
 {
@@ -19,53 +16,19 @@
 };
 
 /** An order that waits for its turn. */
-typedef struct waiting_order
+struct bt_side_order
 {
   bt_link_t *link;
   bt_group_order_t order;
   char engine[BT_ADDRESS_BYTES]; /* that it is for; "" for the one beside this agent */
   bt_expert_map_t *map;
-  struct waiting_order *next;
-} waiting_order_t;
-
-/** A link to an entry. */
-typedef struct side_link
-{
-  bt_link_t *link;
-  bool follows;      /* its reports carry picks */
-  bool wants_places; /* its next report carries places */
-  int64_t next_ms;   /* its next report */
-  bool told;         /* base holds what was told */
-  int64_t epoch;
-  int64_t *base; /* the counts up to which picks were told */
-  int32_t base_count;
-  struct side_link *next;
-} side_link_t;
-
-struct bt_side
-{
-  bt_link_handler_t handler; /* first */
-  bt_context_t *ctx;
-  const bt_side_settings_t *settings;
-  bt_engine_client_t *engine;
-  bt_link_loop_t *links_loop;
-  int32_t cancelled;
-  bool lost;      /* the engine did not answer last */
-  uint64_t fence; /* the highest seen */
-  int64_t next_report_ms;
-  /* Lock order: taken before any call into a link. */
-  pthread_mutex_t lock; /* guards what stands below */
-  pthread_cond_t changed;
-  bool stopping;
-  side_link_t *links;
-  waiting_order_t *first_order;
-  waiting_order_t **last_order;
+  bt_side_order_t *next;
 };
 
-static side_link_t *
+static bt_side_link_t *
 find_link (bt_side_t *side, const bt_link_t *link)
 {
-  for (side_link_t *row = side->links; row != NULL; row = row->next)
+  for (bt_side_link_t *row = side->links; row != NULL; row = row->next)
     if (row->link == link)
       return row;
   return NULL;
@@ -75,7 +38,7 @@
 take_link_up (bt_link_handler_t *handler, bt_link_t *link)
 {
   bt_side_t *side = (bt_side_t *)handler;
-  side_link_t *row = bt_calloc (side->ctx, 1, sizeof *row);
+  bt_side_link_t *row = bt_calloc (side->ctx, 1, sizeof *row);
 
   row->link = bt_keep_link (link);
   pthread_mutex_lock (&side->lock);
@@ -84,6 +47,7 @@
   side->next_report_ms = 0;
   pthread_cond_signal (&side->changed);
   pthread_mutex_unlock (&side->lock);
+  bt_add_counter (side->figures.links, 1);
   bt_log_event (side->ctx, BT_LOG_INFO, "link-up", "{s:s}", "peer", bt_get_link_instance (link));
 }
 
@@ -93,12 +57,13 @@
   bt_side_t *side = (bt_side_t *)handler;
 
   pthread_mutex_lock (&side->lock);
-  for (side_link_t **at = &side->links; *at != NULL; at = &(*at)->next)
+  for (bt_side_link_t **at = &side->links; *at != NULL; at = &(*at)->next)
     if ((*at)->link == link)
       {
-        side_link_t *row = *at;
+        bt_side_link_t *row = *at;
 
         *at = row->next;
+        bt_add_counter (side->figures.links, -1);
         bt_drop_link (side->ctx, row->link);
         bt_free (side->ctx, row->base);
         bt_free (side->ctx, row);
@@ -111,7 +76,7 @@
 static void
 take_order (bt_side_t *side, bt_link_t *link, const Bilberry__EngineOrder *message)
 {
-  waiting_order_t *waiting = bt_calloc (side->ctx, 1, sizeof *waiting);
+  bt_side_order_t *waiting = bt_calloc (side->ctx, 1, sizeof *waiting);
   bt_error_t error = { 0 };
   bool good = bt_read_engine_order (message, &waiting->order);
 
@@ -140,7 +105,7 @@
 static void
 take_follow (bt_side_t *side, bt_link_t *link, const Bilberry__EngineFollow *message)
 {
-  side_link_t *row;
+  bt_side_link_t *row;
 
   pthread_mutex_lock (&side->lock);
   row = find_link (side, link);
@@ -182,49 +147,15 @@
 static const bt_link_handler_vtable_t handler_vtable = { take_link_up, take_frame, take_link_down,
                                                          send_beat };
 
-/* Reads how the engine stands, and tells when it stops answering or answers again. */
-static bool
-read_state (bt_side_t *side, bt_engine_report_t *report)
-{
-  bt_error_t error = { 0 };
-  bool there = bt_read_engine_state (side->ctx, side->engine, report, &error);
-
-  if (there == side->lost)
-    bt_log_event (side->ctx, there ? BT_LOG_INFO : BT_LOG_WARNING,
-                  there ? "engine-regained" : "engine-lost", "{s:s}", "message", error.message);
-  side->lost = !there;
-  return there;
-}
-
-static void
-send_result (bt_side_t *side,
-             const waiting_order_t *waiting,
-             bt_order_result_t result,
-             int32_t status,
-             const bt_engine_report_t *report)
-{
-  Bilberry__EngineReport report_message = BILBERRY__ENGINE_REPORT__INIT;
-  Bilberry__EngineResult message = BILBERRY__ENGINE_RESULT__INIT;
-  bt_frame_t frame = BILBERRY__FRAME__INIT;
-
-  bt_write_engine_report (report, &report_message);
-  message.id = waiting->order.id;
-  message.result = (uint32_t)result;
-  message.status = (uint32_t)status;
-  message.report = &report_message;
-  frame.body_case = BILBERRY__FRAME__BODY_ENGINE_RESULT;
-  frame.engine_result = &message;
-  bt_send_frame (side->ctx, waiting->link, &frame);
-}
-
 /* Carries out one order. An older leader's is refused here too: not every engine checks. Without a
  * report behind the order its effect is not known, and the leader asks again. */
 static void
-carry_out (bt_side_t *side, const waiting_order_t *waiting)
+carry_out (bt_side_t *side, const bt_side_order_t *waiting)
 {
   const bt_group_order_t *order = &waiting->order;
   bt_order_result_t result = BT_ORDER_FENCED;
   bt_engine_report_t report;
+  int64_t began_ms = bt_now_ms (side->ctx);
   int32_t status = 0;
 
   if (order->fence >= side->fence)
@@ -232,149 +163,26 @@
       side->fence = order->fence;
       result =
           bt_order_engine (side->ctx, side->engine, waiting->engine, order, waiting->map, &status);
+      bt_record_duration (side->figures.orders[order->kind], bt_now_ms (side->ctx) - began_ms);
     }
+  bt_count_side_answer (&side->figures, order->kind, result);
   bt_log_event (side->ctx, BT_LOG_INFO, "order", "{s:s, s:s, s:I, s:I, s:I, s:I, s:I, s:i, s:i}",
                 "kind", bt_name_group_order (order->kind), "engine", waiting->engine, "version",
                 (json_int_t)order->version, "step", (json_int_t)order->step, "fence",
                 (json_int_t)order->fence, "epoch", (json_int_t)order->epoch, "sequence",
                 (json_int_t)order->sequence, "status", status, "result", (int)result);
-  if (read_state (side, &report))
-    send_result (side, waiting, result, status, &report);
+  if (bt_read_side_state (side, &report))
+    bt_send_side_result (side, waiting->link, order->id, result, status, &report);
 }
 
 static void
-drop_order (bt_side_t *side, waiting_order_t *waiting)
+drop_order (bt_side_t *side, bt_side_order_t *waiting)
 {
   bt_drop_link (side->ctx, waiting->link);
   bt_drop_expert_map (side->ctx, waiting->map);
   bt_free (side->ctx, waiting);
 }
 
-/* Fills in what was picked since the last report on this link. An engine that was started anew
- * counts from zero again. */
-static void
-add_picks (bt_side_t *side,
-           side_link_t *row,
-           const bt_engine_picks_t *picks,
-           uint32_t *deltas,
-           Bilberry__EngineReport *message)
-{
-  bool anew = !row->told || row->epoch != picks->epoch || row->base_count != picks->count;
-
-  if (anew)
-    {
-      bt_free (side->ctx, row->base);
-      row->base = bt_calloc (side->ctx, (size_t)picks->count, sizeof *row->base);
-      row->base_count = picks->count;
-      memcpy (row->base, picks->counts, (size_t)picks->count * sizeof *row->base);
-    }
-  for (int32_t i = 0; i < picks->count; i++)
-    {
-      int64_t delta = picks->counts[i] - row->base[i];
-
-      deltas[i] = delta > 0 ? (uint32_t)delta : 0;
-      row->base[i] = picks->counts[i];
-    }
-  row->told = true;
-  row->epoch = picks->epoch;
-  message->picks = deltas;
-  message->n_picks = (size_t)picks->count;
-}
-
-/** What one report may carry beside the engine's state. */
-typedef struct extras
-{
-  bt_engine_picks_t picks;
-  bt_engine_places_t places;
-  uint32_t *deltas;
-} extras_t;
-
-static void
-send_report (bt_side_t *side, side_link_t *row, const bt_engine_report_t *report, extras_t *extras)
-{
-  Bilberry__EngineReport message = BILBERRY__ENGINE_REPORT__INIT;
-  bt_frame_t frame = BILBERRY__FRAME__INIT;
-
-  bt_write_engine_report (report, &message);
-  if (row->follows && extras->picks.counts != NULL)
-    add_picks (side, row, &extras->picks, extras->deltas, &message);
-  if (row->wants_places && extras->places.places != NULL)
-    {
-      message.has_places = true;
-      message.places_epoch = extras->places.epoch;
-      message.places_version = extras->places.version;
-      message.places = extras->places.places;
-      message.n_places = (size_t)extras->places.count;
-      row->wants_places = false;
-    }
-  frame.body_case = BILBERRY__FRAME__BODY_ENGINE_REPORT;
-  frame.engine_report = &message;
-  bt_send_frame (side->ctx, row->link, &frame);
-}
-
-static void
-read_extras (bt_side_t *side, bool picks, bool places, extras_t *extras)
-{
-  bt_error_t error = { 0 };
-
-  memset (extras, 0, sizeof *extras);
-  if ((picks && !bt_read_engine_picks (side->ctx, side->engine, &extras->picks, &error))
-      || (places && !bt_read_engine_places (side->ctx, side->engine, &extras->places, &error)))
-    bt_log_event (side->ctx, BT_LOG_WARNING, "engine-unreadable", "{s:s}", "message",
-                  error.message);
-  extras->deltas = bt_calloc (side->ctx, (size_t)extras->picks.count, sizeof *extras->deltas);
-}
-
-static void
-drop_extras (bt_side_t *side, extras_t *extras)
-{
-  bt_free (side->ctx, extras->picks.counts);
-  bt_free (side->ctx, extras->places.places);
-  bt_free (side->ctx, extras->deltas);
-}
-
-/* True when a link is to get a report now. */
-static bool
-is_report_due (const side_link_t *row, int64_t now_ms)
-{
-  return row->wants_places || now_ms >= row->next_ms;
-}
-
-/* Reads the engine once and tells the entries whose report is due. The leader of the engine's group
- * follows the demand for experts and needs news quickly; the others only weigh the engines. */
-static void
-report_to_all (bt_side_t *side)
-{
-  int64_t now_ms = bt_now_ms (side->ctx);
-  bt_engine_report_t report;
-  extras_t extras;
-  bool due = false;
-  bool picks = false;
-  bool places = false;
-
-  pthread_mutex_lock (&side->lock);
-  for (const side_link_t *row = side->links; row != NULL; row = row->next)
-    {
-      due = due || is_report_due (row, now_ms);
-      picks = picks || row->follows;
-      places = places || row->wants_places;
-    }
-  pthread_mutex_unlock (&side->lock);
-  if (!due || !read_state (side, &report))
-    return;
-  read_extras (side, picks, places, &extras);
-  pthread_mutex_lock (&side->lock);
-  for (side_link_t *row = side->links; row != NULL; row = row->next)
-    if (is_report_due (row, now_ms))
-      {
-        row->next_ms =
-            now_ms + (row->follows ? side->settings->report_ms : side->settings->others_ms);
-        send_report (side, row, &report, &extras);
-      }
-  pthread_mutex_unlock (&side->lock);
-  drop_extras (side, &extras);
-}
-
 static void
 wait_for_work (bt_side_t *side)
 {
@@ -386,10 +194,10 @@
     bt_wait_condition (&side->changed, &side->lock, wait_ms);
 }
 
-static waiting_order_t *
+static bt_side_order_t *
 take_next_order (bt_side_t *side)
 {
-  waiting_order_t *waiting = side->first_order;
+  bt_side_order_t *waiting = side->first_order;
 
   if (waiting == NULL)
     return NULL;
@@ -404,7 +212,7 @@
 {
   while (true)
     {
-      waiting_order_t *waiting;
+      bt_side_order_t *waiting;
       bool linked;
       bool stopping;
 
@@ -429,7 +237,7 @@
       else if (linked && bt_now_ms (side->ctx) >= side->next_report_ms)
         {
           side->next_report_ms = bt_now_ms (side->ctx) + side->settings->report_ms;
-          report_to_all (side);
+          bt_report_side_to_all (side);
         }
     }
 }
@@ -462,6 +270,7 @@
   side->last_order = &side->first_order;
   pthread_mutex_init (&side->lock, NULL);
   bt_init_condition (&side->changed);
+  bt_open_side_figures (ctx, &side->figures);
   bt_fill_secure_random (&options.incarnation, sizeof options.incarnation);
   side->engine =
       bt_new_engine_client (ctx, platform, settings->engine, settings->call_ms, &side->cancelled);
@@ -488,9 +297,10 @@
   if (side == NULL)
     return;
   bt_drop_link_loop (ctx, side->links_loop);
-  for (waiting_order_t *waiting; (waiting = take_next_order (side)) != NULL;)
+  for (bt_side_order_t *waiting; (waiting = take_next_order (side)) != NULL;)
     drop_order (side, waiting);
   bt_drop_engine_client (ctx, side->engine);
+  bt_close_side_figures (ctx, &side->figures);
   pthread_cond_destroy (&side->changed);
   pthread_mutex_destroy (&side->lock);
   bt_free (ctx, side);
--- a/source/agent/side.h
+++ b/source/agent/side.h
@@ -19,6 +19,7 @@
   const char *failure_domain;
   const char *secret;
   const char *log_level;
+  const char *page;  /**< Where the operators' page is served; "" for none. */
   int64_t report_ms; /**< Between two reports to the leader of the engine's group. */
   int64_t others_ms; /**< Between two reports to other entries. */
   int64_t call_ms;   /**< Limit of one call on the engine. */
--- a/source/base/counters.c
+++ b/source/base/counters.c
@@ -10,8 +10,8 @@
   bt_counter_kind_t kind;
   char *family;
   char *help;
-  char *label;
-  char *label_value;
+  char *part;   /* of a histogram: behind the family's name; NULL for any other */
+  char *labels; /* as they are printed between braces; NULL without */
   bt_counter_t *next;
 };
 
@@ -43,8 +43,8 @@
       counters->first = counter->next;
       bt_free (ctx, counter->family);
       bt_free (ctx, counter->help);
-      bt_free (ctx, counter->label);
-      bt_free (ctx, counter->label_value);
+      bt_free (ctx, counter->part);
+      bt_free (ctx, counter->labels);
       bt_free (ctx, counter);
     }
   pthread_mutex_destroy (&counters->lock);
@@ -60,11 +60,11 @@
 }
 
 static bt_counter_t *
-find_locked (bt_counters_t *counters, const char *family, const char *label, const char *value)
+find_locked (bt_counters_t *counters, const char *family, const char *part, const char *labels)
 {
   for (bt_counter_t *counter = counters->first; counter != NULL; counter = counter->next)
-    if (same_text (counter->family, family) && same_text (counter->label, label)
-        && same_text (counter->label_value, value))
+    if (same_text (counter->family, family) && same_text (counter->part, part)
+        && same_text (counter->labels, labels))
       return counter;
   return NULL;
 }
@@ -83,31 +83,47 @@
 }
 
 bt_counter_t *
-bt_find_counter (bt_context_t *ctx,
-                 bt_counter_kind_t kind,
-                 const char *family,
-                 const char *help,
-                 const char *label,
-                 const char *value)
+bt_find_labelled_counter (bt_context_t *ctx,
+                          bt_counter_kind_t kind,
+                          const char *family,
+                          const char *help,
+                          const char *part,
+                          const char *labels)
 {
   bt_counters_t *counters = bt_get_counters (ctx);
   bt_counter_t *counter;
 
   pthread_mutex_lock (&counters->lock);
-  counter = find_locked (counters, family, label, value);
+  counter = find_locked (counters, family, part, labels);
   if (counter == NULL)
     {
       counter = append_locked (ctx, counters);
       counter->kind = kind;
       counter->family = bt_strdup (ctx, family);
       counter->help = bt_strdup (ctx, help);
-      counter->label = label == NULL ? NULL : bt_strdup (ctx, label);
-      counter->label_value = value == NULL ? NULL : bt_strdup (ctx, value);
+      counter->part = part == NULL ? NULL : bt_strdup (ctx, part);
+      counter->labels = labels == NULL ? NULL : bt_strdup (ctx, labels);
     }
   pthread_mutex_unlock (&counters->lock);
   return counter;
 }
 
+bt_counter_t *
+bt_find_counter (bt_context_t *ctx,
+                 bt_counter_kind_t kind,
+                 const char *family,
+                 const char *help,
+                 const char *label,
+                 const char *value)
+{
+  char labels[BT_LABELS_BYTES];
+
+  if (label == NULL)
+    return bt_find_labelled_counter (ctx, kind, family, help, NULL, NULL);
+  snprintf (labels, sizeof labels, "%s=\"%s\"", label, value);
+  return bt_find_labelled_counter (ctx, kind, family, help, NULL, labels);
+}
+
 void
 bt_add_counter (bt_counter_t *counter, int64_t amount)
 {
@@ -143,20 +159,15 @@
   return kind == BT_GAUGE ? "gauge" : "counter";
 }
 
-/* Of a histogram the sum and the count have no label, but a name of their own. */
 static void
 print_value (const bt_counter_t *counter, FILE *out)
 {
-  const char *bucket = counter->kind == BT_HISTOGRAM ? "_bucket" : "";
-  long long value = bt_read_counter (counter);
-
-  if (counter->label != NULL)
-    fprintf (out, "%s%s{%s=\"%s\"} %lld\n", counter->family, bucket, counter->label,
-             counter->label_value, value);
-  else if (counter->kind == BT_HISTOGRAM)
-    fprintf (out, "%s_%s %lld\n", counter->family, counter->label_value, value);
-  else
-    fprintf (out, "%s %lld\n", counter->family, value);
+  fputs (counter->family, out);
+  if (counter->part != NULL)
+    fprintf (out, "_%s", counter->part);
+  if (counter->labels != NULL)
+    fprintf (out, "{%s}", counter->labels);
+  fprintf (out, " %lld\n", (long long)bt_read_counter (counter));
 }
 
 static void
--- a/source/base/histogram.c
+++ b/source/base/histogram.c
@@ -17,8 +17,22 @@
   bt_counter_t *count;
 };
 
+static bt_counter_t *
+find_bucket (
+    bt_context_t *ctx, const char *family, const char *help, const char *labels, const char *bound)
+{
+  char all[BT_LABELS_BYTES];
+
+  snprintf (all, sizeof all, "%s%sle=\"%s\"", labels == NULL ? "" : labels,
+            labels == NULL ? "" : ",", bound);
+  return bt_find_labelled_counter (ctx, BT_HISTOGRAM, family, help, "bucket", all);
+}
+
 bt_histogram_t *
-bt_new_histogram (bt_context_t *ctx, const char *family, const char *help)
+bt_new_labelled_histogram (bt_context_t *ctx,
+                           const char *family,
+                           const char *help,
+                           const char *labels)
 {
   bt_histogram_t *histogram = bt_calloc (ctx, 1, sizeof *histogram);
   char bound[BOUND_BYTES];
@@ -26,14 +40,20 @@
   for (int32_t i = 0; i < BOUNDS; i++)
     {
       snprintf (bound, sizeof bound, "%lld", (long long)bounds_ms[i]);
-      histogram->buckets[i] = bt_find_counter (ctx, BT_HISTOGRAM, family, help, "le", bound);
+      histogram->buckets[i] = find_bucket (ctx, family, help, labels, bound);
     }
-  histogram->buckets[BOUNDS] = bt_find_counter (ctx, BT_HISTOGRAM, family, help, "le", "+Inf");
-  histogram->sum_ms = bt_find_counter (ctx, BT_HISTOGRAM, family, help, NULL, "sum");
-  histogram->count = bt_find_counter (ctx, BT_HISTOGRAM, family, help, NULL, "count");
+  histogram->buckets[BOUNDS] = find_bucket (ctx, family, help, labels, "+Inf");
+  histogram->sum_ms = bt_find_labelled_counter (ctx, BT_HISTOGRAM, family, help, "sum", labels);
+  histogram->count = bt_find_labelled_counter (ctx, BT_HISTOGRAM, family, help, "count", labels);
   return histogram;
 }
 
+bt_histogram_t *
+bt_new_histogram (bt_context_t *ctx, const char *family, const char *help)
+{
+  return bt_new_labelled_histogram (ctx, family, help, NULL);
+}
+
 void
 bt_drop_histogram (bt_context_t *ctx, bt_histogram_t *histogram)
 {
--- a/test/process/harness_http.c
+++ b/test/process/harness_http.c
@@ -114,3 +114,18 @@
   free (reply->body);
   memset (reply, 0, sizeof *reply);
 }
+
+bool
+bt_is_metric_line (const char *line)
+{
+  const char *value = strrchr (line, ' ');
+  char *end;
+
+  if (line[0] == '#')
+    return strncmp (line, "# HELP bilberry_", 16) == 0
+           || strncmp (line, "# TYPE bilberry_", 16) == 0;
+  if (strncmp (line, "bilberry_", 9) != 0 || value == NULL)
+    return false;
+  strtoll (value + 1, &end, BASE_TEN);
+  return end != value + 1 && *end == '\0';
+}
--- a/test/process/harness_http.h
+++ b/test/process/harness_http.h
@@ -12,6 +12,9 @@
 /** Appends bytes to a reply's body; of the form of libcurl's callbacks. */
 size_t bt_take_reply_bytes (char *data, size_t size, size_t count, void *argument);
 
+/** True for a line of a metrics page: a comment of a family, or a value with its name. */
+bool bt_is_metric_line (const char *line);
+
 /** Sends one request and reads its reply. @p body and @p method may be NULL. */
 void bt_perform_request (const char *url,
                          struct curl_slist *lines,
--- a/test/process/test_gateway.c
+++ b/test/process/test_gateway.c
@@ -8,6 +8,7 @@
 
 #include "bilberrytray/base/clock.h"
 #include "harness_gateway.h"
+#include "harness_http.h"
 
 enum
 {
@@ -387,22 +388,6 @@
   CU_ASSERT_TRUE (bt_wait_gateway_ready (field, 1));
 }
 
-/* True for a comment, or a value with its name. */
-static bool
-is_metric_line (const char *line)
-{
-  const char *value = strrchr (line, ' ');
-  char *end;
-
-  if (line[0] == '#')
-    return strncmp (line, "# HELP bilberry_", 16) == 0
-           || strncmp (line, "# TYPE bilberry_", 16) == 0;
-  if (strncmp (line, "bilberry_", 9) != 0 || value == NULL)
-    return false;
-  strtoll (value + 1, &end, 10);
-  return end != value + 1 && *end == '\0';
-}
-
 /* On call, the metrics of a gateway are read after it has served. Every line is a comment or a
  * value, and each step of a request has its histogram, with something in it. */
 static void
@@ -429,7 +414,7 @@
       CU_ASSERT_PTR_NULL (strstr (text, name));
     }
   for (char *line = strtok_r (text, "\n", &rest); line != NULL; line = strtok_r (NULL, "\n", &rest))
-    CU_ASSERT_TRUE (is_metric_line (line));
+    CU_ASSERT_TRUE (bt_is_metric_line (line));
   free (text);
   bt_clear_reply (&reply);
 }
