Fail the tests when one that is listed as known red passes

Change: a listed test that passed in this run is printed and makes the run fail; one that did not run under the label is left alone. With BT_CTEST_LOG the script judges a log it is given. The closing of the script is else as it was.

--- /dev/null
+++ b/test/tools/test_run_tests.sh
@@ -0,0 +1,51 @@
+#!/bin/bash
+# A test was fixed and its line stayed in KNOWN-RED.txt. When it breaks again, for a new cause, CI
+# passes over it and nobody looks. So a listed test that passes has to make the run fail, and a
+# listed one that did not run, or that fails, must not.
+set -u
+cd "$(dirname "$0")/../.."
+folder=$(mktemp -d)
+trap 'rm -r "$folder"' EXIT
+errors=0
+
+# Judges a log of ctest by a list: judge NAME EXPECTED_STATUS EXPECTED_LINE
+judge() {
+  local output status
+  output=$(BT_CTEST_LOG=$folder/log BT_KNOWN_RED=$folder/red ./tools/run-tests.sh 2>&1)
+  status=$?
+  if [ "$status" -ne "$2" ] || { [ -n "$3" ] && ! grep -qF "$3" <<<"$output"; }; then
+    echo "$1: status $status instead of $2, or no line \"$3\" in: $output"
+    errors=$((errors + 1))
+  fi
+}
+
+write_log() { # PASSED FAILED
+  {
+    echo "    Start 1: $1"
+    echo "1/2 Test  #1: $1 ....................   Passed    0.04 sec"
+    [ -z "$2" ] || echo "2/2 Test #12: $2 ...................***Failed    1.04 sec"
+    echo
+    echo "50% tests passed, 1 tests failed out of 2"
+    [ -z "$2" ] || printf 'The following tests FAILED:\n\t 12 - %s (Failed)                    process\n' "$2"
+  } >"$folder/log"
+}
+
+echo "# Tests that fail for a known fault" >"$folder/red"
+write_log test_good ""
+judge "nothing is wrong" 0 ""
+write_log test_good test_bad
+judge "a test fails" 1 "FAILED: test_bad"
+echo "test_bad, a cause, #1" >>"$folder/red"
+judge "a listed test fails" 0 "KNOWN RED: test_bad, a cause, #1"
+write_log test_bad ""
+judge "a listed test passes" 1 "NO LONGER RED: test_bad"
+write_log test_bad test_other
+judge "a listed test passes and another fails" 1 "FAILED: test_other"
+write_log test_bad_too ""
+judge "the name of a listed test begins another's" 0 ""
+write_log test_good ""
+judge "a listed test did not run" 0 ""
+echo "Errors while running CTest" >"$folder/log"
+judge "ctest did not finish" 1 "ctest did not finish"
+[ "$errors" -eq 0 ] && echo "run-tests: all cases good"
+exit $((errors > 0))
--- a/tools/run-tests.sh
+++ b/tools/run-tests.sh
@@ -2,27 +2,43 @@
 # Runs the tests of a build folder. Usage: tools/run-tests.sh BUILD_DIR [LABEL_REGEX]
 # A test named in KNOWN-RED.txt may fail; it is printed, and any other failure is an error. A listed
 # test that passes is an error too, so that the list cannot grow stale.
+#
+# With BT_CTEST_LOG set to a file, judges that output of ctest by the list BT_KNOWN_RED instead of
+# running anything.
 set -u
 cd "$(dirname "$0")/.."
-build=$1
+build=${1:-}
 label=${2:-.}
+known_red=KNOWN-RED.txt
 export TSAN_OPTIONS="suppressions=$PWD/tools/tsan.supp halt_on_error=1"
 export ASAN_OPTIONS="detect_leaks=1:abort_on_error=0"
 export UBSAN_OPTIONS="print_stacktrace=1"
 log=$(mktemp)
-ctest --test-dir "$build" -L "$label" -j "${TEST_JOBS:-6}" --output-on-failure --no-tests=error >"$log" 2>&1
-cat "$log"
+trap 'rm -f "$log"' EXIT
+if [ -n "${BT_CTEST_LOG:-}" ]; then
+  known_red=${BT_KNOWN_RED:-$known_red}
+  cat "$BT_CTEST_LOG" >"$log"
+else
+  ctest --test-dir "$build" -L "$label" -j "${TEST_JOBS:-6}" --output-on-failure --no-tests=error >"$log" 2>&1
+  cat "$log"
+fi
 failed=$(sed -n 's/^[[:space:]]*[0-9]* - \([a-z0-9_]*\) (\(Failed\|Timeout\|Subprocess aborted\|SEGFAULT\|.*\)).*/\1/p' "$log" | sort -u)
-grep -q 'tests passed' "$log" || { echo "run-tests: ctest did not finish"; rm -f "$log"; exit 1; }
-rm -f "$log"
-known=$(grep -vE '^[[:space:]]*(#|$)' KNOWN-RED.txt | cut -d, -f1)
+passed=$(sed -n 's/^[[:space:]]*[0-9]*\/[0-9]* Test *#[0-9]*: \([a-z0-9_]*\) \.* *Passed .*/\1/p' "$log" | sort -u)
+grep -q 'tests passed' "$log" || { echo "run-tests: ctest did not finish"; exit 1; }
+known=$(grep -vE '^[[:space:]]*(#|$)' "$known_red" | cut -d, -f1)
 status=0
 for test in $failed; do
   if grep -qx "$test" <<<"$known"; then
-    echo "KNOWN RED: $(grep "^$test," KNOWN-RED.txt)"
+    echo "KNOWN RED: $(grep "^$test," "$known_red")"
   else
     echo "FAILED: $test"
     status=1
   fi
 done
+for test in $known; do
+  if grep -qx "$test" <<<"$passed"; then
+    echo "NO LONGER RED: $test passed; take it out of KNOWN-RED.txt"
+    status=1
+  fi
+done
 exit $status
