--- a/source/gateway/gateway_stop.c
+++ b/source/gateway/gateway_stop.c
@@ -64,7 +64,7 @@
 static void
 tell_peers (bt_gateway_t *gateway)
 {
-  bt_leaving_notice_options_t options = {
+  bt_peer_name_t self = {
     .links = gateway->settings->links,
     .incarnation = gateway->identity.incarnation,
     .failure_domain = gateway->settings->failure_domain,
@@ -72,7 +72,7 @@
   };
 
   if (gateway->view != NULL)
-    gateway->notice = bt_new_leaving_notice (gateway->ctx, &options, gateway->view->entries,
+    gateway->notice = bt_new_leaving_notice (gateway->ctx, &self, gateway->view->entries,
                                              gateway->view->entry_count);
 }
 
--- a/source/gateway/leaving_notice.c
+++ b/source/gateway/leaving_notice.c
@@ -3,7 +3,6 @@
 #include <string.h>
 
 #include "bilberrytray/base/event_log.h"
-#include "bilberrytray/wire/link.h"
 
 enum
 {
@@ -77,30 +76,24 @@
 
 bt_leaving_notice_t *
 bt_new_leaving_notice (bt_context_t *ctx,
-                       const bt_leaving_notice_options_t *options,
+                       const bt_peer_name_t *self,
                        const bt_listed_entry_t *entries,
                        int32_t count)
 {
   bt_leaving_notice_t *notice = bt_calloc (ctx, 1, sizeof *notice);
   bt_link_options_t links = {
-    .role = "entry",
-    .instance = options->links,
-    .incarnation = options->incarnation,
-    .failure_domain = options->failure_domain,
-    .address = options->links,
-    .secret = options->secret,
     .beat_ms = BEAT_MS,
     .idle_ms = IDLE_MS,
     .opening_ms = OPENING_MS,
     .max_frame_bytes = MAX_FRAME_BYTES,
     .max_unsent_bytes = MAX_UNSENT_BYTES,
     .max_links = MOST_PEERS,
-    .handler = &notice->handler,
   };
   bt_error_t error = { 0 };
 
   notice->handler.vtable = &handler_vtable;
   notice->ctx = ctx;
+  bt_name_peer_links (self, &notice->handler, &links);
   notice->loop = bt_new_link_loop (ctx, &links, &error);
   if (notice->loop == NULL)
     {
@@ -109,7 +102,7 @@
       return NULL;
     }
   for (int32_t i = 0; i < count && notice->count < MOST_PEERS; i++)
-    if (strcmp (entries[i].links, options->links) != 0)
+    if (strcmp (entries[i].links, self->links) != 0)
       dial (notice, entries[i].links);
   return notice;
 }
--- a/source/gateway/leaving_notice.h
+++ b/source/gateway/leaving_notice.h
@@ -9,23 +9,15 @@
  * has lapsed behind the store's return, and callers would be refused there one after the other.
  */
 
+#include "peer_links.h"
 #include "view.h"
 
 typedef struct bt_leaving_notice bt_leaving_notice_t;
 
-/** Who leaves; strings must outlive the notice. */
-typedef struct bt_leaving_notice_options
-{
-  const char *links; /**< Where this entry accepts links, which is also its name on them. */
-  uint64_t incarnation;
-  const char *failure_domain;
-  const char *secret;
-} bt_leaving_notice_options_t;
-
-/** Dials the entries of a list, and tells each that answers. NULL, with a log line, when that can't
- * be begun. */
+/** Dials the entries of a list, and tells each that answers that @p self leaves. NULL, with a log
+ * line, when that can't be begun. */
 bt_leaving_notice_t *bt_new_leaving_notice (bt_context_t *ctx,
-                                            const bt_leaving_notice_options_t *options,
+                                            const bt_peer_name_t *self,
                                             const bt_listed_entry_t *entries,
                                             int32_t count);
 
--- a/source/gateway/peer_feed.c
+++ b/source/gateway/peer_feed.c
@@ -259,19 +259,12 @@
 {
   bt_peer_feed_t *feed = bt_calloc (ctx, 1, sizeof *feed);
   bt_link_options_t link_options = {
-    .role = "entry",
-    .instance = options->links,
-    .incarnation = options->incarnation,
-    .failure_domain = options->failure_domain,
-    .address = options->links,
-    .secret = options->secret,
     .beat_ms = BEAT_MS,
     .idle_ms = IDLE_MS,
     .opening_ms = OPENING_MS,
     .max_frame_bytes = MAX_FRAME_BYTES,
     .max_unsent_bytes = MAX_UNSENT_BYTES,
     .max_links = MAX_LINKS,
-    .handler = &feed->handler,
   };
 
   feed->handler.vtable = &handler_vtable;
@@ -281,8 +274,9 @@
   feed->last_news = &feed->first_news;
   pthread_mutex_init (&feed->lock, NULL);
   bt_init_condition (&feed->changed);
+  bt_name_peer_links (&options->self, &feed->handler, &link_options);
   feed->loop = bt_new_link_loop (ctx, &link_options, error);
-  if (feed->loop == NULL || bt_listen_links (ctx, feed->loop, options->links, error) < 0)
+  if (feed->loop == NULL || bt_listen_links (ctx, feed->loop, options->self.links, error) < 0)
     {
       bt_drop_peer_feed (ctx, feed);
       return NULL;
--- a/source/gateway/peer_feed.h
+++ b/source/gateway/peer_feed.h
@@ -10,8 +10,8 @@
  * links' own thread.
  */
 
-#include "bilberrytray/wire/link.h"
 #include "feed_choice.h"
+#include "peer_links.h"
 #include "store_copy.h"
 
 typedef struct bt_peer_feed bt_peer_feed_t;
@@ -19,10 +19,7 @@
 /** Strings must outlive the feed. */
 typedef struct bt_peer_feed_options
 {
-  const char *links; /**< Where this entry accepts links, which is also its name on them. */
-  uint64_t incarnation;
-  const char *failure_domain;
-  const char *secret;
+  bt_peer_name_t self;
   int64_t contact_ms; /**< A reader that has not heard from the store for so long has lost it. */
 } bt_peer_feed_options_t;
 
--- /dev/null
+++ b/source/gateway/peer_links.c
@@ -0,0 +1,15 @@
+#include "peer_links.h"
+
+void
+bt_name_peer_links (const bt_peer_name_t *self,
+                    bt_link_handler_t *handler,
+                    bt_link_options_t *options)
+{
+  options->role = "entry";
+  options->instance = self->links;
+  options->incarnation = self->incarnation;
+  options->failure_domain = self->failure_domain;
+  options->address = self->links;
+  options->secret = self->secret;
+  options->handler = handler;
+}
--- a/source/gateway/store_follower.c
+++ b/source/gateway/store_follower.c
@@ -305,10 +305,10 @@
 {
   const bt_store_follower_options_t *options = &follower->options;
   bt_peer_feed_options_t feed = {
-    .links = options->entry.links,
-    .incarnation = options->entry.identity.incarnation,
-    .failure_domain = options->entry.failure_domain,
-    .secret = options->secret,
+    .self = { .links = options->entry.links,
+              .incarnation = options->entry.identity.incarnation,
+              .failure_domain = options->entry.failure_domain,
+              .secret = options->secret },
     .contact_ms = options->watch_ms + CONTACT_MARGIN_MS,
   };
 
