Tell the starts of an endpoint apart: its id and its start name it, not the id alone

Cause: an endpoint may start again under the id that it had. The table took an id for one start, so the next one inherited what was believed of the one before: its requests in flight, its failures, the mark that it is gone. Of two entries at one address the one made last won, though an entry that is written again keeps the revision at which it was made.

Change: the adapter reads the start; it is the incarnation in the endpoint's identity. A later start takes the place of the earlier one and everything of that is forgotten; news of an earlier start is passed over and logged once; a refusal that comes late marks only the start that it was asked of. At one address the later start wins where both tell it. An endpoint that tells no start is used as before. Sending again what may have run and must run once is refused in one more place: a new start looks like one not tried yet.

Ruled out: that libcurl sends an order again by itself on a connection that broke. Each attempt has a connection of its own, and it repeats only on one that it had used before.

--- a/include/bilberrytray/gateway/platform.h
+++ b/include/bilberrytray/gateway/platform.h
@@ -25,13 +25,14 @@
 /** An endpoint as it registered itself in the platform's store. */
 typedef struct bt_listed_endpoint
 {
-  char id[BT_NAME_BYTES]; /**< Names one start of the endpoint: a restart has another. */
+  char id[BT_NAME_BYTES]; /**< Kept through a restart: with started_ms it names one start. */
   char app[BT_NAME_BYTES];
   char address[BT_ADDRESS_BYTES];
   char failure_domain[BT_NAME_BYTES];
   int32_t slots;            /**< Requests that it runs at a time. */
   bool leaving;             /**< It takes no new work and ends soon. */
   int64_t created_revision; /**< The store's when the entry was made. */
+  int64_t started_ms;       /**< When it started, in Unix time; 0: it does not say. */
 } bt_listed_endpoint_t;
 
 /** What a caller's headers say of a request. */
--- a/source/gateway/agent_news.c
+++ b/source/gateway/agent_news.c
@@ -103,7 +103,7 @@
   load.slots = get_slots (gateway, news, listed, declarations, app);
   load.age_ms = now_ms - news->heard_ms;
   bt_record_duration (gateway->timings.load_age, load.age_ms);
-  bt_identify_endpoint (listed->id, &identity);
+  bt_identify_endpoint (listed, &identity);
   bt_record_load (gateway->router, &identity, &load, now_ms);
   bt_set_endpoint_shut (gateway->router, &identity,
                         news->report.group[0] != '\0' && !news->report.maps.open);
--- a/source/gateway/endpoint_table.c
+++ b/source/gateway/endpoint_table.c
@@ -12,8 +12,6 @@
   /* One that left just then is missing as well, and is to get nothing two seconds later. An entry
    * that had been cut off alone went on sending to it for 2.02 s. */
   MISSING_MS = 1800,
-  /* An id names one start of an endpoint, so that its incarnation says nothing more. */
-  ONLY_INCARNATION = 1,
 };
 
 /** One endpoint. */
@@ -22,6 +20,7 @@
   bt_listed_endpoint_t listed;
   bool gone;          /* it was found to be gone; it stays out while the same entry is listed */
   int64_t missing_ms; /* since when the store does not list it; 0: it does */
+  int64_t old_ms;     /* the earlier start that was passed over last; 0: none */
 } table_row_t;
 
 struct bt_endpoint_table
@@ -34,11 +33,11 @@
 };
 
 void
-bt_identify_endpoint (const char *id, bt_identity_t *identity)
+bt_identify_endpoint (const bt_listed_endpoint_t *listed, bt_identity_t *identity)
 {
   memset (identity, 0, sizeof *identity);
-  bt_copy_name (identity->instance, id);
-  identity->incarnation = ONLY_INCARNATION;
+  bt_copy_name (identity->instance, listed->id);
+  identity->incarnation = (uint64_t)listed->started_ms;
 }
 
 bt_endpoint_table_t *
@@ -79,10 +78,14 @@
 const bt_listed_endpoint_t *
 bt_find_endpoint_at (const bt_endpoint_table_t *table, const char *address)
 {
+  const bt_listed_endpoint_t *latest = NULL;
+
+  /* While one that is missing is kept, the next at its address is listed already. */
   for (int32_t i = table->count - 1; i >= 0; i--)
-    if (!table->rows[i].gone && strcmp (table->rows[i].listed.address, address) == 0)
-      return &table->rows[i].listed;
-  return NULL;
+    if (!table->rows[i].gone && strcmp (table->rows[i].listed.address, address) == 0
+        && (latest == NULL || table->rows[i].listed.started_ms > latest->started_ms))
+      latest = &table->rows[i].listed;
+  return latest;
 }
 
 static bool
@@ -104,7 +107,7 @@
   bt_endpoint_t endpoint = { 0 };
   bt_load_t load = { .slots = listed->slots };
 
-  bt_identify_endpoint (listed->id, &endpoint.identity);
+  bt_identify_endpoint (listed, &endpoint.identity);
   bt_copy_name (endpoint.name, listed->id);
   bt_copy_name (endpoint.app, listed->app);
   bt_copy_name (endpoint.failure_domain, listed->failure_domain);
@@ -121,6 +124,45 @@
                 listed->app, "address", listed->address);
 }
 
+static void
+take_from_router (bt_context_t *ctx, bt_endpoint_table_t *table, const bt_listed_endpoint_t *listed)
+{
+  bt_identity_t identity;
+
+  bt_identify_endpoint (listed, &identity);
+  bt_remove_endpoint (ctx, table->router, &identity);
+}
+
+/* The news of a start that has ended may come late: what that process wrote last, or what another
+ * writer kept. Were it believed, requests would be judged by a process that is no more. */
+static void
+pass_over (bt_context_t *ctx, table_row_t *row, const bt_listed_endpoint_t *listed)
+{
+  row->missing_ms = 0;
+  if (row->old_ms == listed->started_ms && row->old_ms != 0)
+    return;
+  row->old_ms = listed->started_ms;
+  bt_log_event (ctx, BT_LOG_WARNING, "endpoint-old-start", "{s:s, s:I, s:I}", "endpoint",
+                listed->id, "started_ms", (json_int_t)listed->started_ms, "known_ms",
+                (json_int_t)row->listed.started_ms);
+}
+
+/* An endpoint that was started anew knows nothing of before: its requests are lost, its slots free,
+ * and what made it slow or gone may have ended with the process. The router would keep the record
+ * of its failures, so the earlier start is taken out first. */
+static void
+forget_start (bt_context_t *ctx,
+              bt_endpoint_table_t *table,
+              table_row_t *row,
+              const bt_listed_endpoint_t *listed)
+{
+  bt_log_event (ctx, BT_LOG_INFO, "endpoint-restarted", "{s:s, s:I, s:I}", "endpoint", listed->id,
+                "started_ms", (json_int_t)listed->started_ms, "before_ms",
+                (json_int_t)row->listed.started_ms);
+  take_from_router (ctx, table, &row->listed);
+  memset (row, 0, sizeof *row);
+}
+
 static void
 put_row (bt_context_t *ctx,
          bt_endpoint_table_t *table,
@@ -130,7 +172,17 @@
   table_row_t *row = find_row (table, listed->id);
   bool fresh = row == NULL;
 
-  if (fresh)
+  if (!fresh && listed->started_ms < row->listed.started_ms)
+    {
+      pass_over (ctx, row, listed);
+      return;
+    }
+  if (!fresh && listed->started_ms > row->listed.started_ms)
+    {
+      forget_start (ctx, table, row, listed);
+      fresh = true;
+    }
+  else if (fresh)
     {
       if (table->count == table->room)
         {
@@ -138,7 +190,7 @@
           table->rows = bt_realloc (ctx, table->rows, (size_t)table->room, sizeof *table->rows);
         }
       row = &table->rows[table->count++];
-      row->gone = false;
+      memset (row, 0, sizeof *row);
       tell_endpoint (ctx, "endpoint-listed", listed);
     }
   else if (listed->leaving && !row->listed.leaving)
@@ -149,15 +201,6 @@
     put_in_router (ctx, table, listed, fresh, now_ms);
 }
 
-static void
-take_from_router (bt_context_t *ctx, bt_endpoint_table_t *table, const char *id)
-{
-  bt_identity_t identity;
-
-  bt_identify_endpoint (id, &identity);
-  bt_remove_endpoint (ctx, table->router, &identity);
-}
-
 /* Until when an endpoint that is missing is kept. */
 static int64_t
 get_keep_end_ms (const bt_endpoint_table_t *table, const table_row_t *row)
@@ -197,7 +240,7 @@
           continue;
         }
       tell_endpoint (ctx, "endpoint-gone", &row->listed);
-      take_from_router (ctx, table, row->listed.id);
+      take_from_router (ctx, table, &row->listed);
       *row = table->rows[--table->count];
     }
   return again_ms;
@@ -210,13 +253,16 @@
 }
 
 void
-bt_remove_listed_endpoint (bt_context_t *ctx, bt_endpoint_table_t *table, const char *id)
+bt_remove_listed_endpoint (bt_context_t *ctx,
+                           bt_endpoint_table_t *table,
+                           const bt_identity_t *identity)
 {
-  table_row_t *row = find_row (table, id);
+  table_row_t *row = find_row (table, identity->instance);
 
-  if (row == NULL || row->gone)
+  /* The refusal may be of a request that was sent before the endpoint was started anew. */
+  if (row == NULL || row->gone || (uint64_t)row->listed.started_ms != identity->incarnation)
     return;
   row->gone = true;
   tell_endpoint (ctx, "endpoint-replaced", &row->listed);
-  take_from_router (ctx, table, id);
+  take_from_router (ctx, table, &row->listed);
 }
--- a/source/gateway/endpoint_table.h
+++ b/source/gateway/endpoint_table.h
@@ -15,9 +15,11 @@
 /** NULL is accepted. */
 void bt_drop_endpoint_table (bt_context_t *ctx, bt_endpoint_table_t *table);
 
-/** Takes in a view. An endpoint that is missing is taken out; but for some seconds after the store
- * came back it is kept, since it may only have lapsed with the store. Returns when to call again
- * with the same view, or 0. */
+/** Takes in a view. An endpoint that was started anew under its id is another one: all that was
+ * believed of its earlier start is forgotten, and news of an earlier start than the one that is
+ * known is passed over. An endpoint that is missing is taken out; but for some seconds after the
+ * store came back it is kept, since it may only have lapsed with the store. Returns when to call
+ * again with the same view, or 0. */
 int64_t bt_apply_listed_endpoints (bt_context_t *ctx,
                                    bt_endpoint_table_t *table,
                                    const bt_view_t *view,
@@ -30,14 +32,17 @@
 const bt_listed_endpoint_t *bt_find_listed_endpoint (const bt_endpoint_table_t *table,
                                                      const char *id);
 
-/** The endpoint at an address, that of the newest entry; NULL when there is none. */
+/** The endpoint at an address, the one that started last; NULL when there is none. */
 const bt_listed_endpoint_t *bt_find_endpoint_at (const bt_endpoint_table_t *table,
                                                  const char *address);
 
-/** Takes an endpoint out that is known to be gone, until the store lists it anew. */
-void bt_remove_listed_endpoint (bt_context_t *ctx, bt_endpoint_table_t *table, const char *id);
+/** Takes one start of an endpoint out that is known to be gone, until the store lists it anew.
+ * Nothing happens when another start is listed by now. */
+void bt_remove_listed_endpoint (bt_context_t *ctx,
+                                bt_endpoint_table_t *table,
+                                const bt_identity_t *identity);
 
-/** The router's identity of an endpoint. Its id names one start already. */
-void bt_identify_endpoint (const char *id, bt_identity_t *identity);
+/** The router's identity of an endpoint: its id and its start. */
+void bt_identify_endpoint (const bt_listed_endpoint_t *listed, bt_identity_t *identity);
 
 #endif
--- a/source/gateway/forward_send.c
+++ b/source/gateway/forward_send.c
@@ -225,7 +225,7 @@
   if (verdict.may_have_run)
     forward->runs++;
   if (verdict.endpoint_gone)
-    bt_remove_listed_endpoint (gateway->ctx, gateway->endpoints, forward->route.identity.instance);
+    bt_remove_listed_endpoint (gateway->ctx, gateway->endpoints, &forward->route.identity);
   if (verdict.next == BT_NEXT_PASS && !rights.answer_started)
     {
       pass_answer (forward);
@@ -381,7 +381,12 @@
   int64_t retry_after_ms;
   bt_reason_t reason = BT_REASON_DEADLINE_UNREACHABLE;
 
-  if (forward->end_ms - now_ms >= LEAST_SEND_MS)
+  /* A process that was started anew under its id looks like an endpoint that was not tried yet. It
+   * may have taken this request already, under the start that was listed then: what may have run
+   * and must run once goes nowhere any more, whatever is listed. */
+  if (forward->runs > 0 && !bt_is_forward_repeatable (forward))
+    reason = BT_REASON_ENGINE_FAILED;
+  else if (forward->end_ms - now_ms >= LEAST_SEND_MS)
     reason =
         bt_choose_endpoint (gateway->router, &request, now_ms, &forward->route, &retry_after_ms);
   if (reason == BT_REASON_NONE)
--- a/source/gateway/view.c
+++ b/source/gateway/view.c
@@ -136,13 +136,24 @@
                   "message", error.message);
 }
 
-/* Of two entries at one address the one that was made first is of a start that has ended: the entry
- * of a process that lost power stays until it lapses, seconds after the next start was listed. */
+/* One process listens at an address, so of two starts there the earlier one has ended. An entry
+ * that is written again by a later start of its id keeps its place in the store: where both say
+ * when they started, that decides, and else which entry was made first. */
+static bool
+is_earlier_start (const bt_listed_endpoint_t *one, const bt_listed_endpoint_t *other)
+{
+  if (one->started_ms != 0 && other->started_ms != 0 && one->started_ms != other->started_ms)
+    return one->started_ms < other->started_ms;
+  return one->created_revision < other->created_revision;
+}
+
+/* The entry of a process that lost power stays until it lapses, seconds after the next start at its
+ * address was listed. */
 static bool
 is_replaced (const bt_view_t *view, const bt_listed_endpoint_t *endpoint)
 {
   for (int32_t i = 0; i < view->endpoint_count; i++)
-    if (view->endpoints[i].created_revision > endpoint->created_revision
+    if (is_earlier_start (endpoint, &view->endpoints[i])
         && strcmp (view->endpoints[i].address, endpoint->address) == 0)
       return true;
   return false;
--- a/test/process/harness_gateway.c
+++ b/test/process/harness_gateway.c
@@ -7,6 +7,7 @@
 #include <string.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
+#include <time.h>
 #include <unistd.h>
 
 #include "bilberrytray/base/clock.h"
@@ -20,6 +21,7 @@
   OK = 200,
   POLL_MS = 10,
   MS_PER_S = 1000,
+  NS_PER_MS = 1000000,
   FIRST_PORT = 11000,
   PORT_SPAN = 1000,
   PORT_SLOTS = 10,
@@ -93,6 +95,15 @@
   return pid;
 }
 
+static void
+end_process (pid_t pid)
+{
+  if (pid <= 0)
+    return;
+  kill (pid, SIGKILL);
+  waitpid (pid, NULL, 0);
+}
+
 static pid_t
 start_standin (bt_field_t *field, const char *program, const char *name, int32_t port)
 {
@@ -159,9 +170,10 @@
   bt_write_runner_id (field, index, id, sizeof id);
   snprintf (key, sizeof key, "servers/%s", id);
   snprintf (value, sizeof value,
-            "{\"service\":\"svc\",\"address\":\"127.0.0.1:%d\",\"zone\":\"a\",\"slots\":8,"
-            "\"state\":\"%s\"}",
-            port == 0 ? field->runner_ports[index] : port, state);
+            "{\"service\":\"svc\",\"address\":\"127.0.0.1:%d\",\"zone\":\"a\",\"version\":\"v1\","
+            "\"slots\":8,\"state\":\"%s\",\"cold_left_ms\":0,\"sequence\":1,\"born\":%lld}",
+            port == 0 ? field->runner_ports[index] : port, state,
+            (long long)field->runner_born[index]);
   return bt_put_field_item (field, key, value);
 }
 
@@ -219,25 +231,55 @@
 void
 bt_write_runner_id (const bt_field_t *field, int32_t index, char *id, size_t room)
 {
-  if (field->runner_starts[index] <= 1)
+  if (field->runner_ids[index] <= 1)
     snprintf (id, room, "i-%d", index);
   else
-    snprintf (id, room, "i-%d-%d", index, field->runner_starts[index] - 1);
+    snprintf (id, room, "i-%d-%d", index, field->runner_ids[index] - 1);
 }
 
-bool
-bt_start_runner_process (bt_field_t *field, int32_t index)
+/* A start is later than the one before also where both fall into one millisecond. */
+static void
+note_start (bt_field_t *field, int32_t index)
+{
+  struct timespec now;
+  int64_t now_ms;
+
+  clock_gettime (CLOCK_REALTIME, &now);
+  now_ms = (int64_t)now.tv_sec * MS_PER_S + now.tv_nsec / NS_PER_MS;
+  field->runner_born[index] =
+      now_ms > field->runner_born[index] ? now_ms : field->runner_born[index] + 1;
+}
+
+static bool
+start_runner (bt_field_t *field, int32_t index)
 {
   char id[TEXT_BYTES];
+  char born[TEXT_BYTES];
 
-  field->runner_starts[index]++;
+  note_start (field, index);
   bt_write_runner_id (field, index, id, sizeof id);
+  snprintf (born, sizeof born, "%lld", (long long)field->runner_born[index]);
   setenv ("RUNNER_ID", id, 1);
+  setenv ("RUNNER_BORN", born, 1);
   field->runners[index] =
       start_standin (field, "standin-haiyun_runner", id, field->runner_ports[index]);
   return wait_for_port (field->runner_ports[index]);
 }
 
+bool
+bt_start_runner_process (bt_field_t *field, int32_t index)
+{
+  field->runner_ids[index]++;
+  return start_runner (field, index);
+}
+
+bool
+bt_restart_runner_process (bt_field_t *field, int32_t index)
+{
+  end_process (field->runners[index]);
+  return start_runner (field, index);
+}
+
 static pid_t
 start_hop (
     bt_field_t *field, const char *kind, int32_t index, int32_t hop_port, int32_t target_port)
@@ -342,15 +384,6 @@
   return start_field (gateways, runners, true, configuration);
 }
 
-static void
-end_process (pid_t pid)
-{
-  if (pid <= 0)
-    return;
-  kill (pid, SIGKILL);
-  waitpid (pid, NULL, 0);
-}
-
 void
 bt_drop_field (bt_field_t *field, bool failed)
 {
--- a/test/process/harness_gateway.h
+++ b/test/process/harness_gateway.h
@@ -22,7 +22,8 @@
   int32_t gateway_count;
   int32_t runner_count;
   pid_t runners[BT_FIELD_MOST_RUNNERS];
-  int32_t runner_starts[BT_FIELD_MOST_RUNNERS]; /**< Each start has another id. */
+  int32_t runner_ids[BT_FIELD_MOST_RUNNERS];  /**< How many ids each had. */
+  int64_t runner_born[BT_FIELD_MOST_RUNNERS]; /**< When each started last, Unix milliseconds. */
   pid_t
       runner_hops[BT_FIELD_MOST_RUNNERS]; /**< Before each runner; 0: callers reach it directly. */
   int32_t runner_hop_ports[BT_FIELD_MOST_RUNNERS];
@@ -53,6 +54,10 @@
  * number 2 is "i-2", the next "i-2-1". Does not list it. */
 bool bt_start_runner_process (bt_field_t *field, int32_t index);
 
+/** Kills a runner and starts it again under the id that it had, with a later start. Does not list
+ * it. */
+bool bt_restart_runner_process (bt_field_t *field, int32_t index);
+
 /** The id of the runner's last start. */
 void bt_write_runner_id (const bt_field_t *field, int32_t index, char *id, size_t room);
 
--- a/test/standin/haiyun_runner/main.c
+++ b/test/standin/haiyun_runner/main.c
@@ -1,10 +1,12 @@
 /** @file
- * A stand-in for a runner of the users' platform, named by the variable RUNNER_ID. A path with
+ * A stand-in for a runner of the users' platform, named by the variable RUNNER_ID and started at
+ * the Unix millisecond in RUNNER_BORN. A path with
  * "/stream/" is answered with EVENTS numbered events, any other with one line; each run is logged.
  *
+ *   GET /v1/report  what it says of itself
  *   GET /log      {"runs":[{"request":..., "path":..., "account":..., "deadline":..., "last":...}]}
  *   POST /fault   see standin_http.h: "full", "fail", "cut" (after some events, or before any
- * answer), "unmarked", "slow"
+ * answer), "unmarked", "slow", "late" (it runs, and answers only after seconds)
  */
 
 #include <jansson.h>
@@ -25,11 +27,13 @@
   BLOCK_BYTES = 256,
   PAUSE_NS = 15000000,
   BASE_TEN = 10,
+  LATE_S = 4,
 };
 
 typedef struct runner
 {
   const char *id;
+  long long born;
   pthread_mutex_t lock; /**< Guards runs. */
   json_t *runs;
 } runner_t;
@@ -112,9 +116,12 @@
   bool stream = strstr (request->url, "/stream/") != NULL;
   bool resumed = get_header (request, "Last-Event-Id")[0] != '\0';
   bool cut = strcmp (fault, "cut") == 0 || (strcmp (fault, "cut-first") == 0 && !resumed);
+  struct timespec late = { LATE_S, 0 };
   char text[EVENT_BYTES];
 
   note_run (runner, request);
+  if (strcmp (fault, "late") == 0)
+    nanosleep (&late, NULL);
   if (cut && !stream)
     {
       answer->drop = true;
@@ -141,6 +148,17 @@
   MHD_add_response_header (answer->response, "Bilberrytray-Not-Executed", "1");
 }
 
+static char *
+write_report (const runner_t *runner)
+{
+  json_t *report = json_pack ("{s:I, s:s, s:i, s:i, s:i}", "born", (json_int_t)runner->born,
+                              "stage", "unified", "sequence", 0, "queued", 0, "running", 0);
+  char *text = json_dumps (report, JSON_COMPACT);
+
+  json_decref (report);
+  return text;
+}
+
 static void
 answer_request (void *data,
                 bt_standin_t *standin,
@@ -162,6 +180,11 @@
       json_decref (log);
       return;
     }
+  if (strcmp (request->url, "/v1/report") == 0)
+    {
+      answer->body = write_report (runner);
+      return;
+    }
   bt_take_standin_fault (standin, request->url, fault);
   if (strcmp (wanted, runner->id) != 0)
     refuse (answer, MHD_HTTP_MISDIRECTED_REQUEST);
@@ -174,7 +197,9 @@
 int
 main (int argc, char **argv)
 {
-  runner_t runner = { getenv ("RUNNER_ID"), PTHREAD_MUTEX_INITIALIZER, json_array () };
+  const char *born = getenv ("RUNNER_BORN");
+  runner_t runner = { getenv ("RUNNER_ID"), born == NULL ? 0 : strtoll (born, NULL, BASE_TEN),
+                      PTHREAD_MUTEX_INITIALIZER, json_array () };
   bt_standin_routes_t routes = { &runner, answer_request, NULL };
   int status;
 
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -133,7 +133,7 @@
 sleep 0.5
 put() { curl -sf -X POST -d "$2" "http://127.0.0.1:$((base + 60))/control/put?key=$1" >/dev/null; }
 for i in 1 2; do
-  put "servers/i-$i" "{\"service\":\"drafts\",\"address\":\"127.0.0.1:$((base + 60 + i))\",\"zone\":\"a\",\"slots\":8,\"state\":\"ready\"}"
+  put "servers/i-$i" "{\"service\":\"drafts\",\"address\":\"127.0.0.1:$((base + 60 + i))\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"cold_left_ms\":0,\"sequence\":1,\"born\":$(date +%s%3N)}"
 done
 put op/config '{"version":1,"services":[{"name":"drafts"}],"tenants":[{"name":"buyer","api_keys":["demo-key"]}],"routes":[{"name":"drafts","host":"shop.example","prefix":"/stream/","kind":"streaming","resumable":true,"service":"drafts","timeout_ms":8000,"max_attempts":2}]}'
 start gateway "$build/bilberryd" gateway --instance gateway-1 --failure-domain a \
