--- a/source/base/address.c
+++ b/source/base/address.c
@@ -32,3 +32,12 @@
   address->sin_port = htons ((uint16_t)port);
   return inet_pton (AF_INET, host, &address->sin_addr) == 1;
 }
+
+bool
+bt_is_peer_address (const char *text)
+{
+  struct sockaddr_in address;
+
+  return strspn (text, "0123456789.:") == strlen (text) && bt_parse_address (text, &address)
+         && address.sin_port != 0 && address.sin_addr.s_addr != htonl (INADDR_ANY);
+}
--- a/source/gateway/store_follower.c
+++ b/source/gateway/store_follower.c
@@ -111,17 +111,12 @@
   post_news (follower, NULL, there);
 }
 
-/* The watching thread keeps what it needs to recognise an unchanged configuration. */
+/* The watching thread keeps what it needs to recognise what is unchanged. */
 static void
 remember (bt_store_follower_t *follower, const bt_view_t *view)
 {
-  bt_view_t *copy = bt_calloc (follower->ctx, 1, sizeof *copy);
-
-  copy->revision = view->revision;
-  copy->configuration_revision = view->configuration_revision;
-  copy->declarations = bt_keep_declarations (view->declarations);
   bt_drop_view (follower->ctx, follower->last);
-  follower->last = copy;
+  follower->last = bt_copy_view_memory (follower->ctx, view);
 }
 
 /** What becomes of the items. */
--- a/source/gateway/view.c
+++ b/source/gateway/view.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "bilberrytray/base/address.h"
 #include "bilberrytray/base/event_log.h"
 
 enum
@@ -47,31 +48,101 @@
   return strncmp (text, prefix, strlen (prefix)) == 0;
 }
 
-static void
+/* Copies a text that fits; false when there is none. */
+static bool
 copy_field (char *target, size_t room, const json_t *object, const char *field)
 {
   const char *text = json_string_value (json_object_get (object, field));
 
-  snprintf (target, room, "%s", text == NULL ? "" : text);
+  if (text == NULL || strlen (text) >= room)
+    return false;
+  memcpy (target, text, strlen (text) + 1);
+  return true;
+}
+
+static bool
+read_incarnation (const json_t *object, uint64_t *incarnation)
+{
+  char text[HEX_BYTES];
+  char *end;
+
+  if (!copy_field (text, sizeof text, object, "incarnation"))
+    return false;
+  *incarnation = strtoull (text, &end, HEX_BASE);
+  return end != text && *end == '\0';
+}
+
+/* An address that callers are told, or that is dialled, must be one. That of links may be empty. */
+static bool
+read_entry_object (const json_t *object, bt_listed_entry_t *entry)
+{
+  return read_incarnation (object, &entry->identity.incarnation)
+         && copy_field (entry->callers, sizeof entry->callers, object, "callers")
+         && copy_field (entry->links, sizeof entry->links, object, "links")
+         && copy_field (entry->failure_domain, sizeof entry->failure_domain, object,
+                        "failure_domain")
+         && bt_is_peer_address (entry->callers)
+         && (entry->links[0] == '\0' || bt_is_peer_address (entry->links));
 }
 
 static bool
 read_entry (const bt_kv_pair_t *pair, bt_listed_entry_t *entry)
 {
+  const char *instance = pair->key + strlen (entry_prefix);
   json_t *object = json_loadb (pair->value, pair->value_bytes, 0, NULL);
-  char incarnation[HEX_BYTES];
+  bool good;
 
-  if (object == NULL)
-    return false;
   memset (entry, 0, sizeof *entry);
-  bt_copy_name (entry->identity.instance, pair->key + strlen (entry_prefix));
-  copy_field (incarnation, sizeof incarnation, object, "incarnation");
-  entry->identity.incarnation = strtoull (incarnation, NULL, HEX_BASE);
-  copy_field (entry->callers, sizeof entry->callers, object, "callers");
-  copy_field (entry->links, sizeof entry->links, object, "links");
-  copy_field (entry->failure_domain, sizeof entry->failure_domain, object, "failure_domain");
+  good = instance[0] != '\0' && strlen (instance) < sizeof entry->identity.instance
+         && read_entry_object (object, entry);
+  bt_copy_name (entry->identity.instance, instance);
   json_decref (object);
-  return true;
+  return good;
+}
+
+/* True when the view before left the same item out at the same revision. Items come in the same
+ * order each time, so the search goes on where it ended last. */
+static bool
+is_told (const bt_view_t *before, const bt_kv_pair_t *pair, int32_t *at)
+{
+  for (int32_t i = 0; before != NULL && i < before->foreign_count; i++)
+    {
+      int32_t index = (*at + i) % before->foreign_count;
+      const bt_foreign_item_t *item = &before->foreign[index];
+
+      if (item->revision != pair->mod_revision || strcmp (item->key, pair->key) != 0)
+        continue;
+      *at = index + 1;
+      return true;
+    }
+  return false;
+}
+
+/** A view while it is made. */
+typedef struct view_draft
+{
+  bt_context_t *ctx;
+  bt_view_t *view;
+  const bt_view_t *before;
+  int32_t told_at;
+} view_draft_t;
+
+/* Another writer may write anything at any rate, and a view is made with each change: were each
+ * item told of each time, the log would hold nothing else. */
+static void
+leave_out (view_draft_t *draft, const bt_kv_pair_t *pair, const char *event, const char *message)
+{
+  bt_view_t *view = draft->view;
+  bt_foreign_item_t *item;
+
+  view->foreign = bt_realloc (draft->ctx, view->foreign, (size_t)view->foreign_count + 1,
+                              sizeof *view->foreign);
+  item = &view->foreign[view->foreign_count++];
+  item->key = bt_strdup (draft->ctx, pair->key);
+  item->revision = pair->mod_revision;
+  if (!is_told (draft->before, pair, &draft->told_at))
+    bt_log_event (draft->ctx, BT_LOG_WARNING, event, "{s:s, s:I, s:s}", "key", pair->key,
+                  "revision", (json_int_t)pair->mod_revision, "message", message);
 }
 
 static void
@@ -116,24 +187,50 @@
   bt_drop_findings (ctx, findings);
 }
 
-static void
-read_listed_endpoint (bt_context_t *ctx,
-                      const bt_platform_t *platform,
-                      const bt_kv_pair_t *pair,
-                      bt_view_t *view)
+/* An app that is not declared has no callers. Its entry must not hold the address of an endpoint
+ * that has some. While nothing is declared there is nothing to tell them apart by. */
+static bool
+is_app_declared (const bt_view_t *view, const char *app)
 {
-  bt_error_t error = { 0 };
+  return view->declarations == NULL || bt_find_app (view->declarations, app) >= 0;
+}
 
+static void
+read_listed_endpoint (view_draft_t *draft, const bt_platform_t *platform, const bt_kv_pair_t *pair)
+{
+  bt_view_t *view = draft->view;
   bt_listed_endpoint_t *endpoint = &view->endpoints[view->endpoint_count];
+  bt_error_t error = { 0 };
 
-  if (platform->vtable->read_endpoint (pair->key, pair->value, pair->value_bytes, endpoint, &error))
+  if (!platform->vtable->read_endpoint (pair->key, pair->value, pair->value_bytes, endpoint,
+                                        &error))
+    leave_out (draft, pair, "endpoint-unreadable", error.message);
+  else if (!is_app_declared (view, endpoint->app))
+    leave_out (draft, pair, "endpoint-unreadable", "The configuration does not name its service.");
+  else
     {
       endpoint->created_revision = pair->create_revision;
       view->endpoint_count++;
     }
-  else
-    bt_log_event (ctx, BT_LOG_WARNING, "endpoint-unreadable", "{s:s, s:s}", "key", pair->key,
-                  "message", error.message);
+}
+
+/* Reads what lies beside the configuration, which says which endpoints there may be. */
+static void
+read_item (view_draft_t *draft, const bt_platform_t *platform, const bt_kv_pair_t *pair)
+{
+  bt_view_t *view = draft->view;
+
+  if (starts_with (pair->key, platform->endpoint_prefix))
+    read_listed_endpoint (draft, platform, pair);
+  else if (starts_with (pair->key, entry_prefix))
+    {
+      if (read_entry (pair, &view->entries[view->entry_count]))
+        view->entry_count++;
+      else
+        leave_out (draft, pair, "entry-unreadable", "It names no entry instance.");
+    }
+  else if (strcmp (pair->key, leader_key) == 0 && pair->value_bytes < sizeof view->leader)
+    memcpy (view->leader, pair->value, pair->value_bytes);
 }
 
 /* One process listens at an address, so of two starts there the earlier one has ended. An entry
@@ -175,29 +272,39 @@
              const bt_view_t *before)
 {
   bt_view_t *view = bt_calloc (ctx, 1, sizeof *view);
+  view_draft_t draft = { ctx, view, before, 0 };
 
   view->revision = range->revision;
   view->read_ms = read_ms;
   view->endpoints = bt_calloc (ctx, (size_t)range->count, sizeof *view->endpoints);
   view->entries = bt_calloc (ctx, (size_t)range->count, sizeof *view->entries);
   for (int32_t i = 0; i < range->count; i++)
-    {
-      const bt_kv_pair_t *pair = &range->pairs[i];
-
-      if (strcmp (pair->key, platform->configuration_key) == 0)
-        read_configuration (ctx, platform, pair, before, view);
-      else if (starts_with (pair->key, platform->endpoint_prefix))
-        read_listed_endpoint (ctx, platform, pair, view);
-      else if (starts_with (pair->key, entry_prefix)
-               && read_entry (pair, &view->entries[view->entry_count]))
-        view->entry_count++;
-      else if (strcmp (pair->key, leader_key) == 0)
-        bt_copy_name (view->leader, pair->value);
-    }
+    if (strcmp (range->pairs[i].key, platform->configuration_key) == 0)
+      read_configuration (ctx, platform, &range->pairs[i], before, view);
+  for (int32_t i = 0; i < range->count; i++)
+    read_item (&draft, platform, &range->pairs[i]);
   drop_replaced (view);
   return view;
 }
 
+bt_view_t *
+bt_copy_view_memory (bt_context_t *ctx, const bt_view_t *view)
+{
+  bt_view_t *copy = bt_calloc (ctx, 1, sizeof *copy);
+
+  copy->revision = view->revision;
+  copy->configuration_revision = view->configuration_revision;
+  copy->declarations = bt_keep_declarations (view->declarations);
+  copy->foreign_count = view->foreign_count;
+  copy->foreign = bt_calloc (ctx, (size_t)view->foreign_count, sizeof *copy->foreign);
+  for (int32_t i = 0; i < view->foreign_count; i++)
+    {
+      copy->foreign[i].key = bt_strdup (ctx, view->foreign[i].key);
+      copy->foreign[i].revision = view->foreign[i].revision;
+    }
+  return copy;
+}
+
 void
 bt_drop_view (bt_context_t *ctx, bt_view_t *view)
 {
@@ -207,5 +314,8 @@
   bt_free (ctx, view->configuration);
   bt_free (ctx, view->endpoints);
   bt_free (ctx, view->entries);
+  for (int32_t i = 0; i < view->foreign_count; i++)
+    bt_free (ctx, view->foreign[i].key);
+  bt_free (ctx, view->foreign);
   bt_free (ctx, view);
 }
--- a/source/gateway/view.h
+++ b/source/gateway/view.h
@@ -17,6 +17,14 @@
   char failure_domain[BT_NAME_BYTES];
 } bt_listed_entry_t;
 
+/** An item under the keys of endpoints or entry instances that names none, as another writer left
+ * it. */
+typedef struct bt_foreign_item
+{
+  char *key;
+  int64_t revision; /**< Of its last change. */
+} bt_foreign_item_t;
+
 typedef struct bt_view
 {
   int64_t revision;                /**< The store's, at the read. */
@@ -29,10 +37,14 @@
   int32_t endpoint_count;
   bt_listed_entry_t *entries;
   int32_t entry_count;
+  bt_foreign_item_t *foreign; /**< In the order of the items; they are told of once a revision. */
+  int32_t foreign_count;
   char leader[BT_NAME_BYTES]; /**< The instance that leads the rank groups; "" for none. */
 } bt_view_t;
 
-/** Makes a view of all items of the store. The declarations of @p before are taken over when the
+/** Makes a view of all items of the store. An item that is not what its key promises is left out,
+ * with a line in the log unless @p before has left out the same; so is an endpoint whose app the
+ * declarations do not name. The declarations of @p before are taken over when the
  * configuration is unchanged, and also when the new one can't be translated: the last good one
  * stays in force. @p before may be NULL. */
 bt_view_t *bt_new_view (bt_context_t *ctx,
@@ -41,6 +53,9 @@
                         int64_t read_ms,
                         const bt_view_t *before);
 
+/** Copies what a later view needs to know of this one: its configuration and what was left out. */
+bt_view_t *bt_copy_view_memory (bt_context_t *ctx, const bt_view_t *view);
+
 /** NULL is accepted. */
 void bt_drop_view (bt_context_t *ctx, bt_view_t *view);
 
--- a/test/gateway/test_view.c
+++ b/test/gateway/test_view.c
@@ -1,6 +1,7 @@
 #include <CUnit/Basic.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "view.h"
 
@@ -112,6 +113,132 @@
   bt_drop_view (ctx, view);
 }
 
+static const char *const configuration =
+    "{\"version\":1,\"services\":[{\"name\":\"svc\"}],\"tenants\":[],\"routes\":[],"
+    "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":65536,\"idle_timeout_ms\":15000}}";
+
+/* Another writer copies a good entry under another key and changes its service to one that nobody
+ * declared. It was made later at the same address: were it believed, the good endpoint would be
+ * taken for an earlier process there and get nothing. The key of the configuration may come last.
+ */
+static void
+test_app_that_is_not_declared_holds_no_address (void)
+{
+  bt_view_t *view;
+
+  start ();
+  add_endpoint ("i-1", "127.0.0.1:1", 300, 10);
+  add_item ("servers/i-2",
+            "{\"service\":\"other\",\"address\":\"127.0.0.1:1\",\"zone\":\"a\",\"version\":\"v1\","
+            "\"slots\":8,\"state\":\"ready\",\"cold_left_ms\":0,\"sequence\":1,\"born\":400}",
+            20);
+  add_item ("servers/i-3", "{\"address\":\"127.0.0.1:1\",\"service\":\"svc\",\"born\":500}", 30);
+  add_item ("op/config", configuration, 40);
+  view = make_view (NULL);
+  CU_ASSERT_PTR_NOT_NULL (view->declarations);
+  CU_ASSERT_EQUAL (view->endpoint_count, 1);
+  CU_ASSERT_TRUE (is_listed (view, "i-1"));
+  CU_ASSERT_EQUAL (view->foreign_count, 2);
+  bt_drop_view (ctx, view);
+}
+
+/* The lines of a log that tell of entries which name no endpoint. */
+static int32_t
+count_lines (FILE *log)
+{
+  char line[2 * VALUE_BYTES];
+  int32_t lines = 0;
+
+  rewind (log);
+  while (fgets (line, sizeof line, log) != NULL)
+    lines += strstr (line, "endpoint-unreadable") != NULL ? 1 : 0;
+  return lines;
+}
+
+/* Runs with what is written to standard output kept. */
+static int32_t
+count_told (int32_t views, int64_t revision_step)
+{
+  bt_view_t *memory = NULL;
+  FILE *log = tmpfile ();
+  int saved = dup (STDOUT_FILENO);
+  int32_t lines;
+
+  fflush (stdout);
+  dup2 (fileno (log), STDOUT_FILENO);
+  for (int32_t i = 0; i < views; i++)
+    {
+      bt_view_t *view = make_view (memory);
+
+      bt_drop_view (ctx, memory);
+      memory = bt_copy_view_memory (ctx, view);
+      bt_drop_view (ctx, view);
+      pairs[1].mod_revision += revision_step;
+    }
+  dup2 (saved, STDOUT_FILENO);
+  close (saved);
+  bt_drop_view (ctx, memory);
+  lines = count_lines (log);
+  fclose (log);
+  return lines;
+}
+
+/* Entries that name no endpoint stay in the store, and a view is made with each change there. On
+ * call one finds one line for each writing of an entry, not one for each view. */
+static void
+test_foreign_entry_is_told_of_once_a_revision (void)
+{
+  start ();
+  add_item ("servers/x-1", "[]", 10);
+  add_item ("servers/x-2", "\xff", 20);
+  add_endpoint ("i-1", "127.0.0.1:1", 300, 30);
+  add_item ("servers/x-3", "{}", 40);
+  CU_ASSERT_EQUAL (count_told (10, 0), 3);
+  CU_ASSERT_EQUAL (count_told (10, 1), 12);
+}
+
+/* Another writer scribbles over the keys of the entry instances. What it wrote would be told to
+ * callers as an address, or dialled; an empty one or another's name would be too. */
+static void
+test_scribbled_entry_names_no_instance (void)
+{
+  static const char *const others[] = {
+    "",
+    "[]",
+    "{}",
+    "\xff\xfe",
+    "{\"incarnation\":\"00000000000000aa\",\"callers\":\"host\",\"links\":\"\","
+    "\"failure_domain\":\"a\"}",
+    "{\"incarnation\":\"00000000000000aa\",\"callers\":7,\"links\":\"\","
+    "\"failure_domain\":\"a\"}",
+    "{\"incarnation\":170,\"callers\":\"10.0.0.1:80\",\"links\":\"\","
+    "\"failure_domain\":\"a\"}",
+    "{\"incarnation\":\"xyz\",\"callers\":\"10.0.0.1:80\",\"links\":\"\","
+    "\"failure_domain\":\"a\"}",
+    "{\"incarnation\":\"00000000000000aa\",\"callers\":\"10.0.0.1:80\",\"links\":\"x\","
+    "\"failure_domain\":\"a\"}"
+  };
+  bt_listed_entry_t entry = { .callers = "10.0.0.2:80", .links = "", .failure_domain = "a" };
+  char *text = bt_write_listed_entry (ctx, &entry);
+  bt_view_t *view;
+
+  for (size_t i = 0; i < sizeof others / sizeof others[0]; i++)
+    {
+      start ();
+      add_item ("bilberrytray/entries/other", others[i], 10);
+      add_item ("bilberrytray/entries/own", text, 20);
+      add_item ("bilberrytray/maps/groups/controller",
+                "a name that is far too long for any instance, or no name at all: {\"x\":[1,2,3]}",
+                30);
+      view = make_view (NULL);
+      CU_ASSERT_EQUAL (view->entry_count, 1);
+      CU_ASSERT_STRING_EQUAL (view->entries[0].callers, "10.0.0.2:80");
+      CU_ASSERT_STRING_EQUAL (view->leader, "");
+      bt_drop_view (ctx, view);
+    }
+  bt_free (ctx, text);
+}
+
 int
 main (void)
 {
@@ -123,6 +250,9 @@
   suite = CU_add_suite ("view", NULL, NULL);
   CU_ADD_TEST (suite, test_latest_start_holds_the_address);
   CU_ADD_TEST (suite, test_without_starts_the_last_entry_holds_the_address);
+  CU_ADD_TEST (suite, test_app_that_is_not_declared_holds_no_address);
+  CU_ADD_TEST (suite, test_foreign_entry_is_told_of_once_a_revision);
+  CU_ADD_TEST (suite, test_scribbled_entry_names_no_instance);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
--- /dev/null
+++ b/test/platform/test_endpoints.c
@@ -0,0 +1,308 @@
+#include <CUnit/Basic.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "bilberrytray/base/random.h"
+#include "bilberrytray/gateway/platform.h"
+
+enum
+{
+  TEXT_BYTES = 1024,
+  FUZZ_SEEDS = 20000,
+  MOST_CHANGES = 4,
+  BYTE_VALUES = 256,
+};
+
+static const char *const good =
+    "{\"service\":\"svc\",\"address\":\"10.1.0.40:8227\",\"zone\":\"hall\",\"version\":\"v1\","
+    "\"slots\":12,\"state\":\"ready\",\"cold_left_ms\":0,\"stage\":\"unified\","
+    "\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],\"sequence\":4,"
+    "\"born\":1764720000123}";
+
+static bt_listed_endpoint_t endpoint;
+static bt_error_t error;
+
+static bool
+read_bytes (const char *key, const char *text, size_t bytes)
+{
+  memset (&error, 0, sizeof error);
+  return bt_get_platform ()->vtable->read_endpoint (key, text, bytes, &endpoint, &error);
+}
+
+static bool
+read_text (const char *text)
+{
+  return read_bytes ("servers/i-1", text, strlen (text));
+}
+
+/* Reads the good entry with one part of it changed. */
+static bool
+read_changed (const char *part, const char *into)
+{
+  char text[TEXT_BYTES];
+  const char *at = strstr (good, part);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (at);
+  snprintf (text, sizeof text, "%.*s%s%s", (int)(at - good), good, into, at + strlen (part));
+  return read_text (text);
+}
+
+/* Expects an entry to name no endpoint, and the log's line to name its key and the field. */
+static void
+expect_refused (const char *part, const char *into, const char *field)
+{
+  bool refused = !read_changed (part, into);
+
+  if (!refused)
+    printf ("\ntaken: %s\n", into);
+  CU_ASSERT_TRUE (refused);
+  CU_ASSERT_PTR_NOT_NULL (strstr (error.message, "servers/i-1"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (error.message, field));
+}
+
+static void
+test_good_entry_is_read (void)
+{
+  CU_ASSERT_TRUE (read_text (good));
+  CU_ASSERT_STRING_EQUAL (endpoint.id, "i-1");
+  CU_ASSERT_STRING_EQUAL (endpoint.app, "svc");
+  CU_ASSERT_STRING_EQUAL (endpoint.address, "10.1.0.40:8227");
+  CU_ASSERT_STRING_EQUAL (endpoint.failure_domain, "hall");
+  CU_ASSERT_EQUAL (endpoint.slots, 12);
+  CU_ASSERT_FALSE (endpoint.leaving);
+  CU_ASSERT_EQUAL (endpoint.started_ms, 1764720000123);
+  CU_ASSERT_TRUE (read_changed ("\"ready\"", "\"draining\""));
+  CU_ASSERT_TRUE (endpoint.leaving);
+}
+
+/* A runner of older software does not say when it started. */
+static void
+test_entry_without_a_start_is_read (void)
+{
+  CU_ASSERT_TRUE (read_changed (",\"born\":1764720000123", ""));
+  CU_ASSERT_EQUAL (endpoint.started_ms, 0);
+}
+
+/* Another writer left entries in which a field is missing. Each of them would name a runner that is
+ * not there, or one without a slot. */
+static void
+test_missing_field_names_no_endpoint (void)
+{
+  expect_refused ("\"service\":\"svc\",", "", "service");
+  expect_refused ("\"address\":\"10.1.0.40:8227\",", "", "address");
+  expect_refused ("\"zone\":\"hall\",", "", "zone");
+  expect_refused ("\"version\":\"v1\",", "", "version");
+  expect_refused ("\"slots\":12,", "", "slots");
+  expect_refused ("\"state\":\"ready\",", "", "state");
+  expect_refused ("\"cold_left_ms\":0,", "", "cold_left_ms");
+  expect_refused ("\"sequence\":4,", "", "sequence");
+}
+
+/* A number that stands as a text was taken for zero before, an object for an empty text. */
+static void
+test_field_of_another_type_names_no_endpoint (void)
+{
+  static const char *const others[] = { "null", "true", "[]",  "{}",    "[\"svc\"]",
+                                        "\"\"", "-1",   "0.5", "1e400", "{\"a\":1}" };
+  static const char *const fields[][2] = {
+    { "\"service\":\"svc\"", "service" }, { "\"address\":\"10.1.0.40:8227\"", "address" },
+    { "\"zone\":\"hall\"", "zone" },      { "\"slots\":12", "slots" },
+    { "\"state\":\"ready\"", "state" },   { "\"sequence\":4", "sequence" },
+    { "\"born\":1764720000123", "born" }
+  };
+  char into[TEXT_BYTES];
+
+  for (size_t i = 0; i < sizeof fields / sizeof fields[0]; i++)
+    for (size_t j = 0; j < sizeof others / sizeof others[0]; j++)
+      {
+        snprintf (into, sizeof into, "\"%s\":%s", fields[i][1], others[j]);
+        /* A number that is none at all makes the whole no JSON. */
+        expect_refused (fields[i][0], into, strcmp (others[j], "1e400") == 0 ? "" : fields[i][1]);
+      }
+  expect_refused ("\"cold_left_ms\":0", "\"cold_left_ms\":\"0\"", "cold_left_ms");
+  expect_refused ("\"version\":\"v1\"", "\"version\":1", "version");
+}
+
+static void
+test_value_out_of_bounds_names_no_endpoint (void)
+{
+  expect_refused ("\"slots\":12", "\"slots\":0", "slots");
+  expect_refused ("\"slots\":12", "\"slots\":\"12\"", "slots");
+  expect_refused ("\"slots\":12", "\"slots\":12.0", "slots");
+  expect_refused ("\"slots\":12", "\"slots\":4294967308", "slots");
+  expect_refused ("\"slots\":12", "\"slots\":99999999999999999999", "");
+  expect_refused ("1764720000123", "0", "born");
+  expect_refused ("1764720000123", "1764720000123.0", "born");
+  expect_refused ("1764720000123", "\"1764720000123\"", "born");
+  expect_refused ("1764720000123", "9223372036854775807", "born");
+  expect_refused ("\"ready\"", "\"starting\"", "state");
+  expect_refused ("\"ready\"", "\"READY\"", "state");
+  expect_refused ("\"ready\"", "\"ready \"", "state");
+}
+
+/* The address is dialled, and the agent's is made of it. */
+static void
+test_address_that_is_none_names_no_endpoint (void)
+{
+  static const char *const others[] = { "10.1.0.40",
+                                        "10.1.0.40:",
+                                        ":8227",
+                                        "10.1.0.40:0",
+                                        "10.1.0.40:65536",
+                                        "10.1.0.40:-1",
+                                        "10.1.0.40:+80",
+                                        "10.1.0.40: 80",
+                                        "10.1.0:80",
+                                        "0.0.0.0:80",
+                                        "host.example:80",
+                                        "http://10.1.0.40:80",
+                                        "10.1.0.40:80/path",
+                                        "10.1.0.400:80",
+                                        "[::1]:80",
+                                        "10.1.0.40:8227:1",
+                                        "10.1.0.40:8227\\r\\nX: y",
+                                        "10.1.0.40:18446744073709551696",
+                                        "10.1.0.40:0000000000000000000000008227" };
+
+  for (size_t i = 0; i < sizeof others / sizeof others[0]; i++)
+    expect_refused ("10.1.0.40:8227", others[i], "address");
+}
+
+/* A name that is cut at its room is another's name; one with a line's end in it would add a header
+ * to what is sent. */
+static void
+test_name_that_is_none_names_no_endpoint (void)
+{
+  char name[2 * BT_NAME_BYTES + 16] = "servers/";
+  size_t prefix = strlen (name);
+
+  memset (name + prefix, 'x', BT_NAME_BYTES);
+  CU_ASSERT_FALSE (read_bytes (name, good, strlen (good)));
+  name[prefix + BT_NAME_BYTES - 1] = '\0';
+  CU_ASSERT_TRUE (read_bytes (name, good, strlen (good)));
+  CU_ASSERT_FALSE (read_bytes ("servers/", good, strlen (good)));
+  CU_ASSERT_FALSE (read_bytes ("servers/i 1", good, strlen (good)));
+  CU_ASSERT_FALSE (read_bytes ("servers/i-1\r\nHost: x", good, strlen (good)));
+  memset (name, 'x', 2 * BT_NAME_BYTES);
+  name[BT_NAME_BYTES] = '\0';
+  expect_refused ("svc", name, "service");
+  expect_refused ("hall", name, "zone");
+  expect_refused ("svc", "s\\nc", "service");
+}
+
+static void
+test_bytes_that_are_no_entry_name_no_endpoint (void)
+{
+  static const char *const others[] = { "",     " ",          "null", "true",
+                                        "12",   "\"ready\"",  "[]",   "{}",
+                                        "{",    "{\"a\":1}x", "\xff", "{\"\xc3(\":1}",
+                                        "[[[[", "\\x00",      "nan",  "}" };
+  char text[TEXT_BYTES];
+  size_t bytes = strlen (good);
+
+  for (size_t i = 0; i < sizeof others / sizeof others[0]; i++)
+    {
+      CU_ASSERT_FALSE (read_text (others[i]));
+      CU_ASSERT_PTR_NOT_NULL (strstr (error.message, "servers/i-1"));
+      CU_ASSERT_PTR_NULL (strchr (error.message, '\xff'));
+    }
+  /* A zero byte behind the entry, within it, and within a name. */
+  memcpy (text, good, bytes);
+  text[bytes] = '\0';
+  CU_ASSERT_FALSE (read_bytes ("servers/i-1", text, bytes + 1));
+  *strstr (text, "svc") = '\0';
+  CU_ASSERT_FALSE (read_bytes ("servers/i-1", text, bytes));
+  expect_refused ("svc", "s\\u0000c", "");
+  /* Which of two would hold? */
+  expect_refused ("\"slots\":12", "\"slots\":12,\"slots\":13", "");
+  for (size_t i = 0; i < bytes; i++)
+    CU_ASSERT_FALSE (read_bytes ("servers/i-1", good, i));
+}
+
+static size_t
+change_bytes (bt_random_t *random, char *text, size_t bytes)
+{
+  int32_t changes = 1 + (int32_t)bt_random_below (random, MOST_CHANGES);
+
+  for (int32_t i = 0; i < changes && bytes > 1; i++)
+    {
+      size_t at = (size_t)bt_random_below (random, bytes);
+      size_t from = (size_t)bt_random_below (random, bytes);
+
+      switch (bt_random_below (random, 4))
+        {
+        case 0:
+          text[at] = (char)bt_random_below (random, BYTE_VALUES);
+          break;
+        case 1:
+          text[at] = text[from];
+          break;
+        case 2:
+          memmove (text + at, text + at + 1, bytes - at - 1);
+          bytes--;
+          break;
+        default:
+          memmove (text + at + 1, text + at, bytes - at);
+          text[at] = "{}[]\",:-0e."[bt_random_below (random, 11)];
+          bytes++;
+        }
+    }
+  return bytes;
+}
+
+/* Whatever bytes stand in an entry: it is refused with a reason, or what it names can be used. */
+static void
+test_changed_bytes_are_refused_or_usable (void)
+{
+  int32_t taken = 0;
+
+  for (uint64_t seed = 1; seed <= FUZZ_SEEDS; seed++)
+    {
+      char text[TEXT_BYTES];
+      size_t bytes = strlen (good);
+      bt_random_t random;
+      bool usable;
+
+      bt_seed_random (&random, seed);
+      memcpy (text, good, bytes);
+      bytes = change_bytes (&random, text, bytes);
+      if (!read_bytes ("servers/i-1", text, bytes))
+        {
+          CU_ASSERT (error.message[0] != '\0');
+          continue;
+        }
+      taken++;
+      usable = endpoint.slots >= 1 && endpoint.slots <= 65536 && endpoint.app[0] != '\0'
+               && endpoint.address[0] != '\0' && strlen (endpoint.address) < BT_ADDRESS_BYTES
+               && endpoint.started_ms >= 0 && strpbrk (endpoint.app, "\r\n ") == NULL;
+      if (!usable)
+        printf ("\nseed %llu: %.*s\n", (unsigned long long)seed, (int)bytes, text);
+      CU_ASSERT_TRUE (usable);
+    }
+  CU_ASSERT (taken > 0);
+  CU_ASSERT (taken < FUZZ_SEEDS);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned failures;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("endpoints", NULL, NULL);
+  CU_ADD_TEST (suite, test_good_entry_is_read);
+  CU_ADD_TEST (suite, test_entry_without_a_start_is_read);
+  CU_ADD_TEST (suite, test_missing_field_names_no_endpoint);
+  CU_ADD_TEST (suite, test_field_of_another_type_names_no_endpoint);
+  CU_ADD_TEST (suite, test_value_out_of_bounds_names_no_endpoint);
+  CU_ADD_TEST (suite, test_address_that_is_none_names_no_endpoint);
+  CU_ADD_TEST (suite, test_name_that_is_none_names_no_endpoint);
+  CU_ADD_TEST (suite, test_bytes_that_are_no_entry_name_no_endpoint);
+  CU_ADD_TEST (suite, test_changed_bytes_are_refused_or_usable);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures == 0 ? 0 : 1;
+}
