--- /dev/null
+++ b/test/agent/test_side.c
@@ -0,0 +1,315 @@
+#include <CUnit/Basic.h>
+#include <arpa/inet.h>
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "bilberrytray/base.h"
+#include "bilberrytray/wire/engine_messages.h"
+#include "bilberrytray/wire/link.h"
+#include "side.h"
+#include "standin_http.h"
+
+enum
+{
+  WAIT_MS = 20000,
+  POLL_MS = 2,
+  REPORT_MS = 20,
+  ACCEPTED = 202,
+  REPORT_BYTES = 256,
+  FENCE = 7,
+};
+
+/** The engine, and what came to it. */
+typedef struct engine
+{
+  atomic_llong born;
+  atomic_bool down;
+  atomic_int refused_calls; /* while it was down */
+  atomic_int orders;
+} engine_t;
+
+/** The entry's end of the link. */
+typedef struct leader
+{
+  bt_link_handler_t handler; /* first */
+  atomic_int up;
+  atomic_llong reported; /* the start in the last report */
+  atomic_llong answered; /* the id of the order answered last */
+  atomic_int result;
+  atomic_llong result_start; /* the start in the report that came with it */
+} leader_t;
+
+static bt_context_t *ctx;
+static engine_t engine;
+static leader_t leader;
+static bt_standin_t *standin;
+static bt_side_t *side;
+static pthread_t side_thread;
+static bt_link_loop_t *loop;
+static bt_link_t *entry_link;
+static uint64_t last_id;
+
+static void
+answer_call (void *data,
+             bt_standin_t *unused,
+             const bt_standin_request_t *request,
+             bt_standin_answer_t *answer)
+{
+  engine_t *self = data;
+
+  (void)unused;
+  answer->drop = atomic_load (&self->down);
+  if (answer->drop)
+    atomic_fetch_add (&self->refused_calls, 1);
+  else if (strcmp (request->url, "/v1/order") == 0)
+    {
+      atomic_fetch_add (&self->orders, 1);
+      answer->status = ACCEPTED;
+    }
+  else
+    {
+      answer->status = MHD_HTTP_OK;
+      answer->body = calloc (REPORT_BYTES, 1);
+      snprintf (
+          answer->body, REPORT_BYTES,
+          "{\"born\":%lld,\"group\":{\"name\":\"g\",\"epoch\":1,\"rank\":0,\"state\":\"open\"},"
+          "\"size\":1,\"sequence\":%d}",
+          atomic_load (&self->born), atomic_load (&self->orders));
+    }
+}
+
+static void
+take_up (bt_link_handler_t *handler, bt_link_t *link)
+{
+  (void)link;
+  atomic_store (&((leader_t *)handler)->up, 1);
+}
+
+static void
+take_frame (bt_link_handler_t *handler, bt_link_t *link, const bt_frame_t *frame)
+{
+  leader_t *self = (leader_t *)handler;
+
+  (void)link;
+  if (frame->body_case == BILBERRY__FRAME__BODY_ENGINE_REPORT)
+    atomic_store (&self->reported, frame->engine_report->started_ms);
+  if (frame->body_case != BILBERRY__FRAME__BODY_ENGINE_RESULT)
+    return;
+  atomic_store (&self->result, (int)frame->engine_result->result);
+  atomic_store (&self->result_start, frame->engine_result->report->started_ms);
+  atomic_store (&self->answered, (long long)frame->engine_result->id);
+}
+
+static void
+take_down (bt_link_handler_t *handler, bt_link_t *link)
+{
+  (void)link;
+  atomic_store (&((leader_t *)handler)->up, 0);
+}
+
+static void
+send_beat (bt_link_handler_t *handler, bt_link_t *link)
+{
+  Bilberry__Heartbeat beat = BILBERRY__HEARTBEAT__INIT;
+  bt_frame_t frame = BILBERRY__FRAME__INIT;
+
+  (void)handler;
+  frame.body_case = BILBERRY__FRAME__BODY_HEARTBEAT;
+  frame.heartbeat = &beat;
+  bt_send_frame (ctx, link, &frame);
+}
+
+static const bt_link_handler_vtable_t vtable = { take_up, take_frame, take_down, send_beat };
+
+static void *
+run_side (void *data)
+{
+  bt_run_side (data);
+  return NULL;
+}
+
+static int
+find_port (void)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET, .sin_addr = { htonl (INADDR_LOOPBACK) } };
+  socklen_t bytes = sizeof address;
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  bind (fd, (struct sockaddr *)&address, sizeof address);
+  getsockname (fd, (struct sockaddr *)&address, &bytes);
+  close (fd);
+  return ntohs (address.sin_port);
+}
+
+static bool
+wait_for (atomic_llong *value, long long wanted)
+{
+  for (int32_t waited_ms = 0; waited_ms < WAIT_MS; waited_ms += POLL_MS)
+    {
+      if (atomic_load (value) == wanted)
+        return true;
+      bt_sleep_ms (POLL_MS);
+    }
+  return false;
+}
+
+static bool
+dial (const char *listen)
+{
+  bt_link_options_t options = { .role = "entry",
+                                .instance = "leader",
+                                .incarnation = 1,
+                                .failure_domain = "a",
+                                .address = "",
+                                .secret = "secret",
+                                .beat_ms = 100,
+                                .idle_ms = 10000,
+                                .opening_ms = 2000,
+                                .max_frame_bytes = 65536,
+                                .max_unsent_bytes = 65536,
+                                .max_links = 4,
+                                .handler = &leader.handler };
+  bt_error_t error = { 0 };
+
+  leader.handler.vtable = &vtable;
+  loop = bt_new_link_loop (ctx, &options, &error);
+  entry_link = bt_dial_link (ctx, loop, listen, listen, &error);
+  for (int32_t waited_ms = 0; waited_ms < WAIT_MS && atomic_load (&leader.up) == 0;
+       waited_ms += POLL_MS)
+    bt_sleep_ms (POLL_MS);
+  return atomic_load (&leader.up) == 1;
+}
+
+static int
+start_suite (void)
+{
+  static char listen[BT_ADDRESS_BYTES];
+  static char address[BT_ADDRESS_BYTES];
+  static bt_side_settings_t settings = { .listen = listen,
+                                         .engine = address,
+                                         .failure_domain = "a",
+                                         .secret = "secret",
+                                         .report_ms = REPORT_MS,
+                                         .others_ms = REPORT_MS,
+                                         .call_ms = 2000,
+                                         .beat_ms = 100,
+                                         .link_idle_ms = 10000,
+                                         .max_links = 4 };
+  bt_standin_routes_t routes = { &engine, answer_call, NULL };
+  bt_error_t error = { 0 };
+
+  ctx = bt_new_context ();
+  standin = bt_start_standin (0, &routes);
+  snprintf (address, sizeof address, "127.0.0.1:%d", bt_get_standin_port (standin));
+  snprintf (listen, sizeof listen, "127.0.0.1:%d", find_port ());
+  atomic_store (&engine.born, 100);
+  side = bt_new_side (ctx, bt_get_engine_platform (), &settings, &error);
+  if (side == NULL || pthread_create (&side_thread, NULL, run_side, side) != 0)
+    return 1;
+  return dial (listen) ? 0 : 1;
+}
+
+static int
+end_suite (void)
+{
+  bt_drop_link (ctx, entry_link);
+  bt_drop_link_loop (ctx, loop);
+  bt_stop_side (side);
+  pthread_join (side_thread, NULL);
+  bt_drop_side (ctx, side);
+  bt_stop_standin (standin);
+  bt_drop_context (ctx);
+  return 0;
+}
+
+/* Orders the engine to let its group go, by what was known of the start at @p started_ms, and waits
+ * for the result. */
+static bt_order_result_t
+order (int64_t started_ms)
+{
+  bt_group_order_t order = { .kind = BT_GROUP_GO,
+                             .id = ++last_id,
+                             .fence = FENCE,
+                             .epoch = 1,
+                             .step = 5,
+                             .started_ms = started_ms };
+  Bilberry__EngineOrder message = BILBERRY__ENGINE_ORDER__INIT;
+  bt_frame_t frame = BILBERRY__FRAME__INIT;
+
+  bt_write_engine_order (&order, &message);
+  frame.body_case = BILBERRY__FRAME__BODY_ENGINE_ORDER;
+  frame.engine_order = &message;
+  CU_ASSERT_TRUE (bt_send_frame (ctx, entry_link, &frame));
+  CU_ASSERT_TRUE (wait_for (&leader.answered, (long long)last_id));
+  return (bt_order_result_t)atomic_load (&leader.result);
+}
+
+static void
+test_order_for_this_start_is_carried_out (void)
+{
+  CU_ASSERT_TRUE (wait_for (&leader.reported, 100));
+  CU_ASSERT_EQUAL (order (100), BT_ORDER_DONE);
+  CU_ASSERT_EQUAL (atomic_load (&engine.orders), 1);
+  /* An older leader does not say. */
+  CU_ASSERT_EQUAL (order (0), BT_ORDER_DONE);
+  CU_ASSERT_EQUAL (atomic_load (&engine.orders), 2);
+}
+
+/* An engine starts again under its id, in the same epoch. Its leader has not heard of it yet and
+ * orders by what the start before had said. The engine gets nothing of it, and the result tells the
+ * leader of the new start. */
+static void
+test_order_for_the_start_before_is_refused (void)
+{
+  int orders = atomic_load (&engine.orders);
+
+  atomic_store (&engine.born, 200);
+  CU_ASSERT_TRUE (wait_for (&leader.reported, 200));
+  CU_ASSERT_EQUAL (order (100), BT_ORDER_REFUSED);
+  CU_ASSERT_EQUAL (atomic_load (&engine.orders), orders);
+  CU_ASSERT_EQUAL (atomic_load (&leader.result_start), 200);
+  CU_ASSERT_EQUAL (order (200), BT_ORDER_DONE);
+  CU_ASSERT_EQUAL (atomic_load (&engine.orders), orders + 1);
+}
+
+/* The engine is away for a moment. It answers again, and an order comes before the agent has read
+ * how it stands: it may be another start by now, so it is asked first. */
+static void
+test_engine_that_was_lost_is_asked_first (void)
+{
+  int orders = atomic_load (&engine.orders);
+  int calls = atomic_load (&engine.refused_calls);
+
+  atomic_store (&engine.down, true);
+  for (int32_t waited_ms = 0;
+       waited_ms < WAIT_MS && atomic_load (&engine.refused_calls) < calls + 3; waited_ms += POLL_MS)
+    bt_sleep_ms (POLL_MS);
+  atomic_store (&engine.born, 300);
+  atomic_store (&engine.down, false);
+  CU_ASSERT_EQUAL (order (200), BT_ORDER_REFUSED);
+  CU_ASSERT_EQUAL (atomic_load (&engine.orders), orders);
+  CU_ASSERT_EQUAL (atomic_load (&leader.result_start), 300);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned failures;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("side", start_suite, end_suite);
+  CU_ADD_TEST (suite, test_order_for_this_start_is_carried_out);
+  CU_ADD_TEST (suite, test_order_for_the_start_before_is_refused);
+  CU_ADD_TEST (suite, test_engine_that_was_lost_is_asked_first);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures == 0 ? 0 : 1;
+}
--- a/test/platform/test_endpoints.c
+++ b/test/platform/test_endpoints.c
@@ -183,7 +183,7 @@
   CU_ASSERT_FALSE (read_bytes ("servers/", good, strlen (good)));
   CU_ASSERT_FALSE (read_bytes ("servers/i 1", good, strlen (good)));
   CU_ASSERT_FALSE (read_bytes ("servers/i-1\r\nHost: x", good, strlen (good)));
-  memset (name, 'x', 2 * BT_NAME_BYTES);
+  memset (name, 'x', sizeof name - 1);
   name[BT_NAME_BYTES] = '\0';
   expect_refused ("svc", name, "service");
   expect_refused ("hall", name, "zone");
@@ -264,7 +264,7 @@
       bool usable;
 
       bt_seed_random (&random, seed);
-      memcpy (text, good, bytes);
+      snprintf (text, sizeof text, "%s", good);
       bytes = change_bytes (&random, text, bytes);
       if (!read_bytes ("servers/i-1", text, bytes))
         {
--- a/test/platform/test_engine.c
+++ b/test/platform/test_engine.c
@@ -167,11 +167,11 @@
 }
 
 static size_t
-change_byte (bt_random_t *random, char *text, const char *good)
+change_byte (bt_random_t *random, char text[TEXT_BYTES], const char *good)
 {
   size_t bytes = strlen (good);
 
-  memcpy (text, good, bytes);
+  snprintf (text, TEXT_BYTES, "%s", good);
   for (int32_t i = 0; i < 3; i++)
     text[bt_random_below (random, bytes)] = bt_random_below (random, 2) == 0
                                                 ? "{}[]\",:-0e."[bt_random_below (random, 11)]
