--- a/test/agent/test_side.c
+++ b/test/agent/test_side.c
@@ -140,8 +140,9 @@
   socklen_t bytes = sizeof address;
   int fd = socket (AF_INET, SOCK_STREAM, 0);
 
-  bind (fd, (struct sockaddr *)&address, sizeof address);
-  getsockname (fd, (struct sockaddr *)&address, &bytes);
+  if (bind (fd, (struct sockaddr *)&address, sizeof address) != 0
+      || getsockname (fd, (struct sockaddr *)&address, &bytes) != 0)
+    address.sin_port = 0;
   close (fd);
   return ntohs (address.sin_port);
 }
