--- a/source/agent/side.c
+++ b/source/agent/side.c
@@ -65,7 +65,7 @@
         *at = row->next;
         bt_add_counter (side->figures.links, -1);
         bt_drop_link (side->ctx, row->link);
-        bt_free (side->ctx, row->base);
+        bt_clear_told_picks (side->ctx, &row->told);
         bt_free (side->ctx, row);
         break;
       }
@@ -147,6 +147,20 @@
 static const bt_link_handler_vtable_t handler_vtable = { take_link_up, take_frame, take_link_down,
                                                          send_beat };
 
+/* True when an order rests on the report of another start of the engine beside this agent. The
+ * count of orders is no guard then, for it comes again. An engine that was lost is asked first. */
+static bool
+is_for_other_start (bt_side_t *side, const bt_side_order_t *waiting)
+{
+  bt_engine_report_t report;
+
+  if (waiting->engine[0] != '\0' || waiting->order.started_ms == 0)
+    return false;
+  if (side->lost && !bt_read_side_state (side, &report))
+    return true;
+  return bt_is_other_engine_start (side->started_ms, waiting->order.started_ms);
+}
+
 /* Carries out one order. An older leader's is refused here too: not every engine checks. Without a
  * report behind the order its effect is not known, and the leader asks again. */
 static void
@@ -158,7 +172,9 @@
   int64_t began_ms = bt_now_ms (side->ctx);
   int32_t status = 0;
 
-  if (order->fence >= side->fence)
+  if (is_for_other_start (side, waiting))
+    result = BT_ORDER_REFUSED;
+  else if (order->fence >= side->fence)
     {
       side->fence = order->fence;
       result =
--- a/source/agent/side_private.h
+++ b/source/agent/side_private.h
@@ -11,6 +11,7 @@
 #include "engine_client.h"
 #include "side.h"
 #include "side_figures.h"
+#include "told_picks.h"
 
 typedef struct bt_side_order bt_side_order_t;
 
@@ -21,10 +22,7 @@
   bool follows;      /* its reports carry picks */
   bool wants_places; /* its next report carries places */
   int64_t next_ms;   /* its next report */
-  bool told;         /* base holds what was told */
-  int64_t epoch;
-  int64_t *base; /* the counts up to which picks were told */
-  int32_t base_count;
+  bt_told_picks_t told;
   struct bt_side_link *next;
 } bt_side_link_t;
 
@@ -36,9 +34,10 @@
   bt_engine_client_t *engine;
   bt_link_loop_t *links_loop;
   int32_t cancelled;
-  bool lost;       /* the engine did not answer last */
-  uint64_t fence;  /* the highest seen */
-  int64_t read_ms; /* when the last report of the engine was asked for */
+  bool lost;          /* the engine did not answer last */
+  int64_t started_ms; /* when it started, as it said last; 0: it did not */
+  uint64_t fence;     /* the highest seen */
+  int64_t read_ms;    /* when the last report of the engine was asked for */
   bt_side_figures_t figures;
   int64_t next_report_ms;
   /* Lock order: taken before any call into a link. */
@@ -50,7 +49,11 @@
   bt_side_order_t **last_order;
 };
 
-/** Reads how the engine stands, and tells when it stops answering or answers again. */
+/** True when two known starts of an engine differ. */
+bool bt_is_other_engine_start (int64_t one_ms, int64_t other_ms);
+
+/** Reads how the engine stands, and tells when it stops answering, answers again or was started
+ * anew. */
 bool bt_read_side_state (bt_side_t *side, bt_engine_report_t *report);
 
 /** Tells who gave an order what became of it. */
--- a/source/agent/side_reports.c
+++ b/source/agent/side_reports.c
@@ -3,6 +3,12 @@
 #include "bilberrytray/base/event_log.h"
 #include "side_private.h"
 
+bool
+bt_is_other_engine_start (int64_t one_ms, int64_t other_ms)
+{
+  return one_ms != 0 && other_ms != 0 && one_ms != other_ms;
+}
+
 bool
 bt_read_side_state (bt_side_t *side, bt_engine_report_t *report)
 {
@@ -16,6 +22,11 @@
     bt_log_event (side->ctx, there ? BT_LOG_INFO : BT_LOG_WARNING,
                   there ? "engine-regained" : "engine-lost", "{s:s}", "message", error.message);
   side->lost = !there;
+  if (there && bt_is_other_engine_start (side->started_ms, report->maps.started_ms))
+    bt_log_event (side->ctx, BT_LOG_INFO, "engine-restarted", "{s:I, s:I}", "started_ms",
+                  (json_int_t)report->maps.started_ms, "before_ms", (json_int_t)side->started_ms);
+  if (there)
+    side->started_ms = report->maps.started_ms;
   return there;
 }
 
@@ -49,37 +60,6 @@
   bt_send_frame (side->ctx, link, &frame);
 }
 
-/* Fills in what was picked since the last report on this link. An engine that was started anew
- * counts from zero again. */
-static void
-add_picks (bt_side_t *side,
-           bt_side_link_t *row,
-           const bt_engine_picks_t *picks,
-           uint32_t *deltas,
-           Bilberry__EngineReport *message)
-{
-  bool anew = !row->told || row->epoch != picks->epoch || row->base_count != picks->count;
-
-  if (anew)
-    {
-      bt_free (side->ctx, row->base);
-      row->base = bt_calloc (side->ctx, (size_t)picks->count, sizeof *row->base);
-      row->base_count = picks->count;
-      memcpy (row->base, picks->counts, (size_t)picks->count * sizeof *row->base);
-    }
-  for (int32_t i = 0; i < picks->count; i++)
-    {
-      int64_t delta = picks->counts[i] - row->base[i];
-
-      deltas[i] = delta > 0 ? (uint32_t)delta : 0;
-      row->base[i] = picks->counts[i];
-    }
-  row->told = true;
-  row->epoch = picks->epoch;
-  message->picks = deltas;
-  message->n_picks = (size_t)picks->count;
-}
-
 /** What one report may carry beside the engine's state. */
 typedef struct extras
 {
@@ -99,8 +79,13 @@
 
   bt_write_engine_report (report, &message);
   if (row->follows && extras->picks.counts != NULL)
-    add_picks (side, row, &extras->picks, extras->deltas, &message);
-  if (row->wants_places && extras->places.places != NULL)
+    {
+      bt_count_new_picks (side->ctx, &row->told, &extras->picks, extras->deltas);
+      message.picks = extras->deltas;
+      message.n_picks = (size_t)extras->picks.count;
+    }
+  if (row->wants_places && extras->places.places != NULL
+      && !bt_is_other_engine_start (extras->places.started_ms, report->maps.started_ms))
     {
       message.has_places = true;
       message.places_epoch = extras->places.epoch;
--- /dev/null
+++ b/test/gateway/test_view.c
@@ -0,0 +1,262 @@
+#include <CUnit/Basic.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "view.h"
+
+enum
+{
+  MOST_ITEMS = 8,
+  VALUE_BYTES = 512,
+};
+
+static bt_context_t *ctx;
+static bt_kv_pair_t pairs[MOST_ITEMS];
+static char keys[MOST_ITEMS][VALUE_BYTES];
+static char values[MOST_ITEMS][VALUE_BYTES];
+static bt_kv_range_t range;
+
+static void
+start (void)
+{
+  memset (pairs, 0, sizeof pairs);
+  memset (&range, 0, sizeof range);
+  range.pairs = pairs;
+}
+
+static void
+add_item (const char *key, const char *value, int64_t created)
+{
+  bt_kv_pair_t *pair = &pairs[range.count];
+
+  snprintf (keys[range.count], VALUE_BYTES, "%s", key);
+  snprintf (values[range.count], VALUE_BYTES, "%s", value);
+  pair->key = keys[range.count];
+  pair->value = values[range.count];
+  pair->value_bytes = strlen (value);
+  pair->create_revision = created;
+  pair->mod_revision = created;
+  range.revision = created;
+  range.count++;
+}
+
+/* Lists an endpoint; @p born 0: it does not say when it started. */
+static void
+add_endpoint (const char *id, const char *address, long long born, int64_t created)
+{
+  char key[VALUE_BYTES];
+  char value[VALUE_BYTES];
+  char start[VALUE_BYTES] = "";
+
+  snprintf (key, sizeof key, "servers/%s", id);
+  if (born != 0)
+    snprintf (start, sizeof start, ",\"born\":%lld", born);
+  snprintf (value, sizeof value,
+            "{\"service\":\"svc\",\"address\":\"%s\",\"zone\":\"a\",\"version\":\"v1\",\"slots\":8,"
+            "\"state\":\"ready\",\"cold_left_ms\":0,\"sequence\":1%.64s}",
+            address, start);
+  add_item (key, value, created);
+}
+
+static bt_view_t *
+make_view (const bt_view_t *before)
+{
+  return bt_new_view (ctx, bt_get_platform (), &range, 1, before);
+}
+
+static bool
+is_listed (const bt_view_t *view, const char *id)
+{
+  for (int32_t i = 0; i < view->endpoint_count; i++)
+    if (strcmp (view->endpoints[i].id, id) == 0)
+      return true;
+  return false;
+}
+
+/* Two processes take turns at one address. The one that listed itself first is started again under
+ * its id: its entry still bears the revision at which it was made. It is the one that answers. */
+static void
+test_latest_start_holds_the_address (void)
+{
+  bt_view_t *view;
+
+  start ();
+  add_endpoint ("i-1", "127.0.0.1:1", 300, 10);
+  add_endpoint ("i-2", "127.0.0.1:1", 200, 20);
+  view = make_view (NULL);
+  CU_ASSERT_TRUE (is_listed (view, "i-1"));
+  CU_ASSERT_FALSE (is_listed (view, "i-2"));
+  bt_drop_view (ctx, view);
+}
+
+/* Endpoints of older software do not say when they started. The entry that was made last is the one
+ * that holds the address, and never are all of them left out. */
+static void
+test_without_starts_the_last_entry_holds_the_address (void)
+{
+  bt_view_t *view;
+
+  start ();
+  add_endpoint ("i-1", "127.0.0.1:1", 0, 10);
+  add_endpoint ("i-2", "127.0.0.1:1", 0, 20);
+  view = make_view (NULL);
+  CU_ASSERT_EQUAL (view->endpoint_count, 1);
+  CU_ASSERT_TRUE (is_listed (view, "i-2"));
+  bt_drop_view (ctx, view);
+  start ();
+  add_endpoint ("i-1", "127.0.0.1:1", 100, 30);
+  add_endpoint ("i-2", "127.0.0.1:1", 0, 20);
+  add_endpoint ("i-3", "127.0.0.1:1", 200, 10);
+  view = make_view (NULL);
+  CU_ASSERT_EQUAL (view->endpoint_count, 1);
+  bt_drop_view (ctx, view);
+}
+
+static const char *const configuration =
+    "{\"version\":1,\"services\":[{\"name\":\"svc\"}],\"tenants\":[],\"routes\":[],"
+    "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":65536,\"idle_timeout_ms\":15000}}";
+
+/* Another writer copies a good entry under another key and changes its service to one that nobody
+ * declared. It was made later at the same address: were it believed, the good endpoint would be
+ * taken for an earlier process there and get nothing. The key of the configuration may come last.
+ */
+static void
+test_app_that_is_not_declared_holds_no_address (void)
+{
+  bt_view_t *view;
+
+  start ();
+  add_endpoint ("i-1", "127.0.0.1:1", 300, 10);
+  add_item ("servers/i-2",
+            "{\"service\":\"other\",\"address\":\"127.0.0.1:1\",\"zone\":\"a\",\"version\":\"v1\","
+            "\"slots\":8,\"state\":\"ready\",\"cold_left_ms\":0,\"sequence\":1,\"born\":400}",
+            20);
+  add_item ("servers/i-3", "{\"address\":\"127.0.0.1:1\",\"service\":\"svc\",\"born\":500}", 30);
+  add_item ("op/config", configuration, 40);
+  view = make_view (NULL);
+  CU_ASSERT_PTR_NOT_NULL (view->declarations);
+  CU_ASSERT_EQUAL (view->endpoint_count, 1);
+  CU_ASSERT_TRUE (is_listed (view, "i-1"));
+  CU_ASSERT_EQUAL (view->foreign_count, 2);
+  bt_drop_view (ctx, view);
+}
+
+/* The lines of a log that tell of entries which name no endpoint. */
+static int32_t
+count_lines (FILE *log)
+{
+  char line[2 * VALUE_BYTES];
+  int32_t lines = 0;
+
+  rewind (log);
+  while (fgets (line, sizeof line, log) != NULL)
+    lines += strstr (line, "endpoint-unreadable") != NULL ? 1 : 0;
+  return lines;
+}
+
+/* Runs with what is written to standard output kept. */
+static int32_t
+count_told (int32_t views, int64_t revision_step)
+{
+  bt_view_t *memory = NULL;
+  FILE *log = tmpfile ();
+  int saved = dup (STDOUT_FILENO);
+  int32_t lines;
+
+  fflush (stdout);
+  dup2 (fileno (log), STDOUT_FILENO);
+  for (int32_t i = 0; i < views; i++)
+    {
+      bt_view_t *view = make_view (memory);
+
+      bt_drop_view (ctx, memory);
+      memory = bt_copy_view_memory (ctx, view);
+      bt_drop_view (ctx, view);
+      pairs[1].mod_revision += revision_step;
+    }
+  dup2 (saved, STDOUT_FILENO);
+  close (saved);
+  bt_drop_view (ctx, memory);
+  lines = count_lines (log);
+  fclose (log);
+  return lines;
+}
+
+/* Entries that name no endpoint stay in the store, and a view is made with each change there. On
+ * call one finds one line for each writing of an entry, not one for each view. */
+static void
+test_foreign_entry_is_told_of_once_a_revision (void)
+{
+  start ();
+  add_item ("servers/x-1", "[]", 10);
+  add_item ("servers/x-2", "\xff", 20);
+  add_endpoint ("i-1", "127.0.0.1:1", 300, 30);
+  add_item ("servers/x-3", "{}", 40);
+  CU_ASSERT_EQUAL (count_told (10, 0), 3);
+  CU_ASSERT_EQUAL (count_told (10, 1), 12);
+}
+
+/* Another writer scribbles over the keys of the entry instances. What it wrote would be told to
+ * callers as an address, or dialled; an empty one or another's name would be too. */
+static void
+test_scribbled_entry_names_no_instance (void)
+{
+  static const char *const others[] = {
+    "",
+    "[]",
+    "{}",
+    "\xff\xfe",
+    "{\"incarnation\":\"00000000000000aa\",\"callers\":\"host\",\"links\":\"\","
+    "\"failure_domain\":\"a\"}",
+    "{\"incarnation\":\"00000000000000aa\",\"callers\":7,\"links\":\"\","
+    "\"failure_domain\":\"a\"}",
+    "{\"incarnation\":170,\"callers\":\"10.0.0.1:80\",\"links\":\"\","
+    "\"failure_domain\":\"a\"}",
+    "{\"incarnation\":\"xyz\",\"callers\":\"10.0.0.1:80\",\"links\":\"\","
+    "\"failure_domain\":\"a\"}",
+    "{\"incarnation\":\"00000000000000aa\",\"callers\":\"10.0.0.1:80\",\"links\":\"x\","
+    "\"failure_domain\":\"a\"}"
+  };
+  bt_listed_entry_t entry = { .callers = "10.0.0.2:80", .links = "", .failure_domain = "a" };
+  char *text = bt_write_listed_entry (ctx, &entry);
+  bt_view_t *view;
+
+  for (size_t i = 0; i < sizeof others / sizeof others[0]; i++)
+    {
+      start ();
+      add_item ("bilberrytray/entries/other", others[i], 10);
+      add_item ("bilberrytray/entries/own", text, 20);
+      add_item ("bilberrytray/maps/groups/controller",
+                "a name that is far too long for any instance, or no name at all: {\"x\":[1,2,3]}",
+                30);
+      view = make_view (NULL);
+      CU_ASSERT_EQUAL (view->entry_count, 1);
+      CU_ASSERT_STRING_EQUAL (view->entries[0].callers, "10.0.0.2:80");
+      CU_ASSERT_STRING_EQUAL (view->leader, "");
+      bt_drop_view (ctx, view);
+    }
+  bt_free (ctx, text);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned failures;
+
+  ctx = bt_new_context ();
+  CU_initialize_registry ();
+  suite = CU_add_suite ("view", NULL, NULL);
+  CU_ADD_TEST (suite, test_latest_start_holds_the_address);
+  CU_ADD_TEST (suite, test_without_starts_the_last_entry_holds_the_address);
+  CU_ADD_TEST (suite, test_app_that_is_not_declared_holds_no_address);
+  CU_ADD_TEST (suite, test_foreign_entry_is_told_of_once_a_revision);
+  CU_ADD_TEST (suite, test_scribbled_entry_names_no_instance);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  bt_drop_context (ctx);
+  return failures == 0 ? 0 : 1;
+}
