--- a/test/maps/test_group_rounds.c
+++ b/test/maps/test_group_rounds.c
@@ -16,6 +16,7 @@
   LEADERS = 2,
   TICK_MS = 5,
   STEP_MS = 40,
+  MOST_ORDERS = 50, /* of a leader in one tick: answers take their time */
   PERCENT = 100,
 };
 
@@ -44,7 +45,8 @@
 {
   bt_group_order_t order;
 
-  while (bt_next_group_order (leader->rounds, group->now_ms, &order))
+  for (int32_t i = 0;
+       i < MOST_ORDERS && bt_next_group_order (leader->rounds, group->now_ms, &order); i++)
     {
       uint64_t content = (uint64_t)order.version;
       bt_order_result_t result;
@@ -294,6 +296,121 @@
   bt_drop_group_rounds (ctx, leader.rounds);
 }
 
+/* A group stood for as long as its leader led: all ranks held it, so none was left to take the new
+ * leader's own hold. The former leader had armed a rank, and each hold of the new one was carried
+ * out though its answer was lost, until every rank had one. In a group of two, one lost answer
+ * does. */
+static void
+test_group_that_every_rank_holds_is_freed (void)
+{
+  enum
+  {
+    VERSION = 3,
+  };
+
+  for (int32_t armed = 0; armed <= HELD_RANKS; armed++)
+    for (uint64_t seed = 1; seed <= 10; seed++)
+      {
+        held_group_t group;
+        leader_t leader = { new_rounds () };
+
+        start_held_group (&group, seed);
+        group.ending = true;
+        for (int32_t i = 0; i < HELD_RANKS; i++)
+          {
+            bt_rank_report_t *report = &group.engines[i].report;
+
+            group.engines[i].highest_version = VERSION;
+            report->prepared = VERSION;
+            report->held_step = i == 0 ? 3 : 2;
+            report->armed_version = i < armed ? VERSION : 0;
+            report->armed_step = i < armed ? 2 : 0;
+          }
+        lead (&leader, 7);
+        run_world (&group, &leader, 1, 3000);
+        CU_ASSERT_EQUAL (group.splits, 0);
+        for (int32_t i = 0; i < HELD_RANKS; i++)
+          CU_ASSERT_EQUAL (group.engines[i].report.held_step, BT_NO_STEP);
+        CU_ASSERT (group.step > 2);
+        bt_drop_group_rounds (ctx, leader.rounds);
+      }
+}
+
+/* The first order to hold was lost just before the end of the lease came into sight. The leader
+ * sent it again and again, up to that end, and the last one would have held the group with nobody
+ * left to let it go. */
+static void
+test_lost_hold_is_not_sent_again_near_the_end_of_the_lease (void)
+{
+  enum
+  {
+    END_MS = 700,
+    LATER_MS = 3000,
+  };
+  held_group_t group;
+  leader_t leader = { new_rounds () };
+  bt_group_order_t order;
+  int32_t holds = 0;
+
+  start_held_group (&group, 2);
+  lead (&leader, 7);
+  bt_limit_group_holds (leader.rounds, END_MS);
+  tell_reports (&group, &leader);
+  bt_begin_group_round (leader.rounds, group.now_ms);
+  while (group.now_ms < LATER_MS)
+    {
+      group.now_ms += TICK_MS;
+      tell_reports (&group, &leader);
+      while (bt_next_group_order (leader.rounds, group.now_ms, &order))
+        if (order.kind != BT_GROUP_HOLD)
+          send_held_order (&group, &order, (uint64_t)order.version);
+        else
+          {
+            holds++;
+            CU_ASSERT (group.now_ms < END_MS);
+          }
+    }
+  CU_ASSERT (holds > 0);
+  bt_drop_group_rounds (ctx, leader.rounds);
+}
+
+/* A leader took the answer to an earlier order for the proof that its own hold is in force, and
+ * took back what another had armed while that one could let the group go at any moment. */
+static void
+test_late_answer_proves_no_hold (void)
+{
+  enum
+  {
+    VERSION = 3,
+    ARMED_RANK = 2,
+  };
+  held_group_t group;
+  leader_t leader = { new_rounds () };
+  bt_group_order_t orders[HELD_RANKS];
+  bt_group_order_t order;
+  int32_t count = 0;
+
+  start_held_group (&group, 2);
+  group.engines[0].report.held_step = 5;
+  lead (&leader, 7);
+  tell_reports (&group, &leader);
+  while (count < HELD_RANKS && bt_next_group_order (leader.rounds, group.now_ms, &orders[count]))
+    count++;
+  CU_ASSERT_EQUAL (count, HELD_RANKS);
+  CU_ASSERT_EQUAL (bt_get_group_phase (leader.rounds), BT_GROUP_CLEARING);
+  group.engines[ARMED_RANK].report.armed_version = VERSION;
+  group.engines[ARMED_RANK].report.armed_step = 5;
+  tell_reports (&group, &leader);
+  tell_reports (&group, &leader);
+  CU_ASSERT_EQUAL (bt_get_group_phase (leader.rounds), BT_GROUP_SECURING);
+  bt_take_group_order_result (leader.rounds, 1, orders[1].id, BT_ORDER_DONE,
+                              &group.engines[1].report, group.now_ms);
+  while (bt_next_group_order (leader.rounds, group.now_ms, &order))
+    CU_ASSERT (order.kind == BT_GROUP_HOLD);
+  CU_ASSERT_EQUAL (bt_get_group_phase (leader.rounds), BT_GROUP_SECURING);
+  bt_drop_group_rounds (ctx, leader.rounds);
+}
+
 int
 main (void)
 {
@@ -311,6 +428,11 @@
   CU_add_test (suite, "two_leaders_split_no_group", test_two_leaders_split_no_group);
   CU_add_test (suite, "new_epoch_starts_anew", test_new_epoch_starts_anew);
   CU_add_test (suite, "fenced_leader_stops", test_fenced_leader_stops);
+  CU_add_test (suite, "group_that_every_rank_holds_is_freed",
+               test_group_that_every_rank_holds_is_freed);
+  CU_add_test (suite, "lost_hold_is_not_sent_again_near_the_end_of_the_lease",
+               test_lost_hold_is_not_sent_again_near_the_end_of_the_lease);
+  CU_add_test (suite, "late_answer_proves_no_hold", test_late_answer_proves_no_hold);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
