Free a group that every rank holds; no hold near the lease's end; no late proof

- Where every rank holds, the new leader takes one hold over: the rank with the earliest hold prepares a version of this leader, so that it refuses all earlier ones, and its hold is this leader's own.
Before, the leader changed between looking and securing for ever, with one order an answer.
An order to hold again at such a rank, which the engine answers as done already, is no longer sent: it proved nothing.
- While its own hold is not yet seen a leader gives up at the limit before the lease's end instead of sending the order again.
The same where it would hold to take back.
- Answers to orders of an earlier phase count for nothing.

--- a/source/maps/group_rounds.c
+++ b/source/maps/group_rounds.c
@@ -42,6 +42,7 @@
   int32_t holder;     /* the rank of this leader's own hold */
   int32_t hold_tries; /* orders to hold in this phase */
   bool own_hold;      /* it was seen in force, and was not taken back */
+  bool takes_hold;    /* securing: the hold of another leader is made this one's own */
   int64_t seen_ms;    /* when it was */
   bool ask;           /* all agents are to be asked for a report */
   rank_state_t ranks[BT_MAX_GROUP_RANKS];
@@ -90,6 +91,9 @@
     {
       rounds->ranks[i].refusals = 0;
       rounds->ranks[i].accepted = false;
+      /* An answer to an order of an earlier phase says nothing of this one. Taken for the proof of
+       * an own hold it let ranks be disarmed while another leader could let the group go. */
+      rounds->ranks[i].order_id = 0;
     }
 }
 
@@ -197,6 +201,18 @@
   set_phase (rounds, BT_GROUP_CLEARING, now_ms);
 }
 
+/* The rank that holds the earliest step, where all hold. */
+static int32_t
+find_earliest_holder (const bt_group_rounds_t *rounds)
+{
+  int32_t best = 0;
+
+  for (int32_t i = 1; i < rounds->settings.ranks; i++)
+    if (rounds->ranks[i].report.held_step < rounds->ranks[best].report.held_step)
+      best = i;
+  return best;
+}
+
 /* The rank heard of last that holds nothing: its agent answers, and it can take a hold. */
 static int32_t
 choose_holder (const bt_group_rounds_t *rounds)
@@ -209,7 +225,29 @@
             || (rounds->ranks[i].refusals == rounds->ranks[best].refusals
                 && rounds->ranks[i].heard_ms > rounds->ranks[best].heard_ms)))
       best = i;
-  return best == NO_RANK ? 0 : best;
+  return best == NO_RANK ? find_earliest_holder (rounds) : best;
+}
+
+/* Makes sure of a hold before the armed step. Where every rank holds, because the answers to
+ * earlier tries were lost, none can take another hold, and the group would stand for ever. One of
+ * the holds is then taken over: its rank prepares a version of this leader, and refuses all earlier
+ * leaders from then on. A hold later than the armed step would not do; that step comes by itself.
+ */
+static void
+secure (bt_group_rounds_t *rounds, int64_t now_ms)
+{
+  const rank_state_t *rank;
+
+  rounds->holder = choose_holder (rounds);
+  rank = &rounds->ranks[rounds->holder];
+  rounds->takes_hold = holds (rank);
+  if (rounds->takes_hold && rank->report.held_step > rounds->step)
+    return;
+  if (rounds->takes_hold)
+    rounds->clearing = ++rounds->last_version;
+  else if (now_ms >= rounds->hold_until_ms)
+    return;
+  set_phase (rounds, BT_GROUP_SECURING, now_ms);
 }
 
 /* Decides what is to be done with a group that is whole, and with which no round is under way. What
@@ -234,8 +272,7 @@
       start_clearing (rounds, now_ms);
       return;
     }
-  rounds->holder = choose_holder (rounds);
-  set_phase (rounds, BT_GROUP_SECURING, now_ms);
+  secure (rounds, now_ms);
 }
 
 static int64_t
@@ -330,6 +367,44 @@
   return rounds->own_hold;
 }
 
+/* True once the rank whose hold is taken over refuses all earlier leaders and still holds. */
+static bool
+is_hold_taken (const bt_group_rounds_t *rounds)
+{
+  const rank_state_t *rank = &rounds->ranks[rounds->holder];
+
+  return rounds->takes_hold && is_bumped (rounds, rank) && !is_armed (rank) && holds (rank);
+}
+
+static void
+advance_securing (bt_group_rounds_t *rounds, int64_t now_ms)
+{
+  const rank_state_t *rank = &rounds->ranks[rounds->holder];
+
+  if (is_hold_taken (rounds))
+    {
+      rounds->own_hold = true;
+      set_phase (rounds, BT_GROUP_CLEARING, now_ms);
+    }
+  else if (rounds->own_hold)
+    start_clearing (rounds, now_ms);
+  else if (rank->refusals > 0 || holds (rank) != rounds->takes_hold
+           || find_latest_step (rounds) >= rounds->step
+           || (!rounds->takes_hold && now_ms >= rounds->hold_until_ms))
+    set_phase (rounds, BT_GROUP_LOOKING, now_ms);
+}
+
+/* Until this leader's hold is seen. An order that was lost is not sent again once the end of the
+ * lease is near: it could hold the group with nobody in office. */
+static void
+advance_unheld (bt_group_rounds_t *rounds, int64_t now_ms)
+{
+  if (now_ms - rounds->phase_ms > rounds->settings.arm_limit_ms || now_ms >= rounds->hold_until_ms)
+    set_phase (rounds, BT_GROUP_LOOKING, now_ms);
+  else if (rounds->ranks[rounds->holder].refusals > 0 || find_latest_step (rounds) >= rounds->step)
+    choose_step (rounds, now_ms);
+}
+
 /* True when every rank was heard of since the hold was seen. */
 static bool
 is_everyone_heard (const bt_group_rounds_t *rounds)
@@ -381,11 +456,8 @@
           if (now_ms - rounds->seen_ms > rounds->settings.silence_ms)
             give_hold_up (rounds, now_ms);
         }
-      else if (taken_ms > rounds->settings.arm_limit_ms)
-        set_phase (rounds, BT_GROUP_LOOKING, now_ms);
-      else if (rounds->ranks[rounds->holder].refusals > 0
-               || find_latest_step (rounds) >= rounds->step)
-        choose_step (rounds, now_ms);
+      else
+        advance_unheld (rounds, now_ms);
       break;
     case BT_GROUP_ARMING:
       if (is_all_armed (rounds))
@@ -405,11 +477,7 @@
         set_phase (rounds, BT_GROUP_LOOKING, now_ms);
       break;
     case BT_GROUP_SECURING:
-      if (rounds->own_hold)
-        start_clearing (rounds, now_ms);
-      else if (rounds->ranks[rounds->holder].refusals > 0 || holds (&rounds->ranks[rounds->holder])
-               || find_latest_step (rounds) >= rounds->step)
-        set_phase (rounds, BT_GROUP_LOOKING, now_ms);
+      advance_securing (rounds, now_ms);
       break;
     case BT_GROUP_CLEARING:
       if (find_armed_step (rounds) != BT_NO_STEP && !rounds->own_hold)
@@ -494,7 +562,7 @@
       /* Only an order that was accepted at the count of a report without a hold proves that the
        * hold is this leader's own; one that is merely seen may be another's, who can take it back.
        */
-      if (result == BT_ORDER_DONE && rounds->phase == BT_GROUP_SECURING)
+      if (result == BT_ORDER_DONE && rounds->phase == BT_GROUP_SECURING && !rounds->takes_hold)
         rounds->own_hold = true;
       /* The answer comes from another rank's agent: that the group is held is for the holder's own
        * to say. */
@@ -564,8 +632,11 @@
     case BT_GROUP_PREPARING:
       order->kind = BT_GROUP_PREPARE;
       return rank->report.prepared != rounds->target;
-    case BT_GROUP_HOLDING:
     case BT_GROUP_SECURING:
+      if (rounds->takes_hold)
+        return index == rounds->holder && get_clearing_order (rounds, index, order);
+      /* fall through */
+    case BT_GROUP_HOLDING:
       order->kind = BT_GROUP_HOLD;
       order->via = choose_giver (rounds);
       return index == rounds->holder && !rounds->own_hold;
