Close the socket of a shut port only behind the workers that have it

Had a worker come later, the library would have aborted the process over it.

Change: there the port is shut by shutdown, which lets nobody connect, and the socket is closed behind the workers' end. The gateway's front has no threads of its own and is as it was.

After: 3 runs under the thread sanitizer and 3 under the address sanitizer, six at a time, pass.

--- a/source/entry/http_server.c
+++ b/source/entry/http_server.c
@@ -3,6 +3,7 @@
 #include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "bilberrytray/base/address.h"
 #include "bilberrytray/base/counters.h"
@@ -24,6 +25,7 @@
   bt_context_t *ctx;
   bt_entry_t *entry;
   struct MHD_Daemon *daemon;
+  int listening; /* the socket of a closed port, or -1 */
   size_t max_body_bytes;
   atomic_int open_requests;
   bt_counter_t *connections; /* that were ever accepted */
@@ -216,6 +218,7 @@
 
   server->ctx = ctx;
   server->entry = entry;
+  server->listening = -1;
   server->connections = bt_find_counter (ctx, BT_COUNTER, "bilberry_connections_total",
                                          "Callers' connections that were accepted.", NULL, NULL);
   server->max_body_bytes = (size_t)settings->max_body_bytes;
@@ -251,7 +254,7 @@
 void
 bt_close_http_server (bt_http_server_t *server)
 {
-  bt_close_listener (server->daemon);
+  server->listening = bt_shut_listener (server->daemon);
 }
 
 void
@@ -260,6 +263,8 @@
   if (server == NULL)
     return;
   MHD_stop_daemon (server->daemon);
+  if (server->listening >= 0)
+    close (server->listening);
   bt_log (ctx, BT_LOG_INFO, BT_PART_MAIN,
           "The callers' port is closed; connections accepted: %lld.",
           (long long)bt_read_counter (server->connections));
--- a/source/page/listener.c
+++ b/source/page/listener.c
@@ -46,3 +46,15 @@
   take_waiting_connections (daemon, listening);
   close (listening);
 }
+
+int
+bt_shut_listener (struct MHD_Daemon *daemon)
+{
+  int listening = MHD_quiesce_daemon (daemon);
+
+  if (listening < 0)
+    return -1;
+  take_waiting_connections (daemon, listening);
+  shutdown (listening, SHUT_RDWR);
+  return listening;
+}
