Follow jumps of demand: short rounds, counts that start anew, copies priced by need

Counts with a half-life of 500 ms named the old experts for several rounds; a round lasted as long as the rank that copied most; rounds for 4 in 100 of the skew were under way when demand jumped.

Ruled out: demand does not return to earlier profiles (correlations of the counts before 11 jumps are about 0, but where a layer did not move), so nothing is remembered.

--- a/include/bilberrytray/maps/expert_load.h
+++ b/include/bilberrytray/maps/expert_load.h
@@ -23,6 +23,9 @@
 /** Adds tokens that an expert was given since the last decay. */
 void bt_add_expert_load (bt_expert_load_t *load, int32_t layer, int32_t expert, double tokens);
 
+/** Forgets what a layer's experts were given. */
+void bt_clear_expert_load (bt_expert_load_t *load, int32_t layer);
+
 /** The decayed load of an expert, in tokens. */
 double bt_get_expert_load (const bt_expert_load_t *load, int32_t layer, int32_t expert);
 
--- a/source/gateway/agent_news.c
+++ b/source/gateway/agent_news.c
@@ -59,44 +59,50 @@
   bt_free (gateway->ctx, gateway->paces);
 }
 
-/* Requests that the engine may run now. */
+/* Requests that each engine of a group may run now; 0 where the engine is in no group. */
 static int32_t
-get_slots (bt_gateway_t *gateway,
+take_pass (bt_gateway_t *gateway,
            const bt_agent_news_t *news,
-           const bt_listed_endpoint_t *listed,
            const bt_declarations_t *declarations,
            int32_t app)
 {
   const bt_engine_report_t *report = &news->report;
   bt_pass_pace_t *pace;
-  int32_t limit;
 
   if (report->group[0] == '\0' || report->ranks < 1 || app < 0
       || declarations->apps[app].engine.slots == 0)
-    return listed->slots;
+    return 0;
   pace = find_pace (gateway, report, declarations, app);
   bt_record_pass (pace, report->rank, report->maps.step, report->running, news->heard_ms);
-  limit = bt_get_pass_limit (pace);
-  /* Every pass waits for the slowest rank: a slow one gets fewer requests, so that its own part of
-   * a pass is no longer than that of the others. */
+  return bt_get_pass_limit (pace);
+}
+
+/* Requests that the engine itself may run now. Every pass waits for the slowest rank: a slow one
+ * gets fewer, so that its own part of a pass is no longer than that of the others. */
+static int32_t
+get_slots (const bt_engine_report_t *report, int32_t listed_slots, int32_t pass_limit)
+{
+  int32_t slots = pass_limit;
+
+  if (pass_limit == 0)
+    return listed_slots;
   if (report->pace > 1)
-    limit = (int32_t)(limit / report->pace) > 1 ? (int32_t)(limit / report->pace) : 1;
-  return limit < listed->slots ? limit : listed->slots;
+    slots = (int32_t)(pass_limit / report->pace) > 1 ? (int32_t)(pass_limit / report->pace) : 1;
+  return slots < listed_slots ? slots : listed_slots;
 }
 
 static void
 take_load (bt_gateway_t *gateway,
            const bt_agent_news_t *news,
-           const bt_listed_endpoint_t *listed,
-           const bt_declarations_t *declarations,
-           const bt_identity_t *identity)
+           const bt_identity_t *identity,
+           int32_t slots)
 {
   int64_t now_ms = bt_get_loop_ms (gateway->loop);
-  int32_t app = bt_find_app (declarations, listed->app);
-  bt_load_t load = { .running = news->report.running, .queued = news->report.queued };
+  bt_load_t load = { .running = news->report.running,
+                     .queued = news->report.queued,
+                     .slots = slots,
+                     .age_ms = now_ms - news->heard_ms };
 
-  load.slots = get_slots (gateway, news, listed, declarations, app);
-  load.age_ms = now_ms - news->heard_ms;
   bt_record_duration (gateway->timings.load_age, load.age_ms);
   bt_record_load (gateway->router, identity, &load, now_ms);
 }
@@ -113,6 +119,7 @@
       gateway->view == NULL ? NULL : gateway->view->declarations;
   int64_t started_ms = news->report.maps.started_ms;
   bt_identity_t identity;
+  int32_t pass_limit = 0;
   int32_t app;
 
   if (listed == NULL || declarations == NULL
@@ -121,11 +128,14 @@
   app = bt_find_app (declarations, listed->app);
   bt_identify_endpoint (listed, &identity);
   if (bt_is_listed_start (listed, started_ms))
-    take_load (gateway, news, listed, declarations, &identity);
+    {
+      pass_limit = take_pass (gateway, news, declarations, app);
+      take_load (gateway, news, &identity, get_slots (&news->report, listed->slots, pass_limit));
+    }
   bt_set_endpoint_shut (gateway->router, &identity,
                         news->report.group[0] != '\0' && !news->report.maps.open);
   if (app >= 0)
-    bt_take_group_news (gateway->groups, &declarations->apps[app].engine, news);
+    bt_take_group_news (gateway->groups, &declarations->apps[app].engine, news, pass_limit);
 }
 
 void
--- a/source/gateway/group_control.c
+++ b/source/gateway/group_control.c
@@ -223,7 +223,8 @@
 void
 bt_take_group_news (bt_group_control_t *control,
                     const bt_engine_t *engine,
-                    const bt_agent_news_t *news)
+                    const bt_agent_news_t *news,
+                    int32_t pass_limit)
 {
   const bt_engine_report_t *report = &news->report;
   int64_t now_ms = bt_get_loop_ms (control->loop);
@@ -237,6 +238,7 @@
     return;
   snprintf (group->endpoints[report->rank], BT_ADDRESS_BYTES, "%s", news->endpoint);
   bt_set_rank_pace (group->maps, report->rank, report->pace);
+  bt_take_rank_running (group->maps, report->rank, report->running, pass_limit, now_ms);
   if (news->places != NULL)
     bt_take_rank_places (control->ctx, group->maps, report->rank, news->places_epoch,
                          news->places_version, news->places, news->place_count);
@@ -294,13 +296,16 @@
       bt_ask_agent_places (control->links, group->endpoints[rank]);
 }
 
-/* Plans when the group is calm and its map is known. */
+/* Plans when the group is calm and its map is known: each few hundred milliseconds, and at once
+ * after demand has jumped. */
 static void
 plan (bt_group_control_t *control, group_t *group, int64_t now_ms)
 {
   int64_t version = bt_get_group_version (group->rounds);
   double skew[2] = { 0 };
 
+  if (bt_take_group_jump (group->maps, now_ms))
+    group->next_plan_ms = now_ms;
   if (control->leaving || bt_get_group_phase (group->rounds) != BT_GROUP_CALM
       || now_ms < group->next_plan_ms)
     return;
--- a/source/gateway/group_control.h
+++ b/source/gateway/group_control.h
@@ -32,10 +32,12 @@
 /** Takes in a view: whether another instance leads, and how long this one waits for its turn. */
 void bt_set_group_view (bt_group_control_t *control, const bt_view_t *view, bool leaving);
 
-/** Takes in what an agent says of its engine, which serves an app with these sizes. */
+/** Takes in what an agent says of its engine, which serves an app with these sizes, and how many
+ * requests that engine may run now. */
 void bt_take_group_news (bt_group_control_t *control,
                          const bt_engine_t *engine,
-                         const bt_agent_news_t *news);
+                         const bt_agent_news_t *news,
+                         int32_t pass_limit);
 
 /** True while a round that this instance leads is under way. */
 bool bt_is_group_round_open (const bt_group_control_t *control);
--- a/source/gateway/group_maps.c
+++ b/source/gateway/group_maps.c
@@ -2,21 +2,29 @@
 
 #include <string.h>
 
+#include "bilberrytray/maps/copy_price.h"
 #include "bilberrytray/maps/group_rounds.h"
+#include "bilberrytray/maps/moving_load.h"
 
 enum
 {
   SET_SHIFT = 16,
   EXPERT_MASK = 0xffff,
   BYTES_PER_MB = 1000000,
+  /* Of what was counted since demand jumped last. */
   DEFAULT_HALF_LIFE_MS = 500,
   DEFAULT_HORIZON_MS = 3000,
+  /* Of a round beside the copying: 40 ms until all copies are seen, 30 to hold and 20 to arm, as
+   * medians. With 100, 200 and 400 here 0.78, 0.78 and 0.74 of the callers were served in time
+   * where demand moves every 3 s. */
+  ROUND_MS = 100,
 };
 
 /* Copying slows passes by 15 in 100 while it lasts. An expert of 880 MB takes 39 ms at 180 Gbit/s,
  * which is 5.9 ms of step time, 6.7 us a megabyte; the ranks copy at the same time. */
 static const double copy_slowdown = 0.15;
 static const double us_per_s = 1e6;
+static const double ms_per_s = 1e3;
 static const double bits_per_byte = 8;
 
 struct bt_group_maps
@@ -24,9 +32,10 @@
   bt_group_maps_settings_t settings;
   bt_engine_t engine;
   bt_map_shape_t shape;
-  bt_expert_load_t *load;
+  bt_moving_load_t *load;
   double picks; /* taken in since the last plan */
   double paces[BT_MAX_GROUP_RANKS];
+  bt_copy_price_t *price;
   bt_expert_map_t *current; /* NULL while it is not known */
   int64_t epoch;
   int64_t version;
@@ -43,9 +52,8 @@
   bt_group_maps_settings_t settings = {
     .load_half_life_ms = DEFAULT_HALF_LIFE_MS,
     .horizon_ms = DEFAULT_HORIZON_MS,
-    .cost_weight = 20,
     .pay_ratio = 1.2,
-    .least_gain = 0.04,
+    .least_gain = 0.07,
   };
 
   return settings;
@@ -74,7 +82,8 @@
   maps->found = found;
   for (int32_t rank = 0; rank < ranks; rank++)
     maps->paces[rank] = 1;
-  maps->load = bt_new_expert_load (ctx, shape.layers, shape.experts, settings->load_half_life_ms);
+  maps->price = bt_new_copy_price (ctx, ranks);
+  maps->load = bt_new_moving_load (ctx, shape.layers, shape.experts, settings->load_half_life_ms);
   return maps;
 }
 
@@ -83,7 +92,8 @@
 {
   if (maps == NULL)
     return;
-  bt_drop_expert_load (ctx, maps->load);
+  bt_drop_moving_load (ctx, maps->load);
+  bt_drop_copy_price (ctx, maps->price);
   bt_drop_expert_map (ctx, maps->current);
   bt_drop_expert_map (ctx, maps->found);
   bt_drop_expert_map (ctx, maps->next);
@@ -140,13 +150,15 @@
 {
   if (count != maps->shape.layers * maps->shape.experts)
     return;
-  bt_decay_expert_load (maps->load, now_ms);
+  bt_add_moving_load (maps->load, picks, now_ms);
   for (int32_t i = 0; i < count; i++)
-    if (picks[i] > 0)
-      {
-        bt_add_expert_load (maps->load, i / maps->shape.experts, i % maps->shape.experts, picks[i]);
-        maps->picks += picks[i];
-      }
+    maps->picks += picks[i];
+}
+
+bool
+bt_take_group_jump (bt_group_maps_t *maps, int64_t now_ms)
+{
+  return bt_take_load_jump (maps->load, now_ms);
 }
 
 void
@@ -156,6 +168,13 @@
     maps->paces[rank] = pace > 1 ? pace : 1;
 }
 
+void
+bt_take_rank_running (
+    bt_group_maps_t *maps, int32_t rank, int32_t running, int32_t limit, int64_t now_ms)
+{
+  bt_record_rank_running (maps->price, rank, running, limit, now_ms);
+}
+
 static bool
 is_found_whole (const bt_group_maps_t *maps, int64_t epoch, int64_t version)
 {
@@ -185,20 +204,23 @@
 fill_input (const bt_group_maps_t *maps, int64_t now_ms, bt_map_input_t *input)
 {
   const bt_engine_t *engine = &maps->engine;
-  double us_per_mb = us_per_s * bits_per_byte / (engine->link_mbps > 0 ? engine->link_mbps : 1);
+  double s_per_mb = bits_per_byte / (engine->link_mbps > 0 ? engine->link_mbps : 1);
 
   memset (input, 0, sizeof *input);
   input->current = maps->current;
-  input->load = maps->load;
+  input->load = bt_get_moving_load (maps->load);
   input->paces = maps->paces;
   input->now_ms = now_ms;
   input->weights.skew_weight = 1;
-  input->weights.cost_weight = maps->settings.cost_weight;
+  input->weights.cost_weight = bt_get_copy_weight (maps->price);
   input->weights.horizon_ms = maps->settings.horizon_ms;
   input->weights.pay_ratio = maps->settings.pay_ratio;
   input->limits.slots = engine->places;
   input->limits.expert_bytes = (int64_t)(engine->expert_mb * BYTES_PER_MB);
-  input->limits.move_us_per_mb = (int64_t)(us_per_mb * copy_slowdown / maps->shape.ranks + 1);
+  input->limits.move_us_per_mb =
+      (int64_t)(us_per_s * s_per_mb * copy_slowdown / maps->shape.ranks + 1);
+  input->limits.copy_ms = ms_per_s * s_per_mb * engine->expert_mb;
+  input->limits.round_ms = ROUND_MS;
   input->limits.expert_share = engine->expert_share;
   input->limits.rank_adds = engine->spare_places;
 }
@@ -214,9 +236,8 @@
   if (maps->current == NULL || maps->picks <= 0)
     return NULL;
   maps->picks = 0;
-  bt_decay_expert_load (maps->load, now_ms);
   fill_input (maps, now_ms, &input);
-  plan = bt_plan_map (ctx, bt_paying_map_planner (), &input);
+  plan = bt_plan_map (ctx, bt_round_map_planner (), &input);
   skew[0] = plan->skew_before;
   skew[1] = plan->skew_after;
   if (plan->move_count > 0
--- a/source/gateway/group_maps.h
+++ b/source/gateway/group_maps.h
@@ -14,9 +14,8 @@
 /** How maps are planned. */
 typedef struct bt_group_maps_settings
 {
-  int64_t load_half_life_ms; /**< Of what is remembered of the experts' loads. */
+  int64_t load_half_life_ms; /**< Of what is remembered of the experts' loads between jumps. */
   int64_t horizon_ms;        /**< How long a gain is taken to last. */
-  double cost_weight;        /**< Price of a millisecond of step time spent on copying. */
   double pay_ratio;          /**< A gain must be this many times its cost. */
   double least_gain;         /**< A plan must lower the skew by this part at least. */
 } bt_group_maps_settings_t;
@@ -49,9 +48,16 @@
 void
 bt_take_rank_picks (bt_group_maps_t *maps, const uint32_t *picks, int32_t count, int64_t now_ms);
 
+/** True once after demand has jumped. */
+bool bt_take_group_jump (bt_group_maps_t *maps, int64_t now_ms);
+
 /** Takes in how many times as long as usual a rank's work takes; 1 for a sound one. */
 void bt_set_rank_pace (bt_group_maps_t *maps, int32_t rank, double pace);
 
+/** Takes in how many requests a rank runs and how many it may run now, for what copies may cost. */
+void bt_take_rank_running (
+    bt_group_maps_t *maps, int32_t rank, int32_t running, int32_t limit, int64_t now_ms);
+
 /** The map in use, if it is known whole for this epoch and version; else NULL. */
 const bt_expert_map_t *
 bt_get_group_map (bt_context_t *ctx, bt_group_maps_t *maps, int64_t epoch, int64_t version);
--- /dev/null
+++ b/source/maps/copy_price.c
@@ -0,0 +1,76 @@
+#include "bilberrytray/maps/copy_price.h"
+
+#include <math.h>
+
+/* Time in which what was seen of the group's fullness fades, ms. Requests take one to two seconds,
+ * and a group that empties for a pass or two is as busy as before. */
+static const double fade_ms = 1000;
+
+/* Below the one part of its room a group has no need of shorter passes, above the other all who
+ * come wait for them. Between them the weight falls by equal factors. */
+static const double empty_part = 0.5;
+static const double full_part = 0.85;
+
+/* With the lower weight throughout, 0.79 of the callers were served in time where demand moves
+ * every 3 s, and 0.87 where it moves less; with both ends 0.78 and 0.88, for 0.6 and 0.4 times the
+ * copies.
+ */
+static const double full_weight = 5;
+static const double empty_weight = 40;
+
+struct bt_copy_price
+{
+  int32_t ranks;
+  double fullness;
+  int64_t updated_ms;
+  int32_t running[]; /* by rank */
+};
+
+bt_copy_price_t *
+bt_new_copy_price (bt_context_t *ctx, int32_t ranks)
+{
+  bt_copy_price_t *price =
+      bt_calloc (ctx, 1, sizeof *price + (size_t)ranks * sizeof price->running[0]);
+
+  price->ranks = ranks;
+  return price;
+}
+
+void
+bt_drop_copy_price (bt_context_t *ctx, bt_copy_price_t *price)
+{
+  bt_free (ctx, price);
+}
+
+void
+bt_record_rank_running (
+    bt_copy_price_t *price, int32_t rank, int32_t running, int32_t limit, int64_t now_ms)
+{
+  double sum = 0;
+  double part;
+
+  if (rank < 0 || rank >= price->ranks || limit < 1)
+    return;
+  price->running[rank] = running;
+  for (int32_t i = 0; i < price->ranks; i++)
+    sum += price->running[i];
+  part = sum / price->ranks / limit;
+  price->fullness =
+      part + (price->fullness - part) * exp ((double)(price->updated_ms - now_ms) / fade_ms);
+  price->updated_ms = now_ms;
+}
+
+double
+bt_get_group_fullness (const bt_copy_price_t *price)
+{
+  return price->fullness;
+}
+
+double
+bt_get_copy_weight (const bt_copy_price_t *price)
+{
+  double part = (price->fullness - empty_part) / (full_part - empty_part);
+
+  part = fmin (fmax (part, 0), 1);
+  return empty_weight * pow (full_weight / empty_weight, part);
+}
--- a/source/maps/expert_load.c
+++ b/source/maps/expert_load.c
@@ -1,6 +1,7 @@
 #include "bilberrytray/maps/expert_load.h"
 
 #include <math.h>
+#include <string.h>
 
 struct bt_expert_load
 {
@@ -52,6 +53,14 @@
   load->tokens[(size_t)layer * (size_t)load->experts + (size_t)expert] += tokens;
 }
 
+void
+bt_clear_expert_load (bt_expert_load_t *load, int32_t layer)
+{
+  double *tokens = &load->tokens[(size_t)layer * (size_t)load->experts];
+
+  memset (tokens, 0, (size_t)load->experts * sizeof *tokens);
+}
+
 double
 bt_get_expert_load (const bt_expert_load_t *load, int32_t layer, int32_t expert)
 {
--- /dev/null
+++ b/source/maps/moving_load.c
@@ -0,0 +1,157 @@
+#include "bilberrytray/maps/moving_load.h"
+
+#include <math.h>
+#include <string.h>
+
+enum
+{
+  /* Each rank reports its counts every 100 ms, so one window holds about one report of each. */
+  WINDOW_MS = 100,
+  NO_WINDOW = -1,
+};
+
+/* A window differs from the mean by chance. A jump that moves the busiest expert, which has 0.3 of
+ * a layer's demand, has a distance of 0.3 and more. Against a mean of half-life 200 ms that knows
+ * no jumps, callers served in time rose from 0.78 to 0.81 where demand moves every 3 s and from
+ * 0.87 to 0.88 where it moves less, for 0.8 and 0.7 times the copies. */
+static const double least_jump = 0.1;
+static const double jump_factor = 2;
+
+/* How fast the usual distance of a layer follows that of its windows. */
+static const double noise_part = 0.1;
+
+struct bt_moving_load
+{
+  int32_t layers;
+  int32_t experts;
+  bt_expert_load_t *mean;
+  double *window;    /* counts since it was opened, by layer and expert */
+  int64_t opened_ms; /* the window; NO_WINDOW before the first */
+  double *noise;     /* by layer: usual distance of a window from the mean; 0: not known */
+  bool jumped;       /* since it was last asked */
+};
+
+bt_moving_load_t *
+bt_new_moving_load (bt_context_t *ctx, int32_t layers, int32_t experts, int64_t half_life_ms)
+{
+  bt_moving_load_t *load = bt_calloc (ctx, 1, sizeof *load);
+
+  load->layers = layers;
+  load->experts = experts;
+  load->mean = bt_new_expert_load (ctx, layers, experts, half_life_ms);
+  load->window = bt_calloc (ctx, (size_t)layers * (size_t)experts, sizeof *load->window);
+  load->noise = bt_calloc (ctx, (size_t)layers, sizeof *load->noise);
+  load->opened_ms = NO_WINDOW;
+  return load;
+}
+
+void
+bt_drop_moving_load (bt_context_t *ctx, bt_moving_load_t *load)
+{
+  if (load == NULL)
+    return;
+  bt_drop_expert_load (ctx, load->mean);
+  bt_free (ctx, load->window);
+  bt_free (ctx, load->noise);
+  bt_free (ctx, load);
+}
+
+static double *
+find_window (const bt_moving_load_t *load, int32_t layer)
+{
+  return &load->window[(size_t)layer * (size_t)load->experts];
+}
+
+/* The part of a layer's demand that lies elsewhere in the window than in the mean, 0 to 1 (the
+ * total variation distance); 0 where one of them holds nothing. */
+static double
+measure_distance (const bt_moving_load_t *load, int32_t layer)
+{
+  const double *window = find_window (load, layer);
+  double window_sum = 0;
+  double mean_sum = 0;
+  double distance = 0;
+
+  for (int32_t i = 0; i < load->experts; i++)
+    {
+      window_sum += window[i];
+      mean_sum += bt_get_expert_load (load->mean, layer, i);
+    }
+  if (window_sum <= 0 || mean_sum <= 0)
+    return 0;
+  for (int32_t i = 0; i < load->experts; i++)
+    distance +=
+        fabs (window[i] / window_sum - bt_get_expert_load (load->mean, layer, i) / mean_sum);
+  return distance / 2;
+}
+
+static bool
+is_jump (const bt_moving_load_t *load, int32_t layer, double distance)
+{
+  double noise = load->noise[layer];
+
+  return noise > 0 && distance > least_jump && distance > jump_factor * noise;
+}
+
+static void
+learn_noise (double *noise, double distance)
+{
+  if (*noise > 0)
+    *noise += (distance - *noise) * noise_part;
+  else
+    *noise = distance;
+}
+
+static void
+close_layer (bt_moving_load_t *load, int32_t layer)
+{
+  const double *window = find_window (load, layer);
+  double distance = measure_distance (load, layer);
+
+  if (is_jump (load, layer, distance))
+    {
+      bt_clear_expert_load (load->mean, layer);
+      load->jumped = true;
+    }
+  else if (distance > 0)
+    learn_noise (&load->noise[layer], distance);
+  for (int32_t i = 0; i < load->experts; i++)
+    bt_add_expert_load (load->mean, layer, i, window[i]);
+}
+
+static void
+close_window (bt_moving_load_t *load, int64_t now_ms)
+{
+  if (load->opened_ms != NO_WINDOW && now_ms - load->opened_ms < WINDOW_MS)
+    return;
+  load->opened_ms = now_ms;
+  bt_decay_expert_load (load->mean, now_ms);
+  for (int32_t layer = 0; layer < load->layers; layer++)
+    close_layer (load, layer);
+  memset (load->window, 0, (size_t)load->layers * (size_t)load->experts * sizeof *load->window);
+}
+
+void
+bt_add_moving_load (bt_moving_load_t *load, const uint32_t *counts, int64_t now_ms)
+{
+  close_window (load, now_ms);
+  for (int32_t i = 0; i < load->layers * load->experts; i++)
+    load->window[i] += counts[i];
+}
+
+bool
+bt_take_load_jump (bt_moving_load_t *load, int64_t now_ms)
+{
+  bool jumped;
+
+  close_window (load, now_ms);
+  jumped = load->jumped;
+  load->jumped = false;
+  return jumped;
+}
+
+const bt_expert_load_t *
+bt_get_moving_load (const bt_moving_load_t *load)
+{
+  return load->mean;
+}
