Split the rounds of a group by what is known, its phases and its orders

What is known of the ranks, the phases and the orders are files of their own now, with a private header; no behaviour changed. Names say what they ask of whom: holds was one of a rank, of the group and of an engine. The tests of the rounds and their schedules pass.

--- a/bench/harness_group.c
+++ b/bench/harness_group.c
@@ -94,7 +94,7 @@
 swap_popularity (group_t *group, int32_t set)
 {
   int32_t experts = group->load->engine.experts;
-  double *popularity = &group->popularity[set * experts];
+  double *popularity = &group->popularity[(ptrdiff_t)set * experts];
   int32_t one = (int32_t)bt_random_below (&group->random, (uint64_t)experts);
   int32_t other = (int32_t)bt_random_below (&group->random, (uint64_t)experts);
   double kept = popularity[one];
@@ -217,7 +217,8 @@
   group->requests = bt_calloc (ctx, MOST_REQUESTS, sizeof *group->requests);
   group->popularity = bt_calloc (ctx, (size_t)count_cells (group), sizeof (double));
   group->chosen = bt_calloc (ctx, (size_t)count_cells (group), sizeof (double));
-  group->untold = bt_calloc (ctx, (size_t)(count_cells (group) * load->ranks), sizeof (double));
+  group->untold =
+      bt_calloc (ctx, (size_t)count_cells (group) * (size_t)load->ranks, sizeof (double));
   group->maps = bt_new_group_maps (ctx, &load->engine, load->ranks, &group->way->maps);
   group->pace = bt_new_pass_pace (ctx, &pace);
   group->next_shift_ms = (double)load->shift_ms;
@@ -330,10 +331,10 @@
 sum_work (group_t *group, double *work)
 {
   const bt_engine_t *engine = &group->load->engine;
-  double room[BT_MAX_GROUP_RANKS];
+  double room[BT_MAX_GROUP_RANKS] = { 0 };
 
   memset (work, 0, (size_t)group->load->ranks * sizeof *work);
-  for (int32_t rank = 0; rank < group->load->ranks; rank++)
+  for (int32_t rank = 0; rank < BT_MAX_GROUP_RANKS; rank++)
     room[rank] = CHUNK_TOKENS * engine->stride;
   for (int32_t i = 0; i < group->count; i++)
     {
@@ -473,7 +474,7 @@
 
   for (int32_t rank = 0; rank < group->load->ranks; rank++)
     {
-      double *untold = &group->untold[rank * cells];
+      double *untold = &group->untold[(ptrdiff_t)rank * cells];
       int64_t now_ms = (int64_t)group->now_ms;
 
       if (group->now_ms - group->reported_ms[rank] < REPORT_MS)
--- /dev/null
+++ b/source/maps/group_phases.c
@@ -0,0 +1,220 @@
+#include "group_rounds_private.h"
+
+enum
+{
+  /* Refusals of one rank that end a try to prepare or to hold. */
+  MOST_REFUSALS = 3,
+};
+
+void
+bt_set_group_phase (bt_group_rounds_t *rounds, bt_group_phase_t phase, int64_t now_ms)
+{
+  rounds->phase = phase;
+  rounds->phase_ms = now_ms;
+  rounds->hold_tries = 0;
+  rounds->ask = false;
+  for (int32_t i = 0; i < rounds->settings.ranks; i++)
+    {
+      rounds->ranks[i].refusals = 0;
+      rounds->ranks[i].accepted = false;
+      /* An answer to an order of an earlier phase says nothing of this one. Taken for the proof of
+       * an own hold it let ranks be disarmed while another leader could let the group go. */
+      rounds->ranks[i].order_id = 0;
+    }
+}
+
+static void
+start_clearing (bt_group_rounds_t *rounds, int64_t now_ms)
+{
+  rounds->target = 0;
+  rounds->clearing = ++rounds->last_version;
+  bt_set_group_phase (rounds, BT_GROUP_CLEARING, now_ms);
+}
+
+/* Makes sure of a hold before the armed step. Where every rank holds, because the answers to
+ * earlier tries were lost, none can take another hold, and the group would stand for ever. One of
+ * the holds is then taken over: its rank prepares a version of this leader, and refuses
+ * all earlier leaders from then on. A hold later than the armed step would not do; that step comes
+ * by itself.
+ */
+static void
+secure (bt_group_rounds_t *rounds, int64_t now_ms)
+{
+  const bt_rank_state_t *rank;
+
+  rounds->holder = bt_choose_group_holder (rounds);
+  rank = &rounds->ranks[rounds->holder];
+  rounds->takes_hold = bt_is_engine_held (rank);
+  if (rounds->takes_hold && rank->report.held_step > rounds->step)
+    return;
+  if (rounds->takes_hold)
+    rounds->clearing = ++rounds->last_version;
+  else if (now_ms >= rounds->hold_until_ms)
+    return;
+  bt_set_group_phase (rounds, BT_GROUP_SECURING, now_ms);
+}
+
+/* Decides what is to be done with a group that is whole, and with which no round is under way. What
+ * another leader armed is taken back, even where it looks complete: that leader may be taking it
+ * back itself. The ranks must not change meanwhile, so the group is first held before the step for
+ * which they are armed. Is that refused, the step has begun. */
+static void
+look (bt_group_rounds_t *rounds, int64_t now_ms)
+{
+  rounds->target = 0;
+  rounds->own_hold = false;
+  rounds->epoch = rounds->ranks[0].report.epoch;
+  if (!bt_is_group_armed_or_held (rounds))
+    {
+      if (bt_has_group_one_version (rounds))
+        bt_set_group_phase (rounds, BT_GROUP_CALM, now_ms);
+      return;
+    }
+  rounds->step = bt_find_armed_step (rounds);
+  if (rounds->step == BT_NO_STEP)
+    {
+      start_clearing (rounds, now_ms);
+      return;
+    }
+  secure (rounds, now_ms);
+}
+
+static void
+choose_step (bt_group_rounds_t *rounds, int64_t now_ms)
+{
+  int64_t latest = bt_find_latest_step (rounds);
+
+  /* A step is never used twice: an order for it may still be on its way. */
+  if (latest < rounds->last_step)
+    latest = rounds->last_step;
+  rounds->step = latest + rounds->settings.hold_steps;
+  rounds->last_step = rounds->step;
+  rounds->own_hold = false;
+  rounds->holder = bt_choose_group_holder (rounds);
+  bt_set_group_phase (rounds, BT_GROUP_HOLDING, now_ms);
+}
+
+/* True once this leader's hold is reported. It stays in force until this leader lets the group go:
+ * every rank has prepared this leader's map by then, and refuses all earlier leaders. */
+static bool
+is_own_hold_seen (bt_group_rounds_t *rounds, int64_t now_ms)
+{
+  if (!rounds->own_hold && rounds->ranks[rounds->holder].report.held_step == rounds->step)
+    {
+      rounds->own_hold = true;
+      rounds->seen_ms = now_ms;
+      rounds->ask = true;
+    }
+  return rounds->own_hold;
+}
+
+/* True once the rank whose hold is taken over refuses all earlier leaders and still holds. */
+static bool
+is_hold_taken (const bt_group_rounds_t *rounds)
+{
+  const bt_rank_state_t *rank = &rounds->ranks[rounds->holder];
+
+  return rounds->takes_hold && bt_is_rank_cleared_of_orders (rounds, rank)
+         && !bt_is_engine_armed (rank) && bt_is_engine_held (rank);
+}
+
+static void
+advance_securing (bt_group_rounds_t *rounds, int64_t now_ms)
+{
+  const bt_rank_state_t *rank = &rounds->ranks[rounds->holder];
+
+  if (is_hold_taken (rounds))
+    {
+      rounds->own_hold = true;
+      bt_set_group_phase (rounds, BT_GROUP_CLEARING, now_ms);
+    }
+  else if (rounds->own_hold)
+    start_clearing (rounds, now_ms);
+  else if (rank->refusals > 0 || bt_is_engine_held (rank) != rounds->takes_hold
+           || bt_find_latest_step (rounds) >= rounds->step
+           || (!rounds->takes_hold && now_ms >= rounds->hold_until_ms))
+    bt_set_group_phase (rounds, BT_GROUP_LOOKING, now_ms);
+}
+
+/* Until this leader's hold is seen. An order that was lost is not sent again once the end of the
+ * lease is near: it could hold the group with nobody in office. */
+static void
+advance_unheld (bt_group_rounds_t *rounds, int64_t now_ms)
+{
+  if (now_ms - rounds->phase_ms > rounds->settings.arm_limit_ms || now_ms >= rounds->hold_until_ms)
+    bt_set_group_phase (rounds, BT_GROUP_LOOKING, now_ms);
+  else if (rounds->ranks[rounds->holder].refusals > 0
+           || bt_find_latest_step (rounds) >= rounds->step)
+    choose_step (rounds, now_ms);
+}
+
+/* Nothing is armed yet and nothing will be, so the group can be let go without knowing what became
+ * of the silent rank. */
+static void
+give_hold_up (bt_group_rounds_t *rounds, int64_t now_ms)
+{
+  rounds->target = 0;
+  bt_set_group_phase (rounds, BT_GROUP_LETTING_GO, now_ms);
+}
+
+void
+bt_advance_group (bt_group_rounds_t *rounds, int64_t now_ms)
+{
+  const int64_t taken_ms = now_ms - rounds->phase_ms;
+
+  switch (rounds->phase)
+    {
+    case BT_GROUP_LOOKING:
+      if (bt_is_group_whole (rounds, now_ms))
+        look (rounds, now_ms);
+      break;
+    case BT_GROUP_CALM:
+      if (bt_is_group_armed_or_held (rounds) || !bt_has_group_one_version (rounds))
+        bt_set_group_phase (rounds, BT_GROUP_LOOKING, now_ms);
+      break;
+    case BT_GROUP_PREPARING:
+      if (bt_is_group_prepared (rounds, rounds->target) && now_ms < rounds->hold_until_ms)
+        choose_step (rounds, now_ms);
+      else if (taken_ms > rounds->settings.prepare_limit_ms
+               || bt_count_most_refusals (rounds) >= MOST_REFUSALS)
+        bt_set_group_phase (rounds, BT_GROUP_LOOKING, now_ms);
+      break;
+    case BT_GROUP_HOLDING:
+      if (is_own_hold_seen (rounds, now_ms) && bt_is_group_heard (rounds))
+        bt_set_group_phase (rounds, BT_GROUP_ARMING, now_ms);
+      else if (rounds->own_hold)
+        {
+          if (now_ms - rounds->seen_ms > rounds->settings.silence_ms)
+            give_hold_up (rounds, now_ms);
+        }
+      else
+        advance_unheld (rounds, now_ms);
+      break;
+    case BT_GROUP_ARMING:
+      if (bt_is_group_armed (rounds))
+        bt_set_group_phase (rounds, BT_GROUP_LETTING_GO, now_ms);
+      else if (taken_ms > rounds->settings.arm_limit_ms)
+        start_clearing (rounds, now_ms);
+      break;
+    case BT_GROUP_LETTING_GO:
+      rounds->own_hold = false;
+      if (!bt_is_group_held (rounds))
+        bt_set_group_phase (rounds, BT_GROUP_SETTLING, now_ms);
+      break;
+    case BT_GROUP_SETTLING:
+      if (!bt_is_group_armed_or_held (rounds) && bt_has_group_one_version (rounds))
+        bt_set_group_phase (rounds, BT_GROUP_CALM, now_ms);
+      else if (bt_is_group_held (rounds))
+        bt_set_group_phase (rounds, BT_GROUP_LOOKING, now_ms);
+      break;
+    case BT_GROUP_SECURING:
+      advance_securing (rounds, now_ms);
+      break;
+    case BT_GROUP_CLEARING:
+      if (bt_find_armed_step (rounds) != BT_NO_STEP && !rounds->own_hold)
+        bt_set_group_phase (rounds, BT_GROUP_LOOKING, now_ms);
+      else if (bt_is_group_cleared (rounds) && !bt_is_group_held (rounds))
+        bt_set_group_phase (rounds, BT_GROUP_LOOKING, now_ms);
+      break;
+    }
+}
--- a/test/maps/test_moving_load.c
+++ b/test/maps/test_moving_load.c
@@ -12,6 +12,7 @@
   EXPERTS = 32,
   RANKS = 8,
   REPORT_MS = 100,
+  THREE_REPORTS_MS = 300,
   PICKS = 400, /* of one rank in one report, by layer */
   HALF_LIFE_MS = 500,
 };
@@ -26,7 +27,7 @@
 static void
 draw_counts (demand_t *demand, uint32_t *counts)
 {
-  memset (counts, 0, LAYERS * EXPERTS * sizeof *counts);
+  memset (counts, 0, sizeof (uint32_t) * LAYERS * EXPERTS);
   for (int32_t layer = 0; layer < LAYERS; layer++)
     for (int32_t i = 0; i < PICKS; i++)
       {
@@ -83,7 +84,7 @@
   play (load, &demand, 1000, 3000);
   CU_ASSERT_TRUE (get_share (load, 0, 3) > 0.27);
   demand.hot[0] = 9;
-  CU_ASSERT_TRUE (play (load, &demand, 4000, 3 * REPORT_MS) > 0);
+  CU_ASSERT_TRUE (play (load, &demand, 4000, THREE_REPORTS_MS) > 0);
   CU_ASSERT_TRUE (get_share (load, 0, 9) > 0.27);
   CU_ASSERT_TRUE (get_share (load, 0, 3) < 0.06);
   CU_ASSERT_TRUE (get_share (load, 1, 5) > 0.27);
