--- a/source/gateway/group_control.c
+++ b/source/gateway/group_control.c
@@ -296,6 +296,17 @@
       bt_ask_agent_places (control->links, group->endpoints[rank]);
 }
 
+/* A plan that waits for its turn after a jump leaves the busiest rank as it is for so long. */
+static void
+notice_jump (bt_group_control_t *control, group_t *group, int64_t now_ms)
+{
+  if (!bt_take_group_jump (group->maps, now_ms))
+    return;
+  group->next_plan_ms = now_ms;
+  bt_log_event (control->ctx, BT_LOG_INFO, "demand-jump", "{s:s, s:f}", "group", group->name,
+                "fullness", bt_get_group_maps_fullness (group->maps));
+}
+
 /* Plans when the group is calm and its map is known: each few hundred milliseconds, and at once
  * after demand has jumped. */
 static void
@@ -304,8 +315,7 @@
   int64_t version = bt_get_group_version (group->rounds);
   double skew[2] = { 0 };
 
-  if (bt_take_group_jump (group->maps, now_ms))
-    group->next_plan_ms = now_ms;
+  notice_jump (control, group, now_ms);
   if (control->leaving || bt_get_group_phase (group->rounds) != BT_GROUP_CALM
       || now_ms < group->next_plan_ms)
     return;
@@ -320,9 +330,9 @@
     return;
   group->target = bt_begin_group_round (group->rounds, now_ms);
   if (group->target != 0)
-    bt_log_event (control->ctx, BT_LOG_INFO, "round", "{s:s, s:I, s:f, s:f}", "group", group->name,
-                  "version", (json_int_t)group->target, "skew_before", skew[0], "skew_after",
-                  skew[1]);
+    bt_log_event (control->ctx, BT_LOG_INFO, "round", "{s:s, s:I, s:f, s:f, s:f}", "group",
+                  group->name, "version", (json_int_t)group->target, "skew_before", skew[0],
+                  "skew_after", skew[1], "fullness", bt_get_group_maps_fullness (group->maps));
 }
 
 /* The map that a PREPARE order is about: the round's, or the one in use for a version that only
--- a/source/gateway/group_maps.c
+++ b/source/gateway/group_maps.c
@@ -179,6 +179,12 @@
   bt_record_rank_running (maps->price, rank, running, limit, now_ms);
 }
 
+double
+bt_get_group_maps_fullness (const bt_group_maps_t *maps)
+{
+  return bt_get_group_fullness (maps->price);
+}
+
 static bool
 is_found_whole (const bt_group_maps_t *maps, int64_t epoch, int64_t version)
 {
--- a/source/gateway/group_maps.h
+++ b/source/gateway/group_maps.h
@@ -61,6 +61,9 @@
 void bt_take_rank_running (
     bt_group_maps_t *maps, int32_t rank, int32_t running, int32_t limit, int64_t now_ms);
 
+/** The part of the group's room that is taken, of late: the price of copies goes by it. */
+double bt_get_group_maps_fullness (const bt_group_maps_t *maps);
+
 /** The map in use, if it is known whole for this epoch and version; else NULL. */
 const bt_expert_map_t *
 bt_get_group_map (bt_context_t *ctx, bt_group_maps_t *maps, int64_t epoch, int64_t version);
