--- a/bench/bench_maps.c
+++ b/bench/bench_maps.c
@@ -165,7 +165,7 @@
         {
           bt_rank_mask_t ranks = bt_get_map_ranks (run->map, layer, expert);
           double share =
-              draw_count (&run->noise, tokens * get_drift_share (run->drift, layer, expert))
+              bt_draw_count (&run->noise, tokens * get_drift_share (run->drift, layer, expert))
               / bt_count_ranks (ranks);
 
           while (ranks != 0)
@@ -193,7 +193,7 @@
     for (int32_t expert = 0; expert < shape.experts; expert++)
       bt_add_expert_load (
           run->load, layer, expert,
-          draw_count (&run->noise, tokens * get_drift_share (run->drift, layer, expert)));
+          bt_draw_count (&run->noise, tokens * get_drift_share (run->drift, layer, expert)));
 }
 
 static void
--- a/bench/drift.h
+++ b/bench/drift.h
@@ -11,6 +11,7 @@
 
 #include "bilberrytray/base/random.h"
 #include "bilberrytray/maps/expert_map.h"
+#include "harness_deviates.h"
 
 typedef enum drift_kind
 {
@@ -37,7 +38,6 @@
 static const double topic_sigma = 0.6;
 static const double burst_factor = 6.0;
 static const double account_share = 0.25;
-static const double two_pi = 6.283185307179586;
 
 typedef struct drift
 {
@@ -60,24 +60,6 @@
   return names[kind];
 }
 
-/** A normal deviate. */
-static double
-draw_normal (bt_random_t *random)
-{
-  double radius = sqrt (-2.0 * log (1.0 - bt_random_unit (random)));
-
-  return radius * cos (two_pi * bt_random_unit (random));
-}
-
-/** A count whose mean is @p mean, by the normal approximation; never below 0. */
-static double
-draw_count (bt_random_t *random, double mean)
-{
-  double count = mean + sqrt (mean) * draw_normal (random);
-
-  return count > 0 ? count : 0;
-}
-
 static size_t
 index_cell (const drift_t *drift, int32_t layer, int32_t expert)
 {
@@ -116,10 +98,10 @@
     drift->topics[topic] = bt_calloc (ctx, cells, sizeof (double));
   for (size_t i = 0; i < cells; i++)
     {
-      double base = base_sigma * draw_normal (&drift->random);
+      double base = base_sigma * bt_draw_normal (&drift->random);
 
       for (int32_t topic = 0; topic < TOPICS; topic++)
-        drift->topics[topic][i] = exp (base + topic_sigma * draw_normal (&drift->random));
+        drift->topics[topic][i] = exp (base + topic_sigma * bt_draw_normal (&drift->random));
     }
   for (int32_t topic = 0; topic < TOPICS; topic++)
     normalise (drift, drift->topics[topic]);
--- a/bench/harness_group.c
+++ b/bench/harness_group.c
@@ -7,6 +7,7 @@
 #include "bilberrytray/base/random.h"
 #include "bilberrytray/load/pass_pace.h"
 #include "bilberrytray/maps/group_rounds.h"
+#include "harness_deviates.h"
 
 enum
 {
@@ -74,15 +75,6 @@
   return group->load->engine.expert_sets * group->load->engine.experts;
 }
 
-static double
-draw_normal (bt_random_t *random)
-{
-  static const double two_pi = 6.283185307179586;
-  double radius = sqrt (-2.0 * log (1.0 - bt_random_unit (random)));
-
-  return radius * cos (two_pi * bt_random_unit (random));
-}
-
 /* From half to one and a half of the mean. */
 static double
 draw_around (bt_random_t *random, double mean)
@@ -367,10 +359,7 @@
     running += group->running[rank];
   for (int32_t i = 0; i < count_cells (group); i++)
     {
-      double mean = group->popularity[i] * PICKS * running;
-      double count = mean + sqrt (mean) * draw_normal (&group->random);
-
-      group->chosen[i] = count > 0 ? count : 0;
+      group->chosen[i] = bt_draw_count (&group->random, group->popularity[i] * PICKS * running);
       for (int32_t rank = 0; rank < group->load->ranks; rank++)
         group->untold[rank * count_cells (group) + i] += group->chosen[i] / group->load->ranks;
     }
--- a/bench/placement.h
+++ b/bench/placement.h
@@ -111,7 +111,7 @@
 {
   int32_t entry = (int32_t)bt_random_below (&placement->random, PLACE_ENTRIES);
   int32_t rank = choose_rank (placement, entry);
-  double context = exp (draw_normal (&placement->random));
+  double context = exp (bt_draw_normal (&placement->random));
   double ticks = -PLACE_MEAN_TICKS * log (1.0 - bt_random_unit (&placement->random));
 
   if (placement->live_count == PLACE_MAX_LIVE)
@@ -147,7 +147,7 @@
   bt_seed_random (&placement.random, PLACE_SEED);
   for (int32_t tick = 0; tick < PLACE_TICKS; tick++)
     {
-      int32_t count = (int32_t)(draw_count (&placement.random, arrivals) + 0.5);
+      int32_t count = (int32_t)(bt_draw_count (&placement.random, arrivals) + 0.5);
 
       end_requests (&placement, tick);
       if (tick % PLACE_LAG_TICKS == 0)
