--- a/include/bilberrytray/maps/map_planner.h
+++ b/include/bilberrytray/maps/map_planner.h
@@ -35,7 +35,7 @@
   double expert_share;       /**< Share of a balanced step that the experts take, 0 to 1. */
   double held_steps_a_round; /**< Held steps that past rounds came to; 0 without faults. */
   double copy_ms;    /**< Time in which a rank copies one replica; ranks copy side by side. */
-  double round_ms;   /**< Time of a round beside the copying. */
+  double round_ms;   /**< Time of a round beside the copying; above 0 for short rounds. */
   int32_t rank_adds; /**< Most new replicas of a layer on one rank in a round; 0: no bound. */
 } bt_map_limits_t;
 
