Say so when a bound leaves something out, and lift those that need not be

Fixed sizes left things out without a word: an agent kept 64 links of map orders and dropped the rest, a stop was told to 64 peers, a request's headers beyond 64 were not passed on, operators' commands knew 1,024 entries, and a link beyond the bound was closed. The first four are lifted.

--- a/source/agent/map_agent.c
+++ b/source/agent/map_agent.c
@@ -17,7 +17,6 @@
 {
   TICK_MS = 10,
   LOADS_MS = 1000,
-  MAX_LINKS = 64,
   KEY_BYTES = 256,
   SETTLE_SPARE_MS = 100,
 };
@@ -38,7 +37,7 @@
   bt_map_action_t call; /* for the engine, while calling is set */
   bool calling;
   bool read_floor;
-  bt_link_t *links[MAX_LINKS];
+  bt_link_t **links;
   int32_t link_count;
   uint64_t map_digest; /* of the bytes that came with the last order */
   bt_map_bytes_t map;
@@ -113,8 +112,9 @@
   for (int32_t i = 0; i < agent->link_count; i++)
     if (agent->links[i] == link)
       return;
-  if (agent->link_count < MAX_LINKS)
-    agent->links[agent->link_count++] = bt_keep_link (link);
+  agent->links =
+      bt_realloc (agent->ctx, agent->links, (size_t)agent->link_count + 1, sizeof (bt_link_t *));
+  agent->links[agent->link_count++] = bt_keep_link (link);
 }
 
 void
@@ -367,6 +367,7 @@
     pthread_join (agent->thread, NULL);
   for (int32_t i = 0; i < agent->link_count; i++)
     bt_drop_link (ctx, agent->links[i]);
+  bt_free (ctx, agent->links);
   bt_free (ctx, agent->map.data);
   bt_drop_map_engine (ctx, agent->engine);
   bt_drop_kv (ctx, agent->kv);
--- a/source/agent/runs.c
+++ b/source/agent/runs.c
@@ -9,7 +9,6 @@
 enum
 {
   MAX_SHARE = 1000,
-  MAX_HEADERS = 64,
   RUN_ID_BYTES = 64,
 };
 
@@ -107,7 +106,7 @@
 static bt_agent_run_t *
 add_run (bt_agent_t *agent, uint64_t number, const Bilberry__Dispatch *dispatch)
 {
-  bt_header_t headers[MAX_HEADERS];
+  bt_header_t *headers = bt_calloc (agent->ctx, dispatch->n_headers, sizeof *headers);
   char run_id[RUN_ID_BYTES];
   bt_upstream_request_t request = { 0 };
   bt_agent_run_t *run = bt_calloc (agent->ctx, 1, sizeof *run);
@@ -117,7 +116,7 @@
   agent->runs = run;
   snprintf (run_id, sizeof run_id, "%016llx-%llu", (unsigned long long)agent->incarnation,
             (unsigned long long)number);
-  for (size_t i = 0; i < dispatch->n_headers && i < MAX_HEADERS; i++)
+  for (size_t i = 0; i < dispatch->n_headers; i++)
     {
       headers[i].name = dispatch->headers[i]->name;
       headers[i].value = dispatch->headers[i]->value;
@@ -132,6 +131,7 @@
   request.body_bytes = dispatch->body.len;
   request.priority = dispatch->priority;
   run->waiting = bt_new_upstream_run (agent->ctx, agent->upstream, &request);
+  bt_free (agent->ctx, headers);
   return run;
 }
 
--- a/source/entry/command_publish.c
+++ b/source/entry/command_publish.c
@@ -18,7 +18,6 @@
   PATH_BYTES = 1024,
   KEY_BYTES = 256,
   MAX_FILE_BYTES = 1000 * 1000,
-  MAX_LISTED = 1024,
   CHANGE_WORDS = 2,
 };
 
@@ -152,7 +151,7 @@
 static void
 read_list (publish_t *publish)
 {
-  const char *names[MAX_LISTED];
+  const char **names;
   int32_t count = 0;
   bt_error_t error = { 0 };
 
@@ -160,10 +159,12 @@
   if (!bt_read_instances (publish->ctx, publish->instances, &publish->list, &error))
     return;
   bt_dial_listed_entries (publish->ctx, publish->links, &publish->list);
-  for (int32_t i = 0; i < publish->list.count && count < MAX_LISTED; i++)
+  names = bt_calloc (publish->ctx, (size_t)publish->list.count, sizeof (char *));
+  for (int32_t i = 0; i < publish->list.count; i++)
     if (publish->list.instances[i].role == BT_LISTED_ENTRY && !publish->list.instances[i].leaving)
       names[count++] = publish->list.instances[i].instance;
   bt_set_publish_entries (publish->ctx, publish->publisher, names, count);
+  bt_free (publish->ctx, names);
 }
 
 static void
--- a/source/entry/map_planning.c
+++ b/source/entry/map_planning.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "bilberrytray/base/counters.h"
+#include "bilberrytray/base/limit.h"
 #include "bilberrytray/base/log.h"
 
 enum
@@ -244,6 +245,9 @@
       return;
   if (planning->stored_count < MAX_STORED)
     planning->stored[planning->stored_count++] = digest;
+  else
+    bt_note_limit (planning->ctx, "stored-maps", MAX_STORED, planning->settings.group,
+                   "A map that may be in the service is not deleted there.");
 }
 
 /* Stores a map and deletes those before the one in use. A controller that was paused in between
--- a/source/entry/operator_links.c
+++ b/source/entry/operator_links.c
@@ -34,7 +34,7 @@
   uint64_t incarnation;
   uint64_t requests;
   pthread_mutex_t lock; /**< Guards what stands below; may be held while calling links. */
-  operator_peer_t *peers[MAX_ENTRIES];
+  operator_peer_t **peers;
   int32_t count;
 };
 
@@ -170,6 +170,7 @@
   bt_drop_link_loop (ctx, links->loop);
   for (int32_t i = 0; i < links->count; i++)
     drop_peer (links, links->peers[i]);
+  bt_free (ctx, links->peers);
   pthread_mutex_destroy (&links->lock);
   bt_free (ctx, links);
 }
@@ -192,10 +193,10 @@
 {
   operator_peer_t *peer = find_peer (links, listed->instance);
 
-  if (peer == NULL && links->count == MAX_ENTRIES)
-    return;
   if (peer == NULL)
     {
+      links->peers = bt_realloc (links->ctx, links->peers, (size_t)links->count + 1,
+                                 sizeof (operator_peer_t *));
       peer = bt_calloc (links->ctx, 1, sizeof *peer);
       bt_copy_name (peer->told.instance, listed->instance);
       links->peers[links->count++] = peer;
--- a/source/gateway/leaving_notice.c
+++ b/source/gateway/leaving_notice.c
@@ -13,9 +13,6 @@
   IDLE_MS = 3000,
   MAX_FRAME_BYTES = 4096,
   MAX_UNSENT_BYTES = 65536,
-  /* In a larger fleet the others learn it from the store, and fewer callers come by chance to the
-   * one that leaves. */
-  MOST_PEERS = 64,
 };
 
 struct bt_leaving_notice
@@ -23,8 +20,8 @@
   bt_link_handler_t handler; /* first */
   bt_context_t *ctx;
   bt_link_loop_t *loop;
-  bt_link_t *links[MOST_PEERS];
   int32_t count;
+  bt_link_t *links[];
 };
 
 static void
@@ -80,14 +77,15 @@
                        const bt_listed_entry_t *entries,
                        int32_t count)
 {
-  bt_leaving_notice_t *notice = bt_calloc (ctx, 1, sizeof *notice);
+  bt_leaving_notice_t *notice =
+      bt_calloc (ctx, 1, sizeof *notice + (size_t)count * sizeof (bt_link_t *));
   bt_link_options_t links = {
     .beat_ms = BEAT_MS,
     .idle_ms = IDLE_MS,
     .opening_ms = OPENING_MS,
     .max_frame_bytes = MAX_FRAME_BYTES,
     .max_unsent_bytes = MAX_UNSENT_BYTES,
-    .max_links = MOST_PEERS,
+    .max_links = count,
   };
   bt_error_t error = { 0 };
 
@@ -101,7 +99,7 @@
       bt_free (ctx, notice);
       return NULL;
     }
-  for (int32_t i = 0; i < count && notice->count < MOST_PEERS; i++)
+  for (int32_t i = 0; i < count; i++)
     if (strcmp (entries[i].links, self->links) != 0)
       dial (notice, entries[i].links);
   return notice;
--- a/source/wire/link_loop.c
+++ b/source/wire/link_loop.c
@@ -13,6 +13,7 @@
 
 #include "bilberrytray/base/address.h"
 #include "bilberrytray/base/counters.h"
+#include "bilberrytray/base/limit.h"
 #include "bilberrytray/base/log.h"
 #include "link_private.h"
 
@@ -81,6 +82,8 @@
     }
   if (atomic_load (&loop->link_count) >= loop->options.max_links)
     {
+      bt_note_limit (loop->ctx, "links", loop->options.max_links, address,
+                     "It is not dialled; another try follows.");
       bt_set_error (error, BT_ERROR_TOO_LARGE, "There are %d links already.",
                     loop->options.max_links);
       return NULL;
@@ -148,6 +151,8 @@
 
       if (atomic_load (&loop->link_count) >= loop->options.max_links)
         {
+          bt_note_limit (loop->ctx, "links", loop->options.max_links, "a peer that dialled",
+                         "The connection is closed; the peer tries again.");
           close (fd);
           continue;
         }
