Tell callers of all entry instances, also where they are more than an answer holds

An answer names 64 instances at most, and was always the same first 64 of the list: of 98 instances 34 got callers only from answers of their own. A caller is now told those of its own failure domain first, then those of the domains behind it by name, so that each instance is told as often as the others and answers stay the same while the instances do. With 64 or fewer all are told, as before. A test counts how often each of 98 is told.

--- a/include/bilberrytray/gateway/platform.h
+++ b/include/bilberrytray/gateway/platform.h
@@ -98,6 +98,10 @@
   /** Decodes an endpoint's header. True when it is passed on to the caller as it is. */
   bool (*read_answer_header) (const char *name, const char *value, bt_answer_facts_t *facts);
 
+  /** Where the caller is that asks which addresses to use, by the request's target; "" when it does
+   * not say. */
+  void (*read_asker_domain) (const char *target, char domain[BT_NAME_BYTES]);
+
   /** The body that tells callers where to connect; freed with bt_free. */
   char *(*write_addresses) (bt_context_t *ctx,
                             const char *const *addresses,
--- a/source/gateway/directory.c
+++ b/source/gateway/directory.c
@@ -1,23 +1,44 @@
 #include <string.h>
 
 #include "gateway_private.h"
+#include "told_entries.h"
 
-/* Which entry instances callers may use: those the store lists, this one among them while it stays.
- * One that leaves has taken itself off the list; while the store is away it can't, and says so
- * itself. */
+/* True for an instance that callers may be sent to. One that leaves has taken itself off the list;
+ * while the store is away it can't, and says so itself. */
+static bool
+may_be_told (const bt_gateway_t *gateway, const bt_listed_entry_t *entry)
+{
+  if (strcmp (entry->callers, gateway->settings->listen) == 0)
+    return !gateway->leaving;
+  return !bt_has_entry_left (gateway->follower, &entry->identity);
+}
+
+/* Which entry instances callers in a failure domain may use: those the store lists. While it does
+ * not list this one, and it stays, it names itself. */
 static int32_t
-collect_addresses (bt_gateway_t *gateway, const char *addresses[BT_MAX_TOLD_ADDRESSES])
+collect_addresses (bt_gateway_t *gateway,
+                   const char *domain,
+                   const char *addresses[BT_MAX_TOLD_ADDRESSES])
 {
   const bt_view_t *view = gateway->view;
   const char *own = gateway->settings->listen;
+  const bt_listed_entry_t **entries = bt_calloc (
+      gateway->ctx, view == NULL ? 0 : (size_t)view->entry_count, sizeof (bt_listed_entry_t *));
+  bool listed = false;
   int32_t count = 0;
 
-  if (!gateway->leaving)
-    addresses[count++] = own;
-  for (int32_t i = 0; view != NULL && i < view->entry_count && count < BT_MAX_TOLD_ADDRESSES; i++)
-    if (strcmp (view->entries[i].callers, own) != 0
-        && !bt_has_entry_left (gateway->follower, &view->entries[i].identity))
-      addresses[count++] = view->entries[i].callers;
+  for (int32_t i = 0; view != NULL && i < view->entry_count; i++)
+    if (may_be_told (gateway, &view->entries[i]))
+      {
+        entries[count++] = &view->entries[i];
+        listed = listed || strcmp (view->entries[i].callers, own) == 0;
+      }
+  count = bt_choose_told_entries (gateway->ctx, entries, count, domain, BT_MAX_TOLD_ADDRESSES);
+  for (int32_t i = 0; i < count; i++)
+    addresses[i] = entries[i]->callers;
+  bt_free (gateway->ctx, entries);
+  if (!listed && !gateway->leaving)
+    addresses[count < BT_MAX_TOLD_ADDRESSES ? count++ : 0] = own;
   return count;
 }
 
@@ -25,9 +46,13 @@
 bt_answer_gateway_addresses (bt_gateway_t *gateway, bt_front_call_t *call)
 {
   const char *addresses[BT_MAX_TOLD_ADDRESSES];
-  int32_t count = collect_addresses (gateway, addresses);
+  char domain[BT_NAME_BYTES];
+  int32_t count;
   char *body;
 
+  gateway->platform->vtable->read_asker_domain (bt_get_front_request (call)->target, domain);
+  count = collect_addresses (gateway, domain, addresses);
+
   if (count == 0)
     {
       bt_answer_front_call (call, bt_get_reason_status (BT_REASON_NOT_READY), "", 0);
--- /dev/null
+++ b/test/gateway/test_told_entries.c
@@ -0,0 +1,124 @@
+#include <CUnit/Basic.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "bilberrytray/base.h"
+#include "told_entries.h"
+
+enum
+{
+  DOMAINS = 5,
+  ENTRIES = 98,
+  MOST = 64,
+};
+
+static const char *const domains[DOMAINS] = { "a", "b", "c", "d", "e" };
+
+static bt_listed_entry_t listed[ENTRIES];
+
+static void
+list_entries (void)
+{
+  memset (listed, 0, sizeof listed);
+  for (int32_t i = 0; i < ENTRIES; i++)
+    {
+      snprintf (listed[i].identity.instance, BT_NAME_BYTES, "entry-%02d", i);
+      bt_copy_name (listed[i].failure_domain, domains[i % DOMAINS]);
+    }
+}
+
+/* Counts how often each entry is told to a caller in a domain. */
+static int32_t
+tell (bt_context_t *ctx, const char *domain, int32_t count, int32_t *told)
+{
+  const bt_listed_entry_t *entries[ENTRIES];
+  int32_t chosen;
+
+  for (int32_t i = 0; i < count; i++)
+    entries[i] = &listed[i];
+  chosen = bt_choose_told_entries (ctx, entries, count, domain, MOST);
+  for (int32_t i = 0; i < chosen; i++)
+    told[entries[i] - listed]++;
+  return chosen;
+}
+
+/* A third of the entry instances stood idle while the others turned callers away: each answer named
+ * the first 64 of 98. Every instance has to be named about as often as the others. */
+static void
+test_each_entry_is_told_as_often (void)
+{
+  bt_context_t *ctx = bt_new_context ();
+  int32_t told[ENTRIES] = { 0 };
+
+  list_entries ();
+  for (int32_t i = 0; i < DOMAINS; i++)
+    CU_ASSERT_EQUAL (tell (ctx, domains[i], ENTRIES, told), MOST);
+  for (int32_t i = 0; i < ENTRIES; i++)
+    CU_ASSERT (told[i] >= 3 && told[i] <= 5);
+  bt_drop_context (ctx);
+}
+
+static void
+test_own_domain_comes_first (void)
+{
+  bt_context_t *ctx = bt_new_context ();
+
+  list_entries ();
+  for (int32_t i = 0; i < DOMAINS; i++)
+    {
+      int32_t told[ENTRIES] = { 0 };
+
+      tell (ctx, domains[i], ENTRIES, told);
+      for (int32_t entry = i; entry < ENTRIES; entry += DOMAINS)
+        CU_ASSERT_EQUAL (told[entry], 1);
+    }
+  bt_drop_context (ctx);
+}
+
+/* Callers close connections to instances that a later answer does not name: an answer must not
+ * change while the instances stay. */
+static void
+test_answers_stay_the_same (void)
+{
+  bt_context_t *ctx = bt_new_context ();
+  int32_t told[ENTRIES] = { 0 };
+
+  list_entries ();
+  tell (ctx, "c", ENTRIES, told);
+  tell (ctx, "c", ENTRIES, told);
+  for (int32_t i = 0; i < ENTRIES; i++)
+    CU_ASSERT (told[i] == 0 || told[i] == 2);
+  bt_drop_context (ctx);
+}
+
+static void
+test_few_entries_are_all_told (void)
+{
+  bt_context_t *ctx = bt_new_context ();
+  int32_t told[ENTRIES] = { 0 };
+
+  list_entries ();
+  CU_ASSERT_EQUAL (tell (ctx, "nowhere", MOST, told), MOST);
+  CU_ASSERT_EQUAL (tell (ctx, "", 0, told), 0);
+  CU_ASSERT_EQUAL (tell (ctx, "", ENTRIES, told), MOST);
+  bt_drop_context (ctx);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned int failed;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("told entries", NULL, NULL);
+  CU_ADD_TEST (suite, test_each_entry_is_told_as_often);
+  CU_ADD_TEST (suite, test_own_domain_comes_first);
+  CU_ADD_TEST (suite, test_answers_stay_the_same);
+  CU_ADD_TEST (suite, test_few_entries_are_all_told);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failed = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failed == 0 ? 0 : 1;
+}
