Keep room for jumps of demand that come often

Cause: where demand jumps each 2 to 3 s, nearly every stream meets a jump. Between two jumps the limit of requests grew back within a second and filled the group, and at the next jump passes of 150 ms and more made all streams late.

Change: the limit grows back slowly while jumps are frequent. Whether they are is judged by what a group with the quick limit would have met, so that keeping room does not hide them.

--- a/bench/harness_group.c
+++ b/bench/harness_group.c
@@ -202,6 +202,7 @@
     .ranks = load->ranks,
     .least_pass_ms = load->engine.step_ms * load->engine.stride,
     .aim_pass_ms = group->way->pass_part * (double)load->pause_ms,
+    .pause_ms = (double)load->pause_ms,
     .slots = load->engine.slots,
   };
 
--- a/include/bilberrytray/load/pass_pace.h
+++ b/include/bilberrytray/load/pass_pace.h
@@ -11,6 +11,10 @@
  * times as long, and all streams stutter. Fewer at a time then serve more callers in time, since a
  * stream with one long pause is late as a whole.
  *
+ * Where demand jumps every few seconds, nearly each stream meets a jump. A limit that grows back
+ * between two of them then fills the group just to make all its streams late at the next one. So
+ * the limit stays close to what the last jumps allowed for as long as they keep coming.
+ *
  * Pure: times are arguments.
  */
 
@@ -27,6 +31,7 @@
   int32_t ranks;
   double least_pass_ms; /**< A pass with next to nothing to do. */
   double aim_pass_ms;   /**< Passes are to take no longer. */
+  double pause_ms;      /**< A stream with a longer pass in it is late as a whole. */
   int32_t slots;        /**< Requests that one engine can run. */
 } bt_pass_pace_settings_t;
 
@@ -42,6 +47,9 @@
 /** Requests that each engine may run now, from 1 to its slots. */
 int32_t bt_get_pass_limit (const bt_pass_pace_t *pace);
 
+/** True while demand jumps so often that the limit keeps room for the next jump. */
+bool bt_are_jumps_frequent (const bt_pass_pace_t *pace, int64_t now_ms);
+
 /** Mean time of the latest passes, ms; 0 while it is not known. */
 double bt_get_pass_ms (const bt_pass_pace_t *pace);
 
--- a/source/gateway/agent_news.c
+++ b/source/gateway/agent_news.c
@@ -3,8 +3,7 @@
 #include "gateway_private.h"
 
 /* Of the longest pause that callers expect, what one pass may take: passes differ by the prompts
- * that are read in them, and an event has its way to the caller. Mean worth of four heavy days with
- * 0.70, 0.80 and 0.90: 0.604, 0.597 and 0.583 at one site, 0.656, 0.636 and 0.655 at the other. */
+ * that are read in them, and an event has its way to the caller. */
 static const double pass_part = 0.70;
 
 /* Longest pause where no rule states one. */
@@ -36,6 +35,7 @@
     .ranks = report->ranks,
     .least_pass_ms = engine->step_ms * engine->stride,
     .aim_pass_ms = pass_part * (double)find_least_pause_ms (declarations, app),
+    .pause_ms = (double)find_least_pause_ms (declarations, app),
     .slots = engine->slots,
   };
   bt_group_pace_t *row;
--- a/source/load/pass_pace.c
+++ b/source/load/pass_pace.c
@@ -13,12 +13,24 @@
   LEAST_LIMIT = 2,
   /* Without news of passes for so long the limit says nothing: the group idles, or has no steps. */
   STALE_MS = 1500,
+  /* Jumps at shorter intervals than this are met by most streams, which take about two seconds. */
+  FREQUENT_MS = 3500,
+  /* Jumps that have to come so often before the limit goes by them: one may stand alone. */
+  LEAST_JUMPS = 1,
+  /* A jump is over after so long at the latest; passes that stay long are no further jump. */
+  JUMP_MS = 1000,
 };
 
-/* How fast the limit follows a measurement that allows more. One that allows fewer is followed at
- * once: every pass that is too long makes all streams late. */
+/* How fast the limit follows a measurement that allows more, in one window. One that allows fewer
+ * is followed at once: every pass that is too long makes all streams late. */
 static const double growth = 0.3;
 
+/* The same while jumps are frequent. */
+static const double growth_between_jumps = 0.02;
+
+/* Part of the mean interval of jumps that is the latest one's. */
+static const double interval_part = 0.5;
+
 struct bt_pass_pace
 {
   bt_pass_pace_settings_t settings;
@@ -28,6 +40,10 @@
   int64_t last_step;
   double pass_ms;
   double limit;
+  double quick_limit; /* as it would be if it always grew back at once */
+  int64_t jump_ms;    /* when the last jump began */
+  double interval_ms; /* mean, of jumps */
+  int32_t jumps;
 };
 
 bt_pass_pace_t *
@@ -38,6 +54,7 @@
   pace->settings = *settings;
   pace->running = bt_calloc (ctx, (size_t)settings->ranks, sizeof *pace->running);
   pace->limit = settings->slots;
+  pace->quick_limit = settings->slots;
   pace->window_ms = -1;
   return pace;
 }
@@ -61,11 +78,45 @@
   return sum / pace->settings.ranks;
 }
 
+/* A jump makes passes too long for the streams that a group with the quick limit would run. With
+ * the limit in force they may well not be: whether jumps come must not be judged by it, or keeping
+ * room for them would hide them. */
+static void
+notice_jump (bt_pass_pace_t *pace, double allowed, int64_t now_ms)
+{
+  const bt_pass_pace_settings_t *settings = &pace->settings;
+  double borne = (settings->aim_pass_ms - settings->least_pass_ms)
+                 / (settings->pause_ms - settings->least_pass_ms);
+  int64_t interval_ms = now_ms - pace->jump_ms;
+
+  if (allowed >= pace->quick_limit * borne || (pace->jumps > 0 && interval_ms < JUMP_MS))
+    return;
+  if (pace->jumps == 1)
+    pace->interval_ms = (double)interval_ms;
+  else if (pace->jumps > 1)
+    pace->interval_ms += ((double)interval_ms - pace->interval_ms) * interval_part;
+  pace->jumps++;
+  pace->jump_ms = now_ms;
+}
+
+bool
+bt_are_jumps_frequent (const bt_pass_pace_t *pace, int64_t now_ms)
+{
+  return pace->jumps > LEAST_JUMPS && pace->interval_ms < FREQUENT_MS
+         && now_ms - pace->jump_ms < FREQUENT_MS;
+}
+
+static double
+follow_allowed (double limit, double allowed, double part)
+{
+  return allowed < limit ? allowed : limit + (allowed - limit) * part;
+}
+
 /* A pass takes a fixed time and a time for each request, which holds all that makes it long now:
  * the skew of the experts, slow engines, long contexts. So the requests that fit the aim follow
  * from the last passes. */
 static void
-set_limit (bt_pass_pace_t *pace, double running)
+set_limit (bt_pass_pace_t *pace, double running, int64_t now_ms)
 {
   const bt_pass_pace_settings_t *settings = &pace->settings;
   double grown_ms = pace->pass_ms - settings->least_pass_ms;
@@ -77,7 +128,10 @@
     allowed = settings->slots;
   if (allowed < LEAST_LIMIT)
     allowed = LEAST_LIMIT;
-  pace->limit = allowed < pace->limit ? allowed : pace->limit + (allowed - pace->limit) * growth;
+  notice_jump (pace, allowed, now_ms);
+  pace->quick_limit = follow_allowed (pace->quick_limit, allowed, growth);
+  pace->limit = follow_allowed (
+      pace->limit, allowed, bt_are_jumps_frequent (pace, now_ms) ? growth_between_jumps : growth);
 }
 
 static void
@@ -102,7 +156,7 @@
   if (now_ms - pace->window_ms < WINDOW_MS || step == pace->window_step)
     return;
   pace->pass_ms = (double)(now_ms - pace->window_ms) / (double)(step - pace->window_step);
-  set_limit (pace, get_mean_running (pace));
+  set_limit (pace, get_mean_running (pace), now_ms);
   start_window (pace, step, now_ms);
 }
 
--- a/test/gateway/test_group_load.c
+++ b/test/gateway/test_group_load.c
@@ -54,6 +54,7 @@
       CU_ASSERT_EQUAL (result.in_time + result.late + result.left, result.asked);
       sum.asked += result.asked;
       sum.in_time += result.in_time;
+      sum.late += result.late;
       sum.copies += result.copies;
     }
   bt_drop_context (ctx);
@@ -87,6 +88,36 @@
   CU_ASSERT_TRUE (get_in_time (&with) > get_in_time (&without) + 0.1);
 }
 
+/* All sheets stutter, all day. Demand jumps each 2.3 s, which is as long as a stream takes. The
+ * group fills up between two jumps, and at the next one every stream under way pauses for too long.
+ * With room kept for the next jump as many are served, and most of them in time. */
+static void
+test_frequent_jumps_make_few_late (void)
+{
+  bt_group_load_t load = get_steep_load ();
+  bt_group_way_t shipped = bt_get_shipped_group_way ();
+  bt_group_result_t result;
+
+  load.engine.slots = 10;
+  load.engine.stride = 5;
+  load.engine.step_request_ms = 1.09;
+  load.engine.expert_sets = 12;
+  load.engine.experts = 128;
+  load.engine.places = 5;
+  load.engine.spare_places = 2;
+  load.engine.expert_mb = 420;
+  load.ranks = 32;
+  load.requests_a_s = 146;
+  load.events = 19.4;
+  load.pause_ms = 150;
+  load.skew = 1;
+  load.shift = BT_SHIFT_JUMP;
+  load.shift_share = 0.65;
+  load.shift_ms = 2300;
+  result = play (&load, &shipped);
+  CU_ASSERT_TRUE (result.in_time > result.late);
+}
+
 /* In a calm the jumps' mechanisms must cost nothing: hardly anybody is late. */
 static void
 test_calm_demand_is_served (void)
@@ -129,6 +160,7 @@
   CU_initialize_registry ();
   suite = CU_add_suite ("group load", NULL, NULL);
   CU_ADD_TEST (suite, test_jumps_are_followed_in_time);
+  CU_ADD_TEST (suite, test_frequent_jumps_make_few_late);
   CU_ADD_TEST (suite, test_calm_demand_is_served);
   CU_ADD_TEST (suite, test_a_group_with_room_copies_less);
   CU_basic_set_mode (CU_BRM_VERBOSE);
--- a/test/load/test_pass_pace.c
+++ b/test/load/test_pass_pace.c
@@ -10,13 +10,14 @@
 
 static const double least_pass_ms = 30;
 static const double aim_pass_ms = 90;
+static const double pause_ms = 130;
 
 static bt_context_t *ctx;
 
 static bt_pass_pace_t *
 new_pace (void)
 {
-  bt_pass_pace_settings_t settings = { RANKS, least_pass_ms, aim_pass_ms, SLOTS };
+  bt_pass_pace_settings_t settings = { RANKS, least_pass_ms, aim_pass_ms, pause_ms, SLOTS };
 
   return bt_new_pass_pace (ctx, &settings);
 }
@@ -67,6 +68,48 @@
   bt_drop_pass_pace (ctx, pace);
 }
 
+/* Demand jumps again and again: passes take 200 ms with ten requests a rank for half a second, and
+ * then 60 ms. */
+static int64_t
+play_jumps (bt_pass_pace_t *pace, int64_t now_ms, int32_t jumps, int64_t calm_ms)
+{
+  for (int32_t i = 0; i < jumps; i++)
+    {
+      now_ms = play (pace, now_ms, 600, 200, 10);
+      now_ms = play (pace, now_ms, calm_ms, 60, 10);
+    }
+  return now_ms;
+}
+
+/* Streams were late one and all: between two jumps the limit grew back to all slots, and the next
+ * jump met a full group. */
+static void
+test_limit_keeps_room_for_frequent_jumps (void)
+{
+  bt_pass_pace_t *pace = new_pace ();
+  int64_t now_ms = play_jumps (pace, 0, 4, 1800);
+
+  CU_ASSERT (bt_are_jumps_frequent (pace, now_ms));
+  CU_ASSERT (bt_get_pass_limit (pace) < SLOTS / 2);
+  bt_drop_pass_pace (ctx, pace);
+}
+
+/* Where jumps are rare, or have ended, room for them would only make callers wait. */
+static void
+test_limit_grows_back_between_rare_jumps (void)
+{
+  bt_pass_pace_t *pace = new_pace ();
+  int64_t now_ms = play_jumps (pace, 0, 4, 9000);
+
+  CU_ASSERT_FALSE (bt_are_jumps_frequent (pace, now_ms));
+  CU_ASSERT_EQUAL (bt_get_pass_limit (pace), SLOTS);
+  now_ms = play_jumps (pace, now_ms, 4, 1800);
+  CU_ASSERT (bt_get_pass_limit (pace) < SLOTS / 2);
+  play (pace, now_ms, 8000, 60, 10);
+  CU_ASSERT_EQUAL (bt_get_pass_limit (pace), SLOTS);
+  bt_drop_pass_pace (ctx, pace);
+}
+
 /* A group that is formed anew counts its steps from another place, perhaps a lower one. Read as one
  * endless pass, that would close the group for good. */
 static void
@@ -95,6 +138,8 @@
   CU_ADD_TEST (suite, test_short_passes_leave_all_slots);
   CU_ADD_TEST (suite, test_long_passes_lower_the_limit_at_once);
   CU_ADD_TEST (suite, test_limit_grows_back);
+  CU_ADD_TEST (suite, test_limit_keeps_room_for_frequent_jumps);
+  CU_ADD_TEST (suite, test_limit_grows_back_between_rare_jumps);
   CU_ADD_TEST (suite, test_new_group_starts_anew);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
