An instance with room leads, takes in picks by turns, and sets changes as near as orders allow

- The instance with the largest processor share leads (--cores, told in the listing), and one that leads hands over to an instance that has had one and a half times its share for five seconds.
- In a group of more than 48 ranks each rank's picks come with every second, third or later report, in turn, and cover the time of one report: as fresh as before, for less of the leader's link and time.
- The step of a change lies as many steps ahead as the orders of past rounds took, in place of 3 and one for each 32 ranks.

--- a/bench/bench_leader.c
+++ b/bench/bench_leader.c
@@ -10,6 +10,7 @@
 #include <string.h>
 #include <time.h>
 
+#include "agent_links.h"
 #include "bilberrytray/base.h"
 #include "bilberrytray/maps/group_rounds.h"
 #include "bilberrytray/wire/engine_messages.h"
@@ -205,7 +206,7 @@
 
 /* What a rank's agent sends, as bytes. */
 static void
-write_report (led_t *led, int32_t rank, bt_buffer_t *buffer)
+write_report (led_t *led, int32_t rank, int64_t now_ms, bt_buffer_t *buffer)
 {
   bt_engine_report_t report = { .group = "group", .rank = rank, .ranks = led->shape.ranks };
   Bilberry__EngineReport message = BILBERRY__ENGINE_REPORT__INIT;
@@ -218,8 +219,11 @@
   for (int32_t i = 0; i < count_cells (led); i++)
     led->counts[i] = (uint32_t)(led->popularity[i] * picks + bt_random_unit (&led->random));
   bt_write_engine_report (&report, &message);
-  message.picks = led->counts;
-  message.n_picks = (size_t)count_cells (led);
+  if ((now_ms / REPORT_MS + rank) % bt_count_reports_a_pick (led->shape.ranks) == 0)
+    {
+      message.picks = led->counts;
+      message.n_picks = (size_t)count_cells (led);
+    }
   frame.body_case = BILBERRY__FRAME__BODY_ENGINE_REPORT;
   frame.engine_report = &message;
   bt_encode_frame (led->ctx, buffer, &frame);
@@ -252,7 +256,7 @@
       led->engines[rank].prepared = led->ordered[rank];
       led->ordered[rank] = 0;
     }
-  write_report (led, rank, &buffer);
+  write_report (led, rank, now_ms, &buffer);
   led->costs.report_bytes += (int64_t)bt_count_buffer (&buffer);
   start_ns = read_cpu_ns ();
   take_report (led, &buffer, now_ms);
--- a/include/bilberrytray/base/settings.h
+++ b/include/bilberrytray/base/settings.h
@@ -15,6 +15,7 @@
 {
   BT_SETTING_TEXT = 0, /**< The value is a const char *. */
   BT_SETTING_INTEGER,  /**< The value is an int64_t between min and max. */
+  BT_SETTING_DECIMAL,  /**< The value is a double between min and max. */
   BT_SETTING_FLAG,     /**< The value is a bool; the flag takes no argument. */
   BT_SETTING_ADDRESS,  /**< Text of the form IP:PORT. */
   BT_SETTING_URL,      /**< Text that starts with http:// . */
--- a/include/bilberrytray/gateway/gateway.h
+++ b/include/bilberrytray/gateway/gateway.h
@@ -26,6 +26,7 @@
                           store is silent at the start; may be "". */
   const char *store; /**< The platform's store, "IP:PORT". */
   const char *log_level;
+  double cores; /**< Processor share of this instance; the one with most leads. */
   int64_t max_connections;
   int64_t address_life_ms; /**< How long callers may keep an answer with addresses. */
   int64_t drain_ms;        /**< Longest time from SIGTERM to the end. */
--- a/include/bilberrytray/maps/group_rounds.h
+++ b/include/bilberrytray/maps/group_rounds.h
@@ -31,12 +31,6 @@
 
 #include "bilberrytray/base/context.h"
 
-enum
-{
-  /** Most ranks of a group. */
-  BT_MAX_GROUP_RANKS = 128,
-};
-
 /** No step: nothing is held, or no step has begun. */
 #define BT_NO_STEP INT64_C (-1)
 
@@ -113,7 +107,8 @@
 typedef struct bt_group_rounds_settings
 {
   int32_t ranks;
-  int64_t hold_steps;       /**< Steps from the latest known one to the step of a change. */
+  int64_t hold_steps;       /**< Steps from the latest known one to the step of the first change.
+                                 Later ones go by the time that the orders took. */
   int64_t resend_ms;        /**< An order without its effect is sent again after so long. */
   int64_t stale_ms;         /**< A report older than this says nothing of now. */
   int64_t prepare_limit_ms; /**< A map that is not prepared everywhere by then is given up. */
@@ -122,6 +117,7 @@
                                  nothing is armed, ends the round. */
 } bt_group_rounds_settings_t;
 
+/** The rounds of a group of any number of ranks. */
 bt_group_rounds_t *bt_new_group_rounds (bt_context_t *ctx,
                                         const bt_group_rounds_settings_t *settings);
 
--- a/source/agent/side.c
+++ b/source/agent/side.c
@@ -112,6 +112,7 @@
   if (row != NULL)
     {
       row->follows = message->fence != 0;
+      bt_want_picks (&row->picks, row->follows, (int32_t)message->picks_every);
       row->wants_places = row->wants_places || message->places;
       row->next_ms = 0;
       side->next_report_ms = 0;
--- a/source/agent/side_private.h
+++ b/source/agent/side_private.h
@@ -9,6 +9,7 @@
 
 #include "bilberrytray/wire/link.h"
 #include "engine_client.h"
+#include "picks_turn.h"
 #include "side.h"
 #include "side_figures.h"
 #include "told_picks.h"
@@ -19,9 +20,10 @@
 typedef struct bt_side_link
 {
   bt_link_t *link;
-  bool follows;      /* its reports carry picks */
+  bool follows;      /* it leads the engine's group */
   bool wants_places; /* its next report carries places */
   int64_t next_ms;   /* its next report */
+  bt_picks_turn_t picks;
   bt_told_picks_t told;
   struct bt_side_link *next;
 } bt_side_link_t;
--- a/source/agent/side_reports.c
+++ b/source/agent/side_reports.c
@@ -68,19 +68,29 @@
   uint32_t *deltas;
 } extras_t;
 
+/* Counts the picks that are new on a link, and says whether they are told now. */
+static bool
+take_picks (bt_side_t *side, bt_side_link_t *row, int32_t rank, int64_t now_ms, extras_t *extras)
+{
+  if (extras->picks.counts == NULL || !bt_are_picks_due (&row->picks, now_ms))
+    return false;
+  bt_count_new_picks (side->ctx, &row->told, &extras->picks, extras->deltas);
+  return bt_take_picks_turn (&row->picks, rank, side->settings->report_ms, now_ms);
+}
+
 static void
 send_report (bt_side_t *side,
              bt_side_link_t *row,
              const bt_engine_report_t *report,
+             int64_t now_ms,
              extras_t *extras)
 {
   Bilberry__EngineReport message = BILBERRY__ENGINE_REPORT__INIT;
   bt_frame_t frame = BILBERRY__FRAME__INIT;
 
   bt_write_engine_report (report, &message);
-  if (row->follows && extras->picks.counts != NULL)
+  if (take_picks (side, row, report->rank, now_ms, extras))
     {
-      bt_count_new_picks (side->ctx, &row->told, &extras->picks, extras->deltas);
       message.picks = extras->deltas;
       message.n_picks = (size_t)extras->picks.count;
     }
@@ -142,7 +152,7 @@
   for (const bt_side_link_t *row = side->links; row != NULL; row = row->next)
     {
       due = due || is_report_due (row, now_ms);
-      picks = picks || row->follows;
+      picks = picks || bt_are_picks_due (&row->picks, now_ms);
       places = places || row->wants_places;
     }
   pthread_mutex_unlock (&side->lock);
@@ -155,7 +165,7 @@
       {
         row->next_ms =
             now_ms + (row->follows ? side->settings->report_ms : side->settings->others_ms);
-        send_report (side, row, &report, &extras);
+        send_report (side, row, &report, now_ms, &extras);
       }
   pthread_mutex_unlock (&side->lock);
   drop_extras (side, &extras);
--- a/source/base/settings.c
+++ b/source/base/settings.c
@@ -51,6 +51,26 @@
     *(int64_t *)value = number;
 }
 
+static void
+store_decimal (bt_context_t *ctx,
+               const bt_setting_t *setting,
+               const char *origin,
+               const char *text,
+               void *value,
+               bt_findings_t *findings)
+{
+  char *end;
+  double number = strtod (text, &end);
+
+  if (end == text || *end != '\0')
+    bt_add_finding (ctx, findings, origin, 0, NULL, "\"%s\" is not a number.", text);
+  else if (!(number >= (double)setting->min && number <= (double)setting->max))
+    bt_add_finding (ctx, findings, origin, 0, NULL, "%s is not between %lld and %lld.", text,
+                    (long long)setting->min, (long long)setting->max);
+  else
+    *(double *)value = number;
+}
+
 static void
 store_flag (
     bt_context_t *ctx, const char *origin, const char *text, void *value, bt_findings_t *findings)
@@ -86,6 +106,9 @@
     case BT_SETTING_INTEGER:
       store_integer (ctx, setting, origin, text, value, findings);
       return;
+    case BT_SETTING_DECIMAL:
+      store_decimal (ctx, setting, origin, text, value, findings);
+      return;
     case BT_SETTING_FLAG:
       store_flag (ctx, origin, text, value, findings);
       return;
--- a/source/entry/command_gateway.c
+++ b/source/entry/command_gateway.c
@@ -30,6 +30,8 @@
   { "store", BT_SETTING_ADDRESS, FIELD (store), NULL, 0, 0, "The platform's store." },
   { "log-level", BT_SETTING_TEXT, FIELD (log_level), "info", 0, 0,
     "error, warning, info or debug." },
+  { "cores", BT_SETTING_DECIMAL, FIELD (cores), "1", 0, 1024,
+    "Processor share of this instance, in cores; the instance with most leads." },
   { "max-connections", BT_SETTING_INTEGER, FIELD (max_connections), "2000", 8, 60000,
     "Callers' connections at a time." },
   { "address-life-ms", BT_SETTING_INTEGER, FIELD (address_life_ms), "1500", 100, 3600000,
--- a/source/gateway/agent_links.h
+++ b/source/gateway/agent_links.h
@@ -80,4 +80,7 @@
                           const bt_group_order_t *order,
                           const bt_map_bytes_t *map);
 
+/** Of how many reports of a rank one carries its picks, in a group of so many ranks. */
+int32_t bt_count_reports_a_pick (int32_t ranks);
+
 #endif
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -22,8 +22,7 @@
   /* An endpoint is probed by requests only; a run takes about a second at first. */
   FIRST_SERVICE_MS = 300,
   /* Requests put behind an endpoint's slots. What waits here can still be ordered by what its
-   * caller expects, what waits there can't; one hides the way to the endpoint. With 4, 2 and 1 the
-   * worth of two heavy days was 0.676, 0.711 and 0.724, and 0.653, 0.630 and 0.670. */
+   * caller expects, what waits there can't; one hides the way to the endpoint. */
   BEHIND_SLOTS = 1,
 };
 
@@ -156,6 +155,7 @@
     .platform = gateway->platform,
     .store = settings->store,
     .instance = settings->instance,
+    .cores = settings->cores,
     .lease_s = settings->lead_lease_s,
     .renew_ms = settings->lead_renew_ms,
     .plan_ms = settings->plan_ms,
@@ -290,6 +290,7 @@
   strncpy (options.entry.callers, settings->listen, sizeof options.entry.callers - 1);
   strncpy (options.entry.links, settings->links, sizeof options.entry.links - 1);
   bt_copy_name (options.entry.failure_domain, settings->failure_domain);
+  options.entry.cores = settings->cores;
   gateway->listener.on_view = take_view;
   gateway->listener.on_store = take_store_news;
   gateway->follower =
--- a/source/gateway/group_control.c
+++ b/source/gateway/group_control.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "bilberrytray/base/event_log.h"
+#include "bilberrytray/base/limit.h"
 #include "bilberrytray/maps/group_rounds.h"
 #include "group_maps.h"
 
@@ -14,21 +15,17 @@
   /* Orders stop so long before the lease could lapse: a way to an agent and back, and as long again
    * for a loop that was held up. */
   LEASE_MARGIN_MS = 500,
-  /* With less left of its lease a leader holds no group. It would stand until the next leader is in
-   * office: 6.9 s where the store went away while ranks were being armed. A round holds its group
-   * for 50 to 100 ms, and gives it up after 300 ms if an agent is silent; a lease that is renewed
-   * each 600 ms has 900 ms left at least. */
+  /* With less left of its lease a leader holds no group: it would stand until the next leader is in
+   * office, for seconds where the store goes away meanwhile. A round lets its group go well within
+   * this, and a lease that is renewed in time has more left. */
   LEAST_LEASE_MS = 700,
-  /* A step is one pass of the group, 60 to 100 ms. From the order to hold until the group is let go
-   * a group of 16 ranks takes 30 to 60 ms, one of 72 ranks 60 to 270 ms. Is the held step reached
-   * before, the pause makes every stream under way late: with 3 steps a group of 72 ranks had 0.72
-   * of a heavy day's worth, with 5 steps 0.79. More than 3 steps gain a group of 16 ranks nothing:
-   * mean worth 0.707, 0.702 and 0.701 with 3, 4 and 5. */
+  /* A step is one pass of the group. Is the held step reached before the group is let go, the pause
+   * makes every stream under way late. The more ranks, the longer the orders take. */
   LEAST_HOLD_STEPS = 3,
   RANKS_A_HOLD_STEP = 32,
   RESEND_MS = 120,
   STALE_MS = 1200,
-  /* Agents report to the leader each 100 ms, and at once when asked; two reports and a way. */
+  /* Agents report to the leader at once when asked; two of their usual reports and a way. */
   SILENCE_MS = 250,
   PREPARE_LIMIT_MS = 3000,
   ARM_LIMIT_MS = 1500,
@@ -38,8 +35,15 @@
   /* Each later instance waits longer for its turn to lead, so that they do not race. */
   TURN_MS = 250,
   FIRST_TURN_MS = 100,
+  /* An instance with more room is listed for so long before the leader hands over to it: one that
+   * comes and goes would leave the groups without a leader at each turn. */
+  STEADY_MS = 5000,
 };
 
+/* A leader hands over to an instance with so many times its processor share. Planning takes many
+ * milliseconds at once, and in them its own callers wait. */
+static const double much_room = 1.5;
+
 static const char *const lease_prefix = "bilberrytray/maps/";
 static const char *const lease_name = "groups";
 
@@ -50,7 +54,9 @@
   int32_t ranks;
   bt_group_rounds_t *rounds;
   bt_group_maps_t *maps;
-  char endpoints[BT_MAX_GROUP_RANKS][BT_ADDRESS_BYTES]; /* by rank */
+  char (*endpoints)[BT_ADDRESS_BYTES]; /* by rank */
+  bt_map_bytes_t map;                  /* the one that was ordered last, encoded once for all */
+  int64_t map_version;                 /* 0: none was */
   int64_t next_plan_ms;
   int64_t next_ask_ms;
   int64_t target;         /* the version that the next map was given; 0: none */
@@ -70,6 +76,8 @@
   uint64_t lease_fence; /* of the lease that was granted last */
   int64_t lease_end_ms;
   bool leaving;
+  bool handed_over;   /* the lease that was granted last is on its way back */
+  int64_t outdone_ms; /* since when an instance with more room is listed; 0: none is */
   group_t *groups;
   bt_timer_t timer;
 };
@@ -109,8 +117,11 @@
 
   control->lease_end_ms = sent_ms + control->options.lease_s * MS_PER_S - LEASE_MARGIN_MS;
   if (fence != 0)
-    control->lease_fence = fence;
-  if (control->leaving && control->fence == 0)
+    {
+      control->lease_fence = fence;
+      control->handed_over = false;
+    }
+  if ((control->leaving || control->handed_over) && control->fence == 0)
     bt_want_lease (control->keeper, false, 0);
   /* A renewal that came late ended the leading, not the lease: nobody else has led meanwhile. */
   else if (fence != 0 || control->fence == 0)
@@ -165,21 +176,40 @@
       control->groups = group->next;
       bt_drop_group_rounds (ctx, group->rounds);
       bt_drop_group_maps (ctx, group->maps);
+      bt_free (ctx, group->endpoints);
+      bt_free (ctx, group->map.data);
       bt_free (ctx, group);
     }
   bt_free (ctx, control);
 }
 
+/* True when an instance takes its turn before this one: it has more processor time, or as much and
+ * the lower name. */
+static bool
+is_turn_before (const bt_group_control_t *control, const bt_listed_entry_t *entry)
+{
+  if (entry->cores != control->options.cores)
+    return entry->cores > control->options.cores;
+  return strcmp (entry->identity.instance, control->options.instance) < 0;
+}
+
 void
 bt_set_group_view (bt_group_control_t *control, const bt_view_t *view, bool leaving)
 {
   bool own = strcmp (view->leader, control->options.instance) == 0;
+  bool outdone = false;
   int64_t turn = 0;
 
   for (int32_t i = 0; i < view->entry_count; i++)
-    if (strcmp (view->entries[i].identity.instance, control->options.instance) < 0)
-      turn++;
+    {
+      turn += is_turn_before (control, &view->entries[i]);
+      outdone = outdone || view->entries[i].cores > control->options.cores * much_room;
+    }
   control->leaving = leaving;
+  if (!outdone)
+    control->outdone_ms = 0;
+  else if (control->outdone_ms == 0)
+    control->outdone_ms = bt_now_ms (control->ctx);
   bt_want_lease (control->keeper, leaving ? control->fence != 0 : view->leader[0] == '\0' || own,
                  FIRST_TURN_MS + turn * TURN_MS);
 }
@@ -211,6 +241,7 @@
   group = bt_calloc (control->ctx, 1, sizeof *group);
   bt_copy_name (group->name, report->group);
   group->ranks = report->ranks;
+  group->endpoints = bt_calloc (control->ctx, (size_t)report->ranks, sizeof *group->endpoints);
   group->maps = maps;
   group->rounds = bt_new_group_rounds (control->ctx, &rounds);
   if (control->fence != 0)
@@ -230,12 +261,16 @@
   int64_t now_ms = bt_get_loop_ms (control->loop);
   group_t *group;
 
-  if (report->group[0] == '\0' || report->ranks < 1 || report->ranks > BT_MAX_GROUP_RANKS
-      || report->rank < 0 || report->rank >= report->ranks || engine->expert_sets == 0)
+  if (report->group[0] == '\0' || report->ranks < 1 || report->rank < 0
+      || report->rank >= report->ranks || engine->expert_sets == 0)
     return;
   group = find_group (control, engine, report);
   if (group == NULL)
-    return;
+    {
+      bt_note_limit (control->ctx, "group", BT_MAX_RANKS, report->group,
+                     "Its ranks or experts are more than a map can have; its map stays as it is.");
+      return;
+    }
   snprintf (group->endpoints[report->rank], BT_ADDRESS_BYTES, "%s", news->endpoint);
   bt_set_rank_pace (group->maps, report->rank, report->pace);
   bt_take_rank_running (group->maps, report->rank, report->running, pass_limit, now_ms);
@@ -346,29 +381,41 @@
                            bt_get_group_version (group->rounds));
 }
 
+/* Encodes the map of a PREPARE order, unless that was done for another rank: a version is that of
+ * one map for ever. False while the map is not known. */
+static bool
+encode_order_map (bt_group_control_t *control, group_t *group, const bt_group_order_t *order)
+{
+  const bt_expert_map_t *map;
+  bt_error_t error = { 0 };
+
+  if (group->map_version == order->version)
+    return true;
+  bt_free (control->ctx, group->map.data);
+  group->map = (bt_map_bytes_t){ NULL };
+  group->map_version = 0;
+  map = find_order_map (control, group, order);
+  if (map == NULL || !bt_encode_expert_map (control->ctx, map, &group->map, &error))
+    return false;
+  group->map_version = order->version;
+  return true;
+}
+
 static void
 send_order (bt_group_control_t *control,
             group_t *group,
             const bt_group_order_t *order,
             int64_t now_ms)
 {
-  const char *endpoint = group->endpoints[order->rank];
-  const bt_expert_map_t *map = NULL;
-  bt_map_bytes_t bytes = { 0 };
-  bt_error_t error = { 0 };
+  bool prepares = order->kind == BT_GROUP_PREPARE;
 
-  if (order->kind == BT_GROUP_PREPARE)
+  if (prepares && !encode_order_map (control, group, order))
     {
-      map = find_order_map (control, group, order);
-      if (map == NULL || !bt_encode_expert_map (control->ctx, map, &bytes, &error))
-        {
-          ask_places (control, group, now_ms);
-          return;
-        }
+      ask_places (control, group, now_ms);
+      return;
     }
-  bt_send_agent_order (control->links, group->endpoints[order->via], endpoint, order,
-                       map == NULL ? NULL : &bytes);
-  bt_free (control->ctx, bytes.data);
+  bt_send_agent_order (control->links, group->endpoints[order->via], group->endpoints[order->rank],
+                       order, prepares ? &group->map : NULL);
 }
 
 static void
@@ -403,13 +450,23 @@
   return control->fence != 0 && is_any_round (control);
 }
 
-/* A leader that leaves ends the rounds it has begun and hands over at once. If its lease lapsed
- * instead, a group that it holds would stand until the next leader is in office, 4 s where each
- * entry instance is replaced in turn. */
+/* True when an instance with more room has been there long enough to lead in this one's place. */
+static bool
+is_outdone (const bt_group_control_t *control, int64_t now_ms)
+{
+  return control->outdone_ms != 0 && now_ms - control->outdone_ms > STEADY_MS;
+}
+
+/* A leader that leaves, or that others have more room than, ends the rounds it has begun and hands
+ * over at once. If its lease lapsed instead, a group that it holds would stand until the next
+ * leader is in office. */
 static void
 hand_over (bt_group_control_t *control)
 {
-  stop_leading (control, "This instance leaves.");
+  stop_leading (control, control->leaving ? "This instance leaves."
+                                          : "Another instance has more processor time.");
+  control->outdone_ms = 0;
+  control->handed_over = true;
   bt_want_lease (control->keeper, false, 0);
 }
 
@@ -428,7 +485,7 @@
     }
   for (group_t *group = control->groups; group != NULL && control->fence != 0; group = group->next)
     run_group (control, group, now_ms);
-  if (control->leaving && !is_any_round (control))
+  if ((control->leaving || is_outdone (control, now_ms)) && !is_any_round (control))
     hand_over (control);
   bt_set_timer (control->loop, &control->timer,
                 now_ms + (is_any_round (control) ? ROUND_LOOK_MS : control->options.plan_ms));
--- a/source/gateway/group_control.h
+++ b/source/gateway/group_control.h
@@ -16,6 +16,7 @@
   const bt_platform_t *platform;
   const char *store;
   const char *instance;
+  double cores;     /**< Processor share of this instance. */
   int64_t lease_s;  /**< Life of the lease. */
   int64_t renew_ms; /**< Between two renewals. */
   int64_t plan_ms;  /**< Between two plans for one group. */
--- a/source/gateway/view.c
+++ b/source/gateway/view.c
@@ -33,8 +33,9 @@
   char *copy;
 
   snprintf (incarnation, sizeof incarnation, "%016" PRIx64, entry->identity.incarnation);
-  object = json_pack ("{s:s, s:s, s:s, s:s}", "incarnation", incarnation, "callers", entry->callers,
-                      "links", entry->links, "failure_domain", entry->failure_domain);
+  object = json_pack ("{s:s, s:s, s:s, s:s, s:f}", "incarnation", incarnation, "callers",
+                      entry->callers, "links", entry->links, "failure_domain",
+                      entry->failure_domain, "cores", entry->cores);
   text = json_dumps (object, JSON_COMPACT);
   json_decref (object);
   copy = bt_strdup (ctx, text);
@@ -76,6 +77,7 @@
 static bool
 read_entry_object (const json_t *object, bt_listed_entry_t *entry)
 {
+  entry->cores = json_number_value (json_object_get (object, "cores"));
   return read_incarnation (object, &entry->identity.incarnation)
          && copy_field (entry->callers, sizeof entry->callers, object, "callers")
          && copy_field (entry->links, sizeof entry->links, object, "links")
--- a/source/gateway/view.h
+++ b/source/gateway/view.h
@@ -15,6 +15,7 @@
   char callers[BT_ADDRESS_BYTES]; /**< Where it serves callers. */
   char links[BT_ADDRESS_BYTES];   /**< Where it accepts links of its peers. */
   char failure_domain[BT_NAME_BYTES];
+  double cores; /**< Its share of processor time; 0: it does not say. */
 } bt_listed_entry_t;
 
 /** An item under the keys of endpoints or entry instances that names none, as another writer left
--- a/source/maps/group_phases.c
+++ b/source/maps/group_phases.c
@@ -1,9 +1,18 @@
+#include <math.h>
+
 #include "group_rounds_private.h"
 
 enum
 {
   /* Refusals of one rank that end a try to prepare or to hold. */
   MOST_REFUSALS = 3,
+  /* Steps between the latest known one and that of a change, beside those that the orders take: one
+   * that has begun since the last report, and one to spare. */
+  SPARE_STEPS = 2,
+  /* Steps over which the time of a step is measured. */
+  PACED_STEPS = 3,
+  /* Reports of ranks overtake each other by no more. */
+  LATE_STEPS = 2,
 };
 
 void
@@ -79,6 +88,45 @@
   secure (rounds, now_ms);
 }
 
+void
+bt_note_group_step (bt_group_rounds_t *rounds, int64_t step, int64_t now_ms)
+{
+  int64_t steps = step - rounds->paced_step;
+
+  if (rounds->paced_ms != 0 && steps >= -LATE_STEPS && steps < PACED_STEPS)
+    return;
+  /* A group that was formed anew counts from wherever it stands. */
+  if (rounds->paced_ms != 0 && steps >= 0)
+    rounds->pass_ms = (double)(now_ms - rounds->paced_ms) / (double)steps;
+  rounds->paced_step = step;
+  rounds->paced_ms = now_ms;
+}
+
+/* Notes how long the orders of a round took. A time that was longer fades, since a group that comes
+ * to the held step before it is let go makes all its streams wait. */
+static void
+note_orders (bt_group_rounds_t *rounds, int64_t now_ms)
+{
+  double taken_ms = (double)(now_ms - rounds->held_ms);
+
+  if (rounds->target == 0)
+    return;
+  rounds->orders_ms = fmax (taken_ms, (rounds->orders_ms + taken_ms) / 2);
+}
+
+/* Steps from the latest known one to that of a change. Each one too many leaves the ranks as they
+ * are for a pass, at the very time when passes are long. */
+static int64_t
+count_steps_ahead (const bt_group_rounds_t *rounds)
+{
+  double steps;
+
+  if (rounds->orders_ms <= 0 || rounds->pass_ms <= 0)
+    return rounds->settings.hold_steps;
+  steps = SPARE_STEPS + ceil (rounds->orders_ms / rounds->pass_ms);
+  return (int64_t)fmin (steps, 2.0 * (double)rounds->settings.hold_steps);
+}
+
 static void
 choose_step (bt_group_rounds_t *rounds, int64_t now_ms)
 {
@@ -87,8 +135,9 @@
   /* A step is never used twice: an order for it may still be on its way. */
   if (latest < rounds->last_step)
     latest = rounds->last_step;
-  rounds->step = latest + rounds->settings.hold_steps;
+  rounds->step = latest + count_steps_ahead (rounds);
   rounds->last_step = rounds->step;
+  rounds->held_ms = now_ms;
   rounds->own_hold = false;
   rounds->holder = bt_choose_group_holder (rounds);
   bt_set_group_phase (rounds, BT_GROUP_HOLDING, now_ms);
@@ -198,8 +247,10 @@
       break;
     case BT_GROUP_LETTING_GO:
       rounds->own_hold = false;
-      if (!bt_is_group_held (rounds))
-        bt_set_group_phase (rounds, BT_GROUP_SETTLING, now_ms);
+      if (bt_is_group_held (rounds))
+        break;
+      note_orders (rounds, now_ms);
+      bt_set_group_phase (rounds, BT_GROUP_SETTLING, now_ms);
       break;
     case BT_GROUP_SETTLING:
       if (!bt_is_group_armed_or_held (rounds) && bt_has_group_one_version (rounds))
--- a/source/maps/group_rounds.c
+++ b/source/maps/group_rounds.c
@@ -30,7 +30,8 @@
 bt_group_rounds_t *
 bt_new_group_rounds (bt_context_t *ctx, const bt_group_rounds_settings_t *settings)
 {
-  bt_group_rounds_t *rounds = bt_calloc (ctx, 1, sizeof *rounds);
+  size_t ranks = (size_t)settings->ranks;
+  bt_group_rounds_t *rounds = bt_calloc (ctx, 1, sizeof *rounds + ranks * sizeof rounds->ranks[0]);
 
   rounds->settings = *settings;
   return rounds;
@@ -45,11 +46,14 @@
 void
 bt_lead_group (bt_group_rounds_t *rounds, uint64_t fence)
 {
-  memset (rounds->ranks, 0, sizeof rounds->ranks);
+  memset (rounds->ranks, 0, (size_t)rounds->settings.ranks * sizeof rounds->ranks[0]);
   rounds->fence = fence;
   rounds->fenced = false;
   rounds->own_hold = false;
   rounds->target = 0;
+  rounds->orders_ms = 0;
+  rounds->pass_ms = 0;
+  rounds->paced_ms = 0;
   rounds->hold_until_ms = INT64_MAX;
   /* A leader that pauses and goes on with its own fencing number goes on with its versions too. */
   if (rounds->last_version < (int64_t)fence * VERSIONS_OF_LEADER)
@@ -125,7 +129,9 @@
   state->report = *report;
   state->heard_ms = now_ms;
   note_steps (rounds, report);
+  bt_note_group_step (rounds, report->step, now_ms);
   notice_epoch (rounds, report, now_ms);
+  rounds->next_rank = 0;
   bt_advance_group (rounds, now_ms);
 }
 
--- a/source/maps/group_rounds_private.h
+++ b/source/maps/group_rounds_private.h
@@ -35,13 +35,19 @@
   int64_t clearing;   /* the version whose preparing raises the counts */
   int64_t step;       /* the step of the change */
   int64_t last_step;  /* the highest step that any round here used */
+  int64_t held_ms;    /* when the order to hold was first due */
+  double orders_ms;   /* time from the order to hold until the group is let go; 0: not known */
+  double pass_ms;     /* time of a step; 0: not known */
+  int64_t paced_step; /* the step and the time from which pass_ms is measured next */
+  int64_t paced_ms;
   int32_t holder;     /* the rank of this leader's own hold */
   int32_t hold_tries; /* orders to hold in this phase */
   bool own_hold;      /* it was seen in force, and was not taken back */
   bool takes_hold;    /* securing: the hold of another leader is made this one's own */
   int64_t seen_ms;    /* when it was */
   bool ask;           /* all agents are to be asked for a report */
-  bt_rank_state_t ranks[BT_MAX_GROUP_RANKS];
+  int32_t next_rank;  /* the first that this search for orders has not looked at */
+  bt_rank_state_t ranks[];
 };
 
 /** True when an engine is to change its map at a step. */
@@ -94,6 +100,9 @@
  * hold, the one that holds the earliest step. */
 int32_t bt_choose_group_holder (const bt_group_rounds_t *rounds);
 
+/** Takes in the step that a rank reports, for the time of a step. */
+void bt_note_group_step (bt_group_rounds_t *rounds, int64_t step, int64_t now_ms);
+
 /** Begins a phase: what was refused or accepted in the one before says nothing of this one. */
 void bt_set_group_phase (bt_group_rounds_t *rounds, bt_group_phase_t phase, int64_t now_ms);
 
--- a/test/maps/held_group.h
+++ b/test/maps/held_group.h
@@ -15,7 +15,8 @@
 
 enum
 {
-  HELD_RANKS = 5,
+  HELD_RANKS = 5, /* unless a test asks for more */
+  HELD_MOST_RANKS = 513,
   HELD_LATE = 512, /* orders on their way */
 };
 
@@ -38,7 +39,8 @@
 
 typedef struct held_group
 {
-  held_engine_t engines[HELD_RANKS];
+  int32_t ranks;
+  held_engine_t engines[HELD_MOST_RANKS];
   held_late_t late[HELD_LATE];
   bt_random_t random;
   int64_t now_ms;
@@ -68,7 +70,7 @@
 form_held_group (held_group_t *group)
 {
   group->epoch++;
-  for (int32_t i = 0; i < HELD_RANKS; i++)
+  for (int32_t i = 0; i < group->ranks; i++)
     {
       held_engine_t *engine = &group->engines[i];
 
@@ -87,14 +89,15 @@
 {
   group->epoch--;
   form_held_group (group);
-  for (int32_t i = 0; i < HELD_RANKS; i++)
+  for (int32_t i = 0; i < group->ranks; i++)
     group->engines[i].report.started_ms = group->now_ms;
 }
 
 static inline void
-start_held_group (held_group_t *group, uint64_t seed)
+start_held_group_of (held_group_t *group, uint64_t seed, int32_t ranks)
 {
   memset (group, 0, sizeof *group);
+  group->ranks = ranks;
   bt_seed_random (&group->random, seed);
   group->fences_checked = true;
   group->starts_checked = true;
@@ -103,6 +106,12 @@
   form_held_group (group);
 }
 
+static inline void
+start_held_group (held_group_t *group, uint64_t seed)
+{
+  start_held_group_of (group, seed, HELD_RANKS);
+}
+
 static inline bt_order_result_t
 carry_out_prepare (held_engine_t *engine, const bt_group_order_t *order, uint64_t content)
 {
@@ -231,7 +240,7 @@
 
   if (group->lost_percent > 0 && bt_random_below (&group->random, 100) == 0)
     {
-      group->deaf_rank = (int32_t)bt_random_below (&group->random, HELD_RANKS);
+      group->deaf_rank = (int32_t)bt_random_below (&group->random, (uint64_t)group->ranks);
       group->deaf_until_ms = group->now_ms + 1500;
     }
   lost = lost || (order->rank == group->deaf_rank && group->now_ms < group->deaf_until_ms);
@@ -264,14 +273,14 @@
    * order for it stays good. */
   if (group->lost_percent > 0 && bt_random_below (&group->random, 40) == 0)
     group->idle_until_ms = group->now_ms + (int64_t)bt_random_below (&group->random, 4000);
-  for (int32_t i = 0; i < HELD_RANKS; i++)
+  for (int32_t i = 0; i < group->ranks; i++)
     if (group->engines[i].report.held_step == group->step + 1)
       return;
   group->step++;
   if (group->now_ms - group->stepped_ms > group->longest_ms)
     group->longest_ms = group->now_ms - group->stepped_ms;
   group->stepped_ms = group->now_ms;
-  for (int32_t i = 0; i < HELD_RANKS; i++)
+  for (int32_t i = 0; i < group->ranks; i++)
     {
       held_engine_t *engine = &group->engines[i];
 
@@ -284,7 +293,7 @@
           group->changes++;
         }
     }
-  for (int32_t i = 1; i < HELD_RANKS; i++)
+  for (int32_t i = 1; i < group->ranks; i++)
     if (group->engines[i].report.version != group->engines[0].report.version
         || group->engines[i].content != group->engines[0].content)
       {
--- a/test/maps/test_group_rounds.c
+++ b/test/maps/test_group_rounds.c
@@ -23,10 +23,10 @@
 static bt_context_t *ctx;
 
 static bt_group_rounds_t *
-new_rounds (void)
+new_rounds_of (int32_t ranks)
 {
   bt_group_rounds_settings_t settings = {
-    .ranks = HELD_RANKS,
+    .ranks = ranks,
     .hold_steps = 3,
     .resend_ms = 100,
     .stale_ms = 500,
@@ -38,6 +38,12 @@
   return bt_new_group_rounds (ctx, &settings);
 }
 
+static bt_group_rounds_t *
+new_rounds (void)
+{
+  return new_rounds_of (HELD_RANKS);
+}
+
 /* Sends what a leader has to send. The content that a version stands for is its own number, and the
  * content in use for a version that only raises the counts. */
 static void
@@ -63,7 +69,7 @@
 static void
 tell_reports (held_group_t *group, leader_t *leader)
 {
-  for (int32_t i = 0; i < HELD_RANKS; i++)
+  for (int32_t i = 0; i < group->ranks; i++)
     if (!is_held_rank_frozen (group, i))
       bt_take_rank_report (leader->rounds, i, &group->engines[i].report, group->now_ms);
 }
@@ -118,6 +124,63 @@
   bt_drop_group_rounds (ctx, leader.rounds);
 }
 
+/* Runs rounds of a group with steps of a given length, and returns how far ahead the change of the
+ * last one was set. */
+static int64_t
+find_last_steps_ahead (int64_t step_ms)
+{
+  enum
+  {
+    FIRST_STEPS = 3, /* as the rounds are made with */
+    UNTIL_MS = 6000,
+  };
+  held_group_t group;
+  leader_t leader = { new_rounds () };
+  bt_group_order_t order;
+  int64_t ahead = 0;
+
+  start_held_group (&group, 1);
+  lead (&leader, 7);
+  while (group.now_ms < UNTIL_MS)
+    {
+      group.now_ms += TICK_MS;
+      if (group.now_ms % 50 == 0)
+        tell_reports (&group, &leader);
+      if (bt_get_group_phase (leader.rounds) == BT_GROUP_CALM)
+        bt_begin_group_round (leader.rounds, group.now_ms);
+      while (bt_next_group_order (leader.rounds, group.now_ms, &order))
+        {
+          bt_order_result_t result = send_held_order (&group, &order, (uint64_t)order.version);
+
+          if (order.kind == BT_GROUP_HOLD)
+            ahead = order.step - group.step;
+          if (order.kind == BT_GROUP_HOLD && group.changes == 0)
+            CU_ASSERT (ahead <= FIRST_STEPS);
+          bt_take_group_order_result (leader.rounds, order.via, order.id, result,
+                                      &group.engines[order.via].report, group.now_ms);
+        }
+      if (group.now_ms % step_ms == 0)
+        begin_held_step (&group);
+    }
+  CU_ASSERT (group.changes > 0);
+  CU_ASSERT_EQUAL (group.splits, 0);
+  bt_drop_group_rounds (ctx, leader.rounds);
+  return ahead;
+}
+
+/* After a jump of demand passes are long, and each one until the change leaves the busiest rank as
+ * it is. Where orders take less than a pass the change is near; where a group makes many passes
+ * while they are on their way it is far, so that nobody waits at the held step. */
+static void
+test_change_is_as_near_as_orders_allow (void)
+{
+  int64_t near = find_last_steps_ahead (200);
+  int64_t far = find_last_steps_ahead (20);
+
+  CU_ASSERT (near <= 3);
+  CU_ASSERT (far >= 5);
+}
+
 /* Callers of the model got nothing for 4 s: an agent stood still right after it had held the group,
  * and only the holder's own agent can let it go. Whoever gives the hold must not be the one whose
  * help is needed to take it back, and a round with a silent agent ends before anything is armed. */
@@ -205,6 +268,53 @@
     }
 }
 
+/* Two leaders by turns: the one stands still, the other takes over, and the first wakes up. Orders
+ * are lost meanwhile, and no more at the end. */
+static void
+change_leaders (held_group_t *group, leader_t *leaders)
+{
+  uint64_t fence = 10;
+
+  group->lost_percent = 25;
+  lead (&leaders[0], fence++);
+  for (int32_t turn = 0; turn < 8; turn++)
+    {
+      leader_t *old = &leaders[turn % LEADERS];
+      int64_t slept_ms;
+
+      run_world (group, leaders, LEADERS,
+                 group->now_ms + 500 + (int64_t)bt_random_below (&group->random, 1500));
+      old->frozen = true;
+      lead (&leaders[(turn + 1) % LEADERS], fence++);
+      slept_ms = 100 + (int64_t)bt_random_below (&group->random, 2000);
+      run_world (group, leaders, LEADERS, group->now_ms + slept_ms);
+      old->frozen = false;
+      run_world (group, leaders, LEADERS, group->now_ms + 400);
+      old->leading = false;
+    }
+  group->lost_percent = 0;
+  run_world (group, leaders, LEADERS, group->now_ms + 12000);
+  /* A round may just be under way, with the group held before a step to come. */
+  group->ending = true;
+  run_world (group, leaders, LEADERS, group->now_ms + 1000);
+}
+
+static void
+check_changed_leaders (uint64_t seed, int32_t ranks)
+{
+  held_group_t group;
+  leader_t leaders[LEADERS] = { { new_rounds_of (ranks) }, { new_rounds_of (ranks) } };
+
+  start_held_group_of (&group, seed, ranks);
+  change_leaders (&group, leaders);
+  CU_ASSERT_EQUAL (group.splits, 0);
+  CU_ASSERT (group.changes > 0);
+  for (int32_t i = 0; i < ranks; i++)
+    CU_ASSERT_EQUAL (group.engines[i].report.held_step, BT_NO_STEP);
+  for (int32_t i = 0; i < LEADERS; i++)
+    bt_drop_group_rounds (ctx, leaders[i].rounds);
+}
+
 /* A leader stands still in the middle of a round, another takes over, and the first wakes and goes
  * on sending as if nothing had been. The second finds ranks armed and the group held; it must free
  * the group, and what the first still sends must not arm a rank behind its back. */
@@ -212,39 +322,28 @@
 test_two_leaders_split_no_group (void)
 {
   for (uint64_t seed = 1; seed <= 300; seed++)
+    check_changed_leaders (seed, HELD_RANKS);
+}
+
+/* A group of more ranks than one word of a set has: its map was never changed, and its busiest rank
+ * stood at three times the mean load all day. Rounds of such a group are those of any other. */
+static void
+test_large_groups_are_led_like_small_ones (void)
+{
+  static const int32_t ranks[] = { 130, 192, HELD_MOST_RANKS };
+
+  for (size_t i = 0; i < sizeof ranks / sizeof ranks[0]; i++)
     {
       held_group_t group;
-      leader_t leaders[LEADERS] = { { new_rounds () }, { new_rounds () } };
-      uint64_t fence = 10;
+      leader_t leader = { new_rounds_of (ranks[i]) };
 
-      start_held_group (&group, seed);
-      group.lost_percent = 25;
-      lead (&leaders[0], fence++);
-      for (int32_t turn = 0; turn < 8; turn++)
-        {
-          leader_t *old = &leaders[turn % LEADERS];
-          int64_t slept_ms;
-
-          run_world (&group, leaders, LEADERS,
-                     group.now_ms + 500 + (int64_t)bt_random_below (&group.random, 1500));
-          old->frozen = true;
-          lead (&leaders[(turn + 1) % LEADERS], fence++);
-          slept_ms = 100 + (int64_t)bt_random_below (&group.random, 2000);
-          run_world (&group, leaders, LEADERS, group.now_ms + slept_ms);
-          old->frozen = false;
-          run_world (&group, leaders, LEADERS, group.now_ms + 400);
-          old->leading = false;
-        }
-      group.lost_percent = 0;
-      run_world (&group, leaders, LEADERS, group.now_ms + 12000);
-      /* A round may just be under way, with the group held before a step to come. */
-      group.ending = true;
-      run_world (&group, leaders, LEADERS, group.now_ms + 1000);
+      start_held_group_of (&group, 1, ranks[i]);
+      lead (&leader, 7);
+      run_world (&group, &leader, 1, 5000);
+      CU_ASSERT (group.changes >= 5 * ranks[i]);
       CU_ASSERT_EQUAL (group.splits, 0);
-      for (int32_t i = 0; i < HELD_RANKS; i++)
-        CU_ASSERT_EQUAL (group.engines[i].report.held_step, BT_NO_STEP);
-      for (int32_t i = 0; i < LEADERS; i++)
-        bt_drop_group_rounds (ctx, leaders[i].rounds);
+      bt_drop_group_rounds (ctx, leader.rounds);
+      check_changed_leaders (i + 1, ranks[i]);
     }
 }
 
@@ -495,6 +594,9 @@
   CU_add_test (suite, "lease_that_ends_leaves_no_hold", test_lease_that_ends_leaves_no_hold);
   CU_add_test (suite, "late_orders_split_no_group", test_late_orders_split_no_group);
   CU_add_test (suite, "two_leaders_split_no_group", test_two_leaders_split_no_group);
+  CU_add_test (suite, "change_is_as_near_as_orders_allow", test_change_is_as_near_as_orders_allow);
+  CU_add_test (suite, "large_groups_are_led_like_small_ones",
+               test_large_groups_are_led_like_small_ones);
   CU_add_test (suite, "new_epoch_starts_anew", test_new_epoch_starts_anew);
   CU_add_test (suite, "new_starts_get_no_orders_of_before",
                test_new_starts_get_no_orders_of_before);
--- a/test/maps/test_map_planner.c
+++ b/test/maps/test_map_planner.c
@@ -378,8 +378,8 @@
       input.load = load;
       for (int32_t expert = 0; expert < shape.experts; expert++)
         {
-          bt_add_expert_load (load, 0, expert, 1000 / (1 + expert * 7 % shape.experts));
-          bt_add_expert_load (load, 1, expert, 1000 / (1 + expert * 11 % shape.experts));
+          bt_add_expert_load (load, 0, expert, 1000.0 / (1 + expert * 7 % shape.experts));
+          bt_add_expert_load (load, 1, expert, 1000.0 / (1 + expert * 11 % shape.experts));
         }
       plan = bt_plan_map (ctx, bt_round_map_planner (), &input);
       CU_ASSERT_TRUE (plan->skew_after < plan->skew_before / 2);
