--- a/source/base/event_log.c
+++ b/source/base/event_log.c
@@ -9,8 +9,8 @@
 enum
 {
   MILLI = 1000,
-  /* Lines a second that one level may write for long, and at once after a rest. A line takes about
-   * 25 us to make and write, so a level takes at most 0.1% of a core. */
+  /* Lines a second that one level may write for long, and at once after a rest: a level then takes
+   * a small part of a core at the most. */
   LINES_PER_S = 40,
   LINES_AT_ONCE = 400,
 };
--- a/source/gateway/endpoint_table.c
+++ b/source/gateway/endpoint_table.c
@@ -10,7 +10,7 @@
    * second more for the way through a watch and a read. */
   RELIST_MS = 2500,
   /* One that left just then is missing as well, and is to get nothing two seconds later. An entry
-   * that had been cut off alone went on sending to it for 2.02 s. */
+   * that was cut off alone must not go on sending to it for longer. */
   MISSING_MS = 1800,
 };
 
--- a/source/gateway/feed_choice.h
+++ b/source/gateway/feed_choice.h
@@ -5,9 +5,8 @@
  * Who reads the platform's store itself, and from whom the other entries learn what it holds.
  *
  * Every entry that reads the store costs it a waiting call and an answer for each change, so few
- * do: 41 entries made 2,200 calls in 48 s, and a fleet of 640 would take all that a store of 6,000
- * reads a second has. Whoever knows the same entries chooses the same readers, without asking
- * anyone.
+ * do: the calls of all would grow with the fleet until they are more than a store answers. Whoever
+ * knows the same entries chooses the same readers, without asking anyone.
  */
 
 #include "bilberrytray/base/context.h"
--- a/source/gateway/forward.c
+++ b/source/gateway/forward.c
@@ -13,14 +13,14 @@
   RETRY_AFTER_BYTES = 32,
   /* Waiting requests are looked at again this often, beside each end and each report. */
   PUMP_MS = 10,
-  /* A caller's time runs from when it sent the request, and the answer has a way back: two of the
-   * longest delays between a caller and an entry (3 ms), and one look of the loop. */
+  /* A caller's time runs from when it sent the request, and the answer has a way back: two long
+   * delays between a caller and an entry, and one look of the loop. */
   CALLER_WAY_MS = 10,
   /* Nothing is free: an endpoint's run takes about a second, so half of one later something is. */
   RETRY_AFTER_LEAST_MS = 300,
   RETRY_AFTER_SPREAD_MS = 700,
   /* Of the time in which callers expect the first of an answer, an endpoint with a free slot takes
-   * nearly half: 170 ms of 400 for a prompt of 800 tokens. */
+   * nearly half to read a usual prompt. */
   FIRST_PART = 2,
   /* Entries learn of the configuration within about this. */
   NOT_READY_RETRY_MS = 500,
--- a/source/gateway/group_maps.c
+++ b/source/gateway/group_maps.c
@@ -11,24 +11,18 @@
   SET_SHIFT = 16,
   EXPERT_MASK = 0xffff,
   BYTES_PER_MB = 1000000,
-  /* Of what was counted since demand jumped last: a longer mean has less noise. With 500, 1,000 and
-   * 2,000 ms 0.81, 0.82 and 0.82 of the callers were served in time where demand moves every 3 s,
-   * and no more or fewer elsewhere. */
+  /* Of what was counted since demand jumped last: a longer mean has less noise. */
   DEFAULT_HALF_LIFE_MS = 1000,
   DEFAULT_HORIZON_MS = 3000,
-  /* Of a round beside the copying: 40 ms until all copies are seen, 30 to hold and 20 to arm, as
-   * medians. With 100, 200 and 400 here 0.78, 0.78 and 0.74 of the callers were served in time
-   * where demand moves every 3 s. */
+  /* Of a round beside the copying: until all copies are seen, and to hold and to arm. */
   ROUND_MS = 100,
 };
 
-/* Copying slows passes by 15 in 100 while it lasts. An expert of 880 MB takes 39 ms at 180 Gbit/s,
- * which is 5.9 ms of step time, 6.7 us a megabyte; the ranks copy at the same time. */
+/* Passes take so much longer while a rank copies; the ranks copy side by side. */
 static const double copy_slowdown = 0.15;
 
-/* Part of the skew that a round must take off. One for less is under way, for half a second, when
- * demand jumps. Callers served in time where demand moves every 3 s: 0.77, 0.78 and 0.79 with 0.02,
- * 0.04 and 0.07; later 0.81 with 0.07 and 0.79 with 0.10, which leaves skew standing. */
+/* Part of the skew that a round must take off: one for less would be in the way when demand jumps.
+ */
 static const double default_least_gain = 0.07;
 
 static const double us_per_s = 1e6;
@@ -41,8 +35,8 @@
   bt_engine_t engine;
   bt_map_shape_t shape;
   bt_moving_load_t *load;
-  double picks; /* taken in since the last plan */
-  double paces[BT_MAX_GROUP_RANKS];
+  double picks;  /* taken in since the last plan */
+  double *paces; /* by rank */
   bt_copy_price_t *price;
   bt_expert_map_t *current; /* NULL while it is not known */
   int64_t epoch;
@@ -50,7 +44,7 @@
   bt_expert_map_t *found; /* being put together */
   int64_t found_epoch;
   int64_t found_version;
-  bool found_ranks[BT_MAX_GROUP_RANKS];
+  bool *found_ranks;
   bt_expert_map_t *next;
 };
 
@@ -79,16 +73,15 @@
   bt_expert_map_t *found = bt_new_expert_map (ctx, shape, &error);
   bt_group_maps_t *maps;
 
-  if (found == NULL || ranks > BT_MAX_GROUP_RANKS)
-    {
-      bt_drop_expert_map (ctx, found);
-      return NULL;
-    }
+  if (found == NULL)
+    return NULL;
   maps = bt_calloc (ctx, 1, sizeof *maps);
   maps->settings = *settings;
   maps->engine = *engine;
   maps->shape = shape;
   maps->found = found;
+  maps->found_ranks = bt_calloc (ctx, (size_t)ranks, sizeof *maps->found_ranks);
+  maps->paces = bt_calloc (ctx, (size_t)ranks, sizeof *maps->paces);
   for (int32_t rank = 0; rank < ranks; rank++)
     maps->paces[rank] = 1;
   maps->price = bt_new_copy_price (ctx, ranks);
@@ -107,6 +100,8 @@
   bt_drop_expert_map (ctx, maps->current);
   bt_drop_expert_map (ctx, maps->found);
   bt_drop_expert_map (ctx, maps->next);
+  bt_free (ctx, maps->found_ranks);
+  bt_free (ctx, maps->paces);
   bt_free (ctx, maps);
 }
 
@@ -119,7 +114,7 @@
   maps->found = bt_new_expert_map (ctx, maps->shape, &error);
   maps->found_epoch = epoch;
   maps->found_version = version;
-  memset (maps->found_ranks, 0, sizeof maps->found_ranks);
+  memset (maps->found_ranks, 0, (size_t)maps->shape.ranks * sizeof *maps->found_ranks);
 }
 
 void
--- a/source/gateway/stop_plan.c
+++ b/source/gateway/stop_plan.c
@@ -7,12 +7,11 @@
   /* Some callers keep an answer with addresses this many times as long as they are told. */
   ANSWER_LIVES = 3,
   /* A caller whose connection was accepted just before nobody could connect any more has its
-   * request here within a round trip, 6 ms on the longest way; the rest is for a busy instance. */
+   * request here within a round trip of a few ms; the rest is for a busy instance. */
   LINGER_MS = 120,
-  /* In so much of a stop, 2.9 s of 7.7, whatever comes is taken: what is left is more than nearly
-   * all streams last, on slow groups too. Of some fifty that came in it on a day of three stops two
-   * were cut; taking only what lately was shorter would have refused 22 that ended in time. Behind
-   * it a stream could be cut whose caller another instance serves at once. */
+  /* In so much of a stop whatever comes is taken: what is left is more than nearly all streams
+   * last, on slow groups too. To take only what lately was shorter would refuse many that end in
+   * time. Behind it a stream could be cut whose caller another instance serves at once. */
   TAKE_ALL_PERCENT = 38,
   PERCENT = 100,
 };
--- a/source/load/choice.c
+++ b/source/load/choice.c
@@ -89,9 +89,9 @@
 }
 
 /* The mean time of a run. An endpoint that was slow once gets no work while the others have room,
- * and without work it can't show that it is well again: it stood idle for good beside others that
- * ran two each. So what was measured fades towards the mean of all; one that took three times as
- * long is tried again after about 10 s, one that took twelve times as long after 20 s. */
+ * and without work it can't show that it is well again: it would stand idle for good beside others
+ * that run two each. So what was measured fades towards the mean of all, and one that took longer
+ * is tried again later. */
 static double
 get_mean_ms (const field_t *field,
              const bt_router_options_t *options,
--- a/source/load/router.c
+++ b/source/load/router.c
@@ -445,11 +445,9 @@
 
 /* What an endpoint adds to the room that this entry counts on. Below 0 it has been given more than
  * its part, by the guess that others have sent there as this entry did; their requests went
- * somewhere, if not there, so the excess is taken off the room of the rest. Without that an entry
- * sent one request to each endpoint however few they might run: eight entries had eight on each, a
- * limit of two or four was never kept, and every pass of a group that had just been formed was too
- * long. Of three deployments, callers served in time rose from 0.88 to 0.89 on one and from 0.859
- * to 0.864 on another, and fell from 0.818 to 0.816 on the third: within what two plays differ. */
+ * somewhere, if not there, so the excess is taken off the room of the rest. Without that each entry
+ * sends one request to each endpoint however few they may run: a limit below the number of entries
+ * is never kept, and every pass of a group that has just been formed is too long. */
 static int32_t
 get_endpoint_room (const bt_endpoint_state_t *state,
                    const bt_router_options_t *options,
--- a/source/maps/copy_price.c
+++ b/source/maps/copy_price.c
@@ -11,10 +11,7 @@
 static const double empty_part = 0.5;
 static const double full_part = 0.85;
 
-/* With the lower weight throughout, 0.79 of the callers were served in time where demand moves
- * every 3 s, and 0.87 where it moves less; with both ends 0.78 and 0.88, for 0.6 and 0.4 times the
- * copies.
- */
+/* Weights of the time spent on copies, at both ends. */
 static const double full_weight = 5;
 static const double empty_weight = 40;
 
--- a/source/maps/moving_load.c
+++ b/source/maps/moving_load.c
@@ -10,12 +10,9 @@
   NO_WINDOW = -1,
 };
 
-/* A window differs from the mean by chance. A jump that moves the busiest expert, which has 0.3 of
- * a layer's demand, has a distance of 0.3 and more. With the same mean that knows no jumps, 0.68 of
- * the callers were served in time where demand moves every 3 s, and 0.85 where it moves less; with
- * jumps noticed 0.82 and 0.88, for 0.8 to 0.9 times the copies. At 1.5 times the noise 0.78 and
- * 0.86.
- */
+/* A window differs from the mean by chance; a jump that moves the busiest expert differs by that
+ * expert's part of the demand at least. A mean that goes on over a jump names the old experts while
+ * the new ones make passes long. */
 static const double least_jump = 0.1;
 static const double jump_factor = 2;
 
