Notice frequent jumps alike on all entry instances

Cause: of the entries of one group some kept room for jumps and others did not, so that the limit of 3 or 4 was met by 8 requests an engine: an entry that missed one jump of two took them for rare. A jump shows over two windows, and the limit that it was told by had fallen with the first.

Change: a jump is told by the limit of late, which falls slowly, and jumps are frequent when two come within 6 s.

--- a/source/load/pass_pace.c
+++ b/source/load/pass_pace.c
@@ -13,10 +13,10 @@
   LEAST_LIMIT = 2,
   /* Without news of passes for so long the limit says nothing: the group idles, or has no steps. */
   STALE_MS = 1500,
-  /* Jumps at shorter intervals than this are met by most streams, which take about two seconds. */
-  FREQUENT_MS = 3500,
-  /* Jumps that have to come so often before the limit goes by them: one may stand alone. */
-  LEAST_JUMPS = 1,
+  NEVER = -1,
+  /* Two jumps within this are frequent: most streams, which take about two seconds, meet one of
+   * them. The time has room for one that went unnoticed between them. */
+  FREQUENT_MS = 6000,
   /* A jump is over after so long at the latest; passes that stay long are no further jump. */
   JUMP_MS = 1000,
 };
@@ -28,8 +28,8 @@
 /* The same while jumps are frequent. */
 static const double growth_between_jumps = 0.02;
 
-/* Part of the mean interval of jumps that is the latest one's. */
-static const double interval_part = 0.5;
+/* How fast the limit that a jump is told by falls, in one window: a jump may show over two. */
+static const double fading = 0.25;
 
 struct bt_pass_pace
 {
@@ -40,10 +40,10 @@
   int64_t last_step;
   double pass_ms;
   double limit;
-  double quick_limit; /* as it would be if it always grew back at once */
-  int64_t jump_ms;    /* when the last jump began */
-  double interval_ms; /* mean, of jumps */
-  int32_t jumps;
+  double quick_limit;  /* as it would be if it always grew back at once */
+  double recent_limit; /* the quick limit of late: the one before a jump while it begins */
+  int64_t jump_ms;     /* when the last jump began; NEVER before the first */
+  int64_t former_ms;   /* when the one before it did */
 };
 
 bt_pass_pace_t *
@@ -55,6 +55,9 @@
   pace->running = bt_calloc (ctx, (size_t)settings->ranks, sizeof *pace->running);
   pace->limit = settings->slots;
   pace->quick_limit = settings->slots;
+  pace->recent_limit = settings->slots;
+  pace->jump_ms = NEVER;
+  pace->former_ms = NEVER;
   pace->window_ms = -1;
   return pace;
 }
@@ -87,23 +90,18 @@
   const bt_pass_pace_settings_t *settings = &pace->settings;
   double borne = (settings->aim_pass_ms - settings->least_pass_ms)
                  / (settings->pause_ms - settings->least_pass_ms);
-  int64_t interval_ms = now_ms - pace->jump_ms;
 
-  if (allowed >= pace->quick_limit * borne || (pace->jumps > 0 && interval_ms < JUMP_MS))
+  if (allowed >= pace->recent_limit * borne
+      || (pace->jump_ms != NEVER && now_ms - pace->jump_ms < JUMP_MS))
     return;
-  if (pace->jumps == 1)
-    pace->interval_ms = (double)interval_ms;
-  else if (pace->jumps > 1)
-    pace->interval_ms += ((double)interval_ms - pace->interval_ms) * interval_part;
-  pace->jumps++;
+  pace->former_ms = pace->jump_ms;
   pace->jump_ms = now_ms;
 }
 
 bool
 bt_are_jumps_frequent (const bt_pass_pace_t *pace, int64_t now_ms)
 {
-  return pace->jumps > LEAST_JUMPS && pace->interval_ms < FREQUENT_MS
-         && now_ms - pace->jump_ms < FREQUENT_MS;
+  return pace->former_ms != NEVER && now_ms - pace->former_ms < FREQUENT_MS;
 }
 
 static double
@@ -130,6 +128,10 @@
     allowed = LEAST_LIMIT;
   notice_jump (pace, allowed, now_ms);
   pace->quick_limit = follow_allowed (pace->quick_limit, allowed, growth);
+  if (pace->quick_limit > pace->recent_limit)
+    pace->recent_limit = pace->quick_limit;
+  else
+    pace->recent_limit += (pace->quick_limit - pace->recent_limit) * fading;
   pace->limit = follow_allowed (
       pace->limit, allowed, bt_are_jumps_frequent (pace, now_ms) ? growth_between_jumps : growth);
 }
