Hand over once: a leader goes on where the instance with more room does not lead

A listed instance that never takes the lease, or what another writer scribbled there, would have had the leader hand over each five seconds, and the groups would have had no leader meanwhile. A test lists such an instance; another reads the processor share back from the listing and from the command line.

--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -24,6 +24,8 @@
   /* Requests put behind an endpoint's slots. What waits here can still be ordered by what its
    * caller expects, what waits there can't; one hides the way to the endpoint. */
   BEHIND_SLOTS = 1,
+  /* Before a leader of rank groups hands over to an instance with more room. */
+  STEADY_MS = 5000,
 };
 
 static bt_retry_budget_t *
@@ -159,6 +161,7 @@
     .lease_s = settings->lead_lease_s,
     .renew_ms = settings->lead_renew_ms,
     .plan_ms = settings->plan_ms,
+    .steady_ms = STEADY_MS,
   };
 
   if (settings->agent_port == 0)
--- a/source/gateway/group_control.c
+++ b/source/gateway/group_control.c
@@ -35,9 +35,6 @@
   /* Each later instance waits longer for its turn to lead, so that they do not race. */
   TURN_MS = 250,
   FIRST_TURN_MS = 100,
-  /* An instance with more room is listed for so long before the leader hands over to it: one that
-   * comes and goes would leave the groups without a leader at each turn. */
-  STEADY_MS = 5000,
 };
 
 /* A leader hands over to an instance with so many times its processor share. Planning takes many
@@ -77,6 +74,7 @@
   int64_t lease_end_ms;
   bool leaving;
   bool handed_over;   /* the lease that was granted last is on its way back */
+  bool unrelieved;    /* it was handed over, and nobody else took it */
   int64_t outdone_ms; /* since when an instance with more room is listed; 0: none is */
   group_t *groups;
   bt_timer_t timer;
@@ -119,6 +117,7 @@
   if (fence != 0)
     {
       control->lease_fence = fence;
+      control->unrelieved = control->unrelieved || control->handed_over;
       control->handed_over = false;
     }
   if ((control->leaving || control->handed_over) && control->fence == 0)
@@ -206,6 +205,8 @@
       outdone = outdone || view->entries[i].cores > control->options.cores * much_room;
     }
   control->leaving = leaving;
+  if (view->leader[0] != '\0' && !own)
+    control->unrelieved = false;
   if (!outdone)
     control->outdone_ms = 0;
   else if (control->outdone_ms == 0)
@@ -450,11 +451,13 @@
   return control->fence != 0 && is_any_round (control);
 }
 
-/* True when an instance with more room has been there long enough to lead in this one's place. */
+/* True when an instance with more room has been there long enough to lead in this one's place. One
+ * that did not take the lease when it could is listed, but not there. */
 static bool
 is_outdone (const bt_group_control_t *control, int64_t now_ms)
 {
-  return control->outdone_ms != 0 && now_ms - control->outdone_ms > STEADY_MS;
+  return control->outdone_ms != 0 && !control->unrelieved
+         && now_ms - control->outdone_ms > control->options.steady_ms;
 }
 
 /* A leader that leaves, or that others have more room than, ends the rounds it has begun and hands
--- a/source/gateway/group_control.h
+++ b/source/gateway/group_control.h
@@ -16,10 +16,13 @@
   const bt_platform_t *platform;
   const char *store;
   const char *instance;
-  double cores;     /**< Processor share of this instance. */
-  int64_t lease_s;  /**< Life of the lease. */
-  int64_t renew_ms; /**< Between two renewals. */
-  int64_t plan_ms;  /**< Between two plans for one group. */
+  double cores;      /**< Processor share of this instance. */
+  int64_t lease_s;   /**< Life of the lease. */
+  int64_t renew_ms;  /**< Between two renewals. */
+  int64_t plan_ms;   /**< Between two plans for one group. */
+  int64_t steady_ms; /**< An instance with more room is listed for so long before the leader hands
+                          over to it: one that comes and goes would leave the groups without a
+                          leader at each turn. */
 } bt_group_control_options_t;
 
 bt_group_control_t *bt_new_group_control (bt_context_t *ctx,
--- a/test/base/test_settings.c
+++ b/test/base/test_settings.c
@@ -10,17 +10,19 @@
   const char *listen;
   int64_t idle_ms;
   bool quiet;
+  double cores;
 } values_t;
 
 static const bt_setting_t settings[] = {
   { "listen", BT_SETTING_ADDRESS, offsetof (values_t, listen), NULL, 0, 0, "Where to listen." },
   { "idle-ms", BT_SETTING_INTEGER, offsetof (values_t, idle_ms), "50", 1, 100, "Idle limit, ms." },
   { "quiet", BT_SETTING_FLAG, offsetof (values_t, quiet), "false", 0, 0, "Say less." },
+  { "cores", BT_SETTING_DECIMAL, offsetof (values_t, cores), "1", 0, 8, "Processor share." },
 };
 
 enum
 {
-  SETTING_COUNT = 3,
+  SETTING_COUNT = 4,
 };
 
 static bt_settings_result_t
@@ -87,6 +89,30 @@
     }
 }
 
+static void
+test_decimals (void)
+{
+  static const char *const bad[] = { "", "much", "0.5x", "-0.1", "8.5", "nan" };
+  bt_context_t *ctx = bt_new_context ();
+  bt_findings_t *findings = bt_new_findings (ctx);
+  char *good[] = { "prog", "--listen", "127.0.0.1:80", "--cores", "0.24", NULL };
+  values_t values = { 0 };
+
+  CU_ASSERT_EQUAL (parse (ctx, 5, good, &values, findings), BT_SETTINGS_OK);
+  CU_ASSERT_DOUBLE_EQUAL (values.cores, 0.24, 1e-9);
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    {
+      bt_findings_t *found = bt_new_findings (ctx);
+      char *argv[] = { "prog", "--listen", "127.0.0.1:80", "--cores", (char *)bad[i], NULL };
+
+      CU_ASSERT_EQUAL (parse (ctx, 5, argv, &values, found), BT_SETTINGS_BAD);
+      CU_ASSERT_STRING_EQUAL (bt_get_finding (found, 0)->file, "cores");
+      bt_drop_findings (ctx, found);
+    }
+  bt_drop_findings (ctx, findings);
+  bt_drop_context (ctx);
+}
+
 static void
 test_help_and_version (void)
 {
@@ -113,6 +139,7 @@
   CU_ADD_TEST (suite, test_flags_win_over_environment);
   CU_ADD_TEST (suite, test_all_findings_are_reported_together);
   CU_ADD_TEST (suite, test_bad_addresses_are_found);
+  CU_ADD_TEST (suite, test_decimals);
   CU_ADD_TEST (suite, test_help_and_version);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
--- a/test/gateway/test_group_control.c
+++ b/test/gateway/test_group_control.c
@@ -12,6 +12,8 @@
   LEASE_S = 600,
   RENEW_MS = 10,
   PLAN_MS = 5,
+  STEADY_MS = 50,
+  RENEWALS = 200,
   LIMIT_MS = 10000,
 };
 
@@ -126,6 +128,19 @@
 static const bt_platform_vtable_t platform_vtable = { .new_store = new_store };
 static const bt_platform_t platform = { &platform_vtable };
 
+static bt_group_control_options_t
+get_options (void)
+{
+  return (bt_group_control_options_t){ .platform = &platform,
+                                       .store = "",
+                                       .instance = "one",
+                                       .cores = 0.24,
+                                       .lease_s = LEASE_S,
+                                       .renew_ms = RENEW_MS,
+                                       .plan_ms = PLAN_MS,
+                                       .steady_ms = STEADY_MS };
+}
+
 /** What a loop does in each turn until its limit or its end. */
 typedef struct course
 {
@@ -168,10 +183,12 @@
 {
   bt_error_t error = { 0 };
   bt_agent_links_options_t link_options = { .instance = "one", .incarnation = 1, .secret = "s" };
-  bt_group_control_options_t options = { &platform, "", "one", LEASE_S, RENEW_MS, PLAN_MS };
+  bt_group_control_options_t options = get_options ();
   course_t course = { .turn = { .on_turn = take_turn } };
   bt_agent_links_t *links;
 
+  atomic_store (&renewed, 0);
+  atomic_store (&given_back, 0);
   course.loop = bt_new_event_loop (ctx, &error);
   links = bt_new_agent_links (ctx, course.loop, &link_options, &error);
   course.control = bt_new_group_control (ctx, course.loop, links, &options);
@@ -189,6 +206,74 @@
   bt_drop_event_loop (ctx, course.loop);
 }
 
+/** A loop in which an instance with more room is listed, but never leads. */
+typedef struct outdone
+{
+  bt_turn_t turn;
+  bt_timer_t timer;
+  bt_event_loop_t *loop;
+  bt_group_control_t *control;
+  bt_view_t view;
+  int64_t end_ms;
+  int32_t seen; /* times that the lease had been given back at the last look */
+} outdone_t;
+
+static void
+look_at_outdone (bt_timer_t *timer)
+{
+  outdone_t *course = (outdone_t *)((char *)timer - offsetof (outdone_t, timer));
+
+  bt_set_group_view (course->control, &course->view, false);
+  bt_set_timer (course->loop, timer, bt_now_ms (ctx) + PLAN_MS);
+}
+
+static void
+run_outdone (bt_turn_t *turn)
+{
+  outdone_t *course = (outdone_t *)turn;
+  int32_t seen = atomic_load (&given_back);
+
+  bt_run_group_control (course->control);
+  if (seen > course->seen)
+    atomic_store (&renewed, 0);
+  course->seen = seen;
+  if ((seen > 0 && atomic_load (&renewed) > RENEWALS) || bt_now_ms (ctx) >= course->end_ms)
+    bt_stop_event_loop (course->loop);
+}
+
+/* Callers of a small instance wait while it plans for all groups, and one with twice its processor
+ * time stands by. The small one hands over once it has seen the other for a while. Is the other
+ * only listed, and does not lead, the small one leads on: it must not hand over again and again. */
+static void
+test_leader_hands_over_once_to_one_with_room (void)
+{
+  bt_error_t error = { 0 };
+  bt_agent_links_options_t link_options = { .instance = "one", .incarnation = 1, .secret = "s" };
+  bt_group_control_options_t options = get_options ();
+  bt_listed_entry_t other = { .identity = { .instance = "two" }, .cores = 0.5 };
+  outdone_t course = { .turn = { .on_turn = run_outdone } };
+  bt_agent_links_t *links;
+
+  atomic_store (&renewed, 0);
+  atomic_store (&given_back, 0);
+  course.view.entries = &other;
+  course.view.entry_count = 1;
+  course.loop = bt_new_event_loop (ctx, &error);
+  links = bt_new_agent_links (ctx, course.loop, &link_options, &error);
+  course.control = bt_new_group_control (ctx, course.loop, links, &options);
+  course.end_ms = bt_now_ms (ctx) + LIMIT_MS;
+  course.timer.on_time = look_at_outdone;
+  bt_add_turn (course.loop, &course.turn);
+  look_at_outdone (&course.timer);
+  bt_run_event_loop (course.loop);
+  CU_ASSERT_EQUAL (atomic_load (&given_back), 1);
+  CU_ASSERT (atomic_load (&renewed) > RENEWALS);
+  bt_drop_group_control (ctx, course.control);
+  bt_drop_agent_links (ctx, links);
+  bt_clear_timer (course.loop, &course.timer);
+  bt_drop_event_loop (ctx, course.loop);
+}
+
 int
 main (void)
 {
@@ -199,6 +284,7 @@
   CU_initialize_registry ();
   suite = CU_add_suite ("group_control", NULL, NULL);
   CU_ADD_TEST (suite, test_leaving_leader_gives_the_lease_back);
+  CU_ADD_TEST (suite, test_leader_hands_over_once_to_one_with_room);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
--- a/test/gateway/test_view.c
+++ b/test/gateway/test_view.c
@@ -218,7 +218,9 @@
     "{\"incarnation\":\"00000000000000aa\",\"callers\":\"10.0.0.1:80\",\"links\":\"x\","
     "\"failure_domain\":\"a\"}"
   };
-  bt_listed_entry_t entry = { .callers = "10.0.0.2:80", .links = "", .failure_domain = "a" };
+  bt_listed_entry_t entry = {
+    .callers = "10.0.0.2:80", .links = "", .failure_domain = "a", .cores = 0.24
+  };
   char *text = bt_write_listed_entry (ctx, &entry);
   bt_view_t *view;
 
@@ -233,6 +235,7 @@
       view = make_view (NULL);
       CU_ASSERT_EQUAL (view->entry_count, 1);
       CU_ASSERT_STRING_EQUAL (view->entries[0].callers, "10.0.0.2:80");
+      CU_ASSERT_DOUBLE_EQUAL (view->entries[0].cores, 0.24, 1e-9);
       CU_ASSERT_STRING_EQUAL (view->leader, "");
       bt_drop_view (ctx, view);
     }
