Split what a leader does for one group from the lease; a first change at most five steps ahead

An instance that is to hand over begins no more rounds, as one that leaves, so that it comes to hand over where rounds follow each other.

--- a/source/gateway/group_control.c
+++ b/source/gateway/group_control.c
@@ -1,13 +1,11 @@
 #include "group_control.h"
 
 #include <stddef.h>
-#include <stdio.h>
 #include <string.h>
 
 #include "bilberrytray/base/event_log.h"
 #include "bilberrytray/base/limit.h"
-#include "bilberrytray/maps/group_rounds.h"
-#include "group_maps.h"
+#include "led_group.h"
 
 enum
 {
@@ -19,19 +17,8 @@
    * office, for seconds where the store goes away meanwhile. A round lets its group go well within
    * this, and a lease that is renewed in time has more left. */
   LEAST_LEASE_MS = 700,
-  /* A step is one pass of the group. Is the held step reached before the group is let go, the pause
-   * makes every stream under way late. The more ranks, the longer the orders take. */
-  LEAST_HOLD_STEPS = 3,
-  RANKS_A_HOLD_STEP = 32,
-  RESEND_MS = 120,
-  STALE_MS = 1200,
-  /* Agents report to the leader at once when asked; two of their usual reports and a way. */
-  SILENCE_MS = 250,
-  PREPARE_LIMIT_MS = 3000,
-  ARM_LIMIT_MS = 1500,
   /* While a round is under way the group is looked at this often. */
   ROUND_LOOK_MS = 20,
-  ASK_PLACES_MS = 300,
   /* Each later instance waits longer for its turn to lead, so that they do not race. */
   TURN_MS = 250,
   FIRST_TURN_MS = 100,
@@ -44,22 +31,12 @@
 static const char *const lease_prefix = "bilberrytray/maps/";
 static const char *const lease_name = "groups";
 
-/** One group. */
-typedef struct group
+/** A group in the list of all. */
+typedef struct group_row
 {
-  char name[BT_NAME_BYTES];
-  int32_t ranks;
-  bt_group_rounds_t *rounds;
-  bt_group_maps_t *maps;
-  char (*endpoints)[BT_ADDRESS_BYTES]; /* by rank */
-  bt_map_bytes_t map;                  /* the one that was ordered last, encoded once for all */
-  int64_t map_version;                 /* 0: none was */
-  int64_t next_plan_ms;
-  int64_t next_ask_ms;
-  int64_t target;         /* the version that the next map was given; 0: none */
-  bt_group_phase_t phase; /* as last logged */
-  struct group *next;
-} group_t;
+  bt_led_group_t *group;
+  struct group_row *next;
+} group_row_t;
 
 struct bt_group_control
 {
@@ -76,7 +53,7 @@
   bool handed_over;   /* the lease that was granted last is on its way back */
   bool unrelieved;    /* it was handed over, and nobody else took it */
   int64_t outdone_ms; /* since when an instance with more room is listed; 0: none is */
-  group_t *groups;
+  group_row_t *groups;
   bt_timer_t timer;
 };
 
@@ -85,12 +62,8 @@
 {
   control->fence = fence;
   bt_log_event (control->ctx, BT_LOG_INFO, "leading", "{s:I}", "fence", (json_int_t)fence);
-  for (group_t *group = control->groups; group != NULL; group = group->next)
-    {
-      group->target = 0;
-      bt_lead_group (group->rounds, fence);
-      bt_forget_group_map (control->ctx, group->maps);
-    }
+  for (group_row_t *row = control->groups; row != NULL; row = row->next)
+    bt_begin_leading_group (row->group, fence);
   bt_follow_agents (control->links, fence);
 }
 
@@ -102,8 +75,8 @@
   bt_log_event (control->ctx, BT_LOG_INFO, "not-leading", "{s:I, s:s}", "fence",
                 (json_int_t)control->fence, "message", why);
   control->fence = 0;
-  for (group_t *group = control->groups; group != NULL; group = group->next)
-    bt_leave_group (group->rounds);
+  for (group_row_t *row = control->groups; row != NULL; row = row->next)
+    bt_end_leading_group (row->group);
   bt_follow_agents (control->links, 0);
 }
 
@@ -170,14 +143,11 @@
   bt_clear_timer (control->loop, &control->timer);
   while (control->groups != NULL)
     {
-      group_t *group = control->groups;
+      group_row_t *row = control->groups;
 
-      control->groups = group->next;
-      bt_drop_group_rounds (ctx, group->rounds);
-      bt_drop_group_maps (ctx, group->maps);
-      bt_free (ctx, group->endpoints);
-      bt_free (ctx, group->map.data);
-      bt_free (ctx, group);
+      control->groups = row->next;
+      bt_drop_led_group (ctx, row->group);
+      bt_free (ctx, row);
     }
   bt_free (ctx, control);
 }
@@ -215,40 +185,26 @@
                  FIRST_TURN_MS + turn * TURN_MS);
 }
 
-static group_t *
+static bt_led_group_t *
 find_group (bt_group_control_t *control,
             const bt_engine_t *engine,
             const bt_engine_report_t *report)
 {
-  bt_group_rounds_settings_t rounds = {
-    .ranks = report->ranks,
-    .hold_steps = LEAST_HOLD_STEPS + report->ranks / RANKS_A_HOLD_STEP,
-    .resend_ms = RESEND_MS,
-    .stale_ms = STALE_MS,
-    .prepare_limit_ms = PREPARE_LIMIT_MS,
-    .arm_limit_ms = ARM_LIMIT_MS,
-    .silence_ms = SILENCE_MS,
-  };
-  bt_group_maps_settings_t settings = bt_get_default_group_maps_settings ();
-  bt_group_maps_t *maps;
-  group_t *group;
+  bt_led_group_t *group;
+  group_row_t *row;
 
-  for (group = control->groups; group != NULL; group = group->next)
-    if (strcmp (group->name, report->group) == 0 && group->ranks == report->ranks)
-      return group;
-  maps = bt_new_group_maps (control->ctx, engine, report->ranks, &settings);
-  if (maps == NULL)
+  for (row = control->groups; row != NULL; row = row->next)
+    if (bt_is_report_of_group (row->group, report))
+      return row->group;
+  group = bt_new_led_group (control->ctx, control->links, engine, report);
+  if (group == NULL)
     return NULL;
-  group = bt_calloc (control->ctx, 1, sizeof *group);
-  bt_copy_name (group->name, report->group);
-  group->ranks = report->ranks;
-  group->endpoints = bt_calloc (control->ctx, (size_t)report->ranks, sizeof *group->endpoints);
-  group->maps = maps;
-  group->rounds = bt_new_group_rounds (control->ctx, &rounds);
   if (control->fence != 0)
-    bt_lead_group (group->rounds, control->fence);
-  group->next = control->groups;
-  control->groups = group;
+    bt_begin_leading_group (group, control->fence);
+  row = bt_calloc (control->ctx, 1, sizeof *row);
+  row->group = group;
+  row->next = control->groups;
+  control->groups = row;
   return group;
 }
 
@@ -259,188 +215,24 @@
                     int32_t pass_limit)
 {
   const bt_engine_report_t *report = &news->report;
-  int64_t now_ms = bt_get_loop_ms (control->loop);
-  group_t *group;
+  bt_led_group_t *group;
 
   if (report->group[0] == '\0' || report->ranks < 1 || report->rank < 0
       || report->rank >= report->ranks || engine->expert_sets == 0)
     return;
   group = find_group (control, engine, report);
-  if (group == NULL)
-    {
-      bt_note_limit (control->ctx, "group", BT_MAX_RANKS, report->group,
-                     "Its ranks or experts are more than a map can have; its map stays as it is.");
-      return;
-    }
-  snprintf (group->endpoints[report->rank], BT_ADDRESS_BYTES, "%s", news->endpoint);
-  bt_set_rank_pace (group->maps, report->rank, report->pace);
-  bt_take_rank_running (group->maps, report->rank, report->running, pass_limit, now_ms);
-  if (news->places != NULL)
-    bt_take_rank_places (control->ctx, group->maps, report->rank, news->places_epoch,
-                         news->places_version, news->places, news->place_count);
-  if (news->picks != NULL)
-    bt_take_rank_picks (group->maps, news->picks, news->pick_count, now_ms);
-  if (news->answered)
-    bt_take_group_order_result (group->rounds, report->rank, news->answered_id, news->result,
-                                &report->maps, news->heard_ms);
+  if (group != NULL)
+    bt_take_led_group_news (group, news, pass_limit, bt_get_loop_ms (control->loop));
   else
-    bt_take_rank_report (group->rounds, report->rank, &report->maps, news->heard_ms);
-}
-
-static void
-log_phase (bt_group_control_t *control, group_t *group)
-{
-  bt_group_phase_t phase = bt_get_group_phase (group->rounds);
-
-  if (phase == group->phase)
-    return;
-  bt_log_event (
-      control->ctx, BT_LOG_INFO, "group-phase", "{s:s, s:s, s:s, s:I, s:I, s:I}", "group",
-      group->name, "from", bt_name_group_phase (group->phase), "to", bt_name_group_phase (phase),
-      "version", (json_int_t)bt_get_group_version (group->rounds), "target",
-      (json_int_t)bt_get_group_target (group->rounds), "fence", (json_int_t)control->fence);
-  group->phase = phase;
-}
-
-/* A round that has ended leaves its map in use; one that was given up leaves the one before. */
-static void
-settle (bt_group_control_t *control, group_t *group)
-{
-  if (group->target == 0 || bt_get_group_phase (group->rounds) != BT_GROUP_CALM)
-    return;
-  if (bt_get_group_version (group->rounds) == group->target)
-    bt_use_next_group_map (control->ctx, group->maps, group->target);
-  group->target = 0;
-}
-
-static void
-ask_reports (bt_group_control_t *control, const group_t *group)
-{
-  for (int32_t rank = 0; rank < group->ranks; rank++)
-    if (group->endpoints[rank][0] != '\0')
-      bt_ask_agent_report (control->links, group->endpoints[rank]);
-}
-
-static void
-ask_places (bt_group_control_t *control, group_t *group, int64_t now_ms)
-{
-  if (now_ms < group->next_ask_ms)
-    return;
-  group->next_ask_ms = now_ms + ASK_PLACES_MS;
-  for (int32_t rank = 0; rank < group->ranks; rank++)
-    if (group->endpoints[rank][0] != '\0')
-      bt_ask_agent_places (control->links, group->endpoints[rank]);
-}
-
-/* A plan that waits for its turn after a jump leaves the busiest rank as it is for so long. */
-static void
-notice_jump (bt_group_control_t *control, group_t *group, int64_t now_ms)
-{
-  if (!bt_take_group_jump (group->maps, now_ms))
-    return;
-  group->next_plan_ms = now_ms;
-  bt_log_event (control->ctx, BT_LOG_INFO, "demand-jump", "{s:s, s:f}", "group", group->name,
-                "fullness", bt_get_group_maps_fullness (group->maps));
-}
-
-/* Plans when the group is calm and its map is known: each few hundred milliseconds, and at once
- * after demand has jumped. */
-static void
-plan (bt_group_control_t *control, group_t *group, int64_t now_ms)
-{
-  int64_t version = bt_get_group_version (group->rounds);
-  double skew[2] = { 0 };
-
-  notice_jump (control, group, now_ms);
-  if (control->leaving || bt_get_group_phase (group->rounds) != BT_GROUP_CALM
-      || now_ms < group->next_plan_ms)
-    return;
-  if (bt_get_group_map (control->ctx, group->maps, bt_get_group_epoch (group->rounds), version)
-      == NULL)
-    {
-      ask_places (control, group, now_ms);
-      return;
-    }
-  group->next_plan_ms = now_ms + control->options.plan_ms;
-  if (bt_plan_next_group_map (control->ctx, group->maps, now_ms, skew) == NULL)
-    return;
-  group->target = bt_begin_group_round (group->rounds, now_ms);
-  if (group->target != 0)
-    bt_log_event (control->ctx, BT_LOG_INFO, "round", "{s:s, s:I, s:f, s:f, s:f}", "group",
-                  group->name, "version", (json_int_t)group->target, "skew_before", skew[0],
-                  "skew_after", skew[1], "fullness", bt_get_group_maps_fullness (group->maps));
-}
-
-/* The map that a PREPARE order is about: the round's, or the one in use for a version that only
- * raises the engines' counts. */
-static const bt_expert_map_t *
-find_order_map (bt_group_control_t *control, group_t *group, const bt_group_order_t *order)
-{
-  if (order->version == group->target)
-    return bt_get_next_group_map (group->maps);
-  return bt_get_group_map (control->ctx, group->maps, order->epoch,
-                           bt_get_group_version (group->rounds));
-}
-
-/* Encodes the map of a PREPARE order, unless that was done for another rank: a version is that of
- * one map for ever. False while the map is not known. */
-static bool
-encode_order_map (bt_group_control_t *control, group_t *group, const bt_group_order_t *order)
-{
-  const bt_expert_map_t *map;
-  bt_error_t error = { 0 };
-
-  if (group->map_version == order->version)
-    return true;
-  bt_free (control->ctx, group->map.data);
-  group->map = (bt_map_bytes_t){ NULL };
-  group->map_version = 0;
-  map = find_order_map (control, group, order);
-  if (map == NULL || !bt_encode_expert_map (control->ctx, map, &group->map, &error))
-    return false;
-  group->map_version = order->version;
-  return true;
-}
-
-static void
-send_order (bt_group_control_t *control,
-            group_t *group,
-            const bt_group_order_t *order,
-            int64_t now_ms)
-{
-  bool prepares = order->kind == BT_GROUP_PREPARE;
-
-  if (prepares && !encode_order_map (control, group, order))
-    {
-      ask_places (control, group, now_ms);
-      return;
-    }
-  bt_send_agent_order (control->links, group->endpoints[order->via], group->endpoints[order->rank],
-                       order, prepares ? &group->map : NULL);
-}
-
-static void
-run_group (bt_group_control_t *control, group_t *group, int64_t now_ms)
-{
-  bt_group_order_t order;
-
-  bt_limit_group_holds (group->rounds, control->lease_end_ms - LEAST_LEASE_MS);
-  settle (control, group);
-  plan (control, group, now_ms);
-  while (bt_next_group_order (group->rounds, now_ms, &order))
-    send_order (control, group, &order, now_ms);
-  if (bt_take_group_ask (group->rounds))
-    ask_reports (control, group);
-  log_phase (control, group);
-  if (bt_is_group_fenced (group->rounds))
-    stop_leading (control, "An engine has seen a newer leader.");
+    bt_note_limit (control->ctx, "group", BT_MAX_RANKS, report->group,
+                   "Its ranks or experts are more than a map can have; its map stays as it is.");
 }
 
 static bool
 is_any_round (const bt_group_control_t *control)
 {
-  for (const group_t *group = control->groups; group != NULL; group = group->next)
-    if (bt_get_group_phase (group->rounds) != BT_GROUP_CALM)
+  for (const group_row_t *row = control->groups; row != NULL; row = row->next)
+    if (bt_is_led_round_open (row->group))
       return true;
   return false;
 }
@@ -477,6 +269,12 @@
 bt_run_group_control (bt_group_control_t *control)
 {
   int64_t now_ms = bt_get_loop_ms (control->loop);
+  bool hands_over = control->leaving || is_outdone (control, now_ms);
+  bt_led_turn_t turn = { .now_ms = now_ms,
+                         .fence = control->fence,
+                         .hold_until_ms = control->lease_end_ms - LEAST_LEASE_MS,
+                         .plan_ms = control->options.plan_ms,
+                         .begins_rounds = !hands_over };
 
   if (control->fence == 0)
     return;
@@ -486,9 +284,10 @@
       stop_leading (control, "The lease was not renewed in time.");
       return;
     }
-  for (group_t *group = control->groups; group != NULL && control->fence != 0; group = group->next)
-    run_group (control, group, now_ms);
-  if ((control->leaving || is_outdone (control, now_ms)) && !is_any_round (control))
+  for (group_row_t *row = control->groups; row != NULL && control->fence != 0; row = row->next)
+    if (!bt_run_led_group (row->group, &turn))
+      stop_leading (control, "An engine has seen a newer leader.");
+  if (hands_over && control->fence != 0 && !is_any_round (control))
     hand_over (control);
   bt_set_timer (control->loop, &control->timer,
                 now_ms + (is_any_round (control) ? ROUND_LOOK_MS : control->options.plan_ms));
--- /dev/null
+++ b/source/gateway/led_group.c
@@ -0,0 +1,289 @@
+#include "led_group.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "bilberrytray/base/event_log.h"
+#include "bilberrytray/maps/group_rounds.h"
+#include "group_maps.h"
+
+enum
+{
+  /* Steps from the orders of a leader's first round to its change. Is the held step reached before
+   * the group is let go, the pause makes every stream under way late; the more ranks, the longer
+   * the orders take. */
+  LEAST_HOLD_STEPS = 3,
+  MOST_HOLD_STEPS = 5,
+  RANKS_A_HOLD_STEP = 32,
+  RESEND_MS = 120,
+  STALE_MS = 1200,
+  /* Agents report to the leader at once when asked; two of their usual reports and a way. */
+  SILENCE_MS = 250,
+  PREPARE_LIMIT_MS = 3000,
+  ARM_LIMIT_MS = 1500,
+  ASK_PLACES_MS = 300,
+};
+
+struct bt_led_group
+{
+  bt_context_t *ctx;
+  bt_agent_links_t *links;
+  char name[BT_NAME_BYTES];
+  int32_t ranks;
+  bt_group_rounds_t *rounds;
+  bt_group_maps_t *maps;
+  char (*endpoints)[BT_ADDRESS_BYTES]; /* by rank */
+  bt_map_bytes_t map;                  /* the one that was ordered last, encoded once for all */
+  int64_t map_version;                 /* 0: none was */
+  int64_t next_plan_ms;
+  int64_t next_ask_ms;
+  int64_t target;         /* the version that the next map was given; 0: none */
+  bt_group_phase_t phase; /* as last logged */
+};
+
+static int64_t
+choose_first_steps (int32_t ranks)
+{
+  int64_t steps = LEAST_HOLD_STEPS + ranks / RANKS_A_HOLD_STEP;
+
+  return steps < MOST_HOLD_STEPS ? steps : MOST_HOLD_STEPS;
+}
+
+bt_led_group_t *
+bt_new_led_group (bt_context_t *ctx,
+                  bt_agent_links_t *links,
+                  const bt_engine_t *engine,
+                  const bt_engine_report_t *report)
+{
+  bt_group_rounds_settings_t rounds = {
+    .ranks = report->ranks,
+    .hold_steps = choose_first_steps (report->ranks),
+    .resend_ms = RESEND_MS,
+    .stale_ms = STALE_MS,
+    .prepare_limit_ms = PREPARE_LIMIT_MS,
+    .arm_limit_ms = ARM_LIMIT_MS,
+    .silence_ms = SILENCE_MS,
+  };
+  bt_group_maps_settings_t settings = bt_get_default_group_maps_settings ();
+  bt_group_maps_t *maps = bt_new_group_maps (ctx, engine, report->ranks, &settings);
+  bt_led_group_t *group;
+
+  if (maps == NULL)
+    return NULL;
+  group = bt_calloc (ctx, 1, sizeof *group);
+  group->ctx = ctx;
+  group->links = links;
+  bt_copy_name (group->name, report->group);
+  group->ranks = report->ranks;
+  group->endpoints = bt_calloc (ctx, (size_t)report->ranks, sizeof *group->endpoints);
+  group->maps = maps;
+  group->rounds = bt_new_group_rounds (ctx, &rounds);
+  return group;
+}
+
+void
+bt_drop_led_group (bt_context_t *ctx, bt_led_group_t *group)
+{
+  if (group == NULL)
+    return;
+  bt_drop_group_rounds (ctx, group->rounds);
+  bt_drop_group_maps (ctx, group->maps);
+  bt_free (ctx, group->endpoints);
+  bt_free (ctx, group->map.data);
+  bt_free (ctx, group);
+}
+
+bool
+bt_is_report_of_group (const bt_led_group_t *group, const bt_engine_report_t *report)
+{
+  return strcmp (group->name, report->group) == 0 && group->ranks == report->ranks;
+}
+
+void
+bt_begin_leading_group (bt_led_group_t *group, uint64_t fence)
+{
+  group->target = 0;
+  bt_lead_group (group->rounds, fence);
+  bt_forget_group_map (group->ctx, group->maps);
+}
+
+void
+bt_end_leading_group (bt_led_group_t *group)
+{
+  bt_leave_group (group->rounds);
+}
+
+void
+bt_take_led_group_news (bt_led_group_t *group,
+                        const bt_agent_news_t *news,
+                        int32_t pass_limit,
+                        int64_t now_ms)
+{
+  const bt_engine_report_t *report = &news->report;
+
+  snprintf (group->endpoints[report->rank], BT_ADDRESS_BYTES, "%s", news->endpoint);
+  bt_set_rank_pace (group->maps, report->rank, report->pace);
+  bt_take_rank_running (group->maps, report->rank, report->running, pass_limit, now_ms);
+  if (news->places != NULL)
+    bt_take_rank_places (group->ctx, group->maps, report->rank, news->places_epoch,
+                         news->places_version, news->places, news->place_count);
+  if (news->picks != NULL)
+    bt_take_rank_picks (group->maps, news->picks, news->pick_count, now_ms);
+  if (news->answered)
+    bt_take_group_order_result (group->rounds, report->rank, news->answered_id, news->result,
+                                &report->maps, news->heard_ms);
+  else
+    bt_take_rank_report (group->rounds, report->rank, &report->maps, news->heard_ms);
+}
+
+static void
+log_phase (bt_led_group_t *group, uint64_t fence)
+{
+  bt_group_phase_t phase = bt_get_group_phase (group->rounds);
+
+  if (phase == group->phase)
+    return;
+  bt_log_event (group->ctx, BT_LOG_INFO, "group-phase", "{s:s, s:s, s:s, s:I, s:I, s:I}", "group",
+                group->name, "from", bt_name_group_phase (group->phase), "to",
+                bt_name_group_phase (phase), "version",
+                (json_int_t)bt_get_group_version (group->rounds), "target",
+                (json_int_t)bt_get_group_target (group->rounds), "fence", (json_int_t)fence);
+  group->phase = phase;
+}
+
+/* A round that has ended leaves its map in use; one that was given up leaves the one before. */
+static void
+settle (bt_led_group_t *group)
+{
+  if (group->target == 0 || bt_get_group_phase (group->rounds) != BT_GROUP_CALM)
+    return;
+  if (bt_get_group_version (group->rounds) == group->target)
+    bt_use_next_group_map (group->ctx, group->maps, group->target);
+  group->target = 0;
+}
+
+static void
+ask_reports (const bt_led_group_t *group)
+{
+  for (int32_t rank = 0; rank < group->ranks; rank++)
+    if (group->endpoints[rank][0] != '\0')
+      bt_ask_agent_report (group->links, group->endpoints[rank]);
+}
+
+static void
+ask_places (bt_led_group_t *group, int64_t now_ms)
+{
+  if (now_ms < group->next_ask_ms)
+    return;
+  group->next_ask_ms = now_ms + ASK_PLACES_MS;
+  for (int32_t rank = 0; rank < group->ranks; rank++)
+    if (group->endpoints[rank][0] != '\0')
+      bt_ask_agent_places (group->links, group->endpoints[rank]);
+}
+
+/* A plan that waits for its turn after a jump leaves the busiest rank as it is for so long. */
+static void
+notice_jump (bt_led_group_t *group, int64_t now_ms)
+{
+  if (!bt_take_group_jump (group->maps, now_ms))
+    return;
+  group->next_plan_ms = now_ms;
+  bt_log_event (group->ctx, BT_LOG_INFO, "demand-jump", "{s:s, s:f}", "group", group->name,
+                "fullness", bt_get_group_maps_fullness (group->maps));
+}
+
+/* Plans when the group is calm and its map is known: each few hundred milliseconds, and at once
+ * after demand has jumped. */
+static void
+plan (bt_led_group_t *group, const bt_led_turn_t *turn)
+{
+  int64_t now_ms = turn->now_ms;
+  int64_t version = bt_get_group_version (group->rounds);
+  double skew[2] = { 0 };
+
+  notice_jump (group, now_ms);
+  if (!turn->begins_rounds || bt_get_group_phase (group->rounds) != BT_GROUP_CALM
+      || now_ms < group->next_plan_ms)
+    return;
+  if (bt_get_group_map (group->ctx, group->maps, bt_get_group_epoch (group->rounds), version)
+      == NULL)
+    {
+      ask_places (group, now_ms);
+      return;
+    }
+  group->next_plan_ms = now_ms + turn->plan_ms;
+  if (bt_plan_next_group_map (group->ctx, group->maps, now_ms, skew) == NULL)
+    return;
+  group->target = bt_begin_group_round (group->rounds, now_ms);
+  if (group->target != 0)
+    bt_log_event (group->ctx, BT_LOG_INFO, "round", "{s:s, s:I, s:f, s:f, s:f}", "group",
+                  group->name, "version", (json_int_t)group->target, "skew_before", skew[0],
+                  "skew_after", skew[1], "fullness", bt_get_group_maps_fullness (group->maps));
+}
+
+/* The map that a PREPARE order is about: the round's, or the one in use for a version that only
+ * raises the engines' counts. */
+static const bt_expert_map_t *
+find_order_map (bt_led_group_t *group, const bt_group_order_t *order)
+{
+  if (order->version == group->target)
+    return bt_get_next_group_map (group->maps);
+  return bt_get_group_map (group->ctx, group->maps, order->epoch,
+                           bt_get_group_version (group->rounds));
+}
+
+/* Encodes the map of a PREPARE order, unless that was done for another rank: a version is that of
+ * one map for ever. False while the map is not known. */
+static bool
+encode_order_map (bt_led_group_t *group, const bt_group_order_t *order)
+{
+  const bt_expert_map_t *map;
+  bt_error_t error = { 0 };
+
+  if (group->map_version == order->version)
+    return true;
+  bt_free (group->ctx, group->map.data);
+  group->map = (bt_map_bytes_t){ NULL };
+  group->map_version = 0;
+  map = find_order_map (group, order);
+  if (map == NULL || !bt_encode_expert_map (group->ctx, map, &group->map, &error))
+    return false;
+  group->map_version = order->version;
+  return true;
+}
+
+static void
+send_order (bt_led_group_t *group, const bt_group_order_t *order, int64_t now_ms)
+{
+  bool prepares = order->kind == BT_GROUP_PREPARE;
+
+  if (prepares && !encode_order_map (group, order))
+    {
+      ask_places (group, now_ms);
+      return;
+    }
+  bt_send_agent_order (group->links, group->endpoints[order->via], group->endpoints[order->rank],
+                       order, prepares ? &group->map : NULL);
+}
+
+bool
+bt_is_led_round_open (const bt_led_group_t *group)
+{
+  return bt_get_group_phase (group->rounds) != BT_GROUP_CALM;
+}
+
+bool
+bt_run_led_group (bt_led_group_t *group, const bt_led_turn_t *turn)
+{
+  bt_group_order_t order;
+
+  bt_limit_group_holds (group->rounds, turn->hold_until_ms);
+  settle (group);
+  plan (group, turn);
+  while (bt_next_group_order (group->rounds, turn->now_ms, &order))
+    send_order (group, &order, turn->now_ms);
+  if (bt_take_group_ask (group->rounds))
+    ask_reports (group);
+  log_phase (group, turn->fence);
+  return !bt_is_group_fenced (group->rounds);
+}
