Hand over whatever group is being looked at

A group that has gone for good is looked at for ever: a leader that was to hand over would have begun no round of any other group meanwhile. One that has handed over does not ask for the lease until the store says that it is free, and forgets that it did once another leads.

--- a/source/gateway/group_control.c
+++ b/source/gateway/group_control.c
@@ -176,12 +176,17 @@
     }
   control->leaving = leaving;
   if (view->leader[0] != '\0' && !own)
-    control->unrelieved = false;
+    {
+      control->handed_over = false;
+      control->unrelieved = false;
+    }
   if (!outdone)
     control->outdone_ms = 0;
   else if (control->outdone_ms == 0)
     control->outdone_ms = bt_now_ms (control->ctx);
-  bt_want_lease (control->keeper, leaving ? control->fence != 0 : view->leader[0] == '\0' || own,
+  bt_want_lease (control->keeper,
+                 leaving ? control->fence != 0
+                         : view->leader[0] == '\0' || (own && !control->handed_over),
                  FIRST_TURN_MS + turn * TURN_MS);
 }
 
@@ -252,6 +257,20 @@
          && now_ms - control->outdone_ms > control->options.steady_ms;
 }
 
+/* True when no round is in the way of handing over. One that leaves waits for a group that is just
+ * being looked at, as long as it stays anyway. Another must not: a group that has gone for good is
+ * looked at for ever, and no other group would get a round meanwhile. */
+static bool
+may_hand_over (const bt_group_control_t *control)
+{
+  if (control->leaving)
+    return !is_any_round (control);
+  for (const group_row_t *row = control->groups; row != NULL; row = row->next)
+    if (bt_is_led_group_ordered (row->group))
+      return false;
+  return true;
+}
+
 /* A leader that leaves, or that others have more room than, ends the rounds it has begun and hands
  * over at once. If its lease lapsed instead, a group that it holds would stand until the next
  * leader is in office. */
@@ -287,7 +306,7 @@
   for (group_row_t *row = control->groups; row != NULL && control->fence != 0; row = row->next)
     if (!bt_run_led_group (row->group, &turn))
       stop_leading (control, "An engine has seen a newer leader.");
-  if (hands_over && control->fence != 0 && !is_any_round (control))
+  if (hands_over && control->fence != 0 && may_hand_over (control))
     hand_over (control);
   bt_set_timer (control->loop, &control->timer,
                 now_ms + (is_any_round (control) ? ROUND_LOOK_MS : control->options.plan_ms));
--- a/source/gateway/led_group.c
+++ b/source/gateway/led_group.c
@@ -272,6 +272,12 @@
   return bt_get_group_phase (group->rounds) != BT_GROUP_CALM;
 }
 
+bool
+bt_is_led_group_ordered (const bt_led_group_t *group)
+{
+  return bt_is_led_round_open (group) && bt_get_group_phase (group->rounds) != BT_GROUP_LOOKING;
+}
+
 bool
 bt_run_led_group (bt_led_group_t *group, const bt_led_turn_t *turn)
 {
