One way to call a gateway in the process tests; one course in the test of the control

The tests of the gateway each had their own way to ask and to wait; it stands in their harness now. What they send and check stays as it was.

--- a/test/gateway/test_group_control.c
+++ b/test/gateway/test_group_control.c
@@ -128,31 +128,51 @@
 static const bt_platform_vtable_t platform_vtable = { .new_store = new_store };
 static const bt_platform_t platform = { &platform_vtable };
 
-static bt_group_control_options_t
-get_options (void)
-{
-  return (bt_group_control_options_t){ .platform = &platform,
-                                       .store = "",
-                                       .instance = "one",
-                                       .cores = 0.24,
-                                       .lease_s = LEASE_S,
-                                       .renew_ms = RENEW_MS,
-                                       .plan_ms = PLAN_MS,
-                                       .steady_ms = STEADY_MS };
-}
-
 /** What a loop does in each turn until its limit or its end. */
 typedef struct course
 {
   bt_turn_t turn;
   bt_timer_t timer;
   bt_event_loop_t *loop;
+  bt_agent_links_t *links;
   bt_group_control_t *control;
   bt_view_t view;
   int64_t end_ms;
   bool leaving;
+  int32_t seen; /* times that the lease had been given back at the last look */
 } course_t;
 
+/* Runs an instance's control of groups until a turn ends the loop. */
+static void
+run_course (course_t *course)
+{
+  bt_error_t error = { 0 };
+  bt_agent_links_options_t links = { .instance = "one", .incarnation = 1, .secret = "s" };
+  bt_group_control_options_t options = { .platform = &platform,
+                                         .store = "",
+                                         .instance = "one",
+                                         .cores = 0.24,
+                                         .lease_s = LEASE_S,
+                                         .renew_ms = RENEW_MS,
+                                         .plan_ms = PLAN_MS,
+                                         .steady_ms = STEADY_MS };
+
+  atomic_store (&renewed, 0);
+  atomic_store (&given_back, 0);
+  course->loop = bt_new_event_loop (ctx, &error);
+  course->links = bt_new_agent_links (ctx, course->loop, &links, &error);
+  course->control = bt_new_group_control (ctx, course->loop, course->links, &options);
+  course->end_ms = bt_now_ms (ctx) + LIMIT_MS;
+  bt_set_group_view (course->control, &course->view, false);
+  bt_add_turn (course->loop, &course->turn);
+  course->timer.on_time (&course->timer);
+  bt_run_event_loop (course->loop);
+  bt_drop_group_control (ctx, course->control);
+  bt_drop_agent_links (ctx, course->links);
+  bt_clear_timer (course->loop, &course->timer);
+  bt_drop_event_loop (ctx, course->loop);
+}
+
 static void
 look_again (bt_timer_t *timer)
 {
@@ -181,47 +201,18 @@
 static void
 test_leaving_leader_gives_the_lease_back (void)
 {
-  bt_error_t error = { 0 };
-  bt_agent_links_options_t link_options = { .instance = "one", .incarnation = 1, .secret = "s" };
-  bt_group_control_options_t options = get_options ();
-  course_t course = { .turn = { .on_turn = take_turn } };
-  bt_agent_links_t *links;
+  course_t course = { .turn = { .on_turn = take_turn }, .timer = { .on_time = look_again } };
 
-  atomic_store (&renewed, 0);
-  atomic_store (&given_back, 0);
-  course.loop = bt_new_event_loop (ctx, &error);
-  links = bt_new_agent_links (ctx, course.loop, &link_options, &error);
-  course.control = bt_new_group_control (ctx, course.loop, links, &options);
-  course.end_ms = bt_now_ms (ctx) + LIMIT_MS;
-  course.timer.on_time = look_again;
-  bt_set_group_view (course.control, &course.view, false);
-  bt_add_turn (course.loop, &course.turn);
-  look_again (&course.timer);
-  bt_run_event_loop (course.loop);
+  run_course (&course);
   CU_ASSERT_TRUE (course.leaving);
   CU_ASSERT_EQUAL (atomic_load (&given_back), 1);
-  bt_drop_group_control (ctx, course.control);
-  bt_drop_agent_links (ctx, links);
-  bt_clear_timer (course.loop, &course.timer);
-  bt_drop_event_loop (ctx, course.loop);
 }
 
-/** A loop in which an instance with more room is listed, but never leads. */
-typedef struct outdone
-{
-  bt_turn_t turn;
-  bt_timer_t timer;
-  bt_event_loop_t *loop;
-  bt_group_control_t *control;
-  bt_view_t view;
-  int64_t end_ms;
-  int32_t seen; /* times that the lease had been given back at the last look */
-} outdone_t;
-
+/* The store is read again and again, as it is in a fleet where something always changes. */
 static void
 look_at_outdone (bt_timer_t *timer)
 {
-  outdone_t *course = (outdone_t *)((char *)timer - offsetof (outdone_t, timer));
+  course_t *course = (course_t *)((char *)timer - offsetof (course_t, timer));
 
   bt_set_group_view (course->control, &course->view, false);
   bt_set_timer (course->loop, timer, bt_now_ms (ctx) + PLAN_MS);
@@ -230,7 +221,7 @@
 static void
 run_outdone (bt_turn_t *turn)
 {
-  outdone_t *course = (outdone_t *)turn;
+  course_t *course = (course_t *)turn;
   int32_t seen = atomic_load (&given_back);
 
   bt_run_group_control (course->control);
@@ -247,31 +238,14 @@
 static void
 test_leader_hands_over_once_to_one_with_room (void)
 {
-  bt_error_t error = { 0 };
-  bt_agent_links_options_t link_options = { .instance = "one", .incarnation = 1, .secret = "s" };
-  bt_group_control_options_t options = get_options ();
   bt_listed_entry_t other = { .identity = { .instance = "two" }, .cores = 0.5 };
-  outdone_t course = { .turn = { .on_turn = run_outdone } };
-  bt_agent_links_t *links;
+  course_t course = { .turn = { .on_turn = run_outdone },
+                      .timer = { .on_time = look_at_outdone },
+                      .view = { .entries = &other, .entry_count = 1 } };
 
-  atomic_store (&renewed, 0);
-  atomic_store (&given_back, 0);
-  course.view.entries = &other;
-  course.view.entry_count = 1;
-  course.loop = bt_new_event_loop (ctx, &error);
-  links = bt_new_agent_links (ctx, course.loop, &link_options, &error);
-  course.control = bt_new_group_control (ctx, course.loop, links, &options);
-  course.end_ms = bt_now_ms (ctx) + LIMIT_MS;
-  course.timer.on_time = look_at_outdone;
-  bt_add_turn (course.loop, &course.turn);
-  look_at_outdone (&course.timer);
-  bt_run_event_loop (course.loop);
+  run_course (&course);
   CU_ASSERT_EQUAL (atomic_load (&given_back), 1);
   CU_ASSERT (atomic_load (&renewed) > RENEWALS);
-  bt_drop_group_control (ctx, course.control);
-  bt_drop_agent_links (ctx, links);
-  bt_clear_timer (course.loop, &course.timer);
-  bt_drop_event_loop (ctx, course.loop);
 }
 
 int
--- a/test/process/harness_gateway.c
+++ b/test/process/harness_gateway.c
@@ -20,6 +20,8 @@
   MOST_ARGUMENTS = 24,
   OK = 200,
   POLL_MS = 10,
+  HEADER_BYTES = 256,
+  CALL_PAUSE_MS = 20,
   MS_PER_S = 1000,
   DRAIN_MS = 8000,
   NS_PER_MS = 1000000,
@@ -129,6 +131,53 @@
   return status;
 }
 
+void
+bt_call_field (const bt_field_t *field, const bt_field_call_t *call, bt_reply_t *reply)
+{
+  char id[HEADER_BYTES];
+  char deadline[HEADER_BYTES];
+  char key[HEADER_BYTES];
+  const char *headers[6] = { "Host: shop.example", id, deadline };
+  int32_t count = 3;
+
+  snprintf (id, sizeof id, "Bilberrytray-Attempt-Id: %s", call->id);
+  snprintf (deadline, sizeof deadline, "Bilberrytray-Deadline-Ms: %d", call->deadline_ms);
+  if (call->key != NULL)
+    {
+      snprintf (key, sizeof key, "Authorization: Bearer %s", call->key);
+      headers[count++] = key;
+    }
+  if (call->extra != NULL)
+    headers[count++] = call->extra;
+  bt_ask_gateway (field, call->gateway, call->path, headers, "shrimp", reply);
+}
+
+int32_t
+bt_call_field_status (const bt_field_t *field, const bt_field_call_t *call)
+{
+  bt_reply_t reply;
+  int32_t status;
+
+  bt_call_field (field, call, &reply);
+  status = reply.curl_code == 0 ? reply.status : 0;
+  bt_clear_reply (&reply);
+  return status;
+}
+
+bool
+bt_wait_field_status (const bt_field_t *field, const bt_field_call_t *call, int32_t wanted)
+{
+  int64_t limit_ms = bt_read_clock_ms (bt_system_clock ()) + BT_STAGE_WAIT_MS;
+
+  while (bt_call_field_status (field, call) != wanted)
+    {
+      if (bt_read_clock_ms (bt_system_clock ()) > limit_ms)
+        return false;
+      bt_sleep_ms (CALL_PAUSE_MS);
+    }
+  return true;
+}
+
 void
 bt_read_gateway_metrics (const bt_field_t *field, int32_t index, bt_reply_t *reply)
 {
--- a/test/process/harness_gateway.h
+++ b/test/process/harness_gateway.h
@@ -87,6 +87,26 @@
                      const char *body,
                      bt_reply_t *reply);
 
+/** A call of a request that the tests' rules know, on their host. */
+typedef struct bt_field_call
+{
+  int32_t gateway;
+  const char *path;
+  const char *id;
+  const char *key;   /**< The account's; NULL: none. */
+  const char *extra; /**< One more header line; NULL: none. */
+  int32_t deadline_ms;
+} bt_field_call_t;
+
+/** Makes a call; the reply is to be cleared by the caller. */
+void bt_call_field (const bt_field_t *field, const bt_field_call_t *call, bt_reply_t *reply);
+
+/** Makes a call; the status, 0 when there is no answer. */
+int32_t bt_call_field_status (const bt_field_t *field, const bt_field_call_t *call);
+
+/** Makes a call again and again until the status is as wanted; false when it never is. */
+bool bt_wait_field_status (const bt_field_t *field, const bt_field_call_t *call, int32_t wanted);
+
 /** The metrics of a gateway, to be cleared by the caller. */
 void bt_read_gateway_metrics (const bt_field_t *field, int32_t index, bt_reply_t *reply);
 
--- a/test/process/test_gateway.c
+++ b/test/process/test_gateway.c
@@ -67,32 +67,32 @@
   return 0;
 }
 
-/* Sends a request with an id and a key. */
+/* A request with an id and a key, and a header that callers must not set. */
+static bt_field_call_t
+make_call (int32_t gateway, const char *path, const char *id, const char *key)
+{
+  return (bt_field_call_t){ .gateway = gateway,
+                            .path = path,
+                            .id = id,
+                            .key = key,
+                            .extra = "Bilberrytray-Tenant: forged",
+                            .deadline_ms = 4000 };
+}
+
 static void
 ask (int32_t gateway, const char *path, const char *id, const char *key, bt_reply_t *reply)
 {
-  char id_line[128];
-  char key_line[128];
-  const char *headers[] = {
-    "Host: shop.example",          id_line, key_line, "Bilberrytray-Deadline-Ms: 4000",
-    "Bilberrytray-Tenant: forged", NULL
-  };
+  bt_field_call_t call = make_call (gateway, path, id, key);
 
-  snprintf (id_line, sizeof id_line, "Bilberrytray-Attempt-Id: %s", id);
-  snprintf (key_line, sizeof key_line, "Authorization: Bearer %s", key);
-  bt_ask_gateway (field, gateway, path, headers, "shrimp", reply);
+  bt_call_field (field, &call, reply);
 }
 
 static int32_t
 ask_status (int32_t gateway, const char *path, const char *id, const char *key)
 {
-  bt_reply_t reply;
-  int32_t status;
+  bt_field_call_t call = make_call (gateway, path, id, key);
 
-  ask (gateway, path, id, key, &reply);
-  status = reply.curl_code == 0 ? reply.status : 0;
-  bt_clear_reply (&reply);
-  return status;
+  return bt_call_field_status (field, &call);
 }
 
 static size_t
@@ -304,19 +304,12 @@
   set_all_faults ("{\"kind\":\"none\"}");
 }
 
-/* Asks until the status is as wanted, or for long enough. */
 static bool
 wait_status (int32_t gateway, const char *path, const char *id, const char *key, int32_t wanted)
 {
-  int64_t limit_ms = bt_read_clock_ms (bt_system_clock ()) + BT_STAGE_WAIT_MS;
+  bt_field_call_t call = make_call (gateway, path, id, key);
 
-  while (ask_status (gateway, path, id, key) != wanted)
-    {
-      if (bt_read_clock_ms (bt_system_clock ()) > limit_ms)
-        return false;
-      bt_sleep_ms (POLL_MS);
-    }
-  return true;
+  return bt_wait_field_status (field, &call, wanted);
 }
 
 static void
--- a/test/process/test_gateway_logs.c
+++ b/test/process/test_gateway_logs.c
@@ -59,16 +59,11 @@
 static int32_t
 ask_status (const char *path)
 {
-  const char *headers[] = { "Host: shop.example", "Bilberrytray-Attempt-Id: r-logs",
-                            "Authorization: Bearer key-small", "Bilberrytray-Deadline-Ms: 20000",
-                            NULL };
-  bt_reply_t reply;
-  int32_t status;
+  bt_field_call_t call = {
+    .gateway = 1, .path = path, .id = "r-logs", .key = "key-small", .deadline_ms = 20000
+  };
 
-  bt_ask_gateway (field, 1, path, headers, "shrimp", &reply);
-  status = reply.curl_code == 0 ? reply.status : 0;
-  bt_clear_reply (&reply);
-  return status;
+  return bt_call_field_status (field, &call);
 }
 
 /* True when each of so many requests was answered as it had to be. */
--- a/test/process/test_gateway_peers.c
+++ b/test/process/test_gateway_peers.c
@@ -59,34 +59,28 @@
   return 0;
 }
 
+static bt_field_call_t
+make_call (int32_t gateway, const char *key)
+{
+  return (bt_field_call_t){
+    .gateway = gateway, .path = "/a/lookup", .id = "r-peers", .key = key, .deadline_ms = 4000
+  };
+}
+
 static int32_t
 ask_status (int32_t gateway, const char *key)
 {
-  char key_line[PAGE_LINE_BYTES];
-  const char *headers[] = { "Host: shop.example", "Bilberrytray-Attempt-Id: r-peers", key_line,
-                            "Bilberrytray-Deadline-Ms: 4000", NULL };
-  bt_reply_t reply;
-  int32_t status;
+  bt_field_call_t call = make_call (gateway, key);
 
-  snprintf (key_line, sizeof key_line, "Authorization: Bearer %s", key);
-  bt_ask_gateway (field, gateway, "/a/lookup", headers, "shrimp", &reply);
-  status = reply.curl_code == 0 ? reply.status : 0;
-  bt_clear_reply (&reply);
-  return status;
+  return bt_call_field_status (field, &call);
 }
 
 static bool
 wait_status (int32_t gateway, const char *key, int32_t status)
 {
-  int64_t limit_ms = bt_read_clock_ms (bt_system_clock ()) + BT_STAGE_WAIT_MS;
+  bt_field_call_t call = make_call (gateway, key);
 
-  while (ask_status (gateway, key) != status)
-    {
-      if (bt_read_clock_ms (bt_system_clock ()) > limit_ms)
-        return false;
-      bt_sleep_ms (POLL_MS);
-    }
-  return true;
+  return bt_wait_field_status (field, &call, status);
 }
 
 static int64_t
--- a/test/process/test_gateway_starts.c
+++ b/test/process/test_gateway_starts.c
@@ -49,30 +49,17 @@
 static int32_t
 ask_status (const char *path, const char *id)
 {
-  char line[128];
-  const char *headers[] = { "Host: shop.example", line, "Bilberrytray-Deadline-Ms: 8000", NULL };
-  bt_reply_t reply;
-  int32_t status;
-
-  snprintf (line, sizeof line, "Bilberrytray-Attempt-Id: %s", id);
-  bt_ask_gateway (field, 0, path, headers, "shrimp", &reply);
-  status = reply.curl_code == 0 ? reply.status : 0;
-  bt_clear_reply (&reply);
-  return status;
+  bt_field_call_t call = { .path = path, .id = id, .deadline_ms = 8000 };
+
+  return bt_call_field_status (field, &call);
 }
 
 static bool
 wait_status (const char *path, const char *id, int32_t wanted)
 {
-  int64_t limit_ms = bt_read_clock_ms (bt_system_clock ()) + BT_STAGE_WAIT_MS;
+  bt_field_call_t call = { .path = path, .id = id, .deadline_ms = 8000 };
 
-  while (ask_status (path, id) != wanted)
-    {
-      if (bt_read_clock_ms (bt_system_clock ()) > limit_ms)
-        return false;
-      bt_sleep_ms (POLL_MS);
-    }
-  return true;
+  return bt_wait_field_status (field, &call, wanted);
 }
 
 /* Runs of a request in what a runner has written: it outlives the process. */
--- a/test/process/test_gateway_stop.c
+++ b/test/process/test_gateway_stop.c
@@ -60,12 +60,11 @@
 static void
 ask (const char *path, const char *id, bt_reply_t *reply)
 {
-  char id_line[128];
-  const char *headers[] = { "Host: shop.example", id_line, "Authorization: Bearer key-small",
-                            "Bilberrytray-Deadline-Ms: 6000", NULL };
+  bt_field_call_t call = {
+    .gateway = 1, .path = path, .id = id, .key = "key-small", .deadline_ms = 6000
+  };
 
-  snprintf (id_line, sizeof id_line, "Bilberrytray-Attempt-Id: %s", id);
-  bt_ask_gateway (field, 1, path, headers, "shrimp", reply);
+  bt_call_field (field, &call, reply);
 }
 
 /** What callers got from a gateway that stops, each on a connection of its own. */
