--- a/bench/bench_leader.c
+++ b/bench/bench_leader.c
@@ -219,7 +219,7 @@
   for (int32_t i = 0; i < count_cells (led); i++)
     led->counts[i] = (uint32_t)(led->popularity[i] * picks + bt_random_unit (&led->random));
   bt_write_engine_report (&report, &message);
-  if ((now_ms / REPORT_MS + rank) % bt_count_reports_a_pick (led->shape.ranks) == 0)
+  if ((now_ms / REPORT_MS + rank) % bt_get_picks_every (led->shape.ranks) == 0)
     {
       message.picks = led->counts;
       message.n_picks = (size_t)count_cells (led);
--- a/source/gateway/agent_links.c
+++ b/source/gateway/agent_links.c
@@ -18,7 +18,7 @@
   MAX_FRAME_BYTES = 1 << 20,
   MAX_UNSENT_BYTES = 1 << 20,
   MAX_LINKS = 1024,
-  /* Ranks of a group whose picks the leader takes in between two reports of each. */
+  /* Ranks whose picks a leader takes in at a time, that is between two reports of a rank. */
   PICKING_RANKS = 48,
 };
 
@@ -103,7 +103,7 @@
 }
 
 int32_t
-bt_count_reports_a_pick (int32_t ranks)
+bt_get_picks_every (int32_t ranks)
 {
   return ranks <= PICKING_RANKS ? 1 : (ranks + PICKING_RANKS - 1) / PICKING_RANKS;
 }
@@ -118,7 +118,7 @@
     return;
   follow.fence = links->fence;
   follow.places = places;
-  follow.picks_every = (uint32_t)bt_count_reports_a_pick (row->report.ranks);
+  follow.picks_every = (uint32_t)bt_get_picks_every (row->report.ranks);
   frame.body_case = BILBERRY__FRAME__BODY_ENGINE_FOLLOW;
   frame.engine_follow = &follow;
   bt_send_frame (links->ctx, row->link, &frame);
--- a/source/gateway/agent_links.h
+++ b/source/gateway/agent_links.h
@@ -81,6 +81,6 @@
                           const bt_map_bytes_t *map);
 
 /** Of how many reports of a rank one carries its picks, in a group of so many ranks. */
-int32_t bt_count_reports_a_pick (int32_t ranks);
+int32_t bt_get_picks_every (int32_t ranks);
 
 #endif
--- a/source/gateway/group_control.c
+++ b/source/gateway/group_control.c
@@ -266,7 +266,7 @@
   if (control->leaving)
     return !is_any_round (control);
   for (const group_row_t *row = control->groups; row != NULL; row = row->next)
-    if (bt_is_led_group_ordered (row->group))
+    if (bt_has_led_group_orders (row->group))
       return false;
   return true;
 }
--- a/source/gateway/led_group.c
+++ b/source/gateway/led_group.c
@@ -273,7 +273,7 @@
 }
 
 bool
-bt_is_led_group_ordered (const bt_led_group_t *group)
+bt_has_led_group_orders (const bt_led_group_t *group)
 {
   return bt_is_led_round_open (group) && bt_get_group_phase (group->rounds) != BT_GROUP_LOOKING;
 }
--- a/source/gateway/led_group.h
+++ b/source/gateway/led_group.h
@@ -46,7 +46,7 @@
 bool bt_is_led_round_open (const bt_led_group_t *group);
 
 /** True while a round is under way, or what is left of one is taken back. */
-bool bt_is_led_group_ordered (const bt_led_group_t *group);
+bool bt_has_led_group_orders (const bt_led_group_t *group);
 
 /** Plans, and sends what orders are due. False when an engine has seen a newer leader. */
 bool bt_run_led_group (bt_led_group_t *group, const bt_led_turn_t *turn);
--- a/source/maps/round_planner.c
+++ b/source/maps/round_planner.c
@@ -57,7 +57,7 @@
   part->search = bt_new_map_search (ctx, part->layer, input, index);
   part->search->copies = round->copies;
   part->search->transfer_load = price_transfer (input) * round->layers * part->mean;
-  /* Not searched yet, so nothing is known to be found with any number of copies. */
+  /* It has not been searched: the first number of copies has to try it. */
   part->search->short_of_copies = true;
   round->mean += part->mean;
 }
