--- a/Makefile
+++ b/Makefile
@@ -57,6 +57,10 @@
 bench-maps: build
 	$(BUILD)/release/bench_maps
 
+# What the leader of a rank group spends on it, by the size of the group.
+bench-leader: build
+	$(BUILD)/release/bench_leader
+
 bench-policy: build
 	$(BUILD)/release/bench_policy
 
@@ -78,4 +82,4 @@
 	rm -rf $(BUILD)
 
 .PHONY: all setup build debug tsan proto format check-format lint models test test-threads check \
-	demo bench bench-log bench-maps bench-policy experiment capacity soak clean
+	demo bench bench-leader bench-log bench-maps bench-policy experiment capacity soak clean
