--- a/include/bilberrytray/maps/rank_set.h
+++ b/include/bilberrytray/maps/rank_set.h
@@ -15,7 +15,6 @@
   BT_RANK_WORD_BITS = 64,
   /** Most ranks of a group. */
   BT_MAX_RANKS = 2048,
-  BT_MAX_RANK_WORDS = BT_MAX_RANKS / BT_RANK_WORD_BITS,
   BT_NO_RANK = -1,
 };
 
