requests: a refusal after a broken attempt is not reported as not run

Cause: a repeatable request whose first attempt broke off is sent to a second endpoint. When that one refused it, the caller got the refusal's 503, which promises that the request has not run, though the first attempt may have.

Change: the decision after an attempt knows whether an earlier one may have run, and then no reason whose outcome is not-run is given.

Test: test_refusal_after_a_broken_attempt_is_not_reported_not_run, seen failing (three assertions) without the guard.

--- a/include/bilberrytray/requests/attempt.h
+++ b/include/bilberrytray/requests/attempt.h
@@ -37,6 +37,7 @@
   int32_t runs_left;     /**< Further endpoints on which it may run. */
   int32_t attempts_left; /**< Further attempts, whether they run or not. */
   bool answer_started;   /**< The response head was forwarded to the caller. */
+  bool may_have_run;     /**< An earlier attempt may have run. */
 } bt_attempt_limits_t;
 
 /** What follows an attempt. */
@@ -51,7 +52,8 @@
 typedef struct bt_attempt_decision
 {
   bt_attempt_next_t next;
-  bt_reason_t reason;   /**< Of the refusal; also used when a retry has no budget left. */
+  bt_reason_t reason;   /**< Of the refusal; also used when a retry has no budget left. Its outcome is
+                           not-run only if no attempt may have run. */
   bt_retry_t retry;     /**< Cause of the retry. */
   bool may_have_run;    /**< The attempt counts as a run. */
   bool endpoint_gone;   /**< Another process now uses the endpoint's address. */
--- a/source/gateway/forward_send.c
+++ b/source/gateway/forward_send.c
@@ -202,7 +202,8 @@
 
   if (!bt_take_app_retry (gateway, forward->app, decision->retry))
     {
-      bt_refuse_forward (forward, decision->reason, bt_draw_retry_after_ms (gateway));
+      bt_refuse_forward (forward, decision->reason,
+                         forward->runs > 0 ? 0 : bt_draw_retry_after_ms (gateway));
       return;
     }
   bt_send_forward (forward);
@@ -219,6 +220,7 @@
     .attempts_left =
         (max_sends < BT_MAX_FORWARD_SENDS ? max_sends : BT_MAX_FORWARD_SENDS) - forward->sends,
     .answer_started = forward->state == BT_FORWARD_STREAMING,
+    .may_have_run = forward->runs > 0,
   };
   bt_attempt_result_t result;
   bt_attempt_decision_t decision;
@@ -244,7 +246,7 @@
     retry (forward, &decision);
   else
     bt_refuse_forward (forward, decision.reason,
-                       decision.may_have_run ? 0 : bt_draw_retry_after_ms (gateway));
+                       forward->runs > 0 ? 0 : bt_draw_retry_after_ms (gateway));
 }
 
 /* Returns true when the answer in progress is a stream that may be forwarded before it is
--- a/source/requests/attempt.c
+++ b/source/requests/attempt.c
@@ -73,10 +73,10 @@
     decision->next = BT_NEXT_FORWARD;
 }
 
-void
-bt_decide_after_attempt (const bt_attempt_result_t *result,
-                         const bt_attempt_limits_t *limits,
-                         bt_attempt_decision_t *decision)
+static void
+decide (const bt_attempt_result_t *result,
+        const bt_attempt_limits_t *limits,
+        bt_attempt_decision_t *decision)
 {
   memset (decision, 0, sizeof *decision);
   decision->end = BT_ATTEMPT_FAILED;
@@ -107,3 +107,14 @@
   decision->retry = BT_RETRY_LINK_LOST;
   retry_or_refuse (limits, decision);
 }
+
+void
+bt_decide_after_attempt (const bt_attempt_result_t *result,
+                         const bt_attempt_limits_t *limits,
+                         bt_attempt_decision_t *decision)
+{
+  decide (result, limits, decision);
+  /* The refusal of the last attempt proves nothing about the earlier ones. */
+  if (limits->may_have_run && bt_get_reason_outcome (decision->reason) == BT_OUTCOME_NOT_RUN)
+    decision->reason = BT_REASON_ENGINE_FAILED;
+}
--- a/test/requests/test_attempt.c
+++ b/test/requests/test_attempt.c
@@ -74,6 +74,25 @@
   CU_ASSERT_EQUAL (bt_get_reason_outcome (decide (full, &no_sends).reason), BT_OUTCOME_NOT_RUN);
 }
 
+/* Guards against telling a caller that its request did not run because the last endpoint refused it,
+ * while an earlier attempt may have run. */
+static void
+test_refusal_after_a_broken_attempt_is_not_reported_not_run (void)
+{
+  bt_attempt_result_t results[] = { { .stage = BT_ATTEMPT_COMPLETE, .status = 503, .not_run = true },
+                                    { .stage = BT_ATTEMPT_COMPLETE, .status = 421 },
+                                    { .stage = BT_ATTEMPT_UNSENT } };
+  bt_attempt_limits_t limits = repeatable_once;
+
+  limits.may_have_run = true;
+  for (size_t i = 0; i < sizeof results / sizeof results[0]; i++)
+    {
+      CU_ASSERT_EQUAL (decide (results[i], &limits).next, BT_NEXT_RETRY);
+      CU_ASSERT_EQUAL (bt_get_reason_outcome (decide (results[i], &limits).reason),
+                       BT_OUTCOME_UNKNOWN);
+    }
+}
+
 /* Guards against forwarding a status that promises that the request did not run, without the
  * endpoint's statement: the caller would resend a request that may have run. */
 static void
@@ -141,6 +160,7 @@
   CU_ADD_TEST (suite, test_complete_answer_is_forwarded);
   CU_ADD_TEST (suite, test_broken_attempt_is_neither_retried_nor_reported_not_run);
   CU_ADD_TEST (suite, test_request_that_did_not_run_is_retried);
+  CU_ADD_TEST (suite, test_refusal_after_a_broken_attempt_is_not_reported_not_run);
   CU_ADD_TEST (suite, test_unproved_not_run_status_is_not_forwarded);
   CU_ADD_TEST (suite, test_foreign_answers_are_not_forwarded);
   CU_ADD_TEST (suite, test_failure_is_retried_or_forwarded);
