load: a broken group is paused as a whole, and its callers return when it is back

Then the replacement is listed at 9.12 s, half a second before its group is formed; it looks like the only usable endpoint, and all queued requests are sent to it within 150 ms and refused (about 200). Refused callers are told to return after 0.3 to 1 s, while the group needs 4.

Change: group_outages knows the groups of all ranks by their epochs. The end of one rank, seen by a closed port or told by another entry, pauses its whole group at once; a replacement is paused until its group reports a new epoch. Outages and the forming of groups are measured, and give an estimate of the end of each. A request waits in the queue if its caller will still be there then (callers of streams leave after two seconds without an event); others are refused with the time at which the group is expected back, spread over 1.5 s.

Ruled out: a longer queue. Callers leave a silent stream after 2 s.

--- a/include/bilberrytray/load/admission.h
+++ b/include/bilberrytray/load/admission.h
@@ -7,7 +7,7 @@
  * router's lock.
  */
 
-#include "bilberrytray/load/router.h"
+#include "bilberrytray/load/group_outages.h"
 
 typedef struct bt_admission bt_admission_t;
 
@@ -22,7 +22,8 @@
   int64_t max_retry_after_ms;  /**< Upper bound of the retry-after times that are sent. */
   int64_t no_endpoint_wait_ms; /**< How long queued requests wait without a usable endpoint;
                                     new ones are then refused at once. */
-  int64_t paused_wait_ms;      /**< The same while endpoints are paused and expected to resume. */
+  int64_t paused_wait_ms;      /**< The same while endpoints are paused and no estimate of when they
+                                    resume is known. */
 } bt_admission_options_t;
 
 /** A request to decide on. The strings are only read during the call. */
@@ -34,13 +35,15 @@
   int32_t share;    /**< Weight of the account in fair sharing; 0 counts as 1. */
   int32_t priority; /**< A higher priority is served first. */
   int64_t deadline_left_ms;
-  int64_t target_left_ms;  /**< Time left until the caller expects the first part of the answer; 0:
-                           no  expectation. */
-  const char *rule;        /**< Name of the matching rule; NULL for none. */
-  int32_t rule_per_second; /**< The rule's limit in requests per second; 0: none. */
-  int32_t rule_burst;      /**< Requests that may pass at once; 0: the requests of one second. */
-  bool is_retry;           /**< A retry: exempt from the rule's limit and not counted as demand. */
-  uint64_t seed;           /**< Random number that spreads the retry-after times. */
+  int64_t target_left_ms;   /**< Time left until the caller expects the first part of the answer; 0:
+                            no  expectation. */
+  int64_t patience_left_ms; /**< Time left until the caller leaves unless the answer has begun; 0:
+                                 it waits until the deadline. */
+  const char *rule;         /**< Name of the matching rule; NULL for none. */
+  int32_t rule_per_second;  /**< The rule's limit in requests per second; 0: none. */
+  int32_t rule_burst;       /**< Requests that may pass at once; 0: the requests of one second. */
+  bool is_retry;            /**< A retry: exempt from the rule's limit and not counted as demand. */
+  uint64_t seed;            /**< Random number that spreads the retry-after times. */
 } bt_admission_request_t;
 
 /** Action to take for a request. */
@@ -71,6 +74,10 @@
 bt_new_admission (bt_context_t *ctx, bt_router_t *router, const bt_admission_options_t *options);
 void bt_drop_admission (bt_context_t *ctx, bt_admission_t *admission);
 
+/** Sets where admission learns when the endpoints of a broken group resume; @p outages must outlive
+ * it. */
+void bt_set_admission_outages (bt_admission_t *admission, const bt_group_outages_t *outages);
+
 /** Decides on a new request. After ADMIT the calling code chooses an endpoint and calls
  * bt_record_dispatch before the next decision, since only that call reduces the free capacity. */
 void bt_decide_admission (bt_context_t *ctx,
@@ -88,6 +95,13 @@
 /** Removes a queued request whose caller has left; returns false if it is not queued. */
 bool bt_cancel_admission (bt_admission_t *admission, uint64_t id);
 
+/** Returns after how long a request that found all endpoints of its app paused may be sent again;
+ * 0 if they are not all paused, or it is not known when they resume. @p seed spreads the times. */
+int64_t bt_get_paused_retry_after_ms (const bt_admission_t *admission,
+                                      const char *app,
+                                      uint64_t seed,
+                                      int64_t now_ms);
+
 /** Returns the number of queued requests of an app. */
 int32_t bt_count_queued_requests (const bt_admission_t *admission, const char *name);
 
--- a/source/gateway/agent_updates.c
+++ b/source/gateway/agent_updates.c
@@ -112,8 +112,8 @@
 
 /* Passes an engine's report to the router and to the group control. The agent may report an
  * incarnation of the engine that the store does not list yet. Its load does not belong to the
- * listed incarnation and is ignored, but its paused state applies to everything that is sent to the
- * address. A report of an incarnation before the listed one is outdated and is ignored. */
+ * listed incarnation and is ignored, but the state of its group applies to everything that is sent
+ * to the address. A report of an incarnation before the listed one is outdated and is ignored. */
 static void
 handle_update (void *data, const bt_agent_update_t *update)
 {
@@ -122,6 +122,8 @@
   const bt_declarations_t *declarations =
       gateway->view == NULL ? NULL : gateway->view->declarations;
   int64_t started_ms = update->report.maps.started_ms;
+  bt_group_state_t state = { update->report.group, update->report.maps.epoch,
+                             update->report.maps.open };
   bt_identity_t identity;
   int32_t pass_limit = 0;
   int32_t app;
@@ -137,8 +139,8 @@
       record_load (gateway, update, &identity,
                    get_slot_limit (&update->report, listed->slots, pass_limit));
     }
-  bt_set_endpoint_paused (gateway->router, &identity,
-                          update->report.group[0] != '\0' && !update->report.maps.open);
+  bt_record_rank_report (gateway->ctx, gateway->outages, &identity, &state,
+                         bt_get_loop_ms (gateway->loop));
   if (app >= 0)
     bt_handle_group_update (gateway->groups, &declarations->apps[app].engine, update, pass_limit);
 }
--- a/source/gateway/crash_control.c
+++ b/source/gateway/crash_control.c
@@ -70,7 +70,7 @@
   bt_crash_control_t *control =
       (bt_crash_control_t *)((char *)handler - offsetof (bt_crash_control_t, probe_handler));
 
-  bt_suspend_ended_endpoint (control->endpoints, endpoint, bt_get_loop_ms (control->loop));
+  bt_suspend_ended_endpoint (control->ctx, control->endpoints, endpoint, bt_get_loop_ms (control->loop));
   record_end (control, endpoint);
 }
 
@@ -158,7 +158,7 @@
   for (int32_t i = 0; i < count; i++)
     {
       if (listed[i].revision > control->seen_revision)
-        bt_suspend_ended_endpoint (control->endpoints, &listed[i].crash.endpoint,
+        bt_suspend_ended_endpoint (control->ctx, control->endpoints, &listed[i].crash.endpoint,
                                    bt_get_loop_ms (control->loop));
       if (listed[i].revision > newest)
         newest = listed[i].revision;
--- a/source/gateway/endpoint_table.c
+++ b/source/gateway/endpoint_table.c
@@ -28,6 +28,7 @@
 struct bt_endpoint_table
 {
   bt_router_t *router;
+  bt_group_outages_t *outages; /* may be NULL */
   table_row_t *rows;
   int32_t count;
   int32_t capacity;
@@ -50,11 +51,12 @@
 }
 
 bt_endpoint_table_t *
-bt_new_endpoint_table (bt_context_t *ctx, bt_router_t *router)
+bt_new_endpoint_table (bt_context_t *ctx, bt_router_t *router, bt_group_outages_t *outages)
 {
   bt_endpoint_table_t *table = bt_calloc (ctx, 1, sizeof *table);
 
   table->router = router;
+  table->outages = outages;
   return table;
 }
 
@@ -128,8 +130,11 @@
   bt_copy_name (endpoint.failure_domain, listed->failure_domain);
   bt_put_endpoint (ctx, table->router, &endpoint, now_ms);
   bt_set_endpoint_leaving (table->router, &endpoint.identity, listed->leaving);
-  if (is_new)
-    bt_record_load (table->router, &endpoint.identity, &load, now_ms);
+  if (!is_new)
+    return;
+  bt_record_load (table->router, &endpoint.identity, &load, now_ms);
+  if (table->outages != NULL)
+    bt_record_rank_listed (ctx, table->outages, &endpoint.identity, listed->app, now_ms);
 }
 
 static void
@@ -148,6 +153,8 @@
 
   bt_identify_endpoint (listed, &identity);
   bt_remove_endpoint (ctx, table->router, &identity);
+  if (table->outages != NULL)
+    bt_record_rank_removed (table->outages, &identity);
   if (table->end_handler != NULL && !listed->leaving)
     table->end_handler->on_end (table->end_handler, &identity);
 }
@@ -273,11 +280,14 @@
 }
 
 void
-bt_suspend_ended_endpoint (bt_endpoint_table_t *table,
+bt_suspend_ended_endpoint (bt_context_t *ctx,
+                           bt_endpoint_table_t *table,
                            const bt_identity_t *identity,
                            int64_t now_ms)
 {
   bt_set_endpoint_ended (table->router, identity, now_ms + ENDED_SUSPENSION_MS);
+  if (table->outages != NULL)
+    bt_record_rank_end (ctx, table->outages, identity, now_ms);
 }
 
 void
--- a/source/gateway/endpoint_table.h
+++ b/source/gateway/endpoint_table.h
@@ -5,7 +5,7 @@
  * The table of the endpoints that the store lists. Its changes are applied to the router.
  */
 
-#include "bilberrytray/load/router.h"
+#include "bilberrytray/load/group_outages.h"
 #include "view.h"
 
 typedef struct bt_endpoint_table bt_endpoint_table_t;
@@ -17,7 +17,9 @@
   void (*on_end) (struct bt_endpoint_end_handler *handler, const bt_identity_t *endpoint);
 } bt_endpoint_end_handler_t;
 
-bt_endpoint_table_t *bt_new_endpoint_table (bt_context_t *ctx, bt_router_t *router);
+/** Changes are also recorded in @p outages, unless it is NULL. */
+bt_endpoint_table_t *
+bt_new_endpoint_table (bt_context_t *ctx, bt_router_t *router, bt_group_outages_t *outages);
 
 /** NULL is accepted. */
 void bt_drop_endpoint_table (bt_context_t *ctx, bt_endpoint_table_t *table);
@@ -59,8 +61,9 @@
 
 /** Records that an incarnation of an endpoint has ended, as a closed port or another instance
  * shows. It gets no requests for some seconds; by then its registration has gone, or the next
- * incarnation is listed. */
-void bt_suspend_ended_endpoint (bt_endpoint_table_t *table,
+ * incarnation is listed. The group of which it was a rank is paused. */
+void bt_suspend_ended_endpoint (bt_context_t *ctx,
+                                bt_endpoint_table_t *table,
                                 const bt_identity_t *identity,
                                 int64_t now_ms);
 
--- a/source/gateway/forward.c
+++ b/source/gateway/forward.c
@@ -23,6 +23,11 @@
   /* Divisor for the time in which callers expect the first part of an answer: an endpoint with a
    * free slot takes nearly half of it to read a usual prompt. */
   FIRST_PART_DIVISOR = 2,
+  /* Callers leave a stream that is silent for the longest of these: a minimum, a multiple of the
+   * time in which they expect its first event, and of the longest pause that they accept. */
+  MIN_PATIENCE_MS = 2000,
+  PATIENCE_TARGETS = 4,
+  PATIENCE_PAUSES = 8,
   /* Entry instances learn the configuration within about this time. */
   NOT_READY_RETRY_MS = 500,
   /* Another instance can take the request at once. */
@@ -38,8 +43,13 @@
 }
 
 int64_t
-bt_draw_retry_after_ms (bt_gateway_t *gateway)
+bt_draw_retry_after_ms (bt_gateway_t *gateway, const char *app)
 {
+  int64_t paused_ms = bt_get_paused_retry_after_ms (
+      gateway->admission, app, bt_draw_gateway_seed (gateway), bt_get_loop_ms (gateway->loop));
+
+  if (paused_ms > 0)
+    return paused_ms;
   return MIN_RETRY_AFTER_MS + (int64_t)bt_random_below (&gateway->random, RETRY_AFTER_SPREAD_MS);
 }
 
@@ -160,7 +170,8 @@
   if (forward->runs > 0 || forward->exchange != NULL)
     bt_refuse_forward (forward, BT_REASON_DEADLINE_PASSED, 0);
   else
-    bt_refuse_forward (forward, BT_REASON_DEADLINE_UNREACHABLE, bt_draw_retry_after_ms (gateway));
+    bt_refuse_forward (forward, BT_REASON_DEADLINE_UNREACHABLE,
+                       bt_draw_retry_after_ms (gateway, forward->app));
   bt_dispatch_queued_forwards (gateway);
 }
 
@@ -225,6 +236,25 @@
   return left_ms > 1 ? left_ms : 1;
 }
 
+/* Returns the time left until the caller leaves unless it has got the first event of a stream, at
+ * least 1; 0 when it waits until the deadline. */
+static int64_t
+get_patience_left_ms (const bt_forward_t *forward, int64_t now_ms)
+{
+  const bt_rule_then_t *then = &forward->rule->then;
+  int64_t patience_ms = MIN_PATIENCE_MS;
+  int64_t left_ms;
+
+  if (!then->streamed)
+    return 0;
+  if (PATIENCE_TARGETS * then->aim_ms > patience_ms)
+    patience_ms = PATIENCE_TARGETS * then->aim_ms;
+  if (PATIENCE_PAUSES * then->pause_ms > patience_ms)
+    patience_ms = PATIENCE_PAUSES * then->pause_ms;
+  left_ms = forward->arrived_ms + patience_ms - CALLER_DELAY_MS - now_ms;
+  return left_ms > 1 ? left_ms : 1;
+}
+
 static void
 admit (bt_forward_t *forward)
 {
@@ -239,6 +269,7 @@
     .priority = (int32_t)forward->priority,
     .deadline_left_ms = forward->deadline_ms - now_ms,
     .target_left_ms = get_queue_time_left_ms (forward, now_ms),
+    .patience_left_ms = get_patience_left_ms (forward, now_ms),
     .seed = bt_draw_gateway_seed (gateway),
   };
   bt_admission_decision_t decision;
--- a/source/gateway/forward.h
+++ b/source/gateway/forward.h
@@ -97,8 +97,8 @@
 void
 bt_finish_forward (bt_forward_t *forward, bt_outcome_t outcome, bt_reason_t reason, int32_t status);
 
-/** Returns after how long callers that found no free endpoint may retry, ms. The times are spread
- * at random, so that callers that were refused together do not return together. */
-int64_t bt_draw_retry_after_ms (bt_gateway_t *gateway);
+/** Returns after how long callers that found no free endpoint of @p app may retry, ms. The times
+ * are spread at random, so that callers that were refused together do not return together. */
+int64_t bt_draw_retry_after_ms (bt_gateway_t *gateway, const char *app);
 
 #endif
--- a/source/gateway/forward_send.c
+++ b/source/gateway/forward_send.c
@@ -203,7 +203,7 @@
   if (!bt_take_app_retry (gateway, forward->app, decision->retry))
     {
       bt_refuse_forward (forward, decision->reason,
-                         forward->runs > 0 ? 0 : bt_draw_retry_after_ms (gateway));
+                         forward->runs > 0 ? 0 : bt_draw_retry_after_ms (gateway, forward->app));
       return;
     }
   bt_send_forward (forward);
@@ -246,7 +246,7 @@
     retry (forward, &decision);
   else
     bt_refuse_forward (forward, decision.reason,
-                       forward->runs > 0 ? 0 : bt_draw_retry_after_ms (gateway));
+                       forward->runs > 0 ? 0 : bt_draw_retry_after_ms (gateway, forward->app));
 }
 
 /* Returns true when the answer in progress is a stream that may be forwarded before it is
@@ -419,5 +419,5 @@
   else if (reason == BT_REASON_CRASHES_ENDPOINTS)
     bt_refuse_forward (forward, reason, retry_after_ms);
   else
-    bt_refuse_forward (forward, reason, bt_draw_retry_after_ms (gateway));
+    bt_refuse_forward (forward, reason, bt_draw_retry_after_ms (gateway, forward->app));
 }
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -298,8 +298,10 @@
   router.default_service_ms = DEFAULT_SERVICE_MS;
   router.queue_depth = ENDPOINT_QUEUE_DEPTH;
   gateway->router = bt_new_router (gateway->ctx, &router);
+  gateway->outages = bt_new_group_outages (gateway->ctx, gateway->router);
   gateway->admission = bt_new_admission (gateway->ctx, gateway->router, &admission);
-  gateway->endpoints = bt_new_endpoint_table (gateway->ctx, gateway->router);
+  bt_set_admission_outages (gateway->admission, gateway->outages);
+  gateway->endpoints = bt_new_endpoint_table (gateway->ctx, gateway->router, gateway->outages);
 }
 
 static void
@@ -409,6 +411,7 @@
   bt_drop_group_limiters (gateway);
   bt_drop_endpoint_table (ctx, gateway->endpoints);
   bt_drop_admission (ctx, gateway->admission);
+  bt_drop_group_outages (ctx, gateway->outages);
   bt_drop_router (ctx, gateway->router);
   for (int32_t i = 0; i < gateway->budget_count; i++)
     bt_drop_retry_budget (ctx, gateway->budgets[i].budget);
--- a/source/gateway/gateway_private.h
+++ b/source/gateway/gateway_private.h
@@ -8,6 +8,7 @@
 #include "bilberrytray/base/random.h"
 #include "bilberrytray/gateway/gateway.h"
 #include "bilberrytray/load/admission.h"
+#include "bilberrytray/load/group_outages.h"
 #include "bilberrytray/load/pass_limiter.h"
 #include "bilberrytray/load/retry_budget.h"
 #include "crash_control.h"
@@ -60,6 +61,7 @@
 
   bt_timings_t timings;
   bt_router_t *router;
+  bt_group_outages_t *outages;
   bt_admission_t *admission;
   bt_endpoint_table_t *endpoints;
   bt_crash_control_t *crashes;
--- a/source/load/admission.c
+++ b/source/load/admission.c
@@ -5,6 +5,7 @@
 #include "bilberrytray/base/random.h"
 #include "demand.h"
 #include "fair_queue.h"
+#include "group_wait.h"
 
 enum
 {
@@ -43,6 +44,7 @@
 {
   bt_admission_options_t options;
   bt_router_t *router;
+  const bt_group_outages_t *outages; /* may be NULL */
   app_t *apps;
   int32_t app_count;
   rule_limit_t *limits;
@@ -72,6 +74,12 @@
   return admission;
 }
 
+void
+bt_set_admission_outages (bt_admission_t *admission, const bt_group_outages_t *outages)
+{
+  admission->outages = outages;
+}
+
 void
 bt_drop_admission (bt_context_t *ctx, bt_admission_t *admission)
 {
@@ -294,9 +302,15 @@
     refuse (admission, decision, BT_REASON_QUEUE_FULL, wait_ms, request->seed);
 }
 
-/* Queues a request while all endpoints are paused because their group is being formed, which takes
- * one or two seconds. A caller that can wait longer than paused_wait_ms is served sooner by waiting
- * here than by retrying; any other is refused. */
+/* Returns the estimated time until the paused endpoints of an app resume; 0: unknown. */
+static int64_t
+get_group_wait_ms (const bt_admission_t *admission, const char *app, int64_t now_ms)
+{
+  return admission->outages == NULL ? 0 : bt_get_group_wait_ms (admission->outages, app, now_ms);
+}
+
+/* Handles a request while all endpoints are paused because their group is being formed. A caller
+ * that waits for longer than that takes is served sooner by waiting here than by retrying. */
 static void
 wait_while_paused (bt_context_t *ctx,
                    bt_admission_t *admission,
@@ -305,22 +319,44 @@
                    int64_t now_ms,
                    bt_admission_decision_t *decision)
 {
-  const int64_t paused_ms = admission->options.paused_wait_ms;
+  const int64_t known_ms = get_group_wait_ms (admission, app->name, now_ms);
+  const bt_group_wait_t wait = {
+    .wait_ms = known_ms > 0 ? known_ms : admission->options.paused_wait_ms,
+    .patience_left_ms = request->patience_left_ms,
+    .deadline_left_ms = request->deadline_left_ms,
+  };
   const bt_fair_item_t item = {
     .id = request->id,
     .priority = request->priority,
-    .give_up_ms = now_ms + request->deadline_left_ms - paused_ms / 2,
+    .give_up_ms = now_ms + bt_get_group_wait_limit_ms (&wait),
     .target_ms = request->target_left_ms > 0 ? now_ms + request->target_left_ms : 0,
     .queued_ms = now_ms,
     .share = request->share,
     .at_front = request->is_retry,
   };
 
-  if (request->deadline_left_ms > paused_ms
-      && bt_push_fair_item (ctx, app->queue, request->account, &item))
-    decision->action = BT_ADMISSION_QUEUE;
-  else
-    refuse (admission, decision, BT_REASON_NO_ENDPOINT, paused_ms / 2, request->seed);
+  if (bt_can_wait_for_group (&wait) && bt_push_fair_item (ctx, app->queue, request->account, &item))
+    {
+      decision->action = BT_ADMISSION_QUEUE;
+      return;
+    }
+  refuse (admission, decision, BT_REASON_NO_ENDPOINT, 0, request->seed);
+  decision->retry_after_ms = bt_draw_group_retry_after_ms (wait.wait_ms, request->seed);
+}
+
+int64_t
+bt_get_paused_retry_after_ms (const bt_admission_t *admission,
+                              const char *app,
+                              uint64_t seed,
+                              int64_t now_ms)
+{
+  const int64_t wait_ms = get_group_wait_ms (admission, app, now_ms);
+  bt_capacity_t capacity;
+
+  if (wait_ms == 0)
+    return 0;
+  bt_get_capacity (admission->router, app, now_ms, &capacity);
+  return capacity.endpoints > 0 ? 0 : bt_draw_group_retry_after_ms (wait_ms, seed);
 }
 
 void
@@ -359,6 +395,22 @@
     queue_or_refuse (ctx, admission, app, request, &capacity, now_ms, decision);
 }
 
+/* Returns true if queued requests wait for endpoints that are not expected to return in time. */
+static bool
+is_wait_over (const bt_admission_t *admission,
+              const app_t *app,
+              const bt_capacity_t *capacity,
+              int64_t now_ms)
+{
+  const int64_t waited_ms = now_ms - app->usable_ms;
+
+  if (capacity->paused == 0)
+    return waited_ms > admission->options.no_endpoint_wait_ms;
+  /* With an estimate, each request is given up at its own time. */
+  return get_group_wait_ms (admission, app->name, now_ms) == 0
+         && waited_ms > admission->options.paused_wait_ms;
+}
+
 /* Returns the next decision for one app. */
 static bool
 get_next_of_app (bt_admission_t *admission,
@@ -368,6 +420,7 @@
 {
   bt_capacity_t capacity;
   bt_fair_item_t item;
+  int64_t paused_retry_ms;
 
   if (bt_count_fair_items (app->queue) == 0)
     return false;
@@ -378,10 +431,12 @@
     {
       decision->id = item.id;
       refuse (admission, decision, BT_REASON_DEADLINE_UNREACHABLE, 0, item.id);
+      paused_retry_ms = bt_get_paused_retry_after_ms (admission, app->name, item.id, now_ms);
+      if (paused_retry_ms > 0)
+        decision->retry_after_ms = paused_retry_ms;
       return true;
     }
-  if (now_ms - app->usable_ms > (capacity.paused > 0 ? admission->options.paused_wait_ms
-                                                     : admission->options.no_endpoint_wait_ms)
+  if (is_wait_over (admission, app, &capacity, now_ms)
       && bt_pop_fair_item (app->queue, now_ms, &item))
     {
       decision->id = item.id;
--- a/test/gateway/test_endpoint_table.c
+++ b/test/gateway/test_endpoint_table.c
@@ -32,7 +32,7 @@
   ctx = bt_new_context ();
   bt_default_router_options (&options);
   router = bt_new_router (ctx, &options);
-  table = bt_new_endpoint_table (ctx, router);
+  table = bt_new_endpoint_table (ctx, router, NULL);
   memset (&listed, 0, sizeof listed);
   bt_copy_name (listed.id, "i-1");
   bt_copy_name (listed.app, "svc");
