requests: content that ended a rank as it began to run is held from the first end on

Cause: a request that crashes what runs it is refused after three ends. Where the endpoints are ranks of a group each end stops all callers of the group for four seconds, while holding one innocent costs one caller.

Change: crash_verdict judges a content by the moments at which endpoints ended under it. Ends at one moment count once, so that a loss of power under like requests refuses nobody for an hour; a moment at which an endpoint without that content ended too holds nobody. A hold takes a minute (--crash-hold-s), five after a second end; then one run is tried, a complete answer clears the content everywhere. Three moments refuse it as before. When an endpoint ended and whether the request had just begun stand in the shared item's value; items of older entries are read as unknown circumstances and hold nobody.

Tests: six in test_crash_table, two in test_crash_items. The assertion on three crashes now plays them at three moments, since ends at one moment are one event; find_listed compares identities, no longer the circumstances.

--- a/bench/bench_crashes.c
+++ b/bench/bench_crashes.c
@@ -59,6 +59,7 @@
   bt_crash_table_t *table;
   double start_us;
   double update_us;
+  int64_t retry_after_ms;
   int32_t refused = 0;
 
   bt_default_crash_options (&options);
@@ -71,7 +72,11 @@
   update_us = (bt_read_cpu_us () - start_us) / UPDATES;
   start_us = bt_read_cpu_us ();
   for (int32_t i = 0; i < REPEATS; i++)
-    refused += bt_is_crashing (table, &listed[i % crashes].crash.request) ? 1 : 0;
+    refused +=
+        bt_judge_request (table, &listed[i % crashes].crash.request, true, 0, &retry_after_ms)
+                == BT_CRASH_REFUSE
+            ? 1
+            : 0;
   printf ("%5d crashes known: look-up %6.3f us, list %9.1f us, %d refused\n", crashes,
           (bt_read_cpu_us () - start_us) / REPEATS, update_us, refused);
   bt_drop_crash_table (ctx, table);
--- a/include/bilberrytray/core/outcome.h
+++ b/include/bilberrytray/core/outcome.h
@@ -60,7 +60,8 @@
   X (CANCELLED, "cancelled", 504, UNKNOWN)                                                         \
   X (AGENT_RESTARTED, "agent-restarted", 502, UNKNOWN)                                             \
   X (NO_RUN, "no-run", 503, NOT_RUN)                                                               \
-  X (CRASHES_ENDPOINTS, "crashes-endpoints", 503, NOT_RUN)
+  X (CRASHES_ENDPOINTS, "crashes-endpoints", 503, NOT_RUN)                                         \
+  X (HELD_AFTER_CRASH, "held-after-crash", 503, NOT_RUN)
 
 typedef enum bt_reason
 {
--- a/include/bilberrytray/gateway/gateway.h
+++ b/include/bilberrytray/gateway/gateway.h
@@ -36,6 +36,8 @@
   int64_t retry_percent;   /**< Retries allowed for 100 requests of an app. */
   double retry_reserve; /**< Retries of an app that all instances together may make in addition. */
   int64_t crash_ends;   /**< Endpoints that a request may crash before it is refused. */
+  int64_t crash_hold_s; /**< How long a request is held after its first crash of a rank of a group;
+                           0: not at all. */
   int64_t crash_keep_s; /**< A crashing request that is not repeated for this long is forgotten. */
   int64_t agent_port;   /**< Port on which agents beside engines accept links; 0: there are none. */
   int64_t lead_lease_s; /**< Lifetime of the lease of the instance that leads the rank groups. */
--- a/include/bilberrytray/requests/attempt.h
+++ b/include/bilberrytray/requests/attempt.h
@@ -52,11 +52,11 @@
 typedef struct bt_attempt_decision
 {
   bt_attempt_next_t next;
-  bt_reason_t reason;   /**< Of the refusal; also used when a retry has no budget left. Its outcome is
-                           not-run only if no attempt may have run. */
-  bt_retry_t retry;     /**< Cause of the retry. */
-  bool may_have_run;    /**< The attempt counts as a run. */
-  bool endpoint_gone;   /**< Another process now uses the endpoint's address. */
+  bt_reason_t reason; /**< Of the refusal; also used when a retry has no budget left. Its outcome is
+                         not-run only if no attempt may have run. */
+  bt_retry_t retry;   /**< Cause of the retry. */
+  bool may_have_run;  /**< The attempt counts as a run. */
+  bool endpoint_gone; /**< Another process now uses the endpoint's address. */
   bt_attempt_end_t end; /**< Result reported to the router for this endpoint. */
 } bt_attempt_decision_t;
 
--- a/include/bilberrytray/requests/crash_table.h
+++ b/include/bilberrytray/requests/crash_table.h
@@ -23,8 +23,21 @@
 {
   bt_fingerprint_t request;
   bt_identity_t endpoint; /**< The incarnation that ended. */
+  int64_t ended_ms; /**< When it ended, Unix time in ms; 0: unknown. Not part of the identity of
+                       the crash. */
+  bool at_start;    /**< It ended as the request began to run: no part of the answer had arrived,
+                       and the endpoint did not wait for other ranks of its group. Not part of
+                       the identity of the crash. */
 } bt_crash_t;
 
+/** What is done with a request that has crashes. */
+typedef enum bt_crash_verdict
+{
+  BT_CRASH_RUN = 0, /**< It may run. */
+  BT_CRASH_HOLD,    /**< It is refused for some time. */
+  BT_CRASH_REFUSE,  /**< It is refused for as long as its crashes are kept. */
+} bt_crash_verdict_t;
+
 /** A crash in the list that all instances share. */
 typedef struct bt_listed_crash
 {
@@ -34,8 +47,10 @@
 
 typedef struct bt_crash_options
 {
-  int32_t max_ends;        /**< A request is refused once it has this many crashes. */
-  int64_t keep_ms;         /**< A crash expires this long after its request was last seen. */
+  int32_t max_ends; /**< A request is refused once it has crashes at this many moments. */
+  int64_t hold_ms;  /**< How long a request is held after its first crash, where a crash stops a
+                       rank group. */
+  int64_t keep_ms;  /**< A crash expires this long after its request was last seen. */
   int64_t match_window_ms; /**< Longest time between a broken attempt and the report that its
                               endpoint ended, in either order. */
   int32_t max_crashes;     /**< Maximum number of crashes kept. */
@@ -58,7 +73,8 @@
 
 typedef struct bt_crash_table bt_crash_table_t;
 
-/** Sets the defaults: a request is refused after three crashes, a crash is kept for an hour. */
+/** Sets the defaults: a request is refused after crashes at three moments, a hold takes a minute, a
+ * crash is kept for an hour. */
 void bt_default_crash_options (bt_crash_options_t *options);
 
 bt_crash_table_t *bt_new_crash_table (bt_context_t *ctx, const bt_crash_options_t *options);
@@ -106,8 +122,22 @@
 /** Number of crashes of a request. */
 int32_t bt_count_crashes (const bt_crash_table_t *table, const bt_fingerprint_t *request);
 
-/** True when a request has enough crashes to be refused. */
-bool bt_is_crashing (const bt_crash_table_t *table, const bt_fingerprint_t *request);
+/** Sets the difference between Unix time and the clock that @p now_ms of the other functions is
+ * read from, in ms. */
+void bt_set_crash_clock_offset (bt_crash_table_t *table, int64_t offset_ms);
+
+/** Decides whether a request may run. @p stops_group is true if the end of an endpoint stops a
+ * whole rank group. For a held request, @p retry_after_ms is the rest of the hold. */
+bt_crash_verdict_t bt_judge_request (const bt_crash_table_t *table,
+                                     const bt_fingerprint_t *request,
+                                     bool stops_group,
+                                     int64_t now_ms,
+                                     int64_t *retry_after_ms);
+
+/** Notes that a request with crashes runs once more after a hold. It is held again for other
+ * callers until the run has ended. */
+void
+bt_begin_crash_trial (bt_crash_table_t *table, const bt_fingerprint_t *request, int64_t now_ms);
 
 /** Notes that a refused request was sent again, so that its crashes are kept for longer. */
 void bt_renew_crashes (bt_context_t *ctx,
--- a/source/entry/command_gateway.c
+++ b/source/entry/command_gateway.c
@@ -52,6 +52,8 @@
     "Additional retries of an app that all instances together may make." },
   { "crash-ends", BT_SETTING_INTEGER, FIELD (crash_ends), "3", 2, 1000,
     "Number of endpoints that may crash on one request before all instances refuse it." },
+  { "crash-hold-s", BT_SETTING_INTEGER, FIELD (crash_hold_s), "60", 0, 86400,
+    "How long a request is held after its first crash of a rank of a group, s; 0: not at all." },
   { "crash-keep-s", BT_SETTING_INTEGER, FIELD (crash_keep_s), "3600", 60, 86400,
     "How long such a request is remembered after it was last received, s." },
   { "agent-port", BT_SETTING_INTEGER, FIELD (agent_port), "0", 0, 65535,
--- a/source/gateway/crash_control.c
+++ b/source/gateway/crash_control.c
@@ -2,6 +2,7 @@
 
 #include <stddef.h>
 
+#include "bilberrytray/base/clock.h"
 #include "bilberrytray/base/counters.h"
 #include "bilberrytray/base/event_log.h"
 #include "bilberrytray/base/random.h"
@@ -42,10 +43,11 @@
       bt_write_fingerprint (&update.crash.request, text);
       bt_log_event (control->ctx, BT_LOG_INFO,
                     update.kind == BT_CRASH_PUBLISH ? "crash-known" : "crash-forgotten",
-                    "{s:s, s:s, s:I, s:i}", "fingerprint", text, "endpoint",
+                    "{s:s, s:s, s:I, s:i, s:b}", "fingerprint", text, "endpoint",
                     update.crash.endpoint.instance, "started_ms",
                     (json_int_t)update.crash.endpoint.incarnation, "ends",
-                    bt_count_crashes (control->table, &update.crash.request));
+                    bt_count_crashes (control->table, &update.crash.request), "at_start",
+                    update.crash.at_start);
       bt_report_crash (control->reporter, &update);
     }
   bt_set_gauge (control->known_gauge, bt_count_known_crashes (control->table));
@@ -70,7 +72,8 @@
   bt_crash_control_t *control =
       (bt_crash_control_t *)((char *)handler - offsetof (bt_crash_control_t, probe_handler));
 
-  bt_suspend_ended_endpoint (control->ctx, control->endpoints, endpoint, bt_get_loop_ms (control->loop));
+  bt_suspend_ended_endpoint (control->ctx, control->endpoints, endpoint,
+                             bt_get_loop_ms (control->loop));
   record_end (control, endpoint);
 }
 
@@ -81,6 +84,7 @@
       (bt_crash_control_t *)((char *)timer - offsetof (bt_crash_control_t, expire_timer));
   int64_t now_ms = bt_get_loop_ms (control->loop);
 
+  bt_set_crash_clock_offset (control->table, bt_read_wall_ms () - now_ms);
   bt_expire_crashes (control->ctx, control->table, now_ms);
   publish_changes (control);
   bt_set_timer (control->loop, timer, now_ms + EXPIRY_INTERVAL_MS);
@@ -97,6 +101,7 @@
 
   bt_default_crash_options (&table);
   table.max_ends = (int32_t)options->max_ends;
+  table.hold_ms = options->hold_ms;
   table.keep_ms = options->keep_ms;
   bt_fill_secure_random (&table.seed, sizeof table.seed);
   control->ctx = ctx;
@@ -104,6 +109,7 @@
   control->keep_ms = options->keep_ms;
   control->endpoints = endpoints;
   control->table = bt_new_crash_table (ctx, &table);
+  bt_set_crash_clock_offset (control->table, bt_read_wall_ms () - bt_get_loop_ms (loop));
   control->reporter =
       bt_new_crash_reporter (ctx, options->platform, options->store, options->instance);
   control->probe_handler.on_refused = handle_refused;
@@ -193,15 +199,26 @@
   return bt_count_crashes (control->table, request);
 }
 
-bool
+bt_crash_verdict_t
 bt_check_crashing_request (bt_crash_control_t *control,
                            const bt_fingerprint_t *request,
+                           bool stops_group,
                            int64_t *retry_after_ms)
 {
-  if (!bt_is_crashing (control->table, request))
-    return false;
-  bt_renew_crashes (control->ctx, control->table, request, bt_get_loop_ms (control->loop));
+  int64_t now_ms = bt_get_loop_ms (control->loop);
+  bt_crash_verdict_t verdict =
+      bt_judge_request (control->table, request, stops_group, now_ms, retry_after_ms);
+
+  if (verdict != BT_CRASH_REFUSE)
+    return verdict;
+  bt_renew_crashes (control->ctx, control->table, request, now_ms);
   publish_changes (control);
   *retry_after_ms = control->keep_ms;
-  return true;
+  return verdict;
+}
+
+void
+bt_try_held_request (bt_crash_control_t *control, const bt_fingerprint_t *request)
+{
+  bt_begin_crash_trial (control->table, request, bt_get_loop_ms (control->loop));
 }
--- a/source/gateway/crash_control.h
+++ b/source/gateway/crash_control.h
@@ -19,6 +19,7 @@
   const char *store;    /**< The store's "IP:PORT". */
   const char *instance; /**< Name of this instance. */
   int64_t max_ends;     /**< See crash_table.h. */
+  int64_t hold_ms;      /**< See crash_table.h. */
   int64_t keep_ms;      /**< See crash_table.h. */
 } bt_crash_control_options_t;
 
@@ -56,9 +57,14 @@
 /** Returns the number of endpoint incarnations that ended while running a request. */
 int32_t bt_count_crash_ends (const bt_crash_control_t *control, const bt_fingerprint_t *request);
 
-/** Returns true if a request must be refused. The caller may retry after @p retry_after_ms. */
-bool bt_check_crashing_request (bt_crash_control_t *control,
-                                const bt_fingerprint_t *request,
-                                int64_t *retry_after_ms);
+/** Decides whether a request may run; see bt_judge_request. If not, it may be sent again after
+ * @p retry_after_ms. */
+bt_crash_verdict_t bt_check_crashing_request (bt_crash_control_t *control,
+                                              const bt_fingerprint_t *request,
+                                              bool stops_group,
+                                              int64_t *retry_after_ms);
+
+/** Notes that a request with crashes runs once more after a hold. */
+void bt_try_held_request (bt_crash_control_t *control, const bt_fingerprint_t *request);
 
 #endif
--- a/source/gateway/crash_items.c
+++ b/source/gateway/crash_items.c
@@ -1,6 +1,7 @@
 #include "crash_items.h"
 
 #include <inttypes.h>
+#include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -42,3 +43,27 @@
   bt_copy_name (crash->endpoint.instance, end + 1);
   return true;
 }
+
+char *
+bt_write_crash_value (bt_context_t *ctx, const bt_crash_t *crash, const char *instance)
+{
+  json_t *object = json_pack ("{s:s, s:I, s:b}", "instance", instance, "ended_ms",
+                              (json_int_t)crash->ended_ms, "at_start", crash->at_start);
+  char *text = json_dumps (object, JSON_COMPACT);
+  char *copy = bt_strdup (ctx, text);
+
+  json_decref (object);
+  free (text);
+  return copy;
+}
+
+void
+bt_read_crash_value (const char *text, size_t bytes, bt_crash_t *crash)
+{
+  json_t *object = json_loadb (text, bytes, 0, NULL);
+  int64_t ended_ms = json_integer_value (json_object_get (object, "ended_ms"));
+
+  crash->ended_ms = ended_ms > 0 ? ended_ms : 0;
+  crash->at_start = json_is_true (json_object_get (object, "at_start"));
+  json_decref (object);
+}
--- a/source/gateway/crash_reporter.c
+++ b/source/gateway/crash_reporter.c
@@ -26,7 +26,7 @@
 /** A queued crash update and the store key that it writes or deletes. */
 typedef struct report
 {
-  bt_crash_update_kind_t kind;
+  bt_crash_update_t update;
   char key[BT_CRASH_KEY_BYTES];
   int64_t queued_ms;
 } report_t;
@@ -87,12 +87,13 @@
 fill_write (const bt_crash_reporter_t *reporter, const report_t *report, bt_kv_write_t *write)
 {
   memset (write, 0, sizeof *write);
-  write->kind = report->kind == BT_CRASH_PUBLISH ? BT_KV_PUT : BT_KV_DELETE;
+  write->kind = report->update.kind == BT_CRASH_PUBLISH ? BT_KV_PUT : BT_KV_DELETE;
   write->key = report->key;
-  if (report->kind == BT_CRASH_PUBLISH)
+  if (report->update.kind == BT_CRASH_PUBLISH)
     {
-      write->value = reporter->instance;
-      write->value_bytes = strlen (reporter->instance);
+      write->value =
+          bt_write_crash_value (reporter->ctx, &report->update.crash, reporter->instance);
+      write->value_bytes = strlen (write->value);
     }
 }
 
@@ -104,7 +105,7 @@
   int32_t count = 1;
 
   while (count < reporter->count && count < MAX_WRITES
-         && reporter->queue[count].kind == reporter->queue[0].kind)
+         && reporter->queue[count].update.kind == reporter->queue[0].update.kind)
     count++;
   return count;
 }
@@ -115,10 +116,14 @@
   bt_kv_write_t writes[MAX_WRITES];
   bt_kv_txn_t txn = { .writes = writes, .write_count = count };
   bt_kv_txn_result_t result;
+  bool written;
 
   for (int32_t i = 0; i < count; i++)
     fill_write (reporter, &batch[i], &writes[i]);
-  return bt_commit_kv (reporter->ctx, reporter->kv, &txn, &result, error);
+  written = bt_commit_kv (reporter->ctx, reporter->kv, &txn, &result, error);
+  for (int32_t i = 0; i < count; i++)
+    bt_free (reporter->ctx, (void *)writes[i].value);
+  return written;
 }
 
 /* Writes the first batch without the lock. The batch stays at the head of the queue meanwhile: new
@@ -168,14 +173,14 @@
 {
   for (int32_t i = reporter->count - 1; i >= 0; i--)
     if (strcmp (reporter->queue[i].key, report->key) == 0)
-      return reporter->queue[i].kind == report->kind;
+      return reporter->queue[i].update.kind == report->update.kind;
   return false;
 }
 
 void
 bt_report_crash (bt_crash_reporter_t *reporter, const bt_crash_update_t *update)
 {
-  report_t report = { .kind = update->kind, .queued_ms = bt_now_ms (reporter->ctx) };
+  report_t report = { .update = *update, .queued_ms = bt_now_ms (reporter->ctx) };
   bool queued;
   bool full;
 
--- a/source/gateway/forward.c
+++ b/source/gateway/forward.c
@@ -273,10 +273,11 @@
     .seed = bt_draw_gateway_seed (gateway),
   };
   bt_admission_decision_t decision;
+  bt_reason_t reason = bt_check_forward_crashing (forward, &retry_after_ms);
 
-  if (bt_check_forward_crashing (forward, &retry_after_ms))
+  if (reason != BT_REASON_NONE)
     {
-      bt_refuse_forward (forward, BT_REASON_CRASHES_ENDPOINTS, retry_after_ms);
+      bt_refuse_forward (forward, reason, retry_after_ms);
       return;
     }
   bt_decide_admission (gateway->ctx, gateway->admission, &request, now_ms, &decision);
--- a/source/gateway/forward.h
+++ b/source/gateway/forward.h
@@ -47,6 +47,7 @@
   bt_request_info_t info;
   bt_fingerprint_t fingerprint;
   bool has_fingerprint; /**< The fingerprint has been computed. */
+  bool is_crash_trial;  /**< It runs although endpoints ended while running it before. */
   int64_t arrived_ms;
   int64_t deadline_ms; /**< When the caller's or the rule's time limit ends, whichever is first. */
 
@@ -63,6 +64,7 @@
   bt_frontend_header_t *headers; /**< Headers of the present attempt's answer that are passed on. */
   int32_t header_count;
   bt_event_stream_t events; /**< The events of a stream that the caller has received. */
+  int64_t events_before;    /**< Number of them before the present attempt. */
 } bt_forward_t;
 
 /** Returns true when the request may run more than once. */
@@ -84,9 +86,12 @@
  * repeatable, and no endpoint is known to have crashed while running it. */
 bool bt_may_forward_run_again (bt_forward_t *forward);
 
-/** Returns true when the request crashes the endpoints that run it and is to be refused. It may be
- * sent again after @p retry_after_ms. */
-bool bt_check_forward_crashing (bt_forward_t *forward, int64_t *retry_after_ms);
+/** Returns the reason for which the request is to be refused if endpoints ended while running it,
+ * or BT_REASON_NONE. It may be sent again after @p retry_after_ms. */
+bt_reason_t bt_check_forward_crashing (bt_forward_t *forward, int64_t *retry_after_ms);
+
+/** Notes that the request is about to run, if endpoints ended while running it before. */
+void bt_note_crash_trial (bt_forward_t *forward);
 
 /** Ends the request with an answer that the gateway makes itself. When part of a stream was
  * delivered, the connection is broken instead. @p retry_after_ms 0: the answer states none. */
--- a/source/gateway/forward_crashes.c
+++ b/source/gateway/forward_crashes.c
@@ -1,6 +1,14 @@
 #include "bilberrytray/base/event_log.h"
 #include "forward.h"
 
+enum
+{
+  /* The other ranks of a group break off their requests at least this long after one has ended.
+   * Ends of several ranks at about one moment, of which the first is already known, are shorter
+   * apart. */
+  MIN_STALL_MS = 500,
+};
+
 /* The hash covers the whole body, so it is computed only for requests that need it. */
 static const bt_fingerprint_t *
 get_fingerprint (bt_forward_t *forward)
@@ -20,10 +28,25 @@
   return &forward->fingerprint;
 }
 
+/* Returns true if an endpoint that ended under the present attempt ended as the request began to
+ * run. While the group is known to be broken, its ranks begin no requests. */
+static bool
+is_attempt_at_start (const bt_forward_t *forward)
+{
+  const bt_gateway_t *gateway = forward->gateway;
+  int64_t now_ms = bt_get_loop_ms (gateway->loop);
+
+  return forward->events.events == forward->events_before
+         && bt_get_group_outage_ms (gateway->outages, &forward->route.identity, now_ms)
+                < MIN_STALL_MS;
+}
+
 static bt_crash_t
 describe_attempt (bt_forward_t *forward)
 {
-  return (bt_crash_t){ *get_fingerprint (forward), forward->route.identity };
+  return (bt_crash_t){ .request = *get_fingerprint (forward),
+                       .endpoint = forward->route.identity,
+                       .at_start = is_attempt_at_start (forward) };
 }
 
 void
@@ -67,20 +90,43 @@
              || bt_count_crash_ends (crashes, get_fingerprint (forward)) == 0);
 }
 
-bool
+bt_reason_t
 bt_check_forward_crashing (bt_forward_t *forward, int64_t *retry_after_ms)
 {
   bt_gateway_t *gateway = forward->gateway;
+  bt_crash_verdict_t verdict;
   char text[BT_FINGERPRINT_TEXT_BYTES];
 
-  if (!bt_has_known_crashes (gateway->crashes)
-      || !bt_check_crashing_request (gateway->crashes, get_fingerprint (forward), retry_after_ms))
-    return false;
+  if (forward->is_crash_trial || !bt_has_known_crashes (gateway->crashes))
+    return BT_REASON_NONE;
+  verdict =
+      bt_check_crashing_request (gateway->crashes, get_fingerprint (forward),
+                                 bt_has_groups (gateway->outages, forward->app), retry_after_ms);
+  if (verdict == BT_CRASH_RUN)
+    return BT_REASON_NONE;
   bt_write_fingerprint (get_fingerprint (forward), text);
-  bt_log_event (gateway->ctx, BT_LOG_INFO, "crash-refused", "{s:s, s:s, s:i}", "request",
-                forward->info.request_id, "fingerprint", text, "ends",
+  bt_log_event (gateway->ctx, BT_LOG_INFO,
+                verdict == BT_CRASH_HOLD ? "crash-held" : "crash-refused", "{s:s, s:s, s:i}",
+                "request", forward->info.request_id, "fingerprint", text, "ends",
                 bt_count_crash_ends (gateway->crashes, get_fingerprint (forward)));
-  return true;
+  return verdict == BT_CRASH_HOLD ? BT_REASON_HELD_AFTER_CRASH : BT_REASON_CRASHES_ENDPOINTS;
+}
+
+void
+bt_note_crash_trial (bt_forward_t *forward)
+{
+  bt_gateway_t *gateway = forward->gateway;
+  char text[BT_FINGERPRINT_TEXT_BYTES];
+
+  if (forward->is_crash_trial || !bt_has_known_crashes (gateway->crashes)
+      || !bt_has_groups (gateway->outages, forward->app)
+      || bt_count_crash_ends (gateway->crashes, get_fingerprint (forward)) == 0)
+    return;
+  forward->is_crash_trial = true;
+  bt_try_held_request (gateway->crashes, get_fingerprint (forward));
+  bt_write_fingerprint (get_fingerprint (forward), text);
+  bt_log_event (gateway->ctx, BT_LOG_INFO, "crash-trial", "{s:s, s:s}", "request",
+                forward->info.request_id, "fingerprint", text);
 }
 
 /* Without this call, queued requests would be refused only once there is capacity for them. */
@@ -88,6 +134,7 @@
 bt_refuse_crashing_forwards (bt_gateway_t *gateway)
 {
   bt_forward_t *next;
+  bt_reason_t reason;
   int64_t retry_after_ms;
 
   if (!bt_has_known_crashes (gateway->crashes))
@@ -95,10 +142,12 @@
   for (bt_forward_t *forward = gateway->first_forward; forward != NULL; forward = next)
     {
       next = forward->next;
-      if (forward->state != BT_FORWARD_QUEUED
-          || !bt_check_forward_crashing (forward, &retry_after_ms))
+      if (forward->state != BT_FORWARD_QUEUED)
+        continue;
+      reason = bt_check_forward_crashing (forward, &retry_after_ms);
+      if (reason == BT_REASON_NONE)
         continue;
       bt_cancel_admission (gateway->admission, forward->id);
-      bt_refuse_forward (forward, BT_REASON_CRASHES_ENDPOINTS, retry_after_ms);
+      bt_refuse_forward (forward, reason, retry_after_ms);
     }
 }
--- a/source/gateway/forward_send.c
+++ b/source/gateway/forward_send.c
@@ -369,6 +369,8 @@
     }
   bt_record_duration (gateway->timings.view_age, now_ms - gateway->view->read_ms);
   forward->sent_ms = now_ms;
+  forward->events_before = forward->events.events;
+  bt_note_crash_trial (forward);
   forward->tried[forward->sends++] = forward->route.identity;
   bt_record_dispatch (gateway->router, &forward->route, 0, now_ms);
   bt_send_exchange (forward->exchange);
@@ -390,6 +392,7 @@
   };
   const bt_listed_endpoint_t *listed;
   int64_t retry_after_ms;
+  bt_reason_t crash_reason = BT_REASON_NONE;
   bt_reason_t reason = BT_REASON_DEADLINE_UNREACHABLE;
 
   /* A process that was restarted under its id looks like an endpoint that was not tried yet, but
@@ -397,8 +400,8 @@
    * run only once is therefore sent nowhere else, whatever is listed. */
   if (forward->runs > 0 && !bt_is_forward_repeatable (forward))
     reason = BT_REASON_ENGINE_FAILED;
-  else if (bt_check_forward_crashing (forward, &retry_after_ms))
-    reason = BT_REASON_CRASHES_ENDPOINTS;
+  else if ((crash_reason = bt_check_forward_crashing (forward, &retry_after_ms)) != BT_REASON_NONE)
+    reason = crash_reason;
   else if (forward->deadline_ms - now_ms >= MIN_SEND_MS)
     reason =
         bt_choose_endpoint (gateway->router, &request, now_ms, &forward->route, &retry_after_ms);
@@ -416,7 +419,7 @@
     }
   if (forward->runs > 0)
     bt_refuse_forward (forward, BT_REASON_ENGINE_FAILED, 0);
-  else if (reason == BT_REASON_CRASHES_ENDPOINTS)
+  else if (crash_reason != BT_REASON_NONE)
     bt_refuse_forward (forward, reason, retry_after_ms);
   else
     bt_refuse_forward (forward, reason, bt_draw_retry_after_ms (gateway, forward->app));
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -313,6 +313,7 @@
     .store = settings->store,
     .instance = settings->instance,
     .max_ends = settings->crash_ends,
+    .hold_ms = settings->crash_hold_s * MS_PER_S,
     .keep_ms = settings->crash_keep_s * MS_PER_S,
   };
 
--- a/source/gateway/view.c
+++ b/source/gateway/view.c
@@ -233,6 +233,7 @@
       skip_item (draft, pair, "crash-unreadable", "Its key does not denote a crash.");
       return;
     }
+  bt_read_crash_value (pair->value, pair->value_bytes, &listed.crash);
   view->crashes =
       bt_realloc (draft->ctx, view->crashes, (size_t)view->crash_count + 1, sizeof *view->crashes);
   view->crashes[view->crash_count++] = listed;
--- a/source/requests/crash_suspects.c
+++ b/source/requests/crash_suspects.c
@@ -53,11 +53,17 @@
 }
 
 bool
-bt_is_ended_incarnation (const bt_crash_suspects_t *suspects, const bt_identity_t *endpoint)
+bt_find_ended_incarnation (const bt_crash_suspects_t *suspects,
+                           const bt_identity_t *endpoint,
+                           int64_t *ended_ms)
 {
   for (int32_t i = 0; i < suspects->ended_count; i++)
-    if (bt_same_identity (&suspects->ended[i].endpoint, endpoint))
+    {
+      if (!bt_same_identity (&suspects->ended[i].endpoint, endpoint))
+        continue;
+      *ended_ms = suspects->ended[i].ended_ms;
       return true;
+    }
   return false;
 }
 
--- a/source/requests/crash_suspects.h
+++ b/source/requests/crash_suspects.h
@@ -47,7 +47,10 @@
                                const bt_identity_t *endpoint,
                                int64_t now_ms);
 
-bool bt_is_ended_incarnation (const bt_crash_suspects_t *suspects, const bt_identity_t *endpoint);
+/** Returns true and sets @p ended_ms if an endpoint's incarnation is known to have ended. */
+bool bt_find_ended_incarnation (const bt_crash_suspects_t *suspects,
+                                const bt_identity_t *endpoint,
+                                int64_t *ended_ms);
 
 /** Removes what a complete answer disproves: all suspects of its request, and the suspects and end
  * of its endpoint's incarnation from before @p sent_ms, when the answered request was sent. */
--- a/source/requests/crash_table.c
+++ b/source/requests/crash_table.c
@@ -5,10 +5,12 @@
 #include "bilberrytray/base/limit.h"
 #include "bilberrytray/base/random.h"
 #include "crash_suspects.h"
+#include "crash_verdict.h"
 
 enum
 {
   DEFAULT_MAX_ENDS = 3,
+  DEFAULT_HOLD_MS = 60000,
   DEFAULT_KEEP_MS = 3600000,
   DEFAULT_MAX_CRASHES = 4096,
   /* An unresponsive endpoint is removed from the instance list after three missed heartbeats, so
@@ -17,6 +19,8 @@
   /* Crashes are kept for keep_ms plus a random time of up to keep_ms / KEEP_SPREAD_DIVISOR that
    * differs between instances. A request that returns renews crashes older than
    * keep_ms / RENEW_AGE_DIVISOR. */
+  /* Crashes of one request that are judged: one is enough to hold it, max_ends to refuse it. */
+  MAX_EVIDENCE = 64,
   KEEP_SPREAD_DIVISOR = 8,
   RENEW_AGE_DIVISOR = 2,
 };
@@ -28,12 +32,14 @@
   int64_t known_ms; /* when it was recorded, listed with a new revision, or renewed */
   int64_t revision; /* of its entry in the shared list; 0: not seen there yet */
   bool listed;      /* found in the list that is being applied */
+  int64_t trial_ms; /* when the request last ran after a hold; 0: never */
 } crash_row_t;
 
 struct bt_crash_table
 {
   bt_crash_options_t options;
   int64_t keep_ms;   /* with the random extension of this instance */
+  int64_t offset_ms; /* from the clock of the arguments to Unix time */
   crash_row_t *rows; /* sorted by compare_crashes */
   int32_t count;
   int32_t capacity;
@@ -49,6 +55,7 @@
 {
   memset (options, 0, sizeof *options);
   options->max_ends = DEFAULT_MAX_ENDS;
+  options->hold_ms = DEFAULT_HOLD_MS;
   options->keep_ms = DEFAULT_KEEP_MS;
   options->match_window_ms = DEFAULT_MATCH_WINDOW_MS;
   options->max_crashes = DEFAULT_MAX_CRASHES;
@@ -217,10 +224,16 @@
                         const bt_crash_t *attempt,
                         int64_t now_ms)
 {
-  if (bt_is_ended_incarnation (&table->suspects, &attempt->endpoint))
-    add_crash (ctx, table, attempt, now_ms);
-  else
-    bt_add_suspect (&table->suspects, attempt, now_ms);
+  bt_crash_t crash = *attempt;
+  int64_t ended_ms;
+
+  if (!bt_find_ended_incarnation (&table->suspects, &attempt->endpoint, &ended_ms))
+    {
+      bt_add_suspect (&table->suspects, attempt, now_ms);
+      return;
+    }
+  crash.ended_ms = ended_ms + table->offset_ms;
+  add_crash (ctx, table, &crash, now_ms);
 }
 
 void
@@ -233,7 +246,10 @@
 
   bt_add_ended_incarnation (&table->suspects, endpoint, now_ms);
   while (bt_remove_suspect_of (&table->suspects, endpoint, &crash))
-    add_crash (ctx, table, &crash, now_ms);
+    {
+      crash.ended_ms = now_ms + table->offset_ms;
+      add_crash (ctx, table, &crash, now_ms);
+    }
 }
 
 void
@@ -257,10 +273,11 @@
                     int64_t now_ms)
 {
   int32_t index = find_row (table, &listed->crash);
-  crash_row_t row = { listed->crash, now_ms, listed->revision, true };
+  crash_row_t row = { listed->crash, now_ms, listed->revision, true, 0 };
 
   if (is_row_of_crash (table, index, &listed->crash))
     {
+      row.trial_ms = table->rows[index].trial_ms;
       if (table->rows[index].revision == listed->revision)
         row.known_ms = table->rows[index].known_ms;
       table->rows[index] = row;
@@ -323,11 +340,66 @@
   return index - first;
 }
 
-bool
-bt_is_crashing (const bt_crash_table_t *table, const bt_fingerprint_t *request)
+void
+bt_set_crash_clock_offset (bt_crash_table_t *table, int64_t offset_ms)
+{
+  table->offset_ms = offset_ms;
+}
+
+/* Returns true if another endpoint ended at the moment of a crash, and did not run its request. */
+static bool
+is_host_failure (const bt_crash_table_t *table, const bt_crash_t *crash)
+{
+  for (int32_t i = 0; i < table->count; i++)
+    {
+      bt_crash_t same_request = table->rows[i].crash;
+
+      if (!bt_is_same_crash_moment (same_request.ended_ms, crash->ended_ms)
+          || bt_same_identity (&same_request.endpoint, &crash->endpoint))
+        continue;
+      same_request.request = crash->request;
+      if (!is_row_of_crash (table, find_row (table, &same_request), &same_request))
+        return true;
+    }
+  return false;
+}
+
+bt_crash_verdict_t
+bt_judge_request (const bt_crash_table_t *table,
+                  const bt_fingerprint_t *request,
+                  bool stops_group,
+                  int64_t now_ms,
+                  int64_t *retry_after_ms)
 {
-  return table->count >= table->options.max_ends
-         && bt_count_crashes (table, request) >= table->options.max_ends;
+  bt_crash_evidence_t evidence[MAX_EVIDENCE];
+  int32_t count = 0;
+
+  *retry_after_ms = 0;
+  if (table->count == 0)
+    return BT_CRASH_RUN;
+  for (int32_t i = find_first_row (table, request);
+       count < MAX_EVIDENCE && is_row_of_request (table, i, request); i++)
+    {
+      const crash_row_t *row = &table->rows[i];
+
+      evidence[count++] = (bt_crash_evidence_t){
+        .ended_ms = row->crash.ended_ms,
+        .known_ms = row->known_ms,
+        .trial_ms = row->trial_ms,
+        .at_start = row->crash.at_start,
+        .is_host_failure = stops_group && is_host_failure (table, &row->crash),
+      };
+    }
+  if (count == 0)
+    return BT_CRASH_RUN;
+  return bt_judge_crashes (&table->options, evidence, count, stops_group, now_ms, retry_after_ms);
+}
+
+void
+bt_begin_crash_trial (bt_crash_table_t *table, const bt_fingerprint_t *request, int64_t now_ms)
+{
+  for (int32_t i = find_first_row (table, request); is_row_of_request (table, i, request); i++)
+    table->rows[i].trial_ms = now_ms;
 }
 
 void
--- a/test/gateway/test_crash_items.c
+++ b/test/gateway/test_crash_items.c
@@ -42,6 +42,43 @@
     }
 }
 
+static void
+test_value_is_read_back (void)
+{
+  bt_context_t *ctx = bt_new_context ();
+  bt_crash_t crash = make_crash ("i-1", 5);
+  bt_crash_t read = crash;
+  char *value;
+
+  crash.ended_ms = 1768680222536;
+  crash.at_start = true;
+  value = bt_write_crash_value (ctx, &crash, "front-1");
+  bt_read_crash_value (value, strlen (value), &read);
+  CU_ASSERT_EQUAL (read.ended_ms, crash.ended_ms);
+  CU_ASSERT_TRUE (read.at_start);
+  bt_free (ctx, value);
+  bt_drop_context (ctx);
+}
+
+/* Guards against a crash that holds a request although its value, written by another program, says
+ * nothing about it. */
+static void
+test_circumstances_in_invalid_values_are_unknown (void)
+{
+  static const char *const values[] = {
+    "", "front-1", "{", "[]", "{\"ended_ms\":-5}", "{\"ended_ms\":\"x\",\"at_start\":1}", "null"
+  };
+
+  for (size_t i = 0; i < sizeof values / sizeof values[0]; i++)
+    {
+      bt_crash_t read = make_crash ("i-1", 5);
+
+      bt_read_crash_value (values[i], strlen (values[i]), &read);
+      CU_ASSERT_EQUAL (read.ended_ms, 0);
+      CU_ASSERT_FALSE (read.at_start);
+    }
+}
+
 /* Other programs may write items under the prefix. Invalid keys must be rejected. */
 static void
 test_invalid_keys_are_rejected (void)
@@ -97,6 +134,8 @@
   CU_initialize_registry ();
   suite = CU_add_suite ("crash_items", NULL, NULL);
   CU_ADD_TEST (suite, test_key_is_read_back);
+  CU_ADD_TEST (suite, test_value_is_read_back);
+  CU_ADD_TEST (suite, test_circumstances_in_invalid_values_are_unknown);
   CU_ADD_TEST (suite, test_invalid_keys_are_rejected);
   CU_ADD_TEST (suite, test_changed_keys_are_read_safely);
   CU_basic_set_mode (CU_BRM_VERBOSE);
--- a/test/requests/test_attempt.c
+++ b/test/requests/test_attempt.c
@@ -74,14 +74,16 @@
   CU_ASSERT_EQUAL (bt_get_reason_outcome (decide (full, &no_sends).reason), BT_OUTCOME_NOT_RUN);
 }
 
-/* Guards against telling a caller that its request did not run because the last endpoint refused it,
- * while an earlier attempt may have run. */
+/* Guards against telling a caller that its request did not run because the last endpoint refused
+ * it, while an earlier attempt may have run. */
 static void
 test_refusal_after_a_broken_attempt_is_not_reported_not_run (void)
 {
-  bt_attempt_result_t results[] = { { .stage = BT_ATTEMPT_COMPLETE, .status = 503, .not_run = true },
-                                    { .stage = BT_ATTEMPT_COMPLETE, .status = 421 },
-                                    { .stage = BT_ATTEMPT_UNSENT } };
+  bt_attempt_result_t results[] = {
+    { .stage = BT_ATTEMPT_COMPLETE, .status = 503, .not_run = true },
+    { .stage = BT_ATTEMPT_COMPLETE, .status = 421 },
+    { .stage = BT_ATTEMPT_UNSENT }
+  };
   bt_attempt_limits_t limits = repeatable_once;
 
   limits.may_have_run = true;
--- a/test/requests/test_crash_table.c
+++ b/test/requests/test_crash_table.c
@@ -9,6 +9,9 @@
 {
   MATCH_WINDOW_MS = 15000,
   KEEP_MS = 600000,
+  HOLD_MS = 60000,
+  /* Two crashes this far apart are separate events. */
+  MOMENT_MS = 5000,
   MAX_CRASHES = 64,
   /* For the simulated fleet. */
   INSTANCES = 5,
@@ -29,6 +32,7 @@
 
   bt_default_crash_options (&options);
   options.match_window_ms = MATCH_WINDOW_MS;
+  options.hold_ms = HOLD_MS;
   options.keep_ms = KEEP_MS;
   options.max_crashes = MAX_CRASHES;
   options.seed = seed;
@@ -51,8 +55,22 @@
 is_refused (const bt_crash_table_t *table, int32_t request)
 {
   bt_crash_t crash = make_crash (request, 0, 0);
+  int64_t retry_after_ms;
 
-  return bt_is_crashing (table, &crash.request);
+  return bt_judge_request (table, &crash.request, false, 0, &retry_after_ms) == BT_CRASH_REFUSE;
+}
+
+/* The verdict on a request whose endpoints are ranks of groups. */
+static bt_crash_verdict_t
+judge_in_group (const bt_crash_table_t *table, int32_t request, int64_t now_ms)
+{
+  bt_crash_t crash = make_crash (request, 0, 0);
+  int64_t retry_after_ms;
+  bt_crash_verdict_t verdict =
+      bt_judge_request (table, &crash.request, true, now_ms, &retry_after_ms);
+
+  CU_ASSERT_EQUAL (verdict == BT_CRASH_HOLD, retry_after_ms > 0);
+  return verdict;
 }
 
 static int32_t
@@ -86,21 +104,129 @@
 test_third_crash_refuses_a_request (void)
 {
   bt_crash_table_t *table = make_table (1);
-  bt_crash_t other = make_crash (8, 0, 1);
 
   for (int32_t i = 0; i < 3; i++)
     {
       bt_crash_t crash = make_crash (7, i, 1);
 
-      CU_ASSERT_FALSE (bt_is_crashing (table, &crash.request));
-      report_crash (table, &crash, i);
+      CU_ASSERT_FALSE (is_refused (table, 7));
+      report_crash (table, &crash, i * MOMENT_MS);
     }
   CU_ASSERT_TRUE (is_refused (table, 7));
-  CU_ASSERT_FALSE (bt_is_crashing (table, &other.request));
+  CU_ASSERT_FALSE (is_refused (table, 8));
   CU_ASSERT_EQUAL (drain_updates (table, BT_CRASH_PUBLISH), 3);
   bt_drop_crash_table (ctx, table);
 }
 
+/* Guards against refusing a request for an hour because several endpoints that ran copies of it
+ * lost power together. */
+static void
+test_ends_at_one_moment_count_once (void)
+{
+  bt_crash_table_t *table = make_table (1);
+
+  for (int32_t i = 0; i < 6; i++)
+    {
+      bt_crash_t crash = make_crash (7, i, 1);
+
+      report_crash (table, &crash, i * 20);
+    }
+  CU_ASSERT_EQUAL (count_crashes (table, 7), 6);
+  CU_ASSERT_FALSE (is_refused (table, 7));
+  bt_drop_crash_table (ctx, table);
+}
+
+/* Guards against a request that stops its rank group again at each return. */
+static void
+test_request_is_held_after_its_first_crash_in_a_group (void)
+{
+  bt_crash_table_t *table = make_table (1);
+  bt_crash_t crash = make_crash (7, 0, 1);
+
+  crash.at_start = true;
+  CU_ASSERT_EQUAL (judge_in_group (table, 7, 0), BT_CRASH_RUN);
+  report_crash (table, &crash, 0);
+  CU_ASSERT_FALSE (is_refused (table, 7));
+  CU_ASSERT_EQUAL (judge_in_group (table, 7, HOLD_MS - 1), BT_CRASH_HOLD);
+  CU_ASSERT_EQUAL (judge_in_group (table, 8, HOLD_MS - 1), BT_CRASH_RUN);
+  CU_ASSERT_EQUAL (judge_in_group (table, 7, HOLD_MS + 1), BT_CRASH_RUN);
+  bt_drop_crash_table (ctx, table);
+}
+
+/* Guards against holding requests that had run for some time when their endpoint ended. */
+static void
+test_request_with_a_begun_answer_is_not_held (void)
+{
+  bt_crash_table_t *table = make_table (1);
+  bt_crash_t crash = make_crash (7, 0, 1);
+
+  report_crash (table, &crash, 0);
+  CU_ASSERT_EQUAL (judge_in_group (table, 7, MOMENT_MS), BT_CRASH_RUN);
+  crash = make_crash (7, 1, 1);
+  report_crash (table, &crash, MOMENT_MS);
+  CU_ASSERT_EQUAL (judge_in_group (table, 7, 2 * MOMENT_MS), BT_CRASH_HOLD);
+  bt_drop_crash_table (ctx, table);
+}
+
+/* Guards against holding what ran on endpoints that lost power together. */
+static void
+test_loss_of_power_holds_no_request (void)
+{
+  bt_crash_table_t *table = make_table (1);
+
+  for (int32_t i = 0; i < 4; i++)
+    {
+      bt_crash_t crash = make_crash (7 + i, i, 1);
+
+      crash.at_start = true;
+      report_crash (table, &crash, i * 20);
+    }
+  for (int32_t i = 0; i < 4; i++)
+    CU_ASSERT_EQUAL (judge_in_group (table, 7 + i, MOMENT_MS), BT_CRASH_RUN);
+  bt_drop_crash_table (ctx, table);
+}
+
+/* Guards against two copies of a held request that run at once when the hold is over, and against a
+ * request that stays held after a complete answer. */
+static void
+test_one_run_is_tried_after_a_hold (void)
+{
+  bt_crash_table_t *table = make_table (1);
+  bt_crash_t crash = make_crash (7, 0, 1);
+
+  crash.at_start = true;
+  report_crash (table, &crash, 0);
+  bt_begin_crash_trial (table, &crash.request, HOLD_MS + 1);
+  CU_ASSERT_EQUAL (judge_in_group (table, 7, HOLD_MS + 2), BT_CRASH_HOLD);
+  crash = make_crash (7, 1, 1);
+  bt_note_complete_answer (ctx, table, &crash, HOLD_MS + 1);
+  CU_ASSERT_EQUAL (judge_in_group (table, 7, HOLD_MS + 3), BT_CRASH_RUN);
+  bt_drop_crash_table (ctx, table);
+}
+
+/* Guards against more than three stops of a group by one request, whatever its return times. */
+static void
+test_crash_in_a_trial_prolongs_the_hold (void)
+{
+  bt_crash_table_t *table = make_table (1);
+  int64_t now_ms = 0;
+  int32_t crashes = 0;
+
+  for (; now_ms < KEEP_MS; now_ms += MOMENT_MS / 5)
+    if (judge_in_group (table, 7, now_ms) == BT_CRASH_RUN)
+      {
+        bt_crash_t crash = make_crash (7, crashes, 1);
+
+        crash.at_start = true;
+        bt_begin_crash_trial (table, &crash.request, now_ms);
+        report_crash (table, &crash, now_ms);
+        crashes++;
+      }
+  CU_ASSERT_EQUAL (crashes, 3);
+  CU_ASSERT_EQUAL (judge_in_group (table, 7, now_ms), BT_CRASH_REFUSE);
+  bt_drop_crash_table (ctx, table);
+}
+
 /* Guards against refusing requests when connections break but no endpoint ends. */
 static void
 test_broken_attempts_alone_are_no_crashes (void)
@@ -217,7 +343,7 @@
 
   report_crash (table, &own, 0);
   bt_apply_listed_crashes (ctx, table, listed, 2, 0);
-  CU_ASSERT_TRUE (bt_is_crashing (table, &own.request));
+  CU_ASSERT_TRUE (is_refused (table, 7));
   /* A crash that was never listed stays; one that is no longer listed is removed. */
   bt_apply_listed_crashes (ctx, table, listed, 1, 1);
   CU_ASSERT_EQUAL (bt_count_crashes (table, &own.request), 2);
@@ -298,7 +424,8 @@
 find_listed (const fleet_t *fleet, const bt_crash_t *crash)
 {
   for (int32_t i = 0; i < fleet->list_count; i++)
-    if (memcmp (&fleet->list[i].crash, crash, sizeof *crash) == 0)
+    if (bt_same_fingerprint (&fleet->list[i].crash.request, &crash->request)
+        && bt_same_identity (&fleet->list[i].crash.endpoint, &crash->endpoint))
       return i;
   return -1;
 }
@@ -450,6 +577,12 @@
   CU_initialize_registry ();
   suite = CU_add_suite ("crash_table", NULL, NULL);
   CU_ADD_TEST (suite, test_third_crash_refuses_a_request);
+  CU_ADD_TEST (suite, test_ends_at_one_moment_count_once);
+  CU_ADD_TEST (suite, test_request_is_held_after_its_first_crash_in_a_group);
+  CU_ADD_TEST (suite, test_request_with_a_begun_answer_is_not_held);
+  CU_ADD_TEST (suite, test_loss_of_power_holds_no_request);
+  CU_ADD_TEST (suite, test_one_run_is_tried_after_a_hold);
+  CU_ADD_TEST (suite, test_crash_in_a_trial_prolongs_the_hold);
   CU_ADD_TEST (suite, test_broken_attempts_alone_are_no_crashes);
   CU_ADD_TEST (suite, test_late_end_is_no_crash);
   CU_ADD_TEST (suite, test_end_may_be_reported_first);
