load: an outage found at the start of an instance is expected to end soon

Change: an instance that has not seen the group open expects only the time that the forming of a group takes.

--- a/source/load/group_outages.c
+++ b/source/load/group_outages.c
@@ -142,6 +142,19 @@
     }
 }
 
+/* An outage that is overdue by some time is expected to last as long again. */
+static int64_t
+get_wait_ms (const group_row_t *group, int64_t now_ms)
+{
+  int64_t end_ms = group->broken_ms + (int64_t)group->outage_ms;
+  int64_t wait_ms;
+
+  if (group->listed_ms > 0)
+    end_ms = group->listed_ms + (int64_t)group->forming_ms;
+  wait_ms = end_ms > now_ms ? end_ms - now_ms : now_ms - end_ms;
+  return wait_ms > MIN_WAIT_MS ? wait_ms : MIN_WAIT_MS;
+}
+
 static void
 begin_outage (bt_context_t *ctx,
               bt_group_outages_t *outages,
@@ -153,10 +166,12 @@
   group->confirmed = confirmed;
   group->broken_ms = now_ms;
   group->broken_seen_ms = now_ms;
-  group->listed_ms = 0;
+  /* An instance that starts during an outage does not know its age. Often all ranks were restarted
+   * with it, and only the forming of the group is left. */
+  group->listed_ms = group->was_open ? 0 : now_ms;
   bt_log_event (ctx, BT_LOG_INFO, "group-broken", "{s:s, s:I, s:b, s:I}", "group", group->name,
                 "epoch", (json_int_t)group->epoch, "reported", confirmed, "expected_ms",
-                (json_int_t)group->outage_ms);
+                (json_int_t)get_wait_ms (group, now_ms));
   update_ranks (outages, group->app);
 }
 
@@ -318,19 +333,6 @@
   return false;
 }
 
-/* An outage that is overdue by some time is expected to last as long again. */
-static int64_t
-get_wait_ms (const group_row_t *group, int64_t now_ms)
-{
-  int64_t end_ms = group->broken_ms + (int64_t)group->outage_ms;
-  int64_t wait_ms;
-
-  if (group->listed_ms > 0)
-    end_ms = group->listed_ms + (int64_t)group->forming_ms;
-  wait_ms = end_ms > now_ms ? end_ms - now_ms : now_ms - end_ms;
-  return wait_ms > MIN_WAIT_MS ? wait_ms : MIN_WAIT_MS;
-}
-
 int64_t
 bt_get_group_wait_ms (const bt_group_outages_t *outages, const char *app, int64_t now_ms)
 {
--- a/test/load/test_group_outages.c
+++ b/test/load/test_group_outages.c
@@ -76,9 +76,8 @@
   return capacity.endpoints;
 }
 
-/* Creates one group, open in epoch 1. */
 static void
-open_fixture (void)
+open_empty_fixture (void)
 {
   bt_router_options_t routing;
   bt_admission_options_t options;
@@ -90,6 +89,13 @@
   bt_default_admission_options (&options);
   admission = bt_new_admission (ctx, router, &options);
   bt_set_admission_outages (admission, outages);
+}
+
+/* Creates one group, open in epoch 1. */
+static void
+open_fixture (void)
+{
+  open_empty_fixture ();
   for (int32_t i = 0; i < RANKS; i++)
     list_rank (i, 1, 0);
   for (int32_t i = 0; i < RANKS; i++)
@@ -200,6 +206,22 @@
   close_fixture ();
 }
 
+/* Guards against sending callers away for the time of a whole outage when all instances and engines
+ * were restarted together and the group is about to be formed. */
+static void
+test_outage_found_at_the_start_is_expected_to_end_soon (void)
+{
+  open_fixture ();
+  report (0, 1, 2, false, 100);
+  CU_ASSERT (bt_get_group_wait_ms (outages, app, 100) > OUTAGE_MS - 100);
+  close_fixture ();
+  open_empty_fixture ();
+  list_rank (0, 1, 0);
+  report (0, 1, 1, false, 100);
+  CU_ASSERT (bt_get_group_wait_ms (outages, app, 100) <= 1000);
+  close_fixture ();
+}
+
 static bt_admission_decision_t
 decide (uint64_t id, int64_t now_ms)
 {
@@ -271,6 +293,7 @@
   CU_ADD_TEST (suite, test_group_that_stays_open_is_resumed);
   CU_ADD_TEST (suite, test_reset_epochs_are_accepted);
   CU_ADD_TEST (suite, test_outage_is_estimated_from_earlier_ones);
+  CU_ADD_TEST (suite, test_outage_found_at_the_start_is_expected_to_end_soon);
   CU_ADD_TEST (suite, test_refused_caller_returns_to_an_open_group);
   CU_ADD_TEST (suite, test_queued_caller_is_refused_before_it_leaves);
   CU_basic_set_mode (CU_BRM_VERBOSE);
