load: callers of streams are refused before they leave the queue

Cause: a caller leaves a stream that is silent for two seconds, also while its request waits in an entry's queue.

Change: the limit of the wait, so far used while a group is broken, holds for every wait in the queue: the deadline or the caller's patience, whichever is first. Who can't be sent by then is refused at once, who was queued in vain is refused 300 ms before it would leave.

--- a/source/load/admission.c
+++ b/source/load/admission.c
@@ -267,6 +267,18 @@
                                              : BT_REASON_DEADLINE_UNREACHABLE;
 }
 
+static int64_t
+get_wait_limit_ms (const bt_admission_request_t *request, int64_t run_ms)
+{
+  const bt_caller_wait_t caller = {
+    .deadline_left_ms = request->deadline_left_ms,
+    .patience_left_ms = request->patience_left_ms,
+    .run_ms = run_ms,
+  };
+
+  return bt_get_wait_limit_ms (&caller);
+}
+
 /* Queues or refuses a request that cannot be sent now. */
 static void
 queue_or_refuse (bt_context_t *ctx,
@@ -282,11 +294,12 @@
   const double account_rate = bt_get_fair_rate (&app->demand, account, rate, now_ms);
   const int64_t wait_ms =
       add_margin (admission, estimate_wait_ms (app, request, account_rate, rate));
-  const int64_t late_ms = wait_ms + capacity->full_queue_ms - request->deadline_left_ms;
+  const int64_t limit_ms = get_wait_limit_ms (request, capacity->full_queue_ms);
+  const int64_t late_ms = wait_ms - limit_ms;
   const bt_fair_item_t item = {
     .id = request->id,
     .priority = request->priority,
-    .give_up_ms = now_ms + request->deadline_left_ms - capacity->full_queue_ms,
+    .give_up_ms = now_ms + limit_ms,
     .target_ms = request->target_left_ms > 0 ? now_ms + request->target_left_ms : 0,
     .queued_ms = now_ms,
     .share = request->share,
@@ -316,32 +329,30 @@
                    bt_admission_t *admission,
                    app_t *app,
                    const bt_admission_request_t *request,
+                   const bt_capacity_t *capacity,
                    int64_t now_ms,
                    bt_admission_decision_t *decision)
 {
   const int64_t known_ms = get_group_wait_ms (admission, app->name, now_ms);
-  const bt_group_wait_t wait = {
-    .wait_ms = known_ms > 0 ? known_ms : admission->options.paused_wait_ms,
-    .patience_left_ms = request->patience_left_ms,
-    .deadline_left_ms = request->deadline_left_ms,
-  };
+  const int64_t wait_ms = known_ms > 0 ? known_ms : admission->options.paused_wait_ms;
+  const int64_t limit_ms = get_wait_limit_ms (request, capacity->service_ms);
   const bt_fair_item_t item = {
     .id = request->id,
     .priority = request->priority,
-    .give_up_ms = now_ms + bt_get_group_wait_limit_ms (&wait),
+    .give_up_ms = now_ms + limit_ms,
     .target_ms = request->target_left_ms > 0 ? now_ms + request->target_left_ms : 0,
     .queued_ms = now_ms,
     .share = request->share,
     .at_front = request->is_retry,
   };
 
-  if (bt_can_wait_for_group (&wait) && bt_push_fair_item (ctx, app->queue, request->account, &item))
+  if (wait_ms <= limit_ms && bt_push_fair_item (ctx, app->queue, request->account, &item))
     {
       decision->action = BT_ADMISSION_QUEUE;
       return;
     }
   refuse (admission, decision, BT_REASON_NO_ENDPOINT, 0, request->seed);
-  decision->retry_after_ms = bt_draw_group_retry_after_ms (wait.wait_ms, request->seed);
+  decision->retry_after_ms = bt_draw_group_retry_after_ms (wait_ms, request->seed);
 }
 
 int64_t
@@ -383,7 +394,7 @@
   if (capacity.endpoints > 0)
     app->usable_ms = now_ms;
   if (capacity.endpoints == 0 && capacity.paused > 0)
-    wait_while_paused (ctx, admission, app, request, now_ms, decision);
+    wait_while_paused (ctx, admission, app, request, &capacity, now_ms, decision);
   else if (capacity.endpoints == 0)
     refuse (admission, decision, BT_REASON_NO_ENDPOINT, admission->options.spread_ms,
             request->seed);
--- a/source/load/group_wait.c
+++ b/source/load/group_wait.c
@@ -4,7 +4,7 @@
 
 enum
 {
-  /* Time from the end of the wait to the first part of the answer. */
+  /* Expected time from the end of the wait to the first part of the answer. */
   FIRST_PART_MS = 300,
   /* Requests may return this long before the estimated end, and wait in the queue for the rest. */
   EARLY_RETURN_MS = 500,
@@ -12,19 +12,13 @@
 };
 
 int64_t
-bt_get_group_wait_limit_ms (const bt_group_wait_t *wait)
+bt_get_wait_limit_ms (const bt_caller_wait_t *caller)
 {
-  int64_t limit_ms = wait->deadline_left_ms;
+  int64_t limit_ms = caller->deadline_left_ms - caller->run_ms;
 
-  if (wait->patience_left_ms > 0 && wait->patience_left_ms < limit_ms)
-    limit_ms = wait->patience_left_ms;
-  return limit_ms - FIRST_PART_MS;
-}
-
-bool
-bt_can_wait_for_group (const bt_group_wait_t *wait)
-{
-  return wait->wait_ms <= bt_get_group_wait_limit_ms (wait);
+  if (caller->patience_left_ms > 0 && caller->patience_left_ms - FIRST_PART_MS < limit_ms)
+    limit_ms = caller->patience_left_ms - FIRST_PART_MS;
+  return limit_ms;
 }
 
 int64_t
