load: a rank too slow for every pause no longer closes its group

Cause: the pass limiter cuts the requests of each engine down to two while passes are too long.

Change: the limiter knows the slowdown of each rank from its own reports. When the step time of the slowest alone exceeds the pause that callers accept, all slots may be used. Slowdowns that are no longer reported expire.

--- a/include/bilberrytray/load/pass_limiter.h
+++ b/include/bilberrytray/load/pass_limiter.h
@@ -15,6 +15,10 @@
  * between two jumps, the next jump would make all streams of a full group late. So the limit stays
  * close to what the last jumps allowed while they keep coming.
  *
+ * No limit shortens a pass below the step time of the slowest rank. If that alone exceeds the pause
+ * that callers accept, all streams are late anyway, and the engines may use all slots: a late
+ * answer is worth more than a refusal.
+ *
  * Does no I/O; times are arguments.
  */
 
@@ -46,6 +50,10 @@
 void bt_record_pass (
     bt_pass_limiter_t *limiter, int32_t rank, int64_t step, int32_t running, int64_t now_ms);
 
+/** Records how many times slower than a normal rank a rank is; values below 1 count as 1. */
+void
+bt_record_rank_slowdown (bt_pass_limiter_t *limiter, int32_t rank, double slowdown, int64_t now_ms);
+
 /** Returns the number of requests that each engine may run now: at least 2, at most its slots. */
 int32_t bt_get_running_limit (const bt_pass_limiter_t *limiter);
 
@@ -55,4 +63,13 @@
 /** Returns the mean time of the latest passes in ms; 0 if it is not known. */
 double bt_get_pass_ms (const bt_pass_limiter_t *limiter);
 
+/** Returns the time of a pass with almost no requests in ms: the step time of the slowest rank, as
+ * far as it is known. */
+double bt_get_least_pass_ms (const bt_pass_limiter_t *limiter, int64_t now_ms);
+
+/** Returns the expected time from sending a request to the end of its answer of @p tokens tokens,
+ * in ms, at passes of @p pass_ms that generate @p stride tokens each; 0 if one of them is not
+ * known. */
+int64_t bt_estimate_stream_ms (double pass_ms, int32_t tokens, int32_t stride);
+
 #endif
--- a/source/gateway/agent_updates.c
+++ b/source/gateway/agent_updates.c
@@ -48,10 +48,27 @@
                                   (size_t)gateway->limiter_count + 1, sizeof *gateway->limiters);
   row = &gateway->limiters[gateway->limiter_count++];
   bt_copy_name (row->group, report->group);
+  bt_copy_name (row->app, declarations->apps[app].name);
   row->limiter = bt_new_pass_limiter (gateway->ctx, &settings);
   return row->limiter;
 }
 
+double
+bt_get_app_least_pass_ms (const bt_gateway_t *gateway, const char *app)
+{
+  int64_t now_ms = bt_get_loop_ms (gateway->loop);
+  double least_ms = 0;
+
+  for (int32_t i = 0; i < gateway->limiter_count; i++)
+    {
+      double pass_ms = bt_get_least_pass_ms (gateway->limiters[i].limiter, now_ms);
+
+      if (strcmp (gateway->limiters[i].app, app) == 0 && (least_ms == 0 || pass_ms < least_ms))
+        least_ms = pass_ms;
+    }
+  return least_ms;
+}
+
 void
 bt_drop_group_limiters (bt_gateway_t *gateway)
 {
@@ -75,6 +92,7 @@
       || declarations->apps[app].engine.slots == 0)
     return 0;
   limiter = find_limiter (gateway, report, declarations, app);
+  bt_record_rank_slowdown (limiter, report->rank, report->pace, update->received_ms);
   bt_record_pass (limiter, report->rank, report->maps.step, report->running, update->received_ms);
   return bt_get_running_limit (limiter);
 }
--- a/source/gateway/gateway_private.h
+++ b/source/gateway/gateway_private.h
@@ -34,6 +34,7 @@
 typedef struct bt_group_limiter
 {
   char group[BT_NAME_BYTES];
+  char app[BT_NAME_BYTES];
   bt_pass_limiter_t *limiter;
 } bt_group_limiter_t;
 
@@ -99,6 +100,10 @@
 /** Applies what the agents have reported since the last call. */
 void bt_handle_agent_updates (bt_gateway_t *gateway);
 
+/** Returns the time of a pass with almost no requests in an app's fastest group, in ms; 0 if it is
+ * not known. */
+double bt_get_app_least_pass_ms (const bt_gateway_t *gateway, const char *app);
+
 /** Frees the pass limiters of all groups. */
 void bt_drop_group_limiters (bt_gateway_t *gateway);
 
--- a/source/load/pass_limiter.c
+++ b/source/load/pass_limiter.c
@@ -15,6 +15,10 @@
   /* A window that began longer ago than this is discarded: the group is idle or reports no
    * steps. */
   STALE_MS = 1500,
+  /* Passes in which an engine reads the prompt of a request. */
+  PASSES_BEFORE_ANSWER = 2,
+  /* A slow rank that has not reported for this long may be slow no more, or replaced. */
+  SLOWDOWN_EXPIRY_MS = 3000,
   NEVER = -1,
   /* Two jumps within this time are frequent: most streams take about two seconds and meet one of
    * them. The time allows for one undetected jump between them. */
@@ -35,11 +39,19 @@
  * over two windows. */
 static const double decay_rate = 0.25;
 
+/** How many times slower than a normal rank a rank is. */
+typedef struct slowdown
+{
+  double factor; /* 0: not reported */
+  int64_t reported_ms;
+} slowdown_t;
+
 struct bt_pass_limiter
 {
   bt_pass_limiter_settings_t settings;
-  int32_t *running;    /* requests running on each rank */
-  int64_t window_step; /* step and time at which the window begins */
+  int32_t *running;      /* requests running on each rank */
+  slowdown_t *slowdowns; /* of each rank */
+  int64_t window_step;   /* step and time at which the window begins */
   int64_t window_ms;
   int64_t last_step;
   double pass_ms;
@@ -58,6 +70,7 @@
 
   limiter->settings = *settings;
   limiter->running = bt_calloc (ctx, (size_t)settings->ranks, sizeof *limiter->running);
+  limiter->slowdowns = bt_calloc (ctx, (size_t)settings->ranks, sizeof *limiter->slowdowns);
   limiter->limit = settings->slots;
   limiter->fast_limit = settings->slots;
   limiter->recent_limit = settings->slots;
@@ -73,6 +86,7 @@
   if (limiter == NULL)
     return;
   bt_free (ctx, limiter->running);
+  bt_free (ctx, limiter->slowdowns);
   bt_free (ctx, limiter);
 }
 
@@ -115,6 +129,13 @@
   return allowed < limit ? allowed : limit + (allowed - limit) * rate;
 }
 
+/* Returns true if passes are too long for every caller, however few requests run. */
+static bool
+is_pause_unavoidable (const bt_pass_limiter_t *limiter, int64_t now_ms)
+{
+  return bt_get_least_pass_ms (limiter, now_ms) > limiter->settings.pause_ms;
+}
+
 /* Computes the limit. A pass takes a fixed time and a time for each request; the latter includes
  * everything that makes passes long now: skew of the experts, slow engines, long contexts. So the
  * number of requests that fit the target follows from the last passes. */
@@ -125,6 +146,11 @@
   double variable_ms = limiter->pass_ms - settings->min_pass_ms;
   double allowed = settings->slots;
 
+  if (is_pause_unavoidable (limiter, now_ms))
+    {
+      limiter->limit = settings->slots;
+      return;
+    }
   if (running >= MIN_RUNNING && variable_ms > 1)
     allowed = running * (settings->target_pass_ms - settings->min_pass_ms) / variable_ms;
   if (allowed > settings->slots)
@@ -171,6 +197,27 @@
   start_window (limiter, step, now_ms);
 }
 
+void
+bt_record_rank_slowdown (bt_pass_limiter_t *limiter, int32_t rank, double slowdown, int64_t now_ms)
+{
+  if (rank < 0 || rank >= limiter->settings.ranks)
+    return;
+  limiter->slowdowns[rank].factor = slowdown;
+  limiter->slowdowns[rank].reported_ms = now_ms;
+}
+
+double
+bt_get_least_pass_ms (const bt_pass_limiter_t *limiter, int64_t now_ms)
+{
+  double slowest = 1;
+
+  for (int32_t rank = 0; rank < limiter->settings.ranks; rank++)
+    if (limiter->slowdowns[rank].factor > slowest
+        && now_ms - limiter->slowdowns[rank].reported_ms < SLOWDOWN_EXPIRY_MS)
+      slowest = limiter->slowdowns[rank].factor;
+  return limiter->settings.min_pass_ms * slowest;
+}
+
 int32_t
 bt_get_running_limit (const bt_pass_limiter_t *limiter)
 {
@@ -182,3 +229,11 @@
 {
   return limiter->pass_ms;
 }
+
+int64_t
+bt_estimate_stream_ms (double pass_ms, int32_t tokens, int32_t stride)
+{
+  if (pass_ms <= 0 || tokens <= 0 || stride <= 0)
+    return 0;
+  return (int64_t)(pass_ms * ((double)tokens / stride + PASSES_BEFORE_ANSWER));
+}
--- a/test/load/test_pass_limiter.c
+++ b/test/load/test_pass_limiter.c
@@ -58,6 +58,23 @@
   bt_drop_pass_limiter (ctx, limiter);
 }
 
+/* Guards against refusing nearly all callers while a rank is so slow that no limit makes passes
+ * short enough; and against keeping all slots once the rank is no longer slow. */
+static void
+test_slow_rank_allows_all_slots (void)
+{
+  bt_pass_limiter_t *limiter = new_limiter ();
+  int64_t now_ms;
+
+  bt_record_rank_slowdown (limiter, 1, 12, 0);
+  now_ms = simulate_passes (limiter, 0, 2000, 400, 10);
+  CU_ASSERT_EQUAL (bt_get_running_limit (limiter), SLOTS);
+  bt_record_rank_slowdown (limiter, 1, 1, now_ms);
+  simulate_passes (limiter, now_ms, 1600, 400, 10);
+  CU_ASSERT (bt_get_running_limit (limiter) <= 5);
+  bt_drop_pass_limiter (ctx, limiter);
+}
+
 static void
 test_limit_grows_back (void)
 {
@@ -128,6 +145,29 @@
   bt_drop_pass_limiter (ctx, limiter);
 }
 
+/* Guards against a rank that counts as slow for good because its agent stopped reporting. */
+static void
+test_old_slowdown_expires (void)
+{
+  bt_pass_limiter_t *limiter = new_limiter ();
+
+  CU_ASSERT_EQUAL (bt_get_least_pass_ms (limiter, 0), min_pass_ms);
+  bt_record_rank_slowdown (limiter, 1, 12, 0);
+  CU_ASSERT_EQUAL (bt_get_least_pass_ms (limiter, 1000), 12 * min_pass_ms);
+  CU_ASSERT_EQUAL (bt_get_least_pass_ms (limiter, 5000), min_pass_ms);
+  bt_drop_pass_limiter (ctx, limiter);
+}
+
+static void
+test_stream_time_grows_with_tokens_and_passes (void)
+{
+  CU_ASSERT_EQUAL (bt_estimate_stream_ms (50, 140, 7), 50 * 22);
+  CU_ASSERT_EQUAL (bt_estimate_stream_ms (400, 140, 7), 400 * 22);
+  CU_ASSERT_EQUAL (bt_estimate_stream_ms (0, 140, 7), 0);
+  CU_ASSERT_EQUAL (bt_estimate_stream_ms (50, 0, 7), 0);
+  CU_ASSERT_EQUAL (bt_estimate_stream_ms (50, 140, 0), 0);
+}
+
 int
 main (void)
 {
@@ -139,10 +179,13 @@
   suite = CU_add_suite ("pass_limiter", NULL, NULL);
   CU_ADD_TEST (suite, test_short_passes_allow_all_slots);
   CU_ADD_TEST (suite, test_long_passes_lower_the_limit_at_once);
+  CU_ADD_TEST (suite, test_slow_rank_allows_all_slots);
   CU_ADD_TEST (suite, test_limit_grows_back);
   CU_ADD_TEST (suite, test_limit_stays_low_between_frequent_jumps);
   CU_ADD_TEST (suite, test_limit_grows_back_between_rare_jumps);
   CU_ADD_TEST (suite, test_restarted_step_count_starts_new_window);
+  CU_ADD_TEST (suite, test_old_slowdown_expires);
+  CU_ADD_TEST (suite, test_stream_time_grows_with_tokens_and_passes);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
