load: streams that can't be complete in time on a slow group are refused at once

Cause: with all slots in use a slow group runs long answers until their callers' time limit (8 s), and they take the slots of those that could be complete.

Change: the least time of a pass and the expected length of the answer give the least time of the run; one that would exceed the time left by half is refused at once, with a time to return at.

--- a/include/bilberrytray/load/admission.h
+++ b/include/bilberrytray/load/admission.h
@@ -39,6 +39,7 @@
                             no  expectation. */
   int64_t patience_left_ms; /**< Time left until the caller leaves unless the answer has begun; 0:
                                  it waits until the deadline. */
+  int64_t run_ms;           /**< Least expected time of the run of this request; 0: unknown. */
   const char *rule;         /**< Name of the matching rule; NULL for none. */
   int32_t rule_per_second;  /**< The rule's limit in requests per second; 0: none. */
   int32_t rule_burst;       /**< Requests that may pass at once; 0: the requests of one second. */
--- a/source/gateway/forward.c
+++ b/source/gateway/forward.c
@@ -255,6 +255,16 @@
   return left_ms > 1 ? left_ms : 1;
 }
 
+/* Returns the least expected time of the run of a stream; 0 if it is not known. */
+static int64_t
+get_run_ms (const bt_forward_t *forward)
+{
+  const bt_engine_t *engine = &forward->declarations->apps[forward->rule->then.app].engine;
+
+  return bt_estimate_stream_ms (bt_get_app_least_pass_ms (forward->gateway, forward->app),
+                                forward->info.expected_answer_tokens, engine->stride);
+}
+
 static void
 admit (bt_forward_t *forward)
 {
@@ -270,6 +280,7 @@
     .deadline_left_ms = forward->deadline_ms - now_ms,
     .target_left_ms = get_queue_time_left_ms (forward, now_ms),
     .patience_left_ms = get_patience_left_ms (forward, now_ms),
+    .run_ms = get_run_ms (forward),
     .seed = bt_draw_gateway_seed (gateway),
   };
   bt_admission_decision_t decision;
--- a/source/load/admission.c
+++ b/source/load/admission.c
@@ -11,6 +11,8 @@
 {
   SECOND_MS = 1000,
   WHOLE_PERCENT = 100,
+  /* Expected runs of this percentage of the time left are not started. */
+  HOPELESS_RUN_PERCENT = 150,
   DEFAULT_WAIT_PERCENT = 150,
   DEFAULT_QUEUE_LIMIT = 4096,
   DEFAULT_DEMAND_WINDOW_MS = 2000,
@@ -370,6 +372,15 @@
   return capacity.endpoints > 0 ? 0 : bt_draw_group_retry_after_ms (wait_ms, seed);
 }
 
+/* Returns by how much the run of a request will exceed its deadline; at most 0 if it may be
+ * complete in time. The expected length of an answer is often far off and slow engines may recover,
+ * so an expected run must be much longer than the time that is left. */
+static int64_t
+get_late_run_ms (const bt_admission_request_t *request)
+{
+  return request->run_ms * WHOLE_PERCENT / HOPELESS_RUN_PERCENT - request->deadline_left_ms;
+}
+
 void
 bt_decide_admission (bt_context_t *ctx,
                      bt_admission_t *admission,
@@ -398,6 +409,9 @@
   else if (capacity.endpoints == 0)
     refuse (admission, decision, BT_REASON_NO_ENDPOINT, admission->options.spread_ms,
             request->seed);
+  else if (get_late_run_ms (request) > 0)
+    refuse (admission, decision, BT_REASON_DEADLINE_UNREACHABLE, get_late_run_ms (request),
+            request->seed);
   else if (has_room (&capacity) && bt_count_fair_items (app->queue) == 0)
     decision->action = BT_ADMISSION_ADMIT;
   else if (capacity.service_ms > request->deadline_left_ms)
--- a/test/load/test_admission.c
+++ b/test/load/test_admission.c
@@ -77,6 +77,26 @@
   return decision;
 }
 
+/* Guards against streams of a slow group that run until their deadline and take the slots of those
+ * that could be complete. */
+static void
+test_hopelessly_long_run_is_refused_at_once (void)
+{
+  bt_admission_decision_t decision;
+
+  open_fixture (100);
+  CU_ASSERT_EQUAL (
+      decide ((bt_admission_request_t){ .id = 1, .deadline_left_ms = 8000, .run_ms = 10000 }, 0)
+          .action,
+      BT_ADMISSION_ADMIT);
+  decision =
+      decide ((bt_admission_request_t){ .id = 2, .deadline_left_ms = 8000, .run_ms = 15000 }, 0);
+  CU_ASSERT_EQUAL (decision.action, BT_ADMISSION_REFUSE);
+  CU_ASSERT_EQUAL (decision.reason, BT_REASON_DEADLINE_UNREACHABLE);
+  CU_ASSERT (decision.retry_after_ms > 0);
+  close_fixture ();
+}
+
 static void
 fill_endpoint (void)
 {
@@ -355,6 +375,7 @@
   CU_ADD_TEST (suite, test_request_is_admitted_to_free_slot_despite_slow_runs);
   CU_ADD_TEST (suite, test_retry_after_times_are_spread);
   CU_ADD_TEST (suite, test_late_entry_gets_its_equal_share);
+  CU_ADD_TEST (suite, test_hopelessly_long_run_is_refused_at_once);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   failed = CU_get_number_of_failures ();
