explain: the trace of a request shows all crashes of its content

Cause: why a request is held or refused lies in crashes that other instances saw, minutes before; the trace showed the request's own lines and the state events of three seconds.

Change: lines with the fingerprint of the traced request are shown whatever their time, instance and request, and the outage of a group as the request's instances saw it.

Tests: test_request_trace, new.

--- a/source/entry/request_trace.c
+++ b/source/entry/request_trace.c
@@ -44,6 +44,8 @@
   "endpoint-gone",
   "endpoint-replaced",
   "group-phase",
+  "group-broken",
+  "group-open",
   "leading",
   "not-leading",
   "engine-lost",
@@ -184,15 +186,26 @@
   return text[0] != '\0' && strcmp (text, get_text (right, field)) == 0;
 }
 
+/* Returns true for the events of a group that only its leader writes. The others are written by
+ * every instance. */
+static bool
+is_leader_event (const trace_line_t *event)
+{
+  const char *name = get_text (event->object, "event");
+
+  return get_text (event->object, "group")[0] != '\0' && strcmp (name, "group-broken") != 0
+         && strcmp (name, "group-open") != 0;
+}
+
 /* A state event is relevant if it comes from an instance that handled the request. One about an
- * endpoint is relevant only if the request was sent to that endpoint; one about a group always
- * is. */
+ * endpoint is relevant only if the request was sent to that endpoint; one of a group's leader
+ * always is. */
 static bool
 is_relevant (const bt_request_trace_t *trace, const trace_line_t *event)
 {
   bool of_endpoint = get_text (event->object, "endpoint")[0] != '\0';
 
-  if (get_text (event->object, "group")[0] != '\0')
+  if (is_leader_event (event))
     return true;
   for (int32_t i = 0; i < trace->count; i++)
     {
@@ -206,6 +219,18 @@
   return false;
 }
 
+/* Returns the first line of the request that names the fingerprint of its content; NULL if none
+ * does. */
+static const trace_line_t *
+find_fingerprint (const bt_request_trace_t *trace)
+{
+  for (int32_t i = 0; i < trace->count; i++)
+    if (is_request_line (trace, &trace->lines[i])
+        && get_text (trace->lines[i].object, "fingerprint")[0] != '\0')
+      return &trace->lines[i];
+  return NULL;
+}
+
 /* Finds the event that put the configuration that applied to the request in force on its
  * instance. */
 static const trace_line_t *
@@ -225,9 +250,10 @@
   return found;
 }
 
-/* Prints the time, instance and event, and all other fields except the level and the request. */
+/* Prints the time, instance and event, and all other fields except the level and the id of the
+ * traced request. */
 static void
-print_line (const trace_line_t *line, FILE *out)
+print_line (const bt_request_trace_t *trace, const trace_line_t *line, FILE *out)
 {
   const char *key;
   json_t *value;
@@ -239,7 +265,8 @@
     char *text;
 
     if (strcmp (key, "at") == 0 || strcmp (key, "instance") == 0 || strcmp (key, "event") == 0
-        || strcmp (key, "request") == 0 || strcmp (key, "level") == 0)
+        || strcmp (key, "level") == 0
+        || (strcmp (key, "request") == 0 && is_request_line (trace, line)))
       continue;
     text = json_dumps (value, JSON_ENCODE_ANY);
     fprintf (out, " %s=%s", key, text);
@@ -297,6 +324,7 @@
 bool
 bt_print_request_trace (bt_context_t *ctx, bt_request_trace_t *trace, FILE *out)
 {
+  const trace_line_t *content;
   int64_t from_ms = 0;
   int64_t to_ms = 0;
 
@@ -305,15 +333,20 @@
     qsort (trace->lines, (size_t)trace->count, sizeof *trace->lines, compare_lines);
   if (!find_request_interval (trace, &from_ms, &to_ms))
     return false;
+  content = find_fingerprint (trace);
   for (int32_t i = 0; i < trace->count; i++)
     {
       const trace_line_t *line = &trace->lines[i];
+      /* The crashes of the same content explain why it was held or refused, however old they are.
+       */
+      bool same_content =
+          content != NULL && has_same_text (line->object, content->object, "fingerprint");
       bool in_window =
           line->at_ms >= from_ms - CONTEXT_BEFORE_MS && line->at_ms <= to_ms + CONTEXT_AFTER_MS;
 
-      if (is_request_line (trace, line)
+      if (is_request_line (trace, line) || same_content
           || (in_window && is_state_event (line) && is_relevant (trace, line)))
-        print_line (line, out);
+        print_line (trace, line, out);
     }
   print_ends (trace, out);
   if (trace->unreadable > 0)
--- /dev/null
+++ b/test/entry/test_request_trace.c
@@ -0,0 +1,91 @@
+#include <CUnit/Basic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "request_trace.h"
+
+/* Prints the trace of a request from some log lines; the caller frees the text. */
+static char *
+print_trace (const char *request_id, const char *const *lines, int32_t count)
+{
+  bt_context_t *ctx = bt_new_context ();
+  bt_request_trace_t *trace = bt_new_request_trace (ctx, request_id);
+  char *text = NULL;
+  size_t bytes;
+  FILE *out = open_memstream (&text, &bytes);
+
+  for (int32_t i = 0; i < count; i++)
+    bt_add_trace_line (ctx, trace, lines[i]);
+  CU_ASSERT_TRUE (bt_print_request_trace (ctx, trace, out));
+  fclose (out);
+  bt_drop_request_trace (ctx, trace);
+  bt_drop_context (ctx);
+  return text;
+}
+
+/* Guards against a held request whose trace does not show which crash of its content is the cause,
+ * because that was seen by another instance and minutes earlier. */
+static void
+test_trace_of_held_request_shows_crashes_of_its_content (void)
+{
+  static const char *const lines[] = {
+    "{\"at\":\"2026-10-16T19:20:53.620Z\",\"level\":\"info\",\"instance\":\"front-2\","
+    "\"event\":\"attempt-broken\",\"request\":\"r-1\",\"fingerprint\":\"a90d\","
+    "\"endpoint\":\"i-1\"}",
+    "{\"at\":\"2026-10-16T19:20:53.650Z\",\"level\":\"info\",\"instance\":\"front-2\","
+    "\"event\":\"crash-known\",\"fingerprint\":\"a90d\",\"endpoint\":\"i-1\",\"ends\":1}",
+    "{\"at\":\"2026-10-16T19:20:53.651Z\",\"level\":\"info\",\"instance\":\"front-2\","
+    "\"event\":\"crash-known\",\"fingerprint\":\"ffff\",\"endpoint\":\"i-1\",\"ends\":1}",
+    "{\"at\":\"2026-10-16T19:21:40.000Z\",\"level\":\"info\",\"instance\":\"front-1\","
+    "\"event\":\"crash-held\",\"request\":\"r-2\",\"fingerprint\":\"a90d\",\"ends\":1}",
+    "{\"at\":\"2026-10-16T19:21:40.001Z\",\"level\":\"warning\",\"instance\":\"front-1\","
+    "\"event\":\"request\",\"request\":\"r-2\",\"outcome\":\"not-run\",\"status\":503,"
+    "\"reason\":\"held-after-crash\",\"sends\":0,\"total_ms\":1,\"revision\":4}",
+  };
+  char *text = print_trace ("r-2", lines, 5);
+
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "front-2  attempt-broken request=\"r-1\""));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "front-2  crash-known"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "front-1  crash-held"));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "It was sent to no endpoint: held-after-crash"));
+  CU_ASSERT_PTR_NULL (strstr (text, "ffff"));
+  free (text);
+}
+
+/* Guards against a trace that is flooded by the outage of a group, which every instance logs. */
+static void
+test_trace_shows_outages_as_seen_by_its_instances_only (void)
+{
+  static const char *const lines[] = {
+    "{\"at\":\"2026-10-16T19:20:53.650Z\",\"level\":\"info\",\"instance\":\"front-1\","
+    "\"event\":\"group-broken\",\"group\":\"g-0\",\"epoch\":1}",
+    "{\"at\":\"2026-10-16T19:20:53.650Z\",\"level\":\"info\",\"instance\":\"front-2\","
+    "\"event\":\"group-broken\",\"group\":\"g-0\",\"epoch\":1}",
+    "{\"at\":\"2026-10-16T19:20:54.001Z\",\"level\":\"warning\",\"instance\":\"front-1\","
+    "\"event\":\"request\",\"request\":\"r-2\",\"outcome\":\"not-run\",\"status\":503,"
+    "\"reason\":\"no-endpoint\",\"sends\":0,\"total_ms\":1,\"revision\":4}",
+  };
+  char *text = print_trace ("r-2", lines, 3);
+
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "front-1  group-broken"));
+  CU_ASSERT_PTR_NULL (strstr (text, "front-2  group-broken"));
+  free (text);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned failures;
+
+  CU_initialize_registry ();
+  suite = CU_add_suite ("request_trace", NULL, NULL);
+  CU_ADD_TEST (suite, test_trace_of_held_request_shows_crashes_of_its_content);
+  CU_ADD_TEST (suite, test_trace_shows_outages_as_seen_by_its_instances_only);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  CU_cleanup_registry ();
+  return failures == 0 ? 0 : 1;
+}
