load: the wait for a slot counts without its margin against a caller's patience

Cause: an estimated wait is multiplied by 1.5 before it is compared with the deadline, and since the patience of callers limits the queue, also with that, which is a quarter of it.

Change: the margin counts against the deadline only.

--- a/source/load/admission.c
+++ b/source/load/admission.c
@@ -281,6 +281,23 @@
   return bt_get_wait_limit_ms (&caller);
 }
 
+/* Returns by how much a request that waits would be late; at most 0 if it may be in time. Against
+ * the deadline the wait counts with its margin. The caller's patience is short and a wait for
+ * longer than that costs only a return, so there the margin would refuse many that could be served
+ * sooner. */
+static int64_t
+get_late_ms (const bt_admission_request_t *request,
+             const bt_capacity_t *capacity,
+             double expected_ms,
+             int64_t wait_ms)
+{
+  const int64_t deadline_late_ms = wait_ms + capacity->full_queue_ms - request->deadline_left_ms;
+  const int64_t limit_late_ms =
+      (int64_t)expected_ms - get_wait_limit_ms (request, capacity->full_queue_ms);
+
+  return deadline_late_ms > limit_late_ms ? deadline_late_ms : limit_late_ms;
+}
+
 /* Queues or refuses a request that cannot be sent now. */
 static void
 queue_or_refuse (bt_context_t *ctx,
@@ -294,10 +311,10 @@
   const bt_account_demand_t *account = bt_find_demand (ctx, &app->demand, request->account, now_ms);
   const double rate = get_capacity_rate (capacity);
   const double account_rate = bt_get_fair_rate (&app->demand, account, rate, now_ms);
-  const int64_t wait_ms =
-      add_margin (admission, estimate_wait_ms (app, request, account_rate, rate));
+  const double expected_ms = estimate_wait_ms (app, request, account_rate, rate);
+  const int64_t wait_ms = add_margin (admission, expected_ms);
   const int64_t limit_ms = get_wait_limit_ms (request, capacity->full_queue_ms);
-  const int64_t late_ms = wait_ms - limit_ms;
+  const int64_t late_ms = get_late_ms (request, capacity, expected_ms, wait_ms);
   const bt_fair_item_t item = {
     .id = request->id,
     .priority = request->priority,
