--- a/test/gateway/test_crash_items.c
+++ b/test/gateway/test_crash_items.c
@@ -38,7 +38,10 @@
     {
       bt_write_crash_key (&crashes[i], key);
       CU_ASSERT_TRUE (bt_read_crash_key (key, &read));
-      CU_ASSERT_EQUAL (memcmp (&read, &crashes[i], sizeof read), 0);
+      CU_ASSERT_TRUE (bt_same_fingerprint (&read.request, &crashes[i].request));
+      CU_ASSERT_TRUE (bt_same_identity (&read.endpoint, &crashes[i].endpoint));
+      CU_ASSERT_EQUAL (read.ended_ms, crashes[i].ended_ms);
+      CU_ASSERT_EQUAL (read.at_start, crashes[i].at_start);
     }
 }
 
--- a/test/load/test_group_outages.c
+++ b/test/load/test_group_outages.c
@@ -7,14 +7,15 @@
 enum
 {
   RANKS = 4,
-  STALL_MS = 1500,
-  RESTART_MS = 3200,
-  OUTAGE_MS = 4000,
-  REPORT_LAG_MS = 200,
-  PATIENCE_MS = 2000,
-  DEADLINE_MS = 8000,
 };
 
+static const int64_t stall_ms = 1500;
+static const int64_t restart_ms = 3200;
+static const int64_t outage_ms = 4000;
+static const int64_t report_lag_ms = 200;
+static const int64_t patience_ms = 2000;
+static const int64_t deadline_ms = 8000;
+
 static const char *const app = "drafts";
 static bt_context_t *ctx;
 static bt_router_t *router;
@@ -116,10 +117,10 @@
 play_outage (int32_t incarnation, int64_t start_ms)
 {
   end_rank (0, incarnation, start_ms);
-  report (1, 1, incarnation, false, start_ms + STALL_MS);
+  report (1, 1, incarnation, false, start_ms + stall_ms);
   remove_rank (0, incarnation);
-  list_rank (0, incarnation + 1, start_ms + RESTART_MS);
-  report (1, 1, incarnation + 1, true, start_ms + OUTAGE_MS);
+  list_rank (0, incarnation + 1, start_ms + restart_ms);
+  report (1, 1, incarnation + 1, true, start_ms + outage_ms);
 }
 
 /* Guards against sending requests to ranks that can't begin them: after the end of one rank the
@@ -131,8 +132,8 @@
   CU_ASSERT_EQUAL (count_usable (100), RANKS);
   end_rank (0, 1, 100);
   CU_ASSERT_EQUAL (count_usable (100), 0);
-  report (1, 1, 1, true, 100 + REPORT_LAG_MS);
-  CU_ASSERT_EQUAL (count_usable (100 + REPORT_LAG_MS), 0);
+  report (1, 1, 1, true, 100 + report_lag_ms);
+  CU_ASSERT_EQUAL (count_usable (100 + report_lag_ms), 0);
   close_fixture ();
 }
 
@@ -143,12 +144,12 @@
 {
   open_fixture ();
   end_rank (0, 1, 100);
-  report (1, 1, 1, false, 100 + STALL_MS);
+  report (1, 1, 1, false, 100 + stall_ms);
   remove_rank (0, 1);
-  list_rank (0, 2, 100 + RESTART_MS);
-  CU_ASSERT_EQUAL (count_usable (100 + RESTART_MS), 0);
-  report (1, 1, 2, true, 100 + OUTAGE_MS);
-  CU_ASSERT_EQUAL (count_usable (100 + OUTAGE_MS), RANKS);
+  list_rank (0, 2, 100 + restart_ms);
+  CU_ASSERT_EQUAL (count_usable (100 + restart_ms), 0);
+  report (1, 1, 2, true, 100 + outage_ms);
+  CU_ASSERT_EQUAL (count_usable (100 + outage_ms), RANKS);
   close_fixture ();
 }
 
@@ -158,8 +159,8 @@
 {
   open_fixture ();
   play_outage (1, 100);
-  report (2, 1, 1, false, 100 + OUTAGE_MS + REPORT_LAG_MS);
-  CU_ASSERT_EQUAL (count_usable (100 + OUTAGE_MS + REPORT_LAG_MS), RANKS);
+  report (2, 1, 1, false, 100 + outage_ms + report_lag_ms);
+  CU_ASSERT_EQUAL (count_usable (100 + outage_ms + report_lag_ms), RANKS);
   close_fixture ();
 }
 
@@ -169,8 +170,8 @@
 {
   open_fixture ();
   end_rank (0, 1, 100);
-  report (1, 1, 1, true, 100 + 2 * STALL_MS + REPORT_LAG_MS);
-  CU_ASSERT_EQUAL (count_usable (100 + 2 * STALL_MS + REPORT_LAG_MS), RANKS);
+  report (1, 1, 1, true, 100 + 2 * stall_ms + report_lag_ms);
+  CU_ASSERT_EQUAL (count_usable (100 + 2 * stall_ms + report_lag_ms), RANKS);
   close_fixture ();
 }
 
@@ -181,8 +182,8 @@
   open_fixture ();
   report (0, 1, 9, false, 100);
   CU_ASSERT_EQUAL (count_usable (100), 0);
-  report (0, 1, 1, true, 100 + 2 * OUTAGE_MS);
-  CU_ASSERT_EQUAL (count_usable (100 + 2 * OUTAGE_MS), RANKS);
+  report (0, 1, 1, true, 100 + 2 * outage_ms);
+  CU_ASSERT_EQUAL (count_usable (100 + 2 * outage_ms), RANKS);
   close_fixture ();
 }
 
@@ -192,17 +193,17 @@
   int64_t start_ms = 100;
 
   open_fixture ();
-  for (int32_t i = 1; i <= 6; i++, start_ms += 2 * OUTAGE_MS)
+  for (int32_t i = 1; i <= 6; i++, start_ms += 2 * outage_ms)
     {
       CU_ASSERT_EQUAL (bt_get_group_wait_ms (outages, app, start_ms), 0);
       play_outage (i, start_ms);
     }
   end_rank (0, 7, start_ms);
-  CU_ASSERT (bt_get_group_wait_ms (outages, app, start_ms) > OUTAGE_MS - 100);
-  CU_ASSERT (bt_get_group_wait_ms (outages, app, start_ms) <= OUTAGE_MS);
-  list_rank (0, 8, start_ms + RESTART_MS);
-  CU_ASSERT (bt_get_group_wait_ms (outages, app, start_ms + RESTART_MS)
-             <= OUTAGE_MS - RESTART_MS + 100);
+  CU_ASSERT (bt_get_group_wait_ms (outages, app, start_ms) > outage_ms - 100);
+  CU_ASSERT (bt_get_group_wait_ms (outages, app, start_ms) <= outage_ms);
+  list_rank (0, 8, start_ms + restart_ms);
+  CU_ASSERT (bt_get_group_wait_ms (outages, app, start_ms + restart_ms)
+             <= outage_ms - restart_ms + 100);
   close_fixture ();
 }
 
@@ -213,7 +214,7 @@
 {
   open_fixture ();
   report (0, 1, 2, false, 100);
-  CU_ASSERT (bt_get_group_wait_ms (outages, app, 100) > OUTAGE_MS - 100);
+  CU_ASSERT (bt_get_group_wait_ms (outages, app, 100) > outage_ms - 100);
   close_fixture ();
   open_empty_fixture ();
   list_rank (0, 1, 0);
@@ -228,8 +229,8 @@
   bt_admission_request_t request = { .id = id,
                                      .app = app,
                                      .account = "a",
-                                     .deadline_left_ms = DEADLINE_MS,
-                                     .patience_left_ms = PATIENCE_MS,
+                                     .deadline_left_ms = deadline_ms,
+                                     .patience_left_ms = patience_ms,
                                      .seed = ++seed };
   bt_admission_decision_t decision;
 
@@ -244,17 +245,17 @@
 {
   open_fixture ();
   end_rank (0, 1, 0);
-  for (int64_t now_ms = 0; now_ms < OUTAGE_MS; now_ms += 50)
+  for (int64_t now_ms = 0; now_ms < outage_ms; now_ms += 50)
     {
       bt_admission_decision_t decision = decide ((uint64_t)now_ms + 1, now_ms);
-      int64_t left_ms = OUTAGE_MS - now_ms;
+      int64_t left_ms = outage_ms - now_ms;
 
-      CU_ASSERT_EQUAL (decision.action == BT_ADMISSION_QUEUE, left_ms <= PATIENCE_MS - 300);
+      CU_ASSERT_EQUAL (decision.action == BT_ADMISSION_QUEUE, left_ms <= patience_ms - 300);
       if (decision.action == BT_ADMISSION_QUEUE)
         continue;
       CU_ASSERT_EQUAL (decision.reason, BT_REASON_NO_ENDPOINT);
-      CU_ASSERT (now_ms + decision.retry_after_ms >= OUTAGE_MS - 500);
-      CU_ASSERT (now_ms + decision.retry_after_ms <= OUTAGE_MS + 1000);
+      CU_ASSERT (now_ms + decision.retry_after_ms >= outage_ms - 500);
+      CU_ASSERT (now_ms + decision.retry_after_ms <= outage_ms + 1000);
     }
   close_fixture ();
 }
@@ -265,15 +266,15 @@
 test_queued_caller_is_refused_before_it_leaves (void)
 {
   bt_admission_decision_t decision;
-  const int64_t queued_ms = OUTAGE_MS - 1000;
+  const int64_t queued_ms = outage_ms - 1000;
 
   open_fixture ();
   end_rank (0, 1, 0);
-  report (1, 1, 1, false, STALL_MS);
+  report (1, 1, 1, false, stall_ms);
   CU_ASSERT_EQUAL (decide (1, queued_ms).action, BT_ADMISSION_QUEUE);
   report (1, 1, 1, false, queued_ms + 100);
   CU_ASSERT_FALSE (bt_next_admission (admission, queued_ms + 1500, &decision));
-  CU_ASSERT_TRUE (bt_next_admission (admission, queued_ms + PATIENCE_MS - 200, &decision));
+  CU_ASSERT_TRUE (bt_next_admission (admission, queued_ms + patience_ms - 200, &decision));
   CU_ASSERT_EQUAL (decision.action, BT_ADMISSION_REFUSE);
   CU_ASSERT (decision.retry_after_ms > 0);
   close_fixture ();
--- a/test/load/test_pass_limiter.c
+++ b/test/load/test_pass_limiter.c
@@ -161,8 +161,8 @@
 static void
 test_stream_time_grows_with_tokens_and_passes (void)
 {
-  CU_ASSERT_EQUAL (bt_estimate_stream_ms (50, 140, 7), 50 * 22);
-  CU_ASSERT_EQUAL (bt_estimate_stream_ms (400, 140, 7), 400 * 22);
+  CU_ASSERT_EQUAL (bt_estimate_stream_ms (50, 140, 7), 1100);
+  CU_ASSERT_EQUAL (bt_estimate_stream_ms (400, 140, 7), 8800);
   CU_ASSERT_EQUAL (bt_estimate_stream_ms (0, 140, 7), 0);
   CU_ASSERT_EQUAL (bt_estimate_stream_ms (50, 0, 7), 0);
   CU_ASSERT_EQUAL (bt_estimate_stream_ms (50, 140, 0), 0);
--- a/test/requests/test_crash_table.c
+++ b/test/requests/test_crash_table.c
@@ -9,9 +9,6 @@
 {
   MATCH_WINDOW_MS = 15000,
   KEEP_MS = 600000,
-  HOLD_MS = 60000,
-  /* Two crashes this far apart are separate events. */
-  MOMENT_MS = 5000,
   MAX_CRASHES = 64,
   /* For the simulated fleet. */
   INSTANCES = 5,
@@ -23,6 +20,12 @@
   MAX_LISTED = 256,
 };
 
+static const int64_t hold_ms = 60000;
+/* Two crashes this far apart are separate events. */
+static const int64_t moment_ms = 5000;
+/* Two crashes this far apart are one event. */
+static const int64_t same_moment_ms = 20;
+
 static bt_context_t *ctx;
 
 static bt_crash_table_t *
@@ -32,7 +35,7 @@
 
   bt_default_crash_options (&options);
   options.match_window_ms = MATCH_WINDOW_MS;
-  options.hold_ms = HOLD_MS;
+  options.hold_ms = hold_ms;
   options.keep_ms = KEEP_MS;
   options.max_crashes = MAX_CRASHES;
   options.seed = seed;
@@ -110,7 +113,7 @@
       bt_crash_t crash = make_crash (7, i, 1);
 
       CU_ASSERT_FALSE (is_refused (table, 7));
-      report_crash (table, &crash, i * MOMENT_MS);
+      report_crash (table, &crash, i * moment_ms);
     }
   CU_ASSERT_TRUE (is_refused (table, 7));
   CU_ASSERT_FALSE (is_refused (table, 8));
@@ -129,7 +132,7 @@
     {
       bt_crash_t crash = make_crash (7, i, 1);
 
-      report_crash (table, &crash, i * 20);
+      report_crash (table, &crash, i * same_moment_ms);
     }
   CU_ASSERT_EQUAL (count_crashes (table, 7), 6);
   CU_ASSERT_FALSE (is_refused (table, 7));
@@ -147,9 +150,9 @@
   CU_ASSERT_EQUAL (judge_in_group (table, 7, 0), BT_CRASH_RUN);
   report_crash (table, &crash, 0);
   CU_ASSERT_FALSE (is_refused (table, 7));
-  CU_ASSERT_EQUAL (judge_in_group (table, 7, HOLD_MS - 1), BT_CRASH_HOLD);
-  CU_ASSERT_EQUAL (judge_in_group (table, 8, HOLD_MS - 1), BT_CRASH_RUN);
-  CU_ASSERT_EQUAL (judge_in_group (table, 7, HOLD_MS + 1), BT_CRASH_RUN);
+  CU_ASSERT_EQUAL (judge_in_group (table, 7, hold_ms - 1), BT_CRASH_HOLD);
+  CU_ASSERT_EQUAL (judge_in_group (table, 8, hold_ms - 1), BT_CRASH_RUN);
+  CU_ASSERT_EQUAL (judge_in_group (table, 7, hold_ms + 1), BT_CRASH_RUN);
   bt_drop_crash_table (ctx, table);
 }
 
@@ -161,10 +164,10 @@
   bt_crash_t crash = make_crash (7, 0, 1);
 
   report_crash (table, &crash, 0);
-  CU_ASSERT_EQUAL (judge_in_group (table, 7, MOMENT_MS), BT_CRASH_RUN);
+  CU_ASSERT_EQUAL (judge_in_group (table, 7, moment_ms), BT_CRASH_RUN);
   crash = make_crash (7, 1, 1);
-  report_crash (table, &crash, MOMENT_MS);
-  CU_ASSERT_EQUAL (judge_in_group (table, 7, 2 * MOMENT_MS), BT_CRASH_HOLD);
+  report_crash (table, &crash, moment_ms);
+  CU_ASSERT_EQUAL (judge_in_group (table, 7, 2 * moment_ms), BT_CRASH_HOLD);
   bt_drop_crash_table (ctx, table);
 }
 
@@ -179,10 +182,10 @@
       bt_crash_t crash = make_crash (7 + i, i, 1);
 
       crash.at_start = true;
-      report_crash (table, &crash, i * 20);
+      report_crash (table, &crash, i * same_moment_ms);
     }
   for (int32_t i = 0; i < 4; i++)
-    CU_ASSERT_EQUAL (judge_in_group (table, 7 + i, MOMENT_MS), BT_CRASH_RUN);
+    CU_ASSERT_EQUAL (judge_in_group (table, 7 + i, moment_ms), BT_CRASH_RUN);
   bt_drop_crash_table (ctx, table);
 }
 
@@ -196,11 +199,11 @@
 
   crash.at_start = true;
   report_crash (table, &crash, 0);
-  bt_begin_crash_trial (table, &crash.request, HOLD_MS + 1);
-  CU_ASSERT_EQUAL (judge_in_group (table, 7, HOLD_MS + 2), BT_CRASH_HOLD);
+  bt_begin_crash_trial (table, &crash.request, hold_ms + 1);
+  CU_ASSERT_EQUAL (judge_in_group (table, 7, hold_ms + 2), BT_CRASH_HOLD);
   crash = make_crash (7, 1, 1);
-  bt_note_complete_answer (ctx, table, &crash, HOLD_MS + 1);
-  CU_ASSERT_EQUAL (judge_in_group (table, 7, HOLD_MS + 3), BT_CRASH_RUN);
+  bt_note_complete_answer (ctx, table, &crash, hold_ms + 1);
+  CU_ASSERT_EQUAL (judge_in_group (table, 7, hold_ms + 3), BT_CRASH_RUN);
   bt_drop_crash_table (ctx, table);
 }
 
@@ -212,7 +215,7 @@
   int64_t now_ms = 0;
   int32_t crashes = 0;
 
-  for (; now_ms < KEEP_MS; now_ms += MOMENT_MS / 5)
+  for (; now_ms < KEEP_MS; now_ms += moment_ms / 5)
     if (judge_in_group (table, 7, now_ms) == BT_CRASH_RUN)
       {
         bt_crash_t crash = make_crash (7, crashes, 1);
