requests: more than three ends refuse a content at whatever moments

Change: a content is refused after ends at three moments, or after more than three ends; a moment is 0.2 s, no longer 1 s. Three endpoints that lose power under like requests still refuse nobody.

Ruled out: not counting ends at whose moment another endpoint ended too; two such contents hide each other.

--- a/include/bilberrytray/requests/crash_table.h
+++ b/include/bilberrytray/requests/crash_table.h
@@ -47,7 +47,8 @@
 
 typedef struct bt_crash_options
 {
-  int32_t max_ends; /**< A request is refused once it has crashes at this many moments. */
+  int32_t max_ends; /**< A request is refused once it has crashes at this many moments, or more
+                       crashes than this. */
   int64_t hold_ms;  /**< How long a request is held after its first crash, where a crash stops a
                        rank group. */
   int64_t keep_ms;  /**< A crash expires this long after its request was last seen. */
@@ -73,8 +74,8 @@
 
 typedef struct bt_crash_table bt_crash_table_t;
 
-/** Sets the defaults: a request is refused after crashes at three moments, a hold takes a minute, a
- * crash is kept for an hour. */
+/** Sets the defaults: a request is refused after crashes at three moments or four crashes, a hold
+ * takes a minute, a crash is kept for an hour. */
 void bt_default_crash_options (bt_crash_options_t *options);
 
 bt_crash_table_t *bt_new_crash_table (bt_context_t *ctx, const bt_crash_options_t *options);
--- a/source/requests/crash_verdict.c
+++ b/source/requests/crash_verdict.c
@@ -6,7 +6,7 @@
 {
   /* Ends of endpoints within this time are one event. Two events of one request in a group are
    * further apart, since the group does not run anything in between. */
-  SAME_MOMENT_MS = 1000,
+  SAME_MOMENT_MS = 200,
   /* A second event makes an accident unlikely: the hold is this many times longer. */
   REPEATED_HOLD_FACTOR = 5,
 };
@@ -80,7 +80,7 @@
   int64_t hold_ms = options->hold_ms;
 
   *retry_after_ms = 0;
-  if (events >= options->max_ends)
+  if (events >= options->max_ends || count > options->max_ends)
     return BT_CRASH_REFUSE;
   if (!stops_group || (events < 2 && !is_suspected (evidence, count)))
     return BT_CRASH_RUN;
--- a/source/requests/crash_verdict.h
+++ b/source/requests/crash_verdict.h
@@ -6,7 +6,8 @@
  *
  * Endpoints that end at one moment count as one event: either one cause ended them, such as a loss
  * of power, or copies of the request ran at the same time. After max_ends events the request is
- * refused.
+ * refused. So that copies that arrive together do not crash ever more endpoints, it is also refused
+ * after more than max_ends endpoints, at whatever moments.
  *
  * Where the end of an endpoint stops a whole rank group, every caller of the group pays for it, and
  * holding back an innocent request costs only its own caller. There a request is held from the
--- a/test/requests/test_crash_table.c
+++ b/test/requests/test_crash_table.c
@@ -128,14 +128,15 @@
 {
   bt_crash_table_t *table = make_table (1);
 
-  for (int32_t i = 0; i < 6; i++)
+  for (int32_t i = 0; i < 4; i++)
     {
       bt_crash_t crash = make_crash (7, i, 1);
 
+      CU_ASSERT_FALSE (is_refused (table, 7));
       report_crash (table, &crash, i * same_moment_ms);
     }
-  CU_ASSERT_EQUAL (count_crashes (table, 7), 6);
-  CU_ASSERT_FALSE (is_refused (table, 7));
+  CU_ASSERT_EQUAL (count_crashes (table, 7), 4);
+  CU_ASSERT_TRUE (is_refused (table, 7));
   bt_drop_crash_table (ctx, table);
 }
 
