load: a broken group that nobody reports on is used again

Cause, by reading: when all agents of a group are lost with one of its ranks, no report ends the assumed outage, and the group would stay paused for good though its engines open again by themselves.

Change: an outage ends when no rank of the group has reported for ten seconds.

Test: test_silent_group_is_resumed.

--- a/include/bilberrytray/load/group_outages.h
+++ b/include/bilberrytray/load/group_outages.h
@@ -58,6 +58,9 @@
                          const bt_identity_t *identity,
                          int64_t now_ms);
 
+/** Resumes the broken groups of which no rank has reported for long. Call it regularly. */
+void bt_expire_group_outages (bt_context_t *ctx, bt_group_outages_t *outages, int64_t now_ms);
+
 /** Returns for how long the group of a rank has been known to be broken, in ms; 0 if it is not. */
 int64_t bt_get_group_outage_ms (const bt_group_outages_t *outages,
                                 const bt_identity_t *identity,
--- a/source/gateway/agent_updates.c
+++ b/source/gateway/agent_updates.c
@@ -166,6 +166,7 @@
 void
 bt_handle_agent_updates (bt_gateway_t *gateway)
 {
+  bt_expire_group_outages (gateway->ctx, gateway->outages, bt_get_loop_ms (gateway->loop));
   if (bt_collect_agent_updates (gateway->agents, handle_update, gateway))
     bt_dispatch_queued_forwards (gateway);
 }
--- a/source/load/group_outages.c
+++ b/source/load/group_outages.c
@@ -18,6 +18,9 @@
   /* Reports of a lower epoch than the known one are accepted if there were no others for this long:
    * the epochs of the group were reset. */
   EPOCH_RESET_MS = 3000,
+  /* A broken group of which nothing was heard for this long is used again: its agents may all be
+   * gone, and only the engines can tell that they are open. */
+  SILENCE_MS = 10000,
 };
 
 /* Weight of the last outage in the smoothed durations. */
@@ -38,6 +41,7 @@
   char app[BT_NAME_BYTES];
   int64_t epoch;
   int64_t epoch_seen_ms; /* last report of this epoch */
+  int64_t heard_ms;      /* last report of any epoch */
   bool broken;
   bool was_open;          /* it has been open before */
   bool confirmed;         /* a rank has reported the outage */
@@ -258,6 +262,7 @@
     return;
   rank->group = find_or_add_group (ctx, outages, state->group, rank->app, state->epoch);
   group = &outages->groups[rank->group];
+  group->heard_ms = now_ms;
   if (is_outdated (group, state, now_ms))
     {
       group->epoch_seen_ms = state->epoch == group->epoch ? now_ms : group->epoch_seen_ms;
@@ -280,6 +285,21 @@
     set_rank_paused (outages, rank, group->broken);
 }
 
+void
+bt_expire_group_outages (bt_context_t *ctx, bt_group_outages_t *outages, int64_t now_ms)
+{
+  for (int32_t i = 0; i < outages->group_count; i++)
+    {
+      group_row_t *group = &outages->groups[i];
+
+      if (!group->broken || now_ms - group->broken_ms < SILENCE_MS
+          || now_ms - group->heard_ms < SILENCE_MS)
+        continue;
+      group->confirmed = false;
+      end_outage (ctx, outages, group, now_ms);
+    }
+}
+
 /* Returns the group of a rank. One that has not reported yet can only belong to the app's group, if
  * there is a single one. */
 static group_row_t *
--- a/test/load/test_group_outages.c
+++ b/test/load/test_group_outages.c
@@ -175,6 +175,22 @@
   close_fixture ();
 }
 
+/* Guards against pausing a group for good when all of its agents are lost with one of its ranks. */
+static void
+test_silent_group_is_resumed (void)
+{
+  open_fixture ();
+  end_rank (0, 1, 100);
+  bt_expire_group_outages (ctx, outages, 100 + 2 * outage_ms);
+  CU_ASSERT_EQUAL (count_usable (100 + 2 * outage_ms), 0);
+  report (1, 1, 1, false, 100 + 2 * outage_ms);
+  bt_expire_group_outages (ctx, outages, 100 + 4 * outage_ms);
+  CU_ASSERT_EQUAL (count_usable (100 + 4 * outage_ms), 0);
+  bt_expire_group_outages (ctx, outages, 100 + 5 * outage_ms);
+  CU_ASSERT_EQUAL (count_usable (100 + 5 * outage_ms), RANKS);
+  close_fixture ();
+}
+
 /* Guards against pausing a group for good when its epochs begin anew. */
 static void
 test_reset_epochs_are_accepted (void)
@@ -292,6 +308,7 @@
   CU_ADD_TEST (suite, test_replacement_is_paused_until_its_group_is_open);
   CU_ADD_TEST (suite, test_outdated_report_is_ignored);
   CU_ADD_TEST (suite, test_group_that_stays_open_is_resumed);
+  CU_ADD_TEST (suite, test_silent_group_is_resumed);
   CU_ADD_TEST (suite, test_reset_epochs_are_accepted);
   CU_ADD_TEST (suite, test_outage_is_estimated_from_earlier_ones);
   CU_ADD_TEST (suite, test_outage_found_at_the_start_is_expected_to_end_soon);
