gateway: tasks that are queued when the loop is dropped are freed

A lease keeper's thread renews the lease and posts its event between the end of the loop and the drop of the keeper; the loop dropped its queue with the event in it. Only the memory of a process that ends is concerned.

Change: a task may name how it is freed when it is not run; the events of the lease keeper and the wake-ups of agents' links do.

--- a/source/gateway/agent_links.c
+++ b/source/gateway/agent_links.c
@@ -78,6 +78,7 @@
   wake_task_t *wake = bt_calloc (links->ctx, 1, sizeof *wake);
 
   wake->task.run = run_wake;
+  wake->task.drop = run_wake;
   wake->ctx = links->ctx;
   /* The task queue is full, so the loop is about to run anyway. */
   if (!bt_post_task (links->loop, &wake->task))
--- a/source/gateway/event_loop.c
+++ b/source/gateway/event_loop.c
@@ -66,13 +66,25 @@
   return loop;
 }
 
+/* Threads may post tasks until their owners are dropped, which is after the loop has ended. */
+static void
+drop_queued_tasks (bt_context_t *ctx, bt_event_loop_t *loop)
+{
+  bt_task_t *task;
+
+  while ((task = bt_pop_queue (loop->tasks)) != NULL)
+    if (task->drop != NULL)
+      task->drop (task);
+    else
+      bt_log (ctx, BT_LOG_WARNING, BT_PART_MAIN, "The event loop ended with a task still queued.");
+}
+
 void
 bt_drop_event_loop (bt_context_t *ctx, bt_event_loop_t *loop)
 {
   if (loop == NULL)
     return;
-  if (bt_pop_queue (loop->tasks) != NULL)
-    bt_log (ctx, BT_LOG_WARNING, BT_PART_MAIN, "The event loop ended with tasks still queued.");
+  drop_queued_tasks (ctx, loop);
   if (loop->epoll_fd >= 0)
     close (loop->epoll_fd);
   if (loop->wakeup_watch.fd >= 0)
--- a/source/gateway/event_loop.h
+++ b/source/gateway/event_loop.h
@@ -38,6 +38,9 @@
 typedef struct bt_task
 {
   void (*run) (struct bt_task *task);
+  /** Frees the task without running it, when the loop is dropped before it has run; NULL: the
+   * poster keeps it. Must not use anything that may be dropped before the loop. */
+  void (*drop) (struct bt_task *task);
 } bt_task_t;
 
 /** A callback that runs once in each iteration of the loop, after events, tasks and timers. */
--- a/source/gateway/lease_keeper.c
+++ b/source/gateway/lease_keeper.c
@@ -27,6 +27,7 @@
 typedef struct lease_event
 {
   bt_task_t task;
+  bt_context_t *ctx;
   bt_lease_keeper_t *keeper;
   uint64_t fence;
   int64_t sent_ms;
@@ -39,7 +40,13 @@
   bt_lease_listener_t *listener = event->keeper->listener;
 
   listener->on_lease (listener, event->fence, event->sent_ms);
-  bt_free (event->keeper->ctx, event);
+  bt_free (event->ctx, event);
+}
+
+static void
+drop_event (bt_task_t *task)
+{
+  bt_free (((lease_event_t *)task)->ctx, task);
 }
 
 static void
@@ -48,6 +55,8 @@
   lease_event_t *event = bt_calloc (keeper->ctx, 1, sizeof *event);
 
   event->task.run = run_event;
+  event->task.drop = drop_event;
+  event->ctx = keeper->ctx;
   event->keeper = keeper;
   event->fence = fence;
   event->sent_ms = sent_ms;
