gateway: endpoints of evacuated failure domains get no requests

Cause: nothing in the code knew of an evacuation.

Change: the items are decoded into the view, so they reach all entries as everything in the store does: by the watch, by peers, in the order of revisions, with the first view of an entry that starts. The endpoint table marks its rows, also those that are kept while they are missing, and the router chooses none of them. What runs there ends, ranks stay in their group. If all endpoints of an app are evacuated its requests are refused at once as not run.

--- a/include/bilberrytray/gateway/platform.h
+++ b/include/bilberrytray/gateway/platform.h
@@ -124,6 +124,8 @@
   const char *name;
   const char *configuration_key; /**< Store key of the operators' current configuration. */
   const char *endpoint_prefix;   /**< Common prefix of the endpoints' store keys. */
+  const char *evacuation_prefix; /**< Prefix of the store keys that name the evacuated failure
+                                    domains. */
   const char *address_path;      /**< HTTP path at which callers request addresses. */
   const char *ready_path;        /**< HTTP path of the readiness check. */
 };
--- a/include/bilberrytray/load/router.h
+++ b/include/bilberrytray/load/router.h
@@ -130,6 +130,10 @@
  * Returns false if it does not exist. */
 bool bt_set_endpoint_paused (bt_router_t *router, const bt_identity_t *identity, bool paused);
 
+/** Marks an endpoint as evacuated or not; an evacuated one gets no new requests. Returns false if
+ * it does not exist. */
+bool bt_set_endpoint_evacuated (bt_router_t *router, const bt_identity_t *identity, bool evacuated);
+
 /** Records a load report from a heartbeat or a refusal. Returns false if the endpoint does not
  * exist or has no link. */
 bool bt_record_load (bt_router_t *router,
--- a/source/gateway/endpoint_table.c
+++ b/source/gateway/endpoint_table.c
@@ -23,6 +23,7 @@
   bool gone; /* known to be gone; not in the router while the same registration is listed */
   int64_t missing_since_ms; /* since when the store does not list it; 0: it is listed */
   int64_t ignored_start_ms; /* start time of the older registration ignored last; 0: none */
+  bool evacuated;           /* as the router knows it */
 } table_row_t;
 
 struct bt_endpoint_table
@@ -228,6 +229,25 @@
     update_router (ctx, table, listed, is_new, now_ms);
 }
 
+/* Marks the endpoints of evacuated failure domains, those that are kept although they are missing
+ * in the view included. */
+static void
+apply_evacuations (bt_endpoint_table_t *table, const bt_evacuations_t *evacuations)
+{
+  for (int32_t i = 0; i < table->count; i++)
+    {
+      table_row_t *row = &table->rows[i];
+      bool evacuated = bt_is_domain_evacuated (evacuations, row->listed.failure_domain);
+      bt_identity_t identity;
+
+      if (evacuated == row->evacuated)
+        continue;
+      row->evacuated = evacuated;
+      bt_identify_endpoint (&row->listed, &identity);
+      bt_set_endpoint_evacuated (table->router, &identity, evacuated);
+    }
+}
+
 /* Returns the time until which a missing endpoint is kept. */
 static int64_t
 get_keep_end_ms (const bt_endpoint_table_t *table, const table_row_t *row)
@@ -270,6 +290,7 @@
       remove_from_router (ctx, table, &row->listed);
       *row = table->rows[--table->count];
     }
+  apply_evacuations (table, &view->evacuations);
   return next_apply_ms;
 }
 
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -127,6 +127,8 @@
                   "store_revision", (json_int_t)view->configuration_revision, "rules",
                   view->declarations == NULL ? 0 : view->declarations->rule_count, "accounts",
                   view->declarations == NULL ? 0 : view->declarations->account_count);
+  bt_report_evacuations (gateway->ctx, before == NULL ? NULL : &before->evacuations,
+                         &view->evacuations, view->revision);
   if (view->declarations != NULL)
     apply_limits (gateway, &view->declarations->limits);
   bt_set_router_entries (gateway->router, view->entry_count);
--- a/source/gateway/view.c
+++ b/source/gateway/view.c
@@ -239,6 +239,15 @@
   view->crashes[view->crash_count++] = listed;
 }
 
+static void
+read_evacuation (view_draft_t *draft, const bt_platform_t *platform, const bt_kv_pair_t *pair)
+{
+  const char *domain = pair->key + strlen (platform->evacuation_prefix);
+
+  if (!bt_add_evacuation (draft->ctx, &draft->view->evacuations, domain))
+    skip_item (draft, pair, "evacuation-unreadable", "Its key does not name a failure domain.");
+}
+
 /* Reads an item other than the configuration, which must be read first, because it determines which
  * apps may have endpoints. */
 static void
@@ -257,6 +266,8 @@
     }
   else if (starts_with (pair->key, bt_crash_prefix))
     read_listed_crash (draft, pair);
+  else if (starts_with (pair->key, platform->evacuation_prefix))
+    read_evacuation (draft, platform, pair);
   else if (strcmp (pair->key, leader_key) == 0 && pair->value_bytes < sizeof view->leader)
     memcpy (view->leader, pair->value, pair->value_bytes);
 }
@@ -345,6 +356,7 @@
   bt_free (ctx, view->endpoints);
   bt_free (ctx, view->entries);
   bt_free (ctx, view->crashes);
+  bt_clear_evacuations (ctx, &view->evacuations);
   for (int32_t i = 0; i < view->skipped_count; i++)
     bt_free (ctx, view->skipped[i].key);
   bt_free (ctx, view->skipped);
--- a/source/gateway/view.h
+++ b/source/gateway/view.h
@@ -3,11 +3,12 @@
 
 /** @file
  * A decoded snapshot of the platform's store at one revision: the configuration, the endpoints, the
- * entry instances and the crashes. Immutable after creation.
+ * entry instances, the crashes and the evacuated failure domains. Immutable after creation.
  */
 
 #include "bilberrytray/gateway/platform.h"
 #include "bilberrytray/requests/crash_table.h"
+#include "evacuations.h"
 
 /** The listing of an entry instance, a process that accepts callers' requests. */
 typedef struct bt_listed_entry
@@ -19,8 +20,8 @@
   double cores; /**< Its processor share, in cores; 0: unknown. */
 } bt_listed_entry_t;
 
-/** An item under the keys of endpoints, entry instances or crashes that was skipped, because it is
- * invalid or its app is not declared. Other programs may write such items. */
+/** An item under the keys of endpoints, entry instances, crashes or evacuations that was skipped,
+ * because it is invalid or its app is not declared. Other programs may write such items. */
 typedef struct bt_skipped_item
 {
   char *key;
@@ -42,6 +43,7 @@
   int32_t entry_count;
   bt_listed_crash_t *crashes;
   int32_t crash_count;
+  bt_evacuations_t evacuations;
   bt_skipped_item_t *skipped; /**< Skipped items, in the order of the store's items. Each is
                                  logged once per revision. */
   int32_t skipped_count;
--- a/source/load/router.c
+++ b/source/load/router.c
@@ -203,6 +203,17 @@
   return true;
 }
 
+bool
+bt_set_endpoint_evacuated (bt_router_t *router, const bt_identity_t *identity, bool evacuated)
+{
+  bt_endpoint_state_t *state = find_endpoint (router, identity);
+
+  if (state == NULL)
+    return false;
+  state->evacuated = evacuated;
+  return true;
+}
+
 bool
 bt_record_load (bt_router_t *router,
                 const bt_identity_t *identity,
@@ -243,8 +254,8 @@
 static bool
 is_usable (bt_router_t *router, bt_endpoint_state_t *state, const char *app, int64_t now_ms)
 {
-  return state->linked && !state->leaving && !state->paused && now_ms >= state->ended_until_ms
-         && strcmp (state->endpoint.app, app) == 0
+  return state->linked && !state->leaving && !state->evacuated && !state->paused
+         && now_ms >= state->ended_until_ms && strcmp (state->endpoint.app, app) == 0
          && !bt_is_outlier_ejected (&state->outlier, &router->options.outlier, now_ms);
 }
 
@@ -491,7 +502,7 @@
       if (strcmp (state->endpoint.app, app) == 0)
         {
           capacity->in_flight += state->own_in_flight;
-          capacity->paused += state->paused && !state->leaving ? 1 : 0;
+          capacity->paused += state->paused && !state->leaving && !state->evacuated ? 1 : 0;
         }
       if (!is_usable (router, state, app, now_ms))
         continue;
--- a/test/gateway/test_endpoint_table.c
+++ b/test/gateway/test_endpoint_table.c
@@ -290,6 +290,68 @@
   drop_table ();
 }
 
+/* Lists the endpoint in an evacuated failure domain. */
+static void
+evacuate (bt_evacuations_t *evacuations)
+{
+  memset (evacuations, 0, sizeof *evacuations);
+  bt_add_evacuation (ctx, evacuations, "a");
+  listed_view.evacuations = *evacuations;
+  empty_view.evacuations = *evacuations;
+  bt_apply_listed_endpoints (ctx, table, &listed_view, LEFT_MS);
+}
+
+static void
+release (bt_evacuations_t *evacuations)
+{
+  bt_clear_evacuations (ctx, evacuations);
+  memset (&listed_view.evacuations, 0, sizeof listed_view.evacuations);
+  memset (&empty_view.evacuations, 0, sizeof empty_view.evacuations);
+}
+
+/* Guards against requests to the endpoints of a failure domain that the operators have evacuated.
+ * Requests that run there go on, and a process that restarts there gets none either. */
+static void
+test_endpoint_of_evacuated_domain_gets_no_requests (void)
+{
+  bt_evacuations_t evacuations;
+
+  create_table ();
+  bt_copy_name (listed.failure_domain, "a");
+  list_start (FIRST_START_MS);
+  dispatch ();
+  evacuate (&evacuations);
+  CU_ASSERT_EQUAL (get_capacity ().endpoints, 0);
+  CU_ASSERT_EQUAL (get_capacity ().in_flight, 1);
+  list_start (SECOND_START_MS);
+  CU_ASSERT_EQUAL (get_capacity ().endpoints, 0);
+  release (&evacuations);
+  list_start (SECOND_START_MS);
+  CU_ASSERT_EQUAL (get_capacity ().endpoints, 1);
+  drop_table ();
+}
+
+/* Guards against requests to an evacuated endpoint whose registration lapsed with the store, and
+ * which is kept until it is listed again. */
+static void
+test_missing_endpoint_of_evacuated_domain_gets_no_requests (void)
+{
+  bt_evacuations_t evacuations;
+
+  create_table ();
+  bt_copy_name (listed.failure_domain, "a");
+  list_start (SECOND_START_MS);
+  bt_record_store_regained (table, REGAINED_MS);
+  bt_apply_listed_endpoints (ctx, table, &empty_view, LEFT_MS);
+  CU_ASSERT_EQUAL (get_capacity ().endpoints, 1);
+  evacuate (&evacuations);
+  bt_apply_listed_endpoints (ctx, table, &empty_view, LEFT_MS);
+  CU_ASSERT_PTR_NOT_NULL (bt_find_listed_endpoint (table, "i-1"));
+  CU_ASSERT_EQUAL (get_capacity ().endpoints, 0);
+  release (&evacuations);
+  drop_table ();
+}
+
 int
 main (void)
 {
@@ -309,6 +371,8 @@
   CU_ADD_TEST (suite, test_endpoint_without_start_time_is_used);
   CU_ADD_TEST (suite, test_unannounced_end_is_reported);
   CU_ADD_TEST (suite, test_announced_end_is_not_reported);
+  CU_ADD_TEST (suite, test_endpoint_of_evacuated_domain_gets_no_requests);
+  CU_ADD_TEST (suite, test_missing_endpoint_of_evacuated_domain_gets_no_requests);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
--- a/test/gateway/test_view.c
+++ b/test/gateway/test_view.c
@@ -263,6 +263,29 @@
   bt_drop_view (ctx, view);
 }
 
+/* The operators' requests to evacuate failure domains must be read, and a key that names no domain
+ * must be skipped. */
+static void
+test_evacuated_domains_are_read (void)
+{
+  char key[VALUE_BYTES];
+  bt_view_t *view;
+
+  reset_items ();
+  add_item ("op/evacuate/b", "", 10);
+  add_item ("op/evacuate/", "c", 20);
+  snprintf (key, sizeof key, "op/evacuate/%0*d", BT_NAME_BYTES, 0);
+  add_item (key, "", 30);
+  add_item ("op/evacuate/a", "any value", 40);
+  view = make_view (NULL);
+  CU_ASSERT_EQUAL (view->evacuations.count, 2);
+  CU_ASSERT_TRUE (bt_is_domain_evacuated (&view->evacuations, "a"));
+  CU_ASSERT_TRUE (bt_is_domain_evacuated (&view->evacuations, "b"));
+  CU_ASSERT_FALSE (bt_is_domain_evacuated (&view->evacuations, "c"));
+  CU_ASSERT_EQUAL (view->skipped_count, 2);
+  bt_drop_view (ctx, view);
+}
+
 int
 main (void)
 {
@@ -278,6 +301,7 @@
   CU_ADD_TEST (suite, test_invalid_item_is_logged_once_per_revision);
   CU_ADD_TEST (suite, test_invalid_entry_values_are_skipped);
   CU_ADD_TEST (suite, test_valid_crashes_are_read_and_others_skipped);
+  CU_ADD_TEST (suite, test_evacuated_domains_are_read);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
