load: an entry uses a subset of a model's endpoints

Cause: every entry was linked to every agent. With 432 entries and 576 agents that is 248,832 links, 1,440 reports a second an agent; an agent accepts 256 links, so the others were dialled again for ever.

Change: of each model an entry uses a subset by rendezvous hashing, spread over failure domains: 64, more where an endpoint would have fewer than sixteen entries, all where that is more than two thirds (so nothing changes up to 96 endpoints). It is linked to these agents alone; the leader is linked to all. The router counts the entries that share an endpoint by app, and the limit of passes takes the mean of the ranks that report.

--- a/include/bilberrytray/load/router.h
+++ b/include/bilberrytray/load/router.h
@@ -107,6 +107,10 @@
  * membership; values below 1 count as 1. */
 void bt_set_router_entries (bt_router_t *router, int32_t entries);
 
+/** Sets the number of entries that share the endpoints of one app, where it differs from that of
+ * the membership. */
+void bt_set_app_entries (bt_context_t *ctx, bt_router_t *router, const char *app, int32_t entries);
+
 /** Adds an endpoint or updates the one of the same identity, and records that its link is up. An
  * added endpoint takes over the outlier record of another incarnation of the same instance, which
  * is removed, and so are endpoints without a link for more than ten minutes. */
@@ -130,6 +134,10 @@
  * Returns false if it does not exist. */
 bool bt_set_endpoint_paused (bt_router_t *router, const bt_identity_t *identity, bool paused);
 
+/** Sets whether this entry uses an endpoint at all; an added one is used. Returns false if it does
+ * not exist. */
+bool bt_set_endpoint_selected (bt_router_t *router, const bt_identity_t *identity, bool selected);
+
 /** Marks an endpoint as evacuated or not; an evacuated one gets no new requests. Returns false if
  * it does not exist. */
 bool bt_set_endpoint_evacuated (bt_router_t *router, const bt_identity_t *identity, bool evacuated);
--- a/source/gateway/agent_links.c
+++ b/source/gateway/agent_links.c
@@ -27,7 +27,8 @@
 {
   char endpoint[BT_ADDRESS_BYTES];
   char agent[BT_ADDRESS_BYTES];
-  bool listed; /* its endpoint is in the current view */
+  bool listed;   /* its endpoint is in the current view */
+  bool selected; /* this instance sends requests to its endpoint */
   bt_link_t *link;
   bool up;
   bool updated; /* reported since updates were last collected */
@@ -241,19 +242,30 @@
 static const bt_link_handler_vtable_t handler_vtable = { handle_link_up, handle_frame,
                                                          handle_link_down, send_heartbeat };
 
-/* Connects to the agents that have no open link. */
 static void
-dial_unlinked_agents (bt_agent_links_t *links)
+drop_row_link (bt_agent_links_t *links, agent_row_t *row)
+{
+  if (row->link != NULL)
+    bt_close_link (row->link);
+  bt_drop_link (links->ctx, row->link);
+  row->link = NULL;
+  row->up = false;
+}
+
+/* Connects to the agents that need a link and have no open one, and closes the links to others. */
+static void
+maintain_links (bt_agent_links_t *links)
 {
   for (agent_row_t *row = links->rows; row != NULL; row = row->next)
     {
+      bool needed = row->selected || links->fence != 0;
       bt_error_t error = { 0 };
 
-      if (row->link != NULL && !bt_is_link_closed (row->link))
+      if (needed && row->link != NULL && !bt_is_link_closed (row->link))
         continue;
-      bt_drop_link (links->ctx, row->link);
-      row->up = false;
-      row->link = bt_dial_link (links->ctx, links->link_loop, row->agent, row->agent, &error);
+      drop_row_link (links, row);
+      if (needed)
+        row->link = bt_dial_link (links->ctx, links->link_loop, row->agent, row->agent, &error);
     }
 }
 
@@ -264,7 +276,7 @@
       (bt_agent_links_t *)((char *)timer - offsetof (bt_agent_links_t, redial_timer));
 
   pthread_mutex_lock (&links->lock);
-  dial_unlinked_agents (links);
+  maintain_links (links);
   pthread_mutex_unlock (&links->lock);
   bt_set_timer (links->loop, timer, bt_get_loop_ms (links->loop) + REDIAL_MS);
 }
@@ -311,9 +323,7 @@
 static void
 drop_row (bt_agent_links_t *links, agent_row_t *row)
 {
-  if (row->link != NULL)
-    bt_close_link (row->link);
-  bt_drop_link (links->ctx, row->link);
+  drop_row_link (links, row);
   bt_free (links->ctx, row->picks);
   bt_free (links->ctx, row->places);
   bt_free (links->ctx, row);
@@ -346,7 +356,7 @@
 }
 
 static void
-ensure_row (bt_agent_links_t *links, const char *endpoint)
+ensure_row (bt_agent_links_t *links, const char *endpoint, bool selected)
 {
   agent_row_t *row = find_row (links, endpoint);
   size_t host_bytes = strcspn (endpoint, ":");
@@ -360,21 +370,26 @@
       links->rows = row;
     }
   row->listed = true;
+  row->selected = row->selected || selected;
 }
 
 void
 bt_set_agent_endpoints (bt_agent_links_t *links,
                         const bt_view_t *view,
-                        const bt_declarations_t *declarations)
+                        const bt_endpoint_selection_t *selection)
 {
   agent_row_t **at;
 
   pthread_mutex_lock (&links->lock);
   for (agent_row_t *row = links->rows; row != NULL; row = row->next)
-    row->listed = false;
+    {
+      row->listed = false;
+      row->selected = false;
+    }
   for (int32_t i = 0; i < view->endpoint_count; i++)
-    if (is_model (declarations, view->endpoints[i].app))
-      ensure_row (links, view->endpoints[i].address);
+    if (is_model (view->declarations, view->endpoints[i].app))
+      ensure_row (links, view->endpoints[i].address,
+                  bt_is_endpoint_selected (selection, &view->endpoints[i]));
   at = &links->rows;
   while (*at != NULL)
     {
@@ -388,7 +403,7 @@
       *at = row->next;
       drop_row (links, row);
     }
-  dial_unlinked_agents (links);
+  maintain_links (links);
   pthread_mutex_unlock (&links->lock);
 }
 
@@ -451,6 +466,7 @@
 {
   pthread_mutex_lock (&links->lock);
   links->fence = fence;
+  maintain_links (links);
   for (agent_row_t *row = links->rows; row != NULL; row = row->next)
     send_follow (links, row, fence != 0);
   pthread_mutex_unlock (&links->lock);
--- a/source/gateway/agent_links.h
+++ b/source/gateway/agent_links.h
@@ -5,6 +5,9 @@
  * Links to the agents that run beside model engines. They carry the engines' reports, and the
  * orders of a group's leader.
  *
+ * An instance is linked to the agents of the endpoints that it sends requests to. The leader is
+ * linked to all agents.
+ *
  * Frames arrive on the links' own thread, which only stores them in a table. The event loop
  * collects them from the table in each iteration. While this instance leads, every frame wakes the
  * loop, so that the results of orders are processed without delay.
@@ -12,8 +15,8 @@
 
 #include "bilberrytray/maps/expert_map.h"
 #include "bilberrytray/wire/engine_messages.h"
+#include "endpoint_selection.h"
 #include "event_loop.h"
-#include "view.h"
 
 typedef struct bt_agent_links bt_agent_links_t;
 
@@ -56,11 +59,12 @@
 /** NULL is accepted. */
 void bt_drop_agent_links (bt_context_t *ctx, bt_agent_links_t *links);
 
-/** Opens links to the agents of the view's endpoints, and closes all others. Endpoints of plain
- * services have no agent; @p declarations define which apps are models. */
+/** Opens links to the agents of the selected endpoints of a view, and closes all others. While this
+ * instance leads, it is linked to the agents of all endpoints. Endpoints of plain services have no
+ * agent; the declarations of the view define which apps are models. */
 void bt_set_agent_endpoints (bt_agent_links_t *links,
                              const bt_view_t *view,
-                             const bt_declarations_t *declarations);
+                             const bt_endpoint_selection_t *selection);
 
 /** Passes each update that arrived since the last call to @p handle_update. Returns false if there
  * are none. */
@@ -68,8 +72,9 @@
                                bt_agent_update_handler_t handle_update,
                                void *data);
 
-/** Asks all agents to send their picks regularly, and their places once, to the leader with the
- * fencing number @p fence. 0 ends the subscription. Agents that connect later are asked too. */
+/** Makes this instance the leader with the fencing number @p fence: opens links to all agents, and
+ * asks them to send their picks regularly and their places once. 0 ends the subscription. Agents
+ * that connect later are asked too. */
 void bt_subscribe_agents (bt_agent_links_t *links, uint64_t fence);
 
 /** Asks one agent to send a report at once. */
--- a/source/gateway/endpoint_table.c
+++ b/source/gateway/endpoint_table.c
@@ -93,6 +93,20 @@
   return row == NULL ? NULL : &row->listed;
 }
 
+int32_t
+bt_count_listed_endpoints (const bt_endpoint_table_t *table)
+{
+  return table->count;
+}
+
+const bt_listed_endpoint_t *
+bt_get_listed_endpoint (const bt_endpoint_table_t *table, int32_t index)
+{
+  const table_row_t *row = &table->rows[index];
+
+  return row->gone ? NULL : &row->listed;
+}
+
 const bt_listed_endpoint_t *
 bt_find_endpoint_at (const bt_endpoint_table_t *table, const char *address)
 {
--- a/source/gateway/endpoint_table.h
+++ b/source/gateway/endpoint_table.h
@@ -45,6 +45,14 @@
 const bt_listed_endpoint_t *bt_find_listed_endpoint (const bt_endpoint_table_t *table,
                                                      const char *id);
 
+/** Returns the number of endpoints, those included that are kept although they are not listed. */
+int32_t bt_count_listed_endpoints (const bt_endpoint_table_t *table);
+
+/** Returns the endpoint at an index; NULL if it is known to be gone. The result is valid until the
+ * next change of the table. */
+const bt_listed_endpoint_t *bt_get_listed_endpoint (const bt_endpoint_table_t *table,
+                                                    int32_t index);
+
 /** Finds the endpoint at an address, the one that started last; NULL when there is none. */
 const bt_listed_endpoint_t *bt_find_endpoint_at (const bt_endpoint_table_t *table,
                                                  const char *address);
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -88,6 +88,9 @@
   int64_t next_apply_ms = bt_apply_listed_endpoints (gateway->ctx, gateway->endpoints,
                                                      gateway->view, bt_get_loop_ms (gateway->loop));
 
+  bt_update_endpoint_selection (gateway->ctx, gateway->selection, gateway->endpoints, gateway->view,
+                                gateway->router);
+
   if (next_apply_ms > 0)
     bt_set_timer (gateway->loop, &gateway->relist_timer, next_apply_ms);
 }
@@ -139,7 +142,7 @@
   apply_endpoints (gateway);
   if (gateway->agents != NULL && view->declarations != NULL)
     {
-      bt_set_agent_endpoints (gateway->agents, view, view->declarations);
+      bt_set_agent_endpoints (gateway->agents, view, gateway->selection);
       bt_set_group_view (gateway->groups, view, gateway->leaving);
     }
   if (is_ready (gateway) && !was_ready)
@@ -304,6 +307,7 @@
   gateway->admission = bt_new_admission (gateway->ctx, gateway->router, &admission);
   bt_set_admission_outages (gateway->admission, gateway->outages);
   gateway->endpoints = bt_new_endpoint_table (gateway->ctx, gateway->router, gateway->outages);
+  gateway->selection = bt_new_endpoint_selection (gateway->ctx, &gateway->identity);
 }
 
 static void
@@ -412,6 +416,7 @@
   bt_drop_crash_control (ctx, gateway->crashes);
   bt_drop_exchange_pool (ctx, gateway->exchanges);
   bt_drop_group_limiters (gateway);
+  bt_drop_endpoint_selection (ctx, gateway->selection);
   bt_drop_endpoint_table (ctx, gateway->endpoints);
   bt_drop_admission (ctx, gateway->admission);
   bt_drop_group_outages (ctx, gateway->outages);
--- a/source/gateway/gateway_private.h
+++ b/source/gateway/gateway_private.h
@@ -12,6 +12,7 @@
 #include "bilberrytray/load/pass_limiter.h"
 #include "bilberrytray/load/retry_budget.h"
 #include "crash_control.h"
+#include "endpoint_selection.h"
 #include "endpoint_table.h"
 #include "exchange.h"
 #include "group_control.h"
@@ -65,6 +66,7 @@
   bt_group_outages_t *outages;
   bt_admission_t *admission;
   bt_endpoint_table_t *endpoints;
+  bt_endpoint_selection_t *selection;
   bt_crash_control_t *crashes;
   bt_fingerprint_key_t fingerprint_key;
   bt_agent_links_t *agents;
--- a/source/load/endpoint_state.h
+++ b/source/load/endpoint_state.h
@@ -38,6 +38,7 @@
   bool leaving;
   int64_t ended_until_ms; /**< Its process is known to have ended; the endpoint is not used before
                              this time. */
+  bool unselected;        /**< This entry does not use it. */
   bool evacuated;         /**< The operators have evacuated its failure domain. */
   bool paused;            /**< Its group is being formed and it refuses all requests. */
   bool reported;          /**< A load report has arrived since the link came up. */
--- a/source/load/pass_limiter.c
+++ b/source/load/pass_limiter.c
@@ -20,6 +20,7 @@
   /* A slow rank that has not reported for this long may be slow no more, or replaced. */
   SLOWDOWN_EXPIRY_MS = 3000,
   NEVER = -1,
+  NOT_REPORTED = -1,
   /* Two jumps within this time are frequent: most streams take about two seconds and meet one of
    * them. The time allows for one undetected jump between them. */
   FREQUENT_MS = 6000,
@@ -49,7 +50,7 @@
 struct bt_pass_limiter
 {
   bt_pass_limiter_settings_t settings;
-  int32_t *running;      /* requests running on each rank */
+  int32_t *running;      /* requests running on each rank; NOT_REPORTED: not known */
   slowdown_t *slowdowns; /* of each rank */
   int64_t window_step;   /* step and time at which the window begins */
   int64_t window_ms;
@@ -70,6 +71,8 @@
 
   limiter->settings = *settings;
   limiter->running = bt_calloc (ctx, (size_t)settings->ranks, sizeof *limiter->running);
+  for (int32_t i = 0; i < settings->ranks; i++)
+    limiter->running[i] = NOT_REPORTED;
   limiter->slowdowns = bt_calloc (ctx, (size_t)settings->ranks, sizeof *limiter->slowdowns);
   limiter->limit = settings->slots;
   limiter->fast_limit = settings->slots;
@@ -90,14 +93,20 @@
   bt_free (ctx, limiter);
 }
 
+/* Returns the mean number of requests on the ranks that report to this entry. */
 static double
 get_mean_running (const bt_pass_limiter_t *limiter)
 {
   double sum = 0;
+  int32_t count = 0;
 
   for (int32_t i = 0; i < limiter->settings.ranks; i++)
-    sum += limiter->running[i];
-  return sum / limiter->settings.ranks;
+    if (limiter->running[i] != NOT_REPORTED)
+      {
+        sum += limiter->running[i];
+        count++;
+      }
+  return count > 0 ? sum / count : 0;
 }
 
 /* Records a jump if passes are too long for the streams that a group with recent_limit would run.
--- a/source/load/router.c
+++ b/source/load/router.c
@@ -19,10 +19,19 @@
   INITIAL_CAPACITY = 16,
 };
 
+/** Number of entries that share the endpoints of one app. */
+typedef struct app_entries
+{
+  char app[BT_NAME_BYTES];
+  int32_t entries;
+} app_entries_t;
+
 struct bt_router
 {
   bt_router_options_t options;
-  int32_t entries;
+  int32_t entries; /* of an app without a row below */
+  app_entries_t *app_entries;
+  int32_t app_count;
   uint64_t last_link_number;
   uint64_t last_dispatch;
   double home_virtual_time; /* virtual time of the last home agent chosen */
@@ -63,6 +72,7 @@
   for (int32_t i = 0; i < router->count; i++)
     bt_free (ctx, router->endpoints[i]);
   bt_free (ctx, router->endpoints);
+  bt_free (ctx, router->app_entries);
   bt_free (ctx, router);
 }
 
@@ -72,6 +82,38 @@
   router->entries = entries > 0 ? entries : 1;
 }
 
+static app_entries_t *
+find_app_entries (const bt_router_t *router, const char *app)
+{
+  for (int32_t i = 0; i < router->app_count; i++)
+    if (strcmp (router->app_entries[i].app, app) == 0)
+      return &router->app_entries[i];
+  return NULL;
+}
+
+void
+bt_set_app_entries (bt_context_t *ctx, bt_router_t *router, const char *app, int32_t entries)
+{
+  app_entries_t *row = find_app_entries (router, app);
+
+  if (row == NULL)
+    {
+      router->app_entries = bt_realloc (ctx, router->app_entries, (size_t)router->app_count + 1,
+                                        sizeof *router->app_entries);
+      row = &router->app_entries[router->app_count++];
+      bt_copy_name (row->app, app);
+    }
+  row->entries = entries > 0 ? entries : 1;
+}
+
+static int32_t
+get_entries (const bt_router_t *router, const char *app)
+{
+  const app_entries_t *row = find_app_entries (router, app);
+
+  return row == NULL ? router->entries : row->entries;
+}
+
 static bt_endpoint_state_t *
 find_endpoint (bt_router_t *router, const bt_identity_t *identity)
 {
@@ -203,6 +245,17 @@
   return true;
 }
 
+bool
+bt_set_endpoint_selected (bt_router_t *router, const bt_identity_t *identity, bool selected)
+{
+  bt_endpoint_state_t *state = find_endpoint (router, identity);
+
+  if (state == NULL)
+    return false;
+  state->unselected = !selected;
+  return true;
+}
+
 bool
 bt_set_endpoint_evacuated (bt_router_t *router, const bt_identity_t *identity, bool evacuated)
 {
@@ -254,8 +307,9 @@
 static bool
 is_usable (bt_router_t *router, bt_endpoint_state_t *state, const char *app, int64_t now_ms)
 {
-  return state->linked && !state->leaving && !state->evacuated && !state->paused
-         && now_ms >= state->ended_until_ms && strcmp (state->endpoint.app, app) == 0
+  return state->linked && !state->unselected && !state->leaving && !state->evacuated
+         && !state->paused && now_ms >= state->ended_until_ms
+         && strcmp (state->endpoint.app, app) == 0
          && !bt_is_outlier_ejected (&state->outlier, &router->options.outlier, now_ms);
 }
 
@@ -289,8 +343,8 @@
         usable[count++] = state;
     }
   *retry_after_ms = 0;
-  best =
-      bt_choose_endpoint_state (&router->options, router->entries, usable, count, request, now_ms);
+  best = bt_choose_endpoint_state (&router->options, get_entries (router, request->app), usable,
+                                   count, request, now_ms);
   if (best == NULL)
     {
       *retry_after_ms = NO_ENDPOINT_RETRY_AFTER_MS;
@@ -369,7 +423,7 @@
     {
       bt_endpoint_state_t *state = router->endpoints[i];
 
-      if (strcmp (state->endpoint.app, app) == 0
+      if (!state->unselected && strcmp (state->endpoint.app, app) == 0
           && bt_is_outlier_ejected (&state->outlier, &router->options.outlier, now_ms))
         ejected++;
     }
@@ -382,7 +436,7 @@
   int32_t count = 0;
 
   for (int32_t i = 0; i < router->count; i++)
-    if (strcmp (router->endpoints[i]->endpoint.app, app) == 0)
+    if (!router->endpoints[i]->unselected && strcmp (router->endpoints[i]->endpoint.app, app) == 0)
       count++;
   return count;
 }
@@ -487,10 +541,18 @@
   return room > -estimated_growth ? room : -estimated_growth;
 }
 
+/* Returns true if an endpoint is paused and accepts requests of this entry afterwards. */
+static bool
+is_expected_back (const bt_endpoint_state_t *state)
+{
+  return state->paused && !state->unselected && !state->leaving && !state->evacuated;
+}
+
 void
 bt_get_capacity (bt_router_t *router, const char *app, int64_t now_ms, bt_capacity_t *capacity)
 {
   const bt_router_options_t *options = &router->options;
+  const int32_t entries = get_entries (router, app);
   int64_t service_ms = 0;
 
   memset (capacity, 0, sizeof *capacity);
@@ -502,7 +564,7 @@
       if (strcmp (state->endpoint.app, app) == 0)
         {
           capacity->in_flight += state->own_in_flight;
-          capacity->paused += state->paused && !state->leaving && !state->evacuated ? 1 : 0;
+          capacity->paused += is_expected_back (state) ? 1 : 0;
         }
       if (!is_usable (router, state, app, now_ms))
         continue;
@@ -511,14 +573,14 @@
       capacity->slots += slots;
       /* Other entries that hold more than their equal share return the excess under load. */
       capacity->available_slots += slots - (bt_get_endpoint_load (state) - state->own_in_flight);
-      capacity->room += get_endpoint_room (state, options, router->entries);
-      capacity->equal_share += (double)(slots + options->queue_depth) / router->entries;
+      capacity->room += get_endpoint_room (state, options, entries);
+      capacity->equal_share += (double)(slots + options->queue_depth) / entries;
       service_ms += bt_get_endpoint_service_ms (state, options);
     }
   if (capacity->room < 0)
     capacity->room = 0;
-  if (capacity->available_slots < capacity->slots / router->entries)
-    capacity->available_slots = capacity->slots / router->entries;
+  if (capacity->available_slots < capacity->slots / entries)
+    capacity->available_slots = capacity->slots / entries;
   capacity->service_ms = options->default_service_ms;
   if (capacity->endpoints > 0)
     capacity->service_ms = service_ms / capacity->endpoints;
--- a/test/load/test_pass_limiter.c
+++ b/test/load/test_pass_limiter.c
@@ -75,6 +75,23 @@
   bt_drop_pass_limiter (ctx, limiter);
 }
 
+/* Guards against a limit that is too low for a group of which only some ranks report to this entry:
+ * the others run as many requests. */
+static void
+test_ranks_that_do_not_report_are_not_idle (void)
+{
+  bt_pass_limiter_t *limiter = new_limiter ();
+  bt_pass_limiter_t *partial = new_limiter ();
+
+  simulate_passes (limiter, 0, 2000, 100, 8);
+  for (int64_t now_ms = 0; now_ms < 2000; now_ms += 100)
+    bt_record_pass (partial, 1, now_ms / 100, 8, now_ms);
+  CU_ASSERT_EQUAL (bt_get_running_limit (partial), bt_get_running_limit (limiter));
+  CU_ASSERT (bt_get_running_limit (partial) >= 4);
+  bt_drop_pass_limiter (ctx, limiter);
+  bt_drop_pass_limiter (ctx, partial);
+}
+
 static void
 test_limit_grows_back (void)
 {
@@ -180,6 +197,7 @@
   CU_ADD_TEST (suite, test_short_passes_allow_all_slots);
   CU_ADD_TEST (suite, test_long_passes_lower_the_limit_at_once);
   CU_ADD_TEST (suite, test_slow_rank_allows_all_slots);
+  CU_ADD_TEST (suite, test_ranks_that_do_not_report_are_not_idle);
   CU_ADD_TEST (suite, test_limit_grows_back);
   CU_ADD_TEST (suite, test_limit_stays_low_between_frequent_jumps);
   CU_ADD_TEST (suite, test_limit_grows_back_between_rare_jumps);
