wire: a link keeps no large buffer while it is idle

Cause: each link received into a buffer of its own of 64 kB, and kept what a large frame had once needed: 576 links were 37 MB of an entry's 44 MB.

Change: the loop's thread receives into one buffer, a link keeps the bytes of an incomplete frame, and an empty buffer of more than 4 kB is freed.

--- a/include/bilberrytray/wire/frame.h
+++ b/include/bilberrytray/wire/frame.h
@@ -34,6 +34,9 @@
 /** Consumes @p bytes from the front. */
 void bt_consume_buffer (bt_buffer_t *buffer, size_t bytes);
 
+/** Frees the memory of an empty buffer that has grown large. */
+void bt_trim_buffer (bt_context_t *ctx, bt_buffer_t *buffer);
+
 /** Returns the number of bytes that are not consumed. */
 size_t bt_get_buffer_bytes (const bt_buffer_t *buffer);
 
--- a/source/wire/frame.c
+++ b/source/wire/frame.c
@@ -5,6 +5,7 @@
 enum
 {
   FIRST_CAPACITY_BYTES = 1024,
+  MAX_IDLE_CAPACITY_BYTES = 4096,
 };
 
 uint8_t *
@@ -53,6 +54,13 @@
   return buffer->end - buffer->start;
 }
 
+void
+bt_trim_buffer (bt_context_t *ctx, bt_buffer_t *buffer)
+{
+  if (buffer->capacity > MAX_IDLE_CAPACITY_BYTES && buffer->start == buffer->end)
+    bt_clear_buffer (ctx, buffer);
+}
+
 void
 bt_clear_buffer (bt_context_t *ctx, bt_buffer_t *buffer)
 {
--- a/source/wire/link.c
+++ b/source/wire/link.c
@@ -81,6 +81,7 @@
         return false;
       bt_consume_buffer (&link->unsent, (size_t)sent);
     }
+  bt_trim_buffer (link->loop->ctx, &link->unsent);
   set_write_interest (link, false);
   return true;
 }
--- a/source/wire/link_loop.c
+++ b/source/wire/link_loop.c
@@ -21,7 +21,6 @@
 {
   MAX_EVENTS = 64,
   SWEEP_INTERVAL_MS = 20,
-  RECEIVE_BYTES = 65536,
   LISTEN_BACKLOG = 256,
 };
 
@@ -225,21 +224,21 @@
 static void
 receive_link (bt_link_t *link)
 {
-  bt_context_t *ctx = link->loop->ctx;
+  bt_link_loop_t *loop = link->loop;
+  bt_context_t *ctx = loop->ctx;
   ssize_t received;
 
   do
     {
-      uint8_t *at = bt_reserve_buffer (ctx, &link->received, RECEIVE_BYTES);
-
-      received = recv (link->fd, at, RECEIVE_BYTES, MSG_DONTWAIT);
+      received = recv (link->fd, loop->received, sizeof loop->received, MSG_DONTWAIT);
       if (received > 0)
         {
-          link->received.end += (size_t)received;
+          bt_append_buffer (ctx, &link->received, loop->received, (size_t)received);
           decode_frames (link);
+          bt_trim_buffer (ctx, &link->received);
         }
     }
-  while (received == RECEIVE_BYTES && !atomic_load (&link->closing));
+  while (received == (ssize_t)sizeof loop->received && !atomic_load (&link->closing));
   if (received == 0 || (received < 0 && errno != EAGAIN && errno != EINTR))
     atomic_store (&link->closing, true);
 }
--- a/source/wire/link_private.h
+++ b/source/wire/link_private.h
@@ -16,6 +16,7 @@
 {
   BT_HANDSHAKE_FRAME_BYTES = 4096, /**< Maximum frame size until the peer has proved the secret. */
   BT_ROLE_BYTES = 16,
+  BT_RECEIVE_BYTES = 65536,
 };
 
 typedef enum bt_link_state
@@ -67,6 +68,8 @@
   pthread_mutex_t lock; /**< Guards added. */
   bt_link_t *added;     /**< New links that the thread has not registered yet. */
   bt_link_t *links;     /**< Used by the loop's thread only. */
+  /** Where the loop's thread receives bytes. A link keeps only those of an incomplete frame. */
+  uint8_t received[BT_RECEIVE_BYTES];
   atomic_int link_count;
   atomic_ullong next_id;
 };
--- a/test/wire/test_frame.c
+++ b/test/wire/test_frame.c
@@ -51,6 +51,30 @@
   bt_drop_context (ctx);
 }
 
+/* Guards against memory that grows with the links of a process: a buffer that is empty again keeps
+ * little. */
+static void
+test_empty_buffer_keeps_little_memory (void)
+{
+  uint8_t bytes[64 * 1024] = { 0 };
+  bt_buffer_t buffer = { 0 };
+
+  ctx = bt_new_context ();
+  bt_append_buffer (ctx, &buffer, bytes, sizeof bytes);
+  bt_consume_buffer (&buffer, sizeof bytes - 1);
+  bt_trim_buffer (ctx, &buffer);
+  CU_ASSERT_EQUAL (bt_get_buffer_bytes (&buffer), 1);
+  bt_consume_buffer (&buffer, 1);
+  bt_trim_buffer (ctx, &buffer);
+  CU_ASSERT_EQUAL (buffer.capacity, 0);
+  bt_append_buffer (ctx, &buffer, bytes, 8);
+  bt_consume_buffer (&buffer, 8);
+  bt_trim_buffer (ctx, &buffer);
+  CU_ASSERT (buffer.capacity > 0 && buffer.capacity <= 4096);
+  bt_clear_buffer (ctx, &buffer);
+  bt_drop_context (ctx);
+}
+
 static void
 test_incomplete_frame_needs_more_bytes (void)
 {
@@ -128,6 +152,7 @@
   CU_initialize_registry ();
   suite = CU_add_suite ("frame", NULL, NULL);
   CU_ADD_TEST (suite, test_frames_decode_as_encoded);
+  CU_ADD_TEST (suite, test_empty_buffer_keeps_little_memory);
   CU_ADD_TEST (suite, test_incomplete_frame_needs_more_bytes);
   CU_ADD_TEST (suite, test_long_frame_is_rejected_by_its_length);
   CU_ADD_TEST (suite, test_damaged_frames_are_handled_safely);
