base, gateway, load: names are looked up in hash tables

Cause: each report of an agent was looked for by scanning five lists of some 600 names (link, address, endpoint, rank, router), each view by scanning for each of its items: work that grows with the square of the fleet.

Change: bt_name_index_t on ck_ht; a link carries its row; a table row knows the last view that listed it.

--- a/include/bilberrytray/load/group_outages.h
+++ b/include/bilberrytray/load/group_outages.h
@@ -42,7 +42,9 @@
                             int64_t now_ms);
 
 /** Records that an incarnation of an endpoint was removed from the router. */
-void bt_record_rank_removed (bt_group_outages_t *outages, const bt_identity_t *identity);
+void bt_record_rank_removed (bt_context_t *ctx,
+                             bt_group_outages_t *outages,
+                             const bt_identity_t *identity);
 
 /** Records the state of a group that one of its ranks reports. Reports may be older than what is
  * known. Ranks that are not listed are ignored. */
--- a/include/bilberrytray/wire/link.h
+++ b/include/bilberrytray/wire/link.h
@@ -102,6 +102,11 @@
 const char *bt_get_link_role (const bt_link_t *link);
 const char *bt_get_link_failure_domain (const bt_link_t *link);
 
+/** Attaches an object of the calling code to a link, or NULL. The calling code guards it against
+ * concurrent use. */
+void bt_set_link_data (bt_link_t *link, void *data);
+void *bt_get_link_data (const bt_link_t *link);
+
 /** Returns a number that is unique among all links of this process, past ones included. */
 uint64_t bt_get_link_id (const bt_link_t *link);
 
--- a/source/gateway/agent_links.c
+++ b/source/gateway/agent_links.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "bilberrytray/base/event_log.h"
+#include "bilberrytray/base/name_index.h"
 #include "bilberrytray/wire/link.h"
 
 enum
@@ -58,6 +59,7 @@
   /* Lock order: acquired before any call into a link. */
   pthread_mutex_t lock; /* guards the rows */
   agent_row_t *rows;
+  bt_name_index_t *index; /* of the rows by endpoint */
 };
 
 /** A task that only wakes the event loop, which collects updates in every iteration. */
@@ -86,22 +88,10 @@
     bt_free (links->ctx, wake);
 }
 
-static agent_row_t *
-find_row_of_link (bt_agent_links_t *links, const bt_link_t *link)
-{
-  for (agent_row_t *row = links->rows; row != NULL; row = row->next)
-    if (row->link == link)
-      return row;
-  return NULL;
-}
-
 static agent_row_t *
 find_row (bt_agent_links_t *links, const char *endpoint)
 {
-  for (agent_row_t *row = links->rows; row != NULL; row = row->next)
-    if (strcmp (row->endpoint, endpoint) == 0)
-      return row;
-  return NULL;
+  return bt_find_name (links->index, endpoint);
 }
 
 int32_t
@@ -135,7 +125,7 @@
   agent_row_t *row;
 
   pthread_mutex_lock (&links->lock);
-  row = find_row_of_link (links, link);
+  row = bt_get_link_data (link);
   if (row != NULL)
     {
       row->up = true;
@@ -154,7 +144,7 @@
   agent_row_t *row;
 
   pthread_mutex_lock (&links->lock);
-  row = find_row_of_link (links, link);
+  row = bt_get_link_data (link);
   if (row != NULL)
     row->up = false;
   pthread_mutex_unlock (&links->lock);
@@ -210,7 +200,7 @@
   bool leading;
 
   pthread_mutex_lock (&links->lock);
-  row = find_row_of_link (links, link);
+  row = bt_get_link_data (link);
   if (row != NULL && frame->body_case == BILBERRY__FRAME__BODY_ENGINE_REPORT)
     store_report (links, row, frame->engine_report);
   if (row != NULL && result && frame->engine_result->report != NULL)
@@ -246,7 +236,10 @@
 drop_row_link (bt_agent_links_t *links, agent_row_t *row)
 {
   if (row->link != NULL)
-    bt_close_link (row->link);
+    {
+      bt_set_link_data (row->link, NULL);
+      bt_close_link (row->link);
+    }
   bt_drop_link (links->ctx, row->link);
   row->link = NULL;
   row->up = false;
@@ -264,8 +257,11 @@
       if (needed && row->link != NULL && !bt_is_link_closed (row->link))
         continue;
       drop_row_link (links, row);
-      if (needed)
-        row->link = bt_dial_link (links->ctx, links->link_loop, row->agent, row->agent, &error);
+      if (!needed)
+        continue;
+      row->link = bt_dial_link (links->ctx, links->link_loop, row->agent, row->agent, &error);
+      if (row->link != NULL)
+        bt_set_link_data (row->link, row);
     }
 }
 
@@ -307,6 +303,7 @@
   links->ctx = ctx;
   links->loop = loop;
   links->port = options->port;
+  links->index = bt_new_name_index (ctx);
   links->handler.vtable = &handler_vtable;
   links->redial_timer.on_expiry = redial;
   pthread_mutex_init (&links->lock, NULL);
@@ -324,6 +321,7 @@
 drop_row (bt_agent_links_t *links, agent_row_t *row)
 {
   drop_row_link (links, row);
+  bt_remove_name (links->index, row->endpoint, row);
   bt_free (links->ctx, row->picks);
   bt_free (links->ctx, row->places);
   bt_free (links->ctx, row);
@@ -343,6 +341,7 @@
       links->rows = row->next;
       drop_row (links, row);
     }
+  bt_drop_name_index (ctx, links->index);
   pthread_mutex_destroy (&links->lock);
   bt_free (ctx, links);
 }
@@ -368,6 +367,7 @@
       snprintf (row->agent, sizeof row->agent, "%.*s:%d", (int)host_bytes, endpoint, links->port);
       row->next = links->rows;
       links->rows = row;
+      bt_put_name (links->index, row->endpoint, row);
     }
   row->listed = true;
   row->selected = row->selected || selected;
--- a/source/gateway/endpoint_table.c
+++ b/source/gateway/endpoint_table.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "bilberrytray/base/event_log.h"
+#include "bilberrytray/base/name_index.h"
 
 enum
 {
@@ -24,15 +25,19 @@
   int64_t missing_since_ms; /* since when the store does not list it; 0: it is listed */
   int64_t ignored_start_ms; /* start time of the older registration ignored last; 0: none */
   bool evacuated;           /* as the router knows it */
+  uint64_t view_number;     /* the last view that listed it */
 } table_row_t;
 
 struct bt_endpoint_table
 {
   bt_router_t *router;
   bt_group_outages_t *outages; /* may be NULL */
-  table_row_t *rows;
+  table_row_t **rows;
   int32_t count;
   int32_t capacity;
+  bt_name_index_t *ids;       /* of the rows by id */
+  bt_name_index_t *addresses; /* of the rows by address: the latest start, without those gone */
+  uint64_t view_number;       /* counts the applied views */
   int64_t regained_ms; /* when the store last became reachable again; 0: it was never lost */
   bt_endpoint_end_handler_t *end_handler;
 };
@@ -58,6 +63,8 @@
 
   table->router = router;
   table->outages = outages;
+  table->ids = bt_new_name_index (ctx);
+  table->addresses = bt_new_name_index (ctx);
   return table;
 }
 
@@ -66,7 +73,11 @@
 {
   if (table == NULL)
     return;
+  for (int32_t i = 0; i < table->count; i++)
+    bt_free (ctx, table->rows[i]);
   bt_free (ctx, table->rows);
+  bt_drop_name_index (ctx, table->ids);
+  bt_drop_name_index (ctx, table->addresses);
   bt_free (ctx, table);
 }
 
@@ -79,10 +90,7 @@
 static table_row_t *
 find_row (const bt_endpoint_table_t *table, const char *id)
 {
-  for (int32_t i = 0; i < table->count; i++)
-    if (strcmp (table->rows[i].listed.id, id) == 0)
-      return &table->rows[i];
-  return NULL;
+  return bt_find_name (table->ids, id);
 }
 
 const bt_listed_endpoint_t *
@@ -102,7 +110,7 @@
 const bt_listed_endpoint_t *
 bt_get_listed_endpoint (const bt_endpoint_table_t *table, int32_t index)
 {
-  const table_row_t *row = &table->rows[index];
+  const table_row_t *row = table->rows[index];
 
   return row->gone ? NULL : &row->listed;
 }
@@ -110,23 +118,24 @@
 const bt_listed_endpoint_t *
 bt_find_endpoint_at (const bt_endpoint_table_t *table, const char *address)
 {
-  const bt_listed_endpoint_t *latest = NULL;
+  const table_row_t *row = bt_find_name (table->addresses, address);
 
-  /* While a missing endpoint is kept, its successor at the same address may already be listed. */
-  for (int32_t i = table->count - 1; i >= 0; i--)
-    if (!table->rows[i].gone && strcmp (table->rows[i].listed.address, address) == 0
-        && (latest == NULL || table->rows[i].listed.started_ms > latest->started_ms))
-      latest = &table->rows[i].listed;
-  return latest;
+  return row == NULL ? NULL : &row->listed;
 }
 
-static bool
-is_listed (const bt_view_t *view, const char *id)
+/* While a missing endpoint is kept, its successor at the same address may already be listed. */
+static void
+index_addresses (bt_endpoint_table_t *table)
 {
-  for (int32_t i = 0; i < view->endpoint_count; i++)
-    if (strcmp (view->endpoints[i].id, id) == 0)
-      return true;
-  return false;
+  bt_clear_name_index (table->addresses);
+  for (int32_t i = table->count - 1; i >= 0; i--)
+    {
+      table_row_t *row = table->rows[i];
+      const table_row_t *other = bt_find_name (table->addresses, row->listed.address);
+
+      if (!row->gone && (other == NULL || row->listed.started_ms > other->listed.started_ms))
+        bt_put_name (table->addresses, row->listed.address, row);
+    }
 }
 
 static void
@@ -169,7 +178,7 @@
   bt_identify_endpoint (listed, &identity);
   bt_remove_endpoint (ctx, table->router, &identity);
   if (table->outages != NULL)
-    bt_record_rank_removed (table->outages, &identity);
+    bt_record_rank_removed (ctx, table->outages, &identity);
   if (table->end_handler != NULL && !listed->leaving)
     table->end_handler->on_end (table->end_handler, &identity);
 }
@@ -202,7 +211,35 @@
                 "started_ms", (json_int_t)listed->started_ms, "before_ms",
                 (json_int_t)row->listed.started_ms);
   remove_from_router (ctx, table, &row->listed);
-  memset (row, 0, sizeof *row);
+  row->gone = false;
+  row->ignored_start_ms = 0;
+  row->evacuated = false;
+}
+
+static table_row_t *
+add_row (bt_context_t *ctx, bt_endpoint_table_t *table, const char *id)
+{
+  table_row_t *row = bt_calloc (ctx, 1, sizeof *row);
+
+  if (table->count == table->capacity)
+    {
+      table->capacity = 2 * table->capacity + 1;
+      table->rows = bt_realloc (ctx, table->rows, (size_t)table->capacity, sizeof (table_row_t *));
+    }
+  table->rows[table->count++] = row;
+  bt_copy_name (row->listed.id, id);
+  bt_put_name (table->ids, row->listed.id, row);
+  return row;
+}
+
+static void
+remove_row (bt_context_t *ctx, bt_endpoint_table_t *table, int32_t index)
+{
+  table_row_t *row = table->rows[index];
+
+  table->rows[index] = table->rows[--table->count];
+  bt_remove_name (table->ids, row->listed.id, row);
+  bt_free (ctx, row);
 }
 
 static void
@@ -214,6 +251,8 @@
   table_row_t *row = find_row (table, listed->id);
   bool is_new = row == NULL;
 
+  if (!is_new)
+    row->view_number = table->view_number;
   if (!is_new && listed->started_ms < row->listed.started_ms)
     {
       ignore_old_incarnation (ctx, row, listed);
@@ -226,19 +265,14 @@
     }
   else if (is_new)
     {
-      if (table->count == table->capacity)
-        {
-          table->capacity = 2 * table->capacity + 1;
-          table->rows = bt_realloc (ctx, table->rows, (size_t)table->capacity, sizeof *table->rows);
-        }
-      row = &table->rows[table->count++];
-      memset (row, 0, sizeof *row);
+      row = add_row (ctx, table, listed->id);
       log_endpoint (ctx, "endpoint-listed", listed);
     }
   else if (listed->leaving && !row->listed.leaving)
     log_endpoint (ctx, "endpoint-leaving", listed);
   row->listed = *listed;
   row->missing_since_ms = 0;
+  row->view_number = table->view_number;
   if (!row->gone)
     update_router (ctx, table, listed, is_new, now_ms);
 }
@@ -250,7 +284,7 @@
 {
   for (int32_t i = 0; i < table->count; i++)
     {
-      table_row_t *row = &table->rows[i];
+      table_row_t *row = table->rows[i];
       bool evacuated = bt_is_domain_evacuated (evacuations, row->listed.failure_domain);
       bt_identity_t identity;
 
@@ -283,13 +317,14 @@
   int64_t next_apply_ms = 0;
   int64_t keep_end_ms;
 
+  table->view_number++;
   for (int32_t i = 0; i < view->endpoint_count; i++)
     apply_endpoint (ctx, table, &view->endpoints[i], now_ms);
   for (int32_t i = table->count - 1; i >= 0; i--)
     {
-      table_row_t *row = &table->rows[i];
+      table_row_t *row = table->rows[i];
 
-      if (is_listed (view, row->listed.id))
+      if (row->view_number == table->view_number)
         continue;
       if (row->missing_since_ms == 0)
         row->missing_since_ms = now_ms;
@@ -302,8 +337,9 @@
         }
       log_endpoint (ctx, "endpoint-gone", &row->listed);
       remove_from_router (ctx, table, &row->listed);
-      *row = table->rows[--table->count];
+      remove_row (ctx, table, i);
     }
+  index_addresses (table);
   apply_evacuations (table, &view->evacuations);
   return next_apply_ms;
 }
@@ -336,6 +372,7 @@
   if (row == NULL || row->gone || (uint64_t)row->listed.started_ms != identity->incarnation)
     return;
   row->gone = true;
+  index_addresses (table);
   log_endpoint (ctx, "endpoint-replaced", &row->listed);
   remove_from_router (ctx, table, &row->listed);
 }
--- a/source/load/group_outages.c
+++ b/source/load/group_outages.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "bilberrytray/base/event_log.h"
+#include "bilberrytray/base/name_index.h"
 
 enum
 {
@@ -55,7 +56,8 @@
 struct bt_group_outages
 {
   bt_router_t *router;
-  rank_row_t *ranks;
+  rank_row_t **ranks;
+  bt_name_index_t *index; /* of the ranks by instance; one incarnation of each is listed */
   int32_t rank_count;
   int32_t rank_capacity;
   group_row_t *groups;
@@ -68,6 +70,7 @@
   bt_group_outages_t *outages = bt_calloc (ctx, 1, sizeof *outages);
 
   outages->router = router;
+  outages->index = bt_new_name_index (ctx);
   return outages;
 }
 
@@ -76,7 +79,10 @@
 {
   if (outages == NULL)
     return;
+  for (int32_t i = 0; i < outages->rank_count; i++)
+    bt_free (ctx, outages->ranks[i]);
   bt_free (ctx, outages->ranks);
+  bt_drop_name_index (ctx, outages->index);
   bt_free (ctx, outages->groups);
   bt_free (ctx, outages);
 }
@@ -84,10 +90,9 @@
 static rank_row_t *
 find_rank (const bt_group_outages_t *outages, const bt_identity_t *identity)
 {
-  for (int32_t i = 0; i < outages->rank_count; i++)
-    if (bt_same_identity (&outages->ranks[i].identity, identity))
-      return &outages->ranks[i];
-  return NULL;
+  rank_row_t *rank = bt_find_name (outages->index, identity->instance);
+
+  return rank != NULL && bt_same_identity (&rank->identity, identity) ? rank : NULL;
 }
 
 static int32_t
@@ -138,7 +143,7 @@
 
   for (int32_t i = 0; i < outages->rank_count; i++)
     {
-      rank_row_t *rank = &outages->ranks[i];
+      rank_row_t *rank = outages->ranks[i];
       bool paused = rank->group >= 0 ? outages->groups[rank->group].broken : any_broken;
 
       if (strcmp (rank->app, app) == 0 && paused != rank->paused)
@@ -217,11 +222,12 @@
     {
       outages->rank_capacity = 2 * outages->rank_capacity + 1;
       outages->ranks =
-          bt_realloc (ctx, outages->ranks, (size_t)outages->rank_capacity, sizeof *outages->ranks);
+          bt_realloc (ctx, outages->ranks, (size_t)outages->rank_capacity, sizeof (rank_row_t *));
     }
-  rank = &outages->ranks[outages->rank_count++];
-  memset (rank, 0, sizeof *rank);
+  rank = bt_calloc (ctx, 1, sizeof *rank);
+  outages->ranks[outages->rank_count++] = rank;
   rank->identity = *identity;
+  bt_put_name (outages->index, rank->identity.instance, rank);
   bt_copy_name (rank->app, app);
   rank->group = -1;
   if (has_broken_group (outages, app))
@@ -229,12 +235,20 @@
 }
 
 void
-bt_record_rank_removed (bt_group_outages_t *outages, const bt_identity_t *identity)
+bt_record_rank_removed (bt_context_t *ctx,
+                        bt_group_outages_t *outages,
+                        const bt_identity_t *identity)
 {
   rank_row_t *rank = find_rank (outages, identity);
+  int32_t at = 0;
 
-  if (rank != NULL)
-    *rank = outages->ranks[--outages->rank_count];
+  if (rank == NULL)
+    return;
+  while (outages->ranks[at] != rank)
+    at++;
+  outages->ranks[at] = outages->ranks[--outages->rank_count];
+  bt_remove_name (outages->index, rank->identity.instance, rank);
+  bt_free (ctx, rank);
 }
 
 /* Returns true if a report is older than what is known. In one epoch a group is open first and
--- a/source/load/router.c
+++ b/source/load/router.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "bilberrytray/base/name_index.h"
 #include "choice.h"
 
 enum
@@ -36,6 +37,7 @@
   uint64_t last_dispatch;
   double home_virtual_time; /* virtual time of the last home agent chosen */
   bt_endpoint_state_t **endpoints;
+  bt_name_index_t *index; /* of the endpoints by instance; there is one incarnation of each */
   int32_t count;
   int32_t capacity;
 };
@@ -59,7 +61,7 @@
   bt_router_t *router = bt_calloc (ctx, 1, sizeof *router);
 
   router->options = *options;
-
+  router->index = bt_new_name_index (ctx);
   router->entries = 1;
   return router;
 }
@@ -72,6 +74,7 @@
   for (int32_t i = 0; i < router->count; i++)
     bt_free (ctx, router->endpoints[i]);
   bt_free (ctx, router->endpoints);
+  bt_drop_name_index (ctx, router->index);
   bt_free (ctx, router->app_entries);
   bt_free (ctx, router);
 }
@@ -117,10 +120,9 @@
 static bt_endpoint_state_t *
 find_endpoint (bt_router_t *router, const bt_identity_t *identity)
 {
-  for (int32_t i = 0; i < router->count; i++)
-    if (bt_same_identity (&router->endpoints[i]->endpoint.identity, identity))
-      return router->endpoints[i];
-  return NULL;
+  bt_endpoint_state_t *state = bt_find_name (router->index, identity->instance);
+
+  return state != NULL && bt_same_identity (&state->endpoint.identity, identity) ? state : NULL;
 }
 
 /* Returns the endpoint of a route, or NULL if its link has died since. Otherwise the late end of an
@@ -136,7 +138,10 @@
 static void
 remove_at (bt_context_t *ctx, bt_router_t *router, int32_t index)
 {
-  bt_free (ctx, router->endpoints[index]);
+  bt_endpoint_state_t *state = router->endpoints[index];
+
+  bt_remove_name (router->index, state->endpoint.identity.instance, state);
+  bt_free (ctx, state);
   router->endpoints[index] = router->endpoints[--router->count];
 }
 
@@ -198,6 +203,7 @@
   state->outlier = outlier;
   mark_link_up (router, state);
   router->endpoints[router->count++] = state;
+  bt_put_name (router->index, state->endpoint.identity.instance, state);
 }
 
 bool
--- a/source/wire/link.c
+++ b/source/wire/link.c
@@ -162,3 +162,15 @@
 {
   return link->id;
 }
+
+void
+bt_set_link_data (bt_link_t *link, void *data)
+{
+  link->data = data;
+}
+
+void *
+bt_get_link_data (const bt_link_t *link)
+{
+  return link->data;
+}
--- a/source/wire/link_private.h
+++ b/source/wire/link_private.h
@@ -48,6 +48,7 @@
   uint8_t nonce[BT_NONCE_BYTES];
   bt_buffer_t received;
   bt_link_t *next; /**< In the loop's list. */
+  void *data;      /**< Of the calling code. */
 
   atomic_bool closing; /**< The loop has to close the link. */
   atomic_bool closed;
--- a/test/load/test_group_outages.c
+++ b/test/load/test_group_outages.c
@@ -48,7 +48,7 @@
   bt_identity_t identity = make_identity (rank, incarnation);
 
   bt_remove_endpoint (ctx, router, &identity);
-  bt_record_rank_removed (outages, &identity);
+  bt_record_rank_removed (ctx, outages, &identity);
 }
 
 static void
