gateway: a view decodes only the items that have changed

Cause: each change of the store decoded all its items anew, 1,026 items of JSON on each entry of the fleet, up to five times a second; two endpoints at one address were looked for by comparing each with each.

Change: an item of the same revision is taken from the view before; shared addresses are found by an index. Shown: test_view, with items that could not be decoded if they were read again.

--- a/include/bilberrytray/gateway/platform.h
+++ b/include/bilberrytray/gateway/platform.h
@@ -34,6 +34,7 @@
   int32_t slots;            /**< Maximum number of concurrent requests. */
   bool leaving;             /**< It accepts no new requests and stops soon. */
   int64_t created_revision; /**< The store's revision at which the registration was created. */
+  int64_t revision;         /**< Revision of the last change of the registration. */
   int64_t started_ms;       /**< Start time, Unix time in ms; 0: unknown. */
 } bt_listed_endpoint_t;
 
--- a/source/gateway/view.c
+++ b/source/gateway/view.c
@@ -8,6 +8,7 @@
 
 #include "bilberrytray/base/address.h"
 #include "bilberrytray/base/event_log.h"
+#include "bilberrytray/base/name_index.h"
 #include "crash_items.h"
 
 enum
@@ -90,7 +91,7 @@
 }
 
 static bool
-read_entry (const bt_kv_pair_t *pair, bt_listed_entry_t *entry)
+decode_entry (const bt_kv_pair_t *pair, bt_listed_entry_t *entry)
 {
   const char *instance = pair->key + strlen (entry_prefix);
   json_t *object = json_loadb (pair->value, pair->value_bytes, 0, NULL);
@@ -100,6 +101,7 @@
   valid = instance[0] != '\0' && strlen (instance) < sizeof entry->identity.instance
           && read_entry_object (object, entry);
   bt_copy_name (entry->identity.instance, instance);
+  entry->revision = pair->mod_revision;
   json_decref (object);
   return valid;
 }
@@ -129,8 +131,62 @@
   bt_view_t *view;
   const bt_view_t *previous;
   int32_t search_from;
+  int32_t entry_from;    /* index after the last entry that was found in the previous view */
+  int32_t endpoint_from; /* the same for endpoints */
 } view_draft_t;
 
+/* Finds an entry of the previous view whose item has not changed. Items come in the same order each
+ * time, so the search starts after the last match. */
+static const bt_listed_entry_t *
+find_unchanged_entry (view_draft_t *draft, const bt_kv_pair_t *pair)
+{
+  const bt_view_t *previous = draft->previous;
+  const char *instance = pair->key + strlen (entry_prefix);
+
+  for (int32_t i = 0; previous != NULL && i < previous->entry_count; i++)
+    {
+      int32_t index = (draft->entry_from + i) % previous->entry_count;
+      const bt_listed_entry_t *entry = &previous->entries[index];
+
+      if (entry->revision != pair->mod_revision
+          || strcmp (entry->identity.instance, instance) != 0)
+        continue;
+      draft->entry_from = index + 1;
+      return entry;
+    }
+  return NULL;
+}
+
+/* Finds an endpoint of the previous view whose item has not changed. */
+static const bt_listed_endpoint_t *
+find_unchanged_endpoint (view_draft_t *draft, const char *id, int64_t revision)
+{
+  const bt_view_t *previous = draft->previous;
+
+  for (int32_t i = 0; previous != NULL && i < previous->endpoint_count; i++)
+    {
+      int32_t index = (draft->endpoint_from + i) % previous->endpoint_count;
+      const bt_listed_endpoint_t *endpoint = &previous->endpoints[index];
+
+      if (endpoint->revision != revision || strcmp (endpoint->id, id) != 0)
+        continue;
+      draft->endpoint_from = index + 1;
+      return endpoint;
+    }
+  return NULL;
+}
+
+static bool
+read_entry (view_draft_t *draft, const bt_kv_pair_t *pair, bt_listed_entry_t *entry)
+{
+  const bt_listed_entry_t *unchanged = find_unchanged_entry (draft, pair);
+
+  if (unchanged == NULL)
+    return decode_entry (pair, entry);
+  *entry = *unchanged;
+  return true;
+}
+
 /* Skips an invalid item. Logs it unless the previous view skipped it at the same revision: other
  * programs may write anything to the store at any rate, and each change creates a view, so the log
  * would be flooded. */
@@ -207,10 +263,15 @@
 {
   bt_view_t *view = draft->view;
   bt_listed_endpoint_t *endpoint = &view->endpoints[view->endpoint_count];
+  const bt_listed_endpoint_t *unchanged = find_unchanged_endpoint (
+      draft, pair->key + strlen (platform->endpoint_prefix), pair->mod_revision);
   bt_error_t error = { 0 };
 
-  if (!platform->vtable->read_endpoint (pair->key, pair->value, pair->value_bytes, endpoint,
-                                        &error))
+  if (unchanged != NULL)
+    *endpoint = *unchanged;
+  if (unchanged == NULL
+      && !platform->vtable->read_endpoint (pair->key, pair->value, pair->value_bytes, endpoint,
+                                           &error))
     skip_item (draft, pair, "endpoint-unreadable", error.message);
   else if (!is_app_declared (view, endpoint->app))
     skip_item (draft, pair, "endpoint-unreadable",
@@ -218,6 +279,7 @@
   else
     {
       endpoint->created_revision = pair->create_revision;
+      endpoint->revision = pair->mod_revision;
       view->endpoint_count++;
     }
 }
@@ -259,7 +321,7 @@
     read_listed_endpoint (draft, platform, pair);
   else if (starts_with (pair->key, entry_prefix))
     {
-      if (read_entry (pair, &view->entries[view->entry_count]))
+      if (read_entry (draft, pair, &view->entries[view->entry_count]))
         view->entry_count++;
       else
         skip_item (draft, pair, "entry-unreadable", "It does not describe an entry instance.");
@@ -297,12 +359,41 @@
   return false;
 }
 
+/* Marks the endpoints whose address another one has too. */
+static bool *
+find_shared_addresses (bt_context_t *ctx, const bt_view_t *view)
+{
+  bt_name_index_t *index = bt_new_name_index (ctx);
+  bool *shared = bt_calloc (ctx, (size_t)view->endpoint_count + 1, sizeof *shared);
+
+  for (int32_t i = 0; i < view->endpoint_count; i++)
+    {
+      const char *address = view->endpoints[i].address;
+      const bt_listed_endpoint_t *other = bt_find_name (index, address);
+
+      if (other == NULL)
+        bt_put_name (index, address, &view->endpoints[i]);
+      else
+        shared[i] = shared[other - view->endpoints] = true;
+    }
+  bt_drop_name_index (ctx, index);
+  return shared;
+}
+
+/* Keeps the order of the endpoints, in which the next view looks them up. */
 static void
-drop_replaced (bt_view_t *view)
+drop_replaced (bt_context_t *ctx, bt_view_t *view)
 {
+  bool *shared = find_shared_addresses (ctx, view);
+
   for (int32_t i = view->endpoint_count - 1; i >= 0; i--)
-    if (is_replaced (view, &view->endpoints[i]))
-      view->endpoints[i] = view->endpoints[--view->endpoint_count];
+    if (shared[i] && is_replaced (view, &view->endpoints[i]))
+      {
+        view->endpoint_count--;
+        memmove (&view->endpoints[i], &view->endpoints[i + 1],
+                 (size_t)(view->endpoint_count - i) * sizeof *view->endpoints);
+      }
+  bt_free (ctx, shared);
 }
 
 bt_view_t *
@@ -313,7 +404,7 @@
              const bt_view_t *previous)
 {
   bt_view_t *view = bt_calloc (ctx, 1, sizeof *view);
-  view_draft_t draft = { ctx, view, previous, 0 };
+  view_draft_t draft = { .ctx = ctx, .view = view, .previous = previous };
 
   view->revision = range->revision;
   view->read_ms = read_ms;
@@ -324,7 +415,7 @@
       read_configuration (ctx, platform, &range->pairs[i], previous, view);
   for (int32_t i = 0; i < range->count; i++)
     read_item (&draft, platform, &range->pairs[i]);
-  drop_replaced (view);
+  drop_replaced (ctx, view);
   return view;
 }
 
@@ -336,6 +427,12 @@
   copy->revision = view->revision;
   copy->configuration_revision = view->configuration_revision;
   copy->declarations = bt_keep_declarations (view->declarations);
+  copy->endpoint_count = view->endpoint_count;
+  copy->endpoints = bt_memdup (ctx, view->endpoints,
+                               (size_t)view->endpoint_count * sizeof *view->endpoints);
+  copy->entry_count = view->entry_count;
+  copy->entries =
+      bt_memdup (ctx, view->entries, (size_t)view->entry_count * sizeof *view->entries);
   copy->skipped_count = view->skipped_count;
   copy->skipped = bt_calloc (ctx, (size_t)view->skipped_count, sizeof *copy->skipped);
   for (int32_t i = 0; i < view->skipped_count; i++)
--- a/source/gateway/view.h
+++ b/source/gateway/view.h
@@ -17,7 +17,8 @@
   char callers[BT_ADDRESS_BYTES]; /**< Address at which it serves callers. */
   char links[BT_ADDRESS_BYTES];   /**< Address at which it accepts links of peers; may be "". */
   char failure_domain[BT_NAME_BYTES];
-  double cores; /**< Its processor share, in cores; 0: unknown. */
+  double cores;     /**< Its processor share, in cores; 0: unknown. */
+  int64_t revision; /**< Revision of the last change of the listing. */
 } bt_listed_entry_t;
 
 /** An item under the keys of endpoints, entry instances, crashes or evacuations that was skipped,
@@ -52,7 +53,8 @@
 
 /** Creates a view of all items of the store. Invalid items, and endpoints whose app is not
  * declared, are skipped and logged, unless the previous view @p previous skipped the same item at
- * the same revision. The view shares the declarations of @p previous if the configuration is
+ * the same revision. Items that have not changed since are not decoded again. The view shares the
+ * declarations of @p previous if the configuration is
  * unchanged, and also if the new one is invalid: the last valid one stays in force. @p previous may
  * be NULL. */
 bt_view_t *bt_new_view (bt_context_t *ctx,
@@ -61,8 +63,8 @@
                         int64_t read_ms,
                         const bt_view_t *previous);
 
-/** Copies what bt_new_view needs of the previous view: its declarations, their revision and the
- * skipped items. */
+/** Copies what bt_new_view needs of the previous view: its declarations and their revision, the
+ * endpoints, the entry instances and the skipped items. */
 bt_view_t *bt_copy_view_summary (bt_context_t *ctx, const bt_view_t *view);
 
 /** NULL is accepted. */
--- a/test/gateway/test_view.c
+++ b/test/gateway/test_view.c
@@ -263,6 +263,47 @@
   bt_drop_view (ctx, view);
 }
 
+/* Guards against decoding all items for each change: an item that has not changed is taken from the
+ * previous view, and a changed one is decoded, wherever the two stand. */
+static void
+test_only_changed_items_are_decoded (void)
+{
+  bt_listed_entry_t entry = {
+    .callers = "10.0.0.2:80", .links = "", .failure_domain = "a", .cores = 0.24
+  };
+  char *text = bt_write_listed_entry (ctx, &entry);
+  bt_view_t *first;
+  bt_view_t *summary;
+  bt_view_t *second;
+
+  reset_items ();
+  add_endpoint ("i-1", "127.0.0.1:1", 300, 10);
+  add_endpoint ("i-2", "127.0.0.1:2", 300, 20);
+  add_endpoint ("i-3", "127.0.0.1:3", 300, 30);
+  add_item ("bilberrytray/entries/own", text, 40);
+  first = make_view (NULL);
+  summary = bt_copy_view_summary (ctx, first);
+  /* Text that can't be decoded shows that the items were not decoded again. */
+  reset_items ();
+  add_endpoint ("i-0", "127.0.0.1:4", 300, 50);
+  add_endpoint ("i-2", "127.0.0.1:5", 300, 60);
+  add_item ("servers/i-3", "unread", 30);
+  add_item ("servers/i-1", "unread", 10);
+  add_item ("bilberrytray/entries/own", "unread", 40);
+  second = make_view (summary);
+  CU_ASSERT_EQUAL (second->endpoint_count, 4);
+  CU_ASSERT_EQUAL (second->skipped_count, 0);
+  CU_ASSERT_EQUAL (second->entry_count, 1);
+  CU_ASSERT_STRING_EQUAL (second->entries[0].callers, "10.0.0.2:80");
+  for (int32_t i = 0; i < second->endpoint_count; i++)
+    if (strcmp (second->endpoints[i].id, "i-2") == 0)
+      CU_ASSERT_STRING_EQUAL (second->endpoints[i].address, "127.0.0.1:5");
+  bt_drop_view (ctx, first);
+  bt_drop_view (ctx, summary);
+  bt_drop_view (ctx, second);
+  bt_free (ctx, text);
+}
+
 /* The operators' requests to evacuate failure domains must be read, and a key that names no domain
  * must be skipped. */
 static void
@@ -301,6 +342,7 @@
   CU_ADD_TEST (suite, test_invalid_item_is_logged_once_per_revision);
   CU_ADD_TEST (suite, test_invalid_entry_values_are_skipped);
   CU_ADD_TEST (suite, test_valid_crashes_are_read_and_others_skipped);
+  CU_ADD_TEST (suite, test_only_changed_items_are_decoded);
   CU_ADD_TEST (suite, test_evacuated_domains_are_read);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
