gateway: instances try to lead in turn, and don't wait for lost ones

And a lost leader was waited for 250 ms for each better instance, also those lost with it: up to 108 s with 432.

--- a/source/gateway/group_control.c
+++ b/source/gateway/group_control.c
@@ -5,6 +5,7 @@
 
 #include "bilberrytray/base/event_log.h"
 #include "bilberrytray/base/limit.h"
+#include "lead_order.h"
 #include "managed_group.h"
 
 enum
@@ -20,10 +21,6 @@
   MIN_HOLD_LEASE_MS = 700,
   /* Interval between two runs of the control while a round is in progress. */
   ROUND_INTERVAL_MS = 20,
-  /* Each instance delays its attempt to get the lease by its position in the order of candidates,
-     so that the instances do not race for it. */
-  CANDIDATE_DELAY_MS = 250,
-  FIRST_CANDIDATE_DELAY_MS = 100,
 };
 
 /* A leader hands over to an instance with more than this many times its processor share. Planning
@@ -55,6 +52,7 @@
   bool handed_over;        /* the lease that was granted last is being released */
   bool handover_failed;    /* the lease was released, but no other instance took it */
   int64_t better_since_ms; /* since when an instance with more processor share is listed; 0: none */
+  int64_t vacant_since_ms; /* since when no leader is known; 0: one is known */
   group_row_t *groups;
   bt_timer_t timer;
 };
@@ -155,14 +153,24 @@
   bt_free (ctx, control);
 }
 
-/* Returns true if another instance comes before this one in the order of candidates: it has more
- * processor share, or the same share and a lower name. */
-static bool
-is_candidate_before (const bt_group_control_t *control, const bt_listed_entry_t *entry)
+/* Returns the time left until this instance tries to lead. It is computed anew with each view: if
+ * instances that come before this one are lost together with the leader, it need not wait for
+ * them. */
+static int64_t
+get_lead_wait_ms (bt_group_control_t *control, const bt_view_t *view)
 {
-  if (entry->cores != control->options.cores)
-    return entry->cores > control->options.cores;
-  return strcmp (entry->identity.instance, control->options.instance) < 0;
+  int64_t now_ms = bt_now_ms (control->ctx);
+  int64_t due_ms;
+
+  if (view->leader[0] != '\0')
+    control->vacant_since_ms = 0;
+  else if (control->vacant_since_ms == 0)
+    control->vacant_since_ms = now_ms;
+  if (control->vacant_since_ms == 0)
+    return 0;
+  due_ms = control->vacant_since_ms
+           + bt_get_lead_delay_ms (view, control->options.instance, control->options.cores);
+  return due_ms > now_ms ? due_ms - now_ms : 0;
 }
 
 void
@@ -170,14 +178,10 @@
 {
   bool own = strcmp (view->leader, control->options.instance) == 0;
   bool better_listed = false;
-  int64_t position = 0;
 
   for (int32_t i = 0; i < view->entry_count; i++)
-    {
-      position += is_candidate_before (control, &view->entries[i]);
-      better_listed =
-          better_listed || view->entries[i].cores > control->options.cores * handover_cores_ratio;
-    }
+    better_listed =
+        better_listed || view->entries[i].cores > control->options.cores * handover_cores_ratio;
   control->leaving = leaving;
   if (view->leader[0] != '\0' && !own)
     {
@@ -191,7 +195,7 @@
   bt_set_lease_wanted (control->keeper,
                        leaving ? control->fence != 0
                                : view->leader[0] == '\0' || (own && !control->handed_over),
-                       FIRST_CANDIDATE_DELAY_MS + position * CANDIDATE_DELAY_MS);
+                       get_lead_wait_ms (control, view));
 }
 
 static bt_managed_group_t *
--- a/source/gateway/lease_keeper.c
+++ b/source/gateway/lease_keeper.c
@@ -21,6 +21,7 @@
   pthread_cond_t changed;
   bool stopping;
   bool wanted;
+  bool tried;      /* since it is wanted */
   int64_t next_ms; /* time of the next attempt */
 };
 
@@ -114,6 +115,7 @@
         bt_wait_condition (&keeper->changed, &keeper->lock, wait_ms);
       else
         {
+          keeper->tried = true;
           keeper->next_ms = bt_now_ms (keeper->ctx) + keeper->options.renew_ms;
           pthread_mutex_unlock (&keeper->lock);
           try_lease (keeper);
@@ -153,7 +155,8 @@
 bt_set_lease_wanted (bt_lease_keeper_t *keeper, bool wanted, int64_t wait_ms)
 {
   pthread_mutex_lock (&keeper->lock);
-  if (wanted && !keeper->wanted)
+  keeper->tried = keeper->tried && keeper->wanted;
+  if (wanted && !keeper->tried)
     keeper->next_ms = bt_now_ms (keeper->ctx) + wait_ms;
   keeper->wanted = wanted;
   pthread_cond_signal (&keeper->changed);
--- a/source/gateway/lease_keeper.h
+++ b/source/gateway/lease_keeper.h
@@ -36,7 +36,7 @@
                                         bt_lease_listener_t *listener);
 
 /** Makes the thread try to get the lease after @p wait_ms and keep it, or release it if @p wanted
- * is false. */
+ * is false. Until the first try, a further call changes its time. */
 void bt_set_lease_wanted (bt_lease_keeper_t *keeper, bool wanted, int64_t wait_ms);
 
 /** NULL is accepted. */
--- a/test/gateway/test_group_control.c
+++ b/test/gateway/test_group_control.c
@@ -1,10 +1,12 @@
 #include <CUnit/Basic.h>
 #include <stdatomic.h>
 #include <stddef.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "bilberrytray/base/clock.h"
 #include "group_control.h"
+#include "lead_order.h"
 
 enum
 {
@@ -15,6 +17,7 @@
   HANDOVER_DELAY_MS = 50,
   RENEWALS = 200,
   LIMIT_MS = 10000,
+  CANDIDATES = 200,
 };
 
 static bt_context_t *ctx;
@@ -251,6 +254,69 @@
   CU_ASSERT (atomic_load (&renewed) > RENEWALS);
 }
 
+/* Sets a view in which many instances come before this one, and then one without them. */
+static void
+lose_candidates (bt_timer_t *timer)
+{
+  control_run_t *control_run = (control_run_t *)((char *)timer - offsetof (control_run_t, timer));
+
+  control_run->view.entry_count = 1;
+  bt_set_group_view (control_run->control, &control_run->view, false);
+  bt_set_timer (control_run->loop, timer, bt_now_ms (ctx) + PLAN_MS);
+}
+
+static void
+check_leading (bt_loop_hook_t *hook)
+{
+  control_run_t *control_run = (control_run_t *)hook;
+
+  bt_run_group_control (control_run->control);
+  if (atomic_load (&renewed) > 0 || bt_now_ms (ctx) >= control_run->end_ms)
+    bt_stop_event_loop (control_run->loop);
+}
+
+/* Guards against groups without a leader for a time that grows with the fleet: the leader and all
+ * instances that come before this one are lost at once, and it must not wait for their turns. */
+static void
+test_lost_candidates_are_not_waited_for (void)
+{
+  bt_listed_entry_t entries[CANDIDATES] = { { .identity = { .instance = "one" }, .cores = 0.24 } };
+  control_run_t control_run = { .hook = { .on_iteration = check_leading },
+                                .timer = { .on_expiry = lose_candidates },
+                                .view = { .entries = entries, .entry_count = CANDIDATES } };
+
+  for (int32_t i = 1; i < CANDIDATES; i++)
+    {
+      snprintf (entries[i].identity.instance, BT_NAME_BYTES, "before-%d", (int)i);
+      entries[i].cores = 0.3;
+    }
+  run_control (&control_run);
+  CU_ASSERT (atomic_load (&renewed) > 0);
+}
+
+/* Guards against a race for the lease at the start of a fleet, when no instance knows the others
+ * yet: only the first of the listed ones may try early. */
+static void
+test_instances_try_to_lead_in_turn (void)
+{
+  bt_listed_entry_t entries[CANDIDATES] = { 0 };
+  bt_view_t none = { 0 };
+  bt_view_t all = { .entries = entries, .entry_count = CANDIDATES };
+  int64_t unlisted_ms = bt_get_lead_delay_ms (&none, "a", 0.24);
+
+  for (int32_t i = 0; i < CANDIDATES; i++)
+    {
+      snprintf (entries[i].identity.instance, BT_NAME_BYTES, "i-%03d", (int)i);
+      entries[i].cores = i == CANDIDATES - 1 ? 1 : 0.24;
+    }
+  CU_ASSERT (unlisted_ms > bt_get_lead_delay_ms (&all, "i-000", 0.24));
+  CU_ASSERT (bt_get_lead_delay_ms (&all, "i-000", 0.24)
+             > bt_get_lead_delay_ms (&all, entries[CANDIDATES - 1].identity.instance, 1));
+  for (int32_t i = 1; i < CANDIDATES - 1; i++)
+    CU_ASSERT (bt_get_lead_delay_ms (&all, entries[i].identity.instance, 0.24)
+               > bt_get_lead_delay_ms (&all, entries[i - 1].identity.instance, 0.24));
+}
+
 int
 main (void)
 {
@@ -262,6 +328,8 @@
   suite = CU_add_suite ("group_control", NULL, NULL);
   CU_ADD_TEST (suite, test_leaving_leader_releases_the_lease);
   CU_ADD_TEST (suite, test_leader_hands_over_once_to_larger_instance);
+  CU_ADD_TEST (suite, test_lost_candidates_are_not_waited_for);
+  CU_ADD_TEST (suite, test_instances_try_to_lead_in_turn);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
