gateway: the readers of the store grow with the square root of a large fleet

Cause: one entry in twelve read the store, so its calls grew with the fleet: 36 readers of 432 entries, each told of each change.

Change: in a fleet of more than 48 entries the root of a third of their number.

--- a/source/gateway/feed_choice.c
+++ b/source/gateway/feed_choice.c
@@ -14,14 +14,30 @@
   return true;
 }
 
+/* Returns the least number of readers whose square, times BT_ENTRIES_PER_SQUARED_READER, reaches
+ * the number of entries. */
+static int32_t
+count_readers_of_large_fleet (int32_t entries)
+{
+  int32_t readers = 0;
+
+  while (readers * readers * BT_ENTRIES_PER_SQUARED_READER < entries)
+    readers++;
+  return readers;
+}
+
 /* Returns the number of readers. There is at least one for each failure domain, so that updates
  * need not cross between failure domains. */
 static int32_t
 count_readers (const bt_listed_entry_t *entries, int32_t count)
 {
   int32_t readers = (count + BT_ENTRIES_PER_READER - 1) / BT_ENTRIES_PER_READER;
+  int32_t large_readers = count_readers_of_large_fleet (count);
   int32_t domains = 0;
 
+  if (large_readers < readers)
+    readers = large_readers;
+
   for (int32_t i = 0; i < count; i++)
     if (is_first_of_domain (entries, i))
       domains++;
@@ -107,6 +123,7 @@
   memset (choice, 0, sizeof *choice);
   for (int32_t i = 0; i < count; i++)
     {
+      choice->listed = choice->listed || strcmp (entries[i].links, links) == 0;
       bt_copy_name (subset_candidates[i].instance, entries[i].identity.instance);
       bt_copy_name (subset_candidates[i].failure_domain, entries[i].failure_domain);
     }
--- a/source/gateway/feed_choice.h
+++ b/source/gateway/feed_choice.h
@@ -15,9 +15,11 @@
 
 enum
 {
-  /** Number of entries per reader. The loss of a reader causes up to this many full reads at once,
-   * and a reader sends each change this many times. */
+  /** Number of entries per reader in a small fleet. A reader sends each change this many times. */
   BT_ENTRIES_PER_READER = 12,
+  /** In a large fleet there are so many entries per reader, times the number of readers. So neither
+   * the calls on the store nor the work of a reader grow in proportion to the fleet. */
+  BT_ENTRIES_PER_SQUARED_READER = 3,
   /** Number of standbys, the entries that come next after the readers. A reader whose calls to the
    * store fail, and its followers, follow one of them. */
   BT_STANDBY_READERS = 3,
@@ -27,6 +29,7 @@
 
 typedef struct bt_feed_choice
 {
+  bool listed; /**< This entry is in the list of entries. */
   bool reader; /**< This entry reads the store. */
   /** Link addresses of the peers to follow, best first: readers in this entry's failure domain,
    * readers in others, then standbys. */
