load: the rate of a cold endpoint is divided over all entries

Change: rendezvous hashing names as many users of a cold endpoint as it bears requests in a second, each sends one a second; with fewer entries each sends its whole part; an entry that is not listed sends none. Cold is what the registration says, and each endpoint of a failure domain that is taken back. Requests that find only cold endpoints wait like those of a group that is formed.

--- a/include/bilberrytray/gateway/platform.h
+++ b/include/bilberrytray/gateway/platform.h
@@ -36,6 +36,8 @@
   int64_t created_revision; /**< The store's revision at which the registration was created. */
   int64_t revision;         /**< Revision of the last change of the registration. */
   int64_t started_ms;       /**< Start time, Unix time in ms; 0: unknown. */
+  int64_t cold_left_ms; /**< How long it stays cold from the registration's last change on; 0: it
+                           is not cold. */
 } bt_listed_endpoint_t;
 
 /** Information about a request, decoded from the caller's headers. */
--- a/include/bilberrytray/load/router.h
+++ b/include/bilberrytray/load/router.h
@@ -84,7 +84,7 @@
 {
   int32_t endpoints; /**< Endpoints that may be chosen now. */
   int32_t paused; /**< Paused endpoints, which are expected to accept requests again within one or
-                     two seconds. */
+                     two seconds, and cold ones that get no request now. */
   int32_t room; /**< Requests that can be sent without exceeding the queue depth of any endpoint. */
   int32_t in_flight;      /**< Requests of this entry in flight. */
   double slots;           /**< All slots of the usable endpoints. */
@@ -142,6 +142,13 @@
  * it does not exist. */
 bool bt_set_endpoint_evacuated (bt_router_t *router, const bt_identity_t *identity, bool evacuated);
 
+/** Marks an endpoint as cold until @p until_ms: this entry sends it at most one request in
+ * @p interval_ms, and none if that is 0. Returns false if it does not exist. */
+bool bt_set_endpoint_cold (bt_router_t *router,
+                           const bt_identity_t *identity,
+                           int64_t until_ms,
+                           int64_t interval_ms);
+
 /** Records a load report from a heartbeat or a refusal. Returns false if the endpoint does not
  * exist or has no link. */
 bool bt_record_load (bt_router_t *router,
--- a/source/gateway/endpoint_table.c
+++ b/source/gateway/endpoint_table.c
@@ -26,6 +26,9 @@
   int64_t ignored_start_ms; /* start time of the older registration ignored last; 0: none */
   bool evacuated;           /* as the router knows it */
   uint64_t view_number;     /* the last view that listed it */
+  int64_t cold_until_ms;    /* as its registration says */
+  int64_t released_ms;      /* when its failure domain was last evacuated no more; 0: never */
+  int64_t released_cold_ms; /* how long it is taken for cold from then on */
 } table_row_t;
 
 struct bt_endpoint_table
@@ -214,6 +217,7 @@
   row->gone = false;
   row->ignored_start_ms = 0;
   row->evacuated = false;
+  row->released_ms = 0;
 }
 
 static table_row_t *
@@ -270,6 +274,9 @@
     }
   else if (listed->leaving && !row->listed.leaving)
     log_endpoint (ctx, "endpoint-leaving", listed);
+  /* The time counts from when this instance learns of it, which is later than its endpoint says. */
+  if (is_new || row->listed.revision != listed->revision)
+    row->cold_until_ms = listed->cold_left_ms > 0 ? now_ms + listed->cold_left_ms : 0;
   row->listed = *listed;
   row->missing_since_ms = 0;
   row->view_number = table->view_number;
@@ -277,20 +284,44 @@
     update_router (ctx, table, listed, is_new, now_ms);
 }
 
+static int64_t
+get_cold_ms (const bt_view_t *view, const char *app)
+{
+  int32_t index = view->declarations == NULL ? -1 : bt_find_app (view->declarations, app);
+
+  return index < 0 ? 0 : view->declarations->apps[index].cold_ms;
+}
+
+/* Endpoints may have become cold shortly before their failure domain is taken back, and their
+ * registrations say so late. So all of them are taken for cold then. */
+int64_t
+bt_get_endpoint_cold_until_ms (const bt_endpoint_table_t *table, int32_t index)
+{
+  const table_row_t *row = table->rows[index];
+  int64_t until_ms = row->released_ms > 0 ? row->released_ms + row->released_cold_ms : 0;
+
+  return until_ms > row->cold_until_ms ? until_ms : row->cold_until_ms;
+}
+
 /* Marks the endpoints of evacuated failure domains, those that are kept although they are missing
  * in the view included. */
 static void
-apply_evacuations (bt_endpoint_table_t *table, const bt_evacuations_t *evacuations)
+apply_evacuations (bt_endpoint_table_t *table, const bt_view_t *view, int64_t now_ms)
 {
   for (int32_t i = 0; i < table->count; i++)
     {
       table_row_t *row = table->rows[i];
-      bool evacuated = bt_is_domain_evacuated (evacuations, row->listed.failure_domain);
+      bool evacuated = bt_is_domain_evacuated (&view->evacuations, row->listed.failure_domain);
       bt_identity_t identity;
 
       if (evacuated == row->evacuated)
         continue;
       row->evacuated = evacuated;
+      if (!evacuated)
+        {
+          row->released_ms = now_ms;
+          row->released_cold_ms = get_cold_ms (view, row->listed.app);
+        }
       bt_identify_endpoint (&row->listed, &identity);
       bt_set_endpoint_evacuated (table->router, &identity, evacuated);
     }
@@ -340,7 +371,7 @@
       remove_row (ctx, table, i);
     }
   index_addresses (table);
-  apply_evacuations (table, &view->evacuations);
+  apply_evacuations (table, view, now_ms);
   return next_apply_ms;
 }
 
--- a/source/gateway/endpoint_table.h
+++ b/source/gateway/endpoint_table.h
@@ -53,6 +53,9 @@
 const bt_listed_endpoint_t *bt_get_listed_endpoint (const bt_endpoint_table_t *table,
                                                     int32_t index);
 
+/** Returns the time until which the endpoint at an index is cold; 0 if it is not. */
+int64_t bt_get_endpoint_cold_until_ms (const bt_endpoint_table_t *table, int32_t index);
+
 /** Finds the endpoint at an address, the one that started last; NULL when there is none. */
 const bt_listed_endpoint_t *bt_find_endpoint_at (const bt_endpoint_table_t *table,
                                                  const char *address);
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "bilberrytray/base/event_log.h"
+#include "cold_endpoints.h"
 #include "gateway_private.h"
 
 enum
@@ -85,11 +86,14 @@
 static void
 apply_endpoints (bt_gateway_t *gateway)
 {
-  int64_t next_apply_ms = bt_apply_listed_endpoints (gateway->ctx, gateway->endpoints,
-                                                     gateway->view, bt_get_loop_ms (gateway->loop));
+  int64_t now_ms = bt_get_loop_ms (gateway->loop);
+  int64_t next_apply_ms =
+      bt_apply_listed_endpoints (gateway->ctx, gateway->endpoints, gateway->view, now_ms);
 
   bt_update_endpoint_selection (gateway->ctx, gateway->selection, gateway->endpoints, gateway->view,
                                 gateway->router);
+  bt_update_cold_endpoints (gateway->ctx, gateway->endpoints, gateway->view,
+                            gateway->identity.instance, gateway->router, now_ms);
 
   if (next_apply_ms > 0)
     bt_set_timer (gateway->loop, &gateway->relist_timer, next_apply_ms);
--- a/source/load/endpoint_state.h
+++ b/source/load/endpoint_state.h
@@ -36,12 +36,15 @@
   bool linked;
   int64_t down_ms; /**< Time at which the link last died. */
   bool leaving;
-  int64_t ended_until_ms; /**< Its process is known to have ended; the endpoint is not used before
-                             this time. */
-  bool unselected;        /**< This entry does not use it. */
-  bool evacuated;         /**< The operators have evacuated its failure domain. */
-  bool paused;            /**< Its group is being formed and it refuses all requests. */
-  bool reported;          /**< A load report has arrived since the link came up. */
+  int64_t ended_until_ms;   /**< Its process is known to have ended; the endpoint is not used before
+                               this time. */
+  bool unselected;          /**< This entry does not use it. */
+  bool evacuated;           /**< The operators have evacuated its failure domain. */
+  bool paused;              /**< Its group is being formed and it refuses all requests. */
+  int64_t cold_until_ms;    /**< It bears few requests before this time. */
+  int64_t cold_interval_ms; /**< Least interval between two requests meanwhile; 0: none are sent. */
+  int64_t cold_sent_ms;     /**< Time of the last request meanwhile; 0: none was sent. */
+  bool reported;            /**< A load report has arrived since the link came up. */
   bt_load_t load;
   int64_t load_at_ms;      /**< Time that the last load report describes. */
   int32_t own_in_flight;   /**< Requests of this entry in flight. */
--- a/source/load/router.c
+++ b/source/load/router.c
@@ -273,6 +273,31 @@
   return true;
 }
 
+bool
+bt_set_endpoint_cold (bt_router_t *router,
+                      const bt_identity_t *identity,
+                      int64_t until_ms,
+                      int64_t interval_ms)
+{
+  bt_endpoint_state_t *state = find_endpoint (router, identity);
+
+  if (state == NULL)
+    return false;
+  state->cold_until_ms = until_ms;
+  state->cold_interval_ms = interval_ms;
+  return true;
+}
+
+/* Returns true if an endpoint is cold and this entry must not send it a request yet. */
+static bool
+is_too_cold (const bt_endpoint_state_t *state, int64_t now_ms)
+{
+  if (now_ms >= state->cold_until_ms)
+    return false;
+  return state->cold_interval_ms == 0
+         || (state->cold_sent_ms > 0 && now_ms - state->cold_sent_ms < state->cold_interval_ms);
+}
+
 bool
 bt_record_load (bt_router_t *router,
                 const bt_identity_t *identity,
@@ -314,7 +339,7 @@
 is_usable (bt_router_t *router, bt_endpoint_state_t *state, const char *app, int64_t now_ms)
 {
   return state->linked && !state->unselected && !state->leaving && !state->evacuated
-         && !state->paused && now_ms >= state->ended_until_ms
+         && !state->paused && !is_too_cold (state, now_ms) && now_ms >= state->ended_until_ms
          && strcmp (state->endpoint.app, app) == 0
          && !bt_is_outlier_ejected (&state->outlier, &router->options.outlier, now_ms);
 }
@@ -395,6 +420,7 @@
   if (state == NULL)
     return;
   bt_add_endpoint_in_flight (state, 1, now_ms);
+  state->cold_sent_ms = now_ms;
   state->last_dispatch = ++router->last_dispatch;
   bt_set_endpoint_prefix (state, prefix, true, now_ms);
 }
@@ -547,11 +573,12 @@
   return room > -estimated_growth ? room : -estimated_growth;
 }
 
-/* Returns true if an endpoint is paused and accepts requests of this entry afterwards. */
+/* Returns true if an endpoint gets no request of this entry now, but soon. */
 static bool
-is_expected_back (const bt_endpoint_state_t *state)
+is_expected_back (const bt_endpoint_state_t *state, int64_t now_ms)
 {
-  return state->paused && !state->unselected && !state->leaving && !state->evacuated;
+  return (state->paused || is_too_cold (state, now_ms)) && !state->unselected && !state->leaving
+         && !state->evacuated;
 }
 
 void
@@ -570,7 +597,7 @@
       if (strcmp (state->endpoint.app, app) == 0)
         {
           capacity->in_flight += state->own_in_flight;
-          capacity->paused += is_expected_back (state) ? 1 : 0;
+          capacity->paused += is_expected_back (state, now_ms) ? 1 : 0;
         }
       if (!is_usable (router, state, app, now_ms))
         continue;
