--- a/source/gateway/port_probes.c
+++ b/source/gateway/port_probes.c
@@ -9,6 +9,7 @@
 #include <unistd.h>
 
 #include "bilberrytray/base/address.h"
+#include "bilberrytray/base/limit.h"
 
 enum
 {
@@ -147,8 +148,15 @@
 {
   probe_t *probe = &probes->slots[probes->next_slot];
 
-  if (probe->in_use || is_probing (probes, endpoint)
-      || !bt_parse_address (address, &probe->address))
+  if (is_probing (probes, endpoint))
+    return;
+  if (probe->in_use)
+    {
+      bt_report_limit (probes->ctx, "port-probes", MAX_PROBES, endpoint->instance,
+                       "Its end is learnt from the store.");
+      return;
+    }
+  if (!bt_parse_address (address, &probe->address))
     return;
   probes->next_slot = (probes->next_slot + 1) % MAX_PROBES;
   probe->in_use = true;
--- a/test/gateway/test_port_probes.c
+++ b/test/gateway/test_port_probes.c
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "bilberrytray/base/counters.h"
 #include "port_probes.h"
 
 enum
@@ -136,6 +137,9 @@
     }
   run_loop ();
   CU_ASSERT (refusals.count > 1 && refusals.count < MANY_PROBES);
+  CU_ASSERT (bt_read_counter (bt_find_counter (ctx, BT_COUNTER, "bilberry_limits_reached_total", "",
+                                               "limit", "port-probes"))
+             > 0);
   bt_drop_port_probes (ctx, probes);
   bt_drop_event_loop (ctx, loop);
 }
