gateway: entries that nobody has listed yet follow a seed

Cause: while a fleet starts no entry is listed, so each watched the store by itself until the list was full.

Change: without listed peers the seeds are followed, and read the store themselves; each process begins with another one.

--- a/source/gateway/feed_choice.c
+++ b/source/gateway/feed_choice.c
@@ -144,6 +144,19 @@
   bt_free (ctx, chosen);
 }
 
+/* Turns the candidates by the hash of @p links, so that processes are spread over the seeds. */
+static void
+rotate_candidates (bt_feed_choice_t *choice, const char *links)
+{
+  char before[BT_MAX_FEED_CANDIDATES][BT_ADDRESS_BYTES];
+  uint64_t hash = bt_hash_bytes (links, strlen (links), 0);
+
+  memcpy (before, choice->candidates, sizeof before);
+  for (int32_t i = 0; i < choice->count; i++)
+    memcpy (choice->candidates[i], before[(hash + (uint64_t)i) % (uint64_t)choice->count],
+            BT_ADDRESS_BYTES);
+}
+
 void
 bt_choose_seed_feed (const char *seeds, const char *links, bt_feed_choice_t *choice)
 {
@@ -154,9 +167,12 @@
       char address[BT_ADDRESS_BYTES];
 
       snprintf (address, sizeof address, "%.*s", (int)bytes, seeds);
-      if (bytes > 0 && strcmp (address, links) != 0)
+      if (bytes > 0 && strcmp (address, links) == 0)
+        choice->reader = true;
+      else if (bytes > 0)
         add_candidate (choice, address);
       seeds += bytes + (seeds[bytes] == ',' ? 1 : 0);
     }
-  choice->primary_count = choice->count;
+  rotate_candidates (choice, links);
+  choice->primary_count = choice->reader ? 0 : choice->count;
 }
--- a/source/gateway/feed_choice.h
+++ b/source/gateway/feed_choice.h
@@ -53,7 +53,8 @@
                      bt_feed_choice_t *choice);
 
 /** Chooses for a process that knows no entries yet. @p seeds is a comma-separated list of link
- * addresses of other instances; the process's own address is skipped. */
+ * addresses of instances. The process follows one of them, unless its own address is among them:
+ * the seeds read the store. */
 void bt_choose_seed_feed (const char *seeds, const char *links, bt_feed_choice_t *choice);
 
 #endif
--- a/source/gateway/store_follower.c
+++ b/source/gateway/store_follower.c
@@ -144,6 +144,9 @@
   bt_visit_copy_items (follower->copy, make_view, &args);
   bt_choose_feed (follower->ctx, args.view->entries, args.view->entry_count, self->links,
                   self->failure_domain, &follower->choice);
+  /* While a fleet starts, no entry is listed yet, and the seeds tell the others who is. */
+  if (follower->choice.count == 0 && !follower->choice.listed)
+    bt_choose_seed_feed (follower->options.seeds, self->links, &follower->choice);
   keep_summary (follower, args.view);
   post_event (follower, args.view, true);
 }
