--- a/test/gateway/test_cold_endpoints.c
+++ b/test/gateway/test_cold_endpoints.c
@@ -99,7 +99,8 @@
   drop_table ();
 }
 
-/* An endpoint may become cold at any moment; its registration says so, and when it is warm again. */
+/* An endpoint may become cold at any moment; its registration says so, and when it is warm again.
+ */
 static void
 test_registration_changes_cold_state (void)
 {
