gateway: only agents with an update are visited

Cause: each iteration of the event loop took and released the lock once for each agent, 576 times, and each frame wakes a leader's loop. Change: rows with an update are in a list. Shown: test_map_group, test_group_control unchanged.

--- a/source/gateway/agent_links.c
+++ b/source/gateway/agent_links.c
@@ -44,6 +44,7 @@
   bool answered;
   uint64_t answered_id;
   bt_order_result_t result;
+  struct agent_row *next_updated;
   struct agent_row *next;
 } agent_row_t;
 
@@ -59,6 +60,7 @@
   /* Lock order: acquired before any call into a link. */
   pthread_mutex_t lock; /* guards the rows */
   agent_row_t *rows;
+  agent_row_t *updated;   /* list of the rows with an update, the latest first */
   bt_name_index_t *index; /* of the rows by endpoint */
 };
 
@@ -186,6 +188,11 @@
 {
   bt_read_engine_report (message, &row->report);
   row->received_ms = bt_now_ms (links->ctx);
+  if (!row->updated)
+    {
+      row->next_updated = links->updated;
+      links->updated = row;
+    }
   row->updated = true;
   add_picks (links, row, message);
   store_places (links, row, message);
@@ -320,6 +327,12 @@
 static void
 drop_row (bt_agent_links_t *links, agent_row_t *row)
 {
+  for (agent_row_t **at = &links->updated; row->updated && *at != NULL; at = &(*at)->next_updated)
+    if (*at == row)
+      {
+        *at = row->next_updated;
+        break;
+      }
   drop_row_link (links, row);
   bt_remove_name (links->index, row->endpoint, row);
   bt_free (links->ctx, row->picks);
@@ -407,12 +420,10 @@
   pthread_mutex_unlock (&links->lock);
 }
 
-/* Moves the pending update out of a row. Returns false if there is none. */
-static bool
+/* Moves the pending update out of a row. */
+static void
 take_row_update (agent_row_t *row, bt_agent_update_t *update)
 {
-  if (!row->updated)
-    return false;
   memset (update, 0, sizeof *update);
   update->endpoint = row->endpoint;
   update->report = row->report;
@@ -431,7 +442,6 @@
   row->picks = NULL;
   row->pick_count = 0;
   row->places = NULL;
-  return true;
 }
 
 bool
@@ -440,23 +450,27 @@
                           void *data)
 {
   agent_row_t *row;
-  bool any = false;
+  bool any;
 
   /* Only this thread creates and frees rows; the lock guards their contents. */
-  for (row = links->rows; row != NULL; row = row->next)
+  pthread_mutex_lock (&links->lock);
+  row = links->updated;
+  links->updated = NULL;
+  pthread_mutex_unlock (&links->lock);
+  any = row != NULL;
+  while (row != NULL)
     {
+      agent_row_t *next;
       bt_agent_update_t update;
-      bool updated;
 
       pthread_mutex_lock (&links->lock);
-      updated = take_row_update (row, &update);
+      next = row->next_updated;
+      take_row_update (row, &update);
       pthread_mutex_unlock (&links->lock);
-      if (!updated)
-        continue;
-      any = true;
       handle_update (data, &update);
       bt_free (links->ctx, (void *)update.picks);
       bt_free (links->ctx, (void *)update.places);
+      row = next;
     }
   return any;
 }
