--- a/source/gateway/agent_links.c
+++ b/source/gateway/agent_links.c
@@ -33,17 +33,7 @@
   bt_link_t *link;
   bool up;
   bool updated; /* reported since updates were last collected */
-  bt_engine_report_t report;
-  int64_t received_ms;
-  uint32_t *picks; /* summed until they are collected */
-  int32_t pick_count;
-  uint32_t *places;
-  int32_t place_count;
-  int64_t places_epoch;
-  int64_t places_version;
-  bool answered;
-  uint64_t answered_id;
-  bt_order_result_t result;
+  bt_pending_update_t pending;
   struct agent_row *next_updated;
   struct agent_row *next;
 } agent_row_t;
@@ -114,7 +104,7 @@
     return;
   follow.fence = links->fence;
   follow.places = places;
-  follow.picks_every = (uint32_t)bt_get_picks_interval (row->report.ranks);
+  follow.picks_every = (uint32_t)bt_get_picks_interval (row->pending.report.ranks);
   frame.body_case = BILBERRY__FRAME__BODY_ENGINE_FOLLOW;
   frame.engine_follow = &follow;
   bt_send_frame (links->ctx, row->link, &frame);
@@ -154,48 +144,16 @@
                 bt_get_link_instance (link));
 }
 
-/* Adds up picks, because several reports may arrive before the loop collects them. */
-static void
-add_picks (bt_agent_links_t *links, agent_row_t *row, const Bilberry__EngineReport *message)
-{
-  if (message->n_picks == 0)
-    return;
-  if (row->pick_count != (int32_t)message->n_picks)
-    {
-      bt_free (links->ctx, row->picks);
-      row->picks = bt_calloc (links->ctx, message->n_picks, sizeof *row->picks);
-      row->pick_count = (int32_t)message->n_picks;
-    }
-  for (size_t i = 0; i < message->n_picks; i++)
-    row->picks[i] += message->picks[i];
-}
-
-static void
-store_places (bt_agent_links_t *links, agent_row_t *row, const Bilberry__EngineReport *message)
-{
-  if (!message->has_places)
-    return;
-  bt_free (links->ctx, row->places);
-  row->places =
-      bt_memdup (links->ctx, message->places, message->n_places * sizeof *message->places);
-  row->place_count = (int32_t)message->n_places;
-  row->places_epoch = message->places_epoch;
-  row->places_version = message->places_version;
-}
-
 static void
 store_report (bt_agent_links_t *links, agent_row_t *row, const Bilberry__EngineReport *message)
 {
-  bt_read_engine_report (message, &row->report);
-  row->received_ms = bt_now_ms (links->ctx);
   if (!row->updated)
     {
       row->next_updated = links->updated;
       links->updated = row;
     }
   row->updated = true;
-  add_picks (links, row, message);
-  store_places (links, row, message);
+  bt_add_pending_report (links->ctx, &row->pending, message);
 }
 
 static void
@@ -213,9 +171,7 @@
   if (row != NULL && result && frame->engine_result->report != NULL)
     {
       store_report (links, row, frame->engine_result->report);
-      row->answered = true;
-      row->answered_id = frame->engine_result->id;
-      row->result = (bt_order_result_t)frame->engine_result->result;
+      bt_set_pending_result (&row->pending, frame->engine_result);
     }
   leading = links->fence != 0;
   pthread_mutex_unlock (&links->lock);
@@ -335,8 +291,7 @@
       }
   drop_row_link (links, row);
   bt_remove_name (links->index, row->endpoint, row);
-  bt_free (links->ctx, row->picks);
-  bt_free (links->ctx, row->places);
+  bt_clear_pending_update (links->ctx, &row->pending);
   bt_free (links->ctx, row);
 }
 
@@ -420,30 +375,6 @@
   pthread_mutex_unlock (&links->lock);
 }
 
-/* Moves the pending update out of a row. */
-static void
-take_row_update (agent_row_t *row, bt_agent_update_t *update)
-{
-  memset (update, 0, sizeof *update);
-  update->endpoint = row->endpoint;
-  update->report = row->report;
-  update->received_ms = row->received_ms;
-  update->picks = row->picks;
-  update->pick_count = row->pick_count;
-  update->places = row->places;
-  update->place_count = row->place_count;
-  update->places_epoch = row->places_epoch;
-  update->places_version = row->places_version;
-  update->answered = row->answered;
-  update->answered_id = row->answered_id;
-  update->result = row->result;
-  row->updated = false;
-  row->answered = false;
-  row->picks = NULL;
-  row->pick_count = 0;
-  row->places = NULL;
-}
-
 bool
 bt_collect_agent_updates (bt_agent_links_t *links,
                           bt_agent_update_handler_t handle_update,
@@ -465,8 +396,10 @@
 
       pthread_mutex_lock (&links->lock);
       next = row->next_updated;
-      take_row_update (row, &update);
+      row->updated = false;
+      bt_take_pending_update (&row->pending, &update);
       pthread_mutex_unlock (&links->lock);
+      update.endpoint = row->endpoint;
       handle_update (data, &update);
       bt_free (links->ctx, (void *)update.picks);
       bt_free (links->ctx, (void *)update.places);
--- a/source/gateway/agent_links.h
+++ b/source/gateway/agent_links.h
@@ -14,31 +14,12 @@
  */
 
 #include "bilberrytray/maps/expert_map.h"
-#include "bilberrytray/wire/engine_messages.h"
 #include "endpoint_selection.h"
 #include "event_loop.h"
+#include "pending_update.h"
 
 typedef struct bt_agent_links bt_agent_links_t;
 
-/** What one agent reported since the last update. */
-typedef struct bt_agent_update
-{
-  const char *endpoint; /**< The engine's "IP:PORT". */
-  bt_engine_report_t report;
-  int64_t received_ms;
-  const uint32_t *picks; /**< How often each expert was picked since the last update, by
-                            set and expert; NULL: not reported. */
-  int32_t pick_count;
-  const uint32_t *places; /**< Experts that the rank holds, each set << 16 | expert; NULL: not
-                             reported. */
-  int32_t place_count;
-  int64_t places_epoch; /**< Epoch and version of the map that the places belong to. */
-  int64_t places_version;
-  bool answered;        /**< The result of an order arrived. */
-  uint64_t answered_id; /**< The id of that order. */
-  bt_order_result_t result;
-} bt_agent_update_t;
-
 /** Handles one update; called on the event loop by bt_collect_agent_updates. */
 typedef void (*bt_agent_update_handler_t) (void *data, const bt_agent_update_t *update);
 
--- a/source/load/router.c
+++ b/source/load/router.c
@@ -2,8 +2,7 @@
 
 #include <string.h>
 
-#include "bilberrytray/base/name_index.h"
-#include "choice.h"
+#include "router_private.h"
 
 enum
 {
@@ -20,28 +19,6 @@
   INITIAL_CAPACITY = 16,
 };
 
-/** Number of entries that share the endpoints of one app. */
-typedef struct app_entries
-{
-  char app[BT_NAME_BYTES];
-  int32_t entries;
-} app_entries_t;
-
-struct bt_router
-{
-  bt_router_options_t options;
-  int32_t entries; /* of an app without a row below */
-  app_entries_t *app_entries;
-  int32_t app_count;
-  uint64_t last_link_number;
-  uint64_t last_dispatch;
-  double home_virtual_time; /* virtual time of the last home agent chosen */
-  bt_endpoint_state_t **endpoints;
-  bt_name_index_t *index; /* of the endpoints by instance; there is one incarnation of each */
-  int32_t count;
-  int32_t capacity;
-};
-
 void
 bt_default_router_options (bt_router_options_t *options)
 {
@@ -79,58 +56,12 @@
   bt_free (ctx, router);
 }
 
-void
-bt_set_router_entries (bt_router_t *router, int32_t entries)
-{
-  router->entries = entries > 0 ? entries : 1;
-}
-
-static app_entries_t *
-find_app_entries (const bt_router_t *router, const char *app)
-{
-  for (int32_t i = 0; i < router->app_count; i++)
-    if (strcmp (router->app_entries[i].app, app) == 0)
-      return &router->app_entries[i];
-  return NULL;
-}
-
-void
-bt_set_app_entries (bt_context_t *ctx, bt_router_t *router, const char *app, int32_t entries)
-{
-  app_entries_t *row = find_app_entries (router, app);
-
-  if (row == NULL)
-    {
-      router->app_entries = bt_realloc (ctx, router->app_entries, (size_t)router->app_count + 1,
-                                        sizeof *router->app_entries);
-      row = &router->app_entries[router->app_count++];
-      bt_copy_name (row->app, app);
-    }
-  row->entries = entries > 0 ? entries : 1;
-}
-
-static int32_t
-get_entries (const bt_router_t *router, const char *app)
-{
-  const app_entries_t *row = find_app_entries (router, app);
-
-  return row == NULL ? router->entries : row->entries;
-}
-
-static bt_endpoint_state_t *
-find_endpoint (bt_router_t *router, const bt_identity_t *identity)
-{
-  bt_endpoint_state_t *state = bt_find_name (router->index, identity->instance);
-
-  return state != NULL && bt_same_identity (&state->endpoint.identity, identity) ? state : NULL;
-}
-
 /* Returns the endpoint of a route, or NULL if its link has died since. Otherwise the late end of an
  * attempt that is no longer counted would make a busy endpoint look idle. */
 static bt_endpoint_state_t *
 find_route (bt_router_t *router, const bt_route_t *route)
 {
-  bt_endpoint_state_t *state = find_endpoint (router, &route->identity);
+  bt_endpoint_state_t *state = bt_find_endpoint_state (router, &route->identity);
 
   return state != NULL && state->linked && state->link_number == route->link_number ? state : NULL;
 }
@@ -182,7 +113,7 @@
                  const bt_endpoint_t *endpoint,
                  int64_t now_ms)
 {
-  bt_endpoint_state_t *state = find_endpoint (router, &endpoint->identity);
+  bt_endpoint_state_t *state = bt_find_endpoint_state (router, &endpoint->identity);
   bt_outlier_t outlier;
 
   if (state != NULL)
@@ -218,93 +149,13 @@
   return false;
 }
 
-bool
-bt_set_endpoint_leaving (bt_router_t *router, const bt_identity_t *identity, bool leaving)
-{
-  bt_endpoint_state_t *state = find_endpoint (router, identity);
-
-  if (state == NULL)
-    return false;
-  state->leaving = leaving;
-  return true;
-}
-
-bool
-bt_set_endpoint_ended (bt_router_t *router, const bt_identity_t *identity, int64_t until_ms)
-{
-  bt_endpoint_state_t *state = find_endpoint (router, identity);
-
-  if (state == NULL)
-    return false;
-  state->ended_until_ms = until_ms;
-  return true;
-}
-
-bool
-bt_set_endpoint_paused (bt_router_t *router, const bt_identity_t *identity, bool paused)
-{
-  bt_endpoint_state_t *state = find_endpoint (router, identity);
-
-  if (state == NULL)
-    return false;
-  state->paused = paused;
-  return true;
-}
-
-bool
-bt_set_endpoint_selected (bt_router_t *router, const bt_identity_t *identity, bool selected)
-{
-  bt_endpoint_state_t *state = find_endpoint (router, identity);
-
-  if (state == NULL)
-    return false;
-  state->unselected = !selected;
-  return true;
-}
-
-bool
-bt_set_endpoint_evacuated (bt_router_t *router, const bt_identity_t *identity, bool evacuated)
-{
-  bt_endpoint_state_t *state = find_endpoint (router, identity);
-
-  if (state == NULL)
-    return false;
-  state->evacuated = evacuated;
-  return true;
-}
-
-bool
-bt_set_endpoint_cold (bt_router_t *router,
-                      const bt_identity_t *identity,
-                      int64_t until_ms,
-                      int64_t interval_ms)
-{
-  bt_endpoint_state_t *state = find_endpoint (router, identity);
-
-  if (state == NULL)
-    return false;
-  state->cold_until_ms = until_ms;
-  state->cold_interval_ms = interval_ms;
-  return true;
-}
-
-/* Returns true if an endpoint is cold and this entry must not send it a request yet. */
-static bool
-is_too_cold (const bt_endpoint_state_t *state, int64_t now_ms)
-{
-  if (now_ms >= state->cold_until_ms)
-    return false;
-  return state->cold_interval_ms == 0
-         || (state->cold_sent_ms > 0 && now_ms - state->cold_sent_ms < state->cold_interval_ms);
-}
-
 bool
 bt_record_load (bt_router_t *router,
                 const bt_identity_t *identity,
                 const bt_load_t *load,
                 int64_t now_ms)
 {
-  bt_endpoint_state_t *state = find_endpoint (router, identity);
+  bt_endpoint_state_t *state = bt_find_endpoint_state (router, identity);
 
   if (state == NULL || !state->linked)
     return false;
@@ -315,7 +166,7 @@
 int32_t
 bt_get_reported_slots (bt_router_t *router, const bt_identity_t *identity, int32_t fallback)
 {
-  const bt_endpoint_state_t *state = find_endpoint (router, identity);
+  const bt_endpoint_state_t *state = bt_find_endpoint_state (router, identity);
 
   return state != NULL && state->load.slots > 0 ? state->load.slots : fallback;
 }
@@ -327,7 +178,7 @@
                   bool cached,
                   int64_t now_ms)
 {
-  bt_endpoint_state_t *state = find_endpoint (router, identity);
+  bt_endpoint_state_t *state = bt_find_endpoint_state (router, identity);
 
   if (state == NULL)
     return false;
@@ -335,15 +186,6 @@
   return true;
 }
 
-static bool
-is_usable (bt_router_t *router, bt_endpoint_state_t *state, const char *app, int64_t now_ms)
-{
-  return state->linked && !state->unselected && !state->leaving && !state->evacuated
-         && !state->paused && !is_too_cold (state, now_ms) && now_ms >= state->ended_until_ms
-         && strcmp (state->endpoint.app, app) == 0
-         && !bt_is_outlier_ejected (&state->outlier, &router->options.outlier, now_ms);
-}
-
 static bool
 is_excluded (const bt_endpoint_state_t *state, const bt_route_request_t *request)
 {
@@ -370,12 +212,13 @@
     {
       bt_endpoint_state_t *state = router->endpoints[i];
 
-      if (is_usable (router, state, request->app, now_ms) && !is_excluded (state, request))
+      if (bt_is_endpoint_usable (router, state, request->app, now_ms)
+          && !is_excluded (state, request))
         usable[count++] = state;
     }
   *retry_after_ms = 0;
-  best = bt_choose_endpoint_state (&router->options, get_entries (router, request->app), usable,
-                                   count, request, now_ms);
+  best = bt_choose_endpoint_state (&router->options, bt_get_app_entries (router, request->app),
+                                   usable, count, request, now_ms);
   if (best == NULL)
     {
       *retry_after_ms = NO_ENDPOINT_RETRY_AFTER_MS;
@@ -395,7 +238,7 @@
     {
       bt_endpoint_state_t *state = router->endpoints[i];
 
-      if (!is_usable (router, state, app, now_ms))
+      if (!bt_is_endpoint_usable (router, state, app, now_ms))
         continue;
       if (best == NULL || state->home_virtual_time < best->home_virtual_time)
         best = state;
@@ -533,7 +376,7 @@
 void
 bt_record_link_down (bt_router_t *router, const bt_identity_t *identity, int64_t now_ms)
 {
-  bt_endpoint_state_t *state = find_endpoint (router, identity);
+  bt_endpoint_state_t *state = bt_find_endpoint_state (router, identity);
 
   if (state == NULL || !state->linked)
     return;
@@ -548,77 +391,9 @@
 void
 bt_record_link_up (bt_router_t *router, const bt_identity_t *identity, int64_t now_ms)
 {
-  bt_endpoint_state_t *state = find_endpoint (router, identity);
+  bt_endpoint_state_t *state = bt_find_endpoint_state (router, identity);
 
   (void)now_ms;
   if (state != NULL)
     mark_link_up (router, state);
 }
-
-/* Returns the part of an endpoint in the room of this entry. It is negative if the estimate, which
- * assumes that the other entries sent there as much as this one, exceeds the endpoint's capacity.
- * The requests of the others went to some endpoint, so the excess, up to the growth assumed for
- * them, reduces the room at the remaining ones. Without this, each entry sends one request to each
- * endpoint however few it may run: a limit below the number of entries is always exceeded, and
- * every pass of a newly formed group is too long. */
-static int32_t
-get_endpoint_room (const bt_endpoint_state_t *state,
-                   const bt_router_options_t *options,
-                   int32_t entries)
-{
-  int32_t expected_load = bt_get_endpoint_expected_load (state, entries);
-  int32_t estimated_growth = expected_load - bt_get_endpoint_load (state);
-  int32_t room = bt_get_endpoint_slots (state, options) + options->queue_depth - expected_load;
-
-  return room > -estimated_growth ? room : -estimated_growth;
-}
-
-/* Returns true if an endpoint gets no request of this entry now, but soon. */
-static bool
-is_expected_back (const bt_endpoint_state_t *state, int64_t now_ms)
-{
-  return (state->paused || is_too_cold (state, now_ms)) && !state->unselected && !state->leaving
-         && !state->evacuated;
-}
-
-void
-bt_get_capacity (bt_router_t *router, const char *app, int64_t now_ms, bt_capacity_t *capacity)
-{
-  const bt_router_options_t *options = &router->options;
-  const int32_t entries = get_entries (router, app);
-  int64_t service_ms = 0;
-
-  memset (capacity, 0, sizeof *capacity);
-  for (int32_t i = 0; i < router->count; i++)
-    {
-      bt_endpoint_state_t *state = router->endpoints[i];
-      int32_t slots;
-
-      if (strcmp (state->endpoint.app, app) == 0)
-        {
-          capacity->in_flight += state->own_in_flight;
-          capacity->paused += is_expected_back (state, now_ms) ? 1 : 0;
-        }
-      if (!is_usable (router, state, app, now_ms))
-        continue;
-      slots = bt_get_endpoint_slots (state, options);
-      capacity->endpoints++;
-      capacity->slots += slots;
-      /* Other entries that hold more than their equal share return the excess under load. */
-      capacity->available_slots += slots - (bt_get_endpoint_load (state) - state->own_in_flight);
-      capacity->room += get_endpoint_room (state, options, entries);
-      capacity->equal_share += (double)(slots + options->queue_depth) / entries;
-      service_ms += bt_get_endpoint_service_ms (state, options);
-    }
-  if (capacity->room < 0)
-    capacity->room = 0;
-  if (capacity->available_slots < capacity->slots / entries)
-    capacity->available_slots = capacity->slots / entries;
-  capacity->service_ms = options->default_service_ms;
-  if (capacity->endpoints > 0)
-    capacity->service_ms = service_ms / capacity->endpoints;
-  capacity->full_queue_ms = capacity->service_ms;
-  if (capacity->slots > 0)
-    capacity->full_queue_ms += (int64_t)((double)(capacity->service_ms * options->queue_depth)
-                                         * capacity->endpoints / capacity->slots);
-}
