gateway: readers of the store are large entries

A reader on a link of 40 Mbit/s needs longer to send a large configuration to 36 followers than they wait for its heartbeat.

Change: readers are chosen among the entries with at least half of the largest processor share if there are enough of them.

--- a/source/gateway/feed_choice.c
+++ b/source/gateway/feed_choice.c
@@ -106,6 +106,39 @@
   return false;
 }
 
+/* Returns the least processor share of a large entry: half of the largest one. */
+static double
+get_large_cores (const bt_listed_entry_t *entries, int32_t count)
+{
+  double most = 0;
+
+  for (int32_t i = 0; i < count; i++)
+    if (entries[i].cores > most)
+      most = entries[i].cores;
+  return most / 2;
+}
+
+/* Lists the entries that may become readers: the large ones if there are enough, since a reader
+ * sends each change to all its followers, or else all. Returns their number. */
+static int32_t
+list_reader_candidates (const bt_listed_entry_t *entries,
+                        int32_t count,
+                        int32_t wanted,
+                        int32_t *candidates)
+{
+  double large_cores = get_large_cores (entries, count);
+  int32_t large = 0;
+
+  for (int32_t i = 0; i < count; i++)
+    if (entries[i].cores >= large_cores)
+      candidates[large++] = i;
+  if (large >= wanted)
+    return large;
+  for (int32_t i = 0; i < count; i++)
+    candidates[i] = i;
+  return count;
+}
+
 void
 bt_choose_feed (bt_context_t *ctx,
                 const bt_listed_entry_t *entries,
@@ -116,19 +149,26 @@
 {
   bt_subset_candidate_t *subset_candidates =
       bt_calloc (ctx, (size_t)count, sizeof *subset_candidates);
+  int32_t *candidates = bt_calloc (ctx, (size_t)count + 1, sizeof *candidates);
   int32_t readers = count_readers (entries, count);
   int32_t chosen_count = readers + BT_STANDBY_READERS;
   int32_t *chosen = bt_calloc (ctx, (size_t)chosen_count, sizeof *chosen);
+  int32_t candidate_count = list_reader_candidates (entries, count, chosen_count, candidates);
 
   memset (choice, 0, sizeof *choice);
   for (int32_t i = 0; i < count; i++)
+    choice->listed = choice->listed || strcmp (entries[i].links, links) == 0;
+  for (int32_t i = 0; i < candidate_count; i++)
     {
-      choice->listed = choice->listed || strcmp (entries[i].links, links) == 0;
-      bt_copy_name (subset_candidates[i].instance, entries[i].identity.instance);
-      bt_copy_name (subset_candidates[i].failure_domain, entries[i].failure_domain);
+      const bt_listed_entry_t *entry = &entries[candidates[i]];
+
+      bt_copy_name (subset_candidates[i].instance, entry->identity.instance);
+      bt_copy_name (subset_candidates[i].failure_domain, entry->failure_domain);
     }
-  chosen_count =
-      bt_choose_subset (ctx, "store readers", subset_candidates, count, chosen_count, chosen);
+  chosen_count = bt_choose_subset (ctx, "store readers", subset_candidates, candidate_count,
+                                   chosen_count, chosen);
+  for (int32_t i = 0; i < chosen_count; i++)
+    chosen[i] = candidates[chosen[i]];
   readers = readers < chosen_count ? readers : chosen_count;
   choice->reader = is_among (entries, chosen, readers, links);
   if (readers > 0)
@@ -141,6 +181,7 @@
   if (choice->reader)
     choice->primary_count = 0;
   bt_free (ctx, subset_candidates);
+  bt_free (ctx, candidates);
   bt_free (ctx, chosen);
 }
 
--- a/source/gateway/feed_choice.h
+++ b/source/gateway/feed_choice.h
@@ -15,7 +15,8 @@
 
 enum
 {
-  /** Number of entries per reader in a small fleet. A reader sends each change this many times. */
+  /** Number of entries per reader in a small fleet. A reader sends each change this many times, so
+   * readers are chosen among the entries with the most processor share if there are enough. */
   BT_ENTRIES_PER_READER = 12,
   /** In a large fleet there are so many entries per reader, times the number of readers. So neither
    * the calls on the store nor the work of a reader grow in proportion to the fleet. */
--- a/test/gateway/test_feed_choice.c
+++ b/test/gateway/test_feed_choice.c
@@ -103,6 +103,23 @@
   CU_ASSERT (640 / count_readers (640) <= 2 * (160 / few) + 2);
 }
 
+/* Guards against a reader with a small link that needs a second to send a large configuration to
+ * its followers, which take it for lost meanwhile: readers are large entries if there are enough.
+ */
+static void
+test_readers_are_large_entries (void)
+{
+  list_entries (432);
+  for (int32_t i = 0; i < 432; i++)
+    entries[i].cores = i < 45 ? 1 : 0.24;
+  for (int32_t i = 45; i < 432; i++)
+    CU_ASSERT_FALSE (choose (432, i).reader);
+  CU_ASSERT_EQUAL (count_readers (432), 12);
+  for (int32_t i = 5; i < 432; i++)
+    entries[i].cores = 0.24;
+  CU_ASSERT_EQUAL (count_readers (432), 12);
+}
+
 /* An entry that is not listed yet must know that: it waits for the list and reads no changes. */
 static void
 test_unlisted_entry_is_told (void)
@@ -241,6 +258,7 @@
   CU_ADD_TEST (suite, test_few_entries_read_the_store);
   CU_ADD_TEST (suite, test_readers_of_own_domain_come_first);
   CU_ADD_TEST (suite, test_readers_grow_with_the_square_root);
+  CU_ADD_TEST (suite, test_readers_are_large_entries);
   CU_ADD_TEST (suite, test_unlisted_entry_is_told);
   CU_ADD_TEST (suite, test_followers_are_spread);
   CU_ADD_TEST (suite, test_unlisted_entry_follows);
