gateway: a start falls back to a whole read where the watch fails

Cause: the watch behind the first read has 400 ms beside its wait. Found by reading the diff.

Change: it reads all items then, as it does where the watch may have missed changes. Shown: test_gateway_peers unchanged.

--- a/source/gateway/store_follower.c
+++ b/source/gateway/store_follower.c
@@ -198,13 +198,17 @@
   if (!bt_read_lagging_kv (ctx, follower->kv, "", &range, error))
     return false;
   done = bt_follow_kv (ctx, follower->kv, "", range.revision + 1, FIRST_WATCH_MS, &changes, error);
-  if (done && (changes.incomplete || changes.written.revision < range.revision))
-    done = read_all (follower, error);
-  else if (done)
+  if (done && !changes.incomplete && changes.written.revision >= range.revision)
     {
       bt_apply_kv_changes (ctx, &range, &changes);
       replace_items (follower, &range, begun_ms);
     }
+  else
+    {
+      /* A store that is too slow for a watch may still answer a read. */
+      bt_clear_error (error);
+      done = read_all (follower, error);
+    }
   bt_drop_kv_range (ctx, &range);
   bt_drop_kv_changes (ctx, &changes);
   return done;
