--- a/include/bilberrytray/config/declarations.h
+++ b/include/bilberrytray/config/declarations.h
@@ -78,8 +78,8 @@
   int64_t deadline_ms; /**< Deadline of requests whose rule sets none. */
   bt_engine_t engine;  /**< Only for a model whose ranks work in a group; all 0 otherwise. */
   int64_t cold_ms;     /**< How long an endpoint that has started is cold; 0: never. */
-  double cold_per_s;   /**< Requests per second that a cold endpoint bears from all instances
-                          together; 0: no bound. */
+  double cold_per_s;   /**< Requests per second that a cold endpoint tolerates, from all
+                          instances together; 0: no limit. */
 } bt_app_t;
 
 /** One endpoint of an app. */
--- a/source/gateway/endpoint_table.c
+++ b/source/gateway/endpoint_table.c
@@ -28,7 +28,7 @@
   uint64_t view_number;     /* the last view that listed it */
   int64_t cold_until_ms;    /* as its registration says */
   int64_t released_ms;      /* when its failure domain was last evacuated no more; 0: never */
-  int64_t released_cold_ms; /* how long it is taken for cold from then on */
+  int64_t released_cold_ms; /* how long it is assumed to be cold from then on */
 } table_row_t;
 
 struct bt_endpoint_table
@@ -292,8 +292,8 @@
   return index < 0 ? 0 : view->declarations->apps[index].cold_ms;
 }
 
-/* Endpoints may have become cold shortly before their failure domain is taken back, and their
- * registrations say so late. So all of them are taken for cold then. */
+/* Endpoints may have become cold shortly before the end of an evacuation, and their registrations
+ * say so late. So all of them are assumed to be cold then. */
 int64_t
 bt_get_endpoint_cold_until_ms (const bt_endpoint_table_t *table, int32_t index)
 {
--- a/source/gateway/lead_order.h
+++ b/source/gateway/lead_order.h
@@ -10,7 +10,7 @@
 
 /** Returns how long an instance waits before it tries, from when no leader is known, in ms. The one
  * with the most processor share tries first, by name if they have the same. An instance that the
- * view does not list yet lets the listed ones try before. */
+ * view does not list yet tries after the listed ones. */
 int64_t bt_get_lead_delay_ms (const bt_view_t *view, const char *instance, double cores);
 
 #endif
--- a/source/load/endpoint_state.h
+++ b/source/load/endpoint_state.h
@@ -41,7 +41,7 @@
   bool unselected;          /**< This entry does not use it. */
   bool evacuated;           /**< The operators have evacuated its failure domain. */
   bool paused;              /**< Its group is being formed and it refuses all requests. */
-  int64_t cold_until_ms;    /**< It bears few requests before this time. */
+  int64_t cold_until_ms;    /**< It tolerates few requests before this time. */
   int64_t cold_interval_ms; /**< Least interval between two requests meanwhile; 0: none are sent. */
   int64_t cold_sent_ms;     /**< Time of the last request meanwhile; 0: none was sent. */
   bool reported;            /**< A load report has arrived since the link came up. */
--- a/test/gateway/test_cold_endpoints.c
+++ b/test/gateway/test_cold_endpoints.c
@@ -76,8 +76,8 @@
   return true;
 }
 
-/* Guards against a crash of an endpoint that has just started under more requests than it bears
- * cold. Meanwhile requests wait instead of being refused. */
+/* Guards against a crash of an endpoint that has just started under more requests than it
+ * tolerates cold. Meanwhile requests wait instead of being refused. */
 static void
 test_cold_endpoint_gets_few_requests (void)
 {
@@ -119,7 +119,7 @@
   drop_table ();
 }
 
-/* Endpoints of a failure domain that is taken back may be cold, and say so too late. */
+/* Endpoints may be cold at the end of an evacuation, and say so too late. */
 static void
 test_released_domain_is_taken_for_cold (void)
 {
--- a/test/load/test_cold_share.c
+++ b/test/load/test_cold_share.c
@@ -61,7 +61,7 @@
 }
 
 /* Guards against a cold endpoint that crashes under the requests of all entries: their sum in any
- * second stays below what it bears, whenever each of them begins. */
+ * second stays below what it tolerates, whenever each of them begins. */
 static void
 test_sum_of_all_entries_is_bounded (void)
 {
@@ -83,7 +83,7 @@
         }
 }
 
-/* A cold endpoint must be used at all, by as many entries as it bears requests in a second. */
+/* A cold endpoint must be used at all, by as many entries as it tolerates requests per second. */
 static void
 test_some_entries_use_a_cold_endpoint (void)
 {
@@ -105,8 +105,8 @@
 }
 
 /* Entries come and go while an endpoint is cold, and learn of it late. For some hundred ms a part
- * of them has an old list; the sum stays within the half as much again that an endpoint bears for a
- * short time. */
+ * of them has an old list; the sum stays within the half as much again that an endpoint tolerates
+ * for a short time. */
 static void
 test_changing_list_keeps_the_bound (void)
 {
