maps: copies in a nearly idle group weigh as before

A group at 6% of its capacity still gains more by the planner's reckoning than four times the price, since a copy is priced at 1 us a megabyte.

--- a/include/bilberrytray/maps/copy_price.h
+++ b/include/bilberrytray/maps/copy_price.h
@@ -3,7 +3,7 @@
 
 /** @file
  * The cost weight that the map planner gives to copying experts: low while the group is full, high
- * while it has free capacity, and highest after some seconds in which it was nearly idle.
+ * while it has free capacity.
  *
  * A lower skew makes passes shorter. Callers benefit where requests queue for capacity or where
  * pass times come close to the longest acceptable pause. In a group that is half empty they notice
