--- a/include/bilberrytray/gateway/gateway.h
+++ b/include/bilberrytray/gateway/gateway.h
@@ -52,8 +52,8 @@
                               const bt_gateway_settings_t *settings,
                               bt_error_t *error);
 
-/** Returns what endpoints have said of their room, one line each, as text that the caller releases
- * with free. May be called from any thread. */
+/** Returns the state of the copy of the store, and what endpoints have said of their room, as text
+ * that the caller releases with free. May be called from any thread. */
 char *bt_format_gateway_status (bt_gateway_t *gateway);
 
 /** Serves until bt_stop_gateway is called and the stop is complete. */
--- a/include/bilberrytray/store/kv.h
+++ b/include/bilberrytray/store/kv.h
@@ -18,6 +18,13 @@
 #include "bilberrytray/base/error.h"
 #include "bilberrytray/core/call_rate.h"
 
+/** A state of the store. Eras order states first, then revisions; see bt_get_kv_era. */
+typedef struct bt_kv_position
+{
+  int64_t era;
+  int64_t revision;
+} bt_kv_position_t;
+
 /** One key with its value. The range that contains the pair owns the strings. */
 typedef struct bt_kv_pair
 {
@@ -34,6 +41,7 @@
 {
   bt_kv_pair_t *pairs;
   int32_t count;
+  int64_t era;      /**< Era of the store at the read; see bt_get_kv_era. */
   int64_t revision; /**< Revision of the store at the read. */
 } bt_kv_range_t;
 
@@ -73,6 +81,7 @@
 typedef struct bt_kv_txn_result
 {
   bool succeeded;
+  int64_t era;      /**< Era of the store; see bt_get_kv_era. */
   int64_t revision; /**< Revision of the writes, or on failure of the store at the comparison. */
 } bt_kv_txn_result_t;
 
@@ -143,6 +152,8 @@
   /** May be NULL if the store has no cheaper reads. */
   bool (*read_lagging) (
       bt_context_t *ctx, bt_kv_t *kv, const char *prefix, bt_kv_range_t *range, bt_error_t *error);
+  /** May be NULL if the store does not report eras. */
+  int64_t (*get_era) (bt_kv_t *kv);
 } bt_kv_vtable_t;
 
 /** Base of a key-value store client. An implementation embeds this struct as its first member. */
@@ -178,6 +189,11 @@
  * fails with BT_ERROR_CLOSED if its request was sent, else with BT_ERROR_SYSTEM. */
 void bt_cancel_kv (bt_context_t *ctx, bt_kv_t *kv);
 
+/** Returns the era of the store according to its last answer to this client; 0 if the store does
+ * not report eras. When a store is restored from a backup, a new era begins, whose number is
+ * higher: changes and leases since the backup are lost, and their revisions are assigned again. */
+int64_t bt_get_kv_era (bt_kv_t *kv);
+
 /** Reads one key, or with @p prefix all keys that begin with @p key. For a missing key the range is
  * empty. */
 bool bt_read_kv (bt_context_t *ctx,
--- a/source/gateway/endpoint_status.c
+++ b/source/gateway/endpoint_status.c
@@ -1,7 +1,6 @@
 #include "endpoint_status.h"
 
 #include <pthread.h>
-#include <stdio.h>
 
 struct bt_endpoint_status
 {
@@ -72,21 +71,13 @@
   fprintf (out, "\n");
 }
 
-char *
-bt_format_endpoint_status (bt_endpoint_status_t *status, int64_t now_ms)
+void
+bt_print_endpoint_status (bt_endpoint_status_t *status, int64_t now_ms, FILE *out)
 {
-  char *text = NULL;
-  size_t bytes = 0;
-  FILE *out = open_memstream (&text, &bytes);
-
-  if (out == NULL)
-    return NULL;
   pthread_mutex_lock (&status->lock);
   for (int32_t i = 0; i < status->count; i++)
     print_row (out, &status->rows[i], now_ms);
   if (status->count == 0)
     fprintf (out, "No endpoint limits its requests.\n");
   pthread_mutex_unlock (&status->lock);
-  fclose (out);
-  return text;
 }
--- a/source/gateway/endpoint_status.h
+++ b/source/gateway/endpoint_status.h
@@ -6,6 +6,8 @@
  * operators' page reads it on another thread.
  */
 
+#include <stdio.h>
+
 #include "bilberrytray/load/router.h"
 
 typedef struct bt_endpoint_status bt_endpoint_status_t;
@@ -21,8 +23,7 @@
                                 const bt_router_t *router,
                                 int64_t now_ms);
 
-/** Returns one line for each endpoint that has said something, which the caller releases with free.
- * May be called from any thread. */
-char *bt_format_endpoint_status (bt_endpoint_status_t *status, int64_t now_ms);
+/** Prints one line for each endpoint that has said something. May be called from any thread. */
+void bt_print_endpoint_status (bt_endpoint_status_t *status, int64_t now_ms, FILE *out);
 
 #endif
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -414,7 +414,16 @@
 char *
 bt_format_gateway_status (bt_gateway_t *gateway)
 {
-  return bt_format_endpoint_status (gateway->endpoint_status, bt_now_ms (gateway->ctx));
+  char *text = NULL;
+  size_t bytes = 0;
+  FILE *out = open_memstream (&text, &bytes);
+
+  if (out == NULL)
+    return NULL;
+  bt_print_follower_status (gateway->follower, out);
+  bt_print_endpoint_status (gateway->endpoint_status, bt_now_ms (gateway->ctx), out);
+  fclose (out);
+  return text;
 }
 
 void
--- a/source/gateway/store_copy.c
+++ b/source/gateway/store_copy.c
@@ -40,6 +40,18 @@
   return revision;
 }
 
+bt_kv_position_t
+bt_get_copy_position (bt_store_copy_t *copy)
+{
+  bt_kv_position_t position;
+
+  pthread_mutex_lock (&copy->lock);
+  position.era = copy->items.era;
+  position.revision = copy->items.revision;
+  pthread_mutex_unlock (&copy->lock);
+  return position;
+}
+
 bool
 bt_replace_copy (bt_context_t *ctx, bt_store_copy_t *copy, bt_kv_range_t *range)
 {
--- a/source/gateway/store_copy.h
+++ b/source/gateway/store_copy.h
@@ -41,6 +41,9 @@
 /** Returns the revision of the items; 0 while the copy is empty. */
 int64_t bt_get_copy_revision (bt_store_copy_t *copy);
 
+/** Returns the era and the revision of the items. */
+bt_kv_position_t bt_get_copy_position (bt_store_copy_t *copy);
+
 /** Replaces the items by those of a full read and takes ownership of them. Returns false and
  * changes nothing if the read is older than the copy: it comes from a store replica that has not
  * caught up. */
--- a/source/gateway/store_follower.c
+++ b/source/gateway/store_follower.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "bilberrytray/base/clock.h"
+#include "bilberrytray/base/counters.h"
 #include "bilberrytray/base/event_log.h"
 #include "bilberrytray/base/random.h"
 #include "listing.h"
@@ -53,9 +54,13 @@
   bool lost;            /* neither the store nor a peer answers */
   bool store_failing;   /* the last call to the store failed */
   int64_t tried_ms;     /* time of the last call to the store */
+  int64_t era;          /* of the store at its last answer; 0: not known */
+  int64_t old_revision; /* of the last read that was older than the copy */
   bt_feed_choice_t choice;
   bt_store_copy_t *copy;
   bt_peer_feed_t *feed;
+  bt_counter_t *era_gauge;
+  bt_counter_t *restores;
 };
 
 /** A task that passes a view, or the state of the connection to the store, to the event loop. */
@@ -151,6 +156,19 @@
   post_event (follower, args.view, true);
 }
 
+/* Logs a read that is older than the copy, once for each revision: such reads can follow each other
+ * in quick succession. */
+static void
+log_old_read (bt_store_follower_t *follower, const bt_kv_range_t *range, int64_t known)
+{
+  if (range->revision == follower->old_revision)
+    return;
+  follower->old_revision = range->revision;
+  bt_log_event (follower->ctx, BT_LOG_WARNING, "store-read-old", "{s:I, s:I, s:I}", "era",
+                (json_int_t)range->era, "revision", (json_int_t)range->revision, "known",
+                (json_int_t)known);
+}
+
 /* Takes over items that were read, unless newer ones are known, and tells the followers. */
 static void
 replace_items (bt_store_follower_t *follower, bt_kv_range_t *range, int64_t begun_ms)
@@ -160,11 +178,11 @@
 
   if (!bt_replace_copy (ctx, follower->copy, range))
     {
-      bt_log_event (ctx, BT_LOG_WARNING, "store-read-old", "{s:I, s:I}", "revision",
-                    (json_int_t)range->revision, "known", (json_int_t)before);
+      log_old_read (follower, range, before);
       return;
     }
   follower->read_ms = begun_ms;
+  follower->old_revision = 0;
   if (bt_get_copy_revision (follower->copy) > before)
     bt_send_peer_items (follower->feed, before);
   post_current_view (follower, begun_ms);
@@ -259,6 +277,25 @@
   return done;
 }
 
+/* Reports that the store was restored from a backup since its answer before. */
+static void
+record_era (bt_store_follower_t *follower)
+{
+  int64_t era = bt_get_kv_era (follower->kv);
+
+  if (era == follower->era)
+    return;
+  if (follower->era != 0)
+    {
+      bt_log_event (follower->ctx, BT_LOG_WARNING, "store-restored", "{s:I, s:I, s:I}", "era",
+                    (json_int_t)era, "known_era", (json_int_t)follower->era, "known",
+                    (json_int_t)bt_get_copy_revision (follower->copy));
+      bt_add_counter (follower->restores, 1);
+    }
+  follower->era = era;
+  bt_set_gauge (follower->era_gauge, era);
+}
+
 /* Makes one call to the store itself, and records whether it answers. */
 static void
 call_store (bt_store_follower_t *follower, int64_t wait_ms)
@@ -268,6 +305,7 @@
 
   if (ck_pr_load_int (&follower->watch_ended) != 0)
     return;
+  record_era (follower);
   follower->tried_ms = bt_now_ms (follower->ctx);
   follower->store_failing = !done;
   bt_set_store_reachable (follower->feed, done);
@@ -360,6 +398,16 @@
   return NULL;
 }
 
+static void
+open_counters (bt_context_t *ctx, bt_store_follower_t *follower)
+{
+  follower->era_gauge = bt_find_counter (
+      ctx, BT_GAUGE, "bilberry_store_era",
+      "Era of the store; a new one begins when it is restored from a backup.", NULL, NULL);
+  follower->restores = bt_find_counter (ctx, BT_COUNTER, "bilberry_store_restores_total",
+                                        "Restorations of the store that were noticed.", NULL, NULL);
+}
+
 static bool
 open_feed (bt_store_follower_t *follower, bt_error_t *error)
 {
@@ -399,6 +447,7 @@
   follower->options = *options;
   follower->listener = listener;
   follower->kv = options->platform->vtable->new_store (ctx, options->address, seed);
+  open_counters (ctx, follower);
   listing.kv = follower->kv;
   if (!open_feed (follower, error))
     {
@@ -418,6 +467,15 @@
     bt_retire_peer_feed (follower->feed);
 }
 
+void
+bt_print_follower_status (bt_store_follower_t *follower, FILE *out)
+{
+  bt_kv_position_t position = bt_get_copy_position (follower->copy);
+
+  fprintf (out, "store: era %lld, revision %lld\n", (long long)position.era,
+           (long long)position.revision);
+}
+
 bool
 bt_has_entry_left (bt_store_follower_t *follower, const bt_identity_t *identity)
 {
--- a/source/gateway/store_follower.h
+++ b/source/gateway/store_follower.h
@@ -6,6 +6,8 @@
  * peer that does; another keeps this instance listed in the store.
  */
 
+#include <stdio.h>
+
 #include "event_loop.h"
 #include "view.h"
 
@@ -49,6 +51,10 @@
  * any thread. */
 bool bt_has_entry_left (bt_store_follower_t *follower, const bt_identity_t *identity);
 
+/** Prints the era and the revision of this instance's copy of the store. May be called from any
+ * thread. */
+void bt_print_follower_status (bt_store_follower_t *follower, FILE *out);
+
 /** Stops following the store after the current call. An instance that sends no more requests needs
  * no updates, and its shutdown need not wait for a watch. The listing is still maintained. */
 void bt_end_store_watch (bt_store_follower_t *follower);
--- a/source/store/kv.c
+++ b/source/store/kv.c
@@ -15,6 +15,12 @@
   kv->vtable->cancel (ctx, kv);
 }
 
+int64_t
+bt_get_kv_era (bt_kv_t *kv)
+{
+  return kv->vtable->get_era == NULL ? 0 : kv->vtable->get_era (kv);
+}
+
 bool
 bt_read_kv (bt_context_t *ctx,
             bt_kv_t *kv,
