--- a/test/process/harness_gateway.c
+++ b/test/process/harness_gateway.c
@@ -253,7 +253,19 @@
 }
 
 bool
-bt_put_runner_item (const bt_gateway_testbed_t *testbed, int32_t index, const char *state)
+bt_backup_store (const bt_gateway_testbed_t *testbed)
+{
+  return get_status (testbed->store_port, "/control/backup", "") == OK;
+}
+
+bool
+bt_restore_store (const bt_gateway_testbed_t *testbed)
+{
+  return get_status (testbed->store_port, "/control/restore", "") == OK;
+}
+
+bool
+bt_put_runner_item (bt_gateway_testbed_t *testbed, int32_t index, const char *state)
 {
   char key[URL_BYTES];
   char value[TEXT_BYTES];
@@ -265,9 +277,9 @@
   snprintf (key, sizeof key, "servers/%s", id);
   snprintf (value, sizeof value,
             "{\"service\":\"svc\",\"address\":\"127.0.0.1:%d\",\"zone\":\"a\",\"version\":\"v1\","
-            "\"slots\":8,\"state\":\"%s\",\"cold_left_ms\":0,\"sequence\":1,\"born\":%lld}",
+            "\"slots\":8,\"state\":\"%s\",\"cold_left_ms\":0,\"sequence\":%d,\"born\":%lld}",
             port == 0 ? testbed->runner_ports[index] : port, state,
-            (long long)testbed->runner_start_ms[index]);
+            (int)++testbed->runner_writes[index], (long long)testbed->runner_start_ms[index]);
   return bt_put_store_item (testbed, key, value);
 }
 
--- a/test/process/harness_gateway.h
+++ b/test/process/harness_gateway.h
@@ -24,6 +24,7 @@
   int32_t runner_count;
   pid_t runners[BT_MAX_RUNNERS];
   int32_t runner_id_counts[BT_MAX_RUNNERS]; /**< How many ids each runner has had. */
+  int32_t runner_writes[BT_MAX_RUNNERS];    /**< How often each runner's item was written. */
   int64_t runner_start_ms[BT_MAX_RUNNERS];  /**< Start time of each runner's latest process,
                                                       Unix milliseconds. */
   pid_t runner_hops[BT_MAX_RUNNERS];        /**< TCP proxy in front of each runner; 0: requests
@@ -88,8 +89,15 @@
 /** Makes reads of the store that accept old items get the present ones from now on. */
 bool bt_freeze_old_items (const bt_gateway_testbed_t *testbed);
 
+/** Makes the store keep a backup of its present state. */
+bool bt_backup_store (const bt_gateway_testbed_t *testbed);
+
+/** Makes the store return to its last backup: what was written since is lost, and the revisions are
+ * assigned again. */
+bool bt_restore_store (const bt_gateway_testbed_t *testbed);
+
 /** Writes a runner's item into the store with a state, such as "ready" or "draining". */
-bool bt_put_runner_item (const bt_gateway_testbed_t *testbed, int32_t index, const char *state);
+bool bt_put_runner_item (bt_gateway_testbed_t *testbed, int32_t index, const char *state);
 
 /** Sets the fault of the stand-in that listens on a port. */
 bool bt_set_standin_fault (int32_t port, const char *fault);
--- a/test/standin/common/standin_http.c
+++ b/test/standin/common/standin_http.c
@@ -102,6 +102,8 @@
                                                 answer->body, MHD_RESPMEM_MUST_FREE);
   MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE,
                            answer->type == NULL ? "application/json" : answer->type);
+  if (answer->header != NULL)
+    MHD_add_response_header (response, answer->header, answer->header_value);
   result = MHD_queue_response (connection, answer->status, response);
   MHD_destroy_response (response);
   return result;
--- a/test/standin/common/standin_http.h
+++ b/test/standin/common/standin_http.h
@@ -33,9 +33,11 @@
 typedef struct bt_standin_answer
 {
   uint32_t status;
-  char *body;                    /**< From malloc; the server frees it. Not used for a stream. */
-  const char *type;              /**< Content-Type; NULL is JSON. */
-  bool drop;                     /**< Close the connection without an answer. */
+  char *body;         /**< From malloc; the server frees it. Not used for a stream. */
+  const char *type;   /**< Content-Type; NULL is JSON. */
+  bool drop;          /**< Close the connection without an answer. */
+  const char *header; /**< Name of an additional header; NULL for none. */
+  char header_value[BT_FAULT_BYTES];
   struct MHD_Response *response; /**< Used instead of body, for example for a stream. */
 } bt_standin_answer_t;
 
--- a/test/standin/haiyun_store/main.c
+++ b/test/standin/haiyun_store/main.c
@@ -6,9 +6,11 @@
  *   POST /control/put?key=KEY      writes the body as an item, like the operator or a server
  *   POST /control/remove?key=KEY   removes the item
  *   POST /control/lag              reads that accept old items get the present ones from now on
- *   POST /fault                    see standin_http.h: "down", "lost-answer" and "slow"; also
- *                                  "refuse" (status 503) and "compact" (watches from an older
- *                                  revision get status 410)
+ *   POST /control/backup           keeps a backup of the present state
+ *   POST /control/restore          returns to the backup, or to the empty store without one:
+ * changes and leases since are lost, their revisions are assigned again, and the era in all answers
+ * rises by one POST /fault                    see standin_http.h: "down", "lost-answer" and "slow";
+ * also "refuse" (status 503) and "compact" (watches from an older revision get status 410)
  */
 
 #include <jansson.h>
@@ -31,12 +33,24 @@
   LEASE_TTL_MS = 4000,
 };
 
+/** The part of the state that a restoration resets. */
+typedef struct backup
+{
+  json_t *items;
+  json_t *history;
+  json_t *leases;
+  json_int_t revision;
+  json_int_t last_lease;
+} backup_t;
+
 typedef struct store
 {
   pthread_mutex_t lock; /**< Guards the fields below. */
-  json_t *items;        /**< By key. */
-  json_t *history;      /**< Events, oldest first. */
-  json_t *old_items;    /**< What reads get that accept old items; NULL: the present ones. */
+  json_int_t era;
+  backup_t backup;
+  json_t *items;     /**< By key. */
+  json_t *history;   /**< Events, oldest first. */
+  json_t *old_items; /**< What reads get that accept old items; NULL: the present ones. */
   json_int_t old_revision;
   json_int_t revision;
   json_int_t last_lease;
@@ -111,6 +125,47 @@
   free (encoded);
 }
 
+static json_int_t
+get_lease_expiry_ms (void)
+{
+  return bt_read_clock_ms (bt_system_clock ()) + LEASE_TTL_MS;
+}
+
+static void
+clear_backup (backup_t *backup)
+{
+  json_decref (backup->items);
+  json_decref (backup->history);
+  json_decref (backup->leases);
+}
+
+static void
+keep_backup (store_t *store)
+{
+  clear_backup (&store->backup);
+  store->backup = (backup_t){ json_deep_copy (store->items), json_deep_copy (store->history),
+                              json_deep_copy (store->leases), store->revision, store->last_lease };
+}
+
+/* The remaining time of a lease is not part of the backup, so each lives for a full TTL. */
+static void
+restore_backup (store_t *store)
+{
+  const char *id;
+  json_t *expiry;
+
+  json_decref (store->items);
+  json_decref (store->history);
+  json_decref (store->leases);
+  store->items = json_deep_copy (store->backup.items);
+  store->history = json_deep_copy (store->backup.history);
+  store->leases = json_deep_copy (store->backup.leases);
+  json_object_foreach (store->leases, id, expiry) json_integer_set (expiry, get_lease_expiry_ms ());
+  store->revision = store->backup.revision;
+  store->last_lease = store->backup.last_lease;
+  store->era++;
+}
+
 static void
 begin_lag (store_t *store)
 {
@@ -170,9 +225,10 @@
   json_int_t after = strtoll (get_argument (request, "after"), NULL, BASE_TEN);
   long left_ms = strtol (get_argument (request, "wait_ms"), NULL, BASE_TEN);
   struct timespec pause = { 0, (long)WATCH_POLL_MS * NS_PER_MS };
+  json_int_t era = store->era;
   json_t *events = collect_events (store, get_argument (request, "prefix"), after);
 
-  while (json_array_size (events) == 0 && left_ms > 0)
+  while (json_array_size (events) == 0 && left_ms > 0 && after <= store->revision)
     {
       json_decref (events);
       pthread_mutex_unlock (&store->lock);
@@ -181,7 +237,13 @@
       left_ms -= WATCH_POLL_MS;
       events = collect_events (store, get_argument (request, "prefix"), after);
     }
-  if (after < store->compacted_revision)
+  if (era != store->era)
+    {
+      json_decref (events);
+      answer->drop = true;
+      return;
+    }
+  if (after < store->compacted_revision || after > store->revision)
     {
       json_decref (events);
       answer->status = MHD_HTTP_GONE;
@@ -248,12 +310,6 @@
                                       == lease) remove_item (store, key);
 }
 
-static json_int_t
-get_lease_expiry_ms (void)
-{
-  return bt_read_clock_ms (bt_system_clock ()) + LEASE_TTL_MS;
-}
-
 static void
 end_expired_leases (store_t *store)
 {
@@ -308,6 +364,16 @@
       begin_lag (store);
       answer_json (answer, MHD_HTTP_OK, json_object ());
     }
+  else if (strcmp (request->url, "/control/backup") == 0)
+    {
+      keep_backup (store);
+      answer_json (answer, MHD_HTTP_OK, json_object ());
+    }
+  else if (strcmp (request->url, "/control/restore") == 0)
+    {
+      restore_backup (store);
+      answer_json (answer, MHD_HTTP_OK, json_object ());
+    }
   else if (starts_with (request->url, "/control/"))
     {
       apply_control (store, request);
@@ -352,8 +418,10 @@
     store->compacted_revision = store->revision;
   end_expired_leases (store);
   answer_locked (store, request, answer);
+  answer->header = "Store-Era";
+  snprintf (answer->header_value, sizeof answer->header_value, "%lld", (long long)store->era);
   pthread_mutex_unlock (&store->lock);
-  answer->drop = strcmp (fault, "lost-answer") == 0;
+  answer->drop = answer->drop || strcmp (fault, "lost-answer") == 0;
 }
 
 int
@@ -363,11 +431,15 @@
                     .items = json_object (),
                     .history = json_array (),
                     .leases = json_object (),
+                    .era = 1,
                     .revision = 1,
                     .leases_expire = getenv ("STORE_LAPSES") != NULL };
   bt_standin_callbacks_t callbacks = { &store, answer_request, NULL };
-  int status = bt_run_standin (argc, argv, &callbacks);
+  int status;
 
+  keep_backup (&store);
+  status = bt_run_standin (argc, argv, &callbacks);
+  clear_backup (&store.backup);
   json_decref (store.items);
   json_decref (store.history);
   json_decref (store.leases);
