gateway: eras order what the store says, then revisions

Callers saw: a key that was revoked still accepted, a request at an endpoint that had said it leaves (CONFIG, DRAIN), for as long as the store's revision stayed below the known one, and for up to 20 s more. Cause: the order of the store's answers was its revision alone. After the store was restored from a backup, reads were dropped as old, a watch began at a revision of the time before, and changes at reused revisions were skipped. Equal revisions also passed for unchanged items. Change: a position is (era, revision). Reads, watches, peers' updates, the choice of a peer, the reuse of decoded items and the crashes already seen compare positions; a watch answered in another era leads to a full read; updates of a later era must contain all items; pages of two eras are no read. Entries of before this commit send era 0 and are taken for older.

--- a/include/bilberrytray/gateway/platform.h
+++ b/include/bilberrytray/gateway/platform.h
@@ -33,6 +33,7 @@
   char failure_domain[BT_NAME_BYTES];
   int32_t slots;            /**< Maximum number of concurrent requests. */
   bool leaving;             /**< It accepts no new requests and stops soon. */
+  int64_t era;              /**< The store's era, to which the revisions belong. */
   int64_t created_revision; /**< The store's revision at which the registration was created. */
   int64_t revision;         /**< Revision of the last change of the registration. */
   int64_t started_ms;       /**< Start time, Unix time in ms; 0: unknown. */
--- a/include/bilberrytray/store/kv.h
+++ b/include/bilberrytray/store/kv.h
@@ -194,6 +194,9 @@
  * higher: changes and leases since the backup are lost, and their revisions are assigned again. */
 int64_t bt_get_kv_era (bt_kv_t *kv);
 
+/** Returns a number below, equal to or above 0 if @p one is before, equal to or after @p other. */
+int32_t bt_compare_kv_positions (bt_kv_position_t one, bt_kv_position_t other);
+
 /** Reads one key, or with @p prefix all keys that begin with @p key. For a missing key the range is
  * empty. */
 bool bt_read_kv (bt_context_t *ctx,
--- a/source/gateway/crash_control.c
+++ b/source/gateway/crash_control.c
@@ -27,7 +27,7 @@
   bt_port_probes_t *probes;
   bt_timer_t expire_timer;
   bt_counter_t *known_gauge;
-  int64_t seen_revision; /* revision of the newest listed crash */
+  bt_kv_position_t seen; /* position of the newest listed crash */
 };
 
 /* Logs each change of the crash table and reports it to the other instances. */
@@ -155,29 +155,30 @@
  * end of such an endpoint, a request sent to it could only run in its next incarnation, and a
  * crash there would be mistaken for the crash that is already known. */
 static void
-suspend_ended_endpoints (bt_crash_control_t *control,
-                         const bt_listed_crash_t *listed,
-                         int32_t count)
+suspend_ended_endpoints (bt_crash_control_t *control, const bt_view_t *view)
 {
-  int64_t newest = control->seen_revision;
+  bt_kv_position_t newest = control->seen;
 
-  for (int32_t i = 0; i < count; i++)
+  for (int32_t i = 0; i < view->crash_count; i++)
     {
-      if (listed[i].revision > control->seen_revision)
-        bt_suspend_ended_endpoint (control->ctx, control->endpoints, &listed[i].crash.endpoint,
+      bt_kv_position_t position = { view->era, view->crashes[i].revision };
+
+      if (bt_compare_kv_positions (position, control->seen) > 0)
+        bt_suspend_ended_endpoint (control->ctx, control->endpoints,
+                                   &view->crashes[i].crash.endpoint,
                                    bt_get_loop_ms (control->loop));
-      if (listed[i].revision > newest)
-        newest = listed[i].revision;
+      if (bt_compare_kv_positions (position, newest) > 0)
+        newest = position;
     }
-  control->seen_revision = newest;
+  control->seen = newest;
 }
 
 void
-bt_set_listed_crashes (bt_crash_control_t *control, const bt_listed_crash_t *listed, int32_t count)
+bt_set_listed_crashes (bt_crash_control_t *control, const bt_view_t *view)
 {
-  bt_apply_listed_crashes (control->ctx, control->table, listed, count,
+  bt_apply_listed_crashes (control->ctx, control->table, view->crashes, view->crash_count,
                            bt_get_loop_ms (control->loop));
-  suspend_ended_endpoints (control, listed, count);
+  suspend_ended_endpoints (control, view);
   bt_set_gauge (control->known_gauge, bt_count_known_crashes (control->table));
 }
 
--- a/source/gateway/crash_control.h
+++ b/source/gateway/crash_control.h
@@ -43,8 +43,7 @@
 bt_clear_crash_suspect (bt_crash_control_t *control, const bt_crash_t *attempt, int64_t sent_ms);
 
 /** Applies the crashes that all instances share in the store. */
-void
-bt_set_listed_crashes (bt_crash_control_t *control, const bt_listed_crash_t *listed, int32_t count);
+void bt_set_listed_crashes (bt_crash_control_t *control, const bt_view_t *view);
 
 /** Returns false while no crash is known, so that requests need not be looked up by fingerprint
  * before they are sent. */
--- a/source/gateway/endpoint_table.c
+++ b/source/gateway/endpoint_table.c
@@ -246,6 +246,16 @@
   bt_free (ctx, row);
 }
 
+/* Returns true if a registration was written since the known one. Revisions of different eras are
+ * not comparable. */
+static bool
+has_changed (const bt_listed_endpoint_t *known, const bt_listed_endpoint_t *listed)
+{
+  if (known->era != listed->era)
+    return known->cold_left_ms != listed->cold_left_ms;
+  return known->revision != listed->revision;
+}
+
 static void
 apply_endpoint (bt_context_t *ctx,
                 bt_endpoint_table_t *table,
@@ -275,7 +285,7 @@
   else if (listed->leaving && !row->listed.leaving)
     log_endpoint (ctx, "endpoint-leaving", listed);
   /* The time counts from when this instance learns of it, which is later than its endpoint says. */
-  if (is_new || row->listed.revision != listed->revision)
+  if (is_new || has_changed (&row->listed, listed))
     row->cold_until_ms = listed->cold_left_ms > 0 ? now_ms + listed->cold_left_ms : 0;
   row->listed = *listed;
   row->missing_since_ms = 0;
--- a/source/gateway/feed_messages.c
+++ b/source/gateway/feed_messages.c
@@ -35,6 +35,7 @@
 
   bilberry__store_items__init (message);
   message->from_revision = from_revision;
+  message->era = written->era;
   message->revision = written->revision;
   message->written = bt_calloc (ctx, (size_t)written->count, sizeof (Bilberry__StoreItem *));
   message->removed =
@@ -47,12 +48,15 @@
 
 void
 bt_write_items_message (bt_context_t *ctx,
-                        int64_t from_revision,
+                        bt_kv_position_t from,
                         const bt_kv_range_t *items,
                         Bilberry__StoreItems *message)
 {
+  int64_t from_revision = from.era == items->era ? from.revision : 0;
+
   bilberry__store_items__init (message);
   message->from_revision = from_revision;
+  message->era = items->era;
   message->revision = items->revision;
   message->whole = true;
   message->written = bt_calloc (ctx, (size_t)items->count, sizeof (Bilberry__StoreItem *));
@@ -97,6 +101,7 @@
 
   update->from_revision = message->from_revision;
   update->whole = message->whole;
+  changes->written.era = message->era;
   changes->written.revision = message->revision;
   changes->written.pairs = bt_calloc (ctx, message->n_written, sizeof *changes->written.pairs);
   changes->removed = bt_calloc (ctx, message->n_removed, sizeof *changes->removed);
--- a/source/gateway/feed_messages.h
+++ b/source/gateway/feed_messages.h
@@ -16,10 +16,11 @@
                                const bt_kv_changes_t *changes,
                                Bilberry__StoreItems *message);
 
-/** Encodes the items that changed after @p from_revision, and the keys of all items. The message
- * points into @p items; free it with bt_clear_items_message. */
+/** Encodes the items that changed after @p from, or all items if that is a position of another era,
+ * and the keys of all items. The message points into @p items; free it with bt_clear_items_message.
+ */
 void bt_write_items_message (bt_context_t *ctx,
-                             int64_t from_revision,
+                             bt_kv_position_t from,
                              const bt_kv_range_t *items,
                              Bilberry__StoreItems *message);
 
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -155,7 +155,7 @@
   apply_entry_names (gateway);
   for (int32_t i = 0; i < gateway->budget_count; i++)
     bt_set_retry_reserve (gateway->budgets[i].budget, get_retry_reserve (gateway));
-  bt_set_listed_crashes (gateway->crashes, view->crashes, view->crash_count);
+  bt_set_listed_crashes (gateway->crashes, view);
   bt_refuse_crashing_forwards (gateway);
   apply_endpoints (gateway);
   bt_publish_notices (gateway);
--- a/source/gateway/peer_feed.c
+++ b/source/gateway/peer_feed.c
@@ -56,7 +56,7 @@
   bool up;
   bool synced; /* the followed peer has sent its items */
   bool peer_attached;
-  int64_t peer_revision;
+  bt_kv_position_t peer_position;
   bt_store_update_t *first_update;
   bt_store_update_t **update_tail;
   bt_departed_peers_t departed;
@@ -90,9 +90,11 @@
 {
   Bilberry__StoreState state = BILBERRY__STORE_STATE__INIT;
   int64_t silent_ms = bt_now_ms (feed->ctx) - feed->contact_ms;
+  bt_kv_position_t position = bt_get_copy_position (feed->copy);
 
   state.attached = feed->attached && !feed->retired && silent_ms < feed->options.contact_ms;
-  state.revision = bt_get_copy_revision (feed->copy);
+  state.era = position.era;
+  state.revision = position.revision;
   state.leaving = feed->retired;
   send_message (feed, link, BILBERRY__FRAME__BODY_STORE_STATE, &state);
 }
@@ -101,8 +103,10 @@
 send_follow (bt_peer_feed_t *feed)
 {
   Bilberry__StoreFollow follow = BILBERRY__STORE_FOLLOW__INIT;
+  bt_kv_position_t position = bt_get_copy_position (feed->copy);
 
-  follow.revision = bt_get_copy_revision (feed->copy);
+  follow.era = position.era;
+  follow.revision = position.revision;
   send_message (feed, feed->link, BILBERRY__FRAME__BODY_STORE_FOLLOW, &follow);
 }
 
@@ -111,7 +115,7 @@
 {
   bt_peer_feed_t *feed;
   bt_link_t *link; /* the receiver; NULL: all followers */
-  int64_t from_revision;
+  bt_kv_position_t from;
 } items_args_t;
 
 static void
@@ -127,7 +131,7 @@
   items_args_t *args = data;
   Bilberry__StoreItems message;
 
-  bt_write_items_message (args->feed->ctx, args->from_revision, items, &message);
+  bt_write_items_message (args->feed->ctx, args->from, items, &message);
   if (args->link != NULL)
     send_message (args->feed, args->link, BILBERRY__FRAME__BODY_STORE_ITEMS, &message);
   else
@@ -187,12 +191,12 @@
 }
 
 /* Handles the request of a new follower, or of one that missed an update. Sends all items that
- * changed after the follower's revision. Removed keys are not recorded, so the message also holds
+ * changed after the follower's position. Removed keys are not recorded, so the message also holds
  * all present keys. */
 static void
-handle_follow (bt_peer_feed_t *feed, bt_link_t *link, int64_t revision)
+handle_follow (bt_peer_feed_t *feed, bt_link_t *link, const Bilberry__StoreFollow *follow)
 {
-  items_args_t args = { feed, link, revision };
+  items_args_t args = { feed, link, { follow->era, follow->revision } };
 
   if (!is_follower (feed, link))
     {
@@ -206,14 +210,22 @@
   send_state (feed, link);
 }
 
+static void
+advance_peer_position (bt_peer_feed_t *feed, int64_t era, int64_t revision)
+{
+  bt_kv_position_t position = { era, revision };
+
+  if (bt_compare_kv_positions (position, feed->peer_position) > 0)
+    feed->peer_position = position;
+}
+
 static void
 handle_items (bt_peer_feed_t *feed, const Bilberry__StoreItems *message)
 {
   bt_store_update_t *update = bt_read_items_message (feed->ctx, message);
 
   feed->synced = true;
-  if (message->revision > feed->peer_revision)
-    feed->peer_revision = message->revision;
+  advance_peer_position (feed, message->era, message->revision);
   *feed->update_tail = update;
   feed->update_tail = &update->next;
 }
@@ -227,14 +239,13 @@
   if (frame->body_case == BILBERRY__FRAME__BODY_STORE_STATE && frame->store_state->leaving)
     bt_record_departed_peer (feed->ctx, &feed->departed, link);
   if (frame->body_case == BILBERRY__FRAME__BODY_STORE_FOLLOW)
-    handle_follow (feed, link, frame->store_follow->revision);
+    handle_follow (feed, link, frame->store_follow);
   else if (link == feed->link && frame->body_case == BILBERRY__FRAME__BODY_STORE_ITEMS)
     handle_items (feed, frame->store_items);
   else if (link == feed->link && frame->body_case == BILBERRY__FRAME__BODY_STORE_STATE)
     {
       feed->peer_attached = frame->store_state->attached;
-      if (frame->store_state->revision > feed->peer_revision)
-        feed->peer_revision = frame->store_state->revision;
+      advance_peer_position (feed, frame->store_state->era, frame->store_state->revision);
     }
   pthread_cond_signal (&feed->changed);
   pthread_mutex_unlock (&feed->lock);
@@ -298,7 +309,7 @@
   feed->up = false;
   feed->synced = false;
   feed->peer_attached = false;
-  feed->peer_revision = 0;
+  feed->peer_position = (bt_kv_position_t){ 0 };
   while (feed->first_update != NULL)
     {
       bt_store_update_t *update = feed->first_update;
@@ -327,7 +338,7 @@
 is_current (bt_peer_feed_t *feed)
 {
   return feed->link != NULL && feed->up && feed->synced && feed->peer_attached
-         && feed->peer_revision >= bt_get_copy_revision (feed->copy);
+         && bt_compare_kv_positions (feed->peer_position, bt_get_copy_position (feed->copy)) >= 0;
 }
 
 static bool
@@ -463,9 +474,9 @@
 }
 
 void
-bt_send_peer_items (bt_peer_feed_t *feed, int64_t from_revision)
+bt_send_peer_items (bt_peer_feed_t *feed, bt_kv_position_t from)
 {
-  items_args_t args = { feed, NULL, from_revision };
+  items_args_t args = { feed, NULL, from };
 
   pthread_mutex_lock (&feed->lock);
   if (feed->followers != NULL)
--- a/source/gateway/peer_feed.h
+++ b/source/gateway/peer_feed.h
@@ -50,7 +50,7 @@
 /** Removes and returns the oldest pending update, which the caller drops; NULL if there is none. */
 bt_store_update_t *bt_take_peer_update (bt_peer_feed_t *feed);
 
-/** Asks the peer for all changes since the copy's revision, after an update was missed. */
+/** Asks the peer for all changes since the copy's position, after an update was missed. */
 void bt_request_peer_resync (bt_peer_feed_t *feed);
 
 /** Records whether the store has just answered this entry, and notifies the followers if that has
@@ -61,9 +61,9 @@
 void
 bt_send_peer_changes (bt_peer_feed_t *feed, int64_t from_revision, const bt_kv_changes_t *changes);
 
-/** Sends the items that changed after @p from_revision, and all keys, to the followers. Called
- * after a full read that found a newer revision. */
-void bt_send_peer_items (bt_peer_feed_t *feed, int64_t from_revision);
+/** Sends the items that changed after @p from, and all keys, to the followers. Called after a full
+ * read that found a later position. */
+void bt_send_peer_items (bt_peer_feed_t *feed, bt_kv_position_t from);
 
 /** Notifies the followers that this entry shuts down, so that they follow another. May be called
  * from any thread. */
--- a/source/gateway/store_copy.c
+++ b/source/gateway/store_copy.c
@@ -29,15 +29,10 @@
   bt_free (ctx, copy);
 }
 
-int64_t
-bt_get_copy_revision (bt_store_copy_t *copy)
+static bt_kv_position_t
+get_position (const bt_kv_range_t *range)
 {
-  int64_t revision;
-
-  pthread_mutex_lock (&copy->lock);
-  revision = copy->items.revision;
-  pthread_mutex_unlock (&copy->lock);
-  return revision;
+  return (bt_kv_position_t){ range->era, range->revision };
 }
 
 bt_kv_position_t
@@ -46,25 +41,29 @@
   bt_kv_position_t position;
 
   pthread_mutex_lock (&copy->lock);
-  position.era = copy->items.era;
-  position.revision = copy->items.revision;
+  position = get_position (&copy->items);
   pthread_mutex_unlock (&copy->lock);
   return position;
 }
 
+/* Replaces the items and takes ownership of those of @p range. */
+static void
+replace_items (bt_context_t *ctx, bt_store_copy_t *copy, bt_kv_range_t *range)
+{
+  bt_drop_kv_range (ctx, &copy->items);
+  copy->items = *range;
+  memset (range, 0, sizeof *range);
+}
+
 bool
 bt_replace_copy (bt_context_t *ctx, bt_store_copy_t *copy, bt_kv_range_t *range)
 {
   bool replaced;
 
   pthread_mutex_lock (&copy->lock);
-  replaced = range->revision >= copy->items.revision;
+  replaced = bt_compare_kv_positions (get_position (range), get_position (&copy->items)) >= 0;
   if (replaced)
-    {
-      bt_drop_kv_range (ctx, &copy->items);
-      copy->items = *range;
-      memset (range, 0, sizeof *range);
-    }
+    replace_items (ctx, copy, range);
   pthread_mutex_unlock (&copy->lock);
   return replaced;
 }
@@ -105,22 +104,42 @@
       }
 }
 
+/* Applies an update of the copy's own era. */
+static bt_update_effect_t
+apply_update (bt_context_t *ctx, bt_store_copy_t *copy, bt_store_update_t *update)
+{
+  if (update->changes.written.revision <= copy->items.revision)
+    return BT_UPDATE_OLD;
+  if (update->from_revision > copy->items.revision)
+    return BT_UPDATE_GAP;
+  if (update->whole)
+    add_absent_removals (ctx, &copy->items, update);
+  bt_apply_kv_changes (ctx, &copy->items, &update->changes);
+  return BT_UPDATE_APPLIED;
+}
+
+/* Applies an update of a later era. Revisions of different eras are not comparable, so the update
+ * must contain all items. */
+static bt_update_effect_t
+apply_later_era (bt_context_t *ctx, bt_store_copy_t *copy, bt_store_update_t *update)
+{
+  if (!update->whole || update->from_revision != 0)
+    return BT_UPDATE_GAP;
+  replace_items (ctx, copy, &update->changes.written);
+  return BT_UPDATE_APPLIED;
+}
+
 bt_update_effect_t
 bt_apply_update_to_copy (bt_context_t *ctx, bt_store_copy_t *copy, bt_store_update_t *update)
 {
-  bt_update_effect_t effect = BT_UPDATE_APPLIED;
+  int64_t era = update->changes.written.era;
+  bt_update_effect_t effect = BT_UPDATE_OLD;
 
   pthread_mutex_lock (&copy->lock);
-  if (update->changes.written.revision <= copy->items.revision)
-    effect = BT_UPDATE_OLD;
-  else if (update->from_revision > copy->items.revision)
-    effect = BT_UPDATE_GAP;
-  else
-    {
-      if (update->whole)
-        add_absent_removals (ctx, &copy->items, update);
-      bt_apply_kv_changes (ctx, &copy->items, &update->changes);
-    }
+  if (era > copy->items.era)
+    effect = apply_later_era (ctx, copy, update);
+  else if (era == copy->items.era)
+    effect = apply_update (ctx, copy, update);
   pthread_mutex_unlock (&copy->lock);
   return effect;
 }
--- a/source/gateway/store_copy.h
+++ b/source/gateway/store_copy.h
@@ -2,7 +2,9 @@
 #define BILBERRYTRAY_SOURCE_GATEWAY_STORE_COPY_H
 
 /** @file
- * The local copy of the platform's store: its items at one revision, which never decreases.
+ * The local copy of the platform's store: its items at one position, which never goes back. Eras
+ * order positions first: after the store was restored from a backup, its revisions start again at a
+ * lower one.
  *
  * Only one thread changes the copy; any thread may read it.
  */
@@ -14,7 +16,7 @@
 /** An update from the copy of another process. */
 typedef struct bt_store_update
 {
-  int64_t from_revision;   /**< The update holds all changes after this revision... */
+  int64_t from_revision;   /**< The update holds all changes of its era after this revision... */
   bt_kv_changes_t changes; /**< ...up to and including changes.written.revision. */
   bool whole;              /**< keys holds all keys that are present at that revision. */
   char **keys;
@@ -38,10 +40,7 @@
 /** NULL is accepted. */
 void bt_drop_store_copy (bt_context_t *ctx, bt_store_copy_t *copy);
 
-/** Returns the revision of the items; 0 while the copy is empty. */
-int64_t bt_get_copy_revision (bt_store_copy_t *copy);
-
-/** Returns the era and the revision of the items. */
+/** Returns the position of the items; zeroed while the copy is empty. */
 bt_kv_position_t bt_get_copy_position (bt_store_copy_t *copy);
 
 /** Replaces the items by those of a full read and takes ownership of them. Returns false and
@@ -49,7 +48,7 @@
  * caught up. */
 bool bt_replace_copy (bt_context_t *ctx, bt_store_copy_t *copy, bt_kv_range_t *range);
 
-/** Applies changes that directly follow the copy's revision. */
+/** Applies changes that directly follow the copy's position, in the same era. */
 void bt_apply_changes_to_copy (bt_context_t *ctx, bt_store_copy_t *copy, bt_kv_changes_t *changes);
 
 /** Applies an update from another process. */
--- a/source/gateway/store_follower.c
+++ b/source/gateway/store_follower.c
@@ -54,7 +54,6 @@
   bool lost;            /* neither the store nor a peer answers */
   bool store_failing;   /* the last call to the store failed */
   int64_t tried_ms;     /* time of the last call to the store */
-  int64_t era;          /* of the store at its last answer; 0: not known */
   int64_t old_revision; /* of the last read that was older than the copy */
   bt_feed_choice_t choice;
   bt_store_copy_t *copy;
@@ -159,14 +158,29 @@
 /* Logs a read that is older than the copy, once for each revision: such reads can follow each other
  * in quick succession. */
 static void
-log_old_read (bt_store_follower_t *follower, const bt_kv_range_t *range, int64_t known)
+log_old_read (bt_store_follower_t *follower, const bt_kv_range_t *range, bt_kv_position_t known)
 {
   if (range->revision == follower->old_revision)
     return;
   follower->old_revision = range->revision;
-  bt_log_event (follower->ctx, BT_LOG_WARNING, "store-read-old", "{s:I, s:I, s:I}", "era",
-                (json_int_t)range->era, "revision", (json_int_t)range->revision, "known",
-                (json_int_t)known);
+  bt_log_event (follower->ctx, BT_LOG_WARNING, "store-read-old", "{s:I, s:I, s:I, s:I}", "era",
+                (json_int_t)range->era, "revision", (json_int_t)range->revision, "known_era",
+                (json_int_t)known.era, "known", (json_int_t)known.revision);
+}
+
+/* Reports that the store was restored from a backup, which the store itself or a peer has told. */
+static void
+record_era (bt_store_follower_t *follower, bt_kv_position_t before)
+{
+  bt_kv_position_t now = bt_get_copy_position (follower->copy);
+
+  bt_set_gauge (follower->era_gauge, now.era);
+  if (before.era == 0 || now.era == before.era)
+    return;
+  bt_log_event (follower->ctx, BT_LOG_WARNING, "store-restored", "{s:I, s:I, s:I, s:I}", "era",
+                (json_int_t)now.era, "revision", (json_int_t)now.revision, "known_era",
+                (json_int_t)before.era, "known", (json_int_t)before.revision);
+  bt_add_counter (follower->restores, 1);
 }
 
 /* Takes over items that were read, unless newer ones are known, and tells the followers. */
@@ -174,7 +188,7 @@
 replace_items (bt_store_follower_t *follower, bt_kv_range_t *range, int64_t begun_ms)
 {
   bt_context_t *ctx = follower->ctx;
-  int64_t before = bt_get_copy_revision (follower->copy);
+  bt_kv_position_t before = bt_get_copy_position (follower->copy);
 
   if (!bt_replace_copy (ctx, follower->copy, range))
     {
@@ -183,7 +197,8 @@
     }
   follower->read_ms = begun_ms;
   follower->old_revision = 0;
-  if (bt_get_copy_revision (follower->copy) > before)
+  record_era (follower, before);
+  if (bt_compare_kv_positions (bt_get_copy_position (follower->copy), before) > 0)
     bt_send_peer_items (follower->feed, before);
   post_current_view (follower, begun_ms);
 }
@@ -216,7 +231,8 @@
   if (!bt_read_lagging_kv (ctx, follower->kv, "", &range, error))
     return false;
   done = bt_follow_kv (ctx, follower->kv, "", range.revision + 1, FIRST_WATCH_MS, &changes, error);
-  if (done && !changes.incomplete && changes.written.revision >= range.revision)
+  if (done && !changes.incomplete && changes.written.era == range.era
+      && changes.written.revision >= range.revision)
     {
       bt_apply_kv_changes (ctx, &range, &changes);
       replace_items (follower, &range, begun_ms);
@@ -232,17 +248,19 @@
   return done;
 }
 
-/* Applies the changes that a watch reported. Reads all items if the watch may have missed some. */
+/* Applies the changes that a watch reported. Reads all items if the watch may have missed some, as
+ * after a restoration: then the watch began at a revision of the era before. */
 static bool
 apply_changes (bt_store_follower_t *follower, bt_kv_changes_t *changes, bt_error_t *error)
 {
-  int64_t before = bt_get_copy_revision (follower->copy);
+  bt_kv_position_t before = bt_get_copy_position (follower->copy);
 
-  if (changes->incomplete || changes->written.revision < before)
+  if (changes->incomplete || changes->written.era != before.era
+      || changes->written.revision < before.revision)
     return read_all (follower, error);
   if (changes->written.count == 0 && changes->removed_count == 0)
     return true;
-  bt_send_peer_changes (follower->feed, before, changes);
+  bt_send_peer_changes (follower->feed, before.revision, changes);
   bt_apply_changes_to_copy (follower->ctx, follower->copy, changes);
   post_current_view (follower, bt_now_ms (follower->ctx));
   /* Changes often come in quick succession, and each watch is a call to the store. Waiting lets the
@@ -264,8 +282,9 @@
     return read_first (follower, error);
   if (bt_now_ms (follower->ctx) - follower->read_ms > FULL_READ_MS)
     return read_all (follower, error);
-  done = bt_follow_kv (follower->ctx, follower->kv, "", bt_get_copy_revision (follower->copy) + 1,
-                       wait_ms, &changes, error);
+  done =
+      bt_follow_kv (follower->ctx, follower->kv, "",
+                    bt_get_copy_position (follower->copy).revision + 1, wait_ms, &changes, error);
   if (done)
     done = apply_changes (follower, &changes, error);
   else if (!follower->follows_peer)
@@ -277,25 +296,6 @@
   return done;
 }
 
-/* Reports that the store was restored from a backup since its answer before. */
-static void
-record_era (bt_store_follower_t *follower)
-{
-  int64_t era = bt_get_kv_era (follower->kv);
-
-  if (era == follower->era)
-    return;
-  if (follower->era != 0)
-    {
-      bt_log_event (follower->ctx, BT_LOG_WARNING, "store-restored", "{s:I, s:I, s:I}", "era",
-                    (json_int_t)era, "known_era", (json_int_t)follower->era, "known",
-                    (json_int_t)bt_get_copy_revision (follower->copy));
-      bt_add_counter (follower->restores, 1);
-    }
-  follower->era = era;
-  bt_set_gauge (follower->era_gauge, era);
-}
-
 /* Makes one call to the store itself, and records whether it answers. */
 static void
 call_store (bt_store_follower_t *follower, int64_t wait_ms)
@@ -305,7 +305,6 @@
 
   if (ck_pr_load_int (&follower->watch_ended) != 0)
     return;
-  record_era (follower);
   follower->tried_ms = bt_now_ms (follower->ctx);
   follower->store_failing = !done;
   bt_set_store_reachable (follower->feed, done);
@@ -319,6 +318,7 @@
 static void
 apply_peer_updates (bt_store_follower_t *follower)
 {
+  bt_kv_position_t before = bt_get_copy_position (follower->copy);
   bt_store_update_t *update;
   bool changed = false;
 
@@ -331,8 +331,10 @@
       changed = changed || effect == BT_UPDATE_APPLIED;
       bt_drop_store_update (follower->ctx, update);
     }
-  if (changed)
-    post_current_view (follower, bt_now_ms (follower->ctx));
+  if (!changed)
+    return;
+  record_era (follower, before);
+  post_current_view (follower, bt_now_ms (follower->ctx));
 }
 
 /* Decides whether this entry follows a peer or reads the store. Only readers, and entries without a
@@ -341,6 +343,7 @@
 choose_source (bt_store_follower_t *follower)
 {
   const bt_feed_choice_t *choice = &follower->choice;
+  bt_kv_position_t position = bt_get_copy_position (follower->copy);
   int32_t count = follower->store_failing ? choice->count : choice->primary_count;
   bool follows_peer;
 
@@ -351,9 +354,9 @@
   if (follows_peer == follower->follows_peer)
     return;
   follower->follows_peer = follows_peer;
-  bt_log_event (follower->ctx, BT_LOG_INFO, "store-source", "{s:s, s:I}", "source",
-                follows_peer ? "peer" : "store", "revision",
-                (json_int_t)bt_get_copy_revision (follower->copy));
+  bt_log_event (follower->ctx, BT_LOG_INFO, "store-source", "{s:s, s:I, s:I}", "source",
+                follows_peer ? "peer" : "store", "era", (json_int_t)position.era, "revision",
+                (json_int_t)position.revision);
   if (!follows_peer)
     return;
   /* Peers that follow this one must follow one that reads the store instead. */
--- a/source/gateway/view.c
+++ b/source/gateway/view.c
@@ -129,7 +129,7 @@
 {
   bt_context_t *ctx;
   bt_view_t *view;
-  const bt_view_t *previous;
+  const bt_view_t *previous; /* NULL if it is of another era */
   int32_t search_from;
   int32_t entry_from;    /* index after the last entry that was found in the previous view */
   int32_t endpoint_from; /* the same for endpoints */
@@ -232,7 +232,8 @@
   view->configuration_revision = pair->mod_revision;
   view->configuration = bt_memdup (ctx, pair->value, pair->value_bytes);
   view->configuration_bytes = pair->value_bytes;
-  if (previous != NULL && previous->configuration_revision == pair->mod_revision)
+  if (previous != NULL && previous->era == view->era
+      && previous->configuration_revision == pair->mod_revision)
     {
       view->declarations = bt_keep_declarations (previous->declarations);
       return;
@@ -278,6 +279,7 @@
   else
     {
       endpoint->created_revision = pair->create_revision;
+      endpoint->era = view->era;
       endpoint->revision = pair->mod_revision;
       view->endpoint_count++;
     }
@@ -403,8 +405,11 @@
              const bt_view_t *previous)
 {
   bt_view_t *view = bt_calloc (ctx, 1, sizeof *view);
-  view_draft_t draft = { .ctx = ctx, .view = view, .previous = previous };
+  /* Revisions are assigned again in another era, so equal ones do not mean unchanged items. */
+  bool same_era = previous != NULL && previous->era == range->era;
+  view_draft_t draft = { .ctx = ctx, .view = view, .previous = same_era ? previous : NULL };
 
+  view->era = range->era;
   view->revision = range->revision;
   view->read_ms = read_ms;
   view->endpoints = bt_calloc (ctx, (size_t)range->count, sizeof *view->endpoints);
@@ -423,6 +428,7 @@
 {
   bt_view_t *copy = bt_calloc (ctx, 1, sizeof *copy);
 
+  copy->era = view->era;
   copy->revision = view->revision;
   copy->configuration_revision = view->configuration_revision;
   copy->declarations = bt_keep_declarations (view->declarations);
--- a/source/gateway/view.h
+++ b/source/gateway/view.h
@@ -31,6 +31,7 @@
 
 typedef struct bt_view
 {
+  int64_t era;      /**< The store's era at the read. */
   int64_t revision; /**< The store's revision at the read. */
   int64_t read_ms;  /**< Start of the full read, or time of the last applied change, on this
                          process's clock. */
@@ -53,10 +54,9 @@
 
 /** Creates a view of all items of the store. Invalid items, and endpoints whose app is not
  * declared, are skipped and logged, unless the previous view @p previous skipped the same item at
- * the same revision. Items that have not changed since are not decoded again. The view shares the
- * declarations of @p previous if the configuration is
- * unchanged, and also if the new one is invalid: the last valid one stays in force. @p previous may
- * be NULL. */
+ * the same era and revision. Items that have not changed since are not decoded again. The view
+ * shares the declarations of @p previous if the configuration is unchanged, and also if the new one
+ * is invalid: the last valid one stays in force. @p previous may be NULL. */
 bt_view_t *bt_new_view (bt_context_t *ctx,
                         const bt_platform_t *platform,
                         const bt_kv_range_t *range,
--- a/source/store/kv.c
+++ b/source/store/kv.c
@@ -15,6 +15,16 @@
   kv->vtable->cancel (ctx, kv);
 }
 
+int32_t
+bt_compare_kv_positions (bt_kv_position_t one, bt_kv_position_t other)
+{
+  if (one.era != other.era)
+    return one.era < other.era ? -1 : 1;
+  if (one.revision != other.revision)
+    return one.revision < other.revision ? -1 : 1;
+  return 0;
+}
+
 int64_t
 bt_get_kv_era (bt_kv_t *kv)
 {
--- a/test/gateway/test_store_copy.c
+++ b/test/gateway/test_store_copy.c
@@ -105,7 +105,7 @@
   changes.written.revision = 9;
   CU_ASSERT_EQUAL (send_changes (copy, 4, &changes), BT_UPDATE_OLD);
   check_value (copy, "a", "old");
-  CU_ASSERT_EQUAL (bt_get_copy_revision (copy), 9);
+  CU_ASSERT_EQUAL (bt_get_copy_position (copy).revision, 9);
   bt_drop_store_copy (ctx, copy);
 }
 
@@ -121,7 +121,7 @@
   changes.written.revision = 12;
   CU_ASSERT_EQUAL (send_changes (copy, 11, &changes), BT_UPDATE_GAP);
   check_value (copy, "a", "old");
-  CU_ASSERT_EQUAL (bt_get_copy_revision (copy), 9);
+  CU_ASSERT_EQUAL (bt_get_copy_position (copy).revision, 9);
   bt_drop_store_copy (ctx, copy);
 }
 
@@ -139,7 +139,7 @@
   check_value (copy, "a", "new");
   check_value (copy, "b", "");
   check_value (copy, "c", "new");
-  CU_ASSERT_EQUAL (bt_get_copy_revision (copy), 12);
+  CU_ASSERT_EQUAL (bt_get_copy_position (copy).revision, 12);
   bt_drop_store_copy (ctx, copy);
 }
 
@@ -147,7 +147,7 @@
 typedef struct transfer
 {
   bt_store_copy_t *target;
-  int64_t from_revision;
+  bt_kv_position_t from;
   bt_update_effect_t effect;
 } transfer_t;
 
@@ -158,7 +158,7 @@
   Bilberry__StoreItems message;
   bt_store_update_t *update;
 
-  bt_write_items_message (ctx, transfer->from_revision, items, &message);
+  bt_write_items_message (ctx, transfer->from, items, &message);
   update = bt_read_items_message (ctx, &message);
   bt_clear_items_message (ctx, &message);
   transfer->effect = bt_apply_update_to_copy (ctx, transfer->target, update);
@@ -174,7 +174,7 @@
   bt_store_copy_t *behind = make_copy (9);
   bt_store_copy_t *peer = make_copy (9);
   bt_kv_changes_t changes = { 0 };
-  transfer_t transfer = { behind, 9, BT_UPDATE_OLD };
+  transfer_t transfer = { behind, { 0, 9 }, BT_UPDATE_OLD };
 
   add_removal (&changes, "b", 10);
   add_pair (&changes.written, "c", "new", 11);
@@ -186,11 +186,81 @@
   check_value (behind, "a", "old");
   check_value (behind, "b", "");
   check_value (behind, "c", "new");
-  CU_ASSERT_EQUAL (bt_get_copy_revision (behind), 11);
+  CU_ASSERT_EQUAL (bt_get_copy_position (behind).revision, 11);
   bt_drop_store_copy (ctx, behind);
   bt_drop_store_copy (ctx, peer);
 }
 
+/* Returns a copy of a store that was restored: its items are at revision @p revision of era 1. */
+static bt_store_copy_t *
+make_restored_copy (int64_t revision)
+{
+  bt_store_copy_t *copy = bt_new_store_copy (ctx);
+  bt_kv_range_t range = { .era = 1, .revision = revision };
+
+  add_pair (&range, "a", "written again", revision);
+  CU_ASSERT_TRUE (bt_replace_copy (ctx, copy, &range));
+  return copy;
+}
+
+/* Guards against ignoring a restored store: its revisions are lower than the known ones. */
+static void
+test_later_era_replaces_higher_revision (void)
+{
+  bt_store_copy_t *copy = make_copy (9);
+  bt_kv_range_t restored = { .era = 1, .revision = 5 };
+  bt_kv_range_t late = { .era = 0, .revision = 12 };
+
+  add_pair (&restored, "a", "written again", 5);
+  CU_ASSERT_TRUE (bt_replace_copy (ctx, copy, &restored));
+  check_value (copy, "a", "written again");
+  check_value (copy, "b", "");
+  CU_ASSERT_FALSE (bt_replace_copy (ctx, copy, &late));
+  CU_ASSERT_EQUAL (bt_get_copy_position (copy).era, 1);
+  CU_ASSERT_EQUAL (bt_get_copy_position (copy).revision, 5);
+  bt_drop_store_copy (ctx, copy);
+}
+
+/* Guards against missing changes: a peer's changes in a later era do not follow the known revision,
+ * although their numbers do. The copy must wait for all items. */
+static void
+test_changes_of_a_later_era_are_a_gap (void)
+{
+  bt_store_copy_t *copy = make_copy (9);
+  bt_store_copy_t *peer = make_restored_copy (11);
+  bt_kv_changes_t changes = { .written = { .era = 1, .revision = 11 } };
+  transfer_t transfer = { copy, { 0, 9 }, BT_UPDATE_OLD };
+
+  add_pair (&changes.written, "a", "written again", 11);
+  CU_ASSERT_EQUAL (send_changes (copy, 9, &changes), BT_UPDATE_GAP);
+  check_value (copy, "a", "old");
+  bt_visit_copy_items (peer, send_items, &transfer);
+  CU_ASSERT_EQUAL (transfer.effect, BT_UPDATE_APPLIED);
+  check_value (copy, "a", "written again");
+  check_value (copy, "b", "");
+  CU_ASSERT_EQUAL (bt_get_copy_position (copy).era, 1);
+  bt_drop_store_copy (ctx, copy);
+  bt_drop_store_copy (ctx, peer);
+}
+
+/* Guards against a peer that has not noticed the restoration, and still sends what it knows. */
+static void
+test_update_of_an_earlier_era_is_old (void)
+{
+  bt_store_copy_t *copy = make_restored_copy (5);
+  bt_store_copy_t *peer = make_copy (9);
+  bt_kv_changes_t changes = { .written = { .era = 0, .revision = 9 } };
+  transfer_t transfer = { copy, { 0, 0 }, BT_UPDATE_APPLIED };
+
+  add_pair (&changes.written, "a", "old", 9);
+  CU_ASSERT_EQUAL (send_changes (copy, 5, &changes), BT_UPDATE_OLD);
+  bt_visit_copy_items (peer, send_items, &transfer);
+  CU_ASSERT_EQUAL (transfer.effect, BT_UPDATE_OLD);
+  check_value (copy, "a", "written again");
+  bt_drop_store_copy (ctx, copy);
+  bt_drop_store_copy (ctx, peer);
+}
+
 int
 main (void)
 {
@@ -204,6 +274,9 @@
   CU_ADD_TEST (suite, test_gap_changes_nothing);
   CU_ADD_TEST (suite, test_changes_are_applied);
   CU_ADD_TEST (suite, test_removed_key_is_detected_by_absence);
+  CU_ADD_TEST (suite, test_later_era_replaces_higher_revision);
+  CU_ADD_TEST (suite, test_changes_of_a_later_era_are_a_gap);
+  CU_ADD_TEST (suite, test_update_of_an_earlier_era_is_old);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
