gateway: what was in force stays so while a restored store shows it older

Callers would see (no record of it was given): a revoked key accepted again, requests at an endpoint that leaves or is gone, a failure domain no longer evacuated, from the return of the store until the operators and the endpoints have written again. Change: as an era begins, each entry compares what was in force with what the store shows (retention.c) by the numbers that the writers count up: the configuration's version, the endpoint's sequence. What is older, missing or was removed before is overlaid until the store shows it as new or newer, or until its time is over. The overlay goes to peers with a whole update, so that an entry that starts has it too. It is seen in status, a gauge and store-restored.

--- a/include/bilberrytray/gateway/platform.h
+++ b/include/bilberrytray/gateway/platform.h
@@ -37,6 +37,7 @@
   int64_t created_revision; /**< The store's revision at which the registration was created. */
   int64_t revision;         /**< Revision of the last change of the registration. */
   int64_t started_ms;       /**< Start time, Unix time in ms; 0: unknown. */
+  int64_t sequence;         /**< Counts the endpoint's writes of its registration. */
   int64_t cold_left_ms; /**< How long it stays cold from the registration's last change on; 0: it
                            is not cold. */
 } bt_listed_endpoint_t;
@@ -96,6 +97,10 @@
                                            size_t bytes,
                                            bt_findings_t *findings);
 
+  /** Reads the version of the operators' configuration, which increases with each change. Returns
+   * false if there is none. */
+  bool (*read_configuration_version) (const char *text, size_t bytes, int64_t *version);
+
   /** Decodes a store item whose key begins with endpoint_prefix. */
   bool (*read_endpoint) (const char *key,
                          const char *text,
--- a/source/gateway/feed_messages.c
+++ b/source/gateway/feed_messages.c
@@ -1,7 +1,13 @@
 #include "feed_messages.h"
 
-static void
-add_item (bt_context_t *ctx, Bilberry__StoreItems *message, const bt_kv_pair_t *pair)
+enum
+{
+  /* Sent for an item that is retained without end. */
+  NO_END = -1,
+};
+
+static Bilberry__StoreItem *
+write_item (bt_context_t *ctx, const bt_kv_pair_t *pair)
 {
   Bilberry__StoreItem *item = bt_calloc (ctx, 1, sizeof *item);
 
@@ -11,7 +17,31 @@
   item->revision = pair->mod_revision;
   item->created = pair->create_revision;
   item->lease = pair->lease;
-  message->written[message->n_written++] = item;
+  return item;
+}
+
+static void
+add_item (bt_context_t *ctx, Bilberry__StoreItems *message, const bt_kv_pair_t *pair)
+{
+  message->written[message->n_written++] = write_item (ctx, pair);
+}
+
+static void
+add_retained_item (bt_context_t *ctx,
+                   Bilberry__StoreItems *message,
+                   const bt_retained_item_t *retained,
+                   int64_t now_ms)
+{
+  Bilberry__RetainedItem *item = bt_calloc (ctx, 1, sizeof *item);
+
+  bilberry__retained_item__init (item);
+  item->item = write_item (ctx, &retained->pair);
+  item->removal = retained->removal;
+  item->shown_revision = retained->shown_revision;
+  item->left_ms = retained->until_ms == INT64_MAX ? NO_END : retained->until_ms - now_ms;
+  if (retained->until_ms != INT64_MAX && item->left_ms < 0)
+    item->left_ms = 0;
+  message->retained[message->n_retained++] = item;
 }
 
 static void
@@ -50,6 +80,8 @@
 bt_write_items_message (bt_context_t *ctx,
                         bt_kv_position_t from,
                         const bt_kv_range_t *items,
+                        const bt_retention_t *retained,
+                        int64_t now_ms,
                         Bilberry__StoreItems *message)
 {
   int64_t from_revision = from.era == items->era ? from.revision : 0;
@@ -61,12 +93,15 @@
   message->whole = true;
   message->written = bt_calloc (ctx, (size_t)items->count, sizeof (Bilberry__StoreItem *));
   message->keys = bt_calloc (ctx, (size_t)items->count, sizeof (char *));
+  message->retained = bt_calloc (ctx, (size_t)retained->count, sizeof (Bilberry__RetainedItem *));
   for (int32_t i = 0; i < items->count; i++)
     {
       message->keys[message->n_keys++] = items->pairs[i].key;
       if (items->pairs[i].mod_revision > from_revision)
         add_item (ctx, message, &items->pairs[i]);
     }
+  for (int32_t i = 0; i < retained->count; i++)
+    add_retained_item (ctx, message, &retained->items[i], now_ms);
 }
 
 void
@@ -76,6 +111,12 @@
     bt_free (ctx, message->written[i]);
   for (size_t i = 0; i < message->n_removed; i++)
     bt_free (ctx, message->removed[i]);
+  for (size_t i = 0; i < message->n_retained; i++)
+    {
+      bt_free (ctx, message->retained[i]->item);
+      bt_free (ctx, message->retained[i]);
+    }
+  bt_free (ctx, message->retained);
   bt_free (ctx, message->written);
   bt_free (ctx, message->removed);
   bt_free (ctx, message->keys);
@@ -93,6 +134,17 @@
   pair->lease = item->lease;
 }
 
+static void
+read_retained_item (bt_context_t *ctx,
+                    const Bilberry__RetainedItem *message,
+                    bt_retained_item_t *retained)
+{
+  read_item (ctx, message->item, &retained->pair);
+  retained->removal = message->removal;
+  retained->shown_revision = message->shown_revision;
+  retained->until_ms = message->left_ms < 0 ? INT64_MAX : message->left_ms;
+}
+
 bt_store_update_t *
 bt_read_items_message (bt_context_t *ctx, const Bilberry__StoreItems *message)
 {
@@ -115,6 +167,11 @@
       changes->removed_revisions[changes->removed_count] = message->removed[i]->revision;
       changes->removed[changes->removed_count++] = bt_strdup (ctx, message->removed[i]->key);
     }
+  update->retained.items = bt_calloc (ctx, message->n_retained, sizeof *update->retained.items);
+  for (size_t i = 0; i < message->n_retained; i++)
+    if (message->retained[i]->item != NULL)
+      read_retained_item (ctx, message->retained[i],
+                          &update->retained.items[update->retained.count++]);
   for (size_t i = 0; i < message->n_keys; i++)
     update->keys[update->key_count++] = bt_strdup (ctx, message->keys[i]);
   return update;
--- a/source/gateway/feed_messages.h
+++ b/source/gateway/feed_messages.h
@@ -17,11 +17,13 @@
                                Bilberry__StoreItems *message);
 
 /** Encodes the items that changed after @p from, or all items if that is a position of another era,
- * and the keys of all items. The message points into @p items; free it with bt_clear_items_message.
- */
+ * the keys of all items, and what is retained. The message points into @p items and @p retained;
+ * free it with bt_clear_items_message. */
 void bt_write_items_message (bt_context_t *ctx,
                              bt_kv_position_t from,
                              const bt_kv_range_t *items,
+                             const bt_retention_t *retained,
+                             int64_t now_ms,
                              Bilberry__StoreItems *message);
 
 /** Frees the lists of an encoded message, not what they point to. */
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -141,6 +141,9 @@
   bool was_ready = is_ready (gateway);
 
   gateway->view = view;
+  /* Endpoints that the restored store lacks register again, as after an outage. */
+  if (before != NULL && before->era != view->era)
+    bt_record_store_regained (gateway->endpoints, bt_get_loop_ms (gateway->loop));
   if (before == NULL || before->declarations != view->declarations)
     bt_log_event (gateway->ctx, BT_LOG_INFO, "configuration", "{s:I, s:I, s:i, s:i}", "revision",
                   (json_int_t)(view->declarations == NULL ? 0 : view->declarations->revision),
--- a/source/gateway/peer_feed.c
+++ b/source/gateway/peer_feed.c
@@ -126,12 +126,13 @@
 }
 
 static void
-send_items (void *data, const bt_kv_range_t *items)
+send_items (void *data, const bt_kv_range_t *items, const bt_retention_t *retained)
 {
   items_args_t *args = data;
   Bilberry__StoreItems message;
 
-  bt_write_items_message (args->feed->ctx, args->from, items, &message);
+  bt_write_items_message (args->feed->ctx, args->from, items, retained, bt_now_ms (args->feed->ctx),
+                          &message);
   if (args->link != NULL)
     send_message (args->feed, args->link, BILBERRY__FRAME__BODY_STORE_ITEMS, &message);
   else
@@ -206,7 +207,7 @@
       row->next = feed->followers;
       feed->followers = row;
     }
-  bt_visit_copy_items (feed->copy, send_items, &args);
+  bt_visit_shown_items (feed->copy, send_items, &args);
   send_state (feed, link);
 }
 
@@ -480,7 +481,7 @@
 
   pthread_mutex_lock (&feed->lock);
   if (feed->followers != NULL)
-    bt_visit_copy_items (feed->copy, send_items, &args);
+    bt_visit_shown_items (feed->copy, send_items, &args);
   pthread_mutex_unlock (&feed->lock);
 }
 
--- a/source/gateway/store_copy.h
+++ b/source/gateway/store_copy.h
@@ -4,12 +4,12 @@
 /** @file
  * The local copy of the platform's store: its items at one position, which never goes back. Eras
  * order positions first: after the store was restored from a backup, its revisions start again at a
- * lower one.
+ * lower one. Then the copy retains what was in force until the lost items are written again.
  *
  * Only one thread changes the copy; any thread may read it.
  */
 
-#include "bilberrytray/store/kv.h"
+#include "retention.h"
 
 typedef struct bt_store_copy bt_store_copy_t;
 
@@ -21,6 +21,8 @@
   bool whole;              /**< keys holds all keys that are present at that revision. */
   char **keys;
   int32_t key_count;
+  bt_retention_t retained; /**< With whole set: what the other process retains. Ends are counted
+                                from the receipt. */
   struct bt_store_update *next;
 } bt_store_update_t;
 
@@ -35,7 +37,12 @@
 /** Reads the items. Called with the copy's lock held; must not keep pointers to them. */
 typedef void (*bt_visit_items_t) (void *data, const bt_kv_range_t *items);
 
-bt_store_copy_t *bt_new_store_copy (bt_context_t *ctx);
+/** Reads the items as the store shows them, and what is retained in their place. */
+typedef void (*bt_visit_shown_items_t) (void *data,
+                                        const bt_kv_range_t *items,
+                                        const bt_retention_t *retained);
+
+bt_store_copy_t *bt_new_store_copy (bt_context_t *ctx, const bt_platform_t *platform);
 
 /** NULL is accepted. */
 void bt_drop_store_copy (bt_context_t *ctx, bt_store_copy_t *copy);
@@ -43,20 +50,36 @@
 /** Returns the position of the items; zeroed while the copy is empty. */
 bt_kv_position_t bt_get_copy_position (bt_store_copy_t *copy);
 
+/** Returns how many items differ from what the store shows, because the store was restored. */
+int32_t bt_count_retained_items (bt_store_copy_t *copy);
+
 /** Replaces the items by those of a full read and takes ownership of them. Returns false and
  * changes nothing if the read is older than the copy: it comes from a store replica that has not
  * caught up. */
-bool bt_replace_copy (bt_context_t *ctx, bt_store_copy_t *copy, bt_kv_range_t *range);
+bool
+bt_replace_copy (bt_context_t *ctx, bt_store_copy_t *copy, bt_kv_range_t *range, int64_t now_ms);
 
 /** Applies changes that directly follow the copy's position, in the same era. */
-void bt_apply_changes_to_copy (bt_context_t *ctx, bt_store_copy_t *copy, bt_kv_changes_t *changes);
+void bt_apply_changes_to_copy (bt_context_t *ctx,
+                               bt_store_copy_t *copy,
+                               bt_kv_changes_t *changes,
+                               int64_t now_ms);
 
 /** Applies an update from another process. */
-bt_update_effect_t
-bt_apply_update_to_copy (bt_context_t *ctx, bt_store_copy_t *copy, bt_store_update_t *update);
+bt_update_effect_t bt_apply_update_to_copy (bt_context_t *ctx,
+                                            bt_store_copy_t *copy,
+                                            bt_store_update_t *update,
+                                            int64_t now_ms);
+
+/** Drops retained items whose time is over. Returns true if the items in force have changed. */
+bool bt_expire_retained_items (bt_context_t *ctx, bt_store_copy_t *copy, int64_t now_ms);
+
+/** Calls @p visit with the items in force, with the copy's lock held. */
+void
+bt_visit_copy_items (bt_context_t *ctx, bt_store_copy_t *copy, bt_visit_items_t visit, void *data);
 
-/** Calls @p visit with the items, with the copy's lock held. */
-void bt_visit_copy_items (bt_store_copy_t *copy, bt_visit_items_t visit, void *data);
+/** Calls @p visit with the items that the store shows, with the copy's lock held. */
+void bt_visit_shown_items (bt_store_copy_t *copy, bt_visit_shown_items_t visit, void *data);
 
 /** NULL is accepted. */
 void bt_drop_store_update (bt_context_t *ctx, bt_store_update_t *update);
--- a/source/gateway/store_follower.c
+++ b/source/gateway/store_follower.c
@@ -34,6 +34,8 @@
    * wait of that watch is short, because it delays the peer's updates. */
   STORE_RETRY_MS = 1500,
   RETRY_WATCH_MS = 20,
+  /* Maximum number of retained items in a status. */
+  MAX_PRINTED_ITEMS = 32,
 };
 
 struct bt_store_follower
@@ -60,6 +62,7 @@
   bt_peer_feed_t *feed;
   bt_counter_t *era_gauge;
   bt_counter_t *restores;
+  bt_counter_t *retained_gauge;
 };
 
 /** A task that passes a view, or the state of the connection to the store, to the event loop. */
@@ -145,7 +148,8 @@
   const bt_listed_entry_t *self = &follower->options.entry;
   view_args_t args = { follower, read_ms, NULL };
 
-  bt_visit_copy_items (follower->copy, make_view, &args);
+  bt_visit_copy_items (follower->ctx, follower->copy, make_view, &args);
+  bt_set_gauge (follower->retained_gauge, bt_count_retained_items (follower->copy));
   bt_choose_feed (follower->ctx, args.view->entries, args.view->entry_count, self->links,
                   self->failure_domain, &follower->choice);
   /* While a fleet starts, no entry is listed yet, and the seeds tell the others who is. */
@@ -177,9 +181,10 @@
   bt_set_gauge (follower->era_gauge, now.era);
   if (before.era == 0 || now.era == before.era)
     return;
-  bt_log_event (follower->ctx, BT_LOG_WARNING, "store-restored", "{s:I, s:I, s:I, s:I}", "era",
+  bt_log_event (follower->ctx, BT_LOG_WARNING, "store-restored", "{s:I, s:I, s:I, s:I, s:i}", "era",
                 (json_int_t)now.era, "revision", (json_int_t)now.revision, "known_era",
-                (json_int_t)before.era, "known", (json_int_t)before.revision);
+                (json_int_t)before.era, "known", (json_int_t)before.revision, "retained",
+                bt_count_retained_items (follower->copy));
   bt_add_counter (follower->restores, 1);
 }
 
@@ -190,7 +195,7 @@
   bt_context_t *ctx = follower->ctx;
   bt_kv_position_t before = bt_get_copy_position (follower->copy);
 
-  if (!bt_replace_copy (ctx, follower->copy, range))
+  if (!bt_replace_copy (ctx, follower->copy, range, bt_now_ms (ctx)))
     {
       log_old_read (follower, range, before);
       return;
@@ -261,7 +266,7 @@
   if (changes->written.count == 0 && changes->removed_count == 0)
     return true;
   bt_send_peer_changes (follower->feed, before.revision, changes);
-  bt_apply_changes_to_copy (follower->ctx, follower->copy, changes);
+  bt_apply_changes_to_copy (follower->ctx, follower->copy, changes, bt_now_ms (follower->ctx));
   post_current_view (follower, bt_now_ms (follower->ctx));
   /* Changes often come in quick succession, and each watch is a call to the store. Waiting lets the
    * next answer report several of them. */
@@ -324,7 +329,8 @@
 
   while ((update = bt_take_peer_update (follower->feed)) != NULL)
     {
-      bt_update_effect_t effect = bt_apply_update_to_copy (follower->ctx, follower->copy, update);
+      bt_update_effect_t effect = bt_apply_update_to_copy (follower->ctx, follower->copy, update,
+                                                           bt_now_ms (follower->ctx));
 
       if (effect == BT_UPDATE_GAP)
         bt_request_peer_resync (follower->feed);
@@ -389,6 +395,8 @@
     {
       choose_source (follower);
       apply_peer_updates (follower);
+      if (bt_expire_retained_items (follower->ctx, follower->copy, bt_now_ms (follower->ctx)))
+        post_current_view (follower, follower->read_ms);
       if (!follower->follows_peer && is_waiting_for_peer (follower))
         bt_wait_for_current_peer (follower->feed, PEER_PATIENCE_STEP_MS);
       else if (!follower->follows_peer)
@@ -409,6 +417,9 @@
       "Era of the store; a new one begins when it is restored from a backup.", NULL, NULL);
   follower->restores = bt_find_counter (ctx, BT_COUNTER, "bilberry_store_restores_total",
                                         "Restorations of the store that were noticed.", NULL, NULL);
+  follower->retained_gauge = bt_find_counter (
+      ctx, BT_GAUGE, "bilberry_store_retained_items",
+      "Items in force that differ from what the restored store shows.", NULL, NULL);
 }
 
 static bool
@@ -423,7 +434,7 @@
     .contact_ms = options->watch_ms + CONTACT_MARGIN_MS,
   };
 
-  follower->copy = bt_new_store_copy (follower->ctx);
+  follower->copy = bt_new_store_copy (follower->ctx, options->platform);
   bt_choose_seed_feed (options->seeds, options->entry.links, &follower->choice);
   follower->feed = bt_new_peer_feed (follower->ctx, &feed, follower->copy, error);
   return follower->feed != NULL;
@@ -470,6 +481,19 @@
     bt_retire_peer_feed (follower->feed);
 }
 
+static void
+print_retained (void *data, const bt_kv_range_t *items, const bt_retention_t *retained)
+{
+  FILE *out = data;
+
+  (void)items;
+  for (int32_t i = 0; i < retained->count && i < MAX_PRINTED_ITEMS; i++)
+    fprintf (out, "%s %s, other than the restored store shows\n",
+             retained->items[i].removal ? "without" : "with", retained->items[i].pair.key);
+  if (retained->count > MAX_PRINTED_ITEMS)
+    fprintf (out, "and %d more items\n", (int)retained->count - MAX_PRINTED_ITEMS);
+}
+
 void
 bt_print_follower_status (bt_store_follower_t *follower, FILE *out)
 {
@@ -477,6 +501,7 @@
 
   fprintf (out, "store: era %lld, revision %lld\n", (long long)position.era,
            (long long)position.revision);
+  bt_visit_shown_items (follower->copy, print_retained, out);
 }
 
 bool
--- a/source/gateway/view.c
+++ b/source/gateway/view.c
@@ -17,13 +17,13 @@
   HEX_BASE = 16,
 };
 
-static const char *const entry_prefix = "bilberrytray/entries/";
+const char *const bt_entry_prefix = "bilberrytray/entries/";
 static const char *const leader_key = "bilberrytray/maps/groups/controller";
 
 void
 bt_write_entry_key (char key[2 * BT_NAME_BYTES], const char *instance)
 {
-  snprintf (key, (size_t)2 * BT_NAME_BYTES, "%s%s", entry_prefix, instance);
+  snprintf (key, (size_t)2 * BT_NAME_BYTES, "%s%s", bt_entry_prefix, instance);
 }
 
 char *
@@ -93,7 +93,7 @@
 static bool
 decode_entry (const bt_kv_pair_t *pair, bt_listed_entry_t *entry)
 {
-  const char *instance = pair->key + strlen (entry_prefix);
+  const char *instance = pair->key + strlen (bt_entry_prefix);
   json_t *object = json_loadb (pair->value, pair->value_bytes, 0, NULL);
   bool valid;
 
@@ -141,7 +141,7 @@
 find_unchanged_entry (view_draft_t *draft, const bt_kv_pair_t *pair)
 {
   const bt_view_t *previous = draft->previous;
-  const char *instance = pair->key + strlen (entry_prefix);
+  const char *instance = pair->key + strlen (bt_entry_prefix);
 
   for (int32_t i = 0; previous != NULL && i < previous->entry_count; i++)
     {
@@ -320,7 +320,7 @@
 
   if (starts_with (pair->key, platform->endpoint_prefix))
     read_listed_endpoint (draft, platform, pair);
-  else if (starts_with (pair->key, entry_prefix))
+  else if (starts_with (pair->key, bt_entry_prefix))
     {
       if (read_entry (draft, pair, &view->entries[view->entry_count]))
         view->entry_count++;
--- a/source/gateway/view.h
+++ b/source/gateway/view.h
@@ -52,6 +52,9 @@
   char leader[BT_NAME_BYTES]; /**< The instance that leads the rank groups; "": none. */
 } bt_view_t;
 
+/** Common prefix of the store keys of entry instances' listings. */
+extern const char *const bt_entry_prefix;
+
 /** Creates a view of all items of the store. Invalid items, and endpoints whose app is not
  * declared, are skipped and logged, unless the previous view @p previous skipped the same item at
  * the same era and revision. Items that have not changed since are not decoded again. The view
--- a/test/gateway/test_store_copy.c
+++ b/test/gateway/test_store_copy.c
@@ -36,13 +36,13 @@
 static bt_store_copy_t *
 make_copy (int64_t revision)
 {
-  bt_store_copy_t *copy = bt_new_store_copy (ctx);
+  bt_store_copy_t *copy = bt_new_store_copy (ctx, bt_get_platform ());
   bt_kv_range_t range = { 0 };
 
   add_pair (&range, "a", "old", 1);
   add_pair (&range, "b", "old", 2);
   range.revision = revision;
-  CU_ASSERT_TRUE (bt_replace_copy (ctx, copy, &range));
+  CU_ASSERT_TRUE (bt_replace_copy (ctx, copy, &range, 0));
   return copy;
 }
 
@@ -68,7 +68,7 @@
 {
   lookup_t lookup = { key, "" };
 
-  bt_visit_copy_items (copy, find_value, &lookup);
+  bt_visit_copy_items (ctx, copy, find_value, &lookup);
   CU_ASSERT_STRING_EQUAL (lookup.value, value);
 }
 
@@ -83,7 +83,7 @@
   bt_write_changes_message (ctx, from_revision, changes, &message);
   update = bt_read_items_message (ctx, &message);
   bt_clear_items_message (ctx, &message);
-  effect = bt_apply_update_to_copy (ctx, copy, update);
+  effect = bt_apply_update_to_copy (ctx, copy, update, 0);
   bt_drop_store_update (ctx, update);
   bt_drop_kv_changes (ctx, changes);
   return effect;
@@ -99,7 +99,7 @@
 
   add_pair (&older, "a", "older", 1);
   older.revision = 8;
-  CU_ASSERT_FALSE (bt_replace_copy (ctx, copy, &older));
+  CU_ASSERT_FALSE (bt_replace_copy (ctx, copy, &older, 0));
   bt_drop_kv_range (ctx, &older);
   add_pair (&changes.written, "a", "older", 5);
   changes.written.revision = 9;
@@ -152,16 +152,16 @@
 } transfer_t;
 
 static void
-send_items (void *data, const bt_kv_range_t *items)
+send_items (void *data, const bt_kv_range_t *items, const bt_retention_t *retained)
 {
   transfer_t *transfer = data;
   Bilberry__StoreItems message;
   bt_store_update_t *update;
 
-  bt_write_items_message (ctx, transfer->from, items, &message);
+  bt_write_items_message (ctx, transfer->from, items, retained, 0, &message);
   update = bt_read_items_message (ctx, &message);
   bt_clear_items_message (ctx, &message);
-  transfer->effect = bt_apply_update_to_copy (ctx, transfer->target, update);
+  transfer->effect = bt_apply_update_to_copy (ctx, transfer->target, update, 0);
   bt_drop_store_update (ctx, update);
 }
 
@@ -179,9 +179,9 @@
   add_removal (&changes, "b", 10);
   add_pair (&changes.written, "c", "new", 11);
   changes.written.revision = 11;
-  bt_apply_changes_to_copy (ctx, peer, &changes);
+  bt_apply_changes_to_copy (ctx, peer, &changes, 0);
   bt_drop_kv_changes (ctx, &changes);
-  bt_visit_copy_items (peer, send_items, &transfer);
+  bt_visit_shown_items (peer, send_items, &transfer);
   CU_ASSERT_EQUAL (transfer.effect, BT_UPDATE_APPLIED);
   check_value (behind, "a", "old");
   check_value (behind, "b", "");
@@ -195,11 +195,11 @@
 static bt_store_copy_t *
 make_restored_copy (int64_t revision)
 {
-  bt_store_copy_t *copy = bt_new_store_copy (ctx);
+  bt_store_copy_t *copy = bt_new_store_copy (ctx, bt_get_platform ());
   bt_kv_range_t range = { .era = 1, .revision = revision };
 
   add_pair (&range, "a", "written again", revision);
-  CU_ASSERT_TRUE (bt_replace_copy (ctx, copy, &range));
+  CU_ASSERT_TRUE (bt_replace_copy (ctx, copy, &range, 0));
   return copy;
 }
 
@@ -212,10 +212,10 @@
   bt_kv_range_t late = { .era = 0, .revision = 12 };
 
   add_pair (&restored, "a", "written again", 5);
-  CU_ASSERT_TRUE (bt_replace_copy (ctx, copy, &restored));
+  CU_ASSERT_TRUE (bt_replace_copy (ctx, copy, &restored, 0));
   check_value (copy, "a", "written again");
   check_value (copy, "b", "");
-  CU_ASSERT_FALSE (bt_replace_copy (ctx, copy, &late));
+  CU_ASSERT_FALSE (bt_replace_copy (ctx, copy, &late, 0));
   CU_ASSERT_EQUAL (bt_get_copy_position (copy).era, 1);
   CU_ASSERT_EQUAL (bt_get_copy_position (copy).revision, 5);
   bt_drop_store_copy (ctx, copy);
@@ -234,7 +234,7 @@
   add_pair (&changes.written, "a", "written again", 11);
   CU_ASSERT_EQUAL (send_changes (copy, 9, &changes), BT_UPDATE_GAP);
   check_value (copy, "a", "old");
-  bt_visit_copy_items (peer, send_items, &transfer);
+  bt_visit_shown_items (peer, send_items, &transfer);
   CU_ASSERT_EQUAL (transfer.effect, BT_UPDATE_APPLIED);
   check_value (copy, "a", "written again");
   check_value (copy, "b", "");
@@ -254,7 +254,7 @@
 
   add_pair (&changes.written, "a", "old", 9);
   CU_ASSERT_EQUAL (send_changes (copy, 5, &changes), BT_UPDATE_OLD);
-  bt_visit_copy_items (peer, send_items, &transfer);
+  bt_visit_shown_items (peer, send_items, &transfer);
   CU_ASSERT_EQUAL (transfer.effect, BT_UPDATE_OLD);
   check_value (copy, "a", "written again");
   bt_drop_store_copy (ctx, copy);
