store: fencing numbers increase and one instance leads, also when the store was restored

Callers would see (no record of it was given): after a restoration engines refuse all orders of the next leader with 412, since they keep the highest fencing number seen and the number was the store's revision, which has gone back; maps stay as they are until the revision passes. Two instances could lead at a time, since the store has lost the lease of the one that leads. A lease id of before may denote another lease. Change: in a store with eras the number is counted in the value of the fencing key and begins at the era times 2^20. A lease of an earlier era is neither renewed nor released. The first holder in an era is the one whose lease has not ended by its own clock, or has waited one TTL since it first saw the era; the fencing key says in which era the latest holder acquired. Without eras all is as before.

--- a/include/bilberrytray/store/fenced_lease.h
+++ b/include/bilberrytray/store/fenced_lease.h
@@ -4,7 +4,11 @@
 /** @file
  * A lease in the key-value store with a fencing number. It uses two keys, PREFIX + GROUP +
  * "/controller" and PREFIX + GROUP + "/fence". The first is bound to the lease and names its
- * holder. The second persists, and its revision is the fencing number of the latest holder.
+ * holder. The second persists and holds the fencing number of the latest holder.
+ *
+ * In a store that reports eras, the numbers of an era begin at the era times 2^20, so that they are
+ * above those of earlier eras even if the store has lost the latest ones. In a store without eras
+ * the fencing number is the revision of the second key.
  */
 
 #include "bilberrytray/base/context.h"
@@ -31,7 +35,9 @@
 } bt_lease_result_t;
 
 /** Renews the lease if it is held, else tries to acquire it; sets @p fence only when it is
- * acquired. The holder must count the TTL from before this call. Blocks on the store. */
+ * acquired. When the store was restored from a backup, the lease ends: its holder acquires it anew,
+ * and other instances wait for one TTL. The holder must count the TTL from before this call. Blocks
+ * on the store. */
 bt_lease_result_t
 bt_acquire_fenced_lease (bt_context_t *ctx, bt_fenced_lease_t *lease, uint64_t *fence);
 
