gateway: an entry instance is listed again after the store was restored

After a restoration lease ids are assigned again, so the renewal of a lost lease can succeed on another instance's lease; and an entry that stops could end that one. Change: the era in which the lease was granted is kept. In another era the instance is listed anew, and a listing is removed by its key.

--- a/source/gateway/listing.c
+++ b/source/gateway/listing.c
@@ -28,48 +28,85 @@
   bool wanted;
 };
 
+/** The lease of the listing. */
+typedef struct listing_lease
+{
+  int64_t id;  /* 0: not listed */
+  int64_t era; /* era of the store in which it was granted */
+} listing_lease_t;
+
 static bool
 is_stopping (bt_listing_t *listing)
 {
   return ck_pr_load_int (&listing->stopping) != 0;
 }
 
-/* Requests a lease and writes the listing of this instance under it. */
+/* Returns true if the store was restored since the lease was granted: its id may now denote another
+ * lease. */
 static bool
-list_entry (bt_listing_t *listing, int64_t *lease, bt_error_t *error)
+is_lease_of_earlier_era (const bt_listing_t *listing, const listing_lease_t *lease)
+{
+  return lease->era != bt_get_kv_era (listing->options.kv);
+}
+
+/* Requests a lease and writes the listing of this instance under it. The era is that before the
+ * calls: if the store is restored meanwhile, the instance is listed once more. */
+static void
+list_entry (bt_listing_t *listing, listing_lease_t *lease)
 {
   bt_context_t *ctx = listing->ctx;
+  bt_kv_t *kv = listing->options.kv;
   char key[2 * BT_NAME_BYTES];
   char *value = bt_write_listed_entry (ctx, listing->options.entry);
   bt_kv_write_t write = { .kind = BT_KV_PUT, .key = key, .value = value };
+  bt_error_t error = { 0 };
+  int64_t era = bt_get_kv_era (kv);
   bool done;
 
   bt_write_entry_key (key, listing->options.entry->identity.instance);
-  done = bt_grant_kv_lease (ctx, listing->options.kv, listing->options.lease_s, lease, error);
+  done = bt_grant_kv_lease (ctx, kv, listing->options.lease_s, &lease->id, &error);
+  lease->era = era == 0 ? bt_get_kv_era (kv) : era;
   write.value_bytes = strlen (value);
-  write.lease = *lease;
-  done = done && bt_put_kv (ctx, listing->options.kv, &write, NULL, error);
+  write.lease = lease->id;
+  done = done && bt_put_kv (ctx, kv, &write, NULL, &error);
   bt_free (ctx, value);
   if (done)
-    bt_log_event (ctx, BT_LOG_INFO, "listed", "{s:I}", "lease", (json_int_t)*lease);
+    bt_log_event (ctx, BT_LOG_INFO, "listed", "{s:I}", "lease", (json_int_t)lease->id);
   else
-    *lease = 0;
-  return done;
+    lease->id = 0;
+}
+
+/* Removes the listing without its lease. */
+static bool
+remove_listing (bt_listing_t *listing, bt_error_t *error)
+{
+  char key[2 * BT_NAME_BYTES];
+  bt_kv_write_t write = { .kind = BT_KV_DELETE, .key = key };
+  bt_kv_txn_t txn = { .writes = &write, .write_count = 1 };
+  bt_kv_txn_result_t result;
+
+  bt_write_entry_key (key, listing->options.entry->identity.instance);
+  return bt_commit_kv (listing->ctx, listing->options.kv, &txn, &result, error);
 }
 
 /* Removes the listing of this instance. The caller repeats this if the store does not answer: until
  * the lease expires, the other instances would direct callers to an instance that refuses them. */
 static void
-unlist_entry (bt_listing_t *listing, int64_t *lease)
+unlist_entry (bt_listing_t *listing, listing_lease_t *lease)
 {
   bt_error_t error = { 0 };
+  bool done;
 
-  if (*lease == 0)
+  if (lease->id == 0)
     return;
-  if (bt_revoke_kv_lease (listing->ctx, listing->options.kv, *lease, &error)
-      || error.code == BT_ERROR_NOT_FOUND)
+  if (is_lease_of_earlier_era (listing, lease))
+    done = remove_listing (listing, &error);
+  else
+    done = bt_revoke_kv_lease (listing->ctx, listing->options.kv, lease->id, &error)
+           || error.code == BT_ERROR_NOT_FOUND;
+  if (done)
     {
-      *lease = 0;
+      lease->id = 0;
       return;
     }
   bt_log_event (listing->ctx, BT_LOG_WARNING, "unlist-failed", "{s:s}", "message", error.message);
@@ -77,6 +114,22 @@
     bt_sleep_ms (FAILED_PAUSE_MS);
 }
 
+/* Renews the lease, and lists this instance again if the lease has ended. */
+static void
+renew_listing (bt_listing_t *listing, listing_lease_t *lease)
+{
+  bt_error_t error = { 0 };
+  int64_t ttl_s;
+
+  if (!is_lease_of_earlier_era (listing, lease))
+    bt_renew_kv_lease (listing->ctx, listing->options.kv, lease->id, &ttl_s, &error);
+  if (error.code != BT_ERROR_NOT_FOUND && !is_lease_of_earlier_era (listing, lease))
+    return;
+  bt_log_event (listing->ctx, BT_LOG_WARNING, "listing-lapsed", "{s:I}", "lease",
+                (json_int_t)lease->id);
+  list_entry (listing, lease);
+}
+
 /* Waits until the next renewal is due, or until @p listed differs from the wanted state. Returns
  * the wanted state. */
 static bool
@@ -96,29 +149,22 @@
 run_listing (void *argument)
 {
   bt_listing_t *listing = argument;
-  int64_t lease = 0;
+  listing_lease_t lease = { 0 };
   bool unlist_tried = false;
 
   while (!is_stopping (listing))
     {
-      bool wanted = wait_for_renewal (listing, lease != 0);
-      bt_error_t error = { 0 };
-      int64_t ttl_s;
+      bool wanted = wait_for_renewal (listing, lease.id != 0);
 
       if (is_stopping (listing))
         break;
       unlist_tried = !wanted;
       if (!wanted)
         unlist_entry (listing, &lease);
-      else if (lease == 0)
-        list_entry (listing, &lease, &error);
-      else if (!bt_renew_kv_lease (listing->ctx, listing->options.kv, lease, &ttl_s, &error)
-               && error.code == BT_ERROR_NOT_FOUND)
-        {
-          bt_log_event (listing->ctx, BT_LOG_WARNING, "listing-lapsed", "{s:I}", "lease",
-                        (json_int_t)lease);
-          list_entry (listing, &lease, &error);
-        }
+      else if (lease.id == 0)
+        list_entry (listing, &lease);
+      else
+        renew_listing (listing, &lease);
     }
   /* If the last call to the store already was an attempt to remove the listing, the process need
    * not wait for another one that may fail. */
