requests, gateway: crashes stay known when the store was restored

Callers would see (no record of it was given): a request that crashes endpoints runs again, since a crash that the restored store lacks passed for one that another instance had retracted. Change: the first list of an era retracts nothing, and the instance that reported a crash publishes it again. A crash that was retracted and is shown again stays retracted (retention). One whose reporter is gone is known to the instances that run, not to those that start later. Evidence: test_crash_table, two cases; each seen failing with its guard taken out.

--- a/include/bilberrytray/requests/crash_table.h
+++ b/include/bilberrytray/requests/crash_table.h
@@ -111,6 +111,14 @@
                                  int32_t count,
                                  int64_t now_ms);
 
+/** Applies the first list after the store was restored from a backup, which may lack crashes. Those
+ * that are missing are kept, and those that this instance reported are published again. */
+void bt_apply_restored_crashes (bt_context_t *ctx,
+                                bt_crash_table_t *table,
+                                const bt_listed_crash_t *listed,
+                                int32_t count,
+                                int64_t now_ms);
+
 /** Retracts crashes, and removes suspects and ended incarnations, that are too old. */
 void bt_expire_crashes (bt_context_t *ctx, bt_crash_table_t *table, int64_t now_ms);
 
--- a/source/gateway/crash_control.c
+++ b/source/gateway/crash_control.c
@@ -27,6 +27,7 @@
   bt_port_probes_t *probes;
   bt_timer_t expire_timer;
   bt_counter_t *known_gauge;
+  int64_t era;           /* of the store in the last view; 0: none */
   bt_kv_position_t seen; /* position of the newest listed crash */
 };
 
@@ -176,8 +177,18 @@
 void
 bt_set_listed_crashes (bt_crash_control_t *control, const bt_view_t *view)
 {
-  bt_apply_listed_crashes (control->ctx, control->table, view->crashes, view->crash_count,
-                           bt_get_loop_ms (control->loop));
+  int64_t now_ms = bt_get_loop_ms (control->loop);
+  bool restored = control->era != 0 && control->era != view->era;
+
+  control->era = view->era;
+  if (restored)
+    bt_apply_restored_crashes (control->ctx, control->table, view->crashes, view->crash_count,
+                               now_ms);
+  else
+    bt_apply_listed_crashes (control->ctx, control->table, view->crashes, view->crash_count,
+                             now_ms);
+  if (restored)
+    publish_changes (control);
   suspend_ended_endpoints (control, view);
   bt_set_gauge (control->known_gauge, bt_count_known_crashes (control->table));
 }
--- a/source/requests/crash_table.c
+++ b/source/requests/crash_table.c
@@ -32,6 +32,7 @@
   int64_t known_ms; /* when it was recorded, listed with a new revision, or renewed */
   int64_t revision; /* of its entry in the shared list; 0: not seen there yet */
   bool listed;      /* found in the list that is being applied */
+  bool reported;    /* this instance reported it first */
   int64_t trial_ms; /* when the request last ran after a hold; 0: never */
 } crash_row_t;
 
@@ -210,7 +211,7 @@
 add_crash (bt_context_t *ctx, bt_crash_table_t *table, const bt_crash_t *crash, int64_t now_ms)
 {
   int32_t index = find_row (table, crash);
-  crash_row_t row = { .crash = *crash, .known_ms = now_ms };
+  crash_row_t row = { .crash = *crash, .known_ms = now_ms, .reported = true };
 
   if (is_row_of_crash (table, index, crash) || !has_free_space (ctx, table, crash))
     return;
@@ -273,11 +274,14 @@
                     int64_t now_ms)
 {
   int32_t index = find_row (table, &listed->crash);
-  crash_row_t row = { listed->crash, now_ms, listed->revision, true, 0 };
+  crash_row_t row = {
+    .crash = listed->crash, .known_ms = now_ms, .revision = listed->revision, .listed = true
+  };
 
   if (is_row_of_crash (table, index, &listed->crash))
     {
       row.trial_ms = table->rows[index].trial_ms;
+      row.reported = table->rows[index].reported;
       if (table->rows[index].revision == listed->revision)
         row.known_ms = table->rows[index].known_ms;
       table->rows[index] = row;
@@ -308,6 +312,21 @@
   return left_out;
 }
 
+void
+bt_apply_restored_crashes (bt_context_t *ctx,
+                           bt_crash_table_t *table,
+                           const bt_listed_crash_t *listed,
+                           int32_t count,
+                           int64_t now_ms)
+{
+  for (int32_t i = 0; i < table->count; i++)
+    table->rows[i].revision = 0;
+  bt_apply_listed_crashes (ctx, table, listed, count, now_ms);
+  for (int32_t i = 0; i < table->count; i++)
+    if (table->rows[i].reported && !table->rows[i].listed)
+      queue_update (ctx, table, BT_CRASH_PUBLISH, &table->rows[i].crash);
+}
+
 void
 bt_expire_crashes (bt_context_t *ctx, bt_crash_table_t *table, int64_t now_ms)
 {
--- a/test/requests/test_crash_table.c
+++ b/test/requests/test_crash_table.c
@@ -354,6 +354,52 @@
   bt_drop_crash_table (ctx, table);
 }
 
+/* Guards against requests that crash endpoints again: the restored store lacks what was known of
+ * them. All stay known, and the instance that reported one publishes it again. */
+static void
+test_restored_list_loses_no_crash (void)
+{
+  bt_crash_table_t *table = make_table (1);
+  bt_listed_crash_t listed[3];
+  bt_crash_t own = make_crash (POISON, 3, 3);
+
+  for (int32_t i = 0; i < 2; i++)
+    listed[i] = (bt_listed_crash_t){ make_crash (POISON, i, i + 1), 10 + i };
+  bt_apply_listed_crashes (ctx, table, listed, 2, 0);
+  report_crash (table, &own, moment_ms);
+  listed[2] = (bt_listed_crash_t){ own, 12 };
+  bt_apply_listed_crashes (ctx, table, listed, 3, moment_ms);
+  CU_ASSERT_EQUAL (drain_updates (table, BT_CRASH_PUBLISH), 1);
+  bt_apply_restored_crashes (ctx, table, listed, 1, moment_ms);
+  CU_ASSERT_EQUAL (count_crashes (table, POISON), 3);
+  CU_ASSERT_EQUAL (drain_updates (table, BT_CRASH_PUBLISH), 1);
+  bt_apply_listed_crashes (ctx, table, listed, 1, moment_ms);
+  CU_ASSERT_EQUAL (count_crashes (table, POISON), 3);
+  listed[1] = (bt_listed_crash_t){ own, 11 };
+  bt_apply_listed_crashes (ctx, table, listed, 2, moment_ms);
+  bt_apply_listed_crashes (ctx, table, listed, 1, moment_ms);
+  CU_ASSERT_EQUAL (count_crashes (table, POISON), 2);
+  bt_drop_crash_table (ctx, table);
+}
+
+/* Guards against forgetting a crash as if it were retracted. One that another instance reported,
+ * and lists no more, is kept until it expires. */
+static void
+test_restored_list_is_no_retraction (void)
+{
+  bt_crash_table_t *table = make_table (1);
+  bt_listed_crash_t listed = { make_crash (POISON, 1, 1), 10 };
+
+  bt_apply_listed_crashes (ctx, table, &listed, 1, 0);
+  bt_apply_restored_crashes (ctx, table, NULL, 0, 0);
+  bt_apply_listed_crashes (ctx, table, NULL, 0, 0);
+  CU_ASSERT_EQUAL (count_crashes (table, POISON), 1);
+  CU_ASSERT_EQUAL (drain_updates (table, BT_CRASH_PUBLISH), 0);
+  bt_expire_crashes (ctx, table, 2 * KEEP_MS);
+  CU_ASSERT_EQUAL (count_crashes (table, POISON), 0);
+  bt_drop_crash_table (ctx, table);
+}
+
 static void
 test_returning_request_renews_its_crashes (void)
 {
@@ -595,6 +641,8 @@
   CU_ADD_TEST (suite, test_answered_request_is_cleared_everywhere);
   CU_ADD_TEST (suite, test_crash_not_listed_yet_is_retracted_too);
   CU_ADD_TEST (suite, test_shared_list_is_applied);
+  CU_ADD_TEST (suite, test_restored_list_loses_no_crash);
+  CU_ADD_TEST (suite, test_restored_list_is_no_retraction);
   CU_ADD_TEST (suite, test_returning_request_renews_its_crashes);
   CU_ADD_TEST (suite, test_renewed_crash_expires_after_its_renewal);
   CU_ADD_TEST (suite, test_crash_count_is_limited);
