gateway: a store that returns is read by the readers, not by all entries

Change: an entry that is no reader, and has readers to follow, reads an outdated copy anew only if no peer has become current within two seconds after the store's first answer, and no longer backs up a failed watch by a read while the store fails. Until it has read it does not say that it reads the store.

--- a/source/gateway/store_follower.c
+++ b/source/gateway/store_follower.c
@@ -34,6 +34,9 @@
    * wait of that watch is short, because it delays the peer's updates. */
   STORE_RETRY_MS = 1500,
   RETRY_WATCH_MS = 20,
+  /* An entry that is no reader waits this long for a peer before it reads a store that has
+   * returned. Readers have read it by then, and each peer that may be followed was tried. */
+  READ_PATIENCE_MS = 2000,
   /* Maximum number of retained items in a status. */
   MAX_PRINTED_ITEMS = 32,
 };
@@ -56,6 +59,7 @@
   bool lost;            /* neither the store nor a peer answers */
   bool store_failing;   /* the last call to the store failed */
   int64_t tried_ms;     /* time of the last call to the store */
+  int64_t deferred_ms;  /* since when a full read is left to the readers; 0: it is not */
   int64_t old_revision; /* of the last read that was older than the copy */
   bt_feed_choice_t choice;
   bt_store_copy_t *copy;
@@ -253,15 +257,39 @@
   return done;
 }
 
+static bool
+has_readers_to_follow (const bt_store_follower_t *follower)
+{
+  return follower->last_view != NULL && !follower->choice.reader
+         && follower->choice.primary_count > 0;
+}
+
+/* Returns true if a full read is left to the readers for now. After an outage or a restoration all
+ * entries need what the store holds at the same moment. */
+static bool
+defer_read (bt_store_follower_t *follower)
+{
+  int64_t now_ms = bt_now_ms (follower->ctx);
+
+  if (!has_readers_to_follow (follower))
+    return false;
+  if (follower->deferred_ms == 0)
+    follower->deferred_ms = now_ms;
+  return now_ms - follower->deferred_ms < READ_PATIENCE_MS;
+}
+
 /* Applies the changes that a watch reported. Reads all items if the watch may have missed some, as
  * after a restoration: then the watch began at a revision of the era before. */
 static bool
 apply_changes (bt_store_follower_t *follower, bt_kv_changes_t *changes, bt_error_t *error)
 {
   bt_kv_position_t before = bt_get_copy_position (follower->copy);
+  bool restored = changes->written.era != before.era;
 
-  if (changes->incomplete || changes->written.era != before.era
-      || changes->written.revision < before.revision)
+  if ((restored || (changes->incomplete && follower->store_failing)) && defer_read (follower))
+    return true;
+  follower->deferred_ms = 0;
+  if (restored || changes->incomplete || changes->written.revision < before.revision)
     return read_all (follower, error);
   if (changes->written.count == 0 && changes->removed_count == 0)
     return true;
@@ -276,23 +304,24 @@
 
 /* Makes one watch call and applies its changes. Reads all items instead before the first view and
  * when the last full read is older than FULL_READ_MS. Reads them too if the watch fails, as changes
- * may have been missed, except while a peer is followed. */
+ * may have been missed, except while a peer is followed or the readers are waited for. */
 static bool
 follow_store (bt_store_follower_t *follower, int64_t wait_ms, bt_error_t *error)
 {
   bt_kv_changes_t changes = { 0 };
+  bool left_to_readers = follower->store_failing && has_readers_to_follow (follower);
   bool done;
 
   if (follower->last_view == NULL)
     return read_first (follower, error);
-  if (bt_now_ms (follower->ctx) - follower->read_ms > FULL_READ_MS)
+  if (bt_now_ms (follower->ctx) - follower->read_ms > FULL_READ_MS && !left_to_readers)
     return read_all (follower, error);
   done =
       bt_follow_kv (follower->ctx, follower->kv, "",
                     bt_get_copy_position (follower->copy).revision + 1, wait_ms, &changes, error);
   if (done)
     done = apply_changes (follower, &changes, error);
-  else if (!follower->follows_peer)
+  else if (!follower->follows_peer && !left_to_readers)
     {
       bt_clear_error (error);
       done = read_all (follower, error);
@@ -312,6 +341,11 @@
     return;
   follower->tried_ms = bt_now_ms (follower->ctx);
   follower->store_failing = !done;
+  if (!done)
+    follower->deferred_ms = 0;
+  /* The store answers, but this entry has not read it yet. */
+  if (follower->deferred_ms != 0)
+    return;
   bt_set_store_reachable (follower->feed, done);
   if (done || !follower->follows_peer)
     record_store_state (follower, done, &error);
@@ -365,6 +399,7 @@
                 (json_int_t)position.revision);
   if (!follows_peer)
     return;
+  follower->deferred_ms = 0;
   /* Peers that follow this one must follow one that reads the store instead. */
   bt_set_store_reachable (follower->feed, false);
   record_store_state (follower, true, NULL);
--- a/test/process/test_gateway_restored_store.c
+++ b/test/process/test_gateway_restored_store.c
@@ -21,6 +21,7 @@
   /* How long it is checked that something stays as it was; a gateway that follows the restored
    * store has read it well within this time. */
   IN_FORCE_MS = 2000,
+  OUTAGE_MS = 1500,
   ID_BYTES = 64,
   CONFIGURATION_BYTES = 2048,
 };
@@ -371,6 +372,50 @@
   CU_ASSERT_TRUE (wait_retained_everywhere (0));
 }
 
+static int64_t
+count_reads (int32_t gateway)
+{
+  return bt_read_gateway_metric (testbed, gateway, "bilberry_store_calls_total{kind=\"range\"}");
+}
+
+static bool
+wait_era_everywhere (int64_t era)
+{
+  int64_t limit_ms = bt_read_clock_ms (bt_system_clock ()) + BT_WAIT_LIMIT_MS;
+
+  for (int32_t i = 0; i < GATEWAYS; i++)
+    while (bt_read_gateway_metric (testbed, i, "bilberry_store_era") != era)
+      {
+        if (bt_read_clock_ms (bt_system_clock ()) > limit_ms)
+          return false;
+        bt_sleep_ms (POLL_MS);
+      }
+  return true;
+}
+
+/* Guards against full reads by all gateways at the moment in which a restored store returns. Those
+ * that are no readers must learn what it holds from one that is. */
+static void
+test_returned_store_is_not_read_by_all (void)
+{
+  int64_t era = bt_read_gateway_metric (testbed, 0, "bilberry_store_era");
+  int64_t before[GATEWAYS];
+  int32_t readers = 0;
+
+  CU_ASSERT_TRUE (bt_backup_store (testbed));
+  write_unused_items (LOST_WRITES);
+  CU_ASSERT_TRUE (bt_set_standin_fault (testbed->store_port, "{\"kind\":\"down\",\"count\":-1}"));
+  bt_sleep_ms (OUTAGE_MS);
+  CU_ASSERT_TRUE (bt_restore_store (testbed));
+  for (int32_t i = 0; i < GATEWAYS; i++)
+    before[i] = count_reads (i);
+  CU_ASSERT_TRUE (bt_set_standin_fault (testbed->store_port, "{\"kind\":\"none\"}"));
+  CU_ASSERT_TRUE (wait_era_everywhere (era + 1));
+  for (int32_t i = 0; i < GATEWAYS; i++)
+    readers += count_reads (i) > before[i] ? 1 : 0;
+  CU_ASSERT (readers < GATEWAYS);
+}
+
 /* Guards against a restoration that operators cannot see. */
 static void
 test_restoration_is_reported (void)
@@ -410,6 +455,7 @@
   CU_ADD_TEST (suite, test_removed_endpoint_stays_unused);
   CU_ADD_TEST (suite, test_started_gateway_takes_what_is_in_force);
   CU_ADD_TEST (suite, test_frozen_and_cut_gateways_keep_what_is_in_force);
+  CU_ADD_TEST (suite, test_returned_store_is_not_read_by_all);
   CU_ADD_TEST (suite, test_restoration_is_reported);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
