gateway: an endpoint that is gone stays so over pauses and several restorations

Three ways in which an endpoint that had left was used again: - an instance that was frozen or cut off let the time of a retained removal pass without hearing of the store; now it expires only as of the last contact; - a removal that happened while an instance was frozen over a restoration was not remembered, so that a second restoration brought the endpoint back; - a removal that was taken over from a peer was not carried over to the next era.

--- a/source/gateway/retention.c
+++ b/source/gateway/retention.c
@@ -156,6 +156,15 @@
   *item = retention->items[--retention->count];
 }
 
+static int32_t
+find_item (const bt_retention_t *retention, const char *key)
+{
+  for (int32_t i = 0; i < retention->count; i++)
+    if (strcmp (retention->items[i].pair.key, key) == 0)
+      return i;
+  return -1;
+}
+
 /* Retains a known item if the store lacks it or shows an older version. */
 static void
 retain_known (bt_context_t *ctx,
@@ -191,13 +200,28 @@
   bt_kv_pair_t pair = { .key = removed->key };
   bt_retained_item_t *item;
 
-  if (shown == NULL || keep_ms == 0 || shown->mod_revision > removed->revision)
+  if (shown == NULL || keep_ms == 0 || shown->mod_revision > removed->revision
+      || find_item (retention, removed->key) >= 0)
     return;
   item = add_item (ctx, retention, &pair, get_end_ms (now_ms, keep_ms));
   item->removal = true;
   item->shown_revision = shown->mod_revision;
 }
 
+/* Retains a removal over one more restoration. */
+static void
+retain_removal_again (bt_context_t *ctx,
+                      bt_retention_t *retention,
+                      const bt_platform_t *platform,
+                      const bt_retained_item_t *item,
+                      const bt_name_index_t *shown,
+                      int64_t now_ms)
+{
+  bt_removed_key_t removed = { .key = item->pair.key, .revision = item->shown_revision };
+
+  retain_removal (ctx, retention, platform, &removed, bt_find_name (shown, removed.key), now_ms);
+}
+
 void
 bt_begin_retention (bt_context_t *ctx,
                     bt_retention_t *retention,
@@ -216,6 +240,9 @@
   for (int32_t i = 0; i < removed->count; i++)
     retain_removal (ctx, &begun, platform, &removed->keys[i],
                     bt_find_name (index, removed->keys[i].key), now_ms);
+  for (int32_t i = 0; i < retention->count; i++)
+    if (retention->items[i].removal)
+      retain_removal_again (ctx, &begun, platform, &retention->items[i], index, now_ms);
   bt_drop_name_index (ctx, index);
   bt_clear_retention (ctx, retention);
   *retention = begun;
@@ -237,15 +264,6 @@
   return get_rule (platform, item->pair.key).missing_ms == 0;
 }
 
-static int32_t
-find_item (const bt_retention_t *retention, const char *key)
-{
-  for (int32_t i = 0; i < retention->count; i++)
-    if (strcmp (retention->items[i].pair.key, key) == 0)
-      return i;
-  return -1;
-}
-
 void
 bt_add_retained_item (bt_context_t *ctx,
                       bt_retention_t *retention,
--- a/source/gateway/retention.h
+++ b/source/gateway/retention.h
@@ -32,7 +32,7 @@
 
 /** Determines what stays in force as a new era begins. @p known is what was in force before, @p
  * removed the keys removed in earlier eras, and @p shown what the restored store shows. Replaces
- * the contents of @p retention. */
+ * the contents of @p retention, which are those of the era before. */
 void bt_begin_retention (bt_context_t *ctx,
                          bt_retention_t *retention,
                          const bt_platform_t *platform,
@@ -49,13 +49,13 @@
                            const bt_retained_item_t *item,
                            const bt_kv_range_t *shown);
 
-/** Drops what the store now shows in the same or a later version, and what has expired. Returns
- * true if anything was dropped. */
+/** Drops what the store now shows in the same or a later version, and what has expired. @p shown is
+ * known to be what the store shows at @p shown_ms. Returns true if anything was dropped. */
 bool bt_settle_retention (bt_context_t *ctx,
                           bt_retention_t *retention,
                           const bt_platform_t *platform,
                           const bt_kv_range_t *shown,
-                          int64_t now_ms);
+                          int64_t shown_ms);
 
 /** Returns what is in force: the shown items with the retained ones in their place. The range
  * shares the strings; the caller frees only its pairs. */
--- a/source/gateway/store_copy.c
+++ b/source/gateway/store_copy.c
@@ -65,7 +65,8 @@
   return count;
 }
 
-/* Records the known keys that a read of the same era no longer shows. */
+/* Records the known keys that a full read no longer shows. Those that are missing in the first read
+ * of an era may have been removed in it. */
 static void
 record_absent_keys (bt_context_t *ctx,
                     bt_store_copy_t *copy,
@@ -98,8 +99,7 @@
   if (range->era != copy->items.era)
     bt_begin_retention (ctx, &copy->retained, copy->platform, &known, &copy->removed, range,
                         now_ms);
-  else
-    record_absent_keys (ctx, copy, range, now_ms);
+  record_absent_keys (ctx, copy, range, now_ms);
   bt_free (ctx, known.pairs);
   bt_drop_kv_range (ctx, &copy->items);
   copy->items = *range;
@@ -241,13 +241,13 @@
 }
 
 bool
-bt_expire_retained_items (bt_context_t *ctx, bt_store_copy_t *copy, int64_t now_ms)
+bt_expire_retained_items (bt_context_t *ctx, bt_store_copy_t *copy, int64_t current_ms)
 {
   bool changed;
 
   pthread_mutex_lock (&copy->lock);
   changed = copy->retained.count > 0
-            && bt_settle_retention (ctx, &copy->retained, copy->platform, &copy->items, now_ms);
+            && bt_settle_retention (ctx, &copy->retained, copy->platform, &copy->items, current_ms);
   pthread_mutex_unlock (&copy->lock);
   return changed;
 }
--- a/source/gateway/store_copy.h
+++ b/source/gateway/store_copy.h
@@ -71,8 +71,10 @@
                                             bt_store_update_t *update,
                                             int64_t now_ms);
 
-/** Drops retained items whose time is over. Returns true if the items in force have changed. */
-bool bt_expire_retained_items (bt_context_t *ctx, bt_store_copy_t *copy, int64_t now_ms);
+/** Drops retained items whose time is over. The copy is known to be up to date as of @p current_ms:
+ * an instance that was suspended or disconnected must not drop what the store may show again by
+ * now. Returns true if the items in force have changed. */
+bool bt_expire_retained_items (bt_context_t *ctx, bt_store_copy_t *copy, int64_t current_ms);
 
 /** Calls @p visit with the items in force, with the copy's lock held. */
 void
--- a/source/gateway/store_follower.c
+++ b/source/gateway/store_follower.c
@@ -59,6 +59,7 @@
   bool lost;            /* neither the store nor a peer answers */
   bool store_failing;   /* the last call to the store failed */
   int64_t tried_ms;     /* time of the last call to the store */
+  int64_t current_ms;   /* the copy is up to date as of this time */
   int64_t deferred_ms;  /* since when a full read is left to the readers; 0: it is not */
   int64_t old_revision; /* of the last read that was older than the copy */
   bt_feed_choice_t choice;
@@ -334,6 +335,7 @@
 static void
 call_store (bt_store_follower_t *follower, int64_t wait_ms)
 {
+  int64_t begun_ms = bt_now_ms (follower->ctx);
   bt_error_t error = { 0 };
   bool done = follow_store (follower, wait_ms, &error);
 
@@ -346,6 +348,8 @@
   /* The store answers, but this entry has not read it yet. */
   if (follower->deferred_ms != 0)
     return;
+  if (done)
+    follower->current_ms = begun_ms;
   bt_set_store_reachable (follower->feed, done);
   if (done || !follower->follows_peer)
     record_store_state (follower, done, &error);
@@ -421,6 +425,24 @@
          && bt_now_ms (follower->ctx) - follower->tried_ms < PEER_PATIENCE_MS;
 }
 
+/* Waits for updates of the followed peer. What it sent before the wait has arrived after it. */
+static void
+wait_for_peer_update (bt_store_follower_t *follower)
+{
+  int64_t begun_ms = bt_now_ms (follower->ctx);
+
+  bt_wait_for_peer_update (follower->feed, PEER_WAIT_MS);
+  if (bt_is_peer_feed_current (follower->feed))
+    follower->current_ms = begun_ms;
+}
+
+static void
+expire_retained_items (bt_store_follower_t *follower)
+{
+  if (bt_expire_retained_items (follower->ctx, follower->copy, follower->current_ms))
+    post_current_view (follower, follower->read_ms);
+}
+
 static void *
 run_watcher (void *argument)
 {
@@ -430,8 +452,7 @@
     {
       choose_source (follower);
       apply_peer_updates (follower);
-      if (bt_expire_retained_items (follower->ctx, follower->copy, bt_now_ms (follower->ctx)))
-        post_current_view (follower, follower->read_ms);
+      expire_retained_items (follower);
       if (!follower->follows_peer && is_waiting_for_peer (follower))
         bt_wait_for_current_peer (follower->feed, PEER_PATIENCE_STEP_MS);
       else if (!follower->follows_peer)
@@ -439,7 +460,7 @@
       else if (is_store_retry_due (follower))
         call_store (follower, RETRY_WATCH_MS);
       else
-        bt_wait_for_peer_update (follower->feed, PEER_WAIT_MS);
+        wait_for_peer_update (follower);
     }
   return NULL;
 }
--- a/test/gateway/test_retention.c
+++ b/test/gateway/test_retention.c
@@ -186,6 +186,22 @@
   CU_ASSERT_STRING_NOT_EQUAL (get_in_force ("servers/i-1"), "");
 }
 
+/* Guards against the return of an endpoint that another instance has told of: this one has not seen
+ * its removal itself, and the store is restored once more. */
+static void
+test_removal_is_retained_over_two_restorations (void)
+{
+  bt_retained_item_t item = { .removal = true, .shown_revision = 7, .until_ms = INT64_MAX };
+
+  reset ();
+  add_endpoint (&shown, "ready", 7, 100);
+  item.pair.key = shown.keys[0];
+  bt_add_retained_item (ctx, &retention, platform, &item, &shown.range);
+  CU_ASSERT_STRING_EQUAL (get_in_force ("servers/i-1"), "");
+  begin ();
+  CU_ASSERT_STRING_EQUAL (get_in_force ("servers/i-1"), "");
+}
+
 /* Guards against requests to an evacuated failure domain, and against entry instances that callers
  * are no longer told of: their items were written after the backup. */
 static void
@@ -273,6 +289,7 @@
   CU_ADD_TEST (suite, test_missing_configuration_is_kept);
   CU_ADD_TEST (suite, test_endpoint_stays_leaving);
   CU_ADD_TEST (suite, test_removed_endpoint_stays_removed);
+  CU_ADD_TEST (suite, test_removal_is_retained_over_two_restorations);
   CU_ADD_TEST (suite, test_missing_items_are_kept_for_a_while);
   CU_ADD_TEST (suite, test_retracted_crash_stays_retracted);
   CU_ADD_TEST (suite, test_retained_revisions_lie_below_the_present_era);
--- a/test/gateway/test_store_copy.c
+++ b/test/gateway/test_store_copy.c
@@ -261,6 +261,36 @@
   bt_drop_store_copy (ctx, peer);
 }
 
+/* Reads an endpoint at a revision of an era; 0: the store does not show it. */
+static void
+read_endpoint (bt_store_copy_t *copy, int64_t era, int64_t revision, int64_t endpoint_revision)
+{
+  bt_kv_range_t range = { .era = era, .revision = revision };
+
+  if (endpoint_revision > 0)
+    add_pair (&range, "servers/i-1", "ready", endpoint_revision);
+  CU_ASSERT_TRUE (bt_replace_copy (ctx, copy, &range, 0));
+}
+
+/* Guards against ignoring an endpoint that has registered again: its earlier removal had a higher
+ * revision, since the store was restored in between. */
+static void
+test_endpoint_that_registers_again_is_no_removed_one (void)
+{
+  bt_store_copy_t *copy = bt_new_store_copy (ctx, bt_get_platform ());
+  bt_kv_changes_t changes = { .written = { .era = 2, .revision = 25 } };
+
+  read_endpoint (copy, 1, 10, 5);
+  read_endpoint (copy, 1, 60, 0);
+  read_endpoint (copy, 2, 20, 0);
+  add_pair (&changes.written, "servers/i-1", "ready", 25);
+  bt_apply_changes_to_copy (ctx, copy, &changes, 0);
+  bt_drop_kv_changes (ctx, &changes);
+  read_endpoint (copy, 3, 25, 25);
+  check_value (copy, "servers/i-1", "ready");
+  bt_drop_store_copy (ctx, copy);
+}
+
 int
 main (void)
 {
@@ -277,6 +307,7 @@
   CU_ADD_TEST (suite, test_later_era_replaces_higher_revision);
   CU_ADD_TEST (suite, test_changes_of_a_later_era_are_a_gap);
   CU_ADD_TEST (suite, test_update_of_an_earlier_era_is_old);
+  CU_ADD_TEST (suite, test_endpoint_that_registers_again_is_no_removed_one);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
