--- a/Makefile
+++ b/Makefile
@@ -81,8 +81,9 @@
 SECONDS_OF_SOAK ?= 20
 POISON ?= 0
 NOTICES ?= 0
+RESTORES ?= 0
 soak: build
-	BT_BUILD_DIR=$(BUILD)/release $(BUILD)/release/soak --seed $(SEED) --seconds $(SECONDS_OF_SOAK) --poison $(POISON) --notices $(NOTICES)
+	BT_BUILD_DIR=$(BUILD)/release $(BUILD)/release/soak --seed $(SEED) --seconds $(SECONDS_OF_SOAK) --poison $(POISON) --notices $(NOTICES) --restores $(RESTORES)
 
 clean:
 	rm -rf $(BUILD)
--- a/test/soak/faults.c
+++ b/test/soak/faults.c
@@ -67,6 +67,7 @@
   int32_t max_pause_ms; /* longest pause between two faults for this seed */
   int64_t next_ms;      /* time of the next fault */
   int64_t next_key_ms;  /* time of the next key */
+  bt_soak_restores_t *restores;
 };
 
 static int64_t
@@ -107,8 +108,8 @@
   return configuration;
 }
 
-static void
-put_configuration (bt_soak_t *soak)
+void
+bt_put_soak_configuration (bt_soak_t *soak)
 {
   char *text;
 
@@ -135,7 +136,7 @@
   soak->keys[added].added = true;
   if (removed >= 0)
     soak->keys[removed].removed = true;
-  put_configuration (soak);
+  bt_put_soak_configuration (soak);
   soak->keys[added].added_ms = now ();
   if (removed >= 0)
     soak->keys[removed].removed_ms = now ();
@@ -230,6 +231,7 @@
 static void
 replace_runner (bt_soak_t *soak, int32_t runner)
 {
+  soak->draining[runner] = true;
   if (!bt_put_runner_item (soak->testbed, runner, "draining"))
     bt_print_soak_event (soak, "runner %d could not be listed as draining", runner);
 }
@@ -327,6 +329,7 @@
         bt_write_runner_id (testbed, fault->target, key + strlen (key), sizeof key - strlen (key));
         bt_kill_runner_process (testbed, fault->target);
         bt_put_store_item (testbed, key, NULL);
+        soak->draining[fault->target] = false;
         bt_start_runner_process (testbed, fault->target);
         bt_put_runner_item (testbed, fault->target, "ready");
         break;
@@ -407,6 +410,8 @@
 
   faults->next_ms = now () + draw_below (faults, faults->max_pause_ms);
   fault.target = draw_target (faults, fault.kind);
+  if (fault.kind == FAULT_STORE && bt_is_soak_restoring (faults->restores))
+    return;
   if (faults->count == MAX_ACTIVE || conflicts_with_active (faults, &fault)
       || (fault.kind == FAULT_KILL_ALL && draw_below (faults, KILL_ALL_ODDS) != 0))
     return;
@@ -424,6 +429,7 @@
   faults->max_pause_ms = MIN_PAUSE_MS + draw_below (faults, MAX_PAUSE_MS - MIN_PAUSE_MS);
   faults->next_ms = now ();
   faults->next_key_ms = soak->start_ms;
+  faults->restores = bt_new_soak_restores (soak);
   return faults;
 }
 
@@ -464,9 +470,20 @@
       }
 }
 
+static bool
+is_store_busy (const bt_soak_faults_t *faults)
+{
+  for (int32_t i = 0; i < faults->count; i++)
+    if (faults->active[i].kind == FAULT_STORE)
+      return true;
+  return false;
+}
+
 void
 bt_run_soak_faults (bt_soak_faults_t *faults)
 {
+  if (faults->soak->settings.restores)
+    bt_run_soak_restores (faults->restores, is_store_busy (faults));
   if (now () >= faults->next_key_ms)
     rotate_keys (faults);
   end_due_faults (faults, now ());
@@ -481,6 +498,7 @@
   bool ready = true;
 
   end_due_faults (faults, INT64_MAX);
+  bt_end_soak_restores (faults->restores);
   for (int32_t i = 0; i < soak->testbed->gateway_count; i++)
     if (!bt_wait_gateway_ready (soak->testbed, i))
       {
@@ -493,5 +511,6 @@
 void
 bt_drop_soak_faults (bt_soak_faults_t *faults)
 {
+  bt_drop_soak_restores (faults->restores);
   free (faults);
 }
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -30,8 +30,9 @@
   int32_t gateways;
   int32_t runners;
   int32_t callers;
-  bool notices; /**< Faults of runners include limits and rests that they ask for. */
-  bool poison;  /**< An additional caller sends a request that crashes runners. */
+  bool notices;  /**< Faults of runners include limits and rests that they ask for. */
+  bool restores; /**< The store is restored from backups again and again. */
+  bool poison;   /**< An additional caller sends a request that crashes runners. */
 } bt_soak_settings_t;
 
 /** An API key that one configuration version adds and a later one removes for good. */
@@ -61,7 +62,8 @@
   int64_t start_ms;
   pid_t callers[BT_MAX_GATEWAYS * 4];
   pid_t poison_caller;
-  int32_t version; /**< Of the configuration in the store. */
+  int32_t version;               /**< Of the configuration in the store. */
+  bool draining[BT_MAX_RUNNERS]; /**< Runners that have announced that they leave. */
   bt_soak_key_t keys[BT_SOAK_KEYS];
   int32_t key_count;
   /** End of the disturbance of each gateway or of its link to the store, including
@@ -96,6 +98,24 @@
 bool bt_end_soak_faults (bt_soak_faults_t *faults);
 void bt_drop_soak_faults (bt_soak_faults_t *faults);
 
+/** Restorations of the store from backups. */
+typedef struct bt_soak_restores bt_soak_restores_t;
+bt_soak_restores_t *bt_new_soak_restores (bt_soak_t *soak);
+
+/** Takes backups and restores the store when it is due. @p store_busy is true while another fault
+ * of the store is in force; then none begins. */
+void bt_run_soak_restores (bt_soak_restores_t *restores, bool store_busy);
+
+/** Returns true while the store is away because it is being restored. */
+bool bt_is_soak_restoring (const bt_soak_restores_t *restores);
+
+/** Ends a restoration that is in progress. */
+void bt_end_soak_restores (bt_soak_restores_t *restores);
+void bt_drop_soak_restores (bt_soak_restores_t *restores);
+
+/** Writes the current configuration into the store, with the next version. */
+void bt_put_soak_configuration (bt_soak_t *soak);
+
 /** State of a request that crashes every runner that runs it and is sent repeatedly. */
 typedef struct bt_soak_poison bt_soak_poison_t;
 bt_soak_poison_t *bt_new_soak_poison (bt_soak_t *soak);
