test: items of another era are decoded, an endpoint is not cold again

Two guards of the order by eras had no test of their own: equal revisions of two eras are not one state of an item, and another era is no reason to count an endpoint as cold anew.

--- a/test/gateway/test_endpoint_table.c
+++ b/test/gateway/test_endpoint_table.c
@@ -7,6 +7,7 @@
 
 enum
 {
+  COLD_MS = 4000,
   REGAINED_MS = 10000,
   LEFT_MS = 10010,
   /* Time that a request takes to reach an endpoint that was chosen before. */
@@ -83,6 +84,26 @@
   drop_table ();
 }
 
+/* Guards against endpoints that count as cold anew after each restoration of the store: their items
+ * have other revisions in another era, but the endpoints have not become cold again. */
+static void
+test_endpoint_is_not_cold_again_in_another_era (void)
+{
+  create_table ();
+  listed.cold_left_ms = COLD_MS;
+  listed.revision = 5;
+  bt_apply_listed_endpoints (ctx, table, &listed_view, 0);
+  CU_ASSERT_EQUAL (bt_get_endpoint_cold_until_ms (table, 0), COLD_MS);
+  listed.era = 2;
+  listed.revision = 3;
+  bt_apply_listed_endpoints (ctx, table, &listed_view, COLD_MS);
+  CU_ASSERT_EQUAL (bt_get_endpoint_cold_until_ms (table, 0), COLD_MS);
+  listed.revision = 7;
+  bt_apply_listed_endpoints (ctx, table, &listed_view, COLD_MS);
+  CU_ASSERT_EQUAL (bt_get_endpoint_cold_until_ms (table, 0), 2 * COLD_MS);
+  drop_table ();
+}
+
 /* Without an outage of the store, an endpoint that is not listed any more is removed at once. */
 static void
 test_endpoint_that_leaves_is_removed_at_once (void)
@@ -362,6 +383,7 @@
   suite = CU_add_suite ("endpoint_table", NULL, NULL);
   CU_ADD_TEST (suite, test_endpoint_that_leaves_after_an_outage_is_removed_in_time);
   CU_ADD_TEST (suite, test_endpoint_that_lapsed_with_the_store_is_kept);
+  CU_ADD_TEST (suite, test_endpoint_is_not_cold_again_in_another_era);
   CU_ADD_TEST (suite, test_endpoint_that_leaves_is_removed_at_once);
   CU_ADD_TEST (suite, test_new_start_has_free_slots);
   CU_ADD_TEST (suite, test_new_start_is_no_outlier);
--- a/test/gateway/test_view.c
+++ b/test/gateway/test_view.c
@@ -304,6 +304,32 @@
   bt_free (ctx, text);
 }
 
+/* Guards against the state of an endpoint from before a restoration of the store: its item was
+ * written again with other contents at the same revision, in another era. */
+static void
+test_items_of_another_era_are_decoded (void)
+{
+  bt_view_t *first;
+  bt_view_t *second;
+
+  reset_items ();
+  add_endpoint ("i-1", "127.0.0.1:1", 300, 10);
+  add_item ("op/config", "{\"version\":3,\"services\":[{\"name\":\"svc\"}],\"routes\":[]}", 11);
+  first = make_view (NULL);
+  reset_items ();
+  range.era = 2;
+  add_endpoint ("i-1", "127.0.0.1:2", 300, 10);
+  add_item ("op/config", "{\"version\":4,\"services\":[{\"name\":\"svc\"}],\"routes\":[]}", 11);
+  second = make_view (first);
+  CU_ASSERT_EQUAL (second->era, 2);
+  CU_ASSERT_EQUAL_FATAL (second->endpoint_count, 1);
+  CU_ASSERT_STRING_EQUAL (second->endpoints[0].address, "127.0.0.1:2");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (second->declarations);
+  CU_ASSERT_EQUAL (second->declarations->revision, 4);
+  bt_drop_view (ctx, first);
+  bt_drop_view (ctx, second);
+}
+
 /* The operators' requests to evacuate failure domains must be read, and a key that names no domain
  * must be skipped. */
 static void
@@ -343,6 +369,7 @@
   CU_ADD_TEST (suite, test_invalid_entry_values_are_skipped);
   CU_ADD_TEST (suite, test_valid_crashes_are_read_and_others_skipped);
   CU_ADD_TEST (suite, test_only_changed_items_are_decoded);
+  CU_ADD_TEST (suite, test_items_of_another_era_are_decoded);
   CU_ADD_TEST (suite, test_evacuated_domains_are_read);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
