--- a/source/gateway/retention.c
+++ b/source/gateway/retention.c
@@ -8,7 +8,7 @@
 
 enum
 {
-  /* Instances renew their listings each second. */
+  /* An instance whose listing was lost lists itself again at its next renewal. */
   MISSING_ENTRY_MS = 2500,
   /* Operators write again what was lost; until then a failure domain stays evacuated. */
   MISSING_EVACUATION_MS = 10000,
--- a/source/gateway/store_follower.c
+++ b/source/gateway/store_follower.c
@@ -5,11 +5,11 @@
 #include <string.h>
 
 #include "bilberrytray/base/clock.h"
-#include "bilberrytray/base/counters.h"
 #include "bilberrytray/base/event_log.h"
 #include "bilberrytray/base/random.h"
 #include "listing.h"
 #include "peer_feed.h"
+#include "store_status.h"
 #include "store_thread.h"
 
 enum
@@ -37,8 +37,6 @@
   /* An entry that is no reader waits this long for a peer before it reads a store that has
    * returned. Readers have read it by then, and each peer that may be followed was tried. */
   READ_PATIENCE_MS = 2000,
-  /* Maximum number of retained items in a status. */
-  MAX_PRINTED_ITEMS = 32,
 };
 
 struct bt_store_follower
@@ -61,13 +59,10 @@
   int64_t tried_ms;     /* time of the last call to the store */
   int64_t current_ms;   /* the copy is up to date as of this time */
   int64_t deferred_ms;  /* since when a full read is left to the readers; 0: it is not */
-  int64_t old_revision; /* of the last read that was older than the copy */
   bt_feed_choice_t choice;
   bt_store_copy_t *copy;
   bt_peer_feed_t *feed;
-  bt_counter_t *era_gauge;
-  bt_counter_t *restores;
-  bt_counter_t *retained_gauge;
+  bt_store_status_t status;
 };
 
 /** A task that passes a view, or the state of the connection to the store, to the event loop. */
@@ -154,7 +149,7 @@
   view_args_t args = { follower, read_ms, NULL };
 
   bt_visit_copy_items (follower->ctx, follower->copy, make_view, &args);
-  bt_set_gauge (follower->retained_gauge, bt_count_retained_items (follower->copy));
+  bt_record_store_retention (&follower->status, follower->copy);
   bt_choose_feed (follower->ctx, args.view->entries, args.view->entry_count, self->links,
                   self->failure_domain, &follower->choice);
   /* While a fleet starts, no entry is listed yet, and the seeds tell the others who is. */
@@ -164,35 +159,6 @@
   post_event (follower, args.view, true);
 }
 
-/* Logs a read that is older than the copy, once for each revision: such reads can follow each other
- * in quick succession. */
-static void
-log_old_read (bt_store_follower_t *follower, const bt_kv_range_t *range, bt_kv_position_t known)
-{
-  if (range->revision == follower->old_revision)
-    return;
-  follower->old_revision = range->revision;
-  bt_log_event (follower->ctx, BT_LOG_WARNING, "store-read-old", "{s:I, s:I, s:I, s:I}", "era",
-                (json_int_t)range->era, "revision", (json_int_t)range->revision, "known_era",
-                (json_int_t)known.era, "known", (json_int_t)known.revision);
-}
-
-/* Reports that the store was restored from a backup, which the store itself or a peer has told. */
-static void
-record_era (bt_store_follower_t *follower, bt_kv_position_t before)
-{
-  bt_kv_position_t now = bt_get_copy_position (follower->copy);
-
-  bt_set_gauge (follower->era_gauge, now.era);
-  if (before.era == 0 || now.era == before.era)
-    return;
-  bt_log_event (follower->ctx, BT_LOG_WARNING, "store-restored", "{s:I, s:I, s:I, s:I, s:i}", "era",
-                (json_int_t)now.era, "revision", (json_int_t)now.revision, "known_era",
-                (json_int_t)before.era, "known", (json_int_t)before.revision, "retained",
-                bt_count_retained_items (follower->copy));
-  bt_add_counter (follower->restores, 1);
-}
-
 /* Takes over items that were read, unless newer ones are known, and tells the followers. */
 static void
 replace_items (bt_store_follower_t *follower, bt_kv_range_t *range, int64_t begun_ms)
@@ -202,12 +168,11 @@
 
   if (!bt_replace_copy (ctx, follower->copy, range, bt_now_ms (ctx)))
     {
-      log_old_read (follower, range, before);
+      bt_record_old_store_read (ctx, &follower->status, range, before);
       return;
     }
   follower->read_ms = begun_ms;
-  follower->old_revision = 0;
-  record_era (follower, before);
+  bt_record_store_position (ctx, &follower->status, follower->copy, before);
   if (bt_compare_kv_positions (bt_get_copy_position (follower->copy), before) > 0)
     bt_send_peer_items (follower->feed, before);
   post_current_view (follower, begun_ms);
@@ -377,7 +342,7 @@
     }
   if (!changed)
     return;
-  record_era (follower, before);
+  bt_record_store_position (follower->ctx, &follower->status, follower->copy, before);
   post_current_view (follower, bt_now_ms (follower->ctx));
 }
 
@@ -465,19 +430,6 @@
   return NULL;
 }
 
-static void
-open_counters (bt_context_t *ctx, bt_store_follower_t *follower)
-{
-  follower->era_gauge = bt_find_counter (
-      ctx, BT_GAUGE, "bilberry_store_era",
-      "Era of the store; a new one begins when it is restored from a backup.", NULL, NULL);
-  follower->restores = bt_find_counter (ctx, BT_COUNTER, "bilberry_store_restores_total",
-                                        "Restorations of the store that were noticed.", NULL, NULL);
-  follower->retained_gauge = bt_find_counter (
-      ctx, BT_GAUGE, "bilberry_store_retained_items",
-      "Items in force that differ from what the restored store shows.", NULL, NULL);
-}
-
 static bool
 open_feed (bt_store_follower_t *follower, bt_error_t *error)
 {
@@ -517,7 +469,7 @@
   follower->options = *options;
   follower->listener = listener;
   follower->kv = options->platform->vtable->new_store (ctx, options->address, seed);
-  open_counters (ctx, follower);
+  bt_open_store_status (ctx, &follower->status);
   listing.kv = follower->kv;
   if (!open_feed (follower, error))
     {
@@ -537,27 +489,10 @@
     bt_retire_peer_feed (follower->feed);
 }
 
-static void
-print_retained (void *data, const bt_kv_range_t *items, const bt_retention_t *retained)
-{
-  FILE *out = data;
-
-  (void)items;
-  for (int32_t i = 0; i < retained->count && i < MAX_PRINTED_ITEMS; i++)
-    fprintf (out, "%s %s, other than the restored store shows\n",
-             retained->items[i].removal ? "without" : "with", retained->items[i].pair.key);
-  if (retained->count > MAX_PRINTED_ITEMS)
-    fprintf (out, "and %d more items\n", (int)retained->count - MAX_PRINTED_ITEMS);
-}
-
 void
 bt_print_follower_status (bt_store_follower_t *follower, FILE *out)
 {
-  bt_kv_position_t position = bt_get_copy_position (follower->copy);
-
-  fprintf (out, "store: era %lld, revision %lld\n", (long long)position.era,
-           (long long)position.revision);
-  bt_visit_shown_items (follower->copy, print_retained, out);
+  bt_print_store_status (follower->copy, out);
 }
 
 bool
--- a/test/gateway/test_endpoint_table.c
+++ b/test/gateway/test_endpoint_table.c
@@ -100,7 +100,7 @@
   CU_ASSERT_EQUAL (bt_get_endpoint_cold_until_ms (table, 0), COLD_MS);
   listed.revision = 7;
   bt_apply_listed_endpoints (ctx, table, &listed_view, COLD_MS);
-  CU_ASSERT_EQUAL (bt_get_endpoint_cold_until_ms (table, 0), 2 * COLD_MS);
+  CU_ASSERT_EQUAL (bt_get_endpoint_cold_until_ms (table, 0), (int64_t)2 * COLD_MS);
   drop_table ();
 }
 
--- a/test/gateway/test_listing.c
+++ b/test/gateway/test_listing.c
@@ -49,8 +49,8 @@
 {
   (void)unused;
   (void)kv;
-  (void)ttl_s;
   (void)error;
+  *ttl_s = 4;
   atomic_store (&renewed_lease, lease);
   atomic_fetch_add (&renewals, 1);
   return answer ();
--- /dev/null
+++ b/test/platform/test_store.c
@@ -0,0 +1,162 @@
+#include <CUnit/Basic.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "bilberrytray/gateway/platform.h"
+#include "standin_http.h"
+
+enum
+{
+  ADDRESS_BYTES = 32,
+  PAGES = 2,
+  STATUS_OK = 200,
+  STATUS_GONE = 410,
+};
+
+static bt_context_t *ctx;
+static bt_kv_t *kv;
+static bt_standin_t *standin;
+static atomic_int status;
+static atomic_int page;
+static int32_t page_eras[PAGES];
+
+/* Answers with one item a page. The last page names no other one. */
+static void
+answer_request (void *data,
+                bt_standin_t *unused,
+                const bt_standin_request_t *request,
+                bt_standin_answer_t *answer)
+{
+  int32_t index = atomic_fetch_add (&page, 1);
+  char text[256];
+
+  (void)data;
+  (void)unused;
+  (void)request;
+  if (index >= PAGES)
+    index = PAGES - 1;
+  snprintf (text, sizeof text,
+            "{\"items\":[{\"key\":\"k%d\",\"value\":\"\",\"revision\":%d,\"created\":1,"
+            "\"lease_id\":0}],\"events\":[],\"revision\":9,\"lease_id\":7,\"ttl_ms\":2000,"
+            "\"has_more\":%s,\"at\":9}",
+            (int)index, 3 + (int)index, index + 1 < PAGES ? "true" : "false");
+  answer->status = (uint32_t)atomic_load (&status);
+  answer->body = strdup (text);
+  answer->header = "Store-Era";
+  snprintf (answer->header_value, sizeof answer->header_value, "%d", (int)page_eras[index]);
+}
+
+static int
+start_suite (void)
+{
+  bt_standin_callbacks_t callbacks = { NULL, answer_request, NULL };
+  char address[ADDRESS_BYTES];
+
+  standin = bt_start_standin (0, &callbacks);
+  if (standin == NULL)
+    return 1;
+  snprintf (address, sizeof address, "127.0.0.1:%d", (int)bt_get_standin_port (standin));
+  kv = bt_get_platform ()->vtable->new_store (ctx, address, 1);
+  return 0;
+}
+
+static int
+end_suite (void)
+{
+  bt_drop_kv (ctx, kv);
+  bt_stop_standin (standin);
+  return 0;
+}
+
+static void
+set_answers (int32_t answer_status, int32_t first_era, int32_t second_era)
+{
+  atomic_store (&status, answer_status);
+  atomic_store (&page, 0);
+  page_eras[0] = first_era;
+  page_eras[1] = second_era;
+}
+
+static void
+test_read_has_the_era_of_its_pages (void)
+{
+  bt_kv_range_t range = { 0 };
+  bt_error_t error = { 0 };
+
+  set_answers (STATUS_OK, 4, 4);
+  CU_ASSERT_TRUE (bt_read_kv (ctx, kv, "", true, &range, &error));
+  CU_ASSERT_EQUAL (range.count, 2);
+  CU_ASSERT_EQUAL (range.era, 4);
+  CU_ASSERT_EQUAL (bt_get_kv_era (kv), 4);
+  bt_drop_kv_range (ctx, &range);
+}
+
+/* Guards against a read that mixes items from before and after a restoration of the store. */
+static void
+test_pages_of_two_eras_are_no_read (void)
+{
+  bt_kv_range_t range = { 0 };
+  bt_error_t error = { 0 };
+
+  set_answers (STATUS_OK, 4, 5);
+  CU_ASSERT_FALSE (bt_read_kv (ctx, kv, "", true, &range, &error));
+  CU_ASSERT_EQUAL (error.code, BT_ERROR_CLOSED);
+  CU_ASSERT_EQUAL (bt_get_kv_era (kv), 5);
+}
+
+/* Guards against a refused watch whose era is not noticed: the restored store does not have the
+ * revision at which the watch begins. */
+static void
+test_refused_watch_names_the_era (void)
+{
+  bt_kv_changes_t changes = { 0 };
+  bt_error_t error = { 0 };
+
+  set_answers (STATUS_GONE, 6, 6);
+  CU_ASSERT_TRUE (bt_follow_kv (ctx, kv, "", 50, 10, &changes, &error));
+  CU_ASSERT_TRUE (changes.incomplete);
+  CU_ASSERT_EQUAL (changes.written.era, 6);
+  bt_drop_kv_changes (ctx, &changes);
+}
+
+static void
+test_transaction_and_lease_name_the_era (void)
+{
+  bt_kv_write_t write = { BT_KV_PUT, "k", "v", 1 };
+  bt_kv_txn_t txn = { .writes = &write, .write_count = 1 };
+  bt_kv_txn_result_t result = { 0 };
+  bt_error_t error = { 0 };
+  int64_t ttl_s;
+
+  set_answers (STATUS_OK, 7, 8);
+  CU_ASSERT_TRUE (bt_commit_kv (ctx, kv, &txn, &result, &error));
+  CU_ASSERT_EQUAL (result.era, 7);
+  CU_ASSERT_TRUE (bt_renew_kv_lease (ctx, kv, 7, &ttl_s, &error));
+  CU_ASSERT_EQUAL (bt_get_kv_era (kv), 8);
+}
+
+int
+main (void)
+{
+  CU_pSuite suite;
+  unsigned failures;
+
+  ctx = bt_new_context ();
+  bt_set_log_level (ctx, -1);
+  CU_initialize_registry ();
+  suite = CU_add_suite ("store", start_suite, end_suite);
+  CU_ADD_TEST (suite, test_read_has_the_era_of_its_pages);
+  CU_ADD_TEST (suite, test_pages_of_two_eras_are_no_read);
+  CU_ADD_TEST (suite, test_refused_watch_names_the_era);
+  CU_ADD_TEST (suite, test_transaction_and_lease_name_the_era);
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failures = CU_get_number_of_failures ();
+  if (CU_get_number_of_suites_failed () > 0)
+    failures++;
+  CU_cleanup_registry ();
+  bt_drop_context (ctx);
+  return failures == 0 ? 0 : 1;
+}
--- a/test/requests/test_crash_table.c
+++ b/test/requests/test_crash_table.c
@@ -395,7 +395,7 @@
   bt_apply_listed_crashes (ctx, table, NULL, 0, 0);
   CU_ASSERT_EQUAL (count_crashes (table, POISON), 1);
   CU_ASSERT_EQUAL (drain_updates (table, BT_CRASH_PUBLISH), 0);
-  bt_expire_crashes (ctx, table, 2 * KEEP_MS);
+  bt_expire_crashes (ctx, table, (int64_t)2 * KEEP_MS);
   CU_ASSERT_EQUAL (count_crashes (table, POISON), 0);
   bt_drop_crash_table (ctx, table);
 }
