gateway, store: one lookup of pairs; an endpoint without a start time is judged by its sequence

The lookup of a key in a range and the index over one stood twice. An endpoint whose software does not state its start time passed for an earlier one, so that it would stay leaving although it has said otherwise since; test_retention has both cases.

--- a/include/bilberrytray/store/kv.h
+++ b/include/bilberrytray/store/kv.h
@@ -16,6 +16,7 @@
 
 #include "bilberrytray/base/context.h"
 #include "bilberrytray/base/error.h"
+#include "bilberrytray/base/name_index.h"
 #include "bilberrytray/core/call_rate.h"
 
 /** A state of the store. Eras order states first, then revisions; see bt_get_kv_era. */
@@ -221,6 +222,12 @@
                          bt_kv_range_t *range,
                          bt_error_t *error);
 
+/** Returns the pair of a key, or NULL. */
+bt_kv_pair_t *bt_find_kv_pair (const bt_kv_range_t *range, const char *key);
+
+/** Creates an index of the pairs by key, for many lookups. */
+bt_name_index_t *bt_index_kv_range (bt_context_t *ctx, const bt_kv_range_t *range);
+
 /** Frees the contents of a range and zeroes it. */
 void bt_drop_kv_range (bt_context_t *ctx, bt_kv_range_t *range);
 
--- a/source/gateway/retention.c
+++ b/source/gateway/retention.c
@@ -2,7 +2,6 @@
 
 #include <string.h>
 
-#include "bilberrytray/base/name_index.h"
 #include "crash_items.h"
 #include "view.h"
 
@@ -89,7 +88,8 @@
                                            &known_endpoint, &error)
       || endpoint.leaving || !known_endpoint.leaving)
     return false;
-  if (endpoint.started_ms != known_endpoint.started_ms)
+  if (endpoint.started_ms != 0 && known_endpoint.started_ms != 0
+      && endpoint.started_ms != known_endpoint.started_ms)
     return endpoint.started_ms < known_endpoint.started_ms;
   return endpoint.sequence <= known_endpoint.sequence;
 }
@@ -105,25 +105,6 @@
   return false;
 }
 
-static bt_name_index_t *
-index_keys (bt_context_t *ctx, const bt_kv_range_t *range)
-{
-  bt_name_index_t *index = bt_new_name_index (ctx);
-
-  for (int32_t i = 0; i < range->count; i++)
-    bt_put_name (index, range->pairs[i].key, &range->pairs[i]);
-  return index;
-}
-
-static const bt_kv_pair_t *
-find_pair (const bt_kv_range_t *range, const char *key)
-{
-  for (int32_t i = 0; i < range->count; i++)
-    if (strcmp (range->pairs[i].key, key) == 0)
-      return &range->pairs[i];
-  return NULL;
-}
-
 static void
 copy_pair (bt_context_t *ctx, bt_kv_pair_t *copy, const bt_kv_pair_t *pair)
 {
@@ -231,7 +212,7 @@
                     const bt_kv_range_t *shown,
                     int64_t now_ms)
 {
-  bt_name_index_t *index = index_keys (ctx, shown);
+  bt_name_index_t *index = bt_index_kv_range (ctx, shown);
   bt_retention_t begun = { 0 };
 
   for (int32_t i = 0; i < known->count; i++)
@@ -253,9 +234,9 @@
 is_settled (const bt_platform_t *platform,
             const bt_retained_item_t *item,
             const bt_kv_pair_t *shown,
-            int64_t now_ms)
+            int64_t shown_ms)
 {
-  if (now_ms >= item->until_ms)
+  if (shown_ms >= item->until_ms)
     return true;
   if (item->removal)
     return shown == NULL || shown->mod_revision != item->shown_revision;
@@ -276,7 +257,7 @@
 
   if (own >= 0 && (item->removal || !is_older (platform, &retention->items[own].pair, &item->pair)))
     return;
-  if (is_settled (platform, item, find_pair (shown, item->pair.key), INT64_MIN))
+  if (is_settled (platform, item, bt_find_kv_pair (shown, item->pair.key), INT64_MIN))
     return;
   if (own >= 0)
     drop_item (ctx, retention, own);
@@ -290,7 +271,7 @@
                      bt_retention_t *retention,
                      const bt_platform_t *platform,
                      const bt_kv_range_t *shown,
-                     int64_t now_ms)
+                     int64_t shown_ms)
 {
   int32_t before = retention->count;
 
@@ -298,7 +279,7 @@
     {
       const bt_retained_item_t *item = &retention->items[i];
 
-      if (is_settled (platform, item, find_pair (shown, item->pair.key), now_ms))
+      if (is_settled (platform, item, bt_find_kv_pair (shown, item->pair.key), shown_ms))
         drop_item (ctx, retention, i);
     }
   return retention->count < before;
--- a/source/gateway/store_copy.c
+++ b/source/gateway/store_copy.c
@@ -3,8 +3,6 @@
 #include <pthread.h>
 #include <string.h>
 
-#include "bilberrytray/base/name_index.h"
-
 struct bt_store_copy
 {
   /* Lock order: acquired last. */
@@ -73,10 +71,8 @@
                     const bt_kv_range_t *range,
                     int64_t now_ms)
 {
-  bt_name_index_t *index = bt_new_name_index (ctx);
+  bt_name_index_t *index = bt_index_kv_range (ctx, range);
 
-  for (int32_t i = 0; i < range->count; i++)
-    bt_put_name (index, range->pairs[i].key, &range->pairs[i]);
   for (int32_t i = 0; i < copy->items.count; i++)
     if (bt_find_name (index, copy->items.pairs[i].key) == NULL)
       bt_add_removed_key (ctx, &copy->removed, copy->items.pairs[i].key, range->revision, now_ms);
--- a/source/store/kv.c
+++ b/source/store/kv.c
@@ -158,13 +158,23 @@
   memset (changes, 0, sizeof *changes);
 }
 
-static int32_t
-find_pair (const bt_kv_range_t *range, const char *key)
+bt_kv_pair_t *
+bt_find_kv_pair (const bt_kv_range_t *range, const char *key)
 {
   for (int32_t i = 0; i < range->count; i++)
     if (strcmp (range->pairs[i].key, key) == 0)
-      return i;
-  return range->count;
+      return &range->pairs[i];
+  return NULL;
+}
+
+bt_name_index_t *
+bt_index_kv_range (bt_context_t *ctx, const bt_kv_range_t *range)
+{
+  bt_name_index_t *index = bt_new_name_index (ctx);
+
+  for (int32_t i = 0; i < range->count; i++)
+    bt_put_name (index, range->pairs[i].key, &range->pairs[i]);
+  return index;
 }
 
 static void
@@ -179,12 +189,12 @@
 static void
 remove_key (bt_context_t *ctx, bt_kv_range_t *range, const char *key, int64_t revision)
 {
-  int32_t at = find_pair (range, key);
+  bt_kv_pair_t *pair = bt_find_kv_pair (range, key);
 
-  if (at == range->count || range->pairs[at].mod_revision > revision)
+  if (pair == NULL || pair->mod_revision > revision)
     return;
-  drop_pair (ctx, &range->pairs[at]);
-  range->pairs[at] = range->pairs[--range->count];
+  drop_pair (ctx, pair);
+  *pair = range->pairs[--range->count];
 }
 
 void
@@ -196,13 +206,13 @@
                              sizeof *range->pairs);
   for (int32_t i = 0; i < written->count; i++)
     {
-      int32_t at = find_pair (range, written->pairs[i].key);
+      bt_kv_pair_t *pair = bt_find_kv_pair (range, written->pairs[i].key);
 
-      if (at < range->count)
-        drop_pair (ctx, &range->pairs[at]);
+      if (pair != NULL)
+        drop_pair (ctx, pair);
       else
-        range->count++;
-      range->pairs[at] = written->pairs[i];
+        pair = &range->pairs[range->count++];
+      *pair = written->pairs[i];
     }
   written->count = 0;
   for (int32_t i = 0; i < changes->removed_count; i++)
--- a/test/gateway/test_retention.c
+++ b/test/gateway/test_retention.c
@@ -55,15 +55,19 @@
   add_item (list, "op/config", value, revision);
 }
 
+/* @p born_ms 0: the endpoint does not state its start time. */
 static void
 add_endpoint (item_list_t *list, const char *state, int32_t sequence, int64_t born_ms)
 {
   char value[VALUE_BYTES];
+  char start[VALUE_BYTES / 4] = "";
 
+  if (born_ms != 0)
+    snprintf (start, sizeof start, ",\"born\":%lld", (long long)born_ms);
   snprintf (value, sizeof value,
             "{\"service\":\"svc\",\"address\":\"10.0.0.1:80\",\"zone\":\"a\",\"version\":\"v1\","
-            "\"slots\":8,\"state\":\"%s\",\"cold_left_ms\":0,\"sequence\":%d,\"born\":%lld}",
-            state, sequence, (long long)born_ms);
+            "\"slots\":8,\"state\":\"%s\",\"cold_left_ms\":0,\"sequence\":%d%s}",
+            state, sequence, start);
   add_item (list, "servers/i-1", value, sequence);
 }
 
@@ -160,6 +164,8 @@
   check_endpoint ("draining", 9, 200, "ready", 12, 100, true);
   check_endpoint ("draining", 9, 100, "ready", 10, 100, false);
   check_endpoint ("draining", 9, 100, "ready", 1, 200, false);
+  check_endpoint ("draining", 9, 200, "ready", 7, 0, true);
+  check_endpoint ("draining", 9, 200, "ready", 12, 0, false);
   check_endpoint ("draining", 9, 100, "draining", 7, 100, false);
   check_endpoint ("ready", 9, 100, "draining", 7, 100, false);
   check_endpoint ("ready", 9, 100, "ready", 7, 100, false);
