--- a/source/gateway/store_status.c
+++ b/source/gateway/store_status.c
@@ -45,7 +45,7 @@
 
   status->old_revision = 0;
   bt_set_gauge (status->era, now.era);
-  if (before.era == 0 || now.era == before.era)
+  if (before.revision == 0 || now.era == before.era)
     return;
   bt_log_event (ctx, BT_LOG_WARNING, "store-restored", "{s:I, s:I, s:I, s:I, s:i}", "era",
                 (json_int_t)now.era, "revision", (json_int_t)now.revision, "known_era",
--- a/test/gateway/test_store_restores.c
+++ b/test/gateway/test_store_restores.c
@@ -76,7 +76,6 @@
 /** An endpoint's process. */
 typedef struct process
 {
-  bool alive;
   bool leaving;
   int32_t incarnation;
   int32_t sequence;
@@ -578,7 +577,7 @@
   sim->era = 1;
   sim->store.revision = 1;
   for (int32_t i = 0; i < ENDPOINTS; i++)
-    sim->processes[i] = (process_t){ .alive = true, .incarnation = 1 };
+    sim->processes[i] = (process_t){ .incarnation = 1 };
   configure (sim, sim->version = 1);
   sim->backup = sim->store;
   for (int32_t i = 0; i < count; i++)
