--- a/source/gateway/removed_keys.c
+++ b/source/gateway/removed_keys.c
@@ -7,6 +7,8 @@
 static void
 drop_keys (bt_context_t *ctx, bt_removed_keys_t *removed, int32_t first, int32_t count)
 {
+  if (count == 0)
+    return;
   for (int32_t i = first; i < first + count; i++)
     bt_free (ctx, removed->keys[i].key);
   removed->count -= count;
