gateway: an entry without peers reads a store that is too slow for a watch

Change: a read is left to the readers only if the watch failed because the store is away, and put off only when the store was restored. Evidence: test_gateway_alone_reads_a_slow_store, seen failing on the commit before (a key that was added refused for 30 s), passes now. test_gateway_restored_store passes as before.

--- a/source/gateway/store_follower.c
+++ b/source/gateway/store_follower.c
@@ -230,8 +230,8 @@
          && follower->choice.primary_count > 0;
 }
 
-/* Returns true if a full read is left to the readers for now. After an outage or a restoration all
- * entries need what the store holds at the same moment. */
+/* Returns true if a full read is left to the readers for now. After a restoration all entries need
+ * what the store holds at the same moment. */
 static bool
 defer_read (bt_store_follower_t *follower)
 {
@@ -252,7 +252,7 @@
   bt_kv_position_t before = bt_get_copy_position (follower->copy);
   bool restored = changes->written.era != before.era;
 
-  if ((restored || (changes->incomplete && follower->store_failing)) && defer_read (follower))
+  if (restored && defer_read (follower))
     return true;
   follower->deferred_ms = 0;
   if (restored || changes->incomplete || changes->written.revision < before.revision)
@@ -268,6 +268,15 @@
   return true;
 }
 
+/* Returns true if a failed watch is no reason to read the store: it is away, and the readers will
+ * read it when it returns. A store that is slow, or that refuses some calls, may answer a read. */
+static bool
+leaves_read_to_readers (const bt_store_follower_t *follower, const bt_error_t *error)
+{
+  return follower->store_failing && has_readers_to_follow (follower)
+         && error->code != BT_ERROR_TIMEOUT && error->code != BT_ERROR_REFUSED;
+}
+
 /* Makes one watch call and applies its changes. Reads all items instead before the first view and
  * when the last full read is older than FULL_READ_MS. Reads them too if the watch fails, as changes
  * may have been missed, except while a peer is followed or the readers are waited for. */
@@ -275,19 +284,18 @@
 follow_store (bt_store_follower_t *follower, int64_t wait_ms, bt_error_t *error)
 {
   bt_kv_changes_t changes = { 0 };
-  bool left_to_readers = follower->store_failing && has_readers_to_follow (follower);
   bool done;
 
   if (follower->last_view == NULL)
     return read_first (follower, error);
-  if (bt_now_ms (follower->ctx) - follower->read_ms > FULL_READ_MS && !left_to_readers)
+  if (bt_now_ms (follower->ctx) - follower->read_ms > FULL_READ_MS)
     return read_all (follower, error);
   done =
       bt_follow_kv (follower->ctx, follower->kv, "",
                     bt_get_copy_position (follower->copy).revision + 1, wait_ms, &changes, error);
   if (done)
     done = apply_changes (follower, &changes, error);
-  else if (!follower->follows_peer && !left_to_readers)
+  else if (!follower->follows_peer && !leaves_read_to_readers (follower, error))
     {
       bt_clear_error (error);
       done = read_all (follower, error);
--- a/test/process/test_gateway_peers.c
+++ b/test/process/test_gateway_peers.c
@@ -16,6 +16,8 @@
   UNAUTHORIZED = 401,
   POLL_MS = 20,
   PAGE_LINE_BYTES = 128,
+  /* Long enough for calls on the store to fail. */
+  OUTAGE_MS = 2500,
 };
 
 static const char *const configuration =
@@ -250,6 +252,35 @@
     set_hop_fault (i, BT_HOP_NONE);
 }
 
+/* Guards against a gateway that learns of no change: it has found the store away, the peers that it
+ * could follow stand still, and the store is too slow for a watch but answers a read. One of the
+ * two gateways that are tried is no reader. */
+static void
+test_gateway_alone_reads_a_slow_store (void)
+{
+  int32_t version = 300;
+
+  for (int32_t i = 0; i < 2; i++)
+    {
+      CU_ASSERT_TRUE (put_configuration (version++, ""));
+      CU_ASSERT_TRUE (wait_status (i, "key-slow", UNAUTHORIZED));
+      for (int32_t k = 0; k < GATEWAYS; k++)
+        if (k != i)
+          kill (testbed->gateways[k], SIGSTOP);
+      CU_ASSERT_TRUE (
+          bt_set_standin_fault (testbed->store_port, "{\"kind\":\"down\",\"count\":-1}"));
+      bt_sleep_ms (OUTAGE_MS);
+      CU_ASSERT_TRUE (bt_set_standin_fault (testbed->store_port,
+                                            "{\"kind\":\"slow\",\"count\":-1,"
+                                            "\"delay_ms\":3000,\"match\":\"watch\"}"));
+      CU_ASSERT_TRUE (put_configuration (version++, ",\"key-slow\""));
+      CU_ASSERT_TRUE (wait_status (i, "key-slow", OK));
+      CU_ASSERT_TRUE (bt_set_standin_fault (testbed->store_port, "{\"kind\":\"none\"}"));
+      for (int32_t k = 0; k < GATEWAYS; k++)
+        kill (testbed->gateways[k], SIGCONT);
+    }
+}
+
 int
 main (void)
 {
@@ -263,6 +294,7 @@
   CU_ADD_TEST (suite, test_entry_starts_without_the_store);
   CU_ADD_TEST (suite, test_entry_starts_with_the_latest_configuration);
   CU_ADD_TEST (suite, test_frozen_reader_is_replaced);
+  CU_ADD_TEST (suite, test_gateway_alone_reads_a_slow_store);
   CU_ADD_TEST (suite, test_departed_peer_is_not_advertised);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
