gateway: the log names the shared parts of prompts whose attempts broke off

A request is known there by a fingerprint over account, method, target and body, and no two of the requests that ended endpoints are alike.

Change: the parts of a prompt are read from the request's header when an attempt breaks off, and only then. 'attempt-broken' names the first eight by a keyed hash, without the last one, and whether the answer had begun. The id counts in one spelling, so that a caller can't hide a part.

--- a/include/bilberrytray/gateway/platform.h
+++ b/include/bilberrytray/gateway/platform.h
@@ -83,6 +83,9 @@
 /** Adds one header to a request that is to be sent. */
 typedef void (*bt_put_header_t) (void *data, const char *name, const char *value);
 
+/** Takes the next part of a prompt, named by the @p bytes bytes of @p id. */
+typedef void (*bt_put_prompt_part_t) (void *data, const char *id, size_t bytes);
+
 typedef struct bt_platform bt_platform_t;
 
 /** Functions of a platform. */
@@ -112,6 +115,11 @@
    * the endpoint. */
   bool (*read_request_header) (const char *name, const char *value, bt_request_info_t *info);
 
+  /** Decodes the value of the header that lists the parts of a request's prompt, and calls @p put
+   * with each of them in order. Returns false if the value is malformed; @p put may have been
+   * called by then. */
+  bool (*read_prompt_parts) (const char *value, bt_put_prompt_part_t put, void *data);
+
   /** Calls @p put with each header that the gateway itself sets on an attempt. */
   void (*write_attempt_headers) (const bt_attempt_info_t *info, bt_put_header_t put, void *data);
 
@@ -136,12 +144,13 @@
 {
   const bt_platform_vtable_t *vtable;
   const char *name;
-  const char *configuration_key; /**< Store key of the operators' current configuration. */
-  const char *endpoint_prefix;   /**< Common prefix of the endpoints' store keys. */
-  const char *evacuation_prefix; /**< Prefix of the store keys that name the evacuated failure
-                                    domains. */
-  const char *address_path;      /**< HTTP path at which callers request addresses. */
-  const char *ready_path;        /**< HTTP path of the readiness check. */
+  const char *configuration_key;   /**< Store key of the operators' current configuration. */
+  const char *endpoint_prefix;     /**< Common prefix of the endpoints' store keys. */
+  const char *evacuation_prefix;   /**< Prefix of the store keys that name the evacuated failure
+                                      domains. */
+  const char *prompt_parts_header; /**< Name of the header that lists the parts of a prompt. */
+  const char *address_path;        /**< HTTP path at which callers request addresses. */
+  const char *ready_path;          /**< HTTP path of the readiness check. */
 };
 
 /** Returns the platform that the gateway is built for. */
--- a/source/gateway/forward.c
+++ b/source/gateway/forward.c
@@ -123,6 +123,7 @@
   bt_drop_frontend_call (ctx, forward->call);
   bt_drop_declarations (ctx, forward->declarations);
   bt_free_frontend_header_list (ctx, forward->headers, forward->header_count);
+  bt_drop_prompt_parts (ctx, forward->parts);
   bt_free (ctx, forward);
 }
 
--- a/source/gateway/forward.h
+++ b/source/gateway/forward.h
@@ -10,12 +10,16 @@
 #include "bilberrytray/requests/attempt.h"
 #include "bilberrytray/requests/event_stream.h"
 #include "bilberrytray/requests/fingerprint.h"
+#include "bilberrytray/requests/prompt_parts.h"
 #include "gateway_private.h"
 
 enum
 {
   /** Maximum number of endpoints that one request is sent to, including those that refuse it. */
   BT_MAX_FORWARD_SENDS = 8,
+  /** Parts of a prompt that a log line names. */
+  BT_MAX_LOGGED_PARTS = 8,
+  BT_PARTS_TEXT_BYTES = BT_MAX_LOGGED_PARTS * BT_FINGERPRINT_TEXT_BYTES,
 };
 
 /** State of a request. */
@@ -46,8 +50,10 @@
   bt_priority_t priority;
   bt_request_info_t info;
   bt_fingerprint_t fingerprint;
-  bool has_fingerprint; /**< The fingerprint has been computed. */
-  bool is_crash_trial;  /**< It runs although endpoints ended while running it before. */
+  bool has_fingerprint;     /**< The fingerprint has been computed. */
+  bt_prompt_parts_t *parts; /**< Shared parts of the prompt; NULL: unknown or not read. */
+  bool has_read_parts;      /**< The parts have been read. */
+  bool is_crash_trial;      /**< It runs although endpoints ended while running it before. */
   int64_t arrived_ms;
   int64_t deadline_ms; /**< When the caller's or the rule's time limit ends, whichever is first. */
 
@@ -98,6 +104,17 @@
 /** Notes that the request is about to run, if endpoints ended while running it before. */
 void bt_note_crash_trial (bt_forward_t *forward);
 
+/** Returns the shared parts of the request's prompt; NULL if it has none or they are unknown. */
+const bt_prompt_parts_t *bt_get_forward_parts (bt_forward_t *forward);
+
+/** Writes the hashes of the first BT_MAX_LOGGED_PARTS shared parts of the prompt, separated by
+ * commas. */
+void bt_write_forward_parts (bt_forward_t *forward, char text[BT_PARTS_TEXT_BYTES]);
+
+/** Returns true if the endpoint has begun to answer the present attempt and went on: with the
+ * second event at the latest it has survived the beginning. */
+bool bt_has_attempt_begun (const bt_forward_t *forward);
+
 /** Ends the request with an answer that the gateway makes itself. When part of a stream was
  * delivered, the connection is broken instead. @p retry_after_ms 0: the answer states none. */
 void bt_refuse_forward (bt_forward_t *forward, bt_reason_t reason, int64_t retry_after_ms);
--- a/source/gateway/forward_crashes.c
+++ b/source/gateway/forward_crashes.c
@@ -57,13 +57,17 @@
   const bt_listed_endpoint_t *listed =
       bt_find_listed_endpoint (gateway->endpoints, attempt.endpoint.instance);
   char text[BT_FINGERPRINT_TEXT_BYTES];
+  char parts[BT_PARTS_TEXT_BYTES];
 
   bt_write_fingerprint (&attempt.request, text);
-  bt_log_event (gateway->ctx, BT_LOG_INFO, "attempt-broken", "{s:s, s:s, s:s, s:I, s:i, s:s}",
-                "request", forward->info.request_id, "fingerprint", text, "endpoint",
-                attempt.endpoint.instance, "started_ms", (json_int_t)attempt.endpoint.incarnation,
-                "status", bt_get_exchange_status (forward->exchange), "fault",
-                bt_get_exchange_error (forward->exchange));
+  bt_write_forward_parts (forward, parts);
+  bt_log_event (gateway->ctx, BT_LOG_INFO, "attempt-broken",
+                "{s:s, s:s, s:s, s:I, s:i, s:s, s:b, s:s}", "request", forward->info.request_id,
+                "fingerprint", text, "endpoint", attempt.endpoint.instance, "started_ms",
+                (json_int_t)attempt.endpoint.incarnation, "status",
+                bt_get_exchange_status (forward->exchange), "fault",
+                bt_get_exchange_error (forward->exchange), "begun", bt_has_attempt_begun (forward),
+                "parts", parts);
   /* An endpoint that leaves as planned may break off what it has not finished in time. */
   if (listed == NULL || !listed->leaving)
     bt_add_crash_suspect (gateway->crashes, &attempt, listed == NULL ? "" : listed->address);
