test: a part of prompts that crashes endpoints is blocked (fails)

Guards against requests that are never alike, come at any gateway and share a part that crashes each runner which begins to answer them, beside sound requests that share their other parts.

--- a/test/process/harness_gateway.c
+++ b/test/process/harness_gateway.c
@@ -519,6 +519,12 @@
   return start_testbed (gateways, BT_DEFAULT_RUNNERS, false, configuration);
 }
 
+bt_gateway_testbed_t *
+bt_new_wide_gateway_testbed (int32_t gateways, int32_t runners, const char *configuration)
+{
+  return start_testbed (gateways, runners, false, configuration);
+}
+
 bt_gateway_testbed_t *
 bt_new_large_gateway_testbed (int32_t gateways, int32_t runners, const char *configuration)
 {
--- a/test/process/harness_gateway.h
+++ b/test/process/harness_gateway.h
@@ -51,6 +51,10 @@
  * service "svc". Does not wait until the gateways are ready. Returns NULL on failure. */
 bt_gateway_testbed_t *bt_new_gateway_testbed (int32_t gateways, const char *configuration);
 
+/** Does the same as bt_new_gateway_testbed with @p runners runners. */
+bt_gateway_testbed_t *
+bt_new_wide_gateway_testbed (int32_t gateways, int32_t runners, const char *configuration);
+
 /** Does the same as bt_new_gateway_testbed with @p runners runners, each behind a TCP proxy (hop).
  */
 bt_gateway_testbed_t *
--- a/test/standin/haiyun_runner/main.c
+++ b/test/standin/haiyun_runner/main.c
@@ -3,7 +3,8 @@
  * RUNNER_BORN its start time in Unix milliseconds. A path with "/stream/" is answered with EVENTS
  * numbered events, any other with one line.
  *
- * A request whose path ends in "/poison" ends the process when it begins to run.
+ * A request whose path ends in "/poison" ends the process when it begins to run. One whose prompt
+ * has a shared part "dead" ends it as the answer begins: a stream within its first event.
  *
  *   GET /v1/report  the runner's report
  * Each request that arrives is logged, and each run.
@@ -60,6 +61,8 @@
 {
   long next; /**< Number of the next event. */
   bool cut;
+  bool crashes; /**< The process ends within the next event. */
+  bool begun;   /**< Part of that event was written. */
 } stream_t;
 
 static const char *
@@ -105,7 +108,12 @@
     return MHD_CONTENT_READER_END_OF_STREAM;
   if (stream->cut && stream->next > EVENTS_BEFORE_CUT)
     return MHD_CONTENT_READER_END_WITH_ERROR;
+  if (stream->crashes && stream->begun)
+    _exit (EXIT_FAILURE);
+  stream->begun = true;
   nanosleep (&pause, NULL);
+  if (stream->crashes)
+    return snprintf (buffer, max, "id: %ld\nda", stream->next);
   stream->next++;
   /* Cuts the stream off in the middle of an event. */
   if (stream->cut && stream->next > EVENTS_BEFORE_CUT)
@@ -114,12 +122,13 @@
 }
 
 static struct MHD_Response *
-make_stream (const bt_standin_request_t *request, bool cut)
+make_stream (const bt_standin_request_t *request, bool cut, bool crashes)
 {
   stream_t *stream = calloc (1, sizeof *stream);
 
   stream->next = strtol (get_header (request, "Last-Event-Id"), NULL, BASE_TEN) + 1;
   stream->cut = cut;
+  stream->crashes = crashes;
   return MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, BLOCK_BYTES, read_stream, stream,
                                             free);
 }
@@ -138,6 +147,16 @@
   return last != NULL && strcmp (last, "/poison") == 0;
 }
 
+/* Returns true if the prompt has the part that crashes runners, at any place but the last. */
+static bool
+has_poisoned_part (const bt_standin_request_t *request)
+{
+  const char *parts = get_header (request, "Bilberrytray-Prompt-Prefix");
+  const char *found = strstr (parts, "dead:");
+
+  return found != NULL && strchr (found, ',') != NULL;
+}
+
 static void
 run_request (runner_t *runner,
              const bt_standin_request_t *request,
@@ -147,11 +166,12 @@
   bool stream = strstr (request->url, "/stream/") != NULL;
   bool resumed = get_header (request, "Last-Event-Id")[0] != '\0';
   bool cut = strcmp (fault, "cut") == 0 || (strcmp (fault, "cut-first") == 0 && !resumed);
+  bool poisoned = has_poisoned_part (request);
   struct timespec late = { LATE_ANSWER_S, 0 };
   char text[EVENT_BYTES];
 
   log_run (runner, request);
-  if (is_poison (request->url))
+  if (is_poison (request->url) || (poisoned && !stream))
     _exit (EXIT_FAILURE);
   if (strcmp (fault, "late") == 0)
     nanosleep (&late, NULL);
@@ -164,7 +184,7 @@
     answer->status = MHD_HTTP_INTERNAL_SERVER_ERROR;
   snprintf (text, sizeof text, "answer of %s to %s", runner->id,
             get_header (request, "Bilberrytray-Attempt-Id"));
-  answer->response = stream ? make_stream (request, cut) : make_text (text);
+  answer->response = stream ? make_stream (request, cut, poisoned) : make_text (text);
   answer->type = stream ? "text/event-stream" : "text/plain";
   if (strcmp (fault, "unmarked") != 0)
     MHD_add_response_header (answer->response, "Bilberrytray-Server-Stamp", runner->id);
