gateway: a part of prompts that crashes endpoints is refused everywhere

What callers saw: requests with one part in their prompts, no two of them alike, ended one endpoint after the other for as long as they came; in a rank group each end stopped all ranks for four seconds, and nearly nothing else was served.

Cause: what is known of a crash was keyed by the content of one request (account, method, target, body). A key that the caller varies at will counts nothing.

Change: an end of an endpoint accuses the shared parts of all prompts there whose answers had not begun, whichever entry sent them. Each entry reports its own of them, one item an end, by a keyed hash. What ends have in common, less what complete answers clear (or answers that endpoints went on with after they had begun them), is held: from the second end on, from the first where an end stops a rank group and no common cause is seen. Requests with a held part are refused at once with a reason of their own, also where they wait or are about to be sent again. An answer to a trial releases the part. A part that a quarter of all requests have is tried at once. The crash reporter writes items of any kind now, so that both kinds of crash share one.

--- a/include/bilberrytray/core/outcome.h
+++ b/include/bilberrytray/core/outcome.h
@@ -61,7 +61,9 @@
   X (AGENT_RESTARTED, "agent-restarted", 502, UNKNOWN)                                             \
   X (NO_RUN, "no-run", 503, NOT_RUN)                                                               \
   X (CRASHES_ENDPOINTS, "crashes-endpoints", 503, NOT_RUN)                                         \
-  X (HELD_AFTER_CRASH, "held-after-crash", 503, NOT_RUN)
+  X (HELD_AFTER_CRASH, "held-after-crash", 503, NOT_RUN)                                           \
+  X (PART_CRASHES_ENDPOINTS, "part-crashes-endpoints", 503, NOT_RUN)                               \
+  X (ENDED_FOR_PART, "ended-for-part", 502, UNKNOWN)
 
 typedef enum bt_reason
 {
--- a/source/gateway/crash_control.c
+++ b/source/gateway/crash_control.c
@@ -6,7 +6,7 @@
 #include "bilberrytray/base/counters.h"
 #include "bilberrytray/base/event_log.h"
 #include "bilberrytray/base/random.h"
-#include "crash_reporter.h"
+#include "crash_items.h"
 #include "port_probes.h"
 
 enum
@@ -23,7 +23,9 @@
   int64_t keep_ms;
   bt_endpoint_table_t *endpoints;
   bt_crash_table_t *table;
+  const char *instance;
   bt_crash_reporter_t *reporter;
+  bt_part_control_t *parts;
   bt_port_probes_t *probes;
   bt_timer_t expire_timer;
   bt_counter_t *known_gauge;
@@ -31,6 +33,18 @@
   bt_kv_position_t seen; /* position of the newest listed crash */
 };
 
+static void
+report_update (bt_crash_control_t *control, const bt_crash_update_t *update)
+{
+  char key[BT_CRASH_KEY_BYTES];
+  char *value = NULL;
+
+  bt_write_crash_key (&update->crash, key);
+  if (update->kind == BT_CRASH_PUBLISH)
+    value = bt_write_crash_value (control->ctx, &update->crash, control->instance);
+  bt_report_crash_item (control->reporter, key, value);
+}
+
 /* Logs each change of the crash table and reports it to the other instances. */
 static void
 publish_changes (bt_crash_control_t *control)
@@ -49,7 +63,7 @@
                     (json_int_t)update.crash.endpoint.incarnation, "ends",
                     bt_count_crashes (control->table, &update.crash.request), "at_start",
                     update.crash.at_start);
-      bt_report_crash (control->reporter, &update);
+      report_update (control, &update);
     }
   bt_set_gauge (control->known_gauge, bt_count_known_crashes (control->table));
 }
@@ -59,6 +73,7 @@
 {
   bt_note_endpoint_end (control->ctx, control->table, endpoint, bt_get_loop_ms (control->loop));
   publish_changes (control);
+  bt_report_part_end (control->parts, endpoint);
 }
 
 static void
@@ -111,8 +126,9 @@
   control->endpoints = endpoints;
   control->table = bt_new_crash_table (ctx, &table);
   bt_set_crash_clock_offset (control->table, bt_read_wall_ms () - bt_get_loop_ms (loop));
-  control->reporter =
-      bt_new_crash_reporter (ctx, options->platform, options->store, options->instance);
+  control->instance = options->instance;
+  control->reporter = options->reporter;
+  control->parts = options->parts;
   control->probe_handler.on_refused = handle_refused;
   control->probes = bt_new_port_probes (ctx, loop, &control->probe_handler);
   control->known_gauge =
@@ -132,7 +148,6 @@
     return;
   bt_clear_timer (control->loop, &control->expire_timer);
   bt_drop_port_probes (ctx, control->probes);
-  bt_drop_crash_reporter (ctx, control->reporter);
   bt_drop_crash_table (ctx, control->table);
   bt_free (ctx, control);
 }
--- a/source/gateway/crash_control.h
+++ b/source/gateway/crash_control.h
@@ -8,22 +8,24 @@
 
 #include "bilberrytray/gateway/platform.h"
 #include "bilberrytray/requests/crash_table.h"
+#include "crash_reporter.h"
 #include "endpoint_table.h"
 #include "event_loop.h"
+#include "part_control.h"
 
 typedef struct bt_crash_control bt_crash_control_t;
 
 typedef struct bt_crash_control_options
 {
-  const bt_platform_t *platform;
-  const char *store;    /**< The store's "IP:PORT". */
   const char *instance; /**< Name of this instance. */
-  int64_t max_ends;     /**< See crash_table.h. */
-  int64_t hold_ms;      /**< See crash_table.h. */
-  int64_t keep_ms;      /**< See crash_table.h. */
+  bt_crash_reporter_t *reporter;
+  bt_part_control_t *parts; /**< Is notified of ends of endpoints. */
+  int64_t max_ends;         /**< See crash_table.h. */
+  int64_t hold_ms;          /**< See crash_table.h. */
+  int64_t keep_ms;          /**< See crash_table.h. */
 } bt_crash_control_options_t;
 
-/** Registers with @p endpoints to be notified when an endpoint ends. Strings of the options must
+/** Registers with @p endpoints to be notified when an endpoint ends. What the options point to must
  * outlive the crash control. */
 bt_crash_control_t *bt_new_crash_control (bt_context_t *ctx,
                                           bt_event_loop_t *loop,
--- a/source/gateway/crash_items.h
+++ b/source/gateway/crash_items.h
@@ -8,12 +8,7 @@
  */
 
 #include "bilberrytray/requests/crash_table.h"
-
-enum
-{
-  /** Size of a key, including the terminating zero, in bytes. */
-  BT_CRASH_KEY_BYTES = 192,
-};
+#include "crash_reporter.h"
 
 /** Common prefix of the crashes' keys. */
 extern const char *const bt_crash_prefix;
--- a/source/gateway/crash_reporter.c
+++ b/source/gateway/crash_reporter.c
@@ -1,6 +1,7 @@
 #include "crash_reporter.h"
 
 #include <pthread.h>
+#include <stdio.h>
 #include <string.h>
 
 #include "bilberrytray/base/condition.h"
@@ -8,7 +9,6 @@
 #include "bilberrytray/base/event_log.h"
 #include "bilberrytray/base/limit.h"
 #include "bilberrytray/base/random.h"
-#include "crash_items.h"
 #include "store_thread.h"
 
 enum
@@ -23,18 +23,17 @@
   GIVE_UP_MS = 600000,
 };
 
-/** A queued crash update and the store key that it writes or deletes. */
+/** A queued write of an item, or its removal. */
 typedef struct report
 {
-  bt_crash_update_t update;
   char key[BT_CRASH_KEY_BYTES];
+  char *value; /* NULL: it is removed */
   int64_t queued_ms;
 } report_t;
 
 struct bt_crash_reporter
 {
   bt_context_t *ctx;
-  const char *instance;
   bt_kv_t *kv;
   bt_counter_t *written;
   bt_counter_t *failed;
@@ -56,17 +55,13 @@
 }
 
 bt_crash_reporter_t *
-bt_new_crash_reporter (bt_context_t *ctx,
-                       const bt_platform_t *platform,
-                       const char *store,
-                       const char *instance)
+bt_new_crash_reporter (bt_context_t *ctx, const bt_platform_t *platform, const char *store)
 {
   bt_crash_reporter_t *reporter = bt_calloc (ctx, 1, sizeof *reporter);
   uint64_t seed;
 
   bt_fill_secure_random (&seed, sizeof seed);
   reporter->ctx = ctx;
-  reporter->instance = instance;
   reporter->kv = platform->vtable->new_store (ctx, store, seed);
   reporter->written = find_outcome_counter (ctx, "written");
   reporter->failed = find_outcome_counter (ctx, "failed");
@@ -76,36 +71,45 @@
 }
 
 static void
-remove_reports (bt_crash_reporter_t *reporter, int32_t first, int32_t count)
+remove_reports (bt_crash_reporter_t *reporter, int32_t count)
 {
+  for (int32_t i = 0; i < count; i++)
+    bt_free (reporter->ctx, reporter->queue[i].value);
   reporter->count -= count;
-  memmove (&reporter->queue[first], &reporter->queue[first + count],
-           (size_t)(reporter->count - first) * sizeof *reporter->queue);
+  memmove (&reporter->queue[0], &reporter->queue[count],
+           (size_t)reporter->count * sizeof *reporter->queue);
 }
 
 static void
-fill_write (const bt_crash_reporter_t *reporter, const report_t *report, bt_kv_write_t *write)
+fill_write (const report_t *report, bt_kv_write_t *write)
 {
   memset (write, 0, sizeof *write);
-  write->kind = report->update.kind == BT_CRASH_PUBLISH ? BT_KV_PUT : BT_KV_DELETE;
+  write->kind = report->value == NULL ? BT_KV_DELETE : BT_KV_PUT;
   write->key = report->key;
-  if (report->update.kind == BT_CRASH_PUBLISH)
-    {
-      write->value =
-          bt_write_crash_value (reporter->ctx, &report->update.crash, reporter->instance);
-      write->value_bytes = strlen (write->value);
-    }
+  write->value = report->value;
+  write->value_bytes = report->value == NULL ? 0 : strlen (report->value);
+}
+
+static bool
+has_key (const report_t *reports, int32_t count, const char *key)
+{
+  for (int32_t i = 0; i < count; i++)
+    if (strcmp (reports[i].key, key) == 0)
+      return true;
+  return false;
 }
 
-/* Counts the reports at the head of the queue that are of one kind, up to the limit of one
- * transaction. A key occurs only once among them. */
+/* Counts the reports at the head of the queue that one transaction takes: all of one kind, and no
+ * key twice. */
 static int32_t
 count_batch (const bt_crash_reporter_t *reporter)
 {
+  const report_t *queue = reporter->queue;
   int32_t count = 1;
 
   while (count < reporter->count && count < MAX_WRITES
-         && reporter->queue[count].update.kind == reporter->queue[0].update.kind)
+         && (queue[count].value == NULL) == (queue[0].value == NULL)
+         && !has_key (queue, count, queue[count].key))
     count++;
   return count;
 }
@@ -116,14 +120,10 @@
   bt_kv_write_t writes[MAX_WRITES];
   bt_kv_txn_t txn = { .writes = writes, .write_count = count };
   bt_kv_txn_result_t result;
-  bool written;
 
   for (int32_t i = 0; i < count; i++)
-    fill_write (reporter, &batch[i], &writes[i]);
-  written = bt_commit_kv (reporter->ctx, reporter->kv, &txn, &result, error);
-  for (int32_t i = 0; i < count; i++)
-    bt_free (reporter->ctx, (void *)writes[i].value);
-  return written;
+    fill_write (&batch[i], &writes[i]);
+  return bt_commit_kv (reporter->ctx, reporter->kv, &txn, &result, error);
 }
 
 /* Writes the first batch without the lock. The batch stays at the head of the queue meanwhile: new
@@ -147,7 +147,7 @@
                   "crashes", count, "given_up", expired, "message", error.message);
   pthread_mutex_lock (&reporter->lock);
   if (done || expired)
-    remove_reports (reporter, 0, count);
+    remove_reports (reporter, count);
   else if (!reporter->stopping)
     bt_wait_condition (&reporter->changed, &reporter->lock, FAILED_PAUSE_MS);
 }
@@ -167,37 +167,52 @@
   return NULL;
 }
 
-/* Returns true if the latest queued report for the same key is of the same kind. */
+/* Returns true if the latest queued report for a key says the same. */
 static bool
-is_queued (const bt_crash_reporter_t *reporter, const report_t *report)
+is_queued (const bt_crash_reporter_t *reporter, const char *key, const char *value)
 {
   for (int32_t i = reporter->count - 1; i >= 0; i--)
-    if (strcmp (reporter->queue[i].key, report->key) == 0)
-      return reporter->queue[i].update.kind == report->update.kind;
+    {
+      const report_t *report = &reporter->queue[i];
+
+      if (strcmp (report->key, key) != 0)
+        continue;
+      if (report->value == NULL || value == NULL)
+        return report->value == value;
+      return strcmp (report->value, value) == 0;
+    }
   return false;
 }
 
-void
-bt_report_crash (bt_crash_reporter_t *reporter, const bt_crash_update_t *update)
+/* Crashes are rare, so the thread and the queue are only created for the first one. */
+static void
+start_reporter (bt_crash_reporter_t *reporter)
 {
-  report_t report = { .update = *update, .queued_ms = bt_now_ms (reporter->ctx) };
-  bool queued;
-  bool full;
-
-  bt_write_crash_key (&update->crash, report.key);
-  pthread_mutex_lock (&reporter->lock);
-  /* Crashes are rare, so the thread and the queue are only created for the first one. */
   if (reporter->queue == NULL)
     reporter->queue = bt_calloc (reporter->ctx, MAX_QUEUED, sizeof *reporter->queue);
   if (!reporter->running)
     reporter->running =
         bt_start_store_thread (reporter->ctx, &reporter->thread, run_reporter, reporter);
-  queued = is_queued (reporter, &report);
+}
+
+void
+bt_report_crash_item (bt_crash_reporter_t *reporter, const char *key, char *value)
+{
+  report_t report = { .value = value, .queued_ms = bt_now_ms (reporter->ctx) };
+  bool queued;
+  bool full;
+
+  snprintf (report.key, sizeof report.key, "%s", key);
+  pthread_mutex_lock (&reporter->lock);
+  start_reporter (reporter);
+  queued = is_queued (reporter, report.key, value);
   full = !queued && reporter->count == MAX_QUEUED;
   if (!queued && !full)
     reporter->queue[reporter->count++] = report;
   pthread_cond_signal (&reporter->changed);
   pthread_mutex_unlock (&reporter->lock);
+  if (queued || full)
+    bt_free (reporter->ctx, value);
   if (full)
     bt_report_limit (reporter->ctx, "crash-reports", MAX_QUEUED, report.key,
                      "The other instances are not notified of it.");
@@ -216,6 +231,7 @@
   if (reporter->running)
     pthread_join (reporter->thread, NULL);
   bt_drop_kv (ctx, reporter->kv);
+  remove_reports (reporter, reporter->count);
   bt_free (ctx, reporter->queue);
   pthread_cond_destroy (&reporter->changed);
   pthread_mutex_destroy (&reporter->lock);
--- a/source/gateway/forward.c
+++ b/source/gateway/forward.c
@@ -270,7 +270,7 @@
 admit (bt_forward_t *forward)
 {
   bt_gateway_t *gateway = forward->gateway;
-  int64_t retry_after_ms;
+  int64_t retry_after_ms = 0;
   int64_t now_ms = bt_get_loop_ms (gateway->loop);
   bt_admission_request_t request = {
     .id = forward->id,
@@ -419,10 +419,23 @@
     }
   if (reason != BT_REASON_NONE)
     bt_refuse_forward (forward, reason, get_unadmitted_retry_ms (reason));
-  else
+  else if (!bt_await_part_trial (forward))
     admit (forward);
 }
 
+void
+bt_handle_part_trial (bt_gateway_t *gateway, uint64_t id, bool granted)
+{
+  bt_forward_t *forward = find_forward (gateway, id);
+
+  if (forward == NULL)
+    return;
+  forward->awaits_part_trial = false;
+  forward->is_part_trial = granted;
+  admit (forward);
+  bt_dispatch_queued_forwards (gateway);
+}
+
 void
 bt_abandon_forward (bt_gateway_t *gateway, bt_frontend_call_t *call)
 {
--- a/source/gateway/forward.h
+++ b/source/gateway/forward.h
@@ -53,6 +53,9 @@
   bool has_fingerprint;     /**< The fingerprint has been computed. */
   bt_prompt_parts_t *parts; /**< Shared parts of the prompt; NULL: unknown or not read. */
   bool has_read_parts;      /**< The parts have been read. */
+  bool awaits_part_trial;   /**< It is not admitted before it is the trial of a held part. */
+  bool is_part_trial;       /**< Its next attempt is the trial of a held part. */
+  bool was_part_trial;      /**< An attempt was the trial of a held part. */
   bool is_crash_trial;      /**< It runs although endpoints ended while running it before. */
   int64_t arrived_ms;
   int64_t deadline_ms; /**< When the caller's or the rule's time limit ends, whichever is first. */
@@ -101,6 +104,24 @@
  * or BT_REASON_NONE. It may be sent again after @p retry_after_ms. */
 bt_reason_t bt_check_forward_crashing (bt_forward_t *forward, int64_t *retry_after_ms);
 
+/** Returns true if the request waits for the trial of the one held part of its prompt, which it has
+ * asked for. */
+bool bt_await_part_trial (bt_forward_t *forward);
+
+/** Returns the reason for which the request is to be refused because of a part of its prompt, or
+ * BT_REASON_NONE. It may be sent again after @p retry_after_ms. */
+bt_reason_t bt_check_forward_parts (bt_forward_t *forward, int64_t *retry_after_ms);
+
+/** Returns true if a part of the prompt was found to crash endpoints, while an endpoint has not
+ * begun to answer the request. */
+bool bt_must_end_for_part (bt_forward_t *forward);
+
+/** Reports that the endpoint broke off the present attempt. */
+void bt_report_broken_forward (bt_forward_t *forward);
+
+/** Reports that the endpoint has answered the present attempt completely. */
+void bt_report_answered_forward (bt_forward_t *forward);
+
 /** Notes that the request is about to run, if endpoints ended while running it before. */
 void bt_note_crash_trial (bt_forward_t *forward);
 
--- a/source/gateway/forward_crashes.c
+++ b/source/gateway/forward_crashes.c
@@ -69,8 +69,10 @@
                 bt_get_exchange_error (forward->exchange), "begun", bt_has_attempt_begun (forward),
                 "parts", parts);
   /* An endpoint that leaves as planned may break off what it has not finished in time. */
-  if (listed == NULL || !listed->leaving)
-    bt_add_crash_suspect (gateway->crashes, &attempt, listed == NULL ? "" : listed->address);
+  if (listed != NULL && listed->leaving)
+    return;
+  bt_report_broken_forward (forward);
+  bt_add_crash_suspect (gateway->crashes, &attempt, listed == NULL ? "" : listed->address);
 }
 
 void
@@ -78,6 +80,7 @@
 {
   bt_crash_t attempt;
 
+  bt_report_answered_forward (forward);
   if (!bt_has_crash_suspects (forward->gateway->crashes))
     return;
   attempt = describe_attempt (forward);
@@ -98,9 +101,12 @@
 bt_check_forward_crashing (bt_forward_t *forward, int64_t *retry_after_ms)
 {
   bt_gateway_t *gateway = forward->gateway;
+  bt_reason_t part_reason = bt_check_forward_parts (forward, retry_after_ms);
   bt_crash_verdict_t verdict;
   char text[BT_FINGERPRINT_TEXT_BYTES];
 
+  if (part_reason != BT_REASON_NONE)
+    return part_reason;
   if (forward->is_crash_trial || !bt_has_known_crashes (gateway->crashes))
     return BT_REASON_NONE;
   verdict =
@@ -133,6 +139,13 @@
                 forward->info.request_id, "fingerprint", text);
 }
 
+/* Returns true if the request is in the admission queue. */
+static bool
+is_in_admission (const bt_forward_t *forward)
+{
+  return forward->state == BT_FORWARD_QUEUED && !forward->awaits_part_trial;
+}
+
 /* Without this call, queued requests would be refused only once there is capacity for them. */
 void
 bt_refuse_crashing_forwards (bt_gateway_t *gateway)
@@ -141,17 +154,20 @@
   bt_reason_t reason;
   int64_t retry_after_ms;
 
-  if (!bt_has_known_crashes (gateway->crashes))
+  if (!bt_has_known_crashes (gateway->crashes) && !bt_has_listed_parts (gateway->parts))
     return;
   for (bt_forward_t *forward = gateway->first_forward; forward != NULL; forward = next)
     {
       next = forward->next;
-      if (forward->state != BT_FORWARD_QUEUED)
-        continue;
-      reason = bt_check_forward_crashing (forward, &retry_after_ms);
-      if (reason == BT_REASON_NONE)
-        continue;
-      bt_cancel_admission (gateway->admission, forward->id);
-      bt_refuse_forward (forward, reason, retry_after_ms);
+      if (bt_must_end_for_part (forward))
+        bt_refuse_forward (forward, BT_REASON_ENDED_FOR_PART, 0);
+      else if (is_in_admission (forward))
+        {
+          reason = bt_check_forward_crashing (forward, &retry_after_ms);
+          if (reason == BT_REASON_NONE)
+            continue;
+          bt_cancel_admission (gateway->admission, forward->id);
+          bt_refuse_forward (forward, reason, retry_after_ms);
+        }
     }
 }
--- a/source/gateway/forward_notices.c
+++ b/source/gateway/forward_notices.c
@@ -120,6 +120,17 @@
   bt_publish_notices (gateway);
 }
 
+/* The endpoint ran when it received this request, and so it had survived all that it had begun. */
+static void
+note_survival (bt_forward_t *forward)
+{
+  bt_part_control_t *control = forward->gateway->parts;
+
+  if (bt_needs_part_answers (control) && (forward->answer.marked || forward->answer.not_run)
+      && !answers_other_request (forward))
+    bt_report_part_survival (control, &forward->route.identity, forward->sent_ms);
+}
+
 void
 bt_note_answer_head (bt_forward_t *forward)
 {
@@ -134,4 +145,5 @@
   note_limit (forward);
   note_rest (forward, status);
   note_leaving (forward);
+  note_survival (forward);
 }
--- a/source/gateway/forward_parts.c
+++ b/source/gateway/forward_parts.c
@@ -1,11 +1,14 @@
 #include <strings.h>
 
+#include "bilberrytray/base/event_log.h"
 #include "forward.h"
 
 enum
 {
   /* Events of an attempt that show that its endpoint survived the beginning of the answer. */
   BEGUN_EVENTS = 2,
+  MIN_SUCCESS_STATUS = 200,
+  MAX_SUCCESS_STATUS = 299,
 };
 
 static void
@@ -78,3 +81,103 @@
       bytes += BT_FINGERPRINT_TEXT_BYTES - 1;
     }
 }
+
+/* Judges the request by its parts, unless its next attempt is a trial. */
+static bt_part_verdict_t
+judge (bt_forward_t *forward, bt_part_judgement_t *judgement)
+{
+  bt_part_control_t *control = forward->gateway->parts;
+
+  judgement->verdict = BT_PART_RUN;
+  if (!forward->is_part_trial && bt_has_listed_parts (control))
+    bt_check_parts (control, bt_get_forward_parts (forward), forward->app, judgement);
+  return judgement->verdict;
+}
+
+static void
+log_judgement (const bt_forward_t *forward, const char *event, const bt_part_judgement_t *judgement)
+{
+  char text[BT_FINGERPRINT_TEXT_BYTES];
+
+  bt_write_fingerprint (&judgement->part, text);
+  bt_log_event (forward->gateway->ctx, BT_LOG_INFO, event, "{s:s, s:s, s:i}", "request",
+                forward->info.request_id, "part", text, "ends", judgement->ends);
+}
+
+bool
+bt_await_part_trial (bt_forward_t *forward)
+{
+  bt_part_judgement_t judgement;
+
+  if (judge (forward, &judgement) != BT_PART_TRY
+      || !bt_ask_part_trial (forward->gateway->parts, &judgement.part, forward->id))
+    return false;
+  forward->awaits_part_trial = true;
+  log_judgement (forward, "part-trial", &judgement);
+  return true;
+}
+
+bt_reason_t
+bt_check_forward_parts (bt_forward_t *forward, int64_t *retry_after_ms)
+{
+  bt_part_judgement_t judgement;
+
+  if (judge (forward, &judgement) == BT_PART_RUN)
+    return BT_REASON_NONE;
+  *retry_after_ms = judgement.retry_after_ms;
+  log_judgement (forward, "part-refused", &judgement);
+  return BT_REASON_PART_CRASHES_ENDPOINTS;
+}
+
+bool
+bt_must_end_for_part (bt_forward_t *forward)
+{
+  bt_part_judgement_t judgement;
+
+  if (forward->state != BT_FORWARD_SENT || forward->exchange == NULL || forward->was_part_trial
+      || forward->events.events > forward->events_before)
+    return false;
+  return judge (forward, &judgement) == BT_PART_REFUSE;
+}
+
+static bt_part_attempt_t
+describe_attempt (bt_forward_t *forward)
+{
+  bt_part_attempt_t attempt = { .endpoint = forward->route.identity };
+
+  bt_get_forward_parts (forward);
+  attempt.parts = forward->parts;
+  attempt.begun = bt_has_attempt_begun (forward);
+  attempt.at_start = !attempt.begun;
+  bt_copy_name (attempt.app, forward->app);
+  return attempt;
+}
+
+void
+bt_report_broken_forward (bt_forward_t *forward)
+{
+  bt_part_attempt_t attempt = describe_attempt (forward);
+
+  bt_report_broken_parts (forward->gateway->parts, &attempt);
+}
+
+void
+bt_report_answered_forward (bt_forward_t *forward)
+{
+  bt_part_control_t *control = forward->gateway->parts;
+  int32_t status = bt_get_exchange_status (forward->exchange);
+
+  /* Other answers do not show that the endpoint began to run the request. */
+  if (bt_needs_part_answers (control) && forward->answer.marked && status >= MIN_SUCCESS_STATUS
+      && status <= MAX_SUCCESS_STATUS)
+    bt_report_answered_parts (control, bt_get_forward_parts (forward));
+}
+
+void
+bt_clear_begun_forwards (bt_gateway_t *gateway)
+{
+  for (bt_forward_t *forward = gateway->first_forward; forward != NULL; forward = forward->next)
+    if (forward->exchange != NULL && bt_has_attempt_begun (forward)
+        && bt_has_listed_parts (gateway->parts))
+      bt_report_answered_parts (gateway->parts, bt_get_forward_parts (forward));
+}
--- a/source/gateway/forward_send.c
+++ b/source/gateway/forward_send.c
@@ -373,6 +373,8 @@
   forward->sent_ms = now_ms;
   forward->events_before = forward->events.events;
   bt_note_crash_trial (forward);
+  forward->was_part_trial = forward->was_part_trial || forward->is_part_trial;
+  forward->is_part_trial = false;
   forward->tried[forward->sends++] = forward->route.identity;
   bt_record_dispatch (gateway->router, &forward->route, 0, now_ms);
   bt_send_exchange (forward->exchange);
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -159,6 +159,8 @@
   for (int32_t i = 0; i < gateway->budget_count; i++)
     bt_set_retry_reserve (gateway->budgets[i].budget, get_retry_reserve (gateway));
   bt_set_listed_crashes (gateway->crashes, view);
+  if (bt_set_listed_parts (gateway->parts, view))
+    bt_clear_begun_forwards (gateway);
   bt_refuse_crashing_forwards (gateway);
   apply_endpoints (gateway);
   bt_publish_notices (gateway);
@@ -333,14 +335,37 @@
   gateway->endpoint_status = bt_new_endpoint_status (gateway->ctx);
 }
 
+static void
+handle_part_trial (bt_part_control_handler_t *handler, uint64_t request, bool granted)
+{
+  bt_handle_part_trial ((bt_gateway_t *)((char *)handler - offsetof (bt_gateway_t, trial_handler)),
+                        request, granted);
+}
+
+static void
+create_part_control (bt_gateway_t *gateway)
+{
+  bt_part_control_options_t options = {
+    .platform = gateway->platform,
+    .store = gateway->settings->store,
+    .instance = gateway->settings->instance,
+    .reporter = gateway->crash_reporter,
+    .outages = gateway->outages,
+    .handler = &gateway->trial_handler,
+  };
+
+  gateway->trial_handler.on_trial = handle_part_trial;
+  gateway->parts = bt_new_part_control (gateway->ctx, gateway->loop, &options);
+}
+
 static void
 create_crash_control (bt_gateway_t *gateway)
 {
   const bt_gateway_settings_t *settings = gateway->settings;
   bt_crash_control_options_t options = {
-    .platform = gateway->platform,
-    .store = settings->store,
     .instance = settings->instance,
+    .reporter = gateway->crash_reporter,
+    .parts = gateway->parts,
     .max_ends = settings->crash_ends,
     .hold_ms = settings->crash_hold_s * MS_PER_S,
     .keep_ms = settings->crash_keep_s * MS_PER_S,
@@ -405,6 +430,8 @@
     }
   gateway->exchanges = bt_new_exchange_pool (ctx, gateway->loop, &limits);
   create_load_control (gateway);
+  gateway->crash_reporter = bt_new_crash_reporter (ctx, platform, settings->store);
+  create_part_control (gateway);
   create_crash_control (gateway);
   if (!start_store_follower (gateway, error))
     {
@@ -425,6 +452,7 @@
     return NULL;
   bt_print_follower_status (gateway->follower, out);
   bt_print_endpoint_status (gateway->endpoint_status, bt_now_ms (gateway->ctx), out);
+  bt_print_part_status (gateway->parts, out);
   fclose (out);
   return text;
 }
@@ -452,6 +480,8 @@
   bt_drop_leaving_notice (ctx, gateway->notice);
   bt_drop_store_follower (ctx, gateway->follower);
   bt_drop_crash_control (ctx, gateway->crashes);
+  bt_drop_part_control (ctx, gateway->parts);
+  bt_drop_crash_reporter (ctx, gateway->crash_reporter);
   bt_drop_exchange_pool (ctx, gateway->exchanges);
   bt_drop_group_limiters (gateway);
   bt_drop_endpoint_selection (ctx, gateway->selection);
--- a/source/gateway/gateway_private.h
+++ b/source/gateway/gateway_private.h
@@ -19,6 +19,7 @@
 #include "group_control.h"
 #include "http_frontend.h"
 #include "leaving_notice.h"
+#include "part_control.h"
 #include "stop_plan.h"
 #include "store_follower.h"
 #include "timings.h"
@@ -69,7 +70,10 @@
   bt_endpoint_table_t *endpoints;
   bt_endpoint_selection_t *selection;
   bt_endpoint_status_t *endpoint_status;
+  bt_crash_reporter_t *crash_reporter;
   bt_crash_control_t *crashes;
+  bt_part_control_t *parts;
+  bt_part_control_handler_t trial_handler;
   bt_fingerprint_key_t fingerprint_key;
   bt_agent_links_t *agents;
   bt_group_control_t *groups;
@@ -124,9 +128,16 @@
  * served in time. */
 void bt_dispatch_queued_forwards (bt_gateway_t *gateway);
 
-/** Refuses the queued requests that are known to crash endpoints. */
+/** Refuses the queued requests that are known to crash endpoints, and ends those at an endpoint
+ * that has not begun to answer if a part of their prompt was found to crash endpoints. */
 void bt_refuse_crashing_forwards (bt_gateway_t *gateway);
 
+/** Clears the parts of the prompts of all requests that endpoints have begun to answer. */
+void bt_clear_begun_forwards (bt_gateway_t *gateway);
+
+/** Sends or refuses the request that waited for the trial of a part of its prompt. */
+void bt_handle_part_trial (bt_gateway_t *gateway, uint64_t id, bool granted);
+
 /** Returns true when this instance is leaving and no caller can still hold a cached address answer
  * that names it. */
 bool bt_is_gateway_closing (const bt_gateway_t *gateway);
--- /dev/null
+++ b/source/gateway/part_items.c
@@ -0,0 +1,192 @@
+#include "part_items.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum
+{
+  BASE_TEN = 10,
+  HEX_BASE = 16,
+  HASH_DIGITS = 16,
+  /* More trials are no valid number. */
+  MAX_TRIALS_READ = 1000000,
+};
+
+const char *const bt_part_end_prefix = "bilberrytray/part-ends/";
+const char *const bt_part_mark_prefix = "bilberrytray/part-marks/";
+
+static uint64_t
+hash_name (const char *name)
+{
+  return bt_hash_bytes (name, strlen (name), 0);
+}
+
+/* Writes "STARTED/REPORTER/ENDPOINT" after the prefix. The endpoint comes last because its name may
+ * contain any character but a space; the reporter's name is hashed. */
+void
+bt_write_part_end_key (const bt_part_end_t *end, char key[BT_CRASH_KEY_BYTES])
+{
+  snprintf (key, BT_CRASH_KEY_BYTES, "%s%" PRIu64 "/%016" PRIx64 "/%s", bt_part_end_prefix,
+            end->endpoint.incarnation, hash_name (end->reporter), end->endpoint.instance);
+}
+
+static bool
+read_end_key (const char *key, bt_part_end_t *end, uint64_t *reporter)
+{
+  const char *at = key + strlen (bt_part_end_prefix);
+  char *after;
+
+  if (at[0] < '0' || at[0] > '9')
+    return false;
+  end->endpoint.incarnation = strtoull (at, &after, BASE_TEN);
+  if (after[0] != '/' || strspn (after + 1, "0123456789abcdef") != HASH_DIGITS
+      || after[1 + HASH_DIGITS] != '/')
+    return false;
+  *reporter = strtoull (after + 1, &after, HEX_BASE);
+  if (after[1] == '\0' || strlen (after + 1) >= sizeof end->endpoint.instance)
+    return false;
+  bt_copy_name (end->endpoint.instance, after + 1);
+  return true;
+}
+
+static char *
+write_object (bt_context_t *ctx, json_t *object)
+{
+  char *text = json_dumps (object, JSON_COMPACT);
+  char *copy = bt_strdup (ctx, text);
+
+  json_decref (object);
+  free (text);
+  return copy;
+}
+
+char *
+bt_write_part_end_value (bt_context_t *ctx, const bt_part_end_t *end)
+{
+  json_t *parts = json_array ();
+
+  for (int32_t i = 0; i < end->count; i++)
+    {
+      char text[BT_FINGERPRINT_TEXT_BYTES];
+
+      bt_write_fingerprint (&end->parts[i], text);
+      json_array_append_new (parts, json_string (text));
+    }
+  return write_object (ctx,
+                       json_pack ("{s:s, s:s, s:I, s:o}", "instance", end->reporter, "app",
+                                  end->app, "ended_ms", (json_int_t)end->ended_ms, "parts", parts));
+}
+
+static bool
+copy_name (char target[BT_NAME_BYTES], const json_t *object, const char *field)
+{
+  const char *text = json_string_value (json_object_get (object, field));
+
+  if (text == NULL || text[0] == '\0' || strlen (text) >= BT_NAME_BYTES)
+    return false;
+  bt_copy_name (target, text);
+  return true;
+}
+
+static bool
+read_part (const json_t *text, bt_fingerprint_t *part)
+{
+  return json_is_string (text) && json_string_length (text) == BT_FINGERPRINT_TEXT_BYTES - 1
+         && bt_read_fingerprint (json_string_value (text), part);
+}
+
+/* Reads the parts, which must be sorted and distinct, as they are written. */
+static bool
+read_parts (bt_context_t *ctx, const json_t *list, bt_part_end_t *end)
+{
+  size_t count = json_array_size (list);
+
+  if (!json_is_array (list) || count > BT_MAX_END_PARTS)
+    return false;
+  end->parts = count == 0 ? NULL : bt_calloc (ctx, count, sizeof *end->parts);
+  for (size_t i = 0; i < count; i++)
+    if (!read_part (json_array_get (list, i), &end->parts[i])
+        || (i > 0 && bt_compare_fingerprints (&end->parts[i - 1], &end->parts[i]) >= 0))
+      {
+        bt_free (ctx, end->parts);
+        end->parts = NULL;
+        return false;
+      }
+  end->count = (int32_t)count;
+  return true;
+}
+
+bool
+bt_read_part_end (
+    bt_context_t *ctx, const char *key, const char *text, size_t bytes, bt_part_end_t *end)
+{
+  json_t *object = json_loadb (text, bytes, 0, NULL);
+  uint64_t reporter;
+  bool valid;
+
+  memset (end, 0, sizeof *end);
+  end->ended_ms = json_integer_value (json_object_get (object, "ended_ms"));
+  valid = read_end_key (key, end, &reporter) && copy_name (end->reporter, object, "instance")
+          && copy_name (end->app, object, "app") && hash_name (end->reporter) == reporter
+          && end->ended_ms > 0 && read_parts (ctx, json_object_get (object, "parts"), end);
+  json_decref (object);
+  return valid;
+}
+
+void
+bt_write_part_mark_key (const bt_part_mark_t *mark, char key[BT_CRASH_KEY_BYTES])
+{
+  char text[BT_FINGERPRINT_TEXT_BYTES];
+
+  bt_write_fingerprint (&mark->part, text);
+  snprintf (key, BT_CRASH_KEY_BYTES, "%s%s", bt_part_mark_prefix, text);
+}
+
+char *
+bt_write_part_mark_value (bt_context_t *ctx, const bt_part_mark_t *mark)
+{
+  return write_object (ctx, json_pack ("{s:I, s:i, s:I}", "cleared_ms",
+                                       (json_int_t)mark->cleared_ms, "trials", (int)mark->trials,
+                                       "trial_ms", (json_int_t)mark->trial_ms));
+}
+
+/* Reads a whole number from 0 to @p most, 0 if the field is missing. */
+static bool
+read_number (const json_t *object, const char *field, int64_t most, int64_t *number)
+{
+  const json_t *value = json_object_get (object, field);
+
+  *number = json_integer_value (value);
+  return value == NULL || (json_is_integer (value) && *number >= 0 && *number <= most);
+}
+
+bool
+bt_read_part_mark (const char *key, const char *text, size_t bytes, bt_part_mark_t *mark)
+{
+  const char *part = key + strlen (bt_part_mark_prefix);
+  json_t *object = json_loadb (text, bytes, 0, NULL);
+  int64_t trials = 0;
+  bool valid;
+
+  memset (mark, 0, sizeof *mark);
+  valid = json_is_object (object)
+          && read_number (object, "cleared_ms", INT64_MAX, &mark->cleared_ms)
+          && read_number (object, "trials", MAX_TRIALS_READ, &trials)
+          && read_number (object, "trial_ms", INT64_MAX, &mark->trial_ms)
+          && bt_read_fingerprint (part, &mark->part) && part[BT_FINGERPRINT_TEXT_BYTES - 1] == '\0';
+  mark->trials = (int32_t)trials;
+  json_decref (object);
+  return valid;
+}
+
+void
+bt_clear_part_list (bt_context_t *ctx, bt_part_list_t *list)
+{
+  for (int32_t i = 0; i < list->end_count; i++)
+    bt_free (ctx, list->ends[i].end.parts);
+  bt_free (ctx, list->ends);
+  bt_free (ctx, list->marks);
+}
--- a/source/gateway/retention.c
+++ b/source/gateway/retention.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "crash_items.h"
+#include "part_items.h"
 #include "view.h"
 
 enum
@@ -47,7 +48,8 @@
     return (retention_rule_t){ .removed_ms = REMOVED_ENDPOINT_MS };
   if (starts_with (key, bt_entry_prefix))
     return (retention_rule_t){ .missing_ms = MISSING_ENTRY_MS };
-  if (starts_with (key, bt_crash_prefix))
+  if (starts_with (key, bt_crash_prefix) || starts_with (key, bt_part_end_prefix)
+      || starts_with (key, bt_part_mark_prefix))
     return (retention_rule_t){ .removed_ms = INT64_MAX };
   return (retention_rule_t){ 0 };
 }
--- a/source/gateway/view.c
+++ b/source/gateway/view.c
@@ -10,6 +10,7 @@
 #include "bilberrytray/base/event_log.h"
 #include "bilberrytray/base/name_index.h"
 #include "crash_items.h"
+#include "part_items.h"
 
 enum
 {
@@ -302,6 +303,38 @@
   view->crashes[view->crash_count++] = listed;
 }
 
+static void
+read_part_end (view_draft_t *draft, const bt_kv_pair_t *pair)
+{
+  bt_part_list_t *parts = &draft->view->parts;
+  bt_listed_part_end_t listed = { .revision = pair->mod_revision };
+
+  if (!bt_read_part_end (draft->ctx, pair->key, pair->value, pair->value_bytes, &listed.end))
+    {
+      skip_item (draft, pair, "part-unreadable", "It does not describe the end of an endpoint.");
+      return;
+    }
+  parts->ends =
+      bt_realloc (draft->ctx, parts->ends, (size_t)parts->end_count + 1, sizeof *parts->ends);
+  parts->ends[parts->end_count++] = listed;
+}
+
+static void
+read_part_mark (view_draft_t *draft, const bt_kv_pair_t *pair)
+{
+  bt_part_list_t *parts = &draft->view->parts;
+  bt_listed_part_mark_t listed = { .revision = pair->mod_revision };
+
+  if (!bt_read_part_mark (pair->key, pair->value, pair->value_bytes, &listed.mark))
+    {
+      skip_item (draft, pair, "part-unreadable", "It does not describe the mark of a part.");
+      return;
+    }
+  parts->marks =
+      bt_realloc (draft->ctx, parts->marks, (size_t)parts->mark_count + 1, sizeof *parts->marks);
+  parts->marks[parts->mark_count++] = listed;
+}
+
 static void
 read_evacuation (view_draft_t *draft, const bt_platform_t *platform, const bt_kv_pair_t *pair)
 {
@@ -329,6 +362,10 @@
     }
   else if (starts_with (pair->key, bt_crash_prefix))
     read_listed_crash (draft, pair);
+  else if (starts_with (pair->key, bt_part_end_prefix))
+    read_part_end (draft, pair);
+  else if (starts_with (pair->key, bt_part_mark_prefix))
+    read_part_mark (draft, pair);
   else if (starts_with (pair->key, platform->evacuation_prefix))
     read_evacuation (draft, platform, pair);
   else if (strcmp (pair->key, leader_key) == 0 && pair->value_bytes < sizeof view->leader)
@@ -457,6 +494,7 @@
   bt_free (ctx, view->endpoints);
   bt_free (ctx, view->entries);
   bt_free (ctx, view->crashes);
+  bt_clear_part_list (ctx, &view->parts);
   bt_clear_evacuations (ctx, &view->evacuations);
   for (int32_t i = 0; i < view->skipped_count; i++)
     bt_free (ctx, view->skipped[i].key);
--- a/source/gateway/view.h
+++ b/source/gateway/view.h
@@ -3,11 +3,13 @@
 
 /** @file
  * A decoded snapshot of the platform's store at one revision: the configuration, the endpoints, the
- * entry instances, the crashes and the evacuated failure domains. Immutable after creation.
+ * entry instances, the crashes, the accused parts of prompts and the evacuated failure domains.
+ * Immutable after creation.
  */
 
 #include "bilberrytray/gateway/platform.h"
 #include "bilberrytray/requests/crash_table.h"
+#include "bilberrytray/requests/part_table.h"
 #include "evacuations.h"
 
 /** The listing of an entry instance, a process that accepts callers' requests. */
@@ -45,6 +47,7 @@
   int32_t entry_count;
   bt_listed_crash_t *crashes;
   int32_t crash_count;
+  bt_part_list_t parts;
   bt_evacuations_t evacuations;
   bt_skipped_item_t *skipped; /**< Skipped items, in the order of the store's items. Each is
                                  logged once per revision. */
--- a/test/process/test_gateway_parts.c
+++ b/test/process/test_gateway_parts.c
@@ -22,7 +22,9 @@
   TOLERATED_ENDS = 5,
   STABLE_MS = 3000,
   MAX_LATE_ARRIVALS = 3,
-  RUN_MS = 13000,
+  /* Sound requests alone come first, so that the deployment is in its steady state. */
+  QUIET_MS = 2000,
+  RUN_MS = 15000,
   POISON_INTERVAL_MS = 200,
   SOUND_INTERVAL_MS = 30,
   RESTART_MS = 250,
@@ -91,6 +93,7 @@
 {
   load_t *load = argument;
 
+  bt_sleep_ms (QUIET_MS);
   while (!atomic_load (&load->stopping))
     {
       int32_t number = atomic_fetch_add (&load->next, 1);
