gateway: the end of an answer's connection does not prove that the answer is complete

What callers saw: an answer with neither a length nor chunks ends with its connection, and a process that crashes closes its connections in the same way. A stream whose endpoint ended behind the head was passed on as a complete, empty answer; and it cleared the part of the prompt at fault, so that requests with that part ended one endpoint after the other again.

Cause: the gateway's exchange took each end without an error for a complete answer.

Change: the exchange tells whether an answer is framed. A stream that ends with its connection before its first event was broken off. Any other such answer is passed on, clears no request and no part, and is kept as a suspect: if its endpoint's start is found to have ended, it counts as broken; an answer of that start to something sent later clears it.

--- a/source/gateway/exchange.c
+++ b/source/gateway/exchange.c
@@ -22,6 +22,8 @@
   MIN_BODY_CAPACITY = 1024,
   MAX_IDLE_HANDLES = 16, /* kept for reuse; creating a handle takes about 20 us */
   FIRST_FINAL_STATUS = 200,
+  NO_CONTENT_STATUS = 204,
+  NOT_MODIFIED_STATUS = 304,
 };
 
 struct bt_exchange
@@ -35,6 +37,8 @@
   bt_exchange_state_t state;
   int32_t status;
   bool head_complete;
+  bool is_head_request;
+  bool has_framing_header;
   bool is_queued;
   bool dropped;
   CURLcode code;
@@ -329,8 +333,11 @@
       queue_progress (exchange);
       return bytes;
     }
-  if (split_header (line, &value))
-    exchange->handler->vtable->on_header (exchange->handler, line, value);
+  if (!split_header (line, &value))
+    return bytes;
+  if (strcasecmp (line, "Content-Length") == 0 || strcasecmp (line, "Transfer-Encoding") == 0)
+    exchange->has_framing_header = true;
+  exchange->handler->vtable->on_header (exchange->handler, line, value);
   return bytes;
 }
 
@@ -402,6 +409,7 @@
   exchange->handler = handler;
   exchange->target = bt_strdup (ctx, request->target);
   exchange->answer_bytes = request->answer_bytes;
+  exchange->is_head_request = strcmp (request->method, "HEAD") == 0;
   exchange->curl =
       pool->idle_count > 0 ? pool->idle_handles[--pool->idle_count] : curl_easy_init ();
   set_options (exchange, request);
@@ -461,6 +469,13 @@
   return exchange->state;
 }
 
+bool
+bt_is_exchange_framed (const bt_exchange_t *exchange)
+{
+  return exchange->has_framing_header || exchange->is_head_request
+         || exchange->status == NO_CONTENT_STATUS || exchange->status == NOT_MODIFIED_STATUS;
+}
+
 int32_t
 bt_get_exchange_status (const bt_exchange_t *exchange)
 {
--- a/source/gateway/exchange.h
+++ b/source/gateway/exchange.h
@@ -21,7 +21,7 @@
 typedef enum bt_exchange_state
 {
   BT_EXCHANGE_OPEN = 0, /**< In progress. */
-  BT_EXCHANGE_COMPLETE, /**< The complete answer has arrived. */
+  BT_EXCHANGE_COMPLETE, /**< The complete answer has arrived; see bt_is_exchange_framed. */
   BT_EXCHANGE_UNSENT,   /**< It failed before any byte of the request was sent. */
   BT_EXCHANGE_BROKEN,   /**< The request was sent, but no complete answer arrived. */
 } bt_exchange_state_t;
@@ -79,6 +79,11 @@
 
 bt_exchange_state_t bt_get_exchange_state (const bt_exchange_t *exchange);
 
+/** Returns false if the end of the connection ends the answer, which has neither a length nor
+ * chunks. A process that ends closes its connections in the same way, so that such an answer may be
+ * incomplete. */
+bool bt_is_exchange_framed (const bt_exchange_t *exchange);
+
 /** Returns the status code of the answer; 0 until its head is complete. */
 int32_t bt_get_exchange_status (const bt_exchange_t *exchange);
 
--- a/source/gateway/forward_crashes.c
+++ b/source/gateway/forward_crashes.c
@@ -75,11 +75,35 @@
   bt_add_crash_suspect (gateway->crashes, &attempt, listed == NULL ? "" : listed->address);
 }
 
+/* Records an answer that ended with its connection. It proves nothing until its endpoint answers
+ * something else: the process may have ended there. Where that is likely, it is looked into. */
+static void
+record_unproved_answer (bt_forward_t *forward)
+{
+  bt_gateway_t *gateway = forward->gateway;
+  const bt_listed_endpoint_t *listed =
+      bt_find_listed_endpoint (gateway->endpoints, forward->route.identity.instance);
+  bt_crash_t attempt;
+
+  if (listed == NULL || listed->leaving)
+    return;
+  bt_report_broken_forward (forward);
+  if (bt_has_attempt_begun (forward) || !bt_has_listed_parts (gateway->parts))
+    return;
+  attempt = describe_attempt (forward);
+  bt_add_crash_suspect (gateway->crashes, &attempt, listed->address);
+}
+
 void
 bt_record_answered_attempt (bt_forward_t *forward)
 {
   bt_crash_t attempt;
 
+  if (!bt_is_exchange_framed (forward->exchange))
+    {
+      record_unproved_answer (forward);
+      return;
+    }
   bt_report_answered_forward (forward);
   if (!bt_has_crash_suspects (forward->gateway->crashes))
     return;
--- a/source/gateway/forward_parts.c
+++ b/source/gateway/forward_parts.c
@@ -140,6 +140,17 @@
   return judge (forward, &judgement) == BT_PART_REFUSE;
 }
 
+/* Returns true if the answer ended after some content, be it with its connection. */
+static bool
+has_ended_with_content (const bt_forward_t *forward)
+{
+  size_t bytes;
+
+  bt_peek_exchange_body (forward->exchange, &bytes);
+  return bt_get_exchange_state (forward->exchange) == BT_EXCHANGE_COMPLETE
+         && (bytes > 0 || forward->events.events > forward->events_before);
+}
+
 static bt_part_attempt_t
 describe_attempt (bt_forward_t *forward)
 {
@@ -147,8 +158,8 @@
 
   bt_get_forward_parts (forward);
   attempt.parts = forward->parts;
-  attempt.begun = bt_has_attempt_begun (forward);
-  attempt.at_start = !attempt.begun;
+  attempt.at_start = !bt_has_attempt_begun (forward);
+  attempt.begun = !attempt.at_start || has_ended_with_content (forward);
   bt_copy_name (attempt.app, forward->app);
   return attempt;
 }
--- a/source/gateway/forward_send.c
+++ b/source/gateway/forward_send.c
@@ -249,6 +249,15 @@
                        forward->runs > 0 ? 0 : bt_draw_retry_after_ms (gateway, forward->app));
 }
 
+/* Returns true for a stream that ended with its connection before its first event. Its endpoint
+ * began to answer, and a process that ends there closes the connection in the same way. */
+static bool
+has_stream_ended_empty (const bt_forward_t *forward)
+{
+  return !bt_is_exchange_framed (forward->exchange)
+         && forward->events.events == forward->events_before;
+}
+
 /* Returns true when the answer in progress is a stream that may be forwarded before it is
  * complete. */
 static bool
@@ -329,6 +338,8 @@
     }
   else if (bt_get_exchange_state (exchange) == BT_EXCHANGE_OPEN)
     return;
+  else if (is_stream && has_stream_ended_empty (forward))
+    apply_attempt_decision (forward, BT_ATTEMPT_CUT_OFF);
   /* Only the end of a stream ends the caller's stream: the complete answer of an endpoint that
    * refuses to resume it says nothing about the events that are still to come. */
   else if (bt_get_exchange_state (exchange) == BT_EXCHANGE_COMPLETE && is_stream
--- a/test/process/test_gateway_parts.c
+++ b/test/process/test_gateway_parts.c
@@ -50,6 +50,7 @@
 {
   bt_gateway_testbed_t *testbed;
   const char *path;
+  bool unframed; /* answers end with their connections */
   atomic_bool stopping;
   atomic_int next;
   atomic_int sound;
@@ -131,19 +132,28 @@
 }
 
 static void
-restart_runner (bt_gateway_testbed_t *testbed, int32_t index)
+set_unframed (const bt_gateway_testbed_t *testbed, int32_t runner)
 {
-  CU_ASSERT_TRUE (bt_restart_runner_process (testbed, index));
-  CU_ASSERT_TRUE (bt_put_runner_item (testbed, index, "ready"));
+  CU_ASSERT_TRUE (
+      bt_set_standin_fault (testbed->runner_ports[runner], "{\"kind\":\"unframed\",\"count\":-1}"));
+}
+
+static void
+restart_runner (const load_t *load, int32_t index)
+{
+  CU_ASSERT_TRUE (bt_restart_runner_process (load->testbed, index));
+  if (load->unframed)
+    set_unframed (load->testbed, index);
+  CU_ASSERT_TRUE (bt_put_runner_item (load->testbed, index, "ready"));
 }
 
 /* Restarts the runners that have exited a short time ago, each under its id. */
 static void
-tend_runners (bt_gateway_testbed_t *testbed, crash_counts_t *counts)
+tend_runners (const load_t *load, crash_counts_t *counts)
 {
   for (int32_t i = 0; i < RUNNERS; i++)
     {
-      if (bt_reap_runner_process (testbed, i))
+      if (bt_reap_runner_process (load->testbed, i))
         {
           counts->restart_ms[i] = now () + RESTART_MS;
           counts->ends++;
@@ -153,7 +163,7 @@
       if (counts->restart_ms[i] == 0 || now () < counts->restart_ms[i])
         continue;
       counts->restart_ms[i] = 0;
-      restart_runner (testbed, i);
+      restart_runner (load, i);
     }
 }
 
@@ -187,16 +197,19 @@
 }
 
 static bool
-start_load (load_t *load, const char *path)
+start_load (load_t *load, const char *path, bool unframed)
 {
   memset (load, 0, sizeof *load);
   load->path = path;
+  load->unframed = unframed;
   load->testbed = bt_new_wide_gateway_testbed (GATEWAYS, RUNNERS, configuration);
   if (load->testbed == NULL)
     return false;
   for (int32_t i = 0; i < GATEWAYS; i++)
     if (!bt_wait_gateway_ready (load->testbed, i))
       return false;
+  for (int32_t i = 0; unframed && i < RUNNERS; i++)
+    set_unframed (load->testbed, i);
   return true;
 }
 
@@ -213,7 +226,7 @@
     pthread_create (&threads[i], NULL, send_sound, load);
   while (now () < end_ms)
     {
-      tend_runners (load->testbed, counts);
+      tend_runners (load, counts);
       if (!is_late && counts->fifth_end_ms > 0 && now () - counts->fifth_end_ms > 2 * STABLE_MS)
         {
           is_late = true;
@@ -238,13 +251,13 @@
 /* Guards against a part of prompts that crashes every endpoint, in requests that are never alike
  * and come at any gateway, beside sound requests that share their other parts. */
 static void
-check_crashing_part_is_blocked (const char *path)
+check_crashing_part_is_blocked (const char *path, bool unframed)
 {
   load_t load;
   crash_counts_t counts = { 0 };
   int32_t late = 0;
 
-  CU_ASSERT_TRUE_FATAL (start_load (&load, path));
+  CU_ASSERT_TRUE_FATAL (start_load (&load, path, unframed));
   run_load (&load, &counts);
   if (counts.fifth_end_ms > 0)
     late = count_poison_arrivals (load.testbed, counts.fifth_end_ms + STABLE_MS);
@@ -258,13 +271,34 @@
 static void
 test_part_that_crashes_lookups_is_blocked (void)
 {
-  check_crashing_part_is_blocked ("/a/lookup");
+  check_crashing_part_is_blocked ("/a/lookup", false);
 }
 
 static void
 test_part_that_crashes_streams_is_blocked (void)
 {
-  check_crashing_part_is_blocked ("/a/stream/x");
+  check_crashing_part_is_blocked ("/a/stream/x", false);
+}
+
+/* Guards against the end of a connection that is taken for a complete answer: a process that
+ * crashes closes its connections in the same way, and the part would be cleared. */
+static void
+test_part_that_crashes_unframed_streams_is_blocked (void)
+{
+  check_crashing_part_is_blocked ("/a/stream/x", true);
+}
+
+/* Guards against an empty answer that is passed on as complete, when a runner ends after the head
+ * of a stream that has neither a length nor chunks. */
+static void
+test_unframed_stream_without_events_is_no_answer (void)
+{
+  load_t load;
+
+  CU_ASSERT_TRUE_FATAL (start_load (&load, "/a/stream/x", true));
+  CU_ASSERT_EQUAL (send_prompt (&load, 0, "r-sound", "b1", 1), OK);
+  CU_ASSERT_NOT_EQUAL (send_prompt (&load, 0, "r-poison-0", "dead", 2), OK);
+  bt_drop_gateway_testbed (load.testbed, CU_get_number_of_failures () > 0);
 }
 
 int
@@ -277,6 +311,8 @@
   suite = CU_add_suite ("gateway_parts", NULL, NULL);
   CU_ADD_TEST (suite, test_part_that_crashes_lookups_is_blocked);
   CU_ADD_TEST (suite, test_part_that_crashes_streams_is_blocked);
+  CU_ADD_TEST (suite, test_part_that_crashes_unframed_streams_is_blocked);
+  CU_ADD_TEST (suite, test_unframed_stream_without_events_is_no_answer);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
--- a/test/standin/haiyun_runner/main.c
+++ b/test/standin/haiyun_runner/main.c
@@ -16,6 +16,9 @@
  *                   "fail"       answers with status 500
  *                   "cut"        cuts a stream off within an event; drops any other request
  *                   "cut-first"  like "cut", but not for resumed streams
+ *                   "unframed"   answers with neither length nor chunks, so that the end of the
+ *                                connection ends the answer. A part "dead" ends the process before
+ *                                the first event
  *                   "unmarked"   leaves out the server stamp
  *                   "late"       runs the request, but answers only after LATE_ANSWER_S seconds
  *                   "leaving"    says in its answers that it is leaving
@@ -62,7 +65,8 @@
   long next; /**< Number of the next event. */
   bool cut;
   bool crashes; /**< The process ends within the next event. */
-  bool begun;   /**< Part of that event was written. */
+  bool unframed;
+  bool begun; /**< Part of that event was written. */
 } stream_t;
 
 static const char *
@@ -111,6 +115,9 @@
   if (stream->crashes && stream->begun)
     _exit (EXIT_FAILURE);
   stream->begun = true;
+  /* Only the head is sent. */
+  if (stream->crashes && stream->unframed)
+    return 0;
   nanosleep (&pause, NULL);
   if (stream->crashes)
     return snprintf (buffer, max, "id: %ld\nda", stream->next);
@@ -122,13 +129,14 @@
 }
 
 static struct MHD_Response *
-make_stream (const bt_standin_request_t *request, bool cut, bool crashes)
+make_stream (const bt_standin_request_t *request, bool cut, bool crashes, bool unframed)
 {
   stream_t *stream = calloc (1, sizeof *stream);
 
   stream->next = strtol (get_header (request, "Last-Event-Id"), NULL, BASE_TEN) + 1;
   stream->cut = cut;
   stream->crashes = crashes;
+  stream->unframed = unframed;
   return MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, BLOCK_BYTES, read_stream, stream,
                                             free);
 }
@@ -167,6 +175,7 @@
   bool resumed = get_header (request, "Last-Event-Id")[0] != '\0';
   bool cut = strcmp (fault, "cut") == 0 || (strcmp (fault, "cut-first") == 0 && !resumed);
   bool poisoned = has_poisoned_part (request);
+  bool unframed = strcmp (fault, "unframed") == 0;
   struct timespec late = { LATE_ANSWER_S, 0 };
   char text[EVENT_BYTES];
 
@@ -184,8 +193,10 @@
     answer->status = MHD_HTTP_INTERNAL_SERVER_ERROR;
   snprintf (text, sizeof text, "answer of %s to %s", runner->id,
             get_header (request, "Bilberrytray-Attempt-Id"));
-  answer->response = stream ? make_stream (request, cut, poisoned) : make_text (text);
+  answer->response = stream ? make_stream (request, cut, poisoned, unframed) : make_text (text);
   answer->type = stream ? "text/event-stream" : "text/plain";
+  if (unframed)
+    MHD_set_response_options (answer->response, MHD_RF_HTTP_1_0_SERVER, MHD_RO_END);
   if (strcmp (fault, "unmarked") != 0)
     MHD_add_response_header (answer->response, "Bilberrytray-Server-Stamp", runner->id);
   MHD_add_response_header (answer->response, "Bilberrytray-Attempt-Id",
