--- a/source/entry/request_trace.c
+++ b/source/entry/request_trace.c
@@ -219,18 +219,51 @@
   return false;
 }
 
-/* Returns the first line of the request that names the fingerprint of its content; NULL if none
- * does. */
+/* Returns the first line of the request that has a field, such as the fingerprint of its content;
+ * NULL if none does. */
 static const trace_line_t *
-find_fingerprint (const bt_request_trace_t *trace)
+find_line_with (const bt_request_trace_t *trace, const char *field)
 {
   for (int32_t i = 0; i < trace->count; i++)
     if (is_request_line (trace, &trace->lines[i])
-        && get_text (trace->lines[i].object, "fingerprint")[0] != '\0')
+        && get_text (trace->lines[i].object, field)[0] != '\0')
       return &trace->lines[i];
   return NULL;
 }
 
+/* Returns true if a line reports an end of an endpoint that accuses the part which another line
+ * names. */
+static bool
+is_accusing_end (const bt_request_trace_t *trace,
+                 const trace_line_t *line,
+                 const trace_line_t *part)
+{
+  const char *endpoint = get_text (line->object, "endpoint");
+
+  if (strcmp (get_text (line->object, "event"), "part-end") != 0)
+    return false;
+  for (int32_t i = 0; i < trace->count; i++)
+    if (has_same_text (trace->lines[i].object, part->object, "part")
+        && strstr (get_text (trace->lines[i].object, "endpoints"), endpoint) != NULL)
+      return true;
+  return false;
+}
+
+/* Returns true if a line explains why the request was held or refused, however old it is: it is
+ * about the same content or the same part of a prompt. */
+static bool
+is_cause (const bt_request_trace_t *trace,
+          const trace_line_t *line,
+          const trace_line_t *content,
+          const trace_line_t *part)
+{
+  if (content != NULL && has_same_text (line->object, content->object, "fingerprint"))
+    return true;
+  if (part == NULL || strcmp (get_text (line->object, "event"), "part-refused") == 0)
+    return false;
+  return has_same_text (line->object, part->object, "part") || is_accusing_end (trace, line, part);
+}
+
 /* Finds the event that put the configuration that applied to the request in force on its
  * instance. */
 static const trace_line_t *
@@ -325,6 +358,7 @@
 bt_print_request_trace (bt_context_t *ctx, bt_request_trace_t *trace, FILE *out)
 {
   const trace_line_t *content;
+  const trace_line_t *part;
   int64_t from_ms = 0;
   int64_t to_ms = 0;
 
@@ -333,18 +367,15 @@
     qsort (trace->lines, (size_t)trace->count, sizeof *trace->lines, compare_lines);
   if (!find_request_interval (trace, &from_ms, &to_ms))
     return false;
-  content = find_fingerprint (trace);
+  content = find_line_with (trace, "fingerprint");
+  part = find_line_with (trace, "part");
   for (int32_t i = 0; i < trace->count; i++)
     {
       const trace_line_t *line = &trace->lines[i];
-      /* The crashes of the same content explain why it was held or refused, however old they are.
-       */
-      bool same_content =
-          content != NULL && has_same_text (line->object, content->object, "fingerprint");
       bool in_window =
           line->at_ms >= from_ms - CONTEXT_BEFORE_MS && line->at_ms <= to_ms + CONTEXT_AFTER_MS;
 
-      if (is_request_line (trace, line) || same_content
+      if (is_request_line (trace, line) || is_cause (trace, line, content, part)
           || (in_window && is_state_event (line) && is_relevant (trace, line)))
         print_line (trace, line, out);
     }
--- a/test/entry/test_request_trace.c
+++ b/test/entry/test_request_trace.c
@@ -73,6 +73,37 @@
   free (text);
 }
 
+/* Guards against a request that is refused for a part of its prompt, and whose trace does not lead
+ * to the ends that accuse the part, which other instances saw minutes earlier. */
+static void
+test_trace_of_refused_part_shows_the_ends_that_accuse_it (void)
+{
+  static const char *const lines[] = {
+    "{\"at\":\"2026-10-16T19:20:53.650Z\",\"level\":\"info\",\"instance\":\"front-2\","
+    "\"event\":\"part-end\",\"endpoint\":\"i-1\",\"ended_ms\":5,\"parts\":2}",
+    "{\"at\":\"2026-10-16T19:20:53.651Z\",\"level\":\"info\",\"instance\":\"front-2\","
+    "\"event\":\"part-end\",\"endpoint\":\"i-7\",\"ended_ms\":6,\"parts\":1}",
+    "{\"at\":\"2026-10-16T19:20:59.000Z\",\"level\":\"warning\",\"instance\":\"front-3\","
+    "\"event\":\"part-held\",\"part\":\"a90d\",\"ends\":2,\"endpoints\":\"i-1,i-2\"}",
+    "{\"at\":\"2026-10-16T19:21:39.000Z\",\"level\":\"info\",\"instance\":\"front-1\","
+    "\"event\":\"part-refused\",\"request\":\"r-1\",\"part\":\"a90d\",\"ends\":2}",
+    "{\"at\":\"2026-10-16T19:21:40.000Z\",\"level\":\"info\",\"instance\":\"front-1\","
+    "\"event\":\"part-refused\",\"request\":\"r-2\",\"part\":\"a90d\",\"ends\":2}",
+    "{\"at\":\"2026-10-16T19:21:40.001Z\",\"level\":\"warning\",\"instance\":\"front-1\","
+    "\"event\":\"request\",\"request\":\"r-2\",\"outcome\":\"not-run\",\"status\":503,"
+    "\"reason\":\"part-crashes-endpoints\",\"sends\":0,\"total_ms\":1,\"revision\":4}",
+  };
+  char *text = print_trace ("r-2", lines, 6);
+
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "front-2  part-end endpoint=\"i-1\""));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "front-3  part-held part=\"a90d\""));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "front-1  part-refused part=\"a90d\""));
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, "It was sent to no endpoint: part-crashes-endpoints"));
+  CU_ASSERT_PTR_NULL (strstr (text, "i-7"));
+  CU_ASSERT_PTR_NULL (strstr (text, "r-1"));
+  free (text);
+}
+
 int
 main (void)
 {
@@ -83,6 +114,7 @@
   suite = CU_add_suite ("request_trace", NULL, NULL);
   CU_ADD_TEST (suite, test_trace_of_held_request_shows_crashes_of_its_content);
   CU_ADD_TEST (suite, test_trace_shows_outages_as_seen_by_its_instances_only);
+  CU_ADD_TEST (suite, test_trace_of_refused_part_shows_the_ends_that_accuse_it);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
--- a/test/process/test_gateway_parts.c
+++ b/test/process/test_gateway_parts.c
@@ -301,6 +301,71 @@
   bt_drop_gateway_testbed (load.testbed, CU_get_number_of_failures () > 0);
 }
 
+/* Sends requests with the part until all gateways hold it. */
+static void
+send_until_held (load_t *load)
+{
+  crash_counts_t counts = { 0 };
+  int64_t end_ms = now () + RUN_MS;
+  bool held = false;
+
+  for (int32_t number = 0; !held && now () < end_ms; number++)
+    {
+      char id[TEXT_BYTES];
+
+      snprintf (id, sizeof id, "%s%d", poison_id, number);
+      send_prompt (load, number % GATEWAYS, id, "dead", number);
+      bt_sleep_ms (RESTART_MS + POLL_MS);
+      tend_runners (load, &counts);
+      send_prompt (load, number % GATEWAYS, "r-sound", "b1", number + RARE_PARTS);
+      held = true;
+      for (int32_t i = 0; i < GATEWAYS; i++)
+        held = held && bt_read_gateway_metric (load->testbed, i, "bilberry_held_parts") == 1;
+    }
+  CU_ASSERT_TRUE (held);
+  bt_sleep_ms (RESTART_MS);
+  tend_runners (load, &counts);
+}
+
+static void
+restart_all_gateways (bt_gateway_testbed_t *testbed)
+{
+  for (int32_t i = 0; i < GATEWAYS; i++)
+    {
+      kill (testbed->gateways[i], SIGKILL);
+      waitpid (testbed->gateways[i], NULL, 0);
+    }
+  for (int32_t i = 0; i < GATEWAYS; i++)
+    bt_start_gateway_process (testbed, i);
+  for (int32_t i = 0; i < GATEWAYS; i++)
+    CU_ASSERT_TRUE (bt_wait_gateway_ready (testbed, i));
+}
+
+/* Guards against a held part that is let through again when all gateways were killed, or that
+ * operators can't look up. */
+static void
+test_part_stays_held_when_all_gateways_die (void)
+{
+  load_t load;
+  crash_counts_t counts = { 0 };
+
+  CU_ASSERT_TRUE_FATAL (start_load (&load, "/a/lookup", false));
+  send_until_held (&load);
+  restart_all_gateways (load.testbed);
+  for (int32_t i = 0; i < GATEWAYS; i++)
+    {
+      CU_ASSERT_EQUAL (send_prompt (&load, i, "r-poison-after", "dead", i), UNAVAILABLE);
+      CU_ASSERT_TRUE (bt_has_gateway_status (load.testbed, i, "reported by gateway-"));
+      CU_ASSERT_TRUE (bt_has_gateway_status (load.testbed, i, "held, next trial from 20"));
+      CU_ASSERT_EQUAL (bt_read_gateway_metric (load.testbed, i, "bilberry_held_parts"), 1);
+    }
+  bt_sleep_ms (RESTART_MS);
+  tend_runners (&load, &counts);
+  CU_ASSERT_EQUAL (counts.ends, 0);
+  CU_ASSERT_EQUAL (send_prompt (&load, 0, "r-sound", "b1", GATEWAYS), OK);
+  bt_drop_gateway_testbed (load.testbed, CU_get_number_of_failures () > 0);
+}
+
 int
 main (void)
 {
@@ -313,6 +378,7 @@
   CU_ADD_TEST (suite, test_part_that_crashes_streams_is_blocked);
   CU_ADD_TEST (suite, test_part_that_crashes_unframed_streams_is_blocked);
   CU_ADD_TEST (suite, test_unframed_stream_without_events_is_no_answer);
+  CU_ADD_TEST (suite, test_part_stays_held_when_all_gateways_die);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
