soak: callers whose prompts have a part that crashes runners

More than three of its runs later than 3 s behind the fifth, through gateways that were not disturbed, break the run.

--- a/Makefile
+++ b/Makefile
@@ -80,10 +80,11 @@
 SEED ?= 1
 SECONDS_OF_SOAK ?= 20
 POISON ?= 0
+PARTS ?= 0
 NOTICES ?= 0
 RESTORES ?= 0
 soak: build
-	BT_BUILD_DIR=$(BUILD)/release $(BUILD)/release/soak --seed $(SEED) --seconds $(SECONDS_OF_SOAK) --poison $(POISON) --notices $(NOTICES) --restores $(RESTORES)
+	BT_BUILD_DIR=$(BUILD)/release $(BUILD)/release/soak --seed $(SEED) --seconds $(SECONDS_OF_SOAK) --poison $(POISON) --parts $(PARTS) --notices $(NOTICES) --restores $(RESTORES)
 
 clean:
 	rm -rf $(BUILD)
--- a/test/soak/caller.c
+++ b/test/soak/caller.c
@@ -93,6 +93,13 @@
   lines = curl_slist_append (lines, line);
   snprintf (line, sizeof line, "Authorization: Bearer %s", key);
   lines = curl_slist_append (lines, line);
+  if (caller->soak->settings.parts)
+    {
+      snprintf (line, sizeof line, "Bilberrytray-Prompt-Prefix: a1:90,b%x:40,%x:7",
+                (unsigned)bt_random_below (&caller->random, BT_SOAK_PROMPT_PARTS),
+                (unsigned)caller->number);
+      lines = curl_slist_append (lines, line);
+    }
   set_options (caller, url, kind, outcome);
   curl_easy_setopt (caller->easy, CURLOPT_HTTPHEADER, lines);
   outcome->began_ms = bt_read_clock_ms (bt_system_clock ());
--- a/test/soak/poison.c
+++ b/test/soak/poison.c
@@ -18,6 +18,8 @@
    * crashes, undisturbed gateways no longer send it, except for a few late runs. */
   TOLERATED_CRASHES = 3,
   TOLERATED_LATE_RUNS = 3,
+  /* The same for all requests with one part in their prompts. */
+  TOLERATED_PART_CRASHES = 5,
 };
 
 struct bt_soak_poison
@@ -52,14 +54,31 @@
   free (poison);
 }
 
+/* Returns how many runners may crash before the crashing is known. */
+static int32_t
+get_tolerated_crashes (const bt_soak_t *soak)
+{
+  return soak->settings.parts ? TOLERATED_PART_CRASHES : TOLERATED_CRASHES;
+}
+
 static void
 send_poison (const bt_soak_t *soak, const char *path, int32_t gateway, int32_t number)
 {
   char id[ID_BYTES];
+  char target[BT_SOAK_TEXT_BYTES];
+  char parts[BT_SOAK_TEXT_BYTES];
   bt_gateway_call_t call = {
     .gateway = gateway, .path = path, .id = id, .key = "k-good", .deadline_ms = DEADLINE_MS
   };
 
+  if (soak->settings.parts)
+    {
+      snprintf (target, sizeof target, "%s?number=%d", path, number);
+      snprintf (parts, sizeof parts, "Bilberrytray-Prompt-Prefix: a1:90,dead:40,b%x:9,%x:7",
+                (unsigned)(number % BT_SOAK_PROMPT_PARTS), (unsigned)number);
+      call.path = target;
+      call.extra = parts;
+    }
   /* bt_check_poison_run reads the gateway from the id. */
   snprintf (id, sizeof id, "p%d-%d", gateway, number);
   bt_get_call_status (soak->testbed, &call);
@@ -69,7 +88,9 @@
 bt_run_soak_poison_caller (const bt_soak_t *soak)
 {
   static const char *const paths[] = { "/a/poison", "/a/once/poison", "/a/stream/poison" };
-  const char *path = paths[soak->settings.seed % (sizeof paths / sizeof paths[0])];
+  static const char *const sound_paths[] = { "/a/x", "/a/once/x", "/a/stream/x" };
+  const char *const *list = soak->settings.parts ? sound_paths : paths;
+  const char *path = list[soak->settings.seed % (sizeof paths / sizeof paths[0])];
   bt_random_t random;
 
   bt_seed_random (&random, ~soak->settings.seed);
@@ -131,15 +152,16 @@
   const bt_soak_t *soak = poison->soak;
   int32_t gateway = (int32_t)strtol (id + 1, NULL, 10);
 
+  int32_t tolerated = get_tolerated_crashes (soak);
+
   insert_run (poison, at_ms);
-  if (poison->runs <= TOLERATED_CRASHES
-      || at_ms <= poison->runs_ms[TOLERATED_CRASHES - 1] + BT_SOAK_SETTLE_MS
+  if (poison->runs <= tolerated || at_ms <= poison->runs_ms[tolerated - 1] + BT_SOAK_SETTLE_MS
       || soak->disturbed_ms[gateway] >= at_ms || soak->store_disturbed_ms >= at_ms
       || soak->runner_link_disturbed_ms >= at_ms)
     return true;
   poison->late_runs++;
-  bt_print_soak_event (soak, "poison %s ran late, %lld ms after the third crash", id,
-                       (long long)(at_ms - poison->runs_ms[TOLERATED_CRASHES - 1]));
+  bt_print_soak_event (soak, "poison %s ran late, %lld ms after crash %d", id,
+                       (long long)(at_ms - poison->runs_ms[tolerated - 1]), tolerated);
   return poison->late_runs <= TOLERATED_LATE_RUNS;
 }
 
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -33,6 +33,8 @@
   bool notices;  /**< Faults of runners include limits and rests that they ask for. */
   bool restores; /**< The store is restored from backups again and again. */
   bool poison;   /**< An additional caller sends a request that crashes runners. */
+  bool parts;    /**< Prompts have parts; that caller's have one that crashes runners, and no two of
+                      its requests are alike. */
 } bt_soak_settings_t;
 
 /** An API key that one configuration version adds and a later one removes for good. */
@@ -48,6 +50,7 @@
 {
   BT_SOAK_KEYS = 512,
   BT_SOAK_TEXT_BYTES = 256,
+  BT_SOAK_PROMPT_PARTS = 20, /* parts that the prompts of several requests have */
   BT_SOAK_STATUS_OK = 200,
   BT_SOAK_SETTLE_MS = 3000,      /* a gateway counts as disturbed this long after a fault ended */
   BT_SOAK_KEY_INTERVAL_MS = 700, /* between two new keys; keys are numbered in this order */
