--- a/include/bilberrytray/requests/part_table.h
+++ b/include/bilberrytray/requests/part_table.h
@@ -11,6 +11,9 @@
  * its parts for all instances, and so does an endpoint that went on after it had begun an answer. A
  * broken connection and the end of an answer's connection prove nothing by themselves.
  *
+ * A part that ends accuse more often than all others explains these ends: what only they accuse
+ * besides is not at fault.
+ *
  * A part that enough ends accuse is held: requests with it are refused. One request at a time, of
  * all instances together, is tried, at growing intervals and max_trials times in all; a complete
  * answer to it clears the part. The number of trials is kept in the shared list, so that instances
@@ -31,6 +34,14 @@
   BT_MAX_END_PARTS = 256,
 };
 
+/** A part that an end accuses. */
+typedef struct bt_end_part
+{
+  bt_fingerprint_t part; /**< Must be first: lists are searched by it. */
+  bool again;            /**< Only retries had it there, of requests that had broken off at another
+                            endpoint. Their ends tell nothing new about their parts. */
+} bt_end_part_t;
+
 /** An end of an endpoint's incarnation, as one instance saw it. */
 typedef struct bt_part_end
 {
@@ -39,7 +50,7 @@
   char reporter[BT_NAME_BYTES]; /**< The instance. */
   int64_t ended_ms;             /**< When the attempts there broke off, Unix time in ms. */
   int32_t count;
-  bt_fingerprint_t *parts; /**< Parts whose answers had not begun; sorted, distinct. */
+  bt_end_part_t *parts; /**< Parts whose answers had not begun; sorted, distinct. */
 } bt_part_end_t;
 
 /** What all instances know of one part besides the ends that accuse it. */
@@ -82,6 +93,7 @@
   char app[BT_NAME_BYTES];
   bool at_start; /**< The endpoint may have ended as it began the answer. */
   bool begun;    /**< The endpoint went on after it had begun the answer. */
+  bool again;    /**< An earlier attempt of the request broke off at another endpoint. */
 } bt_part_attempt_t;
 
 typedef struct bt_part_options
@@ -121,8 +133,9 @@
 {
   bt_fingerprint_t part;
   const char *app;
-  int32_t ends;           /**< Incarnations of endpoints that ended under it. */
-  int32_t events;         /**< Moments at which they ended. */
+  int32_t ends;           /**< Incarnations of endpoints that ended under it, and that no other part
+                             explains. */
+  int32_t events;         /**< Moments at which they ended, but for retries. */
   bool suspected;         /**< No common cause explains at least one of these ends. */
   int64_t last_ended_ms;  /**< Unix time in ms. */
   int32_t trials;         /**< Trials so far. */
@@ -233,7 +246,9 @@
 bt_is_part_held (const bt_part_table_t *table, const bt_accused_part_t *part, bool stops_group);
 
 /** Returns the earliest time at which a held part is tried, Unix time in ms; 0: never. */
-int64_t bt_get_part_trial_ms (const bt_part_table_t *table, const bt_accused_part_t *part);
+int64_t bt_get_part_trial_ms (const bt_part_table_t *table,
+                              const bt_accused_part_t *part,
+                              bool stops_group);
 
 /** Returns the end at an index that names a part; NULL when there are no more. Advances the index
  * past it. */
--- a/source/gateway/forward.h
+++ b/source/gateway/forward.h
@@ -68,7 +68,8 @@
   int64_t last_part_ms;  /**< When the caller last got a part. */
   bt_identity_t tried[BT_MAX_FORWARD_SENDS];
   int32_t sends;
-  int32_t runs; /**< Attempts that may have run. */
+  int32_t runs;   /**< Attempts that may have run. */
+  int32_t breaks; /**< Attempts that their endpoints broke off. */
   bt_answer_info_t answer;
   bool has_noted_answer; /**< What the present answer says about its endpoint was recorded. */
   bt_frontend_header_t *headers; /**< Headers of the present attempt's answer that are passed on. */
--- a/source/gateway/forward_parts.c
+++ b/source/gateway/forward_parts.c
@@ -160,6 +160,7 @@
   attempt.parts = forward->parts;
   attempt.at_start = !bt_has_attempt_begun (forward);
   attempt.begun = !attempt.at_start || has_ended_with_content (forward);
+  attempt.again = forward->breaks > 0;
   bt_copy_name (attempt.app, forward->app);
   return attempt;
 }
@@ -170,6 +171,7 @@
   bt_part_attempt_t attempt = describe_attempt (forward);
 
   bt_report_broken_parts (forward->gateway->parts, &attempt);
+  forward->breaks++;
 }
 
 void
--- a/source/gateway/part_control.c
+++ b/source/gateway/part_control.c
@@ -111,10 +111,11 @@
 
   bt_write_fingerprint (&part->part, text);
   write_ends (control, &part->part, ends);
-  bt_log_event (control->ctx, BT_LOG_WARNING, "part-held", "{s:s, s:s, s:i, s:i, s:s, s:i, s:I}",
-                "part", text, "app", part->app, "ends", part->ends, "moments", part->events,
-                "endpoints", ends, "trials", part->trials, "trial_ms",
-                (json_int_t)bt_get_part_trial_ms (control->table, part));
+  bt_log_event (
+      control->ctx, BT_LOG_WARNING, "part-held", "{s:s, s:s, s:i, s:i, s:s, s:i, s:I}", "part",
+      text, "app", part->app, "ends", part->ends, "moments", part->events, "endpoints", ends,
+      "trials", part->trials, "trial_ms",
+      (json_int_t)bt_get_part_trial_ms (control->table, part, stops_group (control, part->app)));
 }
 
 static void
@@ -179,7 +180,7 @@
 print_part (const bt_part_control_t *control, const bt_accused_part_t *part, FILE *out)
 {
   bool groups = stops_group (control, part->app);
-  int64_t trial_ms = bt_get_part_trial_ms (control->table, part);
+  int64_t trial_ms = bt_get_part_trial_ms (control->table, part, groups);
   const bt_part_end_t *end;
   char text[BT_FINGERPRINT_TEXT_BYTES];
   char time_text[TIME_BYTES];
--- a/source/gateway/part_items.c
+++ b/source/gateway/part_items.c
@@ -63,21 +63,31 @@
   return copy;
 }
 
-char *
-bt_write_part_end_value (bt_context_t *ctx, const bt_part_end_t *end)
+/* Lists the parts of an end that are marked as wanted. */
+static json_t *
+list_parts (const bt_part_end_t *end, bool again)
 {
-  json_t *parts = json_array ();
+  json_t *list = json_array ();
 
   for (int32_t i = 0; i < end->count; i++)
     {
       char text[BT_FINGERPRINT_TEXT_BYTES];
 
-      bt_write_fingerprint (&end->parts[i], text);
-      json_array_append_new (parts, json_string (text));
+      if (end->parts[i].again != again)
+        continue;
+      bt_write_fingerprint (&end->parts[i].part, text);
+      json_array_append_new (list, json_string (text));
     }
+  return list;
+}
+
+char *
+bt_write_part_end_value (bt_context_t *ctx, const bt_part_end_t *end)
+{
   return write_object (ctx,
-                       json_pack ("{s:s, s:s, s:I, s:o}", "instance", end->reporter, "app",
-                                  end->app, "ended_ms", (json_int_t)end->ended_ms, "parts", parts));
+                       json_pack ("{s:s, s:s, s:I, s:o, s:o}", "instance", end->reporter, "app",
+                                  end->app, "ended_ms", (json_int_t)end->ended_ms, "parts",
+                                  list_parts (end, false), "again", list_parts (end, true)));
 }
 
 static bool
@@ -98,27 +108,51 @@
          && bt_read_fingerprint (json_string_value (text), part);
 }
 
-/* Reads the parts, which must be sorted and distinct, as they are written. */
+/* Reads one of the two lists of parts behind those that were read before. */
 static bool
-read_parts (bt_context_t *ctx, const json_t *list, bt_part_end_t *end)
+read_parts (const json_t *list, bool again, bt_part_end_t *end)
 {
   size_t count = json_array_size (list);
 
-  if (!json_is_array (list) || count > BT_MAX_END_PARTS)
+  if (!json_is_array (list) || (size_t)end->count + count > BT_MAX_END_PARTS)
     return false;
-  end->parts = count == 0 ? NULL : bt_calloc (ctx, count, sizeof *end->parts);
   for (size_t i = 0; i < count; i++)
-    if (!read_part (json_array_get (list, i), &end->parts[i])
-        || (i > 0 && bt_compare_fingerprints (&end->parts[i - 1], &end->parts[i]) >= 0))
-      {
-        bt_free (ctx, end->parts);
-        end->parts = NULL;
+    {
+      bt_end_part_t *part = &end->parts[end->count++];
+
+      part->again = again;
+      if (!read_part (json_array_get (list, i), &part->part))
         return false;
-      }
-  end->count = (int32_t)count;
+    }
   return true;
 }
 
+/* Sorts the parts; false if one is there twice. */
+static bool
+sort_parts (bt_part_end_t *end)
+{
+  if (end->count > 0)
+    qsort (end->parts, (size_t)end->count, sizeof *end->parts, bt_compare_fingerprints);
+  for (int32_t i = 1; i < end->count; i++)
+    if (bt_same_fingerprint (&end->parts[i - 1].part, &end->parts[i].part))
+      return false;
+  return true;
+}
+
+static bool
+read_end_value (bt_context_t *ctx, const json_t *object, bt_part_end_t *end)
+{
+  const json_t *parts = json_object_get (object, "parts");
+  const json_t *again = json_object_get (object, "again");
+
+  end->ended_ms = json_integer_value (json_object_get (object, "ended_ms"));
+  if (end->ended_ms <= 0 || !copy_name (end->reporter, object, "instance")
+      || !copy_name (end->app, object, "app"))
+    return false;
+  end->parts = bt_calloc (ctx, BT_MAX_END_PARTS, sizeof *end->parts);
+  return read_parts (parts, false, end) && read_parts (again, true, end) && sort_parts (end);
+}
+
 bool
 bt_read_part_end (
     bt_context_t *ctx, const char *key, const char *text, size_t bytes, bt_part_end_t *end)
@@ -128,11 +162,13 @@
   bool valid;
 
   memset (end, 0, sizeof *end);
-  end->ended_ms = json_integer_value (json_object_get (object, "ended_ms"));
-  valid = read_end_key (key, end, &reporter) && copy_name (end->reporter, object, "instance")
-          && copy_name (end->app, object, "app") && hash_name (end->reporter) == reporter
-          && end->ended_ms > 0 && read_parts (ctx, json_object_get (object, "parts"), end);
+  valid = read_end_key (key, end, &reporter) && read_end_value (ctx, object, end)
+          && hash_name (end->reporter) == reporter;
   json_decref (object);
+  if (valid && end->count > 0)
+    return true;
+  bt_free (ctx, end->parts);
+  end->parts = NULL;
   return valid;
 }
 
--- a/source/requests/part_index.c
+++ b/source/requests/part_index.c
@@ -16,9 +16,19 @@
 typedef struct accusation
 {
   const bt_fingerprint_t *part;
-  const bt_part_end_row_t *row;
+  bool again;
+  bt_part_end_row_t *row;
 } accusation_t;
 
+/** The accusations of one part, and what follows from them. */
+typedef struct suspect
+{
+  const accusation_t *list;
+  int32_t count;
+  bool found; /* it explains its ends */
+  bt_accused_part_t part;
+} suspect_t;
+
 static int
 compare_mark_part (const void *part, const void *row)
 {
@@ -52,6 +62,7 @@
   for (int32_t i = 0; i < count; i++)
     {
       ends[i].moment_ms = ends[i].end.ended_ms;
+      ends[i].explained = false;
       for (int32_t j = 0; j < count; j++)
         if (bt_same_identity (&ends[i].end.endpoint, &ends[j].end.endpoint)
             && ends[j].end.ended_ms < ends[i].moment_ms)
@@ -75,7 +86,7 @@
 
 /* Lists what the reports accuse, less what was cleared since; sorted by part and time. */
 static int32_t
-list_accusations (const bt_part_end_row_t *ends,
+list_accusations (bt_part_end_row_t *ends,
                   int32_t end_count,
                   const bt_part_mark_row_t *marks,
                   int32_t mark_count,
@@ -86,11 +97,11 @@
   for (int32_t i = 0; i < end_count; i++)
     for (int32_t j = 0; j < ends[i].end.count; j++)
       {
-        const bt_fingerprint_t *part = &ends[i].end.parts[j];
+        const bt_fingerprint_t *part = &ends[i].end.parts[j].part;
         const bt_part_mark_row_t *mark = bt_find_part_mark (marks, mark_count, part);
 
         if (mark == NULL || ends[i].moment_ms > mark->mark.cleared_ms)
-          list[count++] = (accusation_t){ part, &ends[i] };
+          list[count++] = (accusation_t){ part, ends[i].end.parts[j].again, &ends[i] };
       }
   if (count > 0)
     qsort (list, (size_t)count, sizeof *list, compare_accusations);
@@ -122,7 +133,17 @@
   return false;
 }
 
-/* Describes a part by its accusations, which are sorted by time. */
+/* Returns true if the first of several reports of one end, and no other, has only retries there. */
+static bool
+is_only_again (const accusation_t *list, int32_t count, const bt_identity_t *endpoint)
+{
+  for (int32_t i = 0; i < count; i++)
+    if (!list[i].again && bt_same_identity (&list[i].row->end.endpoint, endpoint))
+      return false;
+  return true;
+}
+
+/* Describes a part by its accusations, which are sorted by time, less the explained ends. */
 static bt_accused_part_t
 describe_part (const accusation_t *list,
                int32_t count,
@@ -135,12 +156,15 @@
   for (int32_t i = 0; i < count; i++)
     {
       const bt_part_end_row_t *row = list[i].row;
+      const bt_identity_t *endpoint = &row->end.endpoint;
 
-      if (accuses (list, i, &row->end.endpoint))
+      if (row->explained || accuses (list, i, endpoint))
         continue;
       part.ends++;
       part.last_ended_ms = row->moment_ms;
-      if (part.events == 0 || row->moment_ms - event_ms >= SAME_MOMENT_MS)
+      if (part.events == 0
+          || (row->moment_ms - event_ms >= SAME_MOMENT_MS
+              && !is_only_again (list, count, endpoint)))
         {
           event_ms = row->moment_ms;
           part.events++;
@@ -150,6 +174,69 @@
   return part;
 }
 
+/* Returns a number below 0 if one part is accused more often than another, 0 if as often. */
+static int32_t
+compare_suspects (const suspect_t *one, const suspect_t *other)
+{
+  if (one->part.events != other->part.events)
+    return other->part.events - one->part.events;
+  return other->part.ends - one->part.ends;
+}
+
+/* Marks the ends of a part as explained. All reports of an end are marked. */
+static void
+explain_ends (const suspect_t *suspect, bt_part_end_row_t *ends, int32_t end_count)
+{
+  for (int32_t i = 0; i < end_count; i++)
+    ends[i].explained =
+        ends[i].explained || accuses (suspect->list, suspect->count, &ends[i].end.endpoint);
+}
+
+/* Finds the part that is accused most often of those that explain nothing yet; NULL if none is
+ * accused by more than one end. */
+static suspect_t *
+find_most_accused (suspect_t *suspects, int32_t count)
+{
+  suspect_t *most = NULL;
+
+  for (int32_t i = 0; i < count; i++)
+    if (!suspects[i].found && suspects[i].part.events > 1
+        && (most == NULL || compare_suspects (&suspects[i], most) < 0))
+      most = &suspects[i];
+  return most;
+}
+
+/* Keeps the parts that are accused as often as the given one: nothing tells them apart yet. */
+static void
+keep_equals (suspect_t *suspects, int32_t count, const suspect_t *most)
+{
+  bt_accused_part_t part = most->part;
+
+  for (int32_t i = 0; i < count; i++)
+    suspects[i].found =
+        suspects[i].found
+        || (suspects[i].part.events == part.events && suspects[i].part.ends == part.ends);
+}
+
+/* Lets the most accused parts explain their ends, one after the other, so that the others are
+ * accused by the ends that are left. */
+static void
+explain_suspects (suspect_t *suspects, int32_t count, bt_part_end_row_t *ends, int32_t end_count)
+{
+  suspect_t *most;
+
+  while ((most = find_most_accused (suspects, count)) != NULL)
+    {
+      keep_equals (suspects, count, most);
+      for (int32_t i = 0; i < count; i++)
+        if (suspects[i].found)
+          explain_ends (&suspects[i], ends, end_count);
+      for (int32_t i = 0; i < count; i++)
+        if (!suspects[i].found)
+          suspects[i].part = describe_part (suspects[i].list, suspects[i].count, ends, end_count);
+    }
+}
+
 static int32_t
 count_parts (const bt_part_end_row_t *ends, int32_t count)
 {
@@ -171,6 +258,40 @@
   return same;
 }
 
+/* Groups sorted accusations by part. */
+static int32_t
+group_accusations (const accusation_t *list,
+                   int32_t count,
+                   const bt_part_end_row_t *ends,
+                   int32_t end_count,
+                   suspect_t *suspects)
+{
+  int32_t parts = 0;
+
+  for (int32_t i = 0; i < count; i += suspects[parts++].count)
+    suspects[parts] = (suspect_t){
+      .list = list + i,
+      .count = count_first_part (list + i, count - i),
+      .part = describe_part (list + i, count_first_part (list + i, count - i), ends, end_count),
+    };
+  return parts;
+}
+
+static void
+add_row (bt_part_index_t *index,
+         const suspect_t *suspect,
+         const bt_part_mark_row_t *marks,
+         int32_t mark_count)
+{
+  const bt_part_mark_row_t *mark = bt_find_part_mark (marks, mark_count, &suspect->part.part);
+  bt_accused_part_t *row = &index->rows[index->count++];
+
+  *row = suspect->part;
+  row->trials = mark == NULL ? 0 : mark->mark.trials;
+  row->trial_ms = mark == NULL ? 0 : mark->mark.trial_ms;
+  row->trial_revision = mark == NULL ? 0 : mark->revision;
+}
+
 void
 bt_build_part_index (bt_context_t *ctx,
                      bt_part_index_t *index,
@@ -181,25 +302,20 @@
 {
   int32_t capacity = count_parts (ends, end_count);
   accusation_t *list = bt_calloc (ctx, (size_t)capacity + 1, sizeof *list);
+  suspect_t *suspects = bt_calloc (ctx, (size_t)capacity + 1, sizeof *suspects);
   int32_t count;
 
   set_moments (ends, end_count);
   count = list_accusations (ends, end_count, marks, mark_count, list);
+  count = group_accusations (list, count, ends, end_count, suspects);
+  explain_suspects (suspects, count, ends, end_count);
   bt_free (ctx, index->rows);
   index->rows = count == 0 ? NULL : bt_calloc (ctx, (size_t)count, sizeof *index->rows);
   index->count = 0;
   index->judged = 0;
-  for (int32_t i = 0, same; i < count; i += same)
-    {
-      const bt_part_mark_row_t *mark = bt_find_part_mark (marks, mark_count, list[i].part);
-      bt_accused_part_t part;
-
-      same = count_first_part (list + i, count - i);
-      part = describe_part (list + i, same, ends, end_count);
-      part.trials = mark == NULL ? 0 : mark->mark.trials;
-      part.trial_ms = mark == NULL ? 0 : mark->mark.trial_ms;
-      part.trial_revision = mark == NULL ? 0 : mark->revision;
-      index->rows[index->count++] = part;
-    }
+  for (int32_t i = 0; i < count; i++)
+    if (suspects[i].part.ends > 0)
+      add_row (index, &suspects[i], marks, mark_count);
+  bt_free (ctx, suspects);
   bt_free (ctx, list);
 }
--- a/source/requests/part_index.h
+++ b/source/requests/part_index.h
@@ -16,6 +16,7 @@
   bool listed;       /**< Found in the list that is being applied. */
   bool reported;     /**< This instance reported it. */
   int64_t moment_ms; /**< The earliest time at which an instance saw this end. */
+  bool explained;    /**< A part that is accused more often explains this end. */
 } bt_part_end_row_t;
 
 /** A mark in the table. */
--- a/source/requests/part_table.c
+++ b/source/requests/part_table.c
@@ -15,7 +15,7 @@
   DEFAULT_ENDS = 2,
   DEFAULT_REFUSE_ENDS = 3,
   DEFAULT_MAX_TRIALS = 3,
-  DEFAULT_TRIAL_MS = 10000,
+  DEFAULT_TRIAL_MS = 60000,
   DEFAULT_TRIAL_FACTOR = 6,
   DEFAULT_KEEP_MS = 24 * 3600 * 1000,
   /* As for crashes of requests. */
@@ -135,8 +135,8 @@
   return true;
 }
 
-static bt_fingerprint_t *
-copy_parts (bt_context_t *ctx, const bt_fingerprint_t *parts, int32_t count)
+static bt_end_part_t *
+copy_parts (bt_context_t *ctx, const bt_end_part_t *parts, int32_t count)
 {
   return count == 0 ? NULL : bt_memdup (ctx, parts, (size_t)count * sizeof *parts);
 }
@@ -179,7 +179,7 @@
 {
   for (int32_t i = 0; i < end->count; i++)
     {
-      const bt_accused_part_t *part = bt_find_accused_part (&table->index, &end->parts[i]);
+      const bt_accused_part_t *part = bt_find_accused_part (&table->index, &end->parts[i].part);
 
       if (part != NULL && (part->trials > 0 || part->events >= table->options.ends))
         return true;
@@ -243,16 +243,21 @@
   return NULL;
 }
 
-/* Adds a part to a report, sorted. Returns false if it is there or the report is full. */
+/* Adds a part to a report, sorted. Returns false if that changes nothing or the report is full. */
 static bool
-add_part (bt_context_t *ctx, bt_part_end_t *end, const bt_fingerprint_t *part)
+add_part (bt_context_t *ctx, bt_part_end_t *end, const bt_fingerprint_t *part, bool again)
 {
   int32_t at = 0;
 
   while (at < end->count && bt_compare_fingerprints (&end->parts[at], part) < 0)
     at++;
-  if (at < end->count && bt_same_fingerprint (&end->parts[at], part))
-    return false;
+  if (at < end->count && bt_same_fingerprint (&end->parts[at].part, part))
+    {
+      bool changed = end->parts[at].again && !again;
+
+      end->parts[at].again = end->parts[at].again && again;
+      return changed;
+    }
   if (end->count == BT_MAX_END_PARTS)
     {
       bt_report_limit (ctx, "parts-of-an-end", BT_MAX_END_PARTS, end->endpoint.instance,
@@ -261,7 +266,7 @@
     }
   end->parts = bt_realloc (ctx, end->parts, (size_t)end->count + 1, sizeof *end->parts);
   memmove (&end->parts[at + 1], &end->parts[at], (size_t)(end->count - at) * sizeof *end->parts);
-  end->parts[at] = *part;
+  end->parts[at] = (bt_end_part_t){ *part, again };
   end->count++;
   return true;
 }
@@ -289,7 +294,7 @@
   if (row->end.ended_ms < end.ended_ms)
     row->end.ended_ms = end.ended_ms;
   for (int32_t i = 0; attempt->at_start && attempt->parts != NULL && i < attempt->parts->count; i++)
-    changed = add_part (ctx, &row->end, &attempt->parts->items[i]) || changed;
+    changed = add_part (ctx, &row->end, &attempt->parts->items[i], attempt->again) || changed;
   if (changed)
     bt_queue_part_end (ctx, table, BT_PART_PUBLISH_END, &row->end);
 }
