requests: what was sent to an endpoint after its end is not accused

What callers saw: sound requests were refused for parts that had never run where an endpoint ended. Where something else accepts connections at its address, such as a proxy, each request that is sent to a dead endpoint breaks off, and until its next start is listed all their parts were taken for running there: a broken connection accused them.

Cause: all attempts that broke off within a second of the last one counted as in progress at the end.

Change: the end is the first break after which no answer of that start had begun. Only what was sent before and broke off within a second of it is accused, and nothing that broke off because another rank of the group had ended. A report that comes 250 ms later than another of the same end accuses nothing: its instance had nothing there.

--- a/include/bilberrytray/requests/part_table.h
+++ b/include/bilberrytray/requests/part_table.h
@@ -94,6 +94,9 @@
   bool at_start; /**< The endpoint may have ended as it began the answer. */
   bool begun;    /**< The endpoint went on after it had begun the answer. */
   bool again;    /**< An earlier attempt of the request broke off at another endpoint. */
+  bool answered; /**< The head of an answer had arrived. */
+  bool stalled;  /**< It broke off because another rank of the endpoint's group had ended. */
+  int64_t sent_ms;
 } bt_part_attempt_t;
 
 typedef struct bt_part_options
--- a/source/gateway/forward.h
+++ b/source/gateway/forward.h
@@ -87,6 +87,10 @@
 /** Ends the present attempt, if any, and reports @p end to the router. */
 void bt_end_forward_attempt (bt_forward_t *forward, bt_attempt_end_t end);
 
+/** Returns true while the group of the present attempt's endpoint is known to be stopped by the end
+ * of a rank: its ranks begin no requests, and break off what runs. */
+bool bt_is_attempt_stalled (const bt_forward_t *forward);
+
 /** Records that the endpoint broke off an attempt that may have run there. */
 void bt_record_broken_attempt (bt_forward_t *forward);
 
--- a/source/gateway/forward_crashes.c
+++ b/source/gateway/forward_crashes.c
@@ -28,17 +28,22 @@
   return &forward->fingerprint;
 }
 
-/* Returns true if an endpoint that ended under the present attempt ended as the request began to
- * run. While the group is known to be broken, its ranks begin no requests. */
-static bool
-is_attempt_at_start (const bt_forward_t *forward)
+bool
+bt_is_attempt_stalled (const bt_forward_t *forward)
 {
   const bt_gateway_t *gateway = forward->gateway;
   int64_t now_ms = bt_get_loop_ms (gateway->loop);
 
-  return forward->events.events == forward->events_before
-         && bt_get_group_outage_ms (gateway->outages, &forward->route.identity, now_ms)
-                < MIN_STALL_MS;
+  return bt_get_group_outage_ms (gateway->outages, &forward->route.identity, now_ms)
+         >= MIN_STALL_MS;
+}
+
+/* Returns true if an endpoint that ended under the present attempt ended as the request began to
+ * run. */
+static bool
+is_attempt_at_start (const bt_forward_t *forward)
+{
+  return forward->events.events == forward->events_before && !bt_is_attempt_stalled (forward);
 }
 
 static bt_crash_t
--- a/source/gateway/forward_parts.c
+++ b/source/gateway/forward_parts.c
@@ -161,6 +161,9 @@
   attempt.at_start = !bt_has_attempt_begun (forward);
   attempt.begun = !attempt.at_start || has_ended_with_content (forward);
   attempt.again = forward->breaks > 0;
+  attempt.answered = bt_get_exchange_status (forward->exchange) > 0;
+  attempt.stalled = bt_is_attempt_stalled (forward);
+  attempt.sent_ms = forward->sent_ms;
   bt_copy_name (attempt.app, forward->app);
   return attempt;
 }
--- a/source/requests/part_index.c
+++ b/source/requests/part_index.c
@@ -10,6 +10,8 @@
   SAME_MOMENT_MS = 10,
   /* An end within this time of another may have the same cause. */
   COMMON_CAUSE_MS = 200,
+  /* An instance that notes an end this much later than another had nothing there when it came. */
+  LATE_REPORT_MS = 250,
 };
 
 /** One part that one report accuses. */
@@ -100,7 +102,8 @@
         const bt_fingerprint_t *part = &ends[i].end.parts[j].part;
         const bt_part_mark_row_t *mark = bt_find_part_mark (marks, mark_count, part);
 
-        if (mark == NULL || ends[i].moment_ms > mark->mark.cleared_ms)
+        if (ends[i].end.ended_ms <= ends[i].moment_ms + LATE_REPORT_MS
+            && (mark == NULL || ends[i].moment_ms > mark->mark.cleared_ms))
           list[count++] = (accusation_t){ part, ends[i].end.parts[j].again, &ends[i] };
       }
   if (count > 0)
--- a/source/requests/part_index.h
+++ b/source/requests/part_index.h
@@ -15,6 +15,7 @@
   int64_t revision;  /**< In the shared list; 0: not seen there yet. */
   bool listed;       /**< Found in the list that is being applied. */
   bool reported;     /**< This instance reported it. */
+  bool unpublished;  /**< It has changed since it was published. */
   int64_t moment_ms; /**< The earliest time at which an instance saw this end. */
   bool explained;    /**< A part that is accused more often explains this end. */
 } bt_part_end_row_t;
--- a/source/requests/part_suspects.c
+++ b/source/requests/part_suspects.c
@@ -67,13 +67,32 @@
   return false;
 }
 
+/* A stalled attempt tells nothing about the end of its own endpoint. */
+static bool
+is_suspect_of (const bt_part_suspect_t *suspect, const bt_identity_t *endpoint)
+{
+  return !suspect->attempt.stalled && bt_same_identity (&suspect->attempt.endpoint, endpoint);
+}
+
 int64_t
-bt_get_latest_part_suspect_ms (const bt_part_suspects_t *suspects, const bt_identity_t *endpoint)
+bt_find_part_end_ms (const bt_part_suspects_t *suspects,
+                     const bt_identity_t *endpoint,
+                     int64_t now_ms)
 {
-  for (int32_t i = suspects->count - 1; i >= 0; i--)
-    if (bt_same_identity (&suspects->list[i].attempt.endpoint, endpoint))
+  int64_t ran_ms = INT64_MIN;
+
+  for (int32_t i = 0; i < suspects->count; i++)
+    {
+      const bt_part_suspect_t *suspect = &suspects->list[i];
+
+      if (is_suspect_of (suspect, endpoint) && suspect->attempt.answered
+          && suspect->attempt.sent_ms > ran_ms)
+        ran_ms = suspect->attempt.sent_ms;
+    }
+  for (int32_t i = 0; i < suspects->count; i++)
+    if (is_suspect_of (&suspects->list[i], endpoint) && suspects->list[i].broken_ms >= ran_ms)
       return suspects->list[i].broken_ms;
-  return INT64_MIN;
+  return now_ms;
 }
 
 void
@@ -85,11 +104,17 @@
 }
 
 bool
-bt_has_part_ended (const bt_part_suspects_t *suspects, const bt_identity_t *endpoint)
+bt_has_part_ended (const bt_part_suspects_t *suspects,
+                   const bt_identity_t *endpoint,
+                   int64_t *ended_ms)
 {
   for (int32_t i = 0; i < suspects->ended_count; i++)
-    if (bt_same_identity (&suspects->ended[i].endpoint, endpoint))
+    {
+      if (!bt_same_identity (&suspects->ended[i].endpoint, endpoint))
+        continue;
+      *ended_ms = suspects->ended[i].ended_ms;
       return true;
+    }
   return false;
 }
 
--- a/source/requests/part_suspects.h
+++ b/source/requests/part_suspects.h
@@ -50,16 +50,19 @@
                            int64_t before_ms,
                            bt_part_suspect_t *suspect);
 
-/** Returns when the latest suspect of an endpoint's incarnation broke off; INT64_MIN if there is
- * none. */
-int64_t bt_get_latest_part_suspect_ms (const bt_part_suspects_t *suspects,
-                                       const bt_identity_t *endpoint);
+/** Returns when an incarnation ended, by its suspects: the first break after which nothing shows
+ * that it still ran. @p now_ms if there is no suspect that tells. */
+int64_t bt_find_part_end_ms (const bt_part_suspects_t *suspects,
+                             const bt_identity_t *endpoint,
+                             int64_t now_ms);
 
 void
 bt_add_part_ended (bt_part_suspects_t *suspects, const bt_identity_t *endpoint, int64_t ended_ms);
 
-/** Returns true if an incarnation is known to have ended. */
-bool bt_has_part_ended (const bt_part_suspects_t *suspects, const bt_identity_t *endpoint);
+/** Returns true and sets @p ended_ms if an incarnation is known to have ended. */
+bool bt_has_part_ended (const bt_part_suspects_t *suspects,
+                        const bt_identity_t *endpoint,
+                        int64_t *ended_ms);
 
 /** Forgets the end of an incarnation that was wrongly taken for ended before @p before_ms. */
 void bt_remove_part_ended (bt_part_suspects_t *suspects,
--- a/source/requests/part_table.c
+++ b/source/requests/part_table.c
@@ -24,8 +24,7 @@
   /* Reports are kept for keep_ms plus a random time of up to keep_ms / KEEP_SPREAD_DIVISOR, so that
    * one instance retracts a report for all. */
   KEEP_SPREAD_DIVISOR = 8,
-  /* All attempts at an endpoint that ends break off within this time. Earlier ones broke off for
-   * another reason, such as the end of another rank of its group. */
+  /* All attempts at an endpoint that ends break off within this time. */
   SAME_END_MS = 1000,
 };
 
@@ -271,18 +270,29 @@
   return true;
 }
 
+/* Returns true if an attempt was in progress at its endpoint when that ended, and broke off by it.
+ * Whatever was sent later broke off too, if something else accepts connections at its address. */
+static bool
+was_running (const bt_part_suspect_t *suspect, int64_t ended_ms)
+{
+  return !suspect->attempt.stalled && suspect->attempt.sent_ms <= ended_ms
+         && suspect->broken_ms >= ended_ms && suspect->broken_ms <= ended_ms + SAME_END_MS;
+}
+
 /* Adds what a suspect tells to this instance's report of an end, and publishes the report if that
  * changed it. A suspect whose answer had begun accuses nothing, but the end itself is reported: it
  * may share its cause with others at that moment. */
 static void
-report_suspect (bt_context_t *ctx, bt_part_table_t *table, const bt_part_suspect_t *suspect)
+report_suspect (bt_context_t *ctx,
+                bt_part_table_t *table,
+                const bt_part_suspect_t *suspect,
+                int64_t ended_ms)
 {
   const bt_part_attempt_t *attempt = &suspect->attempt;
   bt_part_end_row_t *row =
       bt_find_part_end_row (table, &attempt->endpoint, table->options.instance);
   bool changed = row == NULL;
-  bt_part_end_t end = { .endpoint = attempt->endpoint,
-                        .ended_ms = suspect->broken_ms + table->offset_ms };
+  bt_part_end_t end = { .endpoint = attempt->endpoint, .ended_ms = ended_ms + table->offset_ms };
 
   if (row == NULL)
     {
@@ -291,12 +301,23 @@
       row = bt_add_part_end_row (ctx, table, &end);
       row->reported = true;
     }
-  if (row->end.ended_ms < end.ended_ms)
-    row->end.ended_ms = end.ended_ms;
   for (int32_t i = 0; attempt->at_start && attempt->parts != NULL && i < attempt->parts->count; i++)
     changed = add_part (ctx, &row->end, &attempt->parts->items[i], attempt->again) || changed;
-  if (changed)
-    bt_queue_part_end (ctx, table, BT_PART_PUBLISH_END, &row->end);
+  row->unpublished = row->unpublished || changed;
+}
+
+/* Publishes the reports that have changed. */
+static void
+publish_ends (bt_context_t *ctx, bt_part_table_t *table)
+{
+  for (int32_t i = 0; i < table->end_count; i++)
+    {
+      if (!table->ends[i].unpublished)
+        continue;
+      table->ends[i].unpublished = false;
+      bt_queue_part_end (ctx, table, BT_PART_PUBLISH_END, &table->ends[i].end);
+    }
+  bt_rebuild_part_index (ctx, table);
 }
 
 void
@@ -306,14 +327,17 @@
                       int64_t now_ms)
 {
   bt_part_suspect_t suspect = { *attempt, now_ms };
+  int64_t ended_ms;
 
-  if (!bt_has_part_ended (&table->suspects, &attempt->endpoint))
+  if (!bt_has_part_ended (&table->suspects, &attempt->endpoint, &ended_ms))
     {
       bt_add_part_suspect (ctx, &table->suspects, attempt, now_ms);
       return;
     }
-  report_suspect (ctx, table, &suspect);
-  bt_rebuild_part_index (ctx, table);
+  if (!was_running (&suspect, ended_ms))
+    return;
+  report_suspect (ctx, table, &suspect, ended_ms);
+  publish_ends (ctx, table);
 }
 
 void
@@ -322,22 +346,17 @@
                   const bt_identity_t *endpoint,
                   int64_t now_ms)
 {
-  int64_t latest_ms = bt_get_latest_part_suspect_ms (&table->suspects, endpoint);
+  int64_t ended_ms = bt_find_part_end_ms (&table->suspects, endpoint, now_ms);
   bt_part_suspect_t suspect;
-  bool changed = false;
 
-  bt_add_part_ended (&table->suspects, endpoint, now_ms);
+  bt_add_part_ended (&table->suspects, endpoint, ended_ms);
   while (bt_take_part_suspect (&table->suspects, endpoint, INT64_MAX, &suspect))
     {
-      if (suspect.broken_ms >= latest_ms - SAME_END_MS)
-        {
-          report_suspect (ctx, table, &suspect);
-          changed = true;
-        }
+      if (was_running (&suspect, ended_ms))
+        report_suspect (ctx, table, &suspect, ended_ms);
       bt_drop_prompt_parts (ctx, suspect.attempt.parts);
     }
-  if (changed)
-    bt_rebuild_part_index (ctx, table);
+  publish_ends (ctx, table);
 }
 
 /* Returns the mark of a part, which is added if there is none. */
--- a/test/requests/part_simulation.h
+++ b/test/requests/part_simulation.h
@@ -370,6 +370,9 @@
   broken.endpoint = sim_identity (sim, attempt->endpoint);
   broken.begun = sim_has_begun (sim, attempt);
   broken.at_start = !broken.begun && !stalled;
+  broken.answered = sim->now_ms >= attempt->begin_ms;
+  broken.stalled = stalled;
+  broken.sent_ms = attempt->sent_ms;
   if (!sim_has (sim, SIM_START_ONLY))
     broken.at_start = true;
   snprintf (broken.app, sizeof broken.app, "app");
--- a/test/requests/test_part_table.c
+++ b/test/requests/test_part_table.c
@@ -61,7 +61,9 @@
                                 .endpoint = make_endpoint (endpoint),
                                 .app = "app",
                                 .at_start = !begun,
-                                .begun = begun };
+                                .begun = begun,
+                                .answered = true,
+                                .sent_ms = now_ms - 100 };
 
   bt_note_broken_parts (ctx, table, &attempt, now_ms);
   bt_drop_prompt_parts (ctx, attempt.parts);
@@ -199,7 +201,8 @@
                               .endpoint = make_endpoint (1),
                               .app = "app",
                               .at_start = true,
-                              .again = true };
+                              .again = true,
+                              .sent_ms = MOMENT_MS - 100 };
 
   crash (table, "ax", 0, 0);
   bt_note_broken_parts (ctx, table, &retry, MOMENT_MS);
@@ -279,6 +282,30 @@
   bt_drop_part_table (ctx, table);
 }
 
+/* Guards against blaming what was sent to an endpoint after its end, where a proxy accepts it. */
+static void
+test_requests_sent_after_the_end_are_not_accused (void)
+{
+  bt_part_table_t *table = make_table ("one");
+
+  break_attempt (table, "x", 0, false, 0);
+  for (int32_t i = 1; i < 10; i++)
+    {
+      bt_part_attempt_t late = { .parts = make_parts ("a"),
+                                 .endpoint = make_endpoint (0),
+                                 .app = "app",
+                                 .at_start = true,
+                                 .sent_ms = i * 100 };
+
+      bt_note_broken_parts (ctx, table, &late, i * 100 + 1);
+      bt_drop_prompt_parts (ctx, late.parts);
+    }
+  end_endpoint (table, 0, MOMENT_MS);
+  CU_ASSERT_EQUAL (judge (table, "a", true, MOMENT_MS), BT_PART_RUN);
+  CU_ASSERT_EQUAL (judge (table, "x", true, MOMENT_MS), BT_PART_HOLD);
+  bt_drop_part_table (ctx, table);
+}
+
 /* Guards against taking the end of an answer's connection for a complete answer. */
 static void
 test_only_a_later_answer_of_the_endpoint_clears_what_it_began (void)
@@ -509,6 +536,7 @@
   CU_ADD_TEST (suite, test_loss_of_power_holds_no_part);
   CU_ADD_TEST (suite, test_broken_attempts_alone_accuse_nothing);
   CU_ADD_TEST (suite, test_earlier_break_is_not_accused);
+  CU_ADD_TEST (suite, test_requests_sent_after_the_end_are_not_accused);
   CU_ADD_TEST (suite, test_only_a_later_answer_of_the_endpoint_clears_what_it_began);
   CU_ADD_TEST (suite, test_answer_of_an_ended_endpoint_retracts_its_end);
   CU_ADD_TEST (suite, test_all_instances_make_three_trials);
