--- a/include/bilberrytray/requests/part_table.h
+++ b/include/bilberrytray/requests/part_table.h
@@ -136,15 +136,14 @@
 {
   bt_fingerprint_t part;
   const char *app;
-  int32_t ends;           /**< Incarnations of endpoints that ended under it, and that no other part
-                             explains. */
-  int32_t events;         /**< Moments at which they ended, but for retries. */
-  bool suspected;         /**< No common cause explains at least one of these ends. */
-  int64_t last_ended_ms;  /**< Unix time in ms. */
-  int32_t trials;         /**< Trials so far. */
-  int64_t trial_ms;       /**< Time of the latest trial, Unix time in ms; 0: none. */
-  int64_t trial_revision; /**< Revision of the mark; 0: it has none. */
-  int64_t judged;         /**< Requests judged that have it, since the table changed. */
+  int32_t ends;          /**< Incarnations of endpoints that ended under it, and that no other part
+                            explains. */
+  int32_t events;        /**< Moments at which they ended, but for retries. */
+  bool suspected;        /**< No common cause explains at least one of these ends. */
+  int64_t last_ended_ms; /**< Unix time in ms. */
+  int32_t trials;        /**< Trials so far. */
+  int64_t trial_ms;      /**< Time of the latest trial, Unix time in ms; 0: none. */
+  int64_t judged;        /**< Requests judged that have it, since the table changed. */
 } bt_accused_part_t;
 
 /** Kind of an update of the list that all instances share. */
--- a/source/requests/part_index.c
+++ b/source/requests/part_index.c
@@ -27,7 +27,8 @@
 {
   const accusation_t *list;
   int32_t count;
-  bool found; /* it explains its ends */
+  bool found;       /* it explains its ends */
+  bool was_cleared; /* it has been answered before */
   bt_accused_part_t part;
 } suspect_t;
 
@@ -196,14 +197,15 @@
 }
 
 /* Finds the part that is accused most often of those that explain nothing yet; NULL if none is
- * accused by more than one end. */
+ * accused by more than one end. A part that has been answered before is hardly at fault, but may be
+ * in most prompts, and so be accused most often. */
 static suspect_t *
 find_most_accused (suspect_t *suspects, int32_t count)
 {
   suspect_t *most = NULL;
 
   for (int32_t i = 0; i < count; i++)
-    if (!suspects[i].found && suspects[i].part.events > 1
+    if (!suspects[i].found && !suspects[i].was_cleared && suspects[i].part.events > 1
         && (most == NULL || compare_suspects (&suspects[i], most) < 0))
       most = &suspects[i];
   return most;
@@ -221,10 +223,25 @@
         || (suspects[i].part.events == part.events && suspects[i].part.ends == part.ends);
 }
 
+/* Describes a part by the ends that are not explained yet. */
+static void
+describe_again (suspect_t *suspect, const bt_part_end_row_t *ends, int32_t end_count)
+{
+  bt_accused_part_t before = suspect->part;
+
+  suspect->part = describe_part (suspect->list, suspect->count, ends, end_count);
+  suspect->part.trials = before.trials;
+  suspect->part.trial_ms = before.trial_ms;
+}
+
 /* Lets the most accused parts explain their ends, one after the other, so that the others are
  * accused by the ends that are left. */
 static void
-explain_suspects (suspect_t *suspects, int32_t count, bt_part_end_row_t *ends, int32_t end_count)
+explain_suspects (suspect_t *suspects,
+                  int32_t count,
+                  int32_t most_events,
+                  bt_part_end_row_t *ends,
+                  int32_t end_count)
 {
   suspect_t *most;
 
@@ -235,8 +252,8 @@
         if (suspects[i].found)
           explain_ends (&suspects[i], ends, end_count);
       for (int32_t i = 0; i < count; i++)
-        if (!suspects[i].found)
-          suspects[i].part = describe_part (suspects[i].list, suspects[i].count, ends, end_count);
+        if (!suspects[i].found && suspects[i].part.events < most_events)
+          describe_again (&suspects[i], ends, end_count);
     }
 }
 
@@ -281,18 +298,18 @@
 }
 
 static void
-add_row (bt_part_index_t *index,
-         const suspect_t *suspect,
-         const bt_part_mark_row_t *marks,
-         int32_t mark_count)
+add_marks (suspect_t *suspects, int32_t count, const bt_part_mark_row_t *marks, int32_t mark_count)
 {
-  const bt_part_mark_row_t *mark = bt_find_part_mark (marks, mark_count, &suspect->part.part);
-  bt_accused_part_t *row = &index->rows[index->count++];
+  for (int32_t i = 0; i < count; i++)
+    {
+      const bt_part_mark_row_t *row = bt_find_part_mark (marks, mark_count, &suspects[i].part.part);
 
-  *row = suspect->part;
-  row->trials = mark == NULL ? 0 : mark->mark.trials;
-  row->trial_ms = mark == NULL ? 0 : mark->mark.trial_ms;
-  row->trial_revision = mark == NULL ? 0 : mark->revision;
+      if (row == NULL)
+        continue;
+      suspects[i].was_cleared = row->mark.cleared_ms > 0;
+      suspects[i].part.trials = row->mark.trials;
+      suspects[i].part.trial_ms = row->mark.trial_ms;
+    }
 }
 
 void
@@ -301,7 +318,8 @@
                      bt_part_end_row_t *ends,
                      int32_t end_count,
                      const bt_part_mark_row_t *marks,
-                     int32_t mark_count)
+                     int32_t mark_count,
+                     int32_t most_events)
 {
   int32_t capacity = count_parts (ends, end_count);
   accusation_t *list = bt_calloc (ctx, (size_t)capacity + 1, sizeof *list);
@@ -311,14 +329,15 @@
   set_moments (ends, end_count);
   count = list_accusations (ends, end_count, marks, mark_count, list);
   count = group_accusations (list, count, ends, end_count, suspects);
-  explain_suspects (suspects, count, ends, end_count);
+  add_marks (suspects, count, marks, mark_count);
+  explain_suspects (suspects, count, most_events, ends, end_count);
   bt_free (ctx, index->rows);
   index->rows = count == 0 ? NULL : bt_calloc (ctx, (size_t)count, sizeof *index->rows);
   index->count = 0;
   index->judged = 0;
   for (int32_t i = 0; i < count; i++)
     if (suspects[i].part.ends > 0)
-      add_row (index, &suspects[i], marks, mark_count);
+      index->rows[index->count++] = suspects[i].part;
   bt_free (ctx, suspects);
   bt_free (ctx, list);
 }
--- a/source/requests/part_index.h
+++ b/source/requests/part_index.h
@@ -40,13 +40,15 @@
 const bt_part_mark_row_t *
 bt_find_part_mark (const bt_part_mark_row_t *marks, int32_t count, const bt_fingerprint_t *part);
 
-/** Builds the index anew. @p marks are sorted by part. */
+/** Builds the index anew. @p marks are sorted by part. A part with @p most_events moments stays
+ * accused whatever other parts explain. */
 void bt_build_part_index (bt_context_t *ctx,
                           bt_part_index_t *index,
                           bt_part_end_row_t *ends,
                           int32_t end_count,
                           const bt_part_mark_row_t *marks,
-                          int32_t mark_count);
+                          int32_t mark_count,
+                          int32_t most_events);
 
 /** Finds an accused part; NULL if no end accuses it. */
 bt_accused_part_t *bt_find_accused_part (const bt_part_index_t *index,
--- a/source/requests/part_table.c
+++ b/source/requests/part_table.c
@@ -94,7 +94,7 @@
 bt_rebuild_part_index (bt_context_t *ctx, bt_part_table_t *table)
 {
   bt_build_part_index (ctx, &table->index, table->ends, table->end_count, table->marks,
-                       table->mark_count);
+                       table->mark_count, table->options.refuse_ends);
   table->version++;
 }
 
--- a/test/requests/test_part_table.c
+++ b/test/requests/test_part_table.c
@@ -192,6 +192,24 @@
   bt_drop_part_table (ctx, table);
 }
 
+/* Guards against freeing the part at fault for one that most prompts have, and that other ends
+ * accuse besides. */
+static void
+test_part_that_was_answered_explains_nothing (void)
+{
+  bt_part_table_t *table = make_table ("one");
+
+  crash (table, "a", 9, 0);
+  answer (table, "a", 500);
+  for (int32_t i = 0; i < 2; i++)
+    {
+      crash (table, "ax", i, (2 * i + 1) * MOMENT_MS);
+      crash (table, "ab", i + 2, (2 * i + 2) * MOMENT_MS);
+    }
+  CU_ASSERT_NOT_EQUAL (judge (table, "x", false, 5 * MOMENT_MS), BT_PART_RUN);
+  bt_drop_part_table (ctx, table);
+}
+
 /* Guards against blaming all parts of one request because its retry ended an endpoint too. */
 static void
 test_retry_tells_nothing_new (void)
@@ -530,6 +548,7 @@
   suite = CU_add_suite ("part_table", NULL, NULL);
   CU_ADD_TEST (suite, test_common_part_of_two_ends_is_held);
   CU_ADD_TEST (suite, test_most_accused_part_explains_its_ends);
+  CU_ADD_TEST (suite, test_part_that_was_answered_explains_nothing);
   CU_ADD_TEST (suite, test_retry_tells_nothing_new);
   CU_ADD_TEST (suite, test_answered_part_is_cleared);
   CU_ADD_TEST (suite, test_part_is_held_after_one_end_in_a_group);
