--- a/test/gateway/test_part_items.c
+++ b/test/gateway/test_part_items.c
@@ -130,7 +130,10 @@
   mark.part.bytes[3] = 7;
   bt_write_part_mark_key (&mark, key);
   CU_ASSERT_TRUE (bt_read_part_mark (key, value, strlen (value), &read));
-  CU_ASSERT_EQUAL (memcmp (&read, &mark, sizeof mark), 0);
+  CU_ASSERT_TRUE (bt_same_fingerprint (&read.part, &mark.part));
+  CU_ASSERT_EQUAL (read.cleared_ms, mark.cleared_ms);
+  CU_ASSERT_EQUAL (read.trials, mark.trials);
+  CU_ASSERT_EQUAL (read.trial_ms, mark.trial_ms);
   bt_free (ctx, value);
 }
 
@@ -144,13 +147,14 @@
   };
   bt_part_mark_t mark = { 0 };
   char key[BT_CRASH_KEY_BYTES];
+  char longer[BT_CRASH_KEY_BYTES + 1];
 
   bt_write_part_mark_key (&mark, key);
   for (size_t i = 0; i < sizeof values / sizeof values[0]; i++)
     CU_ASSERT_FALSE (bt_read_part_mark (key, values[i], strlen (values[i]), &mark));
   CU_ASSERT_FALSE (bt_read_part_mark (bt_part_mark_prefix, "{}", 2, &mark));
-  strcat (key, "0");
-  CU_ASSERT_FALSE (bt_read_part_mark (key, "{}", 2, &mark));
+  snprintf (longer, sizeof longer, "%s0", key);
+  CU_ASSERT_FALSE (bt_read_part_mark (longer, "{}", 2, &mark));
 }
 
 int
--- a/test/process/test_gateway_parts.c
+++ b/test/process/test_gateway_parts.c
@@ -21,6 +21,8 @@
    * with the part that may still reach runners. */
   TOLERATED_ENDS = 5,
   STABLE_MS = 3000,
+  /* From this time after them sound requests are served as before. */
+  LEARNING_MS = 2 * STABLE_MS,
   MAX_LATE_ARRIVALS = 3,
   /* Sound requests alone come first, so that the deployment is in its steady state. */
   QUIET_MS = 2000,
@@ -227,7 +229,7 @@
   while (now () < end_ms)
     {
       tend_runners (load, counts);
-      if (!is_late && counts->fifth_end_ms > 0 && now () - counts->fifth_end_ms > 2 * STABLE_MS)
+      if (!is_late && counts->fifth_end_ms > 0 && now () - counts->fifth_end_ms > LEARNING_MS)
         {
           is_late = true;
           atomic_store (&load->late_sound, 0);
--- a/test/requests/part_simulation.h
+++ b/test/requests/part_simulation.h
@@ -29,6 +29,7 @@
   SIM_FORM_MS = 4000,
   SIM_BACK_MS = 1500,
   SIM_STABLE_MS = 3000,
+  SIM_LEARNING_MS = 2 * SIM_STABLE_MS,
   SIM_FIFTH = 5,
   SIM_PERCENT = 100,
   SIM_EVENT_MS = 50,
@@ -461,7 +462,7 @@
   sim_entry_t *entry = &sim->entries[index];
   bt_prompt_parts_t *parts = sim_make_parts (sim, poison);
   bt_part_judgement_t judgement;
-  bool learned = sim->last_ms > 0 && sim->now_ms > sim->last_ms + 2 * SIM_STABLE_MS;
+  bool learned = sim->last_ms > 0 && sim->now_ms > sim->last_ms + SIM_LEARNING_MS;
   bool runs;
 
   if (!sim_runs (sim, entry))
--- a/test/requests/test_part_table.c
+++ b/test/requests/test_part_table.c
@@ -7,13 +7,15 @@
 enum
 {
   UNIX_MS = 1000000000,
-  MOMENT_MS = 3000,
   TRIAL_MS = 60000,
   MANY_ENDS = 400,
   MAX_ENDS = 32,
   JUDGED = 64,
 };
 
+/* Two ends this far apart are separate moments. */
+static const int64_t moment_ms = 3000;
+
 static bt_context_t *ctx;
 static bt_fingerprint_key_t key;
 
@@ -164,13 +166,13 @@
   bt_part_table_t *table = make_table ("one");
 
   crash (table, "abx", 0, 0);
-  CU_ASSERT_EQUAL (judge (table, "x", false, MOMENT_MS), BT_PART_RUN);
-  crash (table, "cdx", 1, MOMENT_MS);
-  CU_ASSERT_EQUAL (judge (table, "ex", false, MOMENT_MS + 100), BT_PART_HOLD);
-  CU_ASSERT_EQUAL (judge (table, "abcde", false, MOMENT_MS + 100), BT_PART_RUN);
-  crash (table, "x", 2, 2 * MOMENT_MS);
-  CU_ASSERT_EQUAL (judge (table, "x", false, 2 * MOMENT_MS + 100), BT_PART_REFUSE);
-  CU_ASSERT_EQUAL (judge_fully (table, "x", false, 2 * MOMENT_MS + 100).ends, 3);
+  CU_ASSERT_EQUAL (judge (table, "x", false, moment_ms), BT_PART_RUN);
+  crash (table, "cdx", 1, moment_ms);
+  CU_ASSERT_EQUAL (judge (table, "ex", false, moment_ms + 100), BT_PART_HOLD);
+  CU_ASSERT_EQUAL (judge (table, "abcde", false, moment_ms + 100), BT_PART_RUN);
+  crash (table, "x", 2, 2 * moment_ms);
+  CU_ASSERT_EQUAL (judge (table, "x", false, 2 * moment_ms + 100), BT_PART_REFUSE);
+  CU_ASSERT_EQUAL (judge_fully (table, "x", false, 2 * moment_ms + 100).ends, 3);
   bt_drop_part_table (ctx, table);
 }
 
@@ -181,14 +183,14 @@
   bt_part_table_t *table = make_table ("one");
 
   crash (table, "ax", 0, 0);
-  crash (table, "ax", 1, MOMENT_MS);
-  CU_ASSERT_EQUAL (judge (table, "a", false, MOMENT_MS + 100), BT_PART_HOLD);
-  crash (table, "bx", 2, 2 * MOMENT_MS);
-  CU_ASSERT_EQUAL (judge (table, "ab", false, 2 * MOMENT_MS + 100), BT_PART_RUN);
-  CU_ASSERT_EQUAL (judge (table, "ab", true, 2 * MOMENT_MS + 100), BT_PART_RUN);
-  CU_ASSERT_EQUAL (judge (table, "x", false, 2 * MOMENT_MS + 100), BT_PART_REFUSE);
-  crash (table, "cy", 3, 3 * MOMENT_MS);
-  CU_ASSERT_EQUAL (judge (table, "y", true, 3 * MOMENT_MS + 100), BT_PART_HOLD);
+  crash (table, "ax", 1, moment_ms);
+  CU_ASSERT_EQUAL (judge (table, "a", false, moment_ms + 100), BT_PART_HOLD);
+  crash (table, "bx", 2, 2 * moment_ms);
+  CU_ASSERT_EQUAL (judge (table, "ab", false, 2 * moment_ms + 100), BT_PART_RUN);
+  CU_ASSERT_EQUAL (judge (table, "ab", true, 2 * moment_ms + 100), BT_PART_RUN);
+  CU_ASSERT_EQUAL (judge (table, "x", false, 2 * moment_ms + 100), BT_PART_REFUSE);
+  crash (table, "cy", 3, 3 * moment_ms);
+  CU_ASSERT_EQUAL (judge (table, "y", true, 3 * moment_ms + 100), BT_PART_HOLD);
   bt_drop_part_table (ctx, table);
 }
 
@@ -203,10 +205,10 @@
   answer (table, "a", 500);
   for (int32_t i = 0; i < 2; i++)
     {
-      crash (table, "ax", i, (2 * i + 1) * MOMENT_MS);
-      crash (table, "ab", i + 2, (2 * i + 2) * MOMENT_MS);
+      crash (table, "ax", i, (2 * i + 1) * moment_ms);
+      crash (table, "ab", i + 2, (2 * i + 2) * moment_ms);
     }
-  CU_ASSERT_NOT_EQUAL (judge (table, "x", false, 5 * MOMENT_MS), BT_PART_RUN);
+  CU_ASSERT_NOT_EQUAL (judge (table, "x", false, 5 * moment_ms), BT_PART_RUN);
   bt_drop_part_table (ctx, table);
 }
 
@@ -220,15 +222,15 @@
                               .app = "app",
                               .at_start = true,
                               .again = true,
-                              .sent_ms = MOMENT_MS - 100 };
+                              .sent_ms = moment_ms - 100 };
 
   crash (table, "ax", 0, 0);
-  bt_note_broken_parts (ctx, table, &retry, MOMENT_MS);
-  end_endpoint (table, 1, MOMENT_MS + 30);
-  CU_ASSERT_EQUAL (judge (table, "a", false, MOMENT_MS + 100), BT_PART_RUN);
-  crash (table, "bx", 2, 2 * MOMENT_MS);
-  CU_ASSERT_EQUAL (judge (table, "ab", false, 2 * MOMENT_MS + 100), BT_PART_RUN);
-  CU_ASSERT_NOT_EQUAL (judge (table, "x", false, 2 * MOMENT_MS + 100), BT_PART_RUN);
+  bt_note_broken_parts (ctx, table, &retry, moment_ms);
+  end_endpoint (table, 1, moment_ms + 30);
+  CU_ASSERT_EQUAL (judge (table, "a", false, moment_ms + 100), BT_PART_RUN);
+  crash (table, "bx", 2, 2 * moment_ms);
+  CU_ASSERT_EQUAL (judge (table, "ab", false, 2 * moment_ms + 100), BT_PART_RUN);
+  CU_ASSERT_NOT_EQUAL (judge (table, "x", false, 2 * moment_ms + 100), BT_PART_RUN);
   bt_drop_prompt_parts (ctx, retry.parts);
   bt_drop_part_table (ctx, table);
 }
@@ -241,11 +243,11 @@
 
   for (int32_t i = 0; i < 4; i++)
     {
-      crash (table, "ax", i, i * MOMENT_MS);
-      answer (table, "ab", i * MOMENT_MS + 500);
+      crash (table, "ax", i, i * moment_ms);
+      answer (table, "ab", i * moment_ms + 500);
     }
-  CU_ASSERT_EQUAL (judge (table, "ab", false, 4 * MOMENT_MS), BT_PART_RUN);
-  CU_ASSERT_NOT_EQUAL (judge (table, "bx", false, 4 * MOMENT_MS), BT_PART_RUN);
+  CU_ASSERT_EQUAL (judge (table, "ab", false, 4 * moment_ms), BT_PART_RUN);
+  CU_ASSERT_NOT_EQUAL (judge (table, "bx", false, 4 * moment_ms), BT_PART_RUN);
   bt_drop_part_table (ctx, table);
 }
 
@@ -281,7 +283,7 @@
   bt_part_table_t *table = make_table ("one");
 
   for (int32_t i = 0; i < 10; i++)
-    break_attempt (table, "a", i, false, i * MOMENT_MS);
+    break_attempt (table, "a", i, false, i * moment_ms);
   CU_ASSERT_FALSE (bt_has_accused_parts (table));
   bt_drop_part_table (ctx, table);
 }
@@ -293,10 +295,10 @@
   bt_part_table_t *table = make_table ("one");
 
   break_attempt (table, "a", 0, false, 0);
-  break_attempt (table, "x", 0, false, MOMENT_MS);
-  end_endpoint (table, 0, MOMENT_MS + 30);
-  CU_ASSERT_EQUAL (judge (table, "a", true, MOMENT_MS + 100), BT_PART_RUN);
-  CU_ASSERT_EQUAL (judge (table, "x", true, MOMENT_MS + 100), BT_PART_HOLD);
+  break_attempt (table, "x", 0, false, moment_ms);
+  end_endpoint (table, 0, moment_ms + 30);
+  CU_ASSERT_EQUAL (judge (table, "a", true, moment_ms + 100), BT_PART_RUN);
+  CU_ASSERT_EQUAL (judge (table, "x", true, moment_ms + 100), BT_PART_HOLD);
   bt_drop_part_table (ctx, table);
 }
 
@@ -313,14 +315,14 @@
                                  .endpoint = make_endpoint (0),
                                  .app = "app",
                                  .at_start = true,
-                                 .sent_ms = i * 100 };
+                                 .sent_ms = (int64_t)i * 100 };
 
       bt_note_broken_parts (ctx, table, &late, i * 100 + 1);
       bt_drop_prompt_parts (ctx, late.parts);
     }
-  end_endpoint (table, 0, MOMENT_MS);
-  CU_ASSERT_EQUAL (judge (table, "a", true, MOMENT_MS), BT_PART_RUN);
-  CU_ASSERT_EQUAL (judge (table, "x", true, MOMENT_MS), BT_PART_HOLD);
+  end_endpoint (table, 0, moment_ms);
+  CU_ASSERT_EQUAL (judge (table, "a", true, moment_ms), BT_PART_RUN);
+  CU_ASSERT_EQUAL (judge (table, "x", true, moment_ms), BT_PART_HOLD);
   bt_drop_part_table (ctx, table);
 }
 
@@ -368,9 +370,9 @@
 
   clear_list ();
   for (int32_t end = 0; end < 2; end++)
-    crash (tables[0], "x", end, end * MOMENT_MS);
+    crash (tables[0], "x", end, end * moment_ms);
   share (tables[0]);
-  for (; now_ms < (int64_t)10000 * 1000; now_ms += MOMENT_MS)
+  for (; now_ms < (int64_t)10000 * 1000; now_ms += moment_ms)
     for (int32_t i = 0; i < 2; i++)
       {
         int64_t expected;
@@ -434,14 +436,14 @@
 
   clear_list ();
   crash (tables[0], "ax", 0, 0);
-  crash (tables[1], "bx", 1, MOMENT_MS);
+  crash (tables[1], "bx", 1, moment_ms);
   for (int32_t i = 0; i < 2; i++)
     share (tables[i]);
   for (int32_t i = 0; i < 2; i++)
     {
       bt_apply_part_list (ctx, tables[i], &list, false);
-      CU_ASSERT_EQUAL (judge (tables[i], "x", false, MOMENT_MS), BT_PART_HOLD);
-      CU_ASSERT_EQUAL (judge (tables[i], "ab", false, MOMENT_MS), BT_PART_RUN);
+      CU_ASSERT_EQUAL (judge (tables[i], "x", false, moment_ms), BT_PART_HOLD);
+      CU_ASSERT_EQUAL (judge (tables[i], "ab", false, moment_ms), BT_PART_RUN);
       bt_drop_part_table (ctx, tables[i]);
     }
   clear_list ();
@@ -478,19 +480,19 @@
 
   clear_list ();
   crash (table, "x", 0, 0);
-  crash (table, "x", 1, MOMENT_MS);
+  crash (table, "x", 1, moment_ms);
   share (table);
-  part = judge_fully (table, "x", false, MOMENT_MS).part;
-  mark = bt_propose_part_trial (table, &part, MOMENT_MS, &expected);
+  part = judge_fully (table, "x", false, moment_ms).part;
+  mark = bt_propose_part_trial (table, &part, moment_ms, &expected);
   bt_record_part_mark (ctx, table, &mark);
   list_mark (&mark);
   bt_apply_part_list (ctx, table, &list, false);
   bt_apply_part_list (ctx, table, &empty, true);
-  CU_ASSERT_EQUAL (judge (table, "x", false, MOMENT_MS), BT_PART_HOLD);
+  CU_ASSERT_EQUAL (judge (table, "x", false, moment_ms), BT_PART_HOLD);
   CU_ASSERT_EQUAL (share (table), 3);
   bt_apply_part_list (ctx, table, &empty, false);
-  CU_ASSERT_EQUAL (judge (table, "x", false, MOMENT_MS), BT_PART_HOLD);
-  CU_ASSERT_EQUAL (bt_propose_part_trial (table, &part, MOMENT_MS, &expected).trials, 2);
+  CU_ASSERT_EQUAL (judge (table, "x", false, moment_ms), BT_PART_HOLD);
+  CU_ASSERT_EQUAL (bt_propose_part_trial (table, &part, moment_ms, &expected).trials, 2);
   bt_drop_part_table (ctx, table);
   clear_list ();
 }
@@ -504,17 +506,17 @@
   int32_t count;
 
   crash (table, "x", 0, 0);
-  crash (table, "x", 1, MOMENT_MS);
+  crash (table, "x", 1, moment_ms);
   for (int32_t i = 2; i < MANY_ENDS; i++)
     {
       char letter[2] = { (char)('A' + i % 26), '\0' };
 
-      crash (table, letter, i, i * MOMENT_MS);
-      answer (table, letter, i * MOMENT_MS + 500);
+      crash (table, letter, i, i * moment_ms);
+      answer (table, letter, i * moment_ms + 500);
       while (bt_take_part_update (table, &update))
         bt_clear_part_update (ctx, &update);
     }
-  CU_ASSERT_NOT_EQUAL (judge (table, "x", false, MANY_ENDS * MOMENT_MS), BT_PART_RUN);
+  CU_ASSERT_NOT_EQUAL (judge (table, "x", false, MANY_ENDS * moment_ms), BT_PART_RUN);
   bt_get_accused_parts (table, &count);
   CU_ASSERT (count <= MAX_ENDS);
   bt_drop_part_table (ctx, table);
@@ -527,7 +529,7 @@
   const int64_t day_ms = (int64_t)24 * 3600 * 1000;
 
   crash (table, "x", 0, 0);
-  crash (table, "x", 1, MOMENT_MS);
+  crash (table, "x", 1, moment_ms);
   bt_expire_parts (ctx, table, day_ms);
   CU_ASSERT_TRUE (bt_has_accused_parts (table));
   bt_expire_parts (ctx, table, 2 * day_ms);
