--- a/test/process/harness_gateway.c
+++ b/test/process/harness_gateway.c
@@ -26,6 +26,7 @@
   BASE_TEN = 10,
   DRAIN_MS = 8000,
   NS_PER_MS = 1000000,
+  LOG_LINES = 60,
   FIRST_PORT = 11000,
   PORTS_PER_RANGE = 1000,
   PORT_RANGES = 10,
@@ -531,6 +532,18 @@
   return start_testbed (gateways, runners, true, configuration);
 }
 
+void
+bt_print_gateway_log (const bt_gateway_testbed_t *testbed, int32_t index)
+{
+  char command[URL_BYTES];
+
+  fflush (stdout);
+  snprintf (command, sizeof command, "tail -n %d '%s/instance=gateway-%d.log'", LOG_LINES,
+            testbed->folder, (int)index);
+  if (system (command) != 0)
+    fprintf (stderr, "can't read the log of gateway %d\n", (int)index);
+}
+
 void
 bt_drop_gateway_testbed (bt_gateway_testbed_t *testbed, bool failed)
 {
--- a/test/process/harness_gateway.h
+++ b/test/process/harness_gateway.h
@@ -82,6 +82,9 @@
 void
 bt_write_runner_id (const bt_gateway_testbed_t *testbed, int32_t index, char *id, size_t capacity);
 
+/** Prints the last lines that a gateway's processes have written. */
+void bt_print_gateway_log (const bt_gateway_testbed_t *testbed, int32_t index);
+
 /** Kills every process, prints the logs if @p failed, and removes the folder. */
 void bt_drop_gateway_testbed (bt_gateway_testbed_t *testbed, bool failed);
 
--- a/test/soak/faults.c
+++ b/test/soak/faults.c
@@ -193,6 +193,7 @@
   bt_print_soak_event (soak,
                        "BROKEN LOST gateway %d did not exit cleanly after SIGTERM: wait status %d",
                        gateway, status);
+  bt_print_gateway_log (soak->testbed, gateway);
 }
 
 static void
