--- a/source/gateway/part_items.c
+++ b/source/gateway/part_items.c
@@ -218,6 +218,49 @@
   return valid;
 }
 
+static bool
+starts_with (const char *text, const char *prefix)
+{
+  return strncmp (text, prefix, strlen (prefix)) == 0;
+}
+
+bool
+bt_is_part_key (const char *key)
+{
+  return starts_with (key, bt_part_end_prefix) || starts_with (key, bt_part_mark_prefix);
+}
+
+static bool
+read_listed_end (bt_context_t *ctx, const bt_kv_pair_t *pair, bt_part_list_t *list)
+{
+  bt_listed_part_end_t listed = { .revision = pair->mod_revision };
+
+  if (!bt_read_part_end (ctx, pair->key, pair->value, pair->value_bytes, &listed.end))
+    return false;
+  list->ends = bt_realloc (ctx, list->ends, (size_t)list->end_count + 1, sizeof *list->ends);
+  list->ends[list->end_count++] = listed;
+  return true;
+}
+
+static bool
+read_listed_mark (bt_context_t *ctx, const bt_kv_pair_t *pair, bt_part_list_t *list)
+{
+  bt_listed_part_mark_t listed = { .revision = pair->mod_revision };
+
+  if (!bt_read_part_mark (pair->key, pair->value, pair->value_bytes, &listed.mark))
+    return false;
+  list->marks = bt_realloc (ctx, list->marks, (size_t)list->mark_count + 1, sizeof *list->marks);
+  list->marks[list->mark_count++] = listed;
+  return true;
+}
+
+bool
+bt_read_listed_part (bt_context_t *ctx, const bt_kv_pair_t *pair, bt_part_list_t *list)
+{
+  return starts_with (pair->key, bt_part_end_prefix) ? read_listed_end (ctx, pair, list)
+                                                     : read_listed_mark (ctx, pair, list);
+}
+
 void
 bt_clear_part_list (bt_context_t *ctx, bt_part_list_t *list)
 {
--- a/source/gateway/part_items.h
+++ b/source/gateway/part_items.h
@@ -7,6 +7,7 @@
  */
 
 #include "bilberrytray/requests/part_table.h"
+#include "bilberrytray/store/kv.h"
 #include "crash_reporter.h"
 
 /** Common prefixes of the keys. */
@@ -31,6 +32,13 @@
 /** Decodes a mark. Returns false if the key or the value is not valid. */
 bool bt_read_part_mark (const char *key, const char *text, size_t bytes, bt_part_mark_t *mark);
 
+/** Returns true if a key begins with one of the prefixes. */
+bool bt_is_part_key (const char *key);
+
+/** Decodes an item whose key begins with one of the prefixes, and adds it to a list. Returns false
+ * if it is not valid. */
+bool bt_read_listed_part (bt_context_t *ctx, const bt_kv_pair_t *pair, bt_part_list_t *list);
+
 /** Frees the ends and marks of a list. */
 void bt_clear_part_list (bt_context_t *ctx, bt_part_list_t *list);
 
--- a/source/gateway/retention.c
+++ b/source/gateway/retention.c
@@ -48,8 +48,7 @@
     return (retention_rule_t){ .removed_ms = REMOVED_ENDPOINT_MS };
   if (starts_with (key, bt_entry_prefix))
     return (retention_rule_t){ .missing_ms = MISSING_ENTRY_MS };
-  if (starts_with (key, bt_crash_prefix) || starts_with (key, bt_part_end_prefix)
-      || starts_with (key, bt_part_mark_prefix))
+  if (starts_with (key, bt_crash_prefix) || bt_is_part_key (key))
     return (retention_rule_t){ .removed_ms = INT64_MAX };
   return (retention_rule_t){ 0 };
 }
--- a/source/gateway/view.c
+++ b/source/gateway/view.c
@@ -303,38 +303,6 @@
   view->crashes[view->crash_count++] = listed;
 }
 
-static void
-read_part_end (view_draft_t *draft, const bt_kv_pair_t *pair)
-{
-  bt_part_list_t *parts = &draft->view->parts;
-  bt_listed_part_end_t listed = { .revision = pair->mod_revision };
-
-  if (!bt_read_part_end (draft->ctx, pair->key, pair->value, pair->value_bytes, &listed.end))
-    {
-      skip_item (draft, pair, "part-unreadable", "It does not describe the end of an endpoint.");
-      return;
-    }
-  parts->ends =
-      bt_realloc (draft->ctx, parts->ends, (size_t)parts->end_count + 1, sizeof *parts->ends);
-  parts->ends[parts->end_count++] = listed;
-}
-
-static void
-read_part_mark (view_draft_t *draft, const bt_kv_pair_t *pair)
-{
-  bt_part_list_t *parts = &draft->view->parts;
-  bt_listed_part_mark_t listed = { .revision = pair->mod_revision };
-
-  if (!bt_read_part_mark (pair->key, pair->value, pair->value_bytes, &listed.mark))
-    {
-      skip_item (draft, pair, "part-unreadable", "It does not describe the mark of a part.");
-      return;
-    }
-  parts->marks =
-      bt_realloc (draft->ctx, parts->marks, (size_t)parts->mark_count + 1, sizeof *parts->marks);
-  parts->marks[parts->mark_count++] = listed;
-}
-
 static void
 read_evacuation (view_draft_t *draft, const bt_platform_t *platform, const bt_kv_pair_t *pair)
 {
@@ -362,10 +330,11 @@
     }
   else if (starts_with (pair->key, bt_crash_prefix))
     read_listed_crash (draft, pair);
-  else if (starts_with (pair->key, bt_part_end_prefix))
-    read_part_end (draft, pair);
-  else if (starts_with (pair->key, bt_part_mark_prefix))
-    read_part_mark (draft, pair);
+  else if (bt_is_part_key (pair->key))
+    {
+      if (!bt_read_listed_part (draft->ctx, pair, &view->parts))
+        skip_item (draft, pair, "part-unreadable", "It describes no end and no mark of a part.");
+    }
   else if (starts_with (pair->key, platform->evacuation_prefix))
     read_evacuation (draft, platform, pair);
   else if (strcmp (pair->key, leader_key) == 0 && pair->value_bytes < sizeof view->leader)
--- a/source/requests/part_index.c
+++ b/source/requests/part_index.c
@@ -137,7 +137,7 @@
   return false;
 }
 
-/* Returns true if the first of several reports of one end, and no other, has only retries there. */
+/* Returns true if only retries had a part at an endpoint that ended, by all reports of that end. */
 static bool
 is_only_again (const accusation_t *list, int32_t count, const bt_identity_t *endpoint)
 {
@@ -235,7 +235,7 @@
 }
 
 /* Lets the most accused parts explain their ends, one after the other, so that the others are
- * accused by the ends that are left. */
+ * accused by the ends that are left. A part with @p most_events moments stays accused. */
 static void
 explain_suspects (suspect_t *suspects,
                   int32_t count,
@@ -249,7 +249,7 @@
     {
       keep_equals (suspects, count, most);
       for (int32_t i = 0; i < count; i++)
-        if (suspects[i].found)
+        if (suspects[i].found && !suspects[i].was_cleared)
           explain_ends (&suspects[i], ends, end_count);
       for (int32_t i = 0; i < count; i++)
         if (!suspects[i].found && suspects[i].part.events < most_events)
--- a/source/requests/part_table_private.h
+++ b/source/requests/part_table_private.h
@@ -2,8 +2,9 @@
 #define BILBERRYTRAY_SOURCE_REQUESTS_PART_TABLE_PRIVATE_H
 
 /** @file
- * The state of a part table. Included only by its source files: part_table.c has what an instance
- * sees itself, part_list.c the list that all share, part_judgement.c the decision.
+ * The state of a part table. Included only by its source files: part_reports.c has the
+ * ends that this instance sees, part_list.c the list that all share, part_judgement.c the decision,
+ * part_table.c the rest.
  */
 
 #include "part_index.h"
