gateway: no memmove of a queue that was never created

Cause: the reporter of crashes frees what is queued as it is dropped, by the function that moves the rest of the queue; the queue is only created for the first report, and a null pointer is no argument of memmove. Found by the undefined-behaviour sanitizer's report.

--- a/source/gateway/crash_reporter.c
+++ b/source/gateway/crash_reporter.c
@@ -71,10 +71,16 @@
 }
 
 static void
-remove_reports (bt_crash_reporter_t *reporter, int32_t count)
+free_values (bt_crash_reporter_t *reporter, int32_t count)
 {
   for (int32_t i = 0; i < count; i++)
     bt_free (reporter->ctx, reporter->queue[i].value);
+}
+
+static void
+remove_reports (bt_crash_reporter_t *reporter, int32_t count)
+{
+  free_values (reporter, count);
   reporter->count -= count;
   memmove (&reporter->queue[0], &reporter->queue[count],
            (size_t)reporter->count * sizeof *reporter->queue);
@@ -231,7 +237,7 @@
   if (reporter->running)
     pthread_join (reporter->thread, NULL);
   bt_drop_kv (ctx, reporter->kv);
-  remove_reports (reporter, reporter->count);
+  free_values (reporter, reporter->count);
   bt_free (ctx, reporter->queue);
   pthread_cond_destroy (&reporter->changed);
   pthread_mutex_destroy (&reporter->lock);
