gateway: a follower no longer misses a change that is made while it connects

What was seen: test_gateway_restored_store, thread sanitizer, beside load, was red in 5 of 52 runs: behind a start one gateway did not accept a new key for 30 s, while the others had the configuration in force.

Cause: a reader sent a change to its followers and applied it to its own copy afterwards, as two steps. A gateway that connected in between got the items from before the change, was not yet a follower when the change was sent, and took the position that the reader states afterwards for its own: nothing was missing in its eyes until the next change. A reader that follows a peer for a moment made the same gap: it applies changes that its followers do not get from it.

Change: sending and applying is one step under the feed's lock; and a follower whose applied updates end before the position that its peer states asks for what is missing (event peer-changes-missed).

Ruled out: the decoding of the view and the retention after a restoration; the gateway stayed at the revision from before the change, not at a wrong item.

--- a/source/gateway/peer_feed.c
+++ b/source/gateway/peer_feed.c
@@ -57,6 +57,7 @@
   bool synced; /* the followed peer has sent its items */
   bool peer_attached;
   bt_kv_position_t peer_position;
+  bt_kv_position_t requested; /* peer_position at the last request for missing changes */
   bt_store_update_t *first_update;
   bt_store_update_t **update_tail;
   bt_departed_peers_t departed;
@@ -311,6 +312,7 @@
   feed->synced = false;
   feed->peer_attached = false;
   feed->peer_position = (bt_kv_position_t){ 0 };
+  feed->requested = (bt_kv_position_t){ 0 };
   while (feed->first_update != NULL)
     {
       bt_store_update_t *update = feed->first_update;
@@ -367,6 +369,24 @@
                   "message", error.message);
 }
 
+/* Requests the changes that the followed peer has without having sent them. A peer that follows
+ * another one for a moment applies changes that its own followers don't get from it. A link
+ * delivers in order, so once all updates are applied, a position of the peer beyond the copy's own
+ * means that changes are missing. */
+static void
+request_missing_changes (bt_peer_feed_t *feed)
+{
+  if (!feed->up || !feed->synced || feed->first_update != NULL
+      || bt_compare_kv_positions (feed->peer_position, bt_get_copy_position (feed->copy)) <= 0
+      || bt_compare_kv_positions (feed->peer_position, feed->requested) <= 0)
+    return;
+  feed->requested = feed->peer_position;
+  bt_log_event (feed->ctx, BT_LOG_INFO, "peer-changes-missed", "{s:s, s:I, s:I}", "peer",
+                feed->address, "era", (json_int_t)feed->peer_position.era, "revision",
+                (json_int_t)feed->peer_position.revision);
+  send_follow (feed);
+}
+
 void
 bt_maintain_peer_feed (bt_peer_feed_t *feed, const bt_feed_choice_t *choice, int32_t count)
 {
@@ -379,6 +399,7 @@
     disconnect_peer (feed);
   if (feed->link == NULL && due && count > 0)
     dial_next (feed, choice, count);
+  request_missing_changes (feed);
   pthread_mutex_unlock (&feed->lock);
 }
 
@@ -460,10 +481,13 @@
 }
 
 void
-bt_send_peer_changes (bt_peer_feed_t *feed, int64_t from_revision, const bt_kv_changes_t *changes)
+bt_apply_and_send_changes (bt_peer_feed_t *feed, bt_kv_changes_t *changes)
 {
+  const int64_t from_revision = bt_get_copy_position (feed->copy).revision;
   Bilberry__StoreItems message;
 
+  /* With the lock held, a new follower gets either the items from before the changes and the
+   * changes, or the items from after them. */
   pthread_mutex_lock (&feed->lock);
   if (feed->followers != NULL)
     {
@@ -471,6 +495,7 @@
       send_to_followers (feed, BILBERRY__FRAME__BODY_STORE_ITEMS, &message);
       bt_clear_items_message (feed->ctx, &message);
     }
+  bt_apply_changes_to_copy (feed->ctx, feed->copy, changes, bt_now_ms (feed->ctx));
   pthread_mutex_unlock (&feed->lock);
 }
 
--- a/source/gateway/peer_feed.h
+++ b/source/gateway/peer_feed.h
@@ -34,7 +34,8 @@
 void bt_drop_peer_feed (bt_context_t *ctx, bt_peer_feed_t *feed);
 
 /** Follows one of the first @p count candidates and tries them in turn. Must be called regularly: a
- * later call abandons a candidate that does not answer and tries the next. */
+ * later call abandons a candidate that does not answer and tries the next. Requests changes that
+ * the followed peer has and did not send; the updates that have arrived must have been applied. */
 void bt_maintain_peer_feed (bt_peer_feed_t *feed, const bt_feed_choice_t *choice, int32_t count);
 
 /** Returns true if the followed peer reads the store itself, has sent all items, and is not behind
@@ -57,9 +58,9 @@
  * changed. */
 void bt_set_store_reachable (bt_peer_feed_t *feed, bool reachable);
 
-/** Sends the changes after @p from_revision to the followers. */
-void
-bt_send_peer_changes (bt_peer_feed_t *feed, int64_t from_revision, const bt_kv_changes_t *changes);
+/** Applies changes that directly follow the copy's position to the copy, and sends them to the
+ * followers. */
+void bt_apply_and_send_changes (bt_peer_feed_t *feed, bt_kv_changes_t *changes);
 
 /** Sends the items that changed after @p from, and all keys, to the followers. Called after a full
  * read that found a later position. */
--- a/source/gateway/store_follower.c
+++ b/source/gateway/store_follower.c
@@ -259,8 +259,7 @@
     return read_all (follower, error);
   if (changes->written.count == 0 && changes->removed_count == 0)
     return true;
-  bt_send_peer_changes (follower->feed, before.revision, changes);
-  bt_apply_changes_to_copy (follower->ctx, follower->copy, changes, bt_now_ms (follower->ctx));
+  bt_apply_and_send_changes (follower->feed, changes);
   post_current_view (follower, bt_now_ms (follower->ctx));
   /* Changes often come in quick succession, and each watch is a call to the store. Waiting lets the
    * next answer report several of them. */
