gateway: requests call down only

Seven files of source/gateway called each other in a cycle: agent_updates, forward, forward_crashes, forward_parts, forward_send, gateway and gateway_stop. Whoever changed one had to read all.

The ends of attempts and requests move from forward and forward_send to forward_end, below them. The retry budgets of the apps move from gateway to app_budgets. The checks whether a stopping gateway accepts a request stand beside their one user in forward, and two predicates move to the lower of the files that use them. An attempt that has ended calls on_attempt_end, which gateway sets; the loop's hook dispatches the queue after updates of agents. The order of all calls is as before.

test_layers derives includes and calls from the sources and fails on a cycle.

--- a/source/gateway/agent_updates.c
+++ b/source/gateway/agent_updates.c
@@ -163,10 +163,9 @@
     bt_handle_group_update (gateway->groups, &declarations->apps[app].engine, update, pass_limit);
 }
 
-void
+bool
 bt_handle_agent_updates (bt_gateway_t *gateway)
 {
   bt_expire_group_outages (gateway->ctx, gateway->outages, bt_get_loop_ms (gateway->loop));
-  if (bt_collect_agent_updates (gateway->agents, handle_update, gateway))
-    bt_dispatch_queued_forwards (gateway);
+  return bt_collect_agent_updates (gateway->agents, handle_update, gateway);
 }
--- a/source/gateway/forward.c
+++ b/source/gateway/forward.c
@@ -1,25 +1,16 @@
 #include "forward.h"
 
 #include <stddef.h>
-#include <stdio.h>
 #include <string.h>
 
-#include "bilberrytray/base/event_log.h"
-
 enum
 {
-  MS_PER_S = 1000,
-  NUMBER_BYTES = 24,
-  RETRY_AFTER_BYTES = 32,
   /* Interval at which queued requests are checked, in addition to the check after each request's
    * end and each report. */
   QUEUE_CHECK_MS = 10,
   /* The caller's deadline runs from when it sent the request, and the answer has to travel back.
    * Covers two long network delays between a caller and an entry, and one iteration of the loop. */
   CALLER_DELAY_MS = 10,
-  /* Used when nothing is free: a run takes about a second, so half a second later something is. */
-  MIN_RETRY_AFTER_MS = 300,
-  RETRY_AFTER_SPREAD_MS = 700,
   /* Divisor for the time in which callers expect the first part of an answer: an endpoint with a
    * free slot takes nearly half of it to read a usual prompt. */
   FIRST_PART_DIVISOR = 2,
@@ -36,31 +27,6 @@
 
 static const char *const bearer_prefix = "Bearer ";
 
-uint64_t
-bt_draw_gateway_seed (bt_gateway_t *gateway)
-{
-  return bt_next_random (&gateway->random);
-}
-
-int64_t
-bt_draw_retry_after_ms (bt_gateway_t *gateway, const char *app)
-{
-  int64_t paused_ms = bt_get_paused_retry_after_ms (
-      gateway->admission, app, bt_draw_gateway_seed (gateway), bt_get_loop_ms (gateway->loop));
-
-  if (paused_ms > 0)
-    return paused_ms;
-  return MIN_RETRY_AFTER_MS + (int64_t)bt_random_below (&gateway->random, RETRY_AFTER_SPREAD_MS);
-}
-
-bool
-bt_is_forward_repeatable (const bt_forward_t *forward)
-{
-  const bt_rule_then_t *then = &forward->rule->then;
-
-  return then->streamed ? then->resumable : then->idempotent == 1;
-}
-
 static void
 add_forward (bt_gateway_t *gateway, bt_forward_t *forward)
 {
@@ -71,94 +37,6 @@
   gateway->forwards++;
 }
 
-static void
-remove_forward (bt_gateway_t *gateway, bt_forward_t *forward)
-{
-  if (forward->previous != NULL)
-    forward->previous->next = forward->next;
-  else
-    gateway->first_forward = forward->next;
-  if (forward->next != NULL)
-    forward->next->previous = forward->previous;
-  gateway->forwards--;
-}
-
-static void
-log_request_end (const bt_forward_t *forward,
-                 bt_outcome_t outcome,
-                 bt_reason_t reason,
-                 int32_t status)
-{
-  bt_gateway_t *gateway = forward->gateway;
-  int64_t now_ms = bt_get_loop_ms (gateway->loop);
-  bool good = outcome == BT_OUTCOME_ANSWERED;
-
-  bt_log_event (
-      gateway->ctx, good ? BT_LOG_INFO : BT_LOG_WARNING, "request",
-      "{s:s, s:s, s:s, s:s, s:i, s:s, s:s, s:s, s:i, s:i, s:I, s:I, s:I, s:I, s:I}", "request",
-      forward->info.request_id, "rule", forward->rule == NULL ? "" : forward->rule->name, "account",
-      forward->account, "outcome", bt_name_outcome (outcome), "status", status, "reason",
-      bt_name_reason (reason), "app", forward->app == NULL ? "" : forward->app, "endpoint",
-      forward->route.identity.instance, "sends", forward->sends, "runs", forward->runs, "events",
-      (json_int_t)forward->events.events, "queue_ms",
-      (json_int_t)(forward->first_sent_ms > 0 ? forward->first_sent_ms - forward->arrived_ms : -1),
-      "first_ms",
-      (json_int_t)(forward->first_byte_ms > 0 ? forward->first_byte_ms - forward->arrived_ms : -1),
-      "total_ms", (json_int_t)(now_ms - forward->arrived_ms), "revision",
-      (json_int_t)(forward->declarations == NULL ? 0 : forward->declarations->revision));
-}
-
-void
-bt_finish_forward (bt_forward_t *forward, bt_outcome_t outcome, bt_reason_t reason, int32_t status)
-{
-  bt_gateway_t *gateway = forward->gateway;
-  bt_context_t *ctx = gateway->ctx;
-
-  bt_count_outcome (ctx, outcome);
-  log_request_end (forward, outcome, reason, status);
-  bt_record_duration (gateway->timings.total, bt_get_loop_ms (gateway->loop) - forward->arrived_ms);
-  bt_clear_timer (gateway->loop, &forward->timer);
-  bt_end_forward_attempt (forward, BT_ATTEMPT_CANCELLED);
-  remove_forward (gateway, forward);
-  bt_drop_frontend_call (ctx, forward->call);
-  bt_drop_declarations (ctx, forward->declarations);
-  bt_free_frontend_header_list (ctx, forward->headers, forward->header_count);
-  bt_drop_prompt_parts (ctx, forward->parts);
-  bt_free (ctx, forward);
-}
-
-static void
-add_retry_after (bt_frontend_call_t *call, int64_t retry_after_ms)
-{
-  char text[RETRY_AFTER_BYTES];
-
-  if (retry_after_ms <= 0)
-    return;
-  snprintf (text, sizeof text, "%.3f", (double)retry_after_ms / MS_PER_S);
-  bt_add_frontend_header (call, "Retry-After", text);
-}
-
-void
-bt_refuse_forward (bt_forward_t *forward, bt_reason_t reason, int64_t retry_after_ms)
-{
-  bt_gateway_t *gateway = forward->gateway;
-  bt_outcome_t outcome = bt_get_reason_outcome (reason);
-  int32_t status = bt_get_reason_status (reason);
-
-  bt_count_refusal (gateway->ctx, reason);
-  bt_end_forward_attempt (forward, BT_ATTEMPT_CANCELLED);
-  if (forward->state == BT_FORWARD_STREAMING)
-    {
-      bt_end_frontend_stream (forward->call, BT_STREAM_CUT_OFF);
-      bt_finish_forward (forward, BT_OUTCOME_UNKNOWN, reason, 0);
-      return;
-    }
-  add_retry_after (forward->call, retry_after_ms);
-  bt_add_frontend_header (forward->call, "Bilberry-Reason", bt_name_reason (reason));
-  bt_answer_frontend_call (forward->call, status, "", 0);
-  bt_finish_forward (forward, outcome, reason, status);
-}
-
 /* Ends a request whose time limit, the caller's or the rule's, has passed. */
 static void
 handle_deadline (bt_timer_t *timer)
@@ -388,6 +266,23 @@
   return reason == BT_REASON_STOPPING ? STOPPING_RETRY_MS : 0;
 }
 
+/* Returns true when this instance is leaving and no caller can still hold a cached address answer
+ * that names it. */
+static bool
+is_gateway_closing (const bt_gateway_t *gateway)
+{
+  return gateway->leaving && gateway->stop.phase > BT_STOP_LEAVING;
+}
+
+/* Returns false when this instance is leaving and a request that arrives now, and may take until
+ * end_ms, could be cut off by the end of the process. */
+static bool
+may_gateway_accept (const bt_gateway_t *gateway, int64_t end_ms)
+{
+  return !gateway->leaving
+         || bt_may_accept_at_stop (&gateway->stop, end_ms, bt_get_loop_ms (gateway->loop));
+}
+
 void
 bt_start_forward (bt_gateway_t *gateway, bt_frontend_call_t *call)
 {
@@ -403,7 +298,7 @@
   add_forward (gateway, forward);
   bt_set_frontend_call_data (call, forward);
   read_call_headers (forward);
-  if (bt_is_gateway_closing (gateway))
+  if (is_gateway_closing (gateway))
     reason = BT_REASON_STOPPING;
   else if (gateway->view != NULL && gateway->view->declarations != NULL)
     {
@@ -414,7 +309,7 @@
   if (reason == BT_REASON_NONE)
     {
       set_deadline (forward);
-      if (!bt_may_gateway_accept (gateway, forward->deadline_ms))
+      if (!may_gateway_accept (gateway, forward->deadline_ms))
         reason = BT_REASON_STOPPING;
     }
   if (reason != BT_REASON_NONE)
--- a/source/gateway/forward_crashes.c
+++ b/source/gateway/forward_crashes.c
@@ -1,14 +1,6 @@
 #include "bilberrytray/base/event_log.h"
 #include "forward.h"
 
-enum
-{
-  /* The other ranks of a group break off their requests at least this long after one has ended.
-   * Ends of several ranks at about one moment, of which the first is already known, are shorter
-   * apart. */
-  MIN_STALL_MS = 500,
-};
-
 /* The hash covers the whole body, so it is computed only for requests that need it. */
 static const bt_fingerprint_t *
 get_fingerprint (bt_forward_t *forward)
@@ -28,16 +20,6 @@
   return &forward->fingerprint;
 }
 
-bool
-bt_is_attempt_stalled (const bt_forward_t *forward)
-{
-  const bt_gateway_t *gateway = forward->gateway;
-  int64_t now_ms = bt_get_loop_ms (gateway->loop);
-
-  return bt_get_group_outage_ms (gateway->outages, &forward->route.identity, now_ms)
-         >= MIN_STALL_MS;
-}
-
 /* Returns true if an endpoint that ended under the present attempt ended as the request began to
  * run. */
 static bool
@@ -116,6 +98,14 @@
   bt_clear_crash_suspect (forward->gateway->crashes, &attempt, forward->sent_ms);
 }
 
+bool
+bt_is_forward_repeatable (const bt_forward_t *forward)
+{
+  const bt_rule_then_t *then = &forward->rule->then;
+
+  return then->streamed ? then->resumable : then->idempotent == 1;
+}
+
 bool
 bt_may_forward_run_again (bt_forward_t *forward)
 {
--- a/source/gateway/forward_parts.c
+++ b/source/gateway/forward_parts.c
@@ -7,6 +7,10 @@
 {
   /* Events of an attempt that show that its endpoint survived the beginning of the answer. */
   BEGUN_EVENTS = 2,
+  /* The other ranks of a group break off their requests at least this long after one has ended.
+   * Ends of several ranks at about one moment, of which the first is already known, are shorter
+   * apart. */
+  MIN_STALL_MS = 500,
   MIN_SUCCESS_STATUS = 200,
   MAX_SUCCESS_STATUS = 299,
 };
@@ -151,6 +155,16 @@
          && (bytes > 0 || forward->events.events > forward->events_before);
 }
 
+bool
+bt_is_attempt_stalled (const bt_forward_t *forward)
+{
+  const bt_gateway_t *gateway = forward->gateway;
+  int64_t now_ms = bt_get_loop_ms (gateway->loop);
+
+  return bt_get_group_outage_ms (gateway->outages, &forward->route.identity, now_ms)
+         >= MIN_STALL_MS;
+}
+
 static bt_part_attempt_t
 describe_attempt (bt_forward_t *forward)
 {
--- a/source/gateway/forward_send.c
+++ b/source/gateway/forward_send.c
@@ -37,28 +37,6 @@
   return false;
 }
 
-static void
-drop_headers (bt_forward_t *forward)
-{
-  bt_free_frontend_header_list (forward->gateway->ctx, forward->headers, forward->header_count);
-  forward->headers = NULL;
-  forward->header_count = 0;
-}
-
-void
-bt_end_forward_attempt (bt_forward_t *forward, bt_attempt_end_t end)
-{
-  bt_gateway_t *gateway = forward->gateway;
-  int64_t now_ms = bt_get_loop_ms (gateway->loop);
-
-  if (forward->exchange == NULL)
-    return;
-  bt_record_attempt_end (gateway->router, &forward->route, end, now_ms - forward->sent_ms, now_ms);
-  bt_drop_exchange (gateway->ctx, forward->exchange);
-  forward->exchange = NULL;
-  drop_headers (forward);
-}
-
 static void
 add_exchange_header (void *data, const char *name, const char *value)
 {
@@ -347,7 +325,7 @@
     finish_stream (forward);
   else
     apply_attempt_decision (forward, get_stage (exchange, partial_bytes));
-  bt_dispatch_queued_forwards (gateway);
+  gateway->on_attempt_end (gateway);
 }
 
 static const bt_exchange_handler_vtable_t exchange_vtable = { handle_progress,
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -9,9 +9,6 @@
 enum
 {
   MS_PER_S = 1000,
-  /* An instance that is among the first to return after all were lost sees few others to share the
-     reserve with, and would start with a large part of it. */
-  MAX_INITIAL_RETRIES = 8,
   /* Buffer of libmicrohttpd for one connection: the longest request head that declarations usually
    * allow, and as much again for the head of an answer. */
   CONNECTION_BYTES = 24576,
@@ -36,53 +33,6 @@
   HANDOVER_DELAY_MS = 5000,
 };
 
-static int32_t
-get_retry_reserve (const bt_gateway_t *gateway)
-{
-  return bt_divide_retry_reserve ((int64_t)gateway->settings->retry_reserve,
-                                  gateway->view == NULL ? 1 : gateway->view->entry_count);
-}
-
-static bt_retry_budget_t *
-new_budget (const bt_gateway_t *gateway)
-{
-  bt_retry_budget_options_t options = {
-    .share_percent = (int32_t)gateway->settings->retry_percent,
-    .reserve = get_retry_reserve (gateway),
-  };
-
-  options.initial = options.reserve < MAX_INITIAL_RETRIES ? options.reserve : MAX_INITIAL_RETRIES;
-  return bt_new_retry_budget (gateway->ctx, &options);
-}
-
-static bt_retry_budget_t *
-find_budget (bt_gateway_t *gateway, const char *app)
-{
-  bt_app_budget_t *row;
-
-  for (int32_t i = 0; i < gateway->budget_count; i++)
-    if (strcmp (gateway->budgets[i].app, app) == 0)
-      return gateway->budgets[i].budget;
-  gateway->budgets = bt_realloc (gateway->ctx, gateway->budgets, (size_t)gateway->budget_count + 1,
-                                 sizeof *gateway->budgets);
-  row = &gateway->budgets[gateway->budget_count++];
-  bt_copy_name (row->app, app);
-  row->budget = new_budget (gateway);
-  return row->budget;
-}
-
-void
-bt_record_app_request (bt_gateway_t *gateway, const char *app)
-{
-  bt_record_attempt (find_budget (gateway, app));
-}
-
-bool
-bt_take_app_retry (bt_gateway_t *gateway, const char *app, bt_retry_t retry)
-{
-  return bt_take_retry (gateway->ctx, find_budget (gateway, app), retry);
-}
-
 static void
 apply_endpoints (bt_gateway_t *gateway)
 {
@@ -156,8 +106,7 @@
     apply_limits (gateway, &view->declarations->limits);
   bt_set_router_entries (gateway->router, view->entry_count);
   apply_entry_names (gateway);
-  for (int32_t i = 0; i < gateway->budget_count; i++)
-    bt_set_retry_reserve (gateway->budgets[i].budget, get_retry_reserve (gateway));
+  bt_update_app_budgets (gateway);
   bt_set_listed_crashes (gateway->crashes, view);
   if (bt_set_listed_parts (gateway->parts, view))
     bt_clear_begun_forwards (gateway);
@@ -193,7 +142,8 @@
 {
   bt_gateway_t *gateway = (bt_gateway_t *)((char *)hook - offsetof (bt_gateway_t, agent_hook));
 
-  bt_handle_agent_updates (gateway);
+  if (bt_handle_agent_updates (gateway))
+    bt_dispatch_queued_forwards (gateway);
   bt_run_group_control (gateway->groups);
 }
 
@@ -420,6 +370,7 @@
   bt_copy_name (gateway->identity.instance, settings->instance);
   bt_fill_secure_random (&gateway->identity.incarnation, sizeof gateway->identity.incarnation);
   gateway->relist_timer.on_expiry = handle_relist_timer;
+  gateway->on_attempt_end = bt_dispatch_queued_forwards;
   bt_open_timings (ctx, &gateway->timings);
   gateway->loop = bt_new_event_loop (ctx, error);
   if (gateway->loop == NULL || !open_frontends (gateway, error)
@@ -490,9 +441,7 @@
   bt_drop_admission (ctx, gateway->admission);
   bt_drop_group_outages (ctx, gateway->outages);
   bt_drop_router (ctx, gateway->router);
-  for (int32_t i = 0; i < gateway->budget_count; i++)
-    bt_drop_retry_budget (ctx, gateway->budgets[i].budget);
-  bt_free (ctx, gateway->budgets);
+  bt_drop_app_budgets (gateway);
   bt_drop_view (ctx, gateway->view);
   bt_drop_event_loop (ctx, gateway->loop);
   bt_close_timings (ctx, &gateway->timings);
--- a/source/gateway/gateway_private.h
+++ b/source/gateway/gateway_private.h
@@ -85,6 +85,9 @@
 
   struct bt_forward *first_forward; /**< List of all requests in progress. */
   int32_t forwards;
+  /** Called when an attempt has ended, so that its endpoint may have capacity. Set by the layer
+   * that dispatches queued requests. */
+  void (*on_attempt_end) (bt_gateway_t *gateway);
   uint64_t last_forward_id;
   bt_timer_t queue_timer;
   bt_timer_t relist_timer; /**< Expires when endpoints that lapsed are to be removed. */
@@ -105,8 +108,14 @@
 /** Takes one retry from an app's budget. @return false when none is left. */
 bool bt_take_app_retry (bt_gateway_t *gateway, const char *app, bt_retry_t retry);
 
-/** Applies what the agents have reported since the last call. */
-void bt_handle_agent_updates (bt_gateway_t *gateway);
+/** Sets the reserves of all retry budgets by the number of entries in the latest view. */
+void bt_update_app_budgets (bt_gateway_t *gateway);
+
+/** Frees the retry budgets of all apps. */
+void bt_drop_app_budgets (bt_gateway_t *gateway);
+
+/** Applies what the agents have reported since the last call. @return false if that is nothing. */
+bool bt_handle_agent_updates (bt_gateway_t *gateway);
 
 /** Returns the time of a pass with almost no requests in an app's fastest group, in ms; 0 if it is
  * not known. */
@@ -138,14 +147,6 @@
 /** Sends or refuses the request that waited for the trial of a part of its prompt. */
 void bt_handle_part_trial (bt_gateway_t *gateway, uint64_t id, bool granted);
 
-/** Returns true when this instance is leaving and no caller can still hold a cached address answer
- * that names it. */
-bool bt_is_gateway_closing (const bt_gateway_t *gateway);
-
-/** Returns false when this instance is leaving and a request that arrives now, and may take until
- * @p end_ms, could be cut off by the end of the process. */
-bool bt_may_gateway_accept (const bt_gateway_t *gateway, int64_t end_ms);
-
 /** Ends all requests in progress and drops the frontends, which closes all callers' connections. */
 void bt_drop_gateway_frontends (bt_gateway_t *gateway);
 
--- a/source/gateway/gateway_stop.c
+++ b/source/gateway/gateway_stop.c
@@ -6,19 +6,6 @@
   STOP_CHECK_MS = 20,
 };
 
-bool
-bt_is_gateway_closing (const bt_gateway_t *gateway)
-{
-  return gateway->leaving && gateway->stop.phase > BT_STOP_LEAVING;
-}
-
-bool
-bt_may_gateway_accept (const bt_gateway_t *gateway, int64_t end_ms)
-{
-  return !gateway->leaving
-         || bt_may_accept_at_stop (&gateway->stop, end_ms, bt_get_loop_ms (gateway->loop));
-}
-
 /* An open round of a rank group counts as work: if its leader left it unfinished, the group would
  * be blocked until another instance leads it. */
 static int32_t
