gateway: the leader of rank groups goes on while the store does not answer

Cause: the lease was treated as the right to lead. It need not be: maps stay consistent under two leaders, since ranks and agents refuse lower fencing numbers; model/rounds.pml has an earlier leader that goes on. The lease only keeps two of them from working against each other, and while the store is silent there can be no second one.

Change: a leader goes on past its lease (--lead-past-lease-s, 20 s) until the store says that the lease has ended, shows another leader, an agent knows a higher fencing number, or this process was suspended. Agents take the fencing number already from a leader's subscription, so that an earlier leader's orders end with it. Metric bilberry_leading, event leading-past-lease.

Shown: two tests of test_group_control (silent store; lease lost or another leader shown), one of test_sidecar that fails without the agent's part.

--- a/source/agent/sidecar.c
+++ b/source/agent/sidecar.c
@@ -110,6 +110,9 @@
 
   pthread_mutex_lock (&sidecar->lock);
   peer = find_link (sidecar, link);
+  /* From here on the orders of earlier leaders are refused, which may still send some. */
+  if (message->fence > sidecar->max_fence)
+    sidecar->max_fence = message->fence;
   if (peer != NULL)
     {
       peer->leads_group = message->fence != 0;
@@ -165,6 +168,20 @@
   return bt_is_different_engine_incarnation (sidecar->engine_started_ms, queued->order.started_ms);
 }
 
+/* Returns false if a later leader is known than the one that sent an order. */
+static bool
+accept_fence (bt_sidecar_t *sidecar, uint64_t fence)
+{
+  bool accepted;
+
+  pthread_mutex_lock (&sidecar->lock);
+  accepted = fence >= sidecar->max_fence;
+  if (accepted)
+    sidecar->max_fence = fence;
+  pthread_mutex_unlock (&sidecar->lock);
+  return accepted;
+}
+
 /* Executes one order. An older leader's order is refused here too, because not every engine checks
  * the fencing number. If the engine's state can't be read afterwards, the order's effect is not
  * known and no result is sent; the leader asks again. */
@@ -179,9 +196,8 @@
 
   if (is_for_other_incarnation (sidecar, queued))
     result = BT_ORDER_REFUSED;
-  else if (order->fence >= sidecar->max_fence)
+  else if (accept_fence (sidecar, order->fence))
     {
-      sidecar->max_fence = order->fence;
       result = bt_send_engine_order (sidecar->ctx, sidecar->engine, queued->engine, order,
                                      queued->map, &status);
       bt_record_duration (sidecar->metrics.orders[order->kind],
--- a/source/agent/sidecar_private.h
+++ b/source/agent/sidecar_private.h
@@ -39,7 +39,6 @@
   bool engine_lost;          /* the engine did not answer the last call */
   bool engine_limited;       /* its last report named a limit */
   int64_t engine_started_ms; /* start time in the engine's last report; 0: not reported */
-  uint64_t max_fence;        /* the highest fencing number seen */
   int64_t report_read_ms;    /* when the engine's last report was requested */
   bt_sidecar_metrics_t metrics;
   int64_t next_report_ms;
@@ -47,6 +46,7 @@
   pthread_mutex_t lock; /* guards the members below */
   pthread_cond_t wakeup;
   bool stopping;
+  uint64_t max_fence; /* the highest fencing number seen, of orders and of leaders that follow */
   bt_sidecar_link_t *links;
   bt_sidecar_order_t *first_order;
   bt_sidecar_order_t **last_order;
--- a/source/entry/command_gateway.c
+++ b/source/entry/command_gateway.c
@@ -63,6 +63,9 @@
     "TTL of the lease of the instance that leads the rank groups, s." },
   { "lead-renew-ms", BT_SETTING_INTEGER, FIELD (lead_renew_ms), "600", 50, 600000,
     "Interval between renewals of that lease, ms." },
+  { "lead-past-lease-s", BT_SETTING_INTEGER, FIELD (lead_past_lease_s), "20", 0, 600,
+    "How long the leader goes on past its lease while the store does not answer, if the rules of a "
+    "model differ in priority, s; 0: not at all." },
   { "plan-ms", BT_SETTING_INTEGER, FIELD (plan_ms), "200", 20, 3600000,
     "Interval between plans of a group's expert map, ms." },
 };
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -167,6 +167,7 @@
     .renew_ms = settings->lead_renew_ms,
     .plan_ms = settings->plan_ms,
     .handover_delay_ms = HANDOVER_DELAY_MS,
+    .past_lease_ms = settings->lead_past_lease_s * MS_PER_S,
   };
 
   if (settings->agent_port == 0)
--- a/source/gateway/group_control.c
+++ b/source/gateway/group_control.c
@@ -3,8 +3,10 @@
 #include <stddef.h>
 #include <string.h>
 
+#include "bilberrytray/base/counters.h"
 #include "bilberrytray/base/event_log.h"
 #include "bilberrytray/base/limit.h"
+#include "bilberrytray/config/contention.h"
 #include "lead_order.h"
 #include "managed_group.h"
 
@@ -21,6 +23,9 @@
   MIN_HOLD_LEASE_MS = 700,
   /* Interval between two runs of the control while a round is in progress. */
   ROUND_INTERVAL_MS = 20,
+  /* A process that did not run for this long was suspended, and another instance may have taken
+   * over meanwhile. */
+  MAX_PAUSE_MS = 1000,
 };
 
 /* A leader hands over to an instance with more than this many times its processor share. Planning
@@ -30,6 +35,14 @@
 static const char *const lease_prefix = "bilberrytray/maps/";
 static const char *const lease_name = "groups";
 
+/** Values of the gauge bilberry_leading. */
+typedef enum leading_state
+{
+  NOT_LEADING = 0,
+  LEADING,
+  LEADING_PAST_LEASE,
+} leading_state_t;
+
 /** A list element for one group. */
 typedef struct group_row
 {
@@ -45,9 +58,15 @@
   bt_group_control_options_t options;
   bt_lease_listener_t listener;
   bt_lease_keeper_t *keeper;
-  uint64_t fence;       /* 0: not leading */
-  uint64_t lease_fence; /* fencing number of the lease that was granted last */
+  bt_counter_t *leading; /* a gauge of leading_state_t */
+  uint64_t fence;        /* 0: not leading */
+  uint64_t lease_fence;  /* fencing number of the lease that was granted last */
   int64_t lease_end_ms;
+  int64_t run_ms;  /* when bt_run_group_control last ran as the leader */
+  bool lease_lost; /* the store said that the lease has ended */
+  bool suspended;  /* this process did not run for a while since the lease was renewed */
+  bool contended;  /* an app with engines is contended */
+  bool past_lease; /* leads past the end of the lease */
   bool leaving;
   bool handed_over;        /* the lease that was granted last is being released */
   bool handover_failed;    /* the lease was released, but no other instance took it */
@@ -61,6 +80,8 @@
 start_leading (bt_group_control_t *control, uint64_t fence)
 {
   control->fence = fence;
+  control->run_ms = bt_now_ms (control->ctx);
+  bt_set_gauge (control->leading, LEADING);
   bt_log_event (control->ctx, BT_LOG_INFO, "leading", "{s:I}", "fence", (json_int_t)fence);
   for (group_row_t *row = control->groups; row != NULL; row = row->next)
     bt_begin_leading_group (row->group, fence);
@@ -75,6 +96,8 @@
   bt_log_event (control->ctx, BT_LOG_INFO, "not-leading", "{s:I, s:s}", "fence",
                 (json_int_t)control->fence, "message", reason);
   control->fence = 0;
+  control->past_lease = false;
+  bt_set_gauge (control->leading, NOT_LEADING);
   for (group_row_t *row = control->groups; row != NULL; row = row->next)
     bt_end_leading_group (row->group);
   bt_subscribe_agents (control->links, 0);
@@ -87,6 +110,11 @@
       (bt_group_control_t *)((char *)listener - offsetof (bt_group_control_t, listener));
 
   control->lease_end_ms = sent_ms + control->options.lease_s * MS_PER_S - LEASE_MARGIN_MS;
+  control->lease_lost = false;
+  control->suspended = false;
+  if (control->past_lease)
+    bt_set_gauge (control->leading, LEADING);
+  control->past_lease = false;
   if (fence != 0)
     {
       control->lease_fence = fence;
@@ -101,6 +129,15 @@
     start_leading (control, control->lease_fence);
 }
 
+static void
+handle_failed_renewal (bt_lease_listener_t *listener, bool lost)
+{
+  bt_group_control_t *control =
+      (bt_group_control_t *)((char *)listener - offsetof (bt_group_control_t, listener));
+
+  control->lease_lost = control->lease_lost || lost;
+}
+
 static void
 wake_loop (bt_timer_t *timer)
 {
@@ -129,7 +166,11 @@
   control->loop = loop;
   control->links = links;
   control->options = *options;
+  control->leading =
+      bt_find_counter (ctx, BT_GAUGE, "bilberry_leading",
+                       "1: leads the rank groups; 2: past the end of its lease.", NULL, NULL);
   control->listener.on_lease = handle_lease;
+  control->listener.on_renewal_failed = handle_failed_renewal;
   control->timer.on_expiry = wake_loop;
   control->keeper = bt_new_lease_keeper (ctx, loop, &lease, &control->listener);
   return control;
@@ -173,6 +214,16 @@
   return due_ms > now_ms ? due_ms - now_ms : 0;
 }
 
+/* Returns true if callers of an app with engines compete. */
+static bool
+is_any_model_contended (const bt_declarations_t *declarations)
+{
+  for (int32_t i = 0; declarations != NULL && i < declarations->app_count; i++)
+    if (declarations->apps[i].kind == BT_APP_MODEL && bt_is_app_contended (declarations, i))
+      return true;
+  return false;
+}
+
 void
 bt_set_group_view (bt_group_control_t *control, const bt_view_t *view, bool leaving)
 {
@@ -183,6 +234,9 @@
     better_listed =
         better_listed || view->entries[i].cores > control->options.cores * handover_cores_ratio;
   control->leaving = leaving;
+  control->contended = is_any_model_contended (view->declarations);
+  if (control->past_lease && !own)
+    stop_leading (control, "The store shows that the lease has ended.");
   if (view->leader[0] != '\0' && !own)
     {
       control->handed_over = false;
@@ -293,25 +347,61 @@
   bt_set_lease_wanted (control->keeper, false, 0);
 }
 
+/* Returns until when this instance may lead. While the store does not answer, no other instance can
+ * get the lease, and groups without a leader keep a map that does not fit after the next jump of
+ * demand. If only this instance cannot reach the store and another one takes over, the agents know
+ * the higher fencing number of that one and refuse this one's orders. */
+static int64_t
+get_lead_end_ms (const bt_group_control_t *control)
+{
+  if (control->leaving || !control->contended || control->lease_lost || control->suspended)
+    return control->lease_end_ms;
+  return control->lease_end_ms + control->options.past_lease_ms;
+}
+
+static void
+record_run (bt_group_control_t *control, int64_t read_ms)
+{
+  if (read_ms - control->run_ms > MAX_PAUSE_MS)
+    control->suspended = true;
+  control->run_ms = read_ms;
+}
+
+static void
+log_past_lease (bt_group_control_t *control, int64_t now_ms)
+{
+  if (control->past_lease || now_ms < control->lease_end_ms)
+    return;
+  control->past_lease = true;
+  bt_set_gauge (control->leading, LEADING_PAST_LEASE);
+  bt_log_event (control->ctx, BT_LOG_WARNING, "leading-past-lease", "{s:I, s:I}", "fence",
+                (json_int_t)control->fence, "most_ms", (json_int_t)control->options.past_lease_ms);
+}
+
 void
 bt_run_group_control (bt_group_control_t *control)
 {
   int64_t now_ms = bt_get_loop_ms (control->loop);
+  /* A process that was suspended resumes with outdated state, so the current time is read here. */
+  int64_t read_ms = bt_now_ms (control->ctx);
   bool hands_over = control->leaving || is_better_instance_stable (control, now_ms);
+  int64_t end_ms;
   bt_group_run_params_t params = { .now_ms = now_ms,
                                    .fence = control->fence,
-                                   .hold_until_ms = control->lease_end_ms - MIN_HOLD_LEASE_MS,
                                    .plan_ms = control->options.plan_ms,
                                    .may_begin_rounds = !hands_over };
 
   if (control->fence == 0)
     return;
-  /* A process that was suspended resumes with outdated state, so the current time is read here. */
-  if (bt_now_ms (control->ctx) >= control->lease_end_ms)
+  record_run (control, read_ms);
+  end_ms = get_lead_end_ms (control);
+  params.hold_until_ms = end_ms - MIN_HOLD_LEASE_MS;
+  if (read_ms >= end_ms)
     {
       stop_leading (control, "The lease was not renewed before it could expire.");
       return;
     }
+  log_past_lease (control, read_ms);
   for (group_row_t *row = control->groups; row != NULL && control->fence != 0; row = row->next)
     if (!bt_run_managed_group (row->group, &params))
       stop_leading (control, "An engine reported a newer leader.");
--- a/source/gateway/group_control.h
+++ b/source/gateway/group_control.h
@@ -24,6 +24,9 @@
                                  before the leader hands over to it. Otherwise an instance that
                                  comes and goes would leave the groups without a leader each
                                  time. */
+  int64_t past_lease_ms; /**< How long a leader goes on past the end of a lease that it can't renew,
+                            unless the store says that the lease has ended, if an app with engines
+                            is contended; 0: not at all. */
 } bt_group_control_options_t;
 
 bt_group_control_t *bt_new_group_control (bt_context_t *ctx,
--- a/source/gateway/lease_keeper.c
+++ b/source/gateway/lease_keeper.c
@@ -30,6 +30,8 @@
   bt_task_t task;
   bt_context_t *ctx;
   bt_lease_keeper_t *keeper;
+  bool failed; /* a renewal failed */
+  bool lost;
   uint64_t fence;
   int64_t sent_ms;
 } lease_event_t;
@@ -40,7 +42,10 @@
   lease_event_t *event = (lease_event_t *)task;
   bt_lease_listener_t *listener = event->keeper->listener;
 
-  listener->on_lease (listener, event->fence, event->sent_ms);
+  if (event->failed)
+    listener->on_renewal_failed (listener, event->lost);
+  else
+    listener->on_lease (listener, event->fence, event->sent_ms);
   bt_free (event->ctx, event);
 }
 
@@ -51,16 +56,14 @@
 }
 
 static void
-post_event (bt_lease_keeper_t *keeper, uint64_t fence, int64_t sent_ms)
+post_event (bt_lease_keeper_t *keeper, const lease_event_t *contents)
 {
-  lease_event_t *event = bt_calloc (keeper->ctx, 1, sizeof *event);
+  lease_event_t *event = bt_memdup (keeper->ctx, contents, sizeof *contents);
 
   event->task.run = run_event;
   event->task.drop = drop_event;
   event->ctx = keeper->ctx;
   event->keeper = keeper;
-  event->fence = fence;
-  event->sent_ms = sent_ms;
   if (!bt_post_task (keeper->loop, &event->task))
     bt_free (keeper->ctx, event);
 }
@@ -79,22 +82,25 @@
 static void
 try_lease (bt_lease_keeper_t *keeper)
 {
-  int64_t sent_ms = bt_now_ms (keeper->ctx);
-  uint64_t fence = 0;
+  lease_event_t event = { .sent_ms = bt_now_ms (keeper->ctx) };
+  const bool held = bt_holds_fenced_lease (keeper->lease);
 
-  switch (bt_acquire_fenced_lease (keeper->ctx, keeper->lease, &fence))
+  switch (bt_acquire_fenced_lease (keeper->ctx, keeper->lease, &event.fence))
     {
     case BT_LEASE_GRANTED:
       bt_log_event (keeper->ctx, BT_LOG_INFO, "lease-granted", "{s:s, s:I}", "lease",
-                    keeper->options.name, "fence", (json_int_t)fence);
-      post_event (keeper, fence, sent_ms);
+                    keeper->options.name, "fence", (json_int_t)event.fence);
       break;
     case BT_LEASE_RENEWED:
-      post_event (keeper, 0, sent_ms);
       break;
     case BT_LEASE_NONE:
+      if (!held)
+        return;
+      event.failed = true;
+      event.lost = !bt_holds_fenced_lease (keeper->lease);
       break;
     }
+  post_event (keeper, &event);
 }
 
 static void *
--- a/source/gateway/lease_keeper.h
+++ b/source/gateway/lease_keeper.h
@@ -17,6 +17,9 @@
   /** The lease was granted with a new fencing number, or renewed (@p fence is 0). Its lifetime
    * starts at @p sent_ms, the time before the call to the store. */
   void (*on_lease) (struct bt_lease_listener *listener, uint64_t fence, int64_t sent_ms);
+  /** A renewal failed. @p lost is true if the store said that the lease has ended; otherwise the
+   * store did not answer, or refused the call. */
+  void (*on_renewal_failed) (struct bt_lease_listener *listener, bool lost);
 } bt_lease_listener_t;
 
 typedef struct bt_lease_keeper_options
--- a/test/agent/test_sidecar.c
+++ b/test/agent/test_sidecar.c
@@ -297,6 +297,23 @@
   CU_ASSERT_EQUAL (atomic_load (&leader.result_start), 300);
 }
 
+/* Guards against orders of two leaders: a later one has subscribed to the reports and has sent no
+ * order yet, and an order of the earlier one still arrives. */
+static void
+test_subscription_of_a_later_leader_ends_earlier_orders (void)
+{
+  int orders = atomic_load (&engine.orders);
+  Bilberry__EngineFollow follow = BILBERRY__ENGINE_FOLLOW__INIT;
+  bt_frame_t frame = BILBERRY__FRAME__INIT;
+
+  follow.fence = FENCE + 1;
+  frame.body_case = BILBERRY__FRAME__BODY_ENGINE_FOLLOW;
+  frame.engine_follow = &follow;
+  CU_ASSERT_TRUE (bt_send_frame (ctx, entry_link, &frame));
+  CU_ASSERT_EQUAL (send_order (300), BT_ORDER_FENCED);
+  CU_ASSERT_EQUAL (atomic_load (&engine.orders), orders);
+}
+
 int
 main (void)
 {
@@ -308,6 +325,7 @@
   CU_ADD_TEST (suite, test_order_for_the_current_start_is_executed);
   CU_ADD_TEST (suite, test_order_for_an_earlier_start_is_refused);
   CU_ADD_TEST (suite, test_engine_is_queried_after_it_was_lost);
+  CU_ADD_TEST (suite, test_subscription_of_a_later_leader_ends_earlier_orders);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
--- a/test/gateway/test_group_control.c
+++ b/test/gateway/test_group_control.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "bilberrytray/base/clock.h"
+#include "bilberrytray/base/counters.h"
 #include "group_control.h"
 #include "lead_order.h"
 
@@ -18,11 +19,16 @@
   RENEWALS = 200,
   LIMIT_MS = 10000,
   CANDIDATES = 200,
+  /* Well behind the end of a lease of one second. */
+  PAST_LEASE_MS = 1600,
 };
 
 static bt_context_t *ctx;
 static atomic_int renewed;
 static atomic_int released;
+static atomic_int unanswered;   /* renewals that failed because the store did not answer */
+static atomic_bool is_silent;   /* the store does not answer renewals */
+static atomic_bool has_expired; /* the store says that the lease has ended */
 
 static bool
 read_nothing (bt_context_t *unused,
@@ -76,7 +82,12 @@
   (void)unused;
   (void)kv;
   (void)lease;
-  (void)error;
+  if (atomic_load (&has_expired) || atomic_load (&is_silent))
+    {
+      bt_set_error (error, atomic_load (&has_expired) ? BT_ERROR_NOT_FOUND : BT_ERROR_CLOSED, "-");
+      atomic_fetch_add (&unanswered, 1);
+      return false;
+    }
   *ttl_s = LEASE_S;
   atomic_fetch_add (&renewed, 1);
   return true;
@@ -141,7 +152,12 @@
   bt_group_control_t *control;
   bt_view_t view;
   int64_t end_ms;
+  int64_t lease_s; /* 0: LEASE_S */
+  int64_t past_lease_ms;
+  int64_t silent_ms; /* when the store stopped to answer; 0: it answers */
+  int64_t leading;   /* the gauge bilberry_leading at the end */
   bool leaving;
+  bool shows_other;      /* the store shows another leader, instead of ending the lease */
   int32_t release_count; /* number of lease releases at the last check */
 } control_run_t;
 
@@ -158,8 +174,14 @@
                                          .lease_s = LEASE_S,
                                          .renew_ms = RENEW_MS,
                                          .plan_ms = PLAN_MS,
-                                         .handover_delay_ms = HANDOVER_DELAY_MS };
-
+                                         .handover_delay_ms = HANDOVER_DELAY_MS,
+                                         .past_lease_ms = control_run->past_lease_ms };
+
+  if (control_run->lease_s > 0)
+    options.lease_s = control_run->lease_s;
+  atomic_store (&unanswered, 0);
+  atomic_store (&is_silent, false);
+  atomic_store (&has_expired, false);
   atomic_store (&renewed, 0);
   atomic_store (&released, 0);
   control_run->loop = bt_new_event_loop (ctx, &error);
@@ -317,6 +339,114 @@
                > bt_get_lead_delay_ms (&all, entries[i - 1].identity.instance, 0.24));
 }
 
+static int64_t
+read_leading (void)
+{
+  return bt_read_counter (bt_find_counter (ctx, BT_GAUGE, "bilberry_leading", "", NULL, NULL));
+}
+
+/* Makes the store silent once this instance leads, and stops well behind the end of the lease. */
+static void
+check_silent_store (bt_loop_hook_t *hook)
+{
+  control_run_t *control_run = (control_run_t *)hook;
+  const int64_t now_ms = bt_now_ms (ctx);
+
+  bt_run_group_control (control_run->control);
+  if (control_run->silent_ms == 0 && atomic_load (&renewed) > 0)
+    {
+      control_run->silent_ms = now_ms;
+      atomic_store (&is_silent, true);
+    }
+  control_run->leading = read_leading ();
+  if (now_ms >= control_run->end_ms
+      || (control_run->silent_ms > 0 && now_ms - control_run->silent_ms > PAST_LEASE_MS))
+    bt_stop_event_loop (control_run->loop);
+}
+
+/* Runs an instance whose store becomes silent. Returns the gauge bilberry_leading behind the end of
+ * its lease. */
+static int64_t
+lead_with_silent_store (bool contended, int64_t past_lease_ms)
+{
+  bt_declarations_t *declarations = bt_new_empty_declarations (ctx);
+  control_run_t control_run = { .hook = { .on_iteration = check_silent_store },
+                                .timer = { .on_expiry = rearm_timer },
+                                .lease_s = 1,
+                                .past_lease_ms = past_lease_ms };
+
+  bt_add_app (ctx, declarations, "model")->kind = BT_APP_MODEL;
+  bt_add_rule (ctx, declarations, "a", 0)->then.priority = BT_PRIORITY_HIGH;
+  bt_add_rule (ctx, declarations, "b", 0)->then.priority =
+      contended ? BT_PRIORITY_LOW : BT_PRIORITY_HIGH;
+  control_run.view.declarations = declarations;
+  bt_copy_name (control_run.view.leader, "one");
+  run_control (&control_run);
+  bt_drop_declarations (ctx, declarations);
+  CU_ASSERT (control_run.silent_ms > 0);
+  return control_run.leading;
+}
+
+/* Guards against groups whose map follows no jump of demand while the store is away, since the
+ * leader stops at the end of a lease that nobody else can get. */
+static void
+test_leader_goes_on_while_the_store_is_silent (void)
+{
+  CU_ASSERT_EQUAL (lead_with_silent_store (true, LIMIT_MS), 2);
+  CU_ASSERT_EQUAL (lead_with_silent_store (true, 0), 0);
+  CU_ASSERT_EQUAL (lead_with_silent_store (false, LIMIT_MS), 0);
+}
+
+/* Ends the lease, by what the store answers, once this instance leads past it. */
+static void
+check_lost_lease (bt_loop_hook_t *hook)
+{
+  control_run_t *control_run = (control_run_t *)hook;
+
+  bt_run_group_control (control_run->control);
+  if (atomic_load (&renewed) > 0)
+    atomic_store (&is_silent, true);
+  control_run->leading = read_leading ();
+  if (control_run->leading == 2)
+    {
+      control_run->silent_ms = bt_now_ms (ctx);
+      if (!control_run->shows_other)
+        atomic_store (&has_expired, true);
+      else
+        bt_copy_name (control_run->view.leader, "two");
+      bt_set_group_view (control_run->control, &control_run->view, false);
+    }
+  if ((control_run->silent_ms > 0 && control_run->leading == 0)
+      || bt_now_ms (ctx) >= control_run->end_ms)
+    bt_stop_event_loop (control_run->loop);
+}
+
+/* Guards against two leaders: one that goes on past its lease must stop when the store says that
+ * the lease has ended, or shows another leader. */
+static void
+test_leader_past_its_lease_stops_when_it_is_lost (void)
+{
+  for (int32_t shown = 0; shown < 2; shown++)
+    {
+      bt_declarations_t *declarations = bt_new_empty_declarations (ctx);
+      control_run_t control_run = { .hook = { .on_iteration = check_lost_lease },
+                                    .timer = { .on_expiry = rearm_timer },
+                                    .lease_s = 1,
+                                    .past_lease_ms = 10 * LIMIT_MS,
+                                    .shows_other = shown == 1 };
+
+      bt_add_app (ctx, declarations, "model")->kind = BT_APP_MODEL;
+      bt_add_rule (ctx, declarations, "a", 0)->then.priority = BT_PRIORITY_HIGH;
+      bt_add_rule (ctx, declarations, "b", 0)->then.priority = BT_PRIORITY_LOW;
+      control_run.view.declarations = declarations;
+      bt_copy_name (control_run.view.leader, "one");
+      run_control (&control_run);
+      bt_drop_declarations (ctx, declarations);
+      CU_ASSERT (control_run.silent_ms > 0);
+      CU_ASSERT_EQUAL (control_run.leading, 0);
+    }
+}
+
 int
 main (void)
 {
@@ -330,6 +460,8 @@
   CU_ADD_TEST (suite, test_leader_hands_over_once_to_larger_instance);
   CU_ADD_TEST (suite, test_lost_candidates_are_not_waited_for);
   CU_ADD_TEST (suite, test_instances_try_to_lead_in_turn);
+  CU_ADD_TEST (suite, test_leader_goes_on_while_the_store_is_silent);
+  CU_ADD_TEST (suite, test_leader_past_its_lease_stops_when_it_is_lost);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
