agent: the ledger of requests grants capacity at an engine to all entries

Cause: each entry guesses the free capacity of an engine as if the other entries behaved as it does, so entries herd, and a low request can take the last slot while a high one waits at another entry (docs/design/contended-endpoints.md). The agent beside an engine now decides who starts next there: room_ledger (pure) and sidecar_room (frames RoomAsk, RoomUse and RoomReply on the existing links). An agent that no entry asks has no ledger and no timer. No entry asks yet; the entry's side is built separately.

The choices where the design page is open are in docs/design/reservations.md. Beyond the page: an agent grants in its first 400 ms only at an engine that reports to be idle, since it does not know which starts its predecessor granted. One excess stays and is described there: while requests run that the ledger lost with a link or an agent, ends in transit at a report are subtracted twice.

Also: sidecar's next_report_ms was written by the main loop without the lock that the link's thread holds for it. It is guarded now.

Guards seen failing, each removed by itself in a scratch copy, and the test that failed: - slots and depth, load by report, starts since the report, its age: test_load_stays_below_slots_and_depth, test_starts_since_the_report_are_added, test_old_report_is_not_used, and the schedules except for the age - window, unasked starts in it, idle exception, released grants: test_starts_within_the_window_are_bounded, test_idle_engine_and_released_grants_do_not_wait_for_the_window; the schedules - memory (held, unreported, idle), backlog and its release: test_memory_suffices_for_held_and_unreported_tokens, test_prefill_backlog_leaves_time - order (late, priority, account, share, age), no ask passes a waiting one: test_order_of_waiting_asks, test_shares_weight_the_order, test_ask_that_becomes_late_goes_back, test_no_ask_passes_a_waiting_one - the late turn, and without the backlog: test_late_asks_are_not_starved - bound and displacement, the oldest late ask, no slots, number of records: test_full_list_displaces_the_last, test_ask_without_slots_does_not_wait, test_records_are_bounded - duplicate asks, closed ids, late ends, crossing withdrawals: test_duplicate_and_late_frames_change_nothing - expiry, links (asks, started, other links), engine restart, agent restart: test_unused_holds_expire, test_link_down_removes_what_came_on_it, test_link_down_cancels_its_holds, test_replaced_link_keeps_the_new_one, test_engine_restart_removes_all_but_asks, test_restarted_agent_does_not_fill_its_engine_again - each of the four times to wake at: the test of its condition - main loop does not look at the wake time, is not signalled, or does not advance: test_expired_hold_grants_the_next_in_time - link down not passed on, reports not passed on, an earlier report not kept, a ledger from the start, bounds of asks and uses, a displaced ask that is not told: test_sidecar_room One mutation was not seen: comparing records by id without link within a bucket, since equal ids of two links are in different buckets.

--- a/source/agent/sidecar.c
+++ b/source/agent/sidecar.c
@@ -63,6 +63,7 @@
         bt_sidecar_link_t *peer = *at;
 
         *at = peer->next;
+        bt_remove_sidecar_room_link (sidecar, link);
         bt_add_counter (sidecar->metrics.links, -1);
         bt_drop_link (sidecar->ctx, peer->link);
         bt_clear_reported_picks (sidecar->ctx, &peer->reported);
@@ -134,6 +135,9 @@
     handle_order (sidecar, link, frame->engine_order);
   else if (frame->body_case == BILBERRY__FRAME__BODY_ENGINE_FOLLOW)
     handle_follow (sidecar, link, frame->engine_follow);
+  else if (frame->body_case == BILBERRY__FRAME__BODY_ROOM_ASK
+           || frame->body_case == BILBERRY__FRAME__BODY_ROOM_USE)
+    bt_handle_room_frame (sidecar, link, frame);
 }
 
 static void
@@ -143,6 +147,10 @@
   Bilberry__Heartbeat heartbeat = BILBERRY__HEARTBEAT__INIT;
   bt_frame_t frame = BILBERRY__FRAME__INIT;
 
+  /* The main loop may be waiting for an answer of the engine. */
+  pthread_mutex_lock (&sidecar->lock);
+  bt_advance_sidecar_room (sidecar);
+  pthread_mutex_unlock (&sidecar->lock);
   heartbeat.now_ms = bt_now_ms (sidecar->ctx);
   frame.body_case = BILBERRY__FRAME__BODY_HEARTBEAT;
   frame.heartbeat = &heartbeat;
@@ -224,12 +232,28 @@
 static void
 wait_for_work (bt_sidecar_t *sidecar)
 {
-  int64_t wait_ms = sidecar->next_report_ms - bt_now_ms (sidecar->ctx);
+  const int64_t now_ms = bt_now_ms (sidecar->ctx);
+  int64_t until_ms = sidecar->links == NULL ? now_ms + MS_PER_S : sidecar->next_report_ms;
 
-  if (sidecar->links == NULL)
-    wait_ms = MS_PER_S;
-  if (wait_ms > 0)
-    bt_wait_condition (&sidecar->wakeup, &sidecar->lock, wait_ms);
+  if (sidecar->room.wake_ms < until_ms)
+    until_ms = sidecar->room.wake_ms;
+  if (until_ms <= now_ms)
+    return;
+  sidecar->waiting_until_ms = until_ms;
+  bt_wait_condition (&sidecar->wakeup, &sidecar->lock, until_ms - now_ms);
+  sidecar->waiting_until_ms = 0;
+}
+
+/* Returns true if a report is due, and schedules the next one. */
+static bool
+take_report_turn (bt_sidecar_t *sidecar)
+{
+  const int64_t now_ms = bt_now_ms (sidecar->ctx);
+
+  if (sidecar->links == NULL || now_ms < sidecar->next_report_ms)
+    return false;
+  sidecar->next_report_ms = now_ms + sidecar->settings->report_ms;
+  return true;
 }
 
 static bt_sidecar_order_t *
@@ -251,14 +275,15 @@
   while (true)
     {
       bt_sidecar_order_t *queued;
-      bool has_links;
+      bool report_due;
       bool stopping;
 
       pthread_mutex_lock (&sidecar->lock);
       if (sidecar->first_order == NULL && !sidecar->stopping)
         wait_for_work (sidecar);
+      bt_advance_sidecar_room (sidecar);
       queued = pop_order (sidecar);
-      has_links = sidecar->links != NULL;
+      report_due = queued == NULL && take_report_turn (sidecar);
       stopping = sidecar->stopping;
       pthread_mutex_unlock (&sidecar->lock);
       if (stopping)
@@ -272,11 +297,8 @@
           execute_order (sidecar, queued);
           drop_order (sidecar, queued);
         }
-      else if (has_links && bt_now_ms (sidecar->ctx) >= sidecar->next_report_ms)
-        {
-          sidecar->next_report_ms = bt_now_ms (sidecar->ctx) + sidecar->settings->report_ms;
-          bt_send_sidecar_reports (sidecar);
-        }
+      else if (report_due)
+        bt_send_sidecar_reports (sidecar);
     }
 }
 
@@ -306,6 +328,8 @@
   sidecar->settings = settings;
   sidecar->handler.vtable = &handler_vtable;
   sidecar->last_order = &sidecar->first_order;
+  sidecar->room.started_ms = bt_now_ms (ctx);
+  sidecar->room.wake_ms = INT64_MAX;
   pthread_mutex_init (&sidecar->lock, NULL);
   bt_init_condition (&sidecar->wakeup);
   bt_open_sidecar_metrics (ctx, &sidecar->metrics);
@@ -338,6 +362,7 @@
   for (bt_sidecar_order_t *queued; (queued = pop_order (sidecar)) != NULL;)
     drop_order (sidecar, queued);
   bt_drop_engine_client (ctx, sidecar->engine);
+  bt_drop_room_ledger (ctx, sidecar->room.ledger);
   bt_close_sidecar_metrics (ctx, &sidecar->metrics);
   pthread_cond_destroy (&sidecar->wakeup);
   pthread_mutex_destroy (&sidecar->lock);
--- a/source/agent/sidecar_private.h
+++ b/source/agent/sidecar_private.h
@@ -2,11 +2,13 @@
 #define BILBERRYTRAY_SOURCE_AGENT_SIDECAR_PRIVATE_H
 
 /** @file
- * State shared by the parts of the sidecar: links and orders, and the reports that it sends.
+ * State shared by the parts of the sidecar: links and orders, the reports that it sends, and the
+ * ledger of requests.
  */
 
 #include <pthread.h>
 
+#include "bilberrytray/load/room_ledger.h"
 #include "bilberrytray/wire/link.h"
 #include "engine_client.h"
 #include "picks_schedule.h"
@@ -28,6 +30,20 @@
   struct bt_sidecar_link *next;
 } bt_sidecar_link_t;
 
+/** The ledger of requests at the engine. */
+typedef struct bt_sidecar_room
+{
+  bt_room_ledger_t *ledger; /* NULL until an entry asks */
+  bt_room_counts_t counted; /* what the metrics show */
+  int64_t started_ms;       /* when the sidecar was created */
+  int64_t wake_ms;          /* when the ledger has something to do; INT64_MAX: never */
+  int64_t displaced_logged; /* displaced asks that the log tells of */
+  int64_t next_log_ms;
+  bool reported;
+  bt_room_report_t report; /* the engine's last report */
+  int64_t reported_ms;
+} bt_sidecar_room_t;
+
 struct bt_sidecar
 {
   bt_link_handler_t handler; /* must be the first member */
@@ -41,12 +57,14 @@
   int64_t engine_started_ms; /* start time in the engine's last report; 0: not reported */
   int64_t report_read_ms;    /* when the engine's last report was requested */
   bt_sidecar_metrics_t metrics;
-  int64_t next_report_ms;
   /* Lock order: acquired before any call into a link. */
   pthread_mutex_t lock; /* guards the members below */
   pthread_cond_t wakeup;
   bool stopping;
   uint64_t max_fence; /* the highest fencing number seen, of orders and of leaders that follow */
+  int64_t next_report_ms;
+  int64_t waiting_until_ms; /* when the main loop wakes up, unless it is signalled */
+  bt_sidecar_room_t room;
   bt_sidecar_link_t *links;
   bt_sidecar_order_t *first_order;
   bt_sidecar_order_t **last_order;
@@ -72,4 +90,21 @@
  * report only to weight the engines. */
 void bt_send_sidecar_reports (bt_sidecar_t *sidecar);
 
+/** Handles a RoomAsk or RoomUse frame. One with a field that is out of range is counted and
+ * dropped.
+ */
+void bt_handle_room_frame (bt_sidecar_t *sidecar, const bt_link_t *link, const bt_frame_t *frame);
+
+/** Removes from the ledger what came on a link. The caller holds the lock. */
+void bt_remove_sidecar_room_link (bt_sidecar_t *sidecar, const bt_link_t *link);
+
+/** Re-evaluates the waiting asks and expires holds if that is due. The caller holds the lock. */
+void bt_advance_sidecar_room (bt_sidecar_t *sidecar);
+
+/** To be called before the engine's report is requested. */
+void bt_mark_sidecar_room_report (bt_sidecar_t *sidecar);
+
+/** Passes the engine's report to the ledger. */
+void bt_pass_sidecar_room_report (bt_sidecar_t *sidecar, const bt_engine_report_t *report);
+
 #endif
--- a/source/agent/sidecar_reports.c
+++ b/source/agent/sidecar_reports.c
@@ -25,6 +25,7 @@
   bt_error_t error = { 0 };
   bool answered;
 
+  bt_mark_sidecar_room_report (sidecar);
   sidecar->report_read_ms = bt_now_ms (sidecar->ctx);
   answered = bt_read_engine_state (sidecar->ctx, sidecar->engine, report, &error);
   bt_record_duration (sidecar->metrics.report_call,
@@ -42,6 +43,7 @@
     return false;
   sidecar->engine_started_ms = report->maps.started_ms;
   log_engine_limit (sidecar, report);
+  bt_pass_sidecar_room_report (sidecar, report);
   return true;
 }
 
