--- a/include/bilberrytray/load/admission.h
+++ b/include/bilberrytray/load/admission.h
@@ -55,11 +55,31 @@
   BT_ADMISSION_REFUSE,    /**< Refuse it at once; it did not run. */
 } bt_admission_action_t;
 
+/** What keeps the queued requests of an app waiting. */
+typedef enum bt_wait_reason
+{
+  BT_WAIT_NONE = 0,  /**< Nothing is queued, or the refusal has nothing to do with a wait. */
+  BT_WAIT_ROOM,      /**< Capacity at endpoints. */
+  BT_WAIT_GROUP,     /**< A rank group that is stopped or being formed. */
+  BT_WAIT_COLD,      /**< Endpoints that have just started. */
+  BT_WAIT_THROTTLED, /**< Endpoints that have named a limit or a rest. */
+  BT_WAIT_COUNT,
+} bt_wait_reason_t;
+
+/** For how long requests of an app have been queued since the start, by what they waited for. The
+ * difference between two times is what one request waited. */
+typedef struct bt_wait_times
+{
+  int64_t total_ms[BT_WAIT_COUNT];
+} bt_wait_times_t;
+
 /** Decision on one request. */
 typedef struct bt_admission_decision
 {
   uint64_t id;
   bt_admission_action_t action;
+  bt_wait_reason_t wait;  /**< Why it is queued or refused; unchanged by ADMIT. */
+  bt_wait_times_t times;  /**< Of its app, at the decision. */
   bt_reason_t reason;     /**< Of a refusal: RULE_LIMIT, ACCOUNT_SHARE, QUEUE_FULL, NO_ENDPOINT,
                              ENDPOINT_FULL or DEADLINE_UNREACHABLE. */
   int64_t retry_after_ms; /**< Of a refusal: time after which the caller may retry. */
@@ -93,6 +113,13 @@
 bool
 bt_next_admission (bt_admission_t *admission, int64_t now_ms, bt_admission_decision_t *decision);
 
+/** Sets @p times to those of an app at @p now_ms, and returns what its queued requests wait for.
+ * For requests that end while they are queued. */
+bt_wait_reason_t bt_get_wait_times (const bt_admission_t *admission,
+                                    const char *app,
+                                    int64_t now_ms,
+                                    bt_wait_times_t *times);
+
 /** Removes a queued request whose caller has left; returns false if it is not queued. */
 bool bt_cancel_admission (bt_admission_t *admission, uint64_t id);
 
--- a/include/bilberrytray/load/group_outages.h
+++ b/include/bilberrytray/load/group_outages.h
@@ -68,6 +68,9 @@
                                 const bt_identity_t *identity,
                                 int64_t now_ms);
 
+/** Returns the name of the group of a rank; "" if it is not known. */
+const char *bt_get_rank_group (const bt_group_outages_t *outages, const bt_identity_t *identity);
+
 /** Returns true if endpoints of an app are ranks of groups. */
 bool bt_has_groups (const bt_group_outages_t *outages, const char *app);
 
--- a/include/bilberrytray/load/pass_limiter.h
+++ b/include/bilberrytray/load/pass_limiter.h
@@ -60,6 +60,9 @@
 /** Returns true while demand jumps so often that the limit reserves capacity for the next jump. */
 bool bt_are_demand_jumps_frequent (const bt_pass_limiter_t *limiter, int64_t now_ms);
 
+/** Returns when demand jumped last; 0: never. */
+int64_t bt_get_last_jump_ms (const bt_pass_limiter_t *limiter);
+
 /** Returns the mean time of the latest passes in ms; 0 if it is not known. */
 double bt_get_pass_ms (const bt_pass_limiter_t *limiter);
 
--- a/include/bilberrytray/load/router.h
+++ b/include/bilberrytray/load/router.h
@@ -87,6 +87,7 @@
   int32_t endpoints; /**< Endpoints that may be chosen now. */
   int32_t paused; /**< Paused endpoints, which are expected to accept requests again within one or
                      two seconds, and cold ones that get no request now. */
+  int32_t cold;   /**< Those of the paused ones that are only cold. */
   int32_t throttled; /**< Endpoints that get no request now because they have said so, and for which
                         it is known when they get the next one. */
   int32_t room; /**< Requests that can be sent without exceeding the queue depth of any endpoint. */
@@ -221,6 +222,10 @@
 int32_t
 bt_get_reported_slots (bt_router_t *router, const bt_identity_t *identity, int32_t fallback);
 
+/** Copies the last load report of an endpoint. Returns false if there is none since its link came
+ * up. */
+bool bt_get_load_report (const bt_router_t *router, const bt_identity_t *identity, bt_load_t *load);
+
 /** Records that an endpoint has a prefix in its cache, or has evicted it. Returns false if the
  * endpoint does not exist. */
 bool bt_record_prefix (bt_router_t *router,
--- a/source/gateway/event_loop.c
+++ b/source/gateway/event_loop.c
@@ -17,6 +17,8 @@
   INITIAL_TIMER_CAPACITY = 64,
   /* Maximum wait for events, ms. */
   MAX_WAIT_MS = 60000,
+  /* Shorter iterations and delays are usual. */
+  MIN_BEHIND_MS = 10,
 };
 
 struct bt_event_loop
@@ -32,6 +34,7 @@
   bt_loop_hook_t *hooks;
   bool iteration_requested;
   int64_t now_ms;
+  int64_t behind_ms; /* sum of the times for which events had to wait */
 };
 
 static void
@@ -229,15 +232,42 @@
   return loop->now_ms;
 }
 
+int64_t
+bt_get_loop_behind_ms (const bt_event_loop_t *loop)
+{
+  return loop->behind_ms;
+}
+
+static void
+add_behind (bt_event_loop_t *loop, int64_t late_ms)
+{
+  if (late_ms >= MIN_BEHIND_MS)
+    loop->behind_ms += late_ms;
+}
+
+/* Counts the time by which the loop woke up after its next timer was due. A timer that became due
+ * before the wait began at @p wait_began_ms was delayed by the last iteration, which was counted.
+ */
+static void
+count_late_wakeup (bt_event_loop_t *loop, int64_t wait_began_ms)
+{
+  int64_t due_ms;
+
+  if (loop->timer_count == 0)
+    return;
+  due_ms = loop->timers[1]->at_ms;
+  add_behind (loop, loop->now_ms - (due_ms > wait_began_ms ? due_ms : wait_began_ms));
+}
+
 static int
-get_wait_ms (const bt_event_loop_t *loop)
+get_wait_ms (const bt_event_loop_t *loop, int64_t now_ms)
 {
   int64_t wait_ms = MAX_WAIT_MS;
 
   if (loop->iteration_requested)
     return 0;
   if (loop->timer_count > 0)
-    wait_ms = loop->timers[1]->at_ms - bt_now_ms (loop->ctx);
+    wait_ms = loop->timers[1]->at_ms - now_ms;
   if (wait_ms < 0)
     return 0;
   return wait_ms > MAX_WAIT_MS ? MAX_WAIT_MS : (int)wait_ms;
@@ -268,12 +298,15 @@
 bt_run_event_loop (bt_event_loop_t *loop)
 {
   struct epoll_event events[MAX_EVENTS_PER_WAIT];
+  int64_t ended_ms = bt_now_ms (loop->ctx); /* of the last iteration */
 
   while (!atomic_load (&loop->stopping))
     {
-      int count = epoll_wait (loop->epoll_fd, events, MAX_EVENTS_PER_WAIT, get_wait_ms (loop));
+      int count =
+          epoll_wait (loop->epoll_fd, events, MAX_EVENTS_PER_WAIT, get_wait_ms (loop, ended_ms));
 
       loop->now_ms = bt_now_ms (loop->ctx);
+      count_late_wakeup (loop, ended_ms);
       loop->iteration_requested = false;
       for (int i = 0; i < count; i++)
         {
@@ -285,5 +318,7 @@
       run_timers (loop);
       for (bt_loop_hook_t *hook = loop->hooks; hook != NULL; hook = hook->next)
         hook->on_iteration (hook);
+      ended_ms = bt_now_ms (loop->ctx);
+      add_behind (loop, ended_ms - loop->now_ms);
     }
 }
--- a/source/gateway/event_loop.h
+++ b/source/gateway/event_loop.h
@@ -87,4 +87,9 @@
 /** Returns the time at which the current iteration began, ms. */
 int64_t bt_get_loop_ms (const bt_event_loop_t *loop);
 
+/** Returns for how long events and timers have had to wait for the loop since its start, ms:
+ * iterations that took long, and wake-ups that came late since the process got no processor time.
+ * The difference between two times is what one request may have waited. */
+int64_t bt_get_loop_behind_ms (const bt_event_loop_t *loop);
+
 #endif
--- a/source/load/admission.c
+++ b/source/load/admission.c
@@ -310,6 +310,20 @@
   return request->run_ms * WHOLE_PERCENT / HOPELESS_RUN_PERCENT - request->deadline_left_ms;
 }
 
+/* Adds to a decision what keeps the request waiting, or why there is no capacity for it. */
+static void
+describe_wait (bt_admission_app_t *app,
+               const bt_capacity_t *capacity,
+               int64_t now_ms,
+               bt_admission_decision_t *decision)
+{
+  if (decision->action == BT_ADMISSION_QUEUE)
+    bt_set_admission_wait (app, capacity, now_ms);
+  if (decision->action != BT_ADMISSION_ADMIT)
+    decision->wait = bt_find_wait_reason (capacity);
+  decision->times = app->waited;
+}
+
 void
 bt_decide_admission (bt_context_t *ctx,
                      bt_admission_t *admission,
@@ -339,14 +353,18 @@
     bt_refuse_admission (admission, decision, BT_REASON_NO_ENDPOINT, admission->options.spread_ms,
                          request->seed);
   else if (get_late_run_ms (request) > 0)
-    bt_refuse_admission (admission, decision, BT_REASON_DEADLINE_UNREACHABLE,
-                         get_late_run_ms (request), request->seed);
+    {
+      bt_refuse_admission (admission, decision, BT_REASON_DEADLINE_UNREACHABLE,
+                           get_late_run_ms (request), request->seed);
+      return;
+    }
   else if (has_room (&capacity) && bt_count_fair_items (app->queue) == 0)
     decision->action = BT_ADMISSION_ADMIT;
   else if (capacity.service_ms > request->deadline_left_ms)
     bt_refuse_admission (admission, decision, BT_REASON_DEADLINE_UNREACHABLE, 0, request->seed);
   else
     queue_or_refuse (ctx, admission, app, request, &capacity, now_ms, decision);
+  describe_wait (app, &capacity, now_ms, decision);
 }
 
 /* Returns the next decision for one app. */
@@ -361,10 +379,16 @@
   int64_t paused_retry_ms;
 
   if (bt_count_fair_items (app->queue) == 0)
-    return false;
+    {
+      app->wait = BT_WAIT_NONE;
+      return false;
+    }
   bt_get_capacity (admission->router, app->name, now_ms, &capacity);
   if (capacity.endpoints > 0)
     app->usable_ms = now_ms;
+  bt_set_admission_wait (app, &capacity, now_ms);
+  decision->wait = app->wait;
+  decision->times = app->waited;
   if (bt_expire_fair_item (app->queue,
                            bt_get_give_up_horizon_ms (admission, app, &capacity, now_ms), &item))
     {
--- a/source/load/admission_private.h
+++ b/source/load/admission_private.h
@@ -15,7 +15,10 @@
   char name[BT_NAME_BYTES];
   bt_fair_queue_t *queue;
   bt_demand_t demand;
-  int64_t usable_ms; /**< Last time that an endpoint was usable. */
+  int64_t usable_ms;      /**< Last time that an endpoint was usable. */
+  bt_wait_reason_t wait;  /**< What queued requests have waited for since wait_ms. */
+  bt_wait_times_t waited; /**< Times of waits up to wait_ms. */
+  int64_t wait_ms;
 } bt_admission_app_t;
 
 /** Token bucket of one rule. */
@@ -49,6 +52,12 @@
                           int64_t base_ms,
                           uint64_t seed);
 
+/** Records what the queued requests of an app wait for from now on: nothing if there are none. */
+void bt_set_admission_wait (bt_admission_app_t *app, const bt_capacity_t *capacity, int64_t now_ms);
+
+/** Returns what keeps requests from endpoints of this capacity. */
+bt_wait_reason_t bt_find_wait_reason (const bt_capacity_t *capacity);
+
 /** Returns how long a request may wait if its run takes @p run_ms. */
 int64_t bt_get_admission_wait_limit_ms (const bt_admission_request_t *request, int64_t run_ms);
 
--- a/source/load/admission_wait.c
+++ b/source/load/admission_wait.c
@@ -1,6 +1,50 @@
+#include <string.h>
+
 #include "admission_private.h"
 #include "group_wait.h"
 
+/* Any stopped group reduces capacity for long. Cold and throttled endpoints are the reason only
+ * where they are as many as the usable ones. */
+bt_wait_reason_t
+bt_find_wait_reason (const bt_capacity_t *capacity)
+{
+  if (capacity->paused > capacity->cold)
+    return BT_WAIT_GROUP;
+  if (capacity->cold > 0 && capacity->cold >= capacity->endpoints)
+    return BT_WAIT_COLD;
+  if (capacity->throttled > 0 && capacity->throttled >= capacity->endpoints)
+    return BT_WAIT_THROTTLED;
+  return BT_WAIT_ROOM;
+}
+
+void
+bt_set_admission_wait (bt_admission_app_t *app, const bt_capacity_t *capacity, int64_t now_ms)
+{
+  if (app->wait != BT_WAIT_NONE && now_ms > app->wait_ms)
+    app->waited.total_ms[app->wait] += now_ms - app->wait_ms;
+  app->wait_ms = now_ms;
+  app->wait = BT_WAIT_NONE;
+  if (bt_count_fair_items (app->queue) > 0)
+    app->wait = bt_find_wait_reason (capacity);
+}
+
+bt_wait_reason_t
+bt_get_wait_times (const bt_admission_t *admission,
+                   const char *app,
+                   int64_t now_ms,
+                   bt_wait_times_t *times)
+{
+  const bt_admission_app_t *queued = bt_find_admission_app (admission, app);
+
+  memset (times, 0, sizeof *times);
+  if (queued == NULL)
+    return BT_WAIT_NONE;
+  *times = queued->waited;
+  if (queued->wait != BT_WAIT_NONE && now_ms > queued->wait_ms)
+    times->total_ms[queued->wait] += now_ms - queued->wait_ms;
+  return queued->wait;
+}
+
 /* Returns the estimated time until the paused endpoints of an app resume; 0: unknown. */
 static int64_t
 get_group_wait_ms (const bt_admission_t *admission, const char *app, int64_t now_ms)
--- a/source/load/group_outages.c
+++ b/source/load/group_outages.c
@@ -358,6 +358,14 @@
   return group != NULL && group->broken ? now_ms - group->broken_ms : 0;
 }
 
+const char *
+bt_get_rank_group (const bt_group_outages_t *outages, const bt_identity_t *identity)
+{
+  const rank_row_t *rank = find_rank (outages, identity);
+
+  return rank == NULL || rank->group < 0 ? "" : outages->groups[rank->group].name;
+}
+
 bool
 bt_has_groups (const bt_group_outages_t *outages, const char *app)
 {
--- a/source/load/pass_limiter.c
+++ b/source/load/pass_limiter.c
@@ -132,6 +132,12 @@
   return limiter->previous_jump_ms != NEVER && now_ms - limiter->previous_jump_ms < FREQUENT_MS;
 }
 
+int64_t
+bt_get_last_jump_ms (const bt_pass_limiter_t *limiter)
+{
+  return limiter->jump_ms == NEVER ? 0 : limiter->jump_ms;
+}
+
 static double
 approach_allowed (double limit, double allowed, double rate)
 {
--- a/source/load/router.c
+++ b/source/load/router.c
@@ -172,6 +172,17 @@
   return state != NULL && state->load.slots > 0 ? state->load.slots : fallback;
 }
 
+bool
+bt_get_load_report (const bt_router_t *router, const bt_identity_t *identity, bt_load_t *load)
+{
+  const bt_endpoint_state_t *state = bt_find_endpoint_state (router, identity);
+
+  if (state == NULL || !state->reported)
+    return false;
+  *load = state->load;
+  return true;
+}
+
 bool
 bt_record_prefix (bt_router_t *router,
                   const bt_identity_t *identity,
--- a/source/load/router_capacity.c
+++ b/source/load/router_capacity.c
@@ -70,6 +70,7 @@
         continue;
       capacity->in_flight += state->own_in_flight;
       capacity->paused += is_expected_back (state, now_ms) ? 1 : 0;
+      capacity->cold += !state->paused && is_expected_back (state, now_ms) ? 1 : 0;
       capacity->throttled += bt_is_endpoint_only_throttled (router, state, app, now_ms) ? 1 : 0;
       if (!bt_is_endpoint_usable (router, state, app, now_ms))
         continue;
--- a/test/gateway/test_event_loop.c
+++ b/test/gateway/test_event_loop.c
@@ -46,6 +46,58 @@
   bt_drop_context (ctx);
 }
 
+enum
+{
+  START_MS = 1000,
+  SLOW_MS = 50,
+  DUE_MS = 20, /* a second timer, due while the first one's callback still runs */
+};
+
+/** A timer whose callback takes time on a fake clock, and ends the loop if it is the last. */
+typedef struct slow_timer
+{
+  bt_timer_t timer;
+  bt_fake_clock_t *clock;
+  bt_event_loop_t *loop;
+  int64_t takes_ms;
+  bool is_last;
+} slow_timer_t;
+
+static void
+take_time (bt_timer_t *timer)
+{
+  slow_timer_t *slow = (slow_timer_t *)timer;
+
+  slow->clock->now_ms += slow->takes_ms;
+  if (slow->is_last)
+    bt_stop_event_loop (slow->loop);
+}
+
+/* Guards against delays of the loop that are not seen or are counted twice: a timer that was late
+ * since the process did not run, a callback that took long, and a timer that it delayed. */
+static void
+test_time_behind_is_counted_once (void)
+{
+  bt_context_t *ctx = bt_new_context ();
+  bt_error_t error = { 0 };
+  bt_fake_clock_t clock;
+  bt_event_loop_t *loop;
+  slow_timer_t slow;
+  slow_timer_t last;
+
+  bt_init_fake_clock (&clock, START_MS);
+  bt_set_context_clock (ctx, &clock.base);
+  loop = bt_new_event_loop (ctx, &error);
+  slow = (slow_timer_t){ { .on_expiry = take_time }, &clock, loop, SLOW_MS, false };
+  last = (slow_timer_t){ { .on_expiry = take_time }, &clock, loop, 0, true };
+  bt_set_timer (loop, &slow.timer, START_MS);
+  bt_set_timer (loop, &last.timer, START_MS + DUE_MS);
+  bt_run_event_loop (loop);
+  CU_ASSERT_EQUAL (bt_get_loop_behind_ms (loop), SLOW_MS);
+  bt_drop_event_loop (ctx, loop);
+  bt_drop_context (ctx);
+}
+
 int
 main (void)
 {
@@ -55,6 +107,7 @@
   CU_initialize_registry ();
   suite = CU_add_suite ("event_loop", NULL, NULL);
   CU_ADD_TEST (suite, test_queued_tasks_are_dropped_with_the_loop);
+  CU_ADD_TEST (suite, test_time_behind_is_counted_once);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
--- a/test/load/test_admission.c
+++ b/test/load/test_admission.c
@@ -355,6 +355,65 @@
   close_fixture ();
 }
 
+/* Guards against a wait that is put down to its last reason alone: a request that is queued for
+ * room, then while its group is formed, and then for a throttled endpoint has waited for each. */
+static void
+test_times_of_a_wait_are_kept_by_reason (void)
+{
+  const bt_identity_t identity = { .instance = "agent-0" };
+  bt_admission_decision_t queued;
+  bt_admission_decision_t decision;
+  bt_endpoint_rest_t before;
+  bt_wait_times_t times;
+  bt_route_t route;
+
+  open_fixture (100);
+  for (int32_t i = 0; i < SLOTS; i++)
+    route = send_out (0);
+  queued = decide ((bt_admission_request_t){ .id = 1 }, 1000);
+  CU_ASSERT_EQUAL (queued.action, BT_ADMISSION_QUEUE);
+  CU_ASSERT_EQUAL (queued.wait, BT_WAIT_ROOM);
+  bt_set_endpoint_paused (router, &identity, true);
+  CU_ASSERT_FALSE (bt_next_admission (admission, 1100, &decision));
+  CU_ASSERT_EQUAL (decide ((bt_admission_request_t){ .id = 2 }, 1100).wait, BT_WAIT_GROUP);
+  bt_set_endpoint_paused (router, &identity, false);
+  bt_record_endpoint_rest (router, &identity, LATER_MS, 1300, &before);
+  CU_ASSERT_FALSE (bt_next_admission (admission, 1300, &decision));
+  CU_ASSERT_EQUAL (bt_get_wait_times (admission, "drafts", 1400, &times), BT_WAIT_THROTTLED);
+  CU_ASSERT_EQUAL (times.total_ms[BT_WAIT_THROTTLED] - queued.times.total_ms[BT_WAIT_THROTTLED],
+                   100);
+  bt_record_attempt_end (router, &route, BT_ATTEMPT_ANSWERED, SERVICE_MS, 1400);
+  CU_ASSERT_TRUE (bt_next_admission (admission, 1300 + LATER_MS, &decision));
+  CU_ASSERT_EQUAL (decision.id, 1);
+  CU_ASSERT_EQUAL (decision.action, BT_ADMISSION_ADMIT);
+  CU_ASSERT_EQUAL (decision.times.total_ms[BT_WAIT_ROOM] - queued.times.total_ms[BT_WAIT_ROOM],
+                   100);
+  CU_ASSERT_EQUAL (decision.times.total_ms[BT_WAIT_GROUP] - queued.times.total_ms[BT_WAIT_GROUP],
+                   200);
+  CU_ASSERT_EQUAL (decision.times.total_ms[BT_WAIT_THROTTLED]
+                       - queued.times.total_ms[BT_WAIT_THROTTLED],
+                   LATER_MS);
+  close_fixture ();
+}
+
+/* Guards against refusals without the reason why there is no capacity. */
+static void
+test_refusal_says_what_is_missing (void)
+{
+  const bt_identity_t identity = { .instance = "agent-0" };
+  bt_admission_request_t urgent = { .id = 1, .deadline_left_ms = SERVICE_MS };
+
+  open_fixture (100);
+  fill_endpoint ();
+  CU_ASSERT_EQUAL (decide (urgent, 0).wait, BT_WAIT_ROOM);
+  bt_set_endpoint_cold (router, &identity, LONG_MS, 0);
+  CU_ASSERT_EQUAL (decide (urgent, 0).wait, BT_WAIT_COLD);
+  bt_set_endpoint_paused (router, &identity, true);
+  CU_ASSERT_EQUAL (decide (urgent, 0).wait, BT_WAIT_GROUP);
+  CU_ASSERT_EQUAL (decide (urgent, 0).action, BT_ADMISSION_REFUSE);
+  close_fixture ();
+}
+
 int
 main (void)
 {
@@ -376,6 +435,8 @@
   CU_ADD_TEST (suite, test_retry_after_times_are_spread);
   CU_ADD_TEST (suite, test_late_entry_gets_its_equal_share);
   CU_ADD_TEST (suite, test_hopelessly_long_run_is_refused_at_once);
+  CU_ADD_TEST (suite, test_times_of_a_wait_are_kept_by_reason);
+  CU_ADD_TEST (suite, test_refusal_says_what_is_missing);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   failed = CU_get_number_of_failures ();
