gateway: requests are counted by the cause of their delay

The event `request` said how a request ended, and operators guessed why: the first event was late at the entry, at the endpoint or in between. A gateway now captures the times, what admission waited for, the endpoint's last report and its group's passes, judges each request at its end, and counts late, refused and failed ones by outcome, rule, priority, account and failure domain.

--- a/Makefile
+++ b/Makefile
@@ -65,6 +65,10 @@
 bench-crashes: build
 	$(BUILD)/release/bench_crashes
 
+# Measures what the causes of delay cost a gateway for one request.
+bench-delays: build
+	$(BUILD)/release/bench_delays
+
 bench-policy: build
 	$(BUILD)/release/bench_policy
 
--- a/source/entry/request_trace.c
+++ b/source/entry/request_trace.c
@@ -334,6 +334,33 @@
              endpoint, reason, total_ms, get_number (end, "events"));
 }
 
+/* Prints a time of the event unless the event does not have it. */
+static void
+print_time (const json_t *end, const char *field, const char *text, FILE *out)
+{
+  if (json_object_get (end, field) != NULL && get_number (end, field) >= 0)
+    fprintf (out, ", %s %lld ms", text, get_number (end, field));
+}
+
+/* Prints why a request was late, refused or failed, and the times that show it. */
+static void
+print_cause (const json_t *end, FILE *out)
+{
+  const char *delay = get_text (end, "delay");
+
+  if (delay[0] == '\0' || strcmp (delay, "in-time") == 0)
+    return;
+  fprintf (out, "Its delay is \"%s\" and the cause %s: %lld ms", delay, get_text (end, "cause"),
+           get_number (end, "cause_ms"));
+  if (get_number (end, "allowed_ms") > 0)
+    print_time (end, "allowed_ms", "allowed", out);
+  if (get_number (end, "usual_ms") > 0)
+    print_time (end, "usual_ms", "usual from sending to the first event", out);
+  print_time (end, "queue_ms", "sent after", out);
+  print_time (end, "first_ms", "first event after", out);
+  fprintf (out, ".\n");
+}
+
 static void
 print_ends (const bt_request_trace_t *trace, FILE *out)
 {
@@ -346,6 +373,7 @@
           || strcmp (get_text (line->object, "event"), "request") != 0)
         continue;
       print_end (line->object, out);
+      print_cause (line->object, out);
       configuration = find_configuration (trace, line);
       if (configuration != NULL)
         fprintf (out, "Revision %lld was in force at %s since %s.\n",
--- a/source/gateway/delays.h
+++ b/source/gateway/delays.h
@@ -28,6 +28,16 @@
   const char *failure_domain; /**< Of the endpoint that it was last sent to. */
 } bt_delay_labels_t;
 
+/** What is captured of a request in progress; zero-initialise it. */
+typedef struct bt_delay_track
+{
+  bt_delay_timeline_t timeline;
+  int64_t loop_behind_ms;       /**< Of the loop, when the request was read. */
+  bool is_queued;               /**< It waits in admission's queue. */
+  bt_wait_times_t queued_times; /**< Of its app, when it was queued. */
+  int32_t part_sends;           /**< Attempts by the time of the last part of the answer. */
+} bt_delay_track_t;
+
 bt_delays_t *bt_new_delays (bt_context_t *ctx);
 
 /** NULL is accepted. */
--- a/source/gateway/forward.c
+++ b/source/gateway/forward.c
@@ -92,6 +92,7 @@
 
       if (forward == NULL)
         continue;
+      bt_note_forward_decision (forward, &decision);
       if (decision.action == BT_ADMISSION_ADMIT)
         bt_send_forward (forward);
       else
@@ -171,6 +172,7 @@
       return;
     }
   bt_decide_admission (gateway->ctx, gateway->admission, &request, now_ms, &decision);
+  bt_note_forward_decision (forward, &decision);
   if (decision.action == BT_ADMISSION_ADMIT)
     bt_send_forward (forward);
   else if (decision.action == BT_ADMISSION_REFUSE)
@@ -297,6 +299,7 @@
   forward->arrived_ms = request->arrived_ms;
   add_forward (gateway, forward);
   bt_set_frontend_call_data (call, forward);
+  bt_start_forward_delay (forward);
   read_call_headers (forward);
   if (is_gateway_closing (gateway))
     reason = BT_REASON_STOPPING;
--- a/source/gateway/forward.h
+++ b/source/gateway/forward.h
@@ -74,6 +74,7 @@
   bool has_noted_answer; /**< What the present answer says about its endpoint was recorded. */
   bt_frontend_header_t *headers; /**< Headers of the present attempt's answer that are passed on. */
   int32_t header_count;
+  bt_delay_track_t delay;
   bt_event_stream_t events; /**< The events of a stream that the caller has received. */
   int64_t events_before;    /**< Number of them before the present attempt. */
 } bt_forward_t;
@@ -141,6 +142,24 @@
  * second event at the latest it has survived the beginning. */
 bool bt_has_attempt_begun (const bt_forward_t *forward);
 
+/** Begins to capture why the request may be delayed; called when it was read. */
+void bt_start_forward_delay (bt_forward_t *forward);
+
+/** Captures a decision of admission, for an attempt the state of the endpoint that it goes to, and
+ * for a part of the answer the time since the part before; the last two are called before the
+ * request itself records the attempt or the part. */
+void bt_note_forward_decision (bt_forward_t *forward, const bt_admission_decision_t *decision);
+void bt_note_forward_send (bt_forward_t *forward);
+void bt_note_forward_part (bt_forward_t *forward, int64_t now_ms);
+
+/** Decides at the end of the request whether it was late, refused or failed, and why, and counts
+ * it. */
+void bt_judge_forward_delay (bt_forward_t *forward,
+                             bt_outcome_t outcome,
+                             bt_reason_t reason,
+                             int32_t status,
+                             bt_delay_verdict_t *verdict);
+
 /** Ends the request with an answer that the gateway makes itself. When part of a stream was
  * delivered, the connection is broken instead. @p retry_after_ms 0: the answer states none. */
 void bt_refuse_forward (bt_forward_t *forward, bt_reason_t reason, int64_t retry_after_ms);
--- a/source/gateway/forward_end.c
+++ b/source/gateway/forward_end.c
@@ -64,20 +64,20 @@
 }
 
 static void
-log_request_end (const bt_forward_t *forward,
-                 bt_outcome_t outcome,
-                 bt_reason_t reason,
-                 int32_t status)
+log_request_end (bt_forward_t *forward, bt_outcome_t outcome, bt_reason_t reason, int32_t status)
 {
   bt_gateway_t *gateway = forward->gateway;
   int64_t now_ms = bt_get_loop_ms (gateway->loop);
   bool good = outcome == BT_OUTCOME_ANSWERED;
+  bt_delay_verdict_t delay;
 
+  bt_judge_forward_delay (forward, outcome, reason, status, &delay);
   bt_log_event (
       gateway->ctx, good ? BT_LOG_INFO : BT_LOG_WARNING, "request",
-      "{s:s, s:s, s:s, s:s, s:i, s:s, s:s, s:s, s:i, s:i, s:I, s:I, s:I, s:I, s:I}", "request",
-      forward->info.request_id, "rule", forward->rule == NULL ? "" : forward->rule->name, "account",
-      forward->account, "outcome", bt_name_outcome (outcome), "status", status, "reason",
+      "{s:s, s:s, s:s, s:s, s:i, s:s, s:s, s:s, s:i, s:i, s:I, s:I, s:I, s:I, s:I, "
+      "s:s, s:s, s:I, s:I, s:I}",
+      "request", forward->info.request_id, "rule", forward->rule == NULL ? "" : forward->rule->name,
+      "account", forward->account, "outcome", bt_name_outcome (outcome), "status", status, "reason",
       bt_name_reason (reason), "app", forward->app == NULL ? "" : forward->app, "endpoint",
       forward->route.identity.instance, "sends", forward->sends, "runs", forward->runs, "events",
       (json_int_t)forward->events.events, "queue_ms",
@@ -85,7 +85,10 @@
       "first_ms",
       (json_int_t)(forward->first_byte_ms > 0 ? forward->first_byte_ms - forward->arrived_ms : -1),
       "total_ms", (json_int_t)(now_ms - forward->arrived_ms), "revision",
-      (json_int_t)(forward->declarations == NULL ? 0 : forward->declarations->revision));
+      (json_int_t)(forward->declarations == NULL ? 0 : forward->declarations->revision), "delay",
+      bt_name_delay_outcome (delay.outcome), "cause", bt_name_delay_cause (delay.cause), "cause_ms",
+      (json_int_t)delay.stage_ms, "usual_ms", (json_int_t)delay.usual_ms, "allowed_ms",
+      (json_int_t)delay.allowed_ms);
 }
 
 void
--- a/source/gateway/forward_send.c
+++ b/source/gateway/forward_send.c
@@ -128,6 +128,7 @@
   bt_timings_t *timings = &forward->gateway->timings;
   int64_t now_ms = bt_get_loop_ms (forward->gateway->loop);
 
+  bt_note_forward_part (forward, now_ms);
   if (forward->first_byte_ms == 0)
     {
       forward->first_byte_ms = now_ms;
@@ -353,6 +354,7 @@
   add_headers (forward);
   if (forward->state == BT_FORWARD_QUEUED)
     forward->state = BT_FORWARD_SENT;
+  bt_note_forward_send (forward);
   if (forward->first_sent_ms == 0)
     {
       forward->first_sent_ms = now_ms;
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -373,6 +373,7 @@
   gateway->relist_timer.on_expiry = handle_relist_timer;
   gateway->on_attempt_end = bt_dispatch_queued_forwards;
   bt_open_timings (ctx, &gateway->timings);
+  gateway->delays = bt_new_delays (ctx);
   gateway->loop = bt_new_event_loop (ctx, error);
   if (gateway->loop == NULL || !open_frontends (gateway, error)
       || !start_agent_control (gateway, error))
@@ -405,6 +406,7 @@
   bt_print_follower_status (gateway->follower, out);
   bt_print_endpoint_status (gateway->endpoint_status, bt_now_ms (gateway->ctx), out);
   bt_print_part_status (gateway->parts, out);
+  bt_print_delay_status (gateway->delays, out);
   fclose (out);
   return text;
 }
@@ -446,5 +448,6 @@
   bt_drop_view (ctx, gateway->view);
   bt_drop_event_loop (ctx, gateway->loop);
   bt_close_timings (ctx, &gateway->timings);
+  bt_drop_delays (ctx, gateway->delays);
   bt_free (ctx, gateway);
 }
--- a/source/gateway/gateway_private.h
+++ b/source/gateway/gateway_private.h
@@ -12,6 +12,7 @@
 #include "bilberrytray/load/pass_limiter.h"
 #include "bilberrytray/load/retry_budget.h"
 #include "crash_control.h"
+#include "delays.h"
 #include "endpoint_selection.h"
 #include "endpoint_status.h"
 #include "endpoint_table.h"
@@ -64,6 +65,7 @@
   bool store_lost;
 
   bt_timings_t timings;
+  bt_delays_t *delays;
   bt_router_t *router;
   bt_group_outages_t *outages;
   bt_admission_t *admission;
--- a/source/gateway/http_answer.c
+++ b/source/gateway/http_answer.c
@@ -147,6 +147,12 @@
   bt_resume_frontend_call (call);
 }
 
+size_t
+bt_count_unread_bytes (const bt_frontend_call_t *call)
+{
+  return call->stream_bytes - call->stream_read;
+}
+
 void
 bt_end_frontend_stream (bt_frontend_call_t *call, bt_stream_end_t end)
 {
--- a/source/gateway/http_frontend.h
+++ b/source/gateway/http_frontend.h
@@ -133,6 +133,9 @@
 /** Appends to the stream; the bytes are copied. */
 void bt_push_frontend_stream (bt_frontend_call_t *call, const char *data, size_t bytes);
 
+/** Returns the number of bytes of the stream that the caller has not been sent yet. */
+size_t bt_count_unread_bytes (const bt_frontend_call_t *call);
+
 /** Ends the stream, complete or cut off. */
 void bt_end_frontend_stream (bt_frontend_call_t *call, bt_stream_end_t end);
 
--- a/test/entry/test_request_trace.c
+++ b/test/entry/test_request_trace.c
@@ -104,6 +104,43 @@
   free (text);
 }
 
+/* Guards against a late request whose trace shows that it was answered and not why it was late, and
+ * against a cause in the trace of one in time. */
+static void
+test_trace_names_the_cause_of_a_delay (void)
+{
+  static const char *const lines[] = {
+    "{\"at\":\"2026-10-16T19:21:40.001Z\",\"level\":\"info\",\"instance\":\"front-1\","
+    "\"event\":\"request\",\"request\":\"r-1\",\"outcome\":\"answered\",\"status\":200,"
+    "\"endpoint\":\"i-1\",\"queue_ms\":3,\"first_ms\":433,\"total_ms\":2100,\"revision\":4,"
+    "\"delay\":\"late\",\"cause\":\"endpoint-queue\",\"cause_ms\":430,\"usual_ms\":250,"
+    "\"allowed_ms\":400}",
+    "{\"at\":\"2026-10-16T19:21:40.002Z\",\"level\":\"warning\",\"instance\":\"front-1\","
+    "\"event\":\"request\",\"request\":\"r-2\",\"outcome\":\"not-run\",\"status\":503,"
+    "\"reason\":\"no-endpoint\",\"sends\":0,\"queue_ms\":-1,\"first_ms\":-1,\"total_ms\":7,"
+    "\"revision\":4,\"delay\":\"refused\",\"cause\":\"group\",\"cause_ms\":7,\"usual_ms\":0,"
+    "\"allowed_ms\":0}",
+    "{\"at\":\"2026-10-16T19:21:40.003Z\",\"level\":\"info\",\"instance\":\"front-1\","
+    "\"event\":\"request\",\"request\":\"r-3\",\"outcome\":\"answered\",\"status\":200,"
+    "\"endpoint\":\"i-1\",\"total_ms\":90,\"revision\":4,\"delay\":\"in-time\","
+    "\"cause\":\"none\"}",
+  };
+  char *late = print_trace ("r-1", lines, 3);
+  char *refused = print_trace ("r-2", lines, 3);
+  char *timely = print_trace ("r-3", lines, 3);
+
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (late, "Its delay is \"late\" and the cause endpoint-queue: 430 ms, allowed 400 ms, "
+                    "usual from sending to the first event 250 ms, sent after 3 ms, first event "
+                    "after 433 ms.\n"));
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (refused, "Its delay is \"refused\" and the cause group: 7 ms.\n"));
+  CU_ASSERT_PTR_NULL (strstr (timely, "Its delay"));
+  free (late);
+  free (refused);
+  free (timely);
+}
+
 int
 main (void)
 {
@@ -115,6 +152,7 @@
   CU_ADD_TEST (suite, test_trace_of_held_request_shows_crashes_of_its_content);
   CU_ADD_TEST (suite, test_trace_shows_outages_as_seen_by_its_instances_only);
   CU_ADD_TEST (suite, test_trace_of_refused_part_shows_the_ends_that_accuse_it);
+  CU_ADD_TEST (suite, test_trace_names_the_cause_of_a_delay);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
