load: contended apps serve fresh requests before late ones

After an outage of a group, requests that had waited through it were served before fresh ones of lower priority, which became late in turn.

For an app whose rules name different priorities the queue of an entry serves requests that can still be in time before late ones of all priorities. While a late one waits, every eighth served request is the late one that has waited longest. The estimated wait of a new request no longer counts late ones, which are served after it. The gateway states with each request whether its app is contended; the order of all other apps is as before.

--- a/include/bilberrytray/load/admission.h
+++ b/include/bilberrytray/load/admission.h
@@ -43,6 +43,9 @@
   const char *rule;         /**< Name of the matching rule; NULL for none. */
   int32_t rule_per_second;  /**< The rule's limit in requests per second; 0: none. */
   int32_t rule_burst;       /**< Requests that may pass at once; 0: the requests of one second. */
+  bool late_last;           /**< The app is contended: requests that can still be in time are served
+                               before late ones of all priorities. The last request of an app
+                               counts for all that are queued. */
   bool is_retry;            /**< A retry: exempt from the rule's limit and not counted as demand. */
   uint64_t seed;            /**< Random number that spreads the retry-after times. */
 } bt_admission_request_t;
--- a/source/gateway/forward.c
+++ b/source/gateway/forward.c
@@ -3,6 +3,8 @@
 #include <stddef.h>
 #include <string.h>
 
+#include "bilberrytray/config/contention.h"
+
 enum
 {
   /* Interval at which queued requests are checked, in addition to the check after each request's
@@ -160,6 +162,7 @@
     .target_left_ms = get_queue_time_left_ms (forward, now_ms),
     .patience_left_ms = get_patience_left_ms (forward, now_ms),
     .run_ms = get_run_ms (forward),
+    .late_last = forward->contended,
     .seed = bt_draw_gateway_seed (gateway),
   };
   bt_admission_decision_t decision;
@@ -204,6 +207,7 @@
     return BT_REASON_NO_SUCH_PATH;
   forward->rule = &declarations->rules[rule];
   forward->app = declarations->apps[forward->rule->then.app].name;
+  forward->contended = bt_is_app_contended (declarations, forward->rule->then.app);
   forward->priority = BT_PRIORITY_NORMAL;
   if (forward->rule->then.priority >= 0)
     forward->priority = (bt_priority_t)forward->rule->then.priority;
--- a/source/gateway/forward.h
+++ b/source/gateway/forward.h
@@ -48,6 +48,7 @@
   const char *app;
   char account[BT_NAME_BYTES]; /**< "" for callers that need none. */
   bt_priority_t priority;
+  bool contended; /**< Rules of its app name different priorities. */
   bt_request_info_t info;
   bt_fingerprint_t fingerprint;
   bool has_fingerprint;     /**< The fingerprint has been computed. */
--- a/source/load/admission.c
+++ b/source/load/admission.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "admission_private.h"
+#include "backlog_order.h"
 #include "bilberrytray/base/random.h"
 #include "group_wait.h"
 
@@ -187,12 +188,14 @@
 estimate_wait_ms (const bt_admission_app_t *app,
                   const bt_admission_request_t *request,
                   double account_rate,
-                  double rate)
+                  double rate,
+                  int64_t now_ms)
 {
-  const int32_t ahead =
-      bt_count_fair_items_ahead (app->queue, request->account, request->share, request->priority)
-      + 1;
-  const int32_t same_account = bt_count_fair_account_items (app->queue, request->account) + 1;
+  const int32_t ahead = bt_count_fair_items_ahead (app->queue, request->account, request->share,
+                                                   request->priority, now_ms)
+                        + 1;
+  const int32_t same_account =
+      bt_count_fair_account_items (app->queue, request->account, now_ms) + 1;
   const double by_order = ahead * SECOND_MS / rate;
   const double by_share = same_account * SECOND_MS / account_rate;
 
@@ -212,6 +215,17 @@
   return rate > min_rate ? rate : min_rate;
 }
 
+/* Returns the requests per second that are served before late ones. */
+static double
+get_in_time_rate (const bt_admission_app_t *app, const bt_capacity_t *capacity, int64_t now_ms)
+{
+  const bt_backlog_service_t service = { .rate = get_capacity_rate (capacity) };
+
+  if (!app->late_last || bt_count_late_fair_items (app->queue, now_ms) == 0)
+    return service.rate;
+  return bt_get_in_time_service_rate (&service);
+}
+
 /* Adds a margin to an estimated wait for accounts that become active and runs that take long. An
  * estimate that is too low keeps a caller waiting for a refusal that could have been immediate. */
 static int64_t
@@ -276,9 +290,9 @@
                  bt_admission_decision_t *decision)
 {
   const bt_account_demand_t *account = bt_find_demand (ctx, &app->demand, request->account, now_ms);
-  const double rate = get_capacity_rate (capacity);
+  const double rate = get_in_time_rate (app, capacity, now_ms);
   const double account_rate = bt_get_fair_rate (&app->demand, account, rate, now_ms);
-  const double expected_ms = estimate_wait_ms (app, request, account_rate, rate);
+  const double expected_ms = estimate_wait_ms (app, request, account_rate, rate, now_ms);
   const int64_t wait_ms = add_margin (admission, expected_ms);
   const int64_t limit_ms = bt_get_admission_wait_limit_ms (request, capacity->full_queue_ms);
   const int64_t late_ms = get_late_ms (request, capacity, expected_ms, wait_ms);
@@ -323,6 +337,8 @@
 
   memset (decision, 0, sizeof *decision);
   decision->id = request->id;
+  app->late_last = request->late_last;
+  bt_set_fair_queue_late_last (app->queue, request->late_last);
   if (!take_token (ctx, admission, request, now_ms, &wait_ms))
     {
       bt_refuse_admission (admission, decision, BT_REASON_RULE_LIMIT, wait_ms, request->seed);
--- a/source/load/admission_private.h
+++ b/source/load/admission_private.h
@@ -16,6 +16,7 @@
   bt_fair_queue_t *queue;
   bt_demand_t demand;
   int64_t usable_ms; /**< Last time that an endpoint was usable. */
+  bool late_last;    /**< Requests that can still be in time are served before late ones. */
 } bt_admission_app_t;
 
 /** Token bucket of one rule. */
--- a/source/load/fair_queue.c
+++ b/source/load/fair_queue.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "backlog_order.h"
+
 enum
 {
   NONE = -1,
@@ -39,6 +41,8 @@
   int32_t account_capacity;
   uint64_t virtual_time;   /* highest start tag of the items served so far */
   int64_t next_give_up_ms; /* lower bound of give_up_ms of all items */
+  bool late_last;
+  bt_late_turns_t turns; /* of late items if these are served last */
 };
 
 bt_fair_queue_t *
@@ -68,6 +72,12 @@
   bt_free (ctx, queue);
 }
 
+void
+bt_set_fair_queue_late_last (bt_fair_queue_t *queue, bool late_last)
+{
+  queue->late_last = late_last;
+}
+
 static int32_t
 find_account (const bt_fair_queue_t *queue, const char *name)
 {
@@ -171,16 +181,17 @@
   return item->target_ms > 0 && now_ms > item->target_ms;
 }
 
-/* Returns the next item of an account: the first of its highest priority that is not late, or the
- * first if all are late. */
+/* Returns the next item of an account: the first that is not late, of its highest priority unless
+ * late items of all priorities are served last, or the first if all are late. */
 static int32_t
 find_next_of_account (const bt_fair_queue_t *queue, const account_t *account, int64_t now_ms)
 {
   const int32_t priority = queue->nodes[account->head].item.priority;
 
-  for (int32_t at = account->head; at != NONE && queue->nodes[at].item.priority == priority;
-       at = queue->nodes[at].next)
-    if (!is_late (&queue->nodes[at].item, now_ms))
+  for (int32_t at = account->head; at != NONE; at = queue->nodes[at].next)
+    if (queue->nodes[at].item.priority != priority && !queue->late_last)
+      break;
+    else if (!is_late (&queue->nodes[at].item, now_ms))
       return at;
   return account->head;
 }
@@ -200,6 +211,8 @@
   const bt_fair_item_t *left_item = &queue->nodes[left->at].item;
   const bt_fair_item_t *right_item = &queue->nodes[right->at].item;
 
+  if (queue->late_last && left->late != right->late)
+    return right->late;
   if (left_item->priority != right_item->priority)
     return left_item->priority > right_item->priority;
   if (left->late != right->late)
@@ -209,11 +222,11 @@
   return left_item->queued_ms < right_item->queued_ms;
 }
 
-bool
-bt_pop_fair_item (bt_fair_queue_t *queue, int64_t now_ms, bt_fair_item_t *item)
+/* Finds the next item in fair order. Returns false if the queue is empty. */
+static bool
+find_next (bt_fair_queue_t *queue, int64_t now_ms, candidate_t *next)
 {
-  candidate_t next = { NULL };
-
+  next->account = NULL;
   for (int32_t i = 0; i < queue->account_count; i++)
     {
       candidate_t candidate = { &queue->accounts[i] };
@@ -222,11 +235,45 @@
         continue;
       candidate.at = find_next_of_account (queue, candidate.account, now_ms);
       candidate.late = is_late (&queue->nodes[candidate.at].item, now_ms);
-      if (next.account == NULL || is_served_before (queue, &candidate, &next))
-        next = candidate;
+      if (next->account == NULL || is_served_before (queue, &candidate, next))
+        *next = candidate;
     }
-  if (next.account == NULL)
+  return next->account != NULL;
+}
+
+/* Finds the late item that has waited longest. Returns false if there is none. */
+static bool
+find_oldest_late (bt_fair_queue_t *queue, int64_t now_ms, candidate_t *oldest)
+{
+  oldest->account = NULL;
+  oldest->late = true;
+  for (int32_t i = 0; i < queue->account_count; i++)
+    for (int32_t at = queue->accounts[i].head; at != NONE; at = queue->nodes[at].next)
+      {
+        if (!is_late (&queue->nodes[at].item, now_ms))
+          continue;
+        if (oldest->account != NULL
+            && queue->nodes[at].item.queued_ms >= queue->nodes[oldest->at].item.queued_ms)
+          continue;
+        oldest->account = &queue->accounts[i];
+        oldest->at = at;
+      }
+  return oldest->account != NULL;
+}
+
+bool
+bt_pop_fair_item (bt_fair_queue_t *queue, int64_t now_ms, bt_fair_item_t *item)
+{
+  candidate_t next;
+  candidate_t oldest;
+  bool late_waits;
+
+  if (!find_next (queue, now_ms, &next))
     return false;
+  late_waits = queue->late_last && find_oldest_late (queue, now_ms, &oldest);
+  if (late_waits && bt_is_late_turn (&queue->turns))
+    next = oldest;
+  bt_record_late_turn (&queue->turns, late_waits);
   if (next.account->start_tag > queue->virtual_time)
     queue->virtual_time = next.account->start_tag;
   next.account->start_tag += (uint64_t)(VIRTUAL_TIME_PER_ITEM / next.account->share);
@@ -287,7 +334,8 @@
                     int32_t priority,
                     bt_fair_item_t *item)
 {
-  const int32_t own = bt_count_fair_account_items (queue, name);
+  const int32_t own_index = find_account (queue, name);
+  const int32_t own = own_index == NONE ? 0 : queue->accounts[own_index].count;
   const account_t *longest = NULL;
   int32_t victim = NONE;
 
@@ -321,16 +369,23 @@
 }
 
 int32_t
-bt_count_fair_account_items (const bt_fair_queue_t *queue, const char *name)
+bt_count_late_fair_items (const bt_fair_queue_t *queue, int64_t now_ms)
 {
-  const int32_t index = find_account (queue, name);
+  int32_t count = 0;
 
-  return index == NONE ? 0 : queue->accounts[index].count;
+  for (int32_t i = 0; i < queue->account_count; i++)
+    for (int32_t at = queue->accounts[i].head; at != NONE; at = queue->nodes[at].next)
+      count += is_late (&queue->nodes[at].item, now_ms) ? 1 : 0;
+  return count;
 }
 
-/* Counts the items of an account with at least this priority. */
+/* Counts the items of an account with at least this priority, without late ones if these are served
+ * last. */
 static int32_t
-count_from_priority (const bt_fair_queue_t *queue, const account_t *account, int32_t priority)
+count_from_priority (const bt_fair_queue_t *queue,
+                     const account_t *account,
+                     int32_t priority,
+                     int64_t now_ms)
 {
   int32_t count = 0;
 
@@ -338,16 +393,24 @@
     {
       if (queue->nodes[at].item.priority < priority)
         break;
-      count++;
+      count += queue->late_last && is_late (&queue->nodes[at].item, now_ms) ? 0 : 1;
     }
   return count;
 }
 
 int32_t
-bt_count_fair_items_ahead (const bt_fair_queue_t *queue,
-                           const char *name,
-                           int32_t share,
-                           int32_t priority)
+bt_count_fair_account_items (const bt_fair_queue_t *queue, const char *name, int64_t now_ms)
+{
+  const int32_t index = find_account (queue, name);
+
+  if (index == NONE)
+    return 0;
+  return count_from_priority (queue, &queue->accounts[index], INT32_MIN, now_ms);
+}
+
+int32_t
+bt_count_fair_items_ahead (
+    const bt_fair_queue_t *queue, const char *name, int32_t share, int32_t priority, int64_t now_ms)
 {
   const int32_t own_index = find_account (queue, name);
   int32_t own = 0;
@@ -357,13 +420,13 @@
     share = 1;
 
   if (own_index != NONE)
-    own = count_from_priority (queue, &queue->accounts[own_index], priority);
+    own = count_from_priority (queue, &queue->accounts[own_index], priority, now_ms);
   ahead = own;
   for (int32_t i = 0; i < queue->account_count; i++)
     {
       const account_t *account = &queue->accounts[i];
-      const int32_t above = count_from_priority (queue, account, priority + 1);
-      const int32_t equal = count_from_priority (queue, account, priority) - above;
+      const int32_t above = count_from_priority (queue, account, priority + 1, now_ms);
+      const int32_t equal = count_from_priority (queue, account, priority, now_ms) - above;
       const int32_t fair_ahead = ((own + 1) * account->share + share - 1) / share;
 
       if (i == own_index)
--- a/source/load/fair_queue.h
+++ b/source/load/fair_queue.h
@@ -28,6 +28,11 @@
 bt_fair_queue_t *bt_new_fair_queue (bt_context_t *ctx, int32_t limit);
 void bt_drop_fair_queue (bt_context_t *ctx, bt_fair_queue_t *queue);
 
+/** Sets whether items that can still meet their caller's expectation are served before all late
+ * ones, whatever their priorities. Then every eighth item served while a late one waits is the one
+ * that has waited longest. A queue starts without. */
+void bt_set_fair_queue_late_last (bt_fair_queue_t *queue, bool late_last);
+
 /** Adds an item; returns false if the queue is full. */
 bool bt_push_fair_item (bt_context_t *ctx,
                         bt_fair_queue_t *queue,
@@ -56,14 +61,19 @@
 
 int32_t bt_count_fair_items (const bt_fair_queue_t *queue);
 
+/** Returns the number of late items. */
+int32_t bt_count_late_fair_items (const bt_fair_queue_t *queue, int64_t now_ms);
+
 /** Returns the number of items that would be served before a new one of this account, share and
- * priority. */
+ * priority. Late items that are served last are not counted. */
 int32_t bt_count_fair_items_ahead (const bt_fair_queue_t *queue,
                                    const char *name,
                                    int32_t share,
-                                   int32_t priority);
+                                   int32_t priority,
+                                   int64_t now_ms);
 
-/** Returns the number of items of one account. */
-int32_t bt_count_fair_account_items (const bt_fair_queue_t *queue, const char *name);
+/** Returns the number of items of one account, without late ones if these are served last. */
+int32_t
+bt_count_fair_account_items (const bt_fair_queue_t *queue, const char *name, int64_t now_ms);
 
 #endif
--- a/source/load/run_queue.c
+++ b/source/load/run_queue.c
@@ -136,7 +136,7 @@
     }
   wait_ms = get_wait_ms (queue, bt_count_fair_items_ahead (queue->queued, request->account,
                                                            request->share > 0 ? request->share : 1,
-                                                           request->priority));
+                                                           request->priority, now_ms));
   late_ms = wait_ms + (int64_t)queue->service_ms - request->deadline_left_ms;
   if (late_ms > 0)
     refuse (decision, BT_REASON_DEADLINE_UNREACHABLE, late_ms);
