gateway, platform: endpoints of contended apps are told how urgent a request is

Endpoints queue requests too, and knew nothing of the order in which the entries serve them.

A caller's own header is still not passed on.

test_attempt_headers fails without the header, and test_gateway_priority, where the endpoint's log shows what it was told, without the priority of the attempt. It also checks that no header is sent once the configuration names one priority only.

--- a/include/bilberrytray/gateway/platform.h
+++ b/include/bilberrytray/gateway/platform.h
@@ -60,6 +60,7 @@
                              without running it. */
   const char *account;  /**< The client account; "" if the caller needs none. */
   int64_t deadline_left_ms;
+  int32_t priority;       /**< How urgent the request is, a bt_priority_t; -1: not stated. */
   const char *last_event; /**< Id of the event after which to resume a stream; NULL: the caller's
                              own header applies. */
 } bt_attempt_info_t;
--- a/source/gateway/forward_send.c
+++ b/source/gateway/forward_send.c
@@ -57,6 +57,7 @@
     /* Reads the clock itself: the loop's time may date from before the request arrived or from
      * before the process was suspended, and the endpoint would work for a caller who has left. */
     .deadline_left_ms = forward->deadline_ms - bt_now_ms (forward->gateway->ctx),
+    .priority = forward->contended ? (int32_t)forward->priority : -1,
   };
 
   for (int32_t i = 0; i < request->header_count; i++)
--- a/test/standin/haiyun_runner/main.c
+++ b/test/standin/haiyun_runner/main.c
@@ -89,11 +89,13 @@
 static void
 log_run (runner_t *runner, const bt_standin_request_t *request)
 {
-  json_t *run = json_pack (
-      "{s:s, s:s, s:s, s:s, s:s, s:s}", "request", get_header (request, "Bilberrytray-Attempt-Id"),
-      "path", request->url, "account", get_header (request, "Bilberrytray-Tenant"), "deadline",
-      get_header (request, "Bilberrytray-Deadline-Ms"), "last",
-      get_header (request, "Last-Event-Id"), "token", get_header (request, "Authorization"));
+  json_t *run = json_pack ("{s:s, s:s, s:s, s:s, s:s, s:s, s:s}", "request",
+                           get_header (request, "Bilberrytray-Attempt-Id"), "path", request->url,
+                           "account", get_header (request, "Bilberrytray-Tenant"), "priority",
+                           get_header (request, "Bilberrytray-Request-Priority"), "deadline",
+                           get_header (request, "Bilberrytray-Deadline-Ms"), "last",
+                           get_header (request, "Last-Event-Id"), "token",
+                           get_header (request, "Authorization"));
 
   pthread_mutex_lock (&runner->lock);
   json_array_append_new (runner->runs, run);
