--- a/include/bilberrytray/load/admission.h
+++ b/include/bilberrytray/load/admission.h
@@ -58,6 +58,14 @@
   BT_ADMISSION_REFUSE,    /**< Refuse it at once; it did not run. */
 } bt_admission_action_t;
 
+/** How a request of a contended app was taken from the queue. */
+typedef enum bt_queue_order
+{
+  BT_QUEUE_ORDER_NONE = 0, /**< The app is not contended, or the request was not queued. */
+  BT_QUEUE_ORDER_IN_TIME,  /**< It could still be in time. */
+  BT_QUEUE_ORDER_LATE,     /**< It was late. */
+} bt_queue_order_t;
+
 /** Decision on one request. */
 typedef struct bt_admission_decision
 {
@@ -66,6 +74,7 @@
   bt_reason_t reason;     /**< Of a refusal: RULE_LIMIT, ACCOUNT_SHARE, QUEUE_FULL, NO_ENDPOINT,
                              ENDPOINT_FULL or DEADLINE_UNREACHABLE. */
   int64_t retry_after_ms; /**< Of a refusal: time after which the caller may retry. */
+  bt_queue_order_t order; /**< Of a queued request that is admitted. */
   bool displaced;         /**< Of a refusal: a more urgent request took its place in the queue. */
 } bt_admission_decision_t;
 
--- a/source/gateway/forward.c
+++ b/source/gateway/forward.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "bilberrytray/config/contention.h"
+#include "queue_counts.h"
 
 enum
 {
@@ -94,6 +95,7 @@
 
       if (forward == NULL)
         continue;
+      bt_count_queue_decision (gateway->ctx, &decision, forward->priority);
       if (decision.action == BT_ADMISSION_ADMIT)
         bt_send_forward (forward);
       else
--- a/source/load/admission.c
+++ b/source/load/admission.c
@@ -407,6 +407,9 @@
     return false;
   decision->id = item.id;
   decision->action = BT_ADMISSION_ADMIT;
+  if (app->late_last)
+    decision->order =
+        bt_is_fair_item_late (&item, now_ms) ? BT_QUEUE_ORDER_LATE : BT_QUEUE_ORDER_IN_TIME;
   return true;
 }
 
--- a/source/load/fair_queue.c
+++ b/source/load/fair_queue.c
@@ -176,8 +176,8 @@
   queue->free_head = at;
 }
 
-static bool
-is_late (const bt_fair_item_t *item, int64_t now_ms)
+bool
+bt_is_fair_item_late (const bt_fair_item_t *item, int64_t now_ms)
 {
   return item->target_ms > 0 && now_ms > item->target_ms;
 }
@@ -192,7 +192,7 @@
   for (int32_t at = account->head; at != NONE; at = queue->nodes[at].next)
     if (queue->nodes[at].item.priority != priority && !queue->late_last)
       break;
-    else if (!is_late (&queue->nodes[at].item, now_ms))
+    else if (!bt_is_fair_item_late (&queue->nodes[at].item, now_ms))
       return at;
   return account->head;
 }
@@ -235,7 +235,7 @@
       if (candidate.account->count == 0)
         continue;
       candidate.at = find_next_of_account (queue, candidate.account, now_ms);
-      candidate.late = is_late (&queue->nodes[candidate.at].item, now_ms);
+      candidate.late = bt_is_fair_item_late (&queue->nodes[candidate.at].item, now_ms);
       if (next->account == NULL || is_served_before (queue, &candidate, next))
         *next = candidate;
     }
@@ -251,7 +251,7 @@
   for (int32_t i = 0; i < queue->account_count; i++)
     for (int32_t at = queue->accounts[i].head; at != NONE; at = queue->nodes[at].next)
       {
-        if (!is_late (&queue->nodes[at].item, now_ms))
+        if (!bt_is_fair_item_late (&queue->nodes[at].item, now_ms))
           continue;
         if (oldest->account != NULL
             && queue->nodes[at].item.queued_ms >= queue->nodes[oldest->at].item.queued_ms)
@@ -376,7 +376,7 @@
 
   for (int32_t i = 0; i < queue->account_count; i++)
     for (int32_t at = queue->accounts[i].head; at != NONE; at = queue->nodes[at].next)
-      count += is_late (&queue->nodes[at].item, now_ms) ? 1 : 0;
+      count += bt_is_fair_item_late (&queue->nodes[at].item, now_ms) ? 1 : 0;
   return count;
 }
 
@@ -400,7 +400,7 @@
 
   for (int32_t i = 0; i < queue->account_count; i++)
     for (int32_t at = queue->accounts[i].head; at != NONE; at = queue->nodes[at].next)
-      if (is_late (&queue->nodes[at].item, now_ms))
+      if (bt_is_fair_item_late (&queue->nodes[at].item, now_ms))
         items[count++] = queue->nodes[at].item;
   if (count > 1)
     qsort (items, (size_t)count, sizeof *items, compare_waits);
@@ -420,7 +420,7 @@
       {
         const bt_fair_item_t *other = &queue->nodes[at].item;
 
-        if (other->priority >= priority || is_late (other, now_ms))
+        if (other->priority >= priority || bt_is_fair_item_late (other, now_ms))
           continue;
         if (last == NULL || other->priority < last->priority
             || (other->priority == last->priority && compare_waits (last, other) < 0))
@@ -445,7 +445,7 @@
     {
       if (queue->nodes[at].item.priority < priority)
         break;
-      count += queue->late_last && is_late (&queue->nodes[at].item, now_ms) ? 0 : 1;
+      count += queue->late_last && bt_is_fair_item_late (&queue->nodes[at].item, now_ms) ? 0 : 1;
     }
   return count;
 }
--- a/source/load/fair_queue.h
+++ b/source/load/fair_queue.h
@@ -39,6 +39,9 @@
                         const char *name,
                         const bt_fair_item_t *item);
 
+/** Returns true if an item can no longer meet its caller's expectation. */
+bool bt_is_fair_item_late (const bt_fair_item_t *item, int64_t now_ms);
+
 /** Removes the next item in fair order; returns false if there is none. At equal priority, items
  * that can still meet their caller's expectation are served before those that cannot. Under
  * overload, order of arrival alone would make every caller wait too long. */
--- a/source/load/return_time.c
+++ b/source/load/return_time.c
@@ -14,7 +14,7 @@
    * callers wait. Callers that return during that time would make fresh requests late. */
   LATE_BACKLOG_MS = 2000,
   /* Part of the rate that new requests leave at which callers return. Requests that become late
-   * take from the rest: at the whole rate, fresh requests were late for five seconds. */
+   * need the rest; at the whole rate, returning callers make fresh requests late. */
   RETURN_RATE_DIVISOR = 2,
   /* Upper bound of the time to return, so that an estimated rate near zero sends nobody away for
    * good. */
--- a/test/load/test_backlog_order.c
+++ b/test/load/test_backlog_order.c
@@ -88,6 +88,7 @@
 static run_t runs[RANKS * SLOTS];
 static int32_t run_count;
 static int32_t late_served;
+static int32_t counted_late;         /* of these, by the decisions */
 static int32_t refused;              /* queued requests that were refused */
 static int32_t refused_last;         /* of these, after a long wait */
 static int32_t refused_without_time; /* of these, without a time to return */
@@ -130,7 +131,7 @@
     bt_record_rank_end (ctx, outages, &identity, now_ms);
   else if (now_ms == start_ms + SECOND_MS)
     report_group (incarnation, false, now_ms);
-  else if (now_ms == start_ms + 2 * SECOND_MS)
+  else if (now_ms == start_ms + (int64_t)2 * SECOND_MS)
     {
       bt_remove_endpoint (ctx, router, &identity);
       bt_record_rank_removed (ctx, outages, &identity);
@@ -160,6 +161,7 @@
   call_count = 0;
   run_count = 0;
   late_served = 0;
+  counted_late = 0;
   refused = 0;
   refused_last = 0;
   refused_without_time = 0;
@@ -218,6 +220,7 @@
       refused_last += now_ms - call->queued_ms >= LONG_WAIT_MS ? 1 : 0;
       refused_without_time += decision->retry_after_ms <= 0 ? 1 : 0;
     }
+  counted_late += decision->order == BT_QUEUE_ORDER_LATE ? 1 : 0;
   call->waits = decision->action == BT_ADMISSION_QUEUE;
   if (decision->action == BT_ADMISSION_ADMIT)
     start_run (call, now_ms);
@@ -282,7 +285,7 @@
     {
       const int32_t percent = priority == LOW && is_in_burst (now_ms) ? play.low_percent : 100;
 
-      if ((int32_t)bt_random_below (&draws, PRIORITIES * SECOND_MS * 100)
+      if ((int32_t)bt_random_below (&draws, (uint64_t)PRIORITIES * SECOND_MS * 100)
           < ARRIVALS_PER_S * percent)
         add_call (priority, now_ms);
     }
@@ -372,6 +375,7 @@
   for (int64_t from_ms = RETURN_MS; from_ms < LOAD_END_MS; from_ms += SECOND_MS / 2)
     CU_ASSERT (get_in_time_percent (from_ms, from_ms + SECOND_MS / 2, LOW) >= 0.9 * calm);
   CU_ASSERT (late_served > 0);
+  CU_ASSERT_EQUAL (counted_late, late_served);
 }
 
 enum
@@ -431,7 +435,7 @@
   push (1001, LOW, EARLY_MS, 1);
   push (1004, NORMAL, EARLY_MS, 4);
   push (1003, LOW, EARLY_MS, 3);
-  for (uint64_t served = 1; served <= LATE_ITEMS * BT_LATE_SERVICE_INTERVAL; served++)
+  for (uint64_t served = 1; served <= (uint64_t)LATE_ITEMS * BT_LATE_SERVICE_INTERVAL; served++)
     {
       uint64_t id;
 
@@ -456,10 +460,10 @@
   CU_ASSERT_EQUAL (pop (), 3);
   CU_ASSERT_EQUAL (pop (), 2);
   CU_ASSERT_EQUAL (pop (), 1);
-  for (uint64_t id = 1; id <= 2 * BT_LATE_SERVICE_INTERVAL; id++)
+  for (uint64_t id = 1; id <= (uint64_t)2 * BT_LATE_SERVICE_INTERVAL; id++)
     push (id, HIGH, LATER_MS, (int64_t)id);
   push (1001, LOW, EARLY_MS, 0);
-  for (uint64_t id = 1; id <= 2 * BT_LATE_SERVICE_INTERVAL; id++)
+  for (uint64_t id = 1; id <= (uint64_t)2 * BT_LATE_SERVICE_INTERVAL; id++)
     CU_ASSERT_EQUAL (pop (), id);
   CU_ASSERT_EQUAL (bt_count_fair_items_ahead (queue, "b", 1, LOW, LATER_MS), 1);
   close_queue ();
