--- a/include/bilberrytray/load/admission.h
+++ b/include/bilberrytray/load/admission.h
@@ -43,6 +43,9 @@
   const char *rule;         /**< Name of the matching rule; NULL for none. */
   int32_t rule_per_second;  /**< The rule's limit in requests per second; 0: none. */
   int32_t rule_burst;       /**< Requests that may pass at once; 0: the requests of one second. */
+  bool late_last;           /**< The app is contended: requests that can still be in time are served
+                               before late ones of all priorities. The last request of an app
+                               counts for all that are queued. */
   bool is_retry;            /**< A retry: exempt from the rule's limit and not counted as demand. */
   uint64_t seed;            /**< Random number that spreads the retry-after times. */
 } bt_admission_request_t;
@@ -73,6 +76,14 @@
   int64_t total_ms[BT_WAIT_COUNT];
 } bt_wait_times_t;
 
+/** How a request of a contended app was taken from the queue. */
+typedef enum bt_queue_order
+{
+  BT_QUEUE_ORDER_NONE = 0, /**< The app is not contended, or the request was not queued. */
+  BT_QUEUE_ORDER_IN_TIME,  /**< It could still be in time. */
+  BT_QUEUE_ORDER_LATE,     /**< It was late. */
+} bt_queue_order_t;
+
 /** Decision on one request. */
 typedef struct bt_admission_decision
 {
@@ -83,6 +94,8 @@
   bt_reason_t reason;     /**< Of a refusal: RULE_LIMIT, ACCOUNT_SHARE, QUEUE_FULL, NO_ENDPOINT,
                              ENDPOINT_FULL or DEADLINE_UNREACHABLE. */
   int64_t retry_after_ms; /**< Of a refusal: time after which the caller may retry. */
+  bt_queue_order_t order; /**< Of a queued request that is admitted. */
+  bool displaced;         /**< Of a refusal: a more urgent request took its place in the queue. */
 } bt_admission_decision_t;
 
 /** Sets the defaults: 4096 queued requests per app, waits multiplied by 150%, demand averaged over
--- a/source/gateway/forward.c
+++ b/source/gateway/forward.c
@@ -3,6 +3,9 @@
 #include <stddef.h>
 #include <string.h>
 
+#include "bilberrytray/config/contention.h"
+#include "queue_counts.h"
+
 enum
 {
   /* Interval at which queued requests are checked, in addition to the check after each request's
@@ -93,6 +96,7 @@
       if (forward == NULL)
         continue;
       bt_note_forward_decision (forward, &decision);
+      bt_count_queue_decision (gateway->ctx, &decision, forward->priority);
       if (decision.action == BT_ADMISSION_ADMIT)
         bt_send_forward (forward);
       else
@@ -161,6 +165,7 @@
     .target_left_ms = get_queue_time_left_ms (forward, now_ms),
     .patience_left_ms = get_patience_left_ms (forward, now_ms),
     .run_ms = get_run_ms (forward),
+    .late_last = forward->contended,
     .seed = bt_draw_gateway_seed (gateway),
   };
   bt_admission_decision_t decision;
@@ -206,6 +211,7 @@
     return BT_REASON_NO_SUCH_PATH;
   forward->rule = &declarations->rules[rule];
   forward->app = declarations->apps[forward->rule->then.app].name;
+  forward->contended = bt_is_app_contended (declarations, forward->rule->then.app);
   forward->priority = BT_PRIORITY_NORMAL;
   if (forward->rule->then.priority >= 0)
     forward->priority = (bt_priority_t)forward->rule->then.priority;
