gateway: bounded memory for callers that do not read

A body that does not fit is refused with 503 and Retry-After. A cut-off behind pauses of half a second in all is not the endpoint's fault: nothing is recorded, accused or sent again, and the answer never looks complete.

The exchange now pauses itself after a turn of 16 KB and continues when its handler has seen the bytes. The router's test fails if an unread attempt counts as cancelled.

--- a/include/bilberrytray/core/outcome.h
+++ b/include/bilberrytray/core/outcome.h
@@ -63,7 +63,9 @@
   X (CRASHES_ENDPOINTS, "crashes-endpoints", 503, NOT_RUN)                                         \
   X (HELD_AFTER_CRASH, "held-after-crash", 503, NOT_RUN)                                           \
   X (PART_CRASHES_ENDPOINTS, "part-crashes-endpoints", 503, NOT_RUN)                               \
-  X (ENDED_FOR_PART, "ended-for-part", 502, UNKNOWN)
+  X (ENDED_FOR_PART, "ended-for-part", 502, UNKNOWN)                                               \
+  X (BUFFERS_FULL, "buffers-full", 503, NOT_RUN)                                                   \
+  X (SLOW_READER, "slow-reader", 502, UNKNOWN)
 
 typedef enum bt_reason
 {
--- a/include/bilberrytray/gateway/gateway.h
+++ b/include/bilberrytray/gateway/gateway.h
@@ -28,6 +28,11 @@
   const char *log_level;
   double cores; /**< Processor share in cores; the instance with the largest leads the groups. */
   int64_t max_connections;
+  int64_t
+      call_buffer_kb; /**< The transfer of an answer is paused while more waits for its caller. */
+  int64_t buffer_mb;  /**< Bound on all that is buffered for callers; 0: see memory_mb. */
+  double memory_mb;   /**< Memory of the instance; a sixteenth of it, at most 12 MB, is
+                             that bound; 0: no bound. */
   int64_t address_life_ms; /**< How long callers may cache an address answer. */
   int64_t drain_ms;        /**< Maximum time from SIGTERM to the end of the process. */
   int64_t watch_ms;        /**< Maximum wait of one watch on the store. */
@@ -47,6 +52,9 @@
   int64_t plan_ms;           /**< Interval between two plans of a group's expert map. */
 } bt_gateway_settings_t;
 
+/** Returns the bound on what is buffered for callers, in bytes; 0: none. */
+int64_t bt_get_gateway_buffer_bytes (const bt_gateway_settings_t *settings);
+
 /** Creates a gateway and starts to serve; requests are refused until the configuration is known.
  * @return NULL, with @p error set, on failure. */
 bt_gateway_t *bt_new_gateway (bt_context_t *ctx,
--- a/include/bilberrytray/load/router.h
+++ b/include/bilberrytray/load/router.h
@@ -79,6 +79,8 @@
   BT_ATTEMPT_FAILED,       /**< Broken off, silent or timed out. */
   BT_ATTEMPT_CANCELLED, /**< Cancelled by the caller, its deadline or another attempt; counts as a
                            slow answer only if it took long. */
+  BT_ATTEMPT_UNREAD,    /**< It was paused since its caller did not read; says nothing about the
+                           endpoint. */
 } bt_attempt_end_t;
 
 /** Capacity of an app's endpoints for this entry, as far as it knows. */
--- a/source/entry/command_gateway.c
+++ b/source/entry/command_gateway.c
@@ -10,6 +10,11 @@
 #include "bilberrytray/page/page.h"
 #include "commands.h"
 
+enum
+{
+  BYTES_PER_KB = 1024,
+};
+
 #define FIELD(name) offsetof (bt_gateway_settings_t, name)
 
 static const bt_setting_t gateway_settings[] = {
@@ -37,6 +42,13 @@
     "Processor share of this instance, in cores; the instance with the largest share leads." },
   { "max-connections", BT_SETTING_INTEGER, FIELD (max_connections), "2000", 8, 60000,
     "Maximum number of connections from callers." },
+  { "call-buffer-kb", BT_SETTING_INTEGER, FIELD (call_buffer_kb), "64", 16, 1048576,
+    "The transfer of an answer is paused while more than this waits for its caller, KB." },
+  { "buffer-mb", BT_SETTING_INTEGER, FIELD (buffer_mb), "0", 0, 1048576,
+    "Bound on all that is buffered for callers, MB; 0: a sixteenth of --memory-mb, at most 12." },
+  { "memory-mb", BT_SETTING_DECIMAL, FIELD (memory_mb), "0", 0, 16777216,
+    "Memory of this instance, MB; 0: not stated, and buffers have no bound unless --buffer-mb sets "
+    "one." },
   { "address-life-ms", BT_SETTING_INTEGER, FIELD (address_life_ms), "1500", 100, 3600000,
     "Time for which callers may cache an answer with addresses, ms." },
   { "drain-ms", BT_SETTING_INTEGER, FIELD (drain_ms), "7800", 0, 3600000,
@@ -136,6 +148,20 @@
   return BT_EXIT_DONE;
 }
 
+/* Returns what is wrong with the settings of the buffers; NULL: nothing. */
+static const char *
+check_buffers (const bt_gateway_settings_t *settings)
+{
+  int64_t bound_bytes = bt_get_gateway_buffer_bytes (settings);
+
+  if (settings->memory_mb > 0 && (double)settings->buffer_mb > settings->memory_mb)
+    return "buffer-mb: Must not be more than --memory-mb.";
+  if (bound_bytes > 0 && bound_bytes < settings->call_buffer_kb * BYTES_PER_KB)
+    return "call-buffer-kb: Must not be more than the bound on all buffers, which --buffer-mb or a "
+           "sixteenth of --memory-mb sets.";
+  return NULL;
+}
+
 static int
 run_gateway_command (bt_context_t *ctx, const void *values, int operand_count, char **operands)
 {
@@ -152,6 +178,11 @@
                                  : "log-level: Unknown log level.");
       return BT_EXIT_USAGE;
     }
+  if (check_buffers (settings) != NULL)
+    {
+      fprintf (stderr, "%s\n", check_buffers (settings));
+      return BT_EXIT_USAGE;
+    }
   bt_set_log_level (ctx, (int32_t)level);
   bt_set_log_name (ctx, settings->instance);
   bt_prepare_outcome_counters (ctx);
--- a/source/gateway/exchange.c
+++ b/source/gateway/exchange.c
@@ -21,6 +21,12 @@
   MAX_HEADER_LINE_BYTES = 17408, /* longest header line: a value of 16 KiB and its name */
   MIN_BODY_CAPACITY = 1024,
   MAX_IDLE_HANDLES = 16, /* kept for reuse; creating a handle takes about 20 us */
+  /* libcurl reads a socket until it is empty, which can be several megabytes. Its handler must see
+   * the bytes in between, to pause the exchange. */
+  TURN_BYTES = 16384,
+  /* Endpoints cut off an answer that stays unread for some seconds. Pauses of callers that read are
+   * much shorter. */
+  UNREAD_MS = 500,
   FIRST_FINAL_STATUS = 200,
   NO_CONTENT_STATUS = 204,
   NOT_MODIFIED_STATUS = 304,
@@ -41,6 +47,12 @@
   bool has_framing_header;
   bool is_queued;
   bool dropped;
+  bool in_progress;  /* its handler is being called */
+  size_t turn_bytes; /* received since the last call of its handler */
+  bool paused;       /* no data is to be taken */
+  bool held;         /* libcurl keeps data that was not taken, and does not watch the socket */
+  int64_t paused_at_ms;
+  int64_t paused_ms; /* of the pauses that have ended */
   CURLcode code;
   char *body;
   size_t body_bytes;
@@ -132,6 +144,39 @@
     }
 }
 
+/* Lets libcurl deliver the data that it keeps, and read on. */
+static void
+take_held_data (bt_exchange_t *exchange)
+{
+  CURLcode code;
+
+  if (!exchange->held || exchange->state != BT_EXCHANGE_OPEN)
+    return;
+  exchange->held = false;
+  code = curl_easy_pause (exchange->curl, CURLPAUSE_CONT);
+  /* libcurl reports a failed write of the data that it kept only here. */
+  if (code != CURLE_OK)
+    {
+      exchange->code = code;
+      exchange->state = BT_EXCHANGE_BROKEN;
+      queue_progress (exchange);
+    }
+  bt_request_loop_iteration (exchange->pool->loop);
+}
+
+static void
+report_progress (bt_exchange_t *exchange)
+{
+  exchange->turn_bytes = 0;
+  exchange->in_progress = true;
+  exchange->handler->vtable->on_progress (exchange->handler, exchange);
+  exchange->in_progress = false;
+  if (exchange->dropped && !exchange->is_queued)
+    free_exchange (exchange);
+  else if (!exchange->dropped && !exchange->paused)
+    take_held_data (exchange);
+}
+
 static void
 run_pool (bt_loop_hook_t *hook)
 {
@@ -150,7 +195,7 @@
       if (exchange->dropped)
         free_exchange (exchange);
       else
-        exchange->handler->vtable->on_progress (exchange->handler, exchange);
+        report_progress (exchange);
     }
   while (pool->closed_sockets != NULL)
     {
@@ -281,6 +326,11 @@
   bt_exchange_t *exchange = user;
   size_t bytes = size * count;
 
+  if (exchange->paused || exchange->turn_bytes >= TURN_BYTES)
+    {
+      exchange->held = true;
+      return CURL_WRITEFUNC_PAUSE;
+    }
   if (exchange->body_bytes + bytes > exchange->answer_bytes)
     return CURL_WRITEFUNC_ERROR;
   if (exchange->body_bytes + bytes + 1 > exchange->body_capacity)
@@ -290,6 +340,7 @@
     }
   memcpy (exchange->body + exchange->body_bytes, data, bytes);
   exchange->body_bytes += bytes;
+  exchange->turn_bytes += bytes;
   exchange->body[exchange->body_bytes] = '\0';
   queue_progress (exchange);
   return bytes;
@@ -459,7 +510,7 @@
     curl_easy_cleanup (exchange->curl);
   exchange->curl = NULL;
   exchange->dropped = true;
-  if (!exchange->is_queued)
+  if (!exchange->is_queued && !exchange->in_progress)
     free_exchange (exchange);
 }
 
@@ -499,6 +550,48 @@
   exchange->body[exchange->body_bytes] = '\0';
 }
 
+/* The buffer has room for what is received in one turn, most of which was passed on. */
+static void
+shrink_body (bt_exchange_t *exchange)
+{
+  if (exchange->body == NULL)
+    return;
+  exchange->body_capacity = exchange->body_bytes + 1;
+  exchange->body = bt_realloc (exchange->pool->ctx, exchange->body, exchange->body_capacity, 1);
+}
+
+/* libcurl is told in the write callback, where it takes effect at once: curl_easy_pause would let
+ * it read the socket once more. */
+void
+bt_pause_exchange (bt_exchange_t *exchange)
+{
+  if (exchange->paused || exchange->state != BT_EXCHANGE_OPEN)
+    return;
+  exchange->paused = true;
+  exchange->paused_at_ms = bt_get_loop_ms (exchange->pool->loop);
+  shrink_body (exchange);
+}
+
+void
+bt_resume_exchange (bt_exchange_t *exchange)
+{
+  if (!exchange->paused)
+    return;
+  exchange->paused = false;
+  exchange->paused_ms += bt_get_loop_ms (exchange->pool->loop) - exchange->paused_at_ms;
+  take_held_data (exchange);
+}
+
+bool
+bt_is_exchange_unread (const bt_exchange_t *exchange)
+{
+  int64_t paused_ms = exchange->paused_ms;
+
+  if (exchange->paused)
+    paused_ms += bt_get_loop_ms (exchange->pool->loop) - exchange->paused_at_ms;
+  return paused_ms >= UNREAD_MS;
+}
+
 const char *
 bt_get_exchange_error (const bt_exchange_t *exchange)
 {
--- a/source/gateway/exchange.h
+++ b/source/gateway/exchange.h
@@ -94,6 +94,17 @@
 /** Removes the first @p bytes bytes from the buffered body. */
 void bt_consume_exchange_body (bt_exchange_t *exchange, size_t bytes);
 
+/** Lets the endpoint's answer wait until bt_resume_exchange: at most what was already read arrives.
+ * The end of the answer is reported if it is known. The connection is not watched meanwhile. */
+void bt_pause_exchange (bt_exchange_t *exchange);
+
+/** Continues after bt_pause_exchange. Does nothing if the exchange is not paused. */
+void bt_resume_exchange (bt_exchange_t *exchange);
+
+/** Returns true if the exchange was paused for so long in all that its endpoint may have cut the
+ * answer off because nobody read it. */
+bool bt_is_exchange_unread (const bt_exchange_t *exchange);
+
 /** Returns the error that ended an exchange without a complete answer. */
 const char *bt_get_exchange_error (const bt_exchange_t *exchange);
 
--- a/source/gateway/forward_end.c
+++ b/source/gateway/forward_end.c
@@ -45,6 +45,8 @@
 
   if (forward->exchange == NULL)
     return;
+  if (bt_is_exchange_unread (forward->exchange))
+    end = BT_ATTEMPT_UNREAD;
   bt_record_attempt_end (gateway->router, &forward->route, end, now_ms - forward->sent_ms, now_ms);
   bt_drop_exchange (gateway->ctx, forward->exchange);
   forward->exchange = NULL;
--- a/source/gateway/forward_send.c
+++ b/source/gateway/forward_send.c
@@ -269,6 +269,18 @@
   record_answer_part (forward);
   bt_push_frontend_stream (forward->call, body, complete_bytes);
   bt_consume_exchange_body (forward->exchange, complete_bytes);
+  if (bt_is_frontend_call_behind (forward->call))
+    bt_pause_exchange (forward->exchange);
+}
+
+/* Returns true if the endpoint has cut off an answer that was not read for long. Without a length
+ * or chunks, its end can't be told from a cut-off. */
+static bool
+was_cut_off_unread (const bt_forward_t *forward, size_t partial_bytes)
+{
+  return bt_is_exchange_unread (forward->exchange)
+         && (bt_get_exchange_state (forward->exchange) != BT_EXCHANGE_COMPLETE || partial_bytes > 0
+             || !bt_is_exchange_framed (forward->exchange));
 }
 
 static void
@@ -301,6 +313,7 @@
   bt_gateway_t *gateway = forward->gateway;
   bool is_stream = is_forwardable_stream (forward);
   size_t partial_bytes = 0;
+  size_t held_bytes = 0;
 
   record_answer_load (forward);
   bt_note_answer_head (forward);
@@ -309,6 +322,8 @@
       forward_events (forward);
       bt_peek_exchange_body (exchange, &partial_bytes);
     }
+  bt_peek_exchange_body (exchange, &held_bytes);
+  bt_set_frontend_received (forward->call, held_bytes);
   /* Events before this one are missing, so what follows it can't be passed on. */
   if (forward->events.gap)
     {
@@ -317,6 +332,12 @@
     }
   else if (bt_get_exchange_state (exchange) == BT_EXCHANGE_OPEN)
     return;
+  else if (was_cut_off_unread (forward, partial_bytes))
+    {
+      forward->runs++;
+      bt_report_slow_reader (forward->call, BT_SLOW_READER_ENDPOINT);
+      bt_refuse_forward (forward, BT_REASON_SLOW_READER, 0);
+    }
   else if (is_stream && has_stream_ended_empty (forward))
     apply_attempt_decision (forward, BT_ATTEMPT_CUT_OFF);
   /* Only the end of a stream ends the caller's stream: the complete answer of an endpoint that
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -31,8 +31,24 @@
   /* How long an instance with a larger processor share is listed before a leader of rank groups
    * hands over to it. */
   HANDOVER_DELAY_MS = 5000,
+  BYTES_PER_KB = 1024,
+  BYTES_PER_MB = 1048576,
+  /* Share of the instance's memory that is the bound on buffers. A connection with a paused
+   * transfer takes up to four times its counted bytes: the libraries have buffers of their own. */
+  MEMORY_BUFFER_DIVISOR = 16,
+  MAX_DERIVED_BUFFER_MB = 12,
 };
 
+int64_t
+bt_get_gateway_buffer_bytes (const bt_gateway_settings_t *settings)
+{
+  if (settings->buffer_mb > 0)
+    return settings->buffer_mb * BYTES_PER_MB;
+  if (settings->memory_mb > MAX_DERIVED_BUFFER_MB * MEMORY_BUFFER_DIVISOR)
+    return (int64_t)MAX_DERIVED_BUFFER_MB * BYTES_PER_MB;
+  return (int64_t)(settings->memory_mb * BYTES_PER_MB / MEMORY_BUFFER_DIVISOR);
+}
+
 static void
 apply_endpoints (bt_gateway_t *gateway)
 {
@@ -195,6 +211,20 @@
                       call);
 }
 
+static void
+handle_caught_up (bt_frontend_handler_t *handler, bt_frontend_call_t *call)
+{
+  (void)handler;
+  bt_resume_forward (call);
+}
+
+static void
+handle_reader_ended (bt_frontend_handler_t *handler, bt_frontend_call_t *call)
+{
+  bt_end_slow_forward ((bt_gateway_t *)((char *)handler - offsetof (bt_gateway_t, call_handler)),
+                       call);
+}
+
 static bool
 has_path (const bt_frontend_call_t *call, const char *path)
 {
@@ -238,7 +268,12 @@
   (void)call;
 }
 
-static const bt_frontend_handler_vtable_t call_vtable = { handle_call, handle_caller_left };
+static const bt_frontend_handler_vtable_t call_vtable = {
+  handle_call,
+  handle_caller_left,
+  handle_caught_up,
+  handle_reader_ended,
+};
 static const bt_frontend_handler_vtable_t address_vtable = { handle_address_call,
                                                              ignore_caller_left };
 static const bt_frontend_handler_vtable_t ready_vtable = { handle_ready_call, ignore_caller_left };
@@ -247,8 +282,12 @@
 open_frontends (bt_gateway_t *gateway, bt_error_t *error)
 {
   const bt_gateway_settings_t *settings = gateway->settings;
-  bt_frontend_limits_t callers = { (int32_t)settings->max_connections, CONNECTION_BYTES,
-                                   CALLER_BODY_BYTES, CALLER_IDLE_MS };
+  bt_frontend_limits_t callers = { (int32_t)settings->max_connections,
+                                   CONNECTION_BYTES,
+                                   CALLER_BODY_BYTES,
+                                   CALLER_IDLE_MS,
+                                   settings->call_buffer_kb * BYTES_PER_KB,
+                                   bt_get_gateway_buffer_bytes (settings) };
   bt_frontend_limits_t control = { CONTROL_CONNECTIONS, CONNECTION_BYTES, CONTROL_BODY_BYTES,
                                    CALLER_IDLE_MS };
 
--- a/source/gateway/gateway_private.h
+++ b/source/gateway/gateway_private.h
@@ -135,6 +135,12 @@
 /** Ends a request in progress whose caller has disconnected. */
 void bt_abandon_forward (bt_gateway_t *gateway, bt_frontend_call_t *call);
 
+/** Continues the transfer of an answer whose caller was behind. */
+void bt_resume_forward (bt_frontend_call_t *call);
+
+/** Ends a request in progress whose answer was cut off since its caller did not read it. */
+void bt_end_slow_forward (bt_gateway_t *gateway, bt_frontend_call_t *call);
+
 /** Sends the queued requests for which there is capacity now, and refuses those that can't be
  * served in time. */
 void bt_dispatch_queued_forwards (bt_gateway_t *gateway);
--- a/source/gateway/http_answer.c
+++ b/source/gateway/http_answer.c
@@ -1,4 +1,5 @@
 #include <string.h>
+#include <sys/socket.h>
 
 #include "http_frontend_private.h"
 
@@ -6,7 +7,10 @@
 {
   HEADER_CAPACITY_STEP = 16,
   STREAM_BLOCK_BYTES = 4096,
+  ANSWER_BLOCK_BYTES = 32768,
   MIN_STREAM_CAPACITY = 512,
+  /* Most of the events of all callers that read are smaller than this. */
+  KEPT_STREAM_BYTES = 16384,
 };
 
 void
@@ -80,18 +84,80 @@
   bt_resume_frontend_call (call);
 }
 
+/* Takes bytes that wait for the caller. */
+static size_t
+take_bytes (bt_frontend_call_t *call, char *buffer, size_t max_bytes)
+{
+  size_t bytes = call->stream_bytes - call->stream_read;
+  bt_frontend_handler_t *handler = call->frontend->handler;
+
+  if (bytes > max_bytes)
+    bytes = max_bytes;
+  memcpy (buffer, call->stream + call->stream_read, bytes);
+  call->stream_read += bytes;
+  if (bt_take_call_waiting (call, bytes) && call->held_by_handler && call->streaming
+      && !call->stream_ended)
+    handler->vtable->on_caught_up (handler, call);
+  return bytes;
+}
+
+static ssize_t
+read_answer (void *argument, uint64_t position, char *buffer, size_t max_bytes)
+{
+  bt_frontend_call_t *call = argument;
+
+  (void)position;
+  if (call->stream_ended || call->stream_read == call->stream_bytes)
+    return MHD_CONTENT_READER_END_WITH_ERROR;
+  return (ssize_t)take_bytes (call, buffer, max_bytes);
+}
+
+/* Keeps the answer in the call instead of the library, so that its bytes are counted as they are
+ * taken, and it can be cut off. */
+static void
+answer_in_blocks (bt_frontend_call_t *call, int32_t status, const char *body, size_t body_bytes)
+{
+  call->stream = bt_memdup (call->frontend->ctx, body, body_bytes);
+  call->stream_bytes = body_bytes;
+  bt_add_call_waiting (call, body_bytes);
+  set_response (
+      call, status,
+      MHD_create_response_from_callback (body_bytes, ANSWER_BLOCK_BYTES, read_answer, call, NULL));
+}
+
 void
 bt_answer_frontend_call (bt_frontend_call_t *call,
                          int32_t status,
                          const char *body,
                          size_t body_bytes)
 {
+  int64_t limit_bytes = call->frontend->limits.call_buffer_bytes;
+
   if (call->connection == NULL || call->answer != ANSWER_NONE)
     return;
+  if (limit_bytes > 0 && (int64_t)body_bytes > limit_bytes)
+    {
+      bt_set_frontend_received (call, 0);
+      answer_in_blocks (call, status, body, body_bytes);
+      return;
+    }
+  bt_set_frontend_received (call, body_bytes);
   set_response (call, status,
                 MHD_create_response_from_buffer (body_bytes, (void *)body, MHD_RESPMEM_MUST_COPY));
 }
 
+/* Frees the buffer of a stream if it has grown for a caller that was behind. */
+static void
+empty_stream (bt_frontend_call_t *call)
+{
+  call->stream_read = call->stream_bytes = 0;
+  if (call->stream_capacity <= KEPT_STREAM_BYTES)
+    return;
+  bt_free (call->frontend->ctx, call->stream);
+  call->stream = NULL;
+  call->stream_capacity = 0;
+}
+
 /* Passes the next bytes of a stream to libmicrohttpd; suspends the connection when there are
  * none. */
 static ssize_t
@@ -112,12 +178,9 @@
       MHD_suspend_connection (call->connection);
       return 0;
     }
-  if (bytes > max_bytes)
-    bytes = max_bytes;
-  memcpy (buffer, call->stream + call->stream_read, bytes);
-  call->stream_read += bytes;
+  bytes = take_bytes (call, buffer, max_bytes);
   if (call->stream_read == call->stream_bytes)
-    call->stream_read = call->stream_bytes = 0;
+    empty_stream (call);
   return (ssize_t)bytes;
 }
 
@@ -132,18 +195,35 @@
                                                    read_stream, call, NULL));
 }
 
+/* Moves the bytes to the start of the buffer, and lets it grow if this is not enough. Large buffers
+ * grow in steps, since they belong to callers that are behind. */
+static void
+make_stream_room (bt_frontend_call_t *call, size_t bytes)
+{
+  size_t needed = call->stream_bytes - call->stream_read + bytes;
+
+  if (call->stream_read > 0)
+    memmove (call->stream, call->stream + call->stream_read,
+             call->stream_bytes - call->stream_read);
+  call->stream_bytes -= call->stream_read;
+  call->stream_read = 0;
+  if (needed <= call->stream_capacity)
+    return;
+  call->stream_capacity =
+      needed > KEPT_STREAM_BYTES ? needed + STREAM_BLOCK_BYTES : 2 * needed + MIN_STREAM_CAPACITY;
+  call->stream = bt_realloc (call->frontend->ctx, call->stream, call->stream_capacity, 1);
+}
+
 void
 bt_push_frontend_stream (bt_frontend_call_t *call, const char *data, size_t bytes)
 {
   if (call->connection == NULL || call->stream_ended)
     return;
   if (call->stream_bytes + bytes > call->stream_capacity)
-    {
-      call->stream_capacity = 2 * (call->stream_bytes + bytes) + MIN_STREAM_CAPACITY;
-      call->stream = bt_realloc (call->frontend->ctx, call->stream, call->stream_capacity, 1);
-    }
+    make_stream_room (call, bytes);
   memcpy (call->stream + call->stream_bytes, data, bytes);
   call->stream_bytes += bytes;
+  bt_add_call_waiting (call, bytes);
   bt_resume_frontend_call (call);
 }
 
@@ -176,3 +256,21 @@
   call->answer = ANSWER_ABORTED;
   bt_resume_frontend_call (call);
 }
+
+/* The library does not ask for more of an answer while the kernel takes nothing: the connection is
+ * shut down, so that the library's next write fails. */
+void
+bt_abort_frontend_answer (bt_frontend_call_t *call)
+{
+  if (call->connection == NULL)
+    return;
+  call->stream_ended = true;
+  call->stream_end = BT_STREAM_CUT_OFF;
+  call->stream_read = call->stream_bytes = call->stream_capacity = 0;
+  bt_free (call->frontend->ctx, call->stream);
+  call->stream = NULL;
+  bt_discard_call_waiting (call);
+  bt_clear_watch (call->frontend->loop, &call->watch);
+  bt_resume_frontend_call (call);
+  shutdown (call->watch.fd, SHUT_RDWR);
+}
--- a/source/gateway/http_frontend.c
+++ b/source/gateway/http_frontend.c
@@ -1,6 +1,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stddef.h>
+#include <stdio.h>
 #include <string.h>
 #include <strings.h>
 #include <sys/epoll.h>
@@ -8,6 +9,7 @@
 
 #include "bilberrytray/base/address.h"
 #include "bilberrytray/base/event_log.h"
+#include "bilberrytray/core/outcome.h"
 #include "bilberrytray/page/listener.h"
 #include "http_frontend_private.h"
 
@@ -23,6 +25,12 @@
   PEER_TIMEOUT_MS = 8000,
   /* Calls of MHD_run that the library needs to take an answer and to write it. */
   FINAL_RUNS = 3,
+  RETRY_AFTER_BYTES = 32,
+  /* Bodies that don't fit now fit when others have been answered, which takes about a second. The
+   * times are spread by the calls that are open. */
+  MIN_RETRY_AFTER_MS = 500,
+  RETRY_AFTER_SPREAD_MS = 1000,
+  RETRY_AFTER_STEP_MS = 37,
 };
 
 static void
@@ -31,6 +39,7 @@
   bt_context_t *ctx = call->frontend->ctx;
   bt_frontend_request_t *request = &call->request;
 
+  bt_remove_call_buffers (call);
   bt_free_frontend_header_list (ctx, request->headers, request->header_count);
   bt_free_frontend_header_list (ctx, call->answer_headers, call->answer_header_count);
   if (call->response != NULL)
@@ -171,12 +180,27 @@
   set_tcp_user_timeout (call->watch.fd);
 }
 
+/* Frees a request body that does not fit into the buffers; the rest of it is read and discarded. */
+static void
+refuse_body (bt_frontend_call_t *call)
+{
+  call->body_refused = true;
+  bt_free (call->frontend->ctx, call->request.body);
+  call->request.body = NULL;
+  call->request.body_bytes = 0;
+  call->body_capacity = 0;
+  bt_update_call_other_bytes (call);
+}
+
 static void
 append_body (bt_frontend_call_t *call, const char *data, size_t bytes)
 {
   bt_frontend_request_t *request = &call->request;
   size_t needed = request->body_bytes + bytes + 1;
+  size_t capacity;
 
+  if (call->body_refused)
+    return;
   if (call->body_too_large || needed > call->frontend->limits.body_bytes + 1)
     {
       call->body_too_large = true;
@@ -184,8 +208,17 @@
     }
   if (needed > call->body_capacity)
     {
-      call->body_capacity = 2 * needed > MIN_BODY_CAPACITY ? 2 * needed : MIN_BODY_CAPACITY;
+      capacity = 2 * needed > MIN_BODY_CAPACITY ? 2 * needed : MIN_BODY_CAPACITY;
+      if (capacity > call->frontend->limits.body_bytes + 1)
+        capacity = call->frontend->limits.body_bytes + 1;
+      if (!bt_may_grow_call_body (call, capacity))
+        {
+          refuse_body (call);
+          return;
+        }
+      call->body_capacity = capacity;
       request->body = bt_realloc (call->frontend->ctx, request->body, call->body_capacity, 1);
+      bt_update_call_other_bytes (call);
     }
   memcpy (request->body + request->body_bytes, data, bytes);
   request->body_bytes += bytes;
@@ -216,6 +249,21 @@
   return MHD_YES;
 }
 
+/* Answers a request whose body did not fit into the buffers. */
+static void
+answer_refused_body (bt_frontend_call_t *call)
+{
+  char retry_after[RETRY_AFTER_BYTES];
+  int32_t wait_ms =
+      MIN_RETRY_AFTER_MS + call->frontend->calls * RETRY_AFTER_STEP_MS % RETRY_AFTER_SPREAD_MS;
+
+  snprintf (retry_after, sizeof retry_after, "%.3f", (double)wait_ms / MS_PER_S);
+  bt_count_refusal (call->frontend->ctx, BT_REASON_BUFFERS_FULL);
+  bt_add_frontend_header (call, "Retry-After", retry_after);
+  bt_add_frontend_header (call, "Bilberry-Reason", bt_name_reason (BT_REASON_BUFFERS_FULL));
+  bt_answer_frontend_call (call, bt_get_reason_status (BT_REASON_BUFFERS_FULL), "", 0);
+}
+
 static enum MHD_Result
 handle_request (void *argument,
                 struct MHD_Connection *connection,
@@ -251,6 +299,12 @@
       bt_answer_frontend_call (call, MHD_HTTP_CONTENT_TOO_LARGE, "", 0);
       return bt_queue_frontend_answer (call);
     }
+  if (call->body_refused)
+    {
+      call->complete = true;
+      answer_refused_body (call);
+      return bt_queue_frontend_answer (call);
+    }
   return queue_arrival (call);
 }
 
@@ -284,12 +338,33 @@
     }
 }
 
+/* Ends the answers whose callers do not read them, until the buffers are within their bound. */
+static void
+end_slow_readers (bt_frontend_t *frontend)
+{
+  bt_buffered_call_t *buffered;
+
+  while ((buffered = bt_find_call_to_end (frontend->budget)) != NULL)
+    {
+      bt_frontend_call_t *call =
+          (bt_frontend_call_t *)((char *)buffered - offsetof (bt_frontend_call_t, buffered));
+
+      bt_report_slow_reader (call, BT_SLOW_READER_BOUND);
+      call->caller_left = true;
+      bt_abort_frontend_answer (call);
+      if (call->held_by_handler)
+        frontend->handler->vtable->on_reader_ended (frontend->handler, call);
+    }
+}
+
 static void
 run_frontend (bt_loop_hook_t *hook)
 {
   bt_frontend_t *frontend = (bt_frontend_t *)((char *)hook - offsetof (bt_frontend_t, hook));
   MHD_UNSIGNED_LONG_LONG wait_ms;
 
+  if (frontend->budget != NULL && bt_is_buffer_budget_exceeded (frontend->budget))
+    end_slow_readers (frontend);
   if (!frontend->run_requested)
     return;
   frontend->run_requested = false;
@@ -359,6 +434,7 @@
       bt_free (ctx, frontend);
       return NULL;
     }
+  bt_open_frontend_buffers (frontend);
   frontend->watch.fd = MHD_get_daemon_info (frontend->daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
   frontend->watch.on_ready = request_run;
   frontend->timer.on_expiry = handle_timeout;
@@ -420,6 +496,7 @@
                 "{s:i, s:i, s:i, s:i}", "port", bt_get_frontend_port (frontend), "connections",
                 frontend->connections, "refused", frontend->refused, "unanswered", unanswered);
   MHD_stop_daemon (frontend->daemon);
+  bt_drop_buffer_budget (ctx, frontend->budget);
   bt_free (ctx, frontend);
 }
 
--- a/source/gateway/http_frontend.h
+++ b/source/gateway/http_frontend.h
@@ -44,6 +44,11 @@
   void (*on_call) (bt_frontend_handler_t *handler, bt_frontend_call_t *call);
   /** The caller disconnected, or its connection broke, before the answer was complete. */
   void (*on_caller_left) (bt_frontend_handler_t *handler, bt_frontend_call_t *call);
+  /** The caller of a stream was behind and has caught up. NULL if the handler sends no streams. */
+  void (*on_caught_up) (bt_frontend_handler_t *handler, bt_frontend_call_t *call);
+  /** The answer was cut off since its caller did not read it and the buffers are full. The handler
+   * drops the call. NULL if the handler sends no streams. */
+  void (*on_reader_ended) (bt_frontend_handler_t *handler, bt_frontend_call_t *call);
 } bt_frontend_handler_vtable_t;
 
 struct bt_frontend_handler
@@ -58,6 +63,9 @@
   size_t head_bytes; /**< Memory limit of a connection, which bounds the head that is read. */
   size_t body_bytes; /**< Maximum size of a request body. */
   int64_t idle_ms;   /**< An idle connection is closed after this; rounded up to seconds. */
+  int64_t call_buffer_bytes; /**< A caller for whom more bytes wait is behind; 0: buffers are not
+                                  counted. */
+  int64_t buffer_bytes;      /**< Bound on the buffered bytes of all calls; 0: none. */
 } bt_frontend_limits_t;
 
 /** How a stream ended. */
@@ -68,6 +76,13 @@
                                the caller sees that the answer is incomplete. */
 } bt_stream_end_t;
 
+/** Why an answer was cut off that its caller did not read. */
+typedef enum bt_slow_reader_cause
+{
+  BT_SLOW_READER_BOUND = 0, /**< The bound on all buffers was exceeded. */
+  BT_SLOW_READER_ENDPOINT,  /**< The endpoint cut its answer off while it was not read. */
+} bt_slow_reader_cause_t;
+
 /** Starts to serve at "IP:PORT"; port 0 lets the system choose. @return NULL, with @p error set, on
  * failure. */
 bt_frontend_t *bt_new_frontend (bt_context_t *ctx,
@@ -136,6 +151,16 @@
 /** Returns the number of bytes of the stream that the caller has not been sent yet. */
 size_t bt_count_unread_bytes (const bt_frontend_call_t *call);
 
+/** Returns true while the caller is behind: more than the limit of bytes waited for it, and it has
+ * not taken them down to half of it since. */
+bool bt_is_frontend_call_behind (const bt_frontend_call_t *call);
+
+/** Sets the number of bytes of the answer that the handler holds and can't pass on yet. */
+void bt_set_frontend_received (bt_frontend_call_t *call, size_t bytes);
+
+/** Counts and logs that an answer was cut off since its caller did not read it. */
+void bt_report_slow_reader (const bt_frontend_call_t *call, bt_slow_reader_cause_t cause);
+
 /** Ends the stream, complete or cut off. */
 void bt_end_frontend_stream (bt_frontend_call_t *call, bt_stream_end_t end);
 
--- a/source/gateway/http_frontend_private.h
+++ b/source/gateway/http_frontend_private.h
@@ -2,12 +2,14 @@
 #define BILBERRYTRAY_SOURCE_GATEWAY_HTTP_FRONTEND_PRIVATE_H
 
 /** @file
- * Shared by http_frontend.c, which reads requests, and http_answer.c, which answers them. The
- * library is libmicrohttpd.
+ * Shared by http_frontend.c, which reads requests, http_answer.c, which answers them, and
+ * http_buffers.c, which counts what is buffered for callers. The library is libmicrohttpd.
  */
 
 #include <microhttpd.h>
 
+#include "bilberrytray/base/counters.h"
+#include "bilberrytray/load/buffer_budget.h"
 #include "http_frontend.h"
 
 /** State of an answer. */
@@ -26,14 +28,17 @@
   bt_frontend_request_t request;
   size_t body_capacity;
   bool body_too_large;
-  bool complete; /* the request was read completely */
+  bool body_refused; /* it does not fit into the buffers */
+  bool complete;     /* the request was read completely */
   bool suspended;
   bool held_by_handler; /* the handler has not released it yet */
   bool caller_left;     /* the caller disconnected */
   answer_state_t answer;
   struct MHD_Response *response;
   int32_t status;
-  char *stream;
+  bt_buffered_call_t buffered;
+  size_t received_bytes; /* of an answer that its caller can't take yet */
+  char *stream;          /* a stream, or a large answer in one piece */
   size_t stream_bytes;
   size_t stream_read;
   size_t stream_capacity;
@@ -66,11 +71,38 @@
   int32_t connections; /* number accepted so far */
   int32_t refused;     /* requests that were read after the end of the loop */
   int32_t calls;
+  bt_buffer_budget_t *budget; /* NULL: buffers are not counted */
+  bt_counter_t *buffered_gauge;
+  bt_counter_t *paused_counter;
   bt_frontend_call_t *first_call;
   bt_frontend_call_t *first_arrival;
   bt_frontend_call_t **last_arrival;
 };
 
+/** Creates the budget of the buffers if the limits name one. */
+void bt_open_frontend_buffers (bt_frontend_t *frontend);
+
+/** Records that more bytes of the answer wait for the caller. */
+void bt_add_call_waiting (bt_frontend_call_t *call, size_t bytes);
+
+/** Records that the library has taken bytes. @return true if the caller was behind until now. */
+bool bt_take_call_waiting (bt_frontend_call_t *call, size_t bytes);
+
+/** Records that the bytes that waited for the caller were freed. */
+void bt_discard_call_waiting (bt_frontend_call_t *call);
+
+/** Records the size of the request body and of the received parts of the answer. */
+void bt_update_call_other_bytes (bt_frontend_call_t *call);
+
+/** Records that all buffers of the call were freed. */
+void bt_remove_call_buffers (bt_frontend_call_t *call);
+
+/** Returns true if the buffer of the request body may grow to @p capacity bytes. */
+bool bt_may_grow_call_body (const bt_frontend_call_t *call, size_t capacity);
+
+/** Cuts the answer off and closes the connection, also if the caller does not read. */
+void bt_abort_frontend_answer (bt_frontend_call_t *call);
+
 /** Resumes a suspended connection, so that the library processes its call again. */
 void bt_resume_frontend_call (bt_frontend_call_t *call);
 
--- a/test/load/test_router.c
+++ b/test/load/test_router.c
@@ -555,6 +555,31 @@
   close_fixture ();
 }
 
+/* Guards against ejecting or avoiding an endpoint for answers that took long, or were cut off,
+ * since their callers did not read them. */
+static void
+test_unread_answers_say_nothing_about_their_endpoint (void)
+{
+  int32_t unread = 0;
+
+  open_fixture (3);
+  for (int32_t i = 0; i < 300; i++)
+    {
+      bt_route_t route;
+      bool is_unread = choose (0, 0, -1, &route) == 0;
+
+      unread += is_unread ? 1 : 0;
+      bt_record_dispatch (router, &route, 0, 0);
+      if (is_unread)
+        bt_record_attempt_end (router, &route, BT_ATTEMPT_UNREAD, long_ms, 0);
+      else
+        bt_record_attempt_end (router, &route, BT_ATTEMPT_ANSWERED, SERVICE_MS, 0);
+    }
+  CU_ASSERT_EQUAL (bt_count_outliers (router, "drafts", 0), 0);
+  CU_ASSERT (unread > 80);
+  close_fixture ();
+}
+
 int
 main (void)
 {
@@ -582,6 +607,7 @@
   CU_ADD_TEST (suite, test_cached_prefix_is_used_only_while_cheaper);
   CU_ADD_TEST (suite, test_restarts_keep_the_outlier_record);
   CU_ADD_TEST (suite, test_some_endpoints_are_never_ejected);
+  CU_ADD_TEST (suite, test_unread_answers_say_nothing_about_their_endpoint);
   CU_ADD_TEST (suite, test_replaced_instances_are_removed);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
--- a/test/process/harness_gateway.c
+++ b/test/process/harness_gateway.c
@@ -32,6 +32,8 @@
   PORT_RANGES = 10,
 };
 
+static const char *const *extra_arguments;
+
 /* Returns a socket that listens on a port; -1 if the port is not free. */
 static int
 listen_on_port (int32_t port)
@@ -298,6 +300,12 @@
   return true;
 }
 
+void
+bt_set_gateway_arguments (const char *const *arguments)
+{
+  extra_arguments = arguments;
+}
+
 void
 bt_start_gateway_process (bt_gateway_testbed_t *testbed, int32_t index)
 {
@@ -310,11 +318,12 @@
   char links[TEXT_BYTES];
   char seeds[TEXT_BYTES];
   char drain[TEXT_BYTES];
-  char *arguments[] = { "gateway", instance,  "--failure-domain=a",
-                        listen,    addresses, ready,
-                        links,     seeds,     "--secret=secret of the field",
-                        store,     page,      "--address-life-ms=300",
-                        drain,     NULL };
+  char *arguments[MAX_ARGUMENTS] = { "gateway", instance,  "--failure-domain=a",
+                                     listen,    addresses, ready,
+                                     links,     seeds,     "--secret=secret of the field",
+                                     store,     page,      "--address-life-ms=300",
+                                     drain };
+  int32_t count = 0;
 
   snprintf (instance, sizeof instance, "--instance=gateway-%d", index);
   snprintf (listen, sizeof listen, "--listen=127.0.0.1:%d", testbed->caller_ports[index]);
@@ -325,6 +334,11 @@
   snprintf (seeds, sizeof seeds, "--seeds=127.0.0.1:%d", testbed->link_ports[index == 0 ? 1 : 0]);
   snprintf (page, sizeof page, "--page=127.0.0.1:%d", testbed->page_ports[index]);
   snprintf (drain, sizeof drain, "--drain-ms=%d", testbed->drain_ms);
+  while (arguments[count] != NULL)
+    count++;
+  for (int32_t i = 0;
+       extra_arguments != NULL && extra_arguments[i] != NULL && count + 2 < MAX_ARGUMENTS; i++)
+    arguments[count++] = (char *)extra_arguments[i];
   testbed->gateways[index] = start_program (testbed, "bilberryd", instance + 2, arguments);
 }
 
--- a/test/process/harness_gateway.h
+++ b/test/process/harness_gateway.h
@@ -88,6 +88,9 @@
 /** Kills every process, prints the logs if @p failed, and removes the folder. */
 void bt_drop_gateway_testbed (bt_gateway_testbed_t *testbed, bool failed);
 
+/** Sets extra arguments, NULL-terminated or NULL, for the gateways that are started from now on. */
+void bt_set_gateway_arguments (const char *const *arguments);
+
 void bt_start_gateway_process (bt_gateway_testbed_t *testbed, int32_t index);
 
 /** Writes an item into the store as the operator or a runner does; @p value NULL removes it. */
--- a/test/process/test_command_line.c
+++ b/test/process/test_command_line.c
@@ -10,6 +10,7 @@
 enum
 {
   EXIT_DONE = 0,
+  EXIT_FAILED = 1,
   EXIT_USAGE = 2,
 };
 
@@ -58,6 +59,31 @@
   check_program ("bilberryd dance", EXIT_USAGE, usage);
 }
 
+/* Guards against an instance that rejects its memory with a fraction, as deployments set it, and
+ * against a bound on buffers that no call or no instance can keep. */
+static void
+test_settings_of_buffers_are_checked (void)
+{
+  /* The address is of no host, so that an accepted line ends at once, too. */
+  static const char *const settings = "bilberryd gateway --instance=a --failure-domain=a "
+                                      "--listen=192.0.2.1:1 --addresses=192.0.2.1:2 "
+                                      "--ready=192.0.2.1:3 --links=192.0.2.1:4 "
+                                      "--store=192.0.2.1:5 --secret=none";
+  static const char *const more_than_memory[] = { "buffer-mb: Must not be more than --memory-mb.",
+                                                  NULL };
+  static const char *const too_small[] = { "call-buffer-kb: Must not be more than the bound",
+                                           NULL };
+  static const char *const accepted[] = { "start-failed", NULL };
+  char line[512];
+
+  snprintf (line, sizeof line, "%s --memory-mb=160.5 --buffer-mb=161", settings);
+  check_program (line, EXIT_USAGE, more_than_memory);
+  snprintf (line, sizeof line, "%s --memory-mb=160.0 --call-buffer-kb=10241", settings);
+  check_program (line, EXIT_USAGE, too_small);
+  snprintf (line, sizeof line, "%s --memory-mb=160.0 --call-buffer-kb=10240", settings);
+  check_program (line, EXIT_FAILED, accepted);
+}
+
 /* Guards against an instance that rejects a retry reserve with a fraction, or of zero. Deployments
  * set such values, and callers have no instance if it does not start. */
 static void
@@ -158,6 +184,7 @@
   suite = CU_add_suite ("command line", NULL, NULL);
   CU_ADD_TEST (suite, test_help_and_version);
   CU_ADD_TEST (suite, test_invalid_settings_are_reported_together);
+  CU_ADD_TEST (suite, test_settings_of_buffers_are_checked);
   CU_ADD_TEST (suite, test_retry_reserve_accepts_fractions);
   CU_ADD_TEST (suite, test_check_accepts_the_examples);
   CU_ADD_TEST (suite, test_check_reports_a_missing_file);
--- a/test/standin/haiyun_runner/main.c
+++ b/test/standin/haiyun_runner/main.c
@@ -1,7 +1,9 @@
 /** @file
  * Stand-in for a runner of the users' platform. The environment variable RUNNER_ID is its id, and
  * RUNNER_BORN its start time in Unix milliseconds. A path with "/stream/" is answered with EVENTS
- * numbered events, any other with one line.
+ * numbered events, any other with one line. A stream whose path ends in "/big" has BIG_EVENTS
+ * events of BIG_EVENT_BYTES bytes without pauses, and another answer with such a path as many
+ * bytes.
  *
  * A request whose path ends in "/poison" ends the process when it begins to run. One whose prompt
  * has a shared part "dead" ends it as the answer begins: a stream within its first event.
@@ -16,6 +18,7 @@
  *                   "fail"       answers with status 500
  *                   "cut"        cuts a stream off within an event; drops any other request
  *                   "cut-first"  like "cut", but not for resumed streams
+ *                   "cut-big"    cuts only a big stream off, after BIG_EVENTS_BEFORE_CUT events
  *                   "unframed"   answers with neither length nor chunks, so that the end of the
  *                                connection ends the answer. A part "dead" ends the process before
  *                                the first event
@@ -43,6 +46,10 @@
   EVENTS = 8,
   EVENTS_BEFORE_CUT = 3,
   EVENT_BYTES = 192,
+  BIG_EVENTS = 1024,
+  BIG_EVENT_BYTES = 4096,
+  BIG_EVENTS_BEFORE_CUT = 1000,
+  BIG_BLOCK_BYTES = 2 * BIG_EVENT_BYTES,
   BLOCK_BYTES = 256,
   EVENT_INTERVAL_NS = 15000000,
   BASE_TEN = 10,
@@ -70,6 +77,14 @@
   bool begun; /**< Part of that event was written. */
 } stream_t;
 
+/** A big stream of events. */
+typedef struct big_stream
+{
+  long next; /**< Number of the next event. */
+  long last;
+  bool cut; /**< The connection is broken after the last event. */
+} big_stream_t;
+
 static const char *
 get_header (const bt_standin_request_t *request, const char *name)
 {
@@ -142,6 +157,45 @@
                                             free);
 }
 
+static ssize_t
+read_big_stream (void *data, uint64_t position, char *buffer, size_t max)
+{
+  big_stream_t *stream = data;
+  int head;
+
+  (void)position;
+  if (stream->next > stream->last)
+    return stream->cut ? MHD_CONTENT_READER_END_WITH_ERROR : MHD_CONTENT_READER_END_OF_STREAM;
+  if (max < BIG_EVENT_BYTES)
+    return 0;
+  head = snprintf (buffer, max, "id: %ld\ndata: ", stream->next++);
+  memset (buffer + head, 'x', BIG_EVENT_BYTES - (size_t)head);
+  buffer[BIG_EVENT_BYTES - 2] = buffer[BIG_EVENT_BYTES - 1] = '\n';
+  return BIG_EVENT_BYTES;
+}
+
+static struct MHD_Response *
+make_big_stream (const bt_standin_request_t *request, bool cut)
+{
+  big_stream_t *stream = calloc (1, sizeof *stream);
+
+  stream->next = strtol (get_header (request, "Last-Event-Id"), NULL, BASE_TEN) + 1;
+  stream->last = cut ? BIG_EVENTS_BEFORE_CUT : BIG_EVENTS;
+  stream->cut = cut;
+  return MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, BIG_BLOCK_BYTES, read_big_stream,
+                                            stream, free);
+}
+
+static struct MHD_Response *
+make_big_text (void)
+{
+  size_t bytes = (size_t)BIG_EVENTS * BIG_EVENT_BYTES;
+  char *text = malloc (bytes);
+
+  memset (text, 'x', bytes);
+  return MHD_create_response_from_buffer (bytes, text, MHD_RESPMEM_MUST_FREE);
+}
+
 static struct MHD_Response *
 make_text (const char *text)
 {
@@ -149,11 +203,11 @@
 }
 
 static bool
-is_poison (const char *path)
+ends_with (const char *path, const char *name)
 {
   const char *last = strrchr (path, '/');
 
-  return last != NULL && strcmp (last, "/poison") == 0;
+  return last != NULL && strcmp (last, name) == 0;
 }
 
 /* Returns true if the prompt has the part that crashes runners, at any place but the last. */
@@ -179,11 +233,12 @@
       strcmp (fault, "cut") == 0 || (strcmp (fault, "cut-first") == 0 && !resumed) || late_cut;
   bool poisoned = has_poisoned_part (request);
   bool unframed = strcmp (fault, "unframed") == 0;
+  bool big = ends_with (request->url, "/big");
   struct timespec late = { LATE_ANSWER_S, 0 };
   char text[EVENT_BYTES];
 
   log_run (runner, request);
-  if (is_poison (request->url) || (poisoned && !stream))
+  if (ends_with (request->url, "/poison") || (poisoned && !stream))
     _exit (EXIT_FAILURE);
   if (strcmp (fault, "late") == 0 || late_cut)
     nanosleep (&late, NULL);
@@ -196,7 +251,11 @@
     answer->status = MHD_HTTP_INTERNAL_SERVER_ERROR;
   snprintf (text, sizeof text, "answer of %s to %s", runner->id,
             get_header (request, "Bilberrytray-Attempt-Id"));
-  answer->response = stream ? make_stream (request, cut, poisoned, unframed) : make_text (text);
+  if (big)
+    answer->response =
+        stream ? make_big_stream (request, strcmp (fault, "cut-big") == 0) : make_big_text ();
+  else
+    answer->response = stream ? make_stream (request, cut, poisoned, unframed) : make_text (text);
   answer->type = stream ? "text/event-stream" : "text/plain";
   if (unframed)
     MHD_set_response_options (answer->response, MHD_RF_HTTP_1_0_SERVER, MHD_RO_END);
