load: the asking side of reservations

Admission gets a switch per app: while it is set, requests are queued or refused as before, but sent by grants only.

--- a/include/bilberrytray/load/admission.h
+++ b/include/bilberrytray/load/admission.h
@@ -47,7 +47,8 @@
                                before late ones of all priorities. The last request of an app
                                counts for all that are queued. */
   bool is_retry;            /**< A retry: exempt from the rule's limit and not counted as demand. */
-  uint64_t seed;            /**< Random number that spreads the retry-after times. */
+  bool by_estimate; /**< Admitted by the estimate of capacity even if the app is reserved. */
+  uint64_t seed;    /**< Random number that spreads the retry-after times. */
 } bt_admission_request_t;
 
 /** Action to take for a request. */
@@ -133,6 +134,16 @@
                                     int64_t now_ms,
                                     bt_wait_times_t *times);
 
+/** Sets whether the requests of an app are sent by grants only. While it is reserved, they are
+ * queued or refused as before, but bt_next_admission admits none. */
+void bt_set_admission_reserved (
+    bt_context_t *ctx, bt_admission_t *admission, const char *app, bool reserved, int64_t now_ms);
+
+/** Takes the request of an app that is first in its queue, for a grant. Returns false if there is
+ * none. */
+bool
+bt_take_queued_request (bt_admission_t *admission, const char *app, int64_t now_ms, uint64_t *id);
+
 /** Removes a queued request whose caller has left; returns false if it is not queued. */
 bool bt_cancel_admission (bt_admission_t *admission, uint64_t id);
 
--- a/include/bilberrytray/load/router.h
+++ b/include/bilberrytray/load/router.h
@@ -60,7 +60,8 @@
   const bt_identity_t *excluded; /**< Agents already tried; may be NULL. */
   int32_t excluded_count;
   const bt_identity_t *only; /**< The only agent that may be chosen; NULL: any. */
-  uint64_t seed;             /**< Random seed for the sample of endpoints and for ties. */
+  int32_t choices; /**< Endpoints compared, drawn at random; 0: as the router's options say. */
+  uint64_t seed;   /**< Random seed for the sample of endpoints and for ties. */
 } bt_route_request_t;
 
 /** Route of an attempt. The number distinguishes a link from a later one to the same agent. */
@@ -273,6 +274,22 @@
 void
 bt_get_capacity (bt_router_t *router, const char *app, int64_t now_ms, bt_capacity_t *capacity);
 
+/** What this entry knows of the capacity of one endpoint. */
+typedef struct bt_endpoint_room
+{
+  bool usable;  /**< It may be chosen for a request now. */
+  int32_t load; /**< Requests running or waiting there, as estimated from the last report. */
+  int32_t slots;
+  int32_t depth; /**< Requests in excess of the slots that may be sent. */
+  bool has_room; /**< By this entry's estimate, one more request may be sent. */
+} bt_endpoint_room_t;
+
+/** Returns false if the endpoint does not exist. */
+bool bt_get_endpoint_room (bt_router_t *router,
+                           const bt_identity_t *identity,
+                           int64_t now_ms,
+                           bt_endpoint_room_t *room);
+
 /** Returns how long until the throttled endpoints of an app have got @p requests requests of this
  * entry, if nothing else changes; BT_NEVER_MS if that is more than an hour. */
 int64_t
--- a/source/load/admission.c
+++ b/source/load/admission.c
@@ -9,6 +9,9 @@
 {
   SECOND_MS = 1000,
   WHOLE_PERCENT = 100,
+  /* A request that finds capacity waits at least this long for a grant: a few round trips to
+   * agents. */
+  MIN_GRANT_WAIT_MS = 100,
   /* Expected runs of this percentage of the time left are not started. */
   HOPELESS_RUN_PERCENT = 150,
   DEFAULT_WAIT_PERCENT = 150,
@@ -307,6 +310,32 @@
     bt_refuse_admission (admission, decision, BT_REASON_QUEUE_FULL, wait_ms, request->seed);
 }
 
+/* Queues a request of a reserved app that the estimate would admit at once. */
+static void
+queue_for_grant (bt_context_t *ctx,
+                 bt_admission_t *admission,
+                 bt_admission_app_t *app,
+                 const bt_admission_request_t *request,
+                 const bt_capacity_t *capacity,
+                 int64_t now_ms,
+                 bt_admission_decision_t *decision)
+{
+  const int64_t limit_ms = bt_get_admission_wait_limit_ms (request, capacity->full_queue_ms);
+  const bt_fair_item_t item = {
+    .id = request->id,
+    .priority = request->priority,
+    .give_up_ms = now_ms + (limit_ms > MIN_GRANT_WAIT_MS ? limit_ms : MIN_GRANT_WAIT_MS),
+    .target_ms = request->target_left_ms > 0 ? now_ms + request->target_left_ms : 0,
+    .queued_ms = now_ms,
+    .share = request->share,
+  };
+
+  if (bt_push_fair_item (ctx, app->queue, request->account, &item))
+    decision->action = BT_ADMISSION_QUEUE;
+  else
+    bt_refuse_admission (admission, decision, BT_REASON_QUEUE_FULL, 0, request->seed);
+}
+
 /* Returns by how much the run of a request will exceed its deadline; at most 0 if it may be
  * complete in time. The expected length of an answer is often far off and slow engines may recover,
  * so an expected run must be much longer than the time that is left. */
@@ -368,7 +397,11 @@
                            get_late_run_ms (request), request->seed);
       return;
     }
-  else if (has_room (&capacity) && bt_count_fair_items (app->queue) == 0)
+  else if (has_room (&capacity) && app->reserved && !request->by_estimate
+           && bt_count_fair_items (app->queue) == 0)
+    queue_for_grant (ctx, admission, app, request, &capacity, now_ms, decision);
+  else if (has_room (&capacity)
+           && (bt_count_fair_items (app->queue) == 0 || (app->reserved && request->by_estimate)))
     decision->action = BT_ADMISSION_ADMIT;
   else if (capacity.service_ms > request->deadline_left_ms)
     bt_refuse_admission (admission, decision, BT_REASON_DEADLINE_UNREACHABLE, 0, request->seed);
@@ -427,7 +460,7 @@
                            item.id);
       return true;
     }
-  if (!has_room (&capacity) || !bt_pop_fair_item (app->queue, now_ms, &item))
+  if (app->reserved || !has_room (&capacity) || !bt_pop_fair_item (app->queue, now_ms, &item))
     return false;
   decision->id = item.id;
   decision->action = BT_ADMISSION_ADMIT;
@@ -450,6 +483,25 @@
   return false;
 }
 
+void
+bt_set_admission_reserved (
+    bt_context_t *ctx, bt_admission_t *admission, const char *app, bool reserved, int64_t now_ms)
+{
+  find_or_add_app (ctx, admission, app, now_ms)->reserved = reserved;
+}
+
+bool
+bt_take_queued_request (bt_admission_t *admission, const char *app, int64_t now_ms, uint64_t *id)
+{
+  bt_admission_app_t *row = bt_find_admission_app (admission, app);
+  bt_fair_item_t item;
+
+  if (row == NULL || !bt_pop_fair_item (row->queue, now_ms, &item))
+    return false;
+  *id = item.id;
+  return true;
+}
+
 bool
 bt_cancel_admission (bt_admission_t *admission, uint64_t id)
 {
--- a/source/load/admission_private.h
+++ b/source/load/admission_private.h
@@ -31,6 +31,7 @@
   int32_t refused_count;
   bt_fair_item_t *late; /**< Work space for the late requests. */
   int64_t bounded_ms;   /**< Last time that the late requests were bounded. */
+  bool reserved;        /**< Its requests are sent by grants only. */
 } bt_admission_app_t;
 
 /** Token bucket of one rule. */
--- a/source/load/choice.c
+++ b/source/load/choice.c
@@ -177,7 +177,8 @@
                           const bt_route_request_t *request,
                           int64_t now_ms)
 {
-  const int32_t choices = options->choices > 0 ? options->choices : count;
+  const int32_t wanted = request->choices > 0 ? request->choices : options->choices;
+  const int32_t choices = wanted > 0 ? wanted : count;
   averages_t averages = { .entries = entries, .now_ms = now_ms };
   bt_endpoint_state_t *best = NULL;
   double best_ms = 0;
--- a/source/load/router_capacity.c
+++ b/source/load/router_capacity.c
@@ -9,9 +9,9 @@
  * endpoint however few it may run: a limit below the number of entries is always exceeded, and
  * every pass of a newly formed group is too long. */
 static int32_t
-get_endpoint_room (const bt_endpoint_state_t *state,
-                   const bt_router_options_t *options,
-                   int32_t entries)
+estimate_room (const bt_endpoint_state_t *state,
+               const bt_router_options_t *options,
+               int32_t entries)
 {
   int32_t expected_load = bt_get_endpoint_expected_load (state, entries);
   int32_t estimated_growth = expected_load - bt_get_endpoint_load (state);
@@ -37,7 +37,7 @@
               bt_capacity_t *capacity)
 {
   int32_t slots = bt_get_endpoint_slots (state, options);
-  int32_t room = get_endpoint_room (state, options, entries);
+  int32_t room = estimate_room (state, options, entries);
   /* Other entries that hold more than their equal share return the excess under load. */
   int32_t available = slots - (bt_get_endpoint_load (state) - state->own_in_flight);
 
@@ -89,3 +89,26 @@
     capacity->full_queue_ms += (int64_t)((double)(capacity->service_ms * options->queue_depth)
                                          * capacity->endpoints / capacity->slots);
 }
+
+bool
+bt_get_endpoint_room (bt_router_t *router,
+                      const bt_identity_t *identity,
+                      int64_t now_ms,
+                      bt_endpoint_room_t *room)
+{
+  const bt_router_options_t *options = &router->options;
+  bt_endpoint_state_t *state = bt_find_endpoint_state (router, identity);
+  int32_t entries;
+
+  if (state == NULL)
+    return false;
+  entries = bt_get_app_entries (router, state->endpoint.app);
+  room->usable = bt_is_endpoint_usable (router, state, state->endpoint.app, now_ms);
+  room->load = bt_get_endpoint_load (state);
+  room->slots = bt_get_endpoint_slots (state, options);
+  room->depth = options->queue_depth;
+  /* The second condition grants this entry its equal share, as admission does for all endpoints. */
+  room->has_room = estimate_room (state, options, entries) > 0
+                   || (state->own_in_flight + 1) * entries <= room->slots + room->depth;
+  return true;
+}
