gateway: capacity is reserved at the agents for contended apps

room_control drives the asker on the event loop: it sends asks and uses over the links to agents, and an answer wakes the loop. Requests of reserved apps are queued in admission and sent where the grant is. Retries and whatever else is sent without a grant is reported as unasked, and every end of an attempt as ended, one frame for each agent and iteration.

An agent drops an ask with a number out of range and then seems not to answer, and the length of a prompt is what the caller says; so the numbers of an ask are limited before it is sent.

--- a/include/bilberrytray/gateway/gateway.h
+++ b/include/bilberrytray/gateway/gateway.h
@@ -40,8 +40,10 @@
                            0: not at all. */
   int64_t crash_keep_s; /**< A crashing request that is not repeated for this long is forgotten. */
   int64_t agent_port;   /**< Port on which agents beside engines accept links; 0: there are none. */
-  int64_t lead_lease_s; /**< Lifetime of the lease of the instance that leads the rank groups. */
-  int64_t lead_renew_ms;     /**< Interval between two renewals of that lease. */
+  const char *reservations; /**< For which apps capacity is reserved at those agents; see
+                               bt_parse_reservations. */
+  int64_t lead_lease_s;  /**< Lifetime of the lease of the instance that leads the rank groups. */
+  int64_t lead_renew_ms; /**< Interval between two renewals of that lease. */
   int64_t lead_past_lease_s; /**< How long a leader that the store does not answer goes on past its
                                 lease, if an app with engines is contended. */
   int64_t plan_ms;           /**< Interval between two plans of a group's expert map. */
--- a/source/entry/command_gateway.c
+++ b/source/entry/command_gateway.c
@@ -7,6 +7,7 @@
 
 #include "bilberrytray/base/event_log.h"
 #include "bilberrytray/gateway/gateway.h"
+#include "bilberrytray/gateway/reservations.h"
 #include "bilberrytray/page/page.h"
 #include "commands.h"
 
@@ -59,6 +60,8 @@
     "How long such a request is remembered after it was last received, s." },
   { "agent-port", BT_SETTING_INTEGER, FIELD (agent_port), "0", 0, 65535,
     "Port on which agents next to engines accept links; 0: there are no agents." },
+  { "reservations", BT_SETTING_TEXT, FIELD (reservations), "contended", 0, 0,
+    "Apps whose capacity is reserved at agents: contended, always (all models) or never." },
   { "lead-lease-s", BT_SETTING_INTEGER, FIELD (lead_lease_s), "2", 1, 600,
     "TTL of the lease of the instance that leads the rank groups, s." },
   { "lead-renew-ms", BT_SETTING_INTEGER, FIELD (lead_renew_ms), "600", 50, 600000,
@@ -140,6 +143,7 @@
 run_gateway_command (bt_context_t *ctx, const void *values, int operand_count, char **operands)
 {
   const bt_gateway_settings_t *settings = values;
+  bt_reservations_t reservations;
   bt_log_level_t level;
   sigset_t signals;
   int status;
@@ -152,6 +156,12 @@
                                  : "log-level: Unknown log level.");
       return BT_EXIT_USAGE;
     }
+  if (!bt_parse_reservations (settings->reservations, &reservations))
+    {
+      fprintf (stderr, "reservations: \"%s\" is none of contended, always and never.\n",
+               settings->reservations);
+      return BT_EXIT_USAGE;
+    }
   bt_set_log_level (ctx, (int32_t)level);
   bt_set_log_name (ctx, settings->instance);
   bt_prepare_outcome_counters (ctx);
--- a/source/gateway/agent_links.c
+++ b/source/gateway/agent_links.c
@@ -19,6 +19,14 @@
   MAX_FRAME_BYTES = 1 << 20,
   MAX_UNSENT_BYTES = 1 << 20,
   MAX_LINKS = 1024,
+  /* Events of reservations that the loop has not collected; further answers are dropped, and their
+   * grants expire. */
+  MAX_ROOM_EVENTS = 4096,
+  /* Greatest numbers of an ask. */
+  MAX_ASK_TOKENS = 1 << 24,
+  MAX_ASK_READ_US = 600000000,
+  MAX_ASK_SLOTS = 1 << 16,
+  MAX_ASK_SHARE = 1000000,
   /* Number of ranks whose picks a leader processes during one report interval of a rank. */
   RANKS_PER_REPORT_INTERVAL = 48,
 };
@@ -52,6 +60,9 @@
   agent_row_t *rows;
   agent_row_t *updated;   /* list of the rows with an update, the latest first */
   bt_name_index_t *index; /* of the rows by endpoint */
+  bt_room_event_t *room_events;
+  int32_t room_event_count;
+  int32_t room_event_capacity;
 };
 
 /** A task that only wakes the event loop, which collects updates in every iteration. */
@@ -110,21 +121,61 @@
   bt_send_frame (links->ctx, row->link, &frame);
 }
 
+/* Adds an event of reservations. Returns true if the loop has to be woken: it has collected all
+ * events before this one. */
+static bool
+add_room_event (bt_agent_links_t *links, const agent_row_t *row, const bt_room_event_t *event)
+{
+  bt_room_event_t *added;
+
+  if (event->kind == BT_ROOM_REPLIED && links->room_event_count >= MAX_ROOM_EVENTS)
+    return false;
+  if (links->room_event_count == links->room_event_capacity)
+    {
+      links->room_event_capacity = 2 * links->room_event_capacity + 1;
+      links->room_events = bt_realloc (links->ctx, links->room_events,
+                                       (size_t)links->room_event_capacity, sizeof *added);
+    }
+  added = &links->room_events[links->room_event_count++];
+  *added = *event;
+  snprintf (added->endpoint, sizeof added->endpoint, "%s", row->endpoint);
+  return links->room_event_count == 1;
+}
+
+static bool
+add_room_reply (bt_agent_links_t *links, const agent_row_t *row, const Bilberry__RoomReply *reply)
+{
+  const bt_room_event_t event = {
+    .kind = BT_ROOM_REPLIED,
+    .reply = { .id = reply->id,
+               .verdict = (bt_asker_verdict_t)reply->verdict,
+               .load = reply->load < INT32_MAX ? (int32_t)reply->load : INT32_MAX,
+               .received_ms = bt_now_ms (links->ctx) },
+  };
+
+  return add_room_event (links, row, &event);
+}
+
 static void
 handle_link_up (bt_link_handler_t *handler, bt_link_t *link)
 {
   bt_agent_links_t *links = (bt_agent_links_t *)handler;
+  const bt_room_event_t event = { .kind = BT_ROOM_LINK_UP };
   agent_row_t *row;
+  bool wake = false;
 
   pthread_mutex_lock (&links->lock);
   row = bt_get_link_data (link);
   if (row != NULL)
     {
       row->up = true;
+      wake = add_room_event (links, row, &event);
       if (links->fence != 0)
         send_follow (links, row, true);
     }
   pthread_mutex_unlock (&links->lock);
+  if (wake)
+    wake_loop (links);
   bt_log_event (links->ctx, BT_LOG_INFO, "agent-linked", "{s:s}", "agent",
                 bt_get_link_instance (link));
 }
@@ -133,13 +184,20 @@
 handle_link_down (bt_link_handler_t *handler, bt_link_t *link)
 {
   bt_agent_links_t *links = (bt_agent_links_t *)handler;
+  const bt_room_event_t event = { .kind = BT_ROOM_LINK_DOWN };
   agent_row_t *row;
+  bool wake = false;
 
   pthread_mutex_lock (&links->lock);
   row = bt_get_link_data (link);
   if (row != NULL)
-    row->up = false;
+    {
+      row->up = false;
+      wake = add_room_event (links, row, &event);
+    }
   pthread_mutex_unlock (&links->lock);
+  if (wake)
+    wake_loop (links);
   bt_log_event (links->ctx, BT_LOG_INFO, "agent-lost", "{s:s}", "agent",
                 bt_get_link_instance (link));
 }
@@ -163,6 +221,7 @@
   bool result = frame->body_case == BILBERRY__FRAME__BODY_ENGINE_RESULT;
   agent_row_t *row;
   bool leading;
+  bool wake = false;
 
   pthread_mutex_lock (&links->lock);
   row = bt_get_link_data (link);
@@ -173,9 +232,11 @@
       store_report (links, row, frame->engine_result->report);
       bt_set_pending_result (&row->pending, frame->engine_result);
     }
+  if (row != NULL && frame->body_case == BILBERRY__FRAME__BODY_ROOM_REPLY)
+    wake = add_room_reply (links, row, frame->room_reply);
   leading = links->fence != 0;
   pthread_mutex_unlock (&links->lock);
-  if (leading)
+  if (leading || wake)
     wake_loop (links);
 }
 
@@ -198,6 +259,11 @@
 static void
 drop_row_link (bt_agent_links_t *links, agent_row_t *row)
 {
+  const bt_room_event_t event = { .kind = BT_ROOM_LINK_DOWN };
+
+  /* Without its data, the link reports no end. */
+  if (row->up)
+    add_room_event (links, row, &event);
   if (row->link != NULL)
     {
       bt_set_link_data (row->link, NULL);
@@ -309,6 +375,7 @@
       links->rows = row->next;
       drop_row (links, row);
     }
+  bt_free (ctx, links->room_events);
   bt_drop_name_index (ctx, links->index);
   pthread_mutex_destroy (&links->lock);
   bt_free (ctx, links);
@@ -469,3 +536,102 @@
   pthread_mutex_unlock (&links->lock);
   return sent;
 }
+
+void
+bt_collect_room_events (bt_agent_links_t *links, bt_room_event_handler_t handle_event, void *data)
+{
+  bt_room_event_t *events;
+  int32_t count;
+
+  pthread_mutex_lock (&links->lock);
+  events = links->room_events;
+  count = links->room_event_count;
+  links->room_events = NULL;
+  links->room_event_count = 0;
+  links->room_event_capacity = 0;
+  pthread_mutex_unlock (&links->lock);
+  for (int32_t i = 0; i < count; i++)
+    handle_event (data, &events[i]);
+  bt_free (links->ctx, events);
+}
+
+bool
+bt_is_agent_linked (bt_agent_links_t *links, const char *endpoint)
+{
+  const agent_row_t *row;
+  bool up;
+
+  pthread_mutex_lock (&links->lock);
+  row = find_row (links, endpoint);
+  up = row != NULL && row->up;
+  pthread_mutex_unlock (&links->lock);
+  return up;
+}
+
+static bool
+send_room_frame (bt_agent_links_t *links, const char *endpoint, const bt_frame_t *frame)
+{
+  agent_row_t *row;
+  bool sent = false;
+
+  pthread_mutex_lock (&links->lock);
+  row = find_row (links, endpoint);
+  if (row != NULL && row->up)
+    sent = bt_send_frame (links->ctx, row->link, frame);
+  pthread_mutex_unlock (&links->lock);
+  return sent;
+}
+
+/* Callers state the length of their prompts. An agent drops an ask with a number out of all
+ * proportion, and would seem not to answer. */
+static uint32_t
+limit_number (int64_t number, int64_t most)
+{
+  if (number < 0)
+    return 0;
+  return (uint32_t)(number < most ? number : most);
+}
+
+bool
+bt_send_room_ask (bt_agent_links_t *links, const char *endpoint, const bt_asker_ask_t *ask)
+{
+  Bilberry__RoomAsk message = BILBERRY__ROOM_ASK__INIT;
+  bt_frame_t frame = BILBERRY__FRAME__INIT;
+
+  message.id = ask->id;
+  message.priority = (uint32_t)ask->priority;
+  message.target_left_ms = ask->target_left_ms;
+  message.prompt_tokens = limit_number (ask->prompt_tokens, MAX_ASK_TOKENS);
+  message.answer_tokens = limit_number (ask->answer_tokens, MAX_ASK_TOKENS);
+  message.read_us = limit_number (ask->read_us, MAX_ASK_READ_US);
+  message.slots = limit_number (ask->slots, MAX_ASK_SLOTS);
+  message.depth = limit_number (ask->depth, MAX_ASK_SLOTS);
+  message.burst = (uint32_t)ask->burst;
+  message.wait = ask->wait;
+  message.account = ask->account;
+  message.share = limit_number (ask->share, MAX_ASK_SHARE);
+  frame.body_case = BILBERRY__FRAME__BODY_ROOM_ASK;
+  frame.room_ask = &message;
+  return send_room_frame (links, endpoint, &frame);
+}
+
+bool
+bt_send_room_use (bt_agent_links_t *links, const char *endpoint, const bt_room_use_ids_t *use)
+{
+  Bilberry__RoomUse message = BILBERRY__ROOM_USE__INIT;
+  bt_frame_t frame = BILBERRY__FRAME__INIT;
+
+  message.n_started = use->started_count;
+  message.started = use->started;
+  message.n_ended = use->ended_count;
+  message.ended = use->ended;
+  message.n_released = use->released_count;
+  message.released = use->released;
+  message.n_withdrawn = use->withdrawn_count;
+  message.withdrawn = use->withdrawn;
+  message.n_unasked = use->unasked_count;
+  message.unasked = use->unasked;
+  frame.body_case = BILBERRY__FRAME__BODY_ROOM_USE;
+  frame.room_use = &message;
+  return send_room_frame (links, endpoint, &frame);
+}
--- a/source/gateway/forward.c
+++ b/source/gateway/forward.c
@@ -8,6 +8,7 @@
 
 enum
 {
+  US_PER_MS = 1000,
   /* Interval at which queued requests are checked, in addition to the check after each request's
    * end and each report. */
   QUEUE_CHECK_MS = 10,
@@ -149,6 +150,101 @@
                                 forward->info.expected_answer_tokens, engine->stride);
 }
 
+/* Returns a keyed hash of the client account. */
+static uint64_t
+hash_account (const bt_forward_t *forward)
+{
+  const bt_request_content_t content = { .account = forward->account,
+                                         .method = "",
+                                         .target = "account" };
+  bt_fingerprint_t fingerprint;
+  uint64_t hash;
+
+  bt_make_fingerprint (&forward->gateway->fingerprint_key, &content, &fingerprint);
+  memcpy (&hash, fingerprint.bytes, sizeof hash);
+  return hash;
+}
+
+static int32_t
+get_account_share (const bt_forward_t *forward)
+{
+  const int32_t account = bt_find_account (forward->declarations, forward->account);
+
+  return account < 0 ? 1 : forward->declarations->accounts[account].share;
+}
+
+/* Asks for capacity for a queued request if its app calls for it. */
+static void
+ask_for_room (bt_forward_t *forward)
+{
+  const bt_engine_t *engine = &forward->declarations->apps[forward->rule->then.app].engine;
+  const int64_t now_ms = bt_get_loop_ms (forward->gateway->loop);
+  const int64_t left_ms = get_queue_time_left_ms (forward, now_ms);
+  bt_room_request_t request = {
+    .id = forward->id,
+    .app = forward->app,
+    .priority = (int32_t)forward->priority,
+    .target_ms = left_ms > 0 ? now_ms + left_ms : 0,
+    .prompt_tokens = forward->info.prompt_tokens,
+    .answer_tokens = forward->info.expected_answer_tokens,
+  };
+
+  if (!bt_has_room_app (forward->gateway->rooms, forward->app))
+    return;
+  request.account = hash_account (forward);
+  request.share = get_account_share (forward);
+  if (engine->read_tokens_per_ms > 0)
+    request.read_us = (int64_t)(request.prompt_tokens * US_PER_MS / engine->read_tokens_per_ms);
+  bt_queue_room_request (forward->gateway->rooms, &request);
+}
+
+void
+bt_ask_for_queued_forwards (bt_gateway_t *gateway)
+{
+  for (bt_forward_t *forward = gateway->first_forward; forward != NULL; forward = forward->next)
+    if (forward->state == BT_FORWARD_QUEUED && forward->rule != NULL && !forward->awaits_part_trial)
+      ask_for_room (forward);
+}
+
+/* Records that admission's queue was left by a grant, as a decision of admission is recorded. */
+static void
+note_grant (bt_forward_t *forward)
+{
+  bt_gateway_t *gateway = forward->gateway;
+  const int64_t now_ms = bt_get_loop_ms (gateway->loop);
+  const bool late = forward->rule->then.aim_ms > 0 && get_queue_time_left_ms (forward, now_ms) <= 1;
+  bt_admission_decision_t decision = { .id = forward->id, .action = BT_ADMISSION_ADMIT };
+
+  decision.wait = bt_get_wait_times (gateway->admission, forward->app, now_ms, &decision.times);
+  if (forward->contended)
+    decision.order = late ? BT_QUEUE_ORDER_LATE : BT_QUEUE_ORDER_IN_TIME;
+  bt_note_forward_decision (forward, &decision);
+  bt_count_queue_decision (gateway->ctx, &decision, forward->priority);
+}
+
+bool
+bt_send_granted_forward (bt_gateway_t *gateway,
+                         uint64_t id,
+                         const bt_identity_t *endpoint,
+                         uint64_t grant_id)
+{
+  bt_forward_t *forward = find_forward (gateway, id);
+
+  if (forward == NULL || forward->state != BT_FORWARD_QUEUED)
+    return false;
+  note_grant (forward);
+  forward->only = endpoint;
+  forward->grant_id = grant_id;
+  bt_send_forward (forward);
+  /* It has been freed if it was refused. */
+  forward = find_forward (gateway, id);
+  if (forward == NULL)
+    return false;
+  forward->only = NULL;
+  forward->grant_id = 0;
+  return true;
+}
+
 static void
 admit (bt_forward_t *forward)
 {
@@ -166,6 +262,7 @@
     .patience_left_ms = get_patience_left_ms (forward, now_ms),
     .run_ms = get_run_ms (forward),
     .late_last = forward->contended,
+    .by_estimate = forward->is_part_trial,
     .seed = bt_draw_gateway_seed (gateway),
   };
   bt_admission_decision_t decision;
@@ -183,7 +280,10 @@
   else if (decision.action == BT_ADMISSION_REFUSE)
     bt_refuse_forward (forward, decision.reason, decision.retry_after_ms);
   else
-    bt_set_timer (gateway->loop, &gateway->queue_timer, now_ms + QUEUE_CHECK_MS);
+    {
+      ask_for_room (forward);
+      bt_set_timer (gateway->loop, &gateway->queue_timer, now_ms + QUEUE_CHECK_MS);
+    }
 }
 
 /* Matches a rule, and authenticates the caller only where the rule requires an account. */
--- a/source/gateway/forward.h
+++ b/source/gateway/forward.h
@@ -63,6 +63,9 @@
 
   bt_exchange_t *exchange; /**< The attempt in progress, or NULL. */
   bt_route_t route;
+  const bt_identity_t *only; /**< The only endpoint that may be chosen now; NULL: any. */
+  uint64_t grant_id;         /**< The grant by which it is sent now; 0: none. */
+  uint64_t room_id;      /**< Under which the agent counts the present attempt; 0: not at all. */
   int64_t sent_ms;       /**< When the present attempt was sent. */
   int64_t first_sent_ms; /**< When the first attempt was sent; 0: none yet. */
   int64_t first_byte_ms; /**< When the caller got the first part of the answer; 0: not yet. */
--- a/source/gateway/forward_end.c
+++ b/source/gateway/forward_end.c
@@ -46,6 +46,8 @@
   if (forward->exchange == NULL)
     return;
   bt_record_attempt_end (gateway->router, &forward->route, end, now_ms - forward->sent_ms, now_ms);
+  bt_end_room_use (gateway->rooms, forward->room_id);
+  forward->room_id = 0;
   bt_drop_exchange (gateway->ctx, forward->exchange);
   forward->exchange = NULL;
   drop_headers (forward);
@@ -102,6 +104,7 @@
   bt_record_duration (gateway->timings.total, bt_get_loop_ms (gateway->loop) - forward->arrived_ms);
   bt_clear_timer (gateway->loop, &forward->timer);
   bt_end_forward_attempt (forward, BT_ATTEMPT_CANCELLED);
+  bt_forget_room_request (gateway->rooms, forward->id);
   remove_forward (gateway, forward);
   bt_drop_frontend_call (ctx, forward->call);
   bt_drop_declarations (ctx, forward->declarations);
--- a/source/gateway/forward_send.c
+++ b/source/gateway/forward_send.c
@@ -369,6 +369,12 @@
   forward->is_part_trial = false;
   forward->tried[forward->sends++] = forward->route.identity;
   bt_record_dispatch (gateway->router, &forward->route, 0, now_ms);
+  forward->room_id = forward->grant_id;
+  if (forward->grant_id == 0)
+    {
+      bt_forget_room_request (gateway->rooms, forward->id);
+      forward->room_id = bt_start_unasked (gateway->rooms, &forward->route.identity);
+    }
   bt_send_exchange (forward->exchange);
 }
 
@@ -384,6 +390,7 @@
     .deadline_left_ms = forward->deadline_ms - now_ms,
     .excluded = forward->tried,
     .excluded_count = forward->sends,
+    .only = forward->only,
     .seed = bt_draw_gateway_seed (gateway),
   };
   const bt_listed_endpoint_t *listed;
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -117,6 +117,8 @@
     {
       bt_set_agent_endpoints (gateway->agents, view, gateway->selection);
       bt_set_group_view (gateway->groups, view, gateway->leaving);
+      bt_set_room_view (gateway->rooms, view, gateway->selection);
+      bt_ask_for_queued_forwards (gateway);
     }
   if (is_ready (gateway) && !was_ready)
     {
@@ -145,6 +147,7 @@
   if (bt_handle_agent_updates (gateway))
     bt_dispatch_queued_forwards (gateway);
   bt_run_group_control (gateway->groups);
+  bt_run_room_control (gateway->rooms);
 }
 
 static bool
@@ -286,6 +289,37 @@
   gateway->endpoint_status = bt_new_endpoint_status (gateway->ctx);
 }
 
+static bool
+handle_grant (bt_room_handler_t *handler,
+              uint64_t request,
+              const bt_identity_t *endpoint,
+              uint64_t room_id)
+{
+  return bt_send_granted_forward (
+      (bt_gateway_t *)((char *)handler - offsetof (bt_gateway_t, room_handler)), request, endpoint,
+      room_id);
+}
+
+static void
+create_room_control (bt_gateway_t *gateway)
+{
+  bt_room_control_options_t options = {
+    .router = gateway->router,
+    .admission = gateway->admission,
+    .endpoints = gateway->endpoints,
+    .agents = gateway->agents,
+    .handler = &gateway->room_handler,
+    .seed = bt_draw_gateway_seed (gateway),
+  };
+
+  gateway->room_handler.on_send = handle_grant;
+  if (gateway->agents == NULL
+      || !bt_parse_reservations (gateway->settings->reservations, &options.reservations)
+      || options.reservations == BT_RESERVATIONS_NEVER)
+    return;
+  gateway->rooms = bt_new_room_control (gateway->ctx, gateway->loop, &options);
+}
+
 static void
 handle_part_trial (bt_part_control_handler_t *handler, uint64_t request, bool granted)
 {
@@ -383,6 +417,7 @@
     }
   gateway->exchanges = bt_new_exchange_pool (ctx, gateway->loop, &limits);
   create_load_control (gateway);
+  create_room_control (gateway);
   gateway->crash_reporter = bt_new_crash_reporter (ctx, platform, settings->store);
   create_part_control (gateway);
   create_crash_control (gateway);
@@ -430,6 +465,7 @@
   /* The lease on the groups is released before the parts that may wait longer for the store: until
    * it is released, no other instance leads the groups. */
   bt_drop_group_control (ctx, gateway->groups);
+  bt_drop_room_control (ctx, gateway->rooms);
   bt_drop_agent_links (ctx, gateway->agents);
   bt_drop_leaving_notice (ctx, gateway->notice);
   bt_drop_store_follower (ctx, gateway->follower);
--- a/source/gateway/gateway_private.h
+++ b/source/gateway/gateway_private.h
@@ -21,6 +21,7 @@
 #include "http_frontend.h"
 #include "leaving_notice.h"
 #include "part_control.h"
+#include "room_control.h"
 #include "stop_plan.h"
 #include "store_follower.h"
 #include "timings.h"
@@ -79,6 +80,8 @@
   bt_fingerprint_key_t fingerprint_key;
   bt_agent_links_t *agents;
   bt_group_control_t *groups;
+  bt_room_control_t *rooms; /**< NULL: no capacity is reserved. */
+  bt_room_handler_t room_handler;
   bt_loop_hook_t agent_hook;
   bt_group_limiter_t *limiters;
   int32_t limiter_count;
@@ -139,6 +142,16 @@
  * served in time. */
 void bt_dispatch_queued_forwards (bt_gateway_t *gateway);
 
+/** Asks for capacity for the queued requests whose apps call for it by now. */
+void bt_ask_for_queued_forwards (bt_gateway_t *gateway);
+
+/** Sends a queued request to an endpoint by the grant @p grant_id, or by estimate if that is 0.
+ * Returns false if it was refused or is not queued any more. */
+bool bt_send_granted_forward (bt_gateway_t *gateway,
+                              uint64_t id,
+                              const bt_identity_t *endpoint,
+                              uint64_t grant_id);
+
 /** Refuses the queued requests that are known to crash endpoints, and ends those at an endpoint
  * that has not begun to answer if a part of their prompt was found to crash endpoints. */
 void bt_refuse_crashing_forwards (bt_gateway_t *gateway);
--- a/source/load/room_asker.c
+++ b/source/load/room_asker.c
@@ -254,8 +254,8 @@
       engine = bt_calloc (ctx, 1, sizeof *engine);
       engine->identity = *identity;
       engine->app = index;
-      asker->engines =
-          bt_realloc (ctx, asker->engines, (size_t)asker->engine_count + 1, sizeof (bt_room_engine_t *));
+      asker->engines = bt_realloc (ctx, asker->engines, (size_t)asker->engine_count + 1,
+                                   sizeof (bt_room_engine_t *));
       asker->engines[asker->engine_count++] = engine;
       bt_put_name (asker->engine_index, engine->identity.instance, engine);
     }
--- a/test/load/room_simulation.h
+++ b/test/load/room_simulation.h
@@ -327,8 +327,8 @@
 sim_use (sim_t *sim, const sim_frame_t *frame)
 {
   static const bt_room_use_t uses[] = {
-    [BT_ASKER_STARTED] = BT_ROOM_STARTED,     [BT_ASKER_ENDED] = BT_ROOM_ENDED,
-    [BT_ASKER_RELEASED] = BT_ROOM_RELEASED,   [BT_ASKER_WITHDRAWN] = BT_ROOM_WITHDRAWN,
+    [BT_ASKER_STARTED] = BT_ROOM_STARTED,   [BT_ASKER_ENDED] = BT_ROOM_ENDED,
+    [BT_ASKER_RELEASED] = BT_ROOM_RELEASED, [BT_ASKER_WITHDRAWN] = BT_ROOM_WITHDRAWN,
     [BT_ASKER_UNASKED] = BT_ROOM_UNASKED,
   };
 
@@ -576,8 +576,8 @@
 {
   sim_link_t *link = sim_link (sim, entry, engine);
 
-  bt_remove_room_link (sim->ctx, sim->engines[engine].ledger,
-                       sim_link_number (sim, entry, engine), sim->now_ms);
+  bt_remove_room_link (sim->ctx, sim->engines[engine].ledger, sim_link_number (sim, entry, engine),
+                       sim->now_ms);
   link->generation++;
   link->down_until_ms = sim->now_ms + down_ms;
   link->busy_until_ms[0] = 0;
