load: findings of the review of backlog order and reservations

A request without a target no longer counts as late at the agent; the queue term of a return time uses the rate at which the queue is served; a request of a reserved app is queued for a grant as long as there is capacity for all that wait, so that an open ask of another request no longer decides on it.

Found by reading. test_room_asker, test_backlog_order, test_return_time, test_admission, test_policy_invariants: passed (release).

--- a/source/load/admission.c
+++ b/source/load/admission.c
@@ -283,6 +283,16 @@
   return deadline_late_ms > limit_late_ms ? deadline_late_ms : limit_late_ms;
 }
 
+/* Returns true if a request of a reserved app is expected to get a grant soon: there is capacity
+ * for all that wait for one. */
+static bool
+may_queue_for_grant (const bt_admission_app_t *app, const bt_capacity_t *capacity)
+{
+  const int32_t queued = bt_count_fair_items (app->queue);
+
+  return queued == 0 || queued < capacity->room;
+}
+
 /* Queues or refuses a request that cannot be sent now. */
 static void
 queue_or_refuse (bt_context_t *ctx,
@@ -398,7 +408,7 @@
       return;
     }
   else if (has_room (&capacity) && app->reserved && !request->by_estimate
-           && bt_count_fair_items (app->queue) == 0)
+           && may_queue_for_grant (app, &capacity))
     queue_for_grant (ctx, admission, app, request, &capacity, now_ms, decision);
   else if (has_room (&capacity)
            && (bt_count_fair_items (app->queue) == 0 || (app->reserved && request->by_estimate)))
--- a/source/load/return_time.c
+++ b/source/load/return_time.c
@@ -94,8 +94,8 @@
   drain (plan, service, rate, now_ms);
   bt_seed_random (&random, request->seed);
   wait_ms = (double)service->outage_ms + (service->outage_ms > 0 ? LATE_BACKLOG_MS : 0)
-            + request->queued * SECOND_MS / rate + get_end_s (plan, class, rate) * SECOND_MS
-            + bt_random_unit (&random) * SPREAD_MS;
+            + request->queued * SECOND_MS / service->rate
+            + get_end_s (plan, class, rate) * SECOND_MS + bt_random_unit (&random) * SPREAD_MS;
   plan->callers[class] += 1;
   return wait_ms < MAX_RETURN_MS ? (int64_t)wait_ms + 1 : MAX_RETURN_MS;
 }
--- a/source/load/room_asker_choice.c
+++ b/source/load/room_asker_choice.c
@@ -32,6 +32,8 @@
   /* Asks of an app with at least the priority of a request, above which it does not ask: a grant is
    * used for the first request in the queue, whichever request asked. */
   MAX_APP_ASKS = 64,
+  /* Time to the target of a request whose rule states none: it is never late. */
+  NO_TARGET_MS = 3600000,
   /* Engines without a final answer that the choice leaves out. */
   MAX_EXCLUDED = 24,
 };
@@ -152,7 +154,7 @@
   action->ask = (bt_asker_ask_t){
     .id = action->id,
     .priority = request->priority,
-    .target_left_ms = request->target_ms > 0 ? request->target_ms - now_ms : 0,
+    .target_left_ms = request->target_ms > 0 ? request->target_ms - now_ms : NO_TARGET_MS,
     .prompt_tokens = request->prompt_tokens,
     .answer_tokens = request->answer_tokens,
     .read_us = request->read_us,
