gateway, load: reservations no longer hold up requests beside free slots

Causes, from request lines with their causes (late: room): the bound on starts, one in 0.4 s at each engine, is below the demand as soon as more than two fifths of the slots are used; and the pass limiter's limit is made for entries that guess and exceed it together, so exact grants keep far below what the passes bear.

Change: from half of the slots in use on, asks carry no bound on starts; where agents grant, passes may be as long as the longest pause and the limit grows by 0.15 a window between frequent jumps; a waiting request asks a further engine every 10 ms.

--- a/include/bilberrytray/load/pass_limiter.h
+++ b/include/bilberrytray/load/pass_limiter.h
@@ -37,6 +37,8 @@
   double target_pass_ms; /**< Target: passes should take no longer. */
   double pause_ms;       /**< A stream with a longer pass in it counts as late as a whole. */
   int32_t slots;         /**< Requests that one engine can run. */
+  double jump_growth; /**< Fraction of its distance to a measurement that allows more by which the
+                         limit grows per window of 200 ms while jumps are frequent; 0: 0.02. */
 } bt_pass_limiter_settings_t;
 
 bt_pass_limiter_t *bt_new_pass_limiter (bt_context_t *ctx,
--- a/include/bilberrytray/load/room_asker.h
+++ b/include/bilberrytray/load/room_asker.h
@@ -20,6 +20,8 @@
   BT_ROOM_GRANT_USE_MS = 100,
   /** Interval in which the bound on the starts at an engine applies, ms. */
   BT_ROOM_BURST_MS = 400,
+  /** Burst of an ask that the slots alone bound. */
+  BT_ROOM_NO_BURST = 1024,
   /** Denials after which a request waits at engines. */
   BT_ROOM_MAX_DENIALS = 3,
   /** Engines that a request waits at. */
--- a/source/gateway/agent_updates.c
+++ b/source/gateway/agent_updates.c
@@ -8,6 +8,12 @@
  * caller. */
 static const double pass_share = 0.70;
 
+/* The same, and the growth of the limit between frequent jumps, where agents grant capacity.
+ * Entries that guess it exceed the limit together; an agent does not, and the lower limit would
+ * leave requests waiting beside slots that make no pass too long. */
+static const double reserved_pass_share = 1.0;
+static const double reserved_jump_growth = 0.15;
+
 /* The busiest rank's load over the mean load with the map of a group's formation, which spreads the
  * experts in turn: between 2.6 and 3.6 in groups of 72 ranks. */
 static const double first_map_skew = 3.5;
@@ -30,17 +36,28 @@
   return min_ms > 0 ? min_ms : default_pause_ms;
 }
 
+static bool
+is_app_reserved (const bt_gateway_t *gateway, const bt_declarations_t *declarations, int32_t app)
+{
+  return gateway->rooms != NULL && bt_reserves_app (gateway->rooms, declarations, app);
+}
+
 static double
-get_target_pass_ms (const bt_declarations_t *declarations, int32_t app)
+get_target_pass_ms (const bt_gateway_t *gateway, const bt_declarations_t *declarations, int32_t app)
 {
-  return pass_share * (double)find_min_pause_ms (declarations, app);
+  const double share =
+      is_app_reserved (gateway, declarations, app) ? reserved_pass_share : pass_share;
+
+  return share * (double)find_min_pause_ms (declarations, app);
 }
 
 /* Returns how many requests an engine may run with the map of a group's formation: as many as keep
  * the passes at their target. 0 if callers of the app do not compete, or the engine's speed is not
  * known. */
 static double
-get_first_map_limit (const bt_declarations_t *declarations, int32_t app)
+get_first_map_limit (const bt_gateway_t *gateway,
+                     const bt_declarations_t *declarations,
+                     int32_t app)
 {
   const bt_engine_t *engine = &declarations->apps[app].engine;
   const double slowdown = 1 - engine->expert_share + engine->expert_share * first_map_skew;
@@ -48,7 +65,8 @@
 
   if (request_ms <= 0 || !bt_is_app_contended (declarations, app))
     return 0;
-  return (get_target_pass_ms (declarations, app) - engine->stride * engine->step_ms) / request_ms;
+  return (get_target_pass_ms (gateway, declarations, app) - engine->stride * engine->step_ms)
+         / request_ms;
 }
 
 static bt_pass_limiter_t *
@@ -61,9 +79,10 @@
   bt_pass_limiter_settings_t settings = {
     .ranks = report->ranks,
     .min_pass_ms = engine->step_ms * engine->stride,
-    .target_pass_ms = get_target_pass_ms (declarations, app),
+    .target_pass_ms = get_target_pass_ms (gateway, declarations, app),
     .pause_ms = (double)find_min_pause_ms (declarations, app),
     .slots = engine->slots,
+    .jump_growth = is_app_reserved (gateway, declarations, app) ? reserved_jump_growth : 0,
   };
   bt_group_limiter_t *row;
 
@@ -120,7 +139,7 @@
   limiter = find_limiter (gateway, report, declarations, app);
   if (report->maps.open && bt_is_group_newly_formed (limiter, report->maps.epoch))
     bt_record_group_formation (limiter, report->maps.epoch, report->maps.version,
-                               get_first_map_limit (declarations, app));
+                               get_first_map_limit (gateway, declarations, app));
   bt_record_rank_slowdown (limiter, report->rank, report->pace, update->received_ms);
   bt_record_pass (limiter, report->rank, report->maps.step, report->running, update->received_ms);
   return bt_get_running_limit (limiter);
--- a/source/gateway/room_control.c
+++ b/source/gateway/room_control.c
@@ -175,8 +175,8 @@
   return NULL;
 }
 
-static bool
-is_app_reserved (const bt_room_control_t *control,
+bool
+bt_reserves_app (const bt_room_control_t *control,
                  const bt_declarations_t *declarations,
                  int32_t app)
 {
@@ -230,7 +230,7 @@
   remove_undeclared_apps (control, view->declarations);
   for (int32_t i = 0; i < view->declarations->app_count; i++)
     bt_set_room_app (control->ctx, control->asker, view->declarations->apps[i].name,
-                     is_app_reserved (control, view->declarations, i),
+                     bt_reserves_app (control, view->declarations, i),
                      bt_get_loop_ms (control->loop));
   for (int32_t i = 0; i < control->engine_count; i++)
     control->engines[i].listed = false;
--- a/source/gateway/room_control.h
+++ b/source/gateway/room_control.h
@@ -40,6 +40,11 @@
                                         const bt_room_control_options_t *options);
 void bt_drop_room_control (bt_context_t *ctx, bt_room_control_t *control);
 
+/** Returns true if capacity of an app is to be reserved, whether or not its agents answer. */
+bool bt_reserves_app (const bt_room_control_t *control,
+                      const bt_declarations_t *declarations,
+                      int32_t app);
+
 /** Sets the apps and the engines for which capacity is asked for by a view. */
 void bt_set_room_view (bt_room_control_t *control,
                        const bt_view_t *view,
--- a/source/load/pass_limiter.c
+++ b/source/load/pass_limiter.c
@@ -153,6 +153,12 @@
   return bt_get_least_pass_ms (limiter, now_ms) > limiter->settings.pause_ms;
 }
 
+static double
+get_jump_growth (const bt_pass_limiter_settings_t *settings)
+{
+  return settings->jump_growth > 0 ? settings->jump_growth : growth_rate_between_jumps;
+}
+
 /* Computes the limit. A pass takes a fixed time and a time for each request; the latter includes
  * everything that makes passes long now: skew of the experts, slow engines, long contexts. So the
  * number of requests that fit the target follows from the last passes. */
@@ -182,7 +188,7 @@
     limiter->recent_limit += (limiter->fast_limit - limiter->recent_limit) * decay_rate;
   limiter->limit = approach_allowed (
       limiter->limit, allowed,
-      bt_are_demand_jumps_frequent (limiter, now_ms) ? growth_rate_between_jumps : growth_rate);
+      bt_are_demand_jumps_frequent (limiter, now_ms) ? get_jump_growth (settings) : growth_rate);
 }
 
 static void
--- a/source/load/room_asker_choice.c
+++ b/source/load/room_asker_choice.c
@@ -8,7 +8,7 @@
 {
   /* Interval at which a waiting request of an app asks an engine at which none of the app waits.
    * With a report of each engine every 100 ms, one that becomes idle is asked within 150 ms. */
-  PROBE_MS = 20,
+  PROBE_MS = 10,
   /* Time until a request asks again if it could not wait at any engine. */
   ASK_AGAIN_MS = 40,
   MAX_CHECK_INTERVAL_MS = 16000,
@@ -21,6 +21,9 @@
   /* A request that waits for longer than this shows that the burst holds it up. */
   LONG_WAIT_MS = BT_ROOM_BURST_MS,
   BURST_FACTOR = 2,
+  /* Share of the slots in use from which the slots alone bound the starts. */
+  FULL_PERCENT = 50,
+  PERCENT = 100,
   /* An entry that was not called for longer than this may not have read the answers that have
    * arrived. */
   STALL_MS = 30,
@@ -119,6 +122,19 @@
   return count > 0 ? count * BT_ROOM_BURST_MS / (double)window_ms : 0;
 }
 
+/* Returns true if half of an app's slots are in use. Then few engines are free, and a caller gains
+ * nothing from waiting beside a free slot until the burst permits its use. */
+static bool
+is_app_half_full (const bt_room_asker_t *asker, const char *app, int64_t now_ms)
+{
+  bt_capacity_t capacity;
+  int32_t in_use;
+
+  bt_get_capacity (asker->router, app, now_ms, &capacity);
+  in_use = capacity.slots - capacity.available_slots + capacity.in_flight;
+  return capacity.slots > 0 && in_use * PERCENT > capacity.slots * FULL_PERCENT;
+}
+
 int32_t
 bt_get_room_burst (const bt_room_asker_t *asker, const char *app, int64_t now_ms)
 {
@@ -131,6 +147,8 @@
   engines = count_app_engines (asker, index);
   if (engines == 0)
     return 1;
+  if (is_app_half_full (asker, app, now_ms))
+    return BT_ROOM_NO_BURST;
   mean = get_mean_starts (asker, index, now_ms) * bt_get_app_entries (asker->router, app) / engines;
   return BURST_FACTOR * mean > 1 ? (int32_t)(BURST_FACTOR * mean) : 1;
 }
