gateway: small request bodies are accepted beyond the bound of the buffers

Cause: any growth of a body's buffer was checked against the bound, even the first 1 KB of a body of 6 bytes. Once the bytes of calls that are not behind exceeded it, which ending slow readers does not change, every request with a body was refused. A body whose buffer is at most call_bytes is now always accepted. Once a body is complete, its buffer, which doubles as it grows, is shrunk to the body, and counted so.

bt_may_buffer_body gets the present size of the buffer.

--- a/source/gateway/http_buffers.c
+++ b/source/gateway/http_buffers.c
@@ -106,7 +106,8 @@
 bt_may_grow_call_body (const bt_frontend_call_t *call, size_t capacity)
 {
   return call->frontend->budget == NULL
-         || bt_may_buffer_body (call->frontend->budget, (int64_t)(capacity - call->body_capacity));
+         || bt_may_buffer_body (call->frontend->budget, (int64_t)call->body_capacity,
+                                (int64_t)(capacity - call->body_capacity));
 }
 
 bool
--- a/source/gateway/http_frontend.c
+++ b/source/gateway/http_frontend.c
@@ -225,6 +225,18 @@
   request->body[request->body_bytes] = '\0';
 }
 
+/* Frees the part of the buffer that the complete body does not use. */
+static void
+shrink_body (bt_frontend_call_t *call)
+{
+  if (call->request.body == NULL)
+    return;
+  call->body_capacity = call->request.body_bytes + 1;
+  call->request.body =
+      bt_realloc (call->frontend->ctx, call->request.body, call->body_capacity, 1);
+  bt_update_call_other_bytes (call);
+}
+
 /* Passes a complete request on: the connection is suspended until there is an answer. */
 static enum MHD_Result
 queue_arrival (bt_frontend_call_t *call)
@@ -240,6 +252,7 @@
       bt_answer_frontend_call (call, MHD_HTTP_SERVICE_UNAVAILABLE, "", 0);
       return bt_queue_frontend_answer (call);
     }
+  shrink_body (call);
   call->held_by_handler = true;
   call->suspended = true;
   MHD_suspend_connection (call->connection);
--- a/source/load/buffer_budget.c
+++ b/source/load/buffer_budget.c
@@ -112,9 +112,9 @@
 }
 
 bool
-bt_may_buffer_body (const bt_buffer_budget_t *budget, int64_t bytes)
+bt_may_buffer_body (const bt_buffer_budget_t *budget, int64_t held_bytes, int64_t bytes)
 {
-  return budget->options.total_bytes == 0
+  return budget->options.total_bytes == 0 || held_bytes + bytes <= budget->options.call_bytes
          || budget->bytes - budget->behind_bytes + bytes <= budget->options.total_bytes;
 }
 
