--- a/include/bilberrytray/load/buffer_budget.h
+++ b/include/bilberrytray/load/buffer_budget.h
@@ -61,10 +61,10 @@
 /** Removes all bytes of a call that ends. */
 void bt_remove_buffered_call (bt_buffer_budget_t *budget, bt_buffered_call_t *call);
 
-/** Returns true if the buffer of a request body, of @p held_bytes bytes, may grow by @p bytes. A body
- * of up to call_bytes always fits, so that small requests are served while large buffers exceed the
- * bound. The bytes that wait for callers that are behind count as free, since these calls are ended
- * first. */
+/** Returns true if the buffer of a request body, of @p held_bytes bytes, may grow by @p bytes. A
+ * body of up to call_bytes always fits, so that small requests are served while large buffers
+ * exceed the bound. The bytes that wait for callers that are behind count as free, since these
+ * calls are ended first. */
 bool bt_may_buffer_body (const bt_buffer_budget_t *budget, int64_t held_bytes, int64_t bytes);
 
 /** Returns the call to end: the one whose caller has made no progress for the longest time among
--- a/source/gateway/http_frontend.c
+++ b/source/gateway/http_frontend.c
@@ -232,8 +232,7 @@
   if (call->request.body == NULL)
     return;
   call->body_capacity = call->request.body_bytes + 1;
-  call->request.body =
-      bt_realloc (call->frontend->ctx, call->request.body, call->body_capacity, 1);
+  call->request.body = bt_realloc (call->frontend->ctx, call->request.body, call->body_capacity, 1);
   bt_update_call_other_bytes (call);
 }
 
--- a/test/process/test_gateway_slow_readers.c
+++ b/test/process/test_gateway_slow_readers.c
@@ -50,6 +50,9 @@
   BODY_BYTES = 3 * MB,
   HELD_BODY_BYTES = 2 * 4 * MB, /* the buffers of both: more than half of 4 MB needs all of it */
   BODY_CALLERS = 2,
+  PART_CALLERS = 4,
+  PART_READ_BYTES = 64 * KB, /* between two looks at the count */
+  PART_DIVISOR = 4,
 };
 
 static const char *const configuration =
@@ -422,6 +425,43 @@
   CU_ASSERT (read_metric (TRIED, "bilberry_buffered_bytes") <= KB);
 }
 
+/* Guards against bytes that are no longer counted while their memory stays: the buffer of an answer
+ * in one piece was freed only with its call. A buffer is at most twice as large as its rest, so
+ * that at least half of the bytes that were counted at first are free when a quarter is left. */
+static void
+test_memory_of_a_read_part_is_freed (void)
+{
+  static char data[PART_READ_BYTES];
+  const char *metric = "bilberry_buffered_bytes";
+  caller_t callers[PART_CALLERS];
+  int64_t limit_ms;
+  int64_t full;
+  int64_t full_kb;
+  int64_t part_kb;
+
+  for (int32_t i = 0; i < PART_CALLERS; i++)
+    {
+      start_caller (TRIED, &callers[i], "/a/big", "part", LONG_DEADLINE_MS);
+      CU_ASSERT_TRUE (wait_metric (TRIED, metric, (int64_t)(i + 1) * MB));
+    }
+  bt_sleep_ms (UNREAD_MS);
+  full = read_metric (TRIED, metric);
+  full_kb = read_memory_kb (TRIED, "VmRSS:");
+  limit_ms = get_now_ms () + BT_WAIT_LIMIT_MS;
+  while (read_metric (TRIED, metric) > full / PART_DIVISOR && get_now_ms () < limit_ms)
+    for (int32_t i = 0; i < PART_CALLERS; i++)
+      CU_ASSERT (recv (callers[i].fd, data, sizeof data, MSG_WAITALL) > 0);
+  part_kb = read_memory_kb (TRIED, "VmRSS:");
+  printf ("\nof %lld kB, %lld kB are left, resident %lld kB, then %lld kB ... ",
+          (long long)full / KB, (long long)read_metric (TRIED, metric) / KB, (long long)full_kb,
+          (long long)part_kb);
+#ifndef __SANITIZE_THREAD__
+  CU_ASSERT (full_kb - part_kb >= full / PART_DIVISOR / KB);
+#endif
+  for (int32_t i = 0; i < PART_CALLERS; i++)
+    close (callers[i].fd);
+}
+
 static int32_t
 count_log_lines (const char *event)
 {
@@ -627,6 +667,30 @@
     close (callers[i].fd);
 }
 
+/* Guards against counting a complete body by the buffer in which it grew, which is up to twice as
+ * large. */
+static void
+test_complete_body_is_counted_by_its_size (void)
+{
+  int64_t limit_ms = get_now_ms () + BT_WAIT_LIMIT_MS;
+  caller_t caller;
+  size_t runs = 0;
+
+  set_all_faults ("{\"kind\":\"late\"}");
+  send_large_body (&caller, "whole", BODY_BYTES);
+  while (runs == 0 && get_now_ms () < limit_ms)
+    {
+      json_t *found = bt_find_request_runs (testbed, "whole");
+
+      runs = json_array_size (found);
+      json_decref (found);
+    }
+  CU_ASSERT (read_metric (TRIED, "bilberry_buffered_bytes") > BODY_BYTES);
+  CU_ASSERT (read_metric (TRIED, "bilberry_buffered_bytes") < BODY_BYTES + 64 * KB);
+  close (caller.fd);
+  set_all_faults ("{\"kind\":\"none\"}");
+}
+
 int
 main (void)
 {
@@ -638,12 +702,14 @@
   CU_ADD_TEST (suite, test_slow_readers_take_bounded_memory);
   CU_ADD_TEST (suite, test_caller_that_reads_again_gets_the_whole_stream);
   CU_ADD_TEST (suite, test_large_answer_in_one_piece_is_counted_until_read);
+  CU_ADD_TEST (suite, test_memory_of_a_read_part_is_freed);
   CU_ADD_TEST (suite, test_cut_off_behind_a_pause_is_not_the_endpoints_fault);
   CU_ADD_TEST (suite, test_unframed_answer_behind_a_pause_is_not_complete);
   CU_ADD_TEST (suite, test_unread_answers_in_one_piece_are_ended);
   CU_ADD_TEST (suite, test_deadline_ends_a_paused_transfer);
   CU_ADD_TEST (suite, test_paused_transfers_are_idle_and_end_with_their_callers);
   CU_ADD_TEST (suite, test_bodies_beyond_the_bound_are_refused);
+  CU_ADD_TEST (suite, test_complete_body_is_counted_by_its_size);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
