--- a/test/process/test_gateway_slow_readers.c
+++ b/test/process/test_gateway_slow_readers.c
@@ -51,6 +51,7 @@
   HELD_BODY_BYTES = 2 * 4 * MB, /* the buffers of both: more than half of 4 MB needs all of it */
   BODY_CALLERS = 2,
   PART_CALLERS = 4,
+  BROKEN_CALLERS = 4,        /* more than the runners, so that each of these gets one */
   PART_READ_BYTES = 64 * KB, /* between two looks at the count */
   PART_DIVISOR = 4,
 };
@@ -691,6 +692,37 @@
   set_all_faults ("{\"kind\":\"none\"}");
 }
 
+/* Guards against counting the part of an answer that has arrived until the next attempt brings
+ * more, although it was freed with its attempt. */
+static void
+test_received_part_is_counted_until_its_attempt_ends (void)
+{
+  const char *metric = "bilberry_buffered_bytes";
+  int32_t retries = count_log_lines ("retry");
+  int64_t limit_ms = get_now_ms () + BT_WAIT_LIMIT_MS;
+  caller_t callers[BROKEN_CALLERS];
+  struct pollfd answered[BROKEN_CALLERS];
+
+  set_all_faults ("{\"kind\":\"late\"}");
+  CU_ASSERT_TRUE (bt_set_standin_fault (testbed->runner_ports[0], "{\"kind\":\"cut-big\"}"));
+  for (int32_t i = 0; i < BROKEN_CALLERS; i++)
+    {
+      start_caller (TRIED, &callers[i], "/a/big", "broken", LONG_DEADLINE_MS);
+      answered[i] = (struct pollfd){ .fd = callers[i].fd, .events = POLLIN };
+    }
+  while (count_log_lines ("retry") == retries && get_now_ms () < limit_ms)
+    bt_sleep_ms (POLL_MS);
+  CU_ASSERT (count_log_lines ("retry") > retries);
+  /* Later answers would replace the count. */
+  while (read_metric (TRIED, metric) > 64 * KB && poll (answered, BROKEN_CALLERS, 0) == 0)
+    bt_sleep_ms (POLL_MS);
+  CU_ASSERT (read_metric (TRIED, metric) <= 64 * KB);
+  CU_ASSERT_EQUAL (poll (answered, BROKEN_CALLERS, 0), 0);
+  for (int32_t i = 0; i < BROKEN_CALLERS; i++)
+    close (callers[i].fd);
+  set_all_faults ("{\"kind\":\"none\"}");
+}
+
 int
 main (void)
 {
@@ -710,6 +742,7 @@
   CU_ADD_TEST (suite, test_paused_transfers_are_idle_and_end_with_their_callers);
   CU_ADD_TEST (suite, test_bodies_beyond_the_bound_are_refused);
   CU_ADD_TEST (suite, test_complete_body_is_counted_by_its_size);
+  CU_ADD_TEST (suite, test_received_part_is_counted_until_its_attempt_ends);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
