gateway: the waiting bytes of a call without a connection are discarded

Cause: bt_abort_frontend_answer returned early for a call whose connection the library has released, which left the call behind, so that end_slow_readers would find it again for ever. No schedule is known that reaches it, hence no test.

--- a/source/gateway/http_answer.c
+++ b/source/gateway/http_answer.c
@@ -281,6 +281,8 @@
 void
 bt_abort_frontend_answer (bt_frontend_call_t *call)
 {
+  /* Also without a connection: a call that stays behind would be found again for ever. */
+  bt_discard_call_waiting (call);
   if (call->connection == NULL)
     return;
   call->stream_ended = true;
@@ -288,7 +290,6 @@
   call->stream_read = call->stream_bytes = call->stream_capacity = 0;
   bt_free (call->frontend->ctx, call->stream);
   call->stream = NULL;
-  bt_discard_call_waiting (call);
   bt_clear_watch (call->frontend->loop, &call->watch);
   bt_resume_frontend_call (call);
   shutdown (call->watch.fd, SHUT_RDWR);
