gateway: a failed write of held data stays the result of its exchange

Cause: curl_easy_pause reports the failed write and sets the exchange to broken; a result that libcurl reports for the same exchange afterwards replaced the state. The first result now stays. No test: it takes both within one iteration of the loop.

--- a/source/gateway/exchange.c
+++ b/source/gateway/exchange.c
@@ -135,6 +135,9 @@
       curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, (char **)&exchange);
       curl_easy_getinfo (message->easy_handle, CURLINFO_REQUEST_SIZE, &sent_bytes);
       record_connect_time (pool, message->easy_handle);
+      /* The write of held data has failed, which libcurl does not report here. */
+      if (exchange->state != BT_EXCHANGE_OPEN)
+        continue;
       exchange->code = message->data.result;
       if (exchange->code == CURLE_OK)
         exchange->state = BT_EXCHANGE_COMPLETE;
