--- a/test/process/test_gateway_slow_readers.c
+++ b/test/process/test_gateway_slow_readers.c
@@ -51,7 +51,7 @@
   HELD_BODY_BYTES = 2 * 4 * MB, /* the buffers of both: more than half of 4 MB needs all of it */
   BODY_CALLERS = 2,
   PART_CALLERS = 4,
-  BROKEN_CALLERS = 4,        /* more than the runners, so that each of these gets one */
+  BROKEN_CALLERS = 24,       /* so many that each runner gets one */
   PART_READ_BYTES = 64 * KB, /* between two looks at the count */
   PART_DIVISOR = 4,
 };
@@ -707,7 +707,10 @@
   CU_ASSERT_TRUE (bt_set_standin_fault (testbed->runner_ports[0], "{\"kind\":\"cut-big\"}"));
   for (int32_t i = 0; i < BROKEN_CALLERS; i++)
     {
-      start_caller (TRIED, &callers[i], "/a/big", "broken", LONG_DEADLINE_MS);
+      char id[TEXT_BYTES];
+
+      snprintf (id, sizeof id, "broken-%d", i);
+      start_caller (TRIED, &callers[i], "/a/big", id, LONG_DEADLINE_MS);
       answered[i] = (struct pollfd){ .fd = callers[i].fd, .events = POLLIN };
     }
   while (count_log_lines ("retry") == retries && get_now_ms () < limit_ms)
