gateway: short pauses of a transfer do not excuse its endpoint

Cause: all pauses of an attempt were added up, so that the crash of an endpoint whose caller reads was excused after 500 ms of short pauses. Only one pause of 500 ms or more counts now, while it lasts and for 500 ms after it. The latest pause alone is no measure: the bytes that the kernel holds are read with further short pauses. No test of the short pauses yet: their length follows from the kernel's buffers.

--- a/source/gateway/exchange.c
+++ b/source/gateway/exchange.c
@@ -52,7 +52,8 @@
   bool paused;       /* no data is to be taken */
   bool held;         /* libcurl keeps data that was not taken, and does not watch the socket */
   int64_t paused_at_ms;
-  int64_t paused_ms; /* of the pauses that have ended */
+  bool was_unread;         /* a pause of at least UNREAD_MS has ended */
+  int64_t unread_until_ms; /* end of the latest such pause */
   CURLcode code;
   char *body;
   size_t body_bytes;
@@ -578,21 +579,29 @@
 void
 bt_resume_exchange (bt_exchange_t *exchange)
 {
+  int64_t now_ms = bt_get_loop_ms (exchange->pool->loop);
+
   if (!exchange->paused)
     return;
   exchange->paused = false;
-  exchange->paused_ms += bt_get_loop_ms (exchange->pool->loop) - exchange->paused_at_ms;
+  if (now_ms - exchange->paused_at_ms >= UNREAD_MS)
+    {
+      exchange->was_unread = true;
+      exchange->unread_until_ms = now_ms;
+    }
   take_held_data (exchange);
 }
 
 bool
 bt_is_exchange_unread (const bt_exchange_t *exchange)
 {
-  int64_t paused_ms = exchange->paused_ms;
+  int64_t now_ms = bt_get_loop_ms (exchange->pool->loop);
 
-  if (exchange->paused)
-    paused_ms += bt_get_loop_ms (exchange->pool->loop) - exchange->paused_at_ms;
-  return paused_ms >= UNREAD_MS;
+  if (exchange->paused && now_ms - exchange->paused_at_ms >= UNREAD_MS)
+    return true;
+  /* The kernel may still hold bytes that arrived before the endpoint gave up, and while they are
+   * passed on, there are further short pauses. */
+  return exchange->was_unread && now_ms - exchange->unread_until_ms < UNREAD_MS;
 }
 
 const char *
--- a/source/gateway/exchange.h
+++ b/source/gateway/exchange.h
@@ -101,8 +101,8 @@
 /** Continues after bt_pause_exchange. Does nothing if the exchange is not paused. */
 void bt_resume_exchange (bt_exchange_t *exchange);
 
-/** Returns true if the exchange was paused for so long in all that its endpoint may have cut the
- * answer off because nobody read it. */
+/** Returns true if one pause is, or was until a moment ago, so long that the endpoint may have cut
+ * the answer off because nobody read it. */
 bool bt_is_exchange_unread (const bt_exchange_t *exchange);
 
 /** Returns the error that ended an exchange without a complete answer. */
