--- a/test/gateway/test_group_control.c
+++ b/test/gateway/test_group_control.c
@@ -432,7 +432,7 @@
       control_run_t control_run = { .hook = { .on_iteration = check_lost_lease },
                                     .timer = { .on_expiry = rearm_timer },
                                     .lease_s = 1,
-                                    .past_lease_ms = 10 * LIMIT_MS,
+                                    .past_lease_ms = 10 * (int64_t)LIMIT_MS,
                                     .shows_other = shown == 1 };
 
       bt_add_app (ctx, declarations, "model")->kind = BT_APP_MODEL;
--- a/test/process/test_gateway_slow_readers.c
+++ b/test/process/test_gateway_slow_readers.c
@@ -717,7 +717,7 @@
     bt_sleep_ms (POLL_MS);
   CU_ASSERT (count_log_lines ("retry") > retries);
   /* Later answers would replace the count. */
-  while (read_metric (TRIED, metric) > 64 * KB && poll (answered, BROKEN_CALLERS, 0) == 0)
+  while (read_metric (TRIED, metric) > (int64_t)64 * KB && poll (answered, BROKEN_CALLERS, 0) == 0)
     bt_sleep_ms (POLL_MS);
   CU_ASSERT (read_metric (TRIED, metric) <= 64 * KB);
   CU_ASSERT_EQUAL (poll (answered, BROKEN_CALLERS, 0), 0);
