--- a/test/process/test_gateway_slow_readers.c
+++ b/test/process/test_gateway_slow_readers.c
@@ -719,7 +719,7 @@
   /* Later answers would replace the count. */
   while (read_metric (TRIED, metric) > (int64_t)64 * KB && poll (answered, BROKEN_CALLERS, 0) == 0)
     bt_sleep_ms (POLL_MS);
-  CU_ASSERT (read_metric (TRIED, metric) <= 64 * KB);
+  CU_ASSERT (read_metric (TRIED, metric) <= (int64_t)64 * KB);
   CU_ASSERT_EQUAL (poll (answered, BROKEN_CALLERS, 0), 0);
   for (int32_t i = 0; i < BROKEN_CALLERS; i++)
     close (callers[i].fd);
