load: a request that waits for a grant is not held up by the bound on starts

Cause: an engine may start at most twice the mean of starts in 0.4 s, and the mean is taken too low while little is known, and from two thirds to four thirds of a start in 0.4 s, where the bound is one. Tried before: twice the mean in whole requests since the first start, which breaks the checked bound as well; no bound from half of the slots in use on (kept), which leaves the calm times as they were.

Change: the bound spreads starts for 20 ms after the first ask for a request; behind that a slot is enough.

Red by this: the bound that no engine gets more than one start, or twice the mean, in any 0.4 s at two fifths of the slots, and the bound on load behind cut links.

--- a/source/load/room_asker_choice.c
+++ b/source/load/room_asker_choice.c
@@ -21,6 +21,7 @@
   /* A request that waits for longer than this shows that the burst holds it up. */
   LONG_WAIT_MS = BT_ROOM_BURST_MS,
   BURST_FACTOR = 2,
+  SPREAD_MS = 20,
   /* Share of the slots in use from which the slots alone bound the starts. */
   FULL_PERCENT = 50,
   PERCENT = 100,
@@ -153,6 +154,16 @@
   return BURST_FACTOR * mean > 1 ? (int32_t)(BURST_FACTOR * mean) : 1;
 }
 
+/* Returns the burst of an ask. It spreads starts over the engines, and must not make a caller wait
+ * beside a free slot: a request that has been asked for during SPREAD_MS may start at any. */
+static int32_t
+get_ask_burst (const bt_room_asker_t *asker, const bt_room_waiter_t *waiter, int64_t now_ms)
+{
+  if (waiter->first_ask_ms > 0 && now_ms - waiter->first_ask_ms >= SPREAD_MS)
+    return BT_ROOM_NO_BURST;
+  return bt_get_room_burst (asker, asker->apps[waiter->app].name, now_ms);
+}
+
 /* Asks an engine for capacity for a request. */
 static void
 place_ask (bt_context_t *ctx,
@@ -178,7 +189,7 @@
     .read_us = request->read_us,
     .slots = room.slots,
     .depth = room.depth,
-    .burst = bt_get_room_burst (asker, asker->apps[engine->app].name, now_ms),
+    .burst = get_ask_burst (asker, waiter, now_ms),
     .wait = kind->wait,
     .account = request->account,
     .share = request->share,
