Revert three changes of the buffers of slow readers, whose tests are red under the thread sanitizer

What they mended is open again: memory of an answer in one piece stays until its call ends, and a received part is counted until the next attempt.

--- a/source/gateway/forward_end.c
+++ b/source/gateway/forward_end.c
@@ -135,7 +135,6 @@
 
   bt_count_refusal (gateway->ctx, reason);
   bt_end_forward_attempt (forward, BT_ATTEMPT_CANCELLED);
-  bt_set_frontend_received (forward->call, 0);
   if (forward->state == BT_FORWARD_STREAMING)
     {
       bt_end_frontend_stream (forward->call, BT_STREAM_CUT_OFF);
--- a/source/gateway/forward_send.c
+++ b/source/gateway/forward_send.c
@@ -222,7 +222,6 @@
   if (decision.next == BT_NEXT_RETRY)
     log_retry (forward, &decision, bt_get_exchange_error (forward->exchange));
   bt_end_forward_attempt (forward, decision.end);
-  bt_set_frontend_received (forward->call, 0);
   if (decision.next == BT_NEXT_RETRY)
     retry (forward, &decision);
   else
--- a/source/gateway/http_answer.c
+++ b/source/gateway/http_answer.c
@@ -84,39 +84,6 @@
   bt_resume_frontend_call (call);
 }
 
-/* Frees the buffer if it has grown for a caller that was behind. */
-static void
-empty_stream (bt_frontend_call_t *call)
-{
-  call->stream_read = call->stream_bytes = 0;
-  if (call->stream_capacity <= KEPT_STREAM_BYTES)
-    return;
-  bt_free (call->frontend->ctx, call->stream);
-  call->stream = NULL;
-  call->stream_capacity = 0;
-}
-
-/* Frees the part of the buffer that was read, since it no longer counts as buffered. The rest is
- * moved only when it is not larger than that part, so that a byte is moved once on average. The
- * buffer of a stream, which is bounded and would grow again at once, is freed when it is empty. */
-static void
-shrink_stream (bt_frontend_call_t *call)
-{
-  size_t rest = call->stream_bytes - call->stream_read;
-
-  if (rest == 0)
-    {
-      empty_stream (call);
-      return;
-    }
-  if (call->streaming || call->stream_read < rest || call->stream_read < KEPT_STREAM_BYTES)
-    return;
-  memmove (call->stream, call->stream + call->stream_read, rest);
-  call->stream_read = 0;
-  call->stream_bytes = call->stream_capacity = rest;
-  call->stream = bt_realloc (call->frontend->ctx, call->stream, rest, 1);
-}
-
 /* Takes bytes that wait for the caller. */
 static size_t
 take_bytes (bt_frontend_call_t *call, char *buffer, size_t max_bytes)
@@ -128,7 +95,6 @@
     bytes = max_bytes;
   memcpy (buffer, call->stream + call->stream_read, bytes);
   call->stream_read += bytes;
-  shrink_stream (call);
   if (bt_take_call_waiting (call, bytes) && call->held_by_handler && call->streaming
       && !call->stream_ended)
     handler->vtable->on_caught_up (handler, call);
@@ -152,7 +118,7 @@
 answer_in_blocks (bt_frontend_call_t *call, int32_t status, const char *body, size_t body_bytes)
 {
   call->stream = bt_memdup (call->frontend->ctx, body, body_bytes);
-  call->stream_bytes = call->stream_capacity = body_bytes;
+  call->stream_bytes = body_bytes;
   bt_add_call_waiting (call, body_bytes);
   set_response (
       call, status,
@@ -180,6 +146,18 @@
                 MHD_create_response_from_buffer (body_bytes, (void *)body, MHD_RESPMEM_MUST_COPY));
 }
 
+/* Frees the buffer of a stream if it has grown for a caller that was behind. */
+static void
+empty_stream (bt_frontend_call_t *call)
+{
+  call->stream_read = call->stream_bytes = 0;
+  if (call->stream_capacity <= KEPT_STREAM_BYTES)
+    return;
+  bt_free (call->frontend->ctx, call->stream);
+  call->stream = NULL;
+  call->stream_capacity = 0;
+}
+
 /* Passes the next bytes of a stream to libmicrohttpd; suspends the connection when there are
  * none. */
 static ssize_t
@@ -200,7 +178,10 @@
       MHD_suspend_connection (call->connection);
       return 0;
     }
-  return (ssize_t)take_bytes (call, buffer, max_bytes);
+  bytes = take_bytes (call, buffer, max_bytes);
+  if (call->stream_read == call->stream_bytes)
+    empty_stream (call);
+  return (ssize_t)bytes;
 }
 
 void
