--- a/source/gateway/agent_updates.c
+++ b/source/gateway/agent_updates.c
@@ -14,8 +14,8 @@
 static const double reserved_pass_share = 1.0;
 static const double reserved_jump_growth = 0.15;
 
-/* The busiest rank's load over the mean load with the map of a group's formation, which spreads the
- * experts in turn: between 2.6 and 3.6 in groups of 72 ranks. */
+/* The busiest rank's load over the mean load that is assumed with the map of a group's formation,
+ * which spreads the experts in turn, whatever the demand for them. */
 static const double first_map_skew = 3.5;
 
 /* Longest accepted pause if no rule sets one, in ms. */
