--- a/review/1/case.c
+++ b/review/1/case.c
@@ -19,6 +19,7 @@
   EXIT_HELD = 0,
   EXIT_BROKEN = 1,
   EXIT_NOT_RUN = 2,
+  ARGUMENTS = 3, /* the program, TROUBLE and the path of the record */
   READY_LIMIT_MS = 15000,
   STABLE_MS = 4000,        /* stable_window_ms is 3,000 */
   CONFIG_APPLY_MS = 2000,  /* the site's bound */
@@ -40,6 +41,7 @@
 typedef struct review_case
 {
   FILE *record;
+  bool trouble;
   rv_store_t *store;
   rv_fleet_t *fleet;
   rv_runner_t *depot;
@@ -200,11 +202,11 @@
   outcome_t new_key;
   outcome_t new_route;
 
-  if (asprintf (&version, second_version, rv_has_trouble () ? split_route : whole_route) < 0)
+  if (asprintf (&version, second_version, self->trouble ? split_route : whole_route) < 0)
     return;
   rv_put_item (self->store, "op/config", version);
   rv_note (self->record, "the store confirms version 9%s",
-           rv_has_trouble () ? ", which splits the route r-slot" : "");
+           self->trouble ? ", which splits the route r-slot" : "");
   free (version);
   rv_sleep_ms (CONFIG_APPLY_MS + CONFIG_MARGIN_MS);
   send_to_all (self, "version 9, /slot/ with key-north", "/slot/a", "key-north");
@@ -237,7 +239,10 @@
   static review_case_t self;
   bool recovered;
 
-  self.record = rv_open_record (argc > 1 ? argv[1] : ".");
+  if (argc != ARGUMENTS)
+    return EXIT_NOT_RUN;
+  self.trouble = strcmp (argv[1], "0") != 0;
+  self.record = rv_open_record (argv[2]);
   if (self.record == NULL)
     return EXIT_NOT_RUN;
   if (!start (&self) || !try_first_version (&self) || !rv_are_gateways_alive (self.fleet))
--- a/review/common/fleet.c
+++ b/review/common/fleet.c
@@ -18,7 +18,6 @@
   PORTS = 5, /* of one entry instance: callers, addresses, ready, links, page */
   MAX_WORDS = 32,
   WORD_BYTES = 160,
-  PATH_BYTES = 4096,
   ITEM_BYTES = 512,
   READY_TIMEOUT_MS = 1000,
   READY_POLL_MS = 100,
@@ -39,13 +38,10 @@
 static const char *const zones[RV_GATEWAYS] = { "linkou-hall", "taoyuan-hall", "keelung-hall" };
 
 FILE *
-rv_open_record (const char *folder)
+rv_open_record (const char *path)
 {
-  char path[PATH_BYTES];
-  FILE *record;
+  FILE *record = fopen (path, "a");
 
-  snprintf (path, sizeof path, "%s/record.txt", folder);
-  record = fopen (path, "w");
   if (record != NULL)
     setvbuf (record, NULL, _IOLBF, 0);
   return record;
@@ -68,14 +64,6 @@
   funlockfile (record);
 }
 
-bool
-rv_has_trouble (void)
-{
-  const char *trouble = getenv ("TROUBLE");
-
-  return trouble == NULL || strcmp (trouble, "0") != 0;
-}
-
 void
 rv_register_runner (
     rv_store_t *store, const char *id, const char *service, int32_t port, int32_t slots)
--- a/review/common/fleet.h
+++ b/review/common/fleet.h
@@ -19,15 +19,12 @@
 
 typedef struct rv_fleet rv_fleet_t;
 
-/** Opens record.txt in the folder @p folder. All that happens is written there. */
-FILE *rv_open_record (const char *folder);
+/** Opens the record at @p path, behind what run.sh has written there. */
+FILE *rv_open_record (const char *path);
 
 /** Writes a line with its time to the record. */
 void rv_note (FILE *record, const char *format, ...) __attribute__ ((format (printf, 2, 3)));
 
-/** Returns false if the environment says TROUBLE=0. */
-bool rv_has_trouble (void);
-
 /** Writes the item of a ready runner of a service, as the runner does itself. */
 void rv_register_runner (
     rv_store_t *store, const char *id, const char *service, int32_t port, int32_t slots);
--- a/review/common/http.c
+++ b/review/common/http.c
@@ -25,7 +25,8 @@
   BASE_TEN = 10,
   FIRST_PORT = 20000,
   PORT_SPREAD = 12000,
-  STATUS_AT = 9, /* offset of the status in "HTTP/1.1 200" */
+  PORT_STEP = 37, /* more than the ports of one run: runs that begin together use others */
+  STATUS_AT = 9,  /* offset of the status in "HTTP/1.1 200" */
 };
 
 typedef struct server
@@ -284,7 +285,7 @@
   static int32_t last;
 
   if (last == 0)
-    last = FIRST_PORT + (int32_t)(getpid () % PORT_SPREAD);
+    last = FIRST_PORT + (int32_t)(getpid () * PORT_STEP % PORT_SPREAD);
   for (int32_t tries = 0; tries < PORT_SPREAD; tries++)
     {
       int32_t port = last;
