platform, gateway: one part of a configuration that can't be read no longer drops the whole

Cause: a configuration was taken or dropped as one. Any finding made bt_read_haiyun_declarations return nothing, and the view went on with the declarations before; a new process has none.

Why this holds: each reader of a field takes its value or adds a finding with the field's place, and no count of findings decides anything any more. A part without which a route or a tenant can't be served marks that one as unreadable. Its rule still matches by host and prefix, so that no route with a shorter prefix gets its requests; they are refused as not run. Where the place of a route or a key itself is unreadable, a request that nothing matches gets 503 instead of 404 or 401, since it may belong there. Tenants that can't be read do not count as none, which would have opened every route.

--- a/include/bilberrytray/config/declarations.h
+++ b/include/bilberrytray/config/declarations.h
@@ -43,6 +43,7 @@
   int32_t token_count;
   int32_t share;    /**< Weight in fair sharing, at least 1. */
   int32_t priority; /**< A bt_priority_t that overrides the rule's; -1: the rule decides. */
+  bool unreadable;  /**< Its declaration can't be used: its requests are refused as not run. */
 } bt_account_t;
 
 typedef enum bt_app_kind
@@ -154,6 +155,7 @@
   char name[BT_NAME_BYTES];
   bt_rule_when_t when;
   bt_rule_then_t then;
+  bool unreadable; /**< Its declaration can't be used: its requests are refused as not run. */
 } bt_rule_t;
 
 /** Limits on what one caller may send; 0: the limit comes from the program's settings. */
@@ -177,7 +179,13 @@
   bt_rule_t *rules;
   int32_t rule_count;
   bt_caller_limits_t limits;
-  int64_t revision; /**< Highest store revision of the documents; 0 when read from files. */
+  int64_t revision;         /**< Highest store revision of the documents; 0 when read from files. */
+  bool accounts_incomplete; /**< Some tokens could not be read: one that is not known may be valid.
+                             */
+  bool rules_incomplete;    /**< Some conditions of rules could not be read: a request that no rule
+                               matches may belong to one. */
+  int32_t finding_count;    /**< Parts of the documents that were left out, since they could not be
+                               read or are not known. */
 } bt_declarations_t;
 
 /** The text of one document. */
--- a/include/bilberrytray/core/outcome.h
+++ b/include/bilberrytray/core/outcome.h
@@ -46,6 +46,7 @@
   X (WRONG_INSTANCE, "wrong-instance", 503, NOT_RUN)                                               \
   X (RETRY_BUDGET, "retry-budget", 503, NOT_RUN)                                                   \
   X (NOT_READY, "not-ready", 503, NOT_RUN)                                                         \
+  X (DECLARATION_UNREADABLE, "declaration-unreadable", 503, NOT_RUN)                               \
   X (ISOLATED, "isolated", 503, NOT_RUN)                                                           \
   X (STOPPING, "stopping", 503, NOT_RUN)                                                           \
   X (STOPPED_MIDWAY, "stopped-midway", 502, UNKNOWN)                                               \
--- a/include/bilberrytray/gateway/platform.h
+++ b/include/bilberrytray/gateway/platform.h
@@ -95,7 +95,9 @@
   /** Creates a client of the platform's store at "IP:PORT". */
   bt_kv_t *(*new_store) (bt_context_t *ctx, const char *address, uint64_t seed);
 
-  /** Decodes the operators' configuration. Returns NULL and adds findings if it is invalid. */
+  /** Decodes the operators' configuration. A part that can't be read, or is not known, is left out
+   * with a finding. A rule or an account that can't be used without that part is marked as
+   * unreadable. Returns NULL if nothing of the configuration can be used. */
   bt_declarations_t *(*read_declarations) (bt_context_t *ctx,
                                            const char *text,
                                            size_t bytes,
--- a/source/gateway/forward.c
+++ b/source/gateway/forward.c
@@ -27,6 +27,8 @@
   NOT_READY_RETRY_MS = 500,
   /* Another instance can take the request at once. */
   STOPPING_RETRY_MS = 1,
+  /* The operators have to write the declaration again. */
+  UNREADABLE_RETRY_MS = 10000,
 };
 
 static const char *const bearer_prefix = "Bearer ";
@@ -308,20 +310,26 @@
   int32_t account;
 
   if (rule < 0)
-    return BT_REASON_NO_SUCH_PATH;
+    return declarations->rules_incomplete ? BT_REASON_DECLARATION_UNREADABLE
+                                          : BT_REASON_NO_SUCH_PATH;
   forward->rule = &declarations->rules[rule];
+  if (forward->rule->unreadable)
+    return BT_REASON_DECLARATION_UNREADABLE;
   forward->app = declarations->apps[forward->rule->then.app].name;
   forward->contended = bt_is_app_contended (declarations, forward->rule->then.app);
-  forward->priority = BT_PRIORITY_NORMAL;
   if (forward->rule->then.priority >= 0)
     forward->priority = (bt_priority_t)forward->rule->then.priority;
-  if (forward->rule->then.open || declarations->account_count == 0)
+  if (forward->rule->then.open
+      || (declarations->account_count == 0 && !declarations->accounts_incomplete))
     return BT_REASON_NONE;
   if (token == NULL || strncmp (token, bearer_prefix, strlen (bearer_prefix)) != 0)
     return BT_REASON_NO_TOKEN;
   account = bt_find_token (declarations, token + strlen (bearer_prefix));
   if (account < 0)
-    return BT_REASON_BAD_TOKEN;
+    return declarations->accounts_incomplete ? BT_REASON_DECLARATION_UNREADABLE
+                                             : BT_REASON_BAD_TOKEN;
+  if (declarations->accounts[account].unreadable)
+    return BT_REASON_DECLARATION_UNREADABLE;
   bt_copy_name (forward->account, declarations->accounts[account].name);
   if (declarations->accounts[account].priority >= 0)
     forward->priority = (bt_priority_t)declarations->accounts[account].priority;
@@ -371,6 +379,8 @@
 {
   if (reason == BT_REASON_NOT_READY)
     return NOT_READY_RETRY_MS;
+  if (reason == BT_REASON_DECLARATION_UNREADABLE)
+    return UNREADABLE_RETRY_MS;
   return reason == BT_REASON_STOPPING ? STOPPING_RETRY_MS : 0;
 }
 
@@ -403,6 +413,7 @@
   forward->call = call;
   forward->id = ++gateway->last_forward_id;
   forward->arrived_ms = request->arrived_ms;
+  forward->priority = BT_PRIORITY_NORMAL;
   add_forward (gateway, forward);
   bt_set_frontend_call_data (call, forward);
   bt_start_forward_delay (forward);
--- a/source/gateway/forward_delays.c
+++ b/source/gateway/forward_delays.c
@@ -14,14 +14,14 @@
   return bt_get_loop_ms (forward->gateway->loop);
 }
 
-/* Copies what the rule of the request allows, if one has matched. */
+/* Copies what the rule of the request allows, if one has matched that can be used. */
 static void
 read_rule (bt_forward_t *forward)
 {
   bt_delay_timeline_t *timeline = &forward->delay.timeline;
   const bt_rule_t *rule = forward->rule;
 
-  if (rule == NULL)
+  if (rule == NULL || rule->unreadable)
     return;
   timeline->aim_ms = rule->then.aim_ms;
   timeline->pause_ms = rule->then.pause_ms;
--- a/source/gateway/gateway.c
+++ b/source/gateway/gateway.c
@@ -4,6 +4,7 @@
 
 #include "bilberrytray/base/event_log.h"
 #include "cold_endpoints.h"
+#include "configuration_report.h"
 #include "gateway_private.h"
 
 enum
@@ -111,11 +112,7 @@
   if (before != NULL && before->era != view->era)
     bt_record_store_regained (gateway->endpoints, bt_get_loop_ms (gateway->loop));
   if (before == NULL || before->declarations != view->declarations)
-    bt_log_event (gateway->ctx, BT_LOG_INFO, "configuration", "{s:I, s:I, s:i, s:i}", "revision",
-                  (json_int_t)(view->declarations == NULL ? 0 : view->declarations->revision),
-                  "store_revision", (json_int_t)view->configuration_revision, "rules",
-                  view->declarations == NULL ? 0 : view->declarations->rule_count, "accounts",
-                  view->declarations == NULL ? 0 : view->declarations->account_count);
+    bt_report_configuration (gateway->ctx, view->declarations, view->configuration_revision);
   bt_report_evacuations (gateway->ctx, before == NULL ? NULL : &before->evacuations,
                          &view->evacuations, view->revision);
   if (view->declarations != NULL)
--- a/source/gateway/view.c
+++ b/source/gateway/view.c
@@ -9,6 +9,7 @@
 #include "bilberrytray/base/address.h"
 #include "bilberrytray/base/event_log.h"
 #include "bilberrytray/base/name_index.h"
+#include "configuration_report.h"
 #include "crash_items.h"
 #include "part_items.h"
 
@@ -206,21 +207,8 @@
                   "revision", (json_int_t)pair->mod_revision, "message", message);
 }
 
-static void
-log_findings (bt_context_t *ctx, const bt_findings_t *findings, int64_t revision)
-{
-  for (int32_t i = 0; i < bt_count_findings (findings); i++)
-    {
-      const bt_finding_t *finding = bt_get_finding (findings, i);
-
-      bt_log_event (ctx, BT_LOG_ERROR, "configuration-rejected", "{s:I, s:s, s:s, s:s}", "revision",
-                    (json_int_t)revision, "file", finding->file, "path", finding->path, "message",
-                    finding->message);
-    }
-}
-
 /* Decodes the configuration of an item, or reuses that of the previous view if it is unchanged or
- * the new one is invalid. */
+ * nothing of the new one can be used. */
 static void
 read_configuration (bt_context_t *ctx,
                     const bt_platform_t *platform,
@@ -242,11 +230,9 @@
   findings = bt_new_findings (ctx);
   view->declarations =
       platform->vtable->read_declarations (ctx, pair->value, pair->value_bytes, findings);
+  bt_report_configuration_findings (ctx, findings, view->declarations == NULL, pair->mod_revision);
   if (view->declarations == NULL)
-    {
-      log_findings (ctx, findings, pair->mod_revision);
-      view->declarations = previous == NULL ? NULL : bt_keep_declarations (previous->declarations);
-    }
+    view->declarations = previous == NULL ? NULL : bt_keep_declarations (previous->declarations);
   bt_drop_findings (ctx, findings);
 }
 
--- a/source/gateway/view.h
+++ b/source/gateway/view.h
@@ -38,7 +38,7 @@
   int64_t read_ms;  /**< Start of the full read, or time of the last applied change, on this
                          process's clock. */
   int64_t configuration_revision; /**< Revision of the last change of the configuration; 0: none. */
-  bt_declarations_t *declarations; /**< NULL if there is no valid configuration. */
+  bt_declarations_t *declarations; /**< NULL if there is no configuration that can be used. */
   char *configuration;             /**< The text of the configuration in the store. */
   size_t configuration_bytes;
   bt_listed_endpoint_t *endpoints;
@@ -61,8 +61,8 @@
 /** Creates a view of all items of the store. Invalid items, and endpoints whose app is not
  * declared, are skipped and logged, unless the previous view @p previous skipped the same item at
  * the same era and revision. Items that have not changed since are not decoded again. The view
- * shares the declarations of @p previous if the configuration is unchanged, and also if the new one
- * is invalid: the last valid one stays in force. @p previous may be NULL. */
+ * shares the declarations of @p previous if the configuration is unchanged, and also if nothing of
+ * the new one can be used: the last one stays in force. @p previous may be NULL. */
 bt_view_t *bt_new_view (bt_context_t *ctx,
                         const bt_platform_t *platform,
                         const bt_kv_range_t *range,
