platform: one item of the store that can't be read no longer drops the answer

What callers would see: with one item in the store whose value is no base64 text, or which has no key, an entry that reads the store learns of no configuration, endpoint or evacuation any more; one that starts does not become ready and answers 503.

Cause: a page of items, and the events of a watch, were taken or dropped as one. A page that ended in an item without a key was asked for again and again, since the next one begins after the last key.

Why this holds: an item with a key always reaches its reader, empty if its value can't be decoded; each reader already leaves out what it can't use and logs the key once a revision. An item without a key is left out and logged with its index. A single item that is asked for stays an error, since an empty fencing number would begin anew.

--- a/test/platform/test_store.c
+++ b/test/platform/test_store.c
@@ -21,6 +21,9 @@
 static atomic_int status;
 static atomic_int page;
 static int32_t page_eras[PAGES];
+/* The items and events of the pages; NULL: one item a page. */
+static const char *page_items[PAGES];
+static char requested_after[ADDRESS_BYTES]; /* of the last request for a page */
 
 /* Answers with one item a page. The last page names no other one. */
 static void
@@ -30,18 +33,25 @@
                 bt_standin_answer_t *answer)
 {
   int32_t index = atomic_fetch_add (&page, 1);
-  char text[256];
+  char item[128];
+  char text[2048];
+  const char *after =
+      MHD_lookup_connection_value (request->connection, MHD_GET_ARGUMENT_KIND, "after");
 
   (void)data;
   (void)unused;
-  (void)request;
+  snprintf (requested_after, sizeof requested_after, "%s", after == NULL ? "" : after);
   if (index >= PAGES)
     index = PAGES - 1;
+  snprintf (item, sizeof item,
+            "{\"key\":\"k%d\",\"value\":\"\",\"revision\":%d,\"created\":1,\"lease_id\":0}",
+            (int)index, 3 + (int)index);
   snprintf (text, sizeof text,
-            "{\"items\":[{\"key\":\"k%d\",\"value\":\"\",\"revision\":%d,\"created\":1,"
-            "\"lease_id\":0}],\"events\":[],\"revision\":9,\"lease_id\":7,\"ttl_ms\":2000,"
+            "{\"items\":[%s],\"events\":[%s],\"revision\":9,\"lease_id\":7,\"ttl_ms\":2000,"
             "\"has_more\":%s,\"at\":9}",
-            (int)index, 3 + (int)index, index + 1 < PAGES ? "true" : "false");
+            page_items[index] == NULL ? item : page_items[index],
+            page_items[index] == NULL ? "" : page_items[index],
+            index + 1 < PAGES ? "true" : "false");
   answer->status = (uint32_t)atomic_load (&status);
   answer->body = strdup (text);
   answer->header = "Store-Era";
@@ -77,6 +87,104 @@
   atomic_store (&page, 0);
   page_eras[0] = first_era;
   page_eras[1] = second_era;
+  page_items[0] = page_items[1] = NULL;
+}
+
+/* Items of which some can't be read: values that are no base64 text, and an item without a key. */
+static const char *const partly_unreadable =
+    "{\"key\":\"a\",\"value\":\"YQ==\",\"revision\":3},"
+    "{\"key\":\"b\",\"value\":\"*\",\"revision\":4},{\"key\":\"c\",\"value\":7,\"revision\":5},"
+    "{\"key\":\"d\",\"revision\":6},{\"key\":\"e\",\"value\":\"ZQ==\",\"revision\":7},"
+    "{\"key\":9,\"value\":\"Zg==\",\"revision\":8}";
+
+static bool
+has_item (const bt_kv_range_t *range, const char *key, const char *value)
+{
+  const bt_kv_pair_t *pair = bt_find_kv_pair (range, key);
+
+  return pair != NULL && strcmp (pair->value, value) == 0;
+}
+
+/* Guards against one item that can't be read taking all others with it: an entry that reads the
+ * store learned of nothing any more, and did not become ready after a start. */
+static void
+test_unreadable_items_leave_the_others (void)
+{
+  bt_kv_range_t range = { 0 };
+  bt_error_t error = { 0 };
+
+  set_answers (STATUS_OK, 4, 4);
+  page_items[0] = partly_unreadable;
+  CU_ASSERT_TRUE (bt_read_kv (ctx, kv, "", true, &range, &error));
+  CU_ASSERT_EQUAL (range.count, 6);
+  CU_ASSERT_TRUE (has_item (&range, "a", "a"));
+  CU_ASSERT_TRUE (has_item (&range, "b", ""));
+  CU_ASSERT_TRUE (has_item (&range, "c", ""));
+  CU_ASSERT_TRUE (has_item (&range, "d", ""));
+  CU_ASSERT_TRUE (has_item (&range, "e", "e"));
+  CU_ASSERT_TRUE (has_item (&range, "k1", ""));
+  /* The next page begins after the last key that could be read. */
+  CU_ASSERT_STRING_EQUAL (requested_after, "e");
+  bt_drop_kv_range (ctx, &range);
+}
+
+/* Guards against reading one page for ever: without a key it is not known where the next begins. */
+static void
+test_page_without_keys_ends_the_read (void)
+{
+  bt_kv_range_t range = { 0 };
+  bt_error_t error = { 0 };
+
+  set_answers (STATUS_OK, 4, 4);
+  page_items[0] = "{\"value\":\"\"},7,null";
+  CU_ASSERT_FALSE (bt_read_kv (ctx, kv, "", true, &range, &error));
+  CU_ASSERT_EQUAL (error.code, BT_ERROR_CLOSED);
+  page_items[0] = NULL;
+}
+
+/* Guards against one value that can't be read making a watch useless, and against an event that
+ * does not tell what changed being passed over. */
+static void
+test_unreadable_events_leave_the_others (void)
+{
+  bt_kv_changes_t changes = { 0 };
+  bt_error_t error = { 0 };
+
+  set_answers (STATUS_OK, 4, 4);
+  page_items[0] = "{\"key\":\"a\",\"value\":\"YQ==\",\"revision\":3},"
+                  "{\"key\":\"b\",\"value\":\"*\",\"revision\":4},"
+                  "{\"key\":\"c\",\"revision\":5,\"deleted\":true}";
+  CU_ASSERT_TRUE (bt_follow_kv (ctx, kv, "", 3, 10, &changes, &error));
+  CU_ASSERT_FALSE (changes.incomplete);
+  CU_ASSERT_TRUE (has_item (&changes.written, "a", "a"));
+  CU_ASSERT_TRUE (has_item (&changes.written, "b", ""));
+  CU_ASSERT_EQUAL (changes.removed_count, 1);
+  bt_drop_kv_changes (ctx, &changes);
+  set_answers (STATUS_OK, 4, 4);
+  page_items[0] = "{\"key\":\"c\",\"revision\":5,\"deleted\":\"yes\"}";
+  CU_ASSERT_TRUE (bt_follow_kv (ctx, kv, "", 3, 10, &changes, &error));
+  CU_ASSERT_TRUE (changes.incomplete);
+  bt_drop_kv_changes (ctx, &changes);
+  set_answers (STATUS_OK, 4, 4);
+  page_items[0] = "{\"value\":\"\",\"revision\":5}";
+  CU_ASSERT_TRUE (bt_follow_kv (ctx, kv, "", 3, 10, &changes, &error));
+  CU_ASSERT_TRUE (changes.incomplete);
+  bt_drop_kv_changes (ctx, &changes);
+  page_items[0] = NULL;
+}
+
+/* Guards against an empty value in place of one that can't be read where a single item is asked
+ * for: a fencing number would begin anew. */
+static void
+test_unreadable_single_item_is_an_error (void)
+{
+  bt_kv_range_t range = { 0 };
+  bt_error_t error = { 0 };
+
+  set_answers (STATUS_OK, 4, 4);
+  CU_ASSERT_FALSE (bt_read_kv (ctx, kv, "b", false, &range, &error));
+  CU_ASSERT_EQUAL (error.code, BT_ERROR_CLOSED);
+  CU_ASSERT_EQUAL (range.count, 0);
 }
 
 static void
@@ -151,6 +259,10 @@
   CU_ADD_TEST (suite, test_pages_of_two_eras_are_no_read);
   CU_ADD_TEST (suite, test_refused_watch_names_the_era);
   CU_ADD_TEST (suite, test_transaction_and_lease_name_the_era);
+  CU_ADD_TEST (suite, test_unreadable_items_leave_the_others);
+  CU_ADD_TEST (suite, test_page_without_keys_ends_the_read);
+  CU_ADD_TEST (suite, test_unreadable_events_leave_the_others);
+  CU_ADD_TEST (suite, test_unreadable_single_item_is_an_error);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
