wire: a message of an unknown kind no longer closes the link

What callers would see: while a deployment changes from one version to another, a message of a kind that the earlier version does not know closes its link, each time that it is dialled anew. Followers get no changes of the store that way and leaders no reports of that engine.

Cause: a frame without a known body was taken for one that can't be decoded, though its length was known and what followed it could be read.

Evidence: test_link on: 4 of 182 asserts fail, the link is closed behind the first such message.

Why this holds: the frame is consumed by its length before its kind is looked at. During the handshake it ends the link as before, since the peer has proved nothing yet, and so do bytes that are no frame.

Measured: test_link 182 of 182 and test_frame 20,058 of 20,058 asserts with the address sanitizer.

--- a/include/bilberrytray/wire/frame.h
+++ b/include/bilberrytray/wire/frame.h
@@ -48,7 +48,8 @@
 
 /** Consumes the next complete frame from the front of @p buffer and returns it; the caller frees it
  * with bt_drop_frame. Returns NULL without an error when more bytes are needed, and NULL with
- * @p error set when the bytes are not a valid frame or its length exceeds @p max_bytes. */
+ * @p error set when the bytes are not a valid frame or its length exceeds @p max_bytes. A frame of
+ * a kind that is not known has no body. */
 bt_frame_t *bt_decode_frame (bt_buffer_t *buffer, size_t max_bytes, bt_error_t *error);
 
 /** Frees a decoded frame. NULL is accepted. */
--- a/source/wire/frame.c
+++ b/source/wire/frame.c
@@ -107,11 +107,9 @@
   if (bt_get_buffer_bytes (buffer) < BT_FRAME_PREFIX_BYTES + bytes)
     return NULL;
   frame = bilberry__frame__unpack (NULL, bytes, at + BT_FRAME_PREFIX_BYTES);
-  if (frame == NULL || frame->body_case == BILBERRY__FRAME__BODY__NOT_SET)
+  if (frame == NULL)
     {
-      bt_drop_frame (frame);
-      bt_set_error (error, BT_ERROR_FORMAT, "A frame of %zu bytes contains no known message.",
-                    bytes);
+      bt_set_error (error, BT_ERROR_FORMAT, "A frame of %zu bytes can't be decoded.", bytes);
       return NULL;
     }
   bt_consume_buffer (buffer, BT_FRAME_PREFIX_BYTES + bytes);
--- a/source/wire/link_loop.c
+++ b/source/wire/link_loop.c
@@ -176,6 +176,22 @@
   atomic_store (&link->closing, true);
 }
 
+/* A peer of a later version may send messages that this one does not know. */
+static void
+skip_frame (bt_link_t *link)
+{
+  bt_context_t *ctx = link->loop->ctx;
+
+  if (!link->has_skipped)
+    bt_log (ctx, BT_LOG_WARNING, BT_PART_LINK,
+            "%s sends messages that are not known; they are left out.", link->instance);
+  link->has_skipped = true;
+  bt_add_counter (bt_find_counter (ctx, BT_COUNTER, "bilberry_link_unknown_total",
+                                   "Messages of peers that are not known and were left out.", NULL,
+                                   NULL),
+                  1);
+}
+
 static void
 handle_frame (bt_link_t *link, const bt_frame_t *frame)
 {
@@ -185,7 +201,10 @@
   link->last_receive_ms = bt_now_ms (link->loop->ctx);
   if (link->state == BT_LINK_UP)
     {
-      handler->vtable->on_frame (handler, link, frame);
+      if (frame->body_case == BILBERRY__FRAME__BODY__NOT_SET)
+        skip_frame (link);
+      else
+        handler->vtable->on_frame (handler, link, frame);
       return;
     }
   if (!bt_handle_handshake_frame (link, frame, &error))
--- a/source/wire/link_private.h
+++ b/source/wire/link_private.h
@@ -39,6 +39,7 @@
   bt_link_state_t state; /**< Used by the loop's thread only. */
   int64_t created_ms;
   int64_t last_receive_ms;    /**< Time of the last received frame. */
+  bool has_skipped;           /**< A message of the peer was not known. */
   int64_t last_heartbeat_ms;  /**< Time of the last call of on_heartbeat_due. */
   char target[BT_NAME_BYTES]; /**< Instance that was dialled; "" for an accepted link. */
   char instance[BT_NAME_BYTES];
--- a/test/wire/test_link.c
+++ b/test/wire/test_link.c
@@ -215,6 +215,52 @@
   stop_end (&right);
 }
 
+/* Sends a message of a kind that no program of this version knows. */
+static void
+send_unknown_frame (end_t *from, bt_link_t *link)
+{
+  uint8_t body[] = { 1, 2, 3 };
+  ProtobufCMessageUnknownField field = {
+    .tag = 900, .wire_type = PROTOBUF_C_WIRE_TYPE_LENGTH_PREFIXED, .len = sizeof body, .data = body
+  };
+  bt_frame_t frame = BILBERRY__FRAME__INIT;
+
+  /* The first byte of the data of such a field is its length. */
+  body[0] = sizeof body - 1;
+  frame.base.n_unknown_fields = 1;
+  frame.base.unknown_fields = &field;
+  CU_ASSERT_TRUE (bt_send_frame (from->ctx, link, &frame));
+}
+
+/* Guards against losing all contact with a peer of a later version: one message of an unknown kind
+ * closed the link, each time that it was dialled anew. */
+static void
+test_unknown_message_is_left_out (void)
+{
+  end_t left;
+  end_t right;
+  bt_link_t *link;
+  int32_t frames;
+
+  start_end (&left, "left", "secret", false);
+  start_end (&right, "right", "secret", false);
+  link = dial (&left, &right, "right");
+  CU_ASSERT_TRUE (wait_count (&left.ups, 1));
+  CU_ASSERT_TRUE (wait_count (&right.ups, 1));
+  send_unknown_frame (&left, link);
+  send_unknown_frame (&left, link);
+  frames = atomic_load (&right.frames);
+  CU_ASSERT_TRUE (wait_count (&right.frames, frames + 3));
+  CU_ASSERT_FALSE (bt_is_link_closed (link));
+  CU_ASSERT_EQUAL (atomic_load (&right.downs), 0);
+  CU_ASSERT_EQUAL (bt_read_counter (bt_find_counter (
+                       right.ctx, BT_COUNTER, "bilberry_link_unknown_total", "", NULL, NULL)),
+                   2);
+  bt_drop_link (left.ctx, link);
+  stop_end (&left);
+  stop_end (&right);
+}
+
 static int
 connect_raw (int32_t port)
 {
@@ -290,6 +336,7 @@
   CU_ADD_TEST (suite, test_wrong_instance_at_address_is_rejected);
   CU_ADD_TEST (suite, test_wrong_secret_is_rejected);
   CU_ADD_TEST (suite, test_silent_link_is_closed);
+  CU_ADD_TEST (suite, test_unknown_message_is_left_out);
   CU_ADD_TEST (suite, test_connections_with_noise_are_closed);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
