platform, agent: an unreadable load of an engine no longer takes its maps with it

What callers would see: an engine that states its load, memory or speed in a way that can't be read, such as "pace": "slow", is taken for lost by its agent, which reports nothing of it any more. The leader then does not know the map of that rank, and the whole group keeps its present map while the demand moves on.

Cause: the first invalid field of any kind refused the whole report. That is right for the fields on which orders are based; it held for all fields alike.

Why this holds: load, memory and speed are read in groups of their own. One that can't be read is left out, logged when that begins, and never read as zero: the report says that the load is not known (load_unknown on the wire), and entries and the agent's ledger keep what they knew.

--- a/include/bilberrytray/agent/engine_platform.h
+++ b/include/bilberrytray/agent/engine_platform.h
@@ -36,6 +36,9 @@
   const char *places_path;
   const char *order_path;
 
+  /** Reads a report. A field about the engine's load, memory or speed that can't be read is left
+   * out and named in the report. Returns false if one about its group or its maps can't be read:
+   * orders are based on them. */
   bool (*read_report) (const char *text,
                        size_t bytes,
                        bt_engine_report_t *report,
--- a/include/bilberrytray/wire/engine_messages.h
+++ b/include/bilberrytray/wire/engine_messages.h
@@ -17,13 +17,15 @@
   int32_t rank;
   int32_t ranks;
   bt_rank_report_t maps;
-  int32_t running;     /**< Requests in its batch. */
-  int32_t queued;      /**< Requests in its queue. */
-  int64_t memory_used; /**< Tokens in its memory that cannot be evicted. */
-  int64_t memory;      /**< Capacity of its memory in tokens. */
-  double pace;         /**< Slowdown factor; above 1 the engine is slow. */
-  bool limited;        /**< It names a limit. Not sent to entries, like the limit. */
-  double limit_per_s;  /**< Requests per second that it takes from all entries together. */
+  bool load_unknown;            /**< running and queued could not be read, and are 0. */
+  int32_t running;              /**< Requests in its batch. */
+  int32_t queued;               /**< Requests in its queue. */
+  int64_t memory_used;          /**< Tokens in its memory that cannot be evicted. */
+  int64_t memory;               /**< Capacity of its memory in tokens. */
+  double pace;                  /**< Slowdown factor; above 1 the engine is slow. */
+  bool limited;                 /**< It names a limit. Not sent to entries, like the limit. */
+  double limit_per_s;           /**< Requests per second that it takes from all entries together. */
+  const char *unreadable_field; /**< A field that was left out; NULL: none. Not sent to entries. */
 } bt_engine_report_t;
 
 /** Fills in the message for a report. The message refers to the strings of @p report. */
--- a/source/agent/sidecar_private.h
+++ b/source/agent/sidecar_private.h
@@ -52,10 +52,11 @@
   bt_engine_client_t *engine;
   bt_link_loop_t *links_loop;
   int32_t cancelled;
-  bool engine_lost;          /* the engine did not answer the last call */
-  bool engine_limited;       /* its last report named a limit */
-  int64_t engine_started_ms; /* start time in the engine's last report; 0: not reported */
-  int64_t report_read_ms;    /* when the engine's last report was requested */
+  bool engine_lost;             /* the engine did not answer the last call */
+  bool engine_limited;          /* its last report named a limit */
+  const char *unreadable_field; /* of its last report; NULL: none */
+  int64_t engine_started_ms;    /* start time in the engine's last report; 0: not reported */
+  int64_t report_read_ms;       /* when the engine's last report was requested */
   bt_sidecar_metrics_t metrics;
   /* Lock order: acquired before any call into a link. */
   pthread_mutex_t lock; /* guards the members below */
--- a/source/agent/sidecar_reports.c
+++ b/source/agent/sidecar_reports.c
@@ -19,6 +19,19 @@
   sidecar->engine_limited = report->limited;
 }
 
+/* Reports are read several times a second, so a field is logged when it begins to be unreadable. */
+static void
+log_unreadable_field (bt_sidecar_t *sidecar, const bt_engine_report_t *report)
+{
+  const char *field = report->unreadable_field;
+
+  if (field != NULL
+      && (sidecar->unreadable_field == NULL || strcmp (field, sidecar->unreadable_field) != 0))
+    bt_log_event (sidecar->ctx, BT_LOG_WARNING, "engine-unreadable", "{s:s, s:s}", "field", field,
+                  "message", "The field has a wrong type or value and is left out.");
+  sidecar->unreadable_field = field;
+}
+
 bool
 bt_read_sidecar_engine_state (bt_sidecar_t *sidecar, bt_engine_report_t *report)
 {
@@ -43,7 +56,9 @@
     return false;
   sidecar->engine_started_ms = report->maps.started_ms;
   log_engine_limit (sidecar, report);
-  bt_pass_sidecar_room_report (sidecar, report);
+  log_unreadable_field (sidecar, report);
+  if (!report->load_unknown)
+    bt_pass_sidecar_room_report (sidecar, report);
   return true;
 }
 
--- a/source/gateway/agent_updates.c
+++ b/source/gateway/agent_updates.c
@@ -143,7 +143,8 @@
     bt_record_group_formation (limiter, report->maps.epoch, report->maps.version,
                                get_first_map_limit (gateway, declarations, app));
   bt_record_rank_slowdown (limiter, report->rank, report->pace, update->received_ms);
-  bt_record_pass (limiter, report->rank, report->maps.step, report->running, update->received_ms);
+  if (!report->load_unknown)
+    bt_record_pass (limiter, report->rank, report->maps.step, report->running, update->received_ms);
   return bt_get_running_limit (limiter);
 }
 
@@ -169,11 +170,13 @@
              int32_t slots)
 {
   int64_t now_ms = bt_get_loop_ms (gateway->loop);
-  bt_load_t load = { .running = update->report.running,
-                     .queued = update->report.queued,
-                     .slots = slots,
-                     .age_ms = now_ms - update->received_ms };
+  const bt_load_t load = { .running = update->report.running,
+                           .queued = update->report.queued,
+                           .slots = slots,
+                           .age_ms = now_ms - update->received_ms };
 
+  if (update->report.load_unknown)
+    return;
   bt_record_duration (gateway->timings.load_age, load.age_ms);
   bt_record_load (gateway->router, identity, &load, now_ms);
 }
--- a/source/gateway/managed_group.c
+++ b/source/gateway/managed_group.c
@@ -124,7 +124,8 @@
 
   snprintf (group->endpoints[report->rank], BT_ADDRESS_BYTES, "%s", update->endpoint);
   bt_set_rank_pace (group->maps, report->rank, report->pace);
-  bt_record_group_rank_running (group->maps, report->rank, report->running, pass_limit, now_ms);
+  if (!report->load_unknown)
+    bt_record_group_rank_running (group->maps, report->rank, report->running, pass_limit, now_ms);
   if (update->places != NULL)
     bt_record_rank_places (group->ctx, group->maps, report->rank, update->places_epoch,
                            update->places_version, update->places, update->place_count);
--- a/source/wire/engine_messages.c
+++ b/source/wire/engine_messages.c
@@ -20,6 +20,7 @@
   message->held_step = report->maps.held_step;
   message->sequence = report->maps.sequence;
   message->started_ms = report->maps.started_ms;
+  message->load_unknown = report->load_unknown;
   message->running = (uint32_t)report->running;
   message->queued = (uint32_t)report->queued;
   message->memory_used = (uint64_t)report->memory_used;
@@ -44,6 +45,7 @@
   report->maps.held_step = message->held_step;
   report->maps.sequence = message->sequence;
   report->maps.started_ms = message->started_ms;
+  report->load_unknown = message->load_unknown;
   report->running = (int32_t)message->running;
   report->queued = (int32_t)message->queued;
   report->memory_used = (int64_t)message->memory_used;
