agent: unreadable picks no longer keep the places of an engine from being read

What callers would see: one count of an engine's picks that is no number, and the leader never learns which experts that engine holds; it plans no map for the group.

Cause: picks and places were read in one condition, whose second part is not evaluated once the first has failed.

Evidence: with the former code test_sidecar waits for a report with places in vain.

Why this holds: each is read by itself, and logged by its name if it can't be read.

--- a/source/agent/sidecar_reports.c
+++ b/source/agent/sidecar_reports.c
@@ -145,17 +145,25 @@
   bt_send_frame (sidecar->ctx, peer->link, &frame);
 }
 
+static void
+log_unreadable_answer (bt_sidecar_t *sidecar, const char *field, const bt_error_t *error)
+{
+  bt_log_event (sidecar->ctx, BT_LOG_WARNING, "engine-unreadable", "{s:s, s:s}", "field", field,
+                "message", error->message);
+}
+
+/* Reads each part by itself: the picks may be unreadable while the places are not. */
 static void
 read_extras (bt_sidecar_t *sidecar, bool picks, bool places, extras_t *extras)
 {
   bt_error_t error = { 0 };
 
   memset (extras, 0, sizeof *extras);
-  if ((picks && !bt_read_engine_picks (sidecar->ctx, sidecar->engine, &extras->picks, &error))
-      || (places
-          && !bt_read_engine_places (sidecar->ctx, sidecar->engine, &extras->places, &error)))
-    bt_log_event (sidecar->ctx, BT_LOG_WARNING, "engine-unreadable", "{s:s}", "message",
-                  error.message);
+  if (picks && !bt_read_engine_picks (sidecar->ctx, sidecar->engine, &extras->picks, &error))
+    log_unreadable_answer (sidecar, "picks", &error);
+  bt_clear_error (&error);
+  if (places && !bt_read_engine_places (sidecar->ctx, sidecar->engine, &extras->places, &error))
+    log_unreadable_answer (sidecar, "places", &error);
   extras->deltas = bt_calloc (sidecar->ctx, (size_t)extras->picks.count, sizeof *extras->deltas);
 }
 
--- a/test/agent/test_sidecar.c
+++ b/test/agent/test_sidecar.c
@@ -31,7 +31,7 @@
   atomic_bool down;
   atomic_int refused_calls; /* calls that arrived while it was down */
   atomic_int orders;
-  atomic_bool unreadable; /* its load can't be read */
+  atomic_bool unreadable; /* its load and its picks can't be read */
 } engine_t;
 
 /** The entry's end of the link. */
@@ -44,6 +44,7 @@
   atomic_int result;
   atomic_llong result_start;  /* the start time in the report that came with the result */
   atomic_llong unknown_loads; /* reports whose load was not known */
+  atomic_llong places;        /* reports with places */
 } leader_t;
 
 static bt_context_t *ctx;
@@ -73,6 +74,16 @@
       atomic_fetch_add (&self->orders, 1);
       answer->status = ACCEPTED;
     }
+  else if (strcmp (request->url, "/v1/picked") == 0)
+    {
+      const bool lists =
+          MHD_lookup_connection_value (request->connection, MHD_GET_ARGUMENT_KIND, "lists") != NULL;
+
+      answer->status = MHD_HTTP_OK;
+      answer->body =
+          strdup (lists ? "{\"epoch\":1,\"placement_map\":{\"version\":1,\"experts\":[[0,1]]}}"
+                        : "{\"epoch\":1,\"counts\":[1,\"2\"]}");
+    }
   else
     {
       answer->status = MHD_HTTP_OK;
@@ -103,6 +114,7 @@
     {
       atomic_store (&self->reported, frame->engine_report->started_ms);
       atomic_fetch_add (&self->unknown_loads, frame->engine_report->load_unknown ? 1 : 0);
+      atomic_fetch_add (&self->places, frame->engine_report->has_places ? 1 : 0);
     }
   if (frame->body_case != BILBERRY__FRAME__BODY_ENGINE_RESULT)
     return;
@@ -315,13 +327,24 @@
   CU_ASSERT_EQUAL (atomic_load (&leader.result_start), 300);
 }
 
-/* Guards against an engine that is taken for lost because its load can't be read. */
+/* Guards against an engine that is taken for lost because its load can't be read, and against its
+ * places never being read because its picks can't be. */
 static void
-test_unreadable_load_leaves_the_rest (void)
+test_unreadable_load_and_picks_leave_the_rest (void)
 {
+  Bilberry__EngineFollow follow = BILBERRY__ENGINE_FOLLOW__INIT;
+  bt_frame_t frame = BILBERRY__FRAME__INIT;
+
   atomic_store (&engine.unreadable, true);
   CU_ASSERT_TRUE (wait_for_more (&leader.unknown_loads, 2));
   CU_ASSERT_EQUAL (atomic_load (&leader.reported), 300);
+  follow.fence = FENCE;
+  follow.picks_every = 1;
+  follow.places = true;
+  frame.body_case = BILBERRY__FRAME__BODY_ENGINE_FOLLOW;
+  frame.engine_follow = &follow;
+  CU_ASSERT_TRUE (bt_send_frame (ctx, entry_link, &frame));
+  CU_ASSERT_TRUE (wait_for_more (&leader.places, 1));
   CU_ASSERT_EQUAL (send_order (300), BT_ORDER_DONE);
   atomic_store (&engine.unreadable, false);
 }
@@ -354,7 +377,7 @@
   CU_ADD_TEST (suite, test_order_for_the_current_start_is_executed);
   CU_ADD_TEST (suite, test_order_for_an_earlier_start_is_refused);
   CU_ADD_TEST (suite, test_engine_is_queried_after_it_was_lost);
-  CU_ADD_TEST (suite, test_unreadable_load_leaves_the_rest);
+  CU_ADD_TEST (suite, test_unreadable_load_and_picks_leave_the_rest);
   CU_ADD_TEST (suite, test_subscription_of_a_later_leader_ends_earlier_orders);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
