gateway: an endless chunk extension no longer keeps an exchange reading

What callers would see: an endpoint in trouble sends bytes without end that are no answer. In one of the fourteen forms played, the extension of a chunk, the gateway read on until the caller's time was over: 115 MB on one connection in 3 s, 572 MB with a socket buffer of the usual size, at the cost of its processor share. Memory stayed bounded, and the caller got 504.

Cause: libcurl bounds heads and header lines, the gateway bounds bodies. An extension is neither; libcurl skips it without calling anything that counts.

Evidence: test_gateway_endless without the change: 1 of 98 asserts fails, at that answer; the other thirteen forms ended within 24 MB.

Why this holds: each read of a socket that brings neither a header line nor a byte of a body is counted against the bytes that the kernel has received for it, and 64 KiB of them end the exchange as broken. Trailers count as such bytes, since nothing needs them. A slow sender of few bytes is never ended by it, as bytes decide and not the number of reads. Where the kernel does not tell, the time limit decides.

--- a/source/gateway/exchange.c
+++ b/source/gateway/exchange.c
@@ -13,6 +13,7 @@
 
 #include "bilberrytray/base/histogram.h"
 #include "bilberrytray/base/log.h"
+#include "received_bytes.h"
 
 enum
 {
@@ -27,11 +28,17 @@
   /* Endpoints cut off an answer that stays unread for some seconds. Pauses of callers that read are
    * much shorter. */
   UNREAD_MS = 500,
+  /* Longest run of bytes without a header line or a byte of a body, such as the extension of a
+   * chunk. libcurl does not bound it. It is measured from this many reads without either on. */
+  MAX_EMPTY_BYTES = 65536,
+  MIN_EMPTY_READS = 2,
   FIRST_FINAL_STATUS = 200,
   NO_CONTENT_STATUS = 204,
   NOT_MODIFIED_STATUS = 304,
 };
 
+typedef struct socket_watch socket_watch_t;
+
 struct bt_exchange
 {
   bt_exchange_pool_t *pool;
@@ -40,6 +47,7 @@
   struct curl_slist *headers;
   char *target;
   size_t answer_bytes;
+  socket_watch_t *socket; /* that it uses now; NULL: none */
   bt_exchange_state_t state;
   int32_t status;
   bool head_complete;
@@ -47,10 +55,12 @@
   bool has_framing_header;
   bool is_queued;
   bool dropped;
-  bool in_progress;  /* its handler is being called */
-  size_t turn_bytes; /* received since the last call of its handler */
-  bool paused;       /* no data is to be taken */
-  bool held;         /* libcurl keeps data that was not taken, and does not watch the socket */
+  bool in_progress;    /* its handler is being called */
+  size_t turn_bytes;   /* received since the last call of its handler */
+  int32_t empty_reads; /* in sequence that brought no header line and no byte of a body */
+  int64_t empty_from;  /* bytes that the socket had received when these were first measured */
+  bool paused;         /* no data is to be taken */
+  bool held;           /* libcurl keeps data that was not taken, and does not watch the socket */
   int64_t paused_at_ms;
   bool was_unread;         /* a pause of at least UNREAD_MS has ended */
   int64_t unread_until_ms; /* end of the latest such pause */
@@ -62,12 +72,13 @@
 };
 
 /** A socket that is watched for libcurl. */
-typedef struct socket_watch
+struct socket_watch
 {
   bt_watch_t watch;
   bt_exchange_pool_t *pool;
+  bt_exchange_t *exchange; /* that uses the socket */
   struct socket_watch *next_closed;
-} socket_watch_t;
+};
 
 struct bt_exchange_pool
 {
@@ -210,6 +221,25 @@
     }
 }
 
+/* Ends an exchange whose endpoint sends bytes without end that are neither a head nor a body. */
+static void
+check_empty_read (bt_exchange_t *exchange, int fd)
+{
+  int64_t received;
+
+  if (exchange->state != BT_EXCHANGE_OPEN || exchange->dropped || exchange->paused || exchange->held
+      || ++exchange->empty_reads < MIN_EMPTY_READS)
+    return;
+  received = bt_count_received_bytes (fd);
+  if (exchange->empty_reads == MIN_EMPTY_READS)
+    exchange->empty_from = received;
+  if (received - exchange->empty_from <= MAX_EMPTY_BYTES)
+    return;
+  exchange->code = CURLE_RECV_ERROR;
+  exchange->state = BT_EXCHANGE_BROKEN;
+  queue_progress (exchange);
+}
+
 static void
 handle_socket_events (bt_watch_t *watch, uint32_t events)
 {
@@ -226,6 +256,8 @@
   if ((events & EPOLLERR) != 0)
     action |= CURL_CSELECT_ERR;
   curl_multi_socket_action (socket->pool->multi, watch->fd, action, &running);
+  if (watch->fd >= 0 && socket->exchange != NULL && (action & CURL_CSELECT_IN) != 0)
+    check_empty_read (socket->exchange, watch->fd);
 }
 
 static void
@@ -238,18 +270,39 @@
   curl_multi_socket_action (pool->multi, CURL_SOCKET_TIMEOUT, 0, &running);
 }
 
+static void
+release_socket (socket_watch_t *socket)
+{
+  if (socket != NULL && socket->exchange != NULL)
+    socket->exchange->socket = NULL;
+  if (socket != NULL)
+    socket->exchange = NULL;
+}
+
+static void
+assign_socket (socket_watch_t *socket, bt_exchange_t *exchange)
+{
+  if (socket->exchange == exchange)
+    return;
+  release_socket (socket);
+  release_socket (exchange->socket);
+  socket->exchange = exchange;
+  exchange->socket = socket;
+}
+
 static int
 watch_socket (CURL *curl, curl_socket_t fd, int what, void *user, void *socket_user)
 {
   bt_exchange_pool_t *pool = user;
   socket_watch_t *socket = socket_user;
+  bt_exchange_t *exchange = NULL;
   uint32_t events = 0;
 
-  (void)curl;
   if (what == CURL_POLL_REMOVE)
     {
       if (socket == NULL)
         return 0;
+      release_socket (socket);
       bt_clear_watch (pool->loop, &socket->watch);
       socket->watch.fd = -1;
       socket->next_closed = pool->closed_sockets;
@@ -269,6 +322,9 @@
     events |= EPOLLIN;
   if ((what & CURL_POLL_OUT) != 0)
     events |= EPOLLOUT;
+  curl_easy_getinfo (curl, CURLINFO_PRIVATE, (char **)&exchange);
+  if (exchange != NULL)
+    assign_socket (socket, exchange);
   bt_set_watch (pool->loop, &socket->watch, events);
   return 0;
 }
@@ -330,6 +386,7 @@
   bt_exchange_t *exchange = user;
   size_t bytes = size * count;
 
+  exchange->empty_reads = 0;
   if (exchange->paused || exchange->turn_bytes >= TURN_BYTES)
     {
       exchange->held = true;
@@ -373,6 +430,9 @@
   char *value;
   long status = 0;
 
+  /* Behind the head come only trailers, which nothing needs. */
+  if (!exchange->head_complete)
+    exchange->empty_reads = 0;
   if (bytes >= sizeof line)
     return 0;
   memcpy (line, data, bytes);
@@ -502,7 +562,10 @@
   if (exchange == NULL)
     return;
   pool = exchange->pool;
+  release_socket (exchange->socket);
   curl_multi_remove_handle (pool->multi, exchange->curl);
+  /* libcurl may report the socket once more. */
+  release_socket (exchange->socket);
   curl_slist_free_all (exchange->headers);
   exchange->headers = NULL;
   if (pool->idle_count < MAX_IDLE_HANDLES)
