store: one pair of a range that can't be read no longer drops the range

What callers would see, on the path with agents: with one pair below the store's prefix whose value is no base64 text or which has no revision, no document of the operators comes into force any more, and an entry that starts answers 503.

Cause: a range was taken or dropped as one.

Why this holds: of a prefix, a pair that can't be read is left out and logged. A single pair that was asked for stays an error: left out, a lease or a fencing number would seem to be missing.

--- a/source/store/etcd_json.c
+++ b/source/store/etcd_json.c
@@ -5,6 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "bilberrytray/base/log.h"
+
 enum
 {
   NUMBER_BYTES = 24,
@@ -204,21 +206,40 @@
   return pair->key != NULL && pair->value != NULL && pair->mod_revision > 0;
 }
 
+static void
+clear_pair (bt_context_t *ctx, bt_kv_pair_t *pair)
+{
+  bt_free (ctx, pair->key);
+  bt_free (ctx, pair->value);
+  memset (pair, 0, sizeof *pair);
+}
+
 bool
-bt_read_etcd_range (bt_context_t *ctx, const json_t *answer, bt_kv_range_t *range)
+bt_read_etcd_range (bt_context_t *ctx, const json_t *answer, bool prefix, bt_kv_range_t *range)
 {
   const json_t *pairs = json_object_get (answer, "kvs");
-  bool valid = true;
+  bool valid;
 
   memset (range, 0, sizeof *range);
   range->revision = bt_read_etcd_revision (answer);
-  range->count = (int32_t)json_array_size (pairs);
-  range->pairs = bt_calloc (ctx, (size_t)range->count, sizeof *range->pairs);
-  for (int32_t i = 0; i < range->count; i++)
-    if (!read_pair (ctx, json_array_get (pairs, (size_t)i), &range->pairs[i]))
-      valid = false;
-  if (range->revision == 0)
-    valid = false;
+  range->pairs = bt_calloc (ctx, json_array_size (pairs), sizeof *range->pairs);
+  valid = range->revision != 0;
+  for (size_t i = 0; i < json_array_size (pairs); i++)
+    {
+      bt_kv_pair_t *pair = &range->pairs[range->count];
+
+      if (read_pair (ctx, json_array_get (pairs, i), pair))
+        {
+          range->count++;
+          continue;
+        }
+      /* Without its value, a single pair that was asked for would seem to be missing. */
+      valid = valid && prefix;
+      if (prefix)
+        bt_log (ctx, BT_LOG_ERROR, BT_PART_STORE, "kvs[%zu] (%s) can't be read and is left out.", i,
+                pair->key == NULL ? "no key" : pair->key);
+      clear_pair (ctx, pair);
+    }
   if (!valid)
     bt_drop_kv_range (ctx, range);
   return valid;
--- a/source/store/etcd_json.h
+++ b/source/store/etcd_json.h
@@ -27,8 +27,10 @@
 char *bt_write_etcd_watch (bt_context_t *ctx, const char *prefix, int64_t start_revision);
 char *bt_write_etcd_lease (int64_t lease, int64_t ttl_s);
 
-/** Reads the answer to a range request. False if it is malformed. */
-bool bt_read_etcd_range (bt_context_t *ctx, const json_t *answer, bt_kv_range_t *range);
+/** Reads the answer to a range request. Of a @p prefix, a pair that can't be read is left out and
+ * logged. False if the answer is malformed, or the single pair that was asked for. */
+bool
+bt_read_etcd_range (bt_context_t *ctx, const json_t *answer, bool prefix, bt_kv_range_t *range);
 
 /** Returns the revision in an answer's header, or 0 without one. */
 int64_t bt_read_etcd_revision (const json_t *answer);
--- a/source/store/kv_etcd.c
+++ b/source/store/kv_etcd.c
@@ -114,7 +114,7 @@
 
   if (!call_store (ctx, (etcd_kv_t *)base, BT_KV_CALL_RANGE, body, &answer, error))
     return false;
-  valid = bt_read_etcd_range (ctx, answer, range);
+  valid = bt_read_etcd_range (ctx, answer, prefix, range);
   json_decref (answer);
   if (!valid)
     bt_set_error (error, BT_ERROR_CLOSED, "The answer to a range of %s is malformed.", key);
