store: one row of the instance list that can't be read no longer freezes the list

What callers would see, on the path with agents: with one row of a role that is not known, entries go on with the list before. They do not reach new instances and do not forget those that left; one that starts refuses with no-endpoint.

Cause: the list was taken or dropped as one, since an instance that a list does not show counts as gone.

Why this holds: a row that can't be read is left out, and what the list before held of its instance is kept; if the row does not name one, all that the new list does not show is kept. So no live instance is lost by a row that can't be read.

Two cases of test_instances asked that such a list is dropped whole. They stand in the new test, which asks that the list is applied, that the row's instance stays, and that one that has left is gone.

--- a/include/bilberrytray/store/instances.h
+++ b/include/bilberrytray/store/instances.h
@@ -53,8 +53,9 @@
                         bt_instance_list_t *list,
                         bt_error_t *error);
 
-/** Parses a list from JSON. On failure @p list is unchanged, and the error names the location, such
- * as "instances[3].role". */
+/** Parses a list from JSON. A row that can't be read is left out and logged with its location, such
+ * as "instances[3].role"; what @p list held of its instance is kept, and all that @p list held if
+ * the row does not name one. On failure @p list is unchanged. */
 bool bt_parse_instance_list (
     bt_context_t *ctx, const char *text, size_t bytes, bt_instance_list_t *list, bt_error_t *error);
 
--- a/source/store/instances.c
+++ b/source/store/instances.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "bilberrytray/base/counters.h"
+#include "bilberrytray/base/log.h"
 #include "bilberrytray/store/http_client.h"
 
 enum
@@ -90,8 +91,79 @@
          && read_text (reader, "http", !agent, listed->http, BT_ADDRESS_BYTES);
 }
 
+static const bt_listed_instance_t *
+find_instance (const bt_instance_list_t *list, const char *name)
+{
+  for (int32_t i = 0; i < list->count; i++)
+    if (strcmp (list->instances[i].instance, name) == 0)
+      return &list->instances[i];
+  return NULL;
+}
+
+/* Adds the instances of the previous list that the new one does not show. */
+static void
+keep_missing (bt_context_t *ctx, const bt_instance_list_t *previous, bt_instance_list_t *list)
+{
+  list->instances = bt_realloc (ctx, list->instances, (size_t)list->count + (size_t)previous->count,
+                                sizeof *list->instances);
+  for (int32_t i = 0; i < previous->count; i++)
+    if (find_instance (list, previous->instances[i].instance) == NULL)
+      list->instances[list->count++] = previous->instances[i];
+}
+
+/* Adds what the previous list says of an instance whose row can't be read. Returns false if the row
+ * does not name one: then any that the new list does not show may be meant. */
 static bool
-read_list (bt_context_t *ctx, const json_t *root, bt_instance_list_t *list, bt_error_t *error)
+keep_unreadable (const json_t *row, const bt_instance_list_t *previous, bt_instance_list_t *list)
+{
+  const char *name = json_string_value (json_object_get (row, "instance"));
+  const bt_listed_instance_t *known = name == NULL ? NULL : find_instance (previous, name);
+
+  if (known != NULL && find_instance (list, name) == NULL)
+    list->instances[list->count++] = *known;
+  return name != NULL;
+}
+
+/* Reads the rows of a list. One that can't be read is left out, and logged once a revision;
+ * instances of the previous list that it may stand for are kept, since they may be live. */
+static void
+read_rows (bt_context_t *ctx,
+           const json_t *rows,
+           const bt_instance_list_t *previous,
+           bt_instance_list_t *list)
+{
+  const size_t count = json_array_size (rows);
+  bool *unreadable = bt_calloc (ctx, count + 1, sizeof *unreadable);
+  bool named = true;
+
+  list->instances = bt_calloc (ctx, count, sizeof *list->instances);
+  for (size_t i = 0; i < count; i++)
+    {
+      bt_error_t error = { 0 };
+      const list_reader_t reader = { json_array_get (rows, i), (int32_t)i, &error };
+      bt_listed_instance_t listed = { 0 };
+
+      unreadable[i] = !read_instance (&reader, &listed);
+      if (!unreadable[i])
+        list->instances[list->count++] = listed;
+      else if (previous->revision != list->revision)
+        bt_log (ctx, BT_LOG_ERROR, BT_PART_MEMBERS, "A row of the instance list is left out: %s",
+                error.message);
+    }
+  for (size_t i = 0; i < count; i++)
+    if (unreadable[i])
+      named = keep_unreadable (json_array_get (rows, i), previous, list) && named;
+  if (!named)
+    keep_missing (ctx, previous, list);
+  bt_free (ctx, unreadable);
+}
+
+static bool
+read_list (bt_context_t *ctx,
+           const json_t *root,
+           const bt_instance_list_t *previous,
+           bt_instance_list_t *list,
+           bt_error_t *error)
 {
   const json_t *instances = json_object_get (root, "instances");
   const json_t *revision = json_object_get (root, "revision");
@@ -101,15 +173,7 @@
   if (!json_is_array (instances))
     return bt_set_error (error, BT_ERROR_FORMAT, "instances: must be a list.");
   list->revision = json_integer_value (revision);
-  list->count = (int32_t)json_array_size (instances);
-  list->instances = bt_calloc (ctx, (size_t)list->count, sizeof *list->instances);
-  for (int32_t i = 0; i < list->count; i++)
-    {
-      list_reader_t reader = { json_array_get (instances, (size_t)i), i, error };
-
-      if (!read_instance (&reader, &list->instances[i]))
-        return false;
-    }
+  read_rows (ctx, instances, previous, list);
   return true;
 }
 
@@ -125,7 +189,7 @@
   if (root == NULL)
     return bt_set_error (error, BT_ERROR_FORMAT, "Instance list, line %d: %s", place.line,
                          place.text);
-  valid = read_list (ctx, root, &parsed, error);
+  valid = read_list (ctx, root, list, &parsed, error);
   json_decref (root);
   if (!valid)
     {
