config, entry: one part of a document that can't be read no longer drops them all

What callers would see, on the path with agents: an entry of an earlier version than the publisher's finds one rule, account or field in the store that it does not know. None of the later changes comes into force there, and after a restart it answers 503 to everything.

Cause: entries read the store with the function that checks documents before they are published. It returns nothing if it has one finding.

Why this holds: what has a finding is left out, and all else comes into force. Without a readable condition it would take all requests, so it is missed, and what no rule matches is refused with 503 instead of 403. check and publish stay strict, since what is to come into force has to be without findings.

No test plays it with processes.

--- a/include/bilberrytray/config/declarations.h
+++ b/include/bilberrytray/config/declarations.h
@@ -215,6 +215,13 @@
                                         const bt_document_text_t texts[BT_DOCUMENT_COUNT],
                                         bt_findings_t *findings);
 
+/** Does the same, but leaves out what has a finding: a rule or an account that can't be used
+ * without that part is marked as unreadable. Returns NULL if a document as a whole can't be read.
+ * For what is in force already; what is to come into force has to be without findings. */
+bt_declarations_t *bt_new_readable_declarations (bt_context_t *ctx,
+                                                 const bt_document_text_t texts[BT_DOCUMENT_COUNT],
+                                                 bt_findings_t *findings);
+
 /** Creates empty declarations with one reference. Fill them with the functions below before sharing
  * them with other threads. */
 bt_declarations_t *bt_new_empty_declarations (bt_context_t *ctx);
--- a/source/config/declarations.c
+++ b/source/config/declarations.c
@@ -51,12 +51,14 @@
   return false;
 }
 
-static void
+/* Returns false, with findings, if a hash can't be read. */
+static bool
 read_token_hashes (bt_json_reader_t *reader,
                    const json_t *object,
                    const char *path,
                    bt_account_t *account)
 {
+  const int32_t findings_before = bt_count_findings (reader->findings);
   int32_t count;
   char **texts = bt_read_json_strings (reader, object, path, "token_sha256", &count);
   char field_path[BT_JSON_PATH_BYTES];
@@ -66,7 +68,7 @@
   if (texts == NULL)
     {
       bt_add_json_finding (reader, field_path, "This field is required.");
-      return;
+      return false;
     }
   for (int32_t i = 0; i < count; i++)
     {
@@ -83,6 +85,7 @@
       bt_free (reader->ctx, texts[i]);
     }
   bt_free (reader->ctx, texts);
+  return bt_count_findings (reader->findings) == findings_before;
 }
 
 void
@@ -103,13 +106,15 @@
       if (!json_is_object (object))
         {
           bt_add_json_finding (reader, path, "Expected an object.");
+          declarations->accounts_incomplete = true;
           continue;
         }
       bt_check_json_fields (reader, object, path, fields);
-      if (bt_read_json_name (reader, object, path, "name", account->name)
-          && bt_find_account (declarations, account->name) >= 0)
+      account->unreadable = !bt_read_json_name (reader, object, path, "name", account->name);
+      if (!account->unreadable && bt_find_account (declarations, account->name) >= 0)
         bt_add_json_finding (reader, path, "The account \"%s\" is declared twice.", account->name);
-      read_token_hashes (reader, object, path, account);
+      if (!read_token_hashes (reader, object, path, account))
+        declarations->accounts_incomplete = true;
       account->share =
           (int32_t)bt_read_json_integer (reader, object, path, "share", 1, MAX_SHARE, 1);
       account->priority = -1;
@@ -130,6 +135,7 @@
     {
       const json_t *object = json_array_get (list, i);
       bt_app_t *app = &declarations->apps[declarations->app_count];
+      bool named;
 
       snprintf (path, sizeof path, "apps[%zu]", i);
       if (!json_is_object (object))
@@ -138,14 +144,16 @@
           continue;
         }
       bt_check_json_fields (reader, object, path, fields);
-      if (bt_read_json_name (reader, object, path, "name", app->name)
-          && bt_find_app (declarations, app->name) >= 0)
+      named = bt_read_json_name (reader, object, path, "name", app->name);
+      if (named && bt_find_app (declarations, app->name) >= 0)
         bt_add_json_finding (reader, path, "The app \"%s\" is declared twice.", app->name);
       app->kind =
           (bt_app_kind_t)bt_read_json_choice (reader, object, path, "kind", kinds, 2, BT_APP_MODEL);
       app->deadline_ms = bt_read_json_integer (reader, object, path, "deadline_ms", 1,
                                                MAX_DEADLINE_MS, DEFAULT_DEADLINE_MS);
-      declarations->app_count++;
+      /* Rules that name an app of an unknown kind find none. */
+      if (named && bt_has_json_choice (object, "kind", kinds, 2))
+        declarations->app_count++;
     }
 }
 
@@ -183,6 +191,7 @@
     {
       const json_t *object = json_array_get (list, i);
       bt_declared_endpoint_t *endpoint = &declarations->endpoints[declarations->endpoint_count];
+      bool named;
 
       snprintf (path, sizeof path, "endpoints[%zu]", i);
       if (!json_is_object (object))
@@ -191,8 +200,8 @@
           continue;
         }
       bt_check_json_fields (reader, object, path, fields);
-      if (bt_read_json_name (reader, object, path, "name", endpoint->name)
-          && bt_find_endpoint (declarations, endpoint->name) >= 0)
+      named = bt_read_json_name (reader, object, path, "name", endpoint->name);
+      if (named && bt_find_endpoint (declarations, endpoint->name) >= 0)
         bt_add_json_finding (reader, path, "The endpoint \"%s\" is declared twice.",
                              endpoint->name);
       endpoint->app = read_app (reader, object, path, declarations);
@@ -201,27 +210,33 @@
       endpoint->queue = (int32_t)bt_read_json_integer (reader, object, path, "queue", 0, MAX_SLOTS,
                                                        DEFAULT_QUEUE);
       endpoint->checks_orders = bt_read_json_bool (reader, object, path, "checks_orders") == 1;
-      declarations->endpoint_count++;
+      if (named && endpoint->app >= 0)
+        declarations->endpoint_count++;
     }
 }
 
-bt_declarations_t *
-bt_new_declarations (bt_context_t *ctx,
-                     const bt_document_text_t texts[BT_DOCUMENT_COUNT],
-                     bt_findings_t *findings)
+/* Reads all documents, and leaves out what has a finding. Returns false in @p complete if one of
+ * them is no object with the list of its name. */
+static bt_declarations_t *
+read_documents (bt_context_t *ctx,
+                const bt_document_text_t texts[BT_DOCUMENT_COUNT],
+                bt_findings_t *findings,
+                bool *complete)
 {
   typedef void (*document_reader_t) (bt_json_reader_t *, bt_declarations_t *);
   static const document_reader_t readers[] = { bt_read_accounts, bt_read_apps, bt_read_endpoints,
                                                bt_read_rules };
   bt_declarations_t *declarations = bt_new_empty_declarations (ctx);
-  int32_t findings_before = bt_count_findings (findings);
+  const int32_t findings_before = bt_count_findings (findings);
 
+  *complete = true;
   for (int32_t kind = 0; kind < BT_DOCUMENT_COUNT; kind++)
     {
       const char *fields[] = { document_names[kind], NULL };
       bt_json_reader_t reader;
 
       bt_open_json_reader (ctx, &reader, &texts[kind], findings);
+      *complete = *complete && json_is_array (json_object_get (reader.root, document_names[kind]));
       if (reader.root != NULL)
         {
           bt_check_json_fields (&reader, reader.root, "", fields);
@@ -229,7 +244,33 @@
         }
       bt_close_json_reader (&reader);
     }
-  if (bt_count_findings (findings) == findings_before)
+  declarations->finding_count = bt_count_findings (findings) - findings_before;
+  return declarations;
+}
+
+bt_declarations_t *
+bt_new_declarations (bt_context_t *ctx,
+                     const bt_document_text_t texts[BT_DOCUMENT_COUNT],
+                     bt_findings_t *findings)
+{
+  bool complete;
+  bt_declarations_t *declarations = read_documents (ctx, texts, findings, &complete);
+
+  if (declarations->finding_count == 0)
+    return declarations;
+  bt_drop_declarations (ctx, declarations);
+  return NULL;
+}
+
+bt_declarations_t *
+bt_new_readable_declarations (bt_context_t *ctx,
+                              const bt_document_text_t texts[BT_DOCUMENT_COUNT],
+                              bt_findings_t *findings)
+{
+  bool complete;
+  bt_declarations_t *declarations = read_documents (ctx, texts, findings, &complete);
+
+  if (complete)
     return declarations;
   bt_drop_declarations (ctx, declarations);
   return NULL;
--- a/source/config/declarations_rules.c
+++ b/source/config/declarations_rules.c
@@ -291,6 +291,36 @@
     }
 }
 
+/* Returns true if a rule matches some requests only. */
+static bool
+has_condition (const bt_rule_when_t *when)
+{
+  return when->account_count > 0 || when->app_count > 0 || when->method_count > 0
+         || when->path != NULL || when->header_count > 0 || when->idempotent >= 0
+         || when->min_body_bytes > 0 || when->max_body_bytes < MAX_BODY_BYTES
+         || when->priorities != 0;
+}
+
+/* Adds a rule that has findings. It takes the requests of the conditions that could be read, which
+ * are then refused: the rules behind it would treat them in another way. Without any such condition
+ * it would take all requests, and is left out. */
+static void
+add_unreadable_rule (bt_json_reader_t *reader,
+                     bt_declarations_t *declarations,
+                     bt_rule_t *rule,
+                     bool when_unreadable)
+{
+  rule->unreadable = true;
+  if (!when_unreadable || has_condition (&rule->when))
+    {
+      declarations->rule_count++;
+      return;
+    }
+  declarations->rules_incomplete = true;
+  bt_clear_rule (reader->ctx, rule);
+  memset (rule, 0, sizeof *rule);
+}
+
 static void
 read_rule (bt_json_reader_t *reader,
            const json_t *object,
@@ -303,20 +333,27 @@
   const json_t *when;
   const json_t *then;
   char field_path[BT_JSON_PATH_BYTES];
+  bool when_unreadable;
 
   bt_check_json_fields (reader, object, path, fields);
   bt_read_json_name (reader, object, path, "name", rule->name);
   when = bt_get_json_object (reader, object, path, "when");
   then = bt_get_json_object (reader, object, path, "then");
   bt_join_json_path (field_path, path, "when");
+  when_unreadable = bt_count_findings (reader->findings) > findings_before;
   read_when (reader, when, field_path, &rule->when, declarations);
+  when_unreadable = when_unreadable || bt_count_findings (reader->findings) > findings_before;
   bt_join_json_path (field_path, path, "then");
   if (then == NULL)
     bt_add_json_finding (reader, path, "A rule needs \"then\".");
   else
     read_then (reader, then, field_path, &rule->then, declarations);
-  if (bt_count_findings (reader->findings) == findings_before)
-    check_reachable (reader, path, declarations, rule);
+  if (bt_count_findings (reader->findings) > findings_before)
+    {
+      add_unreadable_rule (reader, declarations, rule, when_unreadable);
+      return;
+    }
+  check_reachable (reader, path, declarations, rule);
   declarations->rule_count++;
 }
 
@@ -336,7 +373,10 @@
       if (json_is_object (object))
         read_rule (reader, object, path, declarations);
       else
-        bt_add_json_finding (reader, path, "Expected an object.");
+        {
+          bt_add_json_finding (reader, path, "Expected an object.");
+          declarations->rules_incomplete = true;
+        }
     }
 }
 
--- a/source/config/json_reader.c
+++ b/source/config/json_reader.c
@@ -186,6 +186,21 @@
   return -1;
 }
 
+bool
+bt_has_json_choice (const json_t *object,
+                    const char *field,
+                    const char *const *choices,
+                    int32_t count)
+{
+  const json_t *value = json_object_get (object, field);
+  const char *text = json_string_value (value);
+
+  for (int32_t i = 0; i < count && text != NULL; i++)
+    if (strcmp (text, choices[i]) == 0)
+      return true;
+  return value == NULL;
+}
+
 int32_t
 bt_read_json_choice (bt_json_reader_t *reader,
                      const json_t *object,
--- a/source/config/json_reader.h
+++ b/source/config/json_reader.h
@@ -77,6 +77,12 @@
                            const char *path,
                            const char *field);
 
+/** Returns true if the field is missing or has one of the choices. */
+bool bt_has_json_choice (const json_t *object,
+                         const char *field,
+                         const char *const *choices,
+                         int32_t count);
+
 /** Reads one of @p choices. Returns its index, or @p default_value when the field is absent or
  * invalid. */
 int32_t bt_read_json_choice (bt_json_reader_t *reader,
--- a/source/entry/calls.c
+++ b/source/entry/calls.c
@@ -6,6 +6,12 @@
 #include "entry_private.h"
 #include "messages.h"
 
+enum
+{
+  /* The operators have to write the declaration again. */
+  UNREADABLE_RETRY_MS = 10000,
+};
+
 static const char *const json_content_type = "application/json";
 
 static bt_call_t **
@@ -198,6 +204,13 @@
   return refusal == BT_REASON_NONE && declarations == NULL ? BT_REASON_NOT_READY : refusal;
 }
 
+/* Returns true if the rule can't be used, or none matched while some could not be read. */
+static bool
+is_unreadable (const bt_declarations_t *declarations, int32_t rule)
+{
+  return rule < 0 ? declarations->rules_incomplete : declarations->rules[rule].unreadable;
+}
+
 void
 bt_submit_request (bt_context_t *ctx, bt_entry_t *entry, bt_caller_t *caller)
 {
@@ -214,7 +227,10 @@
     }
   initial.rule = match_rule (entry, caller, declarations, &initial.app, &initial.priority);
   then = initial.rule < 0 ? NULL : &declarations->rules[initial.rule].then;
-  if (then == NULL)
+  if (is_unreadable (declarations, initial.rule))
+    bt_refuse_unprocessed_caller (ctx, caller, BT_REASON_DECLARATION_UNREADABLE,
+                                  UNREADABLE_RETRY_MS, NULL);
+  else if (then == NULL)
     bt_refuse_unprocessed_caller (ctx, caller, BT_REASON_NO_RULE, 0, NULL);
   else if (then->action == BT_ACTION_REFUSE)
     bt_refuse_unprocessed_caller (ctx, caller, BT_REASON_RULE_REFUSED, then->retry_after_ms,
--- a/source/entry/config_documents.c
+++ b/source/entry/config_documents.c
@@ -118,7 +118,7 @@
       if (document->revision > revision)
         revision = document->revision;
     }
-  declarations = bt_new_declarations (ctx, texts, findings);
+  declarations = bt_new_readable_declarations (ctx, texts, findings);
   if (declarations != NULL)
     declarations->revision = revision;
   return declarations;
--- a/source/entry/config_documents.h
+++ b/source/entry/config_documents.h
@@ -38,8 +38,8 @@
 /** Frees the memory of the frame. */
 void bt_clear_push_frame (bt_context_t *ctx, bt_push_frame_t *push);
 
-/** Parses declarations from the four documents of a list. Returns NULL if one is missing or
- * invalid; what is invalid is added to @p findings. */
+/** Parses declarations from the four documents of a list, less the parts that can't be read, which
+ * are added to @p findings. Returns NULL if a document is missing or can't be read at all. */
 bt_declarations_t *
 bt_read_declarations (bt_context_t *ctx, const bt_document_list_t *list, bt_findings_t *findings);
 
--- a/source/entry/config_driver.c
+++ b/source/entry/config_driver.c
@@ -13,6 +13,8 @@
   TICK_MS = 100,
   MS_PER_S = 1000,
   NS_PER_MS = 1000000,
+  /* A field that is not known may stand in each of hundreds of rules. */
+  MAX_LOGGED_FINDINGS = 32,
 };
 
 /* Schedules the next store call; there is at most one. The store thread picks it up. */
@@ -78,8 +80,23 @@
   bt_set_gauge (driver->gauges[BT_CONFIG_GAUGE_PUSHES], (int64_t)status.pushes);
 }
 
-/* Parses documents of the table into declarations, without the lock, and puts them in force.
- * Invalid documents do not come into force and are not reported as in force. */
+static void
+log_findings (bt_context_t *ctx, const bt_findings_t *findings, bool rejected)
+{
+  for (int32_t i = 0; i < bt_count_findings (findings) && i < MAX_LOGGED_FINDINGS; i++)
+    {
+      const bt_finding_t *finding = bt_get_finding (findings, i);
+
+      bt_log (ctx, BT_LOG_ERROR, BT_PART_CONFIG, "%s %s %s: %s", finding->file, finding->path,
+              rejected ? "keeps the configuration in the store from coming into force"
+                       : "is left out of the configuration in the store",
+              finding->message);
+    }
+}
+
+/* Parses documents of the table into declarations, without the lock, and puts them in force, less
+ * the parts that can't be read. Documents that can't be read at all do not come into force and are
+ * not reported as in force. */
 static void
 apply_documents (bt_config_driver_t *driver, bt_document_list_t *documents)
 {
@@ -87,12 +104,11 @@
   bt_findings_t *findings = bt_new_findings (ctx);
   bt_declarations_t *declarations = bt_read_declarations (ctx, documents, findings);
 
-  if (bt_count_findings (findings) > 0)
-    bt_log (ctx, BT_LOG_ERROR, BT_PART_CONFIG, "The configuration in the store is invalid: %s: %s",
-            bt_get_finding (findings, 0)->path, bt_get_finding (findings, 0)->message);
+  log_findings (ctx, findings, declarations == NULL);
   if (declarations != NULL)
     {
       bt_set_entry_declarations (ctx, driver->entry, declarations);
+      bt_set_gauge (driver->gauges[BT_CONFIG_GAUGE_FINDINGS], declarations->finding_count);
       pthread_mutex_lock (&driver->entry->lock);
       bt_clear_documents (ctx, &driver->applied);
       driver->applied = *documents;
@@ -247,6 +263,9 @@
     { "bilberry_config_stale_reads", "Stale answers of the service dropped so far." },
     { "bilberry_config_pulls", "Pulls sent to peers so far." },
     { "bilberry_config_pushes", "Pushes sent to peers so far." },
+    { "bilberry_configuration_findings",
+      "Parts of the configuration in force that were left out, since they can't be read or are not "
+      "known." },
   };
 
   for (int32_t i = 0; i < BT_CONFIG_GAUGE_COUNT; i++)
--- a/source/entry/http_server.c
+++ b/source/entry/http_server.c
@@ -90,7 +90,10 @@
     {
       account = bt_find_token (declarations, header + strlen (bearer_prefix));
       if (account < 0)
-        reason = BT_REASON_BAD_TOKEN;
+        reason = declarations->accounts_incomplete ? BT_REASON_DECLARATION_UNREADABLE
+                                                   : BT_REASON_BAD_TOKEN;
+      else if (declarations->accounts[account].unreadable)
+        reason = BT_REASON_DECLARATION_UNREADABLE;
       else
         bt_set_caller_account (caller, declarations->accounts[account].name);
     }
--- a/test/config/test_declarations.c
+++ b/test/config/test_declarations.c
@@ -18,8 +18,16 @@
 static bt_context_t *ctx;
 static bt_findings_t *findings;
 
+typedef bt_declarations_t *(*parser_t) (bt_context_t *,
+                                        const bt_document_text_t[BT_DOCUMENT_COUNT],
+                                        bt_findings_t *);
+
 static bt_declarations_t *
-parse (const char *accounts, const char *apps, const char *endpoints, const char *rules)
+parse_with (parser_t parser,
+            const char *accounts,
+            const char *apps,
+            const char *endpoints,
+            const char *rules)
 {
   const char *texts[] = { accounts, apps, endpoints, rules };
   static const char *const files[] = { "accounts.json", "apps.json", "endpoints.json",
@@ -34,7 +42,19 @@
       documents[i].data = texts[i];
       documents[i].bytes = strlen (texts[i]);
     }
-  return bt_new_declarations (ctx, documents, findings);
+  return parser (ctx, documents, findings);
+}
+
+static bt_declarations_t *
+parse (const char *accounts, const char *apps, const char *endpoints, const char *rules)
+{
+  return parse_with (bt_new_declarations, accounts, apps, endpoints, rules);
+}
+
+static bt_declarations_t *
+parse_readable (const char *accounts, const char *apps, const char *endpoints, const char *rules)
+{
+  return parse_with (bt_new_readable_declarations, accounts, apps, endpoints, rules);
 }
 
 static void
@@ -45,6 +65,125 @@
   bt_drop_context (ctx);
 }
 
+/* Fails the test if there are no declarations. */
+static const bt_declarations_t *
+require (const bt_declarations_t *declarations)
+{
+  CU_ASSERT_PTR_NOT_NULL_FATAL (declarations);
+  if (declarations == NULL)
+    abort ();
+  return declarations;
+}
+
+/* Returns the rule that decides a request for a path; NULL: none. */
+static const bt_rule_t *
+match_path (const bt_declarations_t *declarations, const char *path)
+{
+  const bt_request_attributes_t attributes = {
+    .account = "a", .app = "", .method = "POST", .path = path, .priority = BT_PRIORITY_NORMAL
+  };
+  const int32_t rule = bt_match_rules (declarations, &attributes);
+
+  return rule < 0 ? NULL : &declarations->rules[rule];
+}
+
+/* Guards against one rule that can't be read freezing all documents: an entry of an earlier version
+ * took none of the later changes, and did not become ready after a restart. The rule itself is not
+ * used, and the rules behind it do not get its requests. */
+static void
+test_unreadable_rule_leaves_the_others (void)
+{
+  static const char *const rules[] = {
+    "{\"name\":\"x\",\"when\":{\"path\":\"/x/*\",\"region\":\"r\"},"
+    "\"then\":{\"action\":\"route\",\"app\":\"s\"}}",
+    "{\"name\":\"x\",\"when\":{\"path\":\"/x/*\"},\"then\":{\"action\":\"mirror\"}}",
+    "{\"name\":\"x\",\"when\":{\"path\":\"/x/"
+    "*\"},\"then\":{\"action\":\"route\",\"app\":\"none\"}}",
+    "{\"name\":\"x\",\"when\":{\"path\":\"/x/*\"},"
+    "\"then\":{\"action\":\"route\",\"app\":\"s\",\"key\":\"wanted\"}}",
+    "{\"name\":\"x\",\"when\":{\"path\":\"/x/*\"},\"then\":7}",
+  };
+
+  for (size_t i = 0; i < sizeof rules / sizeof rules[0]; i++)
+    {
+      bt_declarations_t *declarations;
+      char text[1024];
+
+      snprintf (text, sizeof text,
+                "{\"rules\":[%s,{\"name\":\"all\",\"then\":{\"action\":\"route\",\"app\":\"m\"}}]}",
+                rules[i]);
+      declarations = parse_readable (good_accounts, good_apps, good_endpoints, text);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (declarations);
+      CU_ASSERT_TRUE (declarations->finding_count > 0);
+      CU_ASSERT_EQUAL (strncmp (bt_get_finding (findings, 0)->path, "rules[0].", 9), 0);
+      CU_ASSERT_TRUE (match_path (declarations, "/x/y")->unreadable);
+      CU_ASSERT_FALSE (match_path (declarations, "/z")->unreadable);
+      CU_ASSERT_STRING_EQUAL (match_path (declarations, "/z")->name, "all");
+      drop_all (declarations);
+    }
+}
+
+/* Guards against a rule of which no condition can be read taking all requests. */
+static void
+test_rule_without_readable_condition_is_left_out (void)
+{
+  bt_declarations_t *declarations = parse_readable (
+      good_accounts, good_apps, good_endpoints,
+      "{\"rules\":[7,{\"name\":\"x\",\"when\":{\"region\":\"r\"},\"then\":{\"action\":\"refuse\"}},"
+      "{\"name\":\"y\",\"when\":{\"path\":\"/"
+      "y\"},\"then\":{\"action\":\"route\",\"app\":\"m\"}}]}");
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (declarations);
+  CU_ASSERT_EQUAL (declarations->rule_count, 1);
+  CU_ASSERT_TRUE (declarations->rules_incomplete);
+  CU_ASSERT_PTR_NULL (match_path (declarations, "/z"));
+  CU_ASSERT_FALSE (match_path (declarations, "/y")->unreadable);
+  drop_all (declarations);
+}
+
+static void
+test_unreadable_accounts_and_apps_leave_the_others (void)
+{
+  bt_declarations_t *declarations =
+      parse_readable ("{\"accounts\":[{\"name\":\"a b\",\"token_sha256\":\""
+                      "8766b9cb08e6040b704f1e3ee1e186efccf2635b1d2634d6525333007e6aeae1\"},"
+                      "{\"name\":\"b\",\"token_sha256\":\"12\",\"quota\":1}]}",
+                      "{\"apps\":[{\"name\":\"m\",\"kind\":\"model\"},{\"name\":\"n\",\"kind\":"
+                      "\"batch\"},{\"kind\":\"model\"}]}",
+                      "{\"endpoints\":[{\"name\":\"e\",\"app\":\"n\"},{\"name\":\"f\",\"app\":"
+                      "\"m\",\"slots\":\"x\"}]}",
+                      good_rules);
+
+  require (declarations);
+  CU_ASSERT_EQUAL (declarations->account_count, 2);
+  CU_ASSERT_TRUE (declarations->accounts[0].unreadable);
+  CU_ASSERT_FALSE (declarations->accounts[1].unreadable);
+  CU_ASSERT_TRUE (declarations->accounts_incomplete);
+  CU_ASSERT_EQUAL (declarations->app_count, 1);
+  CU_ASSERT_EQUAL (declarations->endpoint_count, 1);
+  CU_ASSERT_FALSE (match_path (declarations, "/z")->unreadable);
+  drop_all (declarations);
+}
+
+/* A document that is none, or has no list, leaves nothing to serve by. */
+static void
+test_unreadable_document_is_not_in_force (void)
+{
+  static const char *const texts[] = {
+    "", "[]", "{", "{}", "{\"rules\":{}}", "{\"rules\":[],\"rules\":[]}"
+  };
+
+  for (size_t i = 0; i < sizeof texts / sizeof texts[0]; i++)
+    {
+      bt_declarations_t *declarations =
+          parse_readable (good_accounts, good_apps, good_endpoints, texts[i]);
+
+      CU_ASSERT_PTR_NULL (declarations);
+      CU_ASSERT_TRUE (bt_count_findings (findings) > 0);
+      drop_all (declarations);
+    }
+}
+
 /** A rules.json with one error, and the line, path and message of the expected finding. */
 typedef struct rule_fault
 {
@@ -189,6 +328,10 @@
 
   CU_initialize_registry ();
   suite = CU_add_suite ("declarations", NULL, NULL);
+  CU_ADD_TEST (suite, test_unreadable_rule_leaves_the_others);
+  CU_ADD_TEST (suite, test_rule_without_readable_condition_is_left_out);
+  CU_ADD_TEST (suite, test_unreadable_accounts_and_apps_leave_the_others);
+  CU_ADD_TEST (suite, test_unreadable_document_is_not_in_force);
   CU_ADD_TEST (suite, test_each_rule_fault_has_line_and_path);
   CU_ADD_TEST (suite, test_findings_of_all_documents_are_reported);
   CU_ADD_TEST (suite, test_duplicates_are_found);
