soak: configurations with parts that can't be read, and a split route

All rules of the soak hold as without it: keys change, gateways are killed, frozen and stopped, the store fails.

--- a/Makefile
+++ b/Makefile
@@ -87,8 +87,9 @@
 PARTS ?= 0
 NOTICES ?= 0
 RESTORES ?= 0
+UNREADABLE ?= 0
 soak: build
-	BT_BUILD_DIR=$(BUILD)/release $(BUILD)/release/soak --seed $(SEED) --seconds $(SECONDS_OF_SOAK) --poison $(POISON) --parts $(PARTS) --notices $(NOTICES) --restores $(RESTORES)
+	BT_BUILD_DIR=$(BUILD)/release $(BUILD)/release/soak --seed $(SEED) --seconds $(SECONDS_OF_SOAK) --poison $(POISON) --parts $(PARTS) --notices $(NOTICES) --restores $(RESTORES) --unreadable $(UNREADABLE)
 
 clean:
 	rm -rf $(BUILD)
--- a/test/soak/faults.c
+++ b/test/soak/faults.c
@@ -82,6 +82,22 @@
   return (int32_t)bt_random_below (&faults->soak->random, (uint64_t)below);
 }
 
+/* Parts of a configuration that can't be read or are not known, used in turn with --unreadable 1.
+ */
+static const char *const unreadable_routes[] = {
+  ",{\"name\":\"x\",\"host\":\"shop.example\",\"prefix\":\"/a/x/\",\"kind\":\"duplex\","
+  "\"service\":\"svc\"}",
+  ",{\"name\":\"x\",\"host\":\"shop.example\",\"prefix\":\"/a/x/\",\"kind\":\"idempotent\","
+  "\"service\":\"none\",\"lanes\":[1]}",
+  ",{\"name\":\"x\",\"host\":7,\"prefix\":[],\"kind\":{},\"service\":null}",
+  ",7,null,[]",
+};
+
+static const char *const one_service = "\"service\":\"svc\"";
+static const char *const split_service = "\"backends\":[{\"service\":\"svc\",\"weight\":3},"
+                                         "{\"service\":\"none\",\"weight\":1},"
+                                         "{\"service\":\"svc\",\"weight\":1}]";
+
 char *
 bt_write_soak_configuration (const bt_soak_t *soak)
 {
@@ -89,22 +105,27 @@
       "{\"version\":%d,\"services\":[{\"name\":\"svc\"}],"
       "\"tenants\":[{\"name\":\"small\",\"api_keys\":[\"k-good\"%s],\"priority\":1}],\"routes\":["
       "{\"name\":\"wide\",\"host\":\"shop.example\",\"prefix\":\"/a/\",\"kind\":\"idempotent\","
-      "\"service\":\"svc\",\"timeout_ms\":3000,\"max_attempts\":2,\"public\":false},"
+      "%s,\"timeout_ms\":3000,\"max_attempts\":2,\"public\":false},"
       "{\"name\":\"once\",\"host\":\"shop.example\",\"prefix\":\"/a/once/\","
       "\"kind\":\"non_idempotent\",\"service\":\"svc\",\"timeout_ms\":3000,\"max_attempts\":1,"
       "\"public\":false},"
       "{\"name\":\"stream\",\"host\":\"shop.example\",\"prefix\":\"/a/stream/\","
       "\"kind\":\"streaming\",\"resumable\":true,\"service\":\"svc\",\"timeout_ms\":3000,"
-      "\"max_attempts\":2,\"public\":false}],"
+      "\"max_attempts\":2,\"public\":false}%s],"
       "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":65536,"
       "\"idle_timeout_ms\":15000}}";
   char keys[BT_SOAK_TEXT_BYTES] = "";
-  char *configuration = calloc (1, strlen (text) + sizeof keys + BT_SOAK_TEXT_BYTES);
+  const size_t kinds = sizeof unreadable_routes / sizeof unreadable_routes[0];
+  const char *routes =
+      soak->settings.unreadable ? unreadable_routes[(size_t)soak->version % kinds] : "";
+  const char *service = soak->settings.unreadable ? split_service : one_service;
+  char *configuration = calloc (1, strlen (text) + sizeof keys + strlen (routes) + strlen (service)
+                                       + BT_SOAK_TEXT_BYTES);
 
   for (int32_t i = 0; i < soak->key_count; i++)
     if (soak->keys[i].added && !soak->keys[i].removed)
       snprintf (keys + strlen (keys), sizeof keys - strlen (keys), ",\"k-%d\"", i);
-  sprintf (configuration, text, soak->version, keys);
+  sprintf (configuration, text, soak->version, keys, service, routes);
   return configuration;
 }
 
--- a/test/soak/main.c
+++ b/test/soak/main.c
@@ -194,7 +194,7 @@
 }
 
 /* Usage: soak [--seed N] [--seconds N] [--gateways N] [--runners N] [--callers N] [--poison 1]
- * [--parts 1] [--notices 1] [--restores 1] */
+ * [--parts 1] [--notices 1] [--restores 1] [--unreadable 1] */
 int
 main (int argc, char **argv)
 {
@@ -208,6 +208,7 @@
   soak.settings.callers = (int32_t)read_flag (argc, argv, "--callers", 8);
   soak.settings.notices = read_flag (argc, argv, "--notices", 0) != 0;
   soak.settings.restores = read_flag (argc, argv, "--restores", 0) != 0;
+  soak.settings.unreadable = read_flag (argc, argv, "--unreadable", 0) != 0;
   soak.settings.parts = read_flag (argc, argv, "--parts", 0) != 0;
   soak.settings.poison = soak.settings.parts || read_flag (argc, argv, "--poison", 0) != 0;
   if (soak.settings.gateways < 2 || soak.settings.gateways > BT_MAX_GATEWAYS
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -30,11 +30,12 @@
   int32_t gateways;
   int32_t runners;
   int32_t callers;
-  bool notices;  /**< Faults of runners include limits and rests that they ask for. */
-  bool restores; /**< The store is restored from backups again and again. */
-  bool poison;   /**< An additional caller sends a request that crashes runners. */
-  bool parts;    /**< Prompts have parts; that caller's have one that crashes runners, and no two of
-                      its requests are alike. */
+  bool notices;    /**< Faults of runners include limits and rests that they ask for. */
+  bool restores;   /**< The store is restored from backups again and again. */
+  bool unreadable; /**< Each version of the configuration has parts that can't be read. */
+  bool poison;     /**< An additional caller sends a request that crashes runners. */
+  bool parts; /**< Prompts have parts; that caller's have one that crashes runners, and no two of
+                   its requests are alike. */
 } bt_soak_settings_t;
 
 /** An API key that one configuration version adds and a later one removes for good. */
