platform: tenants of null open nothing, and experts that can't be read in part are not planned

"tenants": null counted as no tenants, so that every route would be open; a key is needed unless there is no such field, or an empty list. Of an engine's experts the fields that could be read were used for plans without the others; now none are planned, and the engine is served.

--- a/test/platform/test_configuration.c
+++ b/test/platform/test_configuration.c
@@ -18,7 +18,7 @@
 static const char *const valid_text =
     "{\"version\":7,\"services\":[{\"name\":\"first\",\"health_path\":\"/health\",\"max_conns\":8,"
     "\"protocol\":\"h1\",\"tls\":false,\"engine_kind\":{\"slots\":12,\"kv_tokens\":372000,"
-    "\"step_ms\":5.85,\"experts\":64}},"
+    "\"step_ms\":5.85,\"expert_sets\":4,\"experts\":64}},"
     "{\"name\":\"second\",\"health_path\":\"/health\",\"cold_s\":4.5,\"cold_per_s\":2.0}],"
     "\"tenants\":[{\"name\":\"north\",\"api_keys\":[\"key-north\",\"key-north-2\"],\"priority\":1},"
     "{\"name\":\"south\",\"api_keys\":[\"key-south\"],\"priority\":0},"
@@ -398,6 +398,19 @@
   CU_ASSERT_TRUE (match ("b.example", "/split/x")->unreadable);
 }
 
+/* Guards against expert maps that are planned by a part of what they need. */
+static void
+test_unreadable_experts_are_not_planned (void)
+{
+  read_changed ("\"experts\":64", "\"experts\":\"64\"");
+  CU_ASSERT_EQUAL (declarations->apps[0].engine.expert_sets, 0);
+  CU_ASSERT_EQUAL (declarations->apps[0].engine.slots, 12);
+  CU_ASSERT_TRUE (has_finding ("services[0].engine_kind.experts"));
+  CU_ASSERT_TRUE (is_route_served (0));
+  read_text (valid_text);
+  CU_ASSERT_EQUAL (declarations->apps[0].engine.expert_sets, 4);
+}
+
 /* Guards against 404 for a route whose host or prefix could not be read: its requests can't be told
  * from those that no route takes. */
 static void
@@ -420,6 +433,7 @@
 {
   static const char *const cases[][2] = {
     { "\"tenants\":[", "\"tenants\":{},\"before\":[" },
+    { "\"tenants\":[", "\"tenants\":null,\"before\":[" },
     { "\"tenants\":[", "\"tenants\":[7],\"before\":[" },
     { "\"api_keys\":[\"key-south\"]", "\"api_keys\":\"key-south\"" },
     { "[\"key-north\",", "[7," },
@@ -467,6 +481,7 @@
   CU_ADD_TEST (suite, test_unreadable_route_keeps_its_requests);
   CU_ADD_TEST (suite, test_unreadable_backend_leaves_the_others);
   CU_ADD_TEST (suite, test_weight_of_zero_is_known);
+  CU_ADD_TEST (suite, test_unreadable_experts_are_not_planned);
   CU_ADD_TEST (suite, test_route_without_a_place_is_missed);
   CU_ADD_TEST (suite, test_unreadable_tenants_open_nothing);
   CU_ADD_TEST (suite, test_text_without_routes_is_no_configuration);
