gateway: log when a reader stops vouching for its copy, and why a peer is not current

The logs could not tell where the time goes: whether the reader vouches for its copy too long, whether its followers notice late that it no longer does, or whether they take long to read the store themselves.

Change: the event feed-suspended of a reader, with the time since the store's last answer was handled and since that call began, and the field peer_state of store-source.

--- a/source/gateway/peer_feed.c
+++ b/source/gateway/peer_feed.c
@@ -50,6 +50,8 @@
   follower_row_t *followers;
   bool attached;      /* the store answers this entry */
   int64_t contact_ms; /* time of the store's last answer */
+  int64_t called_ms;  /* begin of the call that it answered */
+  bool vouching;      /* the last state that was sent says that the store answers this entry */
   bool retired;
   char address[BT_ADDRESS_BYTES]; /* address of the followed peer */
   bt_link_t *link;                /* link to the followed peer */
@@ -86,6 +88,17 @@
                   bt_get_link_instance (link));
 }
 
+/* Logs when the followers are told that the store no longer answers this entry. */
+static void
+record_vouching (bt_peer_feed_t *feed, bool vouching, int64_t silent_ms)
+{
+  if (feed->vouching && !vouching)
+    bt_log_event (feed->ctx, BT_LOG_INFO, "feed-suspended", "{s:I, s:I}", "silent_ms",
+                  (json_int_t)silent_ms, "called_before_ms",
+                  (json_int_t)(bt_now_ms (feed->ctx) - feed->called_ms));
+  feed->vouching = vouching;
+}
+
 static void
 send_state (bt_peer_feed_t *feed, bt_link_t *link)
 {
@@ -94,6 +107,7 @@
   bt_kv_position_t position = bt_get_copy_position (feed->copy);
 
   state.attached = feed->attached && !feed->retired && silent_ms < feed->options.contact_ms;
+  record_vouching (feed, state.attached, silent_ms);
   state.era = position.era;
   state.revision = position.revision;
   state.leaving = feed->retired;
@@ -344,6 +358,26 @@
          && bt_compare_kv_positions (feed->peer_position, bt_get_copy_position (feed->copy)) >= 0;
 }
 
+const char *
+bt_describe_peer_feed (bt_peer_feed_t *feed)
+{
+  const char *text = "current";
+
+  pthread_mutex_lock (&feed->lock);
+  if (feed->link == NULL)
+    text = "no peer";
+  else if (!feed->up)
+    text = "link down";
+  else if (!feed->synced)
+    text = "no items yet";
+  else if (!feed->peer_attached)
+    text = "peer without store";
+  else if (!is_current (feed))
+    text = "peer behind";
+  pthread_mutex_unlock (&feed->lock);
+  return text;
+}
+
 static bool
 is_candidate (const bt_feed_choice_t *choice, int32_t count, const char *address)
 {
@@ -466,7 +500,7 @@
 }
 
 void
-bt_set_store_reachable (bt_peer_feed_t *feed, bool reachable)
+bt_set_store_reachable (bt_peer_feed_t *feed, bool reachable, int64_t called_ms)
 {
   bool before;
 
@@ -474,7 +508,10 @@
   before = feed->attached;
   feed->attached = reachable;
   if (reachable)
-    feed->contact_ms = bt_now_ms (feed->ctx);
+    {
+      feed->contact_ms = bt_now_ms (feed->ctx);
+      feed->called_ms = called_ms;
+    }
   if (before != reachable)
     send_state_to_followers (feed);
   pthread_mutex_unlock (&feed->lock);
--- a/source/gateway/peer_feed.h
+++ b/source/gateway/peer_feed.h
@@ -42,6 +42,9 @@
  * this entry's copy. */
 bool bt_is_peer_feed_current (bt_peer_feed_t *feed);
 
+/** Returns why the followed peer is not current, or "current", for the log. */
+const char *bt_describe_peer_feed (bt_peer_feed_t *feed);
+
 /** Waits until an update arrives or the peer is lost, at most @p wait_ms. */
 void bt_wait_for_peer_update (bt_peer_feed_t *feed, int64_t wait_ms);
 
@@ -54,9 +57,9 @@
 /** Asks the peer for all changes since the copy's position, after an update was missed. */
 void bt_request_peer_resync (bt_peer_feed_t *feed);
 
-/** Records whether the store has just answered this entry, and notifies the followers if that has
- * changed. */
-void bt_set_store_reachable (bt_peer_feed_t *feed, bool reachable);
+/** Records whether the store has just answered this entry a call that began at @p called_ms, and
+ * notifies the followers if that has changed. */
+void bt_set_store_reachable (bt_peer_feed_t *feed, bool reachable, int64_t called_ms);
 
 /** Applies changes that directly follow the copy's position to the copy, and sends them to the
  * followers. */
--- a/source/gateway/store_follower.c
+++ b/source/gateway/store_follower.c
@@ -331,7 +331,7 @@
     return;
   if (done)
     follower->current_ms = begun_ms;
-  bt_set_store_reachable (follower->feed, done);
+  bt_set_store_reachable (follower->feed, done, begun_ms);
   if (done || !follower->follows_peer)
     record_store_state (follower, done, &error);
   if (!done && !follower->follows_peer)
@@ -370,6 +370,7 @@
   const bt_feed_choice_t *choice = &follower->choice;
   bt_kv_position_t position = bt_get_copy_position (follower->copy);
   int32_t count = follower->store_failing ? choice->count : choice->primary_count;
+  const char *peer_state = bt_describe_peer_feed (follower->feed);
   bool follows_peer;
 
   bt_maintain_peer_feed (follower->feed, choice, count);
@@ -379,14 +380,14 @@
   if (follows_peer == follower->follows_peer)
     return;
   follower->follows_peer = follows_peer;
-  bt_log_event (follower->ctx, BT_LOG_INFO, "store-source", "{s:s, s:I, s:I}", "source",
+  bt_log_event (follower->ctx, BT_LOG_INFO, "store-source", "{s:s, s:I, s:I, s:s}", "source",
                 follows_peer ? "peer" : "store", "era", (json_int_t)position.era, "revision",
-                (json_int_t)position.revision);
+                (json_int_t)position.revision, "peer_state", peer_state);
   if (!follows_peer)
     return;
   follower->deferred_ms = 0;
   /* Peers that follow this one must follow one that reads the store instead. */
-  bt_set_store_reachable (follower->feed, false);
+  bt_set_store_reachable (follower->feed, false, 0);
   record_store_state (follower, true, NULL);
 }
 
--- a/test/gateway/test_peer_feed.c
+++ b/test/gateway/test_peer_feed.c
@@ -89,7 +89,7 @@
 
   fill_changes (&changes, "a", FIRST_REVISION);
   CU_ASSERT_TRUE (bt_replace_copy (ctx, instance->copy, &changes.written, 0));
-  bt_set_store_reachable (instance->feed, true);
+  bt_set_store_reachable (instance->feed, true, bt_now_ms (ctx));
 }
 
 /* Follows a peer, as the watching thread of an entry does, until the copy is at a revision. */
