gateway: count the age of a copy from when the store surely spoke

Cause: a reader told its followers that the store answers it, for 1,800 ms behind the last answer. That counted from the end of the pause of 200 ms behind the answer, its end was told with the next heartbeat, up to 250 ms later, and neither counted from when the store had spoken. The follower's own call, which was suspected too, took 2 ms at most.

Change: a copy has an as-of time, until which it holds all that the store held: the begin of a call, or the end of its wait if the store waited in vain. A reader tells it relative to the arrival of the follower's last message, and the follower counts from when it sent that message, so that no delay and no clock makes a copy seem fresher. The word ends by itself after 1,550 ms. A follower's own word about its copy, what it waits for before it calls the store, and a read that is older than what is known go by the same time. The decisions stand in copy_freshness, without sockets and clocks.

The simulation fails with time counted from the answer, from the arrival of a word, with a margin of 1,000 ms, and with words that do not end by themselves.

Why this works: what remains is 1,550 ms and one call of the follower, 401 ms at most. In the simulation with each delay at its edges the longest is 1,637 ms.

--- a/source/gateway/peer_feed.c
+++ b/source/gateway/peer_feed.c
@@ -12,10 +12,6 @@
 
 enum
 {
-  /* A follower detects a suspended or disconnected reader only by its silence, and the reader's
-   * last update may be outdated by then. The follower reads the store itself after 800 ms, so its
-   * delay is at most that plus one read, well within the two seconds in which a change must take
-   * effect. */
   HEARTBEAT_INTERVAL_MS = 250,
   IDLE_MS = 800,
   HANDSHAKE_TIMEOUT_MS = 500,
@@ -31,6 +27,8 @@
 typedef struct follower_row
 {
   bt_link_t *link;
+  int64_t echo_ms;    /* time of sending of its last message, by its clock; 0: not known */
+  int64_t arrival_ms; /* of that message, by this entry's clock */
   struct follower_row *next;
 } follower_row_t;
 
@@ -48,10 +46,9 @@
   pthread_mutex_t lock; /* guards the members below */
   pthread_cond_t changed;
   follower_row_t *followers;
-  bool attached;      /* the store answers this entry */
-  int64_t contact_ms; /* time of the store's last answer */
-  int64_t called_ms;  /* begin of the call that it answered */
-  bool vouching;      /* the last state that was sent says that the store answers this entry */
+  bool attached;         /* the store answers this entry */
+  int64_t told_as_of_ms; /* as-of time of the copy when all followers were last told */
+  bool vouching;         /* the last state that was sent says that the copy is fresh */
   bool retired;
   char address[BT_ADDRESS_BYTES]; /* address of the followed peer */
   bt_link_t *link;                /* link to the followed peer */
@@ -59,6 +56,8 @@
   bool synced; /* the followed peer has sent its items */
   bool peer_attached;
   bt_kv_position_t peer_position;
+  bt_copy_claim_t peer_claim; /* the latest one, by this entry's clock */
+  int64_t peer_as_of_ms;      /* of the latest claim up to which this entry's copy has caught up */
   bt_kv_position_t requested; /* peer_position at the last request for missing changes */
   bt_store_update_t *first_update;
   bt_store_update_t **update_tail;
@@ -88,29 +87,48 @@
                   bt_get_link_instance (link));
 }
 
-/* Logs when the followers are told that the store no longer answers this entry. */
+/* Logs when the followers are told that the copy is not fresh any more. */
 static void
-record_vouching (bt_peer_feed_t *feed, bool vouching, int64_t silent_ms)
+record_vouching (bt_peer_feed_t *feed, bool vouching, int64_t age_ms)
 {
   if (feed->vouching && !vouching)
-    bt_log_event (feed->ctx, BT_LOG_INFO, "feed-suspended", "{s:I, s:I}", "silent_ms",
-                  (json_int_t)silent_ms, "called_before_ms",
-                  (json_int_t)(bt_now_ms (feed->ctx) - feed->called_ms));
+    bt_log_event (feed->ctx, BT_LOG_INFO, "feed-suspended", "{s:b, s:I}", "reads_store",
+                  feed->attached && !feed->retired, "age_ms", (json_int_t)age_ms);
   feed->vouching = vouching;
 }
 
+static follower_row_t *
+find_follower (const bt_peer_feed_t *feed, const bt_link_t *link)
+{
+  for (follower_row_t *row = feed->followers; row != NULL; row = row->next)
+    if (row->link == link)
+      return row;
+  return NULL;
+}
+
+/* The as-of time is given relative to the arrival of the receiver's last message. The receiver
+ * counts it from when it sent that message, which was earlier, so no delay of a message, at
+ * either end or on the way, makes a copy seem fresher than it is. */
 static void
 send_state (bt_peer_feed_t *feed, bt_link_t *link)
 {
   Bilberry__StoreState state = BILBERRY__STORE_STATE__INIT;
-  int64_t silent_ms = bt_now_ms (feed->ctx) - feed->contact_ms;
-  bt_kv_position_t position = bt_get_copy_position (feed->copy);
+  const follower_row_t *row = find_follower (feed, link);
+  bt_copy_claim_t claim = bt_get_copy_claim (feed->copy);
+  int64_t now_ms = bt_now_ms (feed->ctx);
 
-  state.attached = feed->attached && !feed->retired && silent_ms < feed->options.contact_ms;
-  record_vouching (feed, state.attached, silent_ms);
-  state.era = position.era;
-  state.revision = position.revision;
+  state.attached = feed->attached && !feed->retired
+                   && bt_get_follow_left_ms (&feed->options.freshness, claim.as_of_ms, now_ms) > 0;
+  record_vouching (feed, state.attached, now_ms - claim.as_of_ms);
+  state.era = claim.position.era;
+  state.revision = claim.position.revision;
   state.leaving = feed->retired;
+  state.sent_ms = now_ms;
+  if (state.attached && row != NULL && row->echo_ms != 0)
+    {
+      state.echo_ms = row->echo_ms;
+      state.as_of_after_ms = claim.as_of_ms - row->arrival_ms;
+    }
   send_message (feed, link, BILBERRY__FRAME__BODY_STORE_STATE, &state);
 }
 
@@ -122,6 +140,7 @@
 
   follow.era = position.era;
   follow.revision = position.revision;
+  follow.sent_ms = bt_now_ms (feed->ctx);
   send_message (feed, feed->link, BILBERRY__FRAME__BODY_STORE_FOLLOW, &follow);
 }
 
@@ -197,13 +216,15 @@
   pthread_mutex_unlock (&feed->lock);
 }
 
-static bool
-is_follower (const bt_peer_feed_t *feed, const bt_link_t *link)
+static void
+record_message_time (bt_peer_feed_t *feed, const bt_link_t *link, int64_t sent_ms)
 {
-  for (const follower_row_t *row = feed->followers; row != NULL; row = row->next)
-    if (row->link == link)
-      return true;
-  return false;
+  follower_row_t *row = find_follower (feed, link);
+
+  if (row == NULL)
+    return;
+  row->echo_ms = sent_ms;
+  row->arrival_ms = bt_now_ms (feed->ctx);
 }
 
 /* Handles the request of a new follower, or of one that missed an update. Sends all items that
@@ -214,7 +235,7 @@
 {
   items_args_t args = { feed, link, { follow->era, follow->revision } };
 
-  if (!is_follower (feed, link))
+  if (find_follower (feed, link) == NULL)
     {
       follower_row_t *row = bt_calloc (feed->ctx, 1, sizeof *row);
 
@@ -222,6 +243,7 @@
       row->next = feed->followers;
       feed->followers = row;
     }
+  record_message_time (feed, link, follow->sent_ms);
   bt_visit_shown_items (feed->copy, send_items, &args);
   send_state (feed, link);
 }
@@ -246,12 +268,35 @@
   feed->update_tail = &update->next;
 }
 
+/* Takes over what the followed peer says of its copy, once this entry's copy has caught up. */
+static void
+confirm_peer_claim (bt_peer_feed_t *feed)
+{
+  if (feed->peer_claim.as_of_ms != bt_never_complete_ms
+      && bt_confirm_copy_claim (feed->copy, &feed->peer_claim))
+    feed->peer_as_of_ms = feed->peer_claim.as_of_ms;
+}
+
+static void
+handle_peer_state (bt_peer_feed_t *feed, const Bilberry__StoreState *state)
+{
+  feed->peer_attached = state->attached;
+  advance_peer_position (feed, state->era, state->revision);
+  if (!state->attached || state->echo_ms == 0)
+    return;
+  feed->peer_claim =
+      (bt_copy_claim_t){ { state->era, state->revision }, state->echo_ms + state->as_of_after_ms };
+  confirm_peer_claim (feed);
+}
+
 static void
 handle_frame (bt_link_handler_t *handler, bt_link_t *link, const bt_frame_t *frame)
 {
   bt_peer_feed_t *feed = (bt_peer_feed_t *)handler;
 
   pthread_mutex_lock (&feed->lock);
+  if (frame->body_case == BILBERRY__FRAME__BODY_STORE_STATE)
+    record_message_time (feed, link, frame->store_state->sent_ms);
   if (frame->body_case == BILBERRY__FRAME__BODY_STORE_STATE && frame->store_state->leaving)
     bt_record_departed_peer (feed->ctx, &feed->departed, link);
   if (frame->body_case == BILBERRY__FRAME__BODY_STORE_FOLLOW)
@@ -259,10 +304,7 @@
   else if (link == feed->link && frame->body_case == BILBERRY__FRAME__BODY_STORE_ITEMS)
     handle_items (feed, frame->store_items);
   else if (link == feed->link && frame->body_case == BILBERRY__FRAME__BODY_STORE_STATE)
-    {
-      feed->peer_attached = frame->store_state->attached;
-      advance_peer_position (feed, frame->store_state->era, frame->store_state->revision);
-    }
+    handle_peer_state (feed, frame->store_state);
   pthread_cond_signal (&feed->changed);
   pthread_mutex_unlock (&feed->lock);
 }
@@ -301,6 +343,9 @@
   feed->options = *options;
   feed->copy = copy;
   feed->update_tail = &feed->first_update;
+  feed->told_as_of_ms = bt_never_complete_ms;
+  feed->peer_claim.as_of_ms = bt_never_complete_ms;
+  feed->peer_as_of_ms = bt_never_complete_ms;
   pthread_mutex_init (&feed->lock, NULL);
   bt_init_condition (&feed->changed);
   bt_fill_peer_link_options (&options->self, &feed->handler, &link_options);
@@ -327,6 +372,8 @@
   feed->peer_attached = false;
   feed->peer_position = (bt_kv_position_t){ 0 };
   feed->requested = (bt_kv_position_t){ 0 };
+  feed->peer_claim.as_of_ms = bt_never_complete_ms;
+  feed->peer_as_of_ms = bt_never_complete_ms;
   while (feed->first_update != NULL)
     {
       bt_store_update_t *update = feed->first_update;
@@ -351,10 +398,19 @@
   bt_free (ctx, feed);
 }
 
+static int64_t
+get_follow_left_ms (const bt_peer_feed_t *feed)
+{
+  return bt_get_follow_left_ms (&feed->options.freshness, feed->peer_as_of_ms,
+                                bt_now_ms (feed->ctx));
+}
+
 static bool
 is_current (bt_peer_feed_t *feed)
 {
+  confirm_peer_claim (feed);
   return feed->link != NULL && feed->up && feed->synced && feed->peer_attached
+         && get_follow_left_ms (feed) > 0
          && bt_compare_kv_positions (feed->peer_position, bt_get_copy_position (feed->copy)) >= 0;
 }
 
@@ -372,6 +428,8 @@
     text = "no items yet";
   else if (!feed->peer_attached)
     text = "peer without store";
+  else if (get_follow_left_ms (feed) == 0)
+    text = "copy too old";
   else if (!is_current (feed))
     text = "peer behind";
   pthread_mutex_unlock (&feed->lock);
@@ -455,7 +513,11 @@
 {
   pthread_mutex_lock (&feed->lock);
   if (feed->first_update == NULL && is_current (feed))
-    bt_wait_condition (&feed->changed, &feed->lock, wait_ms);
+    {
+      int64_t left_ms = get_follow_left_ms (feed);
+
+      bt_wait_condition (&feed->changed, &feed->lock, left_ms < wait_ms ? left_ms : wait_ms);
+    }
   pthread_mutex_unlock (&feed->lock);
 }
 
@@ -500,20 +562,17 @@
 }
 
 void
-bt_set_store_reachable (bt_peer_feed_t *feed, bool reachable, int64_t called_ms)
+bt_set_store_reachable (bt_peer_feed_t *feed, bool reachable)
 {
+  int64_t as_of_ms = bt_get_copy_claim (feed->copy).as_of_ms;
   bool before;
 
   pthread_mutex_lock (&feed->lock);
   before = feed->attached;
   feed->attached = reachable;
-  if (reachable)
-    {
-      feed->contact_ms = bt_now_ms (feed->ctx);
-      feed->called_ms = called_ms;
-    }
-  if (before != reachable)
+  if (before != reachable || (reachable && as_of_ms != feed->told_as_of_ms))
     send_state_to_followers (feed);
+  feed->told_as_of_ms = as_of_ms;
   pthread_mutex_unlock (&feed->lock);
 }
 
--- a/source/gateway/peer_feed.h
+++ b/source/gateway/peer_feed.h
@@ -20,8 +20,7 @@
 typedef struct bt_peer_feed_options
 {
   bt_peer_identity_t self;
-  int64_t contact_ms; /**< A reader is no longer attached to the store after this time without an
-                         answer. */
+  bt_freshness_limits_t freshness;
 } bt_peer_feed_options_t;
 
 /** Returns NULL and sets @p error if this entry can't accept links. */
@@ -38,14 +37,14 @@
  * the followed peer has and did not send; the updates that have arrived must have been applied. */
 void bt_maintain_peer_feed (bt_peer_feed_t *feed, const bt_feed_choice_t *choice, int32_t count);
 
-/** Returns true if the followed peer reads the store itself, has sent all items, and is not behind
- * this entry's copy. */
+/** Returns true if the followed peer reads the store itself, has sent all items, is not behind this
+ * entry's copy, and has a copy that is fresh enough to be followed. */
 bool bt_is_peer_feed_current (bt_peer_feed_t *feed);
 
 /** Returns why the followed peer is not current, or "current", for the log. */
 const char *bt_describe_peer_feed (bt_peer_feed_t *feed);
 
-/** Waits until an update arrives or the peer is lost, at most @p wait_ms. */
+/** Waits until an update arrives or the peer is no longer current, at most @p wait_ms. */
 void bt_wait_for_peer_update (bt_peer_feed_t *feed, int64_t wait_ms);
 
 /** Waits until the followed peer is current, at most @p wait_ms. */
@@ -57,9 +56,9 @@
 /** Asks the peer for all changes since the copy's position, after an update was missed. */
 void bt_request_peer_resync (bt_peer_feed_t *feed);
 
-/** Records whether the store has just answered this entry a call that began at @p called_ms, and
- * notifies the followers if that has changed. */
-void bt_set_store_reachable (bt_peer_feed_t *feed, bool reachable, int64_t called_ms);
+/** Records whether this entry reads the store and the store answers it. Tells the followers if that
+ * has changed, or if the copy was confirmed to be complete as of a later time. */
+void bt_set_store_reachable (bt_peer_feed_t *feed, bool reachable);
 
 /** Applies changes that directly follow the copy's position to the copy, and sends them to the
  * followers. */
--- a/source/gateway/store_copy.c
+++ b/source/gateway/store_copy.c
@@ -10,6 +10,7 @@
   bt_kv_range_t items;  /* as the store shows them */
   bt_retention_t retained;
   bt_removed_keys_t removed;
+  int64_t as_of_ms;
   const bt_platform_t *platform;
 };
 
@@ -19,6 +20,7 @@
   bt_store_copy_t *copy = bt_calloc (ctx, 1, sizeof *copy);
 
   copy->platform = platform;
+  copy->as_of_ms = bt_never_complete_ms;
   pthread_mutex_init (&copy->lock, NULL);
   return copy;
 }
@@ -52,6 +54,30 @@
   return position;
 }
 
+bt_copy_claim_t
+bt_get_copy_claim (bt_store_copy_t *copy)
+{
+  bt_copy_claim_t claim;
+
+  pthread_mutex_lock (&copy->lock);
+  claim = (bt_copy_claim_t){ get_position (&copy->items), copy->as_of_ms };
+  pthread_mutex_unlock (&copy->lock);
+  return claim;
+}
+
+bool
+bt_confirm_copy_claim (bt_store_copy_t *copy, const bt_copy_claim_t *claim)
+{
+  bool confirmed;
+
+  pthread_mutex_lock (&copy->lock);
+  confirmed = bt_compare_kv_positions (get_position (&copy->items), claim->position) >= 0;
+  if (confirmed && claim->as_of_ms > copy->as_of_ms)
+    copy->as_of_ms = claim->as_of_ms;
+  pthread_mutex_unlock (&copy->lock);
+  return confirmed;
+}
+
 int32_t
 bt_count_retained_items (bt_store_copy_t *copy)
 {
@@ -237,13 +263,14 @@
 }
 
 bool
-bt_expire_retained_items (bt_context_t *ctx, bt_store_copy_t *copy, int64_t current_ms)
+bt_expire_retained_items (bt_context_t *ctx, bt_store_copy_t *copy)
 {
   bool changed;
 
   pthread_mutex_lock (&copy->lock);
-  changed = copy->retained.count > 0
-            && bt_settle_retention (ctx, &copy->retained, copy->platform, &copy->items, current_ms);
+  changed =
+      copy->retained.count > 0
+      && bt_settle_retention (ctx, &copy->retained, copy->platform, &copy->items, copy->as_of_ms);
   pthread_mutex_unlock (&copy->lock);
   return changed;
 }
--- a/source/gateway/store_copy.h
+++ b/source/gateway/store_copy.h
@@ -9,10 +9,18 @@
  * Only one thread changes the copy; any thread may read it.
  */
 
+#include "copy_freshness.h"
 #include "retention.h"
 
 typedef struct bt_store_copy bt_store_copy_t;
 
+/** What an entry says about its copy: it holds all that the store held at a time. */
+typedef struct bt_copy_claim
+{
+  bt_kv_position_t position; /**< Of the copy; zeroed while it is empty. */
+  int64_t as_of_ms;          /**< See copy_freshness.h. */
+} bt_copy_claim_t;
+
 /** An update from the copy of another process. */
 typedef struct bt_store_update
 {
@@ -50,6 +58,13 @@
 /** Returns the position of the items; zeroed while the copy is empty. */
 bt_kv_position_t bt_get_copy_position (bt_store_copy_t *copy);
 
+/** Returns the position of the items, and the time as of which they are complete. */
+bt_copy_claim_t bt_get_copy_claim (bt_store_copy_t *copy);
+
+/** Takes over an as-of time, unless a later one is known. Returns false and changes nothing if the
+ * copy is at an earlier position than the claim's: the claim holds once it has caught up. */
+bool bt_confirm_copy_claim (bt_store_copy_t *copy, const bt_copy_claim_t *claim);
+
 /** Returns how many items differ from what the store shows, because the store was restored. */
 int32_t bt_count_retained_items (bt_store_copy_t *copy);
 
@@ -71,10 +86,10 @@
                                             bt_store_update_t *update,
                                             int64_t now_ms);
 
-/** Drops retained items whose time is over. The copy is known to be up to date as of @p current_ms:
- * an instance that was suspended or disconnected must not drop what the store may show again by
- * now. Returns true if the items in force have changed. */
-bool bt_expire_retained_items (bt_context_t *ctx, bt_store_copy_t *copy, int64_t current_ms);
+/** Drops retained items whose time was over when the copy was last complete: an instance that was
+ * suspended or disconnected must not drop what the store may show again by now. Returns true if the
+ * items in force have changed. */
+bool bt_expire_retained_items (bt_context_t *ctx, bt_store_copy_t *copy);
 
 /** Calls @p visit with the items in force, with the copy's lock held. */
 void
--- a/source/gateway/store_follower.c
+++ b/source/gateway/store_follower.c
@@ -22,18 +22,10 @@
   FULL_READ_MS = 20000,
   /* Wait of the watch that reports what has changed since a lagging read; mostly it has events. */
   FIRST_WATCH_MS = 1,
-  /* Maximum delay of a watch's answer beyond the wait time of the watch, including the pause
-   * GATHER_MS. */
-  CONTACT_MARGIN_MS = 800,
   /* Longest wait while a peer is followed; an update ends the wait. */
   PEER_WAIT_MS = 300,
-  /* An entry that is to follow a peer waits for it this long after a call to the store, before it
-   * calls the store again. The time covers the links to two peers that are tried in turn. */
-  PEER_PATIENCE_MS = 700,
   PEER_PATIENCE_STEP_MS = 50,
-  /* A reader whose calls to the store fail follows a peer and tries the store at this interval. The
-   * wait of that watch is short, because it delays the peer's updates. */
-  STORE_RETRY_MS = 1500,
+  /* The wait of a watch that tries the store is short, because it delays the peer's updates. */
   RETRY_WATCH_MS = 20,
   /* An entry that is no reader waits this long for a peer before it reads a store that has
    * returned. Readers have read it by then, and each peer that may be followed was tried. */
@@ -57,9 +49,12 @@
   bool follows_peer;    /* updates come from a peer, not from the store */
   bool lost;            /* neither the store nor a peer answers */
   bool store_failing;   /* the last call to the store failed */
-  int64_t tried_ms;     /* time of the last call to the store */
-  int64_t current_ms;   /* the copy is up to date as of this time */
+  int64_t tried_ms;     /* end of the last call to the store */
+  int64_t delay_ms;     /* how long a watch took beyond its wait */
+  bool helped;          /* the last call to the store brought changes or made the copy fresher */
+  bool gathering;       /* the last call reported changes */
   int64_t deferred_ms;  /* since when a full read is left to the readers; 0: it is not */
+  bt_freshness_limits_t freshness;
   bt_feed_choice_t choice;
   bt_store_copy_t *copy;
   bt_peer_feed_t *feed;
@@ -160,7 +155,17 @@
   post_event (follower, args.view, true);
 }
 
-/* Takes over items that were read, unless newer ones are known, and tells the followers. */
+/* Records that the copy, as it is now, holds all that the store held at a time. */
+static void
+record_as_of (bt_store_follower_t *follower, int64_t as_of_ms)
+{
+  bt_copy_claim_t claim = { bt_get_copy_position (follower->copy), as_of_ms };
+
+  bt_confirm_copy_claim (follower->copy, &claim);
+}
+
+/* Takes over items that were read, unless newer ones are known, and tells the followers. The copy
+ * is not fresher by a read that is older than what is known. */
 static void
 replace_items (bt_store_follower_t *follower, bt_kv_range_t *range, int64_t begun_ms)
 {
@@ -173,6 +178,7 @@
       return;
     }
   follower->read_ms = begun_ms;
+  record_as_of (follower, begun_ms);
   bt_record_store_position (ctx, &follower->status, follower->copy, before);
   if (bt_compare_kv_positions (bt_get_copy_position (follower->copy), before) > 0)
     bt_send_peer_items (follower->feed, before);
@@ -199,13 +205,14 @@
 read_first (bt_store_follower_t *follower, bt_error_t *error)
 {
   bt_context_t *ctx = follower->ctx;
-  int64_t begun_ms = bt_now_ms (ctx);
   bt_kv_range_t range = { 0 };
   bt_kv_changes_t changes = { 0 };
+  int64_t begun_ms;
   bool done;
 
   if (!bt_read_lagging_kv (ctx, follower->kv, "", &range, error))
     return false;
+  begun_ms = bt_now_ms (ctx);
   done = bt_follow_kv (ctx, follower->kv, "", range.revision + 1, FIRST_WATCH_MS, &changes, error);
   if (done && !changes.incomplete && changes.written.era == range.era
       && changes.written.revision >= range.revision)
@@ -256,7 +263,10 @@
 /* Applies the changes that a watch reported. Reads all items if the watch may have missed some, as
  * after a restoration: then the watch began at a revision of the era before. */
 static bool
-apply_changes (bt_store_follower_t *follower, bt_kv_changes_t *changes, bt_error_t *error)
+apply_changes (bt_store_follower_t *follower,
+               bt_kv_changes_t *changes,
+               bt_answered_watch_t *watch,
+               bt_error_t *error)
 {
   bt_kv_position_t before = bt_get_copy_position (follower->copy);
   bool restored = changes->written.era != before.era;
@@ -266,13 +276,14 @@
   follower->deferred_ms = 0;
   if (restored || changes->incomplete || changes->written.revision < before.revision)
     return read_all (follower, error);
-  if (changes->written.count == 0 && changes->removed_count == 0)
-    return true;
-  bt_apply_and_send_changes (follower->feed, changes);
-  post_current_view (follower, bt_now_ms (follower->ctx));
-  /* Changes often come in quick succession, and each watch is a call to the store. Waiting lets the
-   * next answer report several of them. */
-  pause_watcher (follower, GATHER_MS);
+  watch->changed = changes->written.count > 0 || changes->removed_count > 0;
+  follower->gathering = watch->changed;
+  follower->delay_ms = bt_get_watch_delay_ms (watch, follower->delay_ms);
+  if (watch->changed)
+    bt_apply_and_send_changes (follower->feed, changes);
+  record_as_of (follower, bt_get_watch_as_of_ms (watch));
+  if (watch->changed)
+    post_current_view (follower, bt_now_ms (follower->ctx));
   return true;
 }
 
@@ -291,18 +302,20 @@
 static bool
 follow_store (bt_store_follower_t *follower, int64_t wait_ms, bt_error_t *error)
 {
+  bt_answered_watch_t watch = { .called_ms = bt_now_ms (follower->ctx), .wait_ms = wait_ms };
   bt_kv_changes_t changes = { 0 };
   bool done;
 
   if (follower->last_view == NULL)
     return read_first (follower, error);
-  if (bt_now_ms (follower->ctx) - follower->read_ms > FULL_READ_MS)
+  if (watch.called_ms - follower->read_ms > FULL_READ_MS)
     return read_all (follower, error);
   done =
       bt_follow_kv (follower->ctx, follower->kv, "",
                     bt_get_copy_position (follower->copy).revision + 1, wait_ms, &changes, error);
+  watch.answered_ms = bt_now_ms (follower->ctx);
   if (done)
-    done = apply_changes (follower, &changes, error);
+    done = apply_changes (follower, &changes, &watch, error);
   else if (!follower->follows_peer && !leaves_read_to_readers (follower, error))
     {
       bt_clear_error (error);
@@ -316,10 +329,13 @@
 static void
 call_store (bt_store_follower_t *follower, int64_t wait_ms)
 {
-  int64_t begun_ms = bt_now_ms (follower->ctx);
+  int64_t as_of_ms = bt_get_copy_claim (follower->copy).as_of_ms;
   bt_error_t error = { 0 };
-  bool done = follow_store (follower, wait_ms, &error);
+  bool done;
 
+  follower->gathering = false;
+  done = follow_store (follower, wait_ms, &error);
+  follower->helped = follower->gathering || bt_get_copy_claim (follower->copy).as_of_ms > as_of_ms;
   if (ck_pr_load_int (&follower->watch_ended) != 0)
     return;
   follower->tried_ms = bt_now_ms (follower->ctx);
@@ -329,11 +345,13 @@
   /* The store answers, but this entry has not read it yet. */
   if (follower->deferred_ms != 0)
     return;
-  if (done)
-    follower->current_ms = begun_ms;
-  bt_set_store_reachable (follower->feed, done, begun_ms);
+  bt_set_store_reachable (follower->feed, done);
   if (done || !follower->follows_peer)
     record_store_state (follower, done, &error);
+  /* Changes often come in quick succession, and each watch is a call to the store. Waiting lets the
+   * next answer report several of them. */
+  if (follower->gathering)
+    pause_watcher (follower, GATHER_MS);
   if (!done && !follower->follows_peer)
     pause_watcher (follower, FAILED_PAUSE_MS);
 }
@@ -386,43 +404,42 @@
   if (!follows_peer)
     return;
   follower->deferred_ms = 0;
+  follower->helped = true;
   /* Peers that follow this one must follow one that reads the store instead. */
-  bt_set_store_reachable (follower->feed, false, 0);
+  bt_set_store_reachable (follower->feed, false);
   record_store_state (follower, true, NULL);
 }
 
-static bool
-is_store_retry_due (const bt_store_follower_t *follower)
-{
-  return follower->choice.reader && bt_now_ms (follower->ctx) - follower->tried_ms > STORE_RETRY_MS;
-}
-
-/* Returns true while an entry that has just called the store waits for a peer in its place. Without
- * this wait, each start of an entry would cost several watches. */
-static bool
-is_waiting_for_peer (const bt_store_follower_t *follower)
+static void
+expire_retained_items (bt_store_follower_t *follower)
 {
-  return follower->last_view != NULL && !follower->store_failing
-         && follower->choice.primary_count > 0
-         && bt_now_ms (follower->ctx) - follower->tried_ms < PEER_PATIENCE_MS;
+  if (bt_expire_retained_items (follower->ctx, follower->copy))
+    post_current_view (follower, follower->read_ms);
 }
 
-/* Waits for updates of the followed peer. What it sent before the wait has arrived after it. */
-static void
-wait_for_peer_update (bt_store_follower_t *follower)
-{
-  int64_t begun_ms = bt_now_ms (follower->ctx);
+static bt_follower_step_t
+choose_step (const bt_store_follower_t *follower)
+{
+  bt_follower_state_t state = {
+    .follows_peer = follower->follows_peer,
+    .has_view = follower->last_view != NULL,
+    .reader = follower->choice.reader,
+    .has_primaries = follower->choice.primary_count > 0,
+    .store_failing = follower->store_failing,
+    .read_deferred = follower->deferred_ms != 0,
+    .as_of_ms = bt_get_copy_claim (follower->copy).as_of_ms,
+    .tried_ms = follower->tried_ms,
+  };
 
-  bt_wait_for_peer_update (follower->feed, PEER_WAIT_MS);
-  if (bt_is_peer_feed_current (follower->feed))
-    follower->current_ms = begun_ms;
+  return bt_choose_follower_step (&state, bt_now_ms (follower->ctx));
 }
 
 static void
-expire_retained_items (bt_store_follower_t *follower)
+watch_store (bt_store_follower_t *follower)
 {
-  if (bt_expire_retained_items (follower->ctx, follower->copy, follower->current_ms))
-    post_current_view (follower, follower->read_ms);
+  call_store (follower, bt_get_watch_wait_ms (
+                            &follower->freshness, bt_get_copy_claim (follower->copy).as_of_ms,
+                            follower->delay_ms, follower->helped, bt_now_ms (follower->ctx)));
 }
 
 static void *
@@ -435,14 +452,21 @@
       choose_source (follower);
       apply_peer_updates (follower);
       expire_retained_items (follower);
-      if (!follower->follows_peer && is_waiting_for_peer (follower))
-        bt_wait_for_current_peer (follower->feed, PEER_PATIENCE_STEP_MS);
-      else if (!follower->follows_peer)
-        call_store (follower, follower->options.watch_ms);
-      else if (is_store_retry_due (follower))
-        call_store (follower, RETRY_WATCH_MS);
-      else
-        wait_for_peer_update (follower);
+      switch (choose_step (follower))
+        {
+        case BT_STEP_WAIT_FOR_PEER:
+          bt_wait_for_current_peer (follower->feed, PEER_PATIENCE_STEP_MS);
+          break;
+        case BT_STEP_WATCH_STORE:
+          watch_store (follower);
+          break;
+        case BT_STEP_RETRY_STORE:
+          call_store (follower, RETRY_WATCH_MS);
+          break;
+        case BT_STEP_WAIT_FOR_UPDATE:
+          bt_wait_for_peer_update (follower->feed, PEER_WAIT_MS);
+          break;
+        }
     }
   return NULL;
 }
@@ -456,7 +480,7 @@
               .incarnation = options->entry.identity.incarnation,
               .failure_domain = options->entry.failure_domain,
               .secret = options->secret },
-    .contact_ms = options->watch_ms + CONTACT_MARGIN_MS,
+    .freshness = follower->freshness,
   };
 
   follower->copy = bt_new_store_copy (follower->ctx, options->platform);
@@ -486,6 +510,8 @@
   follower->loop = loop;
   follower->options = *options;
   follower->listener = listener;
+  follower->freshness = bt_get_freshness_limits (options->watch_ms);
+  follower->helped = true;
   follower->kv = options->platform->vtable->new_store (ctx, options->address, seed);
   filter = bt_make_store_filter (options->platform);
   bt_set_kv_filter (follower->kv, &filter);
--- a/test/gateway/test_store_copy.c
+++ b/test/gateway/test_store_copy.c
@@ -291,6 +291,32 @@
   bt_drop_store_copy (ctx, copy);
 }
 
+/* Guards against a copy that is taken for complete by the word of a peer that is ahead of it: the
+ * peer's changes are on their way. */
+static void
+test_claim_holds_once_the_copy_has_caught_up (void)
+{
+  bt_store_copy_t *copy = make_copy (5);
+  bt_copy_claim_t ahead = { { 0, 6 }, 700 };
+  bt_copy_claim_t behind = { { 0, 4 }, 600 };
+  bt_kv_changes_t changes = { 0 };
+
+  CU_ASSERT_EQUAL (bt_get_copy_claim (copy).as_of_ms, bt_never_complete_ms);
+  CU_ASSERT_FALSE (bt_confirm_copy_claim (copy, &ahead));
+  CU_ASSERT_EQUAL (bt_get_copy_claim (copy).as_of_ms, bt_never_complete_ms);
+  CU_ASSERT_TRUE (bt_confirm_copy_claim (copy, &behind));
+  CU_ASSERT_EQUAL (bt_get_copy_claim (copy).as_of_ms, 600);
+  changes.written.revision = 6;
+  bt_apply_changes_to_copy (ctx, copy, &changes, 0);
+  CU_ASSERT_TRUE (bt_confirm_copy_claim (copy, &ahead));
+  CU_ASSERT_EQUAL (bt_get_copy_claim (copy).as_of_ms, 700);
+  /* An earlier time takes nothing back. */
+  CU_ASSERT_TRUE (bt_confirm_copy_claim (copy, &behind));
+  CU_ASSERT_EQUAL (bt_get_copy_claim (copy).as_of_ms, 700);
+  CU_ASSERT_EQUAL (bt_get_copy_claim (copy).position.revision, 6);
+  bt_drop_store_copy (ctx, copy);
+}
+
 int
 main (void)
 {
@@ -308,6 +334,7 @@
   CU_ADD_TEST (suite, test_changes_of_a_later_era_are_a_gap);
   CU_ADD_TEST (suite, test_update_of_an_earlier_era_is_old);
   CU_ADD_TEST (suite, test_endpoint_that_registers_again_is_no_removed_one);
+  CU_ADD_TEST (suite, test_claim_holds_once_the_copy_has_caught_up);
   CU_basic_set_mode (CU_BRM_VERBOSE);
   CU_basic_run_tests ();
   failures = CU_get_number_of_failures ();
--- a/test/gateway/test_store_restores.c
+++ b/test/gateway/test_store_restores.c
@@ -88,8 +88,7 @@
   int64_t frozen_until_ms;
   int64_t cut_until_ms;
   int64_t read_ms;
-  int64_t current_ms; /* its copy is up to date as of this time */
-  int32_t version;    /* in force, to check that it never decreases */
+  int32_t version; /* in force, to check that it never decreases */
   /* Incarnations of each endpoint, as bits: those that were in use here, that were seen leaving,
    * and that were seen removed, with the era in which that was. */
   uint64_t used[ENDPOINTS];
@@ -498,15 +497,6 @@
     start_instance (sim, (int32_t)(instance - sim->instances));
 }
 
-/* Returns true if a follower is not behind its reader. */
-static bool
-is_current (const simulation_t *sim, int32_t follower, int32_t reader)
-{
-  return bt_compare_kv_positions (bt_get_copy_position (sim->instances[follower].copy),
-                                  bt_get_copy_position (sim->instances[reader].copy))
-         <= 0;
-}
-
 /* The first instances read the store. The others follow one of them, or read it if they find none
  * that runs. */
 static void
@@ -517,6 +507,7 @@
   bool follows = index >= READERS && sim->now_ms >= sim->instances[reader].frozen_until_ms
                  && bt_get_copy_position (sim->instances[reader].copy).revision > 0;
   transfer_t transfer = { sim, instance };
+  bt_copy_claim_t claim;
 
   if (sim->now_ms < instance->frozen_until_ms)
     return;
@@ -526,11 +517,15 @@
     {
       contact_store (sim, index);
       check_contact (sim, index);
-      instance->current_ms = sim->now_ms;
+      claim = (bt_copy_claim_t){ bt_get_copy_position (instance->copy), sim->now_ms };
+      bt_confirm_copy_claim (instance->copy, &claim);
+    }
+  if (follows)
+    {
+      claim = bt_get_copy_claim (sim->instances[reader].copy);
+      bt_confirm_copy_claim (instance->copy, &claim);
     }
-  if (follows && is_current (sim, index, reader))
-    instance->current_ms = sim->instances[reader].current_ms;
-  bt_expire_retained_items (ctx, instance->copy, instance->current_ms);
+  bt_expire_retained_items (ctx, instance->copy);
   check_instance (sim, index);
 }
 
