gateway: watches of 1,200 ms, so that the calls on the store do not grow

Cause: the watch behind a change is short since the age of copies counts from when the store spoke, which is a call more behind a lone change.

Change: a watch waits for 1,200 ms, as the limits of 1,350 and 1,550 ms no longer have to cover the pause and the heartbeat. The pause behind a change is cut short where the copy must be renewed.

--- a/source/entry/command_gateway.c
+++ b/source/entry/command_gateway.c
@@ -56,7 +56,7 @@
     "Time for which callers may cache an answer with addresses, ms." },
   { "drain-ms", BT_SETTING_INTEGER, FIELD (drain_ms), "7800", 0, 3600000,
     "Maximum time from SIGTERM to exit, ms." },
-  { "watch-ms", BT_SETTING_INTEGER, FIELD (watch_ms), "1000", 100, 30000,
+  { "watch-ms", BT_SETTING_INTEGER, FIELD (watch_ms), "1200", 100, 30000,
     "Maximum duration of one watch call to the store, ms." },
   { "lease-s", BT_SETTING_INTEGER, FIELD (lease_s), "4", 1, 600,
     "Time after which this instance's listing expires without renewal, s." },
--- a/source/gateway/copy_freshness.c
+++ b/source/gateway/copy_freshness.c
@@ -3,11 +3,11 @@
 enum
 {
   /* Beyond a whole wait of a watch. It covers the delay of two calls in a row. */
-  RENEW_MARGIN_MS = 350,
+  RENEW_MARGIN_MS = 150,
   /* Beyond a whole wait of a watch. It covers the way of a reader's word to its followers, and
    * leaves them time for a call of their own within the two seconds in which a change must take
    * effect. */
-  FOLLOW_MARGIN_MS = 550,
+  FOLLOW_MARGIN_MS = 350,
   MIN_WAIT_MS = 1,
   /* An entry that is to follow a peer waits for it until its copy has this age, before it calls the
    * store again. The time covers the links to two peers that are tried in turn. */
@@ -45,6 +45,24 @@
   return has_waited (watch) ? watch->answered_ms - watch->called_ms - watch->wait_ms : known_ms;
 }
 
+static int64_t
+clamp (int64_t value, int64_t least, int64_t most)
+{
+  if (value < least)
+    return least;
+  return value < most ? value : most;
+}
+
+int64_t
+bt_get_pause_ms (const bt_freshness_limits_t *limits,
+                 int64_t as_of_ms,
+                 int64_t delay_ms,
+                 int64_t pause_ms,
+                 int64_t now_ms)
+{
+  return clamp (as_of_ms + limits->renew_ms - delay_ms - now_ms, 0, pause_ms);
+}
+
 int64_t
 bt_get_watch_wait_ms (const bt_freshness_limits_t *limits,
                       int64_t as_of_ms,
@@ -52,13 +70,9 @@
                       bool helped,
                       int64_t now_ms)
 {
-  int64_t wait_ms = as_of_ms + limits->renew_ms - delay_ms - now_ms;
-
   if (!helped)
     return limits->watch_ms;
-  if (wait_ms < MIN_WAIT_MS)
-    return MIN_WAIT_MS;
-  return wait_ms < limits->watch_ms ? wait_ms : limits->watch_ms;
+  return clamp (as_of_ms + limits->renew_ms - delay_ms - now_ms, MIN_WAIT_MS, limits->watch_ms);
 }
 
 int64_t
--- a/source/gateway/copy_freshness.h
+++ b/source/gateway/copy_freshness.h
@@ -42,6 +42,14 @@
  * since the store did not wait. */
 int64_t bt_get_watch_delay_ms (const bt_answered_watch_t *watch, int64_t known_ms);
 
+/** Returns for how long a reader may pause behind a change, at most @p pause_ms, so that a call
+ * which takes @p delay_ms still renews its copy in time. */
+int64_t bt_get_pause_ms (const bt_freshness_limits_t *limits,
+                         int64_t as_of_ms,
+                         int64_t delay_ms,
+                         int64_t pause_ms,
+                         int64_t now_ms);
+
 /** Returns how long the next watch is to wait, at least 1 ms, so that its answer arrives before the
  * copy reaches renew_ms if calls take @p delay_ms beyond their wait. If the last call has not
  * @p helped, as it failed or made the copy no fresher, the next one waits for the whole time. */
--- a/source/gateway/store_follower.c
+++ b/source/gateway/store_follower.c
@@ -325,6 +325,13 @@
   return done;
 }
 
+static int64_t
+get_gather_ms (const bt_store_follower_t *follower)
+{
+  return bt_get_pause_ms (&follower->freshness, bt_get_copy_claim (follower->copy).as_of_ms,
+                          follower->delay_ms, GATHER_MS, bt_now_ms (follower->ctx));
+}
+
 /* Makes one call to the store itself, and records whether it answers. */
 static void
 call_store (bt_store_follower_t *follower, int64_t wait_ms)
@@ -351,7 +358,7 @@
   /* Changes often come in quick succession, and each watch is a call to the store. Waiting lets the
    * next answer report several of them. */
   if (follower->gathering)
-    pause_watcher (follower, GATHER_MS);
+    pause_watcher (follower, get_gather_ms (follower));
   if (!done && !follower->follows_peer)
     pause_watcher (follower, FAILED_PAUSE_MS);
 }
--- a/test/gateway/test_copy_freshness.c
+++ b/test/gateway/test_copy_freshness.c
@@ -9,7 +9,7 @@
 
 enum
 {
-  WATCH_MS = 1000,
+  WATCH_MS = 1200,
   /* Within this time behind its confirmation a change must be in force at a sound follower. */
   APPLY_LIMIT_MS = 2000,
   /* What the platform's client adds to the wait of a watch, as the time limit of the call. */
@@ -21,6 +21,7 @@
   RELINK_MS = 600,
   WARM_UP_MS = 3000,
   CALM_MS = 60000,
+  CALM_WATCH_MS = 1000, /* least wait of a watch while nothing changes */
   END_MS = 7000,
   MAX_CHANGES = 4,
   MAX_MESSAGES = 64,
@@ -180,7 +181,9 @@
   entry->as_of_ms = as_of_ms > entry->as_of_ms ? as_of_ms : entry->as_of_ms;
   entry->revision = entry->found_revision;
   if (entry->watch.changed)
-    entry->paused_until_ms = sim->now_ms + GATHER_MS;
+    entry->paused_until_ms = sim->now_ms
+                             + bt_get_pause_ms (&sim->limits, entry->as_of_ms, entry->delay_ms,
+                                                GATHER_MS, read_clock (sim, entry));
 }
 
 static bool
@@ -561,7 +564,7 @@
     }
 }
 
-/* Guards against calls on the store that grow while nothing happens: a reader makes one whole watch
+/* Guards against calls on the store that grow while nothing happens: a reader makes one long watch
  * after the other, and a follower makes none. */
 static void
 test_calm_calls (void)
@@ -579,7 +582,7 @@
       calls = sim.follower.calls;
       play (&sim, &scenario, CALM_MS);
       CU_ASSERT_EQUAL (sim.follower.calls, calls);
-      CU_ASSERT (sim.reader.calls <= CALM_MS / (WATCH_MS + 2 * store_delays_ms[i]) + 2);
+      CU_ASSERT (sim.reader.calls <= CALM_MS / (CALM_WATCH_MS + 2 * store_delays_ms[i]) + 2);
     }
 }
 
