gateway: an endpoint that is missing behind an outage is kept from when it may have left

Callers would see: requests to an endpoint more than two seconds after the store has confirmed that it is gone (DRAIN).

Cause: behind an outage of the store a missing endpoint is kept for 1,800 ms, counted from when this instance learned that the store does not list it. An instance that follows a peer learns that up to 1,550 ms late.

Change: each view says as of which time the copy was complete before it; the 1,800 ms count from then, but not from before the store was reachable again, since registrations lapsed until then.

Failing before: test_endpoint_that_leaves_is_removed_in_time_by_a_late_view, with the views of this commit and the table of the code before: kept until 3,350 ms behind the leaving, where 2,000 are allowed. The tests of endpoints that lapsed with the store hold unchanged.

--- a/source/gateway/endpoint_table.c
+++ b/source/gateway/endpoint_table.c
@@ -22,7 +22,7 @@
 {
   bt_listed_endpoint_t listed;
   bool gone; /* known to be gone; not in the router while the same registration is listed */
-  int64_t missing_since_ms; /* since when the store does not list it; 0: it is listed */
+  int64_t missing_since_ms; /* from when on the store may not have listed it; 0: it is listed */
   int64_t ignored_start_ms; /* start time of the older registration ignored last; 0: none */
   bool evacuated;           /* as the router knows it */
   uint64_t view_number;     /* the last view that listed it */
@@ -337,6 +337,18 @@
     }
 }
 
+/* Returns from when on the store may not have listed the endpoints that a view lacks. The time
+ * before the store became reachable again does not count: registrations lapsed then. */
+static int64_t
+get_missing_since_ms (const bt_endpoint_table_t *table, const bt_view_t *view, int64_t now_ms)
+{
+  int64_t since_ms = view->changed_after_ms;
+
+  if (since_ms < table->regained_ms)
+    since_ms = table->regained_ms;
+  return since_ms < now_ms ? since_ms : now_ms;
+}
+
 /* Returns the time until which a missing endpoint is kept. */
 static int64_t
 get_keep_end_ms (const bt_endpoint_table_t *table, const table_row_t *row)
@@ -368,7 +380,7 @@
       if (row->view_number == table->view_number)
         continue;
       if (row->missing_since_ms == 0)
-        row->missing_since_ms = now_ms;
+        row->missing_since_ms = get_missing_since_ms (table, view, now_ms);
       keep_end_ms = get_keep_end_ms (table, row);
       if (now_ms < keep_end_ms)
         {
--- a/source/gateway/store_follower.c
+++ b/source/gateway/store_follower.c
@@ -124,6 +124,7 @@
 {
   bt_store_follower_t *follower;
   int64_t read_ms;
+  int64_t changed_after_ms;
   bt_view_t *view;
 } view_args_t;
 
@@ -135,14 +136,16 @@
 
   args->view = bt_new_view (follower->ctx, follower->options.platform, items, args->read_ms,
                             follower->last_view);
+  args->view->changed_after_ms = args->changed_after_ms;
 }
 
-/* Posts a view of the copy's current items, and chooses the feed from it. */
+/* Posts a view of the copy's current items, and chooses the feed from it. Before its items changed,
+ * the copy was complete as of @p changed_after_ms. */
 static void
-post_current_view (bt_store_follower_t *follower, int64_t read_ms)
+post_current_view (bt_store_follower_t *follower, int64_t read_ms, int64_t changed_after_ms)
 {
   const bt_listed_entry_t *self = &follower->options.entry;
-  view_args_t args = { follower, read_ms, NULL };
+  view_args_t args = { follower, read_ms, changed_after_ms, NULL };
 
   bt_visit_copy_items (follower->ctx, follower->copy, make_view, &args);
   bt_record_store_retention (&follower->status, follower->copy);
@@ -170,19 +173,19 @@
 replace_items (bt_store_follower_t *follower, bt_kv_range_t *range, int64_t begun_ms)
 {
   bt_context_t *ctx = follower->ctx;
-  bt_kv_position_t before = bt_get_copy_position (follower->copy);
+  bt_copy_claim_t before = bt_get_copy_claim (follower->copy);
 
   if (!bt_replace_copy (ctx, follower->copy, range, bt_now_ms (ctx)))
     {
-      bt_record_old_store_read (ctx, &follower->status, range, before);
+      bt_record_old_store_read (ctx, &follower->status, range, before.position);
       return;
     }
   follower->read_ms = begun_ms;
   record_as_of (follower, begun_ms);
-  bt_record_store_position (ctx, &follower->status, follower->copy, before);
-  if (bt_compare_kv_positions (bt_get_copy_position (follower->copy), before) > 0)
-    bt_send_peer_items (follower->feed, before);
-  post_current_view (follower, begun_ms);
+  bt_record_store_position (ctx, &follower->status, follower->copy, before.position);
+  if (bt_compare_kv_positions (bt_get_copy_position (follower->copy), before.position) > 0)
+    bt_send_peer_items (follower->feed, before.position);
+  post_current_view (follower, begun_ms, before.as_of_ms);
 }
 
 /* Reads all items of the store. */
@@ -268,13 +271,13 @@
                bt_answered_watch_t *watch,
                bt_error_t *error)
 {
-  bt_kv_position_t before = bt_get_copy_position (follower->copy);
-  bool restored = changes->written.era != before.era;
+  bt_copy_claim_t before = bt_get_copy_claim (follower->copy);
+  bool restored = changes->written.era != before.position.era;
 
   if (restored && defer_read (follower))
     return true;
   follower->deferred_ms = 0;
-  if (restored || changes->incomplete || changes->written.revision < before.revision)
+  if (restored || changes->incomplete || changes->written.revision < before.position.revision)
     return read_all (follower, error);
   watch->changed = changes->written.count > 0 || changes->removed_count > 0;
   follower->gathering = watch->changed;
@@ -283,7 +286,7 @@
     bt_apply_and_send_changes (follower->feed, changes);
   record_as_of (follower, bt_get_watch_as_of_ms (watch));
   if (watch->changed)
-    post_current_view (follower, bt_now_ms (follower->ctx));
+    post_current_view (follower, bt_now_ms (follower->ctx), before.as_of_ms);
   return true;
 }
 
@@ -367,7 +370,7 @@
 static void
 apply_peer_updates (bt_store_follower_t *follower)
 {
-  bt_kv_position_t before = bt_get_copy_position (follower->copy);
+  bt_copy_claim_t before = bt_get_copy_claim (follower->copy);
   bt_store_update_t *update;
   bool changed = false;
 
@@ -383,8 +386,8 @@
     }
   if (!changed)
     return;
-  bt_record_store_position (follower->ctx, &follower->status, follower->copy, before);
-  post_current_view (follower, bt_now_ms (follower->ctx));
+  bt_record_store_position (follower->ctx, &follower->status, follower->copy, before.position);
+  post_current_view (follower, bt_now_ms (follower->ctx), before.as_of_ms);
 }
 
 /* Decides whether this entry follows a peer or reads the store. Only readers, and entries without a
@@ -421,7 +424,7 @@
 expire_retained_items (bt_store_follower_t *follower)
 {
   if (bt_expire_retained_items (follower->ctx, follower->copy))
-    post_current_view (follower, follower->read_ms);
+    post_current_view (follower, follower->read_ms, bt_get_copy_claim (follower->copy).as_of_ms);
 }
 
 static bt_follower_step_t
--- a/source/gateway/view.h
+++ b/source/gateway/view.h
@@ -33,10 +33,12 @@
 
 typedef struct bt_view
 {
-  int64_t era;      /**< The store's era at the read. */
-  int64_t revision; /**< The store's revision at the read. */
-  int64_t read_ms;  /**< Start of the full read, or time of the last applied change, on this
-                         process's clock. */
+  int64_t era;              /**< The store's era at the read. */
+  int64_t revision;         /**< The store's revision at the read. */
+  int64_t read_ms;          /**< Start of the full read, or time of the last applied change, on this
+                                 process's clock. */
+  int64_t changed_after_ms; /**< What differs from the previous view has changed in the store after
+                               this time on the same clock: as of it, the copy was complete. */
   int64_t configuration_revision; /**< Revision of the last change of the configuration; 0: none. */
   bt_declarations_t *declarations; /**< NULL if there is no configuration that can be used. */
   char *configuration;             /**< The text of the configuration in the store. */
--- a/test/gateway/test_endpoint_table.c
+++ b/test/gateway/test_endpoint_table.c
@@ -13,6 +13,7 @@
   /* Time that a request takes to reach an endpoint that was chosen before. */
   SEND_DELAY_MS = 100,
   DRAIN_MS = 2000,
+  LATE_MS = 1550, /* age of a copy that may be followed */
   SLOTS = 4,
   FIRST_START_MS = 100,
   SECOND_START_MS = 200,
@@ -71,6 +72,24 @@
   drop_table ();
 }
 
+/* Guards against requests to an endpoint that has left, behind an outage: its time counted from
+ * when this instance learned of it, late from a peer, and not from when the store may have shown
+ * it. */
+static void
+test_endpoint_that_leaves_is_removed_in_time_by_a_late_view (void)
+{
+  bt_view_t late_view = { .changed_after_ms = LEFT_MS };
+  int64_t next_apply_ms;
+
+  create_table ();
+  bt_record_store_regained (table, REGAINED_MS);
+  next_apply_ms = bt_apply_listed_endpoints (ctx, table, &late_view, LEFT_MS + LATE_MS);
+  CU_ASSERT (next_apply_ms + SEND_DELAY_MS < LEFT_MS + DRAIN_MS);
+  bt_apply_listed_endpoints (ctx, table, &late_view, LEFT_MS + DRAIN_MS - SEND_DELAY_MS);
+  CU_ASSERT_PTR_NULL (bt_find_listed_endpoint (table, "i-1"));
+  drop_table ();
+}
+
 /* The store was down, and all leases ended when it returned. The endpoints list themselves again,
  * and none of them may be removed meanwhile. */
 static void
@@ -382,6 +401,7 @@
   CU_initialize_registry ();
   suite = CU_add_suite ("endpoint_table", NULL, NULL);
   CU_ADD_TEST (suite, test_endpoint_that_leaves_after_an_outage_is_removed_in_time);
+  CU_ADD_TEST (suite, test_endpoint_that_leaves_is_removed_in_time_by_a_late_view);
   CU_ADD_TEST (suite, test_endpoint_that_lapsed_with_the_store_is_kept);
   CU_ADD_TEST (suite, test_endpoint_is_not_cold_again_in_another_era);
   CU_ADD_TEST (suite, test_endpoint_that_leaves_is_removed_at_once);
