entry: an answer whose status is none is not passed on

But bilberryd serve took the status from an agent's message as it was: 0 closed the caller's connection without an answer, 999 was delivered as an answer (trials with an agent changed to name them).

Cause: what an agent has checked was taken for checked by every version of it. One from before the checks of answers passes on 600 to 999, and a message without the field has status 0.

Change: the head of an answer without a final status is left out and counted (bilberry_malformed_replies_total). The answer then lacks its head, which is handled as a lost message; at worst the outcome is unknown.

--- a/include/bilberrytray/base/answer_head.h
+++ b/include/bilberrytray/base/answer_head.h
@@ -76,6 +76,9 @@
  * the head is complete. */
 void bt_refuse_head (bt_answer_head_t *head);
 
+/** Returns true if a status may be that of a final head: 200 to 599. */
+bool bt_is_final_status (int64_t status);
+
 /** Returns a word for logs and metrics, such as "status-line". */
 const char *bt_name_head_fault (bt_head_fault_t fault);
 
--- a/source/base/answer_head.c
+++ b/source/base/answer_head.c
@@ -35,6 +35,12 @@
   [BT_HEAD_FAULT_TOO_LARGE] = { "too-large", "The answer's head is too large." },
 };
 
+bool
+bt_is_final_status (int64_t status)
+{
+  return status >= FIRST_FINAL_STATUS && status <= MAX_STATUS;
+}
+
 const char *
 bt_name_head_fault (bt_head_fault_t fault)
 {
--- a/source/entry/calls.c
+++ b/source/entry/calls.c
@@ -243,6 +243,16 @@
   bt_drop_declarations (ctx, declarations);
 }
 
+static void
+count_malformed_reply (bt_context_t *ctx)
+{
+  bt_add_counter (
+      bt_find_counter (ctx, BT_COUNTER, "bilberry_malformed_replies_total",
+                       "Messages of agents that were not used, since they are not valid.", NULL,
+                       NULL),
+      1);
+}
+
 void
 bt_handle_answer_frame (bt_entry_t *entry, bt_link_t *link, const bt_frame_t *frame)
 {
@@ -251,7 +261,10 @@
   bt_call_t *call;
 
   if (!bt_read_reply (link, frame, &reply))
-    return;
+    {
+      count_malformed_reply (entry->ctx);
+      return;
+    }
   call = bt_find_call (entry, reply.path.call);
   if (call != NULL)
     bt_handle_call_event (entry, call, &event);
--- a/source/entry/messages.c
+++ b/source/entry/messages.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "bilberrytray/base/answer_head.h"
+
 static void
 fill_grant (Bilberry__Grant *frame, const bt_grant_t *grant)
 {
@@ -76,7 +78,7 @@
 static bool
 read_head (const Bilberry__AnswerHead *frame, bt_reply_t *reply)
 {
-  if (frame->n_headers == 0)
+  if (frame->n_headers == 0 || !bt_is_final_status (frame->status))
     return false;
   reply->kind = BT_REPLY_HEAD;
   reply->path.call = frame->call;
