gateway: the followers of a feed get a file of their own, and the simulation plays the claims as sent

Claims of copies are written and read by feed_messages, so that test_copy_freshness plays the code that the links use; it fails with an as-of time that leaves out the arrival of the follower's message, or the age of the copy. Of several claims of a peer the latest as-of time counts, as an earlier one stays true.

--- a/source/gateway/feed_messages.c
+++ b/source/gateway/feed_messages.c
@@ -176,3 +176,24 @@
     update->keys[update->key_count++] = bt_strdup (ctx, message->keys[i]);
   return update;
 }
+
+void
+bt_write_claim (const bt_copy_claim_t *claim,
+                const bt_feed_follower_t *follower,
+                Bilberry__StoreState *state)
+{
+  state->era = claim->position.era;
+  state->revision = claim->position.revision;
+  if (follower == NULL || follower->echo_ms == 0)
+    return;
+  state->echo_ms = follower->echo_ms;
+  state->as_of_after_ms = claim->as_of_ms - follower->arrival_ms;
+}
+
+bool
+bt_read_claim (const Bilberry__StoreState *state, bt_copy_claim_t *claim)
+{
+  claim->position = (bt_kv_position_t){ state->era, state->revision };
+  claim->as_of_ms = state->echo_ms + state->as_of_after_ms;
+  return state->echo_ms != 0;
+}
--- a/source/gateway/peer_feed.c
+++ b/source/gateway/peer_feed.c
@@ -8,6 +8,7 @@
 #include "bilberrytray/base/condition.h"
 #include "bilberrytray/base/event_log.h"
 #include "departed_peers.h"
+#include "feed_followers.h"
 #include "feed_messages.h"
 
 enum
@@ -23,15 +24,6 @@
   MAX_LINKS = 256,
 };
 
-/** A list element for the link to an entry that follows this one. */
-typedef struct follower_row
-{
-  bt_link_t *link;
-  int64_t echo_ms;    /* time of sending of its last message, by its clock; 0: not known */
-  int64_t arrival_ms; /* of that message, by this entry's clock */
-  struct follower_row *next;
-} follower_row_t;
-
 struct bt_peer_feed
 {
   bt_link_handler_t handler; /* must be first: callbacks cast it to bt_peer_feed_t */
@@ -45,7 +37,7 @@
   /* Lock order: acquired before the copy's lock, and before any call into a link. */
   pthread_mutex_t lock; /* guards the members below */
   pthread_cond_t changed;
-  follower_row_t *followers;
+  bt_feed_follower_t *followers;
   bool attached;         /* the store answers this entry */
   int64_t told_as_of_ms; /* as-of time of the copy when all followers were last told */
   bool vouching;         /* the last state that was sent says that the copy is fresh */
@@ -97,38 +89,19 @@
   feed->vouching = vouching;
 }
 
-static follower_row_t *
-find_follower (const bt_peer_feed_t *feed, const bt_link_t *link)
-{
-  for (follower_row_t *row = feed->followers; row != NULL; row = row->next)
-    if (row->link == link)
-      return row;
-  return NULL;
-}
-
-/* The as-of time is given relative to the arrival of the receiver's last message. The receiver
- * counts it from when it sent that message, which was earlier, so no delay of a message, at
- * either end or on the way, makes a copy seem fresher than it is. */
 static void
 send_state (bt_peer_feed_t *feed, bt_link_t *link)
 {
   Bilberry__StoreState state = BILBERRY__STORE_STATE__INIT;
-  const follower_row_t *row = find_follower (feed, link);
   bt_copy_claim_t claim = bt_get_copy_claim (feed->copy);
   int64_t now_ms = bt_now_ms (feed->ctx);
 
   state.attached = feed->attached && !feed->retired
                    && bt_get_follow_left_ms (&feed->options.freshness, claim.as_of_ms, now_ms) > 0;
   record_vouching (feed, state.attached, now_ms - claim.as_of_ms);
-  state.era = claim.position.era;
-  state.revision = claim.position.revision;
+  bt_write_claim (&claim, bt_find_feed_follower (feed->followers, link), &state);
   state.leaving = feed->retired;
   state.sent_ms = now_ms;
-  if (state.attached && row != NULL && row->echo_ms != 0)
-    {
-      state.echo_ms = row->echo_ms;
-      state.as_of_after_ms = claim.as_of_ms - row->arrival_ms;
-    }
   send_message (feed, link, BILBERRY__FRAME__BODY_STORE_STATE, &state);
 }
 
@@ -155,7 +128,7 @@
 static void
 send_to_followers (bt_peer_feed_t *feed, Bilberry__Frame__BodyCase kind, void *message)
 {
-  for (follower_row_t *row = feed->followers; row != NULL; row = row->next)
+  for (const bt_feed_follower_t *row = feed->followers; row != NULL; row = row->next)
     send_message (feed, row->link, kind, message);
 }
 
@@ -188,16 +161,6 @@
   pthread_mutex_unlock (&feed->lock);
 }
 
-static void
-drop_follower (bt_peer_feed_t *feed, follower_row_t **at)
-{
-  follower_row_t *row = *at;
-
-  *at = row->next;
-  bt_drop_link (feed->ctx, row->link);
-  bt_free (feed->ctx, row);
-}
-
 static void
 handle_link_down (bt_link_handler_t *handler, bt_link_t *link)
 {
@@ -206,25 +169,16 @@
   pthread_mutex_lock (&feed->lock);
   if (link == feed->link)
     feed->up = false;
-  for (follower_row_t **at = &feed->followers; *at != NULL; at = &(*at)->next)
-    if ((*at)->link == link)
-      {
-        drop_follower (feed, at);
-        break;
-      }
+  bt_remove_feed_follower (feed->ctx, &feed->followers, link);
   pthread_cond_signal (&feed->changed);
   pthread_mutex_unlock (&feed->lock);
 }
 
 static void
-record_message_time (bt_peer_feed_t *feed, const bt_link_t *link, int64_t sent_ms)
+record_message_time (bt_peer_feed_t *feed, bt_feed_follower_t *follower, int64_t sent_ms)
 {
-  follower_row_t *row = find_follower (feed, link);
-
-  if (row == NULL)
-    return;
-  row->echo_ms = sent_ms;
-  row->arrival_ms = bt_now_ms (feed->ctx);
+  follower->echo_ms = sent_ms;
+  follower->arrival_ms = bt_now_ms (feed->ctx);
 }
 
 /* Handles the request of a new follower, or of one that missed an update. Sends all items that
@@ -235,15 +189,8 @@
 {
   items_args_t args = { feed, link, { follow->era, follow->revision } };
 
-  if (find_follower (feed, link) == NULL)
-    {
-      follower_row_t *row = bt_calloc (feed->ctx, 1, sizeof *row);
-
-      row->link = bt_keep_link (link);
-      row->next = feed->followers;
-      feed->followers = row;
-    }
-  record_message_time (feed, link, follow->sent_ms);
+  record_message_time (feed, bt_add_feed_follower (feed->ctx, &feed->followers, link),
+                       follow->sent_ms);
   bt_visit_shown_items (feed->copy, send_items, &args);
   send_state (feed, link);
 }
@@ -273,19 +220,28 @@
 confirm_peer_claim (bt_peer_feed_t *feed)
 {
   if (feed->peer_claim.as_of_ms != bt_never_complete_ms
-      && bt_confirm_copy_claim (feed->copy, &feed->peer_claim))
+      && bt_confirm_copy_claim (feed->copy, &feed->peer_claim)
+      && feed->peer_claim.as_of_ms > feed->peer_as_of_ms)
     feed->peer_as_of_ms = feed->peer_claim.as_of_ms;
 }
 
+/* Handles the state of a peer, which may be the followed one, a follower, or both. */
 static void
-handle_peer_state (bt_peer_feed_t *feed, const Bilberry__StoreState *state)
+handle_state (bt_peer_feed_t *feed, bt_link_t *link, const Bilberry__StoreState *state)
 {
+  bt_feed_follower_t *follower = bt_find_feed_follower (feed->followers, link);
+  bt_copy_claim_t claim;
+
+  if (follower != NULL)
+    record_message_time (feed, follower, state->sent_ms);
+  if (state->leaving)
+    bt_record_departed_peer (feed->ctx, &feed->departed, link);
+  if (link != feed->link)
+    return;
   feed->peer_attached = state->attached;
   advance_peer_position (feed, state->era, state->revision);
-  if (!state->attached || state->echo_ms == 0)
-    return;
-  feed->peer_claim =
-      (bt_copy_claim_t){ { state->era, state->revision }, state->echo_ms + state->as_of_after_ms };
+  if (state->attached && bt_read_claim (state, &claim))
+    feed->peer_claim = claim;
   confirm_peer_claim (feed);
 }
 
@@ -296,15 +252,11 @@
 
   pthread_mutex_lock (&feed->lock);
   if (frame->body_case == BILBERRY__FRAME__BODY_STORE_STATE)
-    record_message_time (feed, link, frame->store_state->sent_ms);
-  if (frame->body_case == BILBERRY__FRAME__BODY_STORE_STATE && frame->store_state->leaving)
-    bt_record_departed_peer (feed->ctx, &feed->departed, link);
-  if (frame->body_case == BILBERRY__FRAME__BODY_STORE_FOLLOW)
+    handle_state (feed, link, frame->store_state);
+  else if (frame->body_case == BILBERRY__FRAME__BODY_STORE_FOLLOW)
     handle_follow (feed, link, frame->store_follow);
   else if (link == feed->link && frame->body_case == BILBERRY__FRAME__BODY_STORE_ITEMS)
     handle_items (feed, frame->store_items);
-  else if (link == feed->link && frame->body_case == BILBERRY__FRAME__BODY_STORE_STATE)
-    handle_peer_state (feed, frame->store_state);
   pthread_cond_signal (&feed->changed);
   pthread_mutex_unlock (&feed->lock);
 }
@@ -391,8 +343,7 @@
     return;
   bt_drop_link_loop (ctx, feed->loop);
   disconnect_peer (feed);
-  while (feed->followers != NULL)
-    drop_follower (feed, &feed->followers);
+  bt_clear_feed_followers (ctx, &feed->followers);
   pthread_cond_destroy (&feed->changed);
   pthread_mutex_destroy (&feed->lock);
   bt_free (ctx, feed);
@@ -557,7 +508,7 @@
 static void
 send_state_to_followers (bt_peer_feed_t *feed)
 {
-  for (follower_row_t *row = feed->followers; row != NULL; row = row->next)
+  for (const bt_feed_follower_t *row = feed->followers; row != NULL; row = row->next)
     send_state (feed, row->link);
 }
 
--- a/test/gateway/test_copy_freshness.c
+++ b/test/gateway/test_copy_freshness.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "copy_freshness.h"
+#include "feed_messages.h"
 
 /* A simulation without processes plays the delays of the words that entries give each other about
  * their copies, each at its least and at its most, and together. */
@@ -33,11 +34,7 @@
 typedef struct message
 {
   int64_t arrives_ms;
-  int64_t revision;
-  bool attached;
-  int64_t sent_ms;
-  int64_t echo_ms;
-  int64_t as_of_after_ms;
+  Bilberry__StoreState state;
 } message_t;
 
 /** One direction of a link. */
@@ -99,8 +96,7 @@
   entry_t follower;
   channel_t to_follower;
   channel_t to_reader;
-  int64_t echo_ms; /* what the reader knows of the follower's last message */
-  int64_t arrival_ms;
+  bt_feed_follower_t known; /* what the reader knows of the follower's last message */
   bool linked;
   int64_t linked_ms;
   int64_t received_ms; /* by the follower */
@@ -199,13 +195,13 @@
 }
 
 static void
-send_message (simulation_t *sim, channel_t *channel, const message_t *message)
+send_message (simulation_t *sim, channel_t *channel, const Bilberry__StoreState *state)
 {
   message_t *sent = &channel->messages[channel->count++];
 
   if (channel->count == MAX_MESSAGES)
     abort ();
-  *sent = *message;
+  sent->state = *state;
   sent->arrives_ms = sim->now_ms + sim->scenario->link_delay_ms;
   if (sent->arrives_ms < channel->held_until_ms && sim->now_ms >= sim->scenario->link_held_ms)
     sent->arrives_ms = channel->held_until_ms;
@@ -226,15 +222,15 @@
 send_state (simulation_t *sim)
 {
   const entry_t *reader = &sim->reader;
-  message_t message = { .revision = reader->revision, .sent_ms = sim->now_ms };
+  bt_copy_claim_t claim = { { 0, reader->revision }, reader->as_of_ms };
+  Bilberry__StoreState state = BILBERRY__STORE_STATE__INIT;
 
-  message.attached =
+  state.attached =
       reader->attached && bt_get_follow_left_ms (&sim->limits, reader->as_of_ms, sim->now_ms) > 0;
-  message.echo_ms = sim->echo_ms;
-  if (message.attached && sim->echo_ms != 0)
-    message.as_of_after_ms = reader->as_of_ms - sim->arrival_ms;
+  state.sent_ms = sim->now_ms;
+  bt_write_claim (&claim, &sim->known, &state);
   if (sim->linked)
-    send_message (sim, &sim->to_follower, &message);
+    send_message (sim, &sim->to_follower, &state);
 }
 
 static void
@@ -247,8 +243,8 @@
     return;
   while (receive_message (sim, &sim->to_reader, &message))
     {
-      sim->echo_ms = message.sent_ms;
-      sim->arrival_ms = sim->now_ms;
+      sim->known.echo_ms = message.state.sent_ms;
+      sim->known.arrival_ms = sim->now_ms;
     }
   if (is_call_over (sim, reader))
     {
@@ -282,16 +278,19 @@
 
   while (receive_message (sim, &sim->to_follower, &message))
     {
+      bt_copy_claim_t claim;
+
       sim->received_ms = read_clock (sim, follower);
-      sim->peer_attached = message.attached;
-      sim->peer_revision = message.revision;
-      if (message.revision > follower->revision)
-        follower->revision = message.revision;
-      if (!message.attached || message.echo_ms == 0)
+      sim->peer_attached = message.state.attached;
+      sim->peer_revision = message.state.revision;
+      if (message.state.revision > follower->revision)
+        follower->revision = message.state.revision;
+      if (!message.state.attached || !bt_read_claim (&message.state, &claim))
         continue;
-      sim->peer_as_of_ms = message.echo_ms + message.as_of_after_ms;
-      if (sim->peer_as_of_ms > follower->as_of_ms)
-        follower->as_of_ms = sim->peer_as_of_ms;
+      if (claim.as_of_ms > sim->peer_as_of_ms)
+        sim->peer_as_of_ms = claim.as_of_ms;
+      if (claim.as_of_ms > follower->as_of_ms)
+        follower->as_of_ms = claim.as_of_ms;
     }
 }
 
@@ -302,7 +301,7 @@
   sim->linked_ms = read_clock (sim, &sim->follower) + RELINK_MS;
   sim->to_follower.count = 0;
   sim->to_reader.count = 0;
-  sim->echo_ms = 0;
+  sim->known.echo_ms = 0;
   sim->peer_attached = false;
   sim->peer_as_of_ms = bt_never_complete_ms;
 }
@@ -325,7 +324,7 @@
 {
   entry_t *follower = &sim->follower;
   int64_t now_ms = read_clock (sim, follower);
-  message_t message = { .sent_ms = now_ms };
+  Bilberry__StoreState heartbeat = BILBERRY__STORE_STATE__INIT;
   bt_follower_state_t state = { .has_view = true, .has_primaries = true };
 
   if (is_frozen (sim, follower))
@@ -335,7 +334,8 @@
   if (sim->linked && sim->now_ms >= follower->heartbeat_ms)
     {
       follower->heartbeat_ms = sim->now_ms + HEARTBEAT_MS;
-      send_message (sim, &sim->to_reader, &message);
+      heartbeat.sent_ms = now_ms;
+      send_message (sim, &sim->to_reader, &heartbeat);
     }
   if (is_call_over (sim, follower))
     end_watch (sim, follower);
