entry: no status says that nothing ran where something may have

Callers of bilberryd serve saw: 503 with the outcome unknown. An idempotent request was tried at an endpoint, failed there, and found no other endpoint, or no retry was left. The status says that nothing ran, which a caller that goes by it believes.

Cause: the status of a refusal was that of its reason, whatever had been tried before.

Change: where the reason's status is 429 or 503 and the outcome is unknown, the status is 502, as INTERFACES says.

Failing before: test_no_further_endpoint_is_no_proof, thirteen answers of thirteen (503 no-endpoint, retry-budget).

--- a/include/bilberrytray/core/outcome.h
+++ b/include/bilberrytray/core/outcome.h
@@ -103,6 +103,10 @@
 /** Returns the HTTP status that reports @p reason to a caller. */
 int32_t bt_get_reason_status (bt_reason_t reason);
 
+/** Returns the HTTP status of a refusal with an outcome that may be weaker than the reason's. Where
+ * the status of the reason says that nothing ran, and something may have, it is 502. */
+int32_t bt_get_refusal_status (bt_reason_t reason, bt_outcome_t outcome);
+
 /** Returns the strongest outcome that @p reason alone supports. */
 bt_outcome_t bt_get_reason_outcome (bt_reason_t reason);
 
--- a/source/core/outcome.c
+++ b/source/core/outcome.c
@@ -2,6 +2,13 @@
 
 #include "bilberrytray/base/counters.h"
 
+enum
+{
+  TOO_MANY_REQUESTS = 429,
+  BAD_GATEWAY = 502,
+  UNAVAILABLE = 503,
+};
+
 typedef struct reason_row
 {
   const char *name;
@@ -47,6 +54,15 @@
   return reasons[reason].status;
 }
 
+int32_t
+bt_get_refusal_status (bt_reason_t reason, bt_outcome_t outcome)
+{
+  int32_t status = reasons[reason].status;
+  bool says_not_run = status == TOO_MANY_REQUESTS || status == UNAVAILABLE;
+
+  return says_not_run && outcome == BT_OUTCOME_UNKNOWN ? BAD_GATEWAY : status;
+}
+
 bt_outcome_t
 bt_get_reason_outcome (bt_reason_t reason)
 {
--- a/source/entry/caller.c
+++ b/source/entry/caller.c
@@ -232,7 +232,7 @@
       bt_append_buffer (ctx, &caller->pending, "\n", 1);
       free (body);
       caller->state = ANSWER_COMPLETE;
-      caller->status = bt_get_reason_status (reason);
+      caller->status = bt_get_refusal_status (reason, outcome);
       caller->outcome = outcome;
       caller->reason = reason;
       caller->retry_after_ms = retry_after_ms;
--- a/test/process/test_odd_status.c
+++ b/test/process/test_odd_status.c
@@ -134,6 +134,21 @@
     }
 }
 
+/* Guards against a status that says that nothing ran, behind an attempt that may have: the request
+ * is idempotent, so it is tried again, and there is no other endpoint. */
+static void
+test_no_further_endpoint_is_no_proof (void)
+{
+  for (int32_t i = 0; i < ODD_ANSWERS; i++)
+    {
+      bt_http_reply_t reply;
+
+      atomic_store (&odd_index, i);
+      bt_send_entry_request (testbed, "entry-0", "small", "/lookup/x", NULL, "{}", &reply);
+      check_reply (&reply, i);
+    }
+}
+
 /* Guards against the same in the kept answer of a run, which its caller asks for again by its key:
  * it gets no answer then either, and nothing runs a second time. */
 static void
@@ -198,6 +213,7 @@
   CU_initialize_registry ();
   suite = CU_add_suite ("odd_status", start_suite, end_suite);
   CU_ADD_TEST (suite, test_odd_status_is_no_answer);
+  CU_ADD_TEST (suite, test_no_further_endpoint_is_no_proof);
   CU_ADD_TEST (suite, test_odd_status_is_not_kept);
   CU_ADD_TEST (suite, test_odd_status_begins_no_stream);
   CU_ADD_TEST (suite, test_odd_status_continues_no_stream);
