--- a/source/entry/command_gateway.c
+++ b/source/entry/command_gateway.c
@@ -57,7 +57,8 @@
   { "drain-ms", BT_SETTING_INTEGER, FIELD (drain_ms), "7800", 0, 3600000,
     "Maximum time from SIGTERM to exit, ms." },
   { "watch-ms", BT_SETTING_INTEGER, FIELD (watch_ms), "1200", 100, 30000,
-    "Maximum duration of one watch call to the store, ms." },
+    "Maximum duration of one watch call to the store, ms. A change is in force within that and "
+    "0.75 s at an instance whose peer is cut off from the store." },
   { "lease-s", BT_SETTING_INTEGER, FIELD (lease_s), "4", 1, 600,
     "Time after which this instance's listing expires without renewal, s." },
   { "renew-ms", BT_SETTING_INTEGER, FIELD (renew_ms), "1300", 100, 600000,
