--- a/source/gateway/copy_freshness.h
+++ b/source/gateway/copy_freshness.h
@@ -68,7 +68,7 @@
 typedef struct bt_follower_state
 {
   bool follows_peer;  /**< The followed peer is current. */
-  bool has_view;      /**< The copy was complete once. */
+  bool has_view;      /**< The copy has been used. */
   bool reader;        /**< This entry is to read the store itself. */
   bool has_primaries; /**< There are peers to follow while the store answers this entry. */
   bool store_failing; /**< The store did not answer the last call. */
--- a/test/entry/test_messages.c
+++ b/test/entry/test_messages.c
@@ -1,4 +1,5 @@
 #include <CUnit/Basic.h>
+#include <stdio.h>
 
 #include "messages.h"
 
--- a/test/process/test_odd_status.c
+++ b/test/process/test_odd_status.c
@@ -120,33 +120,32 @@
                          "{\"prompt\":\"ten kilos\",\"max_tokens\":4}", reply);
 }
 
-/* Guards against a status that is none, sent by an endpoint in trouble, in a caller's answer. */
 static void
-test_odd_status_is_no_answer (void)
+check_each_answer (const char *path)
 {
   for (int32_t i = 0; i < ODD_ANSWERS; i++)
     {
       bt_http_reply_t reply;
 
       atomic_store (&odd_index, i);
-      bt_send_entry_request (testbed, "entry-0", "small", "/order/x", NULL, "{}", &reply);
+      bt_send_entry_request (testbed, "entry-0", "small", path, NULL, "{}", &reply);
       check_reply (&reply, i);
     }
 }
 
+/* Guards against a status that is none, sent by an endpoint in trouble, in a caller's answer. */
+static void
+test_odd_status_is_no_answer (void)
+{
+  check_each_answer ("/order/x");
+}
+
 /* Guards against a status that says that nothing ran, behind an attempt that may have: the request
  * is idempotent, so it is tried again, and there is no other endpoint. */
 static void
 test_no_further_endpoint_is_no_proof (void)
 {
-  for (int32_t i = 0; i < ODD_ANSWERS; i++)
-    {
-      bt_http_reply_t reply;
-
-      atomic_store (&odd_index, i);
-      bt_send_entry_request (testbed, "entry-0", "small", "/lookup/x", NULL, "{}", &reply);
-      check_reply (&reply, i);
-    }
+  check_each_answer ("/lookup/x");
 }
 
 /* Guards against the same in the kept answer of a run, which its caller asks for again by its key:
