--- a/test/process/test_odd_status.c
+++ b/test/process/test_odd_status.c
@@ -15,8 +15,9 @@
   BASE_TEN = 10,
 };
 
-#define FIELDS "Content-Type: text/event-stream\r\nBilberrytray-Server-Stamp: s\r\n"
-#define EVENTS "data: 1\n\ndata: [DONE]\n\n"
+#define FIELDS                    "Content-Type: text/event-stream\r\nBilberrytray-Server-Stamp: s\r\n"
+#define EVENTS                    "data: 1\n\ndata: [DONE]\n\n"
+#define EVENT_ANSWER(status_line) status_line "\r\n" FIELDS "\r\n" EVENTS
 
 /* Answers whose status is no status, in the forms in which an endpoint in trouble may send them. */
 static const char *const odd_answers[] = {
@@ -26,13 +27,13 @@
   "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n",
   "HTTP/1.1 000 OK\r\n\r\nbody without a length",
   "HTTP/1.1 000 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
-  "HTTP/1.1 000 OK\r\n" FIELDS "\r\n" EVENTS,
+  EVENT_ANSWER ("HTTP/1.1 000 OK"),
   "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 OK\r\nContent-Length: 4\r\n\r\nbody",
   "HTTP/1.1 000 OK\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
   "HTTP/1.0 000 OK\r\nContent-Length: 4\r\n\r\nbody",
   "HTTP/1.1 099 OK\r\nContent-Length: 4\r\n\r\nbody",
   "HTTP/1.1 600 OK\r\nContent-Length: 4\r\n\r\nbody",
-  "HTTP/1.1 999 OK\r\n" FIELDS "\r\n" EVENTS,
+  EVENT_ANSWER ("HTTP/1.1 999 OK"),
 };
 
 enum
